Lay out the workspace, its kernel and its checks

One package per concern, a kernel with tasks, settings, logs, metrics, a plug-in registry and the closed error table, and the value types that the other packages agree on.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Targets for people and for CI. Each installs what it needs and builds first.
+BUILD ?= build
+JOBS  ?= $(shell nproc)
+SOURCES = $(shell git ls-files '*.cc' '*.h' | grep -v '/gen-cpp/')
+UNITS   = $(filter %.cc,$(SOURCES))
+
+.PHONY: all install build test demo serve bench capacity matrix soak lint format check-format tidy clean
+
+all: build
+
+install:
+	.ci/install
+
+build: install
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	.ci/test $(BUILD)
+
+format:
+	clang-format-19 -i $(SOURCES)
+
+check-format: install
+	clang-format-19 --dry-run --Werror $(SOURCES)
+
+tidy: build
+	printf '%s\n' $(UNITS) | xargs -P $(JOBS) -n 2 .ci/tidy $(BUILD)
+
+lint: check-format tidy
+
+demo: build
+	$(BUILD)/demo
+
+serve: build
+	$(BUILD)/demo --serve
+
+bench: build
+	$(BUILD)/policy_bench --out $(BUILD)/bench
+
+capacity: build
+	$(BUILD)/capacity_bench
+
+matrix: build
+	$(BUILD)/matrix
+
+soak: build
+	$(BUILD)/soak
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/packages/decisions/configuration.cc
@@ -0,0 +1,1 @@
+#include "decisions/configuration.h"
--- /dev/null
+++ b/packages/decisions/package.cmake
@@ -0,0 +1,1 @@
+add_package(decisions hs_kernel)
--- /dev/null
+++ b/packages/kernel/ids.h
@@ -0,0 +1,50 @@
+// Typed identifiers. Two kinds of id can't be mixed up, though both are text.
+
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace hickorystand {
+
+// A string that is an id of one kind, told apart by its tag.
+template <typename Tag>
+class Id {
+ public:
+  Id() = default;
+  explicit Id(std::string text) : text(std::move(text)) {}
+
+  // The id as it stands in configuration, on the wire and in logs.
+  const std::string& Text() const { return this->text; }
+  bool Empty() const { return this->text.empty(); }
+
+  auto operator<=>(const Id&) const = default;
+  bool operator==(const Id&) const = default;
+
+  friend std::ostream& operator<<(std::ostream& out, const Id& id) {
+    return out << id.text;
+  }
+
+ private:
+  std::string text;
+};
+
+using HostId = Id<struct HostTag>;              // an entry host
+using DataCentreId = Id<struct DataCentreTag>;  // also called a site
+using AccountId = Id<struct AccountTag>;        // a client account
+using ServiceId = Id<struct ServiceTag>;        // a model or a plain service
+using EndpointId = Id<struct EndpointTag>;      // one back end
+using RequestId = Id<struct RequestTag>;        // one caller's request
+using ZoneId = Id<struct ZoneTag>;              // what fails together
+
+}  // namespace hickorystand
+
+template <typename Tag>
+struct std::hash<hickorystand::Id<Tag>> {
+  size_t operator()(const hickorystand::Id<Tag>& id) const noexcept {
+    return std::hash<std::string>()(id.Text());
+  }
+};
--- /dev/null
+++ b/packages/kernel/settings.cc
@@ -0,0 +1,338 @@
+#include "kernel/settings.h"
+
+#include <gio/gio.h>
+#include <glib.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace hickorystand {
+namespace {
+
+struct KeyFileFree {
+  void operator()(GKeyFile* file) const { g_key_file_free(file); }
+};
+
+struct Unit {
+  std::string_view suffix;
+  Duration length;
+};
+
+constexpr std::array kUnits = {
+    Unit{"ms", std::chrono::milliseconds(1)},
+    Unit{"s", std::chrono::seconds(1)},
+    Unit{"m", std::chrono::minutes(1)},
+    Unit{"h", std::chrono::hours(1)},
+};
+
+std::optional<int64_t> ParseInteger(std::string_view text) {
+  int64_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string Trim(const std::string& text) {
+  const size_t first = text.find_first_not_of(" \t\r");
+  if (first == std::string::npos) {
+    return "";
+  }
+  return text.substr(first, text.find_last_not_of(" \t\r") - first + 1);
+}
+
+std::string Join(const std::vector<std::string>& words) {
+  std::string out;
+  for (const std::string& word : words) {
+    out += (out.empty() ? "" : ", ") + word;
+  }
+  return out;
+}
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> items;
+  std::istringstream in(text);
+  std::string item;
+  while (std::getline(in, item, ';')) {
+    if (const std::string trimmed = Trim(item); !trimmed.empty()) {
+      items.push_back(trimmed);
+    }
+  }
+  return items;
+}
+
+std::string FullName(std::string_view section, std::string_view key) {
+  return std::string(section) + "/" + std::string(key);
+}
+
+// The faults found in one file, in the order of its lines.
+class Faults {
+ public:
+  explicit Faults(std::string file) : file(std::move(file)) {}
+
+  void Add(int line, const std::string& what) {
+    this->text += (this->text.empty() ? "" : "\n") + this->file + ":" +
+                  std::to_string(line) + ": " + what;
+  }
+  const std::string& Text() const { return this->text; }
+
+ private:
+  std::string file;
+  std::string text;
+};
+
+// Where each section and key stands. GKeyFile keeps no line numbers and merges
+// duplicates silently, so the lines are read once more here.
+struct Outline {
+  std::map<std::string, int> sections;
+  std::map<std::string, int> keys;
+};
+
+Outline ReadOutline(const std::string& text, Faults& faults) {
+  Outline outline;
+  std::istringstream in(text);
+  std::string raw;
+  std::string section;
+  for (int number = 1; std::getline(in, raw); ++number) {
+    const std::string line = Trim(raw);
+    if (line.empty() || line[0] == '#') {
+      continue;
+    }
+    if (line[0] == '[') {
+      section = line.substr(1, line.find(']') - 1);
+      if (!outline.sections.emplace(section, number).second) {
+        faults.Add(number, "[" + section +
+                               "]: section stands twice; first at line " +
+                               std::to_string(outline.sections[section]));
+      }
+      continue;
+    }
+    const std::string key = Trim(line.substr(0, line.find('=')));
+    if (!outline.keys.emplace(FullName(section, key), number).second) {
+      faults.Add(number, "[" + section + "] " + key + ": key stands twice");
+    }
+  }
+  return outline;
+}
+
+// Why a value breaks its rule, with what is allowed; empty if it doesn't.
+std::string CheckValue(const SettingRule& rule, const std::string& value) {
+  switch (rule.type) {
+    case SettingType::kText:
+      return value.empty() ? "is empty; any text is allowed" : "";
+    case SettingType::kInteger: {
+      const auto number = ParseInteger(value);
+      if (!number || *number < rule.minimum || *number > rule.maximum) {
+        return "'" + value + "' is not allowed; a whole number from " +
+               std::to_string(rule.minimum) + " to " +
+               std::to_string(rule.maximum) + " is";
+      }
+      return "";
+    }
+    case SettingType::kDuration: {
+      const auto length = ParseDuration(value);
+      const auto in_range = [&](int64_t ms) {
+        return ms >= rule.minimum && ms <= rule.maximum;
+      };
+      if (!length || !in_range(length->count() / 1000)) {
+        return "'" + value +
+               "' is not allowed; a length of time such as "
+               "250ms, 5s, 10m or 24h" +
+               (rule.maximum == INT64_MAX
+                    ? std::string()
+                    : " from " + std::to_string(rule.minimum) + "ms to " +
+                          std::to_string(rule.maximum) + "ms") +
+               " is";
+      }
+      return "";
+    }
+    case SettingType::kBoolean:
+      return value == "true" || value == "false"
+                 ? ""
+                 : "'" + value + "' is not allowed; true or false is";
+    case SettingType::kAddress: {
+      const auto address = ParseAddress(value);
+      return address ? "" : address.error().message;
+    }
+    case SettingType::kAddresses: {
+      for (const std::string& item : SplitList(value)) {
+        if (const auto address = ParseAddress(item); !address) {
+          return address.error().message;
+        }
+      }
+      return "";
+    }
+    case SettingType::kChoice:
+      return std::ranges::find(rule.choices, value) != rule.choices.end()
+                 ? ""
+                 : "'" + value + "' is not allowed; one of " +
+                       Join(rule.choices) + " is";
+  }
+  return "";
+}
+
+void CheckUnknown(const Outline& outline,
+                  const std::vector<SettingRule>& rules,
+                  Faults& faults) {
+  std::map<std::string, std::vector<std::string>> known;
+  for (const SettingRule& rule : rules) {
+    known[rule.section].push_back(rule.key);
+  }
+  for (const auto& [section, line] : outline.sections) {
+    if (!known.contains(section)) {
+      std::vector<std::string> names;
+      for (const auto& [name, keys] : known) {
+        names.push_back(name);
+      }
+      faults.Add(line, "[" + section + "]: unknown section; known ones are " +
+                           Join(names));
+    }
+  }
+  for (const auto& [name, line] : outline.keys) {
+    const std::string section = name.substr(0, name.find('/'));
+    const std::string key = name.substr(name.find('/') + 1);
+    const auto found = known.find(section);
+    if (found != known.end() &&
+        std::ranges::find(found->second, key) == found->second.end()) {
+      faults.Add(line, "[" + section + "] " + key +
+                           ": unknown key; known ones are " +
+                           Join(found->second));
+    }
+  }
+}
+
+}  // namespace
+
+Result<Settings> Settings::Load(const std::string& path,
+                                const std::vector<SettingRule>& rules) {
+  std::ifstream in(path);
+  if (!in) {
+    return Fail(ErrorKind::kBadSetting, path + ": the file can't be read");
+  }
+  std::stringstream text;
+  text << in.rdbuf();
+  return Parse(text.str(), path, rules);
+}
+
+Result<Settings> Settings::Parse(const std::string& text,
+                                 const std::string& name,
+                                 const std::vector<SettingRule>& rules) {
+  Faults faults(name);
+  const Outline outline = ReadOutline(text, faults);
+  const std::unique_ptr<GKeyFile, KeyFileFree> file(g_key_file_new());
+  g_autoptr(GError) error = nullptr;
+  if (!g_key_file_load_from_data(file.get(), text.data(), text.size(),
+                                 G_KEY_FILE_NONE, &error)) {
+    faults.Add(1, error->message);
+    return Fail(ErrorKind::kBadSetting, faults.Text());
+  }
+  CheckUnknown(outline, rules, faults);
+  Settings settings;
+  for (const SettingRule& rule : rules) {
+    const std::string full = FullName(rule.section, rule.key);
+    g_autofree char* raw = g_key_file_get_value(
+        file.get(), rule.section.c_str(), rule.key.c_str(), nullptr);
+    if (raw == nullptr) {
+      if (rule.required) {
+        faults.Add(1, "[" + rule.section + "] " + rule.key + ": is missing; " +
+                          rule.help);
+      }
+      settings.values[full] = rule.fallback;
+      continue;
+    }
+    const std::string value = Trim(raw);
+    if (const std::string why = CheckValue(rule, value); !why.empty()) {
+      faults.Add(outline.keys.at(full),
+                 "[" + rule.section + "] " + rule.key + ": " + why);
+    }
+    settings.values[full] = value;
+  }
+  if (!faults.Text().empty()) {
+    return Fail(ErrorKind::kBadSetting, faults.Text());
+  }
+  return settings;
+}
+
+const std::string& Settings::Text(std::string_view section,
+                                  std::string_view key) const {
+  const auto found = this->values.find(FullName(section, key));
+  assert(found != this->values.end() && "the schema has no such setting");
+  return found->second;
+}
+
+int64_t Settings::Integer(std::string_view section,
+                          std::string_view key) const {
+  const auto number = ParseInteger(this->Text(section, key));
+  assert(number && "the setting is not a whole number in the schema");
+  return *number;
+}
+
+Duration Settings::Length(std::string_view section,
+                          std::string_view key) const {
+  const auto length = ParseDuration(this->Text(section, key));
+  assert(length && "the setting is not a length of time in the schema");
+  return *length;
+}
+
+bool Settings::Flag(std::string_view section, std::string_view key) const {
+  return this->Text(section, key) == "true";
+}
+
+std::vector<std::string> Settings::List(std::string_view section,
+                                        std::string_view key) const {
+  return SplitList(this->Text(section, key));
+}
+
+Result<Duration> ParseDuration(std::string_view text) {
+  const size_t digits =
+      std::min(text.find_first_not_of("0123456789"), text.size());
+  const auto number = ParseInteger(text.substr(0, digits));
+  const auto unit =
+      std::ranges::find(kUnits, text.substr(digits), &Unit::suffix);
+  constexpr int64_t kMost = int64_t{100} * 365 * 24 * 3600 * 1000;
+  if (!number || unit == kUnits.end() || *number > kMost) {
+    return Fail(ErrorKind::kBadSetting,
+                "'" + std::string(text) + "' is not a length of time");
+  }
+  return unit->length * *number;
+}
+
+Result<SocketAddress> ParseAddress(std::string_view text) {
+  const auto bad = [&] {
+    return Fail(ErrorKind::kBadSetting,
+                "'" + std::string(text) +
+                    "' is not allowed; IP:PORT or [IPv6]:PORT is");
+  };
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return bad();
+  }
+  std::string host(text.substr(0, colon));
+  const bool bracketed =
+      host.size() > 2 && host.front() == '[' && host.back() == ']';
+  if (bracketed) {
+    host = host.substr(1, host.size() - 2);
+  }
+  g_autoptr(GInetAddress) address =
+      g_inet_address_new_from_string(host.c_str());
+  const auto port = ParseInteger(text.substr(colon + 1));
+  if (address == nullptr || !port || *port < 1 || *port > UINT16_MAX) {
+    return bad();
+  }
+  const bool ipv6 = g_inet_address_get_family(address) == G_SOCKET_FAMILY_IPV6;
+  if (ipv6 != bracketed) {
+    return bad();
+  }
+  return SocketAddress{host, static_cast<uint16_t>(*port)};
+}
+
+}  // namespace hickorystand
