--- /dev/null
+++ b/packages/decisions/admission.cc
@@ -0,0 +1,297 @@
+#include "decisions/admission.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <numeric>
+#include <ranges>
+#include <tuple>
+
+namespace hickorystand {
+namespace {
+
+constexpr double kDrainWindowSeconds = 1;
+constexpr double kDrainGain = 0.3;
+constexpr double kLongestRetrySeconds = 30;
+constexpr double kJitter = 0.5;
+constexpr double kMinWeight = 0.001;
+constexpr size_t kPeers = 1024;
+
+bool IsBatch(const Waiting& waiting) {
+  return waiting.request_class == RequestClass::kBatch;
+}
+
+}  // namespace
+
+Admission::Admission(const AdmissionOptions& options)
+    : options(options), random(options.seed) {}
+
+void Admission::OnConfiguration(const Configuration& configuration) {
+  for (const auto& [id, account] : configuration.accounts) {
+    Counted& counted = this->accounts[id];
+    counted.weight = std::max(kMinWeight, account.weight);
+    counted.max_in_flight = account.max_in_flight;
+  }
+  std::erase_if(this->accounts, [&](const auto& entry) {
+    return !configuration.accounts.contains(entry.first) &&
+           entry.second.waiting == 0 && entry.second.in_flight == 0;
+  });
+}
+
+// Without the lift an account could save up credit while idle and then keep
+// everybody else out for as long.
+void Admission::Lift(Counted& account) {
+  account.counter =
+      std::max(account.counter,
+               this->virtual_time - this->options.idle_credit / account.weight);
+}
+
+void Admission::Enqueue(Instant now,
+                        const Request& request,
+                        double cost,
+                        bool again) {
+  assert(!this->index.contains(request.id) && "a request is queued twice");
+  Counted& account = this->accounts[request.account];
+  if (account.waiting == 0) {
+    this->Lift(account);
+  }
+  const bool batch = request.request_class == RequestClass::kBatch;
+  const Instant aged = this->options.age_batch
+                           ? std::min(request.deadline,
+                                      request.arrived + this->options.batch_age)
+                           : Instant::max();
+  Waiting waiting{.request = request.id,
+                  .account = request.account,
+                  .service = request.service,
+                  .request_class = request.request_class,
+                  .cost = cost,
+                  .due = batch ? aged : request.deadline,
+                  .order = this->next_order++};
+  if (again) {
+    waiting.due = now;
+  } else if (!this->options.fair) {
+    waiting.due = request.arrived;
+  }
+  Lines& lines = this->pools[request.service].lines[request.account];
+  (batch ? lines.batch : lines.urgent).insert(waiting);
+  (batch ? lines.batch_cost : lines.urgent_cost) += cost;
+  account.waiting += 1;
+  this->index.emplace(request.id, waiting);
+}
+
+bool Admission::Remove(const RequestId& request) {
+  const auto found = this->index.find(request);
+  if (found == this->index.end()) {
+    return false;
+  }
+  const Waiting waiting = found->second;
+  this->index.erase(found);
+  Pool& pool = this->pools.at(waiting.service);
+  Lines& lines = pool.lines.at(waiting.account);
+  const bool batch = IsBatch(waiting);
+  [[maybe_unused]] const size_t erased =
+      (batch ? lines.batch : lines.urgent).erase(waiting);
+  assert(erased == 1 && "the index and the line disagree");
+  (batch ? lines.batch_cost : lines.urgent_cost) -= waiting.cost;
+  this->accounts.at(waiting.account).waiting -= 1;
+  if (lines.Empty()) {
+    pool.lines.erase(waiting.account);
+  }
+  return true;
+}
+
+const Waiting* Admission::Head(Instant now, const Lines& lines) const {
+  if (lines.batch.empty()) {
+    return &*lines.urgent.begin();
+  }
+  const Waiting& batch = *lines.batch.begin();
+  if (lines.urgent.empty()) {
+    return &batch;
+  }
+  const Waiting& urgent = *lines.urgent.begin();
+  const bool batch_first = batch.due <= now && (batch.due < urgent.due);
+  return batch_first ? &batch : &urgent;
+}
+
+bool Admission::AtLimit(const Counted& account) const {
+  if (account.max_in_flight == 0) {
+    return false;
+  }
+  const auto hosts = static_cast<int64_t>(this->peers.size()) + 1;
+  return account.in_flight * hosts >= account.max_in_flight;
+}
+
+std::vector<Waiting> Admission::Heads(Instant now,
+                                      const ServiceId& service) const {
+  const auto pool = this->pools.find(service);
+  if (pool == this->pools.end()) {
+    return {};
+  }
+  struct Ranked {
+    bool yields;
+    double counter;
+    const Waiting* waiting;
+  };
+  std::vector<Ranked> ranked;
+  const bool contended = pool->second.lines.size() > 1;
+  for (const auto& [id, lines] : pool->second.lines) {
+    const Counted& account = this->accounts.at(id);
+    if (contended && this->AtLimit(account)) {
+      continue;
+    }
+    const Waiting* head = this->Head(now, lines);
+    const bool yields = IsBatch(*head) && head->due > now;
+    const double counter = this->options.fair
+                               ? account.counter
+                               : ToSeconds(head->due.time_since_epoch());
+    ranked.push_back({yields, counter, head});
+  }
+  std::ranges::sort(ranked, [](const Ranked& a, const Ranked& b) {
+    return std::tuple(a.yields, a.counter, a.waiting->order) <
+           std::tuple(b.yields, b.counter, b.waiting->order);
+  });
+  std::vector<Waiting> heads;
+  std::ranges::transform(ranked, std::back_inserter(heads),
+                         [](const Ranked& one) { return *one.waiting; });
+  return heads;
+}
+
+void Admission::Start(Instant now, const RequestId& request) {
+  const Waiting waiting = this->index.at(request);
+  this->Remove(request);
+  Counted& account = this->accounts.at(waiting.account);
+  this->virtual_time = std::max(this->virtual_time, account.counter);
+  account.counter += waiting.cost / account.weight;
+  account.served += waiting.cost;
+  account.in_flight += 1;
+  Pool& pool = this->pools.at(waiting.service);
+  pool.drained += waiting.cost;
+  const double elapsed = ToSeconds(now - pool.drained_at);
+  if (elapsed >= kDrainWindowSeconds) {
+    const double rate = pool.drained / elapsed;
+    pool.drain += (pool.drain == 0 ? 1 : kDrainGain) * (rate - pool.drain);
+    pool.drained = 0;
+    pool.drained_at = now;
+  }
+}
+
+void Admission::Correct(const AccountId& account, double difference) {
+  const auto found = this->accounts.find(account);
+  if (found != this->accounts.end()) {
+    found->second.counter += difference / found->second.weight;
+    found->second.served = std::max(0.0, found->second.served + difference);
+  }
+}
+
+void Admission::Ended(const AccountId& account) {
+  Counted& counted = this->accounts.at(account);
+  counted.in_flight -= 1;
+  assert(counted.in_flight >= 0 && "a request ended twice");
+}
+
+void Admission::OnDigest(const Digest& digest) {
+  if (this->peers.size() >= kPeers && !this->peers.contains(digest.host)) {
+    return;
+  }
+  const bool fresh = !this->peers.contains(digest.host);
+  Peer& peer = this->peers[digest.host];
+  const bool restarted = peer.incarnation != digest.incarnation;
+  if (!restarted && digest.sequence <= peer.sequence) {
+    return;
+  }
+  for (const AccountServed& served : digest.served) {
+    const auto counted = this->accounts.find(served.account);
+    if (counted == this->accounts.end()) {
+      continue;
+    }
+    AccountServed& last = peer.served[served.account];
+    // What a peer served before it was first heard of is no debt here.
+    const int64_t before = fresh ? served.cost : (restarted ? 0 : last.cost);
+    const auto grown = static_cast<double>(served.cost - before);
+    counted->second.counter += grown / counted->second.weight;
+    last = served;
+  }
+  peer.incarnation = digest.incarnation;
+  peer.sequence = digest.sequence;
+}
+
+void Admission::OnHostGone(const HostId& host) {
+  this->peers.erase(host);
+}
+
+double Admission::ExpectedWaitSeconds(const Request& request,
+                                      double cost) const {
+  const auto pool = this->pools.find(request.service);
+  if (pool == this->pools.end() || pool->second.lines.empty() ||
+      pool->second.drain <= 0) {
+    return 0;
+  }
+  const auto& lines = pool->second.lines;
+  const auto weight = [this](const AccountId& id) {
+    const auto found = this->accounts.find(id);
+    return found == this->accounts.end() ? 1.0 : found->second.weight;
+  };
+  double weights = 0;
+  double total = cost;
+  for (const auto& [id, line] : lines) {
+    total += line.urgent_cost;
+    weights += line.urgent.empty() ? 0 : weight(id);
+  }
+  const auto own = lines.find(request.account);
+  const bool joins = own == lines.end() || own->second.urgent.empty();
+  weights += joins ? weight(request.account) : 0;
+  const double ahead =
+      cost + (own == lines.end() ? 0 : own->second.urgent_cost);
+  const double share = weight(request.account) / weights;
+  const double work =
+      this->options.fair ? std::min(total, ahead / share) : total;
+  return work / pool->second.drain;
+}
+
+Duration Admission::RetryAfter(const ServiceId& service) {
+  double seconds = 1;
+  const auto pool = this->pools.find(service);
+  if (pool != this->pools.end() && pool->second.drain > 0) {
+    double total = 0;
+    for (const auto& [id, line] : pool->second.lines) {
+      total += line.urgent_cost + line.batch_cost;
+    }
+    seconds = std::max(seconds, total / pool->second.drain);
+  }
+  std::uniform_real_distribution<double> jitter(0, kJitter);
+  seconds = std::min(seconds, kLongestRetrySeconds);
+  return FromSeconds(seconds * (1 + jitter(this->random)));
+}
+
+bool Admission::Meetable(Instant now,
+                         const Request& request,
+                         double seconds) const {
+  const double left = ToSeconds(request.deadline - now);
+  return left > 0 && seconds <= left * this->options.wait_share;
+}
+
+std::vector<ServiceId> Admission::Services() const {
+  std::vector<ServiceId> services;
+  for (const auto& [id, pool] : this->pools) {
+    if (!pool.lines.empty()) {
+      services.push_back(id);
+    }
+  }
+  return services;
+}
+
+void Admission::FillDigest(Digest& digest) const {
+  for (const auto& [id, counted] : this->accounts) {
+    if (counted.served > 0 || counted.waiting > 0) {
+      digest.served.push_back(
+          {id, std::llround(counted.served), counted.waiting});
+    }
+  }
+}
+
+double Admission::Counter(const AccountId& account) const {
+  const auto found = this->accounts.find(account);
+  return found == this->accounts.end() ? 0 : found->second.counter;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/hickorystand_dispatcher.cc
@@ -0,0 +1,626 @@
+#include "decisions/hickorystand_dispatcher.h"
+
+#include <algorithm>
+#include <cassert>
+#include <ranges>
+
+#include "kernel/registry.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr int64_t kMaxTries = 4;
+constexpr size_t kHeadsTried = 8;
+constexpr Duration kResumeWait = std::chrono::seconds(10);
+constexpr double kLookupGain = 0.05;
+constexpr double kHedgeAfter = 3;  // times the usual time
+constexpr Duration kShortestHedge = std::chrono::milliseconds(30);
+constexpr Duration kExpiryHorizon = std::chrono::seconds(1);
+
+bool SurelyNotRun(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kNotSent ||
+         outcome == AttemptOutcome::kRefused;
+}
+
+PolicyOptions WithIdentity(PolicyOptions policy,
+                           const DispatcherOptions& options) {
+  policy.router.data_centre = options.data_centre;
+  policy.router.seed = options.seed;
+  policy.admission.seed = options.seed + 1;
+  return policy;
+}
+
+ErrorKind KindOf(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kSilent ? ErrorKind::kTimeout
+                                            : ErrorKind::kEndpointFailed;
+}
+
+}  // namespace
+
+HickorystandDispatcher::HickorystandDispatcher(const DispatcherOptions& options,
+                                               const PolicyOptions& policy)
+    : options(options),
+      policy(WithIdentity(policy, options)),
+      admission(this->policy.admission),
+      router(this->policy.router),
+      retries(policy.retries),
+      suspects(policy.suspects),
+      configuration(std::make_shared<Configuration>()) {}
+
+void HickorystandDispatcher::OnConfiguration(Instant,
+                                             ConfigurationPtr configuration) {
+  assert(configuration != nullptr && "a configuration must be given");
+  this->configuration = std::move(configuration);
+  this->admission.OnConfiguration(*this->configuration);
+  this->router.OnConfiguration(*this->configuration);
+}
+
+// --- Arrival ---------------------------------------------------------------
+
+std::optional<Error> HickorystandDispatcher::ReasonToRefuse(
+    Instant now,
+    const Request& request) {
+  const auto later = [&] {
+    return this->admission.RetryAfter(request.service);
+  };
+  if (this->draining) {
+    return Error{ErrorKind::kShuttingDown, "this host is leaving", later()};
+  }
+  if (!this->configuration->services.contains(request.service)) {
+    return Error{ErrorKind::kUnknownModel, "no such service", {}};
+  }
+  // A non-idempotent request that comes again is for its claim to refuse: "not
+  // run" would be untrue.
+  if (request.request_class != RequestClass::kOnce &&
+      this->suspects.IsCondemned(now, request.fingerprint)) {
+    return Error{ErrorKind::kSuspectRequest,
+                 "this request crashed the endpoints that ran it",
+                 {}};
+  }
+  if (this->admission.Size() >= this->options.max_queued) {
+    return Error{ErrorKind::kOverloaded, "the queue is full", later()};
+  }
+  if (request.request_class == RequestClass::kBatch) {
+    return {};
+  }
+  if (!this->router.HasEndpoint(request.service)) {
+    return Error{ErrorKind::kNoEndpoint, "no endpoint serves this now",
+                 later()};
+  }
+  if (!this->policy.admission.refuse_unmeetable) {
+    return {};
+  }
+  const double cost =
+      static_cast<double>(request.prompt_tokens) +
+      this->router.DecodeWeight() * static_cast<double>(request.output_tokens);
+  const double first = this->router.BestSeconds(now, request).value_or(0);
+  const double wait = this->admission.ExpectedWaitSeconds(request, cost);
+  if (!this->admission.Meetable(now, request, wait + first)) {
+    return Error{ErrorKind::kDeadlineUnmeetable,
+                 "the answer would come after its deadline", later()};
+  }
+  return {};
+}
+
+DispatchList HickorystandDispatcher::OnArrival(Instant now,
+                                               const Request& request) {
+  assert(!this->live.contains(request.id) &&
+         "request ids must be unique on a host");
+  if (std::optional<Error> error = this->ReasonToRefuse(now, request)) {
+    return {Dispatch{.kind = DispatchKind::kRefuse,
+                     .request = request.id,
+                     .reason = "refused on arrival",
+                     .error = std::move(error)}};
+  }
+  Live& live = this->live[request.id];
+  live.request = request;
+  live.charged =
+      static_cast<double>(request.prompt_tokens) +
+      this->router.DecodeWeight() * static_cast<double>(request.output_tokens);
+  live.expires = request.deadline;
+  this->Enqueue(now, live, live.charged, false);
+  DispatchList out;
+  this->Pump(now, request.service, out);
+  return out;
+}
+
+void HickorystandDispatcher::Enqueue(Instant now,
+                                     Live& live,
+                                     double cost,
+                                     bool again) {
+  live.state = State::kQueued;
+  this->admission.Enqueue(now, live.request, cost, again);
+  if (this->MayBeRefused(live)) {
+    this->expiries.emplace(live.expires, live.request.id);
+  }
+}
+
+// Batch work waits as long as it takes, unless its caller has part of it.
+bool HickorystandDispatcher::MayBeRefused(const Live& live) const {
+  return live.request.request_class != RequestClass::kBatch ||
+         live.delivered > 0;
+}
+
+// --- Starting ---------------------------------------------------------------
+
+void HickorystandDispatcher::Pump(Instant now,
+                                  const ServiceId& service,
+                                  DispatchList& out) {
+  for (bool started = true; started;) {
+    const std::vector<Waiting> heads = this->admission.Heads(now, service);
+    started = std::ranges::any_of(
+        heads | std::views::take(kHeadsTried),
+        [&](const Waiting& head) { return this->StartHead(now, head, out); });
+  }
+}
+
+RouteQuery HickorystandDispatcher::QueryFor(Instant now,
+                                            const Live& live) const {
+  const bool suspect =
+      this->policy.separate_suspects &&
+      this->suspects.IsSuspected(now, live.request.fingerprint);
+  return {.request = &live.request,
+          .suspect = suspect,
+          .ignore_room = live.granted,
+          .avoid = live.avoid,
+          .avoid_zones = live.avoid_zones};
+}
+
+bool HickorystandDispatcher::StartHead(Instant now,
+                                       const Waiting& head,
+                                       DispatchList& out) {
+  Live& live = this->live.at(head.request);
+  const std::optional<Route> route =
+      this->router.Choose(now, this->QueryFor(now, live));
+  if (!route) {
+    return false;
+  }
+  this->expiries.erase({live.expires, head.request});
+  this->admission.Start(now, head.request);
+  live.started = true;
+  const bool once = live.request.request_class == RequestClass::kOnce;
+  if (once && !live.granted) {
+    live.state = State::kClaiming;
+    out.push_back({.kind = DispatchKind::kClaim,
+                   .request = head.request,
+                   .reason = "claim before the only send"});
+    return true;
+  }
+  this->Send(now, live, *route, false, out);
+  return true;
+}
+
+void HickorystandDispatcher::Send(Instant now,
+                                  Live& live,
+                                  const Route& route,
+                                  bool hedge,
+                                  DispatchList& out) {
+  if (live.request.request_class == RequestClass::kOnce) {
+    // A second send after a byte may have left would run a filing twice.
+    assert(live.granted && "a non-idempotent request needs its claim");
+    assert(!live.may_have_run && live.attempts.empty() &&
+           "a non-idempotent request is sent once");
+  }
+  const AttemptId id = this->next_attempt++;
+  const bool suspect =
+      this->suspects.IsSuspected(now, live.request.fingerprint);
+  this->router.OnSent(route.endpoint, live.request, route, suspect);
+  this->attempts.emplace(id, Attempt{.request = live.request.id,
+                                     .endpoint = route.endpoint,
+                                     .route = route,
+                                     .sent = now,
+                                     .resume_from = live.delivered,
+                                     .suspect = suspect});
+  live.state = State::kRunning;
+  live.attempts.push_back(id);
+  live.tries += 1;
+  if (live.request.request_class == RequestClass::kLookup && !hedge) {
+    this->lookups.insert(live.request.id);
+  }
+  out.push_back({.kind = DispatchKind::kSend,
+                 .request = live.request.id,
+                 .attempt = id,
+                 .endpoint = route.endpoint,
+                 .resume_from = live.delivered,
+                 .hedge = hedge,
+                 .runners_up = route.runners_up,
+                 .reason = hedge ? "hedged, the first is slow" : route.reason});
+}
+
+DispatchList HickorystandDispatcher::OnClaim(Instant now,
+                                             const RequestId& request,
+                                             ClaimResult result) {
+  const auto found = this->live.find(request);
+  if (found == this->live.end() || found->second.state != State::kClaiming) {
+    return {};
+  }
+  DispatchList out;
+  Live& live = found->second;
+  if (result == ClaimResult::kTaken) {
+    live.may_have_run = true;  // somebody else's copy of it
+    this->Refuse(live, ErrorKind::kDuplicate, "this request was sent before",
+                 out);
+    return out;
+  }
+  if (result != ClaimResult::kGranted) {
+    this->Refuse(live, ErrorKind::kClaimUnavailable,
+                 "the claim can't be recorded now", out);
+    return out;
+  }
+  live.granted = true;
+  if (const auto route = this->router.Choose(now, this->QueryFor(now, live))) {
+    this->Send(now, live, *route, false, out);
+    return out;
+  }
+  this->admission.Ended(live.request.account);
+  this->Enqueue(now, live, 0, true);
+  return out;
+}
+
+// --- Running ----------------------------------------------------------------
+
+DispatchList HickorystandDispatcher::OnProgress(Instant now,
+                                                AttemptId attempt,
+                                                int64_t generated_tokens) {
+  const auto found = this->attempts.find(attempt);
+  if (found == this->attempts.end()) {
+    return {};
+  }
+  Attempt& running = found->second;
+  Live& live = this->live.at(running.request);
+  live.may_have_run = true;
+  live.delivered =
+      std::max(live.delivered, running.resume_from + generated_tokens);
+  DispatchList out;
+  if (!running.first_token) {
+    running.first_token = true;
+    this->router.OnFirstToken(
+        now, running.endpoint, running.route.missed_tokens,
+        running.route.seconds, ToSeconds(now - running.sent));
+    this->lookups.erase(running.request);
+    this->CancelOthers(now, live, attempt, out);
+  }
+  return out;
+}
+
+void HickorystandDispatcher::EndAttempt(Instant now,
+                                        AttemptId attempt,
+                                        AttemptOutcome outcome) {
+  const auto found = this->attempts.find(attempt);
+  assert(found != this->attempts.end() && "an attempt ended twice");
+  const Attempt& ended = found->second;
+  this->router.OnEnded(now, ended.endpoint, outcome,
+                       ended.first_token ? 0 : ended.route.missed_tokens,
+                       ended.suspect, ended.route.probe);
+  Live& live = this->live.at(ended.request);
+  std::erase(live.attempts, attempt);
+  this->attempts.erase(found);
+}
+
+void HickorystandDispatcher::CancelOthers(Instant now,
+                                          Live& live,
+                                          AttemptId keep,
+                                          DispatchList& out) {
+  const std::vector<AttemptId> all = live.attempts;
+  for (const AttemptId other : all) {
+    if (other != keep) {
+      out.push_back({.kind = DispatchKind::kCancel,
+                     .request = live.request.id,
+                     .attempt = other,
+                     .reason = "another attempt answered"});
+      this->EndAttempt(now, other, AttemptOutcome::kCancelled);
+    }
+  }
+}
+
+// All that this host runs on an endpoint as it crashes is one crash, though
+// the attempts report their ends one by one.
+void HickorystandDispatcher::NoteCrash(Instant now, Attempt& attempt) {
+  if (attempt.crash_counted) {
+    return;
+  }
+  std::vector<uint64_t> fingerprints;
+  for (auto& [id, other] : this->attempts) {
+    if (other.endpoint == attempt.endpoint && !other.crash_counted) {
+      other.crash_counted = true;
+      fingerprints.push_back(this->live.at(other.request).request.fingerprint);
+    }
+  }
+  const EndpointView* view = this->router.Find(attempt.endpoint);
+  this->suspects.OnCrash(now, view->endpoint.zone, fingerprints);
+}
+
+double HickorystandDispatcher::UsedCost(const Live& live) const {
+  return live.may_have_run ? static_cast<double>(live.request.prompt_tokens) +
+                                 this->router.DecodeWeight() *
+                                     static_cast<double>(live.delivered)
+                           : 0;
+}
+
+// Replaces the cost that was guessed at arrival by what was really used.
+void HickorystandDispatcher::Recharge(Live& live, double used) {
+  if (live.started) {
+    this->admission.Correct(live.request.account, used - live.charged);
+    live.charged = used;
+  }
+}
+
+DispatchList HickorystandDispatcher::OnResult(Instant now,
+                                              const AttemptResult& result) {
+  const auto found = this->attempts.find(result.attempt);
+  if (found == this->attempts.end()) {
+    return {};
+  }
+  if (result.outcome == AttemptOutcome::kCrashed) {
+    this->NoteCrash(now, found->second);
+  }
+  const Attempt attempt = found->second;
+  Live& live = this->live.at(attempt.request);
+  const ServiceId service = live.request.service;
+  live.delivered =
+      std::max(live.delivered, attempt.resume_from + result.generated_tokens);
+  live.may_have_run = live.may_have_run || !SurelyNotRun(result.outcome);
+  this->EndAttempt(now, result.attempt, result.outcome);
+  DispatchList out;
+  switch (result.outcome) {
+    case AttemptOutcome::kComplete:
+      this->retries.OnSuccess();
+      this->suspects.OnAnswered(live.request.fingerprint);
+      if (live.request.request_class == RequestClass::kLookup) {
+        this->lookup_seconds += kLookupGain * (ToSeconds(now - attempt.sent) -
+                                               this->lookup_seconds);
+      }
+      [[fallthrough]];
+    case AttemptOutcome::kRejected:
+      this->CancelOthers(now, live, result.attempt, out);
+      this->Recharge(live, this->UsedCost(live) -
+                               static_cast<double>(result.cached_tokens));
+      this->Finish(live, "answered", out);
+      break;
+    case AttemptOutcome::kCancelled:
+      this->CancelOthers(now, live, result.attempt, out);
+      this->Finish(live, "cancelled", out);
+      break;
+    default:
+      if (live.attempts.empty()) {
+        this->Failed(now, live, attempt, result.outcome, out);
+      }
+  }
+  this->Pump(now, service, out);
+  return out;
+}
+
+void HickorystandDispatcher::Failed(Instant now,
+                                    Live& live,
+                                    const Attempt& attempt,
+                                    AttemptOutcome outcome,
+                                    DispatchList& out) {
+  live.last = outcome;
+  this->lookups.erase(live.request.id);
+  const RequestClass request_class = live.request.request_class;
+  if (request_class == RequestClass::kOnce && live.may_have_run) {
+    this->Refuse(live, ErrorKind::kOutcomeUnknown,
+                 "the request may have run; look up its status", out);
+    return;
+  }
+  const auto service = this->configuration->services.find(live.request.service);
+  const bool resumable = service != this->configuration->services.end() &&
+                         service->second.kind == ServiceKind::kLanguage;
+  const bool too_late = live.delivered == 0 && now >= live.request.deadline &&
+                        request_class != RequestClass::kBatch;
+  if (live.tries >= kMaxTries || too_late ||
+      (live.delivered > 0 && !resumable) ||
+      this->suspects.IsCondemned(now, live.request.fingerprint) ||
+      !this->retries.Take(now)) {
+    this->GiveUp(live, out);
+    return;
+  }
+  live.avoid.insert(attempt.endpoint);
+  if (const EndpointView* view = this->router.Find(attempt.endpoint);
+      view != nullptr && outcome == AttemptOutcome::kCrashed) {
+    live.avoid_zones.insert(view->endpoint.zone);
+  }
+  if (live.delivered > 0) {
+    live.expires = now + kResumeWait;
+  }
+  this->admission.Ended(live.request.account);
+  this->Enqueue(now, live, 0, true);
+}
+
+// --- Ends -------------------------------------------------------------------
+
+void HickorystandDispatcher::Forget(const RequestId& request) {
+  Live& live = this->live.at(request);
+  assert(live.attempts.empty() && "a request is forgotten while it runs");
+  if (live.state == State::kQueued) {
+    this->expiries.erase({live.expires, request});
+    this->admission.Remove(request);
+  } else {
+    this->admission.Ended(live.request.account);
+  }
+  this->lookups.erase(request);
+  this->live.erase(request);
+}
+
+void HickorystandDispatcher::Finish(Live& live,
+                                    std::string reason,
+                                    DispatchList& out) {
+  const RequestId request = live.request.id;
+  this->Forget(request);
+  out.push_back({.kind = DispatchKind::kFinish,
+                 .request = request,
+                 .reason = std::move(reason)});
+}
+
+void HickorystandDispatcher::Refuse(Live& live,
+                                    ErrorKind kind,
+                                    std::string message,
+                                    DispatchList& out) {
+  // "Not run" must be true: the caller sends the request again on its word.
+  assert(!(AnswerFor(kind).not_run && live.may_have_run) &&
+         "a request that may have run is refused as not run");
+  std::optional<Duration> later;
+  if (AnswerFor(kind).retry) {
+    later = this->admission.RetryAfter(live.request.service);
+  }
+  this->Recharge(live, this->UsedCost(live));
+  const RequestId request = live.request.id;
+  this->Forget(request);
+  out.push_back({.kind = DispatchKind::kRefuse,
+                 .request = request,
+                 .reason = "given up",
+                 .error = Error{kind, std::move(message), later}});
+}
+
+void HickorystandDispatcher::GiveUp(Live& live, DispatchList& out) {
+  if (!live.may_have_run) {
+    this->Refuse(live, ErrorKind::kNoEndpoint, "no endpoint took the request",
+                 out);
+  } else if (live.delivered > 0) {
+    this->Refuse(live, ErrorKind::kBrokenAnswer,
+                 "the answer broke and can't be resumed", out);
+  } else {
+    this->Refuse(live, KindOf(live.last),
+                 "the endpoints that ran the request failed", out);
+  }
+}
+
+DispatchList HickorystandDispatcher::OnCallerGone(Instant now,
+                                                  const RequestId& request) {
+  const auto found = this->live.find(request);
+  if (found == this->live.end()) {
+    return {};
+  }
+  Live& live = found->second;
+  // A filing that is on its way is let run: cancelling it would leave its
+  // outcome unknown, and the caller may look up its status later.
+  const bool once = live.request.request_class == RequestClass::kOnce;
+  if (once && !live.attempts.empty()) {
+    return {};
+  }
+  const ServiceId service = live.request.service;
+  DispatchList out;
+  this->CancelOthers(now, live, 0, out);
+  this->Recharge(live, this->UsedCost(live));
+  this->Forget(request);
+  this->Pump(now, service, out);
+  return out;
+}
+
+// --- News and time ----------------------------------------------------------
+
+DispatchList HickorystandDispatcher::OnLoad(Instant now,
+                                            const LoadReport& report) {
+  this->router.OnLoad(now, report);
+  return {};
+}
+
+void HickorystandDispatcher::OnCache(Instant, const CacheEvent& event) {
+  this->router.OnCache(event);
+}
+
+DispatchList HickorystandDispatcher::OnDigest(Instant now,
+                                              const Digest& digest) {
+  auto& last = this->digests[digest.host];
+  const std::pair seen(digest.incarnation, digest.sequence);
+  if (digest.host == this->options.host || seen <= last) {
+    return {};
+  }
+  last = seen;
+  this->router.OnDigest(now, digest);
+  this->admission.OnDigest(digest);
+  this->suspects.OnPeer(now, digest.host, digest.suspicions);
+  return {};
+}
+
+void HickorystandDispatcher::OnHostGone(Instant, const HostId& host) {
+  this->router.OnHostGone(host);
+  this->admission.OnHostGone(host);
+}
+
+void HickorystandDispatcher::RefuseExpired(Instant now, DispatchList& out) {
+  for (auto next = this->expiries.begin();
+       next != this->expiries.end() && next->first <= now + kExpiryHorizon;) {
+    Live& live = this->live.at(next->second);
+    ++next;  // refusing erases the entry
+    const bool fresh = live.delivered == 0;
+    const double first =
+        fresh && this->policy.admission.refuse_unmeetable
+            ? this->router.BestSeconds(now, live.request).value_or(0)
+            : 0;
+    if (now + FromSeconds(first) < live.expires) {
+      continue;
+    }
+    if (live.may_have_run) {
+      this->GiveUp(live, out);
+    } else {
+      this->Refuse(live, ErrorKind::kDeadlineUnmeetable,
+                   "no endpoint had room in time", out);
+    }
+  }
+}
+
+void HickorystandDispatcher::HedgeLookups(Instant now, DispatchList& out) {
+  if (!this->policy.hedge_lookups) {
+    return;
+  }
+  const Duration patience =
+      std::max(kShortestHedge, FromSeconds(this->lookup_seconds * kHedgeAfter));
+  const std::vector<RequestId> running(this->lookups.begin(),
+                                       this->lookups.end());
+  for (const RequestId& request : running) {
+    Live& live = this->live.at(request);
+    const Attempt& first = this->attempts.at(live.attempts.front());
+    if (live.hedged || now - first.sent < patience) {
+      continue;
+    }
+    RouteQuery query = this->QueryFor(now, live);
+    query.avoid.insert(first.endpoint);
+    const std::optional<Route> route = this->router.Choose(now, query);
+    if (route && !query.suspect && this->retries.Take(now)) {
+      live.hedged = true;
+      this->lookups.erase(request);
+      this->Send(now, live, *route, true, out);
+    }
+  }
+}
+
+DispatchList HickorystandDispatcher::OnTick(Instant now) {
+  DispatchList out;
+  this->RefuseExpired(now, out);
+  this->HedgeLookups(now, out);
+  for (const ServiceId& service : this->admission.Services()) {
+    this->Pump(now, service, out);
+  }
+  return out;
+}
+
+void HickorystandDispatcher::StartDrain() {
+  this->draining = true;
+}
+
+void HickorystandDispatcher::FillDigest(Digest& digest) const {
+  digest.host = this->options.host;
+  digest.data_centre = this->options.data_centre;
+  digest.leaving = this->draining;
+  this->router.FillDigest(digest);
+  this->admission.FillDigest(digest);
+  digest.suspicions = this->suspects.Own();
+}
+
+int64_t HickorystandDispatcher::Running() const {
+  return static_cast<int64_t>(this->live.size()) - this->admission.Size();
+}
+
+// --- Registration -----------------------------------------------------------
+
+namespace {
+
+[[maybe_unused]] const bool kRegistered = Registry<Dispatcher>::Add(
+    "hickorystand",
+    [](const DispatcherOptions& options) -> std::unique_ptr<Dispatcher> {
+      return std::make_unique<HickorystandDispatcher>(options);
+    });
+
+}  // namespace
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/hickorystand_dispatcher.h
@@ -0,0 +1,153 @@
+// The dispatcher plug-in `hickorystand`: admission, routing, retries and
+// suspects put together. See docs/POLICY.md for why each rule is there.
+//
+// A request is queued, claiming, or running; it is in exactly one of these:
+//
+//   kQueued    in the admission queue, at first or again after a failure
+//   kClaiming  non-idempotent, waits for its claim
+//   kRunning   has one attempt, or two while hedged
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decisions/admission.h"
+#include "decisions/dispatcher.h"
+#include "decisions/retry_budget.h"
+#include "decisions/router.h"
+#include "decisions/suspects.h"
+
+namespace hickorystand {
+
+// How the parts are set. The switches exist for benches and mutation tests.
+struct PolicyOptions {
+  AdmissionOptions admission;
+  RouterOptions router;
+  RetryBudgetOptions retries;
+  SuspectsOptions suspects;
+  bool hedge_lookups = true;
+  bool separate_suspects = true;
+
+  auto operator<=>(const PolicyOptions&) const = default;
+};
+
+// See dispatcher.h for the interface.
+class HickorystandDispatcher final : public Dispatcher {
+ public:
+  explicit HickorystandDispatcher(const DispatcherOptions& options,
+                                  const PolicyOptions& policy = {});
+
+  void OnConfiguration(Instant now, ConfigurationPtr configuration) override;
+  DispatchList OnArrival(Instant now, const Request& request) override;
+  DispatchList OnClaim(Instant now,
+                       const RequestId& request,
+                       ClaimResult result) override;
+  DispatchList OnProgress(Instant now,
+                          AttemptId attempt,
+                          int64_t generated_tokens) override;
+  DispatchList OnResult(Instant now, const AttemptResult& result) override;
+  DispatchList OnCallerGone(Instant now, const RequestId& request) override;
+  DispatchList OnLoad(Instant now, const LoadReport& report) override;
+  void OnCache(Instant now, const CacheEvent& event) override;
+  DispatchList OnDigest(Instant now, const Digest& digest) override;
+  void OnHostGone(Instant now, const HostId& host) override;
+  DispatchList OnTick(Instant now) override;
+  void StartDrain() override;
+  void FillDigest(Digest& digest) const override;
+  int64_t Queued() const override { return this->admission.Size(); }
+  int64_t Running() const override;
+
+  // The parts, for tests and for the pages that show the host's state.
+  const Admission& Queue() const { return this->admission; }
+  const Router& Routes() const { return this->router; }
+
+ private:
+  enum class State { kQueued, kClaiming, kRunning };
+
+  struct Live {
+    Request request;
+    State state = State::kQueued;
+    std::vector<AttemptId> attempts;
+    int64_t tries = 0;
+    int64_t delivered = 0;      // generated tokens the caller has
+    bool started = false;       // admission has counted its cost
+    double charged = 0;         // the cost that it counted
+    bool may_have_run = false;  // a byte of it may have left
+    bool granted = false;       // its claim
+    bool hedged = false;
+    Instant expires{};  // refused if it still waits then
+    std::set<EndpointId> avoid;
+    std::set<ZoneId> avoid_zones;
+    AttemptOutcome last = AttemptOutcome::kNotSent;
+  };
+
+  struct Attempt {
+    RequestId request;
+    EndpointId endpoint;
+    Route route;
+    Instant sent{};
+    int64_t resume_from = 0;
+    bool first_token = false;
+    bool suspect = false;
+    bool crash_counted = false;  // its endpoint's crash is already known
+  };
+
+  std::optional<Error> ReasonToRefuse(Instant now, const Request& request);
+
+  void Enqueue(Instant now, Live& live, double cost, bool again);
+  void Pump(Instant now, const ServiceId& service, DispatchList& out);
+  bool StartHead(Instant now, const Waiting& head, DispatchList& out);
+  void Send(Instant now,
+            Live& live,
+            const Route& route,
+            bool hedge,
+            DispatchList& out);
+  RouteQuery QueryFor(Instant now, const Live& live) const;
+
+  void Finish(Live& live, std::string reason, DispatchList& out);
+  void Refuse(Live& live,
+              ErrorKind kind,
+              std::string message,
+              DispatchList& out);
+  void GiveUp(Live& live, DispatchList& out);
+  void Forget(const RequestId& request);
+  void Failed(Instant now,
+              Live& live,
+              const Attempt& attempt,
+              AttemptOutcome outcome,
+              DispatchList& out);
+  void CancelOthers(Instant now, Live& live, AttemptId keep, DispatchList& out);
+  void EndAttempt(Instant now, AttemptId attempt, AttemptOutcome outcome);
+  void NoteCrash(Instant now, Attempt& attempt);
+  double UsedCost(const Live& live) const;
+  void Recharge(Live& live, double used);
+
+  void RefuseExpired(Instant now, DispatchList& out);
+  void HedgeLookups(Instant now, DispatchList& out);
+  bool MayBeRefused(const Live& live) const;
+
+  DispatcherOptions options;
+  PolicyOptions policy;
+  Admission admission;
+  Router router;
+  RetryBudget retries;
+  Suspects suspects;
+  ConfigurationPtr configuration;
+  std::map<RequestId, Live> live;
+  std::map<AttemptId, Attempt> attempts;
+  std::set<std::pair<Instant, RequestId>> expiries;  // of queued requests
+  std::set<RequestId> lookups;                       // running, not hedged
+  std::map<HostId, std::pair<uint64_t, uint64_t>> digests;  // last taken
+  double lookup_seconds = 0.1;  // usual time to a lookup's answer
+  AttemptId next_attempt = 1;
+  bool draining = false;
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/prefix_cache.cc
@@ -0,0 +1,66 @@
+#include "decisions/prefix_cache.h"
+
+#include <algorithm>
+
+namespace hickorystand {
+namespace {
+
+// Engine memory is about four thousand pieces; twice that leaves room for
+// pieces whose removal wasn't heard of yet.
+constexpr size_t kMaxPieces = 8192;
+constexpr double kUnsureWorth = 0.5;
+
+}  // namespace
+
+void PrefixCache::Apply(const CacheEvent& event) {
+  const bool restarted = event.incarnation != this->incarnation;
+  if (!restarted && event.sequence <= this->sequence) {
+    return;
+  }
+  if (restarted || event.snapshot) {
+    this->pieces.clear();
+  }
+  const bool gap =
+      restarted ? event.sequence > 1 : event.sequence != this->sequence + 1;
+  this->sure = event.snapshot || (this->sure && !gap);
+  if (restarted && !gap) {
+    this->sure = true;
+  }
+  this->incarnation = event.incarnation;
+  this->sequence = event.sequence;
+  for (const uint64_t piece : event.removed) {
+    this->pieces.erase(piece);
+  }
+  for (const uint64_t piece : event.added) {
+    this->Add(piece);
+  }
+}
+
+void PrefixCache::Expect(const std::vector<uint64_t>& prefix_hashes) {
+  for (const uint64_t piece : prefix_hashes) {
+    this->Add(piece);
+  }
+}
+
+void PrefixCache::Add(uint64_t piece) {
+  if (this->pieces.size() >= kMaxPieces) {
+    // Which piece goes doesn't matter much; that memory stays bounded does.
+    this->pieces.erase(this->pieces.begin());
+    this->sure = false;
+  }
+  this->pieces.insert(piece);
+}
+
+double PrefixCache::HitShare(const std::vector<uint64_t>& prefix_hashes) const {
+  if (prefix_hashes.empty() || this->pieces.empty()) {
+    return 0;
+  }
+  const auto miss = std::ranges::find_if(prefix_hashes, [this](uint64_t piece) {
+    return !this->pieces.contains(piece);
+  });
+  const auto hits = static_cast<double>(miss - prefix_hashes.begin());
+  const double share = hits / static_cast<double>(prefix_hashes.size());
+  return this->sure ? share : share * kUnsureWorth;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/router.cc
@@ -0,0 +1,469 @@
+#include "decisions/router.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <ranges>
+
+namespace hickorystand {
+namespace {
+
+// Until an endpoint's first report these stand in for what it can do.
+constexpr double kDefaultPrefillRate = 4000;
+constexpr double kDefaultDecodeRate = 400;
+constexpr double kDefaultCapacity = 8;
+
+constexpr double kSlownessGain = 0.2;
+constexpr double kSlownessHalfLifeSeconds = 10;
+constexpr double kMaxSlowness = 20;
+constexpr double kShortestExpectedSeconds = 0.05;
+constexpr double kHiddenGain = 0.2;
+constexpr double kDecodeWeightGain = 0.02;
+constexpr double kMaxDecodeWeight = 64;
+
+constexpr int64_t kFailuresToEject = 3;
+constexpr int64_t kMaxEjectionDoublings = 5;
+constexpr Duration kEjection = std::chrono::seconds(2);
+constexpr Duration kRefusedPause = std::chrono::milliseconds(250);
+constexpr size_t kRunnersUp = 3;
+constexpr size_t kIncarnationsKept = 8;
+
+void KeepFew(std::set<uint64_t>& incarnations) {
+  while (incarnations.size() > kIncarnationsKept) {
+    incarnations.erase(incarnations.begin());
+  }
+}
+
+bool IsFailure(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kNotSent ||
+         outcome == AttemptOutcome::kBroken ||
+         outcome == AttemptOutcome::kSilent ||
+         outcome == AttemptOutcome::kWrongAnswer;
+}
+
+}  // namespace
+
+bool EndpointView::Leaving() const {
+  return !this->configured || this->leaving.contains(this->incarnation);
+}
+
+double EndpointView::PrefillRate() const {
+  return this->report.prefill_rate > 0 ? this->report.prefill_rate
+                                       : kDefaultPrefillRate;
+}
+
+double EndpointView::DecodeRate() const {
+  return this->report.decode_rate > 0 ? this->report.decode_rate
+                                      : kDefaultDecodeRate;
+}
+
+double EndpointView::Capacity() const {
+  return this->report.capacity > 0 ? static_cast<double>(this->report.capacity)
+                                   : kDefaultCapacity;
+}
+
+double EndpointView::Requests() const {
+  return static_cast<double>(this->own_requests + this->peer_requests) +
+         std::max(0.0, this->hidden_requests);
+}
+
+Router::Router(const RouterOptions& options)
+    : options(options), random(options.seed) {}
+
+EndpointView& Router::View(const EndpointId& endpoint) {
+  EndpointView& view = this->views[endpoint];
+  view.endpoint.id = endpoint;
+  return view;
+}
+
+const EndpointView* Router::Find(const EndpointId& endpoint) const {
+  const auto found = this->views.find(endpoint);
+  return found == this->views.end() ? nullptr : &found->second;
+}
+
+void Router::OnConfiguration(const Configuration& configuration) {
+  this->by_service.clear();
+  for (auto& [id, view] : this->views) {
+    view.configured = false;
+  }
+  for (const auto& [id, endpoint] : configuration.endpoints) {
+    EndpointView& view = this->View(id);
+    view.endpoint = endpoint;
+    view.configured = true;
+    this->by_service[endpoint.service].push_back(id);
+  }
+  std::erase_if(this->views, [](const auto& entry) {
+    return !entry.second.configured && entry.second.own_requests == 0;
+  });
+}
+
+// Moves on to an endpoint's next life. One that is over never comes back, so
+// that a late message about it can't revive or condemn the present one.
+void Router::Adopt(EndpointView& view, uint64_t incarnation) {
+  if (view.incarnation == incarnation) {
+    return;
+  }
+  if (view.incarnation != 0) {
+    view.retired.insert(view.incarnation);
+    KeepFew(view.retired);
+  }
+  view.incarnation = incarnation;
+  view.report.sequence = 0;
+  view.down = false;
+  view.probing = false;
+  view.ejected_until = {};
+  view.failures = 0;
+  view.ejections = 0;
+  view.slowness = 1;
+  view.hidden_requests = 0;
+}
+
+void Router::OnLoad(Instant now, const LoadReport& report) {
+  const auto found = this->views.find(report.endpoint);
+  if (found == this->views.end()) {
+    return;
+  }
+  EndpointView& view = found->second;
+  if (view.retired.contains(report.incarnation) ||
+      (view.incarnation == report.incarnation && view.reported &&
+       report.sequence <= view.report.sequence)) {
+    return;
+  }
+  this->Adopt(view, report.incarnation);
+  if (report.leaving) {
+    view.leaving.insert(report.incarnation);
+    KeepFew(view.leaving);
+  }
+  view.report = report;
+  view.reported = true;
+  view.down = view.down && this->options.eject_outliers && view.Ejected(now);
+  const auto known =
+      static_cast<double>(view.own_requests + view.peer_requests);
+  view.hidden_requests += kHiddenGain * (static_cast<double>(report.running) -
+                                         known - view.hidden_requests);
+  if (report.prefill_rate > 0 && report.decode_rate > 0) {
+    const double ratio = std::clamp(report.prefill_rate / report.decode_rate,
+                                    1.0, kMaxDecodeWeight);
+    this->decode_weight += kDecodeWeightGain * (ratio - this->decode_weight);
+  }
+}
+
+void Router::OnCache(const CacheEvent& event) {
+  const auto found = this->views.find(event.endpoint);
+  if (found != this->views.end()) {
+    found->second.cache.Apply(event);
+  }
+}
+
+void Router::SumPeers(const EndpointId& endpoint) {
+  const auto found = this->views.find(endpoint);
+  if (found == this->views.end()) {
+    return;
+  }
+  EndpointView& view = found->second;
+  view.peer_requests = 0;
+  view.peer_prompt_tokens = 0;
+  for (const auto& [host, outstanding] : this->peers) {
+    const auto sent = outstanding.find(endpoint);
+    if (sent != outstanding.end()) {
+      view.peer_requests += sent->second.requests;
+      view.peer_prompt_tokens += sent->second.prompt_tokens;
+    }
+  }
+}
+
+void Router::OnDigest(Instant now, const Digest& digest) {
+  if (this->options.use_peer_digests) {
+    auto& outstanding = this->peers[digest.host];
+    const auto before = std::exchange(outstanding, {});
+    for (const EndpointOutstanding& sent : digest.outstanding) {
+      outstanding[sent.endpoint] = sent;
+      this->SumPeers(sent.endpoint);
+    }
+    for (const auto& [endpoint, sent] : before) {
+      this->SumPeers(endpoint);
+    }
+  }
+  for (const EndpointNews& news : digest.endpoints) {
+    const auto found = this->views.find(news.endpoint);
+    if (found == this->views.end() ||
+        found->second.retired.contains(news.incarnation)) {
+      continue;
+    }
+    EndpointView& view = found->second;
+    if (news.leaving) {
+      view.leaving.insert(news.incarnation);
+      KeepFew(view.leaving);
+    }
+    if (news.down && news.incarnation == view.incarnation && !view.down &&
+        !view.Ejected(now)) {
+      view.down = true;
+      this->Eject(now, view, kEjection);
+    }
+  }
+}
+
+void Router::OnHostGone(const HostId& host) {
+  const auto found = this->peers.find(host);
+  if (found == this->peers.end()) {
+    return;
+  }
+  const auto gone = std::move(found->second);
+  this->peers.erase(found);
+  for (const auto& [endpoint, sent] : gone) {
+    this->SumPeers(endpoint);
+  }
+}
+
+bool Router::Usable(Instant now,
+                    const EndpointView& view,
+                    const RouteQuery& query) const {
+  const Request& request = *query.request;
+  const bool once = request.request_class == RequestClass::kOnce;
+  if (view.Leaving() || query.avoid.contains(view.endpoint.id) ||
+      (once && view.endpoint.cheap)) {
+    return false;
+  }
+  if (this->options.eject_outliers) {
+    // Coming back from an ejection, an endpoint gets one request at a time
+    // until it has answered one, and never one that may not be repeated.
+    const bool on_trial = view.ejections > 0 || view.down;
+    if (view.Ejected(now) || (on_trial && (view.probing || once))) {
+      return false;
+    }
+  }
+  if (query.ignore_room) {
+    return true;
+  }
+  if (query.suspect && view.own_suspects > 0) {
+    return false;
+  }
+  return this->HasRoom(view, request);
+}
+
+bool Router::HasRoom(const EndpointView& view, const Request& request) const {
+  const bool batch = request.request_class == RequestClass::kBatch;
+  const double places = view.Capacity() * (batch ? this->options.batch_occupancy
+                                                 : this->options.overbook);
+  const double waiting =
+      static_cast<double>(view.own_prompt_tokens + view.peer_prompt_tokens) /
+      view.PrefillRate();
+  const double longest =
+      this->options.max_prefill_seconds * (batch ? 0.5 : 1.0);
+  return view.Requests() < std::max(1.0, places) && waiting < longest;
+}
+
+// Falls back to 1 with time, so that an endpoint which was slow is tried again.
+double Router::Slowness(Instant now, const EndpointView& view) const {
+  const double age = ToSeconds(now - view.slowness_at);
+  const double left = std::exp2(-age / kSlownessHalfLifeSeconds);
+  return 1 + (view.slowness - 1) * left;
+}
+
+Router::Scored Router::Score(Instant now,
+                             const EndpointView& view,
+                             const Request& request) const {
+  const double hit = this->options.use_prefix_cache
+                         ? view.cache.HitShare(request.prefix_hashes)
+                         : 0;
+  const auto missed = static_cast<int64_t>(
+      static_cast<double>(request.prompt_tokens) * (1 - hit));
+  const auto waiting =
+      static_cast<double>(view.own_prompt_tokens + view.peer_prompt_tokens);
+  const double slowness =
+      this->options.eject_outliers ? Slowness(now, view) : 1;
+  const bool remote = view.endpoint.data_centre != this->options.data_centre;
+  const double over = std::max(0.0, view.Requests() + 1 - view.Capacity()) *
+                      static_cast<double>(request.output_tokens) /
+                      view.DecodeRate();
+  const double seconds =
+      (waiting + static_cast<double>(missed)) / view.PrefillRate() * slowness +
+      over + (remote ? this->options.remote_seconds : 0);
+  // Time in the batch, by how full the batch is: a nearly empty engine decodes
+  // for little, a nearly full one makes others wait.
+  const double occupancy = view.Requests() / view.Capacity();
+  const double busy = static_cast<double>(request.output_tokens) /
+                      view.DecodeRate() * (0.5 + occupancy) * slowness;
+  return {&view, seconds, seconds + busy, missed};
+}
+
+const Router::Scored& Router::PickAmongEquals(
+    const std::vector<Scored>& sorted) {
+  const double limit =
+      sorted.front().score * (1 + this->options.near_equal_share) +
+      this->options.near_equal_seconds;
+  const auto end = std::ranges::upper_bound(sorted, limit, {}, &Scored::score);
+  const auto equals = static_cast<size_t>(end - sorted.begin());
+  if (!this->options.choose_among_equals || equals < 2) {
+    return sorted.front();
+  }
+  std::uniform_int_distribution<size_t> any(0, equals - 1);
+  const Scored& one = sorted[any(this->random)];
+  const Scored& two = sorted[any(this->random)];
+  const auto load = [](const Scored& scored) {
+    return scored.view->Requests() / scored.view->Capacity();
+  };
+  return load(two) < load(one) ? two : one;
+}
+
+std::optional<Route> Router::Choose(Instant now, const RouteQuery& query) {
+  assert(query.request != nullptr && "a query needs its request");
+  const auto service = this->by_service.find(query.request->service);
+  if (service == this->by_service.end()) {
+    return {};
+  }
+  std::vector<Scored> scored;
+  for (const EndpointId& id : service->second) {
+    const EndpointView& view = this->views.at(id);
+    if (this->Usable(now, view, query)) {
+      scored.push_back(this->Score(now, view, *query.request));
+    }
+  }
+  const auto avoided = [&](const Scored& one) {
+    return query.avoid_zones.contains(one.view->endpoint.zone);
+  };
+  if (!std::ranges::all_of(scored, avoided)) {
+    std::erase_if(scored, avoided);
+  }
+  if (scored.empty()) {
+    return {};
+  }
+  // A suspect goes to the emptiest endpoint, so that the fewest others are hit.
+  std::ranges::sort(scored, {}, [&](const Scored& one) {
+    return std::pair(query.suspect ? one.view->Requests() : 0, one.score);
+  });
+  const Scored& chosen =
+      query.suspect ? scored.front() : this->PickAmongEquals(scored);
+  Route route{
+      .endpoint = chosen.view->endpoint.id,
+      .seconds = chosen.seconds,
+      .missed_tokens = chosen.missed,
+      .probe = chosen.view->ejections > 0 || chosen.view->down,
+      .reason = query.suspect ? "suspect, kept apart" : "least expected time"};
+  for (const Scored& other : scored) {
+    if (other.view != chosen.view && route.runners_up.size() < kRunnersUp) {
+      route.runners_up.push_back({other.view->endpoint.id, other.seconds});
+    }
+  }
+  return route;
+}
+
+bool Router::HasEndpoint(const ServiceId& service) const {
+  const auto found = this->by_service.find(service);
+  return found != this->by_service.end() &&
+         std::ranges::any_of(found->second, [this](const EndpointId& id) {
+           return !this->views.at(id).Leaving();
+         });
+}
+
+std::optional<double> Router::BestSeconds(Instant now,
+                                          const Request& request) const {
+  const auto service = this->by_service.find(request.service);
+  if (service == this->by_service.end()) {
+    return {};
+  }
+  std::optional<double> best;
+  for (const EndpointId& id : service->second) {
+    const EndpointView& view = this->views.at(id);
+    if (!view.Leaving() && !view.down && !view.Ejected(now)) {
+      const double seconds = this->Score(now, view, request).seconds;
+      best = std::min(best.value_or(seconds), seconds);
+    }
+  }
+  return best;
+}
+
+void Router::OnSent(const EndpointId& endpoint,
+                    const Request& request,
+                    const Route& route,
+                    bool suspect) {
+  EndpointView& view = this->views.at(endpoint);
+  // No new work for an endpoint that is known to be leaving: it would be cut
+  // off when the endpoint stops.
+  assert(!view.Leaving() && "an attempt at a leaving endpoint");
+  assert(
+      (request.request_class != RequestClass::kOnce || !view.endpoint.cheap) &&
+      "non-idempotent work on a cheap endpoint");
+  view.own_requests += 1;
+  view.own_prompt_tokens += route.missed_tokens;
+  view.own_suspects += suspect ? 1 : 0;
+  view.probing = view.probing || route.probe;
+  view.cache.Expect(request.prefix_hashes);
+}
+
+void Router::OnFirstToken(Instant now,
+                          const EndpointId& endpoint,
+                          int64_t missed_tokens,
+                          double expected_seconds,
+                          double seconds) {
+  EndpointView& view = this->View(endpoint);
+  view.own_prompt_tokens -= missed_tokens;
+  assert(view.own_prompt_tokens >= 0 && "first token of an unknown attempt");
+  const double ratio =
+      seconds / std::max(kShortestExpectedSeconds, expected_seconds);
+  const double current = Slowness(now, view);
+  view.slowness = std::clamp(current + kSlownessGain * (ratio - current), 1.0,
+                             kMaxSlowness);
+  view.slowness_at = now;
+  // A first token shows that it works again; a long answer needn't be waited
+  // for.
+  view.ejections = 0;
+  view.down = false;
+  view.probing = false;
+}
+
+void Router::OnEnded(Instant now,
+                     const EndpointId& endpoint,
+                     AttemptOutcome outcome,
+                     int64_t waiting_prompt_tokens,
+                     bool suspect,
+                     bool probe) {
+  EndpointView& view = this->View(endpoint);
+  view.own_requests -= 1;
+  view.own_prompt_tokens -= waiting_prompt_tokens;
+  view.own_suspects -= suspect ? 1 : 0;
+  assert(view.own_requests >= 0 && view.own_prompt_tokens >= 0 &&
+         view.own_suspects >= 0 && "an attempt ended twice");
+  view.probing = view.probing && !probe;
+  if (outcome == AttemptOutcome::kComplete ||
+      outcome == AttemptOutcome::kRejected) {
+    view.failures = 0;
+    view.ejections = 0;
+    view.down = false;
+  } else if (outcome == AttemptOutcome::kCrashed) {
+    if (!view.down) {
+      view.down = true;
+      this->Eject(now, view, kEjection);
+    }
+  } else if (outcome == AttemptOutcome::kRefused) {
+    view.ejected_until = std::max(view.ejected_until, now + kRefusedPause);
+  } else if (IsFailure(outcome)) {
+    view.failures += 1;
+    if (probe || view.failures >= kFailuresToEject) {
+      view.failures = 0;
+      this->Eject(now, view, kEjection);
+    }
+  }
+}
+
+// Each ejection in a row lasts twice as long, up to about a minute.
+void Router::Eject(Instant now, EndpointView& view, Duration base) {
+  const int64_t doublings = std::min(view.ejections, kMaxEjectionDoublings);
+  view.ejections += 1;
+  view.ejected_until = now + base * (int64_t{1} << doublings);
+}
+
+void Router::FillDigest(Digest& digest) const {
+  for (const auto& [id, view] : this->views) {
+    if (view.own_requests > 0) {
+      digest.outstanding.push_back(
+          {id, view.own_prompt_tokens, view.own_requests});
+    }
+    const bool leaving = view.leaving.contains(view.incarnation);
+    if (leaving || view.down) {
+      digest.endpoints.push_back({id, view.incarnation, leaving, view.down});
+    }
+  }
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/tests/policy_test.cc
@@ -0,0 +1,244 @@
+// Failure stories of the policy: what users would see without each rule.
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+#include <string>
+
+#include "kernel/registry.h"
+#include "policy_bed.h"
+
+namespace hickorystand {
+
+using Outcome = AttemptOutcome;
+
+namespace {
+
+// Sends a filing up to its one attempt and returns it.
+AttemptId SendFiling(Dispatcher& dispatcher) {
+  const Request filing = MakeRequest("f", RequestClass::kOnce);
+  CHECK(Only(dispatcher.OnArrival(At(0), filing), DispatchKind::kClaim));
+  const DispatchList sent =
+      dispatcher.OnClaim(At(0), filing.id, ClaimResult::kGranted);
+  CHECK(Only(sent, DispatchKind::kSend));
+  return sent.front().attempt;
+}
+
+ErrorKind RefusalOf(const DispatchList& list) {
+  return RefusalIn(list).value_or(ErrorKind::kInternal);
+}
+
+}  // namespace
+
+TEST_GROUP(Policy){};
+
+TEST(Policy, IsAPlugIn) {
+  CHECK(Registry<Dispatcher>::Find("hickorystand") != nullptr);
+}
+
+TEST(Policy, SendsAndFinishes) {
+  auto dispatcher =
+      MakeDispatcher(FleetBuilder().WithAccount("a").WithEndpoints(2).Build());
+  const DispatchList sent = dispatcher->OnArrival(At(0), MakeRequest("r"));
+  CHECK(Only(sent, DispatchKind::kSend));
+  LONGS_EQUAL(1, dispatcher->Running());
+  const DispatchList done = dispatcher->OnResult(
+      At(1), MakeResult(sent.front().attempt, Outcome::kComplete));
+  CHECK(Only(done, DispatchKind::kFinish));
+  LONGS_EQUAL(0, dispatcher->Running());
+}
+
+// A filing's connection breaks after its bytes have left. The endpoint may
+// have filed it. Sent again, it is filed twice, and the family gets two
+// wordings and pays twice.
+TEST(Policy, FilingIsNeverSentAgainOnceBytesMayHaveLeft) {
+  for (const Outcome outcome : {Outcome::kBroken, Outcome::kCrashed,
+                                Outcome::kSilent, Outcome::kWrongAnswer}) {
+    auto dispatcher = MakeDispatcher(FleetBuilder()
+                                         .WithAccount("a")
+                                         .WithEndpoint("f1", kFilings)
+                                         .WithEndpoint("f2", kFilings)
+                                         .Build());
+    const AttemptId attempt = SendFiling(*dispatcher);
+    const DispatchList out =
+        dispatcher->OnResult(At(1), MakeResult(attempt, outcome));
+    LONGS_EQUAL(0, Count(out, DispatchKind::kSend));
+    CHECK(ErrorKind::kOutcomeUnknown == RefusalOf(out));
+    LONGS_EQUAL(0, Count(dispatcher->OnTick(At(2)), DispatchKind::kSend));
+  }
+}
+
+// A filing's first endpoint refuses the connection, so nothing left this host.
+// Giving up here loses a filing that another endpoint would have taken.
+TEST(Policy, FilingMovesOnWhenNothingLeft) {
+  for (const Outcome outcome : {Outcome::kNotSent, Outcome::kRefused}) {
+    auto dispatcher = MakeDispatcher(FleetBuilder()
+                                         .WithAccount("a")
+                                         .WithEndpoint("f1", kFilings)
+                                         .WithEndpoint("f2", kFilings)
+                                         .Build());
+    const AttemptId attempt = SendFiling(*dispatcher);
+    const DispatchList out =
+        dispatcher->OnResult(At(1), MakeResult(attempt, outcome));
+    CHECK(Only(out, DispatchKind::kSend));
+    CHECK(out.front().attempt != attempt);
+  }
+}
+
+// A filing is sent to two entry hosts. The second one's claim finds the first
+// one's, so it must not be sent, nor be called "not run".
+TEST(Policy, FilingClaimedElsewhereIsADuplicate) {
+  auto dispatcher = MakeDispatcher(
+      FleetBuilder().WithAccount("a").WithEndpoint("f1", kFilings).Build());
+  const Request filing = MakeRequest("f", RequestClass::kOnce);
+  dispatcher->OnArrival(At(0), filing);
+  const DispatchList out =
+      dispatcher->OnClaim(At(0), filing.id, ClaimResult::kTaken);
+  CHECK(ErrorKind::kDuplicate == RefusalOf(out));
+}
+
+// Cheap endpoints vanish without notice, and with them a filing whose outcome
+// nobody could then tell.
+TEST(Policy, FilingsStayOffCheapEndpoints) {
+  auto dispatcher = MakeDispatcher(FleetBuilder()
+                                       .WithAccount("a")
+                                       .WithEndpoint("f1", kFilings, "z1", true)
+                                       .Build());
+  const DispatchList out =
+      dispatcher->OnArrival(At(0), MakeRequest("f", RequestClass::kOnce));
+  LONGS_EQUAL(0, Count(out, DispatchKind::kClaim));
+  CHECK(ErrorKind::kDeadlineUnmeetable ==
+        RefusalOf(dispatcher->OnTick(At(31))));
+}
+
+// An operator drains an endpoint. A peer hears of it first. Work that this
+// host still sends there is cut off when the endpoint stops.
+TEST(Policy, NewsOfAPeerStopsWorkForALeavingEndpoint) {
+  auto dispatcher =
+      MakeDispatcher(FleetBuilder().WithAccount("a").WithEndpoints(2).Build());
+  dispatcher->OnDigest(At(0),
+                       {.host = HostId("h2"),
+                        .incarnation = 1,
+                        .sequence = 1,
+                        .endpoints = {{EndpointId("e1"), 1, true, false}}});
+  for (int i = 0; i < 3; ++i) {
+    const DispatchList out =
+        dispatcher->OnArrival(At(0), MakeRequest("r" + std::to_string(i)));
+    CHECK(Only(out, DispatchKind::kSend));
+    STRCMP_EQUAL("e2", out.front().endpoint.Text().c_str());
+  }
+}
+
+// A late report of an endpoint's last life says that it is leaving. Taking it
+// for the present life would leave a fresh endpoint without work for good.
+TEST(Policy, LateNewsOfAnOldLifeDoesNotCondemnTheNewOne) {
+  auto dispatcher =
+      MakeDispatcher(FleetBuilder().WithAccount("a").WithEndpoints(1).Build());
+  LoadReport leaving = MakeReport("e1", 1, 2);
+  leaving.leaving = true;
+  dispatcher->OnLoad(At(1), leaving);
+  CHECK(ErrorKind::kNoEndpoint ==
+        RefusalOf(dispatcher->OnArrival(At(1), MakeRequest("r1"))));
+  dispatcher->OnLoad(At(2), MakeReport("e1", 2, 1));
+  leaving.sequence = 3;
+  dispatcher->OnLoad(At(2), leaving);
+  CHECK(Only(dispatcher->OnArrival(At(2), MakeRequest("r2")),
+             DispatchKind::kSend));
+}
+
+// An engine dies in the middle of an answer. The reader sees half a leaflet,
+// unless the rest is fetched from another engine from where it stopped.
+TEST(Policy, BrokenStreamIsResumedElsewhere) {
+  auto dispatcher =
+      MakeDispatcher(FleetBuilder().WithAccount("a").WithEndpoints(2).Build());
+  const DispatchList sent = dispatcher->OnArrival(At(0), MakeRequest("r"));
+  dispatcher->OnProgress(At(1), sent.front().attempt, 40);
+  const DispatchList out = dispatcher->OnResult(
+      At(2), MakeResult(sent.front().attempt, Outcome::kCrashed));
+  CHECK(Only(out, DispatchKind::kSend));
+  LONGS_EQUAL(40, out.front().resume_from);
+  CHECK(out.front().endpoint != sent.front().endpoint);
+}
+
+// One request crashes each engine that runs it, and its caller sends it again
+// and again. Unchecked, it takes the whole fleet. It may cost two engines, and
+// the requests that ran beside it must be answered.
+TEST(Policy, RequestThatCrashesEndpointsCostsTwo) {
+  auto dispatcher =
+      MakeDispatcher(FleetBuilder().WithAccount("a").WithEndpoints(6).Build());
+  std::map<AttemptId, Dispatch> running;
+  std::set<EndpointId> lost;
+  const auto take = [&](const DispatchList& list) {
+    for (const Dispatch& one : list) {
+      if (one.kind == DispatchKind::kSend) {
+        running[one.attempt] = one;
+      }
+    }
+  };
+  for (int i = 0; i < 12; ++i) {
+    take(dispatcher->OnArrival(At(0), MakeRequest("r" + std::to_string(i))));
+  }
+  int64_t refused_as_suspect = 0;
+  for (int again = 0; again < 5; ++again) {
+    Request killer = MakeRequest("killer" + std::to_string(again));
+    killer.fingerprint = 666;
+    const DispatchList out = dispatcher->OnArrival(At(again), killer);
+    refused_as_suspect += RefusalIn(out) == ErrorKind::kSuspectRequest;
+    take(out);
+    for (bool crashed = true; crashed;) {
+      const auto found = std::ranges::find_if(running, [](const auto& one) {
+        return one.second.request.Text().starts_with("killer");
+      });
+      crashed = found != running.end();
+      if (!crashed) {
+        break;
+      }
+      const EndpointId endpoint = found->second.endpoint;
+      lost.insert(endpoint);
+      std::vector<AttemptId> victims;
+      for (const auto& [attempt, one] : running) {
+        if (one.endpoint == endpoint) {
+          victims.push_back(attempt);
+        }
+      }
+      for (const AttemptId attempt : victims) {
+        running.erase(attempt);
+        take(dispatcher->OnResult(At(again + 0.5),
+                                  MakeResult(attempt, Outcome::kCrashed)));
+      }
+    }
+  }
+  LONGS_EQUAL(2, lost.size());
+  LONGS_EQUAL(4, refused_as_suspect);
+  std::set<RequestId> innocents;
+  for (const auto& [attempt, one] : running) {
+    innocents.insert(one.request);
+  }
+  LONGS_EQUAL(12, innocents.size());
+}
+
+// Every endpoint fails every attempt. If each failure is tried again without
+// bound, the fleet gets several times the load that broke it.
+TEST(Policy, RetryBudgetCapsARetryStorm) {
+  auto dispatcher =
+      MakeDispatcher(FleetBuilder().WithAccount("a").WithEndpoints(8).Build());
+  int64_t sends = 0;
+  for (int i = 0; i < 500; ++i) {
+    DispatchList out = dispatcher->OnArrival(
+        At(i * 0.01), MakeRequest("r" + std::to_string(i),
+                                  RequestClass::kInteractive, "a", i * 0.01));
+    for (const Dispatch* send = First(out, DispatchKind::kSend);
+         send != nullptr; send = First(out, DispatchKind::kSend)) {
+      ++sends;
+      const AttemptId attempt = send->attempt;
+      dispatcher->OnLoad(At(i * 0.01),
+                         MakeReport(send->endpoint.Text(), sends + 1));
+      out = dispatcher->OnResult(At(i * 0.01),
+                                 MakeResult(attempt, Outcome::kBroken));
+    }
+  }
+  CHECK(sends >= 500);
+  CHECK(sends <= 500 + 20 + 2 * 5 + 1);
+}
+
+}  // namespace hickorystand
