Link entry hosts: authenticated frames over TCP, delta digests, buckets

Each pair of hosts shares one TCP connection in both directions. Hellos under the fleet secret carry a fresh nonce each way, and every later frame is tagged with HMAC-SHA256 under a key drawn from both, over direction, sequence and payload. A plain highest-sequence rule was ruled out: a host that has just been replaced remembers no sequence and would take a recording for news.

Digests travel as differences. Ids are numbered by their sender as it first uses them; numbering by place in a configuration revision was ruled out, since hosts at two revisions couldn't read each other while a change spreads.

--- /dev/null
+++ b/packages/peers/message.h
@@ -0,0 +1,62 @@
+// What entry hosts send each other, as the rest of the program sees it.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "decisions/digest.h"
+#include "kernel/ids.h"
+
+namespace hickorystand {
+
+// Asks for the configuration's buckets that changed above a revision.
+struct BucketsRequest {
+  int64_t above_revision = 0;
+
+  bool operator==(const BucketsRequest&) const = default;
+};
+
+// One bucket of the configuration, as it stands in the key-value service.
+struct Bucket {
+  std::string name;
+  int64_t revision = 0;  // the head revision at which it last changed
+  std::string value;
+
+  bool operator==(const Bucket&) const = default;
+};
+
+// The buckets asked for. A long answer is sent as several replies, each with
+// the same head revision.
+struct BucketsReply {
+  int64_t head_revision = 0;
+  std::vector<Bucket> buckets;
+
+  bool operator==(const BucketsReply&) const = default;
+};
+
+// A copy of a host's usage counters, kept by a peer in case the host is lost.
+struct UsageCopy {
+  HostId host;
+  uint64_t incarnation = 0;
+  std::string value;
+
+  bool operator==(const UsageCopy&) const = default;
+};
+
+// The sender held a data centre's lease with this fencing number and has let
+// go: none of its orders will leave any more.
+struct Released {
+  DataCentreId data_centre;
+  int64_t fencing = 0;
+
+  bool operator==(const Released&) const = default;
+};
+
+// Everything but digests, which PeerLinks sends and takes as whole values.
+using PeerMessage = std::
+    variant<BucketsRequest, BucketsReply, UsageCopy, Released, EndpointNews>;
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/peers/peer_links.cc
@@ -0,0 +1,446 @@
+#include "peers/peer_links.h"
+
+#include <algorithm>
+#include <cassert>
+#include <ranges>
+#include <type_traits>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "peers";
+
+// Accepted connections that haven't proved themselves. Beyond this many the
+// oldest is closed: strangers who connect and say nothing can't use up the
+// sockets of a host.
+constexpr size_t kMaxPending = 64;
+constexpr int kListenBacklog = 128;
+
+// Hosts that called without standing in the host list.
+constexpr size_t kMaxUnlisted = 512;
+
+// A receiver with more than this waiting is sent no digest. Skipping beats
+// queueing, because the next delta covers all that was skipped.
+constexpr size_t kMaxDigestBacklog = 64UL * 1024;
+
+// Largest part of a reply with buckets that goes into one frame, unless one
+// bucket alone is larger.
+constexpr size_t kMaxReplyPart = 256UL * 1024;
+
+// A reply cut into parts that fit into frames.
+std::vector<BucketsReply> Split(const BucketsReply& reply) {
+  std::vector<BucketsReply> parts(1, {.head_revision = reply.head_revision});
+  size_t bytes = 0;
+  for (const auto& bucket : reply.buckets) {
+    if (bytes > 0 && bytes + bucket.value.size() > kMaxReplyPart) {
+      parts.push_back({.head_revision = reply.head_revision});
+      bytes = 0;
+    }
+    bytes += bucket.value.size();
+    parts.back().buckets.push_back(bucket);
+  }
+  return parts;
+}
+
+}  // namespace
+
+PeerLinks::PeerLinks(PeerLinksOptions options, PeerHandlers handlers)
+    : options(std::move(options)),
+      handlers(std::move(handlers)),
+      random(this->options.seed),
+      refusals(5, std::chrono::seconds(1)) {
+  assert(this->options.clock != nullptr && "set PeerLinksOptions::clock");
+  assert(!this->options.session.host.Empty() && "set the host's id");
+  assert(this->options.session.incarnation > 0 && "set the incarnation");
+  this->timer = Timer::Every(this->options.tick, [this] { this->Tick(); });
+}
+
+PeerLinks::~PeerLinks() {
+  this->handlers = {};
+  if (this->acceptable != nullptr) {
+    g_source_destroy(this->acceptable);
+    g_source_unref(this->acceptable);
+  }
+  g_clear_object(&this->listener);
+}
+
+Result<SocketAddress> PeerLinks::Listen() {
+  assert(this->listener == nullptr && "Listen() twice");
+  GSocketAddress* address = g_inet_socket_address_new_from_string(
+      this->options.listen.host.c_str(), this->options.listen.port);
+  assert(address != nullptr && "addresses are checked when settings are read");
+  GError* error = nullptr;
+  this->listener =
+      g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
+                   G_SOCKET_PROTOCOL_TCP, &error);
+  bool done = this->listener != nullptr;
+  if (done) {
+    g_socket_set_blocking(this->listener, FALSE);
+    g_socket_set_listen_backlog(this->listener, kListenBacklog);
+    done = g_socket_bind(this->listener, address, TRUE, &error) &&
+           g_socket_listen(this->listener, &error);
+  }
+  g_object_unref(address);
+  if (!done) {
+    const std::string message = error->message;
+    g_clear_error(&error);
+    return Fail(ErrorKind::kBadSetting, "can't listen for peers: " + message);
+  }
+  this->acceptable = g_socket_create_source(this->listener, G_IO_IN, nullptr);
+  g_source_set_callback(this->acceptable,
+                        G_SOURCE_FUNC(&PeerLinks::OnAcceptable), this, nullptr);
+  g_source_attach(this->acceptable, g_main_context_get_thread_default());
+  GSocketAddress* bound = g_socket_get_local_address(this->listener, nullptr);
+  SocketAddress result = this->options.listen;
+  result.port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
+  g_object_unref(bound);
+  return result;
+}
+
+gboolean PeerLinks::OnAcceptable(GSocket* /*socket*/,
+                                 GIOCondition /*on*/,
+                                 gpointer self) {
+  static_cast<PeerLinks*>(self)->Accept();
+  return G_SOURCE_CONTINUE;
+}
+
+void PeerLinks::Accept() {
+  GSocket* socket = g_socket_accept(this->listener, nullptr, nullptr);
+  if (socket == nullptr) {
+    return;
+  }
+  if (this->pending.size() >= kMaxPending) {
+    this->pending.front()->Close(
+        {.kind = ErrorKind::kOverloaded, .message = "too many strangers"});
+  }
+  this->pending.push_back(PeerSession::Accept(
+      this->options.session, this->SessionHandlers(), this->Now(), socket));
+  g_object_unref(socket);
+}
+
+PeerSession::Handlers PeerLinks::SessionHandlers() {
+  return {
+      .on_established = [this](auto& session) { this->OnEstablished(session); },
+      .on_message =
+          [this](auto& session, WireMessage message) {
+            this->OnMessage(session, std::move(message));
+          },
+      .on_closed =
+          [this](auto& session, const Error& reason) {
+            this->OnClosed(session, reason);
+          }};
+}
+
+void PeerLinks::SetHosts(const std::vector<PeerHost>& hosts) {
+  std::map<HostId, PeerHost> wanted;
+  for (const auto& host : hosts) {
+    if (host.host != this->options.session.host) {
+      wanted.emplace(host.host, host);
+    }
+  }
+  std::vector<HostId> gone;
+  for (auto& [id, link] : this->links) {
+    if (!wanted.contains(id) && std::exchange(link.listed, false)) {
+      gone.push_back(id);
+    }
+  }
+  for (const auto& id : gone) {
+    Link& link = this->links[id];
+    if (link.session != nullptr) {
+      link.session->Close({.kind = ErrorKind::kNotFound,
+                           .message = "no longer in the host list"});
+    }
+    this->digests.Remove(id);
+    this->links.erase(id);
+  }
+  for (const auto& [id, host] : wanted) {
+    const bool fresh = !this->links.contains(id);
+    Link& link = this->links[id];
+    link.listed = true;
+    const bool moved = link.host.address != host.address;
+    link.host = host;
+    if (fresh || moved) {
+      link.backoff = this->options.first_backoff;
+      link.next_dial = this->Now();
+      if (this->options.session.host > id) {
+        link.next_dial += this->options.dial_grace;
+      }
+    }
+  }
+  this->Tick();
+}
+
+// Sessions are destroyed here and not when they close, because they close
+// inside their own callbacks.
+void PeerLinks::Tick() {
+  this->closed.clear();
+  const Instant now = this->Now();
+  std::vector<PeerSession*> sessions;
+  for (auto& [id, link] : this->links) {
+    if (link.session != nullptr) {
+      sessions.push_back(link.session.get());
+    } else if (link.listed && now >= link.next_dial) {
+      this->Dial(link);
+    }
+  }
+  for (const auto& session : this->pending) {
+    sessions.push_back(session.get());
+  }
+  for (auto* session : sessions) {
+    session->Tick(now);
+  }
+}
+
+void PeerLinks::Dial(Link& link) {
+  this->ScheduleDial(link);
+  auto session =
+      PeerSession::Dial(this->options.session, this->SessionHandlers(),
+                        this->Now(), link.host.host, link.host.address);
+  if (!session->Closed()) {
+    link.session = std::move(session);
+  }
+}
+
+void PeerLinks::ScheduleDial(Link& link) {
+  std::uniform_real_distribution<double> jitter(0.5, 1.5);
+  link.next_dial =
+      this->Now() + FromSeconds(ToSeconds(link.backoff) * jitter(this->random));
+  link.backoff = std::min(link.backoff * 2, this->options.longest_backoff);
+}
+
+void PeerLinks::Bury(std::unique_ptr<PeerSession> session) {
+  if (session != nullptr) {
+    this->stats.traffic += session->Traffic();
+    this->closed.push_back(std::move(session));
+  }
+}
+
+std::unique_ptr<PeerSession> PeerLinks::TakePending(
+    const PeerSession& session) {
+  const auto found = std::ranges::find_if(
+      this->pending, [&](const auto& one) { return one.get() == &session; });
+  if (found == this->pending.end()) {
+    return nullptr;
+  }
+  auto taken = std::move(*found);
+  this->pending.erase(found);
+  return taken;
+}
+
+PeerLinks::Link* PeerLinks::LinkOf(const PeerSession& session) {
+  const auto found = std::ranges::find_if(this->links, [&](const auto& entry) {
+    return entry.second.session.get() == &session;
+  });
+  return found == this->links.end() ? nullptr : &found->second;
+}
+
+// Makes a proved session the link's own. The newest one wins: the other side
+// called again because it no longer hears this side on the old one.
+void PeerLinks::Adopt(Link& link, std::unique_ptr<PeerSession> session) {
+  if (link.session != nullptr) {
+    auto old = std::move(link.session);
+    old->Close(
+        {.kind = ErrorKind::kStale, .message = "replaced by a newer one"});
+    this->Bury(std::move(old));
+  }
+  link.session = std::move(session);
+}
+
+void PeerLinks::OnEstablished(PeerSession& session) {
+  const HostId& id = session.Peer().host;
+  auto accepted = this->TakePending(session);
+  if (accepted != nullptr) {
+    const bool known = this->links.contains(id);
+    const auto unlisted = std::ranges::count_if(
+        this->links, [](const auto& entry) { return !entry.second.listed; });
+    const uint64_t seen =
+        known ? this->links[id].received.Current().incarnation : 0;
+    if ((!known && static_cast<size_t>(unlisted) >= kMaxUnlisted) ||
+        session.Peer().incarnation < seen) {
+      session.Close({.kind = ErrorKind::kStale,
+                     .message = "an earlier incarnation, or too many hosts"});
+      this->Bury(std::move(accepted));
+      return;
+    }
+    Link& link = this->links[id];
+    link.host.host = id;
+    link.host.data_centre = session.Peer().data_centre;
+    this->Adopt(link, std::move(accepted));
+  }
+  Link* link = this->LinkOf(session);
+  assert(link != nullptr);
+  link->up = true;
+  link->backoff = this->options.first_backoff;
+  ++this->stats.sessions_established;
+  this->digests.OnConnected(id, session.Peer().incarnation);
+  LogInfo(kPart, "Linked to a host.",
+          {{"host", id.Text()},
+           {"data_centre", session.Peer().data_centre.Text()},
+           {"incarnation", std::to_string(session.Peer().incarnation)}});
+  if (this->handlers.on_up) {
+    this->handlers.on_up(id, session.Peer().incarnation);
+  }
+  if (this->digests.Sequence() > 0 && link->session != nullptr) {
+    this->SendDigestTo(*link);
+  }
+}
+
+void PeerLinks::OnMessage(PeerSession& session, WireMessage message) {
+  Link* link = this->LinkOf(session);
+  if (link == nullptr) {
+    return;
+  }
+  if (auto* digest = std::get_if<PeerDigest>(&message)) {
+    this->OnDigest(*link, std::move(*digest));
+  } else if (auto* other = std::get_if<PeerMessage>(&message)) {
+    if (this->handlers.on_message) {
+      this->handlers.on_message(session.Peer().host, *other);
+    }
+  }
+}
+
+void PeerLinks::OnDigest(Link& link, PeerDigest digest) {
+  const PeerHello& peer = link.session->Peer();
+  if (digest.ack) {
+    if (digest.ack->incarnation == 0) {
+      digest.ack->incarnation = this->options.session.incarnation;
+    }
+    this->digests.OnAck(peer.host, *digest.ack);
+  }
+  digest.delta.host = peer.host;
+  digest.delta.data_centre = peer.data_centre;
+  digest.delta.incarnation = peer.incarnation;
+  const DeltaOutcome outcome = link.received.Apply(digest.delta);
+  switch (outcome) {
+    case DeltaOutcome::kApplied:
+      ++this->stats.digests_received;
+      if (this->handlers.on_digest) {
+        this->handlers.on_digest(link.received.Current());
+      }
+      break;
+    case DeltaOutcome::kStale:
+      ++this->stats.digests_stale;
+      break;
+    case DeltaOutcome::kGap:
+    case DeltaOutcome::kWrong:
+      ++this->stats.digests_gap;
+      break;
+  }
+}
+
+void PeerLinks::OnClosed(PeerSession& session, const Error& reason) {
+  ++this->stats.closed[reason.kind];
+  if (reason.kind != ErrorKind::kTimeout && this->refusals.Allow(this->Now())) {
+    LogWarning(kPart, "Session closed.",
+               {{"host", session.Peer().host.Text()},
+                {"reason", reason.message},
+                {"kind", std::string(AnswerFor(reason.kind).code)},
+                {"not_logged", std::to_string(this->refusals.Suppressed())}});
+  }
+  this->Bury(this->TakePending(session));
+  Link* link = this->LinkOf(session);
+  if (link == nullptr) {
+    return;
+  }
+  this->Bury(std::move(link->session));
+  const HostId id = link->host.host;
+  const bool was_up = std::exchange(link->up, false);
+  if (was_up) {
+    link->next_dial = this->Now();
+    if (this->options.session.host > id) {
+      link->next_dial += this->options.dial_grace;
+    }
+  }
+  if (!link->listed) {
+    this->digests.Remove(id);
+    this->links.erase(id);
+  }
+  if (was_up) {
+    LogInfo(kPart, "Link lost.",
+            {{"host", id.Text()}, {"reason", reason.message}});
+    if (this->handlers.on_down) {
+      this->handlers.on_down(id);
+    }
+  }
+}
+
+void PeerLinks::SendDigest(const Digest& digest) {
+  assert(digest.host == this->options.session.host &&
+         digest.incarnation == this->options.session.incarnation &&
+         "a host sends its own digest only");
+  this->digests.Update(digest);
+  for (auto& [id, link] : this->links) {
+    if (link.up) {
+      this->SendDigestTo(link);
+    }
+  }
+}
+
+void PeerLinks::SendDigestTo(Link& link) {
+  if (link.session->QueuedBytes() > kMaxDigestBacklog) {
+    ++this->stats.digests_skipped;
+    return;
+  }
+  PeerDigest message{.delta = this->digests.Next(link.host.host), .ack = {}};
+  DigestAck ack = link.received.Ack();
+  if (ack.incarnation == link.session->Peer().incarnation) {
+    ack.incarnation = 0;
+  }
+  if (ack.sequence > 0 || ack.gap) {
+    message.ack = ack;
+  }
+  if (!link.session->Send(message)) {
+    this->digests.OnDropped(link.host.host);
+  }
+}
+
+bool PeerLinks::SendTo(Link& link, const PeerMessage& message) {
+  bool sent = link.up;
+  if (const auto* reply = std::get_if<BucketsReply>(&message)) {
+    for (auto& part : Split(*reply)) {
+      sent = sent && link.session->Send(PeerMessage(std::move(part)));
+    }
+  } else {
+    sent = sent && link.session->Send(message);
+  }
+  this->stats.sends_refused += sent ? 0 : 1;
+  return sent;
+}
+
+bool PeerLinks::Send(const HostId& host, const PeerMessage& message) {
+  const auto found = this->links.find(host);
+  if (found == this->links.end()) {
+    ++this->stats.sends_refused;
+    return false;
+  }
+  return this->SendTo(found->second, message);
+}
+
+size_t PeerLinks::Broadcast(const PeerMessage& message) {
+  return std::ranges::count_if(this->links, [&](auto& entry) {
+    return entry.second.up && this->SendTo(entry.second, message);
+  });
+}
+
+std::vector<HostId> PeerLinks::Linked() const {
+  std::vector<HostId> linked;
+  for (const auto& [id, link] : this->links) {
+    if (link.up) {
+      linked.push_back(id);
+    }
+  }
+  return linked;
+}
+
+PeerStats PeerLinks::Stats() const {
+  PeerStats all = this->stats;
+  for (const auto& [id, link] : this->links) {
+    if (link.session != nullptr) {
+      all.traffic += link.session->Traffic();
+    }
+  }
+  return all;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/peers/peers.thrift
@@ -0,0 +1,99 @@
+// What entry hosts say to each other. Compact protocol, one Message a frame;
+// peers/frame.h says how a frame is framed and authenticated.
+//
+// Fields are only ever added, with new numbers: hosts of two releases talk to
+// each other while a fleet is being upgraded.
+
+namespace cpp hickorystand.wire
+
+// The first frame in each direction.
+struct Hello {
+  1: string host
+  2: string data_centre
+  3: i64 incarnation
+  4: binary nonce
+  5: string receiver  // whom the dialling side believes to have reached
+}
+
+// Binds an index to an id for the rest of the sender's incarnation.
+struct Definition {
+  1: i32 index
+  2: string id
+}
+
+// The entries of one kind that changed, by columns of equal length: a struct
+// for each entry would cost a byte for each field again.
+struct Entries {
+  1: list<Definition> definitions
+  2: list<i32> indexes  // each as its distance from the one before
+  3: list<i64> first
+  4: list<i64> second
+}
+
+struct Suspicion {
+  1: i64 fingerprint
+  2: i64 crashes
+}
+
+struct EndpointNews {
+  1: string endpoint
+  2: i64 incarnation
+  3: bool leaving
+  4: bool down
+}
+
+// A digest as what changed since the sequence `base` of the same incarnation.
+// Whose it is, and of which incarnation, is known from the session. The ack is
+// of the receiver's own digests.
+struct DigestDelta {
+  4: i64 sequence
+  5: i64 base  // as its distance below the sequence
+  6: i64 configuration_revision
+  7: bool leaving
+  8: optional Entries outstanding
+  9: optional Entries served
+  10: optional list<Suspicion> suspicions
+  11: optional Entries endpoints
+  12: optional i64 ack_incarnation  // absent: the one of the session
+  13: optional i64 ack_sequence
+  14: optional bool ack_gap
+}
+
+struct BucketsRequest {
+  1: i64 above_revision
+}
+
+struct Bucket {
+  1: string name
+  2: i64 revision
+  3: binary value
+}
+
+struct BucketsReply {
+  1: i64 head_revision
+  2: list<Bucket> buckets
+}
+
+struct UsageCopy {
+  1: string host
+  2: i64 incarnation
+  3: binary value
+}
+
+struct Released {
+  1: string data_centre
+  2: i64 fencing
+}
+
+struct Heartbeat {
+}
+
+union Message {
+  1: Heartbeat heartbeat
+  2: DigestDelta digest
+  3: BucketsRequest buckets_request
+  4: BucketsReply buckets_reply
+  5: UsageCopy usage_copy
+  6: Released released
+  7: EndpointNews endpoint_news
+}
--- /dev/null
+++ b/packages/peers/wire.cc
@@ -0,0 +1,324 @@
+#include "peers/wire.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <exception>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "peers/frame.h"
+#include "peers_types.h"
+
+namespace hickorystand {
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using Protocol = TCompactProtocolT<TMemoryBuffer>;
+
+// Limits on single fields. A list's length is checked before room is made for
+// it, so that a short frame can't ask for gigabytes.
+constexpr int32_t kMaxText = static_cast<int32_t>(kMaxFrame);
+constexpr int32_t kMaxList = 2 * kMaxDigestEntries;
+constexpr size_t kMaxId = 256;
+constexpr int kMaxDepth = 8;
+
+template <typename Struct>
+std::string Encode(const Struct& value) {
+  const auto buffer = std::make_shared<TMemoryBuffer>();
+  Protocol protocol(buffer);
+  value.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+template <typename Struct>
+Result<Struct> Decode(std::string_view payload) {
+  try {
+    const auto limits = std::make_shared<TConfiguration>(
+        static_cast<int>(kMaxFrame), static_cast<int>(kMaxFrame), kMaxDepth);
+    // An observing buffer only reads, though its constructor takes a pointer
+    // to bytes that could be written.
+    auto* bytes = reinterpret_cast<uint8_t*>(const_cast<char*>(payload.data()));
+    const auto buffer = std::make_shared<TMemoryBuffer>(
+        bytes, static_cast<uint32_t>(payload.size()), TMemoryBuffer::OBSERVE,
+        limits);
+    Protocol protocol(buffer, kMaxText, kMaxList);
+    Struct value;
+    value.read(&protocol);
+    if (buffer->available_read() != 0) {
+      return Fail(ErrorKind::kBadRequest, "bytes after the message");
+    }
+    return value;
+  } catch (const std::exception& fault) {
+    return Fail(ErrorKind::kBadRequest, fault.what());
+  }
+}
+
+bool GoodId(const std::string& id) {
+  return id.size() <= kMaxId;
+}
+
+wire::Entries ToWire(const std::vector<DigestEntry>& entries) {
+  wire::Entries columns;
+  int32_t previous = 0;
+  for (const auto& entry : entries) {
+    if (!entry.id.empty()) {
+      wire::Definition definition;
+      definition.index = entry.index;
+      definition.id = entry.id;
+      columns.definitions.push_back(std::move(definition));
+    }
+    columns.indexes.push_back(entry.index -
+                              std::exchange(previous, entry.index));
+    columns.first.push_back(entry.first);
+    columns.second.push_back(entry.second);
+  }
+  return columns;
+}
+
+// The entries of the columns; false if they don't fit together.
+bool FromWire(const wire::Entries& columns, std::vector<DigestEntry>& entries) {
+  const size_t count = columns.indexes.size();
+  if (columns.first.size() != count || columns.second.size() != count) {
+    return false;
+  }
+  int64_t index = 0;
+  auto definition = columns.definitions.begin();
+  for (size_t i = 0; i < count; ++i) {
+    index += columns.indexes[i];
+    if (index < 0 || index >= kMaxDigestEntries) {
+      return false;
+    }
+    DigestEntry entry{.index = static_cast<int32_t>(index),
+                      .id = {},
+                      .first = columns.first[i],
+                      .second = columns.second[i]};
+    if (definition != columns.definitions.end() && definition->index == index) {
+      if (!GoodId(definition->id) || definition->id.empty()) {
+        return false;
+      }
+      entry.id = definition->id;
+      ++definition;
+    }
+    entries.push_back(std::move(entry));
+  }
+  return definition == columns.definitions.end();
+}
+
+wire::EndpointNews ToWire(const EndpointNews& news) {
+  wire::EndpointNews out;
+  out.endpoint = news.endpoint.Text();
+  out.incarnation = static_cast<int64_t>(news.incarnation);
+  out.leaving = news.leaving;
+  out.down = news.down;
+  return out;
+}
+
+wire::DigestDelta ToWire(const PeerDigest& digest) {
+  const DigestDelta& delta = digest.delta;
+  wire::DigestDelta out;
+  out.sequence = static_cast<int64_t>(delta.sequence);
+  out.base = static_cast<int64_t>(delta.sequence - delta.base);
+  out.configuration_revision = delta.configuration_revision;
+  out.leaving = delta.leaving;
+  if (!delta.outstanding.empty()) {
+    out.__set_outstanding(ToWire(delta.outstanding));
+  }
+  if (!delta.served.empty()) {
+    out.__set_served(ToWire(delta.served));
+  }
+  if (!delta.endpoints.empty()) {
+    out.__set_endpoints(ToWire(delta.endpoints));
+  }
+  if (delta.suspicions) {
+    std::vector<wire::Suspicion> list;
+    for (const auto& suspicion : *delta.suspicions) {
+      wire::Suspicion item;
+      item.fingerprint = static_cast<int64_t>(suspicion.fingerprint);
+      item.crashes = suspicion.crashes;
+      list.push_back(item);
+    }
+    out.__set_suspicions(list);
+  }
+  if (digest.ack) {
+    if (digest.ack->incarnation != 0) {
+      out.__set_ack_incarnation(static_cast<int64_t>(digest.ack->incarnation));
+    }
+    out.__set_ack_sequence(static_cast<int64_t>(digest.ack->sequence));
+    out.__set_ack_gap(digest.ack->gap);
+  }
+  return out;
+}
+
+Result<PeerDigest> FromWire(const wire::DigestDelta& in) {
+  PeerDigest digest;
+  DigestDelta& delta = digest.delta;
+  delta.sequence = static_cast<uint64_t>(in.sequence);
+  delta.base =
+      static_cast<uint64_t>(in.sequence) - static_cast<uint64_t>(in.base);
+  delta.configuration_revision = in.configuration_revision;
+  delta.leaving = in.leaving;
+  const bool good = delta.base <= delta.sequence &&
+                    FromWire(in.outstanding, delta.outstanding) &&
+                    FromWire(in.served, delta.served) &&
+                    FromWire(in.endpoints, delta.endpoints);
+  if (!good) {
+    return Fail(ErrorKind::kBadRequest, "digest with fields out of range");
+  }
+  if (in.__isset.suspicions) {
+    delta.suspicions.emplace();
+    std::ranges::transform(
+        in.suspicions, std::back_inserter(*delta.suspicions),
+        [](const wire::Suspicion& item) {
+          return Suspicion{
+              .fingerprint = static_cast<uint64_t>(item.fingerprint),
+              .crashes = item.crashes};
+        });
+  }
+  if (in.__isset.ack_sequence) {
+    digest.ack =
+        DigestAck{.incarnation = static_cast<uint64_t>(in.ack_incarnation),
+                  .sequence = static_cast<uint64_t>(in.ack_sequence),
+                  .gap = in.ack_gap};
+  }
+  return digest;
+}
+
+// Puts each kind of message into its field of the union.
+struct Writer {
+  wire::Message out;
+
+  void operator()(const PeerHeartbeat& /*unused*/) { out.__set_heartbeat({}); }
+  void operator()(const PeerDigest& digest) {
+    out.__set_digest(ToWire(digest));
+  }
+  void operator()(const PeerMessage& message) { std::visit(*this, message); }
+  void operator()(const BucketsRequest& request) {
+    wire::BucketsRequest item;
+    item.above_revision = request.above_revision;
+    out.__set_buckets_request(item);
+  }
+  void operator()(const BucketsReply& reply) {
+    wire::BucketsReply item;
+    item.head_revision = reply.head_revision;
+    for (const auto& bucket : reply.buckets) {
+      wire::Bucket one;
+      one.name = bucket.name;
+      one.revision = bucket.revision;
+      one.value = bucket.value;
+      item.buckets.push_back(std::move(one));
+    }
+    out.__set_buckets_reply(item);
+  }
+  void operator()(const UsageCopy& copy) {
+    wire::UsageCopy item;
+    item.host = copy.host.Text();
+    item.incarnation = static_cast<int64_t>(copy.incarnation);
+    item.value = copy.value;
+    out.__set_usage_copy(item);
+  }
+  void operator()(const Released& released) {
+    wire::Released item;
+    item.data_centre = released.data_centre.Text();
+    item.fencing = released.fencing;
+    out.__set_released(item);
+  }
+  void operator()(const EndpointNews& news) {
+    out.__set_endpoint_news(ToWire(news));
+  }
+};
+
+PeerMessage ReadBuckets(wire::BucketsReply& in) {
+  BucketsReply reply{.head_revision = in.head_revision, .buckets = {}};
+  for (auto& bucket : in.buckets) {
+    reply.buckets.push_back({.name = std::move(bucket.name),
+                             .revision = bucket.revision,
+                             .value = std::move(bucket.value)});
+  }
+  return reply;
+}
+
+}  // namespace
+
+std::string EncodeHello(const PeerHello& hello) {
+  wire::Hello out;
+  out.host = hello.host.Text();
+  out.data_centre = hello.data_centre.Text();
+  out.incarnation = static_cast<int64_t>(hello.incarnation);
+  out.nonce = hello.nonce;
+  out.receiver = hello.receiver.Text();
+  return Encode(out);
+}
+
+Result<PeerHello> DecodeHello(std::string_view payload) {
+  const auto in = Decode<wire::Hello>(payload);
+  if (!in) {
+    return tl::unexpected(in.error());
+  }
+  if (in->host.empty() || !GoodId(in->host) || !GoodId(in->data_centre) ||
+      in->nonce.size() != kNonceBytes) {
+    return Fail(ErrorKind::kBadRequest, "hello with fields out of range");
+  }
+  return PeerHello{.host = HostId(in->host),
+                   .data_centre = DataCentreId(in->data_centre),
+                   .incarnation = static_cast<uint64_t>(in->incarnation),
+                   .nonce = in->nonce,
+                   .receiver = HostId(in->receiver)};
+}
+
+std::string EncodeMessage(const WireMessage& message) {
+  Writer writer;
+  std::visit(writer, message);
+  return Encode(writer.out);
+}
+
+Result<WireMessage> DecodeMessage(std::string_view payload) {
+  auto in = Decode<wire::Message>(payload);
+  if (!in) {
+    return tl::unexpected(in.error());
+  }
+  const auto& set = in->__isset;
+  if (set.digest) {
+    auto digest = FromWire(in->digest);
+    if (!digest) {
+      return tl::unexpected(digest.error());
+    }
+    return WireMessage(std::move(*digest));
+  }
+  if (set.buckets_request) {
+    return WireMessage(PeerMessage(
+        BucketsRequest{.above_revision = in->buckets_request.above_revision}));
+  }
+  if (set.buckets_reply) {
+    return WireMessage(ReadBuckets(in->buckets_reply));
+  }
+  if (set.usage_copy && GoodId(in->usage_copy.host)) {
+    return WireMessage(PeerMessage(UsageCopy{
+        .host = HostId(in->usage_copy.host),
+        .incarnation = static_cast<uint64_t>(in->usage_copy.incarnation),
+        .value = std::move(in->usage_copy.value)}));
+  }
+  if (set.released && GoodId(in->released.data_centre)) {
+    return WireMessage(PeerMessage(
+        Released{.data_centre = DataCentreId(in->released.data_centre),
+                 .fencing = in->released.fencing}));
+  }
+  if (set.endpoint_news && GoodId(in->endpoint_news.endpoint)) {
+    const auto& news = in->endpoint_news;
+    return WireMessage(PeerMessage(
+        EndpointNews{.endpoint = EndpointId(news.endpoint),
+                     .incarnation = static_cast<uint64_t>(news.incarnation),
+                     .leaving = news.leaving,
+                     .down = news.down}));
+  }
+  if (set.heartbeat) {
+    return WireMessage(PeerHeartbeat{});
+  }
+  return Fail(ErrorKind::kBadRequest, "message of an unknown kind");
+}
+
+}  // namespace hickorystand
