--- /dev/null
+++ b/packages/http/http_server.cc
@@ -0,0 +1,447 @@
+#include "http/http_server.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cassert>
+#include <numeric>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+// How many times the body limit is read and thrown away, so that an ordinary
+// client finishes sending and reads its refusal, before the connection is cut.
+constexpr int64_t kDiscardFactor = 4;
+
+std::string OrEmpty(const char* text) {
+  return text == nullptr ? "" : text;
+}
+
+}  // namespace
+
+// -- One call ----------------------------------------------------------------
+
+HttpCall::HttpCall(const HttpServerOptions& options, SoupServerMessage* message)
+    : options(options), message(ShareObject(message)) {
+  if (GSocket* raw = soup_server_message_get_socket(message)) {
+    this->socket = ShareObject(raw);
+  }
+}
+
+HttpCall::~HttpCall() {
+  this->StopWatching();
+}
+
+void HttpCall::ReadHead() {
+  SoupServerMessage* raw = this->message.get();
+  GUri* uri = soup_server_message_get_uri(raw);
+  this->head_read = true;
+  this->request.method = soup_server_message_get_method(raw);
+  this->request.raw_path = OrEmpty(g_uri_get_path(uri));
+  gchar* decoded =
+      g_uri_unescape_string(this->request.raw_path.c_str(), nullptr);
+  this->request.path = decoded == nullptr ? this->request.raw_path : decoded;
+  g_free(decoded);
+  this->request.query = OrEmpty(g_uri_get_query(uri));
+  this->request.headers =
+      CopyHeaders(soup_server_message_get_request_headers(raw));
+  this->refusal = this->HeadFault();
+}
+
+// What is over its limit in the head, if anything is.
+std::optional<Error> HttpCall::HeadFault() const {
+  const HttpHeaders& headers = this->request.headers;
+  if (std::ssize(headers) > this->options.max_headers) {
+    return Error{ErrorKind::kTooLarge, "Too many headers."};
+  }
+  const auto bytes = std::accumulate(headers.begin(), headers.end(), int64_t{0},
+                                     [](int64_t sum, const HttpHeader& header) {
+                                       return sum + std::ssize(header.name) +
+                                              std::ssize(header.value);
+                                     });
+  if (bytes > this->options.max_header_bytes) {
+    return Error{ErrorKind::kTooLarge, "The headers are too long."};
+  }
+  if (soup_message_headers_get_content_length(
+          soup_server_message_get_request_headers(this->message.get())) >
+      this->options.max_body_bytes) {
+    return Error{ErrorKind::kTooLarge, "The body is too long."};
+  }
+  return std::nullopt;
+}
+
+// Without the limit here a caller that sends a chunked body without end would
+// fill this host's memory.
+void HttpCall::TakeChunk(GBytes* chunk) {
+  gsize size = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(chunk, &size));
+  this->received += static_cast<int64_t>(size);
+  if (this->received > this->options.max_body_bytes * kDiscardFactor) {
+    this->CloseSocket();
+  }
+  if (this->received > this->options.max_body_bytes) {
+    this->request.body = {};
+    if (!this->refusal) {
+      this->refusal = Error{ErrorKind::kTooLarge, "The body is too long."};
+    }
+    return;
+  }
+  this->request.body.append(data, size);
+}
+
+// Keeps libsoup from answering until the handler has something to say.
+void HttpCall::Hold() {
+  if (this->ended || this->started) {
+    return;
+  }
+  soup_server_message_pause(this->message.get());
+  this->WatchCaller();
+}
+
+// While an answer is held back libsoup doesn't look at the socket, so a caller
+// that hung up would keep its place in the queue and its endpoint busy. Data
+// on the socket can only be the next request; then the watch ends.
+void HttpCall::WatchCaller() {
+  if (!this->socket || this->watch != nullptr) {
+    return;
+  }
+  this->watch = g_socket_create_source(
+      this->socket.get(),
+      static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR), nullptr);
+  g_source_set_callback(this->watch,
+                        G_SOURCE_FUNC(+[](GSocket* socket, GIOCondition what,
+                                          gpointer self) -> gboolean {
+                          return HttpCall::OnSocket(socket, what, self);
+                        }),
+                        this, nullptr);
+  g_source_attach(this->watch, g_main_context_get_thread_default());
+}
+
+void HttpCall::StopWatching() {
+  if (this->watch != nullptr) {
+    g_source_destroy(this->watch);
+    g_source_unref(this->watch);
+    this->watch = nullptr;
+  }
+}
+
+bool HttpCall::CallerClosed() const {
+  char byte = 0;
+  const ssize_t got = recv(g_socket_get_fd(this->socket.get()), &byte, 1,
+                           MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+gboolean HttpCall::OnSocket(GSocket*, GIOCondition, gpointer self) {
+  const auto call = static_cast<HttpCall*>(self)->shared_from_this();
+  const bool closed = call->CallerClosed();
+  call->StopWatching();
+  if (closed) {
+    call->Abort();
+  }
+  return G_SOURCE_REMOVE;
+}
+
+void HttpCall::Answer(int status,
+                      const HttpHeaders& headers,
+                      std::string_view body) {
+  if (this->gone) {
+    return;
+  }
+  assert(!this->started && "a call is answered once");
+  this->started = true;
+  this->ended = true;
+  this->StopWatching();
+  SoupServerMessage* raw = this->message.get();
+  soup_server_message_set_status(raw, static_cast<guint>(status), nullptr);
+  AppendHeaders(soup_server_message_get_response_headers(raw), headers);
+  soup_message_body_append(soup_server_message_get_response_body(raw),
+                           SOUP_MEMORY_COPY, body.data(), body.size());
+  this->unsent += std::ssize(body);
+  this->ArmWriteTimer();
+  soup_server_message_unpause(raw);
+}
+
+void HttpCall::StartStream(int status, const HttpHeaders& headers) {
+  if (this->gone) {
+    return;
+  }
+  assert(!this->started && "a call is answered once");
+  this->started = true;
+  this->streaming = true;
+  SoupServerMessage* raw = this->message.get();
+  soup_server_message_set_status(raw, static_cast<guint>(status), nullptr);
+  SoupMessageHeaders* out = soup_server_message_get_response_headers(raw);
+  AppendHeaders(out, headers);
+  soup_message_headers_set_encoding(out, SOUP_ENCODING_CHUNKED);
+  soup_message_body_set_accumulate(soup_server_message_get_response_body(raw),
+                                   FALSE);
+  soup_server_message_unpause(raw);
+}
+
+void HttpCall::Write(std::string_view bytes) {
+  if (this->gone || bytes.empty()) {
+    return;
+  }
+  assert(this->streaming && !this->ended && "write between start and end");
+  soup_message_body_append(
+      soup_server_message_get_response_body(this->message.get()),
+      SOUP_MEMORY_COPY, bytes.data(), bytes.size());
+  if (this->unsent == 0) {
+    this->ArmWriteTimer();
+  }
+  this->unsent += std::ssize(bytes);
+  soup_server_message_unpause(this->message.get());
+}
+
+void HttpCall::EndStream() {
+  if (this->gone) {
+    return;
+  }
+  assert(this->streaming && !this->ended && "a stream ends once");
+  this->ended = true;
+  this->StopWatching();
+  soup_message_body_complete(
+      soup_server_message_get_response_body(this->message.get()));
+  this->ArmWriteTimer();
+  soup_server_message_unpause(this->message.get());
+}
+
+void HttpCall::Abort() {
+  if (this->gone) {
+    return;
+  }
+  this->CloseSocket();
+  this->MarkGone();
+}
+
+// Shuts the socket, and gives libsoup something to write, because it only
+// notices the end of a paused message's connection when it writes to it.
+void HttpCall::CloseSocket() {
+  this->StopWatching();
+  if (this->socket) {
+    g_socket_shutdown(this->socket.get(), TRUE, TRUE, nullptr);
+  }
+  if (!this->handled) {
+    return;
+  }
+  SoupServerMessage* raw = this->message.get();
+  if (!this->started) {
+    soup_server_message_set_status(raw, SOUP_STATUS_INTERNAL_SERVER_ERROR,
+                                   nullptr);
+  } else if (!this->ended) {
+    soup_message_body_append(soup_server_message_get_response_body(raw),
+                             SOUP_MEMORY_STATIC, "x", 1);
+  }
+  soup_server_message_unpause(raw);
+}
+
+void HttpCall::MarkGone() {
+  if (std::exchange(this->gone, true)) {
+    return;
+  }
+  this->timer.reset();
+  this->StopWatching();
+  this->on_drained = {};
+  const auto call = std::exchange(this->on_gone, {});
+  if (call) {
+    call();
+  }
+}
+
+bool HttpCall::Congested() const {
+  return this->unsent > this->options.high_water_bytes;
+}
+
+void HttpCall::Wrote(int64_t bytes) {
+  const bool congested = this->Congested();
+  this->unsent = std::max<int64_t>(0, this->unsent - bytes);
+  if (this->unsent > 0) {
+    this->ArmWriteTimer();
+  } else {
+    this->timer.reset();
+  }
+  if (congested && !this->Congested() && this->on_drained) {
+    const auto call = this->on_drained;
+    call();
+  }
+}
+
+// A caller that opens streams and reads none of them would hold their buffers
+// for ever.
+void HttpCall::ArmWriteTimer() {
+  this->timer =
+      Timer::After(this->options.write_timeout, [this] { this->Abort(); });
+}
+
+// -- The server --------------------------------------------------------------
+
+HttpServer::HttpServer(HttpServerOptions options,
+                       Handler handler,
+                       Refuser refuser)
+    : options(std::move(options)),
+      handler(std::move(handler)),
+      refuser(std::move(refuser)),
+      server(soup_server_new(nullptr, nullptr)) {
+  SoupServer* raw = this->server.get();
+  g_signal_connect(raw, "request-started", G_CALLBACK(&HttpServer::OnStarted),
+                   this);
+  g_signal_connect(raw, "request-finished", G_CALLBACK(&HttpServer::OnEnded),
+                   this);
+  g_signal_connect(raw, "request-aborted", G_CALLBACK(&HttpServer::OnEnded),
+                   this);
+  soup_server_add_early_handler(raw, nullptr, &HttpServer::OnHead, this,
+                                nullptr);
+  soup_server_add_handler(raw, nullptr, &HttpServer::OnRequest, this, nullptr);
+}
+
+HttpServer::~HttpServer() {
+  soup_server_disconnect(this->server.get());
+  const auto open = std::exchange(this->calls, {});
+  for (const auto& [message, call] : open) {
+    call->Abort();
+  }
+  g_signal_handlers_disconnect_by_data(this->server.get(), this);
+}
+
+Result<SocketAddress> HttpServer::Start() {
+  SoupServer* raw = this->server.get();
+  GError* error = nullptr;
+  int flags = 0;
+  if (!this->options.tls_certificate.empty()) {
+    const ObjectPtr<GTlsCertificate> certificate(
+        g_tls_certificate_new_from_files(this->options.tls_certificate.c_str(),
+                                         this->options.tls_key.c_str(),
+                                         &error));
+    if (!certificate) {
+      const ErrorPtr owned(error);
+      return Fail(ErrorKind::kBadSetting,
+                  "TLS certificate or key: " + std::string(error->message));
+    }
+    soup_server_set_tls_certificate(raw, certificate.get());
+    flags = SOUP_SERVER_LISTEN_HTTPS;
+  }
+  const ObjectPtr<GSocketAddress> address(g_inet_socket_address_new_from_string(
+      this->options.listen.host.c_str(), this->options.listen.port));
+  if (!address) {
+    return Fail(ErrorKind::kBadSetting, "listen: not an IP number.");
+  }
+  if (!soup_server_listen(raw, address.get(),
+                          static_cast<SoupServerListenOptions>(flags),
+                          &error)) {
+    const ErrorPtr owned(error);
+    return Fail(ErrorKind::kBadSetting,
+                "can't listen: " + std::string(error->message));
+  }
+  GSList* uris = soup_server_get_uris(raw);
+  const int port = g_uri_get_port(static_cast<GUri*>(uris->data));
+  g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(&g_uri_unref));
+  return SocketAddress{this->options.listen.host, static_cast<uint16_t>(port)};
+}
+
+void HttpServer::StopListening() {
+  GSList* listeners = soup_server_get_listeners(this->server.get());
+  for (GSList* item = listeners; item != nullptr; item = item->next) {
+    g_socket_close(static_cast<GSocket*>(item->data), nullptr);
+  }
+  g_slist_free(listeners);
+}
+
+HttpCallPtr HttpServer::Find(SoupServerMessage* message) const {
+  const auto found = this->calls.find(message);
+  return found == this->calls.end() ? nullptr : found->second;
+}
+
+void HttpServer::OnStarted(SoupServer*,
+                           SoupServerMessage* message,
+                           gpointer data) {
+  auto* self = static_cast<HttpServer*>(data);
+  auto call = std::make_shared<HttpCall>(self->options, message);
+  HttpCall* raw = call.get();
+  self->calls[message] = std::move(call);
+  // A caller that sends its head one byte a minute would hold a connection for
+  // ever, and a thousand such callers all of them.
+  raw->timer =
+      Timer::After(self->options.head_timeout, [raw] { raw->CloseSocket(); });
+  g_signal_connect(
+      message, "got-chunk",
+      G_CALLBACK(+[](SoupServerMessage*, GBytes* chunk, gpointer call) {
+        static_cast<HttpCall*>(call)->TakeChunk(chunk);
+      }),
+      raw);
+  g_signal_connect(
+      message, "wrote-body-data",
+      G_CALLBACK(+[](SoupServerMessage*, guint bytes, gpointer call) {
+        static_cast<HttpCall*>(call)->Wrote(bytes);
+      }),
+      raw);
+}
+
+void HttpServer::OnEnded(SoupServer*,
+                         SoupServerMessage* message,
+                         gpointer data) {
+  auto* self = static_cast<HttpServer*>(data);
+  const HttpCallPtr call = self->Find(message);
+  if (!call) {
+    return;
+  }
+  self->calls.erase(message);
+  g_signal_handlers_disconnect_by_data(message, call.get());
+  call->MarkGone();
+}
+
+void HttpServer::OnHead(SoupServer*,
+                        SoupServerMessage* message,
+                        const char*,
+                        GHashTable*,
+                        gpointer data) {
+  auto* self = static_cast<HttpServer*>(data);
+  const HttpCallPtr call = self->Find(message);
+  if (!call) {
+    return;
+  }
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(message), FALSE);
+  call->ReadHead();
+  HttpCall* raw = call.get();
+  raw->timer =
+      Timer::After(self->options.body_timeout, [raw] { raw->CloseSocket(); });
+  if (call->refusal) {
+    self->Refuse(call);
+  }
+}
+
+void HttpServer::OnRequest(SoupServer*,
+                           SoupServerMessage* message,
+                           const char*,
+                           GHashTable*,
+                           gpointer data) {
+  auto* self = static_cast<HttpServer*>(data);
+  const HttpCallPtr call = self->Find(message);
+  if (!call || call->gone) {
+    return;
+  }
+  call->timer.reset();
+  call->handled = true;
+  if (call->refusal) {
+    if (!call->started) {
+      self->Refuse(call);
+    }
+    return;
+  }
+  self->handler(call);
+  call->Hold();
+}
+
+void HttpServer::Refuse(const HttpCallPtr& call) {
+  const Error error = call->refusal.value_or(Error{});
+  if (this->refuser) {
+    this->refuser(call, error);
+  }
+  if (!call->started) {
+    call->Answer(AnswerFor(error.kind).status, {}, error.message);
+  }
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/http/package.cmake
@@ -0,0 +1,2 @@
+add_package(http hs_kernel PkgConfig::SOUP)
+add_unit_test(http_test SOURCES tests/http_test.cc LIBRARIES hs_http)
