--- a/packages/peers/package.cmake
+++ b/packages/peers/package.cmake
@@ -1,7 +1,6 @@
-add_package(peers hs_decisions hs_kernel PkgConfig::GLIB)
 # Generated code isn't held to the project's warnings.
 add_library(hs_peers_wire STATIC packages/peers/gen-cpp/peers_types.cpp)
 target_include_directories(hs_peers_wire SYSTEM PUBLIC packages/peers/gen-cpp)
 target_compile_options(hs_peers_wire PRIVATE -w)
 target_link_libraries(hs_peers_wire PUBLIC PkgConfig::THRIFT)
-target_link_libraries(hs_peers PUBLIC hs_peers_wire)
+add_package(peers hs_decisions hs_kernel hs_peers_wire PkgConfig::GLIB)
