--- /dev/null
+++ b/bench/policy_scenarios.cc
@@ -0,0 +1,89 @@
+#include "policy_scenarios.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace hickorystand {
+namespace {
+
+constexpr double kSwingSeconds = 180;  // from one mix to the next
+constexpr double kRampSeconds = 30;
+
+// A quiet, even day.
+TrafficRate Steady(double) {
+  return {.requests_per_second = 10, .prompt_share = 0.5};
+}
+
+// Near what the fleet carries.
+TrafficRate Busy(double) {
+  return {.requests_per_second = 16, .prompt_share = 0.5};
+}
+
+// From mostly prompts to mostly answers and back, each about a tenth more than
+// mixed endpoints carry.
+TrafficRate Swinging(double second) {
+  const double phase = std::fmod(second, 2 * kSwingSeconds);
+  const double into = std::fmod(phase, kSwingSeconds);
+  const double ramp = std::clamp(into / kRampSeconds, 0.0, 1.0);
+  const double answers = phase < kSwingSeconds ? 1 - ramp : ramp;
+  return {.requests_per_second = 26 - 8 * answers,
+          .prompt_share = 0.85 - 0.7 * answers};
+}
+
+// The smallest account sends twice what all others do.
+TrafficRate Flooded(double second) {
+  TrafficRate rate = {.requests_per_second = 12, .prompt_share = 0.5};
+  rate.flood_per_second = second >= 120 && second < 420 ? 24 : 0;
+  return rate;
+}
+
+constexpr std::array kScenarios = {
+    Scenario{.name = "steady",
+             .story = "an even load, about half of what the fleet carries",
+             .rate = &Steady},
+    Scenario{.name = "shift",
+             .story = "the mix swings every three minutes",
+             .seconds = 900,
+             .rate = &Swinging,
+             .has_shift = true},
+    Scenario{.name = "flood",
+             .story = "the smallest account sends twice what all others do",
+             .rate = &Flooded},
+    Scenario{.name = "zone-lost",
+             .story = "a zone of cheap endpoints is reclaimed",
+             .rate = &Busy,
+             .zone_lost = {200, 320}},
+    Scenario{.name = "replace",
+             .story = "engines are replaced one by one",
+             .rate = &Busy,
+             .replace = true},
+    Scenario{.name = "lagging",
+             .story = "reports lag by 5 s",
+             .rate = &Busy,
+             .report_lag = 5},
+    Scenario{.name = "cut-off",
+             .story = "a data centre hears nobody for two minutes",
+             .rate = &Busy,
+             .cut_off = {200, 320}},
+    Scenario{.name = "platform-down",
+             .story = "no claims and no orders for an hour of swinging mix",
+             .seconds = 4200,
+             .rate = &Swinging,
+             .platform_down = {300, 3900},
+             .has_shift = true},
+    Scenario{.name = "shift+zone",
+             .story = "a zone is lost in the middle of a shift",
+             .seconds = 900,
+             .rate = &Swinging,
+             .zone_lost = {190, 400},
+             .has_shift = true},
+};
+
+}  // namespace
+
+std::span<const Scenario> AllScenarios() {
+  return kScenarios;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/placement.cc
@@ -0,0 +1,404 @@
+#include "decisions/placement.h"
+
+#include <algorithm>
+#include <cassert>
+#include <functional>
+#include <numeric>
+#include <ranges>
+#include <set>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+constexpr double kLevelGain = 0.5;
+constexpr double kTrendGain = 0.2;
+constexpr double kTrendDamping = 0.8;
+constexpr int64_t kSamplesBeforePlans = 3;
+constexpr double kPlenty = 100;  // times the work, when there is next to none
+
+constexpr std::array kLanguageRoles = {
+    EndpointRole::kMixed, EndpointRole::kPrefill, EndpointRole::kDecode};
+
+// Seconds of one endpoint that a second of this work takes.
+double Load(const LeaningWork& work, const RoleRates& rates) {
+  return work.prefill / rates.prefill + work.decode / rates.decode;
+}
+
+std::map<EndpointRole, double> CountRoles(
+    const std::vector<EndpointState>& endpoints) {
+  std::map<EndpointRole, double> counts;
+  for (const EndpointState& state : endpoints) {
+    if (state.up || state.changing) {
+      counts[state.role] += 1;
+    }
+  }
+  return counts;
+}
+
+}  // namespace
+
+std::string NameOfRole(EndpointRole role) {
+  switch (role) {
+    case EndpointRole::kMixed:
+      return "mixed";
+    case EndpointRole::kPrefill:
+      return "prefill";
+    case EndpointRole::kDecode:
+      return "decode";
+    case EndpointRole::kPlain:
+      return "plain";
+  }
+  return "mixed";
+}
+
+void WorkForecast::Add(double rate) {
+  if (!this->started) {
+    this->started = true;
+    this->level = rate;
+    return;
+  }
+  const double before = this->level;
+  this->level += kLevelGain * (rate - this->level);
+  this->trend += kTrendGain * (this->level - before - this->trend);
+}
+
+// The trend is damped: a ramp isn't taken to go on for ever.
+double WorkForecast::After(double samples) const {
+  double ahead = 0;
+  double step = this->trend;
+  for (; samples > 0; samples -= 1) {
+    ahead += step * std::min(1.0, samples);
+    step *= kTrendDamping;
+  }
+  return std::max(0.0, this->level + ahead);
+}
+
+// Roles are lined up by how much better they are at prompts than at answers.
+// In the best division of work prompts are taken from the front of that line
+// and answers from its end; the place where they meet is where both are
+// carried to the same share.
+double CarriedShare(const LeaningWork& prompts,
+                    const LeaningWork& answers,
+                    const std::map<EndpointRole, double>& count,
+                    const RoleRatesTable& rates) {
+  struct Group {
+    double count, prompts, answers;  // seconds a second of each takes
+  };
+  std::vector<Group> groups;
+  for (const auto& [role, number] : count) {
+    const auto known = rates.find(role);
+    if (known != rates.end() && number > 0) {
+      groups.push_back(
+          {number, Load(prompts, known->second), Load(answers, known->second)});
+    }
+  }
+  constexpr double kNothing = 1e-9;
+  const auto all = [&](double Group::* load) {
+    double share = 0;
+    for (const Group& group : groups) {
+      share += group.count / std::max(kNothing, group.*load);
+    }
+    return std::min(share, kPlenty);
+  };
+  if (groups.empty() || Load(prompts, {1, 1}) < kNothing) {
+    return groups.empty() ? 0 : all(&Group::answers);
+  }
+  if (Load(answers, {1, 1}) < kNothing) {
+    return all(&Group::prompts);
+  }
+  std::ranges::sort(groups, {}, [](const Group& group) {
+    return group.prompts / group.answers;
+  });
+  double carried_prompts = 0;
+  double carried_answers = std::transform_reduce(
+      groups.begin(), groups.end(), 0.0, std::plus(),
+      [](const Group& group) { return group.count / group.answers; });
+  for (const Group& group : groups) {
+    const double rest = carried_answers - group.count / group.answers;
+    const double full = carried_prompts + group.count / group.prompts;
+    if (full >= rest) {
+      // carried_prompts + f n/p = rest + (1 - f) n/a
+      const double f =
+          (rest + group.count / group.answers - carried_prompts) /
+          (group.count / group.prompts + group.count / group.answers);
+      return std::min(kPlenty,
+                      carried_prompts + f * group.count / group.prompts);
+    }
+    carried_prompts = full;
+    carried_answers = rest;
+  }
+  return std::min(kPlenty, carried_prompts);
+}
+
+Planner::Planner(ServiceId service,
+                 RoleRatesTable rates,
+                 const PlacementOptions& options)
+    : service(std::move(service)), rates(std::move(rates)), options(options) {
+  assert(std::ranges::all_of(this->rates,
+                             [](const auto& entry) {
+                               return entry.second.prefill > 0 &&
+                                      entry.second.decode > 0;
+                             }) &&
+         "rates of roles must be above zero");
+}
+
+void Planner::OnRequest(int64_t prompt_tokens, int64_t output_tokens) {
+  const LeaningWork work{static_cast<double>(prompt_tokens),
+                         static_cast<double>(output_tokens)};
+  const auto load = [&](EndpointRole role) {
+    const auto found = this->rates.find(role);
+    return found == this->rates.end() ? 0 : Load(work, found->second);
+  };
+  const bool leans_to_prompt =
+      load(EndpointRole::kPrefill) < load(EndpointRole::kDecode);
+  Leaning& leaning = leans_to_prompt ? this->prompts : this->answers;
+  leaning.prompt_tokens += work.prefill;
+  leaning.output_tokens += work.decode;
+}
+
+void Planner::OnTick(Instant now) {
+  const Duration elapsed = now - this->sample_began;
+  if (elapsed < this->options.sample) {
+    return;
+  }
+  for (Leaning* leaning : {&this->prompts, &this->answers}) {
+    leaning->prefill.Add(leaning->prompt_tokens / ToSeconds(elapsed));
+    leaning->decode.Add(leaning->output_tokens / ToSeconds(elapsed));
+    leaning->prompt_tokens = 0;
+    leaning->output_tokens = 0;
+  }
+  this->sample_began = now;
+  this->samples += 1;
+}
+
+LeaningWork Planner::Forecast(const Leaning& leaning) const {
+  const double ahead =
+      ToSeconds(this->options.horizon) / ToSeconds(this->options.sample);
+  return {leaning.prefill.After(ahead), leaning.decode.After(ahead)};
+}
+
+// Capacity beyond the headroom is worth nothing.
+double Planner::Worth(const Counts& counts) const {
+  return std::min(
+      this->options.headroom,
+      CarriedShare(this->Forecast(this->prompts), this->Forecast(this->answers),
+                   counts, this->rates));
+}
+
+double Planner::Carried(const std::vector<EndpointState>& endpoints) const {
+  return CarriedShare(this->Forecast(this->prompts),
+                      this->Forecast(this->answers), CountRoles(endpoints),
+                      this->rates);
+}
+
+std::optional<PlacementWish> Planner::BestChange(
+    const std::vector<EndpointState>& endpoints,
+    const DataCentreId& data_centre) const {
+  const Counts counts = CountRoles(endpoints);
+  const double worth = this->Worth(counts);
+  const double change = ToSeconds(this->options.change);
+  const double dwell = ToSeconds(this->options.dwell);
+  double best_gain = 0;
+  std::optional<std::pair<EndpointRole, EndpointRole>> best;
+  for (const auto& [from, number] : counts) {
+    for (const EndpointRole to : kLanguageRoles) {
+      if (from == to || number < 1 || !this->rates.contains(to)) {
+        continue;
+      }
+      Counts during = counts;
+      during[from] -= 1;
+      Counts after = during;
+      after[to] += 1;
+      const double won = (this->Worth(after) - worth) * dwell;
+      const double lost =
+          (worth - this->Worth(during)) * change * this->options.hysteresis;
+      // Even a change that loses nothing must win a hundredth of the work.
+      const double gain = won - std::max(lost, 0.01 * dwell);
+      if (gain > best_gain) {
+        best_gain = gain;
+        best = {from, to};
+      }
+    }
+  }
+  if (!best) {
+    return {};
+  }
+  const EndpointState* chosen = nullptr;
+  for (const EndpointState& state : endpoints) {
+    const bool fits = state.up && !state.changing &&
+                      state.role == best->first &&
+                      state.endpoint.data_centre == data_centre;
+    if (fits && (chosen == nullptr || state.running < chosen->running)) {
+      chosen = &state;
+    }
+  }
+  if (chosen == nullptr) {
+    return {};
+  }
+  return PlacementWish{.endpoint = chosen->endpoint.id,
+                       .kind = "set_role",
+                       .argument = NameOfRole(best->second),
+                       .reason = "carries more of the forecast work"};
+}
+
+std::vector<PlacementWish> Planner::RoleWishes(
+    Instant now,
+    const std::vector<EndpointState>& endpoints) {
+  if (this->samples < kSamplesBeforePlans) {
+    return {};
+  }
+  std::set<DataCentreId> data_centres;
+  std::set<DataCentreId> busy;
+  for (const EndpointState& state : endpoints) {
+    data_centres.insert(state.endpoint.data_centre);
+    if (state.changing) {
+      busy.insert(state.endpoint.data_centre);
+    }
+  }
+  std::vector<PlacementWish> wishes;
+  std::vector<EndpointState> planned = endpoints;
+  for (const DataCentreId& data_centre : data_centres) {
+    if (busy.contains(data_centre)) {
+      continue;
+    }
+    const auto wish = this->BestChange(planned, data_centre);
+    if (!wish) {
+      continue;
+    }
+    // The next data centre plans on top of this change, so that all of them
+    // together don't overshoot.
+    for (EndpointState& state : planned) {
+      if (state.endpoint.id == wish->endpoint) {
+        const auto* role =
+            std::ranges::find(kLanguageRoles, wish->argument, &NameOfRole);
+        state.role = *role;
+        state.changing = true;
+      }
+    }
+    this->last_change[data_centre] = now;
+    wishes.push_back(*wish);
+  }
+  return wishes;
+}
+
+// Whether every single zone could go without taking a data centre below its
+// floor, or the fleet below the share of work that must be left.
+bool Planner::SurvivesZones(const std::vector<EndpointState>& endpoints,
+                            int64_t floor) const {
+  std::set<ZoneId> zones;
+  std::map<DataCentreId, int64_t> all;
+  for (const EndpointState& state : endpoints) {
+    if (state.endpoint.cheap) {
+      zones.insert(state.endpoint.zone);
+    }
+    all[state.endpoint.data_centre] += 1;
+  }
+  return std::ranges::all_of(zones, [&](const ZoneId& zone) {
+    std::vector<EndpointState> left = endpoints;
+    std::erase_if(left, [&](const EndpointState& state) {
+      return state.endpoint.cheap && state.endpoint.zone == zone;
+    });
+    std::map<DataCentreId, int64_t> counts;
+    for (const EndpointState& state : left) {
+      counts[state.endpoint.data_centre] += 1;
+    }
+    const bool floors = std::ranges::all_of(all, [&](const auto& entry) {
+      return counts[entry.first] >= std::min(floor, entry.second);
+    });
+    return floors && this->Carried(left) >= this->options.zone_loss_share;
+  });
+}
+
+std::optional<CapacityWish> Planner::GiveBack(
+    const std::vector<EndpointState>& endpoints,
+    int64_t floor) const {
+  std::map<DataCentreId, int64_t> counts;
+  for (const EndpointState& state : endpoints) {
+    counts[state.endpoint.data_centre] += state.up ? 1 : 0;
+  }
+  const EndpointState* chosen = nullptr;
+  for (const EndpointState& state : endpoints) {
+    if (!state.up || state.changing ||
+        counts[state.endpoint.data_centre] <= floor) {
+      continue;
+    }
+    std::vector<EndpointState> left = endpoints;
+    std::erase(left, state);
+    if (this->Carried(left) < this->options.surplus ||
+        !this->SurvivesZones(left, floor)) {
+      continue;
+    }
+    const auto rank = [](const EndpointState& one) {
+      return std::pair(-one.endpoint.cost_per_hour, one.running);
+    };
+    if (chosen == nullptr || rank(state) < rank(*chosen)) {
+      chosen = &state;
+    }
+  }
+  if (chosen == nullptr) {
+    return {};
+  }
+  return CapacityWish{.service = this->service,
+                      .data_centre = chosen->endpoint.data_centre,
+                      .zone = chosen->endpoint.zone,
+                      .cheap = chosen->endpoint.cheap,
+                      .change = -1,
+                      .endpoint = chosen->endpoint.id,
+                      .reason = "the rest carries the forecast work"};
+}
+
+std::optional<CapacityWish> Planner::NextCapacityWish(
+    Instant now,
+    const std::vector<EndpointState>& endpoints,
+    int64_t floor_per_data_centre,
+    int64_t most) {
+  if (this->samples < kSamplesBeforePlans) {
+    return {};
+  }
+  const double carried = this->Carried(endpoints);
+  const auto since = [&](std::optional<Instant>& mark, bool holds) {
+    if (!holds) {
+      mark.reset();
+      return false;
+    }
+    mark = mark.value_or(now);
+    return now - *mark >= this->options.capacity_wait;
+  };
+  const bool is_short =
+      since(this->short_since, carried < this->options.headroom);
+  const bool in_surplus =
+      since(this->surplus_since, carried > this->options.surplus);
+  if (is_short && static_cast<int64_t>(endpoints.size()) < most) {
+    // Where fewest are, and cheap as long as any zone may still go.
+    std::map<DataCentreId, int64_t> counts;
+    for (const EndpointState& state : endpoints) {
+      counts[state.endpoint.data_centre] += 1;
+    }
+    const auto fewest = std::ranges::min_element(
+        counts, {}, [](const auto& entry) { return entry.second; });
+    if (fewest == counts.end()) {
+      return {};
+    }
+    return CapacityWish{
+        .service = this->service,
+        .data_centre = fewest->first,
+        .cheap = this->SurvivesZones(endpoints, floor_per_data_centre),
+        .change = 1,
+        .reason = "forecast work exceeds what is carried"};
+  }
+  if (in_surplus) {
+    return this->GiveBack(endpoints, floor_per_data_centre);
+  }
+  return {};
+}
+
+bool Planner::MayLoadModel(Instant now) {
+  if (this->last_load && now - *this->last_load < this->options.load_interval) {
+    return false;
+  }
+  this->last_load = now;
+  return true;
+}
+
+}  // namespace hickorystand
