--- a/bench/policy_baselines.cc
+++ b/bench/policy_baselines.cc
@@ -247,6 +247,14 @@
   return std::make_unique<HickorystandDispatcher>(options, policy);
 }
 
+// The product with one rule switched off.
+template <auto Switch>
+std::unique_ptr<Dispatcher> MakeWithout(const DispatcherOptions& options) {
+  PolicyOptions policy;
+  Switch(policy);
+  return std::make_unique<HickorystandDispatcher>(options, policy);
+}
+
 constexpr std::array kStrategies = {
     Strategy{"hickorystand", RolePolicy::kPlanner, true, &MakeProduct},
     Strategy{"round-robin", RolePolicy::kMixed, false, &MakePlain<RoundRobin>},
@@ -257,6 +265,44 @@
     Strategy{"fifo", RolePolicy::kMixed, false, &MakeFifo},
 };
 
+constexpr std::array kAblations = {
+    Strategy{"no-roles", RolePolicy::kMixed, true, &MakeProduct},
+    Strategy{"no-scaling", RolePolicy::kPlanner, false, &MakeProduct},
+    Strategy{"split-roles", RolePolicy::kSplit, false, &MakeProduct},
+    Strategy{"no-refusal", RolePolicy::kPlanner, true,
+             &MakeWithout<[](PolicyOptions& policy) {
+               policy.admission.refuse_unmeetable = false;
+             }>},
+    Strategy{"no-fairness", RolePolicy::kPlanner, true,
+             &MakeWithout<[](PolicyOptions& policy) {
+               policy.admission.fair = false;
+             }>},
+    Strategy{"no-prefix", RolePolicy::kPlanner, true,
+             &MakeWithout<[](PolicyOptions& policy) {
+               policy.router.use_prefix_cache = false;
+             }>},
+    Strategy{"no-digests", RolePolicy::kPlanner, true,
+             &MakeWithout<[](PolicyOptions& policy) {
+               policy.router.use_peer_digests = false;
+             }>},
+    Strategy{"no-fit", RolePolicy::kPlanner, true,
+             &MakeWithout<[](PolicyOptions& policy) {
+               policy.router.full_occupancy = 1e9;
+             }>},
+    Strategy{"no-equals", RolePolicy::kPlanner, true,
+             &MakeWithout<[](PolicyOptions& policy) {
+               policy.router.choose_among_equals = false;
+             }>},
+    Strategy{"no-ejection", RolePolicy::kPlanner, true,
+             &MakeWithout<[](PolicyOptions& policy) {
+               policy.router.eject_outliers = false;
+             }>},
+    Strategy{"no-suspects", RolePolicy::kPlanner, true,
+             &MakeWithout<[](PolicyOptions& policy) {
+               policy.separate_suspects = false;
+             }>},
+};
+
 // How full the endpoints of a role are, and the emptiest of them.
 struct Half {
   double running = 0;
@@ -275,6 +321,10 @@
   return kStrategies;
 }
 
+std::span<const Strategy> AllAblations() {
+  return kAblations;
+}
+
 std::vector<PlacementWish> ThresholdWishes(
     const std::vector<EndpointState>& endpoints) {
   constexpr double kBusy = 0.8;
--- a/bench/policy_baselines.h
+++ b/bench/policy_baselines.h
@@ -31,6 +31,9 @@
 
 std::span<const Strategy> AllStrategies();
 
+// The product with one rule switched off in each row, to see what it earns.
+std::span<const Strategy> AllAblations();
+
 // Role changes by a plain threshold on how full the two halves are.
 std::vector<PlacementWish> ThresholdWishes(
     const std::vector<EndpointState>& endpoints);
--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -35,8 +35,9 @@
 struct BenchOptions {
   std::string out;
   std::string trace;
-  std::string scenario;  // empty: all
-  std::string strategy;  // empty: all
+  std::string scenario;    // empty: all
+  std::string strategy;    // empty: all
+  bool ablations = false;  // the product and its ablations only
   int seeds = 5;
   unsigned jobs = 4;
 };
@@ -69,16 +70,32 @@
   return text.data();
 }
 
+std::vector<const Strategy*> StrategiesFor(const BenchOptions& options) {
+  std::vector<const Strategy*> strategies;
+  const auto add = [&](const Strategy& strategy) {
+    strategies.push_back(&strategy);
+  };
+  if (options.ablations) {
+    add(AllStrategies().front());
+    std::ranges::for_each(AllAblations(), add);
+  } else {
+    std::ranges::for_each(AllStrategies(), add);
+  }
+  std::erase_if(strategies, [&](const Strategy* strategy) {
+    return !options.strategy.empty() && strategy->name != options.strategy;
+  });
+  return strategies;
+}
+
 std::vector<Run> MakeRuns(const BenchOptions& options) {
   std::vector<Run> runs;
   for (const Scenario& scenario : AllScenarios()) {
-    for (const Strategy& strategy : AllStrategies()) {
-      if ((!options.scenario.empty() && options.scenario != scenario.name) ||
-          (!options.strategy.empty() && options.strategy != strategy.name)) {
-        continue;
-      }
+    if (!options.scenario.empty() && options.scenario != scenario.name) {
+      continue;
+    }
+    for (const Strategy* strategy : StrategiesFor(options)) {
       for (int seed = 1; seed <= options.seeds; ++seed) {
-        runs.push_back({&scenario, &strategy, static_cast<uint64_t>(seed), {}});
+        runs.push_back({&scenario, strategy, static_cast<uint64_t>(seed), {}});
       }
     }
   }
@@ -137,7 +154,7 @@
   for (const Column& column : kColumns) {
     std::printf(" %-24s", column.name);
   }
-  std::printf(" refused  once twice\n");
+  std::printf(" refused cached lost\n");
   for (size_t i = 0; i < runs.size(); i += static_cast<size_t>(seeds)) {
     const auto begin = runs.begin() + static_cast<std::ptrdiff_t>(i);
     const std::vector<Run> group(begin, begin + seeds);
@@ -150,9 +167,10 @@
           [&](const Run& run) { return column.value(run.figures); });
       std::printf(" %-24s", Spread(values).c_str());
     }
-    std::printf(" %6lld  %lld\n",
+    std::printf(" %6lld %.3f %lld\n",
                 static_cast<long long>(group[0].figures.refused),
-                static_cast<long long>(group[0].figures.once_run_twice));
+                group[0].figures.cached_share,
+                static_cast<long long>(group[0].figures.batch_lost));
   }
 }
 
@@ -165,6 +183,7 @@
       "trace", "CSV of recorded requests", cxxopts::value(options.trace))(
       "scenario", "only this one", cxxopts::value(options.scenario))(
       "policy", "only this one", cxxopts::value(options.strategy))(
+      "ablations", "one rule off at a time", cxxopts::value(options.ablations))(
       "seeds", "runs of each", cxxopts::value(options.seeds))(
       "jobs", "runs at once", cxxopts::value(options.jobs))("help",
                                                             "this text");
@@ -185,9 +204,9 @@
     }
     trace = *std::move(read);
     recorded.seconds = trace.back().time + 60;
-    for (const Strategy& strategy : AllStrategies()) {
+    for (const Strategy* strategy : StrategiesFor(options)) {
       for (int seed = 1; seed <= options.seeds; ++seed) {
-        runs.push_back({&recorded, &strategy, static_cast<uint64_t>(seed), {}});
+        runs.push_back({&recorded, strategy, static_cast<uint64_t>(seed), {}});
       }
     }
   }
--- a/bench/policy_fleet.cc
+++ b/bench/policy_fleet.cc
@@ -17,7 +17,7 @@
 constexpr int kRunners = 3;
 constexpr double kDigestPeriod = 0.25;
 constexpr double kReportPeriod = 1;
-constexpr double kReportsPerSnapshot = 10;
+constexpr double kReportsPerSnapshot = 30;
 constexpr double kEventLoss = 0.02;  // of cache events
 constexpr double kHop = 0.002;
 constexpr double kConnectTimeout = 1;
@@ -38,7 +38,7 @@
 }
 
 EndpointRole FirstRole(RolePolicy policy, int i) {
-  if (policy == RolePolicy::kMixed || policy == RolePolicy::kPlanner) {
+  if (policy == RolePolicy::kMixed) {
     return EndpointRole::kMixed;
   }
   return i % 2 == 0 ? EndpointRole::kPrefill : EndpointRole::kDecode;
@@ -359,6 +359,9 @@
   const auto tokens = static_cast<double>(event.generated);
   if (node.engine.Identity().service == kLanguageService) {
     this->all_tokens += tokens;
+    this->prompt_tokens +=
+        static_cast<double>(caller.arrival.request.prompt_tokens);
+    this->cached_tokens += static_cast<double>(event.cached_tokens);
     this->cheap_tokens += node.engine.Identity().cheap ? tokens : 0;
   }
   this->Act(
@@ -610,12 +613,13 @@
 }
 
 RunFigures BenchFleet::Sum() const {
-  RunFigures figures{.worst_account_share = this->WorstShare(),
-                     .role_changes = this->role_changes,
-                     .endpoint_cost = this->cost,
-                     .cheap_share = this->all_tokens > 0
-                                        ? this->cheap_tokens / this->all_tokens
-                                        : 0};
+  RunFigures figures{
+      .worst_account_share = this->WorstShare(),
+      .role_changes = this->role_changes,
+      .endpoint_cost = this->cost,
+      .cheap_share =
+          this->all_tokens > 0 ? this->cheap_tokens / this->all_tokens : 0,
+      .cached_share = this->cached_tokens / std::max(1.0, this->prompt_tokens)};
   std::vector<double> first;
   for (const auto& [id, caller] : this->callers) {
     const Arrival& arrival = caller.arrival;
--- a/bench/policy_fleet.h
+++ b/bench/policy_fleet.h
@@ -27,7 +27,8 @@
   double worst_account_share = 0;  // served over fair share; 1 is fair
   int64_t role_changes = 0;
   double endpoint_cost = 0;
-  double cheap_share = 0;  // of generated tokens
+  double cheap_share = 0;   // of generated tokens
+  double cached_share = 0;  // of prompt tokens of whole answers
   int64_t requests = 0;
   int64_t good = 0;
   int64_t refused = 0;
@@ -125,6 +126,8 @@
   double cost = 0;
   double cheap_tokens = 0;
   double all_tokens = 0;
+  double prompt_tokens = 0;
+  double cached_tokens = 0;
   int64_t reports = 0;
   size_t next_replaced = 0;
 };
--- a/bench/policy_scenarios.cc
+++ b/bench/policy_scenarios.cc
@@ -20,14 +20,14 @@
   return {.requests_per_second = 16, .prompt_share = 0.5};
 }
 
-// From mostly prompts to mostly answers and back, each about a tenth more than
-// mixed endpoints carry.
+// From mostly prompts to mostly answers and back, each about what the fleet
+// would carry if every request ran where it costs least.
 TrafficRate Swinging(double second) {
   const double phase = std::fmod(second, 2 * kSwingSeconds);
   const double into = std::fmod(phase, kSwingSeconds);
   const double ramp = std::clamp(into / kRampSeconds, 0.0, 1.0);
   const double answers = phase < kSwingSeconds ? 1 - ramp : ramp;
-  return {.requests_per_second = 26 - 8 * answers,
+  return {.requests_per_second = 38 - 10 * answers,
           .prompt_share = 0.85 - 0.7 * answers};
 }
 
--- a/packages/decisions/admission.cc
+++ b/packages/decisions/admission.cc
@@ -100,17 +100,25 @@
   return true;
 }
 
-const Waiting* Admission::Head(Instant now, const Lines& lines) const {
-  if (lines.batch.empty()) {
-    return &*lines.urgent.begin();
-  }
-  const Waiting& batch = *lines.batch.begin();
-  if (lines.urgent.empty()) {
-    return &batch;
+// Aged batch work goes by its age, other batch work behind all that is urgent.
+std::vector<const Waiting*> Admission::FirstOf(Instant now,
+                                               const Lines& lines,
+                                               size_t count) const {
+  std::vector<const Waiting*> first;
+  auto urgent = lines.urgent.begin();
+  auto batch = lines.batch.begin();
+  while (first.size() < count) {
+    const bool has_batch = batch != lines.batch.end();
+    const bool has_urgent = urgent != lines.urgent.end();
+    if (!has_batch && !has_urgent) {
+      break;
+    }
+    const bool takes_batch =
+        has_batch &&
+        (!has_urgent || (batch->due <= now && batch->due < urgent->due));
+    first.push_back(takes_batch ? &*batch++ : &*urgent++);
   }
-  const Waiting& urgent = *lines.urgent.begin();
-  const bool batch_first = batch.due <= now && (batch.due < urgent.due);
-  return batch_first ? &batch : &urgent;
+  return first;
 }
 
 bool Admission::AtLimit(const Counted& account) const {
@@ -122,7 +130,8 @@
 }
 
 std::vector<Waiting> Admission::Heads(Instant now,
-                                      const ServiceId& service) const {
+                                      const ServiceId& service,
+                                      size_t per_account) const {
   const auto pool = this->pools.find(service);
   if (pool == this->pools.end()) {
     return {};
@@ -139,16 +148,17 @@
     if (contended && this->AtLimit(account)) {
       continue;
     }
-    const Waiting* head = this->Head(now, lines);
-    const bool yields = IsBatch(*head) && head->due > now;
-    const double counter = this->options.fair
-                               ? account.counter
-                               : ToSeconds(head->due.time_since_epoch());
-    ranked.push_back({yields, counter, head});
+    for (const Waiting* waiting : this->FirstOf(now, lines, per_account)) {
+      const bool yields = IsBatch(*waiting) && waiting->due > now;
+      const double counter = this->options.fair
+                                 ? account.counter
+                                 : ToSeconds(waiting->due.time_since_epoch());
+      ranked.push_back({yields, counter, waiting});
+    }
   }
   std::ranges::sort(ranked, [](const Ranked& a, const Ranked& b) {
-    return std::tuple(a.yields, a.counter, a.waiting->order) <
-           std::tuple(b.yields, b.counter, b.waiting->order);
+    return std::tuple(a.yields, a.counter, a.waiting->due, a.waiting->order) <
+           std::tuple(b.yields, b.counter, b.waiting->due, b.waiting->order);
   });
   std::vector<Waiting> heads;
   std::ranges::transform(ranked, std::back_inserter(heads),
--- a/packages/decisions/admission.h
+++ b/packages/decisions/admission.h
@@ -68,8 +68,11 @@
   // Takes a request out; false if it isn't there.
   bool Remove(const RequestId& request);
 
-  // The first request of each account, in the order they should start.
-  std::vector<Waiting> Heads(Instant now, const ServiceId& service) const;
+  // The first requests of each account, in the order they should start: all
+  // of one account, then all of the next.
+  std::vector<Waiting> Heads(Instant now,
+                             const ServiceId& service,
+                             size_t per_account) const;
 
   // A waiting request starts: it leaves the queue and is charged for.
   void Start(Instant now, const RequestId& request);
@@ -133,8 +136,9 @@
   };
 
   void Lift(Counted& account);
-  double DueTier(Instant now, const Waiting& waiting) const;
-  const Waiting* Head(Instant now, const Lines& lines) const;
+  std::vector<const Waiting*> FirstOf(Instant now,
+                                      const Lines& lines,
+                                      size_t count) const;
   bool AtLimit(const Counted& account) const;
 
   AdmissionOptions options;
--- a/packages/decisions/hickorystand_dispatcher.cc
+++ b/packages/decisions/hickorystand_dispatcher.cc
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr int64_t kMaxTries = 4;
-constexpr size_t kHeadsTried = 8;
+constexpr size_t kHeadsPerAccount = 6;
+constexpr size_t kHeadsTried = 48;
+constexpr Duration kLeastWorkAge = std::chrono::seconds(1);
 constexpr Duration kResumeWait = std::chrono::seconds(10);
 constexpr double kLookupGain = 0.05;
 constexpr double kHedgeAfter = 3;  // times the usual time
@@ -147,21 +149,27 @@
                                   const ServiceId& service,
                                   DispatchList& out) {
   for (bool started = true; started;) {
-    const std::vector<Waiting> heads = this->admission.Heads(now, service);
+    const std::vector<Waiting> heads =
+        this->admission.Heads(now, service, kHeadsPerAccount);
     started = std::ranges::any_of(
         heads | std::views::take(kHeadsTried),
         [&](const Waiting& head) { return this->StartHead(now, head, out); });
   }
 }
 
-RouteQuery HickorystandDispatcher::QueryFor(Instant now,
-                                            const Live& live) const {
+RouteQuery HickorystandDispatcher::QueryFor(Instant now, Live& live) const {
+  if (live.least_work == 0 || now - live.least_work_at > kLeastWorkAge) {
+    live.least_work = this->router.LeastWork(now, live.request);
+    live.least_work_at = now;
+  }
   const bool suspect =
       this->policy.separate_suspects &&
       this->suspects.IsSuspected(now, live.request.fingerprint);
   return {.request = &live.request,
           .suspect = suspect,
           .ignore_room = live.granted,
+          .least_work = live.least_work,
+          .waited = ToSeconds(now - live.request.arrived),
           .avoid = live.avoid,
           .avoid_zones = live.avoid_zones};
 }
@@ -170,6 +178,9 @@
                                        const Waiting& head,
                                        DispatchList& out) {
   Live& live = this->live.at(head.request);
+  if (!live.granted && !this->router.HasRoomFor(now, head.service)) {
+    return false;
+  }
   const std::optional<Route> route =
       this->router.Choose(now, this->QueryFor(now, live));
   if (!route) {
--- a/packages/decisions/hickorystand_dispatcher.h
+++ b/packages/decisions/hickorystand_dispatcher.h
@@ -82,7 +82,9 @@
     bool may_have_run = false;  // a byte of it may have left
     bool granted = false;       // its claim
     bool hedged = false;
-    Instant expires{};  // refused if it still waits then
+    Instant expires{};      // refused if it still waits then
+    double least_work = 0;  // see Router::LeastWork()
+    Instant least_work_at{};
     std::set<EndpointId> avoid;
     std::set<ZoneId> avoid_zones;
     AttemptOutcome last = AttemptOutcome::kNotSent;
@@ -109,7 +111,7 @@
             const Route& route,
             bool hedge,
             DispatchList& out);
-  RouteQuery QueryFor(Instant now, const Live& live) const;
+  RouteQuery QueryFor(Instant now, Live& live) const;
 
   void Finish(Live& live, std::string reason, DispatchList& out);
   void Refuse(Live& live,
--- a/packages/decisions/placement.cc
+++ b/packages/decisions/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <functional>
 #include <numeric>
 #include <ranges>
@@ -14,7 +15,9 @@
 constexpr double kLevelGain = 0.5;
 constexpr double kTrendGain = 0.2;
 constexpr double kTrendDamping = 0.8;
-constexpr int64_t kSamplesBeforePlans = 3;
+constexpr size_t kSamplesBeforePlans = 2;
+constexpr size_t kSamplesKept = 60;
+constexpr size_t kRecentSamples = 20;
 constexpr double kPlenty = 100;  // times the work, when there is next to none
 
 constexpr std::array kLanguageRoles = {
@@ -162,14 +165,19 @@
   if (elapsed < this->options.sample) {
     return;
   }
-  for (Leaning* leaning : {&this->prompts, &this->answers}) {
-    leaning->prefill.Add(leaning->prompt_tokens / ToSeconds(elapsed));
-    leaning->decode.Add(leaning->output_tokens / ToSeconds(elapsed));
-    leaning->prompt_tokens = 0;
-    leaning->output_tokens = 0;
-  }
+  const double seconds = ToSeconds(elapsed);
+  const auto close = [seconds](Leaning& leaning) {
+    const LeaningWork work{leaning.prompt_tokens / seconds,
+                           leaning.output_tokens / seconds};
+    leaning.prefill.Add(work.prefill);
+    leaning.decode.Add(work.decode);
+    leaning.prompt_tokens = 0;
+    leaning.output_tokens = 0;
+    return work;
+  };
+  this->history.push_front({close(this->prompts), close(this->answers)});
+  this->history.resize(std::min(this->history.size(), kSamplesKept));
   this->sample_began = now;
-  this->samples += 1;
 }
 
 LeaningWork Planner::Forecast(const Leaning& leaning) const {
@@ -178,18 +186,40 @@
   return {leaning.prefill.After(ahead), leaning.decode.After(ahead)};
 }
 
-// Capacity beyond the headroom is worth nothing.
+Planner::Mix Planner::ForecastMix() const {
+  return {this->Forecast(this->prompts), this->Forecast(this->answers)};
+}
+
+// The share of the work that is carried, over all mixes. Capacity beyond the
+// headroom is worth nothing.
 double Planner::Worth(const Counts& counts) const {
-  return std::min(
-      this->options.headroom,
-      CarriedShare(this->Forecast(this->prompts), this->Forecast(this->answers),
-                   counts, this->rates));
+  const auto carried = [&](const Mix& mix) {
+    return std::min(
+        this->options.headroom,
+        CarriedShare(mix.prompts, mix.answers, counts, this->rates));
+  };
+  double sum = 0;
+  double weights = 0;
+  double weight = 1;
+  for (const Mix& mix : this->history) {
+    sum += weight * carried(mix);
+    weights += weight;
+    weight *= std::exp2(-1 / this->options.half_life);
+  }
+  const double coming = this->options.forecast_share;
+  return coming * carried(this->ForecastMix()) + (1 - coming) * sum / weights;
 }
 
 double Planner::Carried(const std::vector<EndpointState>& endpoints) const {
-  return CarriedShare(this->Forecast(this->prompts),
-                      this->Forecast(this->answers), CountRoles(endpoints),
-                      this->rates);
+  const Counts counts = CountRoles(endpoints);
+  const auto carried = [&](const Mix& mix) {
+    return CarriedShare(mix.prompts, mix.answers, counts, this->rates);
+  };
+  double least = carried(this->ForecastMix());
+  for (const Mix& mix : this->history | std::views::take(kRecentSamples)) {
+    least = std::min(least, carried(mix));
+  }
+  return least;
 }
 
 std::optional<PlacementWish> Planner::BestChange(
@@ -245,7 +275,7 @@
 std::vector<PlacementWish> Planner::RoleWishes(
     Instant now,
     const std::vector<EndpointState>& endpoints) {
-  if (this->samples < kSamplesBeforePlans) {
+  if (this->history.size() < kSamplesBeforePlans) {
     return {};
   }
   std::set<DataCentreId> data_centres;
@@ -353,7 +383,7 @@
     const std::vector<EndpointState>& endpoints,
     int64_t floor_per_data_centre,
     int64_t most) {
-  if (this->samples < kSamplesBeforePlans) {
+  if (this->history.size() < kSamplesBeforePlans) {
     return {};
   }
   const double carried = this->Carried(endpoints);
--- a/packages/decisions/placement.h
+++ b/packages/decisions/placement.h
@@ -7,6 +7,10 @@
 // for only if what it wins over the time that the mix is expected to stay
 // exceeds what is lost while the endpoint is away.
 //
+// Mixes swing within minutes and a change takes an engine away for most of one,
+// so roles are chosen for all mixes of the last minutes, the latest counting
+// most, and not for the present one alone.
+//
 // The planner is pure and wishes only. The data centre's coordinator, which
 // holds the lease, turns wishes into orders.
 //
@@ -21,6 +25,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -33,10 +38,12 @@
 
 // How the planner is set.
 struct PlacementOptions {
-  Duration sample = std::chrono::seconds(5);          // of the forecast
-  Duration horizon = std::chrono::seconds(20);        // looked ahead
-  Duration dwell = std::chrono::seconds(90);          // a mix is taken to last
-  Duration change = std::chrono::seconds(10);         // away during a change
+  Duration sample = std::chrono::seconds(15);   // of the forecast
+  Duration horizon = std::chrono::seconds(30);  // looked ahead
+  Duration dwell = std::chrono::seconds(300);   // a role is taken to last
+  Duration change = std::chrono::seconds(30);   // away, with the drain
+  double half_life = 20;         // samples after which a mix counts half
+  double forecast_share = 0.25;  // of the weight, for what is to come
   Duration capacity_wait = std::chrono::seconds(60);  // shortfall or surplus
   double hysteresis = 1.5;  // a change must win this many times its loss
   double headroom = 1.25;   // capacity over forecast work that is worth it
@@ -149,7 +156,7 @@
   // Whether the weight store may be asked for a model now; counts as asking.
   bool MayLoadModel(Instant now);
 
-  // Capacity over forecast work with these endpoints.
+  // Capacity over the most work that is forecast or was seen lately.
   double Carried(const std::vector<EndpointState>& endpoints) const;
 
  private:
@@ -163,6 +170,13 @@
 
   using Counts = std::map<EndpointRole, double>;
 
+  // Both leanings over one sample.
+  struct Mix {
+    LeaningWork prompts;
+    LeaningWork answers;
+  };
+
+  Mix ForecastMix() const;
   LeaningWork Forecast(const Leaning& leaning) const;
   double Worth(const Counts& counts) const;
   std::optional<PlacementWish> BestChange(
@@ -180,7 +194,7 @@
   Leaning prompts;
   Leaning answers;
   Instant sample_began{};
-  int64_t samples = 0;
+  std::deque<Mix> history;  // latest first
   std::map<DataCentreId, Instant> last_change;
   std::optional<Instant> short_since;
   std::optional<Instant> surplus_since;
--- a/packages/decisions/router.cc
+++ b/packages/decisions/router.cc
@@ -95,6 +95,13 @@
   std::erase_if(this->views, [](const auto& entry) {
     return !entry.second.configured && entry.second.own_requests == 0;
   });
+  for (auto& [id, view] : this->views) {
+    view.peer_requests = 0;
+    view.peer_prompt_tokens = 0;
+  }
+  for (const auto& [host, outstanding] : this->peers) {
+    this->CountPeer(outstanding, 1);
+  }
 }
 
 // Moves on to an endpoint's next life. One that is over never comes back, so
@@ -155,34 +162,23 @@
   }
 }
 
-void Router::SumPeers(const EndpointId& endpoint) {
-  const auto found = this->views.find(endpoint);
-  if (found == this->views.end()) {
-    return;
-  }
-  EndpointView& view = found->second;
-  view.peer_requests = 0;
-  view.peer_prompt_tokens = 0;
-  for (const auto& [host, outstanding] : this->peers) {
-    const auto sent = outstanding.find(endpoint);
-    if (sent != outstanding.end()) {
-      view.peer_requests += sent->second.requests;
-      view.peer_prompt_tokens += sent->second.prompt_tokens;
+void Router::CountPeer(const std::vector<EndpointOutstanding>& outstanding,
+                       int64_t sign) {
+  for (const EndpointOutstanding& sent : outstanding) {
+    const auto found = this->views.find(sent.endpoint);
+    if (found != this->views.end()) {
+      found->second.peer_requests += sign * sent.requests;
+      found->second.peer_prompt_tokens += sign * sent.prompt_tokens;
     }
   }
 }
 
 void Router::OnDigest(Instant now, const Digest& digest) {
   if (this->options.use_peer_digests) {
-    auto& outstanding = this->peers[digest.host];
-    const auto before = std::exchange(outstanding, {});
-    for (const EndpointOutstanding& sent : digest.outstanding) {
-      outstanding[sent.endpoint] = sent;
-      this->SumPeers(sent.endpoint);
-    }
-    for (const auto& [endpoint, sent] : before) {
-      this->SumPeers(endpoint);
-    }
+    std::vector<EndpointOutstanding>& outstanding = this->peers[digest.host];
+    this->CountPeer(outstanding, -1);
+    outstanding = digest.outstanding;
+    this->CountPeer(outstanding, 1);
   }
   for (const EndpointNews& news : digest.endpoints) {
     const auto found = this->views.find(news.endpoint);
@@ -208,11 +204,8 @@
   if (found == this->peers.end()) {
     return;
   }
-  const auto gone = std::move(found->second);
+  this->CountPeer(found->second, -1);
   this->peers.erase(found);
-  for (const auto& [endpoint, sent] : gone) {
-    this->SumPeers(endpoint);
-  }
 }
 
 bool Router::Usable(Instant now,
@@ -238,11 +231,12 @@
   if (query.suspect && view.own_suspects > 0) {
     return false;
   }
-  return this->HasRoom(view, request);
+  return this->HasRoom(view, request.request_class);
 }
 
-bool Router::HasRoom(const EndpointView& view, const Request& request) const {
-  const bool batch = request.request_class == RequestClass::kBatch;
+bool Router::HasRoom(const EndpointView& view,
+                     RequestClass request_class) const {
+  const bool batch = request_class == RequestClass::kBatch;
   const double places = view.Capacity() * (batch ? this->options.batch_occupancy
                                                  : this->options.overbook);
   const double waiting =
@@ -279,12 +273,44 @@
   const double seconds =
       (waiting + static_cast<double>(missed)) / view.PrefillRate() * slowness +
       over + (remote ? this->options.remote_seconds : 0);
-  // Time in the batch, by how full the batch is: a nearly empty engine decodes
-  // for little, a nearly full one makes others wait.
+  // Work counts by how full the batch is: a nearly empty engine decodes for
+  // little, a nearly full one makes others wait.
   const double occupancy = view.Requests() / view.Capacity();
-  const double busy = static_cast<double>(request.output_tokens) /
-                      view.DecodeRate() * (0.5 + occupancy) * slowness;
-  return {&view, seconds, seconds + busy, missed};
+  const double work =
+      static_cast<double>(missed) / view.PrefillRate() +
+      static_cast<double>(request.output_tokens) / view.DecodeRate();
+  return {&view, seconds, work, seconds + work * (0.5 + occupancy) * slowness,
+          missed};
+}
+
+double Router::LeastWork(Instant now, const Request& request) const {
+  const auto service = this->by_service.find(request.service);
+  double least = 0;
+  if (service == this->by_service.end()) {
+    return least;
+  }
+  for (const EndpointId& id : service->second) {
+    const EndpointView& view = this->views.at(id);
+    if (!view.Leaving() && !view.down && !view.Ejected(now)) {
+      const double work = this->Score(now, view, request).work;
+      least = least == 0 ? work : std::min(least, work);
+    }
+  }
+  return least;
+}
+
+double Router::Occupancy(const ServiceId& service) const {
+  const auto found = this->by_service.find(service);
+  double requests = 0;
+  double capacity = 0;
+  for (const EndpointId& id : found->second) {
+    const EndpointView& view = this->views.at(id);
+    if (!view.Leaving() && !view.down) {
+      requests += view.Requests();
+      capacity += view.Capacity();
+    }
+  }
+  return capacity > 0 ? requests / capacity : 1;
 }
 
 const Router::Scored& Router::PickAmongEquals(
@@ -319,6 +345,14 @@
       scored.push_back(this->Score(now, view, *query.request));
     }
   }
+  if (query.least_work > 0 && !query.ignore_room && !query.suspect &&
+      this->Occupancy(query.request->service) > this->options.full_occupancy) {
+    const double slack = this->options.fit_slack +
+                         this->options.fit_slack_per_second * query.waited;
+    std::erase_if(scored, [&](const Scored& one) {
+      return one.work > query.least_work * (1 + slack);
+    });
+  }
   const auto avoided = [&](const Scored& one) {
     return query.avoid_zones.contains(one.view->endpoint.zone);
   };
@@ -348,6 +382,16 @@
   return route;
 }
 
+bool Router::HasRoomFor(Instant now, const ServiceId& service) const {
+  const auto found = this->by_service.find(service);
+  return found != this->by_service.end() &&
+         std::ranges::any_of(found->second, [&](const EndpointId& id) {
+           const EndpointView& view = this->views.at(id);
+           return !view.Leaving() && !view.Ejected(now) &&
+                  this->HasRoom(view, RequestClass::kInteractive);
+         });
+}
+
 bool Router::HasEndpoint(const ServiceId& service) const {
   const auto found = this->by_service.find(service);
   return found != this->by_service.end() &&
--- a/packages/decisions/router.h
+++ b/packages/decisions/router.h
@@ -8,6 +8,12 @@
 // is cheap. Among near-equals the choice is random, so that hosts which share
 // a stale view don't all send to the same endpoint.
 //
+// When the fleet is nearly full, a request waits a little for an endpoint where
+// it costs least, rather than take the first place that comes free: a prompt
+// that is cached elsewhere, or an answer-leaning one on an endpoint that leans
+// to prompts, would cost the fleet a multiple. The longer it has waited, the
+// more it may cost.
+//
 // Index
 //   RouterOptions         switches and limits
 //   RouteQuery, Route     question and answer
@@ -46,6 +52,9 @@
   double remote_seconds = 0.05;      // what another data centre costs
   double batch_occupancy = 0.85;     // batch work leaves the rest free
   double max_prefill_seconds = 1.0;  // queued at an endpoint; then it is full
+  double full_occupancy = 0.7;       // of all; from here on fit counts
+  double fit_slack = 0.25;           // cost over the least, at once
+  double fit_slack_per_second = 1;   // and for each second waited
   double overbook = 1.1;             // requests sent per place in the batch
 
   auto operator<=>(const RouterOptions&) const = default;
@@ -56,6 +65,8 @@
   const Request* request = nullptr;
   bool suspect = false;          // keep apart from other suspects
   bool ignore_room = false;      // it can't wait: take the best there is
+  double least_work = 0;         // from LeastWork(); 0: any fit will do
+  double waited = 0;             // seconds in the queue
   std::set<EndpointId> avoid;    // has failed there
   std::set<ZoneId> avoid_zones;  // if there is a choice
 };
@@ -119,6 +130,12 @@
   // The best endpoint with room, or none. Draws random numbers.
   std::optional<Route> Choose(Instant now, const RouteQuery& query);
 
+  // The least time of an endpoint that the request takes anywhere.
+  double LeastWork(Instant now, const Request& request) const;
+
+  // Whether any endpoint has room; cheap, to be asked before Choose().
+  bool HasRoomFor(Instant now, const ServiceId& service) const;
+
   // Whether any endpoint serves this now or soon.
   bool HasEndpoint(const ServiceId& service) const;
 
@@ -151,7 +168,8 @@
   struct Scored {
     const EndpointView* view;
     double seconds;  // to the first token
-    double score;    // with the work itself
+    double work;     // time of the endpoint that it takes
+    double score;    // both, the work by how full the endpoint is
     int64_t missed;
   };
 
@@ -160,20 +178,22 @@
   bool Usable(Instant now,
               const EndpointView& view,
               const RouteQuery& query) const;
-  bool HasRoom(const EndpointView& view, const Request& request) const;
+  bool HasRoom(const EndpointView& view, RequestClass request_class) const;
   Scored Score(Instant now,
                const EndpointView& view,
                const Request& request) const;
+  double Occupancy(const ServiceId& service) const;
   double Slowness(Instant now, const EndpointView& view) const;
   const Scored& PickAmongEquals(const std::vector<Scored>& sorted);
   void Eject(Instant now, EndpointView& view, Duration base);
-  void SumPeers(const EndpointId& endpoint);
+  void CountPeer(const std::vector<EndpointOutstanding>& outstanding,
+                 int64_t sign);
 
   RouterOptions options;
   std::mt19937_64 random;
   std::map<EndpointId, EndpointView> views;
   std::map<ServiceId, std::vector<EndpointId>> by_service;
-  std::map<HostId, std::map<EndpointId, EndpointOutstanding>> peers;
+  std::map<HostId, std::vector<EndpointOutstanding>> peers;
   double decode_weight = 4;
 };
 
