Keep places on an endpoint for the work that fits it

Under overload the first place that came free took whatever waited, so long answers filled the few places of prompt-leaning endpoints (0.93 full, computing prompts for a third of the time) while answer-leaning ones stood half empty. Waiting longer for a better fit was tried first and taken out: after a second of waiting everything fitted everywhere.

--- a/packages/decisions/hickorystand_dispatcher.cc
+++ b/packages/decisions/hickorystand_dispatcher.cc
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr int64_t kMaxTries = 4;
-constexpr size_t kHeadsPerAccount = 6;
-constexpr size_t kHeadsTried = 48;
+constexpr size_t kHeadsPerAccount = 4;
+constexpr size_t kHeadsTried = 16;
 constexpr Duration kLeastWorkAge = std::chrono::seconds(1);
 constexpr Duration kResumeWait = std::chrono::seconds(10);
 constexpr double kLookupGain = 0.05;
@@ -122,7 +122,10 @@
   live.expires = request.deadline;
   this->Enqueue(now, live, live.charged, false);
   DispatchList out;
-  this->Pump(now, request.service, out);
+  // Behind others it has to wait for the next tick anyway.
+  if (this->admission.Size() == 1) {
+    this->Pump(now, request.service, out);
+  }
   return out;
 }
 
@@ -169,7 +172,6 @@
           .suspect = suspect,
           .ignore_room = live.granted,
           .least_work = live.least_work,
-          .waited = ToSeconds(now - live.request.arrived),
           .avoid = live.avoid,
           .avoid_zones = live.avoid_zones};
 }
@@ -395,9 +397,9 @@
     default:
       if (live.attempts.empty()) {
         this->Failed(now, live, attempt, result.outcome, out);
+        this->Pump(now, service, out);
       }
   }
-  this->Pump(now, service, out);
   return out;
 }
 
@@ -509,12 +511,10 @@
   if (once && !live.attempts.empty()) {
     return {};
   }
-  const ServiceId service = live.request.service;
   DispatchList out;
   this->CancelOthers(now, live, 0, out);
   this->Recharge(live, this->UsedCost(live));
   this->Forget(request);
-  this->Pump(now, service, out);
   return out;
 }
 
--- a/packages/decisions/router.cc
+++ b/packages/decisions/router.cc
@@ -67,6 +67,12 @@
          std::max(0.0, this->hidden_requests);
 }
 
+double EndpointView::WaitingSeconds() const {
+  return static_cast<double>(this->own_prompt_tokens +
+                             this->peer_prompt_tokens) /
+         this->PrefillRate();
+}
+
 Router::Router(const RouterOptions& options)
     : options(options), random(options.seed) {}
 
@@ -239,12 +245,10 @@
   const bool batch = request_class == RequestClass::kBatch;
   const double places = view.Capacity() * (batch ? this->options.batch_occupancy
                                                  : this->options.overbook);
-  const double waiting =
-      static_cast<double>(view.own_prompt_tokens + view.peer_prompt_tokens) /
-      view.PrefillRate();
   const double longest =
       this->options.max_prefill_seconds * (batch ? 0.5 : 1.0);
-  return view.Requests() < std::max(1.0, places) && waiting < longest;
+  return view.Requests() < std::max(1.0, places) &&
+         view.WaitingSeconds() < longest;
 }
 
 // Falls back to 1 with time, so that an endpoint which was slow is tried again.
@@ -262,17 +266,16 @@
                          : 0;
   const auto missed = static_cast<int64_t>(
       static_cast<double>(request.prompt_tokens) * (1 - hit));
-  const auto waiting =
-      static_cast<double>(view.own_prompt_tokens + view.peer_prompt_tokens);
   const double slowness =
       this->options.eject_outliers ? Slowness(now, view) : 1;
   const bool remote = view.endpoint.data_centre != this->options.data_centre;
   const double over = std::max(0.0, view.Requests() + 1 - view.Capacity()) *
                       static_cast<double>(request.output_tokens) /
                       view.DecodeRate();
-  const double seconds =
-      (waiting + static_cast<double>(missed)) / view.PrefillRate() * slowness +
-      over + (remote ? this->options.remote_seconds : 0);
+  const double seconds = (view.WaitingSeconds() +
+                          static_cast<double>(missed) / view.PrefillRate()) *
+                             slowness +
+                         over + (remote ? this->options.remote_seconds : 0);
   // Work counts by how full the batch is: a nearly empty engine decodes for
   // little, a nearly full one makes others wait.
   const double occupancy = view.Requests() / view.Capacity();
@@ -299,18 +302,15 @@
   return least;
 }
 
-double Router::Occupancy(const ServiceId& service) const {
-  const auto found = this->by_service.find(service);
-  double requests = 0;
-  double capacity = 0;
-  for (const EndpointId& id : found->second) {
-    const EndpointView& view = this->views.at(id);
-    if (!view.Leaving() && !view.down) {
-      requests += view.Requests();
-      capacity += view.Capacity();
-    }
+bool Router::FitsOrHasSpare(const Scored& scored,
+                            const RouteQuery& query) const {
+  if (query.least_work == 0 || query.ignore_room || query.suspect ||
+      scored.work <= query.least_work * this->options.fit) {
+    return true;
   }
-  return capacity > 0 ? requests / capacity : 1;
+  const EndpointView& view = *scored.view;
+  return view.Requests() < view.Capacity() * this->options.misfit_occupancy &&
+         view.WaitingSeconds() < this->options.misfit_prefill_seconds;
 }
 
 const Router::Scored& Router::PickAmongEquals(
@@ -345,14 +345,9 @@
       scored.push_back(this->Score(now, view, *query.request));
     }
   }
-  if (query.least_work > 0 && !query.ignore_room && !query.suspect &&
-      this->Occupancy(query.request->service) > this->options.full_occupancy) {
-    const double slack = this->options.fit_slack +
-                         this->options.fit_slack_per_second * query.waited;
-    std::erase_if(scored, [&](const Scored& one) {
-      return one.work > query.least_work * (1 + slack);
-    });
-  }
+  std::erase_if(scored, [&](const Scored& one) {
+    return !this->FitsOrHasSpare(one, query);
+  });
   const auto avoided = [&](const Scored& one) {
     return query.avoid_zones.contains(one.view->endpoint.zone);
   };
--- a/packages/decisions/router.h
+++ b/packages/decisions/router.h
@@ -8,11 +8,10 @@
 // is cheap. Among near-equals the choice is random, so that hosts which share
 // a stale view don't all send to the same endpoint.
 //
-// When the fleet is nearly full, a request waits a little for an endpoint where
-// it costs least, rather than take the first place that comes free: a prompt
-// that is cached elsewhere, or an answer-leaning one on an endpoint that leans
-// to prompts, would cost the fleet a multiple. The longer it has waited, the
-// more it may cost.
+// A request that would cost much less elsewhere fits an endpoint badly: a long
+// answer on an endpoint that leans to prompts, or a long prompt on one that
+// leans to answers. Such work gets only a part of the endpoint's places, so
+// that there is room for the work that fits when it comes.
 //
 // Index
 //   RouterOptions         switches and limits
@@ -52,10 +51,10 @@
   double remote_seconds = 0.05;      // what another data centre costs
   double batch_occupancy = 0.85;     // batch work leaves the rest free
   double max_prefill_seconds = 1.0;  // queued at an endpoint; then it is full
-  double full_occupancy = 0.7;       // of all; from here on fit counts
-  double fit_slack = 0.25;           // cost over the least, at once
-  double fit_slack_per_second = 1;   // and for each second waited
-  double overbook = 1.1;             // requests sent per place in the batch
+  double fit = 1.4;  // times the least work anywhere that still fits
+  double misfit_occupancy = 0.7;  // of the places, for what doesn't fit
+  double misfit_prefill_seconds = 0.3;
+  double overbook = 1.1;  // requests sent per place in the batch
 
   auto operator<=>(const RouterOptions&) const = default;
 };
@@ -66,7 +65,6 @@
   bool suspect = false;          // keep apart from other suspects
   bool ignore_room = false;      // it can't wait: take the best there is
   double least_work = 0;         // from LeastWork(); 0: any fit will do
-  double waited = 0;             // seconds in the queue
   std::set<EndpointId> avoid;    // has failed there
   std::set<ZoneId> avoid_zones;  // if there is a choice
 };
@@ -114,6 +112,8 @@
   double DecodeRate() const;
   double Capacity() const;
   double Requests() const;
+  // To compute the prompts that wait there, were it to do nothing else.
+  double WaitingSeconds() const;
 };
 
 // All endpoints as one host sees them.
@@ -182,7 +182,7 @@
   Scored Score(Instant now,
                const EndpointView& view,
                const Request& request) const;
-  double Occupancy(const ServiceId& service) const;
+  bool FitsOrHasSpare(const Scored& scored, const RouteQuery& query) const;
   double Slowness(Instant now, const EndpointView& view) const;
   const Scored& PickAmongEquals(const std::vector<Scored>& sorted);
   void Eject(Instant now, EndpointView& view, Duration base);
