Keep places for work that fits; let batch work wait and always arrive

Batch work was due after 30 s and then took places from work that a person waits for; it is due now after six tenths of its time.

--- a/bench/policy_engine.cc
+++ b/bench/policy_engine.cc
@@ -31,7 +31,8 @@
     if (role != EndpointRole::kPlain) {
       rates[role] = {
           profile.prefill_rate,
-          static_cast<double>(profile.capacity) / profile.token_seconds};
+          static_cast<double>(profile.capacity) / profile.token_seconds,
+          profile.prefill_share};
     }
   }
   return rates;
@@ -219,7 +220,8 @@
           .queued_prompt_tokens = std::llround(queued),
           .running = this->Jobs(),
           .capacity = profile.capacity,
-          .prefill_rate = profile.prefill_rate,
+          .prefill_rate = profile.prefill_rate *
+                          (this->decoding.empty() ? 1 : profile.prefill_share),
           .decode_rate =
               static_cast<double>(profile.capacity) / profile.token_seconds,
           .cache_pieces = static_cast<int64_t>(kCachePieces),
--- a/bench/policy_fleet.cc
+++ b/bench/policy_fleet.cc
@@ -362,6 +362,9 @@
     this->prompt_tokens +=
         static_cast<double>(caller.arrival.request.prompt_tokens);
     this->cached_tokens += static_cast<double>(event.cached_tokens);
+    const Request& request = caller.arrival.request;
+    this->planner.OnAnswer(request.prompt_tokens, request.output_tokens,
+                           event.cached_tokens, event.generated);
     this->cheap_tokens += node.engine.Identity().cheap ? tokens : 0;
   }
   this->Act(
--- a/packages/decisions/admission.cc
+++ b/packages/decisions/admission.cc
@@ -40,10 +40,10 @@
 
 // Without the lift an account could save up credit while idle and then keep
 // everybody else out for as long.
-void Admission::Lift(Counted& account) {
-  account.counter =
-      std::max(account.counter,
-               this->virtual_time - this->options.idle_credit / account.weight);
+double Admission::Lifted(const Counted& account) const {
+  return std::max(
+      account.counter,
+      this->virtual_time - this->options.idle_credit / account.weight);
 }
 
 void Admission::Enqueue(Instant now,
@@ -53,13 +53,16 @@
   assert(!this->index.contains(request.id) && "a request is queued twice");
   Counted& account = this->accounts[request.account];
   if (account.waiting == 0) {
-    this->Lift(account);
+    account.counter = this->Lifted(account);
   }
   const bool batch = request.request_class == RequestClass::kBatch;
-  const Instant aged = this->options.age_batch
-                           ? std::min(request.deadline,
-                                      request.arrived + this->options.batch_age)
-                           : Instant::max();
+  const Duration age =
+      FromSeconds(ToSeconds(request.deadline - request.arrived) *
+                  this->options.batch_age_share);
+  const Instant aged =
+      this->options.age_batch
+          ? request.arrived + std::min(age, this->options.longest_batch_age)
+          : Instant::max();
   Waiting waiting{.request = request.id,
                   .account = request.account,
                   .service = request.service,
@@ -236,26 +239,28 @@
       pool->second.drain <= 0) {
     return 0;
   }
+  // The request starts when its account's counter has come up to this; until
+  // then each other account is served up to the same.
+  const auto counted = this->accounts.find(request.account);
+  const Counted fresh;
+  const Counted& account =
+      counted == this->accounts.end() ? fresh : counted->second;
   const auto& lines = pool->second.lines;
-  const auto weight = [this](const AccountId& id) {
-    const auto found = this->accounts.find(id);
-    return found == this->accounts.end() ? 1.0 : found->second.weight;
-  };
-  double weights = 0;
-  double total = cost;
+  const auto own = lines.find(request.account);
+  const double queued = own == lines.end() ? 0 : own->second.urgent_cost;
+  const double lifted =
+      account.waiting > 0 ? account.counter : this->Lifted(account);
+  const double start = lifted + queued / account.weight;
+  double ahead = queued + cost;
   for (const auto& [id, line] : lines) {
-    total += line.urgent_cost;
-    weights += line.urgent.empty() ? 0 : weight(id);
+    if (id != request.account) {
+      const Counted& other = this->accounts.at(id);
+      const double first = (start - other.counter) * other.weight;
+      ahead += this->options.fair ? std::clamp(first, 0.0, line.urgent_cost)
+                                  : line.urgent_cost;
+    }
   }
-  const auto own = lines.find(request.account);
-  const bool joins = own == lines.end() || own->second.urgent.empty();
-  weights += joins ? weight(request.account) : 0;
-  const double ahead =
-      cost + (own == lines.end() ? 0 : own->second.urgent_cost);
-  const double share = weight(request.account) / weights;
-  const double work =
-      this->options.fair ? std::min(total, ahead / share) : total;
-  return work / pool->second.drain;
+  return ahead / pool->second.drain;
 }
 
 Duration Admission::RetryAfter(const ServiceId& service) {
--- a/packages/decisions/admission.h
+++ b/packages/decisions/admission.h
@@ -34,8 +34,9 @@
   bool fair = true;               // false: first come, first served
   bool refuse_unmeetable = true;  // false: wait until the deadline has passed
   bool age_batch = true;
-  double idle_credit = 20000;  // tokens an idle account may be ahead
-  Duration batch_age = std::chrono::seconds(30);
+  double idle_credit = 20000;    // tokens an idle account may be ahead
+  double batch_age_share = 0.6;  // of its time to the deadline, then it is due
+  Duration longest_batch_age = std::chrono::minutes(10);
   double wait_share = 0.8;  // of the time left that may go on waiting
 
   auto operator<=>(const AdmissionOptions&) const = default;
@@ -135,7 +136,7 @@
     std::map<AccountId, AccountServed> served;
   };
 
-  void Lift(Counted& account);
+  double Lifted(const Counted& account) const;
   std::vector<const Waiting*> FirstOf(Instant now,
                                       const Lines& lines,
                                       size_t count) const;
--- a/packages/decisions/hickorystand_dispatcher.cc
+++ b/packages/decisions/hickorystand_dispatcher.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int64_t kMaxTries = 4;
+constexpr int64_t kMaxBatchTries = 12;
 constexpr size_t kHeadsPerAccount = 4;
 constexpr size_t kHeadsTried = 16;
 constexpr Duration kLeastWorkAge = std::chrono::seconds(1);
@@ -140,10 +141,14 @@
   }
 }
 
-// Batch work waits as long as it takes, unless its caller has part of it.
+// Batch work waits as long as it takes.
 bool HickorystandDispatcher::MayBeRefused(const Live& live) const {
-  return live.request.request_class != RequestClass::kBatch ||
-         live.delivered > 0;
+  return live.request.request_class != RequestClass::kBatch;
+}
+
+// Its claim is spent, or its caller watches half an answer.
+bool HickorystandDispatcher::CannotWait(const Live& live) const {
+  return live.granted || live.delivered > 0;
 }
 
 // --- Starting ---------------------------------------------------------------
@@ -160,7 +165,7 @@
   }
 }
 
-RouteQuery HickorystandDispatcher::QueryFor(Instant now, Live& live) const {
+RouteQuery HickorystandDispatcher::QueryFor(Instant now, Live& live) {
   if (live.least_work == 0 || now - live.least_work_at > kLeastWorkAge) {
     live.least_work = this->router.LeastWork(now, live.request);
     live.least_work_at = now;
@@ -170,7 +175,7 @@
       this->suspects.IsSuspected(now, live.request.fingerprint);
   return {.request = &live.request,
           .suspect = suspect,
-          .ignore_room = live.granted,
+          .ignore_room = this->CannotWait(live),
           .least_work = live.least_work,
           .avoid = live.avoid,
           .avoid_zones = live.avoid_zones};
@@ -180,7 +185,7 @@
                                        const Waiting& head,
                                        DispatchList& out) {
   Live& live = this->live.at(head.request);
-  if (!live.granted && !this->router.HasRoomFor(now, head.service)) {
+  if (!this->CannotWait(live) && !this->router.HasRoomFor(now, head.service)) {
     return false;
   }
   const std::optional<Route> route =
@@ -421,10 +426,15 @@
                          service->second.kind == ServiceKind::kLanguage;
   const bool too_late = live.delivered == 0 && now >= live.request.deadline &&
                         request_class != RequestClass::kBatch;
-  if (live.tries >= kMaxTries || too_late ||
+  const bool batch = request_class == RequestClass::kBatch;
+  if (live.tries >= (batch ? kMaxBatchTries : kMaxTries) || too_late ||
       (live.delivered > 0 && !resumable) ||
-      this->suspects.IsCondemned(now, live.request.fingerprint) ||
-      !this->retries.Take(now)) {
+      this->suspects.IsCondemned(now, live.request.fingerprint)) {
+    this->GiveUp(live, out);
+    return;
+  }
+  const bool paid = this->retries.Take(now);
+  if (!paid && !batch) {
     this->GiveUp(live, out);
     return;
   }
@@ -437,7 +447,21 @@
     live.expires = now + kResumeWait;
   }
   this->admission.Ended(live.request.account);
-  this->Enqueue(now, live, 0, true);
+  if (paid) {
+    this->Enqueue(now, live, 0, true);
+    return;
+  }
+  // Batch work must arrive, so it waits until the budget allows its retry.
+  live.state = State::kParked;
+  this->parked.insert(live.request.id);
+}
+
+void HickorystandDispatcher::RetryParked(Instant now) {
+  while (!this->parked.empty() && this->retries.Take(now)) {
+    const RequestId request = *this->parked.begin();
+    this->parked.erase(this->parked.begin());
+    this->Enqueue(now, this->live.at(request), 0, true);
+  }
 }
 
 // --- Ends -------------------------------------------------------------------
@@ -448,9 +472,10 @@
   if (live.state == State::kQueued) {
     this->expiries.erase({live.expires, request});
     this->admission.Remove(request);
-  } else {
+  } else if (live.state != State::kParked) {
     this->admission.Ended(live.request.account);
   }
+  this->parked.erase(request);
   this->lookups.erase(request);
   this->live.erase(request);
 }
@@ -600,6 +625,7 @@
   DispatchList out;
   this->RefuseExpired(now, out);
   this->HedgeLookups(now, out);
+  this->RetryParked(now);
   for (const ServiceId& service : this->admission.Services()) {
     this->Pump(now, service, out);
   }
@@ -620,7 +646,7 @@
 }
 
 int64_t HickorystandDispatcher::Running() const {
-  return static_cast<int64_t>(this->live.size()) - this->admission.Size();
+  return static_cast<int64_t>(this->live.size()) - this->Queued();
 }
 
 // --- Registration -----------------------------------------------------------
--- a/packages/decisions/hickorystand_dispatcher.h
+++ b/packages/decisions/hickorystand_dispatcher.h
@@ -1,11 +1,12 @@
 // The dispatcher plug-in `hickorystand`: admission, routing, retries and
 // suspects put together. See docs/POLICY.md for why each rule is there.
 //
-// A request is queued, claiming, or running; it is in exactly one of these:
+// A request is in exactly one of these states:
 //
 //   kQueued    in the admission queue, at first or again after a failure
 //   kClaiming  non-idempotent, waits for its claim
 //   kRunning   has one attempt, or two while hedged
+//   kParked    batch work that waits until the retry budget allows another try
 
 #pragma once
 
@@ -61,7 +62,9 @@
   DispatchList OnTick(Instant now) override;
   void StartDrain() override;
   void FillDigest(Digest& digest) const override;
-  int64_t Queued() const override { return this->admission.Size(); }
+  int64_t Queued() const override {
+    return this->admission.Size() + static_cast<int64_t>(this->parked.size());
+  }
   int64_t Running() const override;
 
   // The parts, for tests and for the pages that show the host's state.
@@ -69,7 +72,7 @@
   const Router& Routes() const { return this->router; }
 
  private:
-  enum class State { kQueued, kClaiming, kRunning };
+  enum class State { kQueued, kClaiming, kRunning, kParked };
 
   struct Live {
     Request request;
@@ -111,7 +114,7 @@
             const Route& route,
             bool hedge,
             DispatchList& out);
-  RouteQuery QueryFor(Instant now, Live& live) const;
+  RouteQuery QueryFor(Instant now, Live& live);
 
   void Finish(Live& live, std::string reason, DispatchList& out);
   void Refuse(Live& live,
@@ -134,6 +137,8 @@
   void RefuseExpired(Instant now, DispatchList& out);
   void HedgeLookups(Instant now, DispatchList& out);
   bool MayBeRefused(const Live& live) const;
+  bool CannotWait(const Live& live) const;
+  void RetryParked(Instant now);
 
   DispatcherOptions options;
   PolicyOptions policy;
@@ -145,7 +150,8 @@
   std::map<RequestId, Live> live;
   std::map<AttemptId, Attempt> attempts;
   std::set<std::pair<Instant, RequestId>> expiries;  // of queued requests
-  std::set<RequestId> lookups;                       // running, not hedged
+  std::set<RequestId> parked;
+  std::set<RequestId> lookups;  // running, not hedged
   std::map<HostId, std::pair<uint64_t, uint64_t>> digests;  // last taken
   double lookup_seconds = 0.1;  // usual time to a lookup's answer
   AttemptId next_attempt = 1;
--- a/packages/decisions/placement.cc
+++ b/packages/decisions/placement.cc
@@ -14,9 +14,10 @@
 
 constexpr double kLevelGain = 0.5;
 constexpr double kTrendGain = 0.2;
+constexpr double kShareGain = 0.01;
 constexpr double kTrendDamping = 0.8;
-constexpr size_t kSamplesBeforePlans = 2;
-constexpr size_t kSamplesKept = 60;
+constexpr size_t kSamplesBeforePlans = 20;
+constexpr size_t kSamplesKept = 120;
 constexpr size_t kRecentSamples = 20;
 constexpr double kPlenty = 100;  // times the work, when there is next to none
 
@@ -25,7 +26,9 @@
 
 // Seconds of one endpoint that a second of this work takes.
 double Load(const LeaningWork& work, const RoleRates& rates) {
-  return work.prefill / rates.prefill + work.decode / rates.decode;
+  const double prompts = work.prefill / rates.prefill;
+  return std::max(prompts + work.decode / rates.decode,
+                  prompts / rates.prefill_share);
 }
 
 std::map<EndpointRole, double> CountRoles(
@@ -146,7 +149,8 @@
          "rates of roles must be above zero");
 }
 
-void Planner::OnRequest(int64_t prompt_tokens, int64_t output_tokens) {
+Planner::Leaning& Planner::LeaningOf(int64_t prompt_tokens,
+                                     int64_t output_tokens) {
   const LeaningWork work{static_cast<double>(prompt_tokens),
                          static_cast<double>(output_tokens)};
   const auto load = [&](EndpointRole role) {
@@ -155,9 +159,31 @@
   };
   const bool leans_to_prompt =
       load(EndpointRole::kPrefill) < load(EndpointRole::kDecode);
-  Leaning& leaning = leans_to_prompt ? this->prompts : this->answers;
-  leaning.prompt_tokens += work.prefill;
-  leaning.output_tokens += work.decode;
+  return leans_to_prompt ? this->prompts : this->answers;
+}
+
+void Planner::OnRequest(int64_t prompt_tokens, int64_t output_tokens) {
+  Leaning& leaning = this->LeaningOf(prompt_tokens, output_tokens);
+  leaning.prompt_tokens +=
+      static_cast<double>(prompt_tokens) * leaning.computed_share;
+  leaning.output_tokens +=
+      static_cast<double>(output_tokens) * leaning.generated_share;
+}
+
+void Planner::OnAnswer(int64_t prompt_tokens,
+                       int64_t output_tokens,
+                       int64_t cached_tokens,
+                       int64_t generated_tokens) {
+  Leaning& leaning = this->LeaningOf(prompt_tokens, output_tokens);
+  const auto correct = [](double& share, int64_t part, int64_t whole) {
+    if (whole > 0) {
+      const double seen =
+          static_cast<double>(part) / static_cast<double>(whole);
+      share += kShareGain * (std::clamp(seen, 0.0, 1.0) - share);
+    }
+  };
+  correct(leaning.computed_share, prompt_tokens - cached_tokens, prompt_tokens);
+  correct(leaning.generated_share, generated_tokens, output_tokens);
 }
 
 void Planner::OnTick(Instant now) {
@@ -243,8 +269,8 @@
       const double won = (this->Worth(after) - worth) * dwell;
       const double lost =
           (worth - this->Worth(during)) * change * this->options.hysteresis;
-      // Even a change that loses nothing must win a hundredth of the work.
-      const double gain = won - std::max(lost, 0.01 * dwell);
+      const double gain =
+          won - std::max(lost, this->options.least_gain * dwell);
       if (gain > best_gain) {
         best_gain = gain;
         best = {from, to};
--- a/packages/decisions/placement.h
+++ b/packages/decisions/placement.h
@@ -42,12 +42,13 @@
   Duration horizon = std::chrono::seconds(30);  // looked ahead
   Duration dwell = std::chrono::seconds(300);   // a role is taken to last
   Duration change = std::chrono::seconds(30);   // away, with the drain
-  double half_life = 20;         // samples after which a mix counts half
+  double half_life = 40;         // samples after which a mix counts half
   double forecast_share = 0.25;  // of the weight, for what is to come
   Duration capacity_wait = std::chrono::seconds(60);  // shortfall or surplus
-  double hysteresis = 1.5;  // a change must win this many times its loss
-  double headroom = 1.25;   // capacity over forecast work that is worth it
-  double surplus = 1.6;     // capacity over which an endpoint is given back
+  double hysteresis = 1.5;   // a change must win this many times its loss
+  double least_gain = 0.02;  // of the work, even if a change loses nothing
+  double headroom = 1.25;    // capacity over forecast work that is worth it
+  double surplus = 1.6;      // capacity over which an endpoint is given back
   double zone_loss_share = 0.7;  // of the work that a zone's loss must leave
   Duration load_interval = std::chrono::seconds(30);  // weight store's rate
 
@@ -92,6 +93,10 @@
 struct RoleRates {
   double prefill = 0;  // prompt tokens a second
   double decode = 0;   // generated tokens a second, whole batch
+  // The most of its time that goes to prompts while answers are generated. It
+  // bounds the prompts that an answer-leaning endpoint can take in, however
+  // few its answers are.
+  double prefill_share = 1;
 
   auto operator<=>(const RoleRates&) const = default;
 };
@@ -135,9 +140,16 @@
           RoleRatesTable rates,
           const PlacementOptions& options = {});
 
-  // A request was taken in. Tokens found in a prefix cache don't count.
+  // A request came in, with the tokens that its caller names.
   void OnRequest(int64_t prompt_tokens, int64_t output_tokens);
 
+  // A request was answered. What it really took, without what was found in a
+  // prefix cache, corrects what is expected of others that lean the same way.
+  void OnAnswer(int64_t prompt_tokens,
+                int64_t output_tokens,
+                int64_t cached_tokens,
+                int64_t generated_tokens);
+
   // Closes samples; call it often.
   void OnTick(Instant now);
 
@@ -164,6 +176,8 @@
   struct Leaning {
     double prompt_tokens = 0;
     double output_tokens = 0;
+    double computed_share = 1;   // of prompt tokens; the rest is cached
+    double generated_share = 1;  // of the output tokens that callers name
     WorkForecast prefill;
     WorkForecast decode;
   };
@@ -176,6 +190,7 @@
     LeaningWork answers;
   };
 
+  Leaning& LeaningOf(int64_t prompt_tokens, int64_t output_tokens);
   Mix ForecastMix() const;
   LeaningWork Forecast(const Leaning& leaning) const;
   double Worth(const Counts& counts) const;
--- a/packages/decisions/router.cc
+++ b/packages/decisions/router.cc
@@ -286,30 +286,41 @@
           missed};
 }
 
-double Router::LeastWork(Instant now, const Request& request) const {
+double Router::LeastWork(Instant now, const Request& request) {
   const auto service = this->by_service.find(request.service);
-  double least = 0;
   if (service == this->by_service.end()) {
-    return least;
+    return 0;
   }
+  std::vector<std::pair<double, EndpointView*>> works;
   for (const EndpointId& id : service->second) {
-    const EndpointView& view = this->views.at(id);
+    EndpointView& view = this->views.at(id);
     if (!view.Leaving() && !view.down && !view.Ejected(now)) {
-      const double work = this->Score(now, view, request).work;
-      least = least == 0 ? work : std::min(least, work);
+      works.emplace_back(this->Score(now, view, request).work, &view);
+    }
+  }
+  if (works.empty()) {
+    return 0;
+  }
+  const double least = std::ranges::min(works | std::views::keys);
+  for (const auto& [work, view] : works) {
+    if (work <= least * this->options.fit &&
+        !this->HasRoom(*view, request.request_class)) {
+      view->wanted_until = now + this->options.wanted;
     }
   }
   return least;
 }
 
-bool Router::FitsOrHasSpare(const Scored& scored,
+bool Router::FitsOrHasSpare(Instant now,
+                            const Scored& scored,
                             const RouteQuery& query) const {
   if (query.least_work == 0 || query.ignore_room || query.suspect ||
       scored.work <= query.least_work * this->options.fit) {
     return true;
   }
   const EndpointView& view = *scored.view;
-  return view.Requests() < view.Capacity() * this->options.misfit_occupancy &&
+  return now >= view.wanted_until &&
+         view.Requests() < view.Capacity() * this->options.misfit_occupancy &&
          view.WaitingSeconds() < this->options.misfit_prefill_seconds;
 }
 
@@ -346,7 +357,7 @@
     }
   }
   std::erase_if(scored, [&](const Scored& one) {
-    return !this->FitsOrHasSpare(one, query);
+    return !this->FitsOrHasSpare(now, one, query);
   });
   const auto avoided = [&](const Scored& one) {
     return query.avoid_zones.contains(one.view->endpoint.zone);
--- a/packages/decisions/router.h
+++ b/packages/decisions/router.h
@@ -11,7 +11,8 @@
 // A request that would cost much less elsewhere fits an endpoint badly: a long
 // answer on an endpoint that leans to prompts, or a long prompt on one that
 // leans to answers. Such work gets only a part of the endpoint's places, so
-// that there is room for the work that fits when it comes.
+// that there is room for the work that fits when it comes, and none while such
+// work waits.
 //
 // Index
 //   RouterOptions         switches and limits
@@ -54,6 +55,7 @@
   double fit = 1.4;  // times the least work anywhere that still fits
   double misfit_occupancy = 0.7;  // of the places, for what doesn't fit
   double misfit_prefill_seconds = 0.3;
+  Duration wanted = std::chrono::seconds(10);  // nothing that doesn't fit
   double overbook = 1.1;  // requests sent per place in the batch
 
   auto operator<=>(const RouterOptions&) const = default;
@@ -102,8 +104,9 @@
   int64_t failures = 0;   // in a row
   int64_t ejections = 0;  // in a row
   Instant ejected_until{};
-  bool down = false;     // crashed; only a probe may go there
-  bool probing = false;  // a probe is on its way
+  Instant wanted_until{};  // work that fits waits for room
+  bool down = false;       // crashed; only a probe may go there
+  bool probing = false;    // a probe is on its way
 
   // Leaving in its present life, or taken out of the configuration.
   bool Leaving() const;
@@ -131,7 +134,8 @@
   std::optional<Route> Choose(Instant now, const RouteQuery& query);
 
   // The least time of an endpoint that the request takes anywhere.
-  double LeastWork(Instant now, const Request& request) const;
+  // Endpoints that fit it but have no room are noted as wanted.
+  double LeastWork(Instant now, const Request& request);
 
   // Whether any endpoint has room; cheap, to be asked before Choose().
   bool HasRoomFor(Instant now, const ServiceId& service) const;
@@ -182,7 +186,9 @@
   Scored Score(Instant now,
                const EndpointView& view,
                const Request& request) const;
-  bool FitsOrHasSpare(const Scored& scored, const RouteQuery& query) const;
+  bool FitsOrHasSpare(Instant now,
+                      const Scored& scored,
+                      const RouteQuery& query) const;
   double Slowness(Instant now, const EndpointView& view) const;
   const Scored& PickAmongEquals(const std::vector<Scored>& sorted);
   void Eject(Instant now, EndpointView& view, Duration base);
