--- a/bench/policy_baselines.cc
+++ b/bench/policy_baselines.cc
@@ -287,7 +287,7 @@
              }>},
     Strategy{"no-fit", RolePolicy::kPlanner, true,
              &MakeWithout<[](PolicyOptions& policy) {
-               policy.router.full_occupancy = 1e9;
+               policy.router.fit = 1e9;
              }>},
     Strategy{"no-equals", RolePolicy::kPlanner, true,
              &MakeWithout<[](PolicyOptions& policy) {
