--- /dev/null
+++ b/packages/decisions/round_robin_dispatcher.cc
@@ -0,0 +1,371 @@
+// The dispatcher plug-in `round-robin`: each request goes to the next endpoint
+// of its service in turn. It keeps every promise about requests (claims, no
+// repeat of what may have run, resumption, graceful shutdown), but weighs
+// neither load, caches nor fairness: a baseline for benches, and a policy that
+// an operator can fall back on.
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "decisions/dispatcher.h"
+#include "kernel/registry.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr int64_t kMaxTries = 3;
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+
+// What a request is told when its last try ended this way, and whether another
+// endpoint may run it after that, for a non-idempotent and another request.
+struct ResultRow {
+  AttemptOutcome outcome;
+  bool again_once;
+  bool again;
+  ErrorKind error_once;
+  ErrorKind error;
+};
+
+using O = AttemptOutcome;
+using K = ErrorKind;
+
+// clang-format off
+constexpr ResultRow kResults[] = {
+    // outcome          once   else  error of kOnce         error of others
+    {O::kNotSent,       true,  true, K::kNoEndpoint,        K::kNoEndpoint},
+    {O::kRefused,       true,  true, K::kNoEndpoint,        K::kNoEndpoint},
+    {O::kBroken,        false, true, K::kOutcomeUnknown,    K::kBrokenAnswer},
+    {O::kCrashed,       false, true, K::kOutcomeUnknown,    K::kEndpointFailed},
+    {O::kSilent,        false, true, K::kOutcomeUnknown,    K::kTimeout},
+    {O::kWrongAnswer,   false, true, K::kOutcomeUnknown,    K::kEndpointFailed},
+};
+// clang-format on
+
+class RoundRobinDispatcher final : public Dispatcher {
+ public:
+  explicit RoundRobinDispatcher(DispatcherOptions options)
+      : options(std::move(options)) {}
+
+  void OnConfiguration(Instant now, ConfigurationPtr next) override;
+  DispatchList OnArrival(Instant now, const Request& request) override;
+  DispatchList OnClaim(Instant now,
+                       const RequestId& id,
+                       ClaimResult result) override;
+  DispatchList OnProgress(Instant now,
+                          AttemptId attempt,
+                          int64_t generated_tokens) override;
+  DispatchList OnResult(Instant now, const AttemptResult& result) override;
+  DispatchList OnCallerGone(Instant now, const RequestId& id) override;
+  DispatchList OnLoad(Instant now, const LoadReport& report) override;
+  void OnCache(Instant, const CacheEvent&) override {}
+  DispatchList OnDigest(Instant now, const Digest& digest) override;
+  void OnHostGone(Instant, const HostId&) override {}
+  DispatchList OnTick(Instant now) override;
+  void StartDrain() override { this->draining = true; }
+  void FillDigest(Digest& digest) const override;
+  int64_t Queued() const override;
+  int64_t Running() const override;
+
+ private:
+  enum class State { kQueued, kClaiming, kRunning };
+
+  struct Live {
+    Request request;
+    State state = State::kQueued;
+    AttemptId attempt = 0;  // of kRunning
+    EndpointId endpoint;    // ditto
+    int64_t tries = 0;
+    int64_t delivered = 0;
+    std::set<EndpointId> tried;
+    bool may_have_run = false;
+    bool caller_gone = false;
+  };
+
+  std::optional<EndpointId> Choose(const Live& live);
+  bool Usable(const Live& live, const Endpoint& endpoint, bool anywhere) const;
+  DispatchList TryToSend(Live& live);
+  DispatchList Refuse(const RequestId& id, ErrorKind kind, std::string why);
+  DispatchList Forget(const RequestId& id, Dispatch last);
+  Live* FindAttempt(AttemptId attempt);
+  int64_t CountIn(State state) const;
+
+  DispatcherOptions options;
+  ConfigurationPtr configuration = std::make_shared<Configuration>();
+  std::map<RequestId, Live> live;
+  std::map<AttemptId, RequestId> attempts;
+  std::set<EndpointId> leaving;
+  std::map<ServiceId, EndpointId> last;  // chosen last, per service
+  AttemptId next_attempt = 1;
+  bool draining = false;
+};
+
+void RoundRobinDispatcher::OnConfiguration(Instant, ConfigurationPtr next) {
+  this->configuration = std::move(next);
+}
+
+DispatchList RoundRobinDispatcher::OnArrival(Instant, const Request& request) {
+  if (this->draining) {
+    return {{.request = request.id,
+             .reason = "draining",
+             .error = Error{K::kShuttingDown, "This host is shutting down.",
+                            kRetryAfter}}};
+  }
+  if (this->Queued() >= this->options.max_queued) {
+    return {{.request = request.id,
+             .reason = "queue full",
+             .error = Error{K::kOverloaded, "Too many requests are waiting.",
+                            kRetryAfter}}};
+  }
+  const auto [where, fresh] = this->live.emplace(request.id, Live{request});
+  assert(fresh && "a request arrives once");
+  if (request.request_class == RequestClass::kOnce) {
+    where->second.state = State::kClaiming;
+    return {{.kind = DispatchKind::kClaim,
+             .request = request.id,
+             .reason = "non-idempotent"}};
+  }
+  return this->TryToSend(where->second);
+}
+
+DispatchList RoundRobinDispatcher::OnClaim(Instant,
+                                           const RequestId& id,
+                                           ClaimResult result) {
+  const auto found = this->live.find(id);
+  if (found == this->live.end()) {
+    return {};
+  }
+  assert(found->second.state == State::kClaiming && "a claim is answered once");
+  switch (result) {
+    case ClaimResult::kGranted:
+      found->second.state = State::kQueued;
+      return this->TryToSend(found->second);
+    case ClaimResult::kTaken:
+      return this->Refuse(id, K::kDuplicate, "claimed before");
+    case ClaimResult::kUnavailable:
+    case ClaimResult::kUnknown:
+      return this->Refuse(id, K::kClaimUnavailable, "no claim");
+  }
+  return {};
+}
+
+DispatchList RoundRobinDispatcher::OnProgress(Instant,
+                                              AttemptId attempt,
+                                              int64_t generated_tokens) {
+  if (Live* request = this->FindAttempt(attempt)) {
+    request->delivered += generated_tokens;
+  }
+  return {};
+}
+
+DispatchList RoundRobinDispatcher::OnResult(Instant,
+                                            const AttemptResult& result) {
+  Live* request = this->FindAttempt(result.attempt);
+  if (request == nullptr) {
+    return {};
+  }
+  const RequestId id = request->request.id;
+  const bool once = request->request.request_class == RequestClass::kOnce;
+  this->attempts.erase(result.attempt);
+  const auto* row =
+      std::ranges::find(kResults, result.outcome, &ResultRow::outcome);
+  if (row == std::end(kResults)) {
+    return this->Forget(
+        id,
+        {.kind = DispatchKind::kFinish, .request = id, .reason = "answered"});
+  }
+  request->tried.insert(request->endpoint);
+  request->may_have_run = !row->again_once;
+  if ((once ? row->again_once : row->again) && request->tries < kMaxTries &&
+      !request->caller_gone) {
+    request->state = State::kQueued;
+    return this->TryToSend(*request);
+  }
+  return this->Refuse(id, once ? row->error_once : row->error,
+                      "no further try");
+}
+
+DispatchList RoundRobinDispatcher::OnCallerGone(Instant, const RequestId& id) {
+  const auto found = this->live.find(id);
+  if (found == this->live.end()) {
+    return {};
+  }
+  Live& gone = found->second;
+  // A non-idempotent request that runs is left to run: cancelling it would
+  // leave open what became of it.
+  if (gone.state == State::kRunning &&
+      gone.request.request_class == RequestClass::kOnce) {
+    gone.caller_gone = true;
+    return {};
+  }
+  DispatchList actions;
+  if (gone.state == State::kRunning) {
+    actions.push_back({.kind = DispatchKind::kCancel,
+                       .request = id,
+                       .attempt = gone.attempt,
+                       .endpoint = gone.endpoint,
+                       .reason = "caller gone"});
+    this->attempts.erase(gone.attempt);
+  }
+  this->live.erase(found);
+  return actions;
+}
+
+DispatchList RoundRobinDispatcher::OnLoad(Instant, const LoadReport& report) {
+  if (report.leaving) {
+    this->leaving.insert(report.endpoint);
+  } else {
+    this->leaving.erase(report.endpoint);
+  }
+  return {};
+}
+
+DispatchList RoundRobinDispatcher::OnDigest(Instant, const Digest& digest) {
+  for (const EndpointNews& news : digest.endpoints) {
+    if (news.leaving || news.down) {
+      this->leaving.insert(news.endpoint);
+    }
+  }
+  return {};
+}
+
+DispatchList RoundRobinDispatcher::OnTick(Instant now) {
+  std::vector<RequestId> waiting;
+  for (const auto& [id, request] : this->live) {
+    if (request.state == State::kQueued) {
+      waiting.push_back(id);
+    }
+  }
+  DispatchList actions;
+  for (const RequestId& id : waiting) {
+    Live& request = this->live.at(id);
+    const DispatchList more =
+        now >= request.request.deadline
+            ? this->Refuse(id, K::kDeadlineUnmeetable, "waited too long")
+            : this->TryToSend(request);
+    actions.insert(actions.end(), more.begin(), more.end());
+  }
+  return actions;
+}
+
+void RoundRobinDispatcher::FillDigest(Digest& digest) const {
+  std::map<EndpointId, EndpointOutstanding> outstanding;
+  for (const auto& [id, request] : this->live) {
+    if (request.state == State::kRunning) {
+      EndpointOutstanding& row = outstanding[request.endpoint];
+      row.endpoint = request.endpoint;
+      row.requests += 1;
+      row.prompt_tokens += request.request.prompt_tokens;
+    }
+  }
+  for (const auto& [endpoint, row] : outstanding) {
+    digest.outstanding.push_back(row);
+  }
+}
+
+int64_t RoundRobinDispatcher::Queued() const {
+  return this->CountIn(State::kQueued) + this->CountIn(State::kClaiming);
+}
+
+int64_t RoundRobinDispatcher::Running() const {
+  return this->CountIn(State::kRunning);
+}
+
+int64_t RoundRobinDispatcher::CountIn(State state) const {
+  return std::ranges::count(
+      this->live, state, [](const auto& entry) { return entry.second.state; });
+}
+
+bool RoundRobinDispatcher::Usable(const Live& live,
+                                  const Endpoint& endpoint,
+                                  bool anywhere) const {
+  return endpoint.service == live.request.service &&
+         (anywhere || endpoint.data_centre == this->options.data_centre) &&
+         !this->leaving.contains(endpoint.id) &&
+         !live.tried.contains(endpoint.id) &&
+         // A cheap endpoint can vanish while it runs the request.
+         !(endpoint.cheap && live.request.request_class == RequestClass::kOnce);
+}
+
+// The next endpoint in turn; of this data centre, if it has any.
+std::optional<EndpointId> RoundRobinDispatcher::Choose(const Live& live) {
+  const EndpointId previous = this->last[live.request.service];
+  for (const bool anywhere : {false, true}) {
+    std::vector<EndpointId> usable;
+    for (const auto& [id, endpoint] : this->configuration->endpoints) {
+      if (this->Usable(live, endpoint, anywhere)) {
+        usable.push_back(id);
+      }
+    }
+    if (!usable.empty()) {
+      const auto next = std::ranges::upper_bound(usable, previous);
+      return next == usable.end() ? usable.front() : *next;
+    }
+  }
+  return std::nullopt;
+}
+
+DispatchList RoundRobinDispatcher::TryToSend(Live& live) {
+  assert(live.state == State::kQueued && "only what waits can be sent");
+  assert((live.request.request_class != RequestClass::kOnce ||
+          !live.may_have_run) &&
+         "a non-idempotent request that may have run is never sent again");
+  std::optional<EndpointId> choice = this->Choose(live);
+  if (!choice && !live.tried.empty()) {
+    // All have been tried. One that failed may be well again.
+    live.tried.clear();
+    choice = this->Choose(live);
+  }
+  if (!choice) {
+    return {};  // stays queued until its deadline
+  }
+  this->last[live.request.service] = *choice;
+  live.state = State::kRunning;
+  live.attempt = this->next_attempt++;
+  live.endpoint = *choice;
+  live.tries += 1;
+  this->attempts[live.attempt] = live.request.id;
+  return {{.kind = DispatchKind::kSend,
+           .request = live.request.id,
+           .attempt = live.attempt,
+           .endpoint = *choice,
+           .resume_from = live.delivered,
+           .reason = live.tries > 1 ? "next in turn, again" : "next in turn"}};
+}
+
+DispatchList RoundRobinDispatcher::Refuse(const RequestId& id,
+                                          ErrorKind kind,
+                                          std::string why) {
+  Error error{kind, "The request could not be served: " + why + "."};
+  if (AnswerFor(kind).retry) {
+    error.retry_after = kRetryAfter;
+  }
+  return this->Forget(id, {.kind = DispatchKind::kRefuse,
+                           .request = id,
+                           .reason = std::move(why),
+                           .error = std::move(error)});
+}
+
+DispatchList RoundRobinDispatcher::Forget(const RequestId& id, Dispatch last) {
+  this->live.erase(id);
+  return {std::move(last)};
+}
+
+RoundRobinDispatcher::Live* RoundRobinDispatcher::FindAttempt(
+    AttemptId attempt) {
+  const auto found = this->attempts.find(attempt);
+  return found == this->attempts.end() ? nullptr
+                                       : &this->live.at(found->second);
+}
+
+[[maybe_unused]] const bool kRegistered = Registry<Dispatcher>::Add(
+    "round-robin",
+    [](const DispatcherOptions& options) {
+      return std::make_unique<RoundRobinDispatcher>(options);
+    });
+
+}  // namespace
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/endpoints/attempt.cc
@@ -0,0 +1,276 @@
+// Attempts: what counts as an answer, and how each failure is told apart.
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "endpoints/endpoint_client.h"
+#include "kernel/json.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusTooMany = 429;
+constexpr int kStatusServerError = 500;
+constexpr int kStatusUnavailable = 503;
+
+// How the end of a connection ends an attempt. kWhole is judged by content.
+struct EndRow {
+  HttpEnd end;
+  AttemptOutcome outcome;
+};
+
+constexpr std::array kOutcomes = {
+    EndRow{HttpEnd::kNoMarker, AttemptOutcome::kBroken},
+    EndRow{HttpEnd::kNotSent, AttemptOutcome::kNotSent},
+    EndRow{HttpEnd::kReset, AttemptOutcome::kCrashed},
+    EndRow{HttpEnd::kSilent, AttemptOutcome::kSilent},
+    EndRow{HttpEnd::kProtocol, AttemptOutcome::kWrongAnswer},
+    EndRow{HttpEnd::kCancelled, AttemptOutcome::kCancelled},
+};
+
+// The endpoint's explicit word that it did not run the request. A 503 without
+// it may come from something in between, after the endpoint ran the request.
+bool SaysNotRun(int status, const std::string& body) {
+  if (status != kStatusUnavailable) {
+    return false;
+  }
+  const Result<Json> json = Json::Parse(body);
+  return json && json->At("error").At("code").Text() == "not_run";
+}
+
+}  // namespace
+
+Attempt::Attempt(AttemptCall call,
+                 AttemptEvents events,
+                 const EndpointClientOptions& options,
+                 Metrics& metrics)
+    : call(std::move(call)),
+      events(std::move(events)),
+      options(options),
+      metrics(metrics),
+      parser([this](std::string_view data) { this->TakeEvent(data); }) {
+  this->end.result.attempt = this->call.attempt;
+}
+
+HttpOutgoing Attempt::Outgoing() {
+  HttpHeaders headers = std::move(this->call.headers);
+  headers.push_back({"X-Request-Id", this->call.request.Text()});
+  headers.push_back({"X-Attempt", std::to_string(this->call.attempt)});
+  if (this->call.shape != AnswerShape::kBytes) {
+    headers.push_back({"X-Priority", this->call.batch ? "batch" : "normal"});
+  }
+  if (this->call.resume_from > 0) {
+    headers.push_back(
+        {"X-Resume-From", std::to_string(this->call.resume_from)});
+  }
+  return {.address = this->call.address,
+          .method = this->call.method,
+          .target = this->call.target,
+          .headers = std::move(headers),
+          .content_type = this->call.content_type,
+          .body = std::exchange(this->call.body, {}),
+          .once = this->call.once,
+          .timeouts = this->call.timeouts};
+}
+
+void Attempt::Start(HttpClient& http) {
+  const auto self = this->shared_from_this();
+  this->exchange = http.Send(
+      this->Outgoing(),
+      {.on_head = [self](const HttpAnswerHead& head) { self->TakeHead(head); },
+       .on_bytes = [self](std::string_view bytes) { self->TakeBytes(bytes); },
+       .on_end =
+           [self](HttpEnd end, const std::string& detail) {
+             self->TransportEnded(end, detail);
+           }});
+}
+
+void Attempt::TakeHead(const HttpAnswerHead& head) {
+  if (this->over) {
+    return;
+  }
+  this->end.status = head.status;
+  this->end.headers = head.headers;
+  if (!this->IsMine(head)) {
+    this->End(AttemptOutcome::kWrongAnswer, "the answer bears another's id");
+    return;
+  }
+  this->mode = this->ModeFor(head);
+  if (this->mode == Mode::kPassOn && this->events.on_head) {
+    this->events.on_head(head);
+  }
+}
+
+// Two answers can be crossed by a proxy or by a fault in the endpoint. One
+// caller would then read another's. It shows in the echoed id alone, so an
+// answer without the echo is not accepted either.
+bool Attempt::IsMine(const HttpAnswerHead& head) const {
+  if (!this->options.check_identity) {
+    return true;
+  }
+  const auto attempt = FindHeader(head.headers, "X-Attempt");
+  return FindHeader(head.headers, "X-Request-Id") ==
+             this->call.request.Text() &&
+         (!attempt || *attempt == std::to_string(this->call.attempt));
+}
+
+Attempt::Mode Attempt::ModeFor(const HttpAnswerHead& head) const {
+  if (this->call.shape == AnswerShape::kBytes) {
+    return head.status == kStatusUnavailable ? Mode::kCollect : Mode::kPassOn;
+  }
+  const bool chunks =
+      this->call.shape == AnswerShape::kChunks && head.status == kStatusOk;
+  return chunks ? Mode::kChunks : Mode::kCollect;
+}
+
+void Attempt::TakeBytes(std::string_view bytes) {
+  if (this->over) {
+    return;
+  }
+  if (this->mode == Mode::kPassOn) {
+    if (this->events.on_bytes) {
+      this->events.on_bytes(bytes);
+    }
+    return;
+  }
+  this->received += std::ssize(bytes);
+  if (this->mode == Mode::kChunks) {
+    if (this->received > this->options.max_whole_bytes) {
+      this->End(AttemptOutcome::kWrongAnswer, "the answer is too long");
+    } else if (!this->parser.Feed(bytes)) {
+      this->End(AttemptOutcome::kWrongAnswer, "an event is too long");
+    }
+    return;
+  }
+  this->end.body.append(bytes);
+  if (this->received > this->options.max_whole_bytes) {
+    this->End(AttemptOutcome::kWrongAnswer, "the answer is too long");
+  }
+}
+
+void Attempt::TakeEvent(std::string_view data) {
+  if (this->over) {
+    return;
+  }
+  if (data == kSseDone) {
+    this->End(AttemptOutcome::kComplete, "");
+    return;
+  }
+  const Result<CompletionChunk> chunk = ParseCompletionChunk(data);
+  if (!chunk) {
+    this->End(AttemptOutcome::kWrongAnswer, chunk.error().message);
+    return;
+  }
+  if (chunk->is_error) {
+    this->End(AttemptOutcome::kBroken, "the engine reports an error");
+    return;
+  }
+  if (this->options.check_identity &&
+      !chunk->id.ends_with(this->call.request.Text())) {
+    this->End(AttemptOutcome::kWrongAnswer, "a chunk bears another's id");
+    return;
+  }
+  this->end.result.generated_tokens += chunk->has_output ? 1 : 0;
+  if (chunk->has_usage) {
+    this->TakeUsage(chunk->usage);
+  }
+  if (this->events.on_chunk) {
+    this->events.on_chunk(data, *chunk);
+  }
+}
+
+void Attempt::TakeUsage(const CompletionUsage& usage) {
+  this->end.result.prompt_tokens = usage.prompt_tokens;
+  this->end.result.cached_tokens = usage.cached_tokens;
+}
+
+void Attempt::TransportEnded(HttpEnd how, const std::string& detail) {
+  if (this->over) {
+    return;
+  }
+  if (how == HttpEnd::kWhole) {
+    this->End(this->JudgeWhole(), "");
+    return;
+  }
+  const auto* row = std::ranges::find(kOutcomes, how, &EndRow::end);
+  this->End(row->outcome, detail);
+}
+
+// The transport delivered the whole body; what is it worth?
+AttemptOutcome Attempt::JudgeWhole() {
+  if (this->mode == Mode::kPassOn) {
+    return AttemptOutcome::kComplete;
+  }
+  if (this->mode == Mode::kChunks) {
+    return AttemptOutcome::kBroken;  // ended before [DONE]
+  }
+  if (SaysNotRun(this->end.status, this->end.body)) {
+    return AttemptOutcome::kRefused;
+  }
+  if (this->call.shape == AnswerShape::kBytes) {
+    return AttemptOutcome::kComplete;
+  }
+  if (this->end.status == kStatusTooMany) {
+    return AttemptOutcome::kRefused;
+  }
+  if (this->end.status >= kStatusBadRequest &&
+      this->end.status < kStatusServerError) {
+    return AttemptOutcome::kRejected;
+  }
+  if (this->end.status != kStatusOk) {
+    return AttemptOutcome::kBroken;
+  }
+  const Result<CompletionChunk> whole = ParseCompletionChunk(this->end.body);
+  if (!whole || (this->options.check_identity &&
+                 !whole->id.ends_with(this->call.request.Text()))) {
+    return AttemptOutcome::kWrongAnswer;
+  }
+  this->TakeUsage(whole->usage);
+  this->end.result.generated_tokens = whole->usage.completion_tokens;
+  return AttemptOutcome::kComplete;
+}
+
+void Attempt::End(AttemptOutcome outcome, const std::string& detail) {
+  if (std::exchange(this->over, true)) {
+    return;
+  }
+  const auto self = this->shared_from_this();
+  if (outcome == AttemptOutcome::kWrongAnswer) {
+    this->metrics.Add("hickorystand_wrong_answers_total", 1);
+  }
+  // After [DONE] the exchange runs on to the end of its transport, so that the
+  // connection can be used again. In all other cases nothing of it is wanted.
+  if (outcome != AttemptOutcome::kComplete && this->exchange) {
+    this->exchange->Cancel();
+  }
+  this->end.result.outcome = outcome;
+  this->end.detail = detail;
+  const auto call = std::exchange(this->events, {}).on_end;
+  if (call) {
+    call(this->end);
+  }
+}
+
+void Attempt::Cancel() {
+  this->events = {};
+  if (!std::exchange(this->over, true) && this->exchange) {
+    this->exchange->Cancel();
+  }
+}
+
+void Attempt::Pause() {
+  if (this->exchange && !this->over) {
+    this->exchange->Pause();
+  }
+}
+
+void Attempt::Resume() {
+  if (this->exchange) {
+    this->exchange->Resume();
+  }
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/endpoints/endpoint_client.cc
@@ -0,0 +1,179 @@
+#include "endpoints/endpoint_client.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <ranges>
+#include <utility>
+
+#include "kernel/json.h"
+
+namespace hickorystand {
+namespace {
+
+struct RoleName {
+  EndpointRole role;
+  std::string_view name;
+};
+
+constexpr std::array kRoleNames = {
+    RoleName{EndpointRole::kMixed, "mixed"},
+    RoleName{EndpointRole::kPrefill, "prefill"},
+    RoleName{EndpointRole::kDecode, "decode"},
+    RoleName{EndpointRole::kPlain, "plain"},
+};
+
+EndpointRole ReadRole(const std::string& name) {
+  const auto* row = std::ranges::find(kRoleNames, name, &RoleName::name);
+  return row == kRoleNames.end() ? EndpointRole::kMixed : row->role;
+}
+
+uint64_t ReadUnsigned(const Json& json) {
+  return static_cast<uint64_t>(json.Integer());
+}
+
+Result<LoadReport> ReadLoad(const EndpointId& endpoint,
+                            const std::string& body) {
+  const Result<Json> json = Json::Parse(body);
+  if (!json || !json->IsObject()) {
+    return Fail(ErrorKind::kBadRequest, "The load report is not an object.");
+  }
+  return LoadReport{
+      .endpoint = endpoint,
+      .incarnation = ReadUnsigned(json->At("incarnation")),
+      .sequence = json->At("sequence").Integer(),
+      .role = ReadRole(json->At("role").Text()),
+      .leaving = json->At("leaving").Flag(),
+      .queued_prompt_tokens = json->At("queued_prompt_tokens").Integer(),
+      .running = json->At("running").Integer(),
+      .capacity = json->At("capacity").Integer(),
+      .prefill_rate = json->At("prefill_rate").Number(),
+      .decode_rate = json->At("decode_rate").Number(),
+      .cache_pieces = json->At("cache_pieces").Integer(),
+      .cache_pieces_used = json->At("cache_pieces_used").Integer(),
+  };
+}
+
+std::vector<uint64_t> ReadHashes(const Json& json) {
+  std::vector<uint64_t> hashes;
+  std::ranges::transform(json.Items(), std::back_inserter(hashes),
+                         &ReadUnsigned);
+  return hashes;
+}
+
+Result<std::vector<CacheEvent>> ReadCacheEvents(const EndpointId& endpoint,
+                                                const std::string& body) {
+  const Result<Json> json = Json::Parse(body);
+  if (!json || !json->IsObject()) {
+    return Fail(ErrorKind::kBadRequest, "The cache events are not an object.");
+  }
+  const uint64_t incarnation = ReadUnsigned(json->At("incarnation"));
+  std::vector<CacheEvent> events;
+  std::ranges::transform(json->At("events").Items(), std::back_inserter(events),
+                         [&](const Json& event) {
+                           return CacheEvent{
+                               .endpoint = endpoint,
+                               .incarnation = incarnation,
+                               .sequence = event.At("sequence").Integer(),
+                               .snapshot = event.At("snapshot").Flag(),
+                               .added = ReadHashes(event.At("added")),
+                               .removed = ReadHashes(event.At("removed")),
+                           };
+                         });
+  return events;
+}
+
+}  // namespace
+
+EndpointClient::EndpointClient(EndpointClientOptions options, Metrics& metrics)
+    : options(options), metrics(metrics), http(options.http) {}
+
+AttemptPtr EndpointClient::Start(AttemptCall call, AttemptEvents events) {
+  const auto attempt = std::make_shared<Attempt>(
+      std::move(call), std::move(events), this->options, this->metrics);
+  attempt->Start(this->http);
+  return attempt;
+}
+
+void EndpointClient::CancelAt(const SocketAddress& address,
+                              const RequestId& request,
+                              AttemptId attempt) {
+  this->http.Send({.address = address,
+                   .method = "POST",
+                   .target = "/v1/cancel/" + request.Text() +
+                             "?attempt=" + std::to_string(attempt),
+                   .timeouts = this->options.control},
+                  {});
+}
+
+void EndpointClient::FetchLoad(
+    const EndpointId& endpoint,
+    const SocketAddress& address,
+    std::function<void(const Result<LoadReport>&)> done) {
+  this->Fetch(address, "/v1/load",
+              [endpoint, done = std::move(done)](const auto& body) {
+                done(body.and_then([&](const std::string& text) {
+                  return ReadLoad(endpoint, text);
+                }));
+              });
+}
+
+void EndpointClient::FetchCacheEvents(
+    const EndpointId& endpoint,
+    const SocketAddress& address,
+    int64_t after,
+    std::function<void(const Result<std::vector<CacheEvent>>&)> done) {
+  this->Fetch(address, "/v1/cache-events?after=" + std::to_string(after),
+              [endpoint, done = std::move(done)](const auto& body) {
+                done(body.and_then([&](const std::string& text) {
+                  return ReadCacheEvents(endpoint, text);
+                }));
+              });
+}
+
+void EndpointClient::CheckHealth(const SocketAddress& address,
+                                 std::function<void(bool up)> done) {
+  this->Fetch(address, "/v1/health",
+              [done = std::move(done)](const Result<std::string>& body) {
+                done(body.has_value());
+              });
+}
+
+// A short GET whose answer must be whole and a success.
+void EndpointClient::Fetch(
+    const SocketAddress& address,
+    std::string target,
+    std::function<void(const Result<std::string>&)> done) {
+  constexpr int kStatusOk = 200;
+  struct Answer {
+    int status = 0;
+    std::string body;
+  };
+  const auto answer = std::make_shared<Answer>();
+  const auto limit = static_cast<size_t>(this->options.max_whole_bytes);
+  this->http.Send(
+      {.address = address,
+       .target = std::move(target),
+       .timeouts = this->options.control},
+      {.on_head =
+           [answer](const HttpAnswerHead& head) {
+             answer->status = head.status;
+           },
+       .on_bytes =
+           [answer, limit](std::string_view bytes) {
+             answer->body.append(
+                 bytes.substr(0, limit - std::min(limit, answer->body.size())));
+           },
+       .on_end =
+           [answer, done = std::move(done)](HttpEnd end,
+                                            const std::string& detail) {
+             if (end == HttpEnd::kWhole && answer->status == kStatusOk) {
+               done(std::move(answer->body));
+             } else {
+               done(Fail(ErrorKind::kEndpointFailed,
+                         "No answer from the endpoint: " + detail));
+             }
+           }});
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/endpoints/package.cmake
@@ -0,0 +1,1 @@
+add_package(endpoints hs_decisions hs_http)
--- /dev/null
+++ b/packages/gateway/completion_body.cc
@@ -0,0 +1,162 @@
+#include "gateway/completion_body.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <array>
+
+#include "endpoints/prompt.h"
+#include "kernel/json.h"
+
+namespace hickorystand {
+namespace {
+
+// Tokens that an answer is taken to have when the caller sets no limit.
+constexpr int64_t kOutputGuess = 256;
+constexpr int64_t kMaxOutputTokens = int64_t{1} << 20;
+
+constexpr std::string_view kZeroEscape = "\\u0000";
+// All that may stand outside of strings: spaces, punctuation, numbers, and the
+// letters of true, false and null.
+constexpr std::string_view kJsonBytes = " \t\r\n{}[]:,+-.0123456789eEtrufalsn";
+
+// Members whose answers are more than one growing text.
+constexpr std::array<std::string_view, 6> kNotByChunks = {
+    "tools", "functions", "logprobs", "best_of", "echo", "audio"};
+
+Result<void> BadBody(std::string message) {
+  return Fail(ErrorKind::kBadRequest, std::move(message));
+}
+
+// Steps over the string that begins at `at`, to its closing quote. The error
+// says why that can't be done.
+Result<void> SkipString(std::string_view text, size_t& at) {
+  for (++at; at < text.size() && text[at] != '"'; ++at) {
+    if (text[at] != '\\') {
+      continue;
+    }
+    if (text.substr(at).starts_with(kZeroEscape)) {
+      return BadBody("The body contains the character \\u0000.");
+    }
+    ++at;
+  }
+  return at < text.size() ? Result<void>()
+                          : BadBody("The body ends within a string.");
+}
+
+bool AsksForMore(const Json& json) {
+  if (json.At("n").Integer(1) != 1) {
+    return true;
+  }
+  return std::ranges::any_of(kNotByChunks, [&](std::string_view name) {
+    const Json member = json.At(name);
+    return member.Exists() && !(member.IsFlag() && !member.Flag());
+  });
+}
+
+Result<void> CheckTypes(const Json& json, CompletionKind kind) {
+  if (!json.IsObject()) {
+    return BadBody("The body must be a JSON object.");
+  }
+  if (!json.At("model").IsText()) {
+    return BadBody("'model' must be a string.");
+  }
+  if (kind == CompletionKind::kChat &&
+      (!json.At("messages").IsArray() || json.At("messages").Items().empty())) {
+    return BadBody("'messages' must be a list that is not empty.");
+  }
+  const Json prompt = json.At("prompt");
+  if (kind == CompletionKind::kText && !prompt.IsText() && !prompt.IsArray()) {
+    return BadBody("'prompt' must be a string or a list.");
+  }
+  if (json.At("stream").Exists() && !json.At("stream").IsFlag()) {
+    return BadBody("'stream' must be true or false.");
+  }
+  return {};
+}
+
+int64_t OutputTokens(const Json& json) {
+  const Json newer = json.At("max_completion_tokens");
+  const Json limit = newer.IsInteger() ? newer : json.At("max_tokens");
+  return std::clamp<int64_t>(limit.Integer(kOutputGuess), 1, kMaxOutputTokens);
+}
+
+// The caller's body with the answer asked for as a stream that ends with the
+// token counts.
+std::string StreamingBody(const Json& json) {
+  JsonWriter out;
+  out.BeginObject();
+  for (const std::string& name : json.Names()) {
+    if (name != "stream" && name != "stream_options") {
+      out.Member(name, json.At(name));
+    }
+  }
+  out.Member("stream", true);
+  out.Name("stream_options").BeginObject();
+  out.Member("include_usage", true).EndObject();
+  return out.EndObject().Text();
+}
+
+}  // namespace
+
+Result<void> CheckJsonShape(std::string_view text, const JsonLimits& limits) {
+  if (!g_utf8_validate(text.data(), static_cast<gssize>(text.size()),
+                       nullptr)) {
+    return BadBody("The body is not valid UTF-8.");
+  }
+  int depth = 0;
+  int64_t values = 0;
+  for (size_t at = 0; at < text.size(); ++at) {
+    const char c = text[at];
+    if (c == '"') {
+      const Result<void> skipped = SkipString(text, at);
+      if (!skipped) {
+        return skipped;
+      }
+    } else if (c == '{' || c == '[') {
+      ++values;
+      if (++depth > limits.max_depth) {
+        return BadBody("The body nests too deep.");
+      }
+    } else if (c == '}' || c == ']') {
+      --depth;
+    } else if (c == ',') {
+      ++values;
+    } else if (kJsonBytes.find(c) == std::string_view::npos) {
+      return BadBody("The body is not JSON.");
+    }
+    if (values > limits.max_values) {
+      return BadBody("The body has too many values.");
+    }
+  }
+  return {};
+}
+
+Result<CompletionBody> ParseCompletionBody(std::string_view text,
+                                           CompletionKind kind,
+                                           const JsonLimits& limits) {
+  const Result<Json> json =
+      CheckJsonShape(text, limits).and_then([&] { return Json::Parse(text); });
+  if (!json) {
+    return tl::unexpected(json.error());
+  }
+  const Result<void> typed = CheckTypes(*json, kind);
+  if (!typed) {
+    return tl::unexpected(typed.error());
+  }
+  const std::string prompt = PromptText(*json);
+  const std::string tier = json->At("service_tier").Text();
+  CompletionBody body;
+  body.model = json->At("model").Text();
+  body.stream = json->At("stream").Flag();
+  body.include_usage = json->At("stream_options").At("include_usage").Flag();
+  body.batch = tier == "flex" || tier == "batch";
+  body.prompt_tokens = EstimateTokens(prompt);
+  body.output_tokens = OutputTokens(*json);
+  body.prefix_hashes = PrefixHashes(prompt);
+  body.by_chunks = body.stream || !AsksForMore(*json);
+  body.engine_body = body.by_chunks ? StreamingBody(*json) : std::string(text);
+  return body;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/gateway/decision_log.h
@@ -0,0 +1,57 @@
+// One log line per decision about a request, and the last of them kept in
+// memory for `hickoryctl why REQUEST-ID`.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decisions/dispatcher.h"
+#include "kernel/ids.h"
+
+namespace hickorystand {
+
+// One decision, as it was logged.
+struct Decision {
+  RequestId request;
+  int64_t wall_milliseconds = 0;
+  std::string part;
+  std::string message;
+  std::vector<std::pair<std::string, std::string>> fields;
+
+  bool operator==(const Decision&) const = default;
+};
+
+// Writes and remembers decisions.
+class DecisionLog {
+ public:
+  explicit DecisionLog(size_t capacity) : capacity(capacity) {}
+
+  // What the dispatcher decided.
+  void Record(int64_t wall_milliseconds, const Dispatch& action);
+
+  // How an attempt ended.
+  void Record(int64_t wall_milliseconds,
+              const RequestId& request,
+              const EndpointId& endpoint,
+              const AttemptResult& result,
+              const std::string& detail);
+
+  // All that is remembered about a request, oldest first.
+  std::vector<Decision> About(const RequestId& request) const;
+
+ private:
+  void Keep(Decision decision);
+
+  size_t capacity;
+  std::deque<Decision> kept;  // oldest first
+};
+
+// The outcome's name in logs and metrics.
+std::string_view OutcomeName(AttemptOutcome outcome);
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/gateway/endpoint_watcher.h
@@ -0,0 +1,68 @@
+// Asks the engines of this data centre for their load and for the changes of
+// their prefix caches, again and again.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "decisions/request.h"
+#include "endpoints/endpoint_client.h"
+#include "kernel/task.h"
+
+namespace hickorystand {
+
+// How often is asked; zero: never.
+struct EndpointWatcherOptions {
+  Duration load_period = std::chrono::milliseconds(500);
+  Duration cache_period = std::chrono::seconds(1);
+
+  auto operator<=>(const EndpointWatcherOptions&) const = default;
+};
+
+// What a watcher tells.
+struct EndpointWatcherEvents {
+  std::function<void(const LoadReport&)> on_load;
+  std::function<void(const CacheEvent&)> on_cache;
+};
+
+// Watches all engines of one data centre.
+class EndpointWatcher {
+ public:
+  EndpointWatcher(EndpointWatcherOptions options,
+                  DataCentreId data_centre,
+                  EndpointClient& client,
+                  EndpointWatcherEvents events);
+  ~EndpointWatcher();
+  EndpointWatcher(const EndpointWatcher&) = delete;
+  EndpointWatcher& operator=(const EndpointWatcher&) = delete;
+
+  void ApplyConfiguration(ConfigurationPtr next);
+
+ private:
+  struct CachePosition {
+    uint64_t incarnation = 0;
+    int64_t sequence = 0;
+    bool asked = false;  // a question is out
+  };
+
+  void AskForLoads();
+  void AskForCaches();
+  void TakeCacheEvents(const EndpointId& endpoint,
+                       const Result<std::vector<CacheEvent>>& events);
+  void ForEachEngine(const std::function<void(const Endpoint&)>& call) const;
+
+  DataCentreId data_centre;
+  EndpointClient& client;
+  EndpointWatcherEvents events;
+  ConfigurationPtr configuration = std::make_shared<Configuration>();
+  std::map<EndpointId, CachePosition> positions;
+  std::map<EndpointId, bool> load_asked;
+  std::unique_ptr<Timer> load_timer;
+  std::unique_ptr<Timer> cache_timer;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/gateway/package.cmake
@@ -0,0 +1,1 @@
+add_package(gateway hs_endpoints)
--- /dev/null
+++ b/packages/gateway/relay.cc
@@ -0,0 +1,276 @@
+#include "gateway/relay.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "endpoints/sse.h"
+#include "gateway/caller_error.h"
+#include "kernel/json.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr int kStatusOk = 200;
+
+// -- Streams -----------------------------------------------------------------
+
+class StreamRelay final : public Relay {
+ public:
+  StreamRelay(HttpCallPtr call, RequestId request, const RelayOptions& options)
+      : Relay(std::move(call), std::move(request)), options(options) {}
+
+  AnswerShape Shape() const override { return AnswerShape::kChunks; }
+
+  void OnChunk(std::string_view data, const CompletionChunk& chunk) override {
+    // The engine is always asked for its counts; the caller may not have been.
+    const bool only_usage =
+        chunk.has_usage && !chunk.has_output && chunk.finish_reason.empty();
+    if (only_usage && !this->options.include_usage) {
+      return;
+    }
+    this->delivered += chunk.has_output ? 1 : 0;
+    this->Begin();
+    this->call->Write(SseEvent(data));
+  }
+
+  void Finish(const AttemptEnd& end) override {
+    if (end.result.outcome != AttemptOutcome::kComplete) {
+      this->FinishRefused(end);
+      return;
+    }
+    this->Begin();
+    this->call->Write(SseEvent(kSseDone));
+    this->call->EndStream();
+  }
+
+  // A stream that just stopped would look to its reader like a short answer.
+  // The error event makes a client library raise; [DONE] is not sent.
+  void Fail(const Error& error) override {
+    if (!this->call->Started()) {
+      Relay::Fail(error);
+      return;
+    }
+    this->call->Write(SseEvent(ErrorBody(error)));
+    this->call->EndStream();
+  }
+
+ private:
+  void Begin() {
+    if (!this->call->Started()) {
+      this->call->StartStream(kStatusOk,
+                              {{"Content-Type", "text/event-stream"},
+                               {"Cache-Control", "no-cache"},
+                               {"X-Request-Id", this->request.Text()}});
+    }
+  }
+
+  void FinishRefused(const AttemptEnd& end) {
+    if (this->call->Started()) {
+      this->Fail({ErrorKind::kBrokenAnswer, "The answer can't be resumed."});
+    } else {
+      this->AnswerWith(end);
+    }
+  }
+
+  RelayOptions options;
+};
+
+// -- Whole completions from a stream -----------------------------------------
+
+class AssemblyRelay final : public Relay {
+ public:
+  AssemblyRelay(HttpCallPtr call,
+                RequestId request,
+                const RelayOptions& options)
+      : Relay(std::move(call), std::move(request)), options(options) {}
+
+  AnswerShape Shape() const override { return AnswerShape::kChunks; }
+
+  void OnChunk(std::string_view, const CompletionChunk& chunk) override {
+    this->delivered += chunk.has_output ? 1 : 0;
+    this->text += chunk.content;
+    if (!chunk.finish_reason.empty()) {
+      this->finish_reason = chunk.finish_reason;
+    }
+    if (chunk.has_usage) {
+      this->usage = chunk.usage;
+    }
+    if (!chunk.id.empty()) {
+      this->id = chunk.id;
+      this->model = chunk.model;
+      this->created = chunk.created;
+    }
+  }
+
+  void Finish(const AttemptEnd& end) override {
+    if (end.result.outcome != AttemptOutcome::kComplete) {
+      this->AnswerWith(end);
+      return;
+    }
+    this->call->Answer(kStatusOk,
+                       {{"Content-Type", "application/json"},
+                        {"X-Request-Id", this->request.Text()}},
+                       this->Document());
+  }
+
+ private:
+  std::string Document() const {
+    const bool chat = this->options.kind == CompletionKind::kChat;
+    JsonWriter out;
+    out.BeginObject();
+    out.Member("id", this->id);
+    out.Member("object", chat ? "chat.completion" : "text_completion");
+    out.Member("created", this->created).Member("model", this->model);
+    out.Name("choices").BeginArray().BeginObject().Member("index", 0);
+    if (chat) {
+      out.Name("message").BeginObject();
+      out.Member("role", "assistant").Member("content", this->text);
+      out.EndObject();
+    } else {
+      out.Member("text", this->text);
+    }
+    out.Member("finish_reason", this->finish_reason).EndObject().EndArray();
+    this->WriteUsage(out);
+    return out.EndObject().Text();
+  }
+
+  void WriteUsage(JsonWriter& out) const {
+    out.Name("usage").BeginObject();
+    out.Member("prompt_tokens", this->usage.prompt_tokens);
+    out.Member("completion_tokens", this->usage.completion_tokens);
+    out.Member("total_tokens",
+               this->usage.prompt_tokens + this->usage.completion_tokens);
+    out.Name("prompt_tokens_details").BeginObject();
+    out.Member("cached_tokens", this->usage.cached_tokens).EndObject();
+    out.EndObject();
+  }
+
+  RelayOptions options;
+  std::string id;
+  std::string model;
+  int64_t created = 0;
+  std::string text;
+  std::string finish_reason = "stop";
+  CompletionUsage usage;
+};
+
+// -- Whole completions as they are -------------------------------------------
+
+class WholeRelay final : public Relay {
+ public:
+  using Relay::Relay;
+
+  AnswerShape Shape() const override { return AnswerShape::kWhole; }
+  void Finish(const AttemptEnd& end) override { this->AnswerWith(end); }
+};
+
+// -- Plain services ----------------------------------------------------------
+
+// Holds what each attempt has brought until one is whole, or until one has
+// brought so much that it is passed on from then.
+class BytesRelay final : public Relay {
+ public:
+  BytesRelay(HttpCallPtr call, RequestId request, const RelayOptions& options)
+      : Relay(std::move(call), std::move(request)), options(options) {}
+
+  AnswerShape Shape() const override { return AnswerShape::kBytes; }
+
+  void OnHead(AttemptId attempt, const HttpAnswerHead& head) override {
+    this->held[attempt].head = head;
+  }
+
+  void OnBytes(AttemptId attempt, std::string_view bytes) override {
+    if (this->bound == attempt) {
+      this->call->Write(bytes);
+      return;
+    }
+    Held& part = this->held[attempt];
+    part.body.append(bytes);
+    if (this->bound == 0 && std::ssize(part.body) > this->options.hold_bytes) {
+      this->bound = attempt;
+      this->call->StartStream(part.head.status, this->HeadersOf(part.head));
+      this->call->Write(std::exchange(part.body, {}));
+    }
+  }
+
+  void Drop(AttemptId attempt) override { this->held.erase(attempt); }
+
+  void Finish(const AttemptEnd& end) override {
+    if (this->bound != 0) {
+      this->call->EndStream();
+      return;
+    }
+    const auto found = this->held.find(end.result.attempt);
+    if (found == this->held.end()) {
+      this->AnswerWith(end);
+      return;
+    }
+    const Held& part = found->second;
+    this->call->Answer(part.head.status, this->HeadersOf(part.head), part.body);
+  }
+
+  AttemptId BoundTo() const override { return this->bound; }
+
+ private:
+  struct Held {
+    HttpAnswerHead head;
+    std::string body;
+  };
+
+  HttpHeaders HeadersOf(const HttpAnswerHead& head) const {
+    HttpHeaders headers = ForwardableHeaders(head.headers);
+    headers.push_back({"X-Request-Id", this->request.Text()});
+    return headers;
+  }
+
+  RelayOptions options;
+  std::map<AttemptId, Held> held;
+  AttemptId bound = 0;
+};
+
+}  // namespace
+
+Relay::Relay(HttpCallPtr call, RequestId request)
+    : call(std::move(call)), request(std::move(request)) {}
+
+void Relay::Fail(const Error& error) {
+  if (this->call->Started()) {
+    this->call->Abort();
+  } else {
+    AnswerError(this->call, this->request, error);
+  }
+}
+
+void Relay::AnswerWith(const AttemptEnd& end) {
+  HttpHeaders headers = ForwardableHeaders(end.headers);
+  headers.push_back({"X-Request-Id", this->request.Text()});
+  this->call->Answer(end.status, headers, end.body);
+}
+
+std::unique_ptr<Relay> MakeStreamRelay(HttpCallPtr call,
+                                       RequestId request,
+                                       const RelayOptions& options) {
+  return std::make_unique<StreamRelay>(std::move(call), std::move(request),
+                                       options);
+}
+
+std::unique_ptr<Relay> MakeAssemblyRelay(HttpCallPtr call,
+                                         RequestId request,
+                                         const RelayOptions& options) {
+  return std::make_unique<AssemblyRelay>(std::move(call), std::move(request),
+                                         options);
+}
+
+std::unique_ptr<Relay> MakeWholeRelay(HttpCallPtr call, RequestId request) {
+  return std::make_unique<WholeRelay>(std::move(call), std::move(request));
+}
+
+std::unique_ptr<Relay> MakeBytesRelay(HttpCallPtr call,
+                                      RequestId request,
+                                      const RelayOptions& options) {
+  return std::make_unique<BytesRelay>(std::move(call), std::move(request),
+                                      options);
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/gateway/request_driver.cc
@@ -0,0 +1,484 @@
+#include "gateway/request_driver.h"
+
+#include <algorithm>
+#include <cassert>
+#include <iterator>
+#include <utility>
+
+#include "kernel/log.h"
+
+namespace hickorystand {
+namespace {
+
+// Outcomes after which it is certain that the endpoint did not run anything.
+bool SurelyNotRun(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kNotSent ||
+         outcome == AttemptOutcome::kRefused;
+}
+
+bool IsOnce(const Request& request) {
+  return request.request_class == RequestClass::kOnce;
+}
+
+}  // namespace
+
+const RequestDriver::ActionRow RequestDriver::kActions[] = {
+    {DispatchKind::kClaim, &RequestDriver::Claim},
+    {DispatchKind::kSend, &RequestDriver::Send},
+    {DispatchKind::kCancel, &RequestDriver::Cancel},
+    {DispatchKind::kFinish, &RequestDriver::Finish},
+    {DispatchKind::kRefuse, &RequestDriver::Refuse},
+};
+
+RequestDriver::RequestDriver(RequestDriverOptions options,
+                             std::unique_ptr<Dispatcher> dispatcher,
+                             const Clock& clock,
+                             Metrics& metrics)
+    : options(std::move(options)),
+      dispatcher(std::move(dispatcher)),
+      clock(clock),
+      metrics(metrics),
+      client(this->options.endpoints, metrics),
+      decisions(this->options.remembered_decisions) {}
+
+RequestDriver::~RequestDriver() {
+  *this->alive = false;
+  for (auto& [id, request] : this->live) {
+    request.incoming.call->OnGone({});
+    request.incoming.call->OnDrained({});
+    for (auto& [attempt, run] : request.attempts) {
+      run.attempt->Cancel();
+    }
+  }
+}
+
+void RequestDriver::ApplyConfiguration(ConfigurationPtr next) {
+  this->configuration = std::move(next);
+  this->dispatcher->OnConfiguration(this->clock.Now(), this->configuration);
+}
+
+void RequestDriver::Take(IncomingRequest incoming) {
+  const Request request = incoming.request;
+  const RequestId id = request.id;
+  incoming.call->OnGone([this, alive = this->alive, id] {
+    if (*alive) {
+      this->OnCallerGone(id);
+    }
+  });
+  const auto [where, fresh] =
+      this->live.emplace(id, LiveRequest{.incoming = std::move(incoming)});
+  assert(fresh && "request ids are unique");
+  this->Apply(this->dispatcher->OnArrival(this->clock.Now(), request));
+}
+
+void RequestDriver::OnLoad(const LoadReport& report) {
+  this->Apply(this->dispatcher->OnLoad(this->clock.Now(), report));
+}
+
+void RequestDriver::OnCache(const CacheEvent& event) {
+  this->dispatcher->OnCache(this->clock.Now(), event);
+}
+
+void RequestDriver::OnDigest(const Digest& digest) {
+  this->Apply(this->dispatcher->OnDigest(this->clock.Now(), digest));
+}
+
+void RequestDriver::OnHostGone(const HostId& host) {
+  this->dispatcher->OnHostGone(this->clock.Now(), host);
+}
+
+void RequestDriver::Tick() {
+  this->Apply(this->dispatcher->OnTick(this->clock.Now()));
+}
+
+void RequestDriver::StartDrain(std::function<void()> on_drained) {
+  this->on_drained = std::move(on_drained);
+  this->dispatcher->StartDrain();
+  this->CheckDrained();
+}
+
+void RequestDriver::CheckDrained() {
+  if (this->live.empty() && this->on_drained) {
+    std::exchange(this->on_drained, {})();
+  }
+}
+
+void RequestDriver::Apply(DispatchList actions) {
+  std::ranges::move(actions, std::back_inserter(this->pending));
+  if (this->applying) {
+    return;
+  }
+  this->applying = true;
+  while (!this->pending.empty()) {
+    const Dispatch action = std::move(this->pending.front());
+    this->pending.pop_front();
+    if (this->Find(action.request) == nullptr) {
+      this->Skip(action);
+      continue;
+    }
+    this->decisions.Record(this->clock.WallMilliseconds(), action);
+    const auto* row =
+        std::ranges::find(kActions, action.kind, &ActionRow::kind);
+    (this->*row->action)(action);
+  }
+  this->applying = false;
+  this->CheckDrained();
+}
+
+// The request was answered, or its caller went, after this was decided. The
+// dispatcher still waits for the end of an attempt that it asked for.
+void RequestDriver::Skip(const Dispatch& action) {
+  if (action.kind == DispatchKind::kSend) {
+    this->Apply(this->dispatcher->OnResult(
+        this->clock.Now(),
+        {.attempt = action.attempt, .outcome = AttemptOutcome::kNotSent}));
+  }
+}
+
+RequestDriver::LiveRequest* RequestDriver::Find(const RequestId& id) {
+  const auto found = this->live.find(id);
+  return found == this->live.end() ? nullptr : &found->second;
+}
+
+// A key that was good on arrival may have been withdrawn while the request
+// waited; without this check the account's queue would still be worked off.
+// Requests that run already are finished.
+bool RequestDriver::Permitted(LiveRequest& live) {
+  if (live.permitted || !this->options.check_keys_again) {
+    return true;
+  }
+  const auto key = this->configuration->keys.find(live.incoming.key_hash);
+  live.permitted = key != this->configuration->keys.end() &&
+                   key->second.account == live.incoming.request.account;
+  if (live.permitted) {
+    return true;
+  }
+  const RequestId id = live.incoming.request.id;
+  this->Apply({{.kind = DispatchKind::kRefuse,
+                .request = id,
+                .reason = "key withdrawn while queued",
+                .error = Error{ErrorKind::kBadKey,
+                               "The API key is no longer valid."}}});
+  this->Apply(this->dispatcher->OnCallerGone(this->clock.Now(), id));
+  return false;
+}
+
+// -- Actions -----------------------------------------------------------------
+
+void RequestDriver::Claim(const Dispatch& action) {
+  LiveRequest& live = *this->Find(action.request);
+  if (!this->Permitted(live)) {
+    return;
+  }
+  const RequestId id = action.request;
+  if (!this->hooks.claim) {
+    this->OnClaimed(id, ClaimResult::kUnavailable);
+    return;
+  }
+  const Request& request = live.incoming.request;
+  const auto service = this->configuration->services.find(request.service);
+  this->hooks.claim(
+      {.service = request.service,
+       .hash = live.incoming.claim_hash,
+       .request = id,
+       .host = this->options.host,
+       .duplicate_window = service == this->configuration->services.end()
+                               ? Duration{}
+                               : service->second.duplicate_window},
+      [this, alive = this->alive, id](ClaimResult result) {
+        if (*alive) {
+          this->OnClaimed(id, result);
+        }
+      });
+}
+
+void RequestDriver::OnClaimed(const RequestId& id, ClaimResult result) {
+  if (LiveRequest* live = this->Find(id)) {
+    live->claimed = result == ClaimResult::kGranted;
+  }
+  this->Apply(this->dispatcher->OnClaim(this->clock.Now(), id, result));
+}
+
+void RequestDriver::Send(const Dispatch& action) {
+  LiveRequest& live = *this->Find(action.request);
+  assert((!IsOnce(live.incoming.request) ||
+          (live.claimed && !live.may_have_run && live.attempts.empty())) &&
+         "a non-idempotent request is claimed, and sent where it surely did "
+         "not run before");
+  if (!this->Permitted(live)) {
+    this->Skip(action);
+    return;
+  }
+  const auto endpoint = this->configuration->endpoints.find(action.endpoint);
+  if (endpoint == this->configuration->endpoints.end()) {
+    this->Skip(action);
+    return;
+  }
+  RunningAttempt& run = live.attempts[action.attempt];
+  run.endpoint = action.endpoint;
+  run.started = this->clock.Now();
+  run.attempt =
+      this->client.Start(this->MakeCall(live, action, endpoint->second),
+                         this->MakeEvents(action.request, action.attempt));
+}
+
+AttemptCall RequestDriver::MakeCall(LiveRequest& live,
+                                    const Dispatch& action,
+                                    const Endpoint& endpoint) const {
+  const IncomingRequest& incoming = live.incoming;
+  return {.attempt = action.attempt,
+          .request = action.request,
+          .address = endpoint.address,
+          .method = incoming.method,
+          .target = incoming.target,
+          .headers = incoming.headers,
+          .content_type = incoming.content_type,
+          .body = incoming.body,
+          .shape = incoming.relay->Shape(),
+          .once = IsOnce(incoming.request),
+          .batch = incoming.request.request_class == RequestClass::kBatch,
+          .resume_from = incoming.relay->Delivered(),
+          .timeouts = incoming.timeouts};
+}
+
+AttemptEvents RequestDriver::MakeEvents(const RequestId& id,
+                                        AttemptId attempt) {
+  return {
+      .on_head =
+          [this, id, attempt](const HttpAnswerHead& head) {
+            if (LiveRequest* live = this->Find(id)) {
+              live->incoming.relay->OnHead(attempt, head);
+            }
+          },
+      .on_bytes =
+          [this, id, attempt](std::string_view bytes) {
+            this->OnBytes(id, attempt, bytes);
+          },
+      .on_chunk =
+          [this, id, attempt](std::string_view data,
+                              const CompletionChunk& chunk) {
+            this->OnChunk(id, attempt, data, chunk);
+          },
+      .on_end = [this, id, attempt](
+                    const AttemptEnd& end) { this->OnEnd(id, attempt, end); },
+  };
+}
+
+void RequestDriver::Cancel(const Dispatch& action) {
+  LiveRequest& live = *this->Find(action.request);
+  this->Abandon(live, action.attempt);
+  if (live.caller_gone && live.attempts.empty()) {
+    this->Forget(action.request);
+  }
+}
+
+// Lets go of an attempt. One of a non-idempotent request runs on unheard:
+// cutting it off would only make its outcome unknown.
+void RequestDriver::Abandon(LiveRequest& live, AttemptId attempt) {
+  const auto found = live.attempts.find(attempt);
+  if (found == live.attempts.end() || IsOnce(live.incoming.request)) {
+    return;
+  }
+  const RunningAttempt run = found->second;
+  live.attempts.erase(found);
+  run.attempt->Cancel();
+  if (run.attempt->Call().shape != AnswerShape::kBytes) {
+    this->client.CancelAt(run.attempt->Call().address, live.incoming.request.id,
+                          attempt);
+  }
+  this->Bill(live, run, {.result = {.attempt = attempt}});
+}
+
+void RequestDriver::Finish(const Dispatch& action) {
+  LiveRequest& live = *this->Find(action.request);
+  this->metrics.Add("hickorystand_requests_total", 1,
+                    {{"service", live.incoming.request.service.Text()}});
+  live.incoming.relay->Finish(live.last_end);
+  this->Forget(action.request);
+}
+
+void RequestDriver::Refuse(const Dispatch& action) {
+  LiveRequest& live = *this->Find(action.request);
+  const Error error = action.error.value_or(Error{});
+  this->metrics.Add("hickorystand_refusals_total", 1,
+                    {{"code", std::string(AnswerFor(error.kind).code)}});
+  assert((!AnswerFor(error.kind).not_run || !live.may_have_run ||
+          !IsOnce(live.incoming.request)) &&
+         "'not run' is said only of what surely did not run");
+  if (live.claimed && !live.may_have_run && this->hooks.release_claim) {
+    this->hooks.release_claim({.service = live.incoming.request.service,
+                               .hash = live.incoming.claim_hash,
+                               .request = action.request,
+                               .host = this->options.host});
+  }
+  live.incoming.relay->Fail(error);
+  this->Forget(action.request);
+}
+
+void RequestDriver::Forget(const RequestId& id) {
+  auto node = this->live.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  LiveRequest& live = node.mapped();
+  live.incoming.call->OnGone({});
+  live.incoming.call->OnDrained({});
+  while (!live.attempts.empty() && !IsOnce(live.incoming.request)) {
+    this->Abandon(live, live.attempts.begin()->first);
+  }
+}
+
+// -- Events ------------------------------------------------------------------
+
+void RequestDriver::OnChunk(const RequestId& id,
+                            AttemptId attempt,
+                            std::string_view data,
+                            const CompletionChunk& chunk) {
+  LiveRequest* live = this->Find(id);
+  if (live == nullptr) {
+    return;
+  }
+  RunningAttempt& run = live->attempts.at(attempt);
+  const int64_t before = live->incoming.relay->Delivered();
+  live->incoming.relay->OnChunk(data, chunk);
+  const int64_t more = live->incoming.relay->Delivered() - before;
+  if (before == 0 && more > 0) {
+    this->metrics.Observe(
+        "hickorystand_first_token_seconds",
+        ToSeconds(this->clock.Now() - live->incoming.request.arrived));
+  }
+  run.generated += more;
+  this->Throttle(*live, attempt);
+  if (more > 0) {
+    this->Apply(this->dispatcher->OnProgress(this->clock.Now(), attempt, more));
+  }
+}
+
+void RequestDriver::OnBytes(const RequestId& id,
+                            AttemptId attempt,
+                            std::string_view bytes) {
+  LiveRequest* live = this->Find(id);
+  if (live == nullptr) {
+    return;
+  }
+  live->incoming.relay->OnBytes(attempt, bytes);
+  this->Bind(*live);
+  this->Throttle(*live, attempt);
+}
+
+// Once part of one attempt's answer has been passed on, its hedge is useless.
+void RequestDriver::Bind(LiveRequest& live) {
+  const AttemptId bound = live.incoming.relay->BoundTo();
+  if (bound == 0 || live.attempts.size() < 2) {
+    return;
+  }
+  std::vector<AttemptId> others;
+  for (const auto& [attempt, run] : live.attempts) {
+    if (attempt != bound) {
+      others.push_back(attempt);
+    }
+  }
+  for (const AttemptId attempt : others) {
+    this->Abandon(live, attempt);
+    this->Apply(this->dispatcher->OnResult(
+        this->clock.Now(),
+        {.attempt = attempt, .outcome = AttemptOutcome::kCancelled}));
+  }
+}
+
+// A caller that fetches slowly slows its endpoint down instead of filling this
+// host's memory.
+void RequestDriver::Throttle(LiveRequest& live, AttemptId attempt) {
+  if (!live.incoming.call->Congested()) {
+    return;
+  }
+  const AttemptPtr paused = live.attempts.at(attempt).attempt;
+  paused->Pause();
+  live.incoming.call->OnDrained([paused] { paused->Resume(); });
+}
+
+void RequestDriver::OnEnd(const RequestId& id,
+                          AttemptId attempt,
+                          const AttemptEnd& end) {
+  LiveRequest* live = this->Find(id);
+  if (live == nullptr) {
+    return;
+  }
+  const auto node = live->attempts.extract(attempt);
+  assert(!node.empty() && "an attempt ends once");
+  const RunningAttempt& run = node.mapped();
+  this->decisions.Record(this->clock.WallMilliseconds(), id, run.endpoint,
+                         end.result, end.detail);
+  this->metrics.Add(
+      "hickorystand_attempts_total", 1,
+      {{"outcome", std::string(OutcomeName(end.result.outcome))}});
+  live->may_have_run |= !SurelyNotRun(end.result.outcome);
+  AttemptResult result = end.result;
+  result.generated_tokens =
+      std::max(run.generated, run.attempt->Call().shape == AnswerShape::kWhole
+                                  ? end.result.generated_tokens
+                                  : int64_t{0});
+  this->Bill(*live, run, end);
+  if (end.result.outcome == AttemptOutcome::kComplete ||
+      end.result.outcome == AttemptOutcome::kRejected) {
+    live->last_end = end;
+  } else if (live->incoming.relay->BoundTo() == attempt) {
+    // Part of this attempt's answer is with the caller, and no other attempt
+    // can go on from there: cut the connection, so that the caller knows.
+    live->incoming.call->Abort();
+    this->Apply(this->dispatcher->OnResult(this->clock.Now(), result));
+    return;
+  } else {
+    live->incoming.relay->Drop(attempt);
+  }
+  const bool gone = live->caller_gone;
+  this->Apply(this->dispatcher->OnResult(this->clock.Now(), result));
+  if (gone && this->Find(id) != nullptr && this->Find(id)->attempts.empty()) {
+    this->Forget(id);
+    this->CheckDrained();
+  }
+}
+
+// The prompt is billed once, with the first attempt that brought anything, and
+// generated tokens as they were delivered: work that was lost with an endpoint
+// is not the account's.
+void RequestDriver::Bill(LiveRequest& live,
+                         const RunningAttempt& run,
+                         const AttemptEnd& end) {
+  const bool whole = run.attempt->Call().shape == AnswerShape::kWhole &&
+                     end.result.outcome == AttemptOutcome::kComplete;
+  const int64_t generated = whole ? end.result.generated_tokens : run.generated;
+  const bool complete =
+      end.status != 0 && end.result.outcome == AttemptOutcome::kComplete;
+  if (!this->hooks.usage || (generated == 0 && !complete)) {
+    return;
+  }
+  const Request& request = live.incoming.request;
+  const int64_t prompt = end.result.prompt_tokens > 0 ? end.result.prompt_tokens
+                                                      : request.prompt_tokens;
+  this->hooks.usage(
+      {.account = request.account,
+       .service = request.service,
+       .request = request.id,
+       .attempt = end.result.attempt,
+       .prompt_tokens = std::exchange(live.prompt_billed, true) ? 0 : prompt,
+       .generated_tokens = generated});
+}
+
+void RequestDriver::OnCallerGone(const RequestId& id) {
+  LiveRequest* live = this->Find(id);
+  if (live == nullptr) {
+    return;
+  }
+  live->caller_gone = true;
+  this->metrics.Add("hickorystand_callers_gone_total", 1);
+  this->Apply(this->dispatcher->OnCallerGone(this->clock.Now(), id));
+  live = this->Find(id);
+  if (live != nullptr &&
+      (live->attempts.empty() || !IsOnce(live->incoming.request))) {
+    this->Forget(id);
+    this->CheckDrained();
+  }
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/gateway/request_driver.h
@@ -0,0 +1,200 @@
+// Carries out what the dispatcher decides: asks for claims, runs attempts at
+// endpoints, and lets each request's relay answer its caller.
+//
+// Index
+//   ClaimRequest, UsageRecord   what the driver tells the rest of the host
+//   RequestHooks                how it tells it
+//   IncomingRequest             a request whose key was good
+//   RequestDriver               all live requests of this host
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "decisions/dispatcher.h"
+#include "endpoints/endpoint_client.h"
+#include "gateway/decision_log.h"
+#include "gateway/relay.h"
+#include "kernel/metrics.h"
+#include "kernel/time.h"
+
+namespace hickorystand {
+
+// A non-idempotent request that is about to run.
+struct ClaimRequest {
+  ServiceId service;
+  std::string hash;  // of account, service and Idempotency-Key or body
+  RequestId request;
+  HostId host;
+  Duration duplicate_window{};
+
+  auto operator<=>(const ClaimRequest&) const = default;
+};
+
+// What an account is to be billed for one attempt: what its caller was given.
+struct UsageRecord {
+  AccountId account;
+  ServiceId service;
+  RequestId request;
+  AttemptId attempt = 0;
+  int64_t prompt_tokens = 0;
+  int64_t generated_tokens = 0;
+
+  auto operator<=>(const UsageRecord&) const = default;
+};
+
+// The rest of the host, as the driver sees it. All are called on its task.
+struct RequestHooks {
+  // Records a claim; `done` may be called at once or later, on this task.
+  // Without this hook no non-idempotent request runs.
+  std::function<void(const ClaimRequest&, std::function<void(ClaimResult)>)>
+      claim;
+  // The claimed request certainly didn't run, and its caller was told so; the
+  // claim may be given back.
+  std::function<void(const ClaimRequest&)> release_claim;
+  std::function<void(const UsageRecord&)> usage;
+};
+
+// A request that is to be dispatched, with all that its attempts need.
+struct IncomingRequest {
+  Request request;
+  std::string key_hash;
+  std::string claim_hash;  // kOnce only
+  HttpCallPtr call;
+  std::unique_ptr<Relay> relay;
+  std::string method = "POST";
+  std::string target;
+  HttpHeaders headers;
+  std::string content_type;
+  std::string body;
+  HttpTimeouts timeouts;
+};
+
+// How a driver is made.
+struct RequestDriverOptions {
+  HostId host;
+  EndpointClientOptions endpoints;
+  size_t remembered_decisions = 8192;
+  // For the mutation test only: without it a withdrawn key's queued requests
+  // still run.
+  bool check_keys_again = true;
+};
+
+// All requests of one host, from their arrival until they are answered.
+class RequestDriver {
+ public:
+  RequestDriver(RequestDriverOptions options,
+                std::unique_ptr<Dispatcher> dispatcher,
+                const Clock& clock,
+                Metrics& metrics);
+  ~RequestDriver();
+  RequestDriver(const RequestDriver&) = delete;
+  RequestDriver& operator=(const RequestDriver&) = delete;
+
+  void SetHooks(RequestHooks hooks) { this->hooks = std::move(hooks); }
+  void ApplyConfiguration(ConfigurationPtr next);
+
+  // Takes a request over.
+  void Take(IncomingRequest incoming);
+
+  // News for the dispatcher.
+  void OnLoad(const LoadReport& report);
+  void OnCache(const CacheEvent& event);
+  void OnDigest(const Digest& digest);
+  void OnHostGone(const HostId& host);
+  void Tick();
+
+  // Takes nothing new; calls back when nothing is left, at once if need be.
+  void StartDrain(std::function<void()> on_drained);
+
+  void FillDigest(Digest& digest) const {
+    this->dispatcher->FillDigest(digest);
+  }
+  const DecisionLog& Decisions() const { return this->decisions; }
+  const Configuration& InForce() const { return *this->configuration; }
+  EndpointClient& Endpoints() { return this->client; }
+  int64_t Live() const { return static_cast<int64_t>(this->live.size()); }
+  int64_t Queued() const { return this->dispatcher->Queued(); }
+  int64_t Running() const { return this->dispatcher->Running(); }
+
+ private:
+  struct RunningAttempt {
+    AttemptPtr attempt;
+    EndpointId endpoint;
+    int64_t generated = 0;
+    Instant started{};
+  };
+
+  struct LiveRequest {
+    IncomingRequest incoming;
+    std::map<AttemptId, RunningAttempt> attempts;
+    AttemptEnd last_end;
+    bool permitted = false;  // its key was checked when it started
+    bool claimed = false;
+    bool may_have_run = false;
+    bool prompt_billed = false;
+    bool caller_gone = false;
+  };
+
+  using Action = void (RequestDriver::*)(const Dispatch&);
+  struct ActionRow {
+    DispatchKind kind;
+    Action action;
+  };
+  static const ActionRow kActions[];
+
+  // Actions that lead to further actions are carried out one after another.
+  void Apply(DispatchList actions);
+
+  void Claim(const Dispatch& action);
+  void Send(const Dispatch& action);
+  void Cancel(const Dispatch& action);
+  void Finish(const Dispatch& action);
+  void Refuse(const Dispatch& action);
+
+  void Skip(const Dispatch& action);
+  LiveRequest* Find(const RequestId& id);
+  bool Permitted(LiveRequest& live);
+  AttemptCall MakeCall(LiveRequest& live,
+                       const Dispatch& action,
+                       const Endpoint& endpoint) const;
+  AttemptEvents MakeEvents(const RequestId& id, AttemptId attempt);
+  void OnClaimed(const RequestId& id, ClaimResult result);
+  void OnChunk(const RequestId& id,
+               AttemptId attempt,
+               std::string_view data,
+               const CompletionChunk& chunk);
+  void OnBytes(const RequestId& id, AttemptId attempt, std::string_view bytes);
+  void OnEnd(const RequestId& id, AttemptId attempt, const AttemptEnd& end);
+  void OnCallerGone(const RequestId& id);
+  void Bind(LiveRequest& live);
+  void Throttle(LiveRequest& live, AttemptId attempt);
+  void Bill(LiveRequest& live,
+            const RunningAttempt& run,
+            const AttemptEnd& end);
+  void Abandon(LiveRequest& live, AttemptId attempt);
+  void Forget(const RequestId& id);
+  void CheckDrained();
+
+  RequestDriverOptions options;
+  std::unique_ptr<Dispatcher> dispatcher;
+  const Clock& clock;
+  Metrics& metrics;
+  EndpointClient client;
+  DecisionLog decisions;
+  RequestHooks hooks;
+  ConfigurationPtr configuration = std::make_shared<Configuration>();
+  std::map<RequestId, LiveRequest> live;
+  std::deque<Dispatch> pending;
+  bool applying = false;
+  std::function<void()> on_drained;
+  // Lets callbacks that come after the driver's end do nothing.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hickorystand
--- a/packages/http/http_types.cc
+++ b/packages/http/http_types.cc
@@ -8,9 +8,9 @@
 namespace {
 
 // A caller's key must never reach an endpoint: whoever reads the endpoint's
-// memory or log could act as the caller. The last rows are those in which
-// OpenAI client libraries and browsers may carry a key.
-constexpr std::array<std::string_view, 17> kNotForwarded = {
+// memory or log could act as the caller. Nor may a caller set the headers by
+// which an attempt is told from another.
+constexpr std::array<std::string_view, 21> kNotForwarded = {
     "connection",
     "keep-alive",
     "proxy-authenticate",
@@ -28,11 +28,15 @@
     "api-key",
     "x-api-key",
     "set-cookie",
+    "x-request-id",
+    "x-attempt",
+    "x-priority",
+    "x-resume-from",
 };
 
 bool SameName(std::string_view left, std::string_view right) {
-  return left.size() == right.size() &&
-         g_ascii_strncasecmp(left.data(), right.data(), left.size()) == 0;
+  return std::ranges::equal(left, right, {}, &g_ascii_tolower,
+                            &g_ascii_tolower);
 }
 
 bool Forwardable(const HttpHeader& header) {
--- a/packages/kernel/log.cc
+++ b/packages/kernel/log.cc
@@ -85,7 +85,7 @@
 std::string TextLine(LogLevel level,
                      std::string_view part,
                      std::string_view sentence,
-                     LogFields fields) {
+                     std::span<const LogField> fields) {
   std::string line = Timestamp();
   line.append(" ").append(NameOf(level)).append(" ");
   line.append(part).append(": ").append(sentence);
@@ -104,7 +104,7 @@
 std::string JsonLine(LogLevel level,
                      std::string_view part,
                      std::string_view sentence,
-                     LogFields fields) {
+                     std::span<const LogField> fields) {
   std::string line = "{\"time\":\"" + Timestamp() + "\",\"level\":\"";
   line.append(NameOf(level)).append("\",\"part\":\"").append(part);
   line.append("\",\"message\":");
@@ -142,6 +142,13 @@
              std::string_view part,
              std::string_view sentence,
              LogFields fields) {
+  LogLineWith(level, part, sentence, {fields.begin(), fields.size()});
+}
+
+void LogLineWith(LogLevel level,
+                 std::string_view part,
+                 std::string_view sentence,
+                 std::span<const LogField> fields) {
   if (level < log_threshold) {
     return;
   }
--- a/packages/kernel/log.h
+++ b/packages/kernel/log.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <initializer_list>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,12 @@
              std::string_view sentence,
              LogFields fields);
 
+// As LogLine(), with fields whose number is known only when it runs.
+void LogLineWith(LogLevel level,
+                 std::string_view part,
+                 std::string_view sentence,
+                 std::span<const LogField> fields);
+
 inline void LogDebug(std::string_view part,
                      std::string_view sentence,
                      LogFields fields = {}) {
