Add authority, orders, usage windows and claims as pure decisions

Any host may hold a data centre's lease; the fencing number is the revision at which its record was created. Intents of orders and usage windows stand in one batched record before anything leaves. Claims of non-idempotent requests are created in batches, with a token each.

--- /dev/null
+++ b/packages/decisions/claims.cc
@@ -0,0 +1,404 @@
+#include "decisions/claims.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cstdio>
+#include <ranges>
+#include <set>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+// How many duplicate windows a shared lease lasts; see OnLeaseGranted().
+constexpr int64_t kLeaseWindows = 2;
+
+// Feeds a field and its length, so that two fields can't be read as another
+// pair whose texts run together to the same bytes.
+void Feed(GChecksum* sum, std::string_view text) {
+  const std::string length = std::to_string(text.size()) + ":";
+  g_checksum_update(sum, reinterpret_cast<const guchar*>(length.data()),
+                    static_cast<gssize>(length.size()));
+  g_checksum_update(sum, reinterpret_cast<const guchar*>(text.data()),
+                    static_cast<gssize>(text.size()));
+}
+
+// Fixed width, so that tokens sort by age.
+std::string Padded(uint64_t number) {
+  std::array<char, 24> text;
+  std::snprintf(text.data(), text.size(), "%016llx",
+                static_cast<unsigned long long>(number));
+  return text.data();
+}
+
+}  // namespace
+
+std::string ClaimKey(const ServiceId& service,
+                     const AccountId& account,
+                     std::string_view idempotency_key,
+                     std::string_view path,
+                     std::string_view body) {
+  GChecksum* sum = g_checksum_new(G_CHECKSUM_SHA256);
+  Feed(sum, account.Text());
+  Feed(sum, idempotency_key);
+  if (idempotency_key.empty()) {
+    Feed(sum, path);
+    Feed(sum, body);
+  }
+  std::string key = "/hickorystand/claims/" + service.Text() + "/" +
+                    g_checksum_get_string(sum);
+  g_checksum_free(sum);
+  return key;
+}
+
+ClaimBook::ClaimBook(ClaimOptions options) : options(std::move(options)) {
+  assert(!this->options.host.Empty() && "claims need their host's id");
+}
+
+void ClaimBook::Claim(Instant now,
+                      const ClaimRequest& request,
+                      ClaimActions& out) {
+  assert(!request.key.empty() && "make the key with ClaimKey()");
+  assert(request.window > Duration::zero() && "a claim must last some time");
+  ++this->counts.claims;
+  if (!this->options.claim_before_send) {
+    this->granted[request.request] = {.key = request.key,
+                                      .valid_until = now + request.window / 2};
+    out.emplace_back(AnswerClaim{.request = request.request,
+                                 .result = ClaimResult::kGranted});
+    return;
+  }
+  if (std::ssize(this->waiting) >= this->options.max_waiting) {
+    out.emplace_back(AnswerClaim{.request = request.request,
+                                 .result = ClaimResult::kUnavailable});
+    return;
+  }
+  std::string token = this->options.host.Text() + "/" +
+                      std::to_string(this->options.incarnation) + "/" +
+                      Padded(++this->last_token);
+  Waiting claim{.request = request, .token = token};
+  this->waiting.emplace(std::move(token), std::move(claim));
+  this->OnTick(now, out);
+}
+
+bool ClaimBook::MaySend(Instant now, const RequestId& request) const {
+  const auto found = this->granted.find(request);
+  return found != this->granted.end() && now < found->second.valid_until;
+}
+
+void ClaimBook::Forget(const RequestId& request) {
+  this->granted.erase(request);
+}
+
+void ClaimBook::Withdraw(Instant now,
+                         const RequestId& request,
+                         ClaimActions& out) {
+  const auto found = this->granted.find(request);
+  if (found == this->granted.end()) {
+    return;
+  }
+  this->AddCleanUp({.key = found->second.key,
+                    .token = found->second.token,
+                    .last_sent = found->second.last_lost});
+  this->granted.erase(found);
+  this->OnTick(now, out);
+}
+
+void ClaimBook::OnTick(Instant now, ClaimActions& out) {
+  this->ExpireDue(now, out);
+  if (now >= this->next_batch &&
+      std::ssize(this->batches) < this->options.max_in_flight) {
+    this->SendBatch(now, out);
+  }
+  if (now >= this->next_batch) {
+    this->SendCleanUps(now, out);
+  }
+}
+
+bool ClaimBook::Busy() const {
+  return !this->waiting.empty() || !this->clean_ups.empty();
+}
+
+void ClaimBook::OnStoreReply(Instant now,
+                             CallTag tag,
+                             const StoreReply& reply,
+                             ClaimActions& out) {
+  if (const auto batch = this->batches.extract(tag)) {
+    this->OnBatch(now, batch.mapped(), reply, out);
+  } else if (const auto clean_up = this->cleaning.extract(tag)) {
+    this->OnCleanUp(clean_up.mapped(), reply);
+  }
+  this->OnTick(now, out);
+}
+
+void ClaimBook::OnLeaseGranted(Instant now,
+                               CallTag tag,
+                               const Result<int64_t>& lease,
+                               ClaimActions& out) {
+  const auto found = std::ranges::find_if(
+      this->leases,
+      [tag](const auto& entry) { return entry.second.call == tag; });
+  if (found == this->leases.end()) {
+    return;
+  }
+  auto& [window, shared] = *found;
+  shared.call = 0;
+  if (lease) {
+    // Lasts two windows from when it was asked for and is used for the first,
+    // so that every record stays for a whole window at least.
+    shared.lease = *lease;
+    shared.usable_until = shared.asked + window;
+  } else {
+    this->RefuseUnsent(now, window, out);
+  }
+  this->OnTick(now, out);
+}
+
+// Without a lease nothing was sent to the store, so nothing is recorded.
+void ClaimBook::RefuseUnsent(Instant now, Duration window, ClaimActions& out) {
+  std::vector<std::string> refused;
+  for (auto& [token, claim] : this->waiting) {
+    if (claim.request.window != window || claim.in_flight) {
+      continue;
+    }
+    if (claim.perhaps_recorded) {
+      claim.next_try = now + this->options.retry_every;
+    } else {
+      refused.push_back(token);
+    }
+  }
+  for (const std::string& token : refused) {
+    this->Answer(token, ClaimResult::kUnavailable, out);
+  }
+}
+
+// Whether there is a lease to bind the claim to; asks for one if there isn't.
+bool ClaimBook::HasLease(Instant now, Duration window, ClaimActions& out) {
+  SharedLease& shared = this->leases[window];
+  if (shared.lease != 0 && now < shared.usable_until) {
+    return true;
+  }
+  const bool given_up = now - shared.asked >= this->options.settle;
+  if (shared.call == 0 || given_up) {
+    shared = {.call = ++this->last_tag, .asked = now};
+    ++this->counts.leases;
+    out.emplace_back(
+        GrantLease{.tag = shared.call, .length = kLeaseWindows * window});
+  }
+  return false;
+}
+
+// The next claims to ask for: the oldest of those that are due, and of those
+// with the same key the first alone, as a transaction may put a key only once.
+ClaimBook::Batch ClaimBook::NextBatch(Instant now, ClaimActions& out) {
+  std::set<std::string> keys;
+  for (const auto& [token, claim] : this->waiting) {
+    if (claim.in_flight) {
+      keys.insert(claim.request.key);
+    }
+  }
+  Batch batch;
+  for (auto& [token, claim] : this->waiting) {
+    if (std::ssize(batch) >= this->options.max_batch) {
+      break;
+    }
+    if (!claim.in_flight && now >= claim.next_try &&
+        !keys.contains(claim.request.key) &&
+        this->HasLease(now, claim.request.window, out)) {
+      keys.insert(claim.request.key);
+      batch.push_back(token);
+    }
+  }
+  return batch;
+}
+
+void ClaimBook::SendBatch(Instant now, ClaimActions& out) {
+  Batch batch = this->NextBatch(now, out);
+  if (batch.empty()) {
+    return;
+  }
+  StoreTransaction transaction;
+  for (const std::string& token : batch) {
+    Waiting& claim = this->waiting.at(token);
+    const std::string& key = claim.request.key;
+    transaction.conditions.push_back(
+        {.key = key,
+         .field = StoreCompare::Field::kCreateRevision,
+         .revision = 0});
+    transaction.then.push_back(
+        StorePut(key, token, this->leases.at(claim.request.window).lease));
+    transaction.otherwise.push_back(StoreGet(key));
+    claim.in_flight = true;
+    claim.last_sent = now;
+    if (claim.first_sent == Instant{}) {
+      claim.first_sent = now;
+    }
+  }
+  const CallTag tag = ++this->last_tag;
+  this->batches.emplace(tag, std::move(batch));
+  this->next_batch = now + this->options.batch_every;
+  ++this->counts.transactions;
+  out.emplace_back(
+      RunTransaction{.tag = tag, .transaction = std::move(transaction)});
+}
+
+void ClaimBook::OnBatch(Instant now,
+                        const Batch& batch,
+                        const StoreReply& reply,
+                        ClaimActions& out) {
+  for (const std::string& token : batch) {
+    const auto found = this->waiting.find(token);
+    if (found == this->waiting.end()) {
+      continue;  // answered as unknown meanwhile; its clean-up is under way
+    }
+    Waiting& claim = found->second;
+    claim.in_flight = false;
+    switch (reply.outcome) {
+      case StoreOutcome::kThen:
+        this->Grant(claim);
+        this->Answer(token, ClaimResult::kGranted, out);
+        break;
+      case StoreOutcome::kOtherwise:
+        this->Judge(claim, reply, out);
+        break;
+      case StoreOutcome::kNotApplied:
+        if (!claim.perhaps_recorded) {
+          this->leases[claim.request.window] = {};  // it may have expired
+          this->Answer(token, ClaimResult::kUnavailable, out);
+        } else {
+          claim.next_try = now + this->options.retry_every;
+        }
+        break;
+      case StoreOutcome::kUnknown:
+        // Asked again with the same token: the record tells what became of
+        // the first attempt. Assuming failure would let the request run twice
+        // or, told "not run", its repeat be refused.
+        claim.perhaps_recorded = true;
+        claim.last_lost = claim.last_sent;
+        claim.next_try = now + this->options.retry_every;
+        break;
+    }
+  }
+}
+
+// One of the batch's keys existed already, so none was created. The records
+// tell this claim's own part.
+void ClaimBook::Judge(Waiting& claim,
+                      const StoreReply& reply,
+                      ClaimActions& out) {
+  const StoreRecord* record = FindRecord(reply, claim.request.key);
+  if (record == nullptr) {
+    return;  // free: another key was in the way; goes with the next batch
+  }
+  const std::string token = claim.token;
+  if (record->value == token) {
+    this->Grant(claim);
+    this->Answer(token, ClaimResult::kGranted, out);
+  } else {
+    this->Answer(token, ClaimResult::kTaken, out);
+  }
+}
+
+void ClaimBook::Grant(const Waiting& claim) {
+  const bool fresh =
+      this->granted
+          .emplace(claim.request.request,
+                   Granted{.key = claim.request.key,
+                           .token = claim.token,
+                           .last_lost = claim.last_lost,
+                           .valid_until =
+                               claim.first_sent + claim.request.window / 2})
+          .second;
+  assert(fresh && "a request is granted once; Forget() it when it was sent");
+}
+
+void ClaimBook::Answer(const std::string& token,
+                       ClaimResult result,
+                       ClaimActions& out) {
+  const auto claim = this->waiting.extract(token);
+  assert(claim && "a claim is answered once");
+  const Waiting& answered = claim.mapped();
+  assert((result != ClaimResult::kUnavailable || !answered.perhaps_recorded) &&
+         "unavailable says that surely nothing is recorded");
+  out.emplace_back(
+      AnswerClaim{.request = answered.request.request, .result = result});
+}
+
+// Claims whose time is up are answered with what is certain. A record that may
+// be there although nobody will use it would have the caller's repeat refused;
+// it is looked for and removed.
+void ClaimBook::ExpireDue(Instant now, ClaimActions& out) {
+  std::erase_if(this->granted, [now](const auto& entry) {
+    return now >= entry.second.valid_until;
+  });
+  std::vector<std::string> due;
+  for (const auto& [token, claim] : this->waiting) {
+    if (now >= claim.request.deadline) {
+      due.push_back(token);
+    }
+  }
+  for (const std::string& token : due) {
+    const Waiting& claim = this->waiting.at(token);
+    const bool perhaps = claim.perhaps_recorded || claim.in_flight;
+    if (perhaps) {
+      this->AddCleanUp({.key = claim.request.key,
+                        .token = token,
+                        .last_sent = claim.last_sent});
+    }
+    this->Answer(token,
+                 perhaps ? ClaimResult::kUnknown : ClaimResult::kUnavailable,
+                 out);
+  }
+}
+
+void ClaimBook::AddCleanUp(CleanUp clean_up) {
+  if (std::ssize(this->clean_ups) < this->options.max_clean_ups) {
+    const std::string token = clean_up.token;
+    this->clean_ups.insert_or_assign(token, std::move(clean_up));
+  }
+}
+
+// Removes one record that nobody will use, if it bears the claim's own token:
+// somebody else's later claim of the same key must stay.
+void ClaimBook::SendCleanUps(Instant now, ClaimActions& out) {
+  const auto due = std::ranges::find_if(this->clean_ups, [now](const auto& e) {
+    return !e.second.in_flight && now >= e.second.next_try;
+  });
+  if (due == this->clean_ups.end()) {
+    return;
+  }
+  auto& [token, clean_up] = *due;
+  const CallTag tag = ++this->last_tag;
+  this->cleaning.emplace(tag, token);
+  clean_up.in_flight = true;
+  clean_up.asked = now;
+  clean_up.next_try = now + this->options.retry_every;
+  this->next_batch = now + this->options.batch_every;
+  ++this->counts.transactions;
+  out.emplace_back(RunTransaction{
+      .tag = tag,
+      .transaction = {.conditions = {{.key = clean_up.key,
+                                      .field = StoreCompare::Field::kValue,
+                                      .value = token}},
+                      .then = {StoreDelete(clean_up.key)}}});
+}
+
+void ClaimBook::OnCleanUp(const std::string& token, const StoreReply& reply) {
+  const auto found = this->clean_ups.find(token);
+  if (found == this->clean_ups.end()) {
+    return;
+  }
+  CleanUp& clean_up = found->second;
+  clean_up.in_flight = false;
+  const bool answered = reply.outcome == StoreOutcome::kThen ||
+                        reply.outcome == StoreOutcome::kOtherwise;
+  // Gone for good only when no attempt to create it can take effect any more.
+  if (answered && clean_up.asked - clean_up.last_sent >= this->options.settle) {
+    this->clean_ups.erase(found);
+  }
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/coordinator.cc
@@ -0,0 +1,438 @@
+#include "decisions/coordinator.h"
+
+#include <algorithm>
+#include <cassert>
+#include <ranges>
+#include <utility>
+
+#include "kernel/log.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "coordinator";
+constexpr size_t kMaxArgumentBytes = 256;
+
+}  // namespace
+
+Coordinator::Coordinator(CoordinatorOptions options)
+    : options(std::move(options)), lease(this->options.lease) {}
+
+bool Coordinator::MayAct(Instant now, int64_t fencing) const {
+  return this->phase == Phase::kReady && this->fencing == fencing &&
+         this->lease.MayAct(now);
+}
+
+Result<OrderId> Coordinator::Propose(Instant now,
+                                     const OrderRequest& request,
+                                     CoordinatorActions& out) {
+  this->TickLease(now, out);
+  if (this->stopping) {
+    return Fail(ErrorKind::kShuttingDown, "this host is leaving");
+  }
+  if (!this->MayAct(now, this->fencing)) {
+    return Fail(ErrorKind::kNotHolder, "another host coordinates");
+  }
+  if (request.argument.size() > kMaxArgumentBytes) {
+    return Fail(ErrorKind::kTooLarge, "the order's argument is too long");
+  }
+  if (this->TargetBusy(request)) {
+    return Fail(ErrorKind::kConflict, "an earlier order there is still open");
+  }
+  if (std::ssize(this->orders) >= this->options.max_orders) {
+    return Fail(ErrorKind::kOverloaded, "too many orders are open");
+  }
+  OrderId id(std::to_string(this->fencing) + "-" +
+             std::to_string(this->next_order++));
+  const Order order{.id = id,
+                    .kind = request.kind,
+                    .endpoint = request.endpoint,
+                    .argument = request.argument,
+                    .service = request.service,
+                    .cheap = request.cheap,
+                    .change = request.change,
+                    .fences = request.fences,
+                    .fencing = this->fencing,
+                    .holder = this->options.lease.host,
+                    .incarnation = this->options.lease.incarnation};
+  const bool fresh = this->orders.emplace(id, OpenOrder{.order = order}).second;
+  assert(fresh && "an order's id is never used twice");
+  this->Drive(now, out);
+  return id;
+}
+
+void Coordinator::OnTick(Instant now, CoordinatorActions& out) {
+  this->TickLease(now, out);
+  // A reply that never comes: what was written is read back.
+  if (this->call && now - this->call->asked >= this->options.call_timeout) {
+    this->call.reset();
+    this->RetryLater(now, &Coordinator::ReadRecord);
+  }
+  this->Drive(now, out);
+  this->Announce(now, out);
+}
+
+void Coordinator::OnStoreReply(Instant now,
+                               CallTag tag,
+                               const StoreReply& reply,
+                               CoordinatorActions& out) {
+  this->TickLease(now, out);
+  std::vector<LeaseAction> wanted;
+  if (this->lease.OnStoreReply(now, tag, reply, wanted)) {
+    this->FollowLease(now, wanted, out);
+  } else if (this->call && this->call->tag == tag) {
+    const Call::Handler handler = this->call->handler;
+    this->call.reset();
+    (this->*handler)(now, reply, out);
+  }
+  this->Drive(now, out);
+}
+
+void Coordinator::OnLeaseGranted(Instant now,
+                                 CallTag tag,
+                                 const Result<int64_t>& lease,
+                                 CoordinatorActions& out) {
+  this->TickLease(now, out);
+  std::vector<LeaseAction> wanted;
+  this->lease.OnLeaseGranted(now, tag, lease, wanted);
+  this->FollowLease(now, wanted, out);
+}
+
+void Coordinator::OnLeaseRenewed(Instant now,
+                                 CallTag tag,
+                                 const Result<Duration>& left,
+                                 CoordinatorActions& out) {
+  this->TickLease(now, out);
+  std::vector<LeaseAction> wanted;
+  this->lease.OnLeaseRenewed(now, tag, left, wanted);
+  this->FollowLease(now, wanted, out);
+}
+
+void Coordinator::OnOrderReply(Instant now,
+                               const OrderId& order,
+                               OrderReply reply,
+                               CoordinatorActions& out) {
+  this->TickLease(now, out);
+  const auto found = this->orders.find(order);
+  if (found == this->orders.end()) {
+    return;  // of an earlier tenure, or finished by an earlier reply
+  }
+  switch (reply) {
+    case OrderReply::kDone:
+    case OrderReply::kRejected:
+      found->second.stage = Stage::kFinished;
+      break;
+    case OrderReply::kStale:
+      LogWarning(kPart, "Endpoint has seen a higher fencing number.",
+                 {{"order", order.Text()},
+                  {"fencing", std::to_string(this->fencing)}});
+      break;
+    case OrderReply::kRunning:
+    case OrderReply::kNoReply:
+    case OrderReply::kNotSent:
+      break;  // sent again when it is due
+  }
+  this->Drive(now, out);
+}
+
+void Coordinator::OnReportReply(Instant now,
+                                int64_t window,
+                                ReportReply reply,
+                                CoordinatorActions& out) {
+  this->TickLease(now, out);
+  const auto found = this->reports.find(window);
+  if (found != this->reports.end() && reply == ReportReply::kAccepted) {
+    found->second.stage = Stage::kFinished;
+  }
+  this->Drive(now, out);
+}
+
+void Coordinator::OnEndpointRestarted(Instant now,
+                                      const EndpointId& endpoint,
+                                      CoordinatorActions& out) {
+  // Not even an earlier holder's order ends here: this news may be older than
+  // a connection which that holder has to the endpoint's new process.
+  for (auto& [id, open] : this->orders) {
+    if (open.order.endpoint == endpoint && open.stage == Stage::kSent) {
+      open.next_send = now;
+    }
+  }
+  this->TickLease(now, out);
+  this->Drive(now, out);
+}
+
+void Coordinator::OnEndpointGone(Instant now,
+                                 const EndpointId& endpoint,
+                                 CoordinatorActions& out) {
+  for (auto& [id, open] : this->orders) {
+    if (open.order.endpoint == endpoint && !open.order.ToPlatform()) {
+      open.stage = Stage::kFinished;
+    }
+  }
+  this->TickLease(now, out);
+  this->Drive(now, out);
+}
+
+void Coordinator::OnHosts(Instant now,
+                          const std::vector<ListedHost>& hosts,
+                          CoordinatorActions& out) {
+  this->listed.clear();
+  std::ranges::transform(hosts, std::inserter(this->listed, this->listed.end()),
+                         &ListedHost::host);
+  this->lease.SetRank(std::ranges::distance(
+      this->listed.begin(),
+      this->listed.lower_bound(this->options.lease.host)));
+  const auto note = [this, now](const HostId& holder) {
+    if (!this->listed.contains(holder)) {
+      this->left.try_emplace(holder, now);
+    }
+  };
+  for (const auto& [id, open] : this->orders) {
+    note(open.order.holder);
+  }
+  for (const auto& [number, open] : this->reports) {
+    note(open.open.holder);
+  }
+  std::erase_if(this->left, [this](const auto& entry) {
+    return this->listed.contains(entry.first);
+  });
+  this->TickLease(now, out);
+  this->Drive(now, out);
+}
+
+void Coordinator::OnReleased(Instant now,
+                             const Release& release,
+                             CoordinatorActions& out) {
+  Release& latest = this->releases[release.host];
+  if (latest.fencing < release.fencing) {
+    latest = release;
+  }
+  this->OnPeer(now, release.host, release.incarnation, out);
+}
+
+void Coordinator::OnPeer(Instant now,
+                         const HostId& host,
+                         uint64_t incarnation,
+                         CoordinatorActions& out) {
+  uint64_t& latest = this->incarnations[host];
+  latest = std::max(latest, incarnation);
+  this->TickLease(now, out);
+  this->Drive(now, out);
+}
+
+void Coordinator::StartRelease(Instant now, CoordinatorActions& out) {
+  if (!std::exchange(this->stopping, true)) {
+    this->release_until = now + this->options.release_grace;
+  }
+  this->TickLease(now, out);
+  this->Drive(now, out);
+}
+
+std::vector<Order> Coordinator::OpenOrders() const {
+  std::vector<Order> open;
+  std::ranges::transform(this->orders, std::back_inserter(open),
+                         [](const auto& entry) { return entry.second.order; });
+  return open;
+}
+
+// One step of whatever is due. Called at the end of every event.
+void Coordinator::Drive(Instant now, CoordinatorActions& out) {
+  if (this->phase == Phase::kIdle && this->stopping) {
+    std::vector<LeaseAction> wanted;
+    this->lease.Retire(wanted);
+    this->phase = Phase::kReleased;
+    this->FollowLease(now, wanted, out);
+  }
+  if (this->retry != nullptr && !this->call && now >= this->retry_at) {
+    (this->*std::exchange(this->retry, nullptr))(now, out);
+  }
+  if (!this->MayAct(now, this->fencing)) {
+    return;
+  }
+  if (!this->stopping) {
+    this->SendDue(now, out);
+  }
+  if (!this->call && this->retry == nullptr && now >= this->next_write) {
+    this->Write(now, out);
+  }
+  const bool settled = !this->call && !this->AwaitsReplies();
+  if (this->stopping && (settled || now >= this->release_until)) {
+    this->End(now, out);
+    this->Drive(now, out);
+  }
+}
+
+// First thing at every event: a host that slept through its lease must find
+// out before it does anything else.
+void Coordinator::TickLease(Instant now, CoordinatorActions& out) {
+  std::vector<LeaseAction> wanted;
+  this->lease.OnTick(now, wanted);
+  this->FollowLease(now, wanted, out);
+}
+
+void Coordinator::FollowLease(Instant now,
+                              const std::vector<LeaseAction>& wanted,
+                              CoordinatorActions& out) {
+  std::ranges::for_each(wanted, [&out](const LeaseAction& action) {
+    std::visit([&out](const auto& each) { out.emplace_back(each); }, action);
+  });
+  if (this->fencing != 0 && this->lease.Fencing() != this->fencing) {
+    this->End(now, out);
+  }
+  if (this->fencing == 0 && this->lease.Held()) {
+    this->Begin(now, out);
+  }
+}
+
+void Coordinator::Begin(Instant now, CoordinatorActions& out) {
+  assert(this->orders.empty() && this->reports.empty() &&
+         "a tenure starts from the record alone");
+  this->fencing = this->lease.Fencing();
+  this->next_order = 1;
+  this->last_release.reset();
+  this->phase = Phase::kReadingRecord;
+  LogInfo(kPart, "Lease taken.", {{"fencing", std::to_string(this->fencing)}});
+  this->ReadRecord(now, out);
+}
+
+void Coordinator::End(Instant now, CoordinatorActions& out) {
+  LogInfo(kPart, "Lease ended.", {{"fencing", std::to_string(this->fencing)}});
+  this->last_release = Release{.host = this->options.lease.host,
+                               .incarnation = this->options.lease.incarnation,
+                               .fencing = this->fencing};
+  this->fencing = 0;
+  this->phase = Phase::kIdle;
+  this->call.reset();
+  this->retry = nullptr;
+  this->orders.clear();
+  this->reports.clear();
+  this->stored = {};
+  this->stored_revision = 0;
+  this->last_window = {};
+  this->next_announcement = now;
+  this->Announce(now, out);
+}
+
+void Coordinator::Announce(Instant now, CoordinatorActions& out) {
+  if (this->last_release && now >= this->next_announcement) {
+    out.emplace_back(TellReleased{.release = *this->last_release});
+    this->next_announcement = now + this->options.announce_every;
+  }
+}
+
+void Coordinator::SendDue(Instant now, CoordinatorActions& out) {
+  for (auto& [id, open] : this->orders) {
+    if (now >= open.next_send) {
+      this->SendOne(now, open, out);
+    }
+  }
+  for (auto& [number, open] : this->reports) {
+    if (now >= open.next_send) {
+      this->SendReport(now, open, out);
+    }
+  }
+}
+
+void Coordinator::SendOne(Instant now,
+                          OpenOrder& open,
+                          CoordinatorActions& out) {
+  const Order& order = open.order;
+  const bool recorded =
+      open.stage == Stage::kRecorded || open.stage == Stage::kSent;
+  const bool unrecorded_allowed =
+      !this->options.write_intent_first && open.stage == Stage::kProposed;
+  if (!recorded && !unrecorded_allowed) {
+    return;
+  }
+  // An order of an earlier holder to an endpoint may be repeated at once, as
+  // the endpoint knows it by its id. The platform must not hear from two hosts
+  // that both believe to be in charge, so there the earlier one must be known
+  // to have stopped.
+  if (order.ToPlatform() &&
+      !this->HolderStopped(now, order.fencing, order.holder,
+                           order.incarnation)) {
+    return;
+  }
+  assert(this->MayAct(now, this->fencing) && "no order leaves without lease");
+  assert(unrecorded_allowed || std::ranges::find(this->stored.orders, order) !=
+                                   this->stored.orders.end());
+  if (open.stage == Stage::kRecorded) {
+    open.stage = Stage::kSent;
+  }
+  open.next_send = now + this->options.resend_every;
+  if (order.ToPlatform()) {
+    out.emplace_back(
+        SendEndpointOrder{.order = order, .fencing = this->fencing});
+  } else {
+    out.emplace_back(SendOrder{.order = order, .fencing = this->fencing});
+  }
+}
+
+void Coordinator::SendReport(Instant now,
+                             OpenReport& open,
+                             CoordinatorActions& out) {
+  const OpenWindow& window = open.open;
+  if (open.stage == Stage::kFinished || !open.window ||
+      !this->HolderStopped(now, window.fencing, window.holder,
+                           window.incarnation)) {
+    return;
+  }
+  assert(this->MayAct(now, this->fencing) && "no report leaves without lease");
+  assert(std::ranges::find(this->stored.windows, window) !=
+         this->stored.windows.end());
+  open.stage = Stage::kSent;
+  open.next_send = now + this->options.resend_every;
+  out.emplace_back(SendUsageReport{.window = window.window,
+                                   .fencing = this->fencing,
+                                   .figures = open.window->figures});
+}
+
+// Whether the holder that began something is this tenure itself or is known to
+// have stopped, so that nothing of it can leave its host any more.
+bool Coordinator::HolderStopped(Instant now,
+                                int64_t fencing,
+                                const HostId& holder,
+                                uint64_t incarnation) const {
+  if (fencing == this->fencing || !this->options.successor_waits) {
+    return true;
+  }
+  if (holder == this->options.lease.host) {
+    return true;  // an earlier tenure or an earlier process of this host
+  }
+  const auto release = this->releases.find(holder);
+  if (release != this->releases.end() && release->second.fencing >= fencing) {
+    return true;
+  }
+  const auto latest = this->incarnations.find(holder);
+  if (latest != this->incarnations.end() && latest->second > incarnation) {
+    return true;
+  }
+  const auto gone = this->left.find(holder);
+  return gone != this->left.end() &&
+         now - gone->second >= this->options.unlisted_for;
+}
+
+bool Coordinator::TargetBusy(const OrderRequest& request) const {
+  const bool to_platform = request.kind == OrderKind::kChangeEndpoints;
+  return std::ranges::any_of(this->orders, [&](const auto& entry) {
+    const OpenOrder& open = entry.second;
+    if (open.stage == Stage::kFinished) {
+      return false;
+    }
+    const bool foreign = open.order.fencing != this->fencing;
+    return (to_platform && open.order.ToPlatform() && foreign) ||
+           (!request.endpoint.Empty() &&
+            open.order.endpoint == request.endpoint);
+  });
+}
+
+bool Coordinator::AwaitsReplies() const {
+  const auto sent = [](const auto& entry) {
+    return entry.second.stage == Stage::kSent;
+  };
+  return std::ranges::any_of(this->orders, sent) ||
+         std::ranges::any_of(this->reports, sent) ||
+         this->Content() != this->stored;
+}
+
+}  // namespace hickorystand
--- a/packages/decisions/store.h
+++ b/packages/decisions/store.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hickorystand {
@@ -47,6 +48,11 @@
   auto operator<=>(const StoreOperation&) const = default;
 };
 
+// Steps, written short.
+StoreOperation StoreGet(std::string key);
+StoreOperation StorePut(std::string key, std::string value, int64_t lease = 0);
+StoreOperation StoreDelete(std::string key);
+
 // Does `then` if every condition holds, else `otherwise`; all at once.
 struct StoreTransaction {
   std::vector<StoreCompare> conditions;
@@ -74,4 +80,7 @@
   auto operator<=>(const StoreReply&) const = default;
 };
 
+// The record with a key among those of a reply, or nullptr if it was absent.
+const StoreRecord* FindRecord(const StoreReply& reply, std::string_view key);
+
 }  // namespace hickorystand
