--- a/packages/decisions/lease.cc
+++ b/packages/decisions/lease.cc
@@ -164,10 +164,14 @@
 
 void Lease::Poll(Instant now, std::vector<LeaseAction>& out) {
   this->next_call = now + this->options.poll_every * (1 + this->rank);
+  this->ReadRecord(now, out);
+}
+
+void Lease::ReadRecord(Instant now, std::vector<LeaseAction>& out) {
   out.emplace_back(RunTransaction{
       .tag = this->Ask(now),
-      .transaction = {.then = {{.kind = StoreOperation::Kind::kGet,
-                                .key = LeaseKey(this->options.data_centre)}}}});
+      .transaction = {
+          .then = {StoreGet(LeaseKey(this->options.data_centre))}}});
 }
 
 void Lease::OnPolled(Instant now,
@@ -233,10 +237,7 @@
 
 void Lease::ReadBack(Instant now, std::vector<LeaseAction>& out) {
   this->state = State::kReadingBack;
-  out.emplace_back(RunTransaction{
-      .tag = this->Ask(now),
-      .transaction = {.then = {{.kind = StoreOperation::Kind::kGet,
-                                .key = LeaseKey(this->options.data_centre)}}}});
+  this->ReadRecord(now, out);
 }
 
 void Lease::JudgeRecord(Instant now,
--- a/packages/decisions/lease.h
+++ b/packages/decisions/lease.h
@@ -146,6 +146,7 @@
   bool TakeReply(CallTag tag);
   CallTag Ask(Instant now);
   void Poll(Instant now, std::vector<LeaseAction>& out);
+  void ReadRecord(Instant now, std::vector<LeaseAction>& out);
   void OnPolled(Instant now,
                 const StoreReply& reply,
                 std::vector<LeaseAction>& out);
