Reach the key-value service, and keep the configuration in it

Adds the etcd v3 JSON client, a stand-in of the service, the records and their codec, and the state machine of one change. A lost reply is sent again under the same condition and known by its token.

--- /dev/null
+++ b/fakes/key_value.cc
@@ -0,0 +1,461 @@
+#include "key_value.h"
+
+#include <libsoup/soup.h>
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kernel/json.h"
+#include "platform/etcd_messages.h"
+
+namespace hickorystand::fakes {
+namespace {
+
+constexpr Duration kExpiryPeriod = std::chrono::milliseconds(20);
+
+// Members that the gateway leaves out at their default are written out here;
+// readers must take both.
+void WriteHeader(int64_t revision, JsonWriter& out) {
+  out.Name("header").BeginObject();
+  out.Member("revision", std::to_string(revision)).EndObject();
+}
+
+void WriteRecord(const StoreRecord& record, bool keys_only, JsonWriter& out) {
+  out.BeginObject()
+      .Member("key", ToBase64(record.key))
+      .Member("create_revision", std::to_string(record.create_revision))
+      .Member("mod_revision", std::to_string(record.mod_revision))
+      .Member("version", "1");
+  if (!keys_only) {
+    out.Member("value", ToBase64(record.value));
+  }
+  if (record.lease != 0) {
+    out.Member("lease", std::to_string(record.lease));
+  }
+  out.EndObject();
+}
+
+void WriteRecords(const std::vector<StoreRecord>& records,
+                  bool keys_only,
+                  JsonWriter& out) {
+  out.Name("kvs").BeginArray();
+  for (const StoreRecord& record : records) {
+    WriteRecord(record, keys_only, out);
+  }
+  out.EndArray().Member("count", std::to_string(records.size()));
+}
+
+StoreCompare ReadCompare(const Json& json) {
+  const std::string target = json.At("target").Text();
+  StoreCompare compare{.key = FromBase64(json.At("key").Text())};
+  if (target == "CREATE") {
+    compare.field = StoreCompare::Field::kCreateRevision;
+    compare.revision = json.At("create_revision").Integer();
+  } else if (target == "VALUE") {
+    compare.field = StoreCompare::Field::kValue;
+    compare.value = FromBase64(json.At("value").Text());
+  } else {
+    compare.revision = json.At("mod_revision").Integer();
+  }
+  return compare;
+}
+
+StoreOperation ReadOperation(const Json& json) {
+  const Json put = json.At("request_put");
+  if (put.Exists()) {
+    return {.kind = StoreOperation::Kind::kPut,
+            .key = FromBase64(put.At("key").Text()),
+            .value = FromBase64(put.At("value").Text()),
+            .lease = put.At("lease").Integer()};
+  }
+  const Json removal = json.At("request_delete_range");
+  if (removal.Exists()) {
+    return {.kind = StoreOperation::Kind::kDelete,
+            .key = FromBase64(removal.At("key").Text())};
+  }
+  const Json range = json.At("request_range");
+  return {.kind = range.At("range_end").Exists()
+                      ? StoreOperation::Kind::kGetPrefix
+                      : StoreOperation::Kind::kGet,
+          .key = FromBase64(range.At("key").Text())};
+}
+
+StoreTransaction ReadTransaction(const Json& json) {
+  StoreTransaction transaction;
+  for (const Json& item : json.At("compare").Items()) {
+    transaction.conditions.push_back(ReadCompare(item));
+  }
+  for (const Json& item : json.At("success").Items()) {
+    transaction.then.push_back(ReadOperation(item));
+  }
+  for (const Json& item : json.At("failure").Items()) {
+    transaction.otherwise.push_back(ReadOperation(item));
+  }
+  return transaction;
+}
+
+}  // namespace
+
+// The HTTP side. Lives on the task's thread only.
+class FakeKeyValue::Server {
+ public:
+  explicit Server(uint16_t port) : soup(soup_server_new(nullptr, nullptr)) {
+    g_autoptr(GInetAddress) loopback =
+        g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+    g_autoptr(GSocketAddress) address =
+        g_inet_socket_address_new(loopback, port);
+    const bool listening =
+        soup_server_listen(this->soup, address, {}, nullptr) != FALSE;
+    assert(listening && "the port of the fake key-value service is taken");
+    g_autoptr(GSList) uris =
+        listening ? soup_server_get_uris(this->soup) : nullptr;
+    this->port =
+        static_cast<uint16_t>(g_uri_get_port(static_cast<GUri*>(uris->data)));
+    g_slist_foreach(
+        uris,
+        [](gpointer uri, gpointer) { g_uri_unref(static_cast<GUri*>(uri)); },
+        nullptr);
+    soup_server_add_handler(this->soup, nullptr, &OnCall, this, nullptr);
+    this->expiry = Timer::Every(kExpiryPeriod, [this] {
+      this->state.Expire(this->clock.Now());
+      this->FeedWatches();
+    });
+  }
+
+  ~Server() {
+    soup_server_disconnect(this->soup);
+    g_object_unref(this->soup);
+  }
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  void SetFault(KeyValueFault what, Duration by) {
+    this->fault = what;
+    this->slow_by = by;
+    if (what == KeyValueFault::kDown) {
+      std::vector<SoupServerMessage*> open;
+      for (const auto& [message, watch] : this->watches) {
+        open.push_back(message);
+      }
+      std::ranges::for_each(open, &Cut);
+    }
+  }
+
+  void Restore(const KeyValueState& older) {
+    this->state = older;
+    for (auto& [message, watch] : this->watches) {
+      watch.sent = std::min(watch.sent, this->state.Revision());
+    }
+  }
+
+  StoreReply Transact(const StoreTransaction& transaction) {
+    const StoreReply reply = this->state.Transact(transaction);
+    this->FeedWatches();
+    return reply;
+  }
+
+  uint16_t port = 0;
+  KeyValueState state;
+  KeyValueCalls calls;
+
+ private:
+  struct Watch {
+    std::string prefix;
+    int64_t sent = 0;  // all changes up to this revision were sent
+    bool silent = false;
+  };
+
+  static void OnCall(SoupServer* /*soup*/,
+                     SoupServerMessage* message,
+                     const char* path,
+                     GHashTable* /*query*/,
+                     gpointer self) {
+    static_cast<Server*>(self)->Take(message, path);
+  }
+
+  // Cuts the connection under a message.
+  static void Cut(SoupServerMessage* message) {
+    g_autoptr(GIOStream) stream = soup_server_message_steal_connection(message);
+    g_io_stream_close(stream, nullptr, nullptr);
+  }
+
+  static void Answer(SoupServerMessage* message,
+                     int status,
+                     const std::string& body) {
+    soup_server_message_set_status(message, static_cast<guint>(status),
+                                   nullptr);
+    soup_server_message_set_response(message, "application/json",
+                                     SOUP_MEMORY_COPY, body.data(),
+                                     body.size());
+  }
+
+  void Take(SoupServerMessage* message, const std::string& path) {
+    if (this->fault == KeyValueFault::kDown) {
+      Cut(message);
+      return;
+    }
+    if (this->fault == KeyValueFault::kUnavailable) {
+      Answer(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+             R"({"error":"etcdserver: no leader","code":14})");
+      return;
+    }
+    const SoupMessageBody* sent = soup_server_message_get_request_body(message);
+    const auto json = Json::Parse(
+        {sent->data, static_cast<size_t>(std::max<goffset>(sent->length, 0))});
+    if (!json) {
+      Answer(message, SOUP_STATUS_BAD_REQUEST,
+             R"({"error":"invalid JSON","code":3})");
+      return;
+    }
+    if (path == "/v3/watch") {
+      this->OpenWatch(message, *json);
+      return;
+    }
+    this->Handle(message, path, *json);
+  }
+
+  void Handle(SoupServerMessage* message,
+              const std::string& path,
+              const Json& json) {
+    this->state.Expire(this->clock.Now());
+    const auto handlers =
+        std::map<std::string, std::string (Server::*)(const Json&, bool&)>{
+            {"/v3/kv/range", &Server::Range},
+            {"/v3/kv/txn", &Server::Txn},
+            {"/v3/kv/put", &Server::Put},
+            {"/v3/lease/grant", &Server::Grant},
+            {"/v3/lease/keepalive", &Server::KeepAlive},
+            {"/v3/lease/revoke", &Server::Revoke},
+            {"/v3/kv/lease/revoke", &Server::Revoke}};
+    const auto handler = handlers.find(path);
+    if (handler == handlers.end()) {
+      Answer(message, SOUP_STATUS_NOT_FOUND, R"({"error":"Not Found"})");
+      return;
+    }
+    bool writes = false;
+    const std::string body = (this->*handler->second)(json, writes);
+    ++(writes ? this->calls.writes : this->calls.reads);
+    this->FeedWatches();
+    if (this->fault == KeyValueFault::kReplyLost && writes) {
+      Cut(message);
+      return;
+    }
+    Answer(message, body.empty() ? SOUP_STATUS_NOT_FOUND : SOUP_STATUS_OK,
+           body.empty() ? R"({"error":"requested lease not found","code":5})"
+                        : body);
+    if (this->fault == KeyValueFault::kSlow) {
+      this->Delay(message);
+    }
+  }
+
+  void Delay(SoupServerMessage* message) {
+    soup_server_message_pause(message);
+    g_object_ref(message);
+    const uint64_t ticket = ++this->tickets;
+    this->delays[ticket] = Timer::After(this->slow_by, [this, message, ticket] {
+      soup_server_message_unpause(message);
+      g_object_unref(message);
+      const auto keep = this->delays.extract(ticket);
+    });
+  }
+
+  std::string Range(const Json& json, bool& /*writes*/) {
+    JsonWriter out;
+    out.BeginObject();
+    WriteHeader(this->state.Revision(), out);
+    WriteRecords(this->state.Read(FromBase64(json.At("key").Text()),
+                                  json.At("range_end").Exists(),
+                                  json.At("min_mod_revision").Integer()),
+                 json.At("keys_only").Flag(), out);
+    return out.EndObject().Text();
+  }
+
+  std::string Txn(const Json& json, bool& writes) {
+    const StoreTransaction transaction = ReadTransaction(json);
+    writes = !OnlyReads(transaction);
+    const StoreReply reply = this->state.Transact(transaction);
+    JsonWriter out;
+    out.BeginObject();
+    WriteHeader(reply.revision, out);
+    if (reply.outcome == StoreOutcome::kThen) {
+      out.Member("succeeded", true);
+    }
+    out.Name("responses").BeginArray().BeginObject();
+    out.Name("response_range").BeginObject();
+    WriteRecords(reply.records, false, out);
+    return out.EndObject().EndObject().EndArray().EndObject().Text();
+  }
+
+  std::string Put(const Json& json, bool& writes) {
+    writes = true;
+    const StoreReply reply = this->state.Transact(
+        {.then = {{.kind = StoreOperation::Kind::kPut,
+                   .key = FromBase64(json.At("key").Text()),
+                   .value = FromBase64(json.At("value").Text()),
+                   .lease = json.At("lease").Integer()}}});
+    JsonWriter out;
+    out.BeginObject();
+    WriteHeader(reply.revision, out);
+    return out.EndObject().Text();
+  }
+
+  std::string Grant(const Json& json, bool& writes) {
+    writes = true;
+    const int64_t seconds = json.At("TTL").Integer();
+    const int64_t id =
+        this->state.Grant(std::chrono::seconds(seconds), this->clock.Now());
+    JsonWriter out;
+    out.BeginObject();
+    WriteHeader(this->state.Revision(), out);
+    out.Member("ID", std::to_string(id));
+    return out.Member("TTL", std::to_string(seconds)).EndObject().Text();
+  }
+
+  std::string KeepAlive(const Json& json, bool& writes) {
+    writes = true;
+    const auto left =
+        this->state.Renew(json.At("ID").Integer(), this->clock.Now());
+    JsonWriter out;
+    out.BeginObject().Name("result").BeginObject();
+    WriteHeader(this->state.Revision(), out);
+    out.Member("ID", json.At("ID").Text());
+    if (left) {
+      out.Member("TTL",
+                 std::to_string(
+                     std::chrono::ceil<std::chrono::seconds>(*left).count()));
+    }
+    return out.EndObject().EndObject().Text();
+  }
+
+  std::string Revoke(const Json& json, bool& writes) {
+    writes = true;
+    if (!this->state.Revoke(json.At("ID").Integer())) {
+      return "";
+    }
+    JsonWriter out;
+    out.BeginObject();
+    WriteHeader(this->state.Revision(), out);
+    return out.EndObject().Text();
+  }
+
+  void OpenWatch(SoupServerMessage* message, const Json& json) {
+    const Json create = json.At("create_request");
+    const int64_t start = create.At("start_revision").Integer();
+    Watch watch{.prefix = FromBase64(create.At("key").Text()),
+                .sent = start > 0 ? start - 1 : this->state.Revision(),
+                .silent = this->fault == KeyValueFault::kSilentWatch};
+    ++this->calls.watches;
+    ++this->calls.watches_waiting;
+    this->watches[message] = watch;
+    g_signal_connect(message, "disconnected", G_CALLBACK(&OnWatchGone), this);
+    g_signal_connect(message, "finished", G_CALLBACK(&OnWatchGone), this);
+    soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
+    soup_message_headers_set_encoding(
+        soup_server_message_get_response_headers(message),
+        SOUP_ENCODING_CHUNKED);
+    JsonWriter out;
+    out.BeginObject().Name("result").BeginObject();
+    WriteHeader(this->state.Revision(), out);
+    out.Member("created", true).EndObject().EndObject();
+    SendLine(message, out.Text());
+    this->FeedWatches();
+  }
+
+  static void OnWatchGone(SoupServerMessage* message, gpointer self) {
+    auto* server = static_cast<Server*>(self);
+    server->calls.watches_waiting -=
+        static_cast<int64_t>(server->watches.erase(message));
+  }
+
+  // Sends each watch what it has not been sent yet.
+  void FeedWatches() {
+    for (auto& [message, watch] : this->watches) {
+      if (watch.silent || this->fault == KeyValueFault::kSilentWatch) {
+        watch.silent = true;
+        continue;
+      }
+      const auto changes = this->state.Changes(watch.prefix, watch.sent);
+      watch.sent = this->state.Revision();
+      if (!changes.empty()) {
+        SendLine(message, this->WriteChanges(changes));
+      }
+    }
+  }
+
+  std::string WriteChanges(const std::vector<StoreChange>& changes) const {
+    JsonWriter out;
+    out.BeginObject().Name("result").BeginObject();
+    WriteHeader(this->state.Revision(), out);
+    out.Name("events").BeginArray();
+    for (const StoreChange& change : changes) {
+      out.BeginObject();
+      if (change.deleted) {
+        out.Member("type", "DELETE");
+      }
+      out.Name("kv");
+      WriteRecord(change.record, change.deleted, out);
+      out.EndObject();
+    }
+    return out.EndArray().EndObject().EndObject().Text();
+  }
+
+  static void SendLine(SoupServerMessage* message, const std::string& line) {
+    const std::string out = line + "\n";
+    soup_message_body_append(soup_server_message_get_response_body(message),
+                             SOUP_MEMORY_COPY, out.data(), out.size());
+    soup_server_message_unpause(message);
+  }
+
+  SoupServer* soup;
+  BootClock clock;
+  KeyValueFault fault = KeyValueFault::kNone;
+  Duration slow_by{};
+  std::map<SoupServerMessage*, Watch> watches;
+  std::unique_ptr<Timer> expiry;
+  uint64_t tickets = 0;
+  std::map<uint64_t, std::unique_ptr<Timer>> delays;
+};
+
+FakeKeyValue::FakeKeyValue(uint16_t port) {
+  this->task.Call([&] { this->server = std::make_unique<Server>(port); });
+}
+
+FakeKeyValue::~FakeKeyValue() {
+  this->task.Call([this] { this->server.reset(); });
+}
+
+SocketAddress FakeKeyValue::Address() const {
+  return {"127.0.0.1", this->server->port};
+}
+
+void FakeKeyValue::SetFault(KeyValueFault fault, Duration slow_by) {
+  this->task.Call([&] { this->server->SetFault(fault, slow_by); });
+}
+
+KeyValueCalls FakeKeyValue::Calls() {
+  KeyValueCalls calls;
+  this->task.Call([&] { calls = this->server->calls; });
+  return calls;
+}
+
+KeyValueState FakeKeyValue::Backup() {
+  KeyValueState state;
+  this->task.Call([&] { state = this->server->state; });
+  return state;
+}
+
+void FakeKeyValue::Restore(const KeyValueState& state) {
+  this->task.Call([&] { this->server->Restore(state); });
+}
+
+StoreReply FakeKeyValue::Transact(const StoreTransaction& transaction) {
+  StoreReply reply;
+  this->task.Call([&] { reply = this->server->Transact(transaction); });
+  return reply;
+}
+
+}  // namespace hickorystand::fakes
--- a/packages/decisions/configuration.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "decisions/configuration.h"
--- /dev/null
+++ b/packages/decisions/configuration_codec.cc
@@ -0,0 +1,401 @@
+#include "decisions/configuration_codec.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+#include <ranges>
+#include <utility>
+
+#include "kernel/json.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr const char* kBucketPrefix = "/hickorystand/config/bucket/";
+constexpr size_t kMaxNamedChanges = 5;  // in a summary
+constexpr int kMaxFailures = 5;         // reads that fail in a row
+
+Error Broken(const std::string& what) {
+  return {ErrorKind::kBadSetting,
+          "the stored configuration is broken: " + what,
+          {}};
+}
+
+// The names of changed records for people. Keys go by their account, as not
+// even their hash helps anybody.
+std::string Summarise(const std::vector<RecordChange>& changes) {
+  std::string text;
+  for (const RecordChange& change :
+       changes | std::views::take(kMaxNamedChanges)) {
+    text += (text.empty() ? "" : "; ") +
+            (change.name.starts_with("key/")
+                 ? change.Text().substr(0, change.Text().find('/') + 9)
+                 : change.Text());
+  }
+  if (changes.size() > kMaxNamedChanges) {
+    text +=
+        "; and " + std::to_string(changes.size() - kMaxNamedChanges) + " more";
+  }
+  return text;
+}
+
+// Whether one of the changes has a value in a field.
+template <typename Value>
+bool Remembers(const std::vector<AcceptedChange>& changes,
+               Value AcceptedChange::* field,
+               const Value& value) {
+  return std::ranges::find(changes, value, field) != changes.end();
+}
+
+std::map<int, ConfigurationBucket> SpreadRecords(
+    const Configuration& configuration) {
+  std::map<int, ConfigurationBucket> buckets;
+  for (Record& record : ListRecords(configuration)) {
+    const int bucket = BucketOfRecord(record.Name());
+    buckets[bucket].records.push_back(std::move(record));
+  }
+  return buckets;
+}
+
+// The faults of a configuration as one error; nothing if it is right.
+std::optional<Error> CheckWhole(const Configuration& configuration) {
+  const std::vector<std::string> faults = CheckReferences(configuration);
+  if (faults.empty()) {
+    return std::nullopt;
+  }
+  std::string text;
+  for (const std::string& fault : faults) {
+    text += (text.empty() ? "" : "\n") + fault;
+  }
+  return Error{ErrorKind::kBadSetting, text, {}};
+}
+
+}  // namespace
+
+std::string BucketKey(int bucket) {
+  assert(bucket >= 0 && bucket < kBucketCount);
+  const std::string number = std::to_string(bucket);
+  return kBucketPrefix + (number.size() < 2 ? "0" + number : number);
+}
+
+std::optional<int> BucketOfKey(const std::string& key) {
+  const std::string_view prefix = kBucketPrefix;
+  if (!key.starts_with(prefix)) {
+    return std::nullopt;
+  }
+  int bucket = -1;
+  std::from_chars(key.data() + prefix.size(), key.data() + key.size(), bucket);
+  const bool known =
+      bucket >= 0 && bucket < kBucketCount && BucketKey(bucket) == key;
+  return known ? std::optional(bucket) : std::nullopt;
+}
+
+int BucketOfRecord(const std::string& name) {
+  return static_cast<int>(XXH64(name.data(), name.size(), 0) % kBucketCount);
+}
+
+std::string WriteHead(const ConfigurationHead& head) {
+  JsonWriter out;
+  out.BeginObject()
+      .Member("revision", head.revision)
+      .Name("buckets")
+      .BeginArray();
+  for (const int64_t revision : head.buckets) {
+    out.Value(revision);
+  }
+  out.EndArray().Name("recent").BeginArray();
+  for (const AcceptedChange& change : head.recent) {
+    out.BeginObject()
+        .Member("revision", change.revision)
+        .Member("token", change.token)
+        .Member("author", change.author)
+        .Member("summary", change.summary)
+        .EndObject();
+  }
+  return out.EndArray().EndObject().Text();
+}
+
+Result<ConfigurationHead> ReadHead(const std::string& text) {
+  const auto json = Json::Parse(text);
+  const auto buckets = json ? json->At("buckets").Items() : std::vector<Json>();
+  if (!json || !json->At("revision").IsInteger() ||
+      buckets.size() != kBucketCount ||
+      !std::ranges::all_of(buckets, &Json::IsInteger)) {
+    return tl::unexpected(Broken("head can't be read"));
+  }
+  ConfigurationHead head{.revision = json->At("revision").Integer()};
+  std::ranges::transform(buckets, head.buckets.begin(),
+                         [](const Json& item) { return item.Integer(); });
+  const bool sound = std::ranges::all_of(head.buckets, [&](int64_t revision) {
+    return revision >= 0 && revision <= head.revision;
+  });
+  if (!sound || head.revision < 1) {
+    return tl::unexpected(Broken("head's revisions contradict each other"));
+  }
+  for (const Json& item : json->At("recent").Items()) {
+    head.recent.push_back({.revision = item.At("revision").Integer(),
+                           .token = item.At("token").Text(),
+                           .author = item.At("author").Text(),
+                           .summary = item.At("summary").Text()});
+  }
+  return head;
+}
+
+std::string WriteBucket(const ConfigurationBucket& bucket) {
+  JsonWriter out;
+  out.BeginObject()
+      .Member("revision", bucket.revision)
+      .Name("records")
+      .BeginObject();
+  for (const Record& record : bucket.records) {
+    out.Name(record.Name()).BeginObject();
+    for (const auto& [field, text] : record.fields) {
+      out.Member(field, text);
+    }
+    out.EndObject();
+  }
+  return out.EndObject().EndObject().Text();
+}
+
+Result<ConfigurationBucket> ReadBucket(const std::string& text) {
+  const auto json = Json::Parse(text);
+  if (!json || !json->At("revision").IsInteger() ||
+      !json->At("records").IsObject()) {
+    return tl::unexpected(Broken("a bucket can't be read"));
+  }
+  ConfigurationBucket bucket{.revision = json->At("revision").Integer()};
+  const Json records = json->At("records");
+  for (const std::string& name : records.Names()) {
+    auto record = RecordFromName(name);
+    if (!record) {
+      return tl::unexpected(Broken(record.error().message));
+    }
+    const Json fields = records.At(name);
+    for (const std::string& field : fields.Names()) {
+      if (!fields.At(field).IsText()) {
+        return tl::unexpected(Broken(name + ": " + field + " is no text"));
+      }
+      record->fields[field] = fields.At(field).Text();
+    }
+    bucket.records.push_back(std::move(*record));
+  }
+  return bucket;
+}
+
+Result<ConfigurationPtr> AssembleConfiguration(
+    const ConfigurationHead& head,
+    const std::map<int, ConfigurationBucket>& buckets) {
+  Configuration whole{.revision = head.revision};
+  for (int i = 0; i < kBucketCount; ++i) {
+    const auto found = buckets.find(i);
+    const int64_t held = found == buckets.end() ? 0 : found->second.revision;
+    if (held != head.buckets.at(i)) {
+      return Fail(ErrorKind::kStale,
+                  "bucket " + std::to_string(i) + " is at revision " +
+                      std::to_string(held) + ", head wants " +
+                      std::to_string(head.buckets.at(i)));
+    }
+    if (found == buckets.end()) {
+      continue;
+    }
+    for (const Record& record : found->second.records) {
+      if (BucketOfRecord(record.Name()) != i) {
+        return tl::unexpected(
+            Broken(record.Name() + " lies in the wrong bucket"));
+      }
+      if (const auto put = PutRecord(whole, record); !put) {
+        return tl::unexpected(Broken(put.error().message));
+      }
+    }
+  }
+  if (auto fault = CheckWhole(whole)) {
+    return tl::unexpected(Broken(fault->message));
+  }
+  return std::make_shared<const Configuration>(std::move(whole));
+}
+
+StoreTransaction ReadConfigurationTransaction() {
+  return {.then = {{.kind = StoreOperation::Kind::kGetPrefix,
+                    .key = kConfigurationPrefix}}};
+}
+
+Result<StoredConfiguration> ReadStoredConfiguration(const StoreReply& reply) {
+  StoredConfiguration stored;
+  std::map<int, ConfigurationBucket> buckets;
+  for (const StoreRecord& record : reply.records) {
+    if (record.key == kHeadKey) {
+      auto head = ReadHead(record.value);
+      if (!head) {
+        return tl::unexpected(head.error());
+      }
+      stored.head = std::move(*head);
+      stored.head_mod_revision = record.mod_revision;
+    } else if (const auto bucket = BucketOfKey(record.key)) {
+      auto read = ReadBucket(record.value);
+      if (!read) {
+        return tl::unexpected(read.error());
+      }
+      buckets[*bucket] = std::move(*read);
+    }
+  }
+  auto whole = AssembleConfiguration(stored.head, buckets);
+  if (!whole) {
+    return tl::unexpected(whole.error());
+  }
+  stored.configuration = std::move(*whole);
+  return stored;
+}
+
+Result<StoreTransaction> MakeApplyTransaction(
+    const StoredConfiguration& current,
+    const Configuration& wanted,
+    const ChangeAuthor& author) {
+  assert(!author.token.empty() && "a lost reply is read back by its token");
+  if (auto fault = CheckWhole(wanted)) {
+    return tl::unexpected(*fault);
+  }
+  ConfigurationHead head = current.head;
+  head.revision = current.head.revision + 1;
+  head.recent.insert(head.recent.begin(),
+                     {.revision = head.revision,
+                      .token = author.token,
+                      .author = author.name,
+                      .summary = Summarise(
+                          DiffConfigurations(*current.configuration, wanted))});
+  head.recent.resize(std::min(head.recent.size(), kRememberedChanges));
+  StoreTransaction transaction{
+      .conditions = {{.key = kHeadKey,
+                      .field = StoreCompare::Field::kModRevision,
+                      .revision = current.head_mod_revision}},
+      .otherwise = ReadConfigurationTransaction().then};
+  auto before = SpreadRecords(*current.configuration);
+  auto after = SpreadRecords(wanted);
+  for (int i = 0; i < kBucketCount; ++i) {
+    if (before[i].records == after[i].records) {
+      continue;
+    }
+    after[i].revision = head.revision;
+    head.buckets.at(i) = head.revision;
+    transaction.then.push_back({.kind = StoreOperation::Kind::kPut,
+                                .key = BucketKey(i),
+                                .value = WriteBucket(after[i])});
+    if (transaction.then.back().value.size() > kMaxStoredValue) {
+      return Fail(ErrorKind::kTooLarge,
+                  "the configuration is larger than the service can hold");
+    }
+  }
+  transaction.then.push_back({.kind = StoreOperation::Kind::kPut,
+                              .key = kHeadKey,
+                              .value = WriteHead(head)});
+  return transaction;
+}
+
+ConfigurationChange::ConfigurationChange(ChangeAuthor author, Edit edit)
+    : author(std::move(author)), edit(std::move(edit)) {}
+
+StoreTransaction ConfigurationChange::Start() {
+  return ReadConfigurationTransaction();
+}
+
+ConfigurationChange::Step ConfigurationChange::OnReply(
+    const StoreReply& reply) {
+  assert(this->phase != Phase::kDone && "the change has already ended");
+  return this->phase == Phase::kReading ? this->Write(reply)
+                                        : this->Judge(reply);
+}
+
+ConfigurationChange::Step ConfigurationChange::Write(const StoreReply& reply) {
+  if (reply.outcome != StoreOutcome::kThen) {
+    return ++this->failures < kMaxFailures
+               ? Step(ReadConfigurationTransaction())
+               : this->Finish(Fail(ErrorKind::kPlatformDown,
+                                   "the key-value service can't be read; "
+                                   "nothing was changed"));
+  }
+  auto stored = ReadStoredConfiguration(reply);
+  if (!stored) {
+    return this->Finish(tl::unexpected(stored.error()));
+  }
+  this->base = std::move(*stored);
+  const auto wanted = this->edit(*this->base.configuration);
+  if (!wanted) {
+    return this->Finish(tl::unexpected(wanted.error()));
+  }
+  this->applied = {
+      .revision = this->base.head.revision,
+      .changes = DiffConfigurations(*this->base.configuration, *wanted)};
+  if (this->applied.changes.empty()) {
+    return this->Finish(this->applied);
+  }
+  auto write = MakeApplyTransaction(this->base, *wanted, this->author);
+  if (!write) {
+    return this->Finish(tl::unexpected(write.error()));
+  }
+  this->transaction = std::move(*write);
+  ++this->applied.revision;
+  this->failures = 0;
+  this->phase = Phase::kWriting;
+  return this->transaction;
+}
+
+ConfigurationChange::Step ConfigurationChange::Judge(const StoreReply& reply) {
+  if (reply.outcome == StoreOutcome::kThen) {
+    return this->Finish(this->applied);
+  }
+  if (reply.outcome == StoreOutcome::kOtherwise) {
+    return this->Finish(this->Conclude(reply));
+  }
+  this->in_doubt |= reply.outcome == StoreOutcome::kUnknown;
+  if (++this->failures < kMaxFailures) {
+    return this->transaction;
+  }
+  return this->Finish(
+      this->in_doubt
+          ? Fail(ErrorKind::kOutcomeUnknown,
+                 "the change was sent, but no answer came: it may have taken "
+                 "effect; look at the revision in force before you repeat it")
+          : Fail(ErrorKind::kPlatformDown,
+                 "the key-value service can't be reached; nothing was "
+                 "changed"));
+}
+
+// Judges a change that found another head than it was made from. It may be its
+// own, written by a try whose reply was lost, with others on top by now.
+Result<ConfigurationChange::Applied> ConfigurationChange::Conclude(
+    const StoreReply& reply) const {
+  const auto stored = ReadStoredConfiguration(reply);
+  if (!stored) {
+    return tl::unexpected(stored.error());
+  }
+  const auto& recent = stored->head.recent;
+  if (Remembers(recent, &AcceptedChange::token, this->author.token)) {
+    return this->applied;
+  }
+  const bool remembered = Remembers(recent, &AcceptedChange::revision,
+                                    this->base.head.revision + 1);
+  if (this->in_doubt && !remembered &&
+      stored->head.revision > this->base.head.revision) {
+    return Fail(ErrorKind::kOutcomeUnknown,
+                "too many changes came after this one to tell whether it took "
+                "effect; look at what is in force before you repeat it");
+  }
+  std::string text =
+      "the configuration was changed meanwhile; nothing of "
+      "yours was applied";
+  for (const AcceptedChange& change : recent) {
+    if (change.revision > this->base.head.revision) {
+      text += "\n  revision " + std::to_string(change.revision) + " by " +
+              change.author + ": " + change.summary;
+    }
+  }
+  return Fail(ErrorKind::kConflict, text);
+}
+
+ConfigurationChange::Step ConfigurationChange::Finish(Result<Applied> result) {
+  this->phase = Phase::kDone;
+  return result;
+}
+
+}  // namespace hickorystand
--- a/packages/platform/key_value_store.h
+++ b/packages/platform/key_value_store.h
@@ -14,6 +14,7 @@
 
 #include "decisions/store.h"
 #include "kernel/error.h"
+#include "kernel/metrics.h"
 #include "kernel/settings.h"
 #include "kernel/time.h"
 
@@ -37,6 +38,10 @@
 struct KeyValueStoreOptions {
   std::vector<SocketAddress> addresses;  // tried in turn
   Duration timeout = std::chrono::seconds(2);
+  // Counts store_reads_total, store_writes_total and store_watches_waiting:
+  // the service bills each call, a waiting watch as one. May be null.
+  Metrics* metrics = nullptr;
+  uint64_t seed = 1;  // of the jitter in retries
 };
 
 // Client of the key-value service. Belongs to the task that made it.
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,260 @@
+// Tests of the platform's clients against stand-ins on real sockets. Every
+// expectation is waited for; nothing depends on how fast the machine is.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <iterator>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "decisions/configuration_codec.h"
+#include "kernel/json.h"
+#include "kernel/metrics.h"
+#include "key_value.h"
+#include "platform/blocking_store.h"
+#include "platform/etcd_messages.h"
+
+namespace hickorystand {
+namespace {
+
+using fakes::FakeKeyValue;
+using fakes::KeyValueFault;
+
+constexpr auto kPatience = std::chrono::seconds(30);
+
+// Waits until something holds; false after a generous time.
+bool Eventually(const std::function<bool()>& holds) {
+  const auto until = std::chrono::steady_clock::now() + kPatience;
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() > until) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  return true;
+}
+
+StoreTransaction Put(const std::string& key, const std::string& value) {
+  return {
+      .then = {
+          {.kind = StoreOperation::Kind::kPut, .key = key, .value = value}}};
+}
+
+StoreTransaction Get(const std::string& key) {
+  return {.then = {{.kind = StoreOperation::Kind::kGet, .key = key}}};
+}
+
+StoreTransaction CreateOnce(const std::string& key, const std::string& value) {
+  return {.conditions = {{.key = key,
+                          .field = StoreCompare::Field::kCreateRevision}},
+          .then = {{.kind = StoreOperation::Kind::kPut,
+                    .key = key,
+                    .value = value}},
+          .otherwise = {{.kind = StoreOperation::Kind::kGet, .key = key}}};
+}
+
+// A service with a client that gives up soon.
+struct Fixture {
+  FakeKeyValue service;
+  Metrics metrics;
+  std::unique_ptr<BlockingStore> store = this->Connect();
+
+  std::unique_ptr<BlockingStore> Connect(
+      std::vector<SocketAddress> addresses = {}) {
+    if (addresses.empty()) {
+      addresses = {this->service.Address()};
+    }
+    return std::make_unique<BlockingStore>(
+        "etcd-json",
+        KeyValueStoreOptions{.addresses = addresses,
+                             .timeout = std::chrono::milliseconds(500),
+                             .metrics = &this->metrics});
+  }
+};
+
+// A watch on the store's task, with what it saw.
+class WatchLog {
+ public:
+  WatchLog(BlockingStore& store, const std::string& prefix, int64_t after)
+      : store(store) {
+    this->store.StoreTask().Call([&] {
+      this->watch = this->store.Store().Watch(
+          prefix, after,
+          [this](int64_t, const std::vector<StoreChange>& changes) {
+            const std::lock_guard lock(this->mutex);
+            std::ranges::copy(changes, std::back_inserter(this->changes));
+          },
+          [this](const Error&) {
+            const std::lock_guard lock(this->mutex);
+            ++this->losses;
+          });
+    });
+  }
+  ~WatchLog() {
+    this->store.StoreTask().Call([this] { this->watch.reset(); });
+  }
+  WatchLog(const WatchLog&) = delete;
+  WatchLog& operator=(const WatchLog&) = delete;
+
+  std::vector<StoreChange> Changes() {
+    const std::lock_guard lock(this->mutex);
+    return this->changes;
+  }
+  int Losses() {
+    const std::lock_guard lock(this->mutex);
+    return this->losses;
+  }
+
+ private:
+  BlockingStore& store;
+  std::mutex mutex;
+  std::vector<StoreChange> changes;
+  int losses = 0;
+  std::unique_ptr<StoreWatch> watch;
+};
+
+// An address of loopback where nobody listens.
+SocketAddress DeadAddress() {
+  return {"127.0.0.1", 9};
+}
+
+}  // namespace
+
+TEST_GROUP(EtcdStore){};
+
+TEST(EtcdStore, WritesAndReadsBack) {
+  Fixture f;
+  CHECK(f.store->Transact(CreateOnce("/a", "bytes\n\"")).outcome ==
+        StoreOutcome::kThen);
+  const StoreReply read = f.store->Transact(Get("/a"));
+  LONGS_EQUAL(1, read.records.size());
+  STRCMP_EQUAL("bytes\n\"", read.records.front().value.c_str());
+  CHECK(read.records.front().create_revision > 0);
+  const StoreReply again = f.store->Transact(CreateOnce("/a", "other"));
+  CHECK(again.outcome == StoreOutcome::kOtherwise);
+  STRCMP_EQUAL("bytes\n\"", again.records.front().value.c_str());
+}
+
+TEST(EtcdStore, ReadsByPrefixOnly) {
+  Fixture f;
+  f.store->Transact(Put("/a/1", "x"));
+  f.store->Transact(Put("/a/2", "y"));
+  f.store->Transact(Put("/b", "z"));
+  const StoreReply read = f.store->Transact(
+      {.then = {{.kind = StoreOperation::Kind::kGetPrefix, .key = "/a/"}}});
+  LONGS_EQUAL(2, read.records.size());
+}
+
+TEST(EtcdStore, LeaseTakesItsRecordsAlong) {
+  Fixture f;
+  const auto lease = f.store->GrantLease(std::chrono::seconds(60));
+  CHECK(lease.has_value());
+  StoreTransaction put = Put("/lease", "me");
+  put.then.front().lease = *lease;
+  f.store->Transact(put);
+  CHECK(f.store->RenewLease(*lease).has_value());
+  CHECK(f.store->RevokeLease(*lease).has_value());
+  CHECK(f.store->Transact(Get("/lease")).records.empty());
+  CHECK(f.store->RenewLease(*lease).error().kind == ErrorKind::kNotFound);
+}
+
+TEST(EtcdStore, TriesTheNextAddress) {
+  Fixture f;
+  const auto store = f.Connect({DeadAddress(), f.service.Address()});
+  CHECK(store->Transact(Put("/a", "x")).outcome == StoreOutcome::kThen);
+}
+
+TEST(EtcdStore, RefusedConnectionChangedNothing) {
+  Fixture f;
+  const auto store = f.Connect({DeadAddress()});
+  CHECK(store->Transact(Put("/a", "x")).outcome == StoreOutcome::kNotApplied);
+}
+
+// A filing's claim is recorded, but the answer is lost on the way. A client
+// that reports "not recorded" would have the filing claimed again elsewhere and
+// run twice. The cause: the connection broke after the write took effect.
+TEST(EtcdStore, LostReplyIsUnknownAndWrittenOnce) {
+  Fixture f;
+  f.store->Transact(Put("/warm", "x"));  // a connection is kept open
+  const int64_t before = f.service.Calls().writes;
+  f.service.SetFault(KeyValueFault::kReplyLost);
+  CHECK(f.store->Transact(CreateOnce("/claim", "me")).outcome ==
+        StoreOutcome::kUnknown);
+  LONGS_EQUAL(before + 1, f.service.Calls().writes);
+  f.service.SetFault(KeyValueFault::kNone);
+  const StoreReply read = f.store->Transact(Get("/claim"));
+  STRCMP_EQUAL("me", read.records.at(0).value.c_str());
+}
+
+// The service says 503 because its members lost each other while the write was
+// on its way. It may still take effect, so it must not be called refused.
+TEST(EtcdStore, UnavailableIsUnknown) {
+  Fixture f;
+  f.service.SetFault(KeyValueFault::kUnavailable);
+  CHECK(f.store->Transact(Put("/a", "x")).outcome == StoreOutcome::kUnknown);
+}
+
+TEST_GROUP(EtcdWatch){};
+
+TEST(EtcdWatch, SeesWhatChangesAfterItsRevision) {
+  Fixture f;
+  f.store->Transact(Put("/c/old", "x"));
+  const int64_t after = f.store->Transact(Put("/c/a", "1")).revision;
+  WatchLog log(*f.store, "/c/", after);
+  f.store->Transact(Put("/c/b", "2"));
+  f.store->Transact(Put("/d", "3"));
+  f.store->Transact(
+      {.then = {{.kind = StoreOperation::Kind::kDelete, .key = "/c/old"}}});
+  CHECK(Eventually([&] { return log.Changes().size() == 2; }));
+  STRCMP_EQUAL("/c/b", log.Changes().at(0).record.key.c_str());
+  STRCMP_EQUAL("2", log.Changes().at(0).record.value.c_str());
+  CHECK(log.Changes().at(1).deleted);
+  LONGS_EQUAL(0, log.Losses());
+}
+
+// The service goes down with the watch open: its end must be told, once, so
+// that whoever watches reads anew.
+TEST(EtcdWatch, TellsOnceThatItWasCut) {
+  Fixture f;
+  WatchLog log(*f.store, "/c/", 1);
+  CHECK(Eventually([&] { return f.service.Calls().watches_waiting == 1; }));
+  DOUBLES_EQUAL(1, f.metrics.Value("store_watches_waiting"), 0);
+  f.service.SetFault(KeyValueFault::kDown);
+  CHECK(Eventually([&] { return log.Losses() == 1; }));
+}
+
+// A key is withdrawn, but callers who hold it are still served minutes later.
+// Something between host and service lost track of the watch's connection: no
+// event arrives and no error either. The check of quiet watches must notice.
+TEST(EtcdWatch, NoticesThatItHasGoneSilent) {
+  Fixture f;
+  f.service.SetFault(KeyValueFault::kSilentWatch);
+  WatchLog log(*f.store, "/c/", 1);
+  f.store->Transact(Put("/c/a", "withdrawn"));
+  CHECK(Eventually([&] { return log.Losses() == 1; }));
+  CHECK(log.Changes().empty());
+}
+
+TEST_GROUP(EtcdMessages){};
+
+TEST(EtcdMessages, EndOfPrefixIsTheNextKey) {
+  STRCMP_EQUAL("/b", EndOfPrefix("/a").c_str());
+  STRCMP_EQUAL("b", EndOfPrefix("a\xff").c_str());
+  CHECK(EndOfPrefix("") == std::string(1, '\0'));
+}
+
+TEST(EtcdMessages, GarbageIsNoReply) {
+  for (const char* text :
+       {"", "{}", "[]", "{\"header\":{}}", "\xff", "{\"succeeded\":true}"}) {
+    CHECK(!ReadTransactionReply(text).has_value());
+    CHECK(!ReadRangeReply(text).has_value());
+  }
+}
+
+}  // namespace hickorystand
