--- a/packages/endpoints/attempt.cc
+++ b/packages/endpoints/attempt.cc
@@ -73,7 +73,8 @@
           .content_type = this->call.content_type,
           .body = std::exchange(this->call.body, {}),
           .once = this->call.once,
-          .timeouts = this->call.timeouts};
+          .timeouts = this->call.timeouts,
+          .may_send = this->call.may_send};
 }
 
 void Attempt::Start(HttpClient& http) {
--- a/packages/endpoints/completion_chunk.cc
+++ b/packages/endpoints/completion_chunk.cc
@@ -17,11 +17,11 @@
 // The generated text of a choice: a chat stream's, a whole chat answer's, or a
 // plain completion's.
 Json TextOf(const Json& choice) {
-  const Json delta = choice.At("delta").At("content");
+  Json delta = choice.At("delta").At("content");
   if (delta.Exists()) {
     return delta;
   }
-  const Json message = choice.At("message").At("content");
+  Json message = choice.At("message").At("content");
   return message.Exists() ? message : choice.At("text");
 }
 
--- a/packages/endpoints/endpoint_client.h
+++ b/packages/endpoints/endpoint_client.h
@@ -65,6 +65,7 @@
   bool batch = false;       // may wait behind interactive work
   int64_t resume_from = 0;  // generated tokens that the caller already has
   HttpTimeouts timeouts;
+  std::function<bool()> may_send;  // see HttpOutgoing
 };
 
 // How an attempt ended, and what a caller may have to be told.
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -74,20 +74,6 @@
          request.body.find(key) != std::string::npos;
 }
 
-// What a non-idempotent request is claimed under: the caller's own word for
-// "the same request", or else its content.
-std::string ClaimHash(const Request& request,
-                      const std::optional<std::string>& idempotency_key,
-                      std::string_view target,
-                      const HttpRequest& http) {
-  const std::string what = idempotency_key ? "key\n" + *idempotency_key
-                                           : "body\n" + http.method + "\n" +
-                                                 std::string(target) + "\n" +
-                                                 Sha256(http.body);
-  return Sha256(request.account.Text() + "\n" + request.service.Text() + "\n" +
-                what);
-}
-
 }  // namespace
 
 const Gateway::Route Gateway::kRoutes[] = {
@@ -420,8 +406,9 @@
   });
   incoming.body = http.body;
   incoming.timeouts = this->TimeoutsFor(**service);
-  incoming.claim_hash =
-      ClaimHash(incoming.request, idempotency_key, incoming.target, http);
+  incoming.claim_key = ClaimKey((*service)->id, caller->account,
+                                idempotency_key.value_or(std::string()),
+                                http.method + " " + incoming.target, http.body);
   this->driver->Take(std::move(incoming));
   return {};
 }
--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -177,24 +177,24 @@
   }
   const Request& request = live.incoming.request;
   const auto service = this->configuration->services.find(request.service);
-  this->hooks.claim(
-      {.service = request.service,
-       .hash = live.incoming.claim_hash,
-       .request = id,
-       .host = this->options.host,
-       .duplicate_window = service == this->configuration->services.end()
-                               ? Duration{}
-                               : service->second.duplicate_window},
-      [this, alive = this->alive, id](ClaimResult result) {
-        if (*alive) {
-          this->OnClaimed(id, result);
-        }
-      });
+  this->hooks.claim({.request = id,
+                     .key = live.incoming.claim_key,
+                     .window = service == this->configuration->services.end()
+                                   ? Duration{}
+                                   : service->second.duplicate_window,
+                     .deadline = request.deadline},
+                    [this, alive = this->alive, id](ClaimResult result) {
+                      if (*alive) {
+                        this->OnClaimed(id, result);
+                      }
+                    });
 }
 
 void RequestDriver::OnClaimed(const RequestId& id, ClaimResult result) {
   if (LiveRequest* live = this->Find(id)) {
     live->claimed = result == ClaimResult::kGranted;
+  } else if (result == ClaimResult::kGranted && this->hooks.release_claim) {
+    this->hooks.release_claim(id);  // the caller went while it was made
   }
   this->Apply(this->dispatcher->OnClaim(this->clock.Now(), id, result));
 }
@@ -238,7 +238,20 @@
           .once = IsOnce(incoming.request),
           .batch = incoming.request.request_class == RequestClass::kBatch,
           .resume_from = incoming.relay->Delivered(),
-          .timeouts = incoming.timeouts};
+          .timeouts = incoming.timeouts,
+          .may_send = this->PermissionToSend(incoming.request)};
+}
+
+// A host that was paused between claim and send may wake after its claim has
+// expired and another host has run the request.
+std::function<bool()> RequestDriver::PermissionToSend(
+    const Request& request) const {
+  if (!IsOnce(request) || !this->hooks.may_send) {
+    return {};
+  }
+  return [may_send = this->hooks.may_send, id = request.id] {
+    return may_send(id);
+  };
 }
 
 AttemptEvents RequestDriver::MakeEvents(const RequestId& id,
@@ -305,12 +318,6 @@
   assert((!AnswerFor(error.kind).not_run || !live.may_have_run ||
           !IsOnce(live.incoming.request)) &&
          "'not run' is said only of what surely did not run");
-  if (live.claimed && !live.may_have_run && this->hooks.release_claim) {
-    this->hooks.release_claim({.service = live.incoming.request.service,
-                               .hash = live.incoming.claim_hash,
-                               .request = action.request,
-                               .host = this->options.host});
-  }
   live.incoming.relay->Fail(error);
   this->Forget(action.request);
 }
@@ -321,6 +328,7 @@
     return;
   }
   LiveRequest& live = node.mapped();
+  this->SettleClaim(live);
   live.incoming.call->OnGone({});
   live.incoming.call->OnDrained({});
   while (!live.attempts.empty() && !IsOnce(live.incoming.request)) {
@@ -328,6 +336,16 @@
   }
 }
 
+// A claim of a request that didn't run must not keep the caller from sending
+// it again; one of a request that may have run must.
+void RequestDriver::SettleClaim(const LiveRequest& live) {
+  const auto& settle =
+      live.may_have_run ? this->hooks.claim_used : this->hooks.release_claim;
+  if (live.claimed && settle) {
+    settle(live.incoming.request.id);
+  }
+}
+
 // -- Events ------------------------------------------------------------------
 
 void RequestDriver::OnChunk(const RequestId& id,
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -2,10 +2,10 @@
 // endpoints, and lets each request's relay answer its caller.
 //
 // Index
-//   ClaimRequest, UsageRecord   what the driver tells the rest of the host
-//   RequestHooks                how it tells it
-//   IncomingRequest             a request whose key was good
-//   RequestDriver               all live requests of this host
+//   UsageRecord       what the driver tells the rest of the host
+//   RequestHooks      how it tells and asks
+//   IncomingRequest   a request whose key was good
+//   RequestDriver     all live requests of this host
 
 #pragma once
 
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 
+#include "decisions/claims.h"
 #include "decisions/dispatcher.h"
 #include "endpoints/endpoint_client.h"
 #include "gateway/decision_log.h"
@@ -25,17 +26,6 @@
 
 namespace hickorystand {
 
-// A non-idempotent request that is about to run.
-struct ClaimRequest {
-  ServiceId service;
-  std::string hash;  // of account, service and Idempotency-Key or body
-  RequestId request;
-  HostId host;
-  Duration duplicate_window{};
-
-  auto operator<=>(const ClaimRequest&) const = default;
-};
-
 // What an account is to be billed for one attempt: what its caller was given.
 struct UsageRecord {
   AccountId account;
@@ -54,9 +44,14 @@
   // Without this hook no non-idempotent request runs.
   std::function<void(const ClaimRequest&, std::function<void(ClaimResult)>)>
       claim;
-  // The claimed request certainly didn't run, and its caller was told so; the
-  // claim may be given back.
-  std::function<void(const ClaimRequest&)> release_claim;
+  // Whether a claimed request may still be sent; asked in the same step that
+  // hands its bytes to the socket.
+  std::function<bool(const RequestId&)> may_send;
+  // A claimed request was sent, whatever comes of it.
+  std::function<void(const RequestId&)> claim_used;
+  // A claimed request surely didn't run and won't; the claim is given back, so
+  // that the caller may send it again.
+  std::function<void(const RequestId&)> release_claim;
   std::function<void(const UsageRecord&)> usage;
 };
 
@@ -64,7 +59,7 @@
 struct IncomingRequest {
   Request request;
   std::string key_hash;
-  std::string claim_hash;  // kOnce only
+  std::string claim_key;  // kOnce only
   HttpCallPtr call;
   std::unique_ptr<Relay> relay;
   std::string method = "POST";
@@ -163,6 +158,7 @@
   AttemptCall MakeCall(LiveRequest& live,
                        const Dispatch& action,
                        const Endpoint& endpoint) const;
+  std::function<bool()> PermissionToSend(const Request& request) const;
   AttemptEvents MakeEvents(const RequestId& id, AttemptId attempt);
   void OnClaimed(const RequestId& id, ClaimResult result);
   void OnChunk(const RequestId& id,
@@ -178,6 +174,7 @@
             const RunningAttempt& run,
             const AttemptEnd& end);
   void Abandon(LiveRequest& live, AttemptId attempt);
+  void SettleClaim(const LiveRequest& live);
   void Forget(const RequestId& id);
   void CheckDrained();
 
