--- /dev/null
+++ b/packages/decisions/digest_summary.cc
@@ -0,0 +1,112 @@
+#include "decisions/digest_summary.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+// Sources that are gone but whose counters are remembered.
+constexpr size_t kMaxGone = 64;
+
+}  // namespace
+
+// Adds what a source served since its last digest.
+void DigestSummary::Count(Source& source, const Digest& digest) {
+  const bool first = source.incarnation == 0;
+  if (digest.incarnation != source.incarnation) {
+    source.counted.clear();
+  }
+  for (const auto& entry : digest.served) {
+    int64_t& counted = source.counted[entry.account];
+    if (!first) {
+      this->served[entry.account] += std::max<int64_t>(0, entry.cost - counted);
+    }
+    counted = std::max(counted, entry.cost);
+  }
+}
+
+void DigestSummary::OnDigest(const Digest& digest) {
+  Source& source = this->sources[digest.host];
+  if (std::pair(digest.incarnation, digest.sequence) <=
+      std::pair(source.incarnation, source.sequence)) {
+    return;
+  }
+  this->Count(source, digest);
+  source.incarnation = digest.incarnation;
+  source.sequence = digest.sequence;
+  source.digest = digest;
+  std::erase(this->gone, digest.host);
+}
+
+void DigestSummary::OnGone(const HostId& source) {
+  const auto found = this->sources.find(source);
+  if (found == this->sources.end() || std::ranges::count(this->gone, source)) {
+    return;
+  }
+  // Its counters are kept for a while: it may only have been cut off.
+  found->second.digest = {};
+  this->gone.push_back(source);
+  if (this->gone.size() > kMaxGone) {
+    this->sources.erase(this->gone.front());
+    this->gone.pop_front();
+  }
+}
+
+Digest DigestSummary::Make(const HostId& host,
+                           const DataCentreId& data_centre,
+                           uint64_t incarnation) const {
+  Digest sum;
+  sum.host = host;
+  sum.data_centre = data_centre;
+  sum.incarnation = incarnation;
+  std::map<EndpointId, EndpointOutstanding> outstanding;
+  std::map<AccountId, int64_t> waiting;
+  std::map<uint64_t, int64_t> crashes;
+  std::map<EndpointId, EndpointNews> leaving;
+  for (const auto& [id, source] : this->sources) {
+    for (const auto& entry : source.digest.outstanding) {
+      auto& total = outstanding[entry.endpoint];
+      total.endpoint = entry.endpoint;
+      total.prompt_tokens += entry.prompt_tokens;
+      total.requests += entry.requests;
+    }
+    for (const auto& entry : source.digest.served) {
+      waiting[entry.account] += entry.waiting;
+    }
+    for (const auto& entry : source.digest.suspicions) {
+      int64_t& most = crashes[entry.fingerprint];
+      most = std::max(most, entry.crashes);
+    }
+    for (const auto& entry : source.digest.endpoints) {
+      auto& news = leaving[entry.endpoint];
+      if (entry.leaving && entry.incarnation >= news.incarnation) {
+        news = entry;
+        news.down = false;
+      }
+    }
+    sum.configuration_revision = std::max(
+        sum.configuration_revision, source.digest.configuration_revision);
+  }
+  for (const auto& [id, total] : outstanding) {
+    sum.outstanding.push_back(total);
+  }
+  for (const auto& [account, cost] : this->served) {
+    const auto queued = waiting.find(account);
+    sum.served.push_back(
+        {.account = account,
+         .cost = cost,
+         .waiting = queued == waiting.end() ? 0 : queued->second});
+  }
+  for (const auto& [fingerprint, most] : crashes) {
+    sum.suspicions.push_back({.fingerprint = fingerprint, .crashes = most});
+  }
+  for (const auto& [id, news] : leaving) {
+    if (news.leaving) {
+      sum.endpoints.push_back(news);
+    }
+  }
+  return sum;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/endpoint_board.cc
@@ -0,0 +1,91 @@
+#include "decisions/endpoint_board.h"
+
+#include <algorithm>
+
+namespace hickorystand {
+
+// The state of an endpoint's incarnation; nullptr if a newer one is known.
+EndpointBoard::State* EndpointBoard::Current(const EndpointId& endpoint,
+                                             uint64_t incarnation) {
+  State& state = this->states[endpoint];
+  if (incarnation < state.incarnation) {
+    return nullptr;
+  }
+  if (incarnation > state.incarnation) {
+    state = {.incarnation = incarnation};
+  }
+  return &state;
+}
+
+void EndpointBoard::OnNews(const HostId& from, const EndpointNews& news) {
+  State* state = this->Current(news.endpoint, news.incarnation);
+  if (state == nullptr) {
+    return;
+  }
+  state->leaving |= news.leaving;
+  if (news.down) {
+    state->down.insert(from);
+  } else {
+    state->down.erase(from);
+    state->refuted.erase(from);
+  }
+}
+
+void EndpointBoard::OnNews(const HostId& from,
+                           const std::vector<EndpointNews>& news) {
+  for (auto& [id, state] : this->states) {
+    const auto claim = std::ranges::find(news, id, &EndpointNews::endpoint);
+    if (claim == news.end()) {
+      state.down.erase(from);
+      state.refuted.erase(from);
+    }
+  }
+  for (const auto& item : news) {
+    this->OnNews(from, item);
+  }
+}
+
+void EndpointBoard::OnAlive(const EndpointId& endpoint, uint64_t incarnation) {
+  if (State* state = this->Current(endpoint, incarnation)) {
+    state->refuted = state->down;
+  }
+}
+
+void EndpointBoard::OnHostGone(const HostId& host) {
+  for (auto& [id, state] : this->states) {
+    state.down.erase(host);
+    state.refuted.erase(host);
+  }
+}
+
+void EndpointBoard::Keep(const std::set<EndpointId>& endpoints) {
+  std::erase_if(this->states, [&](const auto& entry) {
+    return !endpoints.contains(entry.first);
+  });
+}
+
+bool EndpointBoard::Out(const EndpointId& endpoint) const {
+  const auto found = this->states.find(endpoint);
+  if (found == this->states.end()) {
+    return false;
+  }
+  const State& state = found->second;
+  return state.leaving ||
+         std::ranges::any_of(state.down, [&](const HostId& host) {
+           return !state.refuted.contains(host);
+         });
+}
+
+std::vector<EndpointNews> EndpointBoard::Leaving() const {
+  std::vector<EndpointNews> leaving;
+  for (const auto& [id, state] : this->states) {
+    if (state.leaving) {
+      leaving.push_back({.endpoint = id,
+                         .incarnation = state.incarnation,
+                         .leaving = true});
+    }
+  }
+  return leaving;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/membership.cc
@@ -0,0 +1,227 @@
+#include "decisions/membership.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <iterator>
+#include <ranges>
+#include <set>
+#include <utility>
+
+namespace hickorystand {
+
+const char* HostStateName(HostState state) {
+  constexpr std::array kNames = {"live", "suspected", "leaving", "gone"};
+  return kNames.at(static_cast<size_t>(state));
+}
+
+Membership::Membership(MembershipOptions options)
+    : options(std::move(options)) {
+  assert(!this->options.self.host.Empty() && "set MembershipOptions::self");
+  assert(this->options.incarnation > 0 && "set the incarnation");
+  assert(this->options.suspect_after < this->options.gone_after);
+}
+
+void Membership::OnHostList(Instant now, const std::vector<ListedHost>& list) {
+  std::set<HostId> listed;
+  std::set<SocketAddress> taken;
+  for (const auto& line : list) {
+    listed.insert(line.peer.host);
+    taken.insert(line.peer.address);
+    if (line.peer.host == this->options.self.host) {
+      continue;
+    }
+    const auto [where, fresh] = this->records.try_emplace(line.peer.host);
+    Record& record = where->second;
+    if (fresh || !record.listed) {
+      record.heard = std::max(record.heard, now);
+    }
+    record.peer = line.peer;
+    record.listed = true;
+    if (line.leaving && !record.listed_leaving) {
+      record.leaving = true;
+    }
+    record.listed_leaving = line.leaving;
+  }
+  for (auto& [id, record] : this->records) {
+    record.listed = listed.contains(id);
+    record.listed_leaving &= record.listed;
+  }
+  std::erase_if(this->records, [&](const auto& entry) {
+    const Record& record = entry.second;
+    // Its address belongs to another host now, so it can't come back there.
+    return !record.listed && taken.contains(record.peer.address) &&
+           now - record.heard > this->options.suspect_after;
+  });
+}
+
+Heard Membership::OnHeard(Instant now,
+                          const HostId& host,
+                          const DataCentreId& data_centre,
+                          uint64_t incarnation,
+                          bool leaving) {
+  if (host == this->options.self.host) {
+    this->superseded |= incarnation > this->options.incarnation;
+    return Heard::kSelf;
+  }
+  Record& record = this->records[host];
+  if (incarnation < record.incarnation) {
+    return Heard::kSuperseded;
+  }
+  if (incarnation > record.incarnation) {
+    // A first incarnation doesn't undo what the list says of it. A later one
+    // is a new process, which the list may not know of yet.
+    if (record.incarnation != 0) {
+      record.leaving = false;
+    }
+    record.incarnation = incarnation;
+  }
+  record.peer.host = host;
+  record.peer.data_centre = data_centre;
+  record.heard = now;
+  // Within one incarnation a host that said it leaves never returns: a "live"
+  // after that is an old message or the lagging list.
+  record.leaving =
+      leaving || (this->options.leaving_wins && record.leaving);
+  return Heard::kCurrent;
+}
+
+void Membership::OnLinkDown(Instant now, const HostId& host) {
+  const auto found = this->records.find(host);
+  if (found == this->records.end()) {
+    return;
+  }
+  auto& breaks = found->second.breaks;
+  breaks.push_back(now);
+  while (breaks.size() > static_cast<size_t>(this->options.flap_limit)) {
+    breaks.pop_front();
+  }
+}
+
+bool Membership::Flapping(Instant now, const Record& record) const {
+  return record.breaks.size() >=
+             static_cast<size_t>(this->options.flap_limit) &&
+         now - record.breaks.front() < this->options.flap_window;
+}
+
+HostState Membership::State(Instant now, const Record& record) const {
+  const Duration silence = now - record.heard;
+  const bool met = record.incarnation != 0;
+  // Hosts that this one has no business with are as the list says.
+  if (!this->Local(record) && !record.expected && record.listed) {
+    return record.leaving ? HostState::kLeaving : HostState::kLive;
+  }
+  if (silence > this->options.gone_after && (!record.listed || record.leaving)) {
+    return HostState::kGone;
+  }
+  if (!record.listed && !met) {
+    return HostState::kGone;
+  }
+  if (record.leaving) {
+    return HostState::kLeaving;
+  }
+  return silence > this->options.suspect_after ? HostState::kSuspected
+                                               : HostState::kLive;
+}
+
+HostState Membership::StateOf(Instant now, const HostId& host) const {
+  const auto found = this->records.find(host);
+  return found == this->records.end() ? HostState::kGone
+                                      : this->State(now, found->second);
+}
+
+std::vector<Member> Membership::Members(Instant now) {
+  std::erase_if(this->records, [&](const auto& entry) {
+    return this->State(now, entry.second) == HostState::kGone &&
+           !entry.second.listed;
+  });
+  std::vector<Member> members;
+  for (const auto& [id, record] : this->records) {
+    const HostState state = this->State(now, record);
+    if (state != HostState::kGone) {
+      members.push_back({.peer = record.peer,
+                         .incarnation = record.incarnation,
+                         .state = state,
+                         .flapping = this->Flapping(now, record)});
+    }
+  }
+  return members;
+}
+
+std::vector<HostId> Membership::Fit(Instant now,
+                                    const DataCentreId& data_centre) const {
+  std::vector<HostId> fit;
+  for (const auto& [id, record] : this->records) {
+    if (record.peer.data_centre == data_centre &&
+        this->State(now, record) == HostState::kLive &&
+        !this->Flapping(now, record)) {
+      fit.push_back(id);
+    }
+  }
+  if (data_centre == this->options.self.data_centre && !this->draining) {
+    fit.push_back(this->options.self.host);
+  }
+  std::ranges::sort(fit);
+  return fit;
+}
+
+std::vector<HostId> Membership::Representatives(
+    Instant now,
+    const DataCentreId& data_centre) const {
+  auto fit = this->Fit(now, data_centre);
+  fit.resize(std::min(fit.size(), kRepresentatives));
+  return fit;
+}
+
+size_t Membership::Rank(Instant now) const {
+  const auto own =
+      this->Representatives(now, this->options.self.data_centre);
+  const auto place = std::ranges::find(own, this->options.self.host);
+  return place == own.end() ? kNoRank
+                            : static_cast<size_t>(place - own.begin());
+}
+
+HostId Membership::Deputy(Instant now, const HostId& coordinator) const {
+  const auto fit = this->Fit(now, this->options.self.data_centre);
+  const auto other = std::ranges::find_if(
+      fit, [&](const HostId& host) { return host != coordinator; });
+  return other == fit.end() ? HostId() : *other;
+}
+
+std::vector<PeerHost> Membership::Links(Instant now) {
+  const size_t rank = this->Rank(now);
+  std::set<HostId> wanted;
+  std::set<DataCentreId> others;
+  for (const auto& [id, record] : this->records) {
+    if (!this->Local(record)) {
+      others.insert(record.peer.data_centre);
+    } else if (this->State(now, record) != HostState::kGone) {
+      wanted.insert(id);
+    }
+  }
+  for (const auto& data_centre : others) {
+    const auto theirs = this->Representatives(now, data_centre);
+    if (rank != kNoRank && !theirs.empty()) {
+      wanted.insert(theirs[std::min(rank, theirs.size() - 1)]);
+    }
+  }
+  std::vector<PeerHost> links;
+  for (auto& [id, record] : this->records) {
+    const bool want = wanted.contains(id);
+    // A distant host that was found silent is asked again after a while, and
+    // meanwhile the next one of its data centre is.
+    const bool rests =
+        record.expected && now - record.heard <= this->options.gone_after;
+    if (want && !std::exchange(record.expected, true)) {
+      record.heard = std::max(record.heard, now);
+    } else if (!want && !this->Local(record) && !rests) {
+      record.expected = false;
+    }
+    if (want && record.peer.address.port != 0) {
+      links.push_back(record.peer);
+    }
+  }
+  return links;
+}
+
+}  // namespace hickorystand
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -786,10 +786,170 @@
   return *this;
 }
 
+Ack::~Ack() noexcept {
+}
+
+
+void Ack::__set_scope(const int32_t val) {
+  this->scope = val;
+}
+
+void Ack::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+__isset.incarnation = true;
+}
+
+void Ack::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void Ack::__set_gap(const bool val) {
+  this->gap = val;
+__isset.gap = true;
+}
+
+uint32_t Ack::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->scope);
+          this->__isset.scope = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gap);
+          this->__isset.gap = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Ack::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Ack");
+
+  xfer += oprot->writeFieldBegin("scope", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->scope);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.incarnation) {
+    xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->incarnation);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.gap) {
+    xfer += oprot->writeFieldBegin("gap", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->gap);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Ack &a, Ack &b) {
+  using ::std::swap;
+  swap(a.scope, b.scope);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.gap, b.gap);
+  swap(a.__isset, b.__isset);
+}
+
+Ack::Ack(const Ack& other44) noexcept {
+  scope = other44.scope;
+  incarnation = other44.incarnation;
+  sequence = other44.sequence;
+  gap = other44.gap;
+  __isset = other44.__isset;
+}
+Ack::Ack(Ack&& other45) noexcept {
+  scope = other45.scope;
+  incarnation = other45.incarnation;
+  sequence = other45.sequence;
+  gap = other45.gap;
+  __isset = other45.__isset;
+}
+Ack& Ack::operator=(const Ack& other46) noexcept {
+  scope = other46.scope;
+  incarnation = other46.incarnation;
+  sequence = other46.sequence;
+  gap = other46.gap;
+  __isset = other46.__isset;
+  return *this;
+}
+Ack& Ack::operator=(Ack&& other47) noexcept {
+  scope = other47.scope;
+  incarnation = other47.incarnation;
+  sequence = other47.sequence;
+  gap = other47.gap;
+  __isset = other47.__isset;
+  return *this;
+}
+
 DigestDelta::~DigestDelta() noexcept {
 }
 
 
+void DigestDelta::__set_scope(const int32_t val) {
+  this->scope = val;
+__isset.scope = true;
+}
+
 void DigestDelta::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
@@ -804,6 +964,7 @@
 
 void DigestDelta::__set_leaving(const bool val) {
   this->leaving = val;
+__isset.leaving = true;
 }
 
 void DigestDelta::__set_outstanding(const Entries& val) {
@@ -826,19 +987,9 @@
 __isset.endpoints = true;
 }
 
-void DigestDelta::__set_ack_incarnation(const int64_t val) {
-  this->ack_incarnation = val;
-__isset.ack_incarnation = true;
-}
-
-void DigestDelta::__set_ack_sequence(const int64_t val) {
-  this->ack_sequence = val;
-__isset.ack_sequence = true;
-}
-
-void DigestDelta::__set_ack_gap(const bool val) {
-  this->ack_gap = val;
-__isset.ack_gap = true;
+void DigestDelta::__set_acks(const std::vector<Ack> & val) {
+  this->acks = val;
+__isset.acks = true;
 }
 
 uint32_t DigestDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
@@ -862,6 +1013,14 @@
     }
     switch (fid)
     {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->scope);
+          this->__isset.scope = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->sequence);
@@ -914,14 +1073,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->suspicions.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->suspicions.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->suspicions[_i48].read(iprot);
+              xfer += this->suspicions[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -939,25 +1098,21 @@
         }
         break;
       case 12:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ack_incarnation);
-          this->__isset.ack_incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ack_sequence);
-          this->__isset.ack_sequence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->ack_gap);
-          this->__isset.ack_gap = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->acks.clear();
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->acks.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
+            {
+              xfer += this->acks[_i57].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.acks = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -979,6 +1134,11 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("DigestDelta");
 
+  if (this->__isset.scope) {
+    xfer += oprot->writeFieldBegin("scope", ::apache::thrift::protocol::T_I32, 1);
+    xfer += oprot->writeI32(this->scope);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
@@ -991,10 +1151,11 @@
   xfer += oprot->writeI64(this->configuration_revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 7);
-  xfer += oprot->writeBool(this->leaving);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->leaving);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.outstanding) {
     xfer += oprot->writeFieldBegin("outstanding", ::apache::thrift::protocol::T_STRUCT, 8);
     xfer += this->outstanding.write(oprot);
@@ -1009,10 +1170,10 @@
     xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-      std::vector<Suspicion> ::const_iterator _iter49;
-      for (_iter49 = this->suspicions.begin(); _iter49 != this->suspicions.end(); ++_iter49)
+      std::vector<Suspicion> ::const_iterator _iter58;
+      for (_iter58 = this->suspicions.begin(); _iter58 != this->suspicions.end(); ++_iter58)
       {
-        xfer += (*_iter49).write(oprot);
+        xfer += (*_iter58).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1023,19 +1184,17 @@
     xfer += this->endpoints.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.ack_incarnation) {
-    xfer += oprot->writeFieldBegin("ack_incarnation", ::apache::thrift::protocol::T_I64, 12);
-    xfer += oprot->writeI64(this->ack_incarnation);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.ack_sequence) {
-    xfer += oprot->writeFieldBegin("ack_sequence", ::apache::thrift::protocol::T_I64, 13);
-    xfer += oprot->writeI64(this->ack_sequence);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.ack_gap) {
-    xfer += oprot->writeFieldBegin("ack_gap", ::apache::thrift::protocol::T_BOOL, 14);
-    xfer += oprot->writeBool(this->ack_gap);
+  if (this->__isset.acks) {
+    xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 12);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
+      std::vector<Ack> ::const_iterator _iter59;
+      for (_iter59 = this->acks.begin(); _iter59 != this->acks.end(); ++_iter59)
+      {
+        xfer += (*_iter59).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -1045,6 +1204,7 @@
 
 void swap(DigestDelta &a, DigestDelta &b) {
   using ::std::swap;
+  swap(a.scope, b.scope);
   swap(a.sequence, b.sequence);
   swap(a.base, b.base);
   swap(a.configuration_revision, b.configuration_revision);
@@ -1053,68 +1213,62 @@
   swap(a.served, b.served);
   swap(a.suspicions, b.suspicions);
   swap(a.endpoints, b.endpoints);
-  swap(a.ack_incarnation, b.ack_incarnation);
-  swap(a.ack_sequence, b.ack_sequence);
-  swap(a.ack_gap, b.ack_gap);
+  swap(a.acks, b.acks);
   swap(a.__isset, b.__isset);
 }
 
-DigestDelta::DigestDelta(const DigestDelta& other50) {
-  sequence = other50.sequence;
-  base = other50.base;
-  configuration_revision = other50.configuration_revision;
-  leaving = other50.leaving;
-  outstanding = other50.outstanding;
-  served = other50.served;
-  suspicions = other50.suspicions;
-  endpoints = other50.endpoints;
-  ack_incarnation = other50.ack_incarnation;
-  ack_sequence = other50.ack_sequence;
-  ack_gap = other50.ack_gap;
-  __isset = other50.__isset;
-}
-DigestDelta::DigestDelta(DigestDelta&& other51) noexcept {
-  sequence = other51.sequence;
-  base = other51.base;
-  configuration_revision = other51.configuration_revision;
-  leaving = other51.leaving;
-  outstanding = std::move(other51.outstanding);
-  served = std::move(other51.served);
-  suspicions = std::move(other51.suspicions);
-  endpoints = std::move(other51.endpoints);
-  ack_incarnation = other51.ack_incarnation;
-  ack_sequence = other51.ack_sequence;
-  ack_gap = other51.ack_gap;
-  __isset = other51.__isset;
-}
-DigestDelta& DigestDelta::operator=(const DigestDelta& other52) {
-  sequence = other52.sequence;
-  base = other52.base;
-  configuration_revision = other52.configuration_revision;
-  leaving = other52.leaving;
-  outstanding = other52.outstanding;
-  served = other52.served;
-  suspicions = other52.suspicions;
-  endpoints = other52.endpoints;
-  ack_incarnation = other52.ack_incarnation;
-  ack_sequence = other52.ack_sequence;
-  ack_gap = other52.ack_gap;
-  __isset = other52.__isset;
+DigestDelta::DigestDelta(const DigestDelta& other60) {
+  scope = other60.scope;
+  sequence = other60.sequence;
+  base = other60.base;
+  configuration_revision = other60.configuration_revision;
+  leaving = other60.leaving;
+  outstanding = other60.outstanding;
+  served = other60.served;
+  suspicions = other60.suspicions;
+  endpoints = other60.endpoints;
+  acks = other60.acks;
+  __isset = other60.__isset;
+}
+DigestDelta::DigestDelta(DigestDelta&& other61) noexcept {
+  scope = other61.scope;
+  sequence = other61.sequence;
+  base = other61.base;
+  configuration_revision = other61.configuration_revision;
+  leaving = other61.leaving;
+  outstanding = std::move(other61.outstanding);
+  served = std::move(other61.served);
+  suspicions = std::move(other61.suspicions);
+  endpoints = std::move(other61.endpoints);
+  acks = std::move(other61.acks);
+  __isset = other61.__isset;
+}
+DigestDelta& DigestDelta::operator=(const DigestDelta& other62) {
+  scope = other62.scope;
+  sequence = other62.sequence;
+  base = other62.base;
+  configuration_revision = other62.configuration_revision;
+  leaving = other62.leaving;
+  outstanding = other62.outstanding;
+  served = other62.served;
+  suspicions = other62.suspicions;
+  endpoints = other62.endpoints;
+  acks = other62.acks;
+  __isset = other62.__isset;
   return *this;
 }
-DigestDelta& DigestDelta::operator=(DigestDelta&& other53) noexcept {
-  sequence = other53.sequence;
-  base = other53.base;
-  configuration_revision = other53.configuration_revision;
-  leaving = other53.leaving;
-  outstanding = std::move(other53.outstanding);
-  served = std::move(other53.served);
-  suspicions = std::move(other53.suspicions);
-  endpoints = std::move(other53.endpoints);
-  ack_incarnation = other53.ack_incarnation;
-  ack_sequence = other53.ack_sequence;
-  ack_gap = other53.ack_gap;
-  __isset = other53.__isset;
+DigestDelta& DigestDelta::operator=(DigestDelta&& other63) noexcept {
+  scope = other63.scope;
+  sequence = other63.sequence;
+  base = other63.base;
+  configuration_revision = other63.configuration_revision;
+  leaving = other63.leaving;
+  outstanding = std::move(other63.outstanding);
+  served = std::move(other63.served);
+  suspicions = std::move(other63.suspicions);
+  endpoints = std::move(other63.endpoints);
+  acks = std::move(other63.acks);
+  __isset = other63.__isset;
   return *this;
 }
 
@@ -1187,22 +1341,22 @@
   swap(a.__isset, b.__isset);
 }
 
-BucketsRequest::BucketsRequest(const BucketsRequest& other54) noexcept {
-  above_revision = other54.above_revision;
-  __isset = other54.__isset;
+BucketsRequest::BucketsRequest(const BucketsRequest& other64) noexcept {
+  above_revision = other64.above_revision;
+  __isset = other64.__isset;
 }
-BucketsRequest::BucketsRequest(BucketsRequest&& other55) noexcept {
-  above_revision = other55.above_revision;
-  __isset = other55.__isset;
+BucketsRequest::BucketsRequest(BucketsRequest&& other65) noexcept {
+  above_revision = other65.above_revision;
+  __isset = other65.__isset;
 }
-BucketsRequest& BucketsRequest::operator=(const BucketsRequest& other56) noexcept {
-  above_revision = other56.above_revision;
-  __isset = other56.__isset;
+BucketsRequest& BucketsRequest::operator=(const BucketsRequest& other66) noexcept {
+  above_revision = other66.above_revision;
+  __isset = other66.__isset;
   return *this;
 }
-BucketsRequest& BucketsRequest::operator=(BucketsRequest&& other57) noexcept {
-  above_revision = other57.above_revision;
-  __isset = other57.__isset;
+BucketsRequest& BucketsRequest::operator=(BucketsRequest&& other67) noexcept {
+  above_revision = other67.above_revision;
+  __isset = other67.__isset;
   return *this;
 }
 
@@ -1309,30 +1463,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Bucket::Bucket(const Bucket& other58) {
-  name = other58.name;
-  revision = other58.revision;
-  value = other58.value;
-  __isset = other58.__isset;
+Bucket::Bucket(const Bucket& other68) {
+  name = other68.name;
+  revision = other68.revision;
+  value = other68.value;
+  __isset = other68.__isset;
 }
-Bucket::Bucket(Bucket&& other59) noexcept {
-  name = std::move(other59.name);
-  revision = other59.revision;
-  value = std::move(other59.value);
-  __isset = other59.__isset;
+Bucket::Bucket(Bucket&& other69) noexcept {
+  name = std::move(other69.name);
+  revision = other69.revision;
+  value = std::move(other69.value);
+  __isset = other69.__isset;
 }
-Bucket& Bucket::operator=(const Bucket& other60) {
-  name = other60.name;
-  revision = other60.revision;
-  value = other60.value;
-  __isset = other60.__isset;
+Bucket& Bucket::operator=(const Bucket& other70) {
+  name = other70.name;
+  revision = other70.revision;
+  value = other70.value;
+  __isset = other70.__isset;
   return *this;
 }
-Bucket& Bucket::operator=(Bucket&& other61) noexcept {
-  name = std::move(other61.name);
-  revision = other61.revision;
-  value = std::move(other61.value);
-  __isset = other61.__isset;
+Bucket& Bucket::operator=(Bucket&& other71) noexcept {
+  name = std::move(other71.name);
+  revision = other71.revision;
+  value = std::move(other71.value);
+  __isset = other71.__isset;
   return *this;
 }
 
@@ -1381,14 +1535,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->buckets.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->buckets.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->buckets[_i66].read(iprot);
+              xfer += this->buckets[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1421,10 +1575,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<Bucket> ::const_iterator _iter67;
-    for (_iter67 = this->buckets.begin(); _iter67 != this->buckets.end(); ++_iter67)
+    std::vector<Bucket> ::const_iterator _iter77;
+    for (_iter77 = this->buckets.begin(); _iter77 != this->buckets.end(); ++_iter77)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1442,26 +1596,26 @@
   swap(a.__isset, b.__isset);
 }
 
-BucketsReply::BucketsReply(const BucketsReply& other68) {
-  head_revision = other68.head_revision;
-  buckets = other68.buckets;
-  __isset = other68.__isset;
+BucketsReply::BucketsReply(const BucketsReply& other78) {
+  head_revision = other78.head_revision;
+  buckets = other78.buckets;
+  __isset = other78.__isset;
 }
-BucketsReply::BucketsReply(BucketsReply&& other69) noexcept {
-  head_revision = other69.head_revision;
-  buckets = std::move(other69.buckets);
-  __isset = other69.__isset;
+BucketsReply::BucketsReply(BucketsReply&& other79) noexcept {
+  head_revision = other79.head_revision;
+  buckets = std::move(other79.buckets);
+  __isset = other79.__isset;
 }
-BucketsReply& BucketsReply::operator=(const BucketsReply& other70) {
-  head_revision = other70.head_revision;
-  buckets = other70.buckets;
-  __isset = other70.__isset;
+BucketsReply& BucketsReply::operator=(const BucketsReply& other80) {
+  head_revision = other80.head_revision;
+  buckets = other80.buckets;
+  __isset = other80.__isset;
   return *this;
 }
-BucketsReply& BucketsReply::operator=(BucketsReply&& other71) noexcept {
-  head_revision = other71.head_revision;
-  buckets = std::move(other71.buckets);
-  __isset = other71.__isset;
+BucketsReply& BucketsReply::operator=(BucketsReply&& other81) noexcept {
+  head_revision = other81.head_revision;
+  buckets = std::move(other81.buckets);
+  __isset = other81.__isset;
   return *this;
 }
 
@@ -1568,30 +1722,30 @@
   swap(a.__isset, b.__isset);
 }
 
-UsageCopy::UsageCopy(const UsageCopy& other72) {
-  host = other72.host;
-  incarnation = other72.incarnation;
-  value = other72.value;
-  __isset = other72.__isset;
+UsageCopy::UsageCopy(const UsageCopy& other82) {
+  host = other82.host;
+  incarnation = other82.incarnation;
+  value = other82.value;
+  __isset = other82.__isset;
 }
-UsageCopy::UsageCopy(UsageCopy&& other73) noexcept {
-  host = std::move(other73.host);
-  incarnation = other73.incarnation;
-  value = std::move(other73.value);
-  __isset = other73.__isset;
+UsageCopy::UsageCopy(UsageCopy&& other83) noexcept {
+  host = std::move(other83.host);
+  incarnation = other83.incarnation;
+  value = std::move(other83.value);
+  __isset = other83.__isset;
 }
-UsageCopy& UsageCopy::operator=(const UsageCopy& other74) {
-  host = other74.host;
-  incarnation = other74.incarnation;
-  value = other74.value;
-  __isset = other74.__isset;
+UsageCopy& UsageCopy::operator=(const UsageCopy& other84) {
+  host = other84.host;
+  incarnation = other84.incarnation;
+  value = other84.value;
+  __isset = other84.__isset;
   return *this;
 }
-UsageCopy& UsageCopy::operator=(UsageCopy&& other75) noexcept {
-  host = std::move(other75.host);
-  incarnation = other75.incarnation;
-  value = std::move(other75.value);
-  __isset = other75.__isset;
+UsageCopy& UsageCopy::operator=(UsageCopy&& other85) noexcept {
+  host = std::move(other85.host);
+  incarnation = other85.incarnation;
+  value = std::move(other85.value);
+  __isset = other85.__isset;
   return *this;
 }
 
@@ -1681,26 +1835,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Released::Released(const Released& other76) {
-  data_centre = other76.data_centre;
-  fencing = other76.fencing;
-  __isset = other76.__isset;
+Released::Released(const Released& other86) {
+  data_centre = other86.data_centre;
+  fencing = other86.fencing;
+  __isset = other86.__isset;
 }
-Released::Released(Released&& other77) noexcept {
-  data_centre = std::move(other77.data_centre);
-  fencing = other77.fencing;
-  __isset = other77.__isset;
+Released::Released(Released&& other87) noexcept {
+  data_centre = std::move(other87.data_centre);
+  fencing = other87.fencing;
+  __isset = other87.__isset;
 }
-Released& Released::operator=(const Released& other78) {
-  data_centre = other78.data_centre;
-  fencing = other78.fencing;
-  __isset = other78.__isset;
+Released& Released::operator=(const Released& other88) {
+  data_centre = other88.data_centre;
+  fencing = other88.fencing;
+  __isset = other88.__isset;
   return *this;
 }
-Released& Released::operator=(Released&& other79) noexcept {
-  data_centre = std::move(other79.data_centre);
-  fencing = other79.fencing;
-  __isset = other79.__isset;
+Released& Released::operator=(Released&& other89) noexcept {
+  data_centre = std::move(other89.data_centre);
+  fencing = other89.fencing;
+  __isset = other89.__isset;
   return *this;
 }
 
@@ -1752,18 +1906,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other80) noexcept {
-  (void) other80;
+Heartbeat::Heartbeat(const Heartbeat& other90) noexcept {
+  (void) other90;
 }
-Heartbeat::Heartbeat(Heartbeat&& other81) noexcept {
-  (void) other81;
+Heartbeat::Heartbeat(Heartbeat&& other91) noexcept {
+  (void) other91;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other82) noexcept {
-  (void) other82;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other92) noexcept {
+  (void) other92;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other83) noexcept {
-  (void) other83;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other93) noexcept {
+  (void) other93;
   return *this;
 }
 
@@ -1952,46 +2106,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other84) {
-  heartbeat = other84.heartbeat;
-  digest = other84.digest;
-  buckets_request = other84.buckets_request;
-  buckets_reply = other84.buckets_reply;
-  usage_copy = other84.usage_copy;
-  released = other84.released;
-  endpoint_news = other84.endpoint_news;
-  __isset = other84.__isset;
-}
-Message::Message(Message&& other85) noexcept {
-  heartbeat = std::move(other85.heartbeat);
-  digest = std::move(other85.digest);
-  buckets_request = std::move(other85.buckets_request);
-  buckets_reply = std::move(other85.buckets_reply);
-  usage_copy = std::move(other85.usage_copy);
-  released = std::move(other85.released);
-  endpoint_news = std::move(other85.endpoint_news);
-  __isset = other85.__isset;
-}
-Message& Message::operator=(const Message& other86) {
-  heartbeat = other86.heartbeat;
-  digest = other86.digest;
-  buckets_request = other86.buckets_request;
-  buckets_reply = other86.buckets_reply;
-  usage_copy = other86.usage_copy;
-  released = other86.released;
-  endpoint_news = other86.endpoint_news;
-  __isset = other86.__isset;
+Message::Message(const Message& other94) {
+  heartbeat = other94.heartbeat;
+  digest = other94.digest;
+  buckets_request = other94.buckets_request;
+  buckets_reply = other94.buckets_reply;
+  usage_copy = other94.usage_copy;
+  released = other94.released;
+  endpoint_news = other94.endpoint_news;
+  __isset = other94.__isset;
+}
+Message::Message(Message&& other95) noexcept {
+  heartbeat = std::move(other95.heartbeat);
+  digest = std::move(other95.digest);
+  buckets_request = std::move(other95.buckets_request);
+  buckets_reply = std::move(other95.buckets_reply);
+  usage_copy = std::move(other95.usage_copy);
+  released = std::move(other95.released);
+  endpoint_news = std::move(other95.endpoint_news);
+  __isset = other95.__isset;
+}
+Message& Message::operator=(const Message& other96) {
+  heartbeat = other96.heartbeat;
+  digest = other96.digest;
+  buckets_request = other96.buckets_request;
+  buckets_reply = other96.buckets_reply;
+  usage_copy = other96.usage_copy;
+  released = other96.released;
+  endpoint_news = other96.endpoint_news;
+  __isset = other96.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other87) noexcept {
-  heartbeat = std::move(other87.heartbeat);
-  digest = std::move(other87.digest);
-  buckets_request = std::move(other87.buckets_request);
-  buckets_reply = std::move(other87.buckets_reply);
-  usage_copy = std::move(other87.usage_copy);
-  released = std::move(other87.released);
-  endpoint_news = std::move(other87.endpoint_news);
-  __isset = other87.__isset;
+Message& Message::operator=(Message&& other97) noexcept {
+  heartbeat = std::move(other97.heartbeat);
+  digest = std::move(other97.digest);
+  buckets_request = std::move(other97.buckets_request);
+  buckets_reply = std::move(other97.buckets_reply);
+  usage_copy = std::move(other97.usage_copy);
+  released = std::move(other97.released);
+  endpoint_news = std::move(other97.endpoint_news);
+  __isset = other97.__isset;
   return *this;
 }
 }} // namespace
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -31,6 +31,8 @@
 
 class EndpointNews;
 
+class Ack;
+
 class DigestDelta;
 
 class BucketsRequest;
@@ -347,8 +349,78 @@
 
 std::ostream& operator<<(std::ostream& out, const EndpointNews& obj);
 
+typedef struct _Ack__isset {
+  _Ack__isset() : scope(false), incarnation(false), sequence(false), gap(false) {}
+  bool scope :1;
+  bool incarnation :1;
+  bool sequence :1;
+  bool gap :1;
+} _Ack__isset;
+
+class Ack : public virtual ::apache::thrift::TBase {
+ public:
+
+  Ack(const Ack&) noexcept;
+  Ack(Ack&&) noexcept;
+  Ack& operator=(const Ack&) noexcept;
+  Ack& operator=(Ack&&) noexcept;
+  Ack() noexcept
+      : scope(0),
+        incarnation(0),
+        sequence(0),
+        gap(0) {
+  }
+
+  virtual ~Ack() noexcept;
+  int32_t scope;
+  int64_t incarnation;
+  int64_t sequence;
+  bool gap;
+
+  _Ack__isset __isset;
+
+  void __set_scope(const int32_t val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_gap(const bool val);
+
+  bool operator == (const Ack & rhs) const
+  {
+    if (!(scope == rhs.scope))
+      return false;
+    if (__isset.incarnation != rhs.__isset.incarnation)
+      return false;
+    else if (__isset.incarnation && !(incarnation == rhs.incarnation))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (__isset.gap != rhs.__isset.gap)
+      return false;
+    else if (__isset.gap && !(gap == rhs.gap))
+      return false;
+    return true;
+  }
+  bool operator != (const Ack &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Ack & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(Ack &a, Ack &b);
+
+std::ostream& operator<<(std::ostream& out, const Ack& obj);
+
 typedef struct _DigestDelta__isset {
-  _DigestDelta__isset() : sequence(false), base(false), configuration_revision(false), leaving(false), outstanding(false), served(false), suspicions(false), endpoints(false), ack_incarnation(false), ack_sequence(false), ack_gap(false) {}
+  _DigestDelta__isset() : scope(false), sequence(false), base(false), configuration_revision(false), leaving(false), outstanding(false), served(false), suspicions(false), endpoints(false), acks(false) {}
+  bool scope :1;
   bool sequence :1;
   bool base :1;
   bool configuration_revision :1;
@@ -357,9 +429,7 @@
   bool served :1;
   bool suspicions :1;
   bool endpoints :1;
-  bool ack_incarnation :1;
-  bool ack_sequence :1;
-  bool ack_gap :1;
+  bool acks :1;
 } _DigestDelta__isset;
 
 class DigestDelta : public virtual ::apache::thrift::TBase {
@@ -370,16 +440,15 @@
   DigestDelta& operator=(const DigestDelta&);
   DigestDelta& operator=(DigestDelta&&) noexcept;
   DigestDelta() noexcept
-              : sequence(0),
+              : scope(0),
+                sequence(0),
                 base(0),
                 configuration_revision(0),
-                leaving(0),
-                ack_incarnation(0),
-                ack_sequence(0),
-                ack_gap(0) {
+                leaving(0) {
   }
 
   virtual ~DigestDelta() noexcept;
+  int32_t scope;
   int64_t sequence;
   int64_t base;
   int64_t configuration_revision;
@@ -388,12 +457,12 @@
   Entries served;
   std::vector<Suspicion>  suspicions;
   Entries endpoints;
-  int64_t ack_incarnation;
-  int64_t ack_sequence;
-  bool ack_gap;
+  std::vector<Ack>  acks;
 
   _DigestDelta__isset __isset;
 
+  void __set_scope(const int32_t val);
+
   void __set_sequence(const int64_t val);
 
   void __set_base(const int64_t val);
@@ -410,21 +479,23 @@
 
   void __set_endpoints(const Entries& val);
 
-  void __set_ack_incarnation(const int64_t val);
-
-  void __set_ack_sequence(const int64_t val);
-
-  void __set_ack_gap(const bool val);
+  void __set_acks(const std::vector<Ack> & val);
 
   bool operator == (const DigestDelta & rhs) const
   {
+    if (__isset.scope != rhs.__isset.scope)
+      return false;
+    else if (__isset.scope && !(scope == rhs.scope))
+      return false;
     if (!(sequence == rhs.sequence))
       return false;
     if (!(base == rhs.base))
       return false;
     if (!(configuration_revision == rhs.configuration_revision))
       return false;
-    if (!(leaving == rhs.leaving))
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
       return false;
     if (__isset.outstanding != rhs.__isset.outstanding)
       return false;
@@ -442,17 +513,9 @@
       return false;
     else if (__isset.endpoints && !(endpoints == rhs.endpoints))
       return false;
-    if (__isset.ack_incarnation != rhs.__isset.ack_incarnation)
-      return false;
-    else if (__isset.ack_incarnation && !(ack_incarnation == rhs.ack_incarnation))
-      return false;
-    if (__isset.ack_sequence != rhs.__isset.ack_sequence)
-      return false;
-    else if (__isset.ack_sequence && !(ack_sequence == rhs.ack_sequence))
-      return false;
-    if (__isset.ack_gap != rhs.__isset.ack_gap)
+    if (__isset.acks != rhs.__isset.acks)
       return false;
-    else if (__isset.ack_gap && !(ack_gap == rhs.ack_gap))
+    else if (__isset.acks && !(acks == rhs.acks))
       return false;
     return true;
   }
--- /dev/null
+++ b/packages/peers/peer_group.cc
@@ -0,0 +1,184 @@
+#include "peers/peer_group.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+// Under this prefix a representative's id stands for all other data centres.
+constexpr const char* kElsewherePrefix = "elsewhere/";
+
+MembershipOptions MakeMembershipOptions(const PeerGroupOptions& options) {
+  const SessionOptions& session = options.links.session;
+  return {.self = {.host = session.host,
+                   .data_centre = session.data_centre,
+                   .address = options.links.listen},
+          .incarnation = session.incarnation,
+          .suspect_after = options.suspect_after,
+          .gone_after = options.gone_after};
+}
+
+}  // namespace
+
+PeerGroup::PeerGroup(const PeerGroupOptions& options,
+                     PeerGroupHandlers handlers)
+    : options(options),
+      handlers(std::move(handlers)),
+      membership(MakeMembershipOptions(options)),
+      links(options.links, this->LinkHandlers()) {}
+
+PeerHandlers PeerGroup::LinkHandlers() {
+  return {.on_digest = [this](DigestScope scope, const Digest& digest) {
+            this->OnDigest(scope, digest);
+          },
+          .on_message =
+              [this](const HostId& host, const PeerMessage& message) {
+                this->OnMessage(host, message);
+              },
+          .on_heard =
+              [this](const PeerHello& peer) {
+                this->membership.OnHeard(this->Now(), peer.host,
+                                         peer.data_centre, peer.incarnation,
+                                         false);
+              },
+          .on_up = {},
+          .on_down = [this](const HostId& host) { this->OnDown(host); }};
+}
+
+void PeerGroup::OnHostList(const std::vector<ListedHost>& list) {
+  this->membership.OnHostList(this->Now(), list);
+  this->Refresh();
+}
+
+void PeerGroup::Refresh() {
+  this->links.SetHosts(this->membership.Links(this->Now()));
+}
+
+void PeerGroup::StartDrain() {
+  this->membership.StartDrain();
+  this->Refresh();
+}
+
+void PeerGroup::OnDigest(DigestScope scope, const Digest& digest) {
+  const Heard heard =
+      this->membership.OnHeard(this->Now(), digest.host, digest.data_centre,
+                               digest.incarnation, digest.leaving);
+  if (heard != Heard::kCurrent) {
+    return;
+  }
+  // A representative's summaries hold what leaves, and mustn't take back what
+  // its own digest says is down.
+  this->board.OnNews(scope == DigestScope::kHost
+                         ? digest.host
+                         : HostId(kElsewherePrefix + digest.host.Text()),
+                     digest.endpoints);
+  switch (scope) {
+    case DigestScope::kHost:
+      this->near.OnDigest(digest);
+      this->digests[digest.host] = digest;
+      if (this->handlers.on_digest) {
+        this->handlers.on_digest(digest);
+      }
+      break;
+    case DigestScope::kDataCentre:
+      this->far.OnDigest(digest);
+      break;
+    case DigestScope::kElsewhere:
+      this->OnElsewhere(digest, digest.host);
+      break;
+  }
+  if (this->board.Leaving() != this->leaving) {
+    this->SendSummaries();
+  }
+}
+
+// Hands on what other data centres do. Two representatives may both believe
+// to be the first for a while; counting both would count all distant work
+// twice, so only the last one heard counts.
+void PeerGroup::OnElsewhere(Digest digest, const HostId& from) {
+  const HostId id(kElsewherePrefix + from.Text());
+  if (id != this->elsewhere && !this->elsewhere.Empty() &&
+      this->handlers.on_gone) {
+    this->handlers.on_gone(this->elsewhere);
+  }
+  this->elsewhere = id;
+  digest.host = id;
+  if (this->handlers.on_digest) {
+    this->handlers.on_digest(digest);
+  }
+}
+
+void PeerGroup::OnDown(const HostId& host) {
+  this->membership.OnLinkDown(this->Now(), host);
+  this->near.OnGone(host);
+  this->far.OnGone(host);
+  this->board.OnHostGone(host);
+  this->digests.erase(host);
+  if (this->handlers.on_gone) {
+    this->handlers.on_gone(host);
+    if (this->elsewhere.Text() == kElsewherePrefix + host.Text()) {
+      this->handlers.on_gone(std::exchange(this->elsewhere, HostId()));
+    }
+  }
+}
+
+void PeerGroup::OnMessage(const HostId& host, const PeerMessage& message) {
+  if (const auto* news = std::get_if<EndpointNews>(&message)) {
+    this->board.OnNews(host, *news);
+    if (this->board.Leaving() != this->leaving) {
+      this->SendSummaries();
+    }
+  }
+  if (this->handlers.on_message) {
+    this->handlers.on_message(host, message);
+  }
+}
+
+void PeerGroup::Announce(const EndpointNews& news) {
+  this->board.OnNews(this->options.links.session.host, news);
+  this->links.Broadcast(news);
+}
+
+void PeerGroup::SendDigest(Digest digest) {
+  const SessionOptions& session = this->options.links.session;
+  digest.host = session.host;
+  digest.data_centre = session.data_centre;
+  digest.incarnation = session.incarnation;
+  this->board.OnNews(session.host, digest.endpoints);
+  this->links.SendDigest(DigestScope::kHost, digest);
+  // The summary of this data centre counts this host like any other.
+  digest.sequence = ++this->elsewhere_sequence;
+  this->near.OnDigest(digest);
+  if (this->Now() >= this->next_summary) {
+    this->SendSummaries();
+  }
+  this->Refresh();
+}
+
+void PeerGroup::SendSummaries() {
+  const SessionOptions& session = this->options.links.session;
+  this->next_summary = this->Now() + this->options.summary_period;
+  this->leaving = this->board.Leaving();
+  const size_t rank = this->Rank();
+  if (rank == kNoRank) {
+    return;
+  }
+  // What leaves is a fact about an endpoint's incarnation, so repeating it to
+  // those who said it first does no harm.
+  Digest own = this->near.Make(session.host, session.data_centre,
+                               session.incarnation);
+  own.endpoints = this->leaving;
+  this->links.SendDigest(DigestScope::kDataCentre, own);
+  if (rank != 0) {
+    return;
+  }
+  Digest distant = this->far.Make(session.host, session.data_centre,
+                                  session.incarnation);
+  distant.endpoints = this->leaving;
+  this->links.SendDigest(DigestScope::kElsewhere, distant);
+  distant.sequence = ++this->elsewhere_sequence;
+  this->OnElsewhere(std::move(distant), session.host);
+}
+
+}  // namespace hickorystand
--- a/packages/peers/peer_links.cc
+++ b/packages/peers/peer_links.cc
@@ -24,6 +24,11 @@
 // queueing, because the next delta covers all that was skipped.
 constexpr size_t kMaxDigestBacklog = 64UL * 1024;
 
+constexpr uint64_t kAckEvery = 8;
+
+// Headers of a packet with one frame: IPv4 and TCP with time stamps.
+constexpr uint64_t kPacketBytes = 52;
+
 // Largest part of a reply with buckets that goes into one frame, unless one
 // bucket alone is larger.
 constexpr size_t kMaxReplyPart = 256UL * 1024;
@@ -151,8 +156,7 @@
       link.session->Close({.kind = ErrorKind::kNotFound,
                            .message = "no longer in the host list"});
     }
-    this->digests.Remove(id);
-    this->links.erase(id);
+    this->ForgetHost(id);
   }
   for (const auto& [id, host] : wanted) {
     const bool fresh = !this->links.contains(id);
@@ -255,7 +259,7 @@
     const auto unlisted = std::ranges::count_if(
         this->links, [](const auto& entry) { return !entry.second.listed; });
     const uint64_t seen =
-        known ? this->links[id].received.Current().incarnation : 0;
+        known ? this->links[id].received.front().Current().incarnation : 0;
     if ((!known && static_cast<size_t>(unlisted) >= kMaxUnlisted) ||
         session.Peer().incarnation < seen) {
       session.Close({.kind = ErrorKind::kStale,
@@ -273,7 +277,10 @@
   link->up = true;
   link->backoff = this->options.first_backoff;
   ++this->stats.sessions_established;
-  this->digests.OnConnected(id, session.Peer().incarnation);
+  link->acked = {};
+  for (auto& sender : this->digests) {
+    sender.OnConnected(id, session.Peer().incarnation);
+  }
   LogInfo(kPart, "Linked to a host.",
           {{"host", id.Text()},
            {"data_centre", session.Peer().data_centre.Text()},
@@ -281,8 +288,10 @@
   if (this->handlers.on_up) {
     this->handlers.on_up(id, session.Peer().incarnation);
   }
-  if (this->digests.Sequence() > 0 && link->session != nullptr) {
-    this->SendDigestTo(*link);
+  for (size_t scope = 0; scope < kDigestScopes; ++scope) {
+    if (this->digests[scope].Sequence() > 0 && link->session != nullptr) {
+      this->SendDigestTo(static_cast<DigestScope>(scope), *link);
+    }
   }
 }
 
@@ -291,6 +300,9 @@
   if (link == nullptr) {
     return;
   }
+  if (this->handlers.on_heard) {
+    this->handlers.on_heard(session.Peer());
+  }
   if (auto* digest = std::get_if<PeerDigest>(&message)) {
     this->OnDigest(*link, std::move(*digest));
   } else if (auto* other = std::get_if<PeerMessage>(&message)) {
@@ -300,23 +312,31 @@
   }
 }
 
+void PeerLinks::ForgetHost(const HostId& id) {
+  for (auto& sender : this->digests) {
+    sender.Remove(id);
+  }
+  this->links.erase(id);
+}
+
 void PeerLinks::OnDigest(Link& link, PeerDigest digest) {
   const PeerHello& peer = link.session->Peer();
-  if (digest.ack) {
-    if (digest.ack->incarnation == 0) {
-      digest.ack->incarnation = this->options.session.incarnation;
+  for (auto& [scope, ack] : digest.acks) {
+    if (ack.incarnation == 0) {
+      ack.incarnation = this->options.session.incarnation;
     }
-    this->digests.OnAck(peer.host, *digest.ack);
+    this->digests[static_cast<size_t>(scope)].OnAck(peer.host, ack);
   }
   digest.delta.host = peer.host;
   digest.delta.data_centre = peer.data_centre;
   digest.delta.incarnation = peer.incarnation;
-  const DeltaOutcome outcome = link.received.Apply(digest.delta);
+  auto& received = link.received[static_cast<size_t>(digest.scope)];
+  const DeltaOutcome outcome = received.Apply(digest.delta);
   switch (outcome) {
     case DeltaOutcome::kApplied:
       ++this->stats.digests_received;
       if (this->handlers.on_digest) {
-        this->handlers.on_digest(link.received.Current());
+        this->handlers.on_digest(digest.scope, received.Current());
       }
       break;
     case DeltaOutcome::kStale:
@@ -353,8 +373,7 @@
     }
   }
   if (!link->listed) {
-    this->digests.Remove(id);
-    this->links.erase(id);
+    this->ForgetHost(id);
   }
   if (was_up) {
     LogInfo(kPart, "Link lost.",
@@ -365,33 +384,71 @@
   }
 }
 
-void PeerLinks::SendDigest(const Digest& digest) {
+bool PeerLinks::MeantFor(DigestScope scope, const Link& link) const {
+  const bool near = link.host.data_centre == this->options.session.data_centre;
+  return link.up && near == (scope != DigestScope::kDataCentre);
+}
+
+void PeerLinks::SendDigest(DigestScope scope, const Digest& digest) {
   assert(digest.host == this->options.session.host &&
          digest.incarnation == this->options.session.incarnation &&
-         "a host sends its own digest only");
-  this->digests.Update(digest);
+         "a host sends under its own name only");
+  if (scope == DigestScope::kHost) {
+    const uint64_t bytes = this->BytesOnWire();
+    this->round_bytes = bytes - std::exchange(this->round_start_bytes, bytes);
+  }
+  this->digests[static_cast<size_t>(scope)].Update(digest);
   for (auto& [id, link] : this->links) {
-    if (link.up) {
-      this->SendDigestTo(link);
+    if (this->MeantFor(scope, link)) {
+      this->SendDigestTo(scope, link);
     }
   }
 }
 
-void PeerLinks::SendDigestTo(Link& link) {
+uint64_t PeerLinks::BytesOnWire() const {
+  const SessionTraffic traffic = this->Stats().traffic;
+  return traffic.bytes_sent + traffic.frames_sent * kPacketBytes;
+}
+
+Duration PeerLinks::NextDigestDelay() const {
+  const Duration fitting = FromSeconds(static_cast<double>(this->round_bytes) /
+                                       this->options.budget_bytes_per_second);
+  return std::clamp(fitting, this->options.shortest_period,
+                    this->options.longest_period);
+}
+
+// Acks matter when a link breaks or something was lost, so they ride on one
+// digest in several.
+std::vector<ScopedAck> PeerLinks::DueAcks(Link& link) const {
+  std::vector<ScopedAck> due;
+  for (size_t scope = 0; scope < kDigestScopes; ++scope) {
+    DigestAck ack = link.received[scope].Ack();
+    if (!ack.gap && ack.sequence < link.acked[scope] + kAckEvery) {
+      continue;
+    }
+    link.acked[scope] = ack.sequence;
+    if (ack.incarnation == link.session->Peer().incarnation) {
+      ack.incarnation = 0;
+    }
+    due.push_back({.scope = static_cast<DigestScope>(scope), .ack = ack});
+  }
+  return due;
+}
+
+void PeerLinks::SendDigestTo(DigestScope scope, Link& link) {
+  if (!this->MeantFor(scope, link)) {
+    return;
+  }
   if (link.session->QueuedBytes() > kMaxDigestBacklog) {
     ++this->stats.digests_skipped;
     return;
   }
-  PeerDigest message{.delta = this->digests.Next(link.host.host), .ack = {}};
-  DigestAck ack = link.received.Ack();
-  if (ack.incarnation == link.session->Peer().incarnation) {
-    ack.incarnation = 0;
-  }
-  if (ack.sequence > 0 || ack.gap) {
-    message.ack = ack;
-  }
+  DigestSender& sender = this->digests[static_cast<size_t>(scope)];
+  const PeerDigest message{.scope = scope,
+                           .delta = sender.Next(link.host.host),
+                           .acks = this->DueAcks(link)};
   if (!link.session->Send(message)) {
-    this->digests.OnDropped(link.host.host);
+    sender.OnDropped(link.host.host);
   }
 }
 
--- a/packages/peers/peer_links.h
+++ b/packages/peers/peer_links.h
@@ -7,7 +7,7 @@
 //   PeerLinks links(options, handlers);
 //   links.Listen();
 //   links.SetHosts(hosts);               // again whenever the list changes
-//   links.SendDigest(digest);            // every NextDigestDelay() or so
+//   links.SendDigest(scope, digest);     // every NextDigestDelay() or so
 //   links.Send(host, BucketsRequest{.above_revision = 7});
 //
 // Digests are handed over and delivered whole; on the wire only differences
@@ -18,6 +18,7 @@
 
 #include <gio/gio.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -28,6 +29,7 @@
 
 #include "decisions/digest.h"
 #include "decisions/digest_delta.h"
+#include "decisions/membership.h"
 #include "kernel/error.h"
 #include "kernel/ids.h"
 #include "kernel/log.h"
@@ -39,15 +41,6 @@
 
 namespace hickorystand {
 
-// An entry host that this one should be linked to.
-struct PeerHost {
-  HostId host;
-  DataCentreId data_centre;
-  SocketAddress address;
-
-  auto operator<=>(const PeerHost&) const = default;
-};
-
 // How links are made.
 struct PeerLinksOptions {
   SessionOptions session;  // who this host is, its secrets, the timeouts
@@ -62,14 +55,21 @@
   // before it does so itself, in case the first doesn't know of it yet.
   Duration dial_grace = std::chrono::milliseconds(1500);
   uint64_t seed = 1;  // of the jitter
+  // What digests may cost, sent, with the headers of their packets. As much
+  // comes in, so this is a bit less than half of what a host may spend.
+  double budget_bytes_per_second = 3000;
+  Duration shortest_period = std::chrono::milliseconds(250);
+  Duration longest_period = std::chrono::seconds(1);
 };
 
 // Whom the links tell what.
 struct PeerHandlers {
-  // A newer digest of a linked host.
-  std::function<void(const Digest&)> on_digest;
+  // A newer digest of a linked host, or of those that it speaks for.
+  std::function<void(DigestScope, const Digest&)> on_digest;
   // Any other message.
   std::function<void(const HostId&, const PeerMessage&)> on_message;
+  // Anything at all came from a linked host. Frequent.
+  std::function<void(const PeerHello&)> on_heard;
   // A link is up, with the incarnation at its other end; or it is down.
   std::function<void(const HostId&, uint64_t incarnation)> on_up;
   std::function<void(const HostId&)> on_down;
@@ -105,9 +105,15 @@
   // list lags, and whoever knows the fleet secret is a host of this fleet.
   void SetHosts(const std::vector<PeerHost>& hosts);
 
-  // Sends a host's digest to all linked hosts. The host and incarnation must
-  // be those of the options; the sequence number is given here.
-  void SendDigest(const Digest& digest);
+  // Sends a digest to the linked hosts that its scope is meant for: to those
+  // of other data centres for kDataCentre, else to those of this one. The host
+  // and incarnation must be those of the options; the sequence number is given
+  // here.
+  void SendDigest(DigestScope scope, const Digest& digest);
+
+  // How long to wait until the next digests: as short as the budget allows for
+  // the bytes that the last ones took.
+  Duration NextDigestDelay() const;
 
   // Sends a message; false if there is no link to the host or it is clogged.
   bool Send(const HostId& host, const PeerMessage& message);
@@ -128,7 +134,8 @@
     bool up = false;
     Duration backoff{};
     Instant next_dial{};
-    DigestReceiver received;
+    std::array<DigestReceiver, kDigestScopes> received;
+    std::array<uint64_t, kDigestScopes> acked{};  // last sequence acked
   };
 
   Instant Now() const { return this->options.clock->Now(); }
@@ -139,13 +146,17 @@
   void ScheduleDial(Link& link);
   void Adopt(Link& link, std::unique_ptr<PeerSession> session);
   std::unique_ptr<PeerSession> TakePending(const PeerSession& session);
+  void ForgetHost(const HostId& id);
   Link* LinkOf(const PeerSession& session);
   void Bury(std::unique_ptr<PeerSession> session);
   void OnEstablished(PeerSession& session);
   void OnMessage(PeerSession& session, WireMessage message);
   void OnDigest(Link& link, PeerDigest digest);
+  std::vector<ScopedAck> DueAcks(Link& link) const;
   void OnClosed(PeerSession& session, const Error& reason);
-  void SendDigestTo(Link& link);
+  bool MeantFor(DigestScope scope, const Link& link) const;
+  void SendDigestTo(DigestScope scope, Link& link);
+  uint64_t BytesOnWire() const;
   bool SendTo(Link& link, const PeerMessage& message);
   static gboolean OnAcceptable(GSocket* socket, GIOCondition on, gpointer self);
 
@@ -158,7 +169,9 @@
   std::map<HostId, Link> links;
   std::vector<std::unique_ptr<PeerSession>> pending;  // accepted, not proved
   std::vector<std::unique_ptr<PeerSession>> closed;   // to be destroyed
-  DigestSender digests;
+  std::array<DigestSender, kDigestScopes> digests;
+  uint64_t round_start_bytes = 0;  // on the wire, when the last digest began
+  uint64_t round_bytes = 0;
   PeerStats stats;
   std::unique_ptr<Timer> timer;
 };
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -42,21 +42,28 @@
   4: bool down
 }
 
+// What a receiver has of the digests of one scope.
+struct Ack {
+  1: i32 scope
+  2: optional i64 incarnation  // absent: the one of the session
+  3: i64 sequence
+  4: optional bool gap
+}
+
 // A digest as what changed since the sequence `base` of the same incarnation.
-// Whose it is, and of which incarnation, is known from the session. The ack is
-// of the receiver's own digests.
+// Whose it is, and of which incarnation, is known from the session. The acks
+// are of the receiver's own digests.
 struct DigestDelta {
+  1: optional i32 scope  // DigestScope; absent: of the sending host alone
   4: i64 sequence
   5: i64 base  // as its distance below the sequence
   6: i64 configuration_revision
-  7: bool leaving
+  7: optional bool leaving
   8: optional Entries outstanding
   9: optional Entries served
   10: optional list<Suspicion> suspicions
   11: optional Entries endpoints
-  12: optional i64 ack_incarnation  // absent: the one of the session
-  13: optional i64 ack_sequence
-  14: optional bool ack_gap
+  12: optional list<Ack> acks
 }
 
 struct BucketsRequest {
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -124,7 +124,12 @@
   out.sequence = static_cast<int64_t>(delta.sequence);
   out.base = static_cast<int64_t>(delta.sequence - delta.base);
   out.configuration_revision = delta.configuration_revision;
-  out.leaving = delta.leaving;
+  if (digest.scope != DigestScope::kHost) {
+    out.__set_scope(static_cast<int32_t>(digest.scope));
+  }
+  if (delta.leaving) {
+    out.__set_leaving(true);
+  }
   if (!delta.outstanding.empty()) {
     out.__set_outstanding(ToWire(delta.outstanding));
   }
@@ -144,28 +149,49 @@
     }
     out.__set_suspicions(list);
   }
-  if (digest.ack) {
-    if (digest.ack->incarnation != 0) {
-      out.__set_ack_incarnation(static_cast<int64_t>(digest.ack->incarnation));
+  for (const auto& [scope, ack] : digest.acks) {
+    out.__isset.acks = true;
+    wire::Ack item;
+    item.scope = static_cast<int32_t>(scope);
+    item.sequence = static_cast<int64_t>(ack.sequence);
+    if (ack.incarnation != 0) {
+      item.__set_incarnation(static_cast<int64_t>(ack.incarnation));
     }
-    out.__set_ack_sequence(static_cast<int64_t>(digest.ack->sequence));
-    out.__set_ack_gap(digest.ack->gap);
+    if (ack.gap) {
+      item.__set_gap(true);
+    }
+    out.acks.push_back(item);
   }
   return out;
 }
 
+bool GoodScope(int32_t scope) {
+  return scope >= 0 && scope < static_cast<int32_t>(kDigestScopes);
+}
+
+ScopedAck FromWire(const wire::Ack& in) {
+  return {.scope = static_cast<DigestScope>(in.scope),
+          .ack = {.incarnation = static_cast<uint64_t>(in.incarnation),
+                  .sequence = static_cast<uint64_t>(in.sequence),
+                  .gap = in.gap}};
+}
+
 Result<PeerDigest> FromWire(const wire::DigestDelta& in) {
   PeerDigest digest;
+  digest.scope = static_cast<DigestScope>(in.scope);
   DigestDelta& delta = digest.delta;
   delta.sequence = static_cast<uint64_t>(in.sequence);
   delta.base =
       static_cast<uint64_t>(in.sequence) - static_cast<uint64_t>(in.base);
   delta.configuration_revision = in.configuration_revision;
   delta.leaving = in.leaving;
-  const bool good = delta.base <= delta.sequence &&
-                    FromWire(in.outstanding, delta.outstanding) &&
-                    FromWire(in.served, delta.served) &&
-                    FromWire(in.endpoints, delta.endpoints);
+  const bool good =
+      GoodScope(in.scope) && in.acks.size() <= kDigestScopes &&
+      std::ranges::all_of(in.acks, &GoodScope, &wire::Ack::scope) &&
+      delta.base <= delta.sequence &&
+      FromWire(in.outstanding, delta.outstanding) &&
+      FromWire(in.served, delta.served) &&
+      FromWire(in.endpoints, delta.endpoints);
   if (!good) {
     return Fail(ErrorKind::kBadRequest, "digest with fields out of range");
   }
@@ -179,12 +205,8 @@
               .crashes = item.crashes};
         });
   }
-  if (in.__isset.ack_sequence) {
-    digest.ack =
-        DigestAck{.incarnation = static_cast<uint64_t>(in.ack_incarnation),
-                  .sequence = static_cast<uint64_t>(in.ack_sequence),
-                  .gap = in.ack_gap};
-  }
+  std::ranges::transform(in.acks, std::back_inserter(digest.acks),
+                         [](const wire::Ack& ack) { return FromWire(ack); });
   return digest;
 }
 
--- a/packages/peers/wire.h
+++ b/packages/peers/wire.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "decisions/digest_delta.h"
 #include "kernel/error.h"
@@ -31,12 +31,30 @@
   bool operator==(const PeerHeartbeat&) const = default;
 };
 
+// Whom a digest speaks for. Each scope is a stream of its own.
+enum class DigestScope {
+  kHost,        // the sending host; goes to its data centre
+  kDataCentre,  // the sender's data centre; goes to the other ones
+  kElsewhere,   // all other data centres; goes to the sender's own
+};
+inline constexpr size_t kDigestScopes = 3;
+
+// What the receiver of a scope's digests has of them. Incarnation 0 is the
+// session's.
+struct ScopedAck {
+  DigestScope scope = DigestScope::kHost;
+  DigestAck ack;
+
+  auto operator<=>(const ScopedAck&) const = default;
+};
+
 // A digest and, riding on it, what its sender has of the receiver's digests.
 // The delta's host, data centre and incarnation don't travel: they are those
-// of the session. An ack of incarnation 0 is of the session's as well.
+// of the session.
 struct PeerDigest {
+  DigestScope scope = DigestScope::kHost;
   DigestDelta delta;
-  std::optional<DigestAck> ack;
+  std::vector<ScopedAck> acks;
 
   bool operator==(const PeerDigest&) const = default;
 };
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -1,13 +1,19 @@
 // Tests of the links between entry hosts, over loopback.
 
 #include <CppUTest/TestHarness.h>
+#include <gio/gio.h>
 
+#include <array>
 #include <atomic>
+#include <cassert>
 #include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "kernel/task.h"
@@ -18,14 +24,16 @@
 namespace {
 
 constexpr Duration kGenerous = std::chrono::seconds(30);
+constexpr const char* kSecret = "secret";
 
 // One host with a task of its own, and what it was told.
 class TestHost {
  public:
   explicit TestHost(const std::string& id,
-                    const std::vector<std::string>& secrets = {"secret"},
+                    const std::vector<std::string>& secrets = {kSecret},
                     uint64_t incarnation = 1,
-                    uint16_t port = 0)
+                    uint16_t port = 0,
+                    bool close_silent = true)
       : id(id), incarnation(incarnation), task("host-" + id) {
     PeerLinksOptions options;
     options.session.host = HostId(id);
@@ -34,6 +42,9 @@
     options.session.secrets = secrets;
     options.listen = {.host = "127.0.0.1", .port = port};
     options.clock = &this->clock;
+    options.session.close_silent = close_silent;
+    options.session.heartbeat_period = std::chrono::milliseconds(50);
+    options.session.silence_timeout = std::chrono::milliseconds(1500);
     options.tick = std::chrono::milliseconds(20);
     options.dial_grace = std::chrono::milliseconds(100);
     options.longest_backoff = std::chrono::milliseconds(500);
@@ -65,7 +76,8 @@
     digest.outstanding = {{.endpoint = EndpointId("e1"),
                            .prompt_tokens = revision * kOutstandingUnit,
                            .requests = revision}};
-    this->task.Call([&] { this->links->SendDigest(digest); });
+    this->task.Call(
+        [&] { this->links->SendDigest(DigestScope::kHost, digest); });
   }
 
   bool Send(const std::string& host, const PeerMessage& message) {
@@ -85,6 +97,27 @@
     return stats;
   }
 
+  // Waits until something holds of this host's counters.
+  bool WaitForStats(const std::function<bool(const PeerStats&)>& holds) {
+    BootClock boot;
+    const Instant end = boot.Now() + kGenerous;
+    while (boot.Now() < end) {
+      if (holds(this->Stats())) {
+        return true;
+      }
+      std::this_thread::yield();
+    }
+    return false;
+  }
+
+  // Waits until sessions were closed for a reason.
+  bool WaitForClosed(ErrorKind kind, uint64_t count = 1) {
+    return this->WaitForStats([&](const PeerStats& stats) {
+      const auto found = stats.closed.find(kind);
+      return found != stats.closed.end() && found->second >= count;
+    });
+  }
+
   // Waits until something holds of what this host was told.
   bool WaitFor(const std::function<bool()>& holds) {
     std::unique_lock lock(this->mutex);
@@ -114,7 +147,7 @@
 
   PeerHandlers Handlers() {
     return {.on_digest =
-                [this](const Digest& digest) {
+                [this](DigestScope /*scope*/, const Digest& digest) {
                   this->Note([&] { this->digests[digest.host] = digest; });
                 },
             .on_message =
@@ -124,6 +157,7 @@
                     this->answer(from, message);
                   }
                 },
+            .on_heard = {},
             .on_up =
                 [this](const HostId& host, uint64_t peer_incarnation) {
                   this->Note([&] { this->up[host] = peer_incarnation; });
@@ -147,6 +181,180 @@
   CHECK(b.WaitForLink(a.id));
 }
 
+GSocket* ConnectTo(const SocketAddress& address) {
+  GSocket* socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                 G_SOCKET_PROTOCOL_TCP, nullptr);
+  GSocketAddress* to =
+      g_inet_socket_address_new_from_string(address.host.c_str(), address.port);
+  CHECK(g_socket_connect(socket, to, nullptr, nullptr) != FALSE);
+  g_object_unref(to);
+  return socket;
+}
+
+// A peer made by hand, which can say what no real host would.
+class RawPeer {
+ public:
+  explicit RawPeer(const TestHost& target)
+      : target(target), socket(ConnectTo(target.AsPeer().address)) {
+    g_socket_set_timeout(this->socket, 30);
+  }
+  ~RawPeer() {
+    g_socket_close(this->socket, nullptr);
+    g_object_unref(this->socket);
+  }
+  RawPeer(const RawPeer&) = delete;
+  RawPeer& operator=(const RawPeer&) = delete;
+
+  // Writes bytes as they are; false once the other side has closed.
+  bool Write(std::string_view bytes) {
+    while (!bytes.empty()) {
+      const gssize put = g_socket_send(this->socket, bytes.data(), bytes.size(),
+                                       nullptr, nullptr);
+      if (put <= 0) {
+        return false;
+      }
+      bytes.remove_prefix(static_cast<size_t>(put));
+    }
+    return true;
+  }
+
+  // Waits until the other side closes.
+  bool ReadToEnd() {
+    std::array<char, 4096> chunk{};
+    gssize got = 1;
+    while (got > 0) {
+      got = g_socket_receive(this->socket, chunk.data(), chunk.size(), nullptr,
+                             nullptr);
+    }
+    return true;
+  }
+
+  // Opens a session as a host would. Answers what was written.
+  std::string Open(const std::string& id) {
+    const std::string hello =
+        EncodeHello({.host = HostId(id),
+                     .data_centre = DataCentreId("dc1"),
+                     .incarnation = 1,
+                     .nonce = MakeNonce(),
+                     .receiver = HostId(this->target.id)});
+    std::string written = SealFrame(kSecret, "hello", hello);
+    CHECK(this->Write(written));
+    const std::string answer = this->ReadFrame().substr(kTagBytes);
+    this->key = Authenticate(kSecret, "session:" + hello + answer);
+    written += this->Seal(PeerHeartbeat{});
+    CHECK(this->Write(std::string_view(written).substr(
+        written.size() -
+        (kLengthBytes + kTagBytes + EncodeMessage(PeerHeartbeat{}).size()))));
+    return written;
+  }
+
+  // The next frame of the session.
+  std::string Seal(const WireMessage& message) {
+    return SealFrame(this->key, FrameContext(true, this->sequence++),
+                     EncodeMessage(message));
+  }
+
+ private:
+  std::string ReadFrame() {
+    FrameReader reader(kMaxFrame);
+    std::array<char, 1024> chunk{};
+    while (true) {
+      const gssize got = g_socket_receive(this->socket, chunk.data(),
+                                          chunk.size(), nullptr, nullptr);
+      CHECK(got > 0);
+      reader.Feed({chunk.data(), static_cast<size_t>(got)});
+      auto body = reader.Next().value();
+      if (!body.empty()) {
+        return body;
+      }
+    }
+  }
+
+  const TestHost& target;
+  GSocket* socket;
+  std::string key;
+  uint64_t sequence = 0;
+};
+
+// Passes connections on to a host, and can make those that are open go silent
+// for good, as when something on the way forgets them.
+class Relay {
+ public:
+  explicit Relay(const SocketAddress& target)
+      : target(target), listener(g_socket_listener_new()) {
+    this->port =
+        g_socket_listener_add_any_inet_port(this->listener, nullptr, nullptr);
+    this->threads.emplace_back([this] { this->AcceptAll(); });
+  }
+  ~Relay() {
+    g_cancellable_cancel(this->stop);
+    // The thread that accepts adds to the list until it has ended.
+    this->threads.front().join();
+    for (size_t i = 1; i < this->threads.size(); ++i) {
+      this->threads[i].join();
+    }
+    g_socket_listener_close(this->listener);
+    g_object_unref(this->listener);
+    g_object_unref(this->stop);
+  }
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  SocketAddress Address() const {
+    return {.host = "127.0.0.1", .port = this->port};
+  }
+
+  // From now on nothing passes on the connections that are open.
+  void SilenceOpen() { this->silenced = this->accepted.load(); }
+
+ private:
+  void AcceptAll() {
+    this->threads.reserve(64);
+    while (GSocket* in = g_socket_listener_accept_socket(
+               this->listener, nullptr, this->stop, nullptr)) {
+      GSocket* out = ConnectTo(this->target);
+      const int number = ++this->accepted;
+      assert(this->threads.size() + 2 <= this->threads.capacity());
+      this->threads.emplace_back([=, this] { this->Pump(in, out, number); });
+      this->threads.emplace_back([=, this] { this->Pump(out, in, number); });
+    }
+  }
+
+  void Pump(GSocket* from, GSocket* to, int number) {
+    std::array<char, 4096> chunk{};
+    while (true) {
+      const gssize got = g_socket_receive(from, chunk.data(), chunk.size(),
+                                          this->stop, nullptr);
+      if (got <= 0) {
+        break;
+      }
+      if (number > this->silenced) {
+        g_socket_send(to, chunk.data(), static_cast<gsize>(got), nullptr,
+                      nullptr);
+      }
+    }
+    if (number > this->silenced) {
+      g_socket_shutdown(to, FALSE, TRUE, nullptr);
+    }
+  }
+
+  SocketAddress target;
+  GSocketListener* listener;
+  GCancellable* stop = g_cancellable_new();
+  uint16_t port = 0;
+  std::atomic<int> accepted = 0;
+  std::atomic<int> silenced = 0;
+  std::vector<std::thread> threads;
+};
+
+// Shows that digests still pass from one host to the other.
+bool DigestPasses(TestHost& from, TestHost& to, int64_t revision) {
+  from.SendDigest(revision);
+  return to.WaitFor([&] {
+    return to.digests[HostId(from.id)].configuration_revision == revision;
+  });
+}
+
 }  // namespace
 
 TEST_GROUP(PeerLinks){};
@@ -187,4 +395,263 @@
   CHECK(value == last.buckets.front().value);
 }
 
+// A machine outside the fleet connects to the peers' port with a guessed
+// secret. Were it let in, it could tell hosts that endpoints are down, and
+// callers would see refusals. Its Hello is refused and counted, and the links
+// of others don't notice.
+TEST(PeerLinks, RefusesAWrongSecret) {
+  TestHost a("a");
+  TestHost b("b");
+  Link(a, b);
+  TestHost stranger("c", {"guessed"});
+  stranger.SetHosts({b.AsPeer()});
+  CHECK(b.WaitForClosed(ErrorKind::kUnauthenticated, 2));
+  CHECK(DigestPasses(a, b, 5));
+  LONGS_EQUAL(1, b.Stats().sessions_established);
+}
+
+// Somebody on the network recorded a host's session, and plays it back later:
+// a withdrawn host seems to live, with digests of yesterday. The first frame
+// after the Hello is tagged for a session whose nonce is gone, so the replay
+// is closed before it counts, and the host's real session stays.
+TEST(PeerLinks, RefusesARecordedSession) {
+  TestHost b("b");
+  std::string recorded;
+  {
+    RawPeer first(b);
+    recorded = first.Open("a");
+    CHECK(b.WaitForLink("a"));
+  }
+  CHECK(b.WaitFor([&] { return b.up.empty(); }));
+  RawPeer real(b);
+  real.Open("a");
+  CHECK(b.WaitForLink("a"));
+  RawPeer replay(b);
+  replay.Write(recorded);
+  CHECK(replay.ReadToEnd());
+  CHECK(b.WaitForClosed(ErrorKind::kUnauthenticated));
+  LONGS_EQUAL(2, b.Stats().sessions_established);
+  CHECK(b.WaitForLink("a"));
+}
+
+// The same frame sent twice within one session, as a faulty or hostile hop
+// might: the second one is tagged for a number that has passed.
+TEST(PeerLinks, RefusesAFrameSentTwice) {
+  TestHost b("b");
+  RawPeer raw(b);
+  raw.Open("a");
+  CHECK(b.WaitForLink("a"));
+  const std::string frame = raw.Seal(PeerMessage(BucketsRequest{7}));
+  raw.Write(frame + frame);
+  CHECK(raw.ReadToEnd());
+  CHECK(b.WaitForClosed(ErrorKind::kUnauthenticated));
+  LONGS_EQUAL(1, b.messages.size());
+}
+
+// A stranger claims that a frame of four gigabytes follows, another cuts its
+// Hello short, a third sends noise. Memory must not grow, and the link between
+// two hosts of the fleet goes on.
+TEST(PeerLinks, RefusesFramesThatAreTooLongCutShortOrNoise) {
+  TestHost a("a");
+  TestHost b("b");
+  Link(a, b);
+  RawPeer huge(b);
+  huge.Write(std::string(64, '\xff'));
+  CHECK(huge.ReadToEnd());
+  CHECK(b.WaitForClosed(ErrorKind::kTooLarge));
+  {
+    RawPeer(b).Write(std::string_view("\0\0\0\x40half", 8));
+  }
+  RawPeer noise(b);
+  noise.Write(std::string_view("\0\0\0\x14", 4));
+  noise.Write(std::string(0x14, 'x'));
+  CHECK(noise.ReadToEnd());
+  CHECK(b.WaitForClosed(ErrorKind::kUnauthenticated));
+  CHECK(DigestPasses(a, b, 5));
+}
+
+// A firewall between two hosts forgets their connection: no error ever comes,
+// but nothing passes, and new connections would work. Digests stop, and each
+// host routes as if the other sent nothing. Silence is noticed by the missing
+// heartbeats, and the connection is replaced.
+TEST(PeerLinks, ReplacesAConnectionThatWentSilent) {
+  TestHost a("a");
+  TestHost b("b");
+  Relay relay(b.AsPeer().address);
+  PeerHost through = b.AsPeer();
+  through.address = relay.Address();
+  a.SetHosts({through});
+  CHECK(a.WaitForLink("b"));
+  CHECK(DigestPasses(a, b, 5));
+  relay.SilenceOpen();
+  CHECK(a.WaitForStats(
+      [](const PeerStats& stats) { return stats.sessions_established == 2; }));
+  CHECK(b.WaitForLink("a"));
+  CHECK(DigestPasses(a, b, 6));
+  CHECK(DigestPasses(b, a, 7));
+}
+
+// A host is replaced, and its successor gets the same address before the host
+// list says so. A host that still dials the old one must not take the new one
+// for it: usage copies and leases would be credited to the wrong host.
+TEST(PeerLinks, DoesNotMistakeAReplacementForTheHostBefore) {
+  TestHost a("a");
+  auto b = std::make_unique<TestHost>("b");
+  const PeerHost listed = b->AsPeer();
+  Link(a, *b);
+  b.reset();
+  CHECK(a.WaitFor([&] { return a.up.empty(); }));
+  TestHost c("c", {kSecret}, 1, listed.address.port);
+  CHECK(c.WaitForClosed(ErrorKind::kStale));
+  CHECK(a.WaitFor([&] { return a.up.empty(); }));
+  a.SetHosts({c.AsPeer()});
+  CHECK(a.WaitForLink("c"));
+}
+
+// A process that was paused for long wakes up under an id that a newer process
+// bears by now. Its digests would undo what the newer one says.
+TEST(PeerLinks, RefusesAnEarlierIncarnation) {
+  TestHost a("a");
+  TestHost b("b", {kSecret}, 7);
+  Link(a, b);
+  CHECK(DigestPasses(b, a, 5));
+  TestHost earlier("b", {kSecret}, 6);
+  earlier.SetHosts({a.AsPeer()});
+  CHECK(a.WaitForClosed(ErrorKind::kStale));
+  CHECK(DigestPasses(b, a, 6));
+  LONGS_EQUAL(7, a.digests[HostId("b")].incarnation);
+}
+
+// The fleet secret is changed host by host. In the middle of it some hosts
+// know only the old one, some both: nobody may lose a link.
+TEST(PeerLinks, KeepsLinksWhileTheSecretIsRotated) {
+  TestHost before("a", {"old"});
+  TestHost middle("b", {"old", "new"});
+  TestHost after("c", {"new", "old"});
+  Link(before, middle);
+  Link(middle, after);
+  CHECK(DigestPasses(before, middle, 5));
+  CHECK(DigestPasses(after, middle, 6));
+}
+
+// One host floods another with messages as fast as it can, and a third one
+// doesn't read what it is sent. The flooded host's other links must go on, and
+// what waits for the one that doesn't read must stay bounded.
+TEST(PeerLinks, OnePeerHarmsNoOther) {
+  TestHost a("a");
+  TestHost b("b");
+  Link(a, b);
+  RawPeer flood(b);
+  flood.Open("f");
+  RawPeer deaf(b);
+  deaf.Open("d");
+  CHECK(b.WaitForLink("f"));
+  CHECK(b.WaitForLink("d"));
+  std::thread flooding([&] {
+    for (int i = 0; i < 50000; ++i) {
+      if (!flood.Write(flood.Seal(PeerHeartbeat{}))) {
+        break;
+      }
+    }
+  });
+  const UsageCopy large{.host = HostId("b"),
+                        .incarnation = 1,
+                        .value = std::string(512UL * 1024, 'x')};
+  int taken = 0;
+  while (taken < 1000 && b.Send("d", large)) {
+    ++taken;
+  }
+  CHECK(taken < 1000);
+  for (const int64_t revision : {11, 12, 13}) {
+    CHECK(DigestPasses(a, b, revision));
+    CHECK(DigestPasses(b, a, revision));
+  }
+  CHECK(b.Stats().digests_skipped >= 3);
+  flooding.join();
+}
+
+TEST_GROUP(PeerFrames){};
+
+// What strangers and faulty peers may send, as one fixed set of mutated
+// messages: each must be decoded or refused, without a crash and without more
+// memory than the frame itself allows.
+TEST(PeerFrames, MutatedMessagesAreDecodedOrRefused) {
+  DigestDelta delta;
+  delta.sequence = 9;
+  delta.base = 3;
+  delta.outstanding = {{.index = 2, .id = "e2", .first = 5, .second = 1},
+                       {.index = 7, .id = {}, .first = 6, .second = 2}};
+  delta.suspicions = {{.fingerprint = 77, .crashes = 2}};
+  const std::vector<WireMessage> corpus = {
+      PeerHeartbeat{},
+      PeerDigest{.scope = DigestScope::kDataCentre,
+                 .delta = delta,
+                 .acks = {{.scope = DigestScope::kHost,
+                           .ack = {.sequence = 4, .gap = true}}}},
+      PeerMessage(BucketsRequest{12}),
+      PeerMessage(BucketsReply{
+          .head_revision = 3,
+          .buckets = {{.name = "07", .revision = 2, .value = "{}"}}}),
+      PeerMessage(
+          UsageCopy{.host = HostId("h"), .incarnation = 2, .value = "figures"}),
+      PeerMessage(Released{.data_centre = DataCentreId("d"), .fencing = 8}),
+      PeerMessage(EndpointNews{
+          .endpoint = EndpointId("e"), .incarnation = 1, .leaving = true})};
+  std::mt19937_64 random(20261202);
+  int refused = 0;
+  constexpr int kMutationsEach = 20000;
+  for (const auto& message : corpus) {
+    const std::string good = EncodeMessage(message);
+    CHECK(DecodeMessage(good).value() == message);
+    for (int i = 0; i < kMutationsEach; ++i) {
+      std::string bytes = good;
+      const auto changes = 1 + random() % 3;
+      for (uint64_t k = 0; k < changes && !bytes.empty(); ++k) {
+        const size_t at = random() % bytes.size();
+        switch (random() % 4) {
+          case 0:
+            bytes[at] = static_cast<char>(random());
+            break;
+          case 1:
+            bytes.resize(at);
+            break;
+          case 2:
+            bytes.insert(at, 1, static_cast<char>(random()));
+            break;
+          default:
+            bytes.erase(at, 1);
+        }
+      }
+      refused += DecodeMessage(bytes).has_value() ? 0 : 1;
+    }
+  }
+  CHECK(refused > kMutationsEach);
+}
+
+TEST(PeerFrames, AListThatClaimsToBeHugeIsRefused) {
+  // A digest whose list of indexes announces 2^31-1 elements in seven bytes.
+  const std::string bytes("\x2c\x8c\x29\xf5\xff\xff\xff\xff\x07\x00\x00\x00",
+                          12);
+  CHECK(!DecodeMessage(bytes).has_value());
+}
+
+TEST(PeerFrames, ReaderGivesTheSameFramesHoweverTheStreamIsCut) {
+  std::string stream;
+  for (const size_t size : {1U, 300U, 17U}) {
+    stream += SealFrame("key", "context", std::string(size, 'p'));
+  }
+  for (size_t step = 1; step < stream.size(); step += 13) {
+    FrameReader reader(kMaxFrame);
+    std::vector<size_t> sizes;
+    for (size_t at = 0; at < stream.size(); at += step) {
+      reader.Feed(std::string_view(stream).substr(at, step));
+      for (auto body = reader.Next(); !body->empty(); body = reader.Next()) {
+        sizes.push_back(OpenFrame("key", "context", *body).value().size());
+      }
+    }
+    CHECK((sizes == std::vector<size_t>{1, 300, 17}));
+    LONGS_EQUAL(0, reader.Buffered());
+  }
+}
+
 }  // namespace hickorystand
