--- a/packages/decisions/digest_summary.cc
+++ b/packages/decisions/digest_summary.cc
@@ -85,8 +85,8 @@
         news.down = false;
       }
     }
-    sum.configuration_revision = std::max(
-        sum.configuration_revision, source.digest.configuration_revision);
+    sum.configuration_revision = std::max(sum.configuration_revision,
+                                          source.digest.configuration_revision);
   }
   for (const auto& [id, total] : outstanding) {
     sum.outstanding.push_back(total);
--- a/packages/decisions/endpoint_board.cc
+++ b/packages/decisions/endpoint_board.cc
@@ -80,9 +80,8 @@
   std::vector<EndpointNews> leaving;
   for (const auto& [id, state] : this->states) {
     if (state.leaving) {
-      leaving.push_back({.endpoint = id,
-                         .incarnation = state.incarnation,
-                         .leaving = true});
+      leaving.push_back(
+          {.endpoint = id, .incarnation = state.incarnation, .leaving = true});
     }
   }
   return leaving;
--- a/packages/decisions/membership.cc
+++ b/packages/decisions/membership.cc
@@ -81,8 +81,7 @@
   record.heard = now;
   // Within one incarnation a host that said it leaves never returns: a "live"
   // after that is an old message or the lagging list.
-  record.leaving =
-      leaving || (this->options.leaving_wins && record.leaving);
+  record.leaving = leaving || (this->options.leaving_wins && record.leaving);
   return Heard::kCurrent;
 }
 
@@ -111,7 +110,8 @@
   if (!this->Local(record) && !record.expected && record.listed) {
     return record.leaving ? HostState::kLeaving : HostState::kLive;
   }
-  if (silence > this->options.gone_after && (!record.listed || record.leaving)) {
+  if (silence > this->options.gone_after &&
+      (!record.listed || record.leaving)) {
     return HostState::kGone;
   }
   if (!record.listed && !met) {
@@ -174,8 +174,7 @@
 }
 
 size_t Membership::Rank(Instant now) const {
-  const auto own =
-      this->Representatives(now, this->options.self.data_centre);
+  const auto own = this->Representatives(now, this->options.self.data_centre);
   const auto place = std::ranges::find(own, this->options.self.host);
   return place == own.end() ? kNoRank
                             : static_cast<size_t>(place - own.begin());
--- a/packages/peers/peer_group.cc
+++ b/packages/peers/peer_group.cc
@@ -29,9 +29,10 @@
       links(options.links, this->LinkHandlers()) {}
 
 PeerHandlers PeerGroup::LinkHandlers() {
-  return {.on_digest = [this](DigestScope scope, const Digest& digest) {
-            this->OnDigest(scope, digest);
-          },
+  return {.on_digest =
+              [this](DigestScope scope, const Digest& digest) {
+                this->OnDigest(scope, digest);
+              },
           .on_message =
               [this](const HostId& host, const PeerMessage& message) {
                 this->OnMessage(host, message);
@@ -166,15 +167,15 @@
   }
   // What leaves is a fact about an endpoint's incarnation, so repeating it to
   // those who said it first does no harm.
-  Digest own = this->near.Make(session.host, session.data_centre,
-                               session.incarnation);
+  Digest own =
+      this->near.Make(session.host, session.data_centre, session.incarnation);
   own.endpoints = this->leaving;
   this->links.SendDigest(DigestScope::kDataCentre, own);
   if (rank != 0) {
     return;
   }
-  Digest distant = this->far.Make(session.host, session.data_centre,
-                                  session.incarnation);
+  Digest distant =
+      this->far.Make(session.host, session.data_centre, session.incarnation);
   distant.endpoints = this->leaving;
   this->links.SendDigest(DigestScope::kElsewhere, distant);
   distant.sequence = ++this->elsewhere_sequence;
--- a/packages/peers/peer_group.h
+++ b/packages/peers/peer_group.h
@@ -92,7 +92,9 @@
   // next digests.
   void StartDrain();
 
-  std::vector<Member> Members() { return this->membership.Members(this->Now()); }
+  std::vector<Member> Members() {
+    return this->membership.Members(this->Now());
+  }
   HostState StateOf(const HostId& host) const {
     return this->membership.StateOf(this->Now(), host);
   }
