--- a/fakes/key_value.cc
+++ b/fakes/key_value.cc
@@ -1,7 +1,5 @@
 #include "key_value.h"
 
-#include <libsoup/soup.h>
-
 #include <algorithm>
 #include <cassert>
 #include <map>
@@ -9,12 +7,14 @@
 #include <utility>
 #include <vector>
 
+#include "http/http_server.h"
 #include "kernel/json.h"
 #include "platform/etcd_messages.h"
 
 namespace hickorystand::fakes {
 namespace {
 
+constexpr int64_t kMaxBody = int64_t{96} << 20;
 constexpr Duration kExpiryPeriod = std::chrono::milliseconds(20);
 
 // Members that the gateway leaves out at their default are written out here;
@@ -103,51 +103,33 @@
 // The HTTP side. Lives on the task's thread only.
 class FakeKeyValue::Server {
  public:
-  explicit Server(uint16_t port) : soup(soup_server_new(nullptr, nullptr)) {
-    g_autoptr(GInetAddress) loopback =
-        g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
-    g_autoptr(GSocketAddress) address =
-        g_inet_socket_address_new(loopback, port);
-    const bool listening =
-        soup_server_listen(this->soup, address, {}, nullptr) != FALSE;
+  explicit Server(uint16_t port)
+      : http({.listen = {"127.0.0.1", port}, .max_body_bytes = kMaxBody},
+             [this](const HttpCallPtr& call) { this->Take(call); }) {
+    const auto listening = this->http.Start();
     assert(listening && "the port of the fake key-value service is taken");
-    g_autoptr(GSList) uris =
-        listening ? soup_server_get_uris(this->soup) : nullptr;
-    this->port =
-        static_cast<uint16_t>(g_uri_get_port(static_cast<GUri*>(uris->data)));
-    g_slist_foreach(
-        uris,
-        [](gpointer uri, gpointer) { g_uri_unref(static_cast<GUri*>(uri)); },
-        nullptr);
-    soup_server_add_handler(this->soup, nullptr, &OnCall, this, nullptr);
+    this->address = *listening;
     this->expiry = Timer::Every(kExpiryPeriod, [this] {
       this->state.Expire(this->clock.Now());
       this->FeedWatches();
     });
   }
 
-  ~Server() {
-    soup_server_disconnect(this->soup);
-    g_object_unref(this->soup);
-  }
-  Server(const Server&) = delete;
-  Server& operator=(const Server&) = delete;
-
   void SetFault(KeyValueFault what, Duration by) {
     this->fault = what;
     this->slow_by = by;
     if (what == KeyValueFault::kDown) {
-      std::vector<SoupServerMessage*> open;
-      for (const auto& [message, watch] : this->watches) {
-        open.push_back(message);
+      const auto open = std::exchange(this->watches, {});
+      for (const auto& [call, watch] : open) {
+        call->Abort();
       }
-      std::ranges::for_each(open, &Cut);
+      this->calls.watches_waiting = 0;
     }
   }
 
   void Restore(const KeyValueState& older) {
     this->state = older;
-    for (auto& [message, watch] : this->watches) {
+    for (auto& [call, watch] : this->watches) {
       watch.sent = std::min(watch.sent, this->state.Revision());
     }
   }
@@ -158,7 +140,7 @@
     return reply;
   }
 
-  uint16_t port = 0;
+  SocketAddress address;
   KeyValueState state;
   KeyValueCalls calls;
 
@@ -169,71 +151,51 @@
     bool silent = false;
   };
 
-  static void OnCall(SoupServer* /*soup*/,
-                     SoupServerMessage* message,
-                     const char* path,
-                     GHashTable* /*query*/,
-                     gpointer self) {
-    static_cast<Server*>(self)->Take(message, path);
-  }
-
-  // Cuts the connection under a message.
-  static void Cut(SoupServerMessage* message) {
-    g_autoptr(GIOStream) stream = soup_server_message_steal_connection(message);
-    g_io_stream_close(stream, nullptr, nullptr);
-  }
-
-  static void Answer(SoupServerMessage* message,
+  static void Answer(const HttpCallPtr& call,
                      int status,
                      const std::string& body) {
-    soup_server_message_set_status(message, static_cast<guint>(status),
-                                   nullptr);
-    soup_server_message_set_response(message, "application/json",
-                                     SOUP_MEMORY_COPY, body.data(),
-                                     body.size());
+    call->Answer(status, {{"Content-Type", "application/json"}}, body);
   }
 
-  void Take(SoupServerMessage* message, const std::string& path) {
+  void Take(const HttpCallPtr& call) {
     if (this->fault == KeyValueFault::kDown) {
-      Cut(message);
+      call->Abort();
       return;
     }
     if (this->fault == KeyValueFault::kUnavailable) {
-      Answer(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+      Answer(call, SOUP_STATUS_SERVICE_UNAVAILABLE,
              R"({"error":"etcdserver: no leader","code":14})");
       return;
     }
-    const SoupMessageBody* sent = soup_server_message_get_request_body(message);
-    const auto json = Json::Parse(
-        {sent->data, static_cast<size_t>(std::max<goffset>(sent->length, 0))});
+    const auto json = Json::Parse(call->Request().body);
     if (!json) {
-      Answer(message, SOUP_STATUS_BAD_REQUEST,
+      Answer(call, SOUP_STATUS_BAD_REQUEST,
              R"({"error":"invalid JSON","code":3})");
       return;
     }
-    if (path == "/v3/watch") {
-      this->OpenWatch(message, *json);
+    if (call->Request().path == "/v3/watch") {
+      this->OpenWatch(call, *json);
       return;
     }
-    this->Handle(message, path, *json);
+    this->Handle(call, call->Request().path, *json);
   }
 
-  void Handle(SoupServerMessage* message,
+  void Handle(const HttpCallPtr& call,
               const std::string& path,
               const Json& json) {
     this->state.Expire(this->clock.Now());
-    const auto handlers =
-        std::map<std::string, std::string (Server::*)(const Json&, bool&)>{
-            {"/v3/kv/range", &Server::Range},
-            {"/v3/kv/txn", &Server::Txn},
-            {"/v3/kv/put", &Server::Put},
-            {"/v3/lease/grant", &Server::Grant},
-            {"/v3/lease/keepalive", &Server::KeepAlive},
-            {"/v3/lease/revoke", &Server::Revoke},
-            {"/v3/kv/lease/revoke", &Server::Revoke}};
-    const auto handler = handlers.find(path);
-    if (handler == handlers.end()) {
-      Answer(message, SOUP_STATUS_NOT_FOUND, R"({"error":"Not Found"})");
+    using Handler = std::string (Server::*)(const Json&, bool&);
+    static const std::map<std::string, Handler> kHandlers = {
+        {"/v3/kv/range", &Server::Range},
+        {"/v3/kv/txn", &Server::Txn},
+        {"/v3/kv/put", &Server::Put},
+        {"/v3/lease/grant", &Server::Grant},
+        {"/v3/lease/keepalive", &Server::KeepAlive},
+        {"/v3/lease/revoke", &Server::Revoke},
+        {"/v3/kv/lease/revoke", &Server::Revoke}};
+    const auto handler = kHandlers.find(path);
+    if (handler == kHandlers.end()) {
+      Answer(call, SOUP_STATUS_NOT_FOUND, R"({"error":"Not Found"})");
       return;
     }
     bool writes = false;
@@ -241,24 +203,29 @@
     ++(writes ? this->calls.writes : this->calls.reads);
     this->FeedWatches();
     if (this->fault == KeyValueFault::kReplyLost && writes) {
-      Cut(message);
+      call->Abort();
       return;
     }
-    Answer(message, body.empty() ? SOUP_STATUS_NOT_FOUND : SOUP_STATUS_OK,
-           body.empty() ? R"({"error":"requested lease not found","code":5})"
-                        : body);
-    if (this->fault == KeyValueFault::kSlow) {
-      this->Delay(message);
-    }
+    const Duration late =
+        this->fault == KeyValueFault::kSlow ? this->slow_by : Duration::zero();
+    this->AnswerAfter(late, call, body);
   }
 
-  void Delay(SoupServerMessage* message) {
-    soup_server_message_pause(message);
-    g_object_ref(message);
+  void AnswerAfter(Duration delay,
+                   const HttpCallPtr& call,
+                   const std::string& body) {
+    const auto answer = [call, body] {
+      Answer(call, body.empty() ? SOUP_STATUS_NOT_FOUND : SOUP_STATUS_OK,
+             body.empty() ? R"({"error":"requested lease not found","code":5})"
+                          : body);
+    };
+    if (delay == Duration::zero()) {
+      answer();
+      return;
+    }
     const uint64_t ticket = ++this->tickets;
-    this->delays[ticket] = Timer::After(this->slow_by, [this, message, ticket] {
-      soup_server_message_unpause(message);
-      g_object_unref(message);
+    this->delays[ticket] = Timer::After(delay, [this, answer, ticket] {
+      answer();
       const auto keep = this->delays.extract(ticket);
     });
   }
@@ -342,38 +309,32 @@
     return out.EndObject().Text();
   }
 
-  void OpenWatch(SoupServerMessage* message, const Json& json) {
+  void OpenWatch(const HttpCallPtr& call, const Json& json) {
     const Json create = json.At("create_request");
     const int64_t start = create.At("start_revision").Integer();
-    Watch watch{.prefix = FromBase64(create.At("key").Text()),
-                .sent = start > 0 ? start - 1 : this->state.Revision(),
-                .silent = this->fault == KeyValueFault::kSilentWatch};
     ++this->calls.watches;
     ++this->calls.watches_waiting;
-    this->watches[message] = watch;
-    g_signal_connect(message, "disconnected", G_CALLBACK(&OnWatchGone), this);
-    g_signal_connect(message, "finished", G_CALLBACK(&OnWatchGone), this);
-    soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
-    soup_message_headers_set_encoding(
-        soup_server_message_get_response_headers(message),
-        SOUP_ENCODING_CHUNKED);
+    this->watches[call] = {
+        .prefix = FromBase64(create.At("key").Text()),
+        .sent = start > 0 ? start - 1 : this->state.Revision(),
+        .silent = this->fault == KeyValueFault::kSilentWatch};
+    call->OnGone([this, gone = call.get()] {
+      this->calls.watches_waiting -= static_cast<int64_t>(std::erase_if(
+          this->watches,
+          [gone](const auto& item) { return item.first.get() == gone; }));
+    });
+    call->StartStream(SOUP_STATUS_OK, {{"Content-Type", "application/json"}});
     JsonWriter out;
     out.BeginObject().Name("result").BeginObject();
     WriteHeader(this->state.Revision(), out);
     out.Member("created", true).EndObject().EndObject();
-    SendLine(message, out.Text());
+    call->Write(out.Text() + "\n");
     this->FeedWatches();
   }
 
-  static void OnWatchGone(SoupServerMessage* message, gpointer self) {
-    auto* server = static_cast<Server*>(self);
-    server->calls.watches_waiting -=
-        static_cast<int64_t>(server->watches.erase(message));
-  }
-
   // Sends each watch what it has not been sent yet.
   void FeedWatches() {
-    for (auto& [message, watch] : this->watches) {
+    for (auto& [call, watch] : this->watches) {
       if (watch.silent || this->fault == KeyValueFault::kSilentWatch) {
         watch.silent = true;
         continue;
@@ -381,7 +342,7 @@
       const auto changes = this->state.Changes(watch.prefix, watch.sent);
       watch.sent = this->state.Revision();
       if (!changes.empty()) {
-        SendLine(message, this->WriteChanges(changes));
+        call->Write(this->WriteChanges(changes) + "\n");
       }
     }
   }
@@ -403,21 +364,14 @@
     return out.EndArray().EndObject().EndObject().Text();
   }
 
-  static void SendLine(SoupServerMessage* message, const std::string& line) {
-    const std::string out = line + "\n";
-    soup_message_body_append(soup_server_message_get_response_body(message),
-                             SOUP_MEMORY_COPY, out.data(), out.size());
-    soup_server_message_unpause(message);
-  }
-
-  SoupServer* soup;
   BootClock clock;
   KeyValueFault fault = KeyValueFault::kNone;
   Duration slow_by{};
-  std::map<SoupServerMessage*, Watch> watches;
+  std::map<HttpCallPtr, Watch> watches;
   std::unique_ptr<Timer> expiry;
   uint64_t tickets = 0;
   std::map<uint64_t, std::unique_ptr<Timer>> delays;
+  HttpServer http;  // last, so that its calls end before what they use
 };
 
 FakeKeyValue::FakeKeyValue(uint16_t port) {
@@ -429,7 +383,7 @@
 }
 
 SocketAddress FakeKeyValue::Address() const {
-  return {"127.0.0.1", this->server->port};
+  return this->server->address;
 }
 
 void FakeKeyValue::SetFault(KeyValueFault fault, Duration slow_by) {
--- a/packages/decisions/configuration_records.cc
+++ b/packages/decisions/configuration_records.cc
@@ -255,15 +255,15 @@
 };
 
 template <typename T, typename Value>
-Field<T> MakeField(std::string name,
+Field<T> MakeField(const std::string& name,
                    Value T::* member,
-                   std::string help,
+                   const std::string& help,
                    FieldOptions options = {}) {
   const T initial{};
-  return {.schema = {.name = std::move(name),
+  return {.schema = {.name = name,
                      .allowed = Allowed(options.limits, Value{}),
                      .fallback = options.required ? "" : Write(initial.*member),
-                     .help = std::move(help),
+                     .help = help,
                      .required = options.required,
                      .site_differs = options.site_differs},
           .read = [member, limits = options.limits](
@@ -273,7 +273,7 @@
 }
 
 const std::vector<Field<Account>>& FieldsOf(const Account*) {
-  static const std::vector<Field<Account>> fields = {
+  static const std::vector<Field<Account>> kFields = {
       MakeField("weight", &Account::weight,
                 "The account's share of contended capacity, relative to the "
                 "weights of the others.",
@@ -283,19 +283,19 @@
                 "sets no limit.",
                 {.limits = {0, 1'000'000}}),
   };
-  return fields;
+  return kFields;
 }
 
 const std::vector<Field<AccountKey>>& FieldsOf(const AccountKey*) {
-  static const std::vector<Field<AccountKey>> fields = {
+  static const std::vector<Field<AccountKey>> kFields = {
       MakeField("account", &AccountKey::account,
                 "The account for which the key stands.", {.required = true}),
   };
-  return fields;
+  return kFields;
 }
 
 const std::vector<Field<Service>>& FieldsOf(const Service*) {
-  static const std::vector<Field<Service>> fields = {
+  static const std::vector<Field<Service>> kFields = {
       MakeField("kind", &Service::kind,
                 "Whether it is a language model or a plain service."),
       MakeField("fences", &Service::fences,
@@ -320,21 +320,21 @@
                 "Where a caller looks up what became of a request whose "
                 "outcome is unknown."),
   };
-  return fields;
+  return kFields;
 }
 
 const std::vector<Field<Site>>& FieldsOf(const Site*) {
-  static const std::vector<Field<Site>> fields = {
+  static const std::vector<Field<Site>> kFields = {
       MakeField("cut_off_key_limit", &Site::cut_off_key_limit,
                 "How long keys stay valid in a data centre that can hear of "
                 "no newer configuration.",
                 {.limits = {60, 30.0 * 24 * 3600}, .site_differs = true}),
   };
-  return fields;
+  return kFields;
 }
 
 const std::vector<Field<Endpoint>>& FieldsOf(const Endpoint*) {
-  static const std::vector<Field<Endpoint>> fields = {
+  static const std::vector<Field<Endpoint>> kFields = {
       MakeField("service", &Endpoint::service, "The service that it runs.",
                 {.required = true, .site_differs = true}),
       MakeField("data_centre", &Endpoint::data_centre,
@@ -355,7 +355,7 @@
                 "What an hour of it costs, in any one unit.",
                 {.limits = {0, 1'000'000}, .site_differs = true}),
   };
-  return fields;
+  return kFields;
 }
 
 // ---------------------------------------------------------------------------
@@ -447,7 +447,7 @@
 }
 
 const std::vector<Kind>& Kinds() {
-  static const std::vector<Kind> kinds = {
+  static const std::vector<Kind> kKinds = {
       MakeKind("account", "A client account.", &Configuration::accounts,
                &Account::id),
       MakeKind("key", "A key of a client account, by its SHA-256.",
@@ -458,7 +458,7 @@
       MakeKind("endpoint", "One back end of a service.",
                &Configuration::endpoints, &Endpoint::id),
   };
-  return kinds;
+  return kKinds;
 }
 
 const Kind* FindKind(std::string_view name) {
@@ -475,12 +475,12 @@
 }
 
 std::span<const RecordSchema> AllRecordSchemas() {
-  static const std::vector<RecordSchema> schemas = [] {
+  static const std::vector<RecordSchema> kSchemas = [] {
     std::vector<RecordSchema> all;
     std::ranges::transform(Kinds(), std::back_inserter(all), &Kind::schema);
     return all;
   }();
-  return schemas;
+  return kSchemas;
 }
 
 const RecordSchema* FindRecordSchema(std::string_view kind) {
--- a/packages/kernel/json.cc
+++ b/packages/kernel/json.cc
@@ -203,9 +203,9 @@
 }
 
 JsonWriter& JsonWriter::Value(const Json& value) {
-  g_autoptr(JsonNode) copy = json_from_string(value.Write().c_str(), nullptr);
+  JsonNode* copy = json_from_string(value.Write().c_str(), nullptr);
   assert(copy != nullptr && "a parsed value reads back");
-  json_builder_add_value(this->builder.get(), g_steal_pointer(&copy));
+  json_builder_add_value(this->builder.get(), copy);  // takes it over
   return *this;
 }
 
--- a/packages/platform/etcd_store.cc
+++ b/packages/platform/etcd_store.cc
@@ -16,8 +16,7 @@
 #include "kernel/registry.h"
 #include "kernel/task.h"
 #include "platform/etcd_messages.h"
-#include "platform/http_call.h"
-#include "platform/http_stream.h"
+#include "platform/json_client.h"
 #include "platform/key_value_store.h"
 
 namespace hickorystand {
@@ -39,6 +38,11 @@
 constexpr Duration kProbeGrace = std::chrono::milliseconds(500);
 constexpr int kProbeFailures = 3;
 
+// The longest line that a watch takes; a longer one ends it, and the state is
+// read anew.
+constexpr size_t kMaxWatchLine = size_t{32} << 20;
+constexpr Duration kNoLimit = std::chrono::hours(24 * 365);
+
 // Statuses by which the service says for certain that it did nothing. Others,
 // such as 500 and 503, also come when it gave up waiting for its own members
 // while the write went on.
@@ -74,7 +78,7 @@
            this->clock.Now() < this->next_try;
   }
 
-  void Send(const EtcdRequest& request, std::function<void(HttpReply)> done) {
+  void Send(const EtcdRequest& request, std::function<void(JsonReply)> done) {
     this->Count(request.read ? "store_reads_total" : "store_writes_total");
     this->Try(request, this->clock.Now() + this->options.timeout,
               this->options.addresses.size(), std::move(done));
@@ -100,19 +104,19 @@
   void Try(const EtcdRequest& request,
            Instant deadline,
            size_t left,
-           std::function<void(HttpReply)> done) {
+           std::function<void(JsonReply)> done) {
     const Duration rest =
         std::max(deadline - this->clock.Now(), Duration(1000));
-    HttpCall call{
+    JsonRequest call{
         .address = this->Preferred(),
-        .path = request.path,
+        .target = request.path,
         .body = request.body,
         .timeout = request.read ? rest / static_cast<int64_t>(left) : rest,
         .idempotent = request.read};
     this->client.Send(
         std::move(call), [this, request, deadline, left,
-                          done = std::move(done)](const HttpReply& reply) {
-          const bool answered = reply.outcome == HttpOutcome::kAnswered;
+                          done = std::move(done)](const JsonReply& reply) {
+          const bool answered = reply.outcome == JsonOutcome::kAnswered;
           if (answered && reply.status < SOUP_STATUS_INTERNAL_SERVER_ERROR) {
             this->backoff.Reset();
             done(reply);
@@ -120,7 +124,7 @@
           }
           this->AvoidPreferred();
           const bool again =
-              reply.outcome == HttpOutcome::kNotSent || request.read;
+              reply.outcome == JsonOutcome::kNotSent || request.read;
           if (again && left > 1 && this->clock.Now() < deadline) {
             this->Try(request, deadline, left - 1, done);
             return;
@@ -130,7 +134,7 @@
         });
   }
 
-  void NoteFailure(const HttpReply& reply) {
+  void NoteFailure(const JsonReply& reply) {
     this->next_try = this->clock.Now() + this->backoff.Next();
     this->Count("store_failures_total");
     if (this->limiter.Allow(this->clock.Now())) {
@@ -142,7 +146,7 @@
 
   KeyValueStoreOptions options;
   BootClock clock;
-  HttpClient client;
+  JsonClient client;
   Backoff backoff;
   Instant next_try{};
   size_t preferred = 0;
@@ -174,15 +178,32 @@
         on_lost(std::move(on_lost)),
         alive(std::make_shared<bool>(true)) {
     this->calls->CountWatch(1);
-    this->stream = std::make_unique<HttpStream>(
-        HttpCall{.address = this->calls->Preferred(),
-                 .path = "/v3/watch",
-                 .body = WriteWatch(this->prefix, after_revision)},
-        [this](const std::string& line) { this->TakeLine(line); },
-        [this](const Error& error) {
-          this->calls->AvoidPreferred();
-          this->Lose(error);
-        });
+    this->stream = this->client.Send(
+        {.address = this->calls->Preferred(),
+         .method = "POST",
+         .target = "/v3/watch",
+         .content_type = "application/json",
+         .body = WriteWatch(this->prefix, after_revision),
+         .timeouts = HttpTimeouts{.connect = this->calls->Timeout(),
+                                  .first_byte = this->calls->Timeout(),
+                                  .between_bytes = kNoLimit}},
+        {.on_head =
+             [this](const HttpAnswerHead& head) {
+               if (head.status != SOUP_STATUS_OK) {
+                 this->Lose({ErrorKind::kPlatformDown,
+                             "the watch was refused with status " +
+                                 std::to_string(head.status),
+                             {}});
+               }
+             },
+         .on_bytes = [this](std::string_view bytes) { this->Take(bytes); },
+         .on_end =
+             [this](HttpEnd, const std::string& detail) {
+               this->calls->AvoidPreferred();
+               this->Lose({ErrorKind::kPlatformDown,
+                           detail.empty() ? "the stream ended" : detail,
+                           {}});
+             }});
     this->check = Timer::After(this->calls->Timeout(), [this] {
       if (!this->created) {
         this->Lose({ErrorKind::kTimeout, "the watch was not confirmed", {}});
@@ -195,10 +216,29 @@
 
   ~EtcdWatch() override {
     *this->alive = false;
+    this->stream->Cancel();
     this->calls->CountWatch(-1);
   }
 
  private:
+  // Splits the stream into its lines.
+  void Take(std::string_view bytes) {
+    this->partial += bytes;
+    size_t start = 0;
+    for (size_t end = this->partial.find('\n'); end != std::string::npos;
+         end = this->partial.find('\n', start)) {
+      const std::string line = this->partial.substr(start, end - start);
+      start = end + 1;
+      if (!line.empty() && !this->lost) {
+        this->TakeLine(line);
+      }
+    }
+    this->partial.erase(0, start);
+    if (this->partial.size() > kMaxWatchLine) {
+      this->Lose({ErrorKind::kTooLarge, "a line of the watch is too long", {}});
+    }
+  }
+
   void TakeLine(const std::string& line) {
     auto message = ReadWatchMessage(line);
     if (!message) {
@@ -229,15 +269,15 @@
     this->calls->Send({.path = "/v3/kv/range",
                        .body = WriteProbe(this->prefix, this->seen),
                        .read = true},
-                      [this, alive = this->alive](const HttpReply& reply) {
+                      [this, alive = this->alive](const JsonReply& reply) {
                         if (*alive) {
                           this->TakeProbe(reply);
                         }
                       });
   }
 
-  void TakeProbe(const HttpReply& reply) {
-    const auto changed = reply.outcome == HttpOutcome::kAnswered
+  void TakeProbe(const JsonReply& reply) {
+    const auto changed = reply.outcome == JsonOutcome::kAnswered
                              ? ReadRangeReply(reply.body)
                              : std::nullopt;
     if (!changed) {
@@ -268,7 +308,7 @@
                  {{"prefix", this->prefix}, {"error", error.message}});
       this->calls->Count("store_watches_lost_total");
       this->ending = Timer::After(Duration::zero(), [this, error] {
-        this->stream.reset();
+        this->stream->Cancel();
         this->check.reset();
         this->grace.reset();
         const auto call = std::move(this->on_lost);
@@ -283,7 +323,9 @@
   OnChange on_change;
   std::function<void(Error)> on_lost;
   std::shared_ptr<bool> alive;
-  std::unique_ptr<HttpStream> stream;
+  HttpClient client;
+  HttpExchangePtr stream;
+  std::string partial;  // a line whose end has not come yet
   std::unique_ptr<Timer> check;
   std::unique_ptr<Timer> grace;
   std::unique_ptr<Timer> ending;
@@ -294,9 +336,9 @@
 };
 
 // A lease's answer, or why there is none.
-Result<Json> ReadLeaseReply(const HttpReply& reply) {
-  if (reply.outcome != HttpOutcome::kAnswered) {
-    return Fail(reply.outcome == HttpOutcome::kNotSent
+Result<Json> ReadLeaseReply(const JsonReply& reply) {
+  if (reply.outcome != JsonOutcome::kAnswered) {
+    return Fail(reply.outcome == JsonOutcome::kNotSent
                     ? ErrorKind::kPlatformDown
                     : ErrorKind::kTimeout,
                 reply.error);
@@ -339,7 +381,7 @@
                                           : WriteTransaction(transaction),
                               .read = OnlyReads(transaction)};
     this->calls->Send(request,
-                      [range, done = std::move(done)](const HttpReply& reply) {
+                      [range, done = std::move(done)](const JsonReply& reply) {
                         done(ReadReply(reply, range));
                       });
   }
@@ -355,7 +397,7 @@
                                  .EndObject()
                                  .Text();
     this->calls->Send({.path = "/v3/lease/grant", .body = body},
-                      [done = std::move(done)](const HttpReply& reply) {
+                      [done = std::move(done)](const JsonReply& reply) {
                         done(ReadLeaseReply(reply).and_then(
                             [](const Json& json) -> Result<int64_t> {
                               const int64_t id = json.At("ID").Integer();
@@ -372,7 +414,7 @@
                   std::function<void(Result<Duration>)> done) override {
     this->calls->Send(
         {.path = "/v3/lease/keepalive", .body = LeaseBody(lease)},
-        [done = std::move(done)](const HttpReply& reply) {
+        [done = std::move(done)](const JsonReply& reply) {
           done(ReadLeaseReply(reply).and_then(
               [](const Json& json) -> Result<Duration> {
                 const int64_t left = json.At("result").At("TTL").Integer();
@@ -387,7 +429,7 @@
   void RevokeLease(int64_t lease,
                    std::function<void(Result<int64_t>)> done) override {
     this->calls->Send({.path = "/v3/lease/revoke", .body = LeaseBody(lease)},
-                      [done = std::move(done)](const HttpReply& reply) {
+                      [done = std::move(done)](const JsonReply& reply) {
                         done(ReadLeaseReply(reply).map([](const Json& json) {
                           return json.At("header").At("revision").Integer();
                         }));
@@ -405,11 +447,11 @@
   }
 
  private:
-  static StoreReply ReadReply(const HttpReply& reply, bool range) {
-    if (reply.outcome == HttpOutcome::kNotSent) {
+  static StoreReply ReadReply(const JsonReply& reply, bool range) {
+    if (reply.outcome == JsonOutcome::kNotSent) {
       return {.outcome = StoreOutcome::kNotApplied};
     }
-    if (reply.outcome == HttpOutcome::kUnknown) {
+    if (reply.outcome == JsonOutcome::kUnknown) {
       return {.outcome = StoreOutcome::kUnknown};
     }
     if (reply.status != SOUP_STATUS_OK) {
@@ -437,17 +479,11 @@
   std::map<uint64_t, std::unique_ptr<Timer>> refusals;
 };
 
-}  // namespace
-
-// The linker is told to look for this name, or it would leave out a file that
-// nothing else refers to, and the plug-in with it.
-extern "C" {
-extern const bool kHickorystandEtcdStore;
-const bool kHickorystandEtcdStore = Registry<KeyValueStore>::Add(
+const bool kRegistered = Registry<KeyValueStore>::Add(
     "etcd-json",
     [](const KeyValueStoreOptions& options) -> std::unique_ptr<KeyValueStore> {
       return std::make_unique<EtcdStore>(options);
     });
-}
 
+}  // namespace
 }  // namespace hickorystand
--- /dev/null
+++ b/packages/platform/json_client.cc
@@ -0,0 +1,105 @@
+#include "platform/json_client.h"
+
+#include <cassert>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+// A whole configuration fits: 64 buckets of a megabyte, in base64.
+constexpr size_t kMaxReply = size_t{96} << 20;
+
+}  // namespace
+
+// One call under way.
+struct JsonClient::Pending {
+  SocketAddress address;
+  std::function<void(JsonReply)> done;
+  JsonReply reply;
+  HttpExchangePtr exchange;
+  std::unique_ptr<Timer> deadline;
+};
+
+JsonClient::JsonClient() = default;
+
+JsonClient::~JsonClient() {
+  for (const auto& [id, call] : this->pending) {
+    call->exchange->Cancel();
+  }
+}
+
+void JsonClient::Send(JsonRequest request,
+                      std::function<void(JsonReply)> done) {
+  assert(done && "a call needs somebody to answer to");
+  const uint64_t id = ++this->last_id;
+  auto& call = *(this->pending[id] = std::make_unique<Pending>());
+  call.address = request.address;
+  call.done = std::move(done);
+  // The deadline of the whole call rules; no phase may end it before.
+  const HttpTimeouts patience{.connect = request.timeout * 2,
+                              .first_byte = request.timeout * 2,
+                              .between_bytes = request.timeout * 2};
+  call.deadline =
+      Timer::After(request.timeout, [this, id] { this->GiveUp(id); });
+  HttpOutgoing outgoing{.address = request.address,
+                        .method = std::move(request.method),
+                        .target = std::move(request.target),
+                        .headers = std::move(request.headers),
+                        .content_type = "application/json",
+                        .body = std::move(request.body),
+                        .once = !request.idempotent,
+                        .timeouts = patience,
+                        .may_send = std::move(request.may_send)};
+  call.exchange = this->client.Send(
+      std::move(outgoing),
+      {.on_head =
+           [this, id](const HttpAnswerHead& head) {
+             this->pending.at(id)->reply.status = head.status;
+           },
+       .on_bytes =
+           [this, id](std::string_view bytes) {
+             Pending& at = *this->pending.at(id);
+             at.reply.body += bytes;
+             if (at.reply.body.size() > kMaxReply) {
+               at.exchange->Cancel();
+               this->TakeEnd(id, HttpEnd::kProtocol, "the answer is too long");
+             }
+           },
+       .on_end =
+           [this, id](HttpEnd end, const std::string& detail) {
+             this->TakeEnd(id, end, detail);
+           }});
+}
+
+void JsonClient::TakeEnd(uint64_t id, HttpEnd end, const std::string& detail) {
+  if (end == HttpEnd::kWhole) {
+    JsonReply reply = std::move(this->pending.at(id)->reply);
+    reply.outcome = JsonOutcome::kAnswered;
+    this->End(id, std::move(reply));
+    return;
+  }
+  this->End(id, {.outcome = end == HttpEnd::kNotSent ? JsonOutcome::kNotSent
+                                                     : JsonOutcome::kUnknown,
+                 .error = detail.empty() ? "the answer is not whole" : detail});
+}
+
+// The time is up. Open connections can go silent for good while new ones work;
+// those that wait idle beside this one are likely as dead, so none of them is
+// used again.
+void JsonClient::GiveUp(uint64_t id) {
+  const Pending& call = *this->pending.at(id);
+  const bool sent = call.exchange->MayHaveSent();
+  call.exchange->Cancel();
+  this->client.Renew(call.address);
+  this->End(id,
+            {.outcome = sent ? JsonOutcome::kUnknown : JsonOutcome::kNotSent,
+             .error = "no answer in time"});
+}
+
+// Forgets a call and answers it. The callback may destroy this client.
+void JsonClient::End(uint64_t id, JsonReply reply) {
+  const auto call = this->pending.extract(id);
+  call.mapped()->done(std::move(reply));
+}
+
+}  // namespace hickorystand
--- a/packages/platform/package.cmake
+++ b/packages/platform/package.cmake
@@ -1,2 +1,1 @@
-add_package(platform hs_decisions PkgConfig::SOUP)
-target_link_options(hs_platform INTERFACE LINKER:--undefined=kHickorystandEtcdStore)
+add_package(platform hs_decisions hs_http)
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -17,7 +17,7 @@
 
 Configuration Sample() {
   Configuration sample;
-  const auto put = [&](Record record) {
+  const auto put = [&](const Record& record) {
     CHECK(PutRecord(sample, record).has_value());
   };
   put({.kind = "account", .id = "acme", .fields = {{"weight", "2.5"}}});
