--- a/packages/decisions/orders.cc
+++ b/packages/decisions/orders.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include "decisions/json.h"
+#include "kernel/json.h"
 
 namespace hickorystand {
 namespace {
@@ -24,52 +24,53 @@
 
 void WriteOrder(JsonWriter& out, const Order& order) {
   out.BeginObject()
-      .Text("id", order.id.Text())
-      .Text("kind", std::string(OrderKindName(order.kind)))
-      .Text("endpoint", order.endpoint.Text())
-      .Text("argument", order.argument)
-      .Text("service", order.service.Text())
-      .Flag("cheap", order.cheap)
-      .Integer("change", order.change)
-      .Flag("fences", order.fences)
-      .Integer("fencing", order.fencing)
-      .Text("holder", order.holder.Text())
-      .Integer("incarnation", static_cast<int64_t>(order.incarnation))
+      .Member("id", order.id.Text())
+      .Member("kind", std::string(OrderKindName(order.kind)))
+      .Member("endpoint", order.endpoint.Text())
+      .Member("argument", order.argument)
+      .Member("service", order.service.Text())
+      .Member("cheap", order.cheap)
+      .Member("change", order.change)
+      .Member("fences", order.fences)
+      .Member("fencing", order.fencing)
+      .Member("holder", order.holder.Text())
+      .Member("incarnation", static_cast<int64_t>(order.incarnation))
       .EndObject();
 }
 
-Result<Order> ReadOrder(const JsonReader& in) {
-  const Result<OrderKind> kind = ParseOrderKind(in.Text("kind"));
+Result<Order> ReadOrder(const Json& in) {
+  const Result<OrderKind> kind = ParseOrderKind(in.At("kind").Text());
   if (!kind) {
     return tl::unexpected(kind.error());
   }
-  return Order{.id = OrderId(in.Text("id")),
-               .kind = *kind,
-               .endpoint = EndpointId(in.Text("endpoint")),
-               .argument = in.Text("argument"),
-               .service = ServiceId(in.Text("service")),
-               .cheap = in.Flag("cheap"),
-               .change = in.Integer("change"),
-               .fences = in.Flag("fences"),
-               .fencing = in.Integer("fencing"),
-               .holder = HostId(in.Text("holder")),
-               .incarnation = static_cast<uint64_t>(in.Integer("incarnation"))};
+  return Order{
+      .id = OrderId(in.At("id").Text()),
+      .kind = *kind,
+      .endpoint = EndpointId(in.At("endpoint").Text()),
+      .argument = in.At("argument").Text(),
+      .service = ServiceId(in.At("service").Text()),
+      .cheap = in.At("cheap").Flag(),
+      .change = in.At("change").Integer(),
+      .fences = in.At("fences").Flag(),
+      .fencing = in.At("fencing").Integer(),
+      .holder = HostId(in.At("holder").Text()),
+      .incarnation = static_cast<uint64_t>(in.At("incarnation").Integer())};
 }
 
 void WriteWindow(JsonWriter& out, const OpenWindow& window) {
   out.BeginObject()
-      .Integer("window", window.window)
-      .Integer("fencing", window.fencing)
-      .Text("holder", window.holder.Text())
-      .Integer("incarnation", static_cast<int64_t>(window.incarnation))
+      .Member("window", window.window)
+      .Member("fencing", window.fencing)
+      .Member("holder", window.holder.Text())
+      .Member("incarnation", static_cast<int64_t>(window.incarnation))
       .EndObject();
 }
 
-OpenWindow ReadWindow(const JsonReader& in) {
-  return {.window = in.Integer("window"),
-          .fencing = in.Integer("fencing"),
-          .holder = HostId(in.Text("holder")),
-          .incarnation = static_cast<uint64_t>(in.Integer("incarnation"))};
+OpenWindow ReadWindow(const Json& in) {
+  return {.window = in.At("window").Integer(),
+          .fencing = in.At("fencing").Integer(),
+          .holder = HostId(in.At("holder").Text()),
+          .incarnation = static_cast<uint64_t>(in.At("incarnation").Integer())};
 }
 
 }  // namespace
@@ -93,36 +94,36 @@
 
 std::string EncodeOrderRecord(const OrderRecord& record) {
   JsonWriter out;
-  out.BeginObject().Integer("last_window", record.last_window);
-  out.BeginArray("orders");
+  out.BeginObject().Member("last_window", record.last_window);
+  out.Name("orders").BeginArray();
   for (const Order& order : record.orders) {
     WriteOrder(out, order);
   }
-  out.EndArray().BeginArray("windows");
+  out.EndArray().Name("windows").BeginArray();
   for (const OpenWindow& window : record.windows) {
     WriteWindow(out, window);
   }
   out.EndArray().EndObject();
-  return out.Take();
+  return out.Text();
 }
 
 Result<OrderRecord> DecodeOrderRecord(const std::string& text) {
   if (text.empty()) {
     return OrderRecord{};
   }
-  const Result<JsonReader> in = JsonReader::Parse(text);
+  const Result<Json> in = Json::ParseObject(text);
   if (!in) {
     return tl::unexpected(in.error());
   }
-  OrderRecord record{.last_window = in->Integer("last_window")};
-  for (const JsonReader& item : in->Items("orders")) {
+  OrderRecord record{.last_window = in->At("last_window").Integer()};
+  for (const Json& item : in->At("orders").Items()) {
     Result<Order> order = ReadOrder(item);
     if (!order) {
       return tl::unexpected(order.error());
     }
     record.orders.push_back(*std::move(order));
   }
-  std::ranges::transform(in->Items("windows"),
+  std::ranges::transform(in->At("windows").Items(),
                          std::back_inserter(record.windows), &ReadWindow);
   return record;
 }
--- a/packages/decisions/usage.cc
+++ b/packages/decisions/usage.cc
@@ -4,7 +4,7 @@
 #include <cassert>
 #include <utility>
 
-#include "decisions/json.h"
+#include "kernel/json.h"
 
 namespace hickorystand {
 namespace {
@@ -14,21 +14,22 @@
 void WriteCounts(JsonWriter& out,
                  const std::string& name,
                  const AccountUsage& counts) {
-  out.BeginObject(name);
+  out.Name(name).BeginObject();
   for (const auto& [account, count] : counts) {
-    out.BeginArray(account.Text())
-        .Item(count.prompt_tokens)
-        .Item(count.generated_tokens)
-        .Item(count.requests)
+    out.Name(account.Text())
+        .BeginArray()
+        .Value(count.prompt_tokens)
+        .Value(count.generated_tokens)
+        .Value(count.requests)
         .EndArray();
   }
   out.EndObject();
 }
 
-Result<AccountUsage> ReadCounts(const JsonReader& in) {
+Result<AccountUsage> ReadCounts(const Json& in) {
   AccountUsage counts;
   for (const std::string& name : in.Names()) {
-    const std::vector<int64_t> numbers = in.Integers(name);
+    const std::vector<int64_t> numbers = in.At(name).Integers();
     if (numbers.size() != 3) {
       return Fail(ErrorKind::kBadRequest,
                   "usage of '" + name + "' isn't three numbers");
@@ -132,41 +133,41 @@
 std::string EncodeUsageWindow(const UsageWindow& window) {
   JsonWriter out;
   out.BeginObject()
-      .Integer("window", window.window)
-      .Integer("fencing", window.fencing);
+      .Member("window", window.window)
+      .Member("fencing", window.fencing);
   WriteCounts(out, "figures", window.figures);
-  out.BeginArray("counted");
+  out.Name("counted").BeginArray();
   for (const auto& [source, counts] : window.counted) {
     out.BeginObject()
-        .Text("host", source.host.Text())
-        .Integer("incarnation", static_cast<int64_t>(source.incarnation));
+        .Member("host", source.host.Text())
+        .Member("incarnation", static_cast<int64_t>(source.incarnation));
     WriteCounts(out, "counts", counts);
     out.EndObject();
   }
   out.EndArray().EndObject();
-  return out.Take();
+  return out.Text();
 }
 
 Result<UsageWindow> DecodeUsageWindow(const std::string& text) {
-  const Result<JsonReader> in = JsonReader::Parse(text);
+  const Result<Json> in = Json::ParseObject(text);
   if (!in) {
     return tl::unexpected(in.error());
   }
-  Result<AccountUsage> figures = ReadCounts(in->Member("figures"));
+  Result<AccountUsage> figures = ReadCounts(in->At("figures"));
   if (!figures) {
     return tl::unexpected(figures.error());
   }
-  UsageWindow window{.window = in->Integer("window"),
-                     .fencing = in->Integer("fencing"),
+  UsageWindow window{.window = in->At("window").Integer(),
+                     .fencing = in->At("fencing").Integer(),
                      .figures = *std::move(figures)};
-  for (const JsonReader& item : in->Items("counted")) {
-    Result<AccountUsage> counts = ReadCounts(item.Member("counts"));
+  for (const Json& item : in->At("counted").Items()) {
+    Result<AccountUsage> counts = ReadCounts(item.At("counts"));
     if (!counts) {
       return tl::unexpected(counts.error());
     }
     const UsageSource source{
-        .host = HostId(item.Text("host")),
-        .incarnation = static_cast<uint64_t>(item.Integer("incarnation"))};
+        .host = HostId(item.At("host").Text()),
+        .incarnation = static_cast<uint64_t>(item.At("incarnation").Integer())};
     window.counted[source] = *std::move(counts);
   }
   return window;
--- a/packages/kernel/json.cc
+++ b/packages/kernel/json.cc
@@ -80,6 +80,14 @@
   return Json(json_node_ref(root));
 }
 
+Result<Json> Json::ParseObject(std::string_view text) {
+  auto json = Parse(text);
+  if (json && !json->IsObject()) {
+    return Fail(ErrorKind::kBadRequest, "the JSON is no object");
+  }
+  return json;
+}
+
 bool Json::IsObject() const {
   return this->node && JSON_NODE_HOLDS_OBJECT(this->node.get());
 }
@@ -126,6 +134,14 @@
   return items;
 }
 
+std::vector<int64_t> Json::Integers() const {
+  std::vector<int64_t> integers;
+  for (const Json& item : this->Items()) {
+    integers.push_back(item.Integer());
+  }
+  return integers;
+}
+
 std::vector<std::string> Json::Names() const {
   std::vector<std::string> names;
   if (this->IsObject()) {
--- a/packages/kernel/json.h
+++ b/packages/kernel/json.h
@@ -39,6 +39,9 @@
   // Parses a document; kBadRequest if it is none or nests too deep.
   static Result<Json> Parse(std::string_view text);
 
+  // As Parse(), and kBadRequest if the document is no object.
+  static Result<Json> ParseObject(std::string_view text);
+
   // What the value is. An absent one is nothing of all this.
   bool Exists() const { return this->node != nullptr; }
   bool IsObject() const;
@@ -56,6 +59,9 @@
   std::vector<Json> Items() const;
   std::vector<std::string> Names() const;
 
+  // The elements of an array as whole numbers; others read 0.
+  std::vector<int64_t> Integers() const;
+
   // The plain value, or the fallback if it is of another type.
   std::string Text(std::string fallback = "") const;
   double Number(double fallback = 0) const;
