--- a/packages/decisions/orders.cc
+++ b/packages/decisions/orders.cc
@@ -111,13 +111,10 @@
   if (text.empty()) {
     return OrderRecord{};
   }
-  const Result<Json> in = Json::Parse(text);
+  const Result<Json> in = Json::ParseObject(text);
   if (!in) {
     return tl::unexpected(in.error());
   }
-  if (!in->IsObject()) {
-    return Fail(ErrorKind::kBadRequest, "not a JSON object");
-  }
   OrderRecord record{.last_window = in->At("last_window").Integer()};
   for (const Json& item : in->At("orders").Items()) {
     Result<Order> order = ReadOrder(item);
