Prove the request path against stand-in endpoints

Stand-ins for an engine and a plain service run the whole endpoint protocol on loopback, with faults. The tests found two faults of the path:

libsoup takes a connection that ends between two chunks for the end of a chunked body, so a crashed endpoint passed for one that finished. After the true last chunk the connection stays open; a closed one now gives it away. Counting bytes was ruled out, as chunked bodies have no length.

A connection renewed after silence kept no record of its sockets; the pool now holds both.

--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -312,7 +312,7 @@
 
 void RequestDriver::Refuse(const Dispatch& action) {
   LiveRequest& live = *this->Find(action.request);
-  const Error error = action.error.value_or(Error{});
+  const Error error = this->WithLookUp(action.error.value_or(Error{}), live);
   this->metrics.Add("hickorystand_refusals_total", 1,
                     {{"code", std::string(AnswerFor(error.kind).code)}});
   assert((!AnswerFor(error.kind).not_run || !live.may_have_run ||
@@ -322,6 +322,19 @@
   this->Forget(action.request);
 }
 
+// A caller who is told that the outcome is unknown is told where to look.
+Error RequestDriver::WithLookUp(Error error, const LiveRequest& live) const {
+  const ServiceId& id = live.incoming.request.service;
+  const auto service = this->configuration->services.find(id);
+  if (error.kind == ErrorKind::kOutcomeUnknown &&
+      service != this->configuration->services.end() &&
+      !service->second.status_path.empty()) {
+    error.message += " Whether it ran can be looked up at /services/" +
+                     id.Text() + service->second.status_path + ".";
+  }
+  return error;
+}
+
 void RequestDriver::Forget(const RequestId& id) {
   auto node = this->live.extract(id);
   if (node.empty()) {
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -174,6 +174,7 @@
             const RunningAttempt& run,
             const AttemptEnd& end);
   void Abandon(LiveRequest& live, AttemptId attempt);
+  Error WithLookUp(Error error, const LiveRequest& live) const;
   void SettleClaim(const LiveRequest& live);
   void Forget(const RequestId& id);
   void CheckDrained();
--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -1,6 +1,9 @@
 #include "http/http_client.h"
 
+#include <sys/socket.h>
+
 #include <cassert>
+#include <cerrno>
 #include <utility>
 
 namespace hickorystand {
@@ -29,13 +32,47 @@
 
 }  // namespace
 
+// -- Connections -------------------------------------------------------------
+
+void HttpConnections::WeakFree::operator()(GWeakRef* weak) const {
+  g_weak_ref_clear(weak);
+  g_free(weak);
+}
+
+void HttpConnections::Add(guint64 id, GSocket* socket) {
+  std::erase_if(this->sockets, [](const auto& each) {
+    const ObjectPtr<GSocket> alive(
+        static_cast<GSocket*>(g_weak_ref_get(each.second.get())));
+    return alive == nullptr;
+  });
+  GWeakRef* weak = g_new0(GWeakRef, 1);
+  g_weak_ref_init(weak, socket);
+  this->sockets[id].reset(weak);
+}
+
+bool HttpConnections::ClosedByPeer(guint64 id) const {
+  const auto found = this->sockets.find(id);
+  if (found == this->sockets.end()) {
+    return true;
+  }
+  const ObjectPtr<GSocket> socket(
+      static_cast<GSocket*>(g_weak_ref_get(found->second.get())));
+  if (!socket || g_socket_is_closed(socket.get())) {
+    return true;
+  }
+  char byte = 0;
+  const ssize_t got =
+      recv(g_socket_get_fd(socket.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 // -- One exchange ------------------------------------------------------------
 
-HttpExchange::HttpExchange(ObjectPtr<SoupSession> session,
+HttpExchange::HttpExchange(HttpPoolPtr pool,
                            HttpOutgoing outgoing,
                            HttpEvents events,
                            HttpTimeouts timeouts)
-    : session(std::move(session)),
+    : pool(std::move(pool)),
       outgoing(std::move(outgoing)),
       events(std::move(events)),
       timeouts(timeouts),
@@ -83,18 +120,35 @@
   const auto check = G_CALLBACK(+[](SoupMessage*, gpointer self) {
     static_cast<HttpExchange*>(self)->CheckPermission();
   });
+  g_signal_connect(
+      raw, "network-event",
+      G_CALLBACK(+[](SoupMessage*, GSocketClientEvent event,
+                     GIOStream* connection, gpointer self) {
+        if (event == G_SOCKET_CLIENT_CONNECTED) {
+          static_cast<HttpExchange*>(self)->NoteConnection(connection);
+        }
+      }),
+      this);
   g_signal_connect(raw, "starting", check, this);
   g_signal_connect(raw, "wrote-headers", check, this);
   this->Progress(this->timeouts.connect);
   this->ArmTimer(this->timeouts.connect);
   soup_session_send_async(
-      this->session.get(), raw, G_PRIORITY_DEFAULT, this->cancellable.get(),
+      this->pool->session.get(), raw, G_PRIORITY_DEFAULT,
+      this->cancellable.get(),
       [](GObject*, GAsyncResult* result, gpointer data) {
         Release(data)->TakeHead(result);
       },
       Hold(this));
 }
 
+void HttpExchange::NoteConnection(GIOStream* connection) {
+  if (G_IS_SOCKET_CONNECTION(connection)) {
+    this->new_socket = ShareObject(
+        g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection)));
+  }
+}
+
 // Called just before the head and just before the body are handed to the
 // socket. A process that was paused while it held a lease must not send its
 // order when it wakes; a check made any earlier would leave room for the pause.
@@ -108,6 +162,12 @@
     return;
   }
   this->sending = true;
+  if (this->new_socket) {
+    this->pool->connections.Add(
+        soup_message_get_connection_id(this->message.get()),
+        this->new_socket.get());
+    this->new_socket.reset();
+  }
   this->Progress(this->timeouts.first_byte);
   this->ArmTimer(this->timeouts.first_byte);
 }
@@ -115,7 +175,7 @@
 void HttpExchange::TakeHead(GAsyncResult* result) {
   GError* error = nullptr;
   this->stream.reset(
-      soup_session_send_finish(this->session.get(), result, &error));
+      soup_session_send_finish(this->pool->session.get(), result, &error));
   const ErrorPtr owned(error);
   if (this->over) {
     return;
@@ -167,12 +227,8 @@
   const auto* data =
       static_cast<const char*>(g_bytes_get_data(bytes.get(), &size));
   if (size == 0) {
-    // A body that is delimited by the connection's end alone looks the same
-    // when its sender died: nothing shows that it is whole.
-    const bool marked =
-        soup_message_headers_get_encoding(soup_message_get_response_headers(
-            this->message.get())) != SOUP_ENCODING_EOF;
-    this->End(marked ? HttpEnd::kWhole : HttpEnd::kNoMarker, "");
+    const HttpEnd end = this->JudgeEnd();
+    this->End(end, end == HttpEnd::kWhole ? "" : "the end marker is missing");
     return;
   }
   this->Progress(this->timeouts.between_bytes);
@@ -182,6 +238,28 @@
   this->ReadMore();
 }
 
+// The body ended without an error; is it whole? A body that is delimited by the
+// connection's end alone looks the same when its sender died. And libsoup takes
+// the end of the connection between two chunks for the end of a chunked body:
+// a sender that dies there would pass for one that finished. After the true
+// last chunk the connection stays open, so a closed one gives it away. An
+// endpoint that closes its connection after each chunked answer can't be told
+// from one that died; docs/ENDPOINTS.md rules that out.
+HttpEnd HttpExchange::JudgeEnd() const {
+  switch (soup_message_headers_get_encoding(
+      soup_message_get_response_headers(this->message.get()))) {
+    case SOUP_ENCODING_EOF:
+      return HttpEnd::kNoMarker;
+    case SOUP_ENCODING_CHUNKED:
+      return this->pool->connections.ClosedByPeer(
+                 soup_message_get_connection_id(this->message.get()))
+                 ? HttpEnd::kReset
+                 : HttpEnd::kWhole;
+    default:
+      return HttpEnd::kWhole;
+  }
+}
+
 void HttpExchange::EndByError(const GError& error) {
   if (this->forbidden) {
     this->End(HttpEnd::kNotSent, "not permitted when it was to be sent");
@@ -263,18 +341,18 @@
   const SocketAddress address = outgoing.address;
   const HttpTimeouts timeouts =
       outgoing.timeouts.value_or(this->options.timeouts);
-  auto session = this->SessionFor(address);
-  SoupSession* used = session.get();
+  HttpPoolPtr pool = this->PoolFor(address);
+  const HttpPool* used = pool.get();
   const auto exchange = std::make_shared<HttpExchange>(
-      std::move(session), std::move(outgoing), std::move(events), timeouts);
+      std::move(pool), std::move(outgoing), std::move(events), timeouts);
   // What made one connection silent made its idle companions silent too. They
-  // share its session; a new session replaces it. Exchanges under way keep the
-  // old one until they end, as their own progress speaks for them.
+  // share its pool; a new pool replaces it. Exchanges under way keep the old
+  // one until they end, as their own progress speaks for them.
   exchange->Start(
-      [used, address, pool = this->pool, renewals = this->renewals] {
-        const auto found = pool->find(address);
-        if (found != pool->end() && found->second.get() == used) {
-          pool->erase(found);
+      [used, address, pools = this->pools, renewals = this->renewals] {
+        const auto found = pools->find(address);
+        if (found != pools->end() && found->second.get() == used) {
+          pools->erase(found);
           ++*renewals;
         }
       });
@@ -282,15 +360,16 @@
 }
 
 void HttpClient::Renew(const SocketAddress& address) {
-  this->pool->erase(address);
+  this->pools->erase(address);
 }
 
-ObjectPtr<SoupSession> HttpClient::SessionFor(const SocketAddress& address) {
-  auto& session = (*this->pool)[address];
-  if (!session) {
-    session = this->MakeSession();
+HttpPoolPtr HttpClient::PoolFor(const SocketAddress& address) {
+  HttpPoolPtr& pool = (*this->pools)[address];
+  if (!pool) {
+    pool = std::make_shared<HttpPool>();
+    pool->session = this->MakeSession();
   }
-  return ShareObject(session.get());
+  return pool;
 }
 
 // No cookies, no credentials, no proxy from the environment, no decoding:
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -83,10 +83,34 @@
 
 class HttpClient;
 
+// The open connections of one session, by libsoup's number for them.
+class HttpConnections {
+ public:
+  void Add(guint64 id, GSocket* socket);
+
+  // Whether the other end has closed a connection.
+  bool ClosedByPeer(guint64 id) const;
+
+ private:
+  struct WeakFree {
+    void operator()(GWeakRef* weak) const;
+  };
+
+  std::map<guint64, std::unique_ptr<GWeakRef, WeakFree>> sockets;
+};
+
+// The connections to one address that are pooled together.
+struct HttpPool {
+  ObjectPtr<SoupSession> session;
+  HttpConnections connections;
+};
+
+using HttpPoolPtr = std::shared_ptr<HttpPool>;
+
 // One exchange. Destroying the last pointer to it doesn't end it; Cancel does.
 class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
  public:
-  HttpExchange(ObjectPtr<SoupSession> session,
+  HttpExchange(HttpPoolPtr pool,
                HttpOutgoing outgoing,
                HttpEvents events,
                HttpTimeouts timeouts);
@@ -109,6 +133,8 @@
 
   void Start(std::function<void()> on_silent);
   void CheckPermission();
+  void NoteConnection(GIOStream* connection);
+  HttpEnd JudgeEnd() const;
   void TakeHead(GAsyncResult* result);
   void TakeBytes(GAsyncResult* result);
   void ReadMore();
@@ -118,13 +144,14 @@
   void ArmTimer(Duration delay);
   void CheckProgress();
 
-  ObjectPtr<SoupSession> session;
+  HttpPoolPtr pool;
   HttpOutgoing outgoing;
   HttpEvents events;
   HttpTimeouts timeouts;
   ObjectPtr<SoupMessage> message;
   ObjectPtr<GCancellable> cancellable;
   ObjectPtr<GInputStream> stream;
+  ObjectPtr<GSocket> new_socket;  // of a connection opened for this exchange
   std::function<void()> on_silent;
   std::unique_ptr<Timer> timer;
   gint64 last_progress = 0;  // g_get_monotonic_time()
@@ -163,13 +190,13 @@
   int64_t Renewals() const { return *this->renewals; }
 
  private:
-  using Pool = std::map<SocketAddress, ObjectPtr<SoupSession>>;
+  using Pools = std::map<SocketAddress, HttpPoolPtr>;
 
-  ObjectPtr<SoupSession> SessionFor(const SocketAddress& address);
+  HttpPoolPtr PoolFor(const SocketAddress& address);
   ObjectPtr<SoupSession> MakeSession() const;
 
   HttpClientOptions options;
-  std::shared_ptr<Pool> pool = std::make_shared<Pool>();
+  std::shared_ptr<Pools> pools = std::make_shared<Pools>();
   std::shared_ptr<int64_t> renewals = std::make_shared<int64_t>(0);
 };
 
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -297,12 +297,13 @@
 }
 
 HttpServer::~HttpServer() {
-  soup_server_disconnect(this->server.get());
+  g_signal_handlers_disconnect_by_data(this->server.get(), this);
   const auto open = std::exchange(this->calls, {});
   for (const auto& [message, call] : open) {
+    g_signal_handlers_disconnect_by_data(message, call.get());
     call->Abort();
   }
-  g_signal_handlers_disconnect_by_data(this->server.get(), this);
+  soup_server_disconnect(this->server.get());
 }
 
 Result<SocketAddress> HttpServer::Start() {
--- /dev/null
+++ b/tests/gateway_bed.h
@@ -0,0 +1,253 @@
+// A gateway, stand-in endpoints and a caller on loopback sockets, for tests and
+// benches.
+
+#pragma once
+
+#include <glib.h>
+
+#include <cassert>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "engine.h"
+#include "gateway/gateway.h"
+#include "http/http_client.h"
+#include "plain_service.h"
+
+namespace hickorystand {
+
+// What a caller got.
+struct CallerAnswer {
+  HttpEnd end = HttpEnd::kNotSent;
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+
+  std::string Header(std::string_view name) const {
+    return FindHeader(this->headers, name).value_or("");
+  }
+};
+
+// One exchange with a server, waited for.
+class Caller {
+ public:
+  Caller() {
+    this->task.Call([this] { this->client = std::make_unique<HttpClient>(); });
+  }
+  ~Caller() {
+    this->task.Call([this] {
+      this->last.reset();
+      this->client.reset();
+    });
+  }
+
+  // Starts an exchange; the future gives its end.
+  std::future<CallerAnswer> Start(HttpOutgoing outgoing) {
+    auto answer = std::make_shared<CallerAnswer>();
+    auto done = std::make_shared<std::promise<CallerAnswer>>();
+    this->task.Call([&] {
+      this->last = this->client->Send(
+          std::move(outgoing),
+          {.on_head =
+               [answer](const HttpAnswerHead& head) {
+                 answer->status = head.status;
+                 answer->headers = head.headers;
+               },
+           .on_bytes =
+               [answer](std::string_view bytes) { answer->body += bytes; },
+           .on_end =
+               [answer, done](HttpEnd end, const std::string&) {
+                 answer->end = end;
+                 done->set_value(*answer);
+               }});
+    });
+    return done->get_future();
+  }
+
+  CallerAnswer Send(HttpOutgoing outgoing) {
+    return this->Start(std::move(outgoing)).get();
+  }
+
+  // Hangs up the exchange started last.
+  void HangUp() {
+    this->task.Call([this] { this->last->Cancel(); });
+  }
+
+ private:
+  Task task{"caller"};
+  std::unique_ptr<HttpClient> client;
+  HttpExchangePtr last;
+};
+
+// Waits until a condition holds; false if it never does.
+inline bool Eventually(const std::function<bool()>& condition) {
+  constexpr int kTries = 20'000;
+  for (int i = 0; i < kTries; ++i) {
+    if (condition()) {
+      return true;
+    }
+    g_usleep(1000);
+  }
+  return false;
+}
+
+// One entry host's gateway with its surroundings.
+class GatewayBed {
+ public:
+  static constexpr const char* kKey = "sk-test-alpha-0123456789";
+  static constexpr const char* kOtherKey = "sk-test-beta-0123456789";
+
+  explicit GatewayBed(GatewayOptions options = {}) {
+    static const bool kQuiet = [] {
+      StartLog({.level = LogLevel::kError});
+      return true;
+    }();
+    assert(kQuiet);
+    options.host = HostId("h1");
+    options.data_centre = DataCentreId("dc1");
+    options.driver.endpoints.http.timeouts.first_byte =
+        std::chrono::milliseconds(1500);
+    options.driver.endpoints.http.timeouts.between_bytes =
+        std::chrono::milliseconds(1500);
+    options.watcher = {.load_period = {}, .cache_period = {}};
+    this->configuration.revision = 1;
+    this->AddAccount("alpha", kKey);
+    this->AddAccount("beta", kOtherKey);
+    this->configuration.services[ServiceId("m")] = {.id = ServiceId("m")};
+    this->configuration.services[ServiceId("filing")] = {
+        .id = ServiceId("filing"),
+        .kind = ServiceKind::kPlain,
+        .status_path = "/petitions"};
+    this->task.Call([&] {
+      this->gateway =
+          std::make_unique<Gateway>(options, this->clock, this->metrics);
+      this->gateway->SetHooks(this->MakeHooks());
+      this->address = this->gateway->Start().value();
+    });
+    this->Apply();
+  }
+
+  ~GatewayBed() {
+    this->task.Call([this] { this->gateway.reset(); });
+  }
+
+  // Adds an endpoint; they are used in the order of their names.
+  void AddEngine(const std::string& id, const SocketAddress& at) {
+    this->AddEndpoint(id, "m", at);
+  }
+  void AddPlain(const std::string& id, const SocketAddress& at) {
+    this->AddEndpoint(id, "filing", at);
+  }
+
+  // Puts the configuration in force.
+  void Apply() {
+    auto next = std::make_shared<Configuration>(this->configuration);
+    this->configuration.revision += 1;
+    this->task.Call([&] { this->gateway->ApplyConfiguration(next); });
+  }
+
+  // A call with a key.
+  HttpOutgoing Outgoing(const std::string& method,
+                        const std::string& target,
+                        const std::string& body = "",
+                        const std::string& key = kKey) const {
+    return {.address = this->address,
+            .method = method,
+            .target = target,
+            .headers = {{"Authorization", "Bearer " + key}},
+            .content_type = "application/json",
+            .body = body,
+            .once = true};
+  }
+
+  // A chat call for some tokens.
+  HttpOutgoing Chat(const std::string& prompt,
+                    bool stream,
+                    int tokens = 8) const {
+    return this->Outgoing(
+        "POST", "/v1/chat/completions",
+        R"({"model":"m","max_tokens":)" + std::to_string(tokens) +
+            R"(,"stream":)" + (stream ? "true" : "false") +
+            R"(,"messages":[{"role":"user","content":")" + prompt + R"("}]})");
+  }
+
+  // The text that a stand-in engine generates for such a call.
+  static std::string ChatText(const std::string& prompt, int tokens = 8) {
+    return fakes::AnswerText("user\n" + prompt + "\n", tokens);
+  }
+
+  // Something of the gateway, fetched on its task.
+  template <typename T>
+  T Ask(const std::function<T(Gateway&)>& question) {
+    T answer{};
+    this->task.Call([&] { answer = question(*this->gateway); });
+    return answer;
+  }
+
+  Configuration configuration;  // changes count from the next Apply()
+  SocketAddress address;
+  Task task{"gateway"};
+  BootClock clock;
+  Metrics metrics;
+  std::unique_ptr<Gateway> gateway;
+  Caller caller;
+  std::vector<UsageRecord> usage;  // read on the task only
+  std::map<std::string, RequestId> claims;
+  std::vector<std::function<void()>> held_claims;
+  bool hold_claims = false;
+  ClaimResult claim_answer = ClaimResult::kGranted;
+
+ private:
+  void AddAccount(const std::string& id, const char* key) {
+    this->configuration.accounts[AccountId(id)] = {.id = AccountId(id)};
+    gchar* hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+    this->configuration.keys[hash] = {.hash = hash, .account = AccountId(id)};
+    g_free(hash);
+  }
+
+  void AddEndpoint(const std::string& id,
+                   const std::string& service,
+                   const SocketAddress& at) {
+    this->configuration.endpoints[EndpointId(id)] = {
+        .id = EndpointId(id),
+        .service = ServiceId(service),
+        .data_centre = DataCentreId("dc1"),
+        .address = at};
+    this->Apply();
+  }
+
+  RequestHooks MakeHooks() {
+    return {.claim =
+                [this](const ClaimRequest& claim,
+                       const std::function<void(ClaimResult)>& done) {
+                  const auto answer = [this, claim, done] {
+                    const bool fresh =
+                        this->claims.emplace(claim.key, claim.request).second;
+                    done(fresh ? this->claim_answer : ClaimResult::kTaken);
+                  };
+                  if (this->hold_claims) {
+                    this->held_claims.push_back(answer);
+                  } else {
+                    answer();
+                  }
+                },
+            .release_claim =
+                [this](const RequestId& request) {
+                  std::erase_if(this->claims, [&](const auto& each) {
+                    return each.second == request;
+                  });
+                },
+            .usage =
+                [this](const UsageRecord& record) {
+                  this->usage.push_back(record);
+                }};
+  }
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/tests/gateway_test.cc
@@ -0,0 +1,597 @@
+// Tests of the request path: a caller, a gateway and stand-in endpoints on
+// loopback sockets.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <string>
+
+#include "gateway_bed.h"
+#include "kernel/json.h"
+
+namespace hickorystand {
+namespace {
+
+using fakes::EngineFault;
+using fakes::FakeEngine;
+using fakes::FakePlainService;
+using fakes::PlainFault;
+using fakes::RunRecord;
+
+// The text of a stream's events, and whether it ended as it must.
+struct StreamText {
+  std::string text;
+  bool done = false;
+  std::string error_code;
+};
+
+StreamText ReadStream(const std::string& body) {
+  StreamText result;
+  SseParser parser([&](std::string_view data) {
+    if (data == kSseDone) {
+      result.done = true;
+      return;
+    }
+    const Json json = Json::ParseObject(data).value_or(Json());
+    result.error_code += json.At("error").At("code").Text();
+    for (const Json& choice : json.At("choices").Items()) {
+      result.text += choice.At("delta").At("content").Text();
+    }
+  });
+  parser.Feed(body);
+  return result;
+}
+
+std::string WholeText(const std::string& body) {
+  const auto choices =
+      Json::ParseObject(body).value_or(Json()).At("choices").Items();
+  return choices.empty() ? ""
+                         : choices.front().At("message").At("content").Text();
+}
+
+std::string ErrorCode(const CallerAnswer& answer) {
+  return Json::ParseObject(answer.body)
+      .value_or(Json())
+      .At("error")
+      .At("code")
+      .Text();
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_GROUP(Gateway){};
+
+TEST(Gateway, StreamsAChatAnswer) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  const CallerAnswer answer = bed.caller.Send(bed.Chat("hello", true));
+  LONGS_EQUAL(200, answer.status);
+  const StreamText stream = ReadStream(answer.body);
+  STRCMP_EQUAL(GatewayBed::ChatText("hello").c_str(), stream.text.c_str());
+  CHECK(stream.done);
+  CHECK(answer.Header("X-Request-Id").starts_with("req-"));
+}
+
+TEST(Gateway, PutsAWholeAnswerTogether) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  const CallerAnswer answer = bed.caller.Send(bed.Chat("hello", false));
+  LONGS_EQUAL(200, answer.status);
+  STRCMP_EQUAL(GatewayBed::ChatText("hello").c_str(),
+               WholeText(answer.body).c_str());
+  const Json json = Json::ParseObject(answer.body).value_or(Json());
+  LONGS_EQUAL(8, json.At("usage").At("completion_tokens").Integer());
+}
+
+// -- Broken answers ----------------------------------------------------------
+
+// An adaptation of a leaflet streams to a reader. After three words the
+// connection to the engine is reset, as its host was reclaimed. The reader must
+// see the text go on as if nothing had happened.
+TEST(Gateway, ResumesAStreamThatCrashed) {
+  FakeEngine first;
+  FakeEngine second;
+  GatewayBed bed;
+  bed.AddEngine("e1", first.Address());
+  bed.AddEngine("e2", second.Address());
+  first.SetFault({.kind = EngineFault::kCrashStream, .after_tokens = 3});
+  const StreamText stream =
+      ReadStream(bed.caller.Send(bed.Chat("leaflet", true)).body);
+  STRCMP_EQUAL(GatewayBed::ChatText("leaflet").c_str(), stream.text.c_str());
+  CHECK(stream.done);
+  LONGS_EQUAL(3, second.Runs().at(0).resume_from);
+}
+
+// An engine ends its answer in order but too early, without the end marker. A
+// reader would take a third of the consent form for all of it.
+TEST(Gateway, ResumesATruncatedStream) {
+  FakeEngine first;
+  FakeEngine second;
+  GatewayBed bed;
+  bed.AddEngine("e1", first.Address());
+  bed.AddEngine("e2", second.Address());
+  first.SetFault({.kind = EngineFault::kTruncate, .after_tokens = 2});
+  const StreamText stream =
+      ReadStream(bed.caller.Send(bed.Chat("form", true)).body);
+  STRCMP_EQUAL(GatewayBed::ChatText("form").c_str(), stream.text.c_str());
+  CHECK(stream.done);
+}
+
+// The same, for a caller who asked for the answer as a whole.
+TEST(Gateway, ResumesAWholeAnswer) {
+  FakeEngine first;
+  FakeEngine second;
+  GatewayBed bed;
+  bed.AddEngine("e1", first.Address());
+  bed.AddEngine("e2", second.Address());
+  first.SetFault({.kind = EngineFault::kErrorEvent, .after_tokens = 5});
+  const CallerAnswer answer = bed.caller.Send(bed.Chat("form", false));
+  STRCMP_EQUAL(GatewayBed::ChatText("form").c_str(),
+               WholeText(answer.body).c_str());
+  LONGS_EQUAL(5, second.Runs().at(0).resume_from);
+}
+
+// Every engine breaks the stream. What the reader has must not look like a
+// short but whole answer: an error event follows, and no [DONE].
+TEST(Gateway, EndsAStreamThatCannotBeResumedWithAnError) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  engine.SetFault({.kind = EngineFault::kTruncate, .after_tokens = 1});
+  const CallerAnswer answer = bed.caller.Send(bed.Chat("form", true));
+  const StreamText stream = ReadStream(answer.body);
+  CHECK(!stream.done);
+  STRCMP_EQUAL("broken_answer", stream.error_code.c_str());
+  LONGS_EQUAL(3, engine.Runs().size());
+}
+
+// A connection to an engine goes silent for good: a device in between has
+// forgotten it. New connections work. The caller gets its answer over one, and
+// the connections of the same age are not used again.
+TEST(Gateway, LeavesASilentConnection) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  engine.SetFault(
+      {.kind = EngineFault::kSilent, .after_tokens = 2, .times = 1});
+  const StreamText stream =
+      ReadStream(bed.caller.Send(bed.Chat("lookup", true)).body);
+  STRCMP_EQUAL(GatewayBed::ChatText("lookup").c_str(), stream.text.c_str());
+  CHECK(stream.done);
+  LONGS_EQUAL(2, engine.Runs().at(1).resume_from);
+}
+
+// Two answers are crossed within an engine: one caller's stream carries a chunk
+// of another's. The chunk must not reach the caller, the rest must.
+TEST(Gateway, DropsACrossedChunk) {
+  FakeEngine first;
+  FakeEngine second;
+  GatewayBed bed;
+  bed.AddEngine("e1", first.Address());
+  bed.AddEngine("e2", second.Address());
+  first.SetFault({.kind = EngineFault::kWrongChunk, .after_tokens = 2});
+  const CallerAnswer answer = bed.caller.Send(bed.Chat("mine", true));
+  CHECK(!Contains(answer.body, "secret"));
+  STRCMP_EQUAL(GatewayBed::ChatText("mine").c_str(),
+               ReadStream(answer.body).text.c_str());
+  DOUBLES_EQUAL(1, bed.metrics.Value("hickorystand_wrong_answers_total"), 0);
+}
+
+// An answer that bears another request's id from its first line on.
+TEST(Gateway, DropsAnAnswerToAnotherRequest) {
+  FakeEngine first;
+  FakeEngine second;
+  GatewayBed bed;
+  bed.AddEngine("e1", first.Address());
+  bed.AddEngine("e2", second.Address());
+  first.SetFault({.kind = EngineFault::kWrongHead});
+  const CallerAnswer answer = bed.caller.Send(bed.Chat("mine", false));
+  STRCMP_EQUAL(GatewayBed::ChatText("mine").c_str(),
+               WholeText(answer.body).c_str());
+  DOUBLES_EQUAL(1, bed.metrics.Value("hickorystand_wrong_answers_total"), 0);
+}
+
+// The mutation of the two above: without the check, the other's text passes.
+TEST(Gateway, WithoutTheIdentityCheckCrossedAnswersPass) {
+  FakeEngine first;
+  GatewayOptions options;
+  options.driver.endpoints.check_identity = false;
+  GatewayBed bed(options);
+  bed.AddEngine("e1", first.Address());
+  first.SetFault({.kind = EngineFault::kWrongChunk, .after_tokens = 2});
+  CHECK(Contains(bed.caller.Send(bed.Chat("mine", true)).body, "secret"));
+}
+
+TEST(Gateway, PassesOnWhatAnEngineRejects) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  engine.SetFault({.kind = EngineFault::kReject});
+  const CallerAnswer answer = bed.caller.Send(bed.Chat("bad", true));
+  LONGS_EQUAL(400, answer.status);
+  STRCMP_EQUAL("bad_request", ErrorCode(answer).c_str());
+  LONGS_EQUAL(1, engine.Runs().size());
+}
+
+// -- Non-idempotent calls ----------------------------------------------------
+
+TEST(Gateway, FilesAPetition) {
+  FakePlainService service;
+  GatewayBed bed;
+  bed.AddPlain("p1", service.Address());
+  const CallerAnswer answer = bed.caller.Send(
+      bed.Outgoing("POST", "/services/filing/petitions?a=b", "{\"p\":1}"));
+  LONGS_EQUAL(201, answer.status);
+  CHECK(Contains(answer.body, "\"path\":\"/petitions\""));
+  CHECK(Contains(answer.body, "\"query\":\"a=b\""));
+  LONGS_EQUAL(1, service.Petitions().size());
+}
+
+// A member files a petition from a phone. The service takes it and then its
+// connection is reset. Whether it was filed can't be known here: sent again, it
+// could cost double fees. So it isn't, and the member is told where to look.
+TEST(Gateway, CrashAfterAFilingIsAnsweredAsUnknown) {
+  FakePlainService first;
+  FakePlainService second;
+  GatewayBed bed;
+  bed.AddPlain("p1", first.Address());
+  bed.AddPlain("p2", second.Address());
+  first.SetFault(PlainFault::kCrashAfterRun);
+  const HttpOutgoing call =
+      bed.Outgoing("POST", "/services/filing/petitions", "{\"p\":1}");
+  const CallerAnswer answer = bed.caller.Send(call);
+  LONGS_EQUAL(504, answer.status);
+  STRCMP_EQUAL("outcome_unknown", ErrorCode(answer).c_str());
+  STRCMP_EQUAL("false", answer.Header("x-should-retry").c_str());
+  CHECK(Contains(answer.body, "/services/filing/petitions"));
+  LONGS_EQUAL(1, first.Petitions().size());
+  LONGS_EQUAL(0, second.Petitions().size());
+  // The member presses the button again.
+  STRCMP_EQUAL("duplicate_request", ErrorCode(bed.caller.Send(call)).c_str());
+  LONGS_EQUAL(0, second.Petitions().size());
+}
+
+// As above, where the service never answers, or stops within its answer.
+TEST(Gateway, SilenceOrHalfAnAnswerAfterAFilingIsAnsweredAsUnknown) {
+  for (const PlainFault fault :
+       {PlainFault::kSilentAfterRun, PlainFault::kHalfAnswer,
+        PlainFault::kWrongId}) {
+    FakePlainService first;
+    FakePlainService second;
+    GatewayBed bed;
+    bed.AddPlain("p1", first.Address());
+    bed.AddPlain("p2", second.Address());
+    first.SetFault(fault);
+    const CallerAnswer answer = bed.caller.Send(
+        bed.Outgoing("POST", "/services/filing/petitions", "{\"p\":1}"));
+    STRCMP_EQUAL("outcome_unknown", ErrorCode(answer).c_str());
+    LONGS_EQUAL(1, first.Petitions().size() + second.Petitions().size());
+  }
+}
+
+// A service says that it did not run a filing. It goes to the next one.
+TEST(Gateway, ARefusedFilingGoesElsewhere) {
+  FakePlainService first;
+  FakePlainService second;
+  GatewayBed bed;
+  bed.AddPlain("p1", first.Address());
+  bed.AddPlain("p2", second.Address());
+  first.SetFault(PlainFault::kNotRun);
+  const CallerAnswer answer = bed.caller.Send(
+      bed.Outgoing("POST", "/services/filing/petitions", "{\"p\":1}"));
+  LONGS_EQUAL(201, answer.status);
+  LONGS_EQUAL(0, first.Petitions().size());
+  LONGS_EQUAL(1, second.Petitions().size());
+}
+
+// No endpoint of the service can be reached. The member is told that nothing
+// was filed, and may press the button again: it must then be filed.
+TEST(Gateway, AFilingThatWasNotRunMayBeSentAgain) {
+  SocketAddress nobody{"127.0.0.1", 1};
+  FakePlainService service;
+  GatewayBed bed;
+  bed.AddPlain("p1", nobody);
+  const HttpOutgoing call =
+      bed.Outgoing("POST", "/services/filing/petitions", "{\"p\":1}");
+  const CallerAnswer answer = bed.caller.Send(call);
+  LONGS_EQUAL(503, answer.status);
+  STRCMP_EQUAL("no_endpoint", ErrorCode(answer).c_str());
+  STRCMP_EQUAL("true", answer.Header("x-should-retry").c_str());
+  CHECK(std::stoi(answer.Header("Retry-After")) >= 1);
+  bed.AddPlain("p1", service.Address());
+  LONGS_EQUAL(201, bed.caller.Send(call).status);
+  LONGS_EQUAL(1, service.Petitions().size());
+}
+
+// The key-value service is down, so no claim can be made. The filing must not
+// run unclaimed; the member is told so, with a time to come back.
+TEST(Gateway, WithoutAClaimAFilingIsRefusedAsNotRun) {
+  FakePlainService service;
+  GatewayBed bed;
+  bed.AddPlain("p1", service.Address());
+  bed.claim_answer = ClaimResult::kUnavailable;
+  const CallerAnswer answer = bed.caller.Send(
+      bed.Outgoing("POST", "/services/filing/petitions", "{\"p\":1}"));
+  STRCMP_EQUAL("claim_unavailable", ErrorCode(answer).c_str());
+  CHECK(std::stoi(answer.Header("Retry-After")) >= 1);
+  LONGS_EQUAL(0, service.Runs().size());
+}
+
+TEST(Gateway, TheIdempotencyKeySaysWhatIsTheSame) {
+  FakePlainService service;
+  GatewayBed bed;
+  bed.AddPlain("p1", service.Address());
+  HttpOutgoing one =
+      bed.Outgoing("POST", "/services/filing/petitions", "{\"p\":1}");
+  HttpOutgoing two = one;
+  one.headers.push_back({"Idempotency-Key", "a"});
+  two.headers.push_back({"Idempotency-Key", "b"});
+  LONGS_EQUAL(201, bed.caller.Send(one).status);
+  LONGS_EQUAL(201, bed.caller.Send(two).status);
+  STRCMP_EQUAL("duplicate_request", ErrorCode(bed.caller.Send(two)).c_str());
+  LONGS_EQUAL(2, service.Petitions().size());
+}
+
+// A caller hangs up while its filing runs. Cutting the filing off would leave
+// open what became of it, so it runs to its end.
+TEST(Gateway, AFilingOutlivesItsCaller) {
+  FakePlainService service({.delay = std::chrono::milliseconds(50)});
+  GatewayBed bed;
+  bed.AddPlain("p1", service.Address());
+  auto answer = bed.caller.Start(
+      bed.Outgoing("POST", "/services/filing/petitions", "{\"p\":1}"));
+  CHECK(Eventually([&] { return service.Petitions().size() == 1; }));
+  bed.caller.HangUp();
+  CHECK(Eventually([&] {
+    return bed.metrics.Value("hickorystand_attempts_total",
+                             {{"outcome", "complete"}}) == 1;
+  }));
+  CHECK(Eventually([&] {
+    return bed.Ask<int64_t>([](Gateway& g) { return g.Running(); }) == 0;
+  }));
+}
+
+TEST(Gateway, PassesOnALargeAnswerInFull) {
+  constexpr size_t kBytes = 5'000'000;
+  FakePlainService service;
+  GatewayBed bed;
+  bed.AddPlain("p1", service.Address());
+  const CallerAnswer answer = bed.caller.Send(bed.Outgoing(
+      "GET", "/services/filing/large?bytes=" + std::to_string(kBytes)));
+  CHECK(answer.end == HttpEnd::kWhole);
+  LONGS_EQUAL(kBytes, answer.body.size());
+}
+
+// A lookup fails at one endpoint; it is idempotent and is answered by another.
+TEST(Gateway, ALookupGoesElsewhere) {
+  for (const PlainFault fault :
+       {PlainFault::kCrashAfterRun, PlainFault::kHalfAnswer,
+        PlainFault::kWrongId, PlainFault::kNotRun}) {
+    FakePlainService first;
+    FakePlainService second;
+    GatewayBed bed;
+    bed.AddPlain("p1", first.Address());
+    bed.AddPlain("p2", second.Address());
+    first.SetFault(fault);
+    const CallerAnswer answer =
+        bed.caller.Send(bed.Outgoing("GET", "/services/filing/petitions/1"));
+    LONGS_EQUAL(200, answer.status);
+    CHECK(!Contains(answer.body, "secret"));
+  }
+}
+
+// -- Keys --------------------------------------------------------------------
+
+TEST(Gateway, RefusesBadKeysAsAnOpenAiServerDoes) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  HttpOutgoing unknown = bed.Chat("x", true);
+  unknown.headers = {{"Authorization", "Bearer sk-unknown"}};
+  HttpOutgoing none = bed.Chat("x", true);
+  none.headers = {};
+  for (const HttpOutgoing& call : {unknown, none}) {
+    const CallerAnswer answer = bed.caller.Send(call);
+    LONGS_EQUAL(401, answer.status);
+    STRCMP_EQUAL("invalid_api_key", ErrorCode(answer).c_str());
+    STRCMP_EQUAL("false", answer.Header("x-should-retry").c_str());
+    CHECK(!answer.Header("X-Request-Id").empty());
+  }
+  LONGS_EQUAL(0, engine.Runs().size());
+}
+
+// Whoever reads an endpoint's log or memory must not find a caller's key, under
+// whatever header the caller sent it.
+TEST(Gateway, NoEndpointSeesTheKey) {
+  FakeEngine engine;
+  FakePlainService service;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  bed.AddPlain("p1", service.Address());
+  const std::string key = GatewayBed::kKey;
+  HttpOutgoing get = bed.Outgoing("GET", "/services/filing/petitions");
+  get.headers.push_back({"Cookie", "session=" + key});
+  get.headers.push_back({"X-Api-Key", key});
+  get.headers.push_back({"X-Something", "t " + key});
+  get.headers.push_back({"X-Harmless", "passes"});
+  get.headers.push_back({"X-Request-Id", "forged"});
+  LONGS_EQUAL(200, bed.caller.Send(get).status);
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat("x", true)).status);
+  std::vector<RunRecord> runs = service.Runs();
+  std::ranges::copy(engine.Runs(), std::back_inserter(runs));
+  LONGS_EQUAL(2, runs.size());
+  for (const RunRecord& run : runs) {
+    CHECK(!Contains(run.body + run.target, key));
+    CHECK(std::ranges::none_of(run.headers, [&](const HttpHeader& header) {
+      return Contains(header.value, key);
+    }));
+    CHECK(run.request.starts_with("req-"));
+  }
+  STRCMP_EQUAL("passes",
+               FindHeader(runs[0].headers, "X-Harmless").value_or("").c_str());
+  LONGS_EQUAL(
+      400, bed.caller
+               .Send(bed.Outgoing("GET", "/services/filing/petitions?k=" + key))
+               .status);
+}
+
+// A key is withdrawn while requests that came with it still wait. They must not
+// run; the requests of other accounts must.
+TEST(Gateway, AKeyWithdrawnWhileQueuedRunsNothing) {
+  FakeEngine engine;
+  GatewayBed bed;
+  auto withdrawn = bed.caller.Start(bed.Chat("late", true));
+  HttpOutgoing other = bed.Chat("fine", true);
+  other.headers = {
+      {"Authorization", std::string("Bearer ") + GatewayBed::kOtherKey}};
+  auto kept = bed.caller.Start(other);
+  CHECK(Eventually([&] {
+    return bed.Ask<int64_t>([](Gateway& g) { return g.Queued(); }) == 2;
+  }));
+  std::erase_if(bed.configuration.keys, [](const auto& each) {
+    return each.second.account == AccountId("alpha");
+  });
+  bed.AddEngine("e1", engine.Address());
+  const CallerAnswer refused = withdrawn.get();
+  LONGS_EQUAL(401, refused.status);
+  STRCMP_EQUAL("invalid_api_key", ErrorCode(refused).c_str());
+  LONGS_EQUAL(200, kept.get().status);
+  LONGS_EQUAL(1, engine.Runs().size());
+}
+
+// The mutation of the above: without the second check it runs.
+TEST(Gateway, WithoutTheSecondCheckAWithdrawnKeyRuns) {
+  FakeEngine engine;
+  GatewayOptions options;
+  options.driver.check_keys_again = false;
+  GatewayBed bed(options);
+  auto withdrawn = bed.caller.Start(bed.Chat("late", true));
+  CHECK(Eventually([&] {
+    return bed.Ask<int64_t>([](Gateway& g) { return g.Queued(); }) == 1;
+  }));
+  bed.configuration.keys.clear();
+  bed.AddEngine("e1", engine.Address());
+  LONGS_EQUAL(200, withdrawn.get().status);
+}
+
+// An older configuration comes late, in which a withdrawn key is still good.
+TEST(Gateway, AnOlderConfigurationDoesNotRevive) {
+  GatewayBed bed;
+  const auto older = std::make_shared<Configuration>(bed.configuration);
+  bed.configuration.keys.clear();
+  bed.configuration.revision += 5;
+  bed.Apply();
+  bed.task.Call([&] { bed.gateway->ApplyConfiguration(older); });
+  LONGS_EQUAL(401, bed.caller.Send(bed.Outgoing("GET", "/v1/models")).status);
+}
+
+// -- Planned stops and hang-ups ----------------------------------------------
+
+// A host is replaced while a reader's stream runs. The stream must go on to its
+// end, new requests must be told that they did not run, and only then may the
+// host stop.
+TEST(Gateway, ADrainCutsNobodyOff) {
+  FakeEngine engine({.step = std::chrono::milliseconds(5)});
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  auto running = bed.caller.Start(bed.Chat("long", true, 40));
+  CHECK(Eventually([&] { return engine.Runs().size() == 1; }));
+  std::promise<void> drained;
+  bed.task.Call([&] { bed.gateway->StartDrain([&] { drained.set_value(); }); });
+  const CallerAnswer refused = bed.caller.Send(bed.Chat("new", true));
+  STRCMP_EQUAL("shutting_down", ErrorCode(refused).c_str());
+  CHECK(std::stoi(refused.Header("Retry-After")) >= 1);
+  LONGS_EQUAL(503, bed.caller.Send(bed.Outgoing("GET", "/readyz")).status);
+  LONGS_EQUAL(200, bed.caller.Send(bed.Outgoing("GET", "/healthz")).status);
+  drained.get_future().wait();
+  const StreamText stream = ReadStream(running.get().body);
+  STRCMP_EQUAL(GatewayBed::ChatText("long", 40).c_str(), stream.text.c_str());
+  CHECK(stream.done);
+}
+
+// Readers hang up all the time. Their streams must not keep engines busy.
+TEST(Gateway, AHangUpCancelsTheStream) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  bed.caller.Start(bed.Chat("long", true, 100'000 / 4));
+  CHECK(Eventually([&] { return engine.Runs().size() == 1; }));
+  bed.caller.HangUp();
+  CHECK(Eventually([&] { return engine.Runs().at(0).cancelled; }));
+  CHECK(Eventually([&] {
+    return bed.Ask<int64_t>([](Gateway& g) { return g.Running(); }) == 0;
+  }));
+}
+
+// The same for one who hangs up in the queue, where nothing is written to it.
+TEST(Gateway, AHangUpInTheQueueIsNoticed) {
+  GatewayBed bed;
+  bed.caller.Start(bed.Chat("waits", true));
+  CHECK(Eventually([&] {
+    return bed.Ask<int64_t>([](Gateway& g) { return g.Queued(); }) == 1;
+  }));
+  bed.caller.HangUp();
+  CHECK(Eventually([&] {
+    return bed.Ask<int64_t>([](Gateway& g) { return g.Queued(); }) == 0;
+  }));
+}
+
+// -- Other answers -----------------------------------------------------------
+
+TEST(Gateway, ListsModelsAndReportsItself) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  const CallerAnswer models =
+      bed.caller.Send(bed.Outgoing("GET", "/v1/models"));
+  CHECK(Contains(models.body, R"("id":"m")"));
+  CHECK(!Contains(models.body, "filing"));
+  LONGS_EQUAL(200, bed.caller.Send(bed.Outgoing("GET", "/readyz")).status);
+  bed.caller.Send(bed.Chat("x", true));
+  const std::string metrics =
+      bed.caller.Send(bed.Outgoing("GET", "/metrics")).body;
+  CHECK(Contains(metrics, "hickorystand_requests_total{service=\"m\"} 1"));
+  LONGS_EQUAL(404, bed.caller.Send(bed.Outgoing("GET", "/nothing")).status);
+}
+
+TEST(Gateway, RemembersWhatWasDecided) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  const RequestId id(
+      bed.caller.Send(bed.Chat("x", true)).Header("X-Request-Id"));
+  const auto decisions = bed.Ask<std::vector<Decision>>(
+      [&](Gateway& g) { return g.RecentDecisions(id); });
+  LONGS_EQUAL(3, decisions.size());
+  STRCMP_EQUAL("Endpoint chosen.", decisions[0].message.c_str());
+  STRCMP_EQUAL("Attempt ended.", decisions[1].message.c_str());
+  STRCMP_EQUAL("Request finished.", decisions[2].message.c_str());
+}
+
+// A stream breaks and is resumed: the account pays for the prompt once, and for
+// each token that reached its caller once.
+TEST(Gateway, BillsWhatWasDelivered) {
+  FakeEngine first;
+  FakeEngine second;
+  GatewayBed bed;
+  bed.AddEngine("e1", first.Address());
+  bed.AddEngine("e2", second.Address());
+  first.SetFault({.kind = EngineFault::kCrashStream, .after_tokens = 3});
+  bed.caller.Send(bed.Chat("leaflet", true));
+  const auto usage =
+      bed.Ask<std::vector<UsageRecord>>([&](Gateway&) { return bed.usage; });
+  LONGS_EQUAL(2, usage.size());
+  LONGS_EQUAL(3, usage[0].generated_tokens);
+  LONGS_EQUAL(5, usage[1].generated_tokens);
+  CHECK(usage[0].prompt_tokens > 0);
+  LONGS_EQUAL(0, usage[1].prompt_tokens);
+  CHECK(usage[0].account == AccountId("alpha"));
+}
+
+}  // namespace hickorystand
