--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -62,10 +62,11 @@
   }
 }
 
-std::string Options::Text(std::string_view name, std::string fallback) const {
+std::string Options::Text(std::string_view name,
+                          const std::string& fallback) const {
   const auto found = std::ranges::find(
       this->values, name, &std::pair<std::string, std::string>::first);
-  return found == this->values.end() ? std::move(fallback) : found->second;
+  return found == this->values.end() ? fallback : found->second;
 }
 
 int64_t Options::Integer(std::string_view name, int64_t fallback) const {
--- a/fakes/subcommand.h
+++ b/fakes/subcommand.h
@@ -38,7 +38,8 @@
   Options(std::span<const std::string> arguments,
           std::vector<std::string> known);
 
-  std::string Text(std::string_view name, std::string fallback = "") const;
+  std::string Text(std::string_view name,
+                   const std::string& fallback = "") const;
   int64_t Integer(std::string_view name, int64_t fallback) const;
   // --listen IP:PORT, which is required.
   SocketAddress Listen() const;
--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -99,27 +99,31 @@
     });
     return;
   }
+  this->body.reset(
+      g_bytes_new(this->outgoing.body.data(), this->outgoing.body.size()));
+  this->outgoing.body = {};
+  this->Progress(this->timeouts.connect);
+  this->ArmTimer(this->timeouts.connect);
+  this->Launch();
+}
+
+void HttpExchange::Launch() {
   SoupMessage* raw = this->message.get();
+  // Where libsoup repeats a method by itself, it sends the body's length again
+  // but not the body, and the other end waits for it in vain.
+  const bool repeated_badly =
+      g_bytes_get_size(this->body.get()) > 0 && this->outgoing.method != "POST";
+  const bool fresh = this->outgoing.once || this->relaunched || repeated_badly;
   soup_message_add_flags(
       raw, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT |
-                                         (this->outgoing.once
-                                              ? SOUP_MESSAGE_NEW_CONNECTION
-                                              : SOUP_MESSAGE_IDEMPOTENT)));
+                                         (fresh ? SOUP_MESSAGE_NEW_CONNECTION
+                                                : SOUP_MESSAGE_IDEMPOTENT)));
   AppendHeaders(soup_message_get_request_headers(raw), this->outgoing.headers);
-  if (!this->outgoing.body.empty()) {
-    const BytesPtr body(
-        g_bytes_new(this->outgoing.body.data(), this->outgoing.body.size()));
+  if (g_bytes_get_size(this->body.get()) > 0) {
+    const std::string& type = this->outgoing.content_type;
     soup_message_set_request_body_from_bytes(
-        raw,
-        this->outgoing.content_type.empty()
-            ? nullptr
-            : this->outgoing.content_type.c_str(),
-        body.get());
-    this->outgoing.body = {};
+        raw, type.empty() ? nullptr : type.c_str(), this->body.get());
   }
-  const auto check = G_CALLBACK(+[](SoupMessage*, gpointer self) {
-    static_cast<HttpExchange*>(self)->CheckPermission();
-  });
   g_signal_connect(
       raw, "network-event",
       G_CALLBACK(+[](SoupMessage*, GSocketClientEvent event,
@@ -129,10 +133,11 @@
         }
       }),
       this);
+  const auto check = G_CALLBACK(+[](SoupMessage*, gpointer self) {
+    static_cast<HttpExchange*>(self)->CheckPermission();
+  });
   g_signal_connect(raw, "starting", check, this);
   g_signal_connect(raw, "wrote-headers", check, this);
-  this->Progress(this->timeouts.connect);
-  this->ArmTimer(this->timeouts.connect);
   soup_session_send_async(
       this->pool->session.get(), raw, G_PRIORITY_DEFAULT,
       this->cancellable.get(),
@@ -142,8 +147,28 @@
       Hold(this));
 }
 
+// A kept connection that the other end closed while it was idle fails at its
+// next use, which says nothing about the request: an endpoint that was merely
+// restarted would look as if this request had crashed it. So an idempotent
+// request goes out once more, on a new connection. libsoup does the same, but
+// for methods that HTTP calls idempotent only, and POST is none of them.
+bool HttpExchange::Relaunch() {
+  if (this->outgoing.once || this->relaunched || this->own_connection ||
+      this->forbidden || !this->sending) {
+    return false;
+  }
+  this->relaunched = true;
+  g_signal_handlers_disconnect_by_data(this->message.get(), this);
+  this->message.reset(soup_message_new(this->outgoing.method.c_str(),
+                                       UriOf(this->outgoing).c_str()));
+  this->Progress(this->timeouts.first_byte);
+  this->Launch();
+  return true;
+}
+
 void HttpExchange::NoteConnection(GIOStream* connection) {
   if (G_IS_SOCKET_CONNECTION(connection)) {
+    this->own_connection = true;
     this->new_socket = ShareObject(
         g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection)));
   }
@@ -181,7 +206,9 @@
     return;
   }
   if (error != nullptr) {
-    this->EndByError(*error);
+    if (!this->Relaunch()) {
+      this->EndByError(*error);
+    }
     return;
   }
   this->Progress(this->timeouts.between_bytes);
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -11,7 +11,7 @@
 //
 // An exchange is one send. The client repeats nothing, but for one case: an
 // idempotent request on a kept connection that the other end had closed in
-// the meantime goes out once more on a new one (libsoup does this).
+// the meantime goes out once more on a new one.
 
 #pragma once
 
@@ -132,6 +132,8 @@
   friend class HttpClient;
 
   void Start(std::function<void()> on_silent);
+  void Launch();
+  bool Relaunch();
   void CheckPermission();
   void NoteConnection(GIOStream* connection);
   HttpEnd JudgeEnd() const;
@@ -148,6 +150,7 @@
   HttpOutgoing outgoing;
   HttpEvents events;
   HttpTimeouts timeouts;
+  BytesPtr body;
   ObjectPtr<SoupMessage> message;
   ObjectPtr<GCancellable> cancellable;
   ObjectPtr<GInputStream> stream;
@@ -157,6 +160,8 @@
   gint64 last_progress = 0;  // g_get_monotonic_time()
   Duration limit{};
   bool sending = false;
+  bool own_connection = false;  // opened for this exchange
+  bool relaunched = false;
   bool forbidden = false;
   bool paused = false;
   bool reading = false;
