--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,10 @@
 lint: check-format tidy
 
 demo: build
-	$(BUILD)/demo
+	demo/run $(BUILD)
 
 serve: build
-	$(BUILD)/demo --serve
+	demo/run $(BUILD) --serve
 
 bench: build
 	$(BUILD)/policy_bench --out $(BUILD)/bench
