--- /dev/null
+++ b/packages/daemon/host_daemon.cc
@@ -0,0 +1,233 @@
+#include "daemon/host_daemon.h"
+
+#include <utility>
+
+#include "kernel/json.h"
+#include "kernel/log.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "host";
+
+GatewayOptions MakeGatewayOptions(const HostSettings& settings,
+                                  uint64_t seed) {
+  GatewayOptions options;
+  options.http.listen = settings.gateway.listen;
+  options.http.tls_certificate = settings.gateway.certificate_file;
+  options.http.tls_key = settings.gateway.key_file;
+  options.http.max_body_bytes = settings.gateway.max_body_bytes;
+  options.host = settings.host;
+  options.data_centre = settings.data_centre;
+  options.dispatcher = settings.gateway.dispatcher;
+  options.max_queued = settings.gateway.max_queued;
+  options.seed = seed;
+  return options;
+}
+
+std::string DecisionsJson(const RequestId& request,
+                          const std::vector<Decision>& decisions) {
+  JsonWriter out;
+  out.BeginObject().Member("request", request.Text());
+  out.Name("decisions").BeginArray();
+  for (const Decision& decision : decisions) {
+    out.BeginObject()
+        .Member("time", decision.wall_milliseconds)
+        .Member("part", decision.part)
+        .Member("message", decision.message)
+        .Name("fields")
+        .BeginObject();
+    for (const auto& [name, value] : decision.fields) {
+      out.Member(name, value);
+    }
+    out.EndObject().EndObject();
+  }
+  return out.EndArray().EndObject().Text();
+}
+
+}  // namespace
+
+HostDaemon::HostDaemon(HostSettings settings, const Clock& clock)
+    : settings(std::move(settings)),
+      clock(clock),
+      serving_task("serving"),
+      control_task("control") {}
+
+HostDaemon::~HostDaemon() {
+  this->Stop();
+}
+
+Result<void> HostDaemon::Start() {
+  if (auto started = this->StartControl(); !started) {
+    return started;
+  }
+  return this->StartGateway();
+}
+
+Result<void> HostDaemon::StartControl() {
+  // Hosts keep nothing, so the incarnation comes from the clock on the wall. A
+  // clock set back would give a lower one; then the others ignore this host's
+  // digests until it has passed the old one, and nothing else depends on it.
+  const auto incarnation = static_cast<uint64_t>(this->clock.WallMilliseconds());
+  Result<void> result;
+  this->control_task.Call([&] {
+    this->control =
+        std::make_unique<Control>(this->settings, incarnation, this->clock,
+                                  this->metrics, this->EventsForServing());
+    this->admin = std::make_unique<AdminServer>(this->settings.admin,
+                                                this->HandlersForOperators());
+    const auto address = this->admin->Start();
+    result = address ? this->control->Start() : tl::unexpected(address.error());
+  });
+  return result;
+}
+
+Result<void> HostDaemon::StartGateway() {
+  Result<void> result;
+  this->serving_task.Call([&] {
+    const auto seed = static_cast<uint64_t>(this->clock.WallMilliseconds());
+    this->gateway = std::make_unique<Gateway>(
+        MakeGatewayOptions(this->settings, seed), this->clock, this->metrics);
+    this->gateway->SetHooks(this->HooksForGateway());
+    this->gateway->SetOnLoad([this](const LoadReport& report) {
+      this->control_task.Post(
+          [this, report] { this->control->OnLoad(report); });
+    });
+    const auto address = this->gateway->Start();
+    if (!address) {
+      result = tl::unexpected(address.error());
+      return;
+    }
+    this->gateway_address = *address;
+  });
+  return result;
+}
+
+ControlEvents HostDaemon::EventsForServing() {
+  const auto post = [this](auto call) {
+    this->serving_task.Post([this, call] {
+      if (this->gateway) {
+        call(*this->gateway);
+      }
+    });
+  };
+  return {
+      .on_configuration =
+          [post](const ConfigurationPtr& next) {
+            post([next](Gateway& gate) { gate.ApplyConfiguration(next); });
+          },
+      .on_digest =
+          [post](const Digest& digest) {
+            post([digest](Gateway& gate) { gate.OnDigest(digest); });
+          },
+      .on_host_gone =
+          [post](const HostId& host) {
+            post([host](Gateway& gate) { gate.OnHostGone(host); });
+          },
+      .trust_keys =
+          [post](bool trusted) {
+            post([trusted](Gateway& gate) { gate.TrustKeys(trusted); });
+          },
+      .want_view =
+          [this, post] { post([this](Gateway&) { this->SendView(); }); },
+  };
+}
+
+void HostDaemon::SendView() {
+  ServingView view;
+  this->gateway->FillDigest(view.digest);
+  view.refusals = this->gateway->Refusals();
+  view.queued = this->gateway->Queued();
+  view.running = this->gateway->Running();
+  this->control_task.Post(
+      [this, view] { this->control->OnServingView(view); });
+}
+
+RequestHooks HostDaemon::HooksForGateway() {
+  RequestHooks hooks;
+  hooks.claim = [this](const ClaimNeeded& needed,
+                       std::function<void(ClaimResult)> done) {
+    this->control_task.Post([this, needed, done = std::move(done)] {
+      this->control->Claim(needed, [this, done](ClaimResult result) {
+        this->serving_task.Post([done, result] { done(result); });
+      });
+    });
+  };
+  hooks.release_claim = [this](const ClaimNeeded& needed) {
+    this->control_task.Post(
+        [this, needed] { this->control->WithdrawClaim(needed.request); });
+  };
+  hooks.usage = [this](const UsageRecord& record) {
+    this->control_task.Post([this, record] {
+      this->control->OnUsage(record.account,
+                             {.prompt_tokens = record.prompt_tokens,
+                              .generated_tokens = record.generated_tokens,
+                              .requests = 1});
+    });
+  };
+  return hooks;
+}
+
+AdminHandlers HostDaemon::HandlersForOperators() {
+  return {
+      .status =
+          [this](const AdminHandlers::Answer& answer) {
+            answer(this->control->StatusJson());
+          },
+      .why =
+          [this](const RequestId& request, const AdminHandlers::Answer& answer) {
+            this->serving_task.Post([this, request, answer] {
+              const std::string json = DecisionsJson(
+                  request, this->gateway->RecentDecisions(request));
+              this->control_task.Post([answer, json] { answer(json); });
+            });
+          },
+      .drain = [this] { this->Drain({}); },
+  };
+}
+
+void HostDaemon::Drain(std::function<void()> when_done) {
+  this->control_task.Post([this, when_done = std::move(when_done)] {
+    if (when_done) {
+      this->on_done = when_done;
+    }
+    if (this->draining.exchange(true)) {
+      return;
+    }
+    LogInfo(kPart, "Planned stop begins.");
+    this->control->StartDrain();
+    this->FinishRequests();
+  });
+}
+
+void HostDaemon::FinishRequests() {
+  this->serving_task.Post([this] {
+    this->gateway->StartDrain([this] {
+      this->control_task.Post([this] { this->Finish(); });
+    });
+  });
+}
+
+void HostDaemon::Finish() {
+  LogInfo(kPart, "All requests are finished.");
+  this->control->Release([this] {
+    LogInfo(kPart, "Planned stop is complete.");
+    if (this->on_done) {
+      this->on_done();
+    }
+  });
+}
+
+void HostDaemon::Stop() {
+  // Each part is destroyed on its own task; work that the other one still
+  // posts is dropped with the task.
+  this->serving_task.Post([this] { this->gateway.reset(); });
+  this->serving_task.Stop();
+  this->control_task.Post([this] {
+    this->admin.reset();
+    this->control.reset();
+  });
+  this->control_task.Stop();
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/daemon/host_daemon.h
@@ -0,0 +1,76 @@
+// One entry host, put together: the serving task with the gateway, the control
+// task with everything that hosts agree on, and the messages between the two.
+//
+//   HostDaemon host(settings, clock);
+//   if (auto started = host.Start(); !started) { ... }
+//   host.Drain([] { ... });   // a planned stop; calls back when all is done
+//   host.Stop();
+//
+// A planned stop takes five steps, in this order, so that nobody is cut off:
+// not ready (the balancer looks away), callers are refused as not run, running
+// requests finish, usage and the lease are handed over, and the tasks end.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "daemon/admin_server.h"
+#include "daemon/control.h"
+#include "daemon/host_settings.h"
+#include "gateway/gateway.h"
+#include "kernel/metrics.h"
+#include "kernel/task.h"
+
+namespace hickorystand {
+
+// A running entry host.
+class HostDaemon {
+ public:
+  HostDaemon(HostSettings settings, const Clock& clock);
+  ~HostDaemon();
+  HostDaemon(const HostDaemon&) = delete;
+  HostDaemon& operator=(const HostDaemon&) = delete;
+
+  // Starts both tasks and their sockets; says which one couldn't be opened.
+  Result<void> Start();
+
+  // Begins a planned stop. `on_done` is called once, on the control task, when
+  // nothing is left to be done. Asking twice changes nothing.
+  void Drain(std::function<void()> on_done);
+
+  // Ends both tasks at once, without a planned stop.
+  void Stop();
+
+  // Where callers are served; known after Start().
+  const SocketAddress& GatewayAddress() const { return this->gateway_address; }
+
+ private:
+  Result<void> StartControl();
+  Result<void> StartGateway();
+  ControlEvents EventsForServing();
+  RequestHooks HooksForGateway();
+  AdminHandlers HandlersForOperators();
+  void SendView();
+  void FinishRequests();
+  void Finish();
+
+  HostSettings settings;
+  const Clock& clock;
+  Metrics metrics;
+  SocketAddress gateway_address;
+  std::function<void()> on_done;
+  std::atomic<bool> draining = false;
+  // The parts of each task; made, used and destroyed there.
+  std::unique_ptr<Gateway> gateway;
+  std::unique_ptr<Control> control;
+  std::unique_ptr<AdminServer> admin;
+  std::unique_ptr<Timer> notice_timer;
+  std::unique_ptr<Timer> limit_timer;
+  Task serving_task;
+  Task control_task;
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/daemon/main.cc
@@ -0,0 +1,139 @@
+// hickorystandd: the program of an entry host.
+
+#include <glib-unix.h>
+#include <glib.h>
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <string>
+
+#include "daemon/host_daemon.h"
+#include "daemon/host_settings.h"
+#include "kernel/log.h"
+#include "kernel/registry.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "host";
+
+cxxopts::Options CommandLine() {
+  cxxopts::Options options(
+      "hickorystandd",
+      "Serves callers of language models and plain services from one entry "
+      "host.\n\nIt stops gracefully on SIGTERM and SIGINT: it finishes what "
+      "runs, hands over\nits lease and usage, and exits with 0. A second signal "
+      "ends it at once.\n");
+  options.add_options()("config", "Settings of this host (INI)",
+                        cxxopts::value<std::string>(), "FILE")(
+      "check", "Check the settings and exit")(
+      "log-level", "Least level to write: debug, info, warning or error",
+      cxxopts::value<std::string>(), "LEVEL")(
+      "list-plugins", "Print the plug-ins that settings may name")(
+      "version", "Print the version")("h,help", "Print this help");
+  return options;
+}
+
+template <typename Interface>
+void PrintPlugins() {
+  std::cout << Interface::kPluginKind << ':';
+  for (const std::string& name : Registry<Interface>::Names()) {
+    std::cout << ' ' << name;
+  }
+  std::cout << '\n';
+}
+
+// What both signals share.
+struct SignalState {
+  HostDaemon* host;
+  GMainLoop* loop;
+  bool stopping = false;
+};
+
+gboolean OnSignal(gpointer data) {
+  auto* state = static_cast<SignalState*>(data);
+  if (state->stopping) {
+    g_main_loop_quit(state->loop);
+    return G_SOURCE_CONTINUE;
+  }
+  state->stopping = true;
+  state->host->Drain([loop = state->loop] { g_main_loop_quit(loop); });
+  return G_SOURCE_CONTINUE;
+}
+
+int Run(const HostSettings& settings) {
+  const BootClock clock;
+  HostDaemon host(settings, clock);
+  if (const auto started = host.Start(); !started) {
+    LogError(kPart, "Host can't start.", {{"why", started.error().message}});
+    return AnswerFor(started.error().kind).exit_code;
+  }
+  LogInfo(kPart, "Host started.",
+          {{"host", settings.host.Text()},
+           {"data_centre", settings.data_centre.Text()},
+           {"version", HICKORYSTAND_VERSION}});
+  GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+  SignalState state{&host, loop};
+  g_unix_signal_add(SIGTERM, &OnSignal, &state);
+  g_unix_signal_add(SIGINT, &OnSignal, &state);
+  g_main_loop_run(loop);
+  host.Stop();
+  g_main_loop_unref(loop);
+  return 0;
+}
+
+int Main(const cxxopts::ParseResult& arguments) {
+  if (arguments.count("version") > 0) {
+    std::cout << "hickorystandd " << HICKORYSTAND_VERSION << '\n';
+    return 0;
+  }
+  if (arguments.count("list-plugins") > 0) {
+    PrintPlugins<Dispatcher>();
+    PrintPlugins<KeyValueStore>();
+    return 0;
+  }
+  if (arguments.count("config") == 0) {
+    std::cerr << "hickorystandd: --config FILE is missing; see --help\n";
+    return AnswerFor(ErrorKind::kBadSetting).exit_code;
+  }
+  auto settings = LoadHostSettings(arguments["config"].as<std::string>());
+  if (!settings) {
+    std::cerr << settings.error().message << '\n';
+    return AnswerFor(settings.error().kind).exit_code;
+  }
+  if (arguments.count("log-level") > 0 &&
+      !ParseLogLevel(arguments["log-level"].as<std::string>(),
+                     settings->log_level)) {
+    std::cerr << "hickorystandd: --log-level takes debug, info, warning or "
+                 "error\n";
+    return AnswerFor(ErrorKind::kBadSetting).exit_code;
+  }
+  if (arguments.count("check") > 0) {
+    std::cout << "The settings are right.\n";
+    return 0;
+  }
+  StartLog({.level = settings->log_level, .json = settings->log_json});
+  // A caller or a peer that hangs up must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  return Run(*settings);
+}
+
+}  // namespace
+}  // namespace hickorystand
+
+int main(int argc, char** argv) {
+  auto options = hickorystand::CommandLine();
+  try {
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    return hickorystand::Main(arguments);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "hickorystandd: " << error.what() << "; see --help\n";
+    return hickorystand::AnswerFor(hickorystand::ErrorKind::kBadSetting)
+        .exit_code;
+  }
+}
