--- a/packages/decisions/usage.cc
+++ b/packages/decisions/usage.cc
@@ -29,14 +29,14 @@
 Result<AccountUsage> ReadCounts(const Json& in) {
   AccountUsage counts;
   for (const std::string& name : in.Names()) {
-    const std::vector<Json> numbers = in.At(name).Items();
+    const std::vector<int64_t> numbers = in.At(name).Integers();
     if (numbers.size() != 3) {
       return Fail(ErrorKind::kBadRequest,
                   "usage of '" + name + "' isn't three numbers");
     }
-    counts[AccountId(name)] = {.prompt_tokens = numbers[0].Integer(),
-                               .generated_tokens = numbers[1].Integer(),
-                               .requests = numbers[2].Integer()};
+    counts[AccountId(name)] = {.prompt_tokens = numbers[0],
+                               .generated_tokens = numbers[1],
+                               .requests = numbers[2]};
   }
   return counts;
 }
@@ -149,13 +149,10 @@
 }
 
 Result<UsageWindow> DecodeUsageWindow(const std::string& text) {
-  const Result<Json> in = Json::Parse(text);
+  const Result<Json> in = Json::ParseObject(text);
   if (!in) {
     return tl::unexpected(in.error());
   }
-  if (!in->IsObject()) {
-    return Fail(ErrorKind::kBadRequest, "not a JSON object");
-  }
   Result<AccountUsage> figures = ReadCounts(in->At("figures"));
   if (!figures) {
     return tl::unexpected(figures.error());
