--- a/packages/decisions/coordinator.cc
+++ b/packages/decisions/coordinator.cc
@@ -174,11 +174,11 @@
 }
 
 void Coordinator::OnHosts(Instant now,
-                          const std::vector<ListedHost>& hosts,
+                          const std::vector<HostListing>& hosts,
                           CoordinatorActions& out) {
   this->listed.clear();
   std::ranges::transform(hosts, std::inserter(this->listed, this->listed.end()),
-                         &ListedHost::host);
+                         &HostListing::host);
   this->lease.SetRank(std::ranges::distance(
       this->listed.begin(),
       this->listed.lower_bound(this->options.lease.host)));
--- a/packages/decisions/coordinator.h
+++ b/packages/decisions/coordinator.h
@@ -120,11 +120,11 @@
 };
 
 // An entry in the platform's list of hosts.
-struct ListedHost {
+struct HostListing {
   HostId host;
   bool leaving = false;
 
-  auto operator<=>(const ListedHost&) const = default;
+  auto operator<=>(const HostListing&) const = default;
 };
 
 // How a coordinator is set.
@@ -223,7 +223,7 @@
 
   // The platform's list of the data centre's hosts.
   void OnHosts(Instant now,
-               const std::vector<ListedHost>& hosts,
+               const std::vector<HostListing>& hosts,
                CoordinatorActions& out);
 
   // Word from a peer: of its release, or only which incarnation it runs (from
--- a/packages/endpoints/order_client.cc
+++ b/packages/endpoints/order_client.cc
@@ -78,7 +78,7 @@
 void OrderClient::Send(const SocketAddress& address,
                        const EndpointOrder& order,
                        std::function<bool()> may_send,
-                       std::function<void(const OrderReply&)> done) {
+                       std::function<void(const OrderAnswer&)> done) {
   this->Exchange({.address = address,
                   .method = "POST",
                   .target = "/v1/orders",
@@ -87,7 +87,7 @@
                   .once = true,
                   .may_send = std::move(may_send)},
                  [done = std::move(done)](const Answer& answer) {
-                   OrderReply reply{.detail = answer.detail};
+                   OrderAnswer reply{.detail = answer.detail};
                    const Json json = Json::Parse(answer.body).value_or(Json());
                    reply.highest_fencing = json.At("highest").Integer();
                    if (answer.end == HttpEnd::kNotSent) {
--- a/packages/endpoints/order_client.h
+++ b/packages/endpoints/order_client.h
@@ -35,12 +35,12 @@
 };
 
 // The answer to an order.
-struct OrderReply {
+struct OrderAnswer {
   OrderState state = OrderState::kUnknown;
   int64_t highest_fencing = 0;  // that the endpoint has seen, if it said so
   std::string detail;
 
-  bool operator==(const OrderReply&) const = default;
+  bool operator==(const OrderAnswer&) const = default;
 };
 
 // One order as an endpoint remembers it.
@@ -74,7 +74,7 @@
   void Send(const SocketAddress& address,
             const EndpointOrder& order,
             std::function<bool()> may_send,
-            std::function<void(const OrderReply&)> done);
+            std::function<void(const OrderAnswer&)> done);
 
   // Asks an endpoint which orders it has.
   void List(const SocketAddress& address,
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -38,12 +38,12 @@
 };
 
 // A copy of a host's usage counters, kept by a peer in case the host is lost.
-struct UsageCopy {
+struct UsageCopyMessage {
   HostId host;
   uint64_t incarnation = 0;
   std::string value;
 
-  bool operator==(const UsageCopy&) const = default;
+  bool operator==(const UsageCopyMessage&) const = default;
 };
 
 // The sender held a data centre's lease with this fencing number and has let
@@ -57,6 +57,6 @@
 
 // Everything but digests, which PeerLinks sends and takes as whole values.
 using PeerMessage = std::
-    variant<BucketsRequest, BucketsReply, UsageCopy, Released, EndpointNews>;
+    variant<BucketsRequest, BucketsReply, UsageCopyMessage, Released, EndpointNews>;
 
 }  // namespace hickorystand
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -236,7 +236,7 @@
     }
     out.__set_buckets_reply(item);
   }
-  void operator()(const UsageCopy& copy) {
+  void operator()(const UsageCopyMessage& copy) {
     wire::UsageCopy item;
     item.host = copy.host.Text();
     item.incarnation = static_cast<int64_t>(copy.incarnation);
@@ -319,7 +319,7 @@
     return WireMessage(ReadBuckets(in->buckets_reply));
   }
   if (set.usage_copy && GoodId(in->usage_copy.host)) {
-    return WireMessage(PeerMessage(UsageCopy{
+    return WireMessage(PeerMessage(UsageCopyMessage{
         .host = HostId(in->usage_copy.host),
         .incarnation = static_cast<uint64_t>(in->usage_copy.incarnation),
         .value = std::move(in->usage_copy.value)}));
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -554,7 +554,7 @@
       }
     }
   });
-  const UsageCopy large{.host = HostId("b"),
+  const UsageCopyMessage large{.host = HostId("b"),
                         .incarnation = 1,
                         .value = std::string(512UL * 1024, 'x')};
   int taken = 0;
@@ -593,7 +593,7 @@
           .head_revision = 3,
           .buckets = {{.name = "07", .revision = 2, .value = "{}"}}}),
       PeerMessage(
-          UsageCopy{.host = HostId("h"), .incarnation = 2, .value = "figures"}),
+          UsageCopyMessage{.host = HostId("h"), .incarnation = 2, .value = "figures"}),
       PeerMessage(Released{.data_centre = DataCentreId("d"), .fencing = 8}),
       PeerMessage(EndpointNews{
           .endpoint = EndpointId("e"), .incarnation = 1, .leaving = true})};
