--- /dev/null
+++ b/packages/daemon/control.cc
@@ -0,0 +1,375 @@
+#include "daemon/control.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "daemon/status_page.h"
+#include "kernel/log.h"
+#include "kernel/registry.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "control";
+constexpr Duration kUsageShareEvery = std::chrono::seconds(1);
+constexpr Duration kHostListEvery = std::chrono::seconds(5);
+constexpr Duration kKeyCheckEvery = std::chrono::seconds(1);
+constexpr Duration kReleaseCheckEvery = std::chrono::milliseconds(50);
+
+PeerGroupOptions MakePeerOptions(const HostSettings& settings,
+                                 uint64_t incarnation,
+                                 const Clock& clock) {
+  PeerGroupOptions options;
+  SessionOptions& session = options.links.session;
+  session.host = settings.host;
+  session.data_centre = settings.data_centre;
+  session.incarnation = incarnation;
+  session.secrets = {settings.peers.secret};
+  if (!settings.peers.previous_secret.empty()) {
+    session.secrets.push_back(settings.peers.previous_secret);
+  }
+  options.links.listen = settings.peers.listen;
+  options.links.clock = &clock;
+  options.links.seed = incarnation;
+  return options;
+}
+
+CoordinatorOptions MakeCoordinatorOptions(const HostSettings& settings,
+                                          uint64_t incarnation) {
+  CoordinatorOptions options;
+  options.lease.data_centre = settings.data_centre;
+  options.lease.host = settings.host;
+  options.lease.incarnation = incarnation;
+  options.lease.length = settings.platform.lease_length;
+  options.lease.margin = settings.platform.lease_margin;
+  options.window_length = settings.platform.usage_window;
+  return options;
+}
+
+std::unique_ptr<KeyValueStore> MakeStore(const HostSettings& settings,
+                                         uint64_t seed,
+                                         Metrics& metrics) {
+  const auto* factory = Registry<KeyValueStore>::Find(settings.platform.store);
+  assert(factory != nullptr &&
+         "the settings were checked against the registry");
+  return (*factory)({.addresses = settings.platform.store_addresses,
+                     .timeout = settings.platform.timeout,
+                     .metrics = &metrics,
+                     .seed = seed});
+}
+
+// What changed between two states of the counters.
+AccountUsage Changed(const AccountUsage& from, const AccountUsage& to) {
+  AccountUsage changed;
+  std::ranges::copy_if(
+      to, std::inserter(changed, changed.end()), [&](const auto& entry) {
+        const auto old = from.find(entry.first);
+        return old == from.end() || !(old->second == entry.second);
+      });
+  return changed;
+}
+
+}  // namespace
+
+Control::Control(const HostSettings& settings,
+                 uint64_t incarnation,
+                 const Clock& clock,
+                 Metrics& metrics,
+                 ControlEvents events)
+    : settings(settings),
+      incarnation(incarnation),
+      clock(clock),
+      events(std::move(events)),
+      usage({.host = settings.host, .incarnation = incarnation}) {
+  this->store = MakeStore(settings, incarnation, metrics);
+  this->platform = std::make_unique<PlatformClient>(
+      PlatformClientOptions{.address = settings.platform.address,
+                            .timeout = settings.platform.timeout});
+  this->orders = std::make_unique<OrderClient>();
+  this->peers = std::make_unique<PeerGroup>(
+      MakePeerOptions(settings, incarnation, clock),
+      PeerGroupHandlers{
+          .on_digest =
+              [this](const Digest& digest) { this->OnPeerDigest(digest); },
+          .on_gone = [this](const HostId& host) { this->OnPeerGone(host); },
+          .on_message =
+              [this](const HostId& from, const PeerMessage& message) {
+                this->OnPeerMessage(from, message);
+              }});
+  this->coordinator = std::make_unique<CoordinatorDriver>(
+      MakeCoordinatorOptions(settings, incarnation), clock,
+      CoordinatorOutlets{.store = this->store.get(),
+                         .platform = this->platform.get(),
+                         .endpoints = this->orders.get(),
+                         .tell_released = [this](const Release& release) {
+                           this->TellReleased(release);
+                         }});
+  this->claims = std::make_unique<ClaimDriver>(
+      ClaimOptions{.host = settings.host, .incarnation = incarnation}, clock,
+      *this->store, [this](const RequestId& request, ClaimResult result) {
+        this->AnswerClaimOf(request, result);
+      });
+  this->configuration = std::make_unique<ConfigurationDriver>(
+      ReplicaOptions{.data_centre = settings.data_centre, .seed = incarnation},
+      clock,
+      ConfigurationOutlets{
+          .store = this->store.get(),
+          .send =
+              [this](const HostId& host, const PeerMessage& message) {
+                return this->peers->Send(host, message);
+              },
+          .in_force =
+              [this](const ConfigurationPtr& next) {
+                this->OnConfiguration(next);
+              }});
+}
+
+// The clients go first: what they still have under way must not call back into
+// drivers that are gone.
+Control::~Control() {
+  this->timers.clear();
+  this->store.reset();
+  this->platform.reset();
+  this->orders.reset();
+  this->peers.reset();
+}
+
+Result<void> Control::Start() {
+  const auto address = this->peers->Listen();
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  this->AskForHostList();
+  this->ScheduleDigest();
+  this->timers.push_back(
+      Timer::Every(kHostListEvery, [this] { this->AskForHostList(); }));
+  this->timers.push_back(
+      Timer::Every(kUsageShareEvery, [this] { this->ShareUsage(); }));
+  this->timers.push_back(
+      Timer::Every(kKeyCheckEvery, [this] { this->CheckKeys(); }));
+  return {};
+}
+
+void Control::ScheduleDigest() {
+  this->configuration->SetWatching(this->peers->HoldsWatches());
+  this->digest_timer = Timer::After(this->peers->NextDigestDelay(), [this] {
+    this->events.want_view();
+    this->ScheduleDigest();
+  });
+}
+
+void Control::OnServingView(const ServingView& next) {
+  this->view = next;
+  this->view.digest.host = this->settings.host;
+  this->view.digest.data_centre = this->settings.data_centre;
+  this->view.digest.incarnation = this->incarnation;
+  this->view.digest.configuration_revision =
+      this->configuration->Current()->revision;
+  this->view.digest.leaving = this->draining;
+  this->peers->SendDigest(this->view.digest);
+}
+
+void Control::OnLoad(const LoadReport& report) {
+  const auto found = this->loads.find(report.endpoint);
+  const bool restarted = found != this->loads.end() &&
+                         found->second.incarnation != report.incarnation;
+  this->loads.insert_or_assign(report.endpoint, report);
+  this->peers->OnAlive(report.endpoint, report.incarnation);
+  if (restarted) {
+    LogInfo(kPart, "Endpoint restarted.",
+            {{"endpoint", report.endpoint.Text()}});
+    this->coordinator->OnEndpointRestarted(report.endpoint);
+  }
+}
+
+void Control::OnUsage(const AccountId& account, const UsageCount& used) {
+  this->usage.Add(account, used);
+}
+
+void Control::Claim(const ClaimRequest& request,
+                    std::function<void(ClaimResult)> done) {
+  this->claiming[request.request] = std::move(done);
+  this->claims->Claim(request);
+}
+
+void Control::AnswerClaimOf(const RequestId& request, ClaimResult result) {
+  const auto found = this->claiming.find(request);
+  if (found == this->claiming.end()) {
+    return;
+  }
+  const auto done = std::move(found->second);
+  this->claiming.erase(found);
+  done(result);
+}
+
+void Control::OnConfiguration(const ConfigurationPtr& next) {
+  LogInfo(kPart, "Configuration in force.",
+          {{"revision", std::to_string(next->revision)},
+           {"endpoints", std::to_string(next->endpoints.size())}});
+  std::set<EndpointId> known;
+  std::ranges::copy(std::views::keys(next->endpoints),
+                    std::inserter(known, known.end()));
+  this->peers->KeepEndpoints(known);
+  std::erase_if(this->loads, [&](const auto& entry) {
+    return !known.contains(entry.first);
+  });
+  this->coordinator->ApplyConfiguration(next);
+  this->events.on_configuration(next);
+}
+
+void Control::OnPeerDigest(const Digest& digest) {
+  this->configuration->OnPeerRevision(digest.host,
+                                      digest.configuration_revision);
+  if (digest.data_centre == this->settings.data_centre) {
+    this->coordinator->OnPeer(digest.host, digest.incarnation);
+  }
+  this->events.on_digest(digest);
+}
+
+void Control::OnPeerGone(const HostId& host) {
+  LogInfo(kPart, "Host is gone.", {{"host", host.Text()}});
+  this->configuration->OnPeerGone(host);
+  this->events.on_host_gone(host);
+}
+
+void Control::OnPeerMessage(const HostId& from, const PeerMessage& message) {
+  if (const auto* request = std::get_if<BucketsRequest>(&message)) {
+    for (const BucketsReply& part : this->configuration->RepliesTo(*request)) {
+      this->peers->Send(from, part);
+    }
+  } else if (const auto* reply = std::get_if<BucketsReply>(&message)) {
+    this->configuration->OnBuckets(from, *reply);
+  } else if (const auto* copy = std::get_if<UsageCopyMessage>(&message)) {
+    if (const auto read = DecodeUsageCopy(copy->value)) {
+      this->coordinator->OnUsage(*read);
+    }
+  } else if (const auto* word = std::get_if<Released>(&message)) {
+    this->coordinator->OnReleased({.host = from,
+                                   .incarnation = word->incarnation,
+                                   .fencing = word->fencing});
+  }
+}
+
+void Control::AskForHostList() {
+  this->platform->ListHosts(
+      [this](const Result<std::vector<PlatformHost>>& list) {
+        if (list) {
+          this->OnHostList(*list);
+        }
+      });
+}
+
+void Control::OnHostList(const std::vector<PlatformHost>& list) {
+  std::vector<ListedHost> all;
+  std::vector<HostListing> here;
+  for (const PlatformHost& host : list) {
+    all.push_back({.peer = {.host = host.host,
+                            .data_centre = host.data_centre,
+                            .address = host.address},
+                   .leaving = host.leaving});
+    if (host.data_centre == this->settings.data_centre) {
+      here.push_back({.host = host.host, .leaving = host.leaving});
+    }
+  }
+  this->peers->OnHostList(all);
+  this->coordinator->OnHosts(here);
+}
+
+void Control::TellReleased(const Release& release) {
+  this->peers->Broadcast(Released{.data_centre = this->settings.data_centre,
+                                  .incarnation = release.incarnation,
+                                  .fencing = release.fencing});
+}
+
+// Usage that only this host knows is lost with it, so it is copied every second
+// to the holder of the lease and to its deputy, who may follow it. Only what
+// changed travels: counters are cumulative, and the higher one wins.
+void Control::ShareUsage() {
+  this->coordinator->OnUsage(this->usage.Copy());
+  const std::set<HostId> keepers = this->UsageKeepers();
+  const bool everything = keepers != this->shared_with;
+  const AccountUsage& counts = this->usage.Copy().counts;
+  const AccountUsage changed =
+      everything ? counts : Changed(this->shared_usage, counts);
+  if (changed.empty()) {
+    return;
+  }
+  const UsageCopyMessage message{
+      .host = this->settings.host,
+      .incarnation = this->incarnation,
+      .value = EncodeUsageCopy(
+          {.source = this->usage.Copy().source, .counts = changed})};
+  const bool all_told = std::ranges::all_of(keepers, [&](const HostId& host) {
+    return this->peers->Send(host, message);
+  });
+  if (all_told) {
+    this->shared_usage = counts;
+    this->shared_with = keepers;
+  }
+}
+
+std::set<HostId> Control::UsageKeepers() const {
+  const HostId holder(this->coordinator->State().Authority().LastHolder());
+  std::set<HostId> keepers{holder, this->peers->Deputy(holder)};
+  keepers.erase(HostId());
+  keepers.erase(this->settings.host);
+  return keepers;
+}
+
+// Keys withdrawn elsewhere can't be heard of while this data centre is cut off
+// from both the platform and every other host that knows more.
+void Control::CheckKeys() {
+  const bool trusted = this->configuration->KeysTrusted();
+  if (trusted != this->keys_trusted) {
+    LogWarning(kPart, trusted ? "Keys are trusted again."
+                              : "Cut off for too long; keys are refused.");
+    this->keys_trusted = trusted;
+    this->events.trust_keys(trusted);
+  }
+}
+
+void Control::StartDrain() {
+  this->draining = true;
+  this->peers->StartDrain();
+}
+
+void Control::Release(std::function<void()> on_released) {
+  this->ShareUsage();
+  this->coordinator->StartRelease();
+  this->release_timer = Timer::Every(
+      kReleaseCheckEvery, [this, on_released = std::move(on_released)] {
+        if (!this->coordinator->Released()) {
+          return;
+        }
+        // The callback may destroy this object, and so the timer.
+        const auto call = on_released;
+        this->release_timer.reset();
+        call();
+      });
+}
+
+std::string Control::StatusJson() const {
+  const Lease& lease = this->coordinator->State().Authority();
+  std::map<HostId, Digest> digests = this->peers->Digests();
+  digests[this->settings.host] = this->view.digest;
+  return WriteStatus({.host = this->settings.host,
+                      .data_centre = this->settings.data_centre,
+                      .incarnation = this->incarnation,
+                      .draining = this->draining,
+                      .keys_trusted = this->keys_trusted,
+                      .configuration = this->configuration->Current(),
+                      .lease_holder = lease.LastHolder(),
+                      .fencing = lease.Fencing(),
+                      .lease_held = lease.MayAct(this->clock.Now()),
+                      .members = this->peers->Members(),
+                      .digests = std::move(digests),
+                      .loads = this->loads,
+                      .refusals = this->view.refusals,
+                      .queued = this->view.queued,
+                      .running = this->view.running,
+                      .open_orders = static_cast<int64_t>(
+                          this->coordinator->State().OpenOrders().size())});
+}
+
+}  // namespace hickorystand
--- a/packages/daemon/control.h
+++ b/packages/daemon/control.h
@@ -17,7 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -90,17 +90,19 @@
   void OnConfiguration(const ConfigurationPtr& next);
   void OnPeerDigest(const Digest& digest);
   void OnPeerMessage(const HostId& from, const PeerMessage& message);
-  void OnHostList(const std::vector<HostListEntry>& list);
+  void OnPeerGone(const HostId& host);
+  void OnHostList(const std::vector<PlatformHost>& list);
+  void ScheduleDigest();
+  void AnswerClaimOf(const RequestId& request, ClaimResult result);
   void AskForHostList();
   void TellReleased(const Release& release);
-  void ShareUsage(bool everything);
+  void ShareUsage();
   void CheckKeys();
-  std::vector<HostId> UsageKeepers() const;
+  std::set<HostId> UsageKeepers() const;
 
   HostSettings settings;
   uint64_t incarnation;
   const Clock& clock;
-  Metrics& metrics;
   ControlEvents events;
   std::unique_ptr<KeyValueStore> store;
   std::unique_ptr<PlatformClient> platform;
@@ -112,6 +114,7 @@
   std::map<RequestId, std::function<void(ClaimResult)>> claiming;
   UsageMeter usage;
   AccountUsage shared_usage;  // as last sent to the keepers
+  std::set<HostId> shared_with;
   std::map<EndpointId, LoadReport> loads;
   ServingView view;
   bool draining = false;
@@ -119,7 +122,6 @@
   std::vector<std::unique_ptr<Timer>> timers;
   std::unique_ptr<Timer> digest_timer;
   std::unique_ptr<Timer> release_timer;
-  std::unique_ptr<Timer> list_timer;
 };
 
 }  // namespace hickorystand
--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -10,8 +10,7 @@
 
 constexpr std::string_view kPart = "host";
 
-GatewayOptions MakeGatewayOptions(const HostSettings& settings,
-                                  uint64_t seed) {
+GatewayOptions MakeGatewayOptions(const HostSettings& settings, uint64_t seed) {
   GatewayOptions options;
   options.http.listen = settings.gateway.listen;
   options.http.tls_certificate = settings.gateway.certificate_file;
@@ -68,7 +67,8 @@
   // Hosts keep nothing, so the incarnation comes from the clock on the wall. A
   // clock set back would give a lower one; then the others ignore this host's
   // digests until it has passed the old one, and nothing else depends on it.
-  const auto incarnation = static_cast<uint64_t>(this->clock.WallMilliseconds());
+  const auto incarnation =
+      static_cast<uint64_t>(this->clock.WallMilliseconds());
   Result<void> result;
   this->control_task.Call([&] {
     this->control =
@@ -128,8 +128,8 @@
           [post](bool trusted) {
             post([trusted](Gateway& gate) { gate.TrustKeys(trusted); });
           },
-      .want_view =
-          [this, post] { post([this](Gateway&) { this->SendView(); }); },
+      .want_view = [this,
+                    post] { post([this](Gateway&) { this->SendView(); }); },
   };
 }
 
@@ -139,8 +139,7 @@
   view.refusals = this->gateway->Refusals();
   view.queued = this->gateway->Queued();
   view.running = this->gateway->Running();
-  this->control_task.Post(
-      [this, view] { this->control->OnServingView(view); });
+  this->control_task.Post([this, view] { this->control->OnServingView(view); });
 }
 
 RequestHooks HostDaemon::HooksForGateway() {
@@ -175,7 +174,8 @@
             answer(this->control->StatusJson());
           },
       .why =
-          [this](const RequestId& request, const AdminHandlers::Answer& answer) {
+          [this](const RequestId& request,
+                 const AdminHandlers::Answer& answer) {
             this->serving_task.Post([this, request, answer] {
               const std::string json = DecisionsJson(
                   request, this->gateway->RecentDecisions(request));
@@ -202,9 +202,8 @@
 
 void HostDaemon::FinishRequests() {
   this->serving_task.Post([this] {
-    this->gateway->StartDrain([this] {
-      this->control_task.Post([this] { this->Finish(); });
-    });
+    this->gateway->StartDrain(
+        [this] { this->control_task.Post([this] { this->Finish(); }); });
   });
 }
 
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -23,14 +23,15 @@
       "hickorystandd",
       "Serves callers of language models and plain services from one entry "
       "host.\n\nIt stops gracefully on SIGTERM and SIGINT: it finishes what "
-      "runs, hands over\nits lease and usage, and exits with 0. A second signal "
+      "runs, hands over\nits lease and usage, and exits with 0. A second "
+      "signal "
       "ends it at once.\n");
   options.add_options()("config", "Settings of this host (INI)",
-                        cxxopts::value<std::string>(), "FILE")(
-      "check", "Check the settings and exit")(
+                        cxxopts::value<std::string>(),
+                        "FILE")("check", "Check the settings and exit")(
       "log-level", "Least level to write: debug, info, warning or error",
-      cxxopts::value<std::string>(), "LEVEL")(
-      "list-plugins", "Print the plug-ins that settings may name")(
+      cxxopts::value<std::string>(),
+      "LEVEL")("list-plugins", "Print the plug-ins that settings may name")(
       "version", "Print the version")("h,help", "Print this help");
   return options;
 }
--- a/packages/decisions/configuration_records.cc
+++ b/packages/decisions/configuration_records.cc
@@ -488,6 +488,10 @@
   return found == nullptr ? nullptr : &found->schema;
 }
 
+std::string NameOfRole(EndpointRole role) {
+  return Write(role);
+}
+
 Result<Record> RecordFromName(std::string_view name) {
   const size_t slash = name.find('/');
   Record record{.kind = std::string(name.substr(0, slash))};
--- a/packages/decisions/configuration_records.h
+++ b/packages/decisions/configuration_records.h
@@ -67,6 +67,9 @@
   auto operator<=>(const Record&) const = default;
 };
 
+// A role's name, as operators write it and as orders spell it.
+std::string NameOfRole(EndpointRole role);
+
 // Splits kind/id; kBadRequest if the kind is unknown or the id is none.
 Result<Record> RecordFromName(std::string_view name);
 
--- a/packages/decisions/usage.cc
+++ b/packages/decisions/usage.cc
@@ -41,6 +41,27 @@
   return counts;
 }
 
+void WriteCopy(JsonWriter& out,
+               const UsageSource& source,
+               const AccountUsage& counts) {
+  out.BeginObject()
+      .Member("host", source.host.Text())
+      .Member("incarnation", static_cast<int64_t>(source.incarnation));
+  WriteCounts(out, "counts", counts);
+  out.EndObject();
+}
+
+Result<UsageCopy> ReadCopy(const Json& in) {
+  Result<AccountUsage> counts = ReadCounts(in.At("counts"));
+  if (!counts) {
+    return tl::unexpected(counts.error());
+  }
+  return UsageCopy{.source = {.host = HostId(in.At("host").Text()),
+                              .incarnation = static_cast<uint64_t>(
+                                  in.At("incarnation").Integer())},
+                   .counts = *std::move(counts)};
+}
+
 const UsageCount& Find(const AccountUsage& counts, const AccountId& account) {
   const auto found = counts.find(account);
   return found == counts.end() ? kNothing : found->second;
@@ -130,6 +151,20 @@
          std::to_string(window);
 }
 
+std::string EncodeUsageCopy(const UsageCopy& copy) {
+  JsonWriter out;
+  WriteCopy(out, copy.source, copy.counts);
+  return out.Text();
+}
+
+Result<UsageCopy> DecodeUsageCopy(const std::string& text) {
+  const Result<Json> in = Json::ParseObject(text);
+  if (!in) {
+    return tl::unexpected(in.error());
+  }
+  return ReadCopy(*in);
+}
+
 std::string EncodeUsageWindow(const UsageWindow& window) {
   JsonWriter out;
   out.BeginObject()
@@ -138,11 +173,7 @@
   WriteCounts(out, "figures", window.figures);
   out.Name("counted").BeginArray();
   for (const auto& [source, counts] : window.counted) {
-    out.BeginObject()
-        .Member("host", source.host.Text())
-        .Member("incarnation", static_cast<int64_t>(source.incarnation));
-    WriteCounts(out, "counts", counts);
-    out.EndObject();
+    WriteCopy(out, source, counts);
   }
   out.EndArray().EndObject();
   return out.Text();
@@ -161,14 +192,11 @@
                      .fencing = in->At("fencing").Integer(),
                      .figures = *std::move(figures)};
   for (const Json& item : in->At("counted").Items()) {
-    Result<AccountUsage> counts = ReadCounts(item.At("counts"));
-    if (!counts) {
-      return tl::unexpected(counts.error());
+    Result<UsageCopy> copy = ReadCopy(item);
+    if (!copy) {
+      return tl::unexpected(copy.error());
     }
-    const UsageSource source{
-        .host = HostId(item.At("host").Text()),
-        .incarnation = static_cast<uint64_t>(item.At("incarnation").Integer())};
-    window.counted[source] = *std::move(counts);
+    window.counted[copy->source] = std::move(copy->counts);
   }
   return window;
 }
--- a/packages/decisions/usage.h
+++ b/packages/decisions/usage.h
@@ -58,6 +58,10 @@
   bool operator==(const UsageCopy&) const = default;
 };
 
+// The copy as JSON.
+std::string EncodeUsageCopy(const UsageCopy& copy);
+Result<UsageCopy> DecodeUsageCopy(const std::string& text);
+
 // Counts what this host served. Send a Copy() to the coordinator and to one
 // other host every second or so: what is lost when the host dies is what it
 // served since.
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -1761,6 +1761,10 @@
   this->fencing = val;
 }
 
+void Released::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
 uint32_t Released::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -1798,6 +1802,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1823,6 +1835,10 @@
   xfer += oprot->writeI64(this->fencing);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1832,28 +1848,33 @@
   using ::std::swap;
   swap(a.data_centre, b.data_centre);
   swap(a.fencing, b.fencing);
+  swap(a.incarnation, b.incarnation);
   swap(a.__isset, b.__isset);
 }
 
 Released::Released(const Released& other86) {
   data_centre = other86.data_centre;
   fencing = other86.fencing;
+  incarnation = other86.incarnation;
   __isset = other86.__isset;
 }
 Released::Released(Released&& other87) noexcept {
   data_centre = std::move(other87.data_centre);
   fencing = other87.fencing;
+  incarnation = other87.incarnation;
   __isset = other87.__isset;
 }
 Released& Released::operator=(const Released& other88) {
   data_centre = other88.data_centre;
   fencing = other88.fencing;
+  incarnation = other88.incarnation;
   __isset = other88.__isset;
   return *this;
 }
 Released& Released::operator=(Released&& other89) noexcept {
   data_centre = std::move(other89.data_centre);
   fencing = other89.fencing;
+  incarnation = other89.incarnation;
   __isset = other89.__isset;
   return *this;
 }
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -745,9 +745,10 @@
 std::ostream& operator<<(std::ostream& out, const UsageCopy& obj);
 
 typedef struct _Released__isset {
-  _Released__isset() : data_centre(false), fencing(false) {}
+  _Released__isset() : data_centre(false), fencing(false), incarnation(false) {}
   bool data_centre :1;
   bool fencing :1;
+  bool incarnation :1;
 } _Released__isset;
 
 class Released : public virtual ::apache::thrift::TBase {
@@ -759,12 +760,14 @@
   Released& operator=(Released&&) noexcept;
   Released() noexcept
            : data_centre(),
-             fencing(0) {
+             fencing(0),
+             incarnation(0) {
   }
 
   virtual ~Released() noexcept;
   std::string data_centre;
   int64_t fencing;
+  int64_t incarnation;
 
   _Released__isset __isset;
 
@@ -772,12 +775,16 @@
 
   void __set_fencing(const int64_t val);
 
+  void __set_incarnation(const int64_t val);
+
   bool operator == (const Released & rhs) const
   {
     if (!(data_centre == rhs.data_centre))
       return false;
     if (!(fencing == rhs.fencing))
       return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
     return true;
   }
   bool operator != (const Released &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -50,13 +50,17 @@
 // go: none of its orders will leave any more.
 struct Released {
   DataCentreId data_centre;
+  uint64_t incarnation = 0;  // of the sender's process
   int64_t fencing = 0;
 
   bool operator==(const Released&) const = default;
 };
 
 // Everything but digests, which PeerLinks sends and takes as whole values.
-using PeerMessage = std::
-    variant<BucketsRequest, BucketsReply, UsageCopyMessage, Released, EndpointNews>;
+using PeerMessage = std::variant<BucketsRequest,
+                                 BucketsReply,
+                                 UsageCopyMessage,
+                                 Released,
+                                 EndpointNews>;
 
 }  // namespace hickorystand
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -90,6 +90,7 @@
 struct Released {
   1: string data_centre
   2: i64 fencing
+  3: i64 incarnation
 }
 
 struct Heartbeat {
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -247,6 +247,7 @@
     wire::Released item;
     item.data_centre = released.data_centre.Text();
     item.fencing = released.fencing;
+    item.incarnation = static_cast<int64_t>(released.incarnation);
     out.__set_released(item);
   }
   void operator()(const EndpointNews& news) {
@@ -327,6 +328,7 @@
   if (set.released && GoodId(in->released.data_centre)) {
     return WireMessage(PeerMessage(
         Released{.data_centre = DataCentreId(in->released.data_centre),
+                 .incarnation = static_cast<uint64_t>(in->released.incarnation),
                  .fencing = in->released.fencing}));
   }
   if (set.endpoint_news && GoodId(in->endpoint_news.endpoint)) {
