Hold each host's copy of the configuration, and never let it go back

A head that doesn't continue the history in force is read whole. With the refusal of lower revisions off, the restored backup reverts a host; with the comparison of histories off, a fork leaves a lost account in force (both kept as tests of the switches).

--- /dev/null
+++ b/packages/decisions/configuration_replica.cc
@@ -0,0 +1,433 @@
+#include "decisions/configuration_replica.h"
+
+#include <algorithm>
+#include <cassert>
+#include <iterator>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+using Kind = ReplicaAction::Kind;
+
+constexpr std::string_view kPart = "configuration";
+
+constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
+constexpr Duration kLongestRetry = std::chrono::seconds(5);
+
+// The client of the service answers within its own timeout. An answer that is
+// missing for as long as this was lost on the way to the replica.
+constexpr Duration kReadLost = std::chrono::seconds(15);
+
+// How long the parts of one change may take to arrive before all is read.
+constexpr Duration kPartsTimeout = std::chrono::milliseconds(300);
+
+void Append(ReplicaActions& to, ReplicaActions more) {
+  std::ranges::move(more, std::back_inserter(to));
+}
+
+}  // namespace
+
+ConfigurationReplica::ConfigurationReplica(ReplicaOptions options)
+    : options(std::move(options)),
+      backoff(kFirstRetry, kLongestRetry, this->options.seed),
+      random(this->options.seed),
+      limiter(5, std::chrono::seconds(10)) {}
+
+ReplicaActions ConfigurationReplica::SetWatching(Instant now, bool wanted) {
+  if (std::exchange(this->watches, wanted) == wanted) {
+    return {};
+  }
+  if (!wanted) {
+    return std::exchange(this->watch_open, false)
+               ? ReplicaActions{{.kind = Kind::kStopWatch}}
+               : ReplicaActions{};
+  }
+  // A watch starts from a read, or what changed in between would be missed.
+  return this->ReadAll(now);
+}
+
+ReplicaActions ConfigurationReplica::OnHeadRead(Instant now,
+                                                const StoreReply& reply) {
+  this->reading_head = false;
+  if (reply.outcome != StoreOutcome::kThen) {
+    this->NoteReadFailed(now);
+    return {};
+  }
+  this->backoff.Reset();
+  const StoreRecord* record = FindRecord(reply, kHeadKey);
+  const auto seen =
+      record == nullptr ? Result<ConfigurationHead>() : ReadHead(record->value);
+  if (!seen) {
+    this->IgnoreBroken(now, seen.error());
+    return {};
+  }
+  if (this->IsInForce(*seen)) {
+    this->confirmed_at = now;
+    return {};
+  }
+  if (seen->revision <= this->head.revision) {
+    this->IgnoreLower(now, seen->revision);
+    return {};
+  }
+  return this->Catch(now);
+}
+
+ReplicaActions ConfigurationReplica::OnStateRead(Instant now,
+                                                 const StoreReply& reply) {
+  this->reading_all = false;
+  if (reply.outcome != StoreOutcome::kThen) {
+    this->NoteReadFailed(now);
+    return {};
+  }
+  this->backoff.Reset();
+  this->next_read.reset();
+  ReplicaActions actions;
+  this->staged = {};
+  const bool whole =
+      std::ranges::all_of(reply.records, [&](const StoreRecord& record) {
+        return this->Stage(record.key, record.value);
+      });
+  if (!whole) {
+    this->IgnoreBroken(now, {ErrorKind::kBadSetting, "a value is broken", {}});
+    this->next_read = now + kLongestRetry;
+  } else {
+    if (this->staged.head && this->IsInForce(*this->staged.head)) {
+      this->confirmed_at = now;
+    }
+    Append(actions, this->TryAccept(now));
+  }
+  if (this->watches && !this->watch_open) {
+    this->watch_open = true;
+    actions.push_back({.kind = Kind::kWatch, .store_revision = reply.revision});
+  }
+  return actions;
+}
+
+ReplicaActions ConfigurationReplica::OnWatch(
+    Instant now,
+    const std::vector<StoreRecord>& changed) {
+  for (const StoreRecord& record : changed) {
+    if (!this->Stage(record.key, record.value)) {
+      return this->ReadAll(now);
+    }
+  }
+  return this->TryAccept(now);
+}
+
+ReplicaActions ConfigurationReplica::OnWatchLost(Instant now) {
+  this->watch_open = false;
+  ++this->counts.watches_lost;
+  // Many watches are lost at once when the service restarts, and their hosts
+  // must not all come back at once.
+  this->next_read = now + this->backoff.Next();
+  return {};
+}
+
+ReplicaActions ConfigurationReplica::OnPeerRevision(Instant now,
+                                                    const HostId& peer,
+                                                    int64_t revision) {
+  this->peers[peer] = revision;
+  return revision > this->head.revision ? this->Catch(now) : ReplicaActions{};
+}
+
+ReplicaActions ConfigurationReplica::OnPeerValues(
+    Instant now,
+    const HostId& peer,
+    const std::vector<ReplicaValue>& values) {
+  for (const ReplicaValue& value : values) {
+    if (!this->Stage(value.key, value.text)) {
+      this->IgnoreBroken(now, {ErrorKind::kBadSetting,
+                               "a value from " + peer.Text() + " is broken",
+                               {}});
+      return {};
+    }
+  }
+  return this->TryAccept(now);
+}
+
+void ConfigurationReplica::OnPeerGone(const HostId& peer) {
+  this->peers.erase(peer);
+}
+
+ReplicaActions ConfigurationReplica::OnTick(Instant now) {
+  ReplicaActions actions;
+  if (!std::exchange(this->started, true)) {
+    // Peers are given a moment to say what they have. When a whole data centre
+    // restarts, its hosts would otherwise all read everything at once.
+    this->next_read = this->next_read.value_or(now + this->backoff.Next());
+  }
+  if ((this->reading_all || this->reading_head) &&
+      now - this->read_started > kReadLost) {
+    this->reading_all = this->reading_head = false;
+    this->NoteReadFailed(now);
+  }
+  if (this->fetching && now >= this->fetch_deadline) {
+    ++this->counts.peers_silent;
+    this->tried.push_back(*std::exchange(this->fetching, std::nullopt));
+    Append(actions, this->FetchNext(now));
+  }
+  const bool due = this->next_read && now >= *this->next_read;
+  if (due && !this->fetching) {
+    Append(actions, this->ReadAll(now));
+  }
+  if (now >= this->next_confirm && this->in_force && !this->reading_head &&
+      !this->reading_all && this->options.ask_service) {
+    this->reading_head = true;
+    this->read_started = now;
+    this->next_confirm = now + this->ConfirmPeriod();
+    actions.push_back({.kind = Kind::kReadHead});
+  }
+  return actions;
+}
+
+std::vector<ReplicaValue> ConfigurationReplica::ValuesAbove(
+    int64_t revision) const {
+  std::vector<ReplicaValue> values;
+  if (revision >= this->head.revision) {
+    return values;
+  }
+  for (const auto& [bucket, content] : this->buckets) {
+    if (content.revision > revision) {
+      values.push_back({.key = BucketKey(bucket),
+                        .revision = content.revision,
+                        .text = this->texts.at(bucket)});
+    }
+  }
+  values.push_back({.key = kHeadKey,
+                    .revision = this->head.revision,
+                    .text = this->head_text});
+  return values;
+}
+
+bool ConfigurationReplica::KeysTrusted(Instant now) const {
+  return this->confirmed_at && now - *this->confirmed_at <= this->KeyLimit();
+}
+
+// Puts one value aside until the whole is there; false if it can't be read.
+// Keys that this program doesn't know may come from a newer one.
+bool ConfigurationReplica::Stage(const std::string& key,
+                                 const std::string& text) {
+  if (key == kHeadKey) {
+    auto read = ReadHead(text);
+    const bool newer = read && (!this->staged.head ||
+                                read->revision >= this->staged.head->revision ||
+                                !this->options.refuse_lower);
+    if (newer) {
+      this->staged.head = std::move(*read);
+      this->staged.head_text = text;
+    }
+    return read.has_value();
+  }
+  const auto bucket = BucketOfKey(key);
+  if (!bucket) {
+    return true;
+  }
+  auto read = ReadBucket(text);
+  if (!read) {
+    return false;
+  }
+  const auto held = this->staged.buckets.find(*bucket);
+  if (held == this->staged.buckets.end() ||
+      read->revision >= held->second.revision) {
+    this->staged.buckets[*bucket] = std::move(*read);
+    this->staged.texts[*bucket] = text;
+  }
+  return true;
+}
+
+// Takes what is staged if it makes a whole above the one in force.
+ReplicaActions ConfigurationReplica::TryAccept(Instant now) {
+  if (!this->staged.head) {
+    return {};
+  }
+  const ConfigurationHead& next = *this->staged.head;
+  const bool same = this->IsInForce(next);
+  if (same ||
+      (next.revision <= this->head.revision && this->options.refuse_lower)) {
+    if (!same) {
+      this->IgnoreLower(now, next.revision);
+    }
+    this->staged = {};
+    return {};
+  }
+  auto merged = this->staged.buckets;
+  const bool continues =
+      !this->options.compare_history || this->Continues(next);
+  if (continues) {
+    merged.insert(this->buckets.begin(), this->buckets.end());
+  }
+  auto whole = AssembleConfiguration(next, merged);
+  if (whole) {
+    return this->Accept(now, std::move(*whole));
+  }
+  if (whole.error().kind != ErrorKind::kStale) {
+    this->IgnoreBroken(now, whole.error());
+    this->staged = {};
+    return {};
+  }
+  if (!continues && !std::exchange(this->fetch_whole, true)) {
+    ++this->counts.forks_seen;
+    this->fetching.reset();
+    return this->Catch(now);
+  }
+  this->next_read = std::min(this->next_read.value_or(now + kPartsTimeout),
+                             now + kPartsTimeout);
+  return {};
+}
+
+ReplicaActions ConfigurationReplica::Accept(Instant now,
+                                            ConfigurationPtr next) {
+  assert(
+      (!this->options.refuse_lower || next->revision > this->head.revision) &&
+      "a revision in force never goes back");
+  const bool continues =
+      !this->options.compare_history || this->Continues(*this->staged.head);
+  if (!continues) {
+    this->buckets.clear();
+    this->texts.clear();
+  }
+  for (auto& [bucket, content] : this->staged.buckets) {
+    this->buckets[bucket] = std::move(content);
+    this->texts[bucket] = std::move(this->staged.texts[bucket]);
+  }
+  this->head = std::move(*this->staged.head);
+  this->head_text = std::move(this->staged.head_text);
+  this->staged = {};
+  this->in_force = std::move(next);
+  // Only an accepted change makes a revision rise, so whoever passed it on has
+  // heard of the service later than this host.
+  this->confirmed_at = now;
+  this->next_confirm = now + this->ConfirmPeriod();
+  this->fetching.reset();
+  this->fetch_whole = false;
+  this->tried.clear();
+  if (!this->watches || this->watch_open) {
+    this->next_read.reset();
+  }
+  LogInfo(kPart, "A revision is in force.",
+          {{"revision", std::to_string(this->head.revision)}});
+  return {{.kind = Kind::kInForce, .configuration = this->in_force}};
+}
+
+// Whether a head comes after the one in force in the same history. After the
+// service was put back to a backup and changed anew, revisions repeat with
+// other contents; buckets of the two histories must not be mixed, though their
+// numbers fit together.
+bool ConfigurationReplica::Continues(const ConfigurationHead& next) const {
+  if (this->head.revision == 0) {
+    return true;
+  }
+  const auto found = std::ranges::find(next.recent, this->head.revision,
+                                       &AcceptedChange::revision);
+  return found != next.recent.end() && !this->head.recent.empty() &&
+         found->token == this->head.recent.front().token;
+}
+
+// Whether a head is the very one in force. The same revision under another
+// token is a fork.
+bool ConfigurationReplica::IsInForce(const ConfigurationHead& seen) const {
+  return this->in_force && seen.revision == this->head.revision &&
+         seen.recent == this->head.recent;
+}
+
+void ConfigurationReplica::IgnoreLower(Instant now, int64_t revision) {
+  ++this->counts.lower_ignored;
+  if (this->limiter.Allow(now)) {
+    LogWarning(kPart,
+               "A revision that is not above the one in force was ignored.",
+               {{"revision", std::to_string(revision)},
+                {"in_force", std::to_string(this->head.revision)}});
+  }
+}
+
+void ConfigurationReplica::IgnoreBroken(Instant now, const Error& error) {
+  ++this->counts.broken_ignored;
+  if (this->limiter.Allow(now)) {
+    LogError(kPart, "A broken configuration was ignored.",
+             {{"error", error.message}});
+  }
+}
+
+// Something newer exists: asks for it, unless that is under way.
+ReplicaActions ConfigurationReplica::Catch(Instant now) {
+  if (this->fetching || this->reading_all) {
+    return {};
+  }
+  this->tried.clear();
+  return this->FetchNext(now);
+}
+
+// Asks the next peer that has something newer, the newest first; reads the
+// service when there is none left to ask.
+ReplicaActions ConfigurationReplica::FetchNext(Instant now) {
+  int64_t newest = this->head.revision + 1;
+  std::vector<HostId> candidates;
+  for (const auto& [peer, revision] : this->peers) {
+    if (revision < newest ||
+        std::ranges::find(this->tried, peer) != this->tried.end()) {
+      continue;
+    }
+    if (revision > newest) {
+      candidates.clear();
+      newest = revision;
+    }
+    candidates.push_back(peer);
+  }
+  if (candidates.empty() ||
+      this->tried.size() >= static_cast<size_t>(this->options.peer_tries)) {
+    this->tried.clear();
+    return this->ReadAll(now);
+  }
+  // At random, or all hosts would ask the same peer at the same moment.
+  std::uniform_int_distribution<size_t> pick(0, candidates.size() - 1);
+  this->fetching = candidates[pick(this->random)];
+  this->fetch_deadline = now + this->options.peer_timeout;
+  return {{.kind = Kind::kFetch,
+           .peer = *this->fetching,
+           .above_revision = this->fetch_whole ? 0 : this->head.revision}};
+}
+
+ReplicaActions ConfigurationReplica::ReadAll(Instant now) {
+  this->next_read.reset();
+  if (this->reading_all || !this->options.ask_service) {
+    return {};
+  }
+  this->reading_all = true;
+  this->read_started = now;
+  return {{.kind = Kind::kReadAll}};
+}
+
+void ConfigurationReplica::NoteReadFailed(Instant now) {
+  ++this->counts.reads_failed;
+  const Duration wait = this->backoff.Next();
+  const bool needed = !this->in_force || (this->watches && !this->watch_open) ||
+                      std::ranges::any_of(this->peers, [&](const auto& peer) {
+                        return peer.second > this->head.revision;
+                      });
+  if (needed) {
+    this->next_read = now + wait;
+  }
+  this->next_confirm = std::max(this->next_confirm, now + wait);
+}
+
+Duration ConfigurationReplica::KeyLimit() const {
+  if (!this->in_force) {
+    return Duration::zero();
+  }
+  const auto site = this->in_force->sites.find(this->options.data_centre);
+  return site == this->in_force->sites.end() ? Site{}.cut_off_key_limit
+                                             : site->second.cut_off_key_limit;
+}
+
+Duration ConfigurationReplica::ConfirmPeriod() const {
+  constexpr int64_t kConfirmsPerLimit = 8;
+  if (this->watches) {
+    return this->options.confirm_period;
+  }
+  return std::clamp(this->KeyLimit() / kConfirmsPerLimit,
+                    this->options.confirm_period,
+                    this->options.longest_confirm_period);
+}
+
+}  // namespace hickorystand
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -1,3 +1,4 @@
 add_unit_test(platform_test SOURCES tests/platform_test.cc LIBRARIES fakes_platform)
 add_unit_test(configuration_test SOURCES tests/configuration_test.cc
   LIBRARIES fakes_platform rapidcheck)
+add_unit_test(replica_test SOURCES tests/replica_test.cc LIBRARIES fakes_platform)
--- /dev/null
+++ b/tests/replica_test.cc
@@ -0,0 +1,477 @@
+// Tests of the configuration's replicas: several hosts, their service and the
+// faults between them, in virtual time.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decisions/configuration_replica.h"
+#include "key_value_state.h"
+
+namespace hickorystand {
+namespace {
+
+using fakes::KeyValueState;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kStep = milliseconds(50);
+constexpr Duration kDigestPeriod = milliseconds(250);
+
+// One data centre: hosts h0, h1 and so on, of which the first two watch.
+class Bed {
+ public:
+  struct Host {
+    std::unique_ptr<ConfigurationReplica> replica;
+    bool watching = false;
+    int64_t watched = 0;  // the service's revision that was told
+    int64_t highest = 0;  // revision ever in force, in this incarnation
+    int64_t fetches = 0;
+    bool deaf = false;  // answers no fetch
+  };
+
+  explicit Bed(int hosts, ReplicaOptions options = {})
+      : options(std::move(options)) {
+    for (int i = 0; i < hosts; ++i) {
+      this->Restart(i);
+    }
+  }
+
+  void Restart(int index) {
+    Host& host = this->hosts[index];
+    host = {};
+    ReplicaOptions mine = this->options;
+    mine.data_centre = DataCentreId("dc1");
+    mine.seed = static_cast<uint64_t>(index) + 1;
+    host.replica = std::make_unique<ConfigurationReplica>(mine);
+    this->Do(index, host.replica->SetWatching(this->now, index < 2));
+  }
+
+  void Stop(int index) { this->hosts.erase(index); }
+
+  // Lets time pass.
+  void Run(Duration length) {
+    for (const Instant end = this->now + length; this->now < end;) {
+      this->now += kStep;
+      this->Feed();
+      std::vector<std::function<void()>> arrived;
+      std::swap(arrived, this->mail);
+      for (const auto& deliver : arrived) {
+        deliver();
+      }
+      for (auto& [index, host] : this->hosts) {
+        this->Do(index, host.replica->OnTick(this->now));
+      }
+      if (this->now.time_since_epoch() % kDigestPeriod == Duration::zero()) {
+        this->SendDigests();
+      }
+    }
+  }
+
+  // Applies a change at the service, past all faults.
+  Result<ConfigurationChange::Applied> Apply(
+      const std::function<void(Configuration&)>& edit) {
+    ConfigurationChange change({"test", "t" + std::to_string(++this->tokens)},
+                               [&](const Configuration& old) {
+                                 Configuration wanted = old;
+                                 edit(wanted);
+                                 return Result<Configuration>(wanted);
+                               });
+    auto step = change.OnReply(this->store.Transact(change.Start()));
+    while (auto* next = std::get_if<StoreTransaction>(&step)) {
+      step = change.OnReply(this->store.Transact(*next));
+    }
+    return std::get<Result<ConfigurationChange::Applied>>(step);
+  }
+
+  Result<ConfigurationChange::Applied> AddAccount(const std::string& id) {
+    return this->Apply([&](Configuration& wanted) {
+      CHECK(PutRecord(wanted, {.kind = "account", .id = id}).has_value());
+      CHECK(PutRecord(wanted, {.kind = "site",
+                               .id = "dc1",
+                               .fields = {{"cut_off_key_limit", "2m"}}})
+                .has_value());
+    });
+  }
+
+  bool AllAt(int64_t revision) const {
+    return std::ranges::all_of(this->hosts, [&](const auto& item) {
+      return item.second.replica->Revision() == revision;
+    });
+  }
+
+  bool AllKnow(const std::string& account) const {
+    return std::ranges::all_of(this->hosts, [&](const auto& item) {
+      const auto& configuration = item.second.replica->InForce();
+      return configuration &&
+             configuration->accounts.contains(AccountId(account));
+    });
+  }
+
+  int64_t LowerIgnored() const {
+    int64_t sum = 0;
+    for (const auto& [index, host] : this->hosts) {
+      sum += host.replica->Counts().lower_ignored;
+    }
+    return sum;
+  }
+
+  Instant now = Instant(seconds(1000));
+  KeyValueState store;
+  bool down = false;          // the service answers nothing
+  bool watch_silent = false;  // watches say nothing more
+  bool peers_cut = false;     // no digest and no fetch arrives
+  int64_t head_reads = 0;
+  int64_t whole_reads = 0;
+  bool reverted = false;  // some host's revision went back
+  std::map<int, Host> hosts;
+
+ private:
+  using Kind = ReplicaAction::Kind;
+
+  static HostId Name(int index) { return HostId("h" + std::to_string(index)); }
+
+  void Do(int index, const ReplicaActions& actions) {
+    for (const ReplicaAction& action : actions) {
+      this->DoOne(index, action);
+    }
+  }
+
+  void DoOne(int index, const ReplicaAction& action) {
+    Host& host = this->hosts.at(index);
+    switch (action.kind) {
+      case Kind::kReadHead:
+        ++this->head_reads;
+        this->Later(index,
+                    [this, reply = this->Read(StoreGet(kHeadKey))](Host& to) {
+                      return to.replica->OnHeadRead(this->now, reply);
+                    });
+        break;
+      case Kind::kReadAll:
+        ++this->whole_reads;
+        this->Later(
+            index,
+            [this, reply = this->Read(ReadConfigurationTransaction().then[0])](
+                Host& to) {
+              return to.replica->OnStateRead(this->now, reply);
+            });
+        break;
+      case Kind::kWatch:
+        host.watching = true;
+        host.watched = action.store_revision;
+        break;
+      case Kind::kStopWatch:
+        host.watching = false;
+        break;
+      case Kind::kFetch:
+        ++host.fetches;
+        this->Fetch(index, action);
+        break;
+      case Kind::kInForce:
+        this->reverted |= action.configuration->revision < host.highest;
+        host.highest = std::max(host.highest, action.configuration->revision);
+        break;
+    }
+  }
+
+  StoreReply Read(const StoreOperation& read) {
+    return this->down ? StoreReply{.outcome = StoreOutcome::kUnknown}
+                      : this->store.Transact({.then = {read}});
+  }
+
+  // Delivers in the next step, if the host still lives then.
+  void Later(int index, std::function<ReplicaActions(Host&)> deliver) {
+    this->mail.emplace_back([this, index, deliver = std::move(deliver),
+                             life = this->hosts.at(index).replica.get()] {
+      const auto host = this->hosts.find(index);
+      if (host != this->hosts.end() && host->second.replica.get() == life) {
+        this->Do(index, deliver(host->second));
+      }
+    });
+  }
+
+  void Fetch(int index, const ReplicaAction& action) {
+    const auto peer = std::ranges::find_if(this->hosts, [&](const auto& item) {
+      return Name(item.first) == action.peer;
+    });
+    if (this->peers_cut || peer == this->hosts.end() || peer->second.deaf) {
+      return;
+    }
+    this->Later(index, [this, from = action.peer,
+                        values = peer->second.replica->ValuesAbove(
+                            action.above_revision)](Host& to) {
+      return to.replica->OnPeerValues(this->now, from, values);
+    });
+  }
+
+  void SendDigests() {
+    for (const auto& [from, sender] : this->hosts) {
+      for (const auto& [index, host] : this->hosts) {
+        if (from != index && !this->peers_cut) {
+          this->Later(index, [this, name = Name(from),
+                              revision = sender.replica->Revision()](Host& to) {
+            return to.replica->OnPeerRevision(this->now, name, revision);
+          });
+        }
+      }
+    }
+  }
+
+  // Tells each watch what changed, or that it broke.
+  void Feed() {
+    for (auto& [index, host] : this->hosts) {
+      if (!host.watching || this->watch_silent) {
+        continue;
+      }
+      if (this->down) {
+        host.watching = false;
+        this->Do(index, host.replica->OnWatchLost(this->now));
+        continue;
+      }
+      std::vector<StoreRecord> changed;
+      for (const auto& change :
+           this->store.Changes(kConfigurationPrefix, host.watched)) {
+        changed.push_back(change.record);
+      }
+      host.watched = this->store.Revision();
+      if (!changed.empty()) {
+        this->Do(index, host.replica->OnWatch(this->now, changed));
+      }
+    }
+  }
+
+  ReplicaOptions options;
+  std::vector<std::function<void()>> mail;
+  int tokens = 0;
+};
+
+}  // namespace
+
+TEST_GROUP(Replica){};
+
+TEST(Replica, ChangeIsInForceEverywhereWithinTwoSeconds) {
+  Bed bed(6);
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(3));
+  CHECK(bed.AllAt(1));
+  const int64_t reads = bed.whole_reads;
+  CHECK(bed.AddAccount("b").has_value());
+  bed.Run(seconds(2));
+  CHECK(bed.AllAt(2));
+  CHECK(bed.AllKnow("b"));
+  // Those that don't watch took it from peers.
+  LONGS_EQUAL(reads, bed.whole_reads);
+}
+
+TEST(Replica, AnswersAPeerWithNoMoreThanWhatItLacks) {
+  Bed bed(1);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(bed.AddAccount("a" + std::to_string(i)).has_value());
+  }
+  bed.Run(seconds(2));
+  const auto& replica = *bed.hosts[0].replica;
+  LONGS_EQUAL(0, replica.ValuesAbove(20).size());
+  LONGS_EQUAL(2, replica.ValuesAbove(19).size());
+}
+
+// A caller's key was withdrawn, but one host serves it for good: its watch went
+// silent, and as its peers watch the same dead connection, no digest tells. The
+// head that each watching host reads now and then must show it.
+TEST(Replica, NoticesASilentWatchByReadingHead) {
+  Bed bed(3);
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(3));
+  bed.watch_silent = true;
+  CHECK(bed.AddAccount("b").has_value());
+  bed.Run(seconds(7));
+  CHECK(bed.AllKnow("b"));
+}
+
+// All hosts of the fleet are replaced while the platform is out. Until it is
+// back nobody can know any key; when it is back all must have the configuration
+// without an operator, and must not all read it in the same moment for ever.
+TEST(Replica, ComesBackAfterAllRestartedDuringAnOutage) {
+  Bed bed(5);
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(3));
+  bed.down = true;
+  for (int i = 0; i < 5; ++i) {
+    bed.Restart(i);
+  }
+  bed.Run(seconds(60));
+  CHECK(bed.AllAt(0));
+  CHECK(!bed.hosts[0].replica->KeysTrusted(bed.now));
+  bed.down = false;
+  bed.Run(seconds(8));
+  CHECK(bed.AllKnow("a"));
+  CHECK(bed.hosts[4].replica->KeysTrusted(bed.now));
+}
+
+// The platform is out, and one host is replaced. Its peers have the
+// configuration in force; it must not wait for the platform.
+TEST(Replica, RestartedHostLearnsFromPeersDuringAnOutage) {
+  Bed bed(3);
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(3));
+  bed.down = true;
+  bed.Restart(0);
+  bed.Run(seconds(3));
+  CHECK(bed.AllKnow("a"));
+}
+
+// A peer says that it has the new revision and then answers nothing, as it was
+// paused. The others must not wait for it.
+TEST(Replica, PassesOverAPeerThatDoesNotAnswer) {
+  Bed bed(4);
+  bed.hosts[0].deaf = true;
+  bed.hosts[1].deaf = true;
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(4));
+  CHECK(bed.AllKnow("a"));
+}
+
+// A host was paused for an hour and wakes with an old revision, which it offers
+// in digests and answers. Nobody may go back to it.
+TEST(Replica, StalePeerBringsNothingBack) {
+  Bed bed(2);
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(2));
+  const auto stale = bed.hosts[1].replica->ValuesAbove(0);
+  CHECK(bed.AddAccount("b").has_value());
+  bed.Run(seconds(2));
+  auto& fresh = *bed.hosts[0].replica;
+  CHECK(fresh.OnPeerRevision(bed.now, HostId("h1"), 1).empty());
+  CHECK(fresh.OnPeerValues(bed.now, HostId("h1"), stale).empty());
+  LONGS_EQUAL(2, fresh.Revision());
+  CHECK(fresh.Counts().lower_ignored > 0);
+}
+
+// The platform's people put the service back to last night's backup. Accounts
+// created and keys withdrawn since would silently be undone on every host that
+// reads it again. The lower revision must be refused, counted, and shown.
+void RestoreOlder(Bed& bed) {
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(3));
+  const KeyValueState backup = bed.store;
+  CHECK(bed.AddAccount("b").has_value());
+  bed.Run(seconds(3));
+  bed.store = backup;
+  for (auto& [index, host] : bed.hosts) {
+    host.watched = std::min(host.watched, backup.Revision());
+  }
+  bed.down = true;  // its clients are thrown off meanwhile
+  bed.Run(seconds(1));
+  bed.down = false;
+  bed.Run(seconds(20));
+}
+
+TEST(Replica, RefusesAServicePutBackToABackup) {
+  Bed bed(3);
+  RestoreOlder(bed);
+  CHECK(bed.AllAt(2));
+  CHECK(bed.AllKnow("b"));
+  CHECK(!bed.reverted);
+  CHECK(bed.LowerIgnored() > 0);
+  // Nor does a host that starts anew stay with the backup.
+  bed.Restart(0);
+  bed.Run(seconds(5));
+  CHECK(bed.AllAt(2));
+}
+
+TEST(Replica, WouldRevertWithoutRefusingLowerRevisions) {
+  Bed bed(3, {.refuse_lower = false});
+  RestoreOlder(bed);
+  CHECK(bed.reverted);
+}
+
+// After the service was put back to a backup, operators make other changes in
+// it, until its revision passes the one in force at the hosts. Numbers of the
+// two histories fit together, though the contents don't: an account created
+// before would stay on some hosts for ever. The whole state must be read.
+void Fork(Bed& bed) {
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(3));
+  const KeyValueState backup = bed.store;
+  CHECK(bed.AddAccount("lost").has_value());
+  bed.Run(seconds(3));
+  bed.store = backup;
+  CHECK(bed.AddAccount("c").has_value());
+  CHECK(bed.AddAccount("d").has_value());
+  bed.down = true;
+  bed.Run(seconds(1));
+  bed.down = false;
+  bed.Run(seconds(20));
+}
+
+TEST(Replica, TakesAForkAsAWholeOnceItIsHigher) {
+  Bed bed(3);
+  Fork(bed);
+  CHECK(bed.AllAt(3));
+  CHECK(bed.AllKnow("c"));
+  for (const auto& [index, host] : bed.hosts) {
+    CHECK(!host.replica->InForce()->accounts.contains(AccountId("lost")));
+  }
+}
+
+TEST(Replica, WouldMixAForkWithoutComparingHistories) {
+  Bed bed(3, {.compare_history = false});
+  Fork(bed);
+  CHECK(std::ranges::any_of(bed.hosts, [](const auto& item) {
+    return item.second.replica->InForce()->accounts.contains(AccountId("lost"));
+  }));
+}
+
+// A data centre is cut off from the platform and from all others. It goes on
+// serving known keys, but not for longer than its site allows: a key withdrawn
+// meanwhile must stop working at last, without anybody reaching the hosts.
+TEST(Replica, TrustsKeysForTheLimitOnlyWhileCutOff) {
+  Bed bed(3);
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(30));
+  bed.down = true;
+  bed.peers_cut = true;
+  bed.Run(seconds(60));
+  CHECK(bed.hosts[2].replica->KeysTrusted(bed.now));
+  bed.Run(seconds(65));
+  CHECK(!bed.hosts[2].replica->KeysTrusted(bed.now));
+  bed.down = false;
+  bed.peers_cut = false;
+  bed.Run(seconds(30));
+  CHECK(bed.hosts[2].replica->KeysTrusted(bed.now));
+}
+
+// Nobody changes anything for a day; keys must not lose trust for that.
+TEST(Replica, StaysTrustedWhileNothingChanges) {
+  Bed bed(3);
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(600));
+  for (const auto& [index, host] : bed.hosts) {
+    CHECK(host.replica->KeysTrusted(bed.now));
+  }
+}
+
+// Bytes that are no configuration must change nothing, whoever sends them.
+TEST(Replica, IgnoresBrokenValues) {
+  Bed bed(1);
+  CHECK(bed.AddAccount("a").has_value());
+  bed.Run(seconds(2));
+  auto& replica = *bed.hosts[0].replica;
+  for (const char* text : {"", "{", "[]", "{\"revision\":9}", "\xff\xfe"}) {
+    CHECK(replica
+              .OnPeerValues(bed.now, HostId("x"),
+                            {{.key = kHeadKey, .revision = 9, .text = text}})
+              .empty());
+  }
+  LONGS_EQUAL(1, replica.Revision());
+  LONGS_EQUAL(5, replica.Counts().broken_ignored);
+}
+
+}  // namespace hickorystand
