Start an entry host from its settings: tasks, control, operators' page

Two tasks own everything: serving (callers, endpoints, dispatcher) and control (configuration, lease, orders, claims, usage, peers). They hand each other values. A planned stop finishes requests, then hands over usage and lease.

Several message types bore the same name in different packages and could not be used together; they are renamed.

--- a/packages/daemon/control.cc
+++ b/packages/daemon/control.cc
@@ -334,7 +334,7 @@
   this->peers->StartDrain();
 }
 
-void Control::Release(std::function<void()> on_released) {
+void Control::HandOver(std::function<void()> on_released) {
   this->ShareUsage();
   this->coordinator->StartRelease();
   this->release_timer = Timer::Every(
--- a/packages/daemon/control.h
+++ b/packages/daemon/control.h
@@ -75,13 +75,16 @@
   // Claims a non-idempotent request; `done` is called on this task.
   void Claim(const ClaimRequest& request,
              std::function<void(ClaimResult)> done);
-  void WithdrawClaim(const RequestId& request);
+  void ForgetClaim(const RequestId& request) { this->claims->Forget(request); }
+  void WithdrawClaim(const RequestId& request) {
+    this->claims->Withdraw(request);
+  }
 
   // This host leaves: the others are told, and nothing new rests on it.
   void StartDrain();
 
   // Gives up the lease and hands over usage; then calls back. Comes last.
-  void Release(std::function<void()> on_released);
+  void HandOver(std::function<void()> on_released);
 
   // This host's view of the fleet, as the admin page shows it.
   std::string StatusJson() const;
--- a/packages/daemon/coordinator_driver.cc
+++ b/packages/daemon/coordinator_driver.cc
@@ -32,6 +32,35 @@
   return OrderReply::kNoReply;
 }
 
+OrderReply JudgeOrder(PlatformOutcome outcome) {
+  switch (outcome) {
+    case PlatformOutcome::kAccepted:
+      return OrderReply::kDone;
+    case PlatformOutcome::kRefused:
+      return OrderReply::kRejected;
+    case PlatformOutcome::kNotSent:
+      return OrderReply::kNotSent;
+    case PlatformOutcome::kUnknown:
+      return OrderReply::kNoReply;
+  }
+  return OrderReply::kNoReply;
+}
+
+// A refused report is sent again too: its figures are fixed, and dropping them
+// would leave the account unbilled.
+ReportReply JudgeReport(PlatformOutcome outcome) {
+  switch (outcome) {
+    case PlatformOutcome::kAccepted:
+      return ReportReply::kAccepted;
+    case PlatformOutcome::kNotSent:
+      return ReportReply::kNotSent;
+    case PlatformOutcome::kRefused:
+    case PlatformOutcome::kUnknown:
+      return ReportReply::kNoReply;
+  }
+  return ReportReply::kNoReply;
+}
+
 }  // namespace
 
 ClaimDriver::ClaimDriver(const ClaimOptions& options,
@@ -101,7 +130,10 @@
 CoordinatorDriver::CoordinatorDriver(const CoordinatorOptions& options,
                                      const Clock& clock,
                                      CoordinatorOutlets outlets)
-    : coordinator(options), clock(clock), outlets(std::move(outlets)) {
+    : coordinator(options),
+      data_centre(options.lease.data_centre),
+      clock(clock),
+      outlets(std::move(outlets)) {
   this->timer = Timer::Every(kCoordinatorTick, [this] {
     CoordinatorActions actions;
     this->coordinator.OnTick(this->clock.Now(), actions);
@@ -127,7 +159,7 @@
   this->Perform(actions);
 }
 
-void CoordinatorDriver::OnHosts(const std::vector<ListedHost>& hosts) {
+void CoordinatorDriver::OnHosts(const std::vector<HostListing>& hosts) {
   CoordinatorActions actions;
   this->coordinator.OnHosts(this->clock.Now(), hosts, actions);
   this->Perform(actions);
@@ -234,6 +266,33 @@
       });
 }
 
+void CoordinatorDriver::Do(const SendEndpointOrder& action) {
+  const Order& order = action.order;
+  LogInfo(kPart, "Endpoint order sent to the platform.",
+          {{"order", order.id.Text()},
+           {"service", order.service.Text()},
+           {"change", std::to_string(order.change)},
+           {"endpoint", order.endpoint.Text()},
+           {"fencing", std::to_string(action.fencing)}});
+  this->outlets.platform->OrderEndpoints(
+      this->data_centre, order, action.fencing, this->MaySend(action.fencing),
+      [this, id = order.id](PlatformOutcome outcome) {
+        this->Replied(id, JudgeOrder(outcome));
+      });
+}
+
+void CoordinatorDriver::Do(const SendUsageReport& action) {
+  this->outlets.platform->ReportUsage(
+      this->data_centre, action.window, action.fencing, action.figures,
+      this->MaySend(action.fencing),
+      [this, window = action.window](PlatformOutcome outcome) {
+        CoordinatorActions next;
+        this->coordinator.OnReportReply(this->clock.Now(), window,
+                                        JudgeReport(outcome), next);
+        this->Perform(next);
+      });
+}
+
 void CoordinatorDriver::Do(const TellReleased& action) {
   this->outlets.tell_released(action.release);
 }
--- a/packages/daemon/coordinator_driver.h
+++ b/packages/daemon/coordinator_driver.h
@@ -71,7 +71,7 @@
   void ApplyConfiguration(const ConfigurationPtr& wanted);
 
   // News, passed on to the coordinator.
-  void OnHosts(const std::vector<ListedHost>& hosts);
+  void OnHosts(const std::vector<HostListing>& hosts);
   void OnReleased(const Release& release);
   void OnPeer(const HostId& host, uint64_t incarnation);
   void OnEndpointRestarted(const EndpointId& endpoint);
@@ -97,6 +97,7 @@
   std::function<bool()> MaySend(int64_t fencing) const;
 
   Coordinator coordinator;
+  DataCentreId data_centre;
   const Clock& clock;
   CoordinatorOutlets outlets;
   ConfigurationPtr configuration = std::make_shared<Configuration>();
--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -144,17 +144,32 @@
 
 RequestHooks HostDaemon::HooksForGateway() {
   RequestHooks hooks;
-  hooks.claim = [this](const ClaimNeeded& needed,
+  hooks.claim = [this](const ClaimRequest& request,
                        std::function<void(ClaimResult)> done) {
-    this->control_task.Post([this, needed, done = std::move(done)] {
-      this->control->Claim(needed, [this, done](ClaimResult result) {
+    this->claimed_until[request.request] =
+        this->clock.Now() + request.window / 2;
+    this->control_task.Post([this, request, done = std::move(done)] {
+      this->control->Claim(request, [this, done](ClaimResult result) {
         this->serving_task.Post([done, result] { done(result); });
       });
     });
   };
-  hooks.release_claim = [this](const ClaimNeeded& needed) {
+  // A host that slept for longer than its claim's record is sure to last must
+  // not send: somebody else may have claimed the same request since.
+  hooks.may_send = [this](const RequestId& request) {
+    const auto found = this->claimed_until.find(request);
+    return found != this->claimed_until.end() &&
+           this->clock.Now() < found->second;
+  };
+  hooks.claim_used = [this](const RequestId& request) {
+    this->claimed_until.erase(request);
+    this->control_task.Post(
+        [this, request] { this->control->ForgetClaim(request); });
+  };
+  hooks.release_claim = [this](const RequestId& request) {
+    this->claimed_until.erase(request);
     this->control_task.Post(
-        [this, needed] { this->control->WithdrawClaim(needed.request); });
+        [this, request] { this->control->WithdrawClaim(request); });
   };
   hooks.usage = [this](const UsageRecord& record) {
     this->control_task.Post([this, record] {
@@ -209,7 +224,7 @@
 
 void HostDaemon::Finish() {
   LogInfo(kPart, "All requests are finished.");
-  this->control->Release([this] {
+  this->control->HandOver([this] {
     LogInfo(kPart, "Planned stop is complete.");
     if (this->on_done) {
       this->on_done();
--- a/packages/daemon/host_daemon.h
+++ b/packages/daemon/host_daemon.h
@@ -12,8 +12,10 @@
 
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -63,12 +65,12 @@
   SocketAddress gateway_address;
   std::function<void()> on_done;
   std::atomic<bool> draining = false;
+  // Until when claimed requests may be sent; used on the serving task only.
+  std::map<RequestId, Instant> claimed_until;
   // The parts of each task; made, used and destroyed there.
   std::unique_ptr<Gateway> gateway;
   std::unique_ptr<Control> control;
   std::unique_ptr<AdminServer> admin;
-  std::unique_ptr<Timer> notice_timer;
-  std::unique_ptr<Timer> limit_timer;
   Task serving_task;
   Task control_task;
 };
--- a/packages/daemon/package.cmake
+++ b/packages/daemon/package.cmake
@@ -1,1 +1,3 @@
-add_package(daemon hs_gateway hs_endpoints hs_peers hs_platform hs_decisions PkgConfig::SOUP)
+add_package(daemon hs_gateway hs_endpoints hs_peers hs_platform hs_decisions)
+add_executable(hickorystandd packages/daemon/program/main.cc)
+target_link_libraries(hickorystandd PRIVATE hs_daemon)
