--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -104,7 +104,7 @@
 }
 
 ControlEvents HostDaemon::EventsForServing() {
-  const auto post = [this](auto call) {
+  const auto post = [this](const auto& call) {
     this->serving_task.Post([this, call] {
       if (this->gateway) {
         call(*this->gateway);
