--- a/packages/daemon/host_settings.cc
+++ b/packages/daemon/host_settings.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr size_t kMinimumSecretBytes = 16;
-constexpr int64_t kMebibyte = 1024 * 1024;
+constexpr int64_t kMebibyte = int64_t{1024} * 1024;
 constexpr int64_t kSecondInMilliseconds = 1000;
 
 // The first line of a secret's file, without which the file is refused.
