--- a/packages/decisions/configuration_replica.cc
+++ b/packages/decisions/configuration_replica.cc
@@ -92,7 +92,7 @@
     this->IgnoreBroken(now, {ErrorKind::kBadSetting, "a value is broken", {}});
     this->next_read = now + kLongestRetry;
   } else {
-    if (this->staged.head && this->IsInForce(*this->staged.head)) {
+    if (this->IsInForce(this->staged.head)) {
       this->confirmed_at = now;
     }
     Append(actions, this->TryAccept(now));
@@ -162,13 +162,13 @@
     this->reading_all = this->reading_head = false;
     this->NoteReadFailed(now);
   }
-  if (this->fetching && now >= this->fetch_deadline) {
+  if (!this->fetching.Empty() && now >= this->fetch_deadline) {
     ++this->counts.peers_silent;
-    this->tried.push_back(*std::exchange(this->fetching, std::nullopt));
+    this->tried.push_back(std::exchange(this->fetching, HostId()));
     Append(actions, this->FetchNext(now));
   }
   const bool due = this->next_read && now >= *this->next_read;
-  if (due && !this->fetching) {
+  if (due && this->fetching.Empty()) {
     Append(actions, this->ReadAll(now));
   }
   if (now >= this->next_confirm && this->in_force && !this->reading_head &&
@@ -210,8 +210,8 @@
                                  const std::string& text) {
   if (key == kHeadKey) {
     auto read = ReadHead(text);
-    const bool newer = read && (!this->staged.head ||
-                                read->revision >= this->staged.head->revision ||
+    const bool newer = read && (this->staged.head.revision == 0 ||
+                                read->revision >= this->staged.head.revision ||
                                 !this->options.refuse_lower);
     if (newer) {
       this->staged.head = std::move(*read);
@@ -238,10 +238,10 @@
 
 // Takes what is staged if it makes a whole above the one in force.
 ReplicaActions ConfigurationReplica::TryAccept(Instant now) {
-  if (!this->staged.head) {
+  if (this->staged.head.revision == 0) {
     return {};
   }
-  const ConfigurationHead& next = *this->staged.head;
+  const ConfigurationHead& next = this->staged.head;
   const bool same = this->IsInForce(next);
   if (same ||
       (next.revision <= this->head.revision && this->options.refuse_lower)) {
@@ -268,7 +268,7 @@
   }
   if (!continues && !std::exchange(this->fetch_whole, true)) {
     ++this->counts.forks_seen;
-    this->fetching.reset();
+    this->fetching = {};
     return this->Catch(now);
   }
   this->next_read = std::min(this->next_read.value_or(now + kPartsTimeout),
@@ -282,7 +282,7 @@
       (!this->options.refuse_lower || next->revision > this->head.revision) &&
       "a revision in force never goes back");
   const bool continues =
-      !this->options.compare_history || this->Continues(*this->staged.head);
+      !this->options.compare_history || this->Continues(this->staged.head);
   if (!continues) {
     this->buckets.clear();
     this->texts.clear();
@@ -291,7 +291,7 @@
     this->buckets[bucket] = std::move(content);
     this->texts[bucket] = std::move(this->staged.texts[bucket]);
   }
-  this->head = std::move(*this->staged.head);
+  this->head = std::move(this->staged.head);
   this->head_text = std::move(this->staged.head_text);
   this->staged = {};
   this->in_force = std::move(next);
@@ -299,7 +299,7 @@
   // heard of the service later than this host.
   this->confirmed_at = now;
   this->next_confirm = now + this->ConfirmPeriod();
-  this->fetching.reset();
+  this->fetching = {};
   this->fetch_whole = false;
   this->tried.clear();
   if (!this->watches || this->watch_open) {
@@ -351,7 +351,7 @@
 
 // Something newer exists: asks for it, unless that is under way.
 ReplicaActions ConfigurationReplica::Catch(Instant now) {
-  if (this->fetching || this->reading_all) {
+  if (!this->fetching.Empty() || this->reading_all) {
     return {};
   }
   this->tried.clear();
@@ -384,7 +384,7 @@
   this->fetching = candidates[pick(this->random)];
   this->fetch_deadline = now + this->options.peer_timeout;
   return {{.kind = Kind::kFetch,
-           .peer = *this->fetching,
+           .peer = this->fetching,
            .above_revision = this->fetch_whole ? 0 : this->head.revision}};
 }
 
--- a/packages/decisions/configuration_replica.h
+++ b/packages/decisions/configuration_replica.h
@@ -149,7 +149,7 @@
 
  private:
   struct Staged {
-    std::optional<ConfigurationHead> head;
+    ConfigurationHead head;  // revision 0: not there yet
     std::string head_text;
     std::map<int, ConfigurationBucket> buckets;
     std::map<int, std::string> texts;
@@ -186,7 +186,7 @@
   // On its way.
   Staged staged;
   std::map<HostId, int64_t> peers;  // revision in force at each
-  std::optional<HostId> fetching;   // the peer asked just now
+  HostId fetching;                  // the peer asked just now; empty: none
   bool fetch_whole = false;         // from revision 0, as histories forked
   Instant fetch_deadline{};
   std::vector<HostId> tried;  // peers that were silent in this round
