--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -236,7 +236,7 @@
     }
     out.__set_buckets_reply(item);
   }
-  void operator()(const UsageCopy& copy) {
+  void operator()(const UsageCopyMessage& copy) {
     wire::UsageCopy item;
     item.host = copy.host.Text();
     item.incarnation = static_cast<int64_t>(copy.incarnation);
@@ -247,6 +247,7 @@
     wire::Released item;
     item.data_centre = released.data_centre.Text();
     item.fencing = released.fencing;
+    item.incarnation = static_cast<int64_t>(released.incarnation);
     out.__set_released(item);
   }
   void operator()(const EndpointNews& news) {
@@ -319,7 +320,7 @@
     return WireMessage(ReadBuckets(in->buckets_reply));
   }
   if (set.usage_copy && GoodId(in->usage_copy.host)) {
-    return WireMessage(PeerMessage(UsageCopy{
+    return WireMessage(PeerMessage(UsageCopyMessage{
         .host = HostId(in->usage_copy.host),
         .incarnation = static_cast<uint64_t>(in->usage_copy.incarnation),
         .value = std::move(in->usage_copy.value)}));
@@ -327,6 +328,7 @@
   if (set.released && GoodId(in->released.data_centre)) {
     return WireMessage(PeerMessage(
         Released{.data_centre = DataCentreId(in->released.data_centre),
+                 .incarnation = static_cast<uint64_t>(in->released.incarnation),
                  .fencing = in->released.fencing}));
   }
   if (set.endpoint_news && GoodId(in->endpoint_news.endpoint)) {
