--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -344,7 +344,7 @@
   FakePlainService service({.delay = std::chrono::milliseconds(50)});
   GatewayBed bed;
   bed.AddPlain("p1", service.Address());
-  auto answer = bed.caller.Start(
+  bed.caller.Start(
       bed.Outgoing("POST", "/services/filing/petitions", "{\"p\":1}"));
   CHECK(Eventually([&] { return service.Petitions().size() == 1; }));
   bed.caller.HangUp();
