Add the operators' client, its files and their page

A change goes above the revision that hosts hold, as a service put back to a backup would otherwise have its changes ignored. Sections and keys of INI files are read in one place, which the host settings use too.

--- a/fakes/key_value.h
+++ b/fakes/key_value.h
@@ -21,7 +21,7 @@
   kNone,
   kDown,         // connections are cut before any call is handled
   kSlow,         // every answer comes `slow_by` late
-  kReplyLost,    // writes take effect, their connections are cut
+  kReplyLost,    // after a write took effect its connection is cut
   kUnavailable,  // answers 503 and does nothing
   kSilentWatch,  // watches are confirmed and then never say anything
 };
--- /dev/null
+++ b/packages/ctl/fleet_commands.cc
@@ -0,0 +1,291 @@
+// Commands about the hosts that run: status, drain and why.
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <thread>
+
+#include "ctl/command.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr Duration kRefresh = std::chrono::seconds(1);
+
+// What one data centre's hosts said, put together.
+struct DataCentreView {
+  std::vector<const HostStatus*> hosts;
+  std::string holder;
+  int64_t fencing = 0;
+  std::map<std::string, int64_t> endpoints;  // "chat mixed ready" -> how many
+  std::map<std::string, int64_t> refusals;
+  std::string worst_account;
+  double worst_share = std::numeric_limits<double>::infinity();
+};
+
+void AddHost(const HostStatus& host, DataCentreView& view) {
+  view.hosts.push_back(&host);
+  const Json lease = host.whole.At("lease");
+  if (lease.At("fencing").Integer() > view.fencing) {
+    view.fencing = lease.At("fencing").Integer();
+    view.holder = lease.At("holder").Text();
+  }
+  // Every host sees the same endpoints; one that sees more knows better.
+  std::map<std::string, int64_t> endpoints;
+  for (const Json& endpoint : host.whole.At("endpoints").Items()) {
+    ++endpoints[endpoint.At("service").Text() + " " +
+                endpoint.At("role").Text() + " " + endpoint.At("state").Text()];
+  }
+  if (endpoints.size() >= view.endpoints.size()) {
+    view.endpoints = std::move(endpoints);
+  }
+  const Json refusals = host.whole.At("refusals");
+  for (const std::string& code : refusals.Names()) {
+    view.refusals[code] += refusals.At(code).Integer();
+  }
+  for (const Json& account : host.whole.At("accounts").Items()) {
+    const double share = account.At("share").Number(
+        std::numeric_limits<double>::infinity());
+    if (account.At("waiting").Integer() > 0 && share < view.worst_share) {
+      view.worst_share = share;
+      view.worst_account = account.At("id").Text();
+    }
+  }
+}
+
+std::map<DataCentreId, DataCentreView> GroupByDataCentre(
+    const FleetStatus& fleet) {
+  std::map<DataCentreId, DataCentreView> views;
+  for (const HostStatus& host : fleet.hosts) {
+    AddHost(host, views[host.data_centre]);
+  }
+  return views;
+}
+
+void WriteCounts(const std::string& title,
+                 const std::map<std::string, int64_t>& counts,
+                 std::ostream& out) {
+  if (counts.empty()) {
+    return;
+  }
+  out << "  " << title << ":";
+  const char* separator = " ";
+  for (const auto& [name, count] : counts) {
+    out << std::exchange(separator, ", ") << name << " " << count;
+  }
+  out << "\n";
+}
+
+std::string StatusText(const FleetStatus& fleet) {
+  std::ostringstream out;
+  const int64_t newest = fleet.HighestRevision();
+  for (const auto& [id, view] : GroupByDataCentre(fleet)) {
+    out << id << ": lease "
+        << (view.holder.empty() ? "held by nobody"
+                                : "held by " + view.holder + " (fencing " +
+                                      std::to_string(view.fencing) + ")")
+        << "\n";
+    for (const HostStatus* host : view.hosts) {
+      out << "  host " << host->host << "  revision " << host->revision
+          << (host->revision < newest ? "  BEHIND" : "")
+          << (host->draining ? "  draining" : "");
+      for (const Json& cut : host->whole.At("unreachable").Items()) {
+        out << "  CUT OFF from " << cut.Text();
+      }
+      out << "\n";
+    }
+    WriteCounts("endpoints", view.endpoints, out);
+    WriteCounts("refusals", view.refusals, out);
+    if (!view.worst_account.empty()) {
+      out << "  worst served account: " << view.worst_account << " at "
+          << std::lround(view.worst_share * 100) << "% of its share\n";
+    }
+  }
+  for (size_t i = 0; i < fleet.unreachable.size(); ++i) {
+    out << AddressText(fleet.unreachable[i]) << ": UNREACHABLE ("
+        << fleet.reasons[i] << ")\n";
+  }
+  return out.str();
+}
+
+JsonWriter StatusDocument(const FleetStatus& fleet) {
+  JsonWriter out;
+  out.BeginObject()
+      .Member("newest_revision", fleet.HighestRevision())
+      .Name("hosts")
+      .BeginArray();
+  for (const HostStatus& host : fleet.hosts) {
+    out.Value(host.whole);
+  }
+  out.EndArray().Name("unreachable").BeginArray();
+  for (size_t i = 0; i < fleet.unreachable.size(); ++i) {
+    out.BeginObject()
+        .Member("address", AddressText(fleet.unreachable[i]))
+        .Member("reason", fleet.reasons[i])
+        .EndObject();
+  }
+  out.EndArray().EndObject();
+  return out;
+}
+
+Result<bool> NeedHosts(Session& session) {
+  if (!session.Admin().HasHosts()) {
+    return Fail(ErrorKind::kBadSetting,
+                "no entry host is set; give --admin IP:PORT;IP:PORT, or "
+                "[admin] addresses in the file of --config");
+  }
+  return true;
+}
+
+Result<bool> Status(Session& session, const Invocation& invocation) {
+  if (const auto hosts = NeedHosts(session); !hosts) {
+    return hosts;
+  }
+  const bool watch = invocation.Has("watch");
+  while (true) {
+    const FleetStatus fleet = session.Admin().Status();
+    if (watch) {
+      // Home, and clear what is left of the last picture below.
+      session.Out().Out() << "\x1b[H\x1b[J";
+    }
+    session.Out().Line(StatusText(fleet));
+    session.Out().Document(StatusDocument(fleet));
+    if (!watch) {
+      return fleet.hosts.empty()
+                 ? Fail(ErrorKind::kTimeout, "no host can be reached")
+                 : Result<bool>(true);
+    }
+    std::this_thread::sleep_for(kRefresh);
+  }
+}
+
+Result<bool> Drain(Session& session, const Invocation& invocation) {
+  if (const auto hosts = NeedHosts(session); !hosts) {
+    return hosts;
+  }
+  const std::string& name = invocation.arguments.front();
+  const FleetStatus fleet = session.Admin().Status();
+  const auto host = std::ranges::find(fleet.hosts, HostId(name),
+                                      &HostStatus::host);
+  if (host == fleet.hosts.end()) {
+    return Fail(fleet.unreachable.empty() ? ErrorKind::kNotFound
+                                          : ErrorKind::kTimeout,
+                "no host that answers is called '" + name + "'");
+  }
+  const auto answer =
+      session.Admin().Ask(host->address, "POST", "/admin/drain");
+  if (!answer) {
+    return tl::unexpected(answer.error());
+  }
+  session.Out().Line(name + " drains: it takes no new request, finishes what "
+                            "runs, and stops.");
+  session.Out().Document(JsonWriter()
+                             .BeginObject()
+                             .Member("host", name)
+                             .Member("draining", true)
+                             .EndObject());
+  return true;
+}
+
+std::string DecisionText(const HostId& host, const Json& decision) {
+  std::string text = decision.At("time").IsText()
+                         ? decision.At("time").Text()
+                         : std::to_string(decision.At("time").Integer());
+  text += " " + host.Text() + " " + decision.At("part").Text() + ": " +
+          decision.At("message").Text();
+  const Json fields = decision.At("fields");
+  for (const std::string& name : fields.Names()) {
+    const Json value = fields.At(name);
+    text += " " + name + "=" + (value.IsText() ? value.Text() : value.Write());
+  }
+  return text;
+}
+
+Result<bool> Why(Session& session, const Invocation& invocation) {
+  if (const auto hosts = NeedHosts(session); !hosts) {
+    return hosts;
+  }
+  const std::string& request = invocation.arguments.front();
+  if (!std::ranges::all_of(request, [](char c) {
+        return g_ascii_isalnum(c) || c == '-' || c == '_' || c == '.';
+      })) {
+    return Fail(ErrorKind::kBadRequest,
+                "'" + request + "' is no id of a request");
+  }
+  const FleetStatus fleet = session.Admin().Status();
+  JsonWriter out;
+  out.BeginObject().Member("request", request).Name("hosts").BeginObject();
+  bool found = false;
+  std::vector<std::string> missing;
+  for (const HostStatus& host : fleet.hosts) {
+    const auto answer = session.Admin().Ask(host.address, "GET",
+                                            "/admin/why?request=" + request);
+    if (!answer) {
+      if (answer.error().kind != ErrorKind::kNotFound) {
+        missing.push_back(host.host.Text() + ": " + answer.error().message);
+      }
+      continue;
+    }
+    const auto decisions = answer->At("decisions").Items();
+    if (decisions.empty()) {
+      continue;
+    }
+    found = true;
+    out.Name(host.host.Text()).Value(answer->At("decisions"));
+    for (const Json& decision : decisions) {
+      session.Out().Line(DecisionText(host.host, decision));
+    }
+  }
+  for (const SocketAddress& address : fleet.unreachable) {
+    missing.push_back(AddressText(address) + ": can't be reached");
+  }
+  for (const std::string& line : missing) {
+    session.Out().Notice("not asked: " + line);
+  }
+  session.Out().Document(out.EndObject().EndObject());
+  if (!found) {
+    return Fail(missing.empty() ? ErrorKind::kNotFound : ErrorKind::kTimeout,
+                "no host that answered remembers request '" + request + "'");
+  }
+  return true;
+}
+
+}  // namespace
+
+std::vector<Command> FleetCommands() {
+  return {
+      {.name = "status",
+       .arguments = "",
+       .summary = "Where to look first: leases, revisions, endpoints, "
+                  "refusals, and what is cut off.",
+       .help = "Asks every host. A host that is BEHIND has not got the newest "
+               "revision yet; one that is UNREACHABLE did not answer.",
+       .examples = {"hickoryctl status", "hickoryctl status --watch"},
+       .most_arguments = 0,
+       .options = {{"watch", "refresh in place until interrupted"}},
+       .run = &Status},
+      {.name = "drain",
+       .arguments = "HOST",
+       .summary = "Take a host out of service without cutting off a request.",
+       .help = "The host takes no new request, finishes what runs, hands over "
+               "what it knows and gives up its lease.",
+       .examples = {"hickoryctl drain dc1-host2"},
+       .least_arguments = 1,
+       .most_arguments = 1,
+       .run = &Drain},
+      {.name = "why",
+       .arguments = "REQUEST-ID",
+       .summary = "Show the decisions about one request.",
+       .help = "The id is in the X-Request-Id header of the answer. Asks every "
+               "host, as the caller may have reached any of them.",
+       .examples = {"hickoryctl why 7b1c-204"},
+       .least_arguments = 1,
+       .most_arguments = 1,
+       .run = &Why},
+  };
+}
+
+}  // namespace hickorystand
--- a/packages/decisions/configuration_codec.cc
+++ b/packages/decisions/configuration_codec.cc
@@ -61,13 +61,13 @@
 
 // The faults of a configuration as one error; nothing if it is right.
 std::optional<Error> CheckWhole(const Configuration& configuration) {
-  const std::vector<std::string> faults = CheckReferences(configuration);
+  const std::vector<RecordFault> faults = CheckReferences(configuration);
   if (faults.empty()) {
     return std::nullopt;
   }
   std::string text;
-  for (const std::string& fault : faults) {
-    text += (text.empty() ? "" : "\n") + fault;
+  for (const RecordFault& fault : faults) {
+    text += (text.empty() ? "" : "\n") + fault.Text();
   }
   return Error{ErrorKind::kBadSetting, text, {}};
 }
@@ -257,7 +257,7 @@
     return tl::unexpected(*fault);
   }
   ConfigurationHead head = current.head;
-  head.revision = current.head.revision + 1;
+  head.revision = std::max(current.head.revision, author.above_revision) + 1;
   head.recent.insert(head.recent.begin(),
                      {.revision = head.revision,
                       .token = author.token,
@@ -334,7 +334,8 @@
     return this->Finish(tl::unexpected(write.error()));
   }
   this->transaction = std::move(*write);
-  ++this->applied.revision;
+  this->applied.revision =
+      std::max(this->applied.revision, this->author.above_revision) + 1;
   this->failures = 0;
   this->phase = Phase::kWriting;
   return this->transaction;
@@ -373,8 +374,12 @@
   if (Remembers(recent, &AcceptedChange::token, this->author.token)) {
     return this->applied;
   }
-  const bool remembered = Remembers(recent, &AcceptedChange::revision,
-                                    this->base.head.revision + 1);
+  // If the change that this one was made from is still remembered, so are all
+  // that came after it, and this one is not among them.
+  const auto& before = this->base.head.recent;
+  const bool remembered =
+      before.empty() ||
+      Remembers(recent, &AcceptedChange::token, before.front().token);
   if (this->in_doubt && !remembered &&
       stored->head.revision > this->base.head.revision) {
     return Fail(ErrorKind::kOutcomeUnknown,
--- a/packages/decisions/configuration_codec.h
+++ b/packages/decisions/configuration_codec.h
@@ -112,6 +112,10 @@
 struct ChangeAuthor {
   std::string name;   // such as maria@10.0.0.7
   std::string token;  // unique to this try
+  // The change gets a revision above this one as well. After the service was
+  // put back to a backup, hosts hold a higher revision than it does, and would
+  // ignore a change that merely counts on from the backup.
+  int64_t above_revision = 0;
 };
 
 // The transaction that turns the stored configuration into the one wanted. Its
--- a/packages/decisions/configuration_records.cc
+++ b/packages/decisions/configuration_records.cc
@@ -36,6 +36,9 @@
 };
 
 std::string NumberText(double value) {
+  if (value == std::floor(value) && std::abs(value) < 1e15) {
+    return std::to_string(static_cast<int64_t>(value));
+  }
   std::array<char, 32> text{};
   const auto end = std::to_chars(text.data(), text.data() + text.size(), value);
   return {text.data(), end.ptr};
@@ -559,34 +562,42 @@
   return found->remove(configuration, id);
 }
 
-std::vector<std::string> CheckReferences(const Configuration& configuration) {
-  std::vector<std::string> faults;
+std::string RecordFault::Text() const {
+  return this->record + ": " + this->field + ": " + this->what;
+}
+
+std::vector<RecordFault> CheckReferences(const Configuration& configuration) {
+  std::vector<RecordFault> faults;
   for (const auto& [hash, key] : configuration.keys) {
     if (!configuration.accounts.contains(key.account)) {
-      faults.push_back("key/" + hash + ": account: there is no account '" +
-                       key.account.Text() + "'");
+      faults.push_back({"key/" + hash, "account",
+                        "there is no account '" + key.account.Text() + "'"});
     }
   }
   std::set<std::pair<DataCentreId, SocketAddress>> addresses;
   for (const auto& [id, endpoint] : configuration.endpoints) {
-    const std::string name = "endpoint/" + id.Text() + ": ";
+    const std::string name = "endpoint/" + id.Text();
     if (!configuration.sites.contains(endpoint.data_centre)) {
-      faults.push_back(name + "data_centre: there is no site '" +
-                       endpoint.data_centre.Text() + "'");
+      faults.push_back(
+          {name, "data_centre",
+           "there is no site '" + endpoint.data_centre.Text() + "'"});
     }
     if (!addresses.emplace(endpoint.data_centre, endpoint.address).second) {
-      faults.push_back(name + "address: " + Write(endpoint.address) +
-                       " is the address of another endpoint");
+      faults.push_back(
+          {name, "address",
+           Write(endpoint.address) + " is the address of another endpoint"});
     }
     const auto service = configuration.services.find(endpoint.service);
     if (service == configuration.services.end()) {
-      faults.push_back(name + "service: there is no service '" +
-                       endpoint.service.Text() + "'");
+      faults.push_back(
+          {name, "service",
+           "there is no service '" + endpoint.service.Text() + "'"});
     } else if ((service->second.kind == ServiceKind::kPlain) !=
                (endpoint.role == EndpointRole::kPlain)) {
-      faults.push_back(name + "role: " + Write(endpoint.role) +
-                       " does not suit a service of kind " +
-                       Write(service->second.kind));
+      faults.push_back({name, "role",
+                        Write(endpoint.role) +
+                            " does not suit a service of kind " +
+                            Write(service->second.kind)});
     }
   }
   return faults;
--- a/packages/decisions/configuration_records.h
+++ b/packages/decisions/configuration_records.h
@@ -99,9 +99,21 @@
                   std::string_view kind,
                   const std::string& id);
 
+// What is wrong with a field of a record in view of the others.
+struct RecordFault {
+  std::string record;  // kind/id
+  std::string field;
+  std::string what;
+
+  // kind/id: field: what
+  std::string Text() const;
+
+  auto operator<=>(const RecordFault&) const = default;
+};
+
 // References between records that lead nowhere and combinations that make no
-// sense, one message each; empty if all is well.
-std::vector<std::string> CheckReferences(const Configuration& configuration);
+// sense; empty if all is well.
+std::vector<RecordFault> CheckReferences(const Configuration& configuration);
 
 // What became of one record between two configurations.
 struct RecordChange {
--- a/packages/kernel/settings.cc
+++ b/packages/kernel/settings.cc
@@ -8,18 +8,14 @@
 #include <cassert>
 #include <charconv>
 #include <fstream>
-#include <memory>
 #include <optional>
-#include <set>
 #include <sstream>
 
+#include "kernel/ini_file.h"
+
 namespace hickorystand {
 namespace {
 
-struct KeyFileFree {
-  void operator()(GKeyFile* file) const { g_key_file_free(file); }
-};
-
 struct Unit {
   std::string_view suffix;
   Duration length;
@@ -42,14 +38,6 @@
   return value;
 }
 
-std::string Trim(const std::string& text) {
-  const size_t first = text.find_first_not_of(" \t\r");
-  if (first == std::string::npos) {
-    return "";
-  }
-  return text.substr(first, text.find_last_not_of(" \t\r") - first + 1);
-}
-
 std::string Join(const std::vector<std::string>& words) {
   std::string out;
   for (const std::string& word : words) {
@@ -63,7 +51,7 @@
   std::istringstream in(text);
   std::string item;
   while (std::getline(in, item, ';')) {
-    if (const std::string trimmed = Trim(item); !trimmed.empty()) {
+    if (const std::string trimmed = TrimSpaces(item); !trimmed.empty()) {
       items.push_back(trimmed);
     }
   }
@@ -74,56 +62,6 @@
   return std::string(section) + "/" + std::string(key);
 }
 
-// The faults found in one file, in the order of its lines.
-class Faults {
- public:
-  explicit Faults(std::string file) : file(std::move(file)) {}
-
-  void Add(int line, const std::string& what) {
-    this->text += (this->text.empty() ? "" : "\n") + this->file + ":" +
-                  std::to_string(line) + ": " + what;
-  }
-  const std::string& Text() const { return this->text; }
-
- private:
-  std::string file;
-  std::string text;
-};
-
-// Where each section and key stands. GKeyFile keeps no line numbers and merges
-// duplicates silently, so the lines are read once more here.
-struct Outline {
-  std::map<std::string, int> sections;
-  std::map<std::string, int> keys;
-};
-
-Outline ReadOutline(const std::string& text, Faults& faults) {
-  Outline outline;
-  std::istringstream in(text);
-  std::string raw;
-  std::string section;
-  for (int number = 1; std::getline(in, raw); ++number) {
-    const std::string line = Trim(raw);
-    if (line.empty() || line[0] == '#') {
-      continue;
-    }
-    if (line[0] == '[') {
-      section = line.substr(1, line.find(']') - 1);
-      if (!outline.sections.emplace(section, number).second) {
-        faults.Add(number, "[" + section +
-                               "]: section stands twice; first at line " +
-                               std::to_string(outline.sections[section]));
-      }
-      continue;
-    }
-    const std::string key = Trim(line.substr(0, line.find('=')));
-    if (!outline.keys.emplace(FullName(section, key), number).second) {
-      faults.Add(number, "[" + section + "] " + key + ": key stands twice");
-    }
-  }
-  return outline;
-}
-
 // Why a value breaks its rule, with what is allowed; empty if it doesn't.
 std::string CheckValue(const SettingRule& rule, const std::string& value) {
   switch (rule.type) {
@@ -180,32 +118,31 @@
   return "";
 }
 
-void CheckUnknown(const Outline& outline,
+void CheckUnknown(const std::vector<IniSection>& sections,
                   const std::vector<SettingRule>& rules,
-                  Faults& faults) {
+                  IniFaults& faults) {
   std::map<std::string, std::vector<std::string>> known;
   for (const SettingRule& rule : rules) {
     known[rule.section].push_back(rule.key);
   }
-  for (const auto& [section, line] : outline.sections) {
-    if (!known.contains(section)) {
+  for (const IniSection& section : sections) {
+    const auto found = known.find(section.name);
+    if (found == known.end()) {
       std::vector<std::string> names;
       for (const auto& [name, keys] : known) {
         names.push_back(name);
       }
-      faults.Add(line, "[" + section + "]: unknown section; known ones are " +
-                           Join(names));
+      faults.Add(section.line, "[" + section.name +
+                                   "]: unknown section; known ones are " +
+                                   Join(names));
+      continue;
     }
-  }
-  for (const auto& [name, line] : outline.keys) {
-    const std::string section = name.substr(0, name.find('/'));
-    const std::string key = name.substr(name.find('/') + 1);
-    const auto found = known.find(section);
-    if (found != known.end() &&
-        std::ranges::find(found->second, key) == found->second.end()) {
-      faults.Add(line, "[" + section + "] " + key +
-                           ": unknown key; known ones are " +
-                           Join(found->second));
+    for (const IniEntry& entry : section.entries) {
+      if (std::ranges::find(found->second, entry.key) == found->second.end()) {
+        faults.Add(entry.line, "[" + section.name + "] " + entry.key +
+                                   ": unknown key; known ones are " +
+                                   Join(found->second));
+      }
     }
   }
 }
@@ -226,22 +163,16 @@
 Result<Settings> Settings::Parse(const std::string& text,
                                  const std::string& name,
                                  const std::vector<SettingRule>& rules) {
-  Faults faults(name);
-  const Outline outline = ReadOutline(text, faults);
-  const std::unique_ptr<GKeyFile, KeyFileFree> file(g_key_file_new());
-  g_autoptr(GError) error = nullptr;
-  if (!g_key_file_load_from_data(file.get(), text.data(), text.size(),
-                                 G_KEY_FILE_NONE, &error)) {
-    faults.Add(1, error->message);
-    return Fail(ErrorKind::kBadSetting, faults.Text());
-  }
-  CheckUnknown(outline, rules, faults);
+  IniFaults faults(name);
+  const std::vector<IniSection> sections = ReadIni(text, faults);
+  CheckUnknown(sections, rules, faults);
   Settings settings;
   for (const SettingRule& rule : rules) {
     const std::string full = FullName(rule.section, rule.key);
-    g_autofree char* raw = g_key_file_get_value(
-        file.get(), rule.section.c_str(), rule.key.c_str(), nullptr);
-    if (raw == nullptr) {
+    const IniSection* section = FindSection(sections, rule.section);
+    const IniEntry* entry =
+        section == nullptr ? nullptr : section->Find(rule.key);
+    if (entry == nullptr) {
       if (rule.required) {
         faults.Add(1, "[" + rule.section + "] " + rule.key + ": is missing; " +
                           rule.help);
@@ -249,12 +180,11 @@
       settings.values[full] = rule.fallback;
       continue;
     }
-    const std::string value = Trim(raw);
-    if (const std::string why = CheckValue(rule, value); !why.empty()) {
-      faults.Add(outline.keys.at(full),
+    if (const std::string why = CheckValue(rule, entry->value); !why.empty()) {
+      faults.Add(entry->line,
                  "[" + rule.section + "] " + rule.key + ": " + why);
     }
-    settings.values[full] = value;
+    settings.values[full] = entry->value;
   }
   if (!faults.Text().empty()) {
     return Fail(ErrorKind::kBadSetting, faults.Text());
