--- a/packages/ctl/admin_client.cc
+++ b/packages/ctl/admin_client.cc
@@ -69,10 +69,10 @@
                                              const std::string& target) {
   std::vector<std::future<Result<Json>>> pending;
   for (const SocketAddress& address : this->hosts) {
-    pending.push_back(std::async(std::launch::async, [this, address, &method,
-                                                      &target] {
-      return this->Ask(address, method, target);
-    }));
+    pending.push_back(
+        std::async(std::launch::async, [this, address, &method, &target] {
+          return this->Ask(address, method, target);
+        }));
   }
   std::vector<AdminAnswer> answers;
   for (size_t i = 0; i < pending.size(); ++i) {
--- a/packages/ctl/admin_client.h
+++ b/packages/ctl/admin_client.h
@@ -32,9 +32,9 @@
 
 // What all hosts together said.
 struct FleetStatus {
-  std::vector<HostStatus> hosts;             // by data centre and id
-  std::vector<SocketAddress> unreachable;    // no answer, or none that counts
-  std::vector<std::string> reasons;          // why, one for each of them
+  std::vector<HostStatus> hosts;           // by data centre and id
+  std::vector<SocketAddress> unreachable;  // no answer, or none that counts
+  std::vector<std::string> reasons;        // why, one for each of them
 
   // The highest revision in force anywhere; 0 if no host answered.
   int64_t HighestRevision() const;
--- a/packages/ctl/configuration_commands.cc
+++ b/packages/ctl/configuration_commands.cc
@@ -43,8 +43,7 @@
     const bool key = record.kind == "key";
     const auto stated = ListRecords(files);
     const bool named =
-        std::ranges::find(stated, record.Name(), &Record::Name) !=
-        stated.end();
+        std::ranges::find(stated, record.Name(), &Record::Name) != stated.end();
     if (named || (prune && !key)) {
       continue;
     }
@@ -67,11 +66,11 @@
     return tl::unexpected(input.error());
   }
   const Configuration& read = input->configuration;
-  session.Out().Line("The files are right: " +
-                     std::to_string(read.accounts.size()) + " accounts, " +
-                     std::to_string(read.services.size()) + " services, " +
-                     std::to_string(read.sites.size()) + " sites, " +
-                     std::to_string(read.endpoints.size()) + " endpoints.");
+  session.Out().Line(
+      "The files are right: " + std::to_string(read.accounts.size()) +
+      " accounts, " + std::to_string(read.services.size()) + " services, " +
+      std::to_string(read.sites.size()) + " sites, " +
+      std::to_string(read.endpoints.size()) + " endpoints.");
   JsonWriter out;
   out.BeginObject().Name("warnings").BeginArray();
   for (const std::string& warning : input->warnings) {
@@ -89,8 +88,8 @@
   std::vector<std::string> kept;
   const auto edit = [&](const Configuration& in_force) {
     kept.clear();
-    return Result<Configuration>(Combine(input->configuration, in_force,
-                                         invocation.Has("prune"), kept));
+    return Result<Configuration>(
+        Combine(input->configuration, in_force, invocation.Has("prune"), kept));
   };
   auto result = session.ChangeAndWait(edit, !invocation.Has("no-wait"));
   for (const std::string& name : kept) {
@@ -110,10 +109,10 @@
     return tl::unexpected(stored.error());
   }
   std::vector<std::string> kept;
-  const auto changes = DiffConfigurations(
-      *stored->configuration,
-      Combine(input->configuration, *stored->configuration,
-              invocation.Has("prune"), kept));
+  const auto changes =
+      DiffConfigurations(*stored->configuration,
+                         Combine(input->configuration, *stored->configuration,
+                                 invocation.Has("prune"), kept));
   for (const RecordChange& change : changes) {
     session.Out().Line(change.Text());
   }
--- a/packages/ctl/configuration_files.cc
+++ b/packages/ctl/configuration_files.cc
@@ -99,13 +99,15 @@
       if (!site.empty()) {
         faults.Add(section.line, "[" + section.name +
                                      "]: an overlay is for one site; this one "
-                                     "is for '" + site + "'");
+                                     "is for '" +
+                                     site + "'");
       }
       site = heading.id;
     }
     if (site.empty()) {
-      faults.Add(1, "an overlay says by a section [site ID] which site it is "
-                    "for; there is none");
+      faults.Add(1,
+                 "an overlay says by a section [site ID] which site it is "
+                 "for; there is none");
     }
     return site;
   }
@@ -117,22 +119,26 @@
     const RecordSchema* schema = FindRecordSchema(heading.kind);
     const std::string title = "[" + section.name + "]";
     if (heading.kind == "key") {
-      faults.Add(section.line, title + ": keys don't stand in files; make one "
-                                       "with 'hickoryctl key add ACCOUNT'");
+      faults.Add(section.line, title +
+                                   ": keys don't stand in files; make one "
+                                   "with 'hickoryctl key add ACCOUNT'");
     } else if (schema == nullptr) {
-      faults.Add(section.line, title + ": unknown section; [account ID], "
-                                       "[service ID], [site ID], [site], "
-                                       "[endpoint ID] and [endpoint] are known");
-    } else if (heading.id.empty() && (!HasDefaults(heading.kind) || !site.empty())) {
-      faults.Add(section.line,
-                 title + ": an id is missing; [" + heading.kind + " ID] is "
-                         "allowed" + (site.empty() ? "" : " in an overlay"));
+      faults.Add(section.line, title +
+                                   ": unknown section; [account ID], "
+                                   "[service ID], [site ID], [site], "
+                                   "[endpoint ID] and [endpoint] are known");
+    } else if (heading.id.empty() &&
+               (!HasDefaults(heading.kind) || !site.empty())) {
+      faults.Add(section.line, title + ": an id is missing; [" + heading.kind +
+                                   " ID] is "
+                                   "allowed" +
+                                   (site.empty() ? "" : " in an overlay"));
     } else if (!site.empty() && !HasDefaults(heading.kind)) {
-      faults.Add(section.line, title + ": is the same at every site; state it "
-                                       "in the base file");
-    } else if (const std::string why = heading.id.empty()
-                                           ? ""
-                                           : CheckId(heading.kind, heading.id);
+      faults.Add(section.line, title +
+                                   ": is the same at every site; state it "
+                                   "in the base file");
+    } else if (const std::string why =
+                   heading.id.empty() ? "" : CheckId(heading.kind, heading.id);
                !why.empty()) {
       faults.Add(section.line, title + ": " + why);
     } else {
@@ -150,8 +156,8 @@
     Fields& fields =
         heading.id.empty() ? this->defaults[heading.kind] : this->records[name];
     const bool known = this->places.contains(name);
-    this->places[name].try_emplace(
-        "", Place{&faults, section.line, section.name});
+    this->places[name].try_emplace("",
+                                   Place{&faults, section.line, section.name});
     for (const IniEntry& entry : section.entries) {
       if (schema.Find(entry.key) == nullptr) {
         faults.Add(entry.line, title + entry.key + ": unknown key; " +
@@ -170,8 +176,7 @@
                                   ": " + title + entry.key + ": ");
       }
       fields[entry.key] = entry.value;
-      this->places[name][entry.key] =
-          Place{&faults, entry.line, section.name};
+      this->places[name][entry.key] = Place{&faults, entry.line, section.name};
     }
     if (!site.empty() && heading.kind == "endpoint") {
       this->PlaceAtSite(section, fields, site, faults);
@@ -186,8 +191,8 @@
                        const IniEntry& entry,
                        const std::string& place) {
     std::optional<std::string> holds;
-    if (known && this->records[heading.kind + "/" + heading.id].contains(
-                     entry.key)) {
+    if (known &&
+        this->records[heading.kind + "/" + heading.id].contains(entry.key)) {
       holds = this->records[heading.kind + "/" + heading.id][entry.key];
     } else if (this->defaults[heading.kind].contains(entry.key)) {
       holds = this->defaults[heading.kind][entry.key];
@@ -206,9 +211,9 @@
                    IniFaults& faults) {
     const auto [at, fresh] = fields.try_emplace("data_centre", site);
     if (!fresh && at->second != site) {
-      faults.Add(section.line, "[" + section.name + "] data_centre: stands at '" +
-                                   at->second + "', but this overlay is for '" +
-                                   site + "'");
+      faults.Add(section.line, "[" + section.name +
+                                   "] data_centre: stands at '" + at->second +
+                                   "', but this overlay is for '" + site + "'");
     }
   }
 
@@ -243,8 +248,8 @@
     }
     // Endpoints of a plain service can have one role only.
     if (schema.kind == "endpoint" && !record.fields.contains("role")) {
-      const auto service = configuration.services.find(
-          ServiceId(record.fields.at("service")));
+      const auto service =
+          configuration.services.find(ServiceId(record.fields.at("service")));
       if (service != configuration.services.end() &&
           service->second.kind == ServiceKind::kPlain) {
         record.fields["role"] = "plain";
@@ -262,8 +267,8 @@
     const auto& stated = this->places.at(record);
     const auto found = stated.find(field);
     const Place& place = found == stated.end() ? stated.at("") : found->second;
-    auto& file = this->files.at(
-        static_cast<size_t>(place.file - this->files.data()));
+    auto& file =
+        this->files.at(static_cast<size_t>(place.file - this->files.data()));
     file.Add(place.line, "[" + place.section + "] " + field + ": " + what);
   }
 
@@ -276,15 +281,15 @@
   std::string FaultText() const {
     std::string text;
     for (const IniFaults& faults : this->files) {
-      text += (text.empty() || faults.Text().empty() ? "" : "\n") +
-              faults.Text();
+      text +=
+          (text.empty() || faults.Text().empty() ? "" : "\n") + faults.Text();
     }
     return text;
   }
 
   std::vector<IniFaults> files;  // never grows beyond what was reserved
   std::map<std::string, Fields> records;
-  std::map<std::string, Fields> defaults;  // by kind
+  std::map<std::string, Fields> defaults;                      // by kind
   std::map<std::string, std::map<std::string, Place>> places;  // "": section
   std::vector<std::string> warnings;
 };
--- a/packages/ctl/ctl.cc
+++ b/packages/ctl/ctl.cc
@@ -202,8 +202,7 @@
     if (words.size() < length) {
       continue;
     }
-    const std::string name =
-        length == 2 ? words[0] + " " + words[1] : words[0];
+    const std::string name = length == 2 ? words[0] + " " + words[1] : words[0];
     const auto found = std::ranges::find(AllCommands(), name, &Command::name);
     if (found != AllCommands().end()) {
       words.erase(words.begin(),
@@ -214,7 +213,9 @@
   return nullptr;
 }
 
-int Report(const Error& error, bool json, std::ostream& out,
+int Report(const Error& error,
+           bool json,
+           std::ostream& out,
            std::ostream& stream) {
   const ErrorAnswer& answer = AnswerFor(error.kind);
   if (json) {
@@ -283,13 +284,13 @@
   const auto strange = StrangeOption(command, *invocation.options);
   if (strange || count < command.least_arguments ||
       count > command.most_arguments) {
-    return Report({ErrorKind::kBadRequest,
-                   (strange ? "'" + command.name + "' takes no option --" +
-                                  *strange
-                            : "the arguments are " + command.arguments) +
-                       "; see 'hickoryctl " + command.name + " --help'",
-                   {}},
-                  json, out, error);
+    return Report(
+        {ErrorKind::kBadRequest,
+         (strange ? "'" + command.name + "' takes no option --" + *strange
+                  : "the arguments are " + command.arguments) +
+             "; see 'hickoryctl " + command.name + " --help'",
+         {}},
+        json, out, error);
   }
   auto settings = ReadSettings(invocation);
   if (!settings) {
@@ -324,11 +325,11 @@
       WriteHelp(out);
       return first.empty() && !invocation.Has("help") ? 2 : 0;
     }
-    return Report({ErrorKind::kBadRequest,
-                   "there is no command '" + first +
-                       "'; 'hickoryctl --help' lists them",
-                   {}},
-                  invocation.Has("json"), out, error);
+    return Report(
+        {ErrorKind::kBadRequest,
+         "there is no command '" + first + "'; 'hickoryctl --help' lists them",
+         {}},
+        invocation.Has("json"), out, error);
   }
   if (invocation.Has("help")) {
     WriteCommandHelp(*command, out);
--- a/packages/ctl/fleet_commands.cc
+++ b/packages/ctl/fleet_commands.cc
@@ -47,8 +47,8 @@
     view.refusals[code] += refusals.At(code).Integer();
   }
   for (const Json& account : host.whole.At("accounts").Items()) {
-    const double share = account.At("share").Number(
-        std::numeric_limits<double>::infinity());
+    const double share =
+        account.At("share").Number(std::numeric_limits<double>::infinity());
     if (account.At("waiting").Integer() > 0 && share < view.worst_share) {
       view.worst_share = share;
       view.worst_account = account.At("id").Text();
@@ -168,20 +168,21 @@
   }
   const std::string& name = invocation.arguments.front();
   const FleetStatus fleet = session.Admin().Status();
-  const auto host = std::ranges::find(fleet.hosts, HostId(name),
-                                      &HostStatus::host);
+  const auto host =
+      std::ranges::find(fleet.hosts, HostId(name), &HostStatus::host);
   if (host == fleet.hosts.end()) {
-    return Fail(fleet.unreachable.empty() ? ErrorKind::kNotFound
-                                          : ErrorKind::kTimeout,
-                "no host that answers is called '" + name + "'");
+    return Fail(
+        fleet.unreachable.empty() ? ErrorKind::kNotFound : ErrorKind::kTimeout,
+        "no host that answers is called '" + name + "'");
   }
   const auto answer =
       session.Admin().Ask(host->address, "POST", "/admin/drain");
   if (!answer) {
     return tl::unexpected(answer.error());
   }
-  session.Out().Line(name + " drains: it takes no new request, finishes what "
-                            "runs, and stops.");
+  session.Out().Line(name +
+                     " drains: it takes no new request, finishes what "
+                     "runs, and stops.");
   session.Out().Document(JsonWriter()
                              .BeginObject()
                              .Member("host", name)
--- a/packages/ctl/record_commands.cc
+++ b/packages/ctl/record_commands.cc
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr int kKeyBytes = 32;
-constexpr size_t kShownHash = 12;    // enough to tell keys apart
-constexpr size_t kLeastPrefix = 8;   // of a hash that names a key
+constexpr size_t kShownHash = 12;   // enough to tell keys apart
+constexpr size_t kLeastPrefix = 8;  // of a hash that names a key
 
 // Reads FIELD=VALUE arguments into a record.
 Result<bool> ReadFields(const std::vector<std::string>& arguments,
@@ -31,8 +31,10 @@
         known += (known.empty() ? "" : ", ") + each.name;
       }
       return Fail(ErrorKind::kBadRequest,
-                  "'" + argument + "': FIELD=VALUE is allowed, where FIELD is "
-                                   "one of " + known);
+                  "'" + argument +
+                      "': FIELD=VALUE is allowed, where FIELD is "
+                      "one of " +
+                      known);
     }
     const std::string text = argument.substr(equals + 1);
     if (const std::string why = CheckField(record.kind, field, text);
@@ -163,9 +165,9 @@
           return Fail(ErrorKind::kNotFound,
                       "there is no account '" + account + "'");
         }
-        return AddRecord(in_force, {.kind = "key",
-                                    .id = hash,
-                                    .fields = {{"account", account}}});
+        return AddRecord(
+            in_force,
+            {.kind = "key", .id = hash, .fields = {{"account", account}}});
       });
   if (!applied) {
     return tl::unexpected(applied.error());
@@ -196,8 +198,8 @@
         key.account.Text() != invocation.arguments.front()) {
       continue;
     }
-    session.Out().Line(hash.substr(0, kShownHash) + "  account=" +
-                       key.account.Text());
+    session.Out().Line(hash.substr(0, kShownHash) +
+                       "  account=" + key.account.Text());
     out.BeginObject()
         .Member("hash", hash)
         .Member("account", key.account.Text())
@@ -220,8 +222,9 @@
     if (hash.starts_with(start)) {
       if (!found.empty()) {
         return Fail(ErrorKind::kBadRequest,
-                    "'" + start + "' names more than one key; give more of "
-                                  "the hash");
+                    "'" + start +
+                        "' names more than one key; give more of "
+                        "the hash");
       }
       found = hash;
     }
--- a/packages/ctl/session.cc
+++ b/packages/ctl/session.cc
@@ -212,12 +212,11 @@
   for (const RecordChange& change : applied->changes) {
     this->output.Line(change.Text());
   }
-  this->output.Line(applied->changes.empty()
-                        ? "Nothing to change; revision " +
-                              std::to_string(applied->revision) +
-                              " stays in force."
-                        : "Accepted as revision " +
-                              std::to_string(applied->revision) + ".");
+  this->output.Line(
+      applied->changes.empty()
+          ? "Nothing to change; revision " + std::to_string(applied->revision) +
+                " stays in force."
+          : "Accepted as revision " + std::to_string(applied->revision) + ".");
   const bool watch =
       wait && !applied->changes.empty() && this->Admin().HasHosts();
   const InForceReport report =
@@ -248,8 +247,8 @@
     for (const auto& centre : report.data_centres) {
       if (centre.behind.empty() && told.insert(centre.id).second) {
         this->output.Line(
-            centre.id.Text() + ": in force at " +
-            std::to_string(centre.hosts) + " hosts after " +
+            centre.id.Text() + ": in force at " + std::to_string(centre.hosts) +
+            " hosts after " +
             std::to_string(
                 std::chrono::duration_cast<std::chrono::milliseconds>(took)
                     .count()) +
--- a/packages/kernel/ini_file.cc
+++ b/packages/kernel/ini_file.cc
@@ -30,16 +30,18 @@
     if (line[0] == '[') {
       const std::string name = line.substr(1, line.find(']') - 1);
       if (const auto* first = FindSection(sections, name)) {
-        faults.Add(number, "[" + name + "]: section stands twice; first at "
-                               "line " + std::to_string(first->line));
+        faults.Add(number, "[" + name +
+                               "]: section stands twice; first at "
+                               "line " +
+                               std::to_string(first->line));
       }
       sections.push_back({.name = name, .line = number});
     } else if (!sections.empty()) {
       IniSection& section = sections.back();
       const std::string key = TrimSpaces(line.substr(0, line.find('=')));
       if (section.Find(key) != nullptr) {
-        faults.Add(number, "[" + section.name + "] " + key +
-                               ": key stands twice");
+        faults.Add(number,
+                   "[" + section.name + "] " + key + ": key stands twice");
       }
       section.entries.push_back({.key = key, .line = number});
     }
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -154,11 +154,10 @@
   int Run(std::vector<std::string> arguments) {
     const std::string store_text =
         "127.0.0.1:" + std::to_string(this->store.Address().port);
-    arguments.insert(
-        arguments.end(),
-        {"--store", store_text, "--admin",
-         this->one.Address() + ";" + this->two.Address(), "--admin-token-file",
-         this->token.Path()});
+    arguments.insert(arguments.end(),
+                     {"--store", store_text, "--admin",
+                      this->one.Address() + ";" + this->two.Address(),
+                      "--admin-token-file", this->token.Path()});
     return this->RunBare(arguments);
   }
 
@@ -228,15 +227,18 @@
   const std::string faults = FaultsOf(
       "[account acme]\nweight = heavy\ncolour = red\n[key x]\n[moon m]\n",
       "[site dc1]\n[account b]\n[endpoint e]\naddress = here\n");
-  CHECK(Contains(faults, "base.ini:2: [account acme] weight: 'heavy' is not "
-                         "allowed; a number from 0.01 to 1000 is"));
-  CHECK(Contains(faults, "base.ini:3: [account acme] colour: unknown key; "
-                         "weight, max_in_flight are known"));
+  CHECK(Contains(faults,
+                 "base.ini:2: [account acme] weight: 'heavy' is not "
+                 "allowed; a number from 0.01 to 1000 is"));
+  CHECK(Contains(faults,
+                 "base.ini:3: [account acme] colour: unknown key; "
+                 "weight, max_in_flight are known"));
   CHECK(Contains(faults, "base.ini:4: [key x]: keys don't stand in files"));
   CHECK(Contains(faults, "base.ini:5: [moon m]: unknown section"));
   CHECK(Contains(faults, "dc1.ini:2: [account b]: is the same at every site"));
-  CHECK(Contains(faults, "dc1.ini:4: [endpoint e] address: 'here' is not "
-                         "allowed; IP:PORT"));
+  CHECK(Contains(faults,
+                 "dc1.ini:4: [endpoint e] address: 'here' is not "
+                 "allowed; IP:PORT"));
 }
 
 TEST(ConfigurationFiles, NamesReferencesThatLeadNowhere) {
@@ -251,9 +253,10 @@
 
 TEST(ConfigurationFiles, RefusesAnOverlayOfNoSiteOrOfTwo) {
   CHECK(Contains(FaultsOf(kBase, "[endpoint e]\n"), "which site it is for"));
-  CHECK(Contains(FaultsOf(kBase, "[site a]\n[site b]\n"), "dc1.ini:2: [site b]"
-                                                          ": an overlay is for "
-                                                          "one site"));
+  CHECK(Contains(FaultsOf(kBase, "[site a]\n[site b]\n"),
+                 "dc1.ini:2: [site b]"
+                 ": an overlay is for "
+                 "one site"));
 }
 
 TEST(ConfigurationFiles, PageIsInStepWithTheSchema) {
@@ -330,8 +333,8 @@
   bench.Run({"key", "add", "acme", "--json"});
   const std::string hash = Json::Parse(bench.out)->At("hash").Text();
   bench.two.stays_at = 1;
-  LONGS_EQUAL(7, bench.Run({"key", "withdraw", hash, "--config",
-                            quick.Path()}));
+  LONGS_EQUAL(7,
+              bench.Run({"key", "withdraw", hash, "--config", quick.Path()}));
   CHECK(Contains(bench.out, "dc1: in force"));
   CHECK(Contains(bench.error, "dc2: h2 has not got it yet"));
   CHECK(bench.InForce()->keys.empty());
