--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -38,25 +38,29 @@
 };
 
 // A copy of a host's usage counters, kept by a peer in case the host is lost.
-struct UsageCopy {
+struct UsageCopyMessage {
   HostId host;
   uint64_t incarnation = 0;
   std::string value;
 
-  bool operator==(const UsageCopy&) const = default;
+  bool operator==(const UsageCopyMessage&) const = default;
 };
 
 // The sender held a data centre's lease with this fencing number and has let
 // go: none of its orders will leave any more.
 struct Released {
   DataCentreId data_centre;
+  uint64_t incarnation = 0;  // of the sender's process
   int64_t fencing = 0;
 
   bool operator==(const Released&) const = default;
 };
 
 // Everything but digests, which PeerLinks sends and takes as whole values.
-using PeerMessage = std::
-    variant<BucketsRequest, BucketsReply, UsageCopy, Released, EndpointNews>;
+using PeerMessage = std::variant<BucketsRequest,
+                                 BucketsReply,
+                                 UsageCopyMessage,
+                                 Released,
+                                 EndpointNews>;
 
 }  // namespace hickorystand
