--- a/packages/ctl/record_commands.cc
+++ b/packages/ctl/record_commands.cc
@@ -61,7 +61,7 @@
   if (const std::string why = CheckId(kind, stated.id); !why.empty()) {
     return Fail(ErrorKind::kBadRequest, why);
   }
-  const auto fields = ReadFields(
+  auto fields = ReadFields(
       {invocation.arguments.begin() + 1, invocation.arguments.end()}, stated);
   if (!fields) {
     return fields;
