--- a/fakes/key_value.cc
+++ b/fakes/key_value.cc
@@ -103,8 +103,8 @@
 // The HTTP side. Lives on the task's thread only.
 class FakeKeyValue::Server {
  public:
-  explicit Server(uint16_t port)
-      : http({.listen = {"127.0.0.1", port}, .max_body_bytes = kMaxBody},
+  explicit Server(const SocketAddress& listen)
+      : http({.listen = listen, .max_body_bytes = kMaxBody},
              [this](const HttpCallPtr& call) { this->Take(call); }) {
     const auto listening = this->http.Start();
     assert(listening && "the port of the fake key-value service is taken");
@@ -151,6 +151,39 @@
     bool silent = false;
   };
 
+  // Switches faults and tells the counters, whatever the fault.
+  void Control(const HttpCallPtr& call) {
+    static const std::map<std::string, KeyValueFault> kFaults = {
+        {"none", KeyValueFault::kNone},
+        {"down", KeyValueFault::kDown},
+        {"slow", KeyValueFault::kSlow},
+        {"reply_lost", KeyValueFault::kReplyLost},
+        {"unavailable", KeyValueFault::kUnavailable},
+        {"silent_watch", KeyValueFault::kSilentWatch}};
+    if (call->Request().path == "/fake/calls") {
+      Answer(call, SOUP_STATUS_OK,
+             JsonWriter()
+                 .BeginObject()
+                 .Member("reads", this->calls.reads)
+                 .Member("writes", this->calls.writes)
+                 .Member("watches", this->calls.watches)
+                 .Member("watches_waiting", this->calls.watches_waiting)
+                 .EndObject()
+                 .Text());
+      return;
+    }
+    const auto json = Json::ParseObject(call->Request().body);
+    const auto named =
+        json ? kFaults.find(json->At("fault").Text()) : kFaults.end();
+    if (named == kFaults.end()) {
+      Answer(call, SOUP_STATUS_BAD_REQUEST, R"({"error":"no such fault"})");
+      return;
+    }
+    this->SetFault(named->second, std::chrono::milliseconds(
+                                      json->At("slow_by_ms").Integer(200)));
+    Answer(call, SOUP_STATUS_OK, "{}");
+  }
+
   static void Answer(const HttpCallPtr& call,
                      int status,
                      const std::string& body) {
@@ -158,6 +191,10 @@
   }
 
   void Take(const HttpCallPtr& call) {
+    if (call->Request().path.starts_with("/fake/")) {
+      this->Control(call);
+      return;
+    }
     if (this->fault == KeyValueFault::kDown) {
       call->Abort();
       return;
@@ -377,8 +414,8 @@
   HttpServer http;  // last, so that its calls end before what they use
 };
 
-FakeKeyValue::FakeKeyValue(uint16_t port) {
-  this->task.Call([&] { this->server = std::make_unique<Server>(port); });
+FakeKeyValue::FakeKeyValue(const SocketAddress& listen) {
+  this->task.Call([&] { this->server = std::make_unique<Server>(listen); });
 }
 
 FakeKeyValue::~FakeKeyValue() {
--- a/fakes/key_value.h
+++ b/fakes/key_value.h
@@ -3,6 +3,11 @@
 //
 //   FakeKeyValue store;
 //   store.SetFault(KeyValueFault::kReplyLost);
+//
+// As a program it takes faults over HTTP too:
+//   POST /fake/fault {"fault":"none|down|slow|reply_lost|unavailable|
+//                              silent_watch","slow_by_ms":200}
+//   GET /fake/calls
 
 #pragma once
 
@@ -39,8 +44,8 @@
 // The service, on a task of its own. Its calls may come from any thread.
 class FakeKeyValue {
  public:
-  // Listens on a loopback port; 0 picks a free one.
-  explicit FakeKeyValue(uint16_t port = 0);
+  // Listens on an address of loopback; port 0 picks a free one.
+  explicit FakeKeyValue(const SocketAddress& listen = {"127.0.0.1", 0});
   ~FakeKeyValue();
   FakeKeyValue(const FakeKeyValue&) = delete;
   FakeKeyValue& operator=(const FakeKeyValue&) = delete;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <future>
 #include <iterator>
 #include <memory>
 #include <mutex>
@@ -17,8 +18,10 @@
 #include "kernel/json.h"
 #include "kernel/metrics.h"
 #include "key_value.h"
+#include "platform.h"
 #include "platform/blocking_store.h"
 #include "platform/etcd_messages.h"
+#include "platform/platform_client.h"
 
 namespace hickorystand {
 namespace {
@@ -241,6 +244,136 @@
   CHECK(log.Changes().empty());
 }
 
+TEST_GROUP(PlatformClient){};
+
+namespace {
+
+// A platform with a client on a task of its own.
+struct PlatformBench {
+  fakes::FakePlatform platform;
+  Task task{"client"};
+  std::unique_ptr<PlatformClient> client;
+
+  PlatformBench() {
+    this->task.Call([this] {
+      this->client = std::make_unique<PlatformClient>(
+          PlatformClientOptions{.address = this->platform.Address(),
+                                .timeout = std::chrono::seconds(5)});
+    });
+  }
+  ~PlatformBench() {
+    this->task.Call([this] { this->client.reset(); });
+  }
+  PlatformBench(const PlatformBench&) = delete;
+  PlatformBench& operator=(const PlatformBench&) = delete;
+
+  PlatformOutcome Order(
+      const std::string& id,
+      int64_t change,
+      int64_t fencing,
+      const PlatformClient::MaySend& may_send = [] { return true; }) {
+    std::promise<PlatformOutcome> outcome;
+    this->task.Post([&] {
+      this->client->OrderEndpoints(
+          DataCentreId("dc1"),
+          {.id = OrderId(id),
+           .kind = OrderKind::kChangeEndpoints,
+           .service = ServiceId("chat"),
+           .change = change},
+          fencing, may_send,
+          [&outcome](PlatformOutcome answer) { outcome.set_value(answer); });
+    });
+    return outcome.get_future().get();
+  }
+
+  PlatformOutcome Report(int64_t window, int64_t requests, int64_t fencing) {
+    std::promise<PlatformOutcome> outcome;
+    this->task.Post([&] {
+      this->client->ReportUsage(
+          DataCentreId("dc1"), window, fencing,
+          {{AccountId("acme"), UsageCount{.requests = requests}}},
+          [] { return true; },
+          [&outcome](PlatformOutcome answer) { outcome.set_value(answer); });
+    });
+    return outcome.get_future().get();
+  }
+
+  Result<std::vector<PlatformHost>> Hosts() {
+    std::promise<Result<std::vector<PlatformHost>>> hosts;
+    this->task.Post([&] {
+      this->client->ListHosts(
+          [&hosts](const auto& answer) { hosts.set_value(answer); });
+    });
+    return hosts.get_future().get();
+  }
+};
+
+}  // namespace
+
+TEST(PlatformClient, OrdersOnceHoweverOftenItIsSent) {
+  PlatformBench bench;
+  CHECK(bench.Order("o1", 2, 7) == PlatformOutcome::kAccepted);
+  CHECK(bench.Order("o1", 2, 8) == PlatformOutcome::kAccepted);
+  LONGS_EQUAL(1, bench.platform.Orders().size());
+  LONGS_EQUAL(0, bench.platform.Offences().Sum());
+}
+
+// A coordinator was paused in the middle of sending and wakes without its
+// lease. The platform would take its order beside that of the successor; so the
+// lease is looked at in the very step that hands bytes to the socket.
+TEST(PlatformClient, SendsNothingOnceTheLeaseIsGone) {
+  PlatformBench bench;
+  CHECK(bench.Order("o1", 2, 7, [] { return false; }) ==
+        PlatformOutcome::kNotSent);
+  LONGS_EQUAL(0, bench.platform.Received());
+}
+
+TEST(PlatformClient, LostReplyIsUnknownAndSentOnce) {
+  PlatformBench bench;
+  bench.Order("o0", 1, 7);  // a connection may be kept open
+  bench.platform.SetFault(fakes::PlatformFault::kReplyLost);
+  CHECK(bench.Order("o1", 2, 7) == PlatformOutcome::kUnknown);
+  LONGS_EQUAL(2, bench.platform.Received());
+  LONGS_EQUAL(2, bench.platform.Orders().size());
+}
+
+TEST(PlatformClient, RefusalIsForGood) {
+  PlatformBench bench;
+  bench.platform.SetFault(fakes::PlatformFault::kRefusing);
+  CHECK(bench.Order("o1", 2, 7) == PlatformOutcome::kRefused);
+  CHECK(bench.Report(1, 5, 7) == PlatformOutcome::kRefused);
+}
+
+TEST(PlatformClient, StandInCountsWhatShouldNeverCome) {
+  PlatformBench bench;
+  bench.Order("o1", 2, 7);
+  bench.Order("o1", 3, 7);
+  bench.Order("o2", 1, 6);
+  bench.Report(1, 5, 7);
+  bench.Report(1, 5, 8);
+  bench.Report(1, 6, 8);
+  bench.Report(2, 1, 6);
+  CHECK((fakes::PlatformOffences{.changed_orders = 1,
+                                 .deposed_orders = 1,
+                                 .changed_reports = 1,
+                                 .deposed_reports = 1}) ==
+        bench.platform.Offences());
+}
+
+TEST(PlatformClient, ReadsTheHostList) {
+  PlatformBench bench;
+  bench.platform.SetHosts({{.host = HostId("h1"),
+                            .data_centre = DataCentreId("dc1"),
+                            .address = {"127.0.0.1", 5},
+                            .leaving = true}});
+  CHECK(Eventually([&] {
+    const auto hosts = bench.Hosts();
+    return hosts && hosts->size() == 1 && hosts->front().leaving;
+  }));
+  bench.platform.SetFault(fakes::PlatformFault::kDown);
+  CHECK(!bench.Hosts().has_value());
+}
+
 TEST_GROUP(EtcdMessages){};
 
 TEST(EtcdMessages, EndOfPrefixIsTheNextKey) {
