--- /dev/null
+++ b/tests/matrix.cc
@@ -0,0 +1,223 @@
+// The fault matrix: every fault at every step of the protocols for authority,
+// orders, usage and claims; single, in pairs, and with mechanisms off.
+//
+//   matrix               all single cells and pairs, then the mutations
+//   matrix --singles     only the single cells
+//   matrix --cell N      one single cell by its number, with its violations
+//
+// A cell is red when a promise was broken, or when orders and reports didn't go
+// on after the fault had passed.
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "kernel/log.h"
+#include "promise_world.h"
+
+namespace hickorystand {
+namespace {
+
+using Cell = std::vector<Injection>;
+
+constexpr unsigned kThreads = 4;
+
+// A mechanism that can be switched off, and what then goes wrong.
+struct Mutation {
+  std::string_view name;
+  void (*apply)(WorldOptions&);
+};
+
+constexpr std::array kMutations = {
+    Mutation{"lease checked before each send",
+             [](WorldOptions& o) { o.coordinator.lease.check_clock = false; }},
+    Mutation{"lease ends a margin earlier",
+             [](WorldOptions& o) { o.coordinator.lease.margin = {}; }},
+    Mutation{"intent written first",
+             [](WorldOptions& o) { o.coordinator.write_intent_first = false; }},
+    Mutation{"successor heeds earlier intents",
+             [](WorldOptions& o) { o.coordinator.successor_waits = false; }},
+    Mutation{
+        "window written once",
+        [](WorldOptions& o) { o.coordinator.window_written_once = false; }},
+    Mutation{"claim before send",
+             [](WorldOptions& o) { o.claims.claim_before_send = false; }},
+};
+
+std::string CellName(const Cell& cell) {
+  std::string name;
+  for (const Injection& each : cell) {
+    name += (name.empty() ? "" : ", then ") +
+            std::string(FaultName(each.fault)) + " at " +
+            std::string(StepName(each.step));
+  }
+  return name;
+}
+
+// The settings of every run. Shorter waits than in service keep runs short.
+WorldOptions Settings() {
+  WorldOptions options;
+  options.coordinator.window_length = std::chrono::seconds(5);
+  options.coordinator.unlisted_for = std::chrono::seconds(8);
+  options.loss = 0.02;
+  options.delay = 0.05;
+  return options;
+}
+
+std::vector<Cell> SingleCells() {
+  std::vector<Cell> cells;
+  for (int step = 0; step < kSteps; ++step) {
+    for (int fault = 1; fault < kFaults; ++fault) {
+      cells.push_back({{.step = static_cast<Step>(step),
+                        .fault = static_cast<Fault>(fault)}});
+    }
+  }
+  return cells;
+}
+
+// Every single cell followed by every other: the second fault strikes when its
+// step is next come to after the first has struck.
+std::vector<Cell> PairCells() {
+  const std::vector<Cell> singles = SingleCells();
+  std::vector<Cell> cells;
+  for (const Cell& first : singles) {
+    for (const Cell& second : singles) {
+      cells.push_back({first.front(), second.front()});
+    }
+  }
+  return cells;
+}
+
+// What a set of cells came to.
+struct Tally {
+  int64_t run = 0;
+  int64_t passed = 0;
+  int64_t red = 0;
+  int64_t stuck = 0;      // of the red ones: no promise broken, but no recovery
+  int64_t unreached = 0;  // a fault never struck, as its step wasn't come to
+  std::string first_red;
+};
+
+bool IsRed(const WorldReport& report) {
+  return !report.violations.empty() || !report.recovered;
+}
+
+std::string Describe(const Cell& cell, const WorldReport& report) {
+  std::string text = CellName(cell);
+  for (const std::string& violation : report.violations) {
+    text += "\n    " + violation;
+  }
+  if (!report.recovered) {
+    text += "\n    no orders after the faults had passed";
+  }
+  return text;
+}
+
+Tally RunCells(const std::vector<Cell>& cells,
+               const WorldOptions& options,
+               bool print) {
+  Tally tally;
+  std::mutex mutex;
+  std::atomic<size_t> next = 0;
+  const auto work = [&] {
+    for (size_t i = next++; i < cells.size(); i = next++) {
+      World world(options, cells[i]);
+      const WorldReport report = world.Run();
+      const std::scoped_lock lock(mutex);
+      ++tally.run;
+      ++(IsRed(report) ? tally.red : tally.passed);
+      tally.stuck += IsRed(report) && report.violations.empty() ? 1 : 0;
+      tally.unreached += report.struck < std::ssize(cells[i]) ? 1 : 0;
+      if (!report.violations.empty() && tally.first_red.empty()) {
+        tally.first_red =
+            report.violations.front() + " (" + CellName(cells[i]) + ")";
+      }
+      if (print && IsRed(report)) {
+        std::printf("RED %zu: %s\n", i, Describe(cells[i], report).c_str());
+      }
+    }
+  };
+  std::vector<std::jthread> threads;
+  for (unsigned i = 0; i < kThreads; ++i) {
+    threads.emplace_back(work);
+  }
+  threads.clear();
+  return tally;
+}
+
+void Print(std::string_view name, const Tally& tally) {
+  std::printf(
+      "%-8s cells run %6ld  passed %6ld  red %4ld (of these without a broken "
+      "promise %ld)  a fault not reached in %ld\n",
+      std::string(name).c_str(), static_cast<long>(tally.run),
+      static_cast<long>(tally.passed), static_cast<long>(tally.red),
+      static_cast<long>(tally.stuck), static_cast<long>(tally.unreached));
+}
+
+// Whether each mechanism, switched off, lets a promise be broken.
+bool RunMutations() {
+  const std::vector<Cell> cells = SingleCells();
+  bool all_found = true;
+  std::printf("%-34s %-10s %s\n", "mechanism switched off", "found by",
+              "for example");
+  for (const Mutation& mutation : kMutations) {
+    WorldOptions options = Settings();
+    mutation.apply(options);
+    const Tally tally = RunCells(cells, options, false);
+    const int64_t found = tally.red - tally.stuck;
+    all_found = all_found && found > 0;
+    std::printf("%-34s %3ld cells  %s\n", std::string(mutation.name).c_str(),
+                static_cast<long>(found),
+                found > 0 ? tally.first_red.c_str() : "NOT FOUND");
+  }
+  return all_found;
+}
+
+int RunOne(size_t number) {
+  const std::vector<Cell> cells = SingleCells();
+  if (number >= cells.size()) {
+    return 2;
+  }
+  World world(Settings(), cells[number]);
+  const WorldReport report = world.Run();
+  std::printf(
+      "%s\n  orders %ld platform %ld windows %ld filings %ld served "
+      "%ld reported %ld store calls %ld\n",
+      Describe(cells[number], report).c_str(), static_cast<long>(report.orders),
+      static_cast<long>(report.platform_orders),
+      static_cast<long>(report.windows), static_cast<long>(report.filings),
+      static_cast<long>(report.served), static_cast<long>(report.reported),
+      static_cast<long>(report.store_calls));
+  return IsRed(report) ? 1 : 0;
+}
+
+int RunMatrix(bool pairs) {
+  const Tally singles = RunCells(SingleCells(), Settings(), true);
+  Print("singles", singles);
+  Tally both;
+  if (pairs) {
+    both = RunCells(PairCells(), Settings(), true);
+    Print("pairs", both);
+  }
+  const bool found = RunMutations();
+  return singles.red == 0 && both.red == 0 && found ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace hickorystand
+
+int main(int argc, char** argv) {
+  hickorystand::StartLog({.level = hickorystand::LogLevel::kError});
+  const std::string_view mode = argc > 1 ? argv[1] : "";
+  if (mode == "--cell" && argc > 2) {
+    return hickorystand::RunOne(std::strtoul(argv[2], nullptr, 10));
+  }
+  return hickorystand::RunMatrix(mode != "--singles");
+}
--- /dev/null
+++ b/tests/promises.cmake
@@ -0,0 +1,8 @@
+add_library(promise_world STATIC tests/promise_world.cc tests/promise_host.cc)
+target_link_libraries(promise_world PUBLIC hs_decisions)
+target_include_directories(promise_world PUBLIC tests)
+
+add_executable(matrix tests/matrix.cc)
+target_link_libraries(matrix PRIVATE promise_world)
+add_test(NAME matrix COMMAND matrix --singles)
+set_tests_properties(matrix PROPERTIES TIMEOUT 600)
