Record a takeover before an earlier holder's order or report is repeated

Cause: the second holder repeated what the first had begun, but the record still named the first; when the first became holder again it took the intent for its own and didn't wait for the second, which stood between its check and its send. Ruled out: the list of hosts and the releases (neither named the second holder). Now whoever repeats an intent first writes itself into it.

--- a/packages/decisions/claims.cc
+++ b/packages/decisions/claims.cc
@@ -14,7 +14,7 @@
 namespace {
 
 // How many duplicate windows a shared lease lasts; see OnLeaseGranted().
-constexpr int64_t kLeaseWindows = 2;
+constexpr int64_t kLeaseWindows = 3;
 
 // Feeds a field and its length, so that two fields can't be read as another
 // pair whose texts run together to the same bytes.
@@ -147,8 +147,9 @@
   auto& [window, shared] = *found;
   shared.call = 0;
   if (lease) {
-    // Lasts two windows from when it was asked for and is used for the first,
-    // so that every record stays for a whole window at least.
+    // Lasts three windows from when it was asked for and is used for the first,
+    // so that every record stays for two at least: a request may be sent again
+    // for a window, and then lie unread on a host that stands still.
     shared.lease = *lease;
     shared.usable_until = shared.asked + window;
   } else {
--- a/packages/decisions/coordinator.cc
+++ b/packages/decisions/coordinator.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <numeric>
 #include <ranges>
 #include <utility>
 
@@ -12,6 +13,18 @@
 
 constexpr std::string_view kPart = "coordinator";
 constexpr size_t kMaxArgumentBytes = 256;
+// The coordinator ends a source after forget_after; the others keep it longer,
+// so that whoever closes the next windows has heard of it.
+constexpr int64_t kForgetFactor = 2;
+
+int64_t TotalOf(const AccountUsage& counts) {
+  return std::accumulate(counts.begin(), counts.end(), int64_t{0},
+                         [](int64_t sum, const auto& entry) {
+                           const UsageCount& count = entry.second;
+                           return sum + count.prompt_tokens +
+                                  count.generated_tokens + count.requests;
+                         });
+}
 
 }  // namespace
 
@@ -196,6 +209,7 @@
   std::erase_if(this->left, [this](const auto& entry) {
     return this->listed.contains(entry.first);
   });
+  this->AgeUsage(now);
   this->TickLease(now, out);
   this->Drive(now, out);
 }
@@ -250,6 +264,7 @@
     return;
   }
   if (!this->stopping) {
+    this->TakeOver(now);
     this->SendDue(now, out);
   }
   if (!this->call && this->retry == nullptr && now >= this->next_write) {
@@ -320,6 +335,49 @@
   }
 }
 
+// Takes over what earlier holders began: it is recorded as this tenure's before
+// it leaves again, so that the next successor knows whom to wait for. Without
+// that, one that began an order long ago would later take it for its own, while
+// the last to repeat it still stands between its check and the send.
+//
+// An order to an endpoint may be taken over at once, as the endpoint knows it
+// by its id. The platform must not hear from two hosts that both believe to be
+// in charge, so there the earlier holder must be known to have stopped.
+void Coordinator::TakeOver(Instant now) {
+  if (!this->options.record_takeover) {
+    return;
+  }
+  const auto take = [this, now](auto& intent, Stage& stage, bool to_platform) {
+    const bool foreign = intent.fencing != this->fencing;
+    if (foreign && stage == Stage::kRecorded &&
+        (!to_platform || this->HolderStopped(now, intent.fencing, intent.holder,
+                                             intent.incarnation))) {
+      intent.fencing = this->fencing;
+      intent.holder = this->options.lease.host;
+      intent.incarnation = this->options.lease.incarnation;
+      stage = Stage::kProposed;
+    }
+  };
+  for (auto& [id, open] : this->orders) {
+    take(open.order, open.stage, open.order.ToPlatform());
+  }
+  for (auto& [number, open] : this->reports) {
+    take(open.open, open.stage, true);
+  }
+}
+
+// Whether an intent is this tenure's to send.
+bool Coordinator::MaySendFor(Instant now,
+                             int64_t fencing,
+                             const HostId& holder,
+                             uint64_t incarnation,
+                             bool to_platform) const {
+  const bool mine = fencing == this->fencing;
+  return mine || (!this->options.record_takeover &&
+                  (!to_platform ||
+                   this->HolderStopped(now, fencing, holder, incarnation)));
+}
+
 void Coordinator::SendDue(Instant now, CoordinatorActions& out) {
   for (auto& [id, open] : this->orders) {
     if (now >= open.next_send) {
@@ -337,26 +395,18 @@
                           OpenOrder& open,
                           CoordinatorActions& out) {
   const Order& order = open.order;
-  const bool recorded =
-      open.stage == Stage::kRecorded || open.stage == Stage::kSent;
-  const bool unrecorded_allowed =
-      !this->options.write_intent_first && open.stage == Stage::kProposed;
-  if (!recorded && !unrecorded_allowed) {
-    return;
-  }
-  // An order of an earlier holder to an endpoint may be repeated at once, as
-  // the endpoint knows it by its id. The platform must not hear from two hosts
-  // that both believe to be in charge, so there the earlier one must be known
-  // to have stopped.
-  if (order.ToPlatform() &&
-      !this->HolderStopped(now, order.fencing, order.holder,
-                           order.incarnation)) {
+  const bool unrecorded = open.stage == Stage::kProposed;
+  if (open.stage == Stage::kFinished ||
+      (unrecorded && this->options.write_intent_first) ||
+      !this->MaySendFor(now, order.fencing, order.holder, order.incarnation,
+                        order.ToPlatform())) {
     return;
   }
   assert(this->MayAct(now, this->fencing) && "no order leaves without lease");
-  assert(unrecorded_allowed || std::ranges::find(this->stored.orders, order) !=
-                                   this->stored.orders.end());
-  if (open.stage == Stage::kRecorded) {
+  assert((unrecorded || std::ranges::find(this->stored.orders, order) !=
+                            this->stored.orders.end()) &&
+         "an order is recorded under its sender's name before it leaves");
+  if (!unrecorded) {
     open.stage = Stage::kSent;
   }
   open.next_send = now + this->options.resend_every;
@@ -372,14 +422,17 @@
                              OpenReport& open,
                              CoordinatorActions& out) {
   const OpenWindow& window = open.open;
-  if (open.stage == Stage::kFinished || !open.window ||
-      !this->HolderStopped(now, window.fencing, window.holder,
-                           window.incarnation)) {
+  const bool recorded =
+      open.stage == Stage::kRecorded || open.stage == Stage::kSent;
+  if (!recorded || !open.window ||
+      !this->MaySendFor(now, window.fencing, window.holder, window.incarnation,
+                        true)) {
     return;
   }
   assert(this->MayAct(now, this->fencing) && "no report leaves without lease");
   assert(std::ranges::find(this->stored.windows, window) !=
-         this->stored.windows.end());
+             this->stored.windows.end() &&
+         "a window is recorded under its sender's name before it is reported");
   open.stage = Stage::kSent;
   open.next_send = now + this->options.resend_every;
   out.emplace_back(SendUsageReport{.window = window.window,
@@ -387,13 +440,13 @@
                                    .figures = open.window->figures});
 }
 
-// Whether the holder that began something is this tenure itself or is known to
-// have stopped, so that nothing of it can leave its host any more.
+// Whether the holder that last sent something is known to have stopped, so that
+// nothing of it can leave its host any more.
 bool Coordinator::HolderStopped(Instant now,
                                 int64_t fencing,
                                 const HostId& holder,
                                 uint64_t incarnation) const {
-  if (fencing == this->fencing || !this->options.successor_waits) {
+  if (!this->options.successor_waits) {
     return true;
   }
   if (holder == this->options.lease.host) {
@@ -412,6 +465,39 @@
          now - gone->second >= this->options.unlisted_for;
 }
 
+// Notes which sources still count, and drops those that were over long ago.
+void Coordinator::AgeUsage(Instant now) {
+  const auto note = [this, now](const auto& entry) {
+    SourceAge& age = this->ages[entry.first];
+    const int64_t total = TotalOf(entry.second);
+    if (age.total < total) {
+      age = {.total = total, .since = now};
+    }
+  };
+  std::ranges::for_each(this->ledger.Sources(), note);
+  std::ranges::for_each(this->last_window.counted, note);
+  std::erase_if(this->ages, [this, now](const auto& entry) {
+    const bool old =
+        now - entry.second.since >= kForgetFactor * this->options.forget_after;
+    if (old && this->SourceIsOver(now, entry.first)) {
+      this->ledger.Forget(entry.first);
+      return true;
+    }
+    return false;
+  });
+}
+
+// Whether a source's process is gone and has counted nothing for long.
+bool Coordinator::SourceIsOver(Instant now, const UsageSource& source) const {
+  const auto age = this->ages.find(source);
+  const auto latest = this->incarnations.find(source.host);
+  const bool superseded =
+      latest != this->incarnations.end() && latest->second > source.incarnation;
+  return age != this->ages.end() &&
+         now - age->second.since >= this->options.forget_after &&
+         (superseded || !this->listed.contains(source.host));
+}
+
 bool Coordinator::TargetBusy(const OrderRequest& request) const {
   const bool to_platform = request.kind == OrderKind::kChangeEndpoints;
   return std::ranges::any_of(this->orders, [&](const auto& entry) {
--- a/packages/decisions/coordinator.h
+++ b/packages/decisions/coordinator.h
@@ -146,10 +146,14 @@
   int64_t max_windows = 1000;          // closed and not reported
   int64_t max_record_bytes = 900'000;  // the store takes a megabyte
   int64_t kept_windows = 60;           // reported ones that stay readable
+  // How long a host's process must have counted nothing, and be gone, before
+  // its counters are dropped. Well above any partition.
+  Duration forget_after = std::chrono::hours(1);
 
   // Off only in mutation tests; each shows that its mechanism is needed.
   bool write_intent_first = true;   // record an order before it leaves
   bool successor_waits = true;      // heed what earlier holders began
+  bool record_takeover = true;      // record whoever repeats an order
   bool window_written_once = true;  // write figures before reporting them
 };
 
@@ -321,9 +325,17 @@
   void TakeWindow(int64_t number, const StoreReply& reply);
   OrderRecord Content() const;
   void Write(Instant now, CoordinatorActions& out);
-  void AddWindow(StoreTransaction& transaction, OrderRecord& content);
+  void AddWindow(Instant now,
+                 StoreTransaction& transaction,
+                 OrderRecord& content);
   void OnWritten(Instant now, const StoreReply& reply, CoordinatorActions& out);
   void TakeWritten(Instant now);
+  void TakeOver(Instant now);
+  bool MaySendFor(Instant now,
+                  int64_t fencing,
+                  const HostId& holder,
+                  uint64_t incarnation,
+                  bool to_platform) const;
   void SendDue(Instant now, CoordinatorActions& out);
   void SendOne(Instant now, OpenOrder& open, CoordinatorActions& out);
   void SendReport(Instant now, OpenReport& open, CoordinatorActions& out);
@@ -331,6 +343,8 @@
                      int64_t fencing,
                      const HostId& holder,
                      uint64_t incarnation) const;
+  void AgeUsage(Instant now);
+  bool SourceIsOver(Instant now, const UsageSource& source) const;
   bool TargetBusy(const OrderRequest& request) const;
   bool AwaitsReplies() const;
 
@@ -358,6 +372,12 @@
   std::optional<Release> last_release;
   std::map<HostId, Release> releases;       // the latest of each host
   std::map<HostId, uint64_t> incarnations;  // the latest of each host
+  // The sum of each source's counters, and since when it hasn't grown.
+  struct SourceAge {
+    int64_t total = -1;
+    Instant since{};
+  };
+  std::map<UsageSource, SourceAge> ages;
   std::set<HostId> listed;
   std::map<HostId, Instant> left;  // hosts that left the list, and when
 };
--- a/packages/decisions/coordinator_record.cc
+++ b/packages/decisions/coordinator_record.cc
@@ -102,7 +102,7 @@
     OpenOrder& open =
         this->orders.try_emplace(order.id, OpenOrder{.order = order})
             .first->second;
-    if (open.stage == Stage::kProposed) {
+    if (open.stage == Stage::kProposed && open.order == order) {
       open.stage = Stage::kRecorded;
     }
   }
@@ -110,7 +110,7 @@
     OpenReport& open =
         this->reports.try_emplace(window.window, OpenReport{.open = window})
             .first->second;
-    if (open.stage == Stage::kProposed) {
+    if (open.stage == Stage::kProposed && open.open == window) {
       open.stage = Stage::kRecorded;
     }
   }
@@ -221,7 +221,7 @@
   this->closing = {};
   if (now >= this->next_window && !this->stopping) {
     this->next_window = now + this->options.window_length;
-    this->AddWindow(transaction, content);
+    this->AddWindow(now, transaction, content);
   }
   if (content == this->stored) {
     return;
@@ -237,14 +237,21 @@
 
 // Closes the next usage window in the same transaction, unless nothing was
 // used. Its figures are created once and never written again.
-void Coordinator::AddWindow(StoreTransaction& transaction,
+void Coordinator::AddWindow(Instant now,
+                            StoreTransaction& transaction,
                             OrderRecord& content) {
   if (std::ssize(content.windows) >= this->options.max_windows) {
     return;  // the platform takes no reports; the counters keep counting
   }
   const int64_t number = this->stored.last_window + 1;
-  UsageWindow window =
-      CloseUsageWindow(this->last_window, this->ledger, number, this->fencing);
+  std::vector<UsageSource> ending;
+  for (const auto& [source, age] : this->ages) {
+    if (this->SourceIsOver(now, source)) {
+      ending.push_back(source);
+    }
+  }
+  UsageWindow window = CloseUsageWindow(this->last_window, this->ledger, number,
+                                        this->fencing, ending);
   if (window.figures.empty()) {
     return;
   }
@@ -303,11 +310,18 @@
   this->stored = std::exchange(this->writing, {});
   for (const Order& order : this->stored.orders) {
     OpenOrder& open = this->orders.at(order.id);
-    if (open.stage == Stage::kProposed) {
+    if (open.stage == Stage::kProposed && open.order == order) {
       open.stage = Stage::kRecorded;
       open.next_send = now;
     }
   }
+  for (const OpenWindow& window : this->stored.windows) {
+    const auto open = this->reports.find(window.window);
+    if (open != this->reports.end() && open->second.open == window &&
+        open->second.stage == Stage::kProposed) {
+      open->second.stage = Stage::kRecorded;
+    }
+  }
   if (this->closing.window != 0) {
     this->reports[this->closing.window] = {.open = this->stored.windows.back(),
                                            .stage = Stage::kRecorded,
--- a/packages/decisions/usage.cc
+++ b/packages/decisions/usage.cc
@@ -45,11 +45,33 @@
   return found == counts.end() ? kNothing : found->second;
 }
 
+bool HasEnded(const UsageWindow& window, const UsageSource& source) {
+  const auto found = window.ended.find(source.host);
+  return found != window.ended.end() && source.incarnation <= found->second;
+}
+
 bool NeverNegative(const UsageCount& count) {
   return count.prompt_tokens >= 0 && count.generated_tokens >= 0 &&
          count.requests >= 0;
 }
 
+// Adds to a window what one source has counted beyond the last one.
+void CountSource(UsageWindow& window,
+                 const UsageSource& source,
+                 const AccountUsage& counts) {
+  AccountUsage& counted = window.counted[source];
+  for (const auto& [account, count] : counts) {
+    const UsageCount reached = Find(counted, account).Highest(count);
+    const UsageCount grown = reached.Minus(Find(counted, account));
+    assert(NeverNegative(grown) && "a window never takes usage back");
+    if (grown != kNothing) {
+      UsageCount& figure = window.figures[account];
+      figure = figure.Plus(grown);
+    }
+    counted[account] = reached;
+  }
+}
+
 }  // namespace
 
 UsageCount UsageCount::Plus(const UsageCount& other) const {
@@ -104,23 +126,25 @@
 UsageWindow CloseUsageWindow(const UsageWindow& last,
                              const UsageLedger& ledger,
                              int64_t window,
-                             int64_t fencing) {
+                             int64_t fencing,
+                             const std::vector<UsageSource>& ending) {
   assert(window > last.window && "windows are closed in order");
-  UsageWindow closed{
-      .window = window, .fencing = fencing, .counted = last.counted};
+  UsageWindow closed{.window = window,
+                     .fencing = fencing,
+                     .counted = last.counted,
+                     .ended = last.ended};
   for (const auto& [source, counts] : ledger.Sources()) {
-    AccountUsage& counted = closed.counted[source];
-    for (const auto& [account, count] : counts) {
-      const UsageCount reached = Find(counted, account).Highest(count);
-      const UsageCount grown = reached.Minus(Find(counted, account));
-      assert(NeverNegative(grown) && "a window never takes usage back");
-      if (grown != kNothing) {
-        UsageCount& figure = closed.figures[account];
-        figure = figure.Plus(grown);
-      }
-      counted[account] = reached;
+    if (!HasEnded(closed, source)) {
+      CountSource(closed, source, counts);
     }
   }
+  for (const UsageSource& source : ending) {
+    uint64_t& ended = closed.ended[source.host];
+    ended = std::max(ended, source.incarnation);
+  }
+  std::erase_if(closed.counted, [&closed](const auto& entry) {
+    return HasEnded(closed, entry.first);
+  });
   return closed;
 }
 
@@ -143,7 +167,11 @@
     WriteCounts(out, "counts", counts);
     out.EndObject();
   }
-  out.EndArray().EndObject();
+  out.EndArray().BeginObject("ended");
+  for (const auto& [host, incarnation] : window.ended) {
+    out.Integer(host.Text(), static_cast<int64_t>(incarnation));
+  }
+  out.EndObject().EndObject();
   return out.Take();
 }
 
@@ -169,6 +197,10 @@
         .incarnation = static_cast<uint64_t>(item.Integer("incarnation"))};
     window.counted[source] = *std::move(counts);
   }
+  const JsonReader ended = in->Member("ended");
+  for (const std::string& host : ended.Names()) {
+    window.ended[HostId(host)] = static_cast<uint64_t>(ended.Integer(host));
+  }
   return window;
 }
 
--- a/packages/decisions/usage.h
+++ b/packages/decisions/usage.h
@@ -100,16 +100,22 @@
   int64_t fencing = 0;   // of the coordinator that closed it
   AccountUsage figures;  // what is reported
   SourceUsage counted;   // up to where each source is in this or an earlier one
+  // The highest incarnation of each host that counts no more. What is heard of
+  // it, or of earlier ones, is too late: without this a forgotten source that
+  // somebody still tells of would be counted a second time from the start.
+  std::map<HostId, uint64_t> ended;
 
   bool operator==(const UsageWindow&) const = default;
 };
 
 // Closes the window after `last`: figures are what the ledger has beyond what
-// was counted already. A ledger that lags behind counts nothing twice.
+// was counted already. A ledger that lags behind counts nothing twice. Sources
+// in `ending` are counted for the last time, with earlier ones of their hosts.
 UsageWindow CloseUsageWindow(const UsageWindow& last,
                              const UsageLedger& ledger,
                              int64_t window,
-                             int64_t fencing);
+                             int64_t fencing,
+                             const std::vector<UsageSource>& ending = {});
 
 // Where a data centre's windows stand.
 std::string UsageWindowKey(const DataCentreId& data_centre, int64_t window);
--- a/tests/matrix.cc
+++ b/tests/matrix.cc
@@ -44,6 +44,8 @@
              [](WorldOptions& o) { o.coordinator.write_intent_first = false; }},
     Mutation{"successor heeds earlier intents",
              [](WorldOptions& o) { o.coordinator.successor_waits = false; }},
+    Mutation{"takeover recorded before a repeat",
+             [](WorldOptions& o) { o.coordinator.record_takeover = false; }},
     Mutation{
         "window written once",
         [](WorldOptions& o) { o.coordinator.window_written_once = false; }},
@@ -61,16 +63,6 @@
   return name;
 }
 
-// The settings of every run. Shorter waits than in service keep runs short.
-WorldOptions Settings() {
-  WorldOptions options;
-  options.coordinator.window_length = std::chrono::seconds(5);
-  options.coordinator.unlisted_for = std::chrono::seconds(8);
-  options.loss = 0.02;
-  options.delay = 0.05;
-  return options;
-}
-
 std::vector<Cell> SingleCells() {
   std::vector<Cell> cells;
   for (int step = 0; step < kSteps; ++step) {
@@ -95,6 +87,20 @@
   return cells;
 }
 
+// What each mutation is tried on: the single cells, and those pairs in which
+// two holders in turn are stopped on their way to the platform.
+std::vector<Cell> MutationCells() {
+  std::vector<Cell> cells = SingleCells();
+  for (int fault = 1; fault < kFaults; ++fault) {
+    for (const Step second : {Step::kPlatformSend, Step::kReportSend}) {
+      cells.push_back(
+          {{.step = Step::kPlatformSend, .fault = static_cast<Fault>(fault)},
+           {.step = second, .fault = Fault::kPauseInside}});
+    }
+  }
+  return cells;
+}
+
 // What a set of cells came to.
 struct Tally {
   int64_t run = 0;
@@ -163,12 +169,12 @@
 
 // Whether each mechanism, switched off, lets a promise be broken.
 bool RunMutations() {
-  const std::vector<Cell> cells = SingleCells();
+  const std::vector<Cell> cells = MutationCells();
   bool all_found = true;
   std::printf("%-34s %-10s %s\n", "mechanism switched off", "found by",
               "for example");
   for (const Mutation& mutation : kMutations) {
-    WorldOptions options = Settings();
+    WorldOptions options = MatrixOptions();
     mutation.apply(options);
     const Tally tally = RunCells(cells, options, false);
     const int64_t found = tally.red - tally.stuck;
@@ -185,7 +191,7 @@
   if (number >= cells.size()) {
     return 2;
   }
-  World world(Settings(), cells[number]);
+  World world(MatrixOptions(), cells[number]);
   const WorldReport report = world.Run();
   std::printf(
       "%s\n  orders %ld platform %ld windows %ld filings %ld served "
@@ -199,11 +205,11 @@
 }
 
 int RunMatrix(bool pairs) {
-  const Tally singles = RunCells(SingleCells(), Settings(), true);
+  const Tally singles = RunCells(SingleCells(), MatrixOptions(), true);
   Print("singles", singles);
   Tally both;
   if (pairs) {
-    both = RunCells(PairCells(), Settings(), true);
+    both = RunCells(PairCells(), MatrixOptions(), true);
     Print("pairs", both);
   }
   const bool found = RunMutations();
--- a/tests/promise_host.cc
+++ b/tests/promise_host.cc
@@ -79,15 +79,11 @@
   return Instant(Duration(static_cast<int64_t>(run)) + this->clock.offset);
 }
 
-bool ModelHost::Paused() const {
-  return this->world.Now() < this->paused_until;
-}
-
 void ModelHost::Deliver(std::function<void()> event) {
   if (!this->alive) {
     return;
   }
-  if (this->Paused()) {
+  if (this->paused) {
     this->inbox.push_back(std::move(event));
   } else {
     event();
@@ -98,7 +94,7 @@
   if (!this->alive) {
     return;
   }
-  if (this->Paused()) {
+  if (this->paused) {
     this->outbox.push_back(std::move(bytes));
   } else {
     bytes();
@@ -106,13 +102,18 @@
 }
 
 void ModelHost::Pause(Duration length) {
+  this->paused = true;
   this->paused_until = this->world.Now() + length;
   this->world.After(length, [this] { this->Wake(); });
 }
 
 void ModelHost::Wake() {
+  if (this->world.Now() < this->paused_until) {
+    return;  // paused again meanwhile, for longer
+  }
+  this->paused = false;
   for (auto* queue : {&this->outbox, &this->inbox}) {
-    while (this->alive && !this->Paused() && !queue->empty()) {
+    while (this->alive && !this->paused && !queue->empty()) {
       const std::function<void()> next = std::move(queue->front());
       queue->pop_front();
       next();
@@ -127,7 +128,7 @@
 }
 
 void ModelHost::Tick() {
-  if (!this->alive || this->Paused()) {
+  if (!this->alive || this->paused) {
     return;
   }
   this->CheckBelief();
@@ -150,7 +151,7 @@
 }
 
 void ModelHost::Exchange() {
-  if (!this->alive || this->Paused()) {
+  if (!this->alive || this->paused) {
     return;
   }
   const std::vector<UsageCopy> copies = this->coordinator.Usage().Copies();
@@ -171,7 +172,7 @@
     const std::optional<Duration> travel = this->world.Travel();
     const bool cut = this->world.Now() < this->cut_peers_until ||
                      this->world.Now() < peer->cut_peers_until;
-    if (peer.get() != this && travel && !cut) {
+    if (peer.get() != this && peer->Alive() && travel && !cut) {
       ModelHost* receiver = peer.get();
       this->world.After(*travel, [receiver, message] {
         receiver->Deliver([receiver, message] { message(*receiver); });
@@ -191,7 +192,7 @@
 
 // Every host wants something else, so that any two holders would conflict.
 void ModelHost::Propose() {
-  if (!this->alive || this->Paused()) {
+  if (!this->alive || this->paused) {
     return;
   }
   CoordinatorActions wanted;
--- a/tests/promise_host.h
+++ b/tests/promise_host.h
@@ -51,7 +51,6 @@
 
  private:
   Instant Clock() const;
-  bool Paused() const;
   // Runs when the host is awake; never if it died meanwhile.
   void Deliver(std::function<void()> event);
   // Bytes that were handed over leave when the process runs; never if it died.
@@ -103,6 +102,7 @@
   std::map<RequestId, Filing> pending;
   bool alive = true;
   bool draining = false;
+  bool paused = false;
   Instant paused_until{};
   std::deque<std::function<void()>> outbox;
   std::deque<std::function<void()>> inbox;
--- a/tests/promise_world.cc
+++ b/tests/promise_world.cc
@@ -56,6 +56,25 @@
   return kFaultNames[static_cast<size_t>(fault)];
 }
 
+WorldOptions MatrixOptions() {
+  WorldOptions options;
+  options.coordinator.window_length = seconds(5);
+  options.coordinator.unlisted_for = seconds(8);
+  options.loss = 0.02;
+  options.delay = 0.05;
+  return options;
+}
+
+WorldOptions SoakOptions(uint64_t seed) {
+  WorldOptions options = MatrixOptions();
+  options.seed = seed;
+  options.coordinator.forget_after = seconds(60);
+  options.fault_every = 4;
+  options.length = seconds(360);
+  options.drain_at = seconds(100);
+  return options;
+}
+
 // ---- ModelStore ----
 
 StoreReply ModelStore::Transact(Instant now,
--- a/tests/promise_world.h
+++ b/tests/promise_world.h
@@ -99,6 +99,14 @@
   Duration drain_at = std::chrono::seconds(30);  // a planned stop
 };
 
+// The settings of the matrix: a little loss and delay, and shorter waits than
+// in service, which keep runs short.
+WorldOptions MatrixOptions();
+
+// The settings of a randomised run of six virtual minutes: the same, and a
+// random fault armed at a random step every few seconds.
+WorldOptions SoakOptions(uint64_t seed);
+
 // The key-value service.
 class ModelStore {
  public:
--- a/tests/promises.cmake
+++ b/tests/promises.cmake
@@ -6,3 +6,8 @@
 target_link_libraries(matrix PRIVATE promise_world)
 add_test(NAME matrix COMMAND matrix --singles)
 set_tests_properties(matrix PROPERTIES TIMEOUT 600)
+
+add_executable(soak tests/soak.cc)
+target_link_libraries(soak PRIVATE promise_world)
+add_test(NAME soak COMMAND soak --hours 2 --seed 1)
+set_tests_properties(soak PROPERTIES TIMEOUT 600)
