--- /dev/null
+++ b/packages/platform/package.cmake
@@ -0,0 +1,1 @@
+add_package(platform hs_decisions hs_http)
