--- a/packages/decisions/coordinator.cc
+++ b/packages/decisions/coordinator.cc
@@ -505,8 +505,11 @@
     if (open.stage == Stage::kFinished) {
       return false;
     }
-    const bool foreign = open.order.fencing != this->fencing;
-    return (to_platform && open.order.ToPlatform() && foreign) ||
+    // What earlier holders began is finished first, also after its takeover: a
+    // copy of theirs may still arrive between this tenure's own orders.
+    const bool earlier =
+        !open.order.id.Text().starts_with(std::to_string(this->fencing) + "-");
+    return (to_platform && open.order.ToPlatform() && earlier) ||
            (!request.endpoint.Empty() &&
             open.order.endpoint == request.endpoint);
   });
