--- a/tests/promise_host.cc
+++ b/tests/promise_host.cc
@@ -215,7 +215,7 @@
   this->Do(wanted);
 }
 
-void ModelHost::OnHosts(const std::vector<ListedHost>& listed) {
+void ModelHost::OnHosts(const std::vector<HostListing>& listed) {
   this->Deliver([this, listed] {
     CoordinatorActions wanted;
     this->coordinator.OnHosts(this->Clock(), listed, wanted);
--- a/tests/promise_host.h
+++ b/tests/promise_host.h
@@ -41,7 +41,7 @@
   void File(const RequestId& request,
             const std::string& key,
             std::function<void(FilingAnswer)> answer);
-  void OnHosts(const std::vector<ListedHost>& listed);
+  void OnHosts(const std::vector<HostListing>& listed);
 
   const HostId& Id() const { return this->id; }
   uint64_t Incarnation() const { return this->incarnation; }
--- a/tests/promise_world.cc
+++ b/tests/promise_world.cc
@@ -500,7 +500,7 @@
 
 // The platform's list, which lags.
 void World::PublishHosts() {
-  std::vector<ListedHost> listed;
+  std::vector<HostListing> listed;
   for (const auto& host : this->hosts) {
     if (host->Alive()) {
       listed.push_back({.host = host->Id(), .leaving = host->Draining()});
