--- a/bench/policy_baselines.cc
+++ b/bench/policy_baselines.cc
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "decisions/configuration_records.h"
 #include "decisions/hickorystand_dispatcher.h"
 #include "policy_engine.h"
 
@@ -285,10 +286,9 @@
              &MakeWithout<[](PolicyOptions& policy) {
                policy.router.use_peer_digests = false;
              }>},
-    Strategy{"no-fit", RolePolicy::kPlanner, true,
-             &MakeWithout<[](PolicyOptions& policy) {
-               policy.router.fit = 1e9;
-             }>},
+    Strategy{
+        "no-fit", RolePolicy::kPlanner, true,
+        &MakeWithout<[](PolicyOptions& policy) { policy.router.fit = 1e9; }>},
     Strategy{"no-equals", RolePolicy::kPlanner, true,
              &MakeWithout<[](PolicyOptions& policy) {
                policy.router.choose_among_equals = false;
--- a/bench/policy_fleet.cc
+++ b/bench/policy_fleet.cc
@@ -7,6 +7,8 @@
 #include <ranges>
 #include <utility>
 
+#include "decisions/configuration_records.h"
+
 namespace hickorystand {
 namespace {
 
--- a/packages/decisions/placement.cc
+++ b/packages/decisions/placement.cc
@@ -9,6 +9,8 @@
 #include <set>
 #include <utility>
 
+#include "decisions/configuration_records.h"
+
 namespace hickorystand {
 namespace {
 
@@ -44,20 +46,6 @@
 
 }  // namespace
 
-std::string NameOfRole(EndpointRole role) {
-  switch (role) {
-    case EndpointRole::kMixed:
-      return "mixed";
-    case EndpointRole::kPrefill:
-      return "prefill";
-    case EndpointRole::kDecode:
-      return "decode";
-    case EndpointRole::kPlain:
-      return "plain";
-  }
-  return "mixed";
-}
-
 void WorkForecast::Add(double rate) {
   if (!this->started) {
     this->started = true;
--- a/packages/decisions/placement.h
+++ b/packages/decisions/placement.h
@@ -216,7 +216,4 @@
   std::optional<Instant> last_load;
 };
 
-// Names of roles as orders and settings spell them.
-std::string NameOfRole(EndpointRole role);
-
 }  // namespace hickorystand
--- a/packages/decisions/router.cc
+++ b/packages/decisions/router.cc
@@ -96,7 +96,6 @@
     EndpointView& view = this->View(id);
     view.endpoint = endpoint;
     view.configured = true;
-    this->by_service[endpoint.service].push_back(id);
   }
   std::erase_if(this->views, [](const auto& entry) {
     return !entry.second.configured && entry.second.own_requests == 0;
@@ -104,6 +103,9 @@
   for (auto& [id, view] : this->views) {
     view.peer_requests = 0;
     view.peer_prompt_tokens = 0;
+    if (view.configured) {
+      this->by_service[view.endpoint.service].push_back(&view);
+    }
   }
   for (const auto& [host, outstanding] : this->peers) {
     this->CountPeer(outstanding, 1);
@@ -292,8 +294,8 @@
     return 0;
   }
   std::vector<std::pair<double, EndpointView*>> works;
-  for (const EndpointId& id : service->second) {
-    EndpointView& view = this->views.at(id);
+  for (EndpointView* candidate : service->second) {
+    EndpointView& view = *candidate;
     if (!view.Leaving() && !view.down && !view.Ejected(now)) {
       works.emplace_back(this->Score(now, view, request).work, &view);
     }
@@ -350,8 +352,8 @@
     return {};
   }
   std::vector<Scored> scored;
-  for (const EndpointId& id : service->second) {
-    const EndpointView& view = this->views.at(id);
+  for (EndpointView* candidate : service->second) {
+    const EndpointView& view = *candidate;
     if (this->Usable(now, view, query)) {
       scored.push_back(this->Score(now, view, *query.request));
     }
@@ -391,8 +393,8 @@
 bool Router::HasRoomFor(Instant now, const ServiceId& service) const {
   const auto found = this->by_service.find(service);
   return found != this->by_service.end() &&
-         std::ranges::any_of(found->second, [&](const EndpointId& id) {
-           const EndpointView& view = this->views.at(id);
+         std::ranges::any_of(found->second, [&](const EndpointView* candidate) {
+           const EndpointView& view = *candidate;
            return !view.Leaving() && !view.Ejected(now) &&
                   this->HasRoom(view, RequestClass::kInteractive);
          });
@@ -401,8 +403,8 @@
 bool Router::HasEndpoint(const ServiceId& service) const {
   const auto found = this->by_service.find(service);
   return found != this->by_service.end() &&
-         std::ranges::any_of(found->second, [this](const EndpointId& id) {
-           return !this->views.at(id).Leaving();
+         std::ranges::any_of(found->second, [](const EndpointView* view) {
+           return !view->Leaving();
          });
 }
 
@@ -413,8 +415,8 @@
     return {};
   }
   std::optional<double> best;
-  for (const EndpointId& id : service->second) {
-    const EndpointView& view = this->views.at(id);
+  for (EndpointView* candidate : service->second) {
+    const EndpointView& view = *candidate;
     if (!view.Leaving() && !view.down && !view.Ejected(now)) {
       const double seconds = this->Score(now, view, request).seconds;
       best = std::min(best.value_or(seconds), seconds);
--- a/packages/decisions/router.h
+++ b/packages/decisions/router.h
@@ -198,7 +198,8 @@
   RouterOptions options;
   std::mt19937_64 random;
   std::map<EndpointId, EndpointView> views;
-  std::map<ServiceId, std::vector<EndpointId>> by_service;
+  // Into `views`, whose elements stay where they are.
+  std::map<ServiceId, std::vector<EndpointView*>> by_service;
   std::map<HostId, std::vector<EndpointOutstanding>> peers;
   double decode_weight = 4;
 };
--- /dev/null
+++ b/tests/policy_bench_test.cc
@@ -0,0 +1,87 @@
+// A short run of the policy bench: the whole policy against fake engines in
+// virtual time. It checks what must hold in any run, not the figures.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "policy_fleet.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr double kSeconds = 90;
+
+TrafficRate Overload(double) {
+  return {.requests_per_second = 60, .prompt_share = 0.5};
+}
+
+RunFigures RunShort(const Strategy& strategy, const Scenario& scenario) {
+  const std::vector<Arrival> arrivals =
+      MakeTraffic({.seed = 5, .seconds = kSeconds, .rate = scenario.rate});
+  BenchFleet fleet(strategy, scenario, 5);
+  return fleet.Run(arrivals);
+}
+
+}  // namespace
+
+TEST_GROUP(PolicyBench){};
+
+// Each strategy through a lost zone, a cut and lagging reports at once.
+TEST(PolicyBench, FilingsRunOnceInEveryStrategy) {
+  Scenario scenario = AllScenarios().front();
+  scenario.seconds = kSeconds;
+  scenario.report_lag = 5;
+  scenario.zone_lost = {20, 50};
+  scenario.cut_off = {30, 60};
+  for (const Strategy& strategy : AllStrategies()) {
+    const RunFigures figures = RunShort(strategy, scenario);
+    LONGS_EQUAL(0, figures.once_run_twice);
+    CHECK(figures.good > 0);
+  }
+}
+
+// Twice to three times what the fleet can carry. Goodput must stay at what the
+// peak was: without refusals and deadlines the fleet works on answers that
+// nobody waits for any more.
+TEST(PolicyBench, OverloadKeepsGoodputAndBatchWork) {
+  Scenario scenario = AllScenarios().front();
+  scenario.seconds = kSeconds;
+  const auto busy =
+      std::ranges::find(AllScenarios(), "lagging", &Scenario::name);
+  Scenario peak = scenario;
+  peak.rate = busy->rate;
+  scenario.rate = &Overload;
+  const Strategy& product = AllStrategies().front();
+  const RunFigures at_peak = RunShort(product, peak);
+  const RunFigures overloaded = RunShort(product, scenario);
+  CHECK(overloaded.goodput >= at_peak.goodput);
+  LONGS_EQUAL(0, overloaded.batch_lost);
+}
+
+TEST(PolicyBench, SameSeedSameFigures) {
+  Scenario scenario = AllScenarios().front();
+  scenario.seconds = 30;
+  const Strategy& product = AllStrategies().front();
+  CHECK(RunShort(product, scenario) == RunShort(product, scenario));
+}
+
+TEST(PolicyBench, TraceIsReadAndFaultsAreNamed) {
+  const std::string path = "policy_bench_test_trace.csv";
+  std::ofstream(path) << "time,account,service,class,prompt_tokens,"
+                         "shared_prefix,output_tokens,deadline\n"
+                         "2.5,a1,language,interactive,1000,500,50,5\n"
+                         "1.0,a2,plain,once,100,0,1,10\n";
+  const auto trace = ReadTrace(path);
+  CHECK(trace.has_value());
+  LONGS_EQUAL(2, trace->size());
+  CHECK(trace->front().request.request_class == RequestClass::kOnce);
+  std::ofstream(path) << "heading\n1,a1,language,urgent,1,0,1,5\n";
+  const auto bad = ReadTrace(path);
+  CHECK(!bad && bad.error().message.find(":2: class") != std::string::npos);
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/tests/policy_parts_test.cc
@@ -0,0 +1,419 @@
+// Failure stories of the parts: admission, router, prefix view, suspects and
+// placement.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <ranges>
+#include <set>
+#include <string>
+
+#include "decisions/placement.h"
+#include "policy_bed.h"
+
+namespace hickorystand {
+namespace {
+
+ConfigurationPtr TwoAccounts() {
+  return FleetBuilder()
+      .WithAccount("large")
+      .WithAccount("small")
+      .WithEndpoints(4)
+      .Build();
+}
+
+// Serves `rounds` requests from a queue that always holds both accounts'
+// work, `flood` times as much of the large one's; returns how many of them
+// were the small account's.
+int64_t ServeContended(const AdmissionOptions& options, int rounds, int flood) {
+  Admission admission(options);
+  admission.OnConfiguration(*TwoAccounts());
+  int64_t next = 0;
+  int64_t small = 0;
+  const auto add = [&](const std::string& account) {
+    admission.Enqueue(At(0),
+                      MakeRequest("r" + std::to_string(next++),
+                                  RequestClass::kInteractive, account),
+                      1000, false);
+  };
+  for (int round = 0; round < rounds; ++round) {
+    for (int i = 0; i < flood; ++i) {
+      add("large");
+    }
+    add("small");
+    const Waiting head = admission.Heads(At(0), kModel, 1).front();
+    admission.Start(At(0), head.request);
+    small += head.account == AccountId("small");
+  }
+  return small;
+}
+
+// The rates of the bench's engines.
+RoleRatesTable Rates() {
+  return {{EndpointRole::kMixed, {6000, 533, 0.5}},
+          {EndpointRole::kPrefill, {10000, 400, 0.7}},
+          {EndpointRole::kDecode, {3000, 1067, 0.3}}};
+}
+
+std::vector<EndpointState> Engines(int count, EndpointRole role) {
+  std::vector<EndpointState> states;
+  for (int i = 0; i < count; ++i) {
+    states.push_back(
+        {.endpoint = {.id = EndpointId("e" + std::to_string(i)),
+                      .service = kModel,
+                      .data_centre = DataCentreId("dc" + std::to_string(i % 3)),
+                      .zone = ZoneId("z" + std::to_string(i % 3))},
+         .role = role});
+  }
+  return states;
+}
+
+// Feeds a planner with a steady mix for so many seconds.
+double Feed(Planner& planner,
+            double from,
+            double seconds,
+            int prompts,
+            int answers) {
+  double second = from;
+  for (; second < from + seconds; ++second) {
+    for (int i = 0; i < prompts; ++i) {
+      planner.OnRequest(3500, 120);
+    }
+    for (int i = 0; i < answers; ++i) {
+      planner.OnRequest(400, 600);
+    }
+    planner.OnTick(At(second));
+  }
+  return second;
+}
+
+}  // namespace
+
+TEST_GROUP(Admission){};
+
+// One account sends nine times what the other sends. First come, first served
+// gives the small one a tenth, and its members walk away.
+TEST(Admission, FloodDoesNotStarveTheSmallAccount) {
+  LONGS_EQUAL(50, ServeContended({.idle_credit = 0}, 100, 9));
+  CHECK(ServeContended({.fair = false}, 100, 9) <= 11);
+}
+
+// An account is idle all night. With its credit saved up, it would then shut
+// everybody else out for as long as it likes.
+TEST(Admission, IdleAccountSavesUpLittle) {
+  Admission admission({.idle_credit = 3000});
+  admission.OnConfiguration(*TwoAccounts());
+  int64_t next = 0;
+  const auto add = [&](const std::string& account) {
+    admission.Enqueue(At(0),
+                      MakeRequest("r" + std::to_string(next++),
+                                  RequestClass::kInteractive, account),
+                      1000, false);
+  };
+  const auto serve = [&] {
+    const Waiting head = admission.Heads(At(0), kModel, 1).front();
+    admission.Start(At(0), head.request);
+    return head.account;
+  };
+  for (int i = 0; i < 100; ++i) {
+    add("large");
+    serve();
+  }
+  for (int i = 0; i < 50; ++i) {
+    add("large");
+    add("small");
+  }
+  int64_t small = 0;
+  for (int i = 0; i < 20; ++i) {
+    small += serve() == AccountId("small");
+  }
+  // Three for the credit, then every other one.
+  CHECK(small >= 10 && small <= 13);
+}
+
+// The other entry hosts have served an account a lot already. A host that only
+// counts for itself would give it a full share on top.
+TEST(Admission, CountsWhatPeersHaveServed) {
+  Admission admission({.idle_credit = 0});
+  admission.OnConfiguration(*TwoAccounts());
+  const auto tell = [&](uint64_t sequence, int64_t cost) {
+    admission.OnDigest({.host = HostId("h2"),
+                        .incarnation = 1,
+                        .sequence = sequence,
+                        .served = {{AccountId("large"), cost, 0}}});
+  };
+  tell(1, 500000);  // before this host knew of the peer: no debt
+  DOUBLES_EQUAL(0, admission.Counter(AccountId("large")), 0.1);
+  tell(2, 510000);
+  DOUBLES_EQUAL(10000, admission.Counter(AccountId("large")), 0.1);
+  tell(2, 900000);  // delivered twice
+  DOUBLES_EQUAL(10000, admission.Counter(AccountId("large")), 0.1);
+}
+
+// Leaflets wait in the batch queue while people keep asking. Without aging
+// they wait for ever, and families have nothing to read in the morning.
+TEST(Admission, BatchWorkArrives) {
+  for (const bool aging : {true, false}) {
+    Admission admission({.age_batch = aging});
+    admission.OnConfiguration(*TwoAccounts());
+    admission.Enqueue(At(0),
+                      MakeRequest("leaflet", RequestClass::kBatch, "small"),
+                      1000, false);
+    bool arrived = false;
+    for (int i = 1; i < 100 && !arrived; ++i) {
+      for (int j = 0; j < 2; ++j) {
+        admission.Enqueue(At(i),
+                          MakeRequest("r" + std::to_string(2 * i + j),
+                                      RequestClass::kInteractive,
+                                      j == 0 ? "large" : "small", i),
+                          1000, false);
+      }
+      const Waiting head = admission.Heads(At(i), kModel, 1).front();
+      admission.Start(At(i), head.request);
+      arrived = head.request == RequestId("leaflet");
+    }
+    CHECK(arrived == aging);
+  }
+}
+
+// The queue is longer than callers will wait. Without refusals everybody waits
+// in vain and comes back at the same moment. Here they hear at once, with
+// different times to come back.
+TEST(Admission, RefusesAtOnceWhatWouldBeLate) {
+  auto dispatcher =
+      MakeDispatcher(FleetBuilder().WithAccount("a").WithEndpoints(1).Build());
+  std::set<Duration> times;
+  AttemptId running = 0;
+  for (int i = 0; i < 3000; ++i) {
+    const double now = i * 0.02;
+    const DispatchList out = dispatcher->OnArrival(
+        At(now), MakeRequest("r" + std::to_string(i),
+                             RequestClass::kInteractive, "a", now));
+    if (const Dispatch* refusal = First(out, DispatchKind::kRefuse);
+        refusal != nullptr && refusal->error) {
+      CHECK(refusal->error->retry_after.has_value());
+      times.insert(refusal->error->retry_after.value_or(Duration(0)));
+    }
+    for (const Dispatch& one : dispatcher->OnTick(At(now))) {
+      running = one.kind == DispatchKind::kSend ? one.attempt : running;
+    }
+    if (i % 25 == 0) {
+      dispatcher->OnResult(At(now),
+                           MakeResult(running, AttemptOutcome::kComplete));
+    }
+  }
+  CHECK(times.size() > 100);
+  CHECK(dispatcher->Queued() < 200);
+}
+
+TEST_GROUP(Router){};
+
+// Eight hosts hear the same stale report: one endpoint is a little less loaded
+// than the others. Hosts that take the least all send there, and it drowns.
+TEST(Router, HostsWithTheSameStaleViewDoNotHerd) {
+  const ConfigurationPtr configuration =
+      FleetBuilder().WithAccount("a").WithEndpoints(10).Build();
+  for (const bool among_equals : {true, false}) {
+    std::map<EndpointId, int> sent;
+    for (uint64_t host = 0; host < 8; ++host) {
+      Router router({.data_centre = kHere,
+                     .seed = host,
+                     .choose_among_equals = among_equals});
+      router.OnConfiguration(*configuration);
+      for (const auto& [id, endpoint] : configuration->endpoints) {
+        LoadReport report = MakeReport(id.Text());
+        report.prefill_rate = id == EndpointId("e3") ? 4100 : 4000;
+        router.OnLoad(At(0), report);
+      }
+      const Request request = MakeRequest("r" + std::to_string(host));
+      sent[router.Choose(At(0), {.request = &request})->endpoint] += 1;
+    }
+    const int most = std::ranges::max(sent | std::views::values);
+    CHECK(among_equals ? most <= 4 : most == 8);
+  }
+}
+
+// An endpoint takes requests and answers each of them late. Its reports look
+// fine, so only the outcomes tell.
+TEST(Router, SlowEndpointLosesItsWork) {
+  const ConfigurationPtr configuration =
+      FleetBuilder().WithAccount("a").WithEndpoints(2).Build();
+  Router router({.data_centre = kHere});
+  router.OnConfiguration(*configuration);
+  const Request request = MakeRequest("r");
+  const EndpointId slow("e1");
+  for (int i = 0; i < 10; ++i) {
+    const Route route{.endpoint = slow};
+    router.OnSent(slow, request, route, false);
+    router.OnFirstToken(At(i), slow, 0, 0.25, 5);
+    router.OnEnded(At(i), slow, AttemptOutcome::kComplete, 0, false, false);
+  }
+  for (int i = 0; i < 20; ++i) {
+    CHECK(EndpointId("e2") ==
+          router.Choose(At(10), {.request = &request})->endpoint);
+  }
+}
+
+// Three attempts in a row break at an endpoint. It gets nothing for a while,
+// then one request at a time until one is answered; never a filing.
+TEST(Router, FailingEndpointIsProbed) {
+  const ConfigurationPtr configuration =
+      FleetBuilder().WithAccount("a").WithEndpoints(1).Build();
+  Router router({.data_centre = kHere});
+  router.OnConfiguration(*configuration);
+  const Request request = MakeRequest("r");
+  const EndpointId only("e1");
+  for (int i = 0; i < 3; ++i) {
+    router.OnSent(only, request, {.endpoint = only}, false);
+    router.OnEnded(At(0), only, AttemptOutcome::kBroken, 0, false, false);
+  }
+  CHECK(!router.Choose(At(1), {.request = &request}));
+  const auto probe = router.Choose(At(3), {.request = &request});
+  CHECK(probe && probe->probe);
+  Request once = request;
+  once.request_class = RequestClass::kOnce;
+  CHECK(!router.Choose(At(3), {.request = &once}));
+  router.OnSent(only, request, probe.value_or(Route()), false);
+  CHECK(!router.Choose(At(3), {.request = &request}));
+  router.OnEnded(At(4), only, AttemptOutcome::kComplete, 0, false, true);
+  const auto after = router.Choose(At(4), {.request = &request});
+  CHECK(after && !after->probe);
+}
+
+TEST_GROUP(PrefixCache){};
+
+// An event is lost. What is believed of the cache counts half until the next
+// snapshot, or requests would chase prefixes that are gone.
+TEST(PrefixCache, GapMakesTheViewUnsure) {
+  PrefixCache cache;
+  cache.Apply({.incarnation = 1, .sequence = 1, .added = {1, 2, 3, 4}});
+  DOUBLES_EQUAL(1, cache.HitShare({1, 2, 3, 4}), 0.001);
+  DOUBLES_EQUAL(0.5, cache.HitShare({1, 2, 9, 4}), 0.001);
+  cache.Apply({.incarnation = 1, .sequence = 3, .added = {5}});
+  DOUBLES_EQUAL(0.5, cache.HitShare({1, 2, 3, 4}), 0.001);
+  cache.Apply(
+      {.incarnation = 1, .sequence = 4, .snapshot = true, .added = {1, 2}});
+  DOUBLES_EQUAL(0.5, cache.HitShare({1, 2, 3, 4}), 0.001);
+  CHECK(cache.Sure());
+}
+
+TEST(PrefixCache, MemoryIsBounded) {
+  PrefixCache cache;
+  for (uint64_t piece = 0; piece < 100000; ++piece) {
+    cache.Expect({piece});
+  }
+  CHECK(cache.Size() <= 8192);
+}
+
+TEST_GROUP(Suspects){};
+
+// A zone is reclaimed and takes two endpoints at once. Their requests have
+// nothing to do with it, and must not be refused after the next crash.
+TEST(Suspects, LostZoneAccusesNobody) {
+  Suspects suspects;
+  suspects.OnCrash(At(0), ZoneId("z"), {1, 2, 3});
+  CHECK(suspects.IsSuspected(At(0), 1));
+  suspects.OnCrash(At(1), ZoneId("z"), {4, 5});
+  for (uint64_t fingerprint = 1; fingerprint <= 5; ++fingerprint) {
+    CHECK(!suspects.IsSuspected(At(1), fingerprint));
+  }
+}
+
+// The caller sends the killer to another host each time. Each host has seen
+// one crash; together they know.
+TEST(Suspects, CrashesAddUpOverHosts) {
+  Suspects suspects;
+  suspects.OnCrash(At(0), ZoneId("z1"), {1, 2});
+  suspects.OnPeer(At(0), HostId("h2"), {{1, 1}});
+  CHECK(suspects.IsCondemned(At(0), 1));
+  CHECK(!suspects.IsCondemned(At(0), 2));
+  suspects.OnAnswered(2);
+  CHECK(!suspects.IsSuspected(At(0), 2));
+}
+
+TEST_GROUP(Placement){};
+
+// A new term begins, and the work leans to answers for good. Engines that lean
+// to prompts are turned, one in each data centre at a time.
+TEST(Placement, LastingMixMovesRoles) {
+  Planner planner(kModel, Rates());
+  Feed(planner, 0, 600, 1, 14);
+  const auto wishes =
+      planner.RoleWishes(At(600), Engines(18, EndpointRole::kPrefill));
+  CHECK(!wishes.empty() && wishes.size() <= 3);
+  for (const PlacementWish& wish : wishes) {
+    STRCMP_EQUAL("decode", wish.argument.c_str());
+  }
+}
+
+// The mix swings every minute, faster than an engine drains. Chasing it takes
+// engines away again and again; the planner settles on a split for all mixes.
+TEST(Placement, SwingsDoNotMoveRoles) {
+  Planner planner(kModel, Rates());
+  std::vector<EndpointState> endpoints = Engines(9, EndpointRole::kPrefill);
+  for (EndpointState& state : Engines(18, EndpointRole::kDecode)) {
+    if (endpoints.size() < 18) {
+      state.endpoint.id = EndpointId("d" + state.endpoint.id.Text());
+      endpoints.push_back(state);
+    }
+  }
+  size_t changes = 0;
+  double now = 0;
+  for (int swing = 0; swing < 20; ++swing) {
+    now = Feed(planner, now, 60, swing % 2 == 0 ? 13 : 2,
+               swing % 2 == 0 ? 2 : 10);
+    for (const PlacementWish& wish : planner.RoleWishes(At(now), endpoints)) {
+      changes += 1;
+      const auto changed =
+          std::ranges::find_if(endpoints, [&](const EndpointState& state) {
+            return state.endpoint.id == wish.endpoint;
+          });
+      changed->role = wish.argument == "prefill" ? EndpointRole::kPrefill
+                                                 : EndpointRole::kDecode;
+    }
+  }
+  CHECK(changes <= 6);
+}
+
+// Work falls at night. Endpoints are given back, but never so far that the loss
+// of one cheap zone would take a data centre below its floor.
+TEST(Placement, GivesBackDownToWhatOutlivesAZone) {
+  Planner planner(kModel, Rates());
+  std::vector<EndpointState> endpoints = Engines(18, EndpointRole::kMixed);
+  for (size_t i = 0; i < endpoints.size(); ++i) {
+    endpoints[i].endpoint.cheap = i % 2 == 0;
+    endpoints[i].endpoint.cost_per_hour = i % 2 == 0 ? 0.3 : 1;
+  }
+  double now = Feed(planner, 0, 600, 1, 1);
+  for (int i = 0; i < 60; ++i) {
+    now = Feed(planner, now, 70, 1, 1);
+    const auto wish = planner.NextCapacityWish(At(now), endpoints, 2, 18);
+    if (!wish) {
+      continue;
+    }
+    LONGS_EQUAL(-1, wish->change);
+    std::erase_if(endpoints, [&](const EndpointState& state) {
+      return state.endpoint.id == wish->endpoint;
+    });
+  }
+  CHECK(endpoints.size() < 18);
+  std::map<DataCentreId, int> firm;
+  for (const EndpointState& state : endpoints) {
+    firm[state.endpoint.data_centre] += state.endpoint.cheap ? 0 : 1;
+  }
+  for (const auto& [data_centre, count] : firm) {
+    CHECK(count >= 2);
+  }
+}
+
+// Two coordinators' worth of orders would ask the weight store for models
+// faster than it can deliver, and every load would be late.
+TEST(Placement, LoadsKeepToTheWeightStoresRate) {
+  Planner planner(kModel, Rates());
+  CHECK(planner.MayLoadModel(At(0)));
+  CHECK(!planner.MayLoadModel(At(29)));
+  CHECK(planner.MayLoadModel(At(30)));
+}
+
+}  // namespace hickorystand
