--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -158,8 +158,8 @@
   for (size_t i = 0; i < runs.size(); i += static_cast<size_t>(seeds)) {
     const auto begin = runs.begin() + static_cast<std::ptrdiff_t>(i);
     const std::vector<Run> group(begin, begin + seeds);
-    std::printf("%-14s %-18s", group[0].scenario->name.data(),
-                group[0].strategy->name.data());
+    std::printf("%-14s %-18s", std::string(group[0].scenario->name).c_str(),
+                std::string(group[0].strategy->name).c_str());
     for (const Column& column : kColumns) {
       std::vector<double> values;
       std::ranges::transform(
--- a/bench/policy_fleet.cc
+++ b/bench/policy_fleet.cc
@@ -158,7 +158,7 @@
   this->events.push({time, this->next_order++, std::move(run)});
 }
 
-void BenchFleet::Every(double period, std::function<void()> run) {
+void BenchFleet::Every(double period, const std::function<void()>& run) {
   this->At(this->now + period, [this, period, run] {
     run();
     this->Every(period, run);
--- a/bench/policy_fleet.h
+++ b/bench/policy_fleet.h
@@ -83,7 +83,7 @@
 
   void Build(uint64_t seed);
   void At(double time, std::function<void()> run);
-  void Every(double period, std::function<void()> run);
+  void Every(double period, const std::function<void()>& run);
   Instant Now() const;
   bool Reachable(const DataCentreId& a, const DataCentreId& b) const;
 
--- a/tests/policy_parts_test.cc
+++ b/tests/policy_parts_test.cc
@@ -49,6 +49,12 @@
   return small;
 }
 
+EndpointId ChosenBy(Router& router, const Request& request, double second) {
+  return router.Choose(At(second), {.request = &request})
+      .value_or(Route())
+      .endpoint;
+}
+
 // The rates of the bench's engines.
 RoleRatesTable Rates() {
   return {{EndpointRole::kMixed, {6000, 533, 0.5}},
@@ -227,7 +233,7 @@
         router.OnLoad(At(0), report);
       }
       const Request request = MakeRequest("r" + std::to_string(host));
-      sent[router.Choose(At(0), {.request = &request})->endpoint] += 1;
+      sent[ChosenBy(router, request, 0)] += 1;
     }
     const int most = std::ranges::max(sent | std::views::values);
     CHECK(among_equals ? most <= 4 : most == 8);
@@ -250,8 +256,7 @@
     router.OnEnded(At(i), slow, AttemptOutcome::kComplete, 0, false, false);
   }
   for (int i = 0; i < 20; ++i) {
-    CHECK(EndpointId("e2") ==
-          router.Choose(At(10), {.request = &request})->endpoint);
+    CHECK(EndpointId("e2") == ChosenBy(router, request, 10));
   }
 }
 
