--- a/packages/decisions/digest_delta.cc
+++ b/packages/decisions/digest_delta.cc
@@ -199,8 +199,9 @@
     if (too_many && receiver.acked + 1 < this->state.sequence) {
       receiver.acked = receiver.sent = 0;
     }
-    // A receiver at 0 is sent the whole state, so it holds nothing back.
-    if (receiver.acked > 0) {
+    // Whoever is to be sent the whole state holds nothing back. One that was
+    // sent something but never acked it does: it may have what is gone now.
+    if (receiver.sent > 0) {
       known = std::min(known, receiver.acked);
     }
   }
@@ -224,15 +225,19 @@
     return;
   }
   Receiver& state = found->second;
-  const bool mine = ack.incarnation == this->state.incarnation &&
-                    ack.sequence <= this->state.sequence;
+  // Entries that were gone may have been forgotten since a lower sequence, so
+  // no delta can lead on from there any more.
+  const bool usable = ack.incarnation == this->state.incarnation &&
+                      ack.sequence <= this->state.sequence &&
+                      ack.sequence >= std::max(state.whole_at, state.acked) &&
+                      state.sent > 0;
+  if (usable) {
+    state.acked = ack.sequence;
+  } else if (ack.gap) {
+    state.acked = 0;
+  }
   if (ack.gap) {
-    // A sequence below `acked` may predate entries that were forgotten.
-    state.acked = mine && ack.sequence >= state.acked ? ack.sequence : 0;
     state.sent = state.acked;
-  } else if (mine && state.sent > 0) {
-    state.acked = std::max(state.acked, ack.sequence);
-    state.sent = std::max(state.sent, state.acked);
   }
 }
 
@@ -247,6 +252,9 @@
   assert(this->state.sequence > 0 && "call Update() first");
   Receiver& to = this->receivers[receiver];
   const uint64_t base = std::exchange(to.sent, this->state.sequence);
+  if (base == 0) {
+    to.whole_at = this->state.sequence;
+  }
   DigestDelta delta{
       .host = this->state.host,
       .data_centre = this->state.data_centre,
--- a/packages/decisions/digest_delta.h
+++ b/packages/decisions/digest_delta.h
@@ -145,6 +145,7 @@
     uint64_t incarnation = 0;
     uint64_t acked = 0;
     uint64_t sent = 0;
+    uint64_t whole_at = 0;  // when it was last sent the whole state
   };
 
   void ForgetWhatIsGone();
