--- a/packages/decisions/digest_delta.cc
+++ b/packages/decisions/digest_delta.cc
@@ -11,10 +11,6 @@
 
 using Values = SentEntries::Values;
 
-// Entries that are gone but can't be forgotten because one receiver doesn't
-// answer. Beyond this many, that receiver is sent the whole state instead.
-constexpr size_t kMaxGone = 512;
-
 // How an endpoint's state is written as a number; 0 is "no news".
 constexpr int64_t kHeardOf = 1;
 constexpr int64_t kLeavingBit = 2;
@@ -169,7 +165,7 @@
 void DigestSender::Update(const Digest& digest) {
   if (digest.incarnation != this->state.incarnation) {
     assert(digest.incarnation > this->state.incarnation);
-    *this = DigestSender();
+    *this = DigestSender(this->options);
   }
   const uint64_t sequence = this->state.sequence + 1;
   this->outstanding.Update(OutstandingValues(digest), sequence);
@@ -191,9 +187,9 @@
 }
 
 void DigestSender::ForgetWhatIsGone() {
-  const bool too_many = this->outstanding.Gone() > kMaxGone ||
-                        this->served.Gone() > kMaxGone ||
-                        this->endpoints.Gone() > kMaxGone;
+  const bool too_many = this->outstanding.Gone() > this->options.max_gone ||
+                        this->served.Gone() > this->options.max_gone ||
+                        this->endpoints.Gone() > this->options.max_gone;
   uint64_t known = this->state.sequence;
   for (auto& [id, receiver] : this->receivers) {
     if (too_many && receiver.acked + 1 < this->state.sequence) {
@@ -205,6 +201,10 @@
       known = std::min(known, receiver.acked);
     }
   }
+  if (known <= this->options.keep_gone) {
+    return;
+  }
+  known -= this->options.keep_gone;
   this->outstanding.Forget(known);
   this->served.Forget(known);
   this->endpoints.Forget(known);
--- a/packages/decisions/digest_delta.h
+++ b/packages/decisions/digest_delta.h
@@ -42,6 +42,19 @@
 // nothing. Receivers end up with exactly this.
 Digest NormaliseDigest(Digest digest);
 
+// How long a sender remembers ids of entries that are gone.
+struct DigestSenderOptions {
+  // In digests. An endpoint without work is gone from the digest, but is there
+  // again with its next request; sending its id anew each time would cost more
+  // than the rest of the entry.
+  uint64_t keep_gone = 4096;
+  // Beyond this many gone entries that a receiver doesn't acknowledge, it is
+  // sent the whole state instead.
+  size_t max_gone = 8192;
+
+  auto operator<=>(const DigestSenderOptions&) const = default;
+};
+
 // One entry's present value. Both numbers 0: there is no such entry any more.
 struct DigestEntry {
   int32_t index = 0;
@@ -118,6 +131,9 @@
 // One host's digest and how far each receiver has followed it.
 class DigestSender {
  public:
+  explicit DigestSender(const DigestSenderOptions& options = {})
+      : options(options) {}
+
   // Takes the host's present state and gives it the next sequence number.
   void Update(const Digest& digest);
 
@@ -150,6 +166,7 @@
 
   void ForgetWhatIsGone();
 
+  DigestSenderOptions options;
   Digest state;  // without its lists, but for the suspicions
   uint64_t suspicions_changed_at = 0;
   SentEntries outstanding;
--- a/packages/decisions/digest_summary.cc
+++ b/packages/decisions/digest_summary.cc
@@ -61,7 +61,6 @@
   sum.data_centre = data_centre;
   sum.incarnation = incarnation;
   std::map<EndpointId, EndpointOutstanding> outstanding;
-  std::map<AccountId, int64_t> waiting;
   std::map<uint64_t, int64_t> crashes;
   std::map<EndpointId, EndpointNews> leaving;
   for (const auto& [id, source] : this->sources) {
@@ -71,9 +70,6 @@
       total.prompt_tokens += entry.prompt_tokens;
       total.requests += entry.requests;
     }
-    for (const auto& entry : source.digest.served) {
-      waiting[entry.account] += entry.waiting;
-    }
     for (const auto& entry : source.digest.suspicions) {
       int64_t& most = crashes[entry.fingerprint];
       most = std::max(most, entry.crashes);
@@ -92,11 +88,8 @@
     sum.outstanding.push_back(total);
   }
   for (const auto& [account, cost] : this->served) {
-    const auto queued = waiting.find(account);
     sum.served.push_back(
-        {.account = account,
-         .cost = cost,
-         .waiting = queued == waiting.end() ? 0 : queued->second});
+        {.account = account, .cost = cost - cost % kSummaryUnit});
   }
   for (const auto& [fingerprint, most] : crashes) {
     sum.suspicions.push_back({.fingerprint = fingerprint, .crashes = most});
--- a/packages/decisions/digest_summary.h
+++ b/packages/decisions/digest_summary.h
@@ -17,6 +17,12 @@
 
 namespace hickorystand {
 
+// Served cost in a summary is rounded down to this. Fairness between data
+// centres works over many seconds; with a small unit every account would count
+// as changed in every summary, and a representative passes summaries on to all
+// hosts of its data centre.
+inline constexpr int64_t kSummaryUnit = 16384;
+
 class DigestSummary {
  public:
   // Takes the newest digest of a source: of a host, or of a data centre under
@@ -29,6 +35,7 @@
 
   // The sum of all sources, as the digest of `host`. Its endpoint news holds
   // what leaves, and nothing of what is down, which is one host's experience.
+  // Queues are left out: they change with every request.
   Digest Make(const HostId& host,
               const DataCentreId& data_centre,
               uint64_t incarnation) const;
--- a/packages/peers/peer_group.cc
+++ b/packages/peers/peer_group.cc
@@ -1,6 +1,7 @@
 #include "peers/peer_group.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace hickorystand {
@@ -157,6 +158,21 @@
   this->Refresh();
 }
 
+void PeerGroup::SetEndpoints(std::map<EndpointId, DataCentreId> wanted) {
+  this->endpoints = std::move(wanted);
+  const auto ids = std::views::keys(this->endpoints);
+  this->board.Keep({ids.begin(), ids.end()});
+}
+
+// Drops what is under way at endpoints of this data centre, or of the others.
+void PeerGroup::KeepOutstanding(Digest& digest, bool here) const {
+  std::erase_if(digest.outstanding, [&](const EndpointOutstanding& entry) {
+    const auto found = this->endpoints.find(entry.endpoint);
+    return found != this->endpoints.end() &&
+           here != (found->second == this->options.links.session.data_centre);
+  });
+}
+
 void PeerGroup::SendSummaries() {
   const SessionOptions& session = this->options.links.session;
   this->next_summary = this->Now() + this->options.summary_period;
@@ -169,6 +185,7 @@
   // those who said it first does no harm.
   Digest own =
       this->near.Make(session.host, session.data_centre, session.incarnation);
+  this->KeepOutstanding(own, false);
   own.endpoints = this->leaving;
   this->links.SendDigest(DigestScope::kDataCentre, own);
   if (rank != 0) {
@@ -176,6 +193,7 @@
   }
   Digest distant =
       this->far.Make(session.host, session.data_centre, session.incarnation);
+  this->KeepOutstanding(distant, true);
   distant.endpoints = this->leaving;
   this->links.SendDigest(DigestScope::kElsewhere, distant);
   distant.sequence = ++this->elsewhere_sequence;
--- a/packages/peers/peer_group.h
+++ b/packages/peers/peer_group.h
@@ -75,10 +75,10 @@
     return this->board.Out(endpoint);
   }
 
-  // A new configuration: forgets endpoints that it lacks.
-  void KeepEndpoints(const std::set<EndpointId>& endpoints) {
-    this->board.Keep(endpoints);
-  }
+  // A new configuration: the endpoints with their data centres. News of others
+  // is forgotten. Work under way at an endpoint is told across data centres
+  // only when it was sent across, since others have no use for it.
+  void SetEndpoints(std::map<EndpointId, DataCentreId> endpoints);
 
   // Sends a message to one host, or to all linked ones.
   bool Send(const HostId& host, const PeerMessage& message) {
@@ -117,6 +117,7 @@
   void OnElsewhere(Digest digest, const HostId& from);
   void OnDown(const HostId& host);
   void OnMessage(const HostId& host, const PeerMessage& message);
+  void KeepOutstanding(Digest& digest, bool here) const;
   void SendSummaries();
   void Refresh();
 
@@ -124,6 +125,7 @@
   PeerGroupHandlers handlers;
   Membership membership;
   EndpointBoard board;
+  std::map<EndpointId, DataCentreId> endpoints;
   DigestSummary near;  // of the hosts of this data centre
   DigestSummary far;   // of the other data centres
   std::map<HostId, Digest> digests;
--- a/packages/peers/peer_links.cc
+++ b/packages/peers/peer_links.cc
@@ -26,8 +26,9 @@
 
 constexpr uint64_t kAckEvery = 8;
 
-// Headers of a packet with one frame: IPv4 and TCP with time stamps.
-constexpr uint64_t kPacketBytes = 52;
+// What a frame costs besides its bytes: the headers of its packet (IPv4, TCP
+// with time stamps) and of the packet that acknowledges it.
+constexpr uint64_t kPacketBytes = 104;
 
 // Largest part of a reply with buckets that goes into one frame, unless one
 // bucket alone is larger.
@@ -53,7 +54,6 @@
 PeerLinks::PeerLinks(PeerLinksOptions options, PeerHandlers handlers)
     : options(std::move(options)),
       handlers(std::move(handlers)),
-      random(this->options.seed),
       refusals(5, std::chrono::seconds(1)) {
   assert(this->options.clock != nullptr && "set PeerLinksOptions::clock");
   assert(!this->options.session.host.Empty() && "set the host's id");
@@ -165,7 +165,9 @@
     const bool moved = link.host.address != host.address;
     link.host = host;
     if (fresh || moved) {
-      link.backoff = this->options.first_backoff;
+      link.backoff.emplace(this->options.first_backoff,
+                           this->options.longest_backoff,
+                           this->options.seed + std::hash<HostId>()(id));
       link.next_dial = this->Now();
       if (this->options.session.host > id) {
         link.next_dial += this->options.dial_grace;
@@ -197,7 +199,7 @@
 }
 
 void PeerLinks::Dial(Link& link) {
-  this->ScheduleDial(link);
+  link.next_dial = this->Now() + link.backoff->Next();
   auto session =
       PeerSession::Dial(this->options.session, this->SessionHandlers(),
                         this->Now(), link.host.host, link.host.address);
@@ -206,13 +208,6 @@
   }
 }
 
-void PeerLinks::ScheduleDial(Link& link) {
-  std::uniform_real_distribution<double> jitter(0.5, 1.5);
-  link.next_dial =
-      this->Now() + FromSeconds(ToSeconds(link.backoff) * jitter(this->random));
-  link.backoff = std::min(link.backoff * 2, this->options.longest_backoff);
-}
-
 void PeerLinks::Bury(std::unique_ptr<PeerSession> session) {
   if (session != nullptr) {
     this->stats.traffic += session->Traffic();
@@ -275,7 +270,9 @@
   Link* link = this->LinkOf(session);
   assert(link != nullptr);
   link->up = true;
-  link->backoff = this->options.first_backoff;
+  if (link->backoff) {
+    link->backoff->Reset();
+  }
   ++this->stats.sessions_established;
   link->acked = {};
   for (auto& sender : this->digests) {
--- a/packages/peers/peer_links.h
+++ b/packages/peers/peer_links.h
@@ -23,13 +23,14 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "decisions/digest.h"
 #include "decisions/digest_delta.h"
 #include "decisions/membership.h"
+#include "kernel/backoff.h"
 #include "kernel/error.h"
 #include "kernel/ids.h"
 #include "kernel/log.h"
@@ -55,11 +56,11 @@
   // before it does so itself, in case the first doesn't know of it yet.
   Duration dial_grace = std::chrono::milliseconds(1500);
   uint64_t seed = 1;  // of the jitter
-  // What digests may cost, sent, with the headers of their packets. As much
-  // comes in, so this is a bit less than half of what a host may spend.
-  double budget_bytes_per_second = 3000;
+  // What digests may cost, sent, with their packets. As much comes in, so this
+  // is a bit less than half of what a host may spend.
+  double budget_bytes_per_second = 3400;
   Duration shortest_period = std::chrono::milliseconds(250);
-  Duration longest_period = std::chrono::seconds(1);
+  Duration longest_period = std::chrono::seconds(2);
 };
 
 // Whom the links tell what.
@@ -132,7 +133,7 @@
     bool listed = false;  // stands in the host list
     std::unique_ptr<PeerSession> session;
     bool up = false;
-    Duration backoff{};
+    std::optional<Backoff> backoff;  // made with the link
     Instant next_dial{};
     std::array<DigestReceiver, kDigestScopes> received;
     std::array<uint64_t, kDigestScopes> acked{};  // last sequence acked
@@ -143,7 +144,6 @@
   void Accept();
   void Tick();
   void Dial(Link& link);
-  void ScheduleDial(Link& link);
   void Adopt(Link& link, std::unique_ptr<PeerSession> session);
   std::unique_ptr<PeerSession> TakePending(const PeerSession& session);
   void ForgetHost(const HostId& id);
@@ -162,7 +162,6 @@
 
   PeerLinksOptions options;
   PeerHandlers handlers;
-  std::mt19937_64 random;
   LogLimiter refusals;
   GSocket* listener = nullptr;
   GSource* acceptable = nullptr;
--- a/packages/peers/session.h
+++ b/packages/peers/session.h
@@ -44,9 +44,10 @@
   Duration hello_timeout = std::chrono::seconds(3);
   // A session on which nothing was heard for so long is closed. Its TCP
   // connection may stay open for hours after something on the way forgot it.
-  Duration silence_timeout = std::chrono::seconds(4);
-  // Something is sent at least this often.
-  Duration heartbeat_period = std::chrono::seconds(1);
+  Duration silence_timeout = std::chrono::seconds(6);
+  // Something is sent at least this often. Longer than the period of digests,
+  // which then serve as heartbeats.
+  Duration heartbeat_period = std::chrono::milliseconds(2500);
   // Test switch: without it a silent session is kept.
   bool close_silent = true;
 };
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -520,6 +520,7 @@
   CHECK(a.WaitForClosed(ErrorKind::kStale));
   CHECK(DigestPasses(b, a, 6));
   LONGS_EQUAL(7, a.digests[HostId("b")].incarnation);
+  LONGS_EQUAL(1, a.Stats().sessions_established);
 }
 
 // The fleet secret is changed host by host. In the middle of it some hosts
