--- a/packages/daemon/control.cc
+++ b/packages/daemon/control.cc
@@ -207,13 +207,14 @@
   LogInfo(kPart, "Configuration in force.",
           {{"revision", std::to_string(next->revision)},
            {"endpoints", std::to_string(next->endpoints.size())}});
-  std::set<EndpointId> known;
-  std::ranges::copy(std::views::keys(next->endpoints),
-                    std::inserter(known, known.end()));
-  this->peers->KeepEndpoints(known);
+  std::map<EndpointId, DataCentreId> places;
+  for (const auto& [id, endpoint] : next->endpoints) {
+    places[id] = endpoint.data_centre;
+  }
   std::erase_if(this->loads, [&](const auto& entry) {
-    return !known.contains(entry.first);
+    return !places.contains(entry.first);
   });
+  this->peers->SetEndpoints(std::move(places));
   this->coordinator->ApplyConfiguration(next);
   this->events.on_configuration(next);
 }
--- a/packages/peers/peer_group.cc
+++ b/packages/peers/peer_group.cc
@@ -105,7 +105,11 @@
     this->handlers.on_gone(this->elsewhere);
   }
   this->elsewhere = id;
+  // No host says this: it has neither a data centre nor a configuration, and
+  // nothing can be asked of it.
   digest.host = id;
+  digest.data_centre = DataCentreId();
+  digest.configuration_revision = 0;
   if (this->handlers.on_digest) {
     this->handlers.on_digest(digest);
   }
