--- a/packages/peers/peer_links.cc
+++ b/packages/peers/peer_links.cc
@@ -199,6 +199,7 @@
 }
 
 void PeerLinks::Dial(Link& link) {
+  assert(link.backoff.has_value());  // made when the host was listed
   link.next_dial = this->Now() + link.backoff->Next();
   auto session =
       PeerSession::Dial(this->options.session, this->SessionHandlers(),
