--- a/packages/peers/peer_group.cc
+++ b/packages/peers/peer_group.cc
@@ -91,7 +91,7 @@
       break;
   }
   if (this->board.Leaving() != this->leaving) {
-    this->SendSummaries();
+    this->SendSummaries(true);
   }
 }
 
@@ -133,7 +133,7 @@
   if (const auto* news = std::get_if<EndpointNews>(&message)) {
     this->board.OnNews(host, *news);
     if (this->board.Leaving() != this->leaving) {
-      this->SendSummaries();
+      this->SendSummaries(true);
     }
   }
   if (this->handlers.on_message) {
@@ -157,7 +157,7 @@
   digest.sequence = ++this->elsewhere_sequence;
   this->near.OnDigest(digest);
   if (this->Now() >= this->next_summary) {
-    this->SendSummaries();
+    this->SendSummaries(false);
   }
   this->Refresh();
 }
@@ -177,7 +177,7 @@
   });
 }
 
-void PeerGroup::SendSummaries() {
+void PeerGroup::SendSummaries(bool urgent) {
   const SessionOptions& session = this->options.links.session;
   this->next_summary = this->Now() + this->options.summary_period;
   this->leaving = this->board.Leaving();
@@ -192,7 +192,8 @@
   this->KeepOutstanding(own, false);
   own.endpoints = this->leaving;
   this->links.SendDigest(DigestScope::kDataCentre, own);
-  if (rank != 0) {
+  const bool pass_on = this->summaries++ % 2 == 0 || urgent;
+  if (rank != 0 || !pass_on) {
     return;
   }
   Digest distant =
--- a/packages/peers/peer_group.h
+++ b/packages/peers/peer_group.h
@@ -32,7 +32,10 @@
   PeerLinksOptions links;
   Duration suspect_after = std::chrono::seconds(4);
   Duration gone_after = std::chrono::seconds(15);
-  Duration summary_period = std::chrono::seconds(2);
+  // Between summaries to other data centres. What they say is passed on to the
+  // hosts here half as often: that costs a representative the most. News of
+  // leaving endpoints doesn't wait for either.
+  Duration summary_period = std::chrono::seconds(5);
 };
 
 // Whom the group tells what.
@@ -118,7 +121,7 @@
   void OnDown(const HostId& host);
   void OnMessage(const HostId& host, const PeerMessage& message);
   void KeepOutstanding(Digest& digest, bool here) const;
-  void SendSummaries();
+  void SendSummaries(bool urgent);
   void Refresh();
 
   PeerGroupOptions options;
@@ -132,6 +135,7 @@
   HostId elsewhere;  // the id under which distant work is told at present
   uint64_t elsewhere_sequence = 0;
   Instant next_summary{};
+  uint64_t summaries = 0;             // sent so far
   std::vector<EndpointNews> leaving;  // known to leave, as last passed on
   PeerLinks links;
 };
--- a/packages/peers/peer_links.h
+++ b/packages/peers/peer_links.h
@@ -56,9 +56,10 @@
   // before it does so itself, in case the first doesn't know of it yet.
   Duration dial_grace = std::chrono::milliseconds(1500);
   uint64_t seed = 1;  // of the jitter
-  // What digests may cost, sent, with their packets. As much comes in, so this
-  // is a bit less than half of what a host may spend.
-  double budget_bytes_per_second = 3400;
+  // What digests may cost, sent, with their packets. As much comes in, and
+  // configuration and distant summaries besides, so this is well below half of
+  // the 7 KB/s that a host may spend.
+  double budget_bytes_per_second = 2900;
   Duration shortest_period = std::chrono::milliseconds(250);
   Duration longest_period = std::chrono::seconds(2);
 };
