--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -2,7 +2,12 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <rapidcheck.h>
+
 #include <algorithm>
+#include <functional>
+#include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -62,6 +67,55 @@
   return *stored;
 }
 
+using ApplyResult = Result<ConfigurationChange::Applied>;
+
+// What a faulty service does to the next transactions.
+enum class Loss { kNone, kReply, kRequest };
+
+// Runs a change while replies and requests get lost as told; between two tries
+// something else may happen at the service.
+ApplyResult RunThroughLosses(ConfigurationChange& change,
+                             KeyValueState& store,
+                             const std::vector<Loss>& losses,
+                             const std::function<void(size_t)>& between = {}) {
+  StoreTransaction next = change.Start();
+  for (size_t i = 0;; ++i) {
+    const Loss loss = i < losses.size() ? losses[i] : Loss::kNone;
+    StoreReply reply{.outcome = StoreOutcome::kUnknown};
+    if (loss != Loss::kRequest) {
+      reply = store.Transact(next);
+    }
+    if (loss == Loss::kReply) {
+      reply = {.outcome = StoreOutcome::kUnknown};
+    }
+    if (between) {
+      between(i);
+    }
+    auto step = change.OnReply(reply);
+    if (auto* end = std::get_if<ApplyResult>(&step)) {
+      return std::move(*end);
+    }
+    next = std::get<StoreTransaction>(std::move(step));
+  }
+}
+
+ConfigurationChange AddingAccount(const std::string& id,
+                                  const std::string& author = "maria") {
+  return {{.name = author, .token = "token-" + id},
+          [id](const Configuration& in_force) {
+            return AddRecord(in_force, {.kind = "account", .id = id});
+          }};
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::string FaultOf(const Record& record) {
+  const auto added = AddRecord(Sample(), record);
+  return added ? "" : added.error().message;
+}
+
 }  // namespace
 
 TEST_GROUP(ConfigurationChange){};
@@ -77,4 +131,248 @@
   CHECK(expected == *ReadAll(store).configuration);
 }
 
+TEST(ConfigurationChange, WritesOnlyTheBucketsThatDiffer) {
+  KeyValueState store;
+  ConfigurationChange first({"maria", "t1"}, Replace(Sample()));
+  CHECK(RunChange(first, store).has_value());
+  const StoredConfiguration stored = ReadAll(store);
+  Configuration wanted = *stored.configuration;
+  wanted.accounts.begin()->second.weight = 9;
+  const auto transaction = MakeApplyTransaction(stored, wanted, {"m", "t2"});
+  CHECK(transaction.has_value());
+  LONGS_EQUAL(2, transaction->then.size());
+}
+
+// Two operators change the configuration at the same moment. Whoever comes
+// second must be told what the other changed, and neither change may be lost or
+// half applied.
+TEST(ConfigurationChange, SecondOfTwoOperatorsIsToldWhatTheFirstChanged) {
+  KeyValueState store;
+  ConfigurationChange late = AddingAccount("late", "tuan");
+  auto late_write = late.OnReply(store.Transact(late.Start()));
+  ConfigurationChange early = AddingAccount("early", "maria");
+  CHECK(RunChange(early, store).has_value());
+  const auto end =
+      late.OnReply(store.Transact(std::get<StoreTransaction>(late_write)));
+  const auto& result = std::get<ApplyResult>(end);
+  CHECK(result.error().kind == ErrorKind::kConflict);
+  CHECK(Contains(result.error().message,
+                 "revision 1 by maria: added account/early"));
+  CHECK(!Contains(result.error().message, "late"));
+  const auto in_force = ReadAll(store).configuration;
+  CHECK(in_force->accounts.contains(AccountId("early")));
+  CHECK(!in_force->accounts.contains(AccountId("late")));
+}
+
+// The reply to a change is lost after it took effect. Said to have failed, it
+// would be repeated or believed undone; said to be in conflict, with oneself.
+TEST(ConfigurationChange, LostReplyIsKnownByItsToken) {
+  KeyValueState store;
+  ConfigurationChange change = AddingAccount("a");
+  const auto result = RunThroughLosses(
+      change, store, {Loss::kNone, Loss::kReply, Loss::kReply});
+  CHECK(result.has_value());
+  LONGS_EQUAL(1, result->revision);
+  LONGS_EQUAL(1, ReadAll(store).head.revision);
+}
+
+// As above, but before it can be asked again, a colleague's change has come on
+// top. The first change stands nevertheless.
+TEST(ConfigurationChange, LostReplyIsKnownUnderALaterChange) {
+  KeyValueState store;
+  ConfigurationChange change = AddingAccount("a");
+  const auto result = RunThroughLosses(
+      change, store, {Loss::kNone, Loss::kReply}, [&](size_t tries) {
+        if (tries == 1) {
+          ConfigurationChange other = AddingAccount("b", "tuan");
+          CHECK(RunChange(other, store).has_value());
+        }
+      });
+  CHECK(result.has_value());
+  LONGS_EQUAL(1, result->revision);
+  LONGS_EQUAL(2, ReadAll(store).configuration->accounts.size());
+}
+
+// The request itself was lost, and a colleague's change came first: it is
+// certain that nothing was applied, and "unknown" would be less than the truth.
+TEST(ConfigurationChange, LostRequestBeforeAnotherChangeIsAConflict) {
+  KeyValueState store;
+  ConfigurationChange change = AddingAccount("a");
+  const auto result = RunThroughLosses(
+      change, store, {Loss::kNone, Loss::kRequest}, [&](size_t tries) {
+        if (tries == 1) {
+          ConfigurationChange other = AddingAccount("b", "tuan");
+          CHECK(RunChange(other, store).has_value());
+        }
+      });
+  CHECK(result.error().kind == ErrorKind::kConflict);
+  CHECK(!ReadAll(store).configuration->accounts.contains(AccountId("a")));
+}
+
+TEST(ConfigurationChange, GivesUpOnADeadServiceWithoutClaimingToKnow) {
+  KeyValueState store;
+  const std::vector<Loss> dead(20, Loss::kRequest);
+  ConfigurationChange unread = AddingAccount("a");
+  CHECK(RunThroughLosses(unread, store, dead).error().kind ==
+        ErrorKind::kPlatformDown);
+  std::vector<Loss> after_read = dead;
+  after_read.front() = Loss::kNone;
+  ConfigurationChange unknown = AddingAccount("a");
+  CHECK(RunThroughLosses(unknown, store, after_read).error().kind ==
+        ErrorKind::kOutcomeUnknown);
+}
+
+TEST(ConfigurationChange, HeadRemembersABoundedNumberOfChanges) {
+  KeyValueState store;
+  for (int i = 0; i < 50; ++i) {
+    ConfigurationChange change = AddingAccount("a" + std::to_string(i));
+    CHECK(RunChange(change, store).has_value());
+  }
+  LONGS_EQUAL(kRememberedChanges, ReadAll(store).head.recent.size());
+  LONGS_EQUAL(50, ReadAll(store).head.revision);
+}
+
+// Many operators at once over a service that loses requests and replies.
+// Whatever each is told must be true in the end.
+TEST(ConfigurationChange, NobodyIsToldSomethingFalse) {
+  CHECK(rc::check("racing operators", [](uint32_t seed) {
+    std::mt19937 random(seed);
+    KeyValueState store;
+    struct Operator {
+      std::string account;
+      ConfigurationChange change;
+      StoreTransaction next;
+      std::optional<ApplyResult> end;
+    };
+    std::vector<Operator> operators;
+    for (int i = 0; i < 4; ++i) {
+      const std::string account = "a" + std::to_string(i);
+      operators.push_back({account, AddingAccount(account), {}, {}});
+      operators.back().next = operators.back().change.Start();
+    }
+    while (std::ranges::any_of(
+        operators, [](const Operator& each) { return !each.end; })) {
+      Operator& each = operators[random() % operators.size()];
+      if (each.end) {
+        continue;
+      }
+      const auto loss = random() % 4;
+      StoreReply reply{.outcome = StoreOutcome::kUnknown};
+      if (loss != 0) {
+        reply = store.Transact(each.next);
+      }
+      if (loss == 1) {
+        reply = {.outcome = StoreOutcome::kUnknown};
+      }
+      auto step = each.change.OnReply(reply);
+      if (auto* end = std::get_if<ApplyResult>(&step)) {
+        each.end = std::move(*end);
+      } else {
+        each.next = std::get<StoreTransaction>(std::move(step));
+      }
+    }
+    const auto in_force = ReadAll(store).configuration;
+    size_t applied = 0;
+    for (const Operator& each : operators) {
+      const bool there = in_force->accounts.contains(AccountId(each.account));
+      applied += there ? 1 : 0;
+      if (each.end->has_value()) {
+        RC_ASSERT(there);
+      } else if (each.end->error().kind != ErrorKind::kOutcomeUnknown) {
+        RC_ASSERT(!there);
+      }
+    }
+    RC_ASSERT(static_cast<int64_t>(applied) == in_force->revision);
+  }));
+}
+
+TEST_GROUP(ConfigurationRecords){};
+
+TEST(ConfigurationRecords, SaysWhatIsAllowed) {
+  CHECK(Contains(FaultOf({"account", "b", {{"weight", "0"}}}),
+                 "account/b: weight: '0' is not allowed; a number from 0.01 "
+                 "to 1000 is"));
+  CHECK(Contains(FaultOf({"account", "b", {{"weight", "nan"}}}), "a number"));
+  CHECK(Contains(FaultOf({"service", "s", {{"deadline", "5"}}}),
+                 "a length of time from 100ms to 1h"));
+  CHECK(Contains(FaultOf({"service", "s", {{"kind", "odd"}}}),
+                 "one of language, plain"));
+  CHECK(Contains(FaultOf({"endpoint", "e", {}}), "service: is missing"));
+  CHECK(Contains(FaultOf({"account", "a b", {}}), "an id of up to 64 letters"));
+  CHECK(Contains(FaultOf({"key", "abc", {{"account", "acme"}}}), "SHA-256"));
+  CHECK(Contains(FaultOf({"moon", "m", {}}), "no such kind"));
+}
+
+TEST(ConfigurationRecords, PassesOverFieldsOfNewerPrograms) {
+  CHECK(FaultOf({"account", "b", {{"colour", "red"}}}).empty());
+}
+
+TEST(ConfigurationRecords, FindsReferencesThatLeadNowhere) {
+  Configuration broken = Sample();
+  broken.accounts.clear();
+  broken.sites.clear();
+  const auto faults = CheckReferences(broken);
+  LONGS_EQUAL(2, faults.size());
+  CHECK(Contains(faults[0].Text(), "account: there is no account 'acme'"));
+  CHECK(Contains(faults[1].Text(), "data_centre: there is no site 'dc1'"));
+}
+
+TEST(ConfigurationRecords, DiffNamesFieldsThatChanged) {
+  Configuration other = Sample();
+  other.accounts.begin()->second.weight = 3;
+  other.sites[DataCentreId("dc2")] = {.id = DataCentreId("dc2")};
+  const auto changes = DiffConfigurations(Sample(), other);
+  LONGS_EQUAL(2, changes.size());
+  STRCMP_EQUAL("changed account/acme: weight 2.5 -> 3",
+               changes[0].Text().c_str());
+  STRCMP_EQUAL("added site/dc2: cut_off_key_limit 24h",
+               changes[1].Text().c_str());
+}
+
+// Any configuration must come back from the service as it went in, and what a
+// diff says must be just what makes the one into the other.
+TEST(ConfigurationRecords, AnyConfigurationSurvivesTheService) {
+  CHECK(rc::check("round trip", [](uint32_t seed) {
+    std::mt19937 random(seed);
+    Configuration any = Sample();
+    for (int i = static_cast<int>(random() % 40); i > 0; --i) {
+      const std::string id = "r" + std::to_string(random() % 1000);
+      const auto put =
+          PutRecord(any, {"account",
+                          id,
+                          {{"weight", std::to_string(1 + random() % 900) + "." +
+                                          std::to_string(random() % 1000)}}});
+      RC_ASSERT(put.has_value());
+    }
+    KeyValueState store;
+    ConfigurationChange change({"m", "t"}, Replace(any));
+    RC_ASSERT(RunChange(change, store).has_value());
+    RC_ASSERT(DiffConfigurations(*ReadAll(store).configuration, any).empty());
+  }));
+}
+
+// Values in the service that somebody damaged must be refused, never crash a
+// host or be taken in part.
+TEST(ConfigurationRecords, DamagedValuesAreRefused) {
+  KeyValueState store;
+  ConfigurationChange change({"m", "t"}, Replace(Sample()));
+  CHECK(RunChange(change, store).has_value());
+  const std::string head = store.Read(kHeadKey, false).front().value;
+  const std::string bucket =
+      store.Read("/hickorystand/config/bucket/", true).front().value;
+  CHECK(rc::check("damage", [&](uint32_t seed) {
+    std::mt19937 random(seed);
+    for (std::string text : {head, bucket}) {
+      for (int i = 0; i < 3; ++i) {
+        text[random() % text.size()] = static_cast<char>(random());
+      }
+      text.resize(random() % (text.size() + 1));
+      const auto read_head = ReadHead(text);
+      RC_ASSERT(!read_head || read_head->revision > 0);
+      const auto read_bucket = ReadBucket(text);
+      RC_ASSERT(!read_bucket || read_bucket->revision >= 0);
+    }
+  }));
+}
+
 }  // namespace hickorystand
