--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -203,6 +203,61 @@
   CHECK(f.store->Transact(Put("/a", "x")).outcome == StoreOutcome::kUnknown);
 }
 
+// The service is so slow that no answer comes in time. A write may still take
+// effect afterwards, so it must not be called refused.
+TEST(EtcdStore, SlowAnswerIsUnknown) {
+  Fixture f;
+  f.service.SetFault(KeyValueFault::kSlow, std::chrono::seconds(2));
+  CHECK(f.store->Transact(Put("/a", "x")).outcome == StoreOutcome::kUnknown);
+  STRCMP_EQUAL("x", f.service.Transact(Get("/a")).records.at(0).value.c_str());
+}
+
+// One of the service's members answers nothing. Reads must go on through the
+// other within the same call; a write must not be sent to both.
+TEST(EtcdStore, ReadsPassOverAMemberThatIsSlow) {
+  Fixture f;
+  FakeKeyValue slow;
+  f.service.Transact(Put("/a", "x"));
+  slow.SetFault(KeyValueFault::kSlow, std::chrono::seconds(20));
+  const auto reader = f.Connect({slow.Address(), f.service.Address()});
+  STRCMP_EQUAL("x", reader->Transact(Get("/a")).records.at(0).value.c_str());
+  const auto writer = f.Connect({slow.Address(), f.service.Address()});
+  CHECK(writer->Transact(Put("/b", "y")).outcome == StoreOutcome::kUnknown);
+  CHECK(f.service.Transact(Get("/b")).records.empty());
+}
+
+// In an outage every filing needs a claim that can't be had. Each would wait
+// for its whole time limit before it is refused; once the outage is known,
+// refusals come at once and the service isn't flooded when it comes back.
+TEST(EtcdStore, RefusesAtOnceInAKnownOutageAndRecovers) {
+  Fixture f;
+  f.service.SetFault(KeyValueFault::kDown);
+  int refused = 0;
+  for (int i = 0; i < 200; ++i) {
+    refused +=
+        f.store->Transact(Put("/a", "x")).outcome == StoreOutcome::kNotApplied
+            ? 1
+            : 0;
+  }
+  CHECK(refused > 100);
+  CHECK(f.metrics.Value("store_writes_total") < 100);
+  f.service.SetFault(KeyValueFault::kNone);
+  CHECK(Eventually([&] {
+    return f.store->Transact(Put("/a", "x")).outcome == StoreOutcome::kThen;
+  }));
+}
+
+TEST(EtcdStore, CountsItsCalls) {
+  Fixture f;
+  f.store->Transact(Put("/a", "x"));
+  f.store->Transact(Get("/a"));
+  f.store->Transact({.then = {StoreGet("/a"), StoreGet("/b")}});
+  DOUBLES_EQUAL(1, f.metrics.Value("store_writes_total"), 0);
+  DOUBLES_EQUAL(2, f.metrics.Value("store_reads_total"), 0);
+  LONGS_EQUAL(2, f.service.Calls().reads);
+  LONGS_EQUAL(1, f.service.Calls().writes);
+}
+
 TEST_GROUP(EtcdWatch){};
 
 TEST(EtcdWatch, SeesWhatChangesAfterItsRevision) {
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -4,11 +4,10 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -78,13 +77,15 @@
 
   // Applies a change at the service, past all faults.
   Result<ConfigurationChange::Applied> Apply(
-      const std::function<void(Configuration&)>& edit) {
-    ConfigurationChange change({"test", "t" + std::to_string(++this->tokens)},
-                               [&](const Configuration& old) {
-                                 Configuration wanted = old;
-                                 edit(wanted);
-                                 return Result<Configuration>(wanted);
-                               });
+      const std::function<void(Configuration&)>& edit,
+      int64_t above_revision = 0) {
+    ConfigurationChange change(
+        {"test", "t" + std::to_string(++this->tokens), above_revision},
+        [&](const Configuration& old) {
+          Configuration wanted = old;
+          edit(wanted);
+          return Result<Configuration>(wanted);
+        });
     auto step = change.OnReply(this->store.Transact(change.Start()));
     while (auto* next = std::get_if<StoreTransaction>(&step)) {
       step = change.OnReply(this->store.Transact(*next));
@@ -102,6 +103,14 @@
     });
   }
 
+  // Puts the service back to a backup.
+  void PutBack(const KeyValueState& backup) {
+    this->store = backup;
+    for (auto& [index, host] : this->hosts) {
+      host.watched = std::min(host.watched, backup.Revision());
+    }
+  }
+
   bool AllAt(int64_t revision) const {
     return std::ranges::all_of(this->hosts, [&](const auto& item) {
       return item.second.replica->Revision() == revision;
@@ -363,10 +372,7 @@
   const KeyValueState backup = bed.store;
   CHECK(bed.AddAccount("b").has_value());
   bed.Run(seconds(3));
-  bed.store = backup;
-  for (auto& [index, host] : bed.hosts) {
-    host.watched = std::min(host.watched, backup.Revision());
-  }
+  bed.PutBack(backup);
   bed.down = true;  // its clients are thrown off meanwhile
   bed.Run(seconds(1));
   bed.down = false;
@@ -474,4 +480,66 @@
   LONGS_EQUAL(5, replica.Counts().broken_ignored);
 }
 
+// An hour of one data centre with every fault at any time: outages, silent
+// watches, cut peers, restarts, peers that answer nothing, the service put back
+// to a backup. Then all faults end, and an operator makes one more change,
+// above whatever is in force, as hickoryctl does.
+void RunHourOfFaults(uint32_t seed, Bed& bed) {
+  std::mt19937 random(seed);
+  const auto chance = [&](uint32_t one_in) { return random() % one_in == 0; };
+  KeyValueState backup = bed.store;
+  for (int second = 0; second < 3600; ++second) {
+    if (chance(30)) {
+      static_cast<void>(bed.AddAccount("a" + std::to_string(second)));
+    }
+    bed.down = chance(60) ? !bed.down : bed.down;
+    bed.watch_silent = chance(40) ? !bed.watch_silent : bed.watch_silent;
+    bed.peers_cut = chance(60) ? !bed.peers_cut : bed.peers_cut;
+    if (chance(120)) {
+      bed.Restart(static_cast<int>(random() % 4));
+    }
+    auto& odd = bed.hosts[static_cast<int>(random() % 4)];
+    odd.deaf = chance(50) ? !odd.deaf : odd.deaf;
+    if (chance(400)) {
+      backup = bed.store;
+    }
+    if (chance(900)) {
+      bed.PutBack(backup);
+    }
+    bed.Run(seconds(1));
+  }
+  bed.down = bed.watch_silent = bed.peers_cut = false;
+  for (auto& [index, host] : bed.hosts) {
+    host.deaf = false;
+  }
+  bed.Run(seconds(30));
+  int64_t highest = 0;
+  for (const auto& [index, host] : bed.hosts) {
+    highest = std::max(highest, host.replica->Revision());
+  }
+  const auto last = bed.Apply(
+      [](Configuration& wanted) {
+        CHECK(PutRecord(wanted, {.kind = "account", .id = "last"}).has_value());
+      },
+      highest);
+  CHECK(last.has_value());
+  bed.Run(seconds(10));
+}
+
+TEST(Replica, SurvivesAnHourOfAllFaults) {
+  constexpr uint32_t kRuns = 6;
+  for (uint32_t seed = 1; seed <= kRuns; ++seed) {
+    Bed bed(4);
+    RunHourOfFaults(seed, bed);
+    CHECK(bed.AllKnow("last"));
+    CHECK(!bed.reverted);
+  }
+}
+
+TEST(Replica, HourOfFaultsRevertsWithoutRefusingLowerRevisions) {
+  Bed bed(4, {.refuse_lower = false});
+  RunHourOfFaults(1, bed);
+  CHECK(bed.reverted);
+}
+
 }  // namespace hickorystand
