--- a/packages/decisions/claims.cc
+++ b/packages/decisions/claims.cc
@@ -14,7 +14,10 @@
 namespace {
 
 // How many duplicate windows a shared lease lasts; see OnLeaseGranted().
-constexpr int64_t kLeaseWindows = 2;
+constexpr int64_t kLeaseWindows = 3;
+
+// How often grants that were never used are looked for.
+constexpr Duration kPruneEvery = std::chrono::seconds(1);
 
 // Feeds a field and its length, so that two fields can't be read as another
 // pair whose texts run together to the same bytes.
@@ -147,8 +150,9 @@
   auto& [window, shared] = *found;
   shared.call = 0;
   if (lease) {
-    // Lasts two windows from when it was asked for and is used for the first,
-    // so that every record stays for a whole window at least.
+    // Lasts three windows from when it was asked for and is used for the first,
+    // so that every record stays for two at least: a request may be sent again
+    // for a window, and then lie unread on a host that stands still.
     shared.lease = *lease;
     shared.usable_until = shared.asked + window;
   } else {
@@ -331,9 +335,12 @@
 // be there although nobody will use it would have the caller's repeat refused;
 // it is looked for and removed.
 void ClaimBook::ExpireDue(Instant now, ClaimActions& out) {
-  std::erase_if(this->granted, [now](const auto& entry) {
-    return now >= entry.second.valid_until;
-  });
+  if (now >= this->next_prune) {
+    this->next_prune = now + kPruneEvery;
+    std::erase_if(this->granted, [now](const auto& entry) {
+      return now >= entry.second.valid_until;
+    });
+  }
   std::vector<std::string> due;
   for (const auto& [token, claim] : this->waiting) {
     if (now >= claim.request.deadline) {
