--- a/packages/peers/peer_group.cc
+++ b/packages/peers/peer_group.cc
@@ -1,6 +1,7 @@
 #include "peers/peer_group.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace hickorystand {
@@ -90,7 +91,7 @@
       break;
   }
   if (this->board.Leaving() != this->leaving) {
-    this->SendSummaries();
+    this->SendSummaries(true);
   }
 }
 
@@ -104,7 +105,11 @@
     this->handlers.on_gone(this->elsewhere);
   }
   this->elsewhere = id;
+  // No host says this: it has neither a data centre nor a configuration, and
+  // nothing can be asked of it.
   digest.host = id;
+  digest.data_centre = DataCentreId();
+  digest.configuration_revision = 0;
   if (this->handlers.on_digest) {
     this->handlers.on_digest(digest);
   }
@@ -128,7 +133,7 @@
   if (const auto* news = std::get_if<EndpointNews>(&message)) {
     this->board.OnNews(host, *news);
     if (this->board.Leaving() != this->leaving) {
-      this->SendSummaries();
+      this->SendSummaries(true);
     }
   }
   if (this->handlers.on_message) {
@@ -152,12 +157,27 @@
   digest.sequence = ++this->elsewhere_sequence;
   this->near.OnDigest(digest);
   if (this->Now() >= this->next_summary) {
-    this->SendSummaries();
+    this->SendSummaries(false);
   }
   this->Refresh();
 }
 
-void PeerGroup::SendSummaries() {
+void PeerGroup::SetEndpoints(std::map<EndpointId, DataCentreId> wanted) {
+  this->endpoints = std::move(wanted);
+  const auto ids = std::views::keys(this->endpoints);
+  this->board.Keep({ids.begin(), ids.end()});
+}
+
+// Drops what is under way at endpoints of this data centre, or of the others.
+void PeerGroup::KeepOutstanding(Digest& digest, bool here) const {
+  std::erase_if(digest.outstanding, [&](const EndpointOutstanding& entry) {
+    const auto found = this->endpoints.find(entry.endpoint);
+    return found != this->endpoints.end() &&
+           here != (found->second == this->options.links.session.data_centre);
+  });
+}
+
+void PeerGroup::SendSummaries(bool urgent) {
   const SessionOptions& session = this->options.links.session;
   this->next_summary = this->Now() + this->options.summary_period;
   this->leaving = this->board.Leaving();
@@ -169,13 +189,16 @@
   // those who said it first does no harm.
   Digest own =
       this->near.Make(session.host, session.data_centre, session.incarnation);
+  this->KeepOutstanding(own, false);
   own.endpoints = this->leaving;
   this->links.SendDigest(DigestScope::kDataCentre, own);
-  if (rank != 0) {
+  const bool pass_on = this->summaries++ % 2 == 0 || urgent;
+  if (rank != 0 || !pass_on) {
     return;
   }
   Digest distant =
       this->far.Make(session.host, session.data_centre, session.incarnation);
+  this->KeepOutstanding(distant, true);
   distant.endpoints = this->leaving;
   this->links.SendDigest(DigestScope::kElsewhere, distant);
   distant.sequence = ++this->elsewhere_sequence;
