--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Targets for people and for CI. Each installs what it needs and builds first.
 BUILD ?= build
 JOBS  ?= $(shell nproc)
+HOURS ?= 10
+SEED  ?= 1
 SOURCES = $(shell git ls-files '*.cc' '*.h' | grep -v '/gen-cpp/')
 UNITS   = $(filter %.cc,$(SOURCES))
 
@@ -46,7 +48,7 @@
 	$(BUILD)/matrix
 
 soak: build
-	$(BUILD)/soak
+	$(BUILD)/soak --hours $(HOURS) --seed $(SEED)
 
 clean:
 	rm -rf $(BUILD)
