--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -211,19 +211,34 @@
     }
     LogInfo(kPart, "Planned stop begins.");
     this->control->StartDrain();
-    this->FinishRequests();
+    this->AnnounceLeaving();
   });
 }
 
+// The balancer notices a failing /readyz only after a while. Until then callers
+// still come, and refusing them would cut them off.
+void HostDaemon::AnnounceLeaving() {
+  this->serving_task.Post([this] { this->gateway->AnnounceLeaving(); });
+  this->notice_timer = Timer::After(this->settings.drain_notice,
+                                    [this] { this->FinishRequests(); });
+}
+
 void HostDaemon::FinishRequests() {
   this->serving_task.Post([this] {
     this->gateway->StartDrain(
         [this] { this->control_task.Post([this] { this->Finish(); }); });
   });
+  this->limit_timer = Timer::After(this->settings.drain_limit, [this] {
+    LogWarning(kPart, "Requests are still running at the drain limit.");
+    this->Finish();
+  });
 }
 
 void HostDaemon::Finish() {
-  LogInfo(kPart, "All requests are finished.");
+  if (std::exchange(this->finishing, true)) {
+    return;
+  }
+  LogInfo(kPart, "Usage and lease are handed over.");
   this->control->HandOver([this] {
     LogInfo(kPart, "Planned stop is complete.");
     if (this->on_done) {
@@ -238,6 +253,8 @@
   this->serving_task.Post([this] { this->gateway.reset(); });
   this->serving_task.Stop();
   this->control_task.Post([this] {
+    this->notice_timer.reset();
+    this->limit_timer.reset();
     this->admin.reset();
     this->control.reset();
   });
--- a/packages/daemon/host_daemon.h
+++ b/packages/daemon/host_daemon.h
@@ -56,6 +56,7 @@
   RequestHooks HooksForGateway();
   AdminHandlers HandlersForOperators();
   void SendView();
+  void AnnounceLeaving();
   void FinishRequests();
   void Finish();
 
@@ -65,12 +66,15 @@
   SocketAddress gateway_address;
   std::function<void()> on_done;
   std::atomic<bool> draining = false;
+  bool finishing = false;  // of the control task
   // Until when claimed requests may be sent; used on the serving task only.
   std::map<RequestId, Instant> claimed_until;
   // The parts of each task; made, used and destroyed there.
   std::unique_ptr<Gateway> gateway;
   std::unique_ptr<Control> control;
   std::unique_ptr<AdminServer> admin;
+  std::unique_ptr<Timer> notice_timer;  // of the control task
+  std::unique_ptr<Timer> limit_timer;   // of the control task
   Task serving_task;
   Task control_task;
 };
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -123,7 +123,9 @@
   }
   this->ticker =
       Timer::Every(this->options.tick, [this] { this->driver->Tick(); });
-  this->SetOnLoad({});
+  if (!this->watcher) {
+    this->SetOnLoad({});
+  }
   return address;
 }
 
@@ -248,12 +250,13 @@
 }
 
 void Gateway::HandleReady(const HttpCallPtr& call, const RequestId& id) {
-  const bool ready = !this->draining && this->configuration->revision > 0;
+  const bool stopping = this->leaving || this->draining;
+  const bool ready = !stopping && this->configuration->revision > 0;
   call->Answer(ready ? kStatusOk : kStatusUnavailable,
                {{"Content-Type", "text/plain"}, {"X-Request-Id", id.Text()}},
-               ready            ? "ready\n"
-               : this->draining ? "draining\n"
-                                : "no configuration yet\n");
+               ready      ? "ready\n"
+               : stopping ? "draining\n"
+                          : "no configuration yet\n");
 }
 
 void Gateway::HandleMetrics(const HttpCallPtr& call, const RequestId& id) {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -77,6 +77,10 @@
   void OnHostGone(const HostId& host) { this->driver->OnHostGone(host); }
   void FillDigest(Digest& digest) const { this->driver->FillDigest(digest); }
 
+  // /readyz fails from now on, so that the balancer looks away; whoever still
+  // calls is served.
+  void AnnounceLeaving() { this->leaving = true; }
+
   // Not ready from now on; new requests are refused as not run, and those here
   // are finished. Then calls back.
   void StartDrain(std::function<void()> on_drained);
@@ -138,6 +142,7 @@
   ConfigurationPtr configuration = std::make_shared<Configuration>();
   std::mt19937_64 random;
   LogLimiter refusal_log;
+  bool leaving = false;
   bool draining = false;
   bool keys_trusted = true;
 };
