--- a/packages/daemon/status_page.cc
+++ b/packages/daemon/status_page.cc
@@ -34,10 +34,11 @@
   out.EndArray();
 }
 
-const char* StateOf(const HostStatus& status, const EndpointId& endpoint) {
-  const auto found = status.loads.find(endpoint);
+// Plain services report no load, so nothing is known of them here.
+const char* StateOf(const HostStatus& status, const Endpoint& endpoint) {
+  const auto found = status.loads.find(endpoint.id);
   if (found == status.loads.end()) {
-    return "unheard";
+    return endpoint.role == EndpointRole::kPlain ? "listed" : "unheard";
   }
   return found->second.leaving ? "leaving" : "live";
 }
@@ -55,7 +56,7 @@
         .Member("id", id.Text())
         .Member("service", endpoint.service.Text())
         .Member("role", NameOfRole(role))
-        .Member("state", StateOf(status, id))
+        .Member("state", StateOf(status, endpoint))
         .Member("cheap", endpoint.cheap)
         .EndObject();
   }
--- a/tests/endpoints_test.cc
+++ b/tests/endpoints_test.cc
@@ -52,14 +52,14 @@
     return done.get_future().get();
   }
 
-  OrderReply Order(const SocketAddress& at,
+  OrderAnswer Order(const SocketAddress& at,
                    const EndpointOrder& order,
                    std::function<bool()> may_send = {}) {
-    std::promise<OrderReply> done;
+    std::promise<OrderAnswer> done;
     this->task.Call([&] {
       this->orders->Send(
           at, order, std::move(may_send),
-          [&](const OrderReply& reply) { done.set_value(reply); });
+          [&](const OrderAnswer& reply) { done.set_value(reply); });
     });
     return done.get_future().get();
   }
@@ -260,7 +260,7 @@
   FakeEngine engine;
   ClientBed bed;
   bed.Order(engine.Address(), {.id = "6-1", .fencing = 6, .kind = "drain"});
-  const OrderReply reply = bed.Order(
+  const OrderAnswer reply = bed.Order(
       engine.Address(), {.id = "5-9", .fencing = 5, .kind = "resume"});
   CHECK(reply.state == OrderState::kStale);
   LONGS_EQUAL(6, reply.highest_fencing);
@@ -275,7 +275,7 @@
     FakeEngine engine;
     ClientBed bed;
     int asked = 0;
-    const OrderReply reply = bed.Order(
+    const OrderAnswer reply = bed.Order(
         engine.Address(), {.id = "5-1", .fencing = 5, .kind = "drain"},
         [&] { return asked++ < allowed; });
     CHECK(reply.state == OrderState::kNotSent);
