--- a/tests/endpoints_test.cc
+++ b/tests/endpoints_test.cc
@@ -53,8 +53,8 @@
   }
 
   OrderAnswer Order(const SocketAddress& at,
-                   const EndpointOrder& order,
-                   std::function<bool()> may_send = {}) {
+                    const EndpointOrder& order,
+                    std::function<bool()> may_send = {}) {
     std::promise<OrderAnswer> done;
     this->task.Call([&] {
       this->orders->Send(
