--- a/fakes/platform.cc
+++ b/fakes/platform.cc
@@ -1,170 +1,239 @@
 #include "platform.h"
 
+#include <libsoup/soup.h>
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
 
+#include "http/http_server.h"
+#include "kernel/json.h"
+
 namespace hickorystand::fakes {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kUnavailable = 503;
+void WriteOrder(const PlatformOrder& order, JsonWriter& out) {
+  out.BeginObject()
+      .Member("data_centre", order.data_centre)
+      .Member("token", order.token)
+      .Member("fencing", order.fencing)
+      .Member("service", order.service)
+      .Member("cheap", order.cheap)
+      .Member("change", order.change)
+      .Member("endpoint", order.endpoint)
+      .EndObject();
+}
 
-struct HostLine {
-  std::string data_centre;
-  std::string address;
-  std::string state;
-};
+PlatformOrder ReadOrder(const Json& json) {
+  return {.data_centre = json.At("data_centre").Text(),
+          .token = json.At("token").Text(),
+          .fencing = json.At("fencing").Integer(),
+          .service = json.At("service").Text(),
+          .cheap = json.At("cheap").Flag(),
+          .change = json.At("change").Integer(),
+          .endpoint = json.At("endpoint").Text()};
+}
+
+PlatformReport ReadReport(const Json& json) {
+  PlatformReport report{.data_centre = json.At("data_centre").Text(),
+                        .window = json.At("window").Integer(),
+                        .fencing = json.At("fencing").Integer()};
+  for (const Json& item : json.At("figures").Items()) {
+    report.figures[AccountId(item.At("account").Text())] = {
+        .prompt_tokens = item.At("prompt_tokens").Integer(),
+        .generated_tokens = item.At("generated_tokens").Integer(),
+        .requests = item.At("requests").Integer()};
+  }
+  return report;
+}
+
+std::string WriteHosts(const std::vector<PlatformHost>& hosts) {
+  JsonWriter out;
+  out.BeginArray();
+  for (const PlatformHost& host : hosts) {
+    out.BeginObject()
+        .Member("host", host.host.Text())
+        .Member("data_centre", host.data_centre.Text())
+        .Member("address",
+                host.address.host + ":" + std::to_string(host.address.port))
+        .Member("state", host.leaving ? "leaving" : "live")
+        .EndObject();
+  }
+  return out.EndArray().Text();
+}
 
 }  // namespace
 
-struct FakePlatform::State {
+// The HTTP side. Lives on the task's thread only.
+class FakePlatform::Server {
+ public:
+  explicit Server(const SocketAddress& listen)
+      : http({.listen = listen},
+             [this](const HttpCallPtr& call) { this->Take(call); }) {
+    const auto listening = this->http.Start();
+    assert(listening && "the port of the fake platform is taken");
+    this->address = *listening;
+  }
+
+  void SetHosts(std::vector<PlatformHost> fresh, Duration lag) {
+    this->later = Timer::After(
+        lag, [this, fresh = std::move(fresh)] { this->hosts = fresh; });
+  }
+
+  SocketAddress address;
   PlatformFault fault = PlatformFault::kNone;
-  std::map<std::string, HostLine> hosts;
-  std::vector<TakenOrder> orders;
-  std::map<std::string, std::string> reports;
-  int64_t conflicting = 0;
+  std::vector<PlatformHost> hosts;
+  std::vector<PlatformOrder> orders;
+  std::map<std::pair<std::string, int64_t>, PlatformReport> reports;
+  PlatformOffences offences;
+  int64_t received = 0;
+
+ private:
+  static void Answer(const HttpCallPtr& call,
+                     int status,
+                     const std::string& body) {
+    call->Answer(status, {{"Content-Type", "application/json"}}, body);
+  }
+
+  void Take(const HttpCallPtr& call) {
+    const HttpRequest& request = call->Request();
+    ++this->received;
+    if (this->fault == PlatformFault::kDown) {
+      call->Abort();
+    } else if (request.method == "GET" && request.path == "/hosts") {
+      Answer(call, SOUP_STATUS_OK, WriteHosts(this->hosts));
+    } else if (request.method == "GET" && request.path == "/endpoint-orders") {
+      this->ListOrders(call);
+    } else if (request.method == "GET" && request.path == "/fake/offences") {
+      Answer(call, SOUP_STATUS_OK,
+             "{\"offences\":" + std::to_string(this->offences.Sum()) + "}");
+    } else if (request.method == "POST") {
+      this->TakeBody(call);
+    } else {
+      Answer(call, SOUP_STATUS_NOT_FOUND, R"({"error":"no such path"})");
+    }
+  }
+
+  void TakeBody(const HttpCallPtr& call) {
+    const std::string& path = call->Request().path;
+    const auto json = Json::ParseObject(call->Request().body);
+    if (!json || (path != "/endpoint-orders" && path != "/usage-reports")) {
+      Answer(call, json ? SOUP_STATUS_NOT_FOUND : SOUP_STATUS_BAD_REQUEST,
+             R"({"error":"not understood"})");
+      return;
+    }
+    if (this->fault == PlatformFault::kRefusing) {
+      Answer(call, SOUP_STATUS_CONFLICT, R"({"error":"refused"})");
+      return;
+    }
+    if (path == "/endpoint-orders") {
+      this->TakeOrder(ReadOrder(*json));
+    } else {
+      this->TakeReport(ReadReport(*json));
+    }
+    if (this->fault == PlatformFault::kReplyLost) {
+      call->Abort();
+      return;
+    }
+    Answer(call, SOUP_STATUS_OK, "{}");
+  }
+
+  void TakeOrder(const PlatformOrder& order) {
+    const auto known =
+        std::ranges::find(this->orders, order.token, &PlatformOrder::token);
+    if (known != this->orders.end()) {
+      // A successor sends the same order under its own fencing number.
+      PlatformOrder same = *known;
+      same.fencing = order.fencing;
+      this->offences.changed_orders += same == order ? 0 : 1;
+      return;
+    }
+    int64_t& highest = this->order_fencing[order.data_centre];
+    this->offences.deposed_orders += order.fencing < highest ? 1 : 0;
+    highest = std::max(highest, order.fencing);
+    this->orders.push_back(order);
+  }
+
+  void TakeReport(const PlatformReport& report) {
+    const auto [at, fresh] =
+        this->reports.try_emplace({report.data_centre, report.window}, report);
+    if (!fresh) {
+      this->offences.changed_reports +=
+          at->second.figures == report.figures ? 0 : 1;
+      return;
+    }
+    int64_t& highest = this->report_fencing[report.data_centre];
+    this->offences.deposed_reports += report.fencing < highest ? 1 : 0;
+    highest = std::max(highest, report.fencing);
+  }
+
+  void ListOrders(const HttpCallPtr& call) {
+    constexpr std::string_view kQuery = "data_centre=";
+    const std::string& query = call->Request().query;
+    const std::string wanted =
+        query.starts_with(kQuery) ? query.substr(kQuery.size()) : "";
+    JsonWriter out;
+    out.BeginArray();
+    for (const PlatformOrder& order : this->orders) {
+      if (wanted.empty() || order.data_centre == wanted) {
+        WriteOrder(order, out);
+      }
+    }
+    Answer(call, SOUP_STATUS_OK, out.EndArray().Text());
+  }
+
+  std::map<std::string, int64_t> order_fencing;   // highest by data centre
+  std::map<std::string, int64_t> report_fencing;  // highest by data centre
+  std::unique_ptr<Timer> later;
+  HttpServer http;  // last, so that its calls end before what they use
 };
 
-FakePlatform::FakePlatform(SocketAddress listen)
-    : state(std::make_unique<State>()) {
-  this->task.Call([&] {
-    HttpServerOptions options;
-    options.listen = std::move(listen);
-    this->server = std::make_unique<HttpServer>(
-        options, [this](const HttpCallPtr& call) { this->Handle(call); });
-    const auto started = this->server->Start();
-    assert(started && "the stand-in's address is taken");
-    this->address = *started;
-  });
+FakePlatform::FakePlatform(const SocketAddress& listen) {
+  this->task.Call([&] { this->server = std::make_unique<Server>(listen); });
 }
 
 FakePlatform::~FakePlatform() {
   this->task.Call([this] { this->server.reset(); });
-  this->task.Stop();
+}
+
+SocketAddress FakePlatform::Address() const {
+  return this->server->address;
 }
 
 void FakePlatform::SetFault(PlatformFault fault) {
-  this->task.Call([&] { this->state->fault = fault; });
+  this->task.Call([&] { this->server->fault = fault; });
 }
 
-void FakePlatform::SetHost(const std::string& host,
-                           const std::string& data_centre,
-                           const std::string& peer_address,
-                           bool leaving) {
-  this->task.Call([&] {
-    this->state->hosts[host] = {
-        .data_centre = data_centre,
-        .address = peer_address,
-        .state = leaving ? "leaving" : "live",
-    };
-  });
+void FakePlatform::SetHosts(std::vector<PlatformHost> hosts, Duration lag) {
+  this->task.Call([&] { this->server->SetHosts(std::move(hosts), lag); });
 }
 
-std::vector<TakenOrder> FakePlatform::Orders() {
-  std::vector<TakenOrder> orders;
-  this->task.Call([&] { orders = this->state->orders; });
+std::vector<PlatformOrder> FakePlatform::Orders() {
+  std::vector<PlatformOrder> orders;
+  this->task.Call([&] { orders = this->server->orders; });
   return orders;
 }
 
-std::map<std::string, std::string> FakePlatform::Reports() {
-  std::map<std::string, std::string> reports;
-  this->task.Call([&] { reports = this->state->reports; });
+std::vector<PlatformReport> FakePlatform::Reports() {
+  std::vector<PlatformReport> reports;
+  this->task.Call([&] {
+    for (const auto& [key, report] : this->server->reports) {
+      reports.push_back(report);
+    }
+  });
   return reports;
 }
 
-int64_t FakePlatform::ConflictingReports() {
-  int64_t count = 0;
-  this->task.Call([&] { count = this->state->conflicting; });
-  return count;
-}
-
-void FakePlatform::Handle(const HttpCallPtr& call) {
-  const HttpRequest& request = call->Request();
-  const HttpHeaders headers = {{"Content-Type", "application/json"}};
-  if (this->state->fault == PlatformFault::kDown) {
-    call->Answer(kUnavailable, headers, "{}");
-    return;
-  }
-  if (request.method == "GET") {
-    const bool hosts = request.path == "/hosts";
-    const std::string count = std::to_string(this->state->orders.size());
-    call->Answer(kOk, headers, hosts ? this->HostsJson() : count);
-    return;
-  }
-  const Result<Json> body = Json::Parse(request.body);
-  if (!body) {
-    call->Answer(kBadRequest, headers, "{}");
-    return;
-  }
-  using Taker = int (FakePlatform::*)(const Json&);
-  const std::map<std::string, Taker> takers = {
-      {"/endpoint-orders", &FakePlatform::TakeOrder},
-      {"/usage-reports", &FakePlatform::TakeReport},
-      {"/hosts", &FakePlatform::TakeHost},
-  };
-  const auto taker = takers.find(request.path);
-  const int status =
-      taker == takers.end() ? kNotFound : (this->*taker->second)(*body);
-  if (this->state->fault == PlatformFault::kReplyLost) {
-    call->Abort();
-    return;
-  }
-  call->Answer(status, headers, "{}");
-}
-
-int FakePlatform::TakeOrder(const Json& order) {
-  const std::string token = order.At("token").Text();
-  if (token.empty()) {
-    return kBadRequest;
-  }
-  auto& orders = this->state->orders;
-  if (std::ranges::find(orders, token, &TakenOrder::token) == orders.end()) {
-    orders.push_back({.token = token,
-                      .service = order.At("service").Text(),
-                      .endpoint = order.At("endpoint").Text(),
-                      .change = order.At("change").Integer(),
-                      .fencing = order.At("fencing").Integer()});
-  }
-  return kOk;
-}
-
-int FakePlatform::TakeReport(const Json& report) {
-  const std::string window = report.At("data_centre").Text() + "/" +
-                             std::to_string(report.At("window").Integer());
-  const std::string figures = report.At("figures").Write();
-  const auto [before, fresh] = this->state->reports.emplace(window, figures);
-  if (!fresh && before->second != figures) {
-    ++this->state->conflicting;
-    return kConflict;
-  }
-  return kOk;
+PlatformOffences FakePlatform::Offences() {
+  PlatformOffences offences;
+  this->task.Call([&] { offences = this->server->offences; });
+  return offences;
 }
 
-int FakePlatform::TakeHost(const Json& host) {
-  this->state->hosts[host.At("host").Text()] = {
-      .data_centre = host.At("data_centre").Text(),
-      .address = host.At("address").Text(),
-      .state = host.At("state").Text("live"),
-  };
-  return kOk;
-}
-
-std::string FakePlatform::HostsJson() const {
-  JsonWriter out;
-  out.BeginArray();
-  for (const auto& [host, line] : this->state->hosts) {
-    out.BeginObject()
-        .Member("host", host)
-        .Member("data_centre", line.data_centre)
-        .Member("address", line.address)
-        .Member("state", line.state)
-        .EndObject();
-  }
-  return out.EndArray().Text();
+int64_t FakePlatform::Received() {
+  int64_t received = 0;
+  this->task.Call([&] { received = this->server->received; });
+  return received;
 }
 
 }  // namespace hickorystand::fakes
