--- a/packages/ctl/admin_client.cc
+++ b/packages/ctl/admin_client.cc
@@ -28,7 +28,7 @@
 
 int64_t FleetStatus::HighestRevision() const {
   int64_t highest = 0;
-  for (const HostStatus& host : this->hosts) {
+  for (const FleetHost& host : this->hosts) {
     highest = std::max(highest, host.revision);
   }
   return highest;
@@ -100,7 +100,7 @@
          .draining = body.At("draining").Flag(),
          .whole = body});
   }
-  std::ranges::sort(status.hosts, {}, [](const HostStatus& host) {
+  std::ranges::sort(status.hosts, {}, [](const FleetHost& host) {
     return std::tie(host.data_centre, host.host);
   });
   return status;
--- a/packages/ctl/admin_client.h
+++ b/packages/ctl/admin_client.h
@@ -21,7 +21,7 @@
 };
 
 // How a host stands, as far as every command needs it.
-struct HostStatus {
+struct FleetHost {
   SocketAddress address;
   HostId host;
   DataCentreId data_centre;
@@ -32,7 +32,7 @@
 
 // What all hosts together said.
 struct FleetStatus {
-  std::vector<HostStatus> hosts;           // by data centre and id
+  std::vector<FleetHost> hosts;            // by data centre and id
   std::vector<SocketAddress> unreachable;  // no answer, or none that counts
   std::vector<std::string> reasons;        // why, one for each of them
 
--- a/packages/ctl/command.h
+++ b/packages/ctl/command.h
@@ -44,7 +44,7 @@
   size_t least_arguments = 0;
   size_t most_arguments = SIZE_MAX;
   std::vector<CommandOption> options;
-  Result<bool> (*run)(Session&, const Invocation&) = nullptr;
+  Result<bool> (*run)(CtlSession&, const Invocation&) = nullptr;
 };
 
 // check, apply, diff, show and schema.
--- a/packages/ctl/configuration_commands.cc
+++ b/packages/ctl/configuration_commands.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Reads base file and overlays, and prints their warnings.
-Result<ConfigurationInput> ReadFiles(Session& session,
+Result<ConfigurationInput> ReadFiles(CtlSession& session,
                                      const Invocation& invocation) {
   std::vector<ConfigurationFile> files;
   for (const std::string& path : invocation.arguments) {
@@ -60,7 +60,7 @@
   return wanted;
 }
 
-Result<bool> Check(Session& session, const Invocation& invocation) {
+Result<bool> Check(CtlSession& session, const Invocation& invocation) {
   const auto input = ReadFiles(session, invocation);
   if (!input) {
     return tl::unexpected(input.error());
@@ -80,7 +80,7 @@
   return true;
 }
 
-Result<bool> Apply(Session& session, const Invocation& invocation) {
+Result<bool> Apply(CtlSession& session, const Invocation& invocation) {
   const auto input = ReadFiles(session, invocation);
   if (!input) {
     return tl::unexpected(input.error());
@@ -99,7 +99,7 @@
   return result;
 }
 
-Result<bool> Diff(Session& session, const Invocation& invocation) {
+Result<bool> Diff(CtlSession& session, const Invocation& invocation) {
   const auto input = ReadFiles(session, invocation);
   if (!input) {
     return tl::unexpected(input.error());
@@ -134,7 +134,7 @@
   return record.kind != "endpoint" || record.fields.at("data_centre") == site;
 }
 
-Result<bool> Show(Session& session, const Invocation& invocation) {
+Result<bool> Show(CtlSession& session, const Invocation& invocation) {
   const auto stored = session.Read();
   if (!stored) {
     return tl::unexpected(stored.error());
@@ -166,7 +166,7 @@
   return true;
 }
 
-Result<bool> Schema(Session& session, const Invocation& /*invocation*/) {
+Result<bool> Schema(CtlSession& session, const Invocation& /*invocation*/) {
   session.Out().Out() << ConfigurationPage();
   return true;
 }
--- a/packages/ctl/ctl.cc
+++ b/packages/ctl/ctl.cc
@@ -297,7 +297,7 @@
     return Report(settings.error(), json, out, error);
   }
   Output output(out, error, json);
-  Session session(std::move(*settings), output);
+  CtlSession session(std::move(*settings), output);
   const auto result = command.run(session, invocation);
   return result ? 0 : Report(result.error(), json, out, error);
 }
--- a/packages/ctl/fleet_commands.cc
+++ b/packages/ctl/fleet_commands.cc
@@ -17,7 +17,7 @@
 
 // What one data centre's hosts said, put together.
 struct DataCentreView {
-  std::vector<const HostStatus*> hosts;
+  std::vector<const FleetHost*> hosts;
   std::string holder;
   int64_t fencing = 0;
   std::map<std::string, int64_t> endpoints;  // "chat mixed ready" -> how many
@@ -26,7 +26,7 @@
   double worst_share = std::numeric_limits<double>::infinity();
 };
 
-void AddHost(const HostStatus& host, DataCentreView& view) {
+void AddHost(const FleetHost& host, DataCentreView& view) {
   view.hosts.push_back(&host);
   const Json lease = host.whole.At("lease");
   if (lease.At("fencing").Integer() > view.fencing) {
@@ -59,7 +59,7 @@
 std::map<DataCentreId, DataCentreView> GroupByDataCentre(
     const FleetStatus& fleet) {
   std::map<DataCentreId, DataCentreView> views;
-  for (const HostStatus& host : fleet.hosts) {
+  for (const FleetHost& host : fleet.hosts) {
     AddHost(host, views[host.data_centre]);
   }
   return views;
@@ -88,7 +88,7 @@
                                 : "held by " + view.holder + " (fencing " +
                                       std::to_string(view.fencing) + ")")
         << "\n";
-    for (const HostStatus* host : view.hosts) {
+    for (const FleetHost* host : view.hosts) {
       out << "  host " << host->host << "  revision " << host->revision
           << (host->revision < newest ? "  BEHIND" : "")
           << (host->draining ? "  draining" : "");
@@ -117,7 +117,7 @@
       .Member("newest_revision", fleet.HighestRevision())
       .Name("hosts")
       .BeginArray();
-  for (const HostStatus& host : fleet.hosts) {
+  for (const FleetHost& host : fleet.hosts) {
     out.Value(host.whole);
   }
   out.EndArray().Name("unreachable").BeginArray();
@@ -131,7 +131,7 @@
   return out;
 }
 
-Result<bool> NeedHosts(Session& session) {
+Result<bool> NeedHosts(CtlSession& session) {
   if (!session.Admin().HasHosts()) {
     return Fail(ErrorKind::kBadSetting,
                 "no entry host is set; give --admin IP:PORT;IP:PORT, or "
@@ -140,7 +140,7 @@
   return true;
 }
 
-Result<bool> Status(Session& session, const Invocation& invocation) {
+Result<bool> Status(CtlSession& session, const Invocation& invocation) {
   if (const auto hosts = NeedHosts(session); !hosts) {
     return hosts;
   }
@@ -162,14 +162,14 @@
   }
 }
 
-Result<bool> Drain(Session& session, const Invocation& invocation) {
+Result<bool> Drain(CtlSession& session, const Invocation& invocation) {
   if (const auto hosts = NeedHosts(session); !hosts) {
     return hosts;
   }
   const std::string& name = invocation.arguments.front();
   const FleetStatus fleet = session.Admin().Status();
   const auto host =
-      std::ranges::find(fleet.hosts, HostId(name), &HostStatus::host);
+      std::ranges::find(fleet.hosts, HostId(name), &FleetHost::host);
   if (host == fleet.hosts.end()) {
     return Fail(
         fleet.unreachable.empty() ? ErrorKind::kNotFound : ErrorKind::kTimeout,
@@ -205,7 +205,7 @@
   return text;
 }
 
-Result<bool> Why(Session& session, const Invocation& invocation) {
+Result<bool> Why(CtlSession& session, const Invocation& invocation) {
   if (const auto hosts = NeedHosts(session); !hosts) {
     return hosts;
   }
@@ -221,7 +221,7 @@
   out.BeginObject().Member("request", request).Name("hosts").BeginObject();
   bool found = false;
   std::vector<std::string> missing;
-  for (const HostStatus& host : fleet.hosts) {
+  for (const FleetHost& host : fleet.hosts) {
     const auto answer = session.Admin().Ask(host.address, "GET",
                                             "/admin/why?request=" + request);
     if (!answer) {
--- a/packages/ctl/record_commands.cc
+++ b/packages/ctl/record_commands.cc
@@ -54,7 +54,7 @@
 }
 
 // Adds a record, or changes the named fields of one that exists.
-Result<bool> Add(Session& session,
+Result<bool> Add(CtlSession& session,
                  const Invocation& invocation,
                  const std::string& kind) {
   Record stated{.kind = kind, .id = invocation.arguments.front()};
@@ -78,7 +78,7 @@
       !invocation.Has("no-wait"));
 }
 
-Result<bool> List(Session& session,
+Result<bool> List(CtlSession& session,
                   const Invocation& /*invocation*/,
                   const std::string& kind) {
   const auto stored = session.Read();
@@ -104,7 +104,7 @@
   return true;
 }
 
-Result<bool> Remove(Session& session,
+Result<bool> Remove(CtlSession& session,
                     const Invocation& invocation,
                     const std::string& kind) {
   const std::string& id = invocation.arguments.front();
@@ -126,9 +126,10 @@
       !invocation.Has("no-wait"));
 }
 
-template <const char* kind,
-          Result<bool> (*work)(Session&, const Invocation&, const std::string&)>
-Result<bool> Of(Session& session, const Invocation& invocation) {
+template <
+    const char* kind,
+    Result<bool> (*work)(CtlSession&, const Invocation&, const std::string&)>
+Result<bool> Of(CtlSession& session, const Invocation& invocation) {
   return work(session, invocation, kind);
 }
 
@@ -155,7 +156,7 @@
   return key;
 }
 
-Result<bool> KeyAdd(Session& session, const Invocation& invocation) {
+Result<bool> KeyAdd(CtlSession& session, const Invocation& invocation) {
   const std::string& account = invocation.arguments.front();
   const std::string key = MakeKey();
   const std::string hash = Hash(key);
@@ -186,7 +187,7 @@
   return true;
 }
 
-Result<bool> KeyList(Session& session, const Invocation& invocation) {
+Result<bool> KeyList(CtlSession& session, const Invocation& invocation) {
   const auto stored = session.Read();
   if (!stored) {
     return tl::unexpected(stored.error());
@@ -235,7 +236,7 @@
   return found;
 }
 
-Result<bool> KeyWithdraw(Session& session, const Invocation& invocation) {
+Result<bool> KeyWithdraw(CtlSession& session, const Invocation& invocation) {
   return session.ChangeAndWait(
       [&](const Configuration& in_force) -> Result<Configuration> {
         const auto hash = FindKey(in_force, invocation.arguments.front());
--- a/packages/ctl/session.cc
+++ b/packages/ctl/session.cc
@@ -20,7 +20,7 @@
 
 InForceReport MakeReport(const FleetStatus& fleet, int64_t revision) {
   InForceReport report{.revision = revision, .unreachable = fleet.unreachable};
-  for (const HostStatus& host : fleet.hosts) {
+  for (const FleetHost& host : fleet.hosts) {
     auto& centres = report.data_centres;
     if (centres.empty() || centres.back().id != host.data_centre) {
       centres.push_back({.id = host.data_centre});
@@ -131,10 +131,10 @@
          });
 }
 
-Session::Session(CtlSettings settings, Output& output)
+CtlSession::CtlSession(CtlSettings settings, Output& output)
     : settings(std::move(settings)), output(output) {}
 
-AdminClient& Session::Admin() {
+AdminClient& CtlSession::Admin() {
   if (!this->admin) {
     this->admin = std::make_unique<AdminClient>(this->settings.admin,
                                                 this->settings.admin_token,
@@ -143,7 +143,7 @@
   return *this->admin;
 }
 
-BlockingStore& Session::Store() {
+BlockingStore& CtlSession::Store() {
   if (!this->store) {
     this->store = std::make_unique<BlockingStore>(
         this->settings.store_plugin,
@@ -153,13 +153,13 @@
   return *this->store;
 }
 
-StoreReply Session::Transact(const StoreTransaction& transaction) {
+StoreReply CtlSession::Transact(const StoreTransaction& transaction) {
   return this->settings.store.empty()
              ? StoreReply{.outcome = StoreOutcome::kNotApplied}
              : this->Store().Transact(transaction);
 }
 
-Result<StoredConfiguration> Session::Read() {
+Result<StoredConfiguration> CtlSession::Read() {
   if (this->settings.store.empty()) {
     return Fail(ErrorKind::kBadSetting,
                 "no address of the key-value service is set; give --store "
@@ -173,7 +173,7 @@
   return ReadStoredConfiguration(reply);
 }
 
-Result<ConfigurationChange::Applied> Session::Change(
+Result<ConfigurationChange::Applied> CtlSession::Change(
     ConfigurationChange::Edit edit) {
   if (this->settings.store.empty()) {
     return tl::unexpected(this->Read().error());
@@ -203,8 +203,8 @@
   }
 }
 
-Result<bool> Session::ChangeAndWait(const ConfigurationChange::Edit& edit,
-                                    bool wait) {
+Result<bool> CtlSession::ChangeAndWait(const ConfigurationChange::Edit& edit,
+                                       bool wait) {
   const auto applied = this->Change(edit);
   if (!applied) {
     return tl::unexpected(applied.error());
@@ -237,7 +237,7 @@
   return true;
 }
 
-InForceReport Session::WaitInForce(int64_t revision) {
+InForceReport CtlSession::WaitInForce(int64_t revision) {
   const BootClock clock;
   const Instant start = clock.Now();
   std::set<DataCentreId> told;
--- a/packages/ctl/session.h
+++ b/packages/ctl/session.h
@@ -5,7 +5,7 @@
 // Index
 //   CtlSettings   where the service and the hosts are
 //   Output        what is printed, as text or as JSON
-//   Session       one run of the client
+//   CtlSession       one run of the client
 
 #pragma once
 
@@ -80,9 +80,9 @@
 };
 
 // One run of the client.
-class Session {
+class CtlSession {
  public:
-  Session(CtlSettings settings, Output& output);
+  CtlSession(CtlSettings settings, Output& output);
 
   Output& Out() { return this->output; }
   AdminClient& Admin();
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -178,6 +178,9 @@
   soup_message_body_set_accumulate(soup_server_message_get_response_body(raw),
                                    FALSE);
   soup_server_message_unpause(raw);
+  // A stream that is begun within the handler was never held, so nobody watches
+  // its caller yet; and one with nothing to write finds no broken connection.
+  this->WatchCaller();
 }
 
 void HttpCall::Write(std::string_view bytes) {
--- a/packages/platform/etcd_store.cc
+++ b/packages/platform/etcd_store.cc
@@ -216,11 +216,20 @@
 
   ~EtcdWatch() override {
     *this->alive = false;
-    this->stream->Cancel();
+    this->Close();
     this->calls->CountWatch(-1);
   }
 
  private:
+  // Closes the connection, which goes with the last pointer to the stream. A
+  // lost watch would otherwise wait on at the service, which bills it.
+  void Close() {
+    if (this->stream) {
+      this->stream->Cancel();
+      this->stream.reset();
+    }
+  }
+
   // Splits the stream into its lines.
   void Take(std::string_view bytes) {
     this->partial += bytes;
@@ -308,7 +317,7 @@
                  {{"prefix", this->prefix}, {"error", error.message}});
       this->calls->Count("store_watches_lost_total");
       this->ending = Timer::After(Duration::zero(), [this, error] {
-        this->stream->Cancel();
+        this->Close();
         this->check.reset();
         this->grace.reset();
         const auto call = std::move(this->on_lost);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -299,6 +299,22 @@
   CHECK(log.Changes().empty());
 }
 
+// The service bills each waiting watch as a call. One that nobody holds any
+// more must not wait on, whether it was dropped or had gone silent.
+TEST(EtcdWatch, LeavesNothingWaitingWhenItEnds) {
+  Fixture f;
+  {
+    const WatchLog log(*f.store, "/c/", 1);
+    CHECK(Eventually([&] { return f.service.Calls().watches_waiting == 1; }));
+  }
+  CHECK(Eventually([&] { return f.service.Calls().watches_waiting == 0; }));
+  f.service.SetFault(KeyValueFault::kSilentWatch);
+  WatchLog silent(*f.store, "/c/", 1);
+  f.store->Transact(Put("/c/a", "x"));
+  CHECK(Eventually([&] { return silent.Losses() == 1; }));
+  CHECK(Eventually([&] { return f.service.Calls().watches_waiting == 0; }));
+}
+
 TEST_GROUP(PlatformClient){};
 
 namespace {
