--- a/packages/peers/peer_group.h
+++ b/packages/peers/peer_group.h
@@ -32,7 +32,10 @@
   PeerLinksOptions links;
   Duration suspect_after = std::chrono::seconds(4);
   Duration gone_after = std::chrono::seconds(15);
-  Duration summary_period = std::chrono::seconds(2);
+  // Between summaries to other data centres. What they say is passed on to the
+  // hosts here half as often: that costs a representative the most. News of
+  // leaving endpoints doesn't wait for either.
+  Duration summary_period = std::chrono::seconds(5);
 };
 
 // Whom the group tells what.
@@ -75,10 +78,10 @@
     return this->board.Out(endpoint);
   }
 
-  // A new configuration: forgets endpoints that it lacks.
-  void KeepEndpoints(const std::set<EndpointId>& endpoints) {
-    this->board.Keep(endpoints);
-  }
+  // A new configuration: the endpoints with their data centres. News of others
+  // is forgotten. Work under way at an endpoint is told across data centres
+  // only when it was sent across, since others have no use for it.
+  void SetEndpoints(std::map<EndpointId, DataCentreId> endpoints);
 
   // Sends a message to one host, or to all linked ones.
   bool Send(const HostId& host, const PeerMessage& message) {
@@ -117,19 +120,22 @@
   void OnElsewhere(Digest digest, const HostId& from);
   void OnDown(const HostId& host);
   void OnMessage(const HostId& host, const PeerMessage& message);
-  void SendSummaries();
+  void KeepOutstanding(Digest& digest, bool here) const;
+  void SendSummaries(bool urgent);
   void Refresh();
 
   PeerGroupOptions options;
   PeerGroupHandlers handlers;
   Membership membership;
   EndpointBoard board;
+  std::map<EndpointId, DataCentreId> endpoints;
   DigestSummary near;  // of the hosts of this data centre
   DigestSummary far;   // of the other data centres
   std::map<HostId, Digest> digests;
   HostId elsewhere;  // the id under which distant work is told at present
   uint64_t elsewhere_sequence = 0;
   Instant next_summary{};
+  uint64_t summaries = 0;             // sent so far
   std::vector<EndpointNews> leaving;  // known to leave, as last passed on
   PeerLinks links;
 };
