End the process after a planned stop that an operator asked for

hickoryctl drain finished the stop but the process stayed: only a signal's own drain carried the callback that ends the main loop, and a later SIGTERM found the drain done and set a callback that nobody called any more. The callback now belongs to the host and is called whoever asked. The process test failed before (the host never ended) and passes after.

--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -9,7 +9,7 @@
 rm -rf "$dir"
 mkdir -p "$dir"
 
-readonly HOSTS=(north-1 north-2 south-1)
+HOSTS=(north-1 north-2 south-1)
 readonly STORE=127.0.0.1:$((base + 1))
 readonly PLATFORM=127.0.0.1:$((base + 2))
 readonly MODEL=easy-read-7b
--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -46,9 +46,12 @@
 
 }  // namespace
 
-HostDaemon::HostDaemon(HostSettings settings, const Clock& clock)
+HostDaemon::HostDaemon(HostSettings settings,
+                       const Clock& clock,
+                       std::function<void()> on_stopped)
     : settings(std::move(settings)),
       clock(clock),
+      on_stopped(std::move(on_stopped)),
       serving_task("serving"),
       control_task("control") {}
 
@@ -197,16 +200,13 @@
               this->control_task.Post([answer, json] { answer(json); });
             });
           },
-      .drain = [this] { this->Drain({}); },
+      .drain = [this] { this->Drain(); },
   };
 }
 
-void HostDaemon::Drain(std::function<void()> when_done) {
-  this->control_task.Post([this, when_done = std::move(when_done)] {
-    if (when_done) {
-      this->on_done = when_done;
-    }
-    if (this->draining.exchange(true)) {
+void HostDaemon::Drain() {
+  this->control_task.Post([this] {
+    if (std::exchange(this->draining, true)) {
       return;
     }
     LogInfo(kPart, "Planned stop begins.");
@@ -241,9 +241,7 @@
   LogInfo(kPart, "Usage and lease are handed over.");
   this->control->HandOver([this] {
     LogInfo(kPart, "Planned stop is complete.");
-    if (this->on_done) {
-      this->on_done();
-    }
+    this->on_stopped();
   });
 }
 
--- a/packages/daemon/host_daemon.h
+++ b/packages/daemon/host_daemon.h
@@ -1,9 +1,9 @@
 // One entry host, put together: the serving task with the gateway, the control
 // task with everything that hosts agree on, and the messages between the two.
 //
-//   HostDaemon host(settings, clock);
+//   HostDaemon host(settings, clock, on_stopped);
 //   if (auto started = host.Start(); !started) { ... }
-//   host.Drain([] { ... });   // a planned stop; calls back when all is done
+//   host.Drain();   // a planned stop; on_stopped is called when all is done
 //   host.Stop();
 //
 // A planned stop takes five steps, in this order, so that nobody is cut off:
@@ -12,7 +12,6 @@
 
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -31,7 +30,11 @@
 // A running entry host.
 class HostDaemon {
  public:
-  HostDaemon(HostSettings settings, const Clock& clock);
+  // `on_stopped` is called once, on the control task, when a planned stop is
+  // complete, whoever asked for it: a signal, an operator.
+  HostDaemon(HostSettings settings,
+             const Clock& clock,
+             std::function<void()> on_stopped);
   ~HostDaemon();
   HostDaemon(const HostDaemon&) = delete;
   HostDaemon& operator=(const HostDaemon&) = delete;
@@ -39,9 +42,8 @@
   // Starts both tasks and their sockets; says which one couldn't be opened.
   Result<void> Start();
 
-  // Begins a planned stop. `on_done` is called once, on the control task, when
-  // nothing is left to be done. Asking twice changes nothing.
-  void Drain(std::function<void()> on_done);
+  // Begins a planned stop. Asking twice changes nothing.
+  void Drain();
 
   // Ends both tasks at once, without a planned stop.
   void Stop();
@@ -64,8 +66,8 @@
   const Clock& clock;
   Metrics metrics;
   SocketAddress gateway_address;
-  std::function<void()> on_done;
-  std::atomic<bool> draining = false;
+  std::function<void()> on_stopped;
+  bool draining = false;   // of the control task
   bool finishing = false;  // of the control task
   // Until when claimed requests may be sent; used on the serving task only.
   std::map<RequestId, Instant> claimed_until;
--- a/packages/daemon/program/main.cc
+++ b/packages/daemon/program/main.cc
@@ -59,13 +59,14 @@
     return G_SOURCE_CONTINUE;
   }
   state->stopping = true;
-  state->host->Drain([loop = state->loop] { g_main_loop_quit(loop); });
+  state->host->Drain();
   return G_SOURCE_CONTINUE;
 }
 
 int Run(const HostSettings& settings) {
   const BootClock clock;
-  HostDaemon host(settings, clock);
+  GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+  HostDaemon host(settings, clock, [loop] { g_main_loop_quit(loop); });
   if (const auto started = host.Start(); !started) {
     LogError(kPart, "Host can't start.", {{"why", started.error().message}});
     return AnswerFor(started.error().kind).exit_code;
@@ -74,7 +75,6 @@
           {{"host", settings.host.Text()},
            {"data_centre", settings.data_centre.Text()},
            {"version", HICKORYSTAND_VERSION}});
-  GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
   SignalState state{&host, loop};
   g_unix_signal_add(SIGTERM, &OnSignal, &state);
   g_unix_signal_add(SIGINT, &OnSignal, &state);
