--- a/bench/gateway_bench.cc
+++ b/bench/gateway_bench.cc
@@ -6,8 +6,9 @@
 // All runs over loopback, bounded in count. The gateway is one task, so one
 // thread: its share of a core is its thread's own processor time.
 
+#include <sys/resource.h>
+
 #include <algorithm>
-#include <atomic>
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
@@ -187,6 +188,14 @@
   std::_Exit(all ? 0 : 1);  // the open streams are not waited for
 }
 
+// Each open stream takes four descriptors here, as all ends are in one process.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 }  // namespace
 }  // namespace hickorystand
 
@@ -197,6 +206,7 @@
     const int given = argc > index ? std::atoi(argv[index]) : fallback;
     return std::clamp(given, kParallel, kMaxCount);
   };
+  RaiseDescriptorLimit();
   const int requests = count(1, kDefaultRequests);
   const int streams = count(2, kDefaultStreams);
   fakes::FakeEngine engine({.batch = {.capacity = 4096}});
