--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -247,7 +247,10 @@
       [&](const HttpCallPtr& call) {
         call->OnGone([&gone] { gone.set_value(); });
         call->StartStream(200, {});
-        call->Write(std::string(32'000'000, 'x'));
+        const std::string block(4'000'000, 'x');
+        for (int i = 0; i < 8; ++i) {
+          call->Write(block);
+        }
       },
       SmallLimits());
   RawSocket socket(pair.address);
