--- a/packages/decisions/admission.cc
+++ b/packages/decisions/admission.cc
@@ -40,10 +40,10 @@
 
 // Without the lift an account could save up credit while idle and then keep
 // everybody else out for as long.
-void Admission::Lift(Counted& account) {
-  account.counter =
-      std::max(account.counter,
-               this->virtual_time - this->options.idle_credit / account.weight);
+double Admission::Lifted(const Counted& account) const {
+  return std::max(
+      account.counter,
+      this->virtual_time - this->options.idle_credit / account.weight);
 }
 
 void Admission::Enqueue(Instant now,
@@ -53,13 +53,16 @@
   assert(!this->index.contains(request.id) && "a request is queued twice");
   Counted& account = this->accounts[request.account];
   if (account.waiting == 0) {
-    this->Lift(account);
+    account.counter = this->Lifted(account);
   }
   const bool batch = request.request_class == RequestClass::kBatch;
-  const Instant aged = this->options.age_batch
-                           ? std::min(request.deadline,
-                                      request.arrived + this->options.batch_age)
-                           : Instant::max();
+  const Duration age =
+      FromSeconds(ToSeconds(request.deadline - request.arrived) *
+                  this->options.batch_age_share);
+  const Instant aged =
+      this->options.age_batch
+          ? request.arrived + std::min(age, this->options.longest_batch_age)
+          : Instant::max();
   Waiting waiting{.request = request.id,
                   .account = request.account,
                   .service = request.service,
@@ -100,17 +103,25 @@
   return true;
 }
 
-const Waiting* Admission::Head(Instant now, const Lines& lines) const {
-  if (lines.batch.empty()) {
-    return &*lines.urgent.begin();
-  }
-  const Waiting& batch = *lines.batch.begin();
-  if (lines.urgent.empty()) {
-    return &batch;
+// Aged batch work goes by its age, other batch work behind all that is urgent.
+std::vector<const Waiting*> Admission::FirstOf(Instant now,
+                                               const Lines& lines,
+                                               size_t count) const {
+  std::vector<const Waiting*> first;
+  auto urgent = lines.urgent.begin();
+  auto batch = lines.batch.begin();
+  while (first.size() < count) {
+    const bool has_batch = batch != lines.batch.end();
+    const bool has_urgent = urgent != lines.urgent.end();
+    if (!has_batch && !has_urgent) {
+      break;
+    }
+    const bool takes_batch =
+        has_batch &&
+        (!has_urgent || (batch->due <= now && batch->due < urgent->due));
+    first.push_back(takes_batch ? &*batch++ : &*urgent++);
   }
-  const Waiting& urgent = *lines.urgent.begin();
-  const bool batch_first = batch.due <= now && (batch.due < urgent.due);
-  return batch_first ? &batch : &urgent;
+  return first;
 }
 
 bool Admission::AtLimit(const Counted& account) const {
@@ -122,7 +133,8 @@
 }
 
 std::vector<Waiting> Admission::Heads(Instant now,
-                                      const ServiceId& service) const {
+                                      const ServiceId& service,
+                                      size_t per_account) const {
   const auto pool = this->pools.find(service);
   if (pool == this->pools.end()) {
     return {};
@@ -139,16 +151,17 @@
     if (contended && this->AtLimit(account)) {
       continue;
     }
-    const Waiting* head = this->Head(now, lines);
-    const bool yields = IsBatch(*head) && head->due > now;
-    const double counter = this->options.fair
-                               ? account.counter
-                               : ToSeconds(head->due.time_since_epoch());
-    ranked.push_back({yields, counter, head});
+    for (const Waiting* waiting : this->FirstOf(now, lines, per_account)) {
+      const bool yields = IsBatch(*waiting) && waiting->due > now;
+      const double counter = this->options.fair
+                                 ? account.counter
+                                 : ToSeconds(waiting->due.time_since_epoch());
+      ranked.push_back({yields, counter, waiting});
+    }
   }
   std::ranges::sort(ranked, [](const Ranked& a, const Ranked& b) {
-    return std::tuple(a.yields, a.counter, a.waiting->order) <
-           std::tuple(b.yields, b.counter, b.waiting->order);
+    return std::tuple(a.yields, a.counter, a.waiting->due, a.waiting->order) <
+           std::tuple(b.yields, b.counter, b.waiting->due, b.waiting->order);
   });
   std::vector<Waiting> heads;
   std::ranges::transform(ranked, std::back_inserter(heads),
@@ -226,26 +239,28 @@
       pool->second.drain <= 0) {
     return 0;
   }
+  // The request starts when its account's counter has come up to this; until
+  // then each other account is served up to the same.
+  const auto counted = this->accounts.find(request.account);
+  const Counted fresh;
+  const Counted& account =
+      counted == this->accounts.end() ? fresh : counted->second;
   const auto& lines = pool->second.lines;
-  const auto weight = [this](const AccountId& id) {
-    const auto found = this->accounts.find(id);
-    return found == this->accounts.end() ? 1.0 : found->second.weight;
-  };
-  double weights = 0;
-  double total = cost;
+  const auto own = lines.find(request.account);
+  const double queued = own == lines.end() ? 0 : own->second.urgent_cost;
+  const double lifted =
+      account.waiting > 0 ? account.counter : this->Lifted(account);
+  const double start = lifted + queued / account.weight;
+  double ahead = queued + cost;
   for (const auto& [id, line] : lines) {
-    total += line.urgent_cost;
-    weights += line.urgent.empty() ? 0 : weight(id);
+    if (id != request.account) {
+      const Counted& other = this->accounts.at(id);
+      const double first = (start - other.counter) * other.weight;
+      ahead += this->options.fair ? std::clamp(first, 0.0, line.urgent_cost)
+                                  : line.urgent_cost;
+    }
   }
-  const auto own = lines.find(request.account);
-  const bool joins = own == lines.end() || own->second.urgent.empty();
-  weights += joins ? weight(request.account) : 0;
-  const double ahead =
-      cost + (own == lines.end() ? 0 : own->second.urgent_cost);
-  const double share = weight(request.account) / weights;
-  const double work =
-      this->options.fair ? std::min(total, ahead / share) : total;
-  return work / pool->second.drain;
+  return ahead / pool->second.drain;
 }
 
 Duration Admission::RetryAfter(const ServiceId& service) {
--- a/packages/decisions/admission.h
+++ b/packages/decisions/admission.h
@@ -34,8 +34,9 @@
   bool fair = true;               // false: first come, first served
   bool refuse_unmeetable = true;  // false: wait until the deadline has passed
   bool age_batch = true;
-  double idle_credit = 20000;  // tokens an idle account may be ahead
-  Duration batch_age = std::chrono::seconds(30);
+  double idle_credit = 20000;    // tokens an idle account may be ahead
+  double batch_age_share = 0.6;  // of its time to the deadline, then it is due
+  Duration longest_batch_age = std::chrono::minutes(10);
   double wait_share = 0.8;  // of the time left that may go on waiting
 
   auto operator<=>(const AdmissionOptions&) const = default;
@@ -68,8 +69,11 @@
   // Takes a request out; false if it isn't there.
   bool Remove(const RequestId& request);
 
-  // The first request of each account, in the order they should start.
-  std::vector<Waiting> Heads(Instant now, const ServiceId& service) const;
+  // The first requests of each account, in the order they should start: all
+  // of one account, then all of the next.
+  std::vector<Waiting> Heads(Instant now,
+                             const ServiceId& service,
+                             size_t per_account) const;
 
   // A waiting request starts: it leaves the queue and is charged for.
   void Start(Instant now, const RequestId& request);
@@ -132,9 +136,10 @@
     std::map<AccountId, AccountServed> served;
   };
 
-  void Lift(Counted& account);
-  double DueTier(Instant now, const Waiting& waiting) const;
-  const Waiting* Head(Instant now, const Lines& lines) const;
+  double Lifted(const Counted& account) const;
+  std::vector<const Waiting*> FirstOf(Instant now,
+                                      const Lines& lines,
+                                      size_t count) const;
   bool AtLimit(const Counted& account) const;
 
   AdmissionOptions options;
--- a/packages/decisions/hickorystand_dispatcher.cc
+++ b/packages/decisions/hickorystand_dispatcher.cc
@@ -10,7 +10,10 @@
 namespace {
 
 constexpr int64_t kMaxTries = 4;
-constexpr size_t kHeadsTried = 8;
+constexpr int64_t kMaxBatchTries = 12;
+constexpr size_t kHeadsPerAccount = 4;
+constexpr size_t kHeadsTried = 16;
+constexpr Duration kLeastWorkAge = std::chrono::seconds(1);
 constexpr Duration kResumeWait = std::chrono::seconds(10);
 constexpr double kLookupGain = 0.05;
 constexpr double kHedgeAfter = 3;  // times the usual time
@@ -120,7 +123,10 @@
   live.expires = request.deadline;
   this->Enqueue(now, live, live.charged, false);
   DispatchList out;
-  this->Pump(now, request.service, out);
+  // Behind others it has to wait for the next tick anyway.
+  if (this->admission.Size() == 1) {
+    this->Pump(now, request.service, out);
+  }
   return out;
 }
 
@@ -135,10 +141,14 @@
   }
 }
 
-// Batch work waits as long as it takes, unless its caller has part of it.
+// Batch work waits as long as it takes.
 bool HickorystandDispatcher::MayBeRefused(const Live& live) const {
-  return live.request.request_class != RequestClass::kBatch ||
-         live.delivered > 0;
+  return live.request.request_class != RequestClass::kBatch;
+}
+
+// Its claim is spent, or its caller watches half an answer.
+bool HickorystandDispatcher::CannotWait(const Live& live) const {
+  return live.granted || live.delivered > 0;
 }
 
 // --- Starting ---------------------------------------------------------------
@@ -147,21 +157,26 @@
                                   const ServiceId& service,
                                   DispatchList& out) {
   for (bool started = true; started;) {
-    const std::vector<Waiting> heads = this->admission.Heads(now, service);
+    const std::vector<Waiting> heads =
+        this->admission.Heads(now, service, kHeadsPerAccount);
     started = std::ranges::any_of(
         heads | std::views::take(kHeadsTried),
         [&](const Waiting& head) { return this->StartHead(now, head, out); });
   }
 }
 
-RouteQuery HickorystandDispatcher::QueryFor(Instant now,
-                                            const Live& live) const {
+RouteQuery HickorystandDispatcher::QueryFor(Instant now, Live& live) {
+  if (live.least_work == 0 || now - live.least_work_at > kLeastWorkAge) {
+    live.least_work = this->router.LeastWork(now, live.request);
+    live.least_work_at = now;
+  }
   const bool suspect =
       this->policy.separate_suspects &&
       this->suspects.IsSuspected(now, live.request.fingerprint);
   return {.request = &live.request,
           .suspect = suspect,
-          .ignore_room = live.granted,
+          .ignore_room = this->CannotWait(live),
+          .least_work = live.least_work,
           .avoid = live.avoid,
           .avoid_zones = live.avoid_zones};
 }
@@ -170,6 +185,9 @@
                                        const Waiting& head,
                                        DispatchList& out) {
   Live& live = this->live.at(head.request);
+  if (!this->CannotWait(live) && !this->router.HasRoomFor(now, head.service)) {
+    return false;
+  }
   const std::optional<Route> route =
       this->router.Choose(now, this->QueryFor(now, live));
   if (!route) {
@@ -269,8 +287,9 @@
   Attempt& running = found->second;
   Live& live = this->live.at(running.request);
   live.may_have_run = true;
+  running.generated += generated_tokens;
   live.delivered =
-      std::max(live.delivered, running.resume_from + generated_tokens);
+      std::max(live.delivered, running.resume_from + running.generated);
   DispatchList out;
   if (!running.first_token) {
     running.first_token = true;
@@ -384,9 +403,9 @@
     default:
       if (live.attempts.empty()) {
         this->Failed(now, live, attempt, result.outcome, out);
+        this->Pump(now, service, out);
       }
   }
-  this->Pump(now, service, out);
   return out;
 }
 
@@ -408,10 +427,15 @@
                          service->second.kind == ServiceKind::kLanguage;
   const bool too_late = live.delivered == 0 && now >= live.request.deadline &&
                         request_class != RequestClass::kBatch;
-  if (live.tries >= kMaxTries || too_late ||
+  const bool batch = request_class == RequestClass::kBatch;
+  if (live.tries >= (batch ? kMaxBatchTries : kMaxTries) || too_late ||
       (live.delivered > 0 && !resumable) ||
-      this->suspects.IsCondemned(now, live.request.fingerprint) ||
-      !this->retries.Take(now)) {
+      this->suspects.IsCondemned(now, live.request.fingerprint)) {
+    this->GiveUp(live, out);
+    return;
+  }
+  const bool paid = this->retries.Take(now);
+  if (!paid && !batch) {
     this->GiveUp(live, out);
     return;
   }
@@ -424,7 +448,21 @@
     live.expires = now + kResumeWait;
   }
   this->admission.Ended(live.request.account);
-  this->Enqueue(now, live, 0, true);
+  if (paid) {
+    this->Enqueue(now, live, 0, true);
+    return;
+  }
+  // Batch work must arrive, so it waits until the budget allows its retry.
+  live.state = State::kParked;
+  this->parked.insert(live.request.id);
+}
+
+void HickorystandDispatcher::RetryParked(Instant now) {
+  while (!this->parked.empty() && this->retries.Take(now)) {
+    const RequestId request = *this->parked.begin();
+    this->parked.erase(this->parked.begin());
+    this->Enqueue(now, this->live.at(request), 0, true);
+  }
 }
 
 // --- Ends -------------------------------------------------------------------
@@ -435,9 +473,10 @@
   if (live.state == State::kQueued) {
     this->expiries.erase({live.expires, request});
     this->admission.Remove(request);
-  } else {
+  } else if (live.state != State::kParked) {
     this->admission.Ended(live.request.account);
   }
+  this->parked.erase(request);
   this->lookups.erase(request);
   this->live.erase(request);
 }
@@ -498,12 +537,10 @@
   if (once && !live.attempts.empty()) {
     return {};
   }
-  const ServiceId service = live.request.service;
   DispatchList out;
   this->CancelOthers(now, live, 0, out);
   this->Recharge(live, this->UsedCost(live));
   this->Forget(request);
-  this->Pump(now, service, out);
   return out;
 }
 
@@ -589,6 +626,7 @@
   DispatchList out;
   this->RefuseExpired(now, out);
   this->HedgeLookups(now, out);
+  this->RetryParked(now);
   for (const ServiceId& service : this->admission.Services()) {
     this->Pump(now, service, out);
   }
@@ -609,7 +647,7 @@
 }
 
 int64_t HickorystandDispatcher::Running() const {
-  return static_cast<int64_t>(this->live.size()) - this->admission.Size();
+  return static_cast<int64_t>(this->live.size()) - this->Queued();
 }
 
 // --- Registration -----------------------------------------------------------
--- a/packages/decisions/router.cc
+++ b/packages/decisions/router.cc
@@ -67,6 +67,12 @@
          std::max(0.0, this->hidden_requests);
 }
 
+double EndpointView::WaitingSeconds() const {
+  return static_cast<double>(this->own_prompt_tokens +
+                             this->peer_prompt_tokens) /
+         this->PrefillRate();
+}
+
 Router::Router(const RouterOptions& options)
     : options(options), random(options.seed) {}
 
@@ -90,11 +96,20 @@
     EndpointView& view = this->View(id);
     view.endpoint = endpoint;
     view.configured = true;
-    this->by_service[endpoint.service].push_back(id);
   }
   std::erase_if(this->views, [](const auto& entry) {
     return !entry.second.configured && entry.second.own_requests == 0;
   });
+  for (auto& [id, view] : this->views) {
+    view.peer_requests = 0;
+    view.peer_prompt_tokens = 0;
+    if (view.configured) {
+      this->by_service[view.endpoint.service].push_back(&view);
+    }
+  }
+  for (const auto& [host, outstanding] : this->peers) {
+    this->CountPeer(outstanding, 1);
+  }
 }
 
 // Moves on to an endpoint's next life. One that is over never comes back, so
@@ -155,34 +170,23 @@
   }
 }
 
-void Router::SumPeers(const EndpointId& endpoint) {
-  const auto found = this->views.find(endpoint);
-  if (found == this->views.end()) {
-    return;
-  }
-  EndpointView& view = found->second;
-  view.peer_requests = 0;
-  view.peer_prompt_tokens = 0;
-  for (const auto& [host, outstanding] : this->peers) {
-    const auto sent = outstanding.find(endpoint);
-    if (sent != outstanding.end()) {
-      view.peer_requests += sent->second.requests;
-      view.peer_prompt_tokens += sent->second.prompt_tokens;
+void Router::CountPeer(const std::vector<EndpointOutstanding>& outstanding,
+                       int64_t sign) {
+  for (const EndpointOutstanding& sent : outstanding) {
+    const auto found = this->views.find(sent.endpoint);
+    if (found != this->views.end()) {
+      found->second.peer_requests += sign * sent.requests;
+      found->second.peer_prompt_tokens += sign * sent.prompt_tokens;
     }
   }
 }
 
 void Router::OnDigest(Instant now, const Digest& digest) {
   if (this->options.use_peer_digests) {
-    auto& outstanding = this->peers[digest.host];
-    const auto before = std::exchange(outstanding, {});
-    for (const EndpointOutstanding& sent : digest.outstanding) {
-      outstanding[sent.endpoint] = sent;
-      this->SumPeers(sent.endpoint);
-    }
-    for (const auto& [endpoint, sent] : before) {
-      this->SumPeers(endpoint);
-    }
+    std::vector<EndpointOutstanding>& outstanding = this->peers[digest.host];
+    this->CountPeer(outstanding, -1);
+    outstanding = digest.outstanding;
+    this->CountPeer(outstanding, 1);
   }
   for (const EndpointNews& news : digest.endpoints) {
     const auto found = this->views.find(news.endpoint);
@@ -208,11 +212,8 @@
   if (found == this->peers.end()) {
     return;
   }
-  const auto gone = std::move(found->second);
+  this->CountPeer(found->second, -1);
   this->peers.erase(found);
-  for (const auto& [endpoint, sent] : gone) {
-    this->SumPeers(endpoint);
-  }
 }
 
 bool Router::Usable(Instant now,
@@ -238,19 +239,18 @@
   if (query.suspect && view.own_suspects > 0) {
     return false;
   }
-  return this->HasRoom(view, request);
+  return this->HasRoom(view, request.request_class);
 }
 
-bool Router::HasRoom(const EndpointView& view, const Request& request) const {
-  const bool batch = request.request_class == RequestClass::kBatch;
+bool Router::HasRoom(const EndpointView& view,
+                     RequestClass request_class) const {
+  const bool batch = request_class == RequestClass::kBatch;
   const double places = view.Capacity() * (batch ? this->options.batch_occupancy
                                                  : this->options.overbook);
-  const double waiting =
-      static_cast<double>(view.own_prompt_tokens + view.peer_prompt_tokens) /
-      view.PrefillRate();
   const double longest =
       this->options.max_prefill_seconds * (batch ? 0.5 : 1.0);
-  return view.Requests() < std::max(1.0, places) && waiting < longest;
+  return view.Requests() < std::max(1.0, places) &&
+         view.WaitingSeconds() < longest;
 }
 
 // Falls back to 1 with time, so that an endpoint which was slow is tried again.
@@ -268,23 +268,62 @@
                          : 0;
   const auto missed = static_cast<int64_t>(
       static_cast<double>(request.prompt_tokens) * (1 - hit));
-  const auto waiting =
-      static_cast<double>(view.own_prompt_tokens + view.peer_prompt_tokens);
   const double slowness =
       this->options.eject_outliers ? Slowness(now, view) : 1;
   const bool remote = view.endpoint.data_centre != this->options.data_centre;
   const double over = std::max(0.0, view.Requests() + 1 - view.Capacity()) *
                       static_cast<double>(request.output_tokens) /
                       view.DecodeRate();
-  const double seconds =
-      (waiting + static_cast<double>(missed)) / view.PrefillRate() * slowness +
-      over + (remote ? this->options.remote_seconds : 0);
-  // Time in the batch, by how full the batch is: a nearly empty engine decodes
-  // for little, a nearly full one makes others wait.
+  const double seconds = (view.WaitingSeconds() +
+                          static_cast<double>(missed) / view.PrefillRate()) *
+                             slowness +
+                         over + (remote ? this->options.remote_seconds : 0);
+  // Work counts by how full the batch is: a nearly empty engine decodes for
+  // little, a nearly full one makes others wait.
   const double occupancy = view.Requests() / view.Capacity();
-  const double busy = static_cast<double>(request.output_tokens) /
-                      view.DecodeRate() * (0.5 + occupancy) * slowness;
-  return {&view, seconds, seconds + busy, missed};
+  const double work =
+      static_cast<double>(missed) / view.PrefillRate() +
+      static_cast<double>(request.output_tokens) / view.DecodeRate();
+  return {&view, seconds, work, seconds + work * (0.5 + occupancy) * slowness,
+          missed};
+}
+
+double Router::LeastWork(Instant now, const Request& request) {
+  const auto service = this->by_service.find(request.service);
+  if (service == this->by_service.end()) {
+    return 0;
+  }
+  std::vector<std::pair<double, EndpointView*>> works;
+  for (EndpointView* candidate : service->second) {
+    EndpointView& view = *candidate;
+    if (!view.Leaving() && !view.down && !view.Ejected(now)) {
+      works.emplace_back(this->Score(now, view, request).work, &view);
+    }
+  }
+  if (works.empty()) {
+    return 0;
+  }
+  const double least = std::ranges::min(works | std::views::keys);
+  for (const auto& [work, view] : works) {
+    if (work <= least * this->options.fit &&
+        !this->HasRoom(*view, request.request_class)) {
+      view->wanted_until = now + this->options.wanted;
+    }
+  }
+  return least;
+}
+
+bool Router::FitsOrHasSpare(Instant now,
+                            const Scored& scored,
+                            const RouteQuery& query) const {
+  if (query.least_work == 0 || query.ignore_room || query.suspect ||
+      scored.work <= query.least_work * this->options.fit) {
+    return true;
+  }
+  const EndpointView& view = *scored.view;
+  return now >= view.wanted_until &&
+         view.Requests() < view.Capacity() * this->options.misfit_occupancy &&
+         view.WaitingSeconds() < this->options.misfit_prefill_seconds;
 }
 
 const Router::Scored& Router::PickAmongEquals(
@@ -313,12 +352,15 @@
     return {};
   }
   std::vector<Scored> scored;
-  for (const EndpointId& id : service->second) {
-    const EndpointView& view = this->views.at(id);
+  for (EndpointView* candidate : service->second) {
+    const EndpointView& view = *candidate;
     if (this->Usable(now, view, query)) {
       scored.push_back(this->Score(now, view, *query.request));
     }
   }
+  std::erase_if(scored, [&](const Scored& one) {
+    return !this->FitsOrHasSpare(now, one, query);
+  });
   const auto avoided = [&](const Scored& one) {
     return query.avoid_zones.contains(one.view->endpoint.zone);
   };
@@ -348,11 +390,21 @@
   return route;
 }
 
+bool Router::HasRoomFor(Instant now, const ServiceId& service) const {
+  const auto found = this->by_service.find(service);
+  return found != this->by_service.end() &&
+         std::ranges::any_of(found->second, [&](const EndpointView* candidate) {
+           const EndpointView& view = *candidate;
+           return !view.Leaving() && !view.Ejected(now) &&
+                  this->HasRoom(view, RequestClass::kInteractive);
+         });
+}
+
 bool Router::HasEndpoint(const ServiceId& service) const {
   const auto found = this->by_service.find(service);
   return found != this->by_service.end() &&
-         std::ranges::any_of(found->second, [this](const EndpointId& id) {
-           return !this->views.at(id).Leaving();
+         std::ranges::any_of(found->second, [](const EndpointView* view) {
+           return !view->Leaving();
          });
 }
 
@@ -363,8 +415,8 @@
     return {};
   }
   std::optional<double> best;
-  for (const EndpointId& id : service->second) {
-    const EndpointView& view = this->views.at(id);
+  for (EndpointView* candidate : service->second) {
+    const EndpointView& view = *candidate;
     if (!view.Leaving() && !view.down && !view.Ejected(now)) {
       const double seconds = this->Score(now, view, request).seconds;
       best = std::min(best.value_or(seconds), seconds);
--- a/packages/decisions/router.h
+++ b/packages/decisions/router.h
@@ -8,6 +8,12 @@
 // is cheap. Among near-equals the choice is random, so that hosts which share
 // a stale view don't all send to the same endpoint.
 //
+// A request that would cost much less elsewhere fits an endpoint badly: a long
+// answer on an endpoint that leans to prompts, or a long prompt on one that
+// leans to answers. Such work gets only a part of the endpoint's places, so
+// that there is room for the work that fits when it comes, and none while such
+// work waits.
+//
 // Index
 //   RouterOptions         switches and limits
 //   RouteQuery, Route     question and answer
@@ -46,7 +52,11 @@
   double remote_seconds = 0.05;      // what another data centre costs
   double batch_occupancy = 0.85;     // batch work leaves the rest free
   double max_prefill_seconds = 1.0;  // queued at an endpoint; then it is full
-  double overbook = 1.1;             // requests sent per place in the batch
+  double fit = 1.4;  // times the least work anywhere that still fits
+  double misfit_occupancy = 0.7;  // of the places, for what doesn't fit
+  double misfit_prefill_seconds = 0.3;
+  Duration wanted = std::chrono::seconds(10);  // nothing that doesn't fit
+  double overbook = 1.1;  // requests sent per place in the batch
 
   auto operator<=>(const RouterOptions&) const = default;
 };
@@ -56,6 +66,7 @@
   const Request* request = nullptr;
   bool suspect = false;          // keep apart from other suspects
   bool ignore_room = false;      // it can't wait: take the best there is
+  double least_work = 0;         // from LeastWork(); 0: any fit will do
   std::set<EndpointId> avoid;    // has failed there
   std::set<ZoneId> avoid_zones;  // if there is a choice
 };
@@ -93,8 +104,9 @@
   int64_t failures = 0;   // in a row
   int64_t ejections = 0;  // in a row
   Instant ejected_until{};
-  bool down = false;     // crashed; only a probe may go there
-  bool probing = false;  // a probe is on its way
+  Instant wanted_until{};  // work that fits waits for room
+  bool down = false;       // crashed; only a probe may go there
+  bool probing = false;    // a probe is on its way
 
   // Leaving in its present life, or taken out of the configuration.
   bool Leaving() const;
@@ -103,6 +115,8 @@
   double DecodeRate() const;
   double Capacity() const;
   double Requests() const;
+  // To compute the prompts that wait there, were it to do nothing else.
+  double WaitingSeconds() const;
 };
 
 // All endpoints as one host sees them.
@@ -119,6 +133,13 @@
   // The best endpoint with room, or none. Draws random numbers.
   std::optional<Route> Choose(Instant now, const RouteQuery& query);
 
+  // The least time of an endpoint that the request takes anywhere.
+  // Endpoints that fit it but have no room are noted as wanted.
+  double LeastWork(Instant now, const Request& request);
+
+  // Whether any endpoint has room; cheap, to be asked before Choose().
+  bool HasRoomFor(Instant now, const ServiceId& service) const;
+
   // Whether any endpoint serves this now or soon.
   bool HasEndpoint(const ServiceId& service) const;
 
@@ -151,7 +172,8 @@
   struct Scored {
     const EndpointView* view;
     double seconds;  // to the first token
-    double score;    // with the work itself
+    double work;     // time of the endpoint that it takes
+    double score;    // both, the work by how full the endpoint is
     int64_t missed;
   };
 
@@ -160,20 +182,25 @@
   bool Usable(Instant now,
               const EndpointView& view,
               const RouteQuery& query) const;
-  bool HasRoom(const EndpointView& view, const Request& request) const;
+  bool HasRoom(const EndpointView& view, RequestClass request_class) const;
   Scored Score(Instant now,
                const EndpointView& view,
                const Request& request) const;
+  bool FitsOrHasSpare(Instant now,
+                      const Scored& scored,
+                      const RouteQuery& query) const;
   double Slowness(Instant now, const EndpointView& view) const;
   const Scored& PickAmongEquals(const std::vector<Scored>& sorted);
   void Eject(Instant now, EndpointView& view, Duration base);
-  void SumPeers(const EndpointId& endpoint);
+  void CountPeer(const std::vector<EndpointOutstanding>& outstanding,
+                 int64_t sign);
 
   RouterOptions options;
   std::mt19937_64 random;
   std::map<EndpointId, EndpointView> views;
-  std::map<ServiceId, std::vector<EndpointId>> by_service;
-  std::map<HostId, std::map<EndpointId, EndpointOutstanding>> peers;
+  // Into `views`, whose elements stay where they are.
+  std::map<ServiceId, std::vector<EndpointView*>> by_service;
+  std::map<HostId, std::vector<EndpointOutstanding>> peers;
   double decode_weight = 4;
 };
 
