Test whole hosts in one process; describe operation

Usage reported to the platform is compared with what the stand-in engine generated; a filing sent to two hosts at once runs once; a stream is finished before a drained host stops.

--- a/packages/daemon/control.cc
+++ b/packages/daemon/control.cc
@@ -135,10 +135,10 @@
   this->peers.reset();
 }
 
-Result<void> Control::Start() {
-  const auto address = this->peers->Listen();
+Result<SocketAddress> Control::Start() {
+  auto address = this->peers->Listen();
   if (!address) {
-    return tl::unexpected(address.error());
+    return address;
   }
   this->AskForHostList();
   this->ScheduleDigest();
@@ -148,7 +148,7 @@
       Timer::Every(kUsageShareEvery, [this] { this->ShareUsage(); }));
   this->timers.push_back(
       Timer::Every(kKeyCheckEvery, [this] { this->CheckKeys(); }));
-  return {};
+  return address;
 }
 
 void Control::ScheduleDigest() {
--- a/packages/daemon/control.h
+++ b/packages/daemon/control.h
@@ -64,8 +64,9 @@
   Control(const Control&) = delete;
   Control& operator=(const Control&) = delete;
 
-  // Starts to listen to peers and to contend for the lease.
-  Result<void> Start();
+  // Starts to listen to peers and to contend for the lease; answers the address
+  // with the port that was taken.
+  Result<SocketAddress> Start();
 
   // News from the serving task.
   void OnServingView(const ServingView& view);
--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -79,8 +79,15 @@
                                   this->metrics, this->EventsForServing());
     this->admin = std::make_unique<AdminServer>(this->settings.admin,
                                                 this->HandlersForOperators());
-    const auto address = this->admin->Start();
-    result = address ? this->control->Start() : tl::unexpected(address.error());
+    const auto for_admin = this->admin->Start();
+    const auto for_peers = this->control->Start();
+    if (!for_admin || !for_peers) {
+      result =
+          tl::unexpected(for_admin ? for_peers.error() : for_admin.error());
+      return;
+    }
+    this->admin_address = *for_admin;
+    this->peer_address = *for_peers;
   });
   return result;
 }
--- a/packages/daemon/host_daemon.h
+++ b/packages/daemon/host_daemon.h
@@ -48,8 +48,11 @@
   // Ends both tasks at once, without a planned stop.
   void Stop();
 
-  // Where callers are served; known after Start().
+  // Where callers are served, operators answered and peers accepted; known
+  // after Start().
   const SocketAddress& GatewayAddress() const { return this->gateway_address; }
+  const SocketAddress& AdminAddress() const { return this->admin_address; }
+  const SocketAddress& PeerAddress() const { return this->peer_address; }
 
  private:
   Result<void> StartControl();
@@ -66,6 +69,8 @@
   const Clock& clock;
   Metrics metrics;
   SocketAddress gateway_address;
+  SocketAddress admin_address;
+  SocketAddress peer_address;
   std::function<void()> on_stopped;
   bool draining = false;   // of the control task
   bool finishing = false;  // of the control task
--- /dev/null
+++ b/tests/daemon_test.cc
@@ -0,0 +1,164 @@
+// Tests of a whole entry host: its settings, its page for operators, usage from
+// the caller to the platform, and its planned stop.
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+#include <fstream>
+#include <numeric>
+#include <string>
+
+#include "host_bed.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr int kBadKeyStatus = 401;
+
+// A settings file with the secrets that it names, removed in the end.
+class SettingsFile {
+ public:
+  explicit SettingsFile(const std::string& extra,
+                        const std::string& secret = "0123456789abcdef") {
+    std::ofstream(this->secret_path) << secret << '\n';
+    std::ofstream(this->path)
+        << "[host]\nid = h1\ndata_centre = dc1\n"
+        << "[gateway]\nlisten = 127.0.0.1:1\n"
+        << "[admin]\nlisten = 127.0.0.1:2\ntoken_file = " << this->secret_path
+        << "\n[peers]\nlisten = 127.0.0.1:3\nsecret_file = "
+        << this->secret_path << "\n[platform]\nstore_addresses = 127.0.0.1:4\n"
+        << "address = 127.0.0.1:5\n"
+        << extra;
+  }
+  ~SettingsFile() {
+    std::remove(this->path.c_str());
+    std::remove(this->secret_path.c_str());
+  }
+
+  Result<HostSettings> Load() const { return LoadHostSettings(this->path); }
+
+ private:
+  std::string path = "daemon_test_settings.ini";
+  std::string secret_path = "daemon_test_secret";
+};
+
+int64_t GeneratedBy(const std::vector<fakes::RunRecord>& runs) {
+  return std::accumulate(runs.begin(), runs.end(), int64_t{0},
+                         [](int64_t sum, const fakes::RunRecord& run) {
+                           return sum + run.generated;
+                         });
+}
+
+// Generated tokens of all windows that the platform was told.
+int64_t GeneratedInReports(fakes::FakePlatform& platform) {
+  int64_t sum = 0;
+  for (const auto& report : platform.Reports()) {
+    for (const auto& [account, count] : report.figures) {
+      sum += count.generated_tokens;
+    }
+  }
+  return sum;
+}
+
+}  // namespace
+
+TEST_GROUP(HostSettings){};
+
+TEST(HostSettings, ReadsAFileWithItsSecrets) {
+  const auto settings = SettingsFile("").Load();
+  CHECK(settings.has_value());
+  STRCMP_EQUAL("0123456789abcdef", settings->peers.secret.c_str());
+  STRCMP_EQUAL("hickorystand", settings->gateway.dispatcher.c_str());
+}
+
+TEST(HostSettings, RefusesAShortSecret) {
+  const auto settings = SettingsFile("", "short").Load();
+  CHECK(!settings.has_value());
+  STRCMP_CONTAINS("shorter than 16 bytes", settings.error().message.c_str());
+}
+
+// A margin as long as the lease would end every tenure as it begins, and a
+// margin of nothing would let two holders act; so the range is checked.
+TEST(HostSettings, RefusesAMarginThatLeavesNoLease) {
+  const auto settings =
+      SettingsFile("lease_length = 4s\nlease_margin = 2s\n").Load();
+  CHECK(!settings.has_value());
+  STRCMP_CONTAINS("under half", settings.error().message.c_str());
+}
+
+TEST(HostSettings, RefusesAnUnknownDispatcherAndNamesTheKnownOnes) {
+  const auto settings = SettingsFile("[gateway]\n").Load();
+  CHECK(!settings.has_value());
+  STRCMP_CONTAINS("section stands twice", settings.error().message.c_str());
+}
+
+TEST_GROUP(Host){};
+
+TEST(Host, AnswersOperatorsOnlyWithTheirToken) {
+  HostBed bed(1);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  const auto answer = bed.caller.Send(
+      bed.Admin(0, "GET", "/admin/status", "operators-token-x"));
+  LONGS_EQUAL(kBadKeyStatus, answer.status);
+  STRCMP_EQUAL("h1", bed.Status(0).At("host").Text().c_str());
+}
+
+TEST(Host, TellsWhyARequestWentWhereItWent) {
+  HostBed bed(1);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  const auto answer = bed.caller.Send(bed.Chat(0, 3));
+  LONGS_EQUAL(200, answer.status);
+  const auto why = bed.caller.Send(bed.Admin(
+      0, "GET", "/admin/why?request=" + answer.Header("X-Request-Id")));
+  STRCMP_CONTAINS("\"endpoint\":\"e1\"", why.body.c_str());
+}
+
+// A customer is billed for tokens that no engine made, or an engine's work is
+// never billed: counts get lost or doubled between the gateway, the host's
+// meter, the copies at other hosts, the window and the report.
+TEST(Host, ReportsTheTokensThatEnginesGenerated) {
+  HostBed bed(2);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  for (int i = 0; i < 10; ++i) {
+    LONGS_EQUAL(200, bed.caller.Send(bed.Chat(i % 2, 3 + i)).status);
+  }
+  const int64_t generated = GeneratedBy(bed.engine.Runs());
+  LONGS_EQUAL(75, generated);
+  CHECK(Eventually(
+      [&] { return GeneratedInReports(bed.platform) >= generated; }));
+  LONGS_EQUAL(generated, GeneratedInReports(bed.platform));
+  LONGS_EQUAL(0, bed.platform.Offences().Sum());
+}
+
+// Two callers, or one whose library sends again, file the same petition at two
+// hosts at the same moment. Fees must be due once.
+TEST(Host, RunsAFilingOnceThoughTwoHostsGetIt) {
+  HostBed bed(2);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  Caller other;
+  const std::string body = R"({"claim":"deposit"})";
+  auto first =
+      bed.caller.Start(bed.Call(0, "POST", "/services/filing/petitions", body));
+  auto second =
+      other.Start(bed.Call(1, "POST", "/services/filing/petitions", body));
+  const int statuses[] = {first.get().status, second.get().status};
+  LONGS_EQUAL(201 + 409, statuses[0] + statuses[1]);
+  LONGS_EQUAL(1, bed.plain.Petitions().size());
+}
+
+// An operator takes a host out of service while a long answer streams through
+// it. The caller gets the whole answer, and only then does the host stop.
+TEST(Host, FinishesAStreamBeforeItStops) {
+  HostBed bed(1);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  auto answer = bed.caller.Start(bed.Chat(0, 200));
+  CHECK(Eventually([&] { return bed.engine.Runs().size() == 1; }));
+  Caller operators;
+  LONGS_EQUAL(202, operators.Send(bed.Admin(0, "POST", "/admin/drain")).status);
+  LONGS_EQUAL(200, answer.get().status);
+  CHECK(Eventually([&] { return bed.stopped == 1; }));
+  LONGS_EQUAL(200, bed.engine.Runs().at(0).generated);
+  CHECK(bed.engine.Runs().at(0).finished);
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/tests/host_bed.h
@@ -0,0 +1,159 @@
+// Whole entry hosts in one process, with stand-ins for everything around them,
+// on loopback sockets.
+
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemon/host_daemon.h"
+#include "decisions/configuration_codec.h"
+#include "gateway_bed.h"
+#include "key_value.h"
+#include "platform.h"
+
+namespace hickorystand {
+
+// A data centre with an engine, a plain service and some entry hosts.
+class HostBed {
+ public:
+  static constexpr const char* kKey = "sk-host-test-0123456789";
+  static constexpr const char* kToken = "operators-token-0123456789";
+
+  explicit HostBed(int hosts) {
+    StartLog({.level = LogLevel::kError});
+    this->Store();
+    std::vector<PlatformHost> list;
+    for (int i = 1; i <= hosts; ++i) {
+      const HostId id("h" + std::to_string(i));
+      this->hosts.push_back(std::make_unique<HostDaemon>(
+          this->SettingsOf(id), this->clock, [this] { ++this->stopped; }));
+      const auto started = this->hosts.back()->Start();
+      assert(started && "a host of the test can't start");
+      list.push_back({.host = id,
+                      .data_centre = DataCentreId("dc1"),
+                      .address = this->hosts.back()->PeerAddress()});
+    }
+    this->platform.SetHosts(list);
+  }
+
+  // A call to a host's gateway.
+  HttpOutgoing Call(int host,
+                    const std::string& method,
+                    const std::string& target,
+                    const std::string& body = "") const {
+    return {.address = this->hosts.at(host)->GatewayAddress(),
+            .method = method,
+            .target = target,
+            .headers = {{"Authorization", std::string("Bearer ") + kKey}},
+            .content_type = "application/json",
+            .body = body,
+            .once = true};
+  }
+
+  // A whole chat answer of some tokens.
+  HttpOutgoing Chat(int host, int tokens) const {
+    return this->Call(host, "POST", "/v1/chat/completions",
+                      R"({"model":"m","max_tokens":)" + std::to_string(tokens) +
+                          R"(,"messages":[{"role":"user","content":"hi"}]})");
+  }
+
+  // A call to a host's page for operators.
+  HttpOutgoing Admin(int host,
+                     const std::string& method,
+                     const std::string& target,
+                     const std::string& token = kToken) const {
+    return {.address = this->hosts.at(host)->AdminAddress(),
+            .method = method,
+            .target = target,
+            .headers = {{"Authorization", "Bearer " + token}},
+            .once = true};
+  }
+
+  // A host's status page.
+  Json Status(int host) {
+    const auto answer =
+        this->caller.Send(this->Admin(host, "GET", "/admin/status"));
+    return Json::Parse(answer.body).value_or(Json());
+  }
+
+  // Whether all hosts serve at a revision.
+  bool InForce(int64_t revision) {
+    for (size_t i = 0; i < this->hosts.size(); ++i) {
+      const int host = static_cast<int>(i);
+      if (this->Status(host).At("revision").Integer() < revision ||
+          this->caller.Send(this->Call(host, "GET", "/readyz")).status != 200) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  fakes::FakeKeyValue store;
+  fakes::FakePlatform platform;
+  fakes::FakeEngine engine;
+  fakes::FakePlainService plain;
+  BootClock clock;
+  Caller caller;
+  std::atomic<int> stopped = 0;
+  std::vector<std::unique_ptr<HostDaemon>> hosts;
+
+ private:
+  HostSettings SettingsOf(const HostId& id) const {
+    HostSettings settings;
+    settings.host = id;
+    settings.data_centre = DataCentreId("dc1");
+    settings.drain_limit = std::chrono::seconds(30);
+    settings.gateway = {.listen = {"127.0.0.1", 0},
+                        .max_body_bytes = 1 << 20,
+                        .max_queued = 100,
+                        .dispatcher = "hickorystand"};
+    settings.admin = {.listen = {"127.0.0.1", 0}, .token = kToken};
+    settings.peers = {.listen = {"127.0.0.1", 0},
+                      .secret = "fleet-secret-0123456789"};
+    settings.platform = {.store = "etcd-json",
+                         .store_addresses = {this->store.Address()},
+                         .address = this->platform.Address(),
+                         .timeout = std::chrono::seconds(2),
+                         .lease_length = std::chrono::seconds(6),
+                         .lease_margin = std::chrono::seconds(1),
+                         .usage_window = std::chrono::seconds(1)};
+    return settings;
+  }
+
+  // Writes the fleet's configuration to the key-value service.
+  void Store() {
+    Configuration wanted;
+    const AccountId account("alpha");
+    g_autofree char* hash =
+        g_compute_checksum_for_string(G_CHECKSUM_SHA256, kKey, -1);
+    wanted.accounts[account] = {.id = account};
+    wanted.keys[hash] = {.hash = hash, .account = account};
+    wanted.services[ServiceId("m")] = {.id = ServiceId("m")};
+    wanted.services[ServiceId("filing")] = {.id = ServiceId("filing"),
+                                            .kind = ServiceKind::kPlain};
+    wanted.sites[DataCentreId("dc1")] = {.id = DataCentreId("dc1")};
+    AddEndpoint(wanted, "e1", "m", this->engine.Address());
+    AddEndpoint(wanted, "p1", "filing", this->plain.Address());
+    const auto transaction =
+        MakeApplyTransaction({}, wanted, {.name = "test", .token = "t1"});
+    assert(transaction && "the test's configuration is wrong");
+    this->store.Transact(*transaction);
+  }
+
+  static void AddEndpoint(Configuration& wanted,
+                          const std::string& id,
+                          const std::string& service,
+                          const SocketAddress& address) {
+    wanted.endpoints[EndpointId(id)] = {
+        .id = EndpointId(id),
+        .service = ServiceId(service),
+        .data_centre = DataCentreId("dc1"),
+        .address = address,
+        .zone = ZoneId("z1"),
+        .role = service == "m" ? EndpointRole::kMixed : EndpointRole::kPlain};
+  }
+};
+
+}  // namespace hickorystand
