Try the only endpoint again; answer at once when all are ejected

The policy that hosts run by default failed 6 of 32 gateway stories, which ran under the round-robin dispatcher alone. Causes, found in the router: - an endpoint at which a request had failed was barred for that request for good. With a single endpoint no second try came, and the caller waited until the deadline (30 s) or 10 s for half an answer. - a non-idempotent request never went to an endpoint on trial. A service that gets nothing else never leaves its trial: one crash ended it for good. - with all endpoints ejected a request waited for its deadline. The bars are preferences now, dropped where nothing else is left; with every endpoint ejected the answer is given at once with a time to come back. Three of the six stories assume that requests queue for a service without endpoints; the policy refuses those at once by design, and they stay with round robin.

--- a/packages/decisions/hickorystand_dispatcher.cc
+++ b/packages/decisions/hickorystand_dispatcher.cc
@@ -434,7 +434,13 @@
     this->GiveUp(live, out);
     return;
   }
-  const bool paid = this->retries.Take(now);
+  // With every endpoint ejected the request is answered at once, and its caller
+  // told when to come back. Half an answer waits, as it can't be had again.
+  // An endpoint that merely refused will have room in a moment.
+  const bool hopeless = live.delivered == 0 && !batch &&
+                        outcome != AttemptOutcome::kRefused &&
+                        !this->router.HasOther(now, live.request, {});
+  const bool paid = !hopeless && this->retries.Take(now);
   if (!paid && !batch) {
     this->GiveUp(live, out);
     return;
--- a/packages/decisions/router.cc
+++ b/packages/decisions/router.cc
@@ -41,6 +41,13 @@
          outcome == AttemptOutcome::kWrongAnswer;
 }
 
+// Drops what a rule speaks against, unless nothing would be left.
+void EraseUnlessAll(auto& scored, const auto& against) {
+  if (!std::ranges::all_of(scored, against)) {
+    std::erase_if(scored, against);
+  }
+}
+
 }  // namespace
 
 bool EndpointView::Leaving() const {
@@ -221,17 +228,14 @@
                     const RouteQuery& query) const {
   const Request& request = *query.request;
   const bool once = request.request_class == RequestClass::kOnce;
-  if (view.Leaving() || query.avoid.contains(view.endpoint.id) ||
-      (once && view.endpoint.cheap)) {
+  if (view.Leaving() || (once && view.endpoint.cheap)) {
     return false;
   }
-  if (this->options.eject_outliers) {
-    // Coming back from an ejection, an endpoint gets one request at a time
-    // until it has answered one, and never one that may not be repeated.
-    const bool on_trial = view.ejections > 0 || view.down;
-    if (view.Ejected(now) || (on_trial && (view.probing || once))) {
-      return false;
-    }
+  // Coming back from an ejection, an endpoint gets one request at a time until
+  // it has answered one.
+  if (this->options.eject_outliers &&
+      (view.Ejected(now) || (view.OnTrial() && view.probing))) {
+    return false;
   }
   if (query.ignore_room) {
     return true;
@@ -361,12 +365,21 @@
   std::erase_if(scored, [&](const Scored& one) {
     return !this->FitsOrHasSpare(now, one, query);
   });
-  const auto avoided = [&](const Scored& one) {
+  // Each is a preference: where all have failed before, or none has proved
+  // itself, the request goes there all the same, over a new connection. Else a
+  // service with one endpoint would never be tried again, and one that gets
+  // nothing but non-idempotent requests would never leave its trial.
+  const bool once = query.request->request_class == RequestClass::kOnce;
+  const bool elsewhere = this->HasOther(now, *query.request, query.avoid);
+  std::erase_if(scored, [&](const Scored& one) {
+    return elsewhere && query.avoid.contains(one.view->endpoint.id);
+  });
+  EraseUnlessAll(scored, [&](const Scored& one) {
     return query.avoid_zones.contains(one.view->endpoint.zone);
-  };
-  if (!std::ranges::all_of(scored, avoided)) {
-    std::erase_if(scored, avoided);
-  }
+  });
+  EraseUnlessAll(scored, [&](const Scored& one) {
+    return this->options.eject_outliers && once && one.view->OnTrial();
+  });
   if (scored.empty()) {
     return {};
   }
@@ -400,6 +413,20 @@
          });
 }
 
+// An endpoint that might take the request, now or as soon as it has room.
+bool Router::HasOther(Instant now,
+                      const Request& request,
+                      const std::set<EndpointId>& avoid) const {
+  const auto found = this->by_service.find(request.service);
+  const bool once = request.request_class == RequestClass::kOnce;
+  return found != this->by_service.end() &&
+         std::ranges::any_of(found->second, [&](const EndpointView* view) {
+           return !view->Leaving() && !view->Ejected(now) &&
+                  !avoid.contains(view->endpoint.id) &&
+                  !(once && view->endpoint.cheap);
+         });
+}
+
 bool Router::HasEndpoint(const ServiceId& service) const {
   const auto found = this->by_service.find(service);
   return found != this->by_service.end() &&
--- a/packages/decisions/router.h
+++ b/packages/decisions/router.h
@@ -111,6 +111,8 @@
   // Leaving in its present life, or taken out of the configuration.
   bool Leaving() const;
   bool Ejected(Instant now) const { return now < this->ejected_until; }
+  // Hasn't answered anything since it was ejected.
+  bool OnTrial() const { return this->ejections > 0 || this->down; }
   double PrefillRate() const;
   double DecodeRate() const;
   double Capacity() const;
@@ -143,6 +145,12 @@
   // Whether any endpoint serves this now or soon.
   bool HasEndpoint(const ServiceId& service) const;
 
+  // Whether an endpoint other than these may take a request, now or once it has
+  // room: none that leaves or that is ejected.
+  bool HasOther(Instant now,
+                const Request& request,
+                const std::set<EndpointId>& avoid) const;
+
   // Least expected time to a first token, room or not; none: no endpoint.
   std::optional<double> BestSeconds(Instant now, const Request& request) const;
 
--- a/tests/gateway_bed.h
+++ b/tests/gateway_bed.h
@@ -7,6 +7,7 @@
 
 #include <cassert>
 #include <chrono>
+#include <cstdlib>
 #include <deque>
 #include <functional>
 #include <future>
@@ -100,6 +101,8 @@
 // One entry host's gateway with its surroundings.
 class GatewayBed {
  public:
+  // Environment variable that names the dispatcher under test.
+  static constexpr const char* kDispatcherVariable = "HICKORYSTAND_DISPATCHER";
   static constexpr const char* kKey = "sk-test-alpha-0123456789";
   static constexpr const char* kOtherKey = "sk-test-beta-0123456789";
 
@@ -109,6 +112,9 @@
       return true;
     }();
     assert(kQuiet);
+    if (const char* dispatcher = std::getenv(kDispatcherVariable)) {
+      options.dispatcher = dispatcher;
+    }
     options.host = HostId("h1");
     options.data_centre = DataCentreId("dc1");
     options.driver.endpoints.http.timeouts.first_byte =
@@ -145,6 +151,11 @@
     this->AddEndpoint(id, "filing", at);
   }
 
+  // How often the dispatcher under test tries a request.
+  static int64_t MostTries() {
+    return std::getenv(kDispatcherVariable) == nullptr ? 3 : 4;
+  }
+
   // Puts the configuration in force.
   void Apply() {
     auto next = std::make_shared<Configuration>(this->configuration);
