Hear of configuration changes from other data centres

A data centre cut off from the platform, but linked to others, never heard of a new revision: revisions were taken from digests of its own hosts only, and what its representatives hear of other data centres never reached the replica. A key withdrawn meanwhile went on working there. Found by reading. The revision in a representative's summary now reaches the replica, which fetches the buckets over that link.

--- a/packages/daemon/control.cc
+++ b/packages/daemon/control.cc
@@ -92,6 +92,10 @@
       PeerGroupHandlers{
           .on_digest =
               [this](const Digest& digest) { this->OnPeerDigest(digest); },
+          .on_revision =
+              [this](const HostId& host, int64_t revision) {
+                this->configuration->OnPeerRevision(host, revision);
+              },
           .on_gone = [this](const HostId& host) { this->OnPeerGone(host); },
           .on_message =
               [this](const HostId& from, const PeerMessage& message) {
@@ -220,8 +224,6 @@
 }
 
 void Control::OnPeerDigest(const Digest& digest) {
-  this->configuration->OnPeerRevision(digest.host,
-                                      digest.configuration_revision);
   if (digest.data_centre == this->settings.data_centre) {
     this->coordinator->OnPeer(digest.host, digest.incarnation);
   }
--- a/packages/peers/peer_group.cc
+++ b/packages/peers/peer_group.cc
@@ -75,6 +75,9 @@
                          ? digest.host
                          : HostId(kElsewherePrefix + digest.host.Text()),
                      digest.endpoints);
+  if (scope != DigestScope::kElsewhere && this->handlers.on_revision) {
+    this->handlers.on_revision(digest.host, digest.configuration_revision);
+  }
   switch (scope) {
     case DigestScope::kHost:
       this->near.OnDigest(digest);
--- a/packages/peers/peer_group.h
+++ b/packages/peers/peer_group.h
@@ -43,6 +43,9 @@
   // A newer digest: of a host of this data centre, or of all that is elsewhere
   // under an id that no host bears. For Dispatcher::OnDigest().
   std::function<void(const Digest&)> on_digest;
+  // The configuration's revision at a linked host, in this data centre or
+  // another: a data centre cut off from the platform hears of changes so.
+  std::function<void(const HostId&, int64_t revision)> on_revision;
   // What that id sent no longer counts. For Dispatcher::OnHostGone().
   std::function<void(const HostId&)> on_gone;
   // Any other message.
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -146,6 +146,16 @@
   LONGS_EQUAL(1, bed.plain.Petitions().size());
 }
 
+// A data centre loses its way to the key-value service, but not to the others.
+// A host that starts there must get the configuration from another data centre;
+// before, it had none, and a key withdrawn meanwhile went on working there.
+TEST(Host, GetsTheConfigurationFromAnotherDataCentre) {
+  HostBed bed(1);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  bed.StartCutOffHost();
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+}
+
 // An operator takes a host out of service while a long answer streams through
 // it. The caller gets the whole answer, and only then does the host stop.
 TEST(Host, FinishesAStreamBeforeItStops) {
--- a/tests/host_bed.h
+++ b/tests/host_bed.h
@@ -24,18 +24,18 @@
   explicit HostBed(int hosts) {
     StartLog({.level = LogLevel::kError});
     this->Store();
-    std::vector<PlatformHost> list;
     for (int i = 1; i <= hosts; ++i) {
-      const HostId id("h" + std::to_string(i));
-      this->hosts.push_back(std::make_unique<HostDaemon>(
-          this->SettingsOf(id), this->clock, [this] { ++this->stopped; }));
-      const auto started = this->hosts.back()->Start();
-      assert(started && "a host of the test can't start");
-      list.push_back({.host = id,
-                      .data_centre = DataCentreId("dc1"),
-                      .address = this->hosts.back()->PeerAddress()});
+      this->StartHost(this->SettingsOf(HostId("h" + std::to_string(i))));
     }
-    this->platform.SetHosts(list);
+  }
+
+  // Starts one more host, in another data centre, which can't reach the
+  // key-value service.
+  void StartCutOffHost() {
+    HostSettings settings = this->SettingsOf(HostId("far"));
+    settings.data_centre = DataCentreId("dc2");
+    settings.platform.store_addresses = {{"127.0.0.1", 1}};
+    this->StartHost(settings);
   }
 
   // A call to a host's gateway.
@@ -100,6 +100,17 @@
   std::vector<std::unique_ptr<HostDaemon>> hosts;
 
  private:
+  void StartHost(const HostSettings& settings) {
+    this->hosts.push_back(std::make_unique<HostDaemon>(
+        settings, this->clock, [this] { ++this->stopped; }));
+    const auto started = this->hosts.back()->Start();
+    assert(started && "a host of the test can't start");
+    this->listed.push_back({.host = settings.host,
+                            .data_centre = settings.data_centre,
+                            .address = this->hosts.back()->PeerAddress()});
+    this->platform.SetHosts(this->listed);
+  }
+
   HostSettings SettingsOf(const HostId& id) const {
     HostSettings settings;
     settings.host = id;
@@ -122,6 +133,8 @@
     return settings;
   }
 
+  std::vector<PlatformHost> listed;
+
   // Writes the fleet's configuration to the key-value service.
   void Store() {
     Configuration wanted;
