Report a resumed stream as one request; forget refused claims

Every attempt that brought tokens counted as a request, so a stream that broke once was reported as two. Found by reading; the test saw 2 before and sees 1. A claim that was refused left its deadline in a table for good.

--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -159,9 +159,15 @@
     this->claimed_until[request.request] =
         this->clock.Now() + request.window / 2;
     this->control_task.Post([this, request, done = std::move(done)] {
-      this->control->Claim(request, [this, done](ClaimResult result) {
-        this->serving_task.Post([done, result] { done(result); });
-      });
+      this->control->Claim(
+          request, [this, done, id = request.request](ClaimResult result) {
+            this->serving_task.Post([this, done, id, result] {
+              if (result != ClaimResult::kGranted) {
+                this->claimed_until.erase(id);
+              }
+              done(result);
+            });
+          });
     });
   };
   // A host that slept for longer than its claim's record is sure to last must
@@ -186,7 +192,7 @@
       this->control->OnUsage(record.account,
                              {.prompt_tokens = record.prompt_tokens,
                               .generated_tokens = record.generated_tokens,
-                              .requests = 1});
+                              .requests = record.requests});
     });
   };
   return hooks;
--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -487,13 +487,14 @@
   const Request& request = live.incoming.request;
   const int64_t prompt = end.result.prompt_tokens > 0 ? end.result.prompt_tokens
                                                       : request.prompt_tokens;
-  this->hooks.usage(
-      {.account = request.account,
-       .service = request.service,
-       .request = request.id,
-       .attempt = end.result.attempt,
-       .prompt_tokens = std::exchange(live.prompt_billed, true) ? 0 : prompt,
-       .generated_tokens = generated});
+  const bool first = !std::exchange(live.prompt_billed, true);
+  this->hooks.usage({.account = request.account,
+                     .service = request.service,
+                     .request = request.id,
+                     .attempt = end.result.attempt,
+                     .requests = first ? 1 : 0,
+                     .prompt_tokens = first ? prompt : 0,
+                     .generated_tokens = generated});
 }
 
 void RequestDriver::OnCallerGone(const RequestId& id) {
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -32,6 +32,7 @@
   ServiceId service;
   RequestId request;
   AttemptId attempt = 0;
+  int64_t requests = 0;  // 1 with the request's first record, else 0
   int64_t prompt_tokens = 0;
   int64_t generated_tokens = 0;
 
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -130,6 +130,26 @@
   LONGS_EQUAL(0, bed.platform.Offences().Sum());
 }
 
+// A stream breaks after three tokens and is resumed. The customer pays for one
+// request and for the tokens that arrived, not for each attempt.
+TEST(Host, ReportsAResumedStreamAsOneRequest) {
+  HostBed bed(1);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  bed.engine.SetFault(
+      {.kind = fakes::EngineFault::kTruncate, .after_tokens = 3, .times = 1});
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat(0, 8)).status);
+  LONGS_EQUAL(2, bed.engine.Runs().size());
+  CHECK(Eventually([&] { return GeneratedInReports(bed.platform) >= 8; }));
+  LONGS_EQUAL(8, GeneratedInReports(bed.platform));
+  int64_t requests = 0;
+  for (const auto& report : bed.platform.Reports()) {
+    for (const auto& [account, count] : report.figures) {
+      requests += count.requests;
+    }
+  }
+  LONGS_EQUAL(1, requests);
+}
+
 // Two callers, or one whose library sends again, file the same petition at two
 // hosts at the same moment. Fees must be due once.
 TEST(Host, RunsAFilingOnceThoughTwoHostsGetIt) {
