Test the refusal of an unknown dispatcher

The test of that name checked a section that stands twice, because its file had two [gateway] sections. That check keeps its place under a name of its own; the new one names the dispatchers that are known.

--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -19,11 +19,13 @@
 class SettingsFile {
  public:
   explicit SettingsFile(const std::string& extra,
-                        const std::string& secret = "0123456789abcdef") {
+                        const std::string& secret = "0123456789abcdef",
+                        const std::string& gateway = "") {
     std::ofstream(this->secret_path) << secret << '\n';
     std::ofstream(this->path)
         << "[host]\nid = h1\ndata_centre = dc1\n"
         << "[gateway]\nlisten = 127.0.0.1:1\n"
+        << gateway
         << "[admin]\nlisten = 127.0.0.1:2\ntoken_file = " << this->secret_path
         << "\n[peers]\nlisten = 127.0.0.1:3\nsecret_file = "
         << this->secret_path << "\n[platform]\nstore_addresses = 127.0.0.1:4\n"
@@ -87,6 +89,14 @@
 }
 
 TEST(HostSettings, RefusesAnUnknownDispatcherAndNamesTheKnownOnes) {
+  const auto settings =
+      SettingsFile("", "0123456789abcdef", "dispatcher = random\n").Load();
+  CHECK(!settings.has_value());
+  STRCMP_CONTAINS("one of hickorystand, round-robin",
+                  settings.error().message.c_str());
+}
+
+TEST(HostSettings, RefusesASectionThatStandsTwice) {
   const auto settings = SettingsFile("[gateway]\n").Load();
   CHECK(!settings.has_value());
   STRCMP_CONTAINS("section stands twice", settings.error().message.c_str());
