--- a/packages/endpoints/endpoint_client.cc
+++ b/packages/endpoints/endpoint_client.cc
@@ -6,26 +6,17 @@
 #include <ranges>
 #include <utility>
 
+#include "decisions/configuration_records.h"
 #include "kernel/json.h"
 
 namespace hickorystand {
 namespace {
 
-struct RoleName {
-  EndpointRole role;
-  std::string_view name;
-};
-
-constexpr std::array kRoleNames = {
-    RoleName{EndpointRole::kMixed, "mixed"},
-    RoleName{EndpointRole::kPrefill, "prefill"},
-    RoleName{EndpointRole::kDecode, "decode"},
-    RoleName{EndpointRole::kPlain, "plain"},
-};
-
 EndpointRole ReadRole(const std::string& name) {
-  const auto* row = std::ranges::find(kRoleNames, name, &RoleName::name);
-  return row == kRoleNames.end() ? EndpointRole::kMixed : row->role;
+  constexpr std::array kRoles = {EndpointRole::kMixed, EndpointRole::kPrefill,
+                                 EndpointRole::kDecode, EndpointRole::kPlain};
+  const auto* role = std::ranges::find(kRoles, name, &NameOfRole);
+  return role == kRoles.end() ? EndpointRole::kMixed : *role;
 }
 
 uint64_t ReadUnsigned(const Json& json) {
