--- a/packages/daemon/program/main.cc
+++ b/packages/daemon/program/main.cc
@@ -4,12 +4,15 @@
 #include <glib.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <string>
 
 #include "daemon/host_daemon.h"
 #include "daemon/host_settings.h"
+#include "daemon/relay_daemon.h"
+#include "daemon/relay_settings.h"
 #include "kernel/log.h"
 #include "kernel/registry.h"
 
@@ -26,7 +29,7 @@
       "runs, hands over\nits lease and usage, and exits with 0. A second "
       "signal "
       "ends it at once.\n");
-  options.add_options()("config", "Settings of this host (INI)",
+  options.add_options()("config", "Settings of this host (INI); default $HICKORYSTAND_SETTINGS",
                         cxxopts::value<std::string>(),
                         "FILE")("check", "Check the settings and exit")(
       "log-level", "Least level to write: debug, info, warning or error",
@@ -84,6 +87,71 @@
   return 0;
 }
 
+// What the signals of a relay host share.
+struct RelaySignals {
+  RelayDaemon* host;
+  std::string path;  // of the settings
+};
+
+gboolean OnRelayStop(gpointer data) {
+  static_cast<RelaySignals*>(data)->host->Drain();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean OnRelayReload(gpointer data) {
+  auto* signals = static_cast<RelaySignals*>(data);
+  if (const auto read = LoadRelaySettings(signals->path)) {
+    signals->host->Reload(*read);
+  } else {
+    LogError(kPart, "Changed settings are wrong and not taken.",
+             {{"why", read.error().message}});
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+int RunRelay(const std::string& path, bool check_only) {
+  const auto settings = LoadRelaySettings(path);
+  if (!settings) {
+    std::cerr << settings.error().message << '\n';
+    return AnswerFor(settings.error().kind).exit_code;
+  }
+  if (check_only) {
+    std::cout << "The settings are right.\n";
+    return 0;
+  }
+  StartLog({.level = settings->log_level,
+            .json = settings->log_json,
+            .standard_output = true});
+  std::signal(SIGPIPE, SIG_IGN);
+  const BootClock clock;
+  GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+  RelayDaemon host(*settings, clock, [loop] { g_main_loop_quit(loop); });
+  if (const auto started = host.Start(); !started) {
+    LogError(kPart, "Host can't start.", {{"why", started.error().message}});
+    return AnswerFor(started.error().kind).exit_code;
+  }
+  LogInfo(kPart, "Host started.",
+          {{"host", settings->host.Text()},
+           {"zone", settings->zone.Text()},
+           {"version", HICKORYSTAND_VERSION}});
+  RelaySignals signals{.host = &host, .path = path};
+  g_unix_signal_add(SIGTERM, &OnRelayStop, &signals);
+  g_unix_signal_add(SIGINT, &OnRelayStop, &signals);
+  g_unix_signal_add(SIGHUP, &OnRelayReload, &signals);
+  g_main_loop_run(loop);
+  g_main_loop_unref(loop);
+  return 0;
+}
+
+// The settings' path: as given, or as the environment names it.
+std::string SettingsPath(const cxxopts::ParseResult& arguments) {
+  if (arguments.count("config") > 0) {
+    return arguments["config"].as<std::string>();
+  }
+  const char* named = std::getenv("HICKORYSTAND_SETTINGS");
+  return named == nullptr ? "" : named;
+}
+
 int Main(const cxxopts::ParseResult& arguments) {
   if (arguments.count("version") > 0) {
     std::cout << "hickorystandd " << HICKORYSTAND_VERSION << '\n';
@@ -94,11 +162,15 @@
     PrintPlugins<KeyValueStore>();
     return 0;
   }
-  if (arguments.count("config") == 0) {
+  const std::string path = SettingsPath(arguments);
+  if (path.empty()) {
     std::cerr << "hickorystandd: --config FILE is missing; see --help\n";
     return AnswerFor(ErrorKind::kBadSetting).exit_code;
   }
-  auto settings = LoadHostSettings(arguments["config"].as<std::string>());
+  if (IsRelayFile(path)) {
+    return RunRelay(path, arguments.count("check") > 0);
+  }
+  auto settings = LoadHostSettings(path);
   if (!settings) {
     std::cerr << settings.error().message << '\n';
     return AnswerFor(settings.error().kind).exit_code;
--- /dev/null
+++ b/packages/daemon/relay_daemon.cc
@@ -0,0 +1,152 @@
+#include "daemon/relay_daemon.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kernel/log.h"
+#include "kernel/registry.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "host";
+
+// The balancer asks once a second and takes a host out after two misses; what
+// it sent before that is on its way for a moment longer.
+constexpr Duration kDrainNotice = std::chrono::milliseconds(3000);
+
+// Time to end the process before the platform kills it.
+constexpr Duration kKillMargin = std::chrono::milliseconds(500);
+
+constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
+
+// The plug-in of that name, or why there is none.
+template <typename Interface, typename... Arguments>
+Result<std::unique_ptr<Interface>> MakePlugin(const std::string& name,
+                                              Arguments&&... arguments) {
+  const auto* factory = Registry<Interface>::Find(name);
+  if (factory == nullptr) {
+    return Fail(ErrorKind::kBadSetting,
+                std::string("no ") + Interface::kPluginKind + " is named " +
+                    name);
+  }
+  return (*factory)(std::forward<Arguments>(arguments)...);
+}
+
+// Takes a plug-in out of its result; false and the error if there is none.
+template <typename Interface>
+bool Take(Result<std::unique_ptr<Interface>> made,
+          std::unique_ptr<Interface>& to,
+          Error& error) {
+  if (!made) {
+    error = made.error();
+    return false;
+  }
+  to = std::move(*made);
+  return true;
+}
+
+}  // namespace
+
+RelayDaemon::RelayDaemon(RelayHostSettings settings,
+                         const Clock& clock,
+                         std::function<void()> stopped)
+    : settings(std::move(settings)),
+      clock(&clock),
+      stopped(std::move(stopped)),
+      ready_server([this](const CallerExchangePtr& exchange) {
+        this->AnswerReady(exchange);
+      }),
+      metrics_server([this](const CallerExchangePtr& exchange) {
+        this->AnswerMetrics(exchange);
+      }) {}
+
+RelayDaemon::~RelayDaemon() = default;
+
+Result<int> RelayDaemon::Start() {
+  const std::string& adapter = this->settings.adapter;
+  Error error;
+  if (!Take(MakePlugin<MessageCodec>(adapter), this->codec, error) ||
+      !Take(MakePlugin<FleetRecords>(adapter), this->records, error) ||
+      !Take(MakePlugin<KeyValueStore>(
+                adapter,
+                KeyValueStoreOptions{.addresses = {this->settings.store},
+                                     .timeout = this->settings.store_timeout,
+                                     .metrics = &this->metrics}),
+            this->store, error) ||
+      !Take(MakePlugin<PlatformDuties>(adapter, this->settings.duties),
+            this->duties, error)) {
+    return tl::unexpected(error);
+  }
+  this->relay =
+      std::make_unique<FleetRelay>(this->settings.relay, *this->clock, *this->codec,
+                              this->metrics,
+                              RelayHooks{.on_begun = [](const AccountId&) {}});
+  this->source = std::make_unique<FleetSource>(
+      this->settings.source, *this->clock, *this->store, *this->records,
+      FleetSourceHandlers{
+          .on_configuration =
+              [this](FleetConfigurationPtr read) {
+                this->relay->SetConfiguration(std::move(read));
+              },
+          .on_endpoints =
+              [this](const FleetEndpoints& listed) {
+                this->relay->SetEndpoints(listed);
+              },
+          .on_fresh = [this](Instant at) { this->relay->ProveFresh(at); }});
+  for (const auto& [server, address] :
+       {std::pair(&this->ready_server, &this->settings.ready),
+        std::pair(&this->metrics_server, &this->settings.metrics)}) {
+    if (const auto opened = server->Listen(*address); !opened) {
+      return opened;
+    }
+  }
+  if (const auto opened = this->relay->Listen(this->settings.callers);
+      !opened) {
+    return opened;
+  }
+  this->source->Start();
+  return 0;
+}
+
+void RelayDaemon::AnswerReady(const CallerExchangePtr& exchange) {
+  const bool ready = this->relay->Ready() && !this->draining_since;
+  exchange->Answer({.status = ready ? 200 : 503}, "");
+}
+
+void RelayDaemon::AnswerMetrics(const CallerExchangePtr& exchange) {
+  exchange->Answer({.headers = {{.name = "Content-Type",
+                                 .value = "text/plain; version=0.0.4"}}},
+                   this->metrics.PrometheusText());
+}
+
+void RelayDaemon::Drain() {
+  if (this->draining_since) {
+    return;
+  }
+  this->draining_since = this->clock->Now();
+  LogInfo(kPart, "Stopping.",
+          {{"running", std::to_string(this->relay->Waiting())}});
+  this->relay->StartDrain();
+  this->drain_timer =
+      Timer::Every(kDrainCheck, [this] { this->CheckDrained(); });
+}
+
+void RelayDaemon::CheckDrained() {
+  const Duration passed = this->clock->Now() - *this->draining_since;
+  const bool finished =
+      passed >= kDrainNotice && this->relay->Waiting() == 0;
+  if (finished || passed >= this->settings.grace - kKillMargin) {
+    LogInfo(kPart, "Stopped.",
+            {{"left", std::to_string(this->relay->Waiting())}});
+    this->drain_timer.reset();
+    this->stopped();
+  }
+}
+
+void RelayDaemon::Reload(const RelayHostSettings& changed) {
+  this->settings.log_level = changed.log_level;
+  LogInfo(kPart, "Settings read again.", {});
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/daemon/relay_daemon.h
@@ -0,0 +1,55 @@
+// A host that relays requests for a fleet on the users' platform: the relay,
+// what it knows of the fleet, and its answers to the balancer.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "daemon/relay_settings.h"
+#include "relay/platform_duties.h"
+
+namespace hickorystand {
+
+class RelayDaemon {
+ public:
+  // `stopped` is called once a stop has finished.
+  RelayDaemon(RelayHostSettings settings,
+              const Clock& clock,
+              std::function<void()> stopped);
+  ~RelayDaemon();
+  RelayDaemon(const RelayDaemon&) = delete;
+  RelayDaemon& operator=(const RelayDaemon&) = delete;
+
+  // Opens the addresses and starts to read from the store.
+  Result<int> Start();
+
+  // Stops in order: says that it isn't ready, serves on while callers still
+  // come, finishes what runs, and ends before the kill.
+  void Drain();
+
+  // Reads the settings again; the log's level changes, all else needs a start.
+  void Reload(const RelayHostSettings& changed);
+
+ private:
+  void AnswerReady(const CallerExchangePtr& exchange);
+  void AnswerMetrics(const CallerExchangePtr& exchange);
+  void CheckDrained();
+
+  RelayHostSettings settings;
+  const Clock* clock;
+  std::function<void()> stopped;
+  Metrics metrics;
+  std::unique_ptr<MessageCodec> codec;
+  std::unique_ptr<FleetRecords> records;
+  std::unique_ptr<KeyValueStore> store;
+  std::unique_ptr<PlatformDuties> duties;
+  std::unique_ptr<FleetRelay> relay;
+  std::unique_ptr<FleetSource> source;
+  CallerServer ready_server;
+  CallerServer metrics_server;
+  std::optional<Instant> draining_since;
+  std::unique_ptr<Timer> drain_timer;
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/daemon/relay_settings.cc
@@ -0,0 +1,154 @@
+#include "daemon/relay_settings.h"
+
+#include <fstream>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+constexpr int64_t kMinuteInMilliseconds = 60000;
+
+// What the proof that a key still holds may be older than when it is used, is
+// the bound on withdrawn keys less this: the request's way to the endpoint,
+// and clocks that run at different speeds.
+constexpr Duration kRevokeMargin = std::chrono::milliseconds(800);
+
+SettingRule Address(std::string section, std::string key, std::string help) {
+  return {.section = std::move(section),
+          .key = std::move(key),
+          .type = SettingType::kAddress,
+          .required = true,
+          .help = std::move(help)};
+}
+
+SettingRule Length(std::string section,
+                   std::string key,
+                   std::string fallback,
+                   std::string help) {
+  return {.section = std::move(section),
+          .key = std::move(key),
+          .type = SettingType::kDuration,
+          .fallback = std::move(fallback),
+          .maximum = 10 * kMinuteInMilliseconds,
+          .help = std::move(help)};
+}
+
+SettingRule Count(std::string key, std::string fallback, std::string help) {
+  return {.section = "fleet",
+          .key = std::move(key),
+          .type = SettingType::kInteger,
+          .fallback = std::move(fallback),
+          .maximum = int64_t{1} << 40,
+          .help = std::move(help)};
+}
+
+std::vector<SettingRule> Rules() {
+  return {
+      {.section = "relay",
+       .key = "id",
+       .required = true,
+       .help = "name of this host, unique in the fleet"},
+      {.section = "relay",
+       .key = "zone",
+       .required = true,
+       .help = "the zone in which this host stands"},
+      {.section = "relay",
+       .key = "adapter",
+       .required = true,
+       .help = "plug-ins that speak to the platform"},
+      Address("listen", "callers", "address towards callers"),
+      Address("listen", "ready", "address that says whether callers may come"),
+      Address("listen", "metrics", "address of the metrics"),
+      Address("store", "address", "the platform's key-value service"),
+      Length("store", "timeout", "1500ms", "for one call"),
+      Address("duties", "address", "the platform's usage and scaling calls"),
+      Length("duties", "lease", "3s", "of the host that has the duties"),
+      Length("duties", "usage_window", "5s", "that one usage report covers"),
+      Length("duties", "usage_late", "10s",
+             "after a window's end, until its report is due"),
+      Length("stop", "grace", "8s", "from the stop signal to the kill"),
+      Length("keys", "revoke_within", "5s",
+             "how soon a withdrawn key must stop working"),
+      Length("retries", "window", "10s", "over which repeats are counted"),
+      {.section = "retries",
+       .key = "percent",
+       .type = SettingType::kInteger,
+       .fallback = "20",
+       .maximum = 1000,
+       .help = "repeats for a hundred requests"},
+      {.section = "retries",
+       .key = "slack",
+       .type = SettingType::kInteger,
+       .fallback = "48",
+       .maximum = 1000000,
+       .help = "repeats beyond that in each window, of all hosts together"},
+      Count("hosts_at_most", "16",
+            "hosts among which slack and connections are divided"),
+      Count("prompt_tokens_per_second", "37900",
+            "an engine's reading rate in the prefill role"),
+      {.section = "log",
+       .key = "level",
+       .type = SettingType::kChoice,
+       .fallback = "info",
+       .choices = {"debug", "info", "warning", "error"},
+       .help = "least level that is written"},
+  };
+}
+
+RelaySettings ReadRelay(const Settings& from) {
+  RelaySettings relay;
+  relay.hosts_at_most = from.Integer("fleet", "hosts_at_most");
+  relay.placement.zone = ZoneId(from.Text("relay", "zone"));
+  relay.placement.rates.prompt_tokens = static_cast<double>(
+      from.Integer("fleet", "prompt_tokens_per_second"));
+  relay.key_proof_limit = from.Length("keys", "revoke_within") - kRevokeMargin;
+  relay.budget = {
+      .window = from.Length("retries", "window"),
+      .share = static_cast<double>(from.Integer("retries", "percent")) / 100,
+      .slack = static_cast<double>(from.Integer("retries", "slack")) /
+               static_cast<double>(relay.hosts_at_most)};
+  return relay;
+}
+
+}  // namespace
+
+Result<RelayHostSettings> LoadRelaySettings(const std::string& path) {
+  const auto from = Settings::Load(path, Rules());
+  if (!from) {
+    return tl::unexpected(from.error());
+  }
+  const auto address = [&from](std::string_view section,
+                               std::string_view key) {
+    return *ParseAddress(from->Text(section, key));
+  };
+  RelayHostSettings made{
+      .host = HostId(from->Text("relay", "id")),
+      .zone = ZoneId(from->Text("relay", "zone")),
+      .callers = address("listen", "callers"),
+      .ready = address("listen", "ready"),
+      .metrics = address("listen", "metrics"),
+      .adapter = from->Text("relay", "adapter"),
+      .store = address("store", "address"),
+      .store_timeout = from->Length("store", "timeout"),
+      .duties = address("duties", "address"),
+      .grace = from->Length("stop", "grace"),
+      .lease_length = from->Length("duties", "lease"),
+      .usage_window = from->Length("duties", "usage_window"),
+      .usage_late = from->Length("duties", "usage_late"),
+      .relay = ReadRelay(*from)};
+  ParseLogLevel(from->Text("log", "level"), made.log_level);
+  return made;
+}
+
+bool IsRelayFile(const std::string& path) {
+  std::ifstream in(path);
+  std::string line;
+  while (std::getline(in, line)) {
+    if (line == "[relay]") {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/daemon/relay_settings.h
@@ -0,0 +1,42 @@
+// Settings of a host that relays requests for a fleet: one INI file, checked
+// whole. docs/CONFIGURATION.md lists every key.
+
+#pragma once
+
+#include <string>
+
+#include "kernel/log.h"
+#include "kernel/settings.h"
+#include "relay/fleet_source.h"
+#include "relay/fleet_relay.h"
+
+namespace hickorystand {
+
+// Everything a relay host is told before it starts.
+struct RelayHostSettings {
+  HostId host;
+  ZoneId zone;
+  SocketAddress callers;
+  SocketAddress ready;
+  SocketAddress metrics;
+  std::string adapter;  // the plug-ins that speak to this platform
+  SocketAddress store;
+  Duration store_timeout{};
+  SocketAddress duties;
+  LogLevel log_level = LogLevel::kInfo;
+  bool log_json = true;
+  Duration grace{};        // from the stop signal to the kill
+  Duration lease_length{};
+  Duration usage_window{};
+  Duration usage_late{};   // after a window's end, when its report is due
+  RelaySettings relay;
+  FleetSourceOptions source;
+};
+
+// Reads and checks the file. The error lists every fault found.
+Result<RelayHostSettings> LoadRelaySettings(const std::string& path);
+
+// Whether a file asks for a relay host, rather than a stand-alone one.
+bool IsRelayFile(const std::string& path);
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/fleet_placement.cc
@@ -0,0 +1,353 @@
+#include "decisions/fleet_placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <numeric>
+
+namespace hickorystand {
+namespace {
+
+// Weight of the newest outcome in an endpoint's failure share: about ten
+// outcomes are remembered.
+constexpr double kOutcomeWeight = 0.15;
+
+// Weight of the newest duration of a plain call.
+constexpr double kPlainWeight = 0.1;
+
+// A place in [0, 1) for a part at an endpoint, the same on every host.
+double HashPlace(uint64_t part, const EndpointId& endpoint) {
+  const std::string& id = endpoint.Text();
+  const uint64_t hash = XXH3_64bits_withSeed(id.data(), id.size(), part);
+  return static_cast<double>(hash >> 11) / static_cast<double>(1ULL << 53);
+}
+
+// The part that a prompt shares with others and that is the longest to read
+// up to: the last but one. The last one is the request's own.
+uint64_t AffinityOf(const WorkShape& shape) {
+  if (shape.parts.empty()) {
+    return 0;
+  }
+  return shape.parts[shape.parts.size() > 1 ? shape.parts.size() - 2 : 0].part;
+}
+
+}  // namespace
+
+void FleetPlacement::Cache::Keep(const PartTokens& part, int64_t room) {
+  if (const auto found = this->entries.find(part.part);
+      found != this->entries.end()) {
+    this->order.splice(this->order.end(), this->order, found->second.place);
+    return;
+  }
+  this->order.push_back(part.part);
+  this->entries[part.part] = {.tokens = part.tokens,
+                              .place = std::prev(this->order.end())};
+  this->total += part.tokens;
+  while (this->total > room && this->order.size() > 1) {
+    const auto oldest = this->entries.find(this->order.front());
+    this->total -= oldest->second.tokens;
+    this->entries.erase(oldest);
+    this->order.pop_front();
+  }
+}
+
+void FleetPlacement::SetEndpoints(const FleetEndpoints& endpoints) {
+  std::erase_if(this->states, [&endpoints](const auto& entry) {
+    return !endpoints.contains(entry.first);
+  });
+  for (const auto& [id, endpoint] : endpoints) {
+    State& state = this->states[id];
+    if (state.endpoint.run != endpoint.run) {
+      state = State{};
+    }
+    state.endpoint = endpoint;
+  }
+}
+
+double FleetPlacement::Rate(const State& state) const {
+  const EngineRates& rates = this->options.rates;
+  return state.endpoint.role == EndpointRole::kPrefill
+             ? rates.prompt_tokens
+             : rates.prompt_tokens * rates.decode_role_share;
+}
+
+double FleetPlacement::Penalty(const State& state) const {
+  const double zone = state.endpoint.zone == this->options.zone
+                          ? 0
+                          : ToSeconds(this->options.other_zone);
+  return zone + state.failure_share * ToSeconds(this->options.failure_penalty);
+}
+
+EndpointOutstanding FleetPlacement::PeerWork(const EndpointId& endpoint) const {
+  EndpointOutstanding sum{.endpoint = endpoint};
+  for (const auto& [host, work] : this->peers) {
+    for (const EndpointOutstanding& item : work) {
+      if (item.endpoint == endpoint) {
+        sum.prompt_tokens += item.prompt_tokens;
+        sum.requests += item.requests;
+      }
+    }
+  }
+  return sum;
+}
+
+double FleetPlacement::PlainSeconds(const ServiceId& service) const {
+  const auto found = this->plain_seconds.find(service);
+  return found == this->plain_seconds.end()
+             ? ToSeconds(this->options.plain_time)
+             : found->second;
+}
+
+int64_t FleetPlacement::KeptTokens(const EndpointId& endpoint,
+                                   const WorkShape& shape) const {
+  const auto found = this->states.find(endpoint);
+  if (found == this->states.end()) {
+    return 0;
+  }
+  const auto& entries = found->second.cache.entries;
+  // A part helps only if all before it are there too.
+  int64_t kept = 0;
+  for (const PartTokens& part : shape.parts) {
+    if (!entries.contains(part.part)) {
+      break;
+    }
+    kept += part.tokens;
+  }
+  return std::min(kept, shape.prompt_tokens);
+}
+
+bool FleetPlacement::Usable(Instant now, const EndpointId& endpoint) const {
+  const auto found = this->states.find(endpoint);
+  return found != this->states.end() && !found->second.endpoint.leaving &&
+         now >= found->second.out_until;
+}
+
+bool FleetPlacement::Takes(Instant now,
+                           const State& state,
+                           const WorkShape& shape,
+                           const std::set<EndpointId>& tried) const {
+  return state.endpoint.service == shape.service && !state.endpoint.leaving &&
+         now >= state.out_until && !tried.contains(state.endpoint.run.id);
+}
+
+FleetPlacement::Weighed FleetPlacement::WeighEngine(
+    const State& state,
+    const WorkShape& shape) const {
+  const EndpointId& id = state.endpoint.run.id;
+  const EngineRates& rates = this->options.rates;
+  const EndpointOutstanding others = this->PeerWork(id);
+  const double rate = this->Rate(state);
+  const int64_t kept = this->KeptTokens(id, shape);
+  const int64_t fresh = shape.prompt_tokens - kept;
+  // What only this request has must be read anywhere; the rest is a miss.
+  const int64_t own = shape.parts.empty() ? 0 : shape.parts.back().tokens;
+  const double missed = static_cast<double>(std::max<int64_t>(fresh - own, 0));
+  const bool reader = state.endpoint.role == EndpointRole::kPrefill;
+  const double seconds =
+      static_cast<double>(state.waiting_tokens + others.prompt_tokens + fresh) /
+          rate +
+      ToSeconds(rates.first_token) + (reader ? ToSeconds(rates.transfer) : 0);
+  const double preference = HashPlace(AffinityOf(shape), id) *
+                            ToSeconds(this->options.hash_preference);
+  return {.endpoint = id,
+          .score = seconds + preference + this->Penalty(state) +
+                   (this->options.miss_weight - 1) * missed / rate,
+          .seconds = seconds,
+          .new_tokens = fresh,
+          .reader = reader};
+}
+
+FleetPlacement::Weighed FleetPlacement::WeighPlain(
+    const State& state,
+    const WorkShape& shape) const {
+  const EndpointOutstanding others = this->PeerWork(state.endpoint.run.id);
+  const double one = this->PlainSeconds(shape.service);
+  const double slots =
+      static_cast<double>(std::max<int64_t>(state.endpoint.slots, 1));
+  const double before = static_cast<double>(state.running + others.requests);
+  const double seconds = one * (1 + std::floor(before / slots));
+  return {.endpoint = state.endpoint.run.id,
+          .score = one * before / slots + this->Penalty(state),
+          .seconds = before / slots > this->options.plain_queue
+                         ? ToSeconds(shape.patience) + seconds
+                         : seconds};
+}
+
+Verdict FleetPlacement::Place(Instant now,
+                              const WorkShape& shape,
+                              const std::set<EndpointId>& tried) const {
+  std::vector<Weighed> weighed;
+  bool any_answers = false;
+  for (const auto& [id, state] : this->states) {
+    if (!this->Takes(now, state, shape, tried)) {
+      continue;
+    }
+    weighed.push_back(shape.engine ? this->WeighEngine(state, shape)
+                                   : this->WeighPlain(state, shape));
+    any_answers = any_answers || !weighed.back().reader;
+  }
+  if (weighed.empty() || !any_answers) {
+    return Refused{.reason = "no endpoint",
+                   .retry_after = this->options.eject_for};
+  }
+  const Weighed& best = *std::ranges::min_element(
+      weighed, std::less<>(), [](const Weighed& one) { return one.score; });
+  const double soonest = std::ranges::min(
+      weighed, std::less<>(), [](const Weighed& one) {
+        return one.seconds;
+      }).seconds;
+  const Duration expected = FromSeconds(best.seconds);
+  if (FromSeconds(soonest) > shape.patience) {
+    return Refused{.reason = "overloaded",
+                   .retry_after = FromSeconds(soonest) - shape.patience};
+  }
+  if (!best.reader) {
+    return Placed{.endpoint = best.endpoint,
+                  .new_tokens = best.new_tokens,
+                  .expected = expected};
+  }
+  const auto answers = this->PlaceAnswer(now, shape, best.endpoint, tried);
+  assert(answers && "an endpoint that answers was found above");
+  return Placed{.endpoint = *answers,
+                .reader = best.endpoint,
+                .new_tokens = best.new_tokens,
+                .expected = expected};
+}
+
+std::optional<EndpointId> FleetPlacement::PlaceAnswer(
+    Instant now,
+    const WorkShape& shape,
+    const EndpointId& reader,
+    const std::set<EndpointId>& tried) const {
+  const auto from = this->states.find(reader);
+  std::optional<EndpointId> best;
+  double least = 0;
+  for (const auto& [id, state] : this->states) {
+    if (!this->Takes(now, state, shape, tried) ||
+        state.endpoint.role == EndpointRole::kPrefill) {
+      continue;
+    }
+    const EndpointOutstanding others = this->PeerWork(id);
+    // The answer waits for a piece of the prompts that are read there, and
+    // moving memory to another zone takes twice as long and costs more.
+    const bool far = from != this->states.end() &&
+                     from->second.endpoint.zone != state.endpoint.zone;
+    const double score =
+        static_cast<double>(state.waiting_tokens + others.prompt_tokens) /
+            this->Rate(state) +
+        static_cast<double>(state.running + others.requests) * 0.005 +
+        (far ? ToSeconds(this->options.rates.transfer) : 0) +
+        this->Penalty(state);
+    if (!best || score < least) {
+      best = id;
+      least = score;
+    }
+  }
+  return best;
+}
+
+WorkId FleetPlacement::OnSent(Instant /*now*/,
+                              const EndpointId& endpoint,
+                              const WorkShape& shape,
+                              int64_t new_tokens) {
+  const auto found = this->states.find(endpoint);
+  if (found == this->states.end()) {
+    return 0;
+  }
+  State& state = found->second;
+  state.waiting_tokens += new_tokens;
+  ++state.running;
+  // Kept from the start: the next request with the same parts that comes while
+  // this one is read waits for it and finds them.
+  for (const PartTokens& part : shape.parts) {
+    state.cache.Keep(part,
+                     static_cast<int64_t>(this->options.rates.cache_tokens));
+  }
+  this->works[++this->last_work] = {.endpoint = endpoint,
+                                    .started = state.endpoint.run.started,
+                                    .new_tokens = new_tokens};
+  return this->last_work;
+}
+
+FleetPlacement::State* FleetPlacement::Find(const Work& work) {
+  const auto found = this->states.find(work.endpoint);
+  return found != this->states.end() &&
+                 found->second.endpoint.run.started == work.started
+             ? &found->second
+             : nullptr;
+}
+
+void FleetPlacement::OnPromptRead(Instant /*now*/, WorkId work) {
+  const auto found = this->works.find(work);
+  if (found == this->works.end() || found->second.read) {
+    return;
+  }
+  found->second.read = true;
+  if (State* state = this->Find(found->second)) {
+    state->waiting_tokens -= found->second.new_tokens;
+  }
+}
+
+void FleetPlacement::OnEnded(Instant now, WorkId work) {
+  this->OnPromptRead(now, work);
+  const auto over = this->works.extract(work);
+  if (!over.empty()) {
+    if (State* state = this->Find(over.mapped())) {
+      --state->running;
+    }
+  }
+}
+
+void FleetPlacement::OnOutcome(Instant now,
+                               const EndpointId& endpoint,
+                               bool good) {
+  const auto found = this->states.find(endpoint);
+  if (found == this->states.end()) {
+    return;
+  }
+  State& state = found->second;
+  state.failure_share +=
+      kOutcomeWeight * ((good ? 0.0 : 1.0) - state.failure_share);
+  if (good) {
+    state.failures_in_row = 0;
+    state.ejection = {};
+    return;
+  }
+  if (++state.failures_in_row < this->options.failures_to_eject) {
+    return;
+  }
+  state.ejection = state.ejection == Duration{}
+                       ? this->options.eject_for
+                       : std::min(state.ejection * 2,
+                                  this->options.eject_at_most);
+  state.out_until = now + state.ejection;
+  // The next failure puts it out again: one request is the probe.
+  state.failures_in_row = this->options.failures_to_eject - 1;
+}
+
+void FleetPlacement::OnPlainTime(const ServiceId& service, Duration took) {
+  const double before = this->PlainSeconds(service);
+  this->plain_seconds[service] =
+      before + kPlainWeight * (ToSeconds(took) - before);
+}
+
+void FleetPlacement::OnPeerWork(const HostId& host,
+                                const std::vector<EndpointOutstanding>& work) {
+  this->peers[host] = work;
+}
+
+std::vector<EndpointOutstanding> FleetPlacement::OwnWork() const {
+  std::vector<EndpointOutstanding> own;
+  for (const auto& [id, state] : this->states) {
+    if (state.running > 0) {
+      own.push_back({.endpoint = id,
+                     .prompt_tokens = state.waiting_tokens,
+                     .requests = state.running});
+    }
+  }
+  return own;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/fleet_placement.h
@@ -0,0 +1,230 @@
+// Which endpoint takes a request, and whether it can be served at all.
+//
+// An engine's prompt work decides: on the fleets that this answers, 580,000
+// prompt tokens a second are asked for, 160,000 of them new if every shared
+// part is found in the cache of the engine that gets it, against 680,000 that
+// all engines could read at full speed. So requests go where their prompt's
+// parts are kept, as long as the work that waits there doesn't cost more than
+// reading them again somewhere else.
+//
+//   score = work waiting there / its rate + the prompt's missing part / its rate
+//
+// Hosts that know nothing of a part all try the same engine first, which a
+// hash of the part names.
+//
+// Index
+//   EngineRates, PlacementOptions   what an engine can do
+//   PartTokens, WorkShape           a request as far as placing goes
+//   Placed, Refused, Verdict        where to, or why not
+//   FleetPlacement                  the decision
+
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "decisions/digest.h"
+#include "decisions/fleet_endpoint.h"
+#include "kernel/ids.h"
+#include "kernel/time.h"
+
+namespace hickorystand {
+
+// What an engine does in a second, from its maker's sheet.
+struct EngineRates {
+  double prompt_tokens = 37900;   // in the prefill role
+  double decode_role_share = 0.5;  // of that rate, in the decode role
+  double cache_tokens = 420000;   // kept for later prompts
+  Duration first_token = std::chrono::milliseconds(24);  // beside reading
+  Duration transfer = std::chrono::milliseconds(20);     // of a read prompt
+
+  auto operator<=>(const EngineRates&) const = default;
+};
+
+// How placing is set.
+struct PlacementOptions {
+  EngineRates rates;
+  ZoneId zone;  // of this host
+  // What another zone costs in score. Bodies that cross zones are billed; at
+  // 17 KB a prompt that is worth about as much as 1% of an answer.
+  Duration other_zone = std::chrono::milliseconds(15);
+  // Spread of the hash's preference among engines that keep nothing.
+  Duration hash_preference = std::chrono::milliseconds(60);
+  // An engine's time that reading a shared part again takes from others,
+  // against the wait that it costs the request itself.
+  double miss_weight = 1.5;
+  // What a failure of late costs in score, at a failure share of 1.
+  Duration failure_penalty = std::chrono::milliseconds(1500);
+  // An endpoint that failed so often in a row gets nothing for a while.
+  int64_t failures_to_eject = 3;
+  Duration eject_for = std::chrono::seconds(1);
+  Duration eject_at_most = std::chrono::seconds(8);
+  // Time of a plain service's call until one was measured.
+  Duration plain_time = std::chrono::milliseconds(60);
+  // Calls that an endpoint of a plain service lets wait for each slot.
+  double plain_queue = 3;
+};
+
+// A run of prompt tokens, by the hash of its id.
+struct PartTokens {
+  uint64_t part = 0;
+  int64_t tokens = 0;
+
+  auto operator<=>(const PartTokens&) const = default;
+};
+
+// A request as far as placing goes.
+struct WorkShape {
+  ServiceId service;
+  bool engine = false;
+  int64_t prompt_tokens = 0;
+  std::vector<PartTokens> parts;
+  // The longest that the first byte may take; beyond it, refusing at once
+  // serves the caller better.
+  Duration patience = std::chrono::seconds(2);
+
+  auto operator<=>(const WorkShape&) const = default;
+};
+
+// Where a request goes.
+struct Placed {
+  EndpointId endpoint;
+  std::optional<EndpointId> reader;  // reads the prompt first, if another
+  int64_t new_tokens = 0;            // that the first of them has to read
+  Duration expected{};               // to the first byte
+
+  auto operator<=>(const Placed&) const = default;
+};
+
+// Why a request can't be served, and when it may be.
+struct Refused {
+  std::string reason;
+  Duration retry_after{};
+
+  auto operator<=>(const Refused&) const = default;
+};
+
+using Verdict = std::variant<Placed, Refused>;
+
+// Names one piece of work at an endpoint.
+using WorkId = uint64_t;
+
+// Everything that placing knows, on one host.
+class FleetPlacement {
+ public:
+  explicit FleetPlacement(PlacementOptions options)
+      : options(std::move(options)) {}
+
+  // All endpoints there are. Those whose process is another one than before
+  // start with nothing kept.
+  void SetEndpoints(const FleetEndpoints& endpoints);
+
+  // Chooses for a request that was not at `tried` before.
+  Verdict Place(Instant now,
+                const WorkShape& shape,
+                const std::set<EndpointId>& tried) const;
+
+  // Chooses who answers once `reader` has read the prompt.
+  std::optional<EndpointId> PlaceAnswer(
+      Instant now,
+      const WorkShape& shape,
+      const EndpointId& reader,
+      const std::set<EndpointId>& tried) const;
+
+  // A request was sent. `new_tokens` is what the endpoint has to read.
+  WorkId OnSent(Instant now,
+                const EndpointId& endpoint,
+                const WorkShape& shape,
+                int64_t new_tokens);
+
+  // Its prompt is read: the first byte of the answer came.
+  void OnPromptRead(Instant now, WorkId work);
+
+  // It is over.
+  void OnEnded(Instant now, WorkId work);
+
+  // What became of a request at an endpoint, for its failure share.
+  void OnOutcome(Instant now, const EndpointId& endpoint, bool good);
+
+  // A plain service's call took so long.
+  void OnPlainTime(const ServiceId& service, Duration took);
+
+  // Work of other hosts, which replaces what the host told before.
+  void OnPeerWork(const HostId& host,
+                  const std::vector<EndpointOutstanding>& work);
+  void ForgetPeer(const HostId& host) { this->peers.erase(host); }
+
+  // This host's work, for the others.
+  std::vector<EndpointOutstanding> OwnWork() const;
+
+  // The prompt tokens that an endpoint would find in its cache.
+  int64_t KeptTokens(const EndpointId& endpoint, const WorkShape& shape) const;
+
+  // Whether an endpoint may get anything new.
+  bool Usable(Instant now, const EndpointId& endpoint) const;
+
+ private:
+  // Parts kept by an engine, least recently used first.
+  struct Cache {
+    struct Entry {
+      int64_t tokens = 0;
+      std::list<uint64_t>::iterator place;
+    };
+    std::list<uint64_t> order;
+    std::unordered_map<uint64_t, Entry> entries;
+    int64_t total = 0;
+
+    void Keep(const PartTokens& part, int64_t room);
+  };
+  struct State {
+    FleetEndpoint endpoint;
+    Cache cache;
+    int64_t waiting_tokens = 0;  // of this host's work, not yet read
+    int64_t running = 0;         // this host's work
+    double failure_share = 0;
+    int64_t failures_in_row = 0;
+    Duration ejection{};
+    Instant out_until{};
+  };
+  struct Work {
+    EndpointId endpoint;
+    int64_t started = 0;  // the endpoint's start, as EndpointRun has it
+    int64_t new_tokens = 0;
+    bool read = false;
+  };
+  struct Weighed {
+    EndpointId endpoint;
+    double score = 0;
+    double seconds = 0;
+    int64_t new_tokens = 0;
+    bool reader = false;
+  };
+
+  bool Takes(Instant now,
+             const State& state,
+             const WorkShape& shape,
+             const std::set<EndpointId>& tried) const;
+  Weighed WeighEngine(const State& state, const WorkShape& shape) const;
+  Weighed WeighPlain(const State& state, const WorkShape& shape) const;
+  double Rate(const State& state) const;
+  double Penalty(const State& state) const;
+  EndpointOutstanding PeerWork(const EndpointId& endpoint) const;
+  State* Find(const Work& work);
+  double PlainSeconds(const ServiceId& service) const;
+
+  PlacementOptions options;
+  std::map<EndpointId, State> states;
+  std::map<WorkId, Work> works;
+  std::map<HostId, std::vector<EndpointOutstanding>> peers;
+  std::map<ServiceId, double> plain_seconds;
+  WorkId last_work = 0;
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/window_budget.cc
@@ -0,0 +1,31 @@
+#include "decisions/window_budget.h"
+
+namespace hickorystand {
+
+void WindowBudget::OnRequest(Instant now, const ServiceId& service) {
+  auto& requests = this->counts[service].requests;
+  this->Forget(now, requests);
+  requests.push_back(now);
+}
+
+bool WindowBudget::Take(Instant now, const ServiceId& service) {
+  Count& count = this->counts[service];
+  this->Forget(now, count.requests);
+  this->Forget(now, count.repeats);
+  const double allowed =
+      this->options.share * static_cast<double>(count.requests.size()) +
+      this->options.slack;
+  if (static_cast<double>(count.repeats.size()) + 1 > allowed) {
+    return false;
+  }
+  count.repeats.push_back(now);
+  return true;
+}
+
+void WindowBudget::Forget(Instant now, std::deque<Instant>& times) const {
+  while (!times.empty() && now - times.front() >= this->options.window) {
+    times.pop_front();
+  }
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/http/http1_parser.cc
@@ -0,0 +1,176 @@
+#include "http/http1_parser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::string_view;
+using boost::system::error_code;
+
+std::string_view View(string_view text) {
+  return {text.data(), text.size()};
+}
+
+Http1Failure FailureOf(const error_code& error) {
+  if (error == http::error::header_limit) {
+    return Http1Failure::kHeadTooLarge;
+  }
+  return error == http::error::body_limit ? Http1Failure::kBodyTooLarge
+                                          : Http1Failure::kMalformed;
+}
+
+}  // namespace
+
+// One message being read.
+class Http1Parser::Engine {
+ public:
+  virtual ~Engine() = default;
+  virtual size_t Put(std::string_view bytes, error_code& error) = 0;
+  virtual void PutEof(error_code& error) = 0;
+  virtual bool IsDone() const = 0;
+};
+
+template <bool kRequest>
+class Http1Parser::EngineOf final : public Http1Parser::Engine,
+                                    private http::basic_parser<kRequest> {
+ public:
+  EngineOf(Http1Parser* owner, const Http1Limits& limits, bool no_body)
+      : owner(owner) {
+    this->eager(true);
+    this->header_limit(limits.head);
+    this->body_limit(limits.body);
+    this->skip(no_body);
+  }
+
+  size_t Put(std::string_view bytes, error_code& error) override {
+    return this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  }
+  void PutEof(error_code& error) override { this->put_eof(error); }
+  bool IsDone() const override { return this->is_done(); }
+
+ private:
+  void on_request_impl(http::verb /*verb*/,
+                       string_view method,
+                       string_view target,
+                       int /*version*/,
+                       error_code& error) override {
+    error = {};
+    this->head.method = View(method);
+    this->head.target = View(target);
+  }
+  void on_response_impl(int status,
+                        string_view /*reason*/,
+                        int /*version*/,
+                        error_code& error) override {
+    error = {};
+    this->head.status = status;
+  }
+  void on_field_impl(http::field /*field*/,
+                     string_view name,
+                     string_view value,
+                     error_code& error) override {
+    error = {};
+    if (!this->head_over) {  // what follows the body is dropped
+      this->head.headers.push_back(
+          {.name = std::string(View(name)), .value = std::string(View(value))});
+    }
+  }
+  void on_header_impl(error_code& error) override {
+    error = {};
+    this->head_over = true;
+    this->head.keep_alive = this->keep_alive();
+    this->head.until_close = this->need_eof();
+    if (const auto length = this->content_length()) {
+      this->head.body_length = *length;
+    }
+    this->owner->head_read = true;
+    this->owner->events.on_head(this->head);
+  }
+  void on_body_init_impl(const boost::optional<uint64_t>& /*length*/,
+                         error_code& error) override {
+    error = {};
+  }
+  size_t on_body_impl(string_view body, error_code& error) override {
+    error = {};
+    this->owner->events.on_body(View(body));
+    return body.size();
+  }
+  void on_chunk_header_impl(uint64_t /*size*/,
+                            string_view /*extensions*/,
+                            error_code& error) override {
+    error = {};
+  }
+  size_t on_chunk_body_impl(uint64_t /*remain*/,
+                            string_view body,
+                            error_code& error) override {
+    return this->on_body_impl(body, error);
+  }
+  void on_finish_impl(error_code& error) override { error = {}; }
+
+  Http1Parser* owner;
+  Http1Head head;
+  bool head_over = false;
+};
+
+Http1Parser::Http1Parser(Http1Side side, Http1Events events)
+    : side(side), events(std::move(events)) {}
+
+Http1Parser::~Http1Parser() = default;
+
+void Http1Parser::Begin(const Http1Limits& limits, bool no_body) {
+  this->started = false;
+  this->head_read = false;
+  this->done = false;
+  this->failure = Http1Failure::kNone;
+  if (this->side == Http1Side::kRequests) {
+    this->engine = std::make_unique<EngineOf<true>>(this, limits, no_body);
+  } else {
+    this->engine = std::make_unique<EngineOf<false>>(this, limits, no_body);
+  }
+}
+
+void Http1Parser::Read() {
+  while (!this->done && this->failure == Http1Failure::kNone &&
+         !this->unread.empty()) {
+    this->started = true;
+    error_code error;
+    const size_t used = this->engine->Put(this->unread, error);
+    this->unread.erase(0, used);
+    if (error == http::error::need_more) {
+      return;
+    }
+    if (error) {
+      this->failure = FailureOf(error);
+      return;
+    }
+    if (this->engine->IsDone()) {
+      this->done = true;
+      this->events.on_end();
+      return;
+    }
+    if (used == 0) {
+      return;
+    }
+  }
+}
+
+bool Http1Parser::Finish() {
+  if (this->done || !this->head_read || this->failure != Http1Failure::kNone) {
+    return this->done;
+  }
+  error_code error;
+  this->engine->PutEof(error);
+  if (error || !this->engine->IsDone()) {
+    return false;
+  }
+  this->done = true;
+  this->events.on_end();
+  return true;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/http/stream_socket.cc
@@ -0,0 +1,320 @@
+#include "http/stream_socket.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+// Read at once. Larger reads would let one fast peer hold up all others.
+constexpr size_t kReadBlock = size_t{32} << 10;
+
+// Connections that wait to be accepted; beyond it opening packets are dropped
+// and come again only after a second.
+constexpr int kBacklog = 512;
+
+// How long a peer may take to read the last bytes and to close in turn.
+constexpr Duration kCloseLimit = std::chrono::seconds(1);
+
+ObjectPtr<GSocketAddress> MakeAddress(const SocketAddress& address) {
+  return ObjectPtr<GSocketAddress>(
+      g_inet_socket_address_new_from_string(address.host.c_str(), address.port));
+}
+
+ObjectPtr<GSocket> MakeSocket() {
+  ObjectPtr<GSocket> socket(g_socket_new(G_SOCKET_FAMILY_IPV4,
+                                         G_SOCKET_TYPE_STREAM,
+                                         G_SOCKET_PROTOCOL_TCP, nullptr));
+  if (socket) {
+    g_socket_set_blocking(socket.get(), FALSE);
+  }
+  return socket;
+}
+
+void SetDelivery(GSocket* socket, Duration silence) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(silence).count();
+  g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                      static_cast<gint>(milliseconds), nullptr);
+}
+
+bool IsError(const ErrorPtr& error, GIOErrorEnum code) {
+  return g_error_matches(error.get(), G_IO_ERROR, code);
+}
+
+}  // namespace
+
+void StreamSocket::SourceDrop::operator()(GSource* source) const {
+  g_source_destroy(source);
+  g_source_unref(source);
+}
+
+StreamSocket::StreamSocket(ObjectPtr<GSocket> socket, StreamEvents events)
+    : socket(std::move(socket)), events(std::move(events)) {}
+
+StreamSocket::~StreamSocket() {
+  this->Close();
+}
+
+StreamSocketPtr StreamSocket::Connect(const SocketAddress& address,
+                                      Duration silence,
+                                      StreamEvents events) {
+  StreamSocketPtr made(new StreamSocket(MakeSocket(), std::move(events)));
+  made->state = State::kConnecting;
+  const auto to = MakeAddress(address);
+  GError* raw = nullptr;
+  if (made->socket && to) {
+    SetDelivery(made->socket.get(), silence);
+    if (g_socket_connect(made->socket.get(), to.get(), nullptr, &raw) ||
+        g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_PENDING)) {
+      g_clear_error(&raw);
+      made->WatchOutput();
+      return made;
+    }
+  }
+  g_clear_error(&raw);
+  // Told later, so that the owner has the connection in hand by then.
+  made->failure.reset(g_idle_source_new());
+  g_source_set_callback(made->failure.get(), &StreamSocket::OnFailed,
+                        made.get(), nullptr);
+  g_source_attach(made->failure.get(), g_main_context_get_thread_default());
+  return made;
+}
+
+StreamSocketPtr StreamSocket::Adopt(ObjectPtr<GSocket> socket,
+                                    Duration silence,
+                                    StreamEvents events) {
+  g_socket_set_blocking(socket.get(), FALSE);
+  SetDelivery(socket.get(), silence);
+  StreamSocketPtr made(new StreamSocket(std::move(socket), std::move(events)));
+  made->WatchInput();
+  return made;
+}
+
+gboolean StreamSocket::OnFailed(gpointer self) {
+  static_cast<StreamSocket*>(self)->End(StreamEnd::kRefused);
+  return G_SOURCE_REMOVE;
+}
+
+StreamSocket::SourcePtr StreamSocket::MakeSource(GIOCondition condition) {
+  SourcePtr source(
+      g_socket_create_source(this->socket.get(), condition, nullptr));
+  g_source_set_callback(
+      source.get(),
+      reinterpret_cast<GSourceFunc>(  // NOLINT: how GLib types callbacks
+          reinterpret_cast<void (*)()>(&StreamSocket::OnReady)),
+      this, nullptr);
+  g_source_attach(source.get(), g_main_context_get_thread_default());
+  return source;
+}
+
+void StreamSocket::WatchInput() {
+  if (!this->input && !this->paused &&
+      (this->state == State::kOpen || this->state == State::kClosing)) {
+    this->input = this->MakeSource(G_IO_IN);
+  }
+}
+
+void StreamSocket::WatchOutput() {
+  if (!this->output) {
+    this->output = this->MakeSource(G_IO_OUT);
+  }
+}
+
+gboolean StreamSocket::OnReady(GSocket* /*socket*/,
+                               GIOCondition condition,
+                               gpointer data) {
+  const auto self = static_cast<StreamSocket*>(data)->shared_from_this();
+  if (self->state == State::kConnecting) {
+    self->FinishConnect();
+  } else if ((condition & G_IO_OUT) != 0) {
+    self->Flush();
+  } else {
+    self->ReadSome();
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+void StreamSocket::FinishConnect() {
+  if (!g_socket_check_connect_result(this->socket.get(), nullptr)) {
+    this->End(StreamEnd::kRefused);
+    return;
+  }
+  this->state = State::kOpen;
+  this->WatchInput();
+  if (this->events.on_open) {
+    this->events.on_open();
+  }
+  if (this->state == State::kOpen) {
+    this->Flush();
+  }
+}
+
+void StreamSocket::ReadSome() {
+  std::array<char, kReadBlock> block;
+  GError* raw = nullptr;
+  const gssize got = g_socket_receive(this->socket.get(), block.data(),
+                                      block.size(), nullptr, &raw);
+  const ErrorPtr error(raw);
+  if (got > 0) {
+    if (this->state == State::kClosing) {
+      return;
+    }
+    this->events.on_bytes({block.data(), static_cast<size_t>(got)});
+  } else if (got == 0) {
+    this->End(StreamEnd::kClosed);
+  } else if (!IsError(error, G_IO_ERROR_WOULD_BLOCK)) {
+    this->End(StreamEnd::kReset);
+  }
+}
+
+void StreamSocket::Write(std::string_view bytes) {
+  if (this->state == State::kOver || this->state == State::kClosing) {
+    return;
+  }
+  this->unsent += bytes;
+  if (this->state == State::kOpen && !this->output) {
+    this->Flush();
+  }
+}
+
+void StreamSocket::Flush() {
+  while (!this->unsent.empty()) {
+    GError* raw = nullptr;
+    const gssize sent = g_socket_send(this->socket.get(), this->unsent.data(),
+                                      this->unsent.size(), nullptr, &raw);
+    const ErrorPtr error(raw);
+    if (sent < 0) {
+      if (IsError(error, G_IO_ERROR_WOULD_BLOCK)) {
+        this->WatchOutput();
+      } else {
+        // What the peer said before it reset may still be there to be read,
+        // and the input source reports the end after it.
+        this->unsent.clear();
+        this->output.reset();
+        this->WatchInput();
+      }
+      return;
+    }
+    this->any_sent = true;
+    this->unsent.erase(0, static_cast<size_t>(sent));
+  }
+  this->output.reset();
+  if (this->state == State::kClosing) {
+    g_socket_shutdown(this->socket.get(), FALSE, TRUE, nullptr);
+  } else if (this->events.on_drained) {
+    this->events.on_drained();
+  }
+}
+
+void StreamSocket::Pause() {
+  this->paused = true;
+  this->input.reset();
+}
+
+void StreamSocket::Resume() {
+  this->paused = false;
+  this->WatchInput();
+}
+
+void StreamSocket::CloseAfterWrite() {
+  if (this->state != State::kOpen) {
+    this->Close();
+    return;
+  }
+  this->state = State::kClosing;
+  this->events = {};
+  this->self = this->shared_from_this();
+  this->closing =
+      Timer::After(kCloseLimit, [this] { this->End(StreamEnd::kClosed); });
+  this->Resume();
+  if (!this->output) {
+    this->Flush();
+  }
+}
+
+void StreamSocket::Close() {
+  this->state = State::kOver;
+  this->input.reset();
+  this->output.reset();
+  this->failure.reset();
+  if (this->socket) {
+    g_socket_close(this->socket.get(), nullptr);
+  }
+}
+
+void StreamSocket::Reset() {
+  if (this->socket && this->state != State::kOver) {
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    setsockopt(g_socket_get_fd(this->socket.get()), SOL_SOCKET, SO_LINGER,
+               &at_once, sizeof at_once);
+  }
+  this->Close();
+}
+
+void StreamSocket::End(StreamEnd end) {
+  const auto keep = std::exchange(this->self, nullptr);
+  this->Close();
+  if (this->events.on_end) {
+    this->events.on_end(end);
+  }
+}
+
+Result<std::unique_ptr<Listener>> Listener::Open(
+    const SocketAddress& address,
+    std::function<void(ObjectPtr<GSocket>)> on_accept) {
+  std::unique_ptr<Listener> made(new Listener());
+  made->socket = MakeSocket();
+  made->on_accept = std::move(on_accept);
+  const auto at = MakeAddress(address);
+  GError* raw = nullptr;
+  if (made->socket) {
+    g_socket_set_listen_backlog(made->socket.get(), kBacklog);
+  }
+  if (!made->socket || !at ||
+      !g_socket_bind(made->socket.get(), at.get(), TRUE, &raw) ||
+      !g_socket_listen(made->socket.get(), &raw)) {
+    const ErrorPtr error(raw);
+    return Fail(ErrorKind::kBadSetting,
+                "can't listen at " + address.host + ":" +
+                    std::to_string(address.port) +
+                    (error ? std::string(": ") + error->message : ""));
+  }
+  made->source =
+      g_socket_create_source(made->socket.get(), G_IO_IN, nullptr);
+  g_source_set_callback(
+      made->source,
+      reinterpret_cast<GSourceFunc>(  // NOLINT: how GLib types callbacks
+          reinterpret_cast<void (*)()>(&Listener::OnReady)),
+      made.get(), nullptr);
+  g_source_attach(made->source, g_main_context_get_thread_default());
+  return made;
+}
+
+Listener::~Listener() {
+  if (this->source != nullptr) {
+    g_source_destroy(this->source);
+    g_source_unref(this->source);
+  }
+  if (this->socket) {
+    g_socket_close(this->socket.get(), nullptr);
+  }
+}
+
+gboolean Listener::OnReady(GSocket* socket,
+                           GIOCondition /*condition*/,
+                           gpointer data) {
+  auto* self = static_cast<Listener*>(data);
+  ObjectPtr<GSocket> accepted(g_socket_accept(socket, nullptr, nullptr));
+  if (accepted) {
+    self->on_accept(std::move(accepted));
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+}  // namespace hickorystand
--- a/packages/kernel/log.cc
+++ b/packages/kernel/log.cc
@@ -124,7 +124,8 @@
   auto backend = boost::make_shared<sinks::text_ostream_backend>();
   if (options.file.empty()) {
     backend->add_stream(boost::shared_ptr<std::ostream>(
-        &std::clog, [](std::ostream*) { /* not ours to delete */ }));
+        options.standard_output ? &std::cout : &std::clog,
+        [](std::ostream*) { /* not ours to delete */ }));
   } else {
     backend->add_stream(
         boost::make_shared<std::ofstream>(options.file, std::ios::app));
--- a/packages/kernel/log.h
+++ b/packages/kernel/log.h
@@ -37,6 +37,7 @@
   LogLevel level = LogLevel::kInfo;
   bool json = false;
   std::string file;  // empty: standard error
+  bool standard_output = false;  // instead of standard error
 };
 
 // Sets up logging; call once, before any task starts.
--- /dev/null
+++ b/packages/relay/caller_server.cc
@@ -0,0 +1,320 @@
+#include "relay/caller_server.h"
+
+#include <libsoup/soup.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+// Bytes to a caller that may stay unacknowledged before it counts as gone.
+constexpr Duration kCallerSilence = std::chrono::seconds(10);
+
+// Bytes that a caller may send ahead of the answer that it waits for.
+constexpr size_t kMaxReadAhead = size_t{64} << 10;
+
+std::string HeadText(const AnswerStart& start, bool chunked, bool last) {
+  std::string text = "HTTP/1.1 " + std::to_string(start.status) + " " +
+                     std::string(ReasonOf(start.status)) + "\r\n";
+  for (const HttpHeader& header : start.headers) {
+    text += header.name + ": " + header.value + "\r\n";
+  }
+  if (chunked) {
+    text += "Transfer-Encoding: chunked\r\n";
+  } else if (start.length) {
+    text += "Content-Length: " + std::to_string(*start.length) + "\r\n";
+  }
+  if (last) {
+    text += "Connection: close\r\n";
+  }
+  return text + "\r\n";
+}
+
+std::string Chunk(std::string_view bytes) {
+  std::array<char, 24> size;
+  const int length = std::snprintf(size.data(), size.size(), "%zx\r\n",
+                                   bytes.size());
+  std::string text(size.data(), static_cast<size_t>(length));
+  text += bytes;
+  return text + "\r\n";
+}
+
+bool HasBody(int status) {
+  return status != 204 && status != 304 && status / 100 != 1;
+}
+
+int StatusOf(Http1Failure failure) {
+  switch (failure) {
+    case Http1Failure::kHeadTooLarge:
+      return 431;
+    case Http1Failure::kBodyTooLarge:
+      return 413;
+    case Http1Failure::kNone:
+    case Http1Failure::kMalformed:
+      break;
+  }
+  return 400;
+}
+
+}  // namespace
+
+std::string_view ReasonOf(int status) {
+  const char* reason = soup_status_get_phrase(static_cast<guint>(status));
+  return reason == nullptr ? "Unknown" : reason;
+}
+
+// One caller's connection. It reads a request, waits for its answer, and reads
+// the next one.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+ public:
+  explicit CallerConnection(CallerServer* server)
+      : server(server),
+        parser(Http1Side::kRequests,
+               {.on_head =
+                    [this](const Http1Head& head) { this->OnHead(head); },
+                .on_body =
+                    [this](std::string_view bytes) {
+                      this->message.body += bytes;
+                    },
+                .on_end = [] {}}) {}
+
+  void Begin(ObjectPtr<GSocket> accepted) {
+    this->socket = StreamSocket::Adopt(
+        std::move(accepted), kCallerSilence,
+        {.on_bytes = [this](std::string_view bytes) { this->OnBytes(bytes); },
+         .on_drained =
+             [this] {
+               if (this->exchange && this->exchange->drained) {
+                 this->exchange->drained();
+               }
+             },
+         .on_end = [this](StreamEnd) { this->OnEnd(); }});
+    this->AwaitRequest();
+  }
+
+  // Ends the connection without an answer.
+  void Drop() {
+    this->socket->Reset();
+    this->OnEnd();
+  }
+
+ private:
+  friend class CallerExchange;
+  friend class CallerServer;
+
+  void AwaitRequest() {
+    this->exchange.reset();
+    this->message = {};
+    this->parser.Begin(
+        {.head = static_cast<uint32_t>(this->server->limits.head_bytes),
+         .body = static_cast<uint64_t>(this->server->limits.body_bytes)});
+    this->SetTimer(this->server->limits.idle_timeout, &CallerConnection::Leave);
+  }
+
+  void SetTimer(Duration delay, void (CallerConnection::*action)()) {
+    this->timer = Timer::After(delay, [this, action] {
+      const auto keep = this->shared_from_this();
+      (this->*action)();
+    });
+  }
+
+  // An idle connection is closed in order.
+  void Leave() {
+    this->socket->CloseAfterWrite();
+    this->OnEnd();
+  }
+
+  // A request that doesn't get on would hold memory for ever.
+  void RefuseSlow() { this->Refuse(408); }
+
+  void Refuse(int status) {
+    this->refused = true;
+    this->socket->Write(
+        HeadText({.status = status, .length = 0}, false, true));
+    this->Leave();
+  }
+
+  void OnHead(const Http1Head& head) {
+    this->message.head = head;
+    const auto expectation = FindHeader(head.headers, "Expect");
+    if (expectation && g_ascii_strcasecmp(expectation->c_str(),
+                                          "100-continue") == 0) {
+      this->socket->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+
+  void OnBytes(std::string_view bytes) {
+    const auto keep = this->shared_from_this();
+    const bool fresh = !this->exchange && !this->parser.Started();
+    this->parser.Feed(bytes);
+    if (this->exchange) {
+      if (this->parser.Unread() > kMaxReadAhead) {
+        this->socket->Pause();
+      }
+      return;
+    }
+    if (fresh) {
+      this->SetTimer(this->server->limits.head_timeout,
+                     &CallerConnection::RefuseSlow);
+    }
+    this->ReadOn();
+  }
+
+  void ReadOn() {
+    this->parser.Read();
+    if (this->parser.Failure() != Http1Failure::kNone) {
+      this->Refuse(StatusOf(this->parser.Failure()));
+    } else if (this->parser.Done()) {
+      this->timer.reset();
+      this->exchange = std::make_shared<CallerExchange>(
+          this->weak_from_this(), std::move(this->message));
+      this->server->handler(this->exchange);
+    } else if (this->parser.HeadRead()) {
+      // The body may take as long as a connection may stay idle.
+      this->SetTimer(this->server->limits.idle_timeout,
+                     &CallerConnection::RefuseSlow);
+    }
+  }
+
+  // The last byte of an answer was written.
+  void OnAnswered(bool last) {
+    if (last) {
+      this->Leave();
+      return;
+    }
+    this->AwaitRequest();
+    this->socket->Resume();
+    if (this->parser.Unread() > 0) {
+      this->ReadOn();
+    }
+  }
+
+  void OnEnd() {
+    const auto keep = this->shared_from_this();
+    this->timer.reset();
+    const CallerExchangePtr open = std::exchange(this->exchange, nullptr);
+    if (open && !open->over) {
+      open->over = true;
+      if (open->gone) {
+        open->gone();
+      }
+    }
+    this->server->connections.erase(keep);
+  }
+
+  bool IsLast() const {
+    return this->server->draining || !this->exchange->message.head.keep_alive;
+  }
+
+  CallerServer* server;
+  StreamSocketPtr socket;
+  Http1Parser parser;
+  CallerMessage message;
+  CallerExchangePtr exchange;
+  std::unique_ptr<Timer> timer;
+  bool refused = false;
+  bool last = false;
+};
+
+void CallerExchange::Answer(const AnswerStart& start, std::string_view body) {
+  AnswerStart whole = start;
+  if (HasBody(start.status)) {
+    whole.length = body.size();
+  }
+  this->Start(whole);
+  this->Send(body);
+  this->Finish();
+}
+
+void CallerExchange::Start(const AnswerStart& start) {
+  const auto to = this->connection.lock();
+  if (this->over || !to) {
+    return;
+  }
+  assert(!this->started && "an answer has one head");
+  this->started = true;
+  this->chunked = !start.length && HasBody(start.status);
+  this->missing = start.length.value_or(0);
+  to->last = to->IsLast();
+  to->socket->Write(HeadText(start, this->chunked, to->last));
+}
+
+void CallerExchange::Send(std::string_view bytes) {
+  const auto to = this->connection.lock();
+  if (this->over || !to || bytes.empty()) {
+    return;
+  }
+  if (this->chunked) {
+    to->socket->Write(Chunk(bytes));
+  } else {
+    assert(bytes.size() <= this->missing && "more than was declared");
+    this->missing -= bytes.size();
+    to->socket->Write(bytes);
+  }
+}
+
+void CallerExchange::Finish() {
+  const auto to = this->connection.lock();
+  if (this->over || !to) {
+    return;
+  }
+  if (!this->chunked && this->missing > 0) {
+    this->Break();
+    return;
+  }
+  this->over = true;
+  if (this->chunked) {
+    to->socket->Write("0\r\n\r\n");
+  }
+  to->OnAnswered(to->last);
+}
+
+void CallerExchange::Break() {
+  const auto to = this->connection.lock();
+  if (this->over || !to) {
+    return;
+  }
+  this->over = true;
+  // Without the end that chunks or a length promise, the caller sees that the
+  // answer was cut; what was sent before still arrives.
+  to->Leave();
+}
+
+size_t CallerExchange::Unsent() const {
+  const auto to = this->connection.lock();
+  return to ? to->socket->Unsent() : 0;
+}
+
+CallerServer::CallerServer(CallerHandler handler)
+    : handler(std::move(handler)) {}
+
+CallerServer::~CallerServer() {
+  for (const auto& connection : this->connections) {
+    connection->timer.reset();
+    connection->socket->Close();
+  }
+}
+
+Result<int> CallerServer::Listen(const SocketAddress& address) {
+  auto opened = Listener::Open(address, [this](ObjectPtr<GSocket> accepted) {
+    const auto connection = std::make_shared<CallerConnection>(this);
+    this->connections.insert(connection);
+    connection->Begin(std::move(accepted));
+  });
+  if (!opened) {
+    return tl::unexpected(opened.error());
+  }
+  this->listener = std::move(*opened);
+  return 0;
+}
+
+size_t CallerServer::Waiting() const {
+  return static_cast<size_t>(
+      std::ranges::count_if(this->connections, [](const auto& connection) {
+        return connection->exchange != nullptr;
+      }));
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/relay/endpoint_pool.cc
@@ -0,0 +1,338 @@
+#include "relay/endpoint_pool.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace hickorystand {
+namespace {
+
+// The seconds that a Keep-Alive header grants an idle connection.
+std::optional<Duration> IdleTimeout(const HttpHeaders& headers) {
+  const auto value = FindHeader(headers, "Keep-Alive");
+  const size_t at = value ? value->find("timeout=") : std::string::npos;
+  if (at == std::string::npos) {
+    return {};
+  }
+  int64_t seconds = 0;
+  const char* from = value->data() + at + std::string_view("timeout=").size();
+  const auto [end, error] =
+      std::from_chars(from, value->data() + value->size(), seconds);
+  if (error != std::errc() || seconds < 0) {
+    return {};
+  }
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+// One connection: opening, carrying an exchange, or idle.
+class EndpointConnection
+    : public std::enable_shared_from_this<EndpointConnection> {
+ public:
+  EndpointConnection(EndpointPool* pool, SocketAddress address)
+      : pool(pool),
+        address(std::move(address)),
+        parser(
+            Http1Side::kAnswers,
+            {.on_head = [this](const Http1Head& head) { this->OnHead(head); },
+             .on_body = [this](std::string_view bytes) { this->OnBody(bytes); },
+             .on_end = [] {}}) {}
+
+  void Open() {
+    const EndpointPoolOptions& options = this->pool->options;
+    this->timer = Timer::After(options.connect_limit, [this] {
+      this->Fail(HttpEnd::kNotSent);
+    });
+    this->socket = StreamSocket::Connect(
+        this->address, options.silence,
+        {.on_open = [this] { this->timer.reset(); },
+         .on_bytes = [this](std::string_view bytes) { this->OnBytes(bytes); },
+         .on_end = [this](StreamEnd end) { this->OnEnd(end); }});
+  }
+
+  void Carry(EndpointSend send, EndpointExchangePtr next) {
+    this->exchange = std::move(next);
+    this->exchange->connection = this->weak_from_this();
+    this->no_answer_body = send.no_answer_body;
+    this->sent_before = this->socket->AnySent();
+    this->StopIdleTimer();
+    this->BeginAnswer();
+    this->socket->Write(send.head);
+    if (send.body) {
+      this->socket->Write(*send.body);
+    }
+  }
+
+  // Ends the connection and tells its exchange how.
+  void Fail(HttpEnd end) {
+    const auto keep = this->shared_from_this();
+    this->timer.reset();
+    this->socket->Reset();
+    this->pool->OnClosed(keep);
+    this->Tell(end);
+  }
+
+  void Drop() {
+    const auto keep = this->shared_from_this();
+    this->timer.reset();
+    this->exchange.reset();
+    this->socket->Reset();
+    this->pool->OnClosed(keep);
+  }
+
+ private:
+  friend class EndpointExchange;
+  friend class EndpointPool;
+
+  void StopIdleTimer() {
+    if (this->socket->Open()) {
+      this->timer.reset();
+    }
+  }
+
+  void BeginAnswer() {
+    this->wanted = true;
+    this->parser.Begin({.head = 65536, .body = uint64_t{1} << 40},
+                       this->no_answer_body);
+  }
+
+  void OnHead(const Http1Head& head) {
+    this->head = head;
+    if (head.status / 100 == 1) {
+      this->wanted = false;
+      return;
+    }
+    this->wanted = this->exchange->events.on_head(head);
+    // What else comes out of order here can't be told apart from answers.
+    this->reusable = this->reusable && this->wanted;
+  }
+
+  void OnBody(std::string_view bytes) {
+    if (this->wanted && this->exchange) {
+      this->exchange->events.on_bytes(bytes);
+    }
+  }
+
+  void OnBytes(std::string_view bytes) {
+    const auto keep = this->shared_from_this();
+    if (!this->exchange) {
+      this->Drop();  // nobody asked: these bytes belong to no request
+      return;
+    }
+    this->parser.Feed(bytes);
+    this->ReadOn();
+  }
+
+  void ReadOn() {
+    while (this->exchange) {
+      this->parser.Read();
+      if (!this->exchange) {
+        return;  // cancelled from within
+      }
+      if (this->parser.Failure() != Http1Failure::kNone) {
+        this->Fail(HttpEnd::kProtocol);
+        return;
+      }
+      if (!this->parser.Done()) {
+        return;
+      }
+      if (this->wanted) {
+        this->OnWhole();
+        return;
+      }
+      this->BeginAnswer();
+    }
+  }
+
+  void OnWhole() {
+    const auto keep = this->shared_from_this();
+    // An endpoint may answer before it has read a long body, and would take
+    // the next request's bytes for the rest of it.
+    const bool reuse = this->reusable && this->head.keep_alive &&
+                       this->parser.Unread() == 0 &&
+                       this->socket->Unsent() == 0 && this->socket->Open();
+    const EndpointExchangePtr ended = std::exchange(this->exchange, nullptr);
+    ended->over = true;
+    if (reuse) {
+      this->StayIdle();
+    } else {
+      this->Drop();
+    }
+    ended->events.on_end(HttpEnd::kWhole);
+  }
+
+  void StayIdle() {
+    const EndpointPoolOptions& options = this->pool->options;
+    this->idle_limit =
+        IdleTimeout(this->head.headers).value_or(options.default_idle) -
+        options.idle_margin;
+    if (this->idle_limit <= Duration{}) {
+      this->Drop();
+      return;
+    }
+    this->idle_since = this->pool->clock->Now();
+    this->timer = Timer::After(this->idle_limit, [this] { this->Drop(); });
+    this->socket->Resume();
+    this->pool->OnIdle(this->shared_from_this());
+  }
+
+  void OnEnd(StreamEnd end) {
+    const auto keep = this->shared_from_this();
+    if (!this->exchange) {
+      this->Drop();
+      return;
+    }
+    if (end == StreamEnd::kRefused) {
+      this->Fail(HttpEnd::kNotSent);
+      return;
+    }
+    // A body without a length ends with its connection, but not by a reset.
+    if (end == StreamEnd::kClosed && this->wanted && this->parser.Finish()) {
+      this->OnWhole();
+      return;
+    }
+    this->Fail(HttpEnd::kReset);
+  }
+
+  void Tell(HttpEnd end) {
+    const EndpointExchangePtr ended = std::exchange(this->exchange, nullptr);
+    if (ended && !ended->over) {
+      ended->over = true;
+      ended->events.on_end(end);
+    }
+  }
+
+  EndpointPool* pool;
+  SocketAddress address;
+  StreamSocketPtr socket;
+  Http1Parser parser;
+  Http1Head head;
+  EndpointExchangePtr exchange;
+  std::unique_ptr<Timer> timer;
+  Instant idle_since{};
+  Duration idle_limit{};
+  bool sent_before = false;
+  bool no_answer_body = false;
+  bool wanted = true;
+  bool reusable = true;
+};
+
+void EndpointExchange::Cancel() {
+  const auto on = this->connection.lock();
+  if (std::exchange(this->over, true) || !on) {
+    return;
+  }
+  on->Drop();
+}
+
+void EndpointExchange::Pause() {
+  if (const auto on = this->connection.lock(); on && !this->over) {
+    on->socket->Pause();
+  }
+}
+
+void EndpointExchange::Resume() {
+  if (const auto on = this->connection.lock(); on && !this->over) {
+    on->socket->Resume();
+  }
+}
+
+bool EndpointExchange::MayHaveSent() const {
+  const auto on = this->connection.lock();
+  return !on || on->sent_before || on->socket->AnySent();
+}
+
+EndpointPool::EndpointPool(const Clock& clock, EndpointPoolOptions options)
+    : clock(&clock), options(options) {}
+
+EndpointPool::~EndpointPool() {
+  for (auto& [address, lane] : this->lanes) {
+    const Lane open = std::exchange(lane, {});
+    for (const auto& connection : open.busy) {
+      connection->Drop();
+    }
+    for (const auto& connection : open.idle) {
+      connection->Drop();
+    }
+  }
+}
+
+EndpointExchangePtr EndpointPool::Send(EndpointSend send,
+                                       EndpointEvents events) {
+  auto exchange = std::make_shared<EndpointExchange>();
+  exchange->events = std::move(events);
+  Lane& lane = this->lanes[send.address];
+  auto connection = this->TakeIdle(lane, send.once);
+  if (!connection) {
+    connection = std::make_shared<EndpointConnection>(this, send.address);
+    connection->Open();
+    ++this->opened;
+  }
+  lane.busy.push_back(connection);
+  connection->Carry(std::move(send), exchange);
+  return exchange;
+}
+
+std::shared_ptr<EndpointConnection> EndpointPool::TakeIdle(Lane& lane,
+                                                           bool once) {
+  // The one used last is the least likely to be closed just now.
+  if (lane.idle.empty()) {
+    return {};
+  }
+  const auto connection = lane.idle.back();
+  const Duration rested = this->clock->Now() - connection->idle_since;
+  const Duration allowed =
+      once ? FromSeconds(ToSeconds(connection->idle_limit) *
+                         this->options.once_idle_share)
+           : connection->idle_limit;
+  if (rested >= allowed || !connection->socket->Open()) {
+    return {};
+  }
+  lane.idle.pop_back();
+  return connection;
+}
+
+void EndpointPool::SetLimit(const SocketAddress& address, size_t limit) {
+  this->lanes[address].limit = std::max<size_t>(limit, 1);
+}
+
+bool EndpointPool::Full(const SocketAddress& address) const {
+  const auto found = this->lanes.find(address);
+  return found != this->lanes.end() &&
+         found->second.busy.size() >= found->second.limit;
+}
+
+void EndpointPool::Forget(const SocketAddress& address) {
+  const auto found = this->lanes.find(address);
+  if (found == this->lanes.end()) {
+    return;
+  }
+  for (const auto& connection : std::exchange(found->second.idle, {})) {
+    connection->Drop();
+  }
+}
+
+size_t EndpointPool::Connections() const {
+  size_t count = 0;
+  for (const auto& [address, lane] : this->lanes) {
+    count += lane.idle.size() + lane.busy.size();
+  }
+  return count;
+}
+
+void EndpointPool::OnIdle(
+    const std::shared_ptr<EndpointConnection>& connection) {
+  Lane& lane = this->lanes[connection->address];
+  lane.busy.remove(connection);
+  lane.idle.push_back(connection);
+}
+
+void EndpointPool::OnClosed(
+    const std::shared_ptr<EndpointConnection>& connection) {
+  Lane& lane = this->lanes[connection->address];
+  lane.busy.remove(connection);
+  lane.idle.remove(connection);
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/relay/fleet_configuration.cc
@@ -0,0 +1,51 @@
+#include "relay/fleet_configuration.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+#include <numeric>
+
+namespace hickorystand {
+
+const Route* FleetConfiguration::FindRoute(std::string_view host,
+                                           std::string_view path) const {
+  const Route* best = nullptr;
+  for (const Route& route : this->routes) {
+    if (route.host == host && path.starts_with(route.path_prefix) &&
+        (best == nullptr ||
+         route.path_prefix.size() > best->path_prefix.size())) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+const RelayAccount* FleetConfiguration::FindAccount(
+    std::string_view key) const {
+  const auto found = this->accounts_by_key.find(key);
+  return found == this->accounts_by_key.end() ? nullptr : &found->second;
+}
+
+const ServiceId& PickService(const Route& route, const RequestId& request) {
+  assert(!route.targets.empty() && "a route leads somewhere");
+  const int64_t total = std::accumulate(
+      route.targets.begin(), route.targets.end(), int64_t{0},
+      [](int64_t sum, const RouteTarget& target) {
+        return sum + target.weight;
+      });
+  if (total <= 0) {
+    return route.targets.front().service;
+  }
+  const std::string& id = request.Text();
+  int64_t place = static_cast<int64_t>(XXH3_64bits(id.data(), id.size()) %
+                                       static_cast<uint64_t>(total));
+  const auto chosen = std::ranges::find_if(
+      route.targets, [&place](const RouteTarget& target) {
+        place -= target.weight;
+        return place < 0;
+      });
+  return chosen->service;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/relay/fleet_relay.cc
@@ -0,0 +1,128 @@
+#include "relay/fleet_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "relay/relayed_request.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "relay";
+
+// Lines about requests at once and a second. A host of today takes about 12
+// requests a second with three lines each; a flood of refusals beyond that
+// must not cost the time that serving needs.
+constexpr int kLogBurst = 600;
+constexpr Duration kLogInterval = std::chrono::milliseconds(5);
+
+// Requests that ran while this many endpoints crashed are run no more.
+constexpr int64_t kCondemnedAfter = 3;
+
+}  // namespace
+
+FleetRelay::FleetRelay(RelaySettings settings,
+             const Clock& clock,
+             const MessageCodec& codec,
+             Metrics& metrics,
+             RelayHooks hooks)
+    : settings(std::move(settings)),
+      clock(&clock),
+      codec(&codec),
+      metrics(&metrics),
+      hooks(std::move(hooks)),
+      server([this](const CallerExchangePtr& exchange) {
+        this->OnRequest(exchange);
+      }),
+      pool(clock),
+      placement(this->settings.placement),
+      budget(this->settings.budget),
+      suspects({.condemned_after = kCondemnedAfter,
+                .memory = std::chrono::minutes(2)}),
+      log_limiter(kLogBurst, kLogInterval) {}
+
+FleetRelay::~FleetRelay() {
+  for (const auto& request : std::exchange(this->requests, {})) {
+    request->Abandon();
+  }
+}
+
+Result<int> FleetRelay::Listen(const SocketAddress& address) {
+  return this->server.Listen(address);
+}
+
+void FleetRelay::SetConfiguration(FleetConfigurationPtr changed) {
+  // A store that was cut off may tell an old version; going back would undo
+  // what callers have seen in force.
+  if (this->configuration &&
+      changed->version <= this->configuration->version) {
+    return;
+  }
+  this->configuration = std::move(changed);
+  this->server.SetLimits(this->configuration->limits);
+  LogInfo(kPart, "Configuration in force.",
+          {{"version", std::to_string(this->configuration->version)},
+           {"routes", std::to_string(this->configuration->routes.size())},
+           {"keys",
+            std::to_string(this->configuration->accounts_by_key.size())}});
+}
+
+void FleetRelay::SetEndpoints(const FleetEndpoints& listed) {
+  for (const auto& [id, endpoint] : this->endpoints) {
+    const auto found = listed.find(id);
+    if (found == listed.end() || found->second.run != endpoint.run) {
+      this->pool.Forget(endpoint.address);
+      LogInfo(kPart, "Endpoint gone.", {{"endpoint", id.Text()}});
+    } else if (found->second.leaving && !endpoint.leaving) {
+      LogInfo(kPart, "Endpoint is leaving.", {{"endpoint", id.Text()}});
+    }
+  }
+  this->endpoints = listed;
+  this->placement.SetEndpoints(listed);
+  if (!this->configuration) {
+    return;
+  }
+  for (const auto& [id, endpoint] : listed) {
+    const auto service = this->configuration->services.find(endpoint.service);
+    if (service != this->configuration->services.end() &&
+        service->second.max_connections > 0) {
+      this->pool.SetLimit(endpoint.address,
+                          static_cast<size_t>(service->second.max_connections /
+                                              this->settings.hosts_at_most));
+    }
+  }
+}
+
+void FleetRelay::ProveFresh(Instant at) {
+  this->proven = std::max(this->proven, at);
+}
+
+bool FleetRelay::Ready() const {
+  return this->configuration != nullptr && !this->endpoints.empty();
+}
+
+bool FleetRelay::KeysProven() const {
+  return this->proven != Instant{} &&
+         this->clock->Now() - this->proven < this->settings.key_proof_limit;
+}
+
+void FleetRelay::OnRequest(const CallerExchangePtr& exchange) {
+  const auto request = std::make_shared<RelayedRequest>(this, exchange);
+  this->requests.insert(request);
+  request->Begin();
+}
+
+void FleetRelay::Log(LogLevel level,
+                const RequestId& request,
+                std::string_view sentence,
+                std::initializer_list<LogField> fields) {
+  if (!this->log_limiter.Allow(this->clock->Now())) {
+    this->metrics->Add("log_lines_dropped_total", 1);
+    return;
+  }
+  std::vector<LogField> all{{"request", request.Text()}};
+  all.insert(all.end(), fields.begin(), fields.end());
+  LogLineWith(level, kPart, sentence, all);
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/relay/fleet_relay.h
@@ -0,0 +1,130 @@
+// The relay: takes callers' requests, decides where each runs, forwards it, and
+// passes the answer on. One relay serves a whole host, on one task.
+//
+//   FleetRelay relay(settings, clock, codec, metrics);
+//   relay.SetConfiguration(configuration);      // whenever a newer one is read
+//   relay.SetEndpoints(endpoints);              // whenever they are listed
+//   relay.ProveFresh(asked_at);                 // whenever the store answered
+//   relay.Listen(address);
+//
+// Index
+//   RelaySettings   how it behaves
+//   RelayHooks      what it tells its owner
+//   FleetRelay           the relay
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "decisions/fleet_placement.h"
+#include "decisions/suspects.h"
+#include "decisions/window_budget.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "relay/caller_server.h"
+#include "relay/endpoint_pool.h"
+#include "relay/fleet_configuration.h"
+#include "relay/message_codec.h"
+
+namespace hickorystand {
+
+// How a relay behaves.
+struct RelaySettings {
+  PlacementOptions placement;
+  WindowBudgetOptions budget;
+  // How old the proof that the configuration is the newest may be when a key
+  // is used. Beyond it the key may have been withdrawn.
+  Duration key_proof_limit = std::chrono::milliseconds(4200);
+  // Hosts that share the connections that an endpoint takes.
+  int64_t hosts_at_most = 16;
+  // A first byte that takes longer than this many times the route's target,
+  // and than the floor, is taken for a hung endpoint; what may run again then
+  // goes elsewhere.
+  double stall_factor = 2.5;
+  Duration stall_floor = std::chrono::milliseconds(900);
+  // The longest wait for the first byte that callers of streams put up with.
+  Duration first_byte_patience = std::chrono::milliseconds(2000);
+  // A prompt this long is worth reading at one engine for another.
+  int64_t split_from_tokens = 600;
+};
+
+// What a relay tells its owner.
+struct RelayHooks {
+  // A request of an account began to run at an endpoint.
+  std::function<void(const AccountId&)> on_begun;
+};
+
+class RelayedRequest;
+
+class FleetRelay {
+ public:
+  FleetRelay(RelaySettings settings,
+        const Clock& clock,
+        const MessageCodec& codec,
+        Metrics& metrics,
+        RelayHooks hooks);
+  ~FleetRelay();
+  FleetRelay(const FleetRelay&) = delete;
+  FleetRelay& operator=(const FleetRelay&) = delete;
+
+  // Accepts callers.
+  Result<int> Listen(const SocketAddress& address);
+
+  // A configuration; one that is older than the one in force is ignored.
+  void SetConfiguration(FleetConfigurationPtr configuration);
+
+  // All endpoints there are.
+  void SetEndpoints(const FleetEndpoints& endpoints);
+
+  // The configuration in force was the newest at that moment.
+  void ProveFresh(Instant at);
+
+  // Each answer is the last of its connection from now on.
+  void StartDrain() { this->server.StartDrain(); }
+
+  // Whether requests can be served: a configuration and endpoints are known.
+  bool Ready() const;
+
+  size_t Waiting() const { return this->server.Waiting(); }
+  const FleetConfigurationPtr& Configuration() const {
+    return this->configuration;
+  }
+  FleetPlacement& Placement() { return this->placement; }
+  Suspects& SuspectList() { return this->suspects; }
+  WindowBudget& Budget() { return this->budget; }
+
+ private:
+  friend class RelayedRequest;
+
+  void OnRequest(const CallerExchangePtr& exchange);
+
+  // Whether a key may be used now, by the age of the proof.
+  bool KeysProven() const;
+
+  // Line of a decision that touches a request, bounded in number.
+  void Log(LogLevel level,
+           const RequestId& request,
+           std::string_view sentence,
+           std::initializer_list<LogField> fields);
+
+  RelaySettings settings;
+  const Clock* clock;
+  const MessageCodec* codec;
+  Metrics* metrics;
+  RelayHooks hooks;
+  CallerServer server;
+  EndpointPool pool;
+  FleetPlacement placement;
+  WindowBudget budget;
+  Suspects suspects;
+  LogLimiter log_limiter;
+  FleetConfigurationPtr configuration;
+  FleetEndpoints endpoints;
+  Instant proven{};
+  std::set<std::shared_ptr<RelayedRequest>> requests;
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/relay/fleet_source.h
@@ -0,0 +1,90 @@
+// Reads the configuration and the list of endpoints from the platform's
+// key-value service, again and again, and says how fresh they are.
+//
+// Polls are linearizable reads of one record and of one prefix. A watch was
+// weighed: on the endpoints' prefix it wakes with every heartbeat, about 17
+// times a second on a fleet of 21 endpoints, against one read a second here.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "kernel/task.h"
+#include "platform/key_value_store.h"
+#include "relay/fleet_records.h"
+
+namespace hickorystand {
+
+// How often is read, and what holds after an outage.
+struct FleetSourceOptions {
+  // A withdrawn key, a new route and a leaving endpoint are known this much
+  // later at most; the tightest bound on them is 2 s.
+  Duration poll = std::chrono::milliseconds(1000);
+  // The first reads come faster: until they are answered nothing is served.
+  Duration first_poll = std::chrono::milliseconds(250);
+  // Reads of one kind under way at once. While the service is slow, the next
+  // read is asked before the last one is answered.
+  int64_t most_under_way = 3;
+  // Entries that lapsed while the service was away are back within this time
+  // after its return; what is missing after that is gone.
+  Duration return_grace = std::chrono::milliseconds(2200);
+  // Without an answer for this long, the service counts as having been away.
+  Duration away_after = std::chrono::milliseconds(1900);
+};
+
+// Whom the source tells.
+struct FleetSourceHandlers {
+  std::function<void(FleetConfigurationPtr)> on_configuration;
+  std::function<void(const FleetEndpoints&)> on_endpoints;
+  // The configuration told last was the newest at that moment.
+  std::function<void(Instant)> on_fresh;
+};
+
+class FleetSource {
+ public:
+  FleetSource(FleetSourceOptions options,
+              const Clock& clock,
+              KeyValueStore& store,
+              const FleetRecords& records,
+              FleetSourceHandlers handlers);
+
+  // Starts to read.
+  void Start();
+
+ private:
+  void Tick();
+  void AskConfiguration(Instant now);
+  void AskEndpoints(Instant now);
+  void TakeConfiguration(Instant asked, const StoreReply& reply);
+  void TakeEndpoints(Instant asked, const StoreReply& reply);
+  void NoteReachable(bool reachable);
+  FleetEndpoints Judge(Instant now, const FleetEndpoints& listed);
+
+  // One kind of read.
+  struct Polling {
+    Instant next{};
+    int64_t under_way = 0;
+    int64_t revision = -1;  // of the newest answer that was taken
+  };
+
+  FleetSourceOptions options;
+  const Clock* clock;
+  KeyValueStore* store;
+  const FleetRecords* records;
+  FleetSourceHandlers handlers;
+  Polling configuration;
+  Polling list;
+  int64_t record_revision = 0;  // of the configuration record last read
+  std::optional<Instant> last_list;
+  Instant grace_until{};
+  FleetEndpoints endpoints;
+  std::set<EndpointRun> leaving;  // runs that said they leave, or were told to
+  bool reachable = false;
+  std::unique_ptr<Timer> timer;
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/relay/package.cmake
@@ -0,0 +1,1 @@
+add_package(relay hs_decisions hs_http hs_platform)
--- /dev/null
+++ b/packages/relay/relayed_request.cc
@@ -0,0 +1,669 @@
+#include "relay/relayed_request.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <numeric>
+#include <utility>
+
+#include "kernel/json.h"
+
+namespace hickorystand {
+namespace {
+
+// An answer up to this size is held until it is whole, so that one that turns
+// out broken can be asked for again. Longer ones are passed on as they come.
+constexpr size_t kHeldAnswer = size_t{256} << 10;
+
+// Bytes that a slow caller may leave unread before its endpoint has to wait.
+constexpr size_t kUnsentLimit = size_t{256} << 10;
+
+// A rest of time too short for a send to be worth it.
+constexpr Duration kLeastLeft = std::chrono::milliseconds(60);
+
+// Time that the endpoint is given less than the caller has, for the way back.
+constexpr Duration kWayBack = std::chrono::milliseconds(5);
+
+// Callers come back within a third of the time they have left, or not at all.
+constexpr double kReturnShare = 0.33;
+constexpr Duration kLeastReturn = std::chrono::milliseconds(100);
+
+std::string SecondsText(Duration length) {
+  std::array<char, 32> text;
+  const int size = std::snprintf(text.data(), text.size(), "%.3f",
+                                 std::max(ToSeconds(length), 0.0));
+  return {text.data(), static_cast<size_t>(size)};
+}
+
+std::string MillisecondsText(Duration length) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
+}
+
+uint64_t Hash(std::string_view text, uint64_t seed = 0) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+std::string PathOf(const std::string& target) {
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
+RelayedRequest::RelayedRequest(FleetRelay* relay, CallerExchangePtr caller)
+    : relay(relay), caller(std::move(caller)) {}
+
+RelayedRequest::~RelayedRequest() = default;
+
+void RelayedRequest::Begin() {
+  this->arrived = this->relay->clock->Now();
+  this->caller->OnGone([this] { this->OnCallerGone(); });
+  if (const auto error = this->Admit()) {
+    this->AnswerError(error->kind, error->message, error->retry_after);
+    return;
+  }
+  this->relay->budget.OnRequest(this->arrived, this->service);
+  this->deadline_timer = Timer::After(this->deadline - this->arrived,
+                                      [this] { this->OnDeadline(); });
+  if (this->relay->suspects.IsCondemned(this->arrived, this->fingerprint)) {
+    this->RefuseNotRun("endpoints crash when they run it",
+                       this->relay->settings.placement.eject_at_most);
+    return;
+  }
+  this->Place();
+}
+
+std::optional<Error> RelayedRequest::Admit() {
+  const CallerMessage& message = this->caller->Message();
+  this->configuration = this->relay->configuration;
+  auto read = this->relay->codec->ReadRequest(message.head.headers);
+  if (!read) {
+    return read.error();
+  }
+  this->request = std::move(*read);
+  if (!this->configuration) {
+    return Error{ErrorKind::kNoEndpoint, "no configuration yet",
+                 std::chrono::milliseconds(300)};
+  }
+  const auto host = FindHeader(message.head.headers, "Host");
+  this->route = this->configuration->FindRoute(host.value_or(""),
+                                               PathOf(message.head.target));
+  if (this->route == nullptr) {
+    return Error{ErrorKind::kNotFound, "no route", {}};
+  }
+  this->service = PickService(*this->route, this->request.id);
+  this->priority = this->route->priority;
+  if (auto error = this->CheckKey()) {
+    return error;
+  }
+  const Duration patience =
+      std::min(this->request.patience.value_or(this->route->timeout),
+               this->route->timeout);
+  this->deadline = this->arrived + patience;
+  const auto found = this->configuration->services.find(this->service);
+  this->shape = {.service = this->service,
+                 .engine = found != this->configuration->services.end() &&
+                           found->second.engine.has_value(),
+                 .prompt_tokens = this->request.prompt_tokens,
+                 .patience = patience};
+  if (IsStream(this->route->kind)) {
+    this->shape.patience =
+        std::min(patience, this->relay->settings.first_byte_patience);
+  }
+  for (const PromptPart& part : this->request.parts) {
+    this->shape.parts.push_back({.part = Hash(part.id), .tokens = part.tokens});
+  }
+  this->body = std::make_shared<const std::string>(message.body);
+  this->fingerprint =
+      Hash(message.body, Hash(message.head.target, Hash(account.Text())));
+  return {};
+}
+
+std::optional<Error> RelayedRequest::CheckKey() {
+  if (this->route->keyless || !this->configuration->keys_required) {
+    return {};
+  }
+  const RelayAccount* holder =
+      this->request.key ? this->configuration->FindAccount(*this->request.key)
+                        : nullptr;
+  if (!this->relay->KeysProven()) {
+    return Error{ErrorKind::kPlatformDown,
+                 "the configuration may be outdated, so no key can be trusted",
+                 std::chrono::milliseconds(700)};
+  }
+  if (holder == nullptr) {
+    return Error{ErrorKind::kBadKey, "unknown key", {}};
+  }
+  this->account = holder->id;
+  if (holder->priority) {
+    this->priority = holder->priority;
+  }
+  return {};
+}
+
+Duration RelayedRequest::Left() const {
+  return this->deadline - this->relay->clock->Now();
+}
+
+void RelayedRequest::Place() {
+  const Instant now = this->relay->clock->Now();
+  WorkShape left = this->shape;
+  left.patience = std::min(left.patience, this->Left());
+  const Verdict verdict = this->relay->placement.Place(now, left, this->tried);
+  if (const auto* refused = std::get_if<Refused>(&verdict)) {
+    if (this->StreamBegun()) {
+      this->BreakOff(refused->reason);
+    } else if (this->may_have_run) {
+      this->AnswerError(ErrorKind::kEndpointFailed, refused->reason);
+    } else {
+      this->RefuseNotRun(refused->reason, refused->retry_after);
+    }
+    return;
+  }
+  const Placed& placed = std::get<Placed>(verdict);
+  if (placed.reader &&
+      this->request.prompt_tokens >= this->relay->settings.split_from_tokens) {
+    this->SendReading(placed);
+  } else {
+    this->SendRun(placed.endpoint, placed.new_tokens, "");
+  }
+}
+
+// Whether the request may go to a further endpoint, which is charged.
+bool RelayedRequest::MaySendAgain() {
+  return this->runs_sent < this->route->max_attempts &&
+         this->Left() > kLeastLeft &&
+         this->relay->budget.Take(this->relay->clock->Now(), this->service);
+}
+
+std::string RelayedRequest::HeadFor(const EndpointCall& call) const {
+  const Http1Head& head = this->caller->Message().head;
+  HttpHeaders headers = this->relay->codec->PassOn(head.headers);
+  this->relay->codec->WriteCall(call, headers);
+  std::string text = head.method + " " + head.target + " HTTP/1.1\r\n";
+  for (const HttpHeader& header : headers) {
+    text += header.name + ": " + header.value + "\r\n";
+  }
+  if (!this->body->empty() || head.method == "POST" || head.method == "PUT") {
+    text += "Content-Length: " + std::to_string(this->body->size()) + "\r\n";
+  }
+  return text + "\r\n";
+}
+
+void RelayedRequest::SendReading(const Placed& placed) {
+  this->Send({.endpoint = this->relay->endpoints.at(*placed.reader),
+              .reading = true},
+             {.account = this->account,
+              .priority = this->priority,
+              .read_prompt_only = true},
+             placed.new_tokens);
+}
+
+void RelayedRequest::SendRun(const EndpointId& endpoint,
+                             int64_t new_tokens,
+                             const std::string& fetch_from) {
+  ++this->runs_sent;
+  ++this->arrivals;
+  this->Send({.endpoint = this->relay->endpoints.at(endpoint)},
+             {.account = this->account,
+              .priority = this->priority,
+              .resume_after = this->cutter.LastId(),
+              .fetch_from = fetch_from},
+             new_tokens);
+}
+
+void RelayedRequest::Send(Attempt next,
+                          const EndpointCall& call,
+                          int64_t new_tokens) {
+  const Instant now = this->relay->clock->Now();
+  // The key may have been withdrawn while the request waited.
+  if (!this->account.Empty() && !this->relay->KeysProven()) {
+    this->DropHandle();
+    if (this->StreamBegun()) {
+      this->BreakOff("the configuration may be outdated");
+    } else {
+      this->RefuseNotRun("the configuration may be outdated",
+                         std::chrono::milliseconds(700));
+    }
+    return;
+  }
+  EndpointCall whole = call;
+  whole.endpoint = next.endpoint.run.id;
+  whole.patience = std::max(this->Left() - kWayBack, Duration{});
+  next.sent = now;
+  next.work = this->relay->placement.OnSent(now, next.endpoint.run.id,
+                                            this->shape, new_tokens);
+  this->attempt = std::move(next);
+  const auto self = this->weak_from_this();
+  this->relay->Log(
+      LogLevel::kInfo, this->request.id, "Sent.",
+      {{"endpoint", whole.endpoint.Text()},
+       {"step", whole.read_prompt_only ? "read" : "run"},
+       {"new_tokens", std::to_string(new_tokens)},
+       {"left_ms", MillisecondsText(*whole.patience)},
+       {"configuration", std::to_string(this->configuration->version)}});
+  this->attempt->exchange = this->relay->pool.Send(
+      {.address = this->attempt->endpoint.address,
+       .head = this->HeadFor(whole),
+       .body = this->body,
+       .no_answer_body = this->caller->Message().head.method == "HEAD",
+       .once = !MayRunAgain(this->route->kind) && !whole.read_prompt_only},
+      {.on_head =
+           [this](const Http1Head& head) { return this->OnHead(head); },
+       .on_bytes = [this](std::string_view bytes) { this->OnBytes(bytes); },
+       .on_end = [this](HttpEnd end) { this->OnEnd(end); }});
+  this->ArmStall();
+}
+
+bool RelayedRequest::OnHead(const Http1Head& head) {
+  Attempt& at = *this->attempt;
+  at.answer = this->relay->codec->ReadAnswer(head.status, head.headers);
+  if (at.answer.id && *at.answer.id != this->request.id) {
+    this->relay->Log(LogLevel::kWarning, this->request.id,
+                     "Dropped an answer to another request.",
+                     {{"endpoint", at.endpoint.run.id.Text()}});
+    return false;
+  }
+  at.foreign = !at.answer.id;
+  at.status = head.status;
+  at.headers = head.headers;
+  return true;
+}
+
+// Whether an attempt's answer so far is the endpoint's own success.
+void RelayedRequest::OnBytes(std::string_view bytes) {
+  const auto keep = this->shared_from_this();
+  Attempt& at = *this->attempt;
+  const bool good = at.status / 100 == 2 && at.answer.sealed &&
+                    !at.answer.encoded && !at.foreign && !at.reading;
+  if (good && IsStream(this->route->kind)) {
+    this->PassOn(this->cutter.Feed(bytes));
+    return;
+  }
+  if (at.passing) {
+    this->caller->Send(bytes);
+    return;
+  }
+  at.body += bytes;
+  if (at.body.size() <= kHeldAnswer) {
+    return;
+  }
+  if (!good) {
+    at.body.resize(kHeldAnswer);  // is not passed on as it is anyway
+    return;
+  }
+  at.passing = true;
+  this->NoteBegun();
+  this->StartAnswer({});
+  this->caller->Send(at.body);
+  at.body.clear();
+}
+
+void RelayedRequest::PassOn(std::string_view events) {
+  if (events.empty()) {
+    return;
+  }
+  this->NoteFirstByte();
+  this->NoteBegun();
+  if (!this->StreamBegun()) {
+    this->StartAnswer({});
+  }
+  this->caller->Send(events);
+  if (this->caller->Unsent() > kUnsentLimit) {
+    this->attempt->exchange->Pause();
+    this->caller->OnDrained([this] {
+      if (this->attempt) {
+        this->attempt->exchange->Resume();
+      }
+    });
+  }
+}
+
+void RelayedRequest::NoteFirstByte() {
+  Attempt& at = *this->attempt;
+  if (std::exchange(at.first_byte, true)) {
+    return;
+  }
+  this->stall_timer.reset();
+  const Instant now = this->relay->clock->Now();
+  this->relay->placement.OnPromptRead(now, at.work);
+  this->relay->metrics->Observe(
+      "first_byte_seconds", ToSeconds(now - this->arrived),
+      {{"service", this->service.Text()}});
+}
+
+void RelayedRequest::NoteBegun() {
+  if (!std::exchange(this->begun, true) && !this->account.Empty()) {
+    this->relay->hooks.on_begun(this->account);
+  }
+}
+
+void RelayedRequest::StartAnswer(std::optional<uint64_t> length) {
+  HttpHeaders headers = ForwardableHeaders(this->attempt->headers);
+  std::erase_if(headers, [](const HttpHeader& header) {
+    return g_ascii_strcasecmp(header.name.c_str(), "Content-Length") == 0;
+  });
+  this->caller->Start({.status = this->attempt->status,
+                       .headers = std::move(headers),
+                       .length = length});
+}
+
+void RelayedRequest::OnEnd(HttpEnd end) {
+  const auto keep = this->shared_from_this();
+  this->stall_timer.reset();
+  if (this->attempt->reading) {
+    this->OnRead(end);
+    return;
+  }
+  const Fate fate = this->JudgeEnd(end);
+  const Instant now = this->relay->clock->Now();
+  Attempt& at = *this->attempt;
+  this->relay->placement.OnEnded(now, at.work);
+  this->relay->placement.OnOutcome(now, at.endpoint.run.id,
+                                   fate == Fate::kDone);
+  this->handle.clear();
+  if (fate == Fate::kDone) {
+    this->relay->suspects.OnAnswered(this->fingerprint);
+    this->Over(std::to_string(at.status));
+    return;
+  }
+  if (fate == Fate::kMayHaveRun && end == HttpEnd::kReset) {
+    this->relay->suspects.OnCrash(now, at.endpoint.zone, {this->fingerprint});
+  }
+  this->AfterFailure(fate, fate == Fate::kNotRun ? "not run at the endpoint"
+                                                 : "broken at the endpoint");
+}
+
+RelayedRequest::Fate RelayedRequest::JudgeEnd(HttpEnd end) {
+  if (end == HttpEnd::kNotSent) {
+    return Fate::kNotRun;
+  }
+  if (end != HttpEnd::kWhole) {
+    return Fate::kMayHaveRun;
+  }
+  return this->JudgeWhole();
+}
+
+// Judges an answer that ended in order, and passes it on if it is one.
+RelayedRequest::Fate RelayedRequest::JudgeWhole() {
+  Attempt& at = *this->attempt;
+  if (at.answer.not_run) {
+    return Fate::kNotRun;
+  }
+  const bool ours = at.answer.sealed && !at.answer.encoded && !at.foreign;
+  const bool promise = at.status == 429 || at.status == 503 ||
+                       at.status == 408 || at.status == 421;
+  // Without the proof that the endpoint wrote it, nothing of it is an answer;
+  // and a status that promises "not run" may only be passed on when it is so.
+  if (!ours || promise) {
+    return Fate::kMayHaveRun;
+  }
+  if (this->StreamBegun()) {
+    if (at.status / 100 != 2) {
+      return Fate::kMayHaveRun;  // of a resumed run; can't be told any more
+    }
+    if (this->cutter.HoldsRest()) {
+      this->caller->Send(this->cutter.TakeRest());
+    }
+    this->caller->Finish();
+    return Fate::kDone;
+  }
+  if (at.status / 100 == 5 && MayRunAgain(this->route->kind) &&
+      this->MaySendAgain()) {
+    // Goes on in AfterFailure, which must not charge the budget again.
+    this->NoteBegun();
+    this->tried.insert(at.endpoint.run.id);
+    this->relay->placement.OnEnded(this->relay->clock->Now(), at.work);
+    const auto self = this->weak_from_this();
+    this->retry_charged = true;
+    return Fate::kMayHaveRun;
+  }
+  this->NoteBegun();
+  const std::string rest = this->cutter.TakeRest();
+  const std::string& whole = rest.empty() ? at.body : rest;
+  this->StartAnswer(whole.size());
+  this->caller->Send(whole);
+  this->caller->Finish();
+  if (!this->shape.engine) {
+    this->relay->placement.OnPlainTime(this->service,
+                                       this->relay->clock->Now() - at.sent);
+  }
+  return Fate::kDone;
+}
+
+// A reading call has ended.
+void RelayedRequest::OnRead(HttpEnd end) {
+  const Instant now = this->relay->clock->Now();
+  const Attempt at = std::move(*this->attempt);
+  this->attempt.reset();
+  this->relay->placement.OnEnded(now, at.work);
+  const bool whole = end == HttpEnd::kWhole && at.status == 200;
+  auto read = whole ? this->relay->codec->ReadPromptHandle(at.body)
+                    : Result<PromptHandle>(Fail(ErrorKind::kEndpointFailed,
+                                                "the prompt was not read"));
+  this->relay->placement.OnOutcome(now, at.endpoint.run.id, read.has_value());
+  if (read) {
+    this->handle = read->handle;
+    this->handle_at = at.endpoint.address;
+    this->OnPromptHandle(*read);
+    return;
+  }
+  this->relay->Log(LogLevel::kInfo, this->request.id, "Prompt not read.",
+                   {{"endpoint", at.endpoint.run.id.Text()},
+                    {"status", std::to_string(at.status)},
+                    {"why", read.error().message}});
+  // Nothing of the request has run, whatever became of the prompt. The call
+  // counts as one arrival more, since an accepted one would have been free.
+  this->tried.insert(at.endpoint.run.id);
+  if (++this->arrivals > 1 || this->Left() <= kLeastLeft ||
+      !this->relay->budget.Take(now, this->service)) {
+    this->AfterFailure(Fate::kNotRun, "the prompt was not read");
+    return;
+  }
+  const auto answers = this->relay->placement.PlaceAnswer(
+      now, this->shape, at.endpoint.run.id, this->tried);
+  if (!answers) {
+    this->RefuseNotRun("no endpoint",
+                       this->relay->settings.placement.eject_for);
+    return;
+  }
+  this->SendRun(*answers,
+                this->shape.prompt_tokens - this->relay->placement.KeptTokens(
+                                                *answers, this->shape),
+                "");
+}
+
+void RelayedRequest::OnPromptHandle(const PromptHandle& read) {
+  const auto answers = this->relay->placement.PlaceAnswer(
+      this->relay->clock->Now(), this->shape, EndpointId(), this->tried);
+  if (!answers) {
+    this->DropHandle();
+    this->RefuseNotRun("no endpoint",
+                       this->relay->settings.placement.eject_for);
+    return;
+  }
+  this->SendRun(*answers, 0,
+                this->handle_at.host + ":" +
+                    std::to_string(this->handle_at.port) + "/" + read.handle);
+}
+
+void RelayedRequest::AfterFailure(Fate fate, std::string_view why) {
+  if (this->attempt) {
+    this->tried.insert(this->attempt->endpoint.run.id);
+    this->relay->Log(LogLevel::kInfo, this->request.id, "Attempt failed.",
+                     {{"endpoint", this->attempt->endpoint.run.id.Text()},
+                      {"status", std::to_string(this->attempt->status)},
+                      {"why", std::string(why)}});
+    this->attempt.reset();
+  }
+  this->cutter.DropRest();
+  if (fate == Fate::kMayHaveRun) {
+    this->may_have_run = true;
+  }
+  const bool may_repeat =
+      !this->may_have_run || MayRunAgain(this->route->kind);
+  const bool charged = std::exchange(this->retry_charged, false);
+  if (may_repeat && (charged || this->MaySendAgain())) {
+    this->Place();
+    return;
+  }
+  if (this->StreamBegun()) {
+    this->BreakOff(why);
+  } else if (this->may_have_run) {
+    this->AnswerError(ErrorKind::kEndpointFailed, why);
+  } else {
+    this->RefuseNotRun(why, kLeastReturn);
+  }
+}
+
+void RelayedRequest::ArmStall() {
+  const bool may_repeat =
+      MayRunAgain(this->route->kind) || this->attempt->reading;
+  if (!may_repeat) {
+    this->stall_timer.reset();
+    return;
+  }
+  const RelaySettings& settings = this->relay->settings;
+  const Duration limit = std::max(
+      settings.stall_floor, FromSeconds(ToSeconds(this->route->target_latency) *
+                                        settings.stall_factor));
+  this->stall_timer = Timer::After(limit, [this] { this->OnStall(); });
+}
+
+// Nothing came for long. The old send is cancelled before the next one goes
+// out, so that two endpoints never work on it for long.
+void RelayedRequest::OnStall() {
+  const auto keep = this->shared_from_this();
+  this->stall_timer.reset();
+  if (!this->attempt->reading &&
+      (this->runs_sent >= this->route->max_attempts ||
+       this->Left() <= kLeastLeft)) {
+    return;  // nowhere to go: it may still come
+  }
+  this->attempt->exchange->Cancel();
+  if (this->attempt->reading) {
+    this->OnRead(HttpEnd::kSilent);
+    return;
+  }
+  const Instant now = this->relay->clock->Now();
+  this->relay->placement.OnEnded(now, this->attempt->work);
+  this->relay->placement.OnOutcome(now, this->attempt->endpoint.run.id, false);
+  this->AfterFailure(Fate::kMayHaveRun, "no answer in time");
+}
+
+void RelayedRequest::OnDeadline() {
+  const auto keep = this->shared_from_this();
+  const bool sent = this->attempt && !this->attempt->reading;
+  this->EndAttempt();
+  if (this->StreamBegun()) {
+    this->BreakOff("out of time");
+  } else if (sent || this->may_have_run) {
+    this->AnswerError(ErrorKind::kTimeout, "out of time");
+  } else {
+    this->RefuseNotRun("out of time", kLeastReturn);
+  }
+}
+
+void RelayedRequest::OnCallerGone() {
+  const auto keep = this->shared_from_this();
+  if (this->over) {
+    return;
+  }
+  this->EndAttempt();
+  this->Over("caller gone");
+}
+
+void RelayedRequest::Abandon() {
+  const auto keep = this->shared_from_this();
+  this->over = true;
+  this->EndAttempt();
+  this->caller->OnGone({});
+  this->caller->OnDrained({});
+}
+
+// Cancels what is under way, at the endpoint too.
+void RelayedRequest::EndAttempt() {
+  this->stall_timer.reset();
+  this->deadline_timer.reset();
+  if (this->attempt) {
+    this->attempt->exchange->Cancel();
+    this->relay->placement.OnEnded(this->relay->clock->Now(),
+                                   this->attempt->work);
+    this->attempt.reset();
+  }
+  this->DropHandle();
+}
+
+// Frees the memory of a prompt that nobody takes any more.
+void RelayedRequest::DropHandle() {
+  if (this->handle.empty()) {
+    return;
+  }
+  const std::string target =
+      this->relay->codec->DropHandleTarget(std::exchange(this->handle, {}));
+  this->relay->pool.Send(
+      {.address = this->handle_at,
+       .head = "DELETE " + target + " HTTP/1.1\r\nHost: " +
+               this->handle_at.host + "\r\nContent-Length: 0\r\n\r\n"},
+      {.on_head = [](const Http1Head&) { return true; },
+       .on_bytes = [](std::string_view) {},
+       .on_end = [](HttpEnd) {}});
+}
+
+void RelayedRequest::AnswerError(ErrorKind kind,
+                                 std::string_view why,
+                                 std::optional<Duration> retry_after) {
+  AnswerStart start{.status = AnswerFor(kind).status,
+                    .headers = {{.name = "Content-Type",
+                                 .value = "application/json"}}};
+  if (retry_after) {
+    start.headers.push_back(
+        {.name = "Retry-After", .value = SecondsText(*retry_after)});
+  }
+  this->relay->metrics->Add(
+      "own_answers_total", 1,
+      {{"code", std::string(AnswerFor(kind).code)}});
+  this->caller->Answer(start, JsonWriter()
+                                  .BeginObject()
+                                  .Member("error", std::string(why))
+                                  .EndObject()
+                                  .Text());
+  this->Over(std::to_string(start.status) + " " + std::string(why));
+}
+
+void RelayedRequest::RefuseNotRun(std::string_view why, Duration retry_after) {
+  // A time beyond what the caller will wait would keep it away for nothing.
+  const Duration most = FromSeconds(ToSeconds(this->Left()) * kReturnShare);
+  this->AnswerError(ErrorKind::kNoEndpoint, why,
+                    std::clamp(retry_after, Duration{},
+                               std::max(most, Duration{})));
+}
+
+void RelayedRequest::BreakOff(std::string_view why) {
+  this->caller->Break();
+  this->Over("broken off: " + std::string(why));
+}
+
+void RelayedRequest::Over(std::string_view outcome) {
+  const auto keep = this->shared_from_this();
+  if (std::exchange(this->over, true)) {
+    return;
+  }
+  this->stall_timer.reset();
+  this->deadline_timer.reset();
+  const Duration took = this->relay->clock->Now() - this->arrived;
+  this->relay->Log(
+      LogLevel::kInfo, this->request.id, "Answered.",
+      {{"outcome", std::string(outcome)},
+       {"route", this->route == nullptr ? "" : this->route->name},
+       {"account", this->account.Text()},
+       {"sends", std::to_string(this->arrivals)},
+       {"ms", MillisecondsText(took)}});
+  this->relay->metrics->Observe("request_seconds", ToSeconds(took),
+                                {{"service", this->service.Text()}});
+  this->relay->requests.erase(keep);
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/relay/relayed_request.h
@@ -0,0 +1,128 @@
+// The life of one caller's request in the relay.
+//
+//   Begin: read headers, find route and account -> Place -> SendRun
+//                                                   |  `-> SendReading -> SendRun
+//                                                   `-> Refuse
+//   answer whole -> pass it on
+//   surely not run -> Place again, or refuse as not run
+//   may have run   -> Place again if it may repeat, else answer that the
+//                     outcome is unknown
+//   stream broken  -> go on at another endpoint behind the last whole event,
+//                     or break off so that the caller sees it
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "relay/event_cutter.h"
+#include "relay/fleet_relay.h"
+
+namespace hickorystand {
+
+class RelayedRequest : public std::enable_shared_from_this<RelayedRequest> {
+ public:
+  RelayedRequest(FleetRelay* relay, CallerExchangePtr caller);
+  ~RelayedRequest();
+  RelayedRequest(const RelayedRequest&) = delete;
+  RelayedRequest& operator=(const RelayedRequest&) = delete;
+
+  // Starts on it.
+  void Begin();
+
+  // Drops it without an answer; the process ends.
+  void Abandon();
+
+ private:
+  // The one send under way.
+  struct Attempt {
+    FleetEndpoint endpoint;
+    EndpointExchangePtr exchange;
+    WorkId work = 0;
+    Instant sent{};
+    bool reading = false;  // reads the prompt for another endpoint
+    int status = 0;
+    EndpointAnswer answer;
+    HttpHeaders headers;
+    std::string body;       // held until it is whole
+    bool foreign = false;   // bears no id, or another request's
+    bool passing = false;   // the body goes on to the caller as it comes
+    bool first_byte = false;
+  };
+
+  // What an attempt's end means for the request.
+  enum class Fate { kDone, kNotRun, kMayHaveRun };
+
+  std::optional<Error> Admit();
+  std::optional<Error> CheckKey();
+  void Place();
+  bool MaySendAgain();
+  void SendReading(const Placed& placed);
+  void SendRun(const EndpointId& endpoint,
+               int64_t new_tokens,
+               const std::string& handle);
+  void Send(Attempt next, const EndpointCall& call, int64_t new_tokens);
+  std::string HeadFor(const EndpointCall& call) const;
+
+  bool OnHead(const Http1Head& head);
+  void OnBytes(std::string_view bytes);
+  void OnEnd(HttpEnd end);
+  void OnRead(HttpEnd end);
+  void OnPromptHandle(const PromptHandle& handle);
+  Fate JudgeEnd(HttpEnd end);
+  Fate JudgeWhole();
+  void PassOn(std::string_view bytes);
+  void StartAnswer(std::optional<uint64_t> length);
+  void AfterFailure(Fate fate, std::string_view why);
+  void NoteBegun();
+  void NoteFirstByte();
+
+  void ArmStall();
+  void OnStall();
+  void OnDeadline();
+  void OnCallerGone();
+  void DropHandle();
+  void EndAttempt();
+
+  // Final answers of this host's own.
+  void AnswerError(ErrorKind kind,
+                   std::string_view why,
+                   std::optional<Duration> retry_after = {});
+  void RefuseNotRun(std::string_view why, Duration retry_after);
+  void BreakOff(std::string_view why);
+  void Over(std::string_view outcome);
+
+  Duration Left() const;
+  bool StreamBegun() const { return this->caller->Started(); }
+
+  FleetRelay* relay;
+  CallerExchangePtr caller;
+  CallerRequest request;
+  FleetConfigurationPtr configuration;  // in force when it came
+  const Route* route = nullptr;         // of that configuration
+  ServiceId service;
+  AccountId account;
+  std::optional<int64_t> priority;
+  WorkShape shape;
+  uint64_t fingerprint = 0;
+  Instant arrived{};
+  Instant deadline{};
+  std::shared_ptr<const std::string> body;
+  std::optional<Attempt> attempt;
+  std::set<EndpointId> tried;
+  int64_t runs_sent = 0;       // sends that may run the request
+  int64_t arrivals = 0;        // of those, and of reading calls beyond the first
+  bool may_have_run = false;
+  bool begun = false;
+  bool over = false;
+  bool retry_charged = false;  // the budget has paid for the next send
+  SocketAddress handle_at;     // of a prompt that was read and not yet taken
+  std::string handle;
+  EventCutter cutter;
+  std::unique_ptr<Timer> deadline_timer;
+  std::unique_ptr<Timer> stall_timer;
+};
+
+}  // namespace hickorystand
