--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -106,9 +106,39 @@
     return opened;
   }
   this->source->Start();
+  this->StartPeers();
   return 0;
 }
 
+void RelayDaemon::StartPeers() {
+  this->peers = std::make_unique<FleetPeers>(
+      FleetPeersOptions{.host = this->settings.host,
+                        .incarnation = static_cast<uint64_t>(
+                            this->clock->WallMilliseconds()),
+                        .listen = this->settings.peers},
+      *this->clock, *this->store,
+      FleetPeersHandlers{
+          .make_digest = [this] { return this->MakeDigest(); },
+          .on_digest = [this](const Digest& digest) { this->OnDigest(digest); },
+          .on_gone =
+              [this](const HostId& host) {
+                this->relay->Placement().ForgetPeer(host);
+              },
+          .on_message = [](const HostId&, const PeerMessage&) {}});
+  this->peers->Start();
+}
+
+Digest RelayDaemon::MakeDigest() const {
+  return {.outstanding = this->relay->Placement().OwnWork(),
+          .suspicions = this->relay->SuspectList().Own()};
+}
+
+void RelayDaemon::OnDigest(const Digest& digest) {
+  this->relay->Placement().OnPeerWork(digest.host, digest.outstanding);
+  this->relay->SuspectList().OnPeer(this->clock->Now(), digest.host,
+                                    digest.suspicions);
+}
+
 void RelayDaemon::AnswerReady(const CallerExchangePtr& exchange) {
   const bool ready = this->relay->Ready() && !this->draining_since;
   exchange->Answer({.status = ready ? 200 : 503}, "");
@@ -128,6 +158,7 @@
   LogInfo(kPart, "Stopping.",
           {{"running", std::to_string(this->relay->Waiting())}});
   this->relay->StartDrain();
+  this->peers->Leave();
   this->drain_timer =
       Timer::Every(kDrainCheck, [this] { this->CheckDrained(); });
 }
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "daemon/relay_settings.h"
+#include "relay/fleet_peers.h"
 #include "relay/platform_duties.h"
 
 namespace hickorystand {
@@ -35,6 +36,9 @@
   void AnswerReady(const CallerExchangePtr& exchange);
   void AnswerMetrics(const CallerExchangePtr& exchange);
   void CheckDrained();
+  void StartPeers();
+  Digest MakeDigest() const;
+  void OnDigest(const Digest& digest);
 
   RelayHostSettings settings;
   const Clock* clock;
@@ -46,6 +50,7 @@
   std::unique_ptr<PlatformDuties> duties;
   std::unique_ptr<FleetRelay> relay;
   std::unique_ptr<FleetSource> source;
+  std::unique_ptr<FleetPeers> peers;
   CallerServer ready_server;
   CallerServer metrics_server;
   std::optional<Instant> draining_since;
--- a/packages/daemon/relay_settings.h
+++ b/packages/daemon/relay_settings.h
@@ -19,6 +19,7 @@
   SocketAddress callers;
   SocketAddress ready;
   SocketAddress metrics;
+  SocketAddress peers;
   std::string adapter;  // the plug-ins that speak to this platform
   SocketAddress store;
   Duration store_timeout{};
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -53,6 +53,36 @@
   }
 }
 
+void FleetPlacement::Cache::Drop(uint64_t part) {
+  const auto found = this->entries.find(part);
+  if (found != this->entries.end()) {
+    this->total -= found->second.tokens;
+    this->order.erase(found->second.place);
+    this->entries.erase(found);
+  }
+}
+
+void FleetPlacement::OnCache(const EndpointId& endpoint,
+                             const PartTokens& part) {
+  const auto found = this->states.find(endpoint);
+  if (found == this->states.end()) {
+    return;
+  }
+  Cache& cache = found->second.cache;
+  if (part.tokens == 0) {
+    cache.Drop(part.part);
+  } else {
+    cache.Keep(part, static_cast<int64_t>(this->options.rates.cache_tokens));
+  }
+}
+
+void FleetPlacement::ForgetCache(const EndpointId& endpoint) {
+  if (const auto found = this->states.find(endpoint);
+      found != this->states.end()) {
+    found->second.cache = {};
+  }
+}
+
 void FleetPlacement::SetEndpoints(const FleetEndpoints& endpoints) {
   std::erase_if(this->states, [&endpoints](const auto& entry) {
     return !endpoints.contains(entry.first);
@@ -149,16 +179,38 @@
       static_cast<double>(state.waiting_tokens + others.prompt_tokens + fresh) /
           rate +
       ToSeconds(rates.first_token) + (reader ? ToSeconds(rates.transfer) : 0);
-  const double preference = HashPlace(AffinityOf(shape), id) *
-                            ToSeconds(this->options.hash_preference);
   return {.endpoint = id,
-          .score = seconds + preference + this->Penalty(state) +
+          .score = seconds + this->Penalty(state) +
                    (this->options.miss_weight - 1) * missed / rate,
           .seconds = seconds,
           .new_tokens = fresh,
           .reader = reader};
 }
 
+// Adds to each engine's score its place in the order of the prompt's longest
+// shared part. Engines come first in proportion to their reading rate.
+void FleetPlacement::PreferHomes(const WorkShape& shape,
+                                 std::vector<Weighed>& weighed) const {
+  struct Place {
+    double draw = 0;
+    Weighed* engine = nullptr;
+  };
+  const uint64_t part = AffinityOf(shape);
+  std::vector<Place> order;
+  for (Weighed& one : weighed) {
+    const double rate = this->Rate(this->states.at(one.endpoint));
+    order.push_back({.draw = -std::log(1 - HashPlace(part, one.endpoint)) / rate,
+                     .engine = &one});
+  }
+  std::ranges::sort(order, {}, &Place::draw);
+  int64_t place = 0;
+  for (const Place& one : order) {
+    one.engine->score += ToSeconds(this->options.home_step) *
+                         static_cast<double>(
+                             std::min(place++, this->options.home_steps));
+  }
+}
+
 FleetPlacement::Weighed FleetPlacement::WeighPlain(
     const State& state,
     const WorkShape& shape) const {
@@ -192,6 +244,9 @@
     return Refused{.reason = "no endpoint",
                    .retry_after = this->options.eject_for};
   }
+  if (shape.engine) {
+    this->PreferHomes(shape, weighed);
+  }
   const Weighed& best = *std::ranges::min_element(
       weighed, std::less<>(), [](const Weighed& one) { return one.score; });
   const double soonest = std::ranges::min(
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -55,8 +55,12 @@
   // What another zone costs in score. Bodies that cross zones are billed; at
   // 17 KB a prompt that is worth about as much as 1% of an answer.
   Duration other_zone = std::chrono::milliseconds(15);
-  // Spread of the hash's preference among engines that keep nothing.
-  Duration hash_preference = std::chrono::milliseconds(60);
+  // Each part has an order of engines, by a hash that is the same on every
+  // host, so that hosts which know nothing of a part read it at the same one.
+  // What the second, the third and any later engine costs in score more than
+  // the one before.
+  Duration home_step = std::chrono::milliseconds(40);
+  int64_t home_steps = 4;
   // An engine's time that reading a shared part again takes from others,
   // against the wait that it costs the request itself.
   double miss_weight = 1.5;
@@ -150,6 +154,12 @@
   // It is over.
   void OnEnded(Instant now, WorkId work);
 
+  // What an engine keeps of a part changed; `tokens` 0: nothing is left.
+  void OnCache(const EndpointId& endpoint, const PartTokens& part);
+
+  // The engine's cache is to be learned anew.
+  void ForgetCache(const EndpointId& endpoint);
+
   // What became of a request at an endpoint, for its failure share.
   void OnOutcome(Instant now, const EndpointId& endpoint, bool good);
 
@@ -182,6 +192,7 @@
     int64_t total = 0;
 
     void Keep(const PartTokens& part, int64_t room);
+    void Drop(uint64_t part);
   };
   struct State {
     FleetEndpoint endpoint;
@@ -212,6 +223,7 @@
              const WorkShape& shape,
              const std::set<EndpointId>& tried) const;
   Weighed WeighEngine(const State& state, const WorkShape& shape) const;
+  void PreferHomes(const WorkShape& shape, std::vector<Weighed>& weighed) const;
   Weighed WeighPlain(const State& state, const WorkShape& shape) const;
   double Rate(const State& state) const;
   double Penalty(const State& state) const;
--- /dev/null
+++ b/packages/relay/fleet_peers.cc
@@ -0,0 +1,212 @@
+#include "relay/fleet_peers.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "kernel/log.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "peers";
+constexpr std::string_view kSecretKey = "hickorystand/secret";
+constexpr std::string_view kHostPrefix = "hickorystand/hosts/";
+
+// All hosts form one group: in a fleet of today's size each is linked with
+// every other.
+const DataCentreId& Group() {
+  static const DataCentreId group("fleet");
+  return group;
+}
+
+std::string RandomSecret() {
+  gchar* text = g_uuid_string_random();
+  std::string secret(text);
+  g_free(text);
+  return secret;
+}
+
+}  // namespace
+
+FleetPeers::FleetPeers(FleetPeersOptions options,
+                       const Clock& clock,
+                       KeyValueStore& store,
+                       FleetPeersHandlers handlers)
+    : options(std::move(options)),
+      clock(&clock),
+      store(&store),
+      handlers(std::move(handlers)) {}
+
+FleetPeers::~FleetPeers() = default;
+
+void FleetPeers::Start() {
+  this->ReadSecret();
+  this->Register();
+  this->list_timer =
+      Timer::After(this->options.first_list, [this] { this->List(); });
+}
+
+void FleetPeers::ReadSecret() {
+  const std::string key(kSecretKey);
+  this->store->Transact(
+      {.conditions = {{.key = key, .revision = 0}},
+       .then = {StorePut(key, RandomSecret())},
+       .otherwise = {StoreGet(key)}},
+      [this](const StoreReply& reply) { this->TakeSecret(reply); });
+}
+
+void FleetPeers::TakeSecret(const StoreReply& reply) {
+  if (reply.outcome == StoreOutcome::kOtherwise && !reply.records.empty()) {
+    this->OpenLinks(reply.records.front().value);
+    return;
+  }
+  // Made just now, or not answered: what stands there counts, so read it.
+  this->secret_timer = Timer::After(
+      reply.outcome == StoreOutcome::kThen ? Duration{}
+                                           : this->options.first_list,
+      [this] { this->ReadSecret(); });
+}
+
+void FleetPeers::OpenLinks(const std::string& secret) {
+  PeerLinksOptions how{
+      .session = {.host = this->options.host,
+                  .data_centre = Group(),
+                  .incarnation = this->options.incarnation,
+                  .secrets = {secret}},
+      .listen = this->options.listen,
+      .clock = this->clock,
+      .seed = this->options.incarnation,
+      .budget_bytes_per_second = this->options.digest_bytes_per_second,
+      .shortest_period = this->options.shortest_digest};
+  this->links = std::make_unique<PeerLinks>(
+      std::move(how),
+      PeerHandlers{
+          .on_digest =
+              [this](DigestScope, const Digest& digest) {
+                this->handlers.on_digest(digest);
+              },
+          .on_message =
+              [this](const HostId& host, const PeerMessage& message) {
+                this->handlers.on_message(host, message);
+              },
+          .on_heard = [](const PeerHello&) {},
+          .on_up =
+              [](const HostId& host, uint64_t) {
+                LogInfo(kPart, "Host linked.", {{"host", host.Text()}});
+              },
+          .on_down =
+              [this](const HostId& host) {
+                LogInfo(kPart, "Host lost.", {{"host", host.Text()}});
+                this->handlers.on_gone(host);
+              }});
+  if (const auto opened = this->links->Listen(); !opened) {
+    LogError(kPart, "Can't listen to other hosts.",
+             {{"why", opened.error().message}});
+  }
+  this->links->SetHosts(this->hosts);
+  this->SendDigest();
+}
+
+void FleetPeers::SendDigest() {
+  Digest digest = this->handlers.make_digest();
+  digest.host = this->options.host;
+  digest.data_centre = Group();
+  digest.incarnation = this->options.incarnation;
+  digest.leaving = this->left;
+  this->links->SendDigest(DigestScope::kHost, digest);
+  this->digest_timer = Timer::After(this->links->NextDigestDelay(),
+                                    [this] { this->SendDigest(); });
+}
+
+void FleetPeers::Register() {
+  this->renew_timer =
+      Timer::After(this->options.renew, [this] { this->Renew(); });
+  this->store->GrantLease(this->options.lease, [this](Result<int64_t> granted) {
+    if (granted && !this->left) {
+      this->lease = *granted;
+      this->WriteRecord();
+    }
+  });
+}
+
+void FleetPeers::WriteRecord() {
+  const SocketAddress& at = this->options.listen;
+  this->store->Transact(
+      {.then = {StorePut(std::string(kHostPrefix) + this->options.host.Text(),
+                         at.host + ":" + std::to_string(at.port),
+                         this->lease)}},
+      [this](const StoreReply& reply) {
+        if (reply.outcome != StoreOutcome::kThen) {
+          this->lease = 0;  // the next renewal starts over
+        }
+      });
+}
+
+void FleetPeers::Renew() {
+  if (this->left) {
+    return;
+  }
+  if (this->lease == 0) {
+    this->Register();
+    return;
+  }
+  this->renew_timer =
+      Timer::After(this->options.renew, [this] { this->Renew(); });
+  this->store->RenewLease(this->lease, [this](const Result<Duration>& left) {
+    if (!left && left.error().kind == ErrorKind::kNotFound) {
+      this->lease = 0;
+    }
+  });
+}
+
+void FleetPeers::List() {
+  this->list_timer =
+      Timer::After(this->listed > 1 ? this->options.list
+                                    : this->options.first_list * 2,
+                   [this] { this->List(); });
+  this->store->Transact({.then = {{.kind = StoreOperation::Kind::kGetPrefix,
+                                   .key = std::string(kHostPrefix)}}},
+                        [this](const StoreReply& reply) {
+                          if (reply.outcome == StoreOutcome::kThen) {
+                            this->TakeList(reply);
+                          }
+                        });
+}
+
+void FleetPeers::TakeList(const StoreReply& reply) {
+  std::vector<PeerHost> listed;
+  this->rank = 0;
+  for (const StoreRecord& record : reply.records) {
+    const auto address = ParseAddress(record.value);
+    const HostId id(record.key.substr(kHostPrefix.size()));
+    if (!address || id == this->options.host) {
+      continue;
+    }
+    this->rank += id < this->options.host ? 1 : 0;
+    listed.push_back(
+        {.host = id, .data_centre = Group(), .address = *address});
+  }
+  this->listed = listed.size() + 1;
+  if (listed != this->hosts) {
+    this->hosts = std::move(listed);
+    if (this->links) {
+      this->links->SetHosts(this->hosts);
+    }
+  }
+}
+
+void FleetPeers::Leave() {
+  this->left = true;
+  if (this->lease != 0) {
+    this->store->RevokeLease(std::exchange(this->lease, 0),
+                             [](const Result<int64_t>&) {});
+  }
+}
+
+size_t FleetPeers::Broadcast(const PeerMessage& message) {
+  return this->links ? this->links->Broadcast(message) : 0;
+}
+
+}  // namespace hickorystand
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -36,6 +36,7 @@
       }),
       pool(clock),
       placement(this->settings.placement),
+      cache_feed({}, this->pool, codec, this->placement),
       budget(this->settings.budget),
       suspects({.condemned_after = kCondemnedAfter,
                 .memory = std::chrono::minutes(2)}),
@@ -79,6 +80,7 @@
   }
   this->endpoints = listed;
   this->placement.SetEndpoints(listed);
+  this->cache_feed.SetEndpoints(listed);
   if (!this->configuration) {
     return;
   }
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -24,6 +24,7 @@
 #include "decisions/window_budget.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "relay/cache_feed.h"
 #include "relay/caller_server.h"
 #include "relay/endpoint_pool.h"
 #include "relay/fleet_configuration.h"
@@ -118,6 +119,7 @@
   CallerServer server;
   EndpointPool pool;
   FleetPlacement placement;
+  CacheFeed cache_feed;
   WindowBudget budget;
   Suspects suspects;
   LogLimiter log_limiter;
--- a/packages/relay/message_codec.h
+++ b/packages/relay/message_codec.h
@@ -5,7 +5,8 @@
 //   PromptPart, CallerRequest    what a caller asks for
 //   EndpointCall                 what the relay adds on the way to an endpoint
 //   EndpointAnswer               what an endpoint says beside its answer
-//   PromptHandle, EngineReport   bodies of an engine's own calls
+//   PromptHandle                 an engine's answer to a reading call
+//   CacheChange, CacheNews       what an engine keeps of prompts
 //   MessageCodec                 the interface
 
 #pragma once
@@ -90,6 +91,24 @@
   auto operator<=>(const PromptHandle&) const = default;
 };
 
+// What an engine keeps of one part of a prompt now; no tokens: nothing.
+struct CacheChange {
+  std::string part;
+  int64_t tokens = 0;
+
+  auto operator<=>(const CacheChange&) const = default;
+};
+
+// The changes of an engine's cache since a number that it gave.
+struct CacheNews {
+  std::string epoch;  // changes when the engine starts again
+  int64_t next = 0;   // to ask from the next time
+  bool lost = false;  // older changes are missing
+  std::vector<CacheChange> changes;
+
+  bool operator==(const CacheNews&) const = default;
+};
+
 // Spells the messages of one kind of caller and endpoint.
 class MessageCodec {
  public:
@@ -118,7 +137,14 @@
   virtual Result<PromptHandle> ReadPromptHandle(
       std::string_view body) const = 0;
 
-  // Method and target of the call that frees a handle.
+  // A call that waits for changes of an engine's cache, up to the empty line,
+  // and its answer.
+  virtual std::string CacheNewsCall(const SocketAddress& engine,
+                                    int64_t since,
+                                    Duration wait) const = 0;
+  virtual Result<CacheNews> ReadCacheNews(std::string_view body) const = 0;
+
+  // The target of the call that frees a handle.
   virtual std::string DropHandleTarget(const std::string& handle) const = 0;
 };
 
--- /dev/null
+++ b/packages/relay/part_hash.h
@@ -0,0 +1,16 @@
+// The number that stands for a prompt part's id in decisions.
+
+#pragma once
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <string_view>
+
+namespace hickorystand {
+
+inline uint64_t HashOfPart(std::string_view id) {
+  return XXH3_64bits(id.data(), id.size());
+}
+
+}  // namespace hickorystand
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "kernel/json.h"
+#include "relay/part_hash.h"
 
 namespace hickorystand {
 namespace {
@@ -113,7 +114,7 @@
         std::min(patience, this->relay->settings.first_byte_patience);
   }
   for (const PromptPart& part : this->request.parts) {
-    this->shape.parts.push_back({.part = Hash(part.id), .tokens = part.tokens});
+    this->shape.parts.push_back({.part = HashOfPart(part.id), .tokens = part.tokens});
   }
   this->body = std::make_shared<const std::string>(message.body);
   this->fingerprint =
@@ -236,7 +237,6 @@
   next.work = this->relay->placement.OnSent(now, next.endpoint.run.id,
                                             this->shape, new_tokens);
   this->attempt = std::move(next);
-  const auto self = this->weak_from_this();
   this->relay->Log(
       LogLevel::kInfo, this->request.id, "Sent.",
       {{"endpoint", whole.endpoint.Text()},
@@ -414,9 +414,6 @@
       this->MaySendAgain()) {
     // Goes on in AfterFailure, which must not charge the budget again.
     this->NoteBegun();
-    this->tried.insert(at.endpoint.run.id);
-    this->relay->placement.OnEnded(this->relay->clock->Now(), at.work);
-    const auto self = this->weak_from_this();
     this->retry_charged = true;
     return Fate::kMayHaveRun;
   }
