One holder's duties, roles by plan, and shared parts copied between engines

Change: usage by window from all hosts, written once before it is reported; roles planned by streams at a time; an engine copies what another one keeps.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -18,6 +18,10 @@
 // Time to end the process before the platform kills it.
 constexpr Duration kKillMargin = std::chrono::milliseconds(500);
 
+// Between copies of what was counted here. What a killed host counted since
+// its last copy is lost: a tenth of a window of 5 s, on one host of several.
+constexpr Duration kUsagePeriod = std::chrono::milliseconds(500);
+
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 
 // The plug-in of that name, or why there is none.
@@ -75,13 +79,19 @@
                                      .metrics = &this->metrics}),
             this->store, error) ||
       !Take(MakePlugin<PlatformDuties>(adapter, this->settings.duties),
-            this->duties, error)) {
+            this->platform_duties, error)) {
     return tl::unexpected(error);
   }
   this->relay =
       std::make_unique<FleetRelay>(this->settings.relay, *this->clock, *this->codec,
                               this->metrics,
-                              RelayHooks{.on_begun = [](const AccountId&) {}});
+                              RelayHooks{.on_begun =
+                                             [this](const AccountId& account) {
+                                               this->duties->Usage().OnBegun(
+                                                   this->duties
+                                                       ->UnixMilliseconds(),
+                                                   account);
+                                             }});
   this->source = std::make_unique<FleetSource>(
       this->settings.source, *this->clock, *this->store, *this->records,
       FleetSourceHandlers{
@@ -107,9 +117,56 @@
   }
   this->source->Start();
   this->StartPeers();
+  this->StartDuties();
   return 0;
 }
 
+void RelayDaemon::StartDuties() {
+  this->duties = std::make_unique<FleetDuties>(
+      FleetDutiesOptions{.host = this->settings.host,
+                         .incarnation = static_cast<uint64_t>(
+                             this->clock->WallMilliseconds()),
+                         .lease = this->settings.lease_length,
+                         .window = this->settings.usage_window,
+                         .report_due = this->settings.usage_late},
+      *this->clock, *this->store, *this->platform_duties,
+      FleetDutiesInputs{
+          .configuration = [this] { return this->relay->Configuration(); },
+          .endpoints = [this]() -> const FleetEndpoints& {
+            return this->relay->Endpoints();
+          },
+          .other_hosts = [this] { return this->peers->Others(); },
+          .rank = [this] { return this->peers->Rank(); },
+          .streams =
+              [this](const ServiceId& service) {
+                // Callers are spread over hosts by a hash.
+                return this->relay->Streams(service) *
+                       static_cast<double>(this->peers->Listed());
+              }});
+  this->duties->Start();
+  this->usage_timer = Timer::Every(kUsagePeriod, [this] {
+    const WindowCopy copy =
+        this->duties->Usage().OwnCopy(this->duties->UnixMilliseconds());
+    this->peers->Broadcast(UsageCopyMessage{
+        .host = copy.source.host,
+        .incarnation = copy.source.incarnation,
+        .value = EncodeWindowCopy(copy)});
+  });
+}
+
+void RelayDaemon::OnPeerMessage(const PeerMessage& message) {
+  const auto* usage = std::get_if<UsageCopyMessage>(&message);
+  if (usage == nullptr) {
+    return;
+  }
+  if (const auto copy = DecodeWindowCopy(usage->value)) {
+    this->duties->Usage().Merge(*copy);
+  } else {
+    LogWarning(kPart, "Usage of another host can't be read.",
+               {{"host", usage->host.Text()}, {"why", copy.error().message}});
+  }
+}
+
 void RelayDaemon::StartPeers() {
   this->peers = std::make_unique<FleetPeers>(
       FleetPeersOptions{.host = this->settings.host,
@@ -124,7 +181,10 @@
               [this](const HostId& host) {
                 this->relay->Placement().ForgetPeer(host);
               },
-          .on_message = [](const HostId&, const PeerMessage&) {}});
+          .on_message =
+              [this](const HostId&, const PeerMessage& message) {
+                this->OnPeerMessage(message);
+              }});
   this->peers->Start();
 }
 
@@ -159,6 +219,7 @@
           {{"running", std::to_string(this->relay->Waiting())}});
   this->relay->StartDrain();
   this->peers->Leave();
+  this->duties->Retire();
   this->drain_timer =
       Timer::Every(kDrainCheck, [this] { this->CheckDrained(); });
 }
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "daemon/relay_settings.h"
+#include "relay/fleet_duties.h"
 #include "relay/fleet_peers.h"
 #include "relay/platform_duties.h"
 
@@ -37,6 +38,8 @@
   void AnswerMetrics(const CallerExchangePtr& exchange);
   void CheckDrained();
   void StartPeers();
+  void StartDuties();
+  void OnPeerMessage(const PeerMessage& message);
   Digest MakeDigest() const;
   void OnDigest(const Digest& digest);
 
@@ -47,10 +50,12 @@
   std::unique_ptr<MessageCodec> codec;
   std::unique_ptr<FleetRecords> records;
   std::unique_ptr<KeyValueStore> store;
-  std::unique_ptr<PlatformDuties> duties;
+  std::unique_ptr<PlatformDuties> platform_duties;
   std::unique_ptr<FleetRelay> relay;
   std::unique_ptr<FleetSource> source;
   std::unique_ptr<FleetPeers> peers;
+  std::unique_ptr<FleetDuties> duties;
+  std::unique_ptr<Timer> usage_timer;
   CallerServer ready_server;
   CallerServer metrics_server;
   std::optional<Instant> draining_since;
--- a/packages/decisions/fleet_endpoint.h
+++ b/packages/decisions/fleet_endpoint.h
@@ -31,8 +31,7 @@
   EndpointRole role = EndpointRole::kPlain;
   int64_t slots = 1;
   bool leaving = false;
-  bool spot = false;         // may be reclaimed with its whole zone
-  int64_t orders_taken = 0;  // since its start
+  bool spot = false;  // may be reclaimed with its whole zone
 
   auto operator<=>(const FleetEndpoint&) const = default;
 };
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -35,14 +35,18 @@
 
 }  // namespace
 
-void FleetPlacement::Cache::Keep(const PartTokens& part, int64_t room) {
+void FleetPlacement::Cache::Keep(const PartTokens& part,
+                                 int64_t room,
+                                 bool confirmed) {
   if (const auto found = this->entries.find(part.part);
       found != this->entries.end()) {
+    found->second.confirmed = found->second.confirmed || confirmed;
     this->order.splice(this->order.end(), this->order, found->second.place);
     return;
   }
   this->order.push_back(part.part);
   this->entries[part.part] = {.tokens = part.tokens,
+                              .confirmed = confirmed,
                               .place = std::prev(this->order.end())};
   this->total += part.tokens;
   while (this->total > room && this->order.size() > 1) {
@@ -72,7 +76,8 @@
   if (part.tokens == 0) {
     cache.Drop(part.part);
   } else {
-    cache.Keep(part, static_cast<int64_t>(this->options.rates.cache_tokens));
+    cache.Keep(part, static_cast<int64_t>(this->options.rates.cache_tokens),
+               true);
   }
 }
 
@@ -130,17 +135,15 @@
              : found->second;
 }
 
-int64_t FleetPlacement::KeptTokens(const EndpointId& endpoint,
-                                   const WorkShape& shape) const {
-  const auto found = this->states.find(endpoint);
-  if (found == this->states.end()) {
-    return 0;
-  }
-  const auto& entries = found->second.cache.entries;
+int64_t FleetPlacement::Kept(const Cache& cache,
+                             const WorkShape& shape,
+                             bool confirmed_only) {
   // A part helps only if all before it are there too.
   int64_t kept = 0;
   for (const PartTokens& part : shape.parts) {
-    if (!entries.contains(part.part)) {
+    const auto found = cache.entries.find(part.part);
+    if (found == cache.entries.end() ||
+        (confirmed_only && !found->second.confirmed)) {
       break;
     }
     kept += part.tokens;
@@ -148,6 +151,36 @@
   return std::min(kept, shape.prompt_tokens);
 }
 
+int64_t FleetPlacement::NewTokens(const EndpointId& endpoint,
+                                  const WorkShape& shape) const {
+  const auto found = this->states.find(endpoint);
+  return found == this->states.end()
+             ? shape.prompt_tokens
+             : shape.prompt_tokens -
+                   Kept(found->second.cache, shape, false);
+}
+
+// The engine that keeps the most of a prompt's start. One that leaves still
+// gives copies.
+FleetPlacement::Source FleetPlacement::BestSource(
+    const WorkShape& shape) const {
+  Source best;
+  for (const auto& [id, state] : this->states) {
+    if (state.endpoint.service != shape.service ||
+        state.failures_in_row >= this->options.failures_to_eject - 1) {
+      continue;
+    }
+    const int64_t kept = Kept(state.cache, shape, true);
+    const bool nearer = kept == best.tokens && kept > 0 &&
+                        state.endpoint.zone == this->options.zone &&
+                        best.zone != this->options.zone;
+    if (kept > best.tokens || nearer) {
+      best = {.endpoint = id, .zone = state.endpoint.zone, .tokens = kept};
+    }
+  }
+  return best;
+}
+
 bool FleetPlacement::Usable(Instant now, const EndpointId& endpoint) const {
   const auto found = this->states.find(endpoint);
   return found != this->states.end() && !found->second.endpoint.leaving &&
@@ -164,13 +197,21 @@
 
 FleetPlacement::Weighed FleetPlacement::WeighEngine(
     const State& state,
-    const WorkShape& shape) const {
+    const WorkShape& shape,
+    const Source& source) const {
   const EndpointId& id = state.endpoint.run.id;
   const EngineRates& rates = this->options.rates;
   const EndpointOutstanding others = this->PeerWork(id);
   const double rate = this->Rate(state);
-  const int64_t kept = this->KeptTokens(id, shape);
-  const int64_t fresh = shape.prompt_tokens - kept;
+  const int64_t kept = Kept(state.cache, shape, false);
+  const int64_t more = source.tokens - kept;
+  const bool copies = more >= this->options.least_copy;
+  const int64_t fresh = shape.prompt_tokens - kept - (copies ? more : 0);
+  const double copying =
+      copies ? (ToSeconds(rates.copy_setup) +
+                static_cast<double>(more) / rates.copied_tokens) *
+                   (source.zone == state.endpoint.zone ? 1 : 2)
+             : 0;
   // What only this request has must be read anywhere; the rest is a miss.
   const int64_t own = shape.parts.empty() ? 0 : shape.parts.back().tokens;
   const double missed = static_cast<double>(std::max<int64_t>(fresh - own, 0));
@@ -178,13 +219,19 @@
   const double seconds =
       static_cast<double>(state.waiting_tokens + others.prompt_tokens + fresh) /
           rate +
-      ToSeconds(rates.first_token) + (reader ? ToSeconds(rates.transfer) : 0);
+      copying + ToSeconds(rates.first_token) + (reader ? ToSeconds(rates.transfer) : 0);
+  const double held_up =
+      reader ? 0
+             : this->options.held_up_weight *
+                   static_cast<double>(state.running + others.requests) *
+                   static_cast<double>(fresh) / rate;
   return {.endpoint = id,
-          .score = seconds + this->Penalty(state) +
+          .score = seconds + this->Penalty(state) + held_up +
                    (this->options.miss_weight - 1) * missed / rate,
           .seconds = seconds,
           .new_tokens = fresh,
-          .reader = reader};
+          .reader = reader,
+          .copies = copies};
 }
 
 // Adds to each engine's score its place in the order of the prompt's longest
@@ -231,12 +278,13 @@
                               const WorkShape& shape,
                               const std::set<EndpointId>& tried) const {
   std::vector<Weighed> weighed;
+  const Source source = shape.engine ? this->BestSource(shape) : Source();
   bool any_answers = false;
   for (const auto& [id, state] : this->states) {
     if (!this->Takes(now, state, shape, tried)) {
       continue;
     }
-    weighed.push_back(shape.engine ? this->WeighEngine(state, shape)
+    weighed.push_back(shape.engine ? this->WeighEngine(state, shape, source)
                                    : this->WeighPlain(state, shape));
     any_answers = any_answers || !weighed.back().reader;
   }
@@ -258,8 +306,11 @@
     return Refused{.reason = "overloaded",
                    .retry_after = FromSeconds(soonest) - shape.patience};
   }
+  const auto copy_from =
+      best.copies ? std::optional(source.endpoint) : std::nullopt;
   if (!best.reader) {
     return Placed{.endpoint = best.endpoint,
+                  .copy_from = copy_from,
                   .new_tokens = best.new_tokens,
                   .expected = expected};
   }
@@ -267,6 +318,7 @@
   assert(answers && "an endpoint that answers was found above");
   return Placed{.endpoint = *answers,
                 .reader = best.endpoint,
+                .copy_from = copy_from,
                 .new_tokens = best.new_tokens,
                 .expected = expected};
 }
@@ -314,15 +366,17 @@
   State& state = found->second;
   state.waiting_tokens += new_tokens;
   ++state.running;
-  // Kept from the start: the next request with the same parts that comes while
-  // this one is read waits for it and finds them.
+  // Kept from the start: the next request with the same parts that comes here
+  // while this one is read waits for it and finds them.
   for (const PartTokens& part : shape.parts) {
     state.cache.Keep(part,
-                     static_cast<int64_t>(this->options.rates.cache_tokens));
+                     static_cast<int64_t>(this->options.rates.cache_tokens),
+                     false);
   }
   this->works[++this->last_work] = {.endpoint = endpoint,
                                     .started = state.endpoint.run.started,
-                                    .new_tokens = new_tokens};
+                                    .new_tokens = new_tokens,
+                                    .parts = shape.parts};
   return this->last_work;
 }
 
@@ -342,16 +396,21 @@
   found->second.read = true;
   if (State* state = this->Find(found->second)) {
     state->waiting_tokens -= found->second.new_tokens;
+    for (const PartTokens& part : found->second.parts) {
+      state->cache.Keep(
+          part, static_cast<int64_t>(this->options.rates.cache_tokens), true);
+    }
   }
 }
 
-void FleetPlacement::OnEnded(Instant now, WorkId work) {
-  this->OnPromptRead(now, work);
+void FleetPlacement::OnEnded(Instant /*now*/, WorkId work) {
   const auto over = this->works.extract(work);
-  if (!over.empty()) {
-    if (State* state = this->Find(over.mapped())) {
-      --state->running;
-    }
+  if (over.empty()) {
+    return;
+  }
+  if (State* state = this->Find(over.mapped())) {
+    --state->running;
+    state->waiting_tokens -= over.mapped().read ? 0 : over.mapped().new_tokens;
   }
 }
 
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -7,10 +7,11 @@
 // parts are kept, as long as the work that waits there doesn't cost more than
 // reading them again somewhere else.
 //
-//   score = work waiting there / its rate + the prompt's missing part / its rate
+//   score = (work waiting there + the prompt's missing part) / its rate
 //
-// Hosts that know nothing of a part all try the same engine first, which a
-// hash of the part names.
+// What another engine keeps is copied from there rather than read again: 13,300
+// tokens are moved in 5 ms and read in 350. Hosts that know nothing of a part
+// all try the same engine first, which a hash of the part names.
 //
 // Index
 //   EngineRates, PlacementOptions   what an engine can do
@@ -42,6 +43,8 @@
   double prompt_tokens = 37900;   // in the prefill role
   double decode_role_share = 0.5;  // of that rate, in the decode role
   double cache_tokens = 420000;   // kept for later prompts
+  double copied_tokens = 2.5e6;   // a second, from another engine's memory
+  Duration copy_setup = std::chrono::milliseconds(6);
   Duration first_token = std::chrono::milliseconds(24);  // beside reading
   Duration transfer = std::chrono::milliseconds(20);     // of a read prompt
 
@@ -61,9 +64,14 @@
   // the one before.
   Duration home_step = std::chrono::milliseconds(40);
   int64_t home_steps = 4;
+  // What is shorter isn't worth a copy.
+  int64_t least_copy = 512;
   // An engine's time that reading a shared part again takes from others,
   // against the wait that it costs the request itself.
   double miss_weight = 1.5;
+  // Reading at an engine that generates holds up each of its streams for as
+  // long; what each such stream adds to the score, as a share of the reading.
+  double held_up_weight = 0.15;
   // What a failure of late costs in score, at a failure share of 1.
   Duration failure_penalty = std::chrono::milliseconds(1500);
   // An endpoint that failed so often in a row gets nothing for a while.
@@ -101,7 +109,8 @@
 struct Placed {
   EndpointId endpoint;
   std::optional<EndpointId> reader;  // reads the prompt first, if another
-  int64_t new_tokens = 0;            // that the first of them has to read
+  std::optional<EndpointId> copy_from;  // keeps more of the prompt's start
+  int64_t new_tokens = 0;               // that the first of them has to read
   Duration expected{};               // to the first byte
 
   auto operator<=>(const Placed&) const = default;
@@ -174,8 +183,8 @@
   // This host's work, for the others.
   std::vector<EndpointOutstanding> OwnWork() const;
 
-  // The prompt tokens that an endpoint would find in its cache.
-  int64_t KeptTokens(const EndpointId& endpoint, const WorkShape& shape) const;
+  // The prompt tokens that an endpoint would have to read.
+  int64_t NewTokens(const EndpointId& endpoint, const WorkShape& shape) const;
 
   // Whether an endpoint may get anything new.
   bool Usable(Instant now, const EndpointId& endpoint) const;
@@ -185,13 +194,14 @@
   struct Cache {
     struct Entry {
       int64_t tokens = 0;
+      bool confirmed = false;  // read, and not only about to be
       std::list<uint64_t>::iterator place;
     };
     std::list<uint64_t> order;
     std::unordered_map<uint64_t, Entry> entries;
     int64_t total = 0;
 
-    void Keep(const PartTokens& part, int64_t room);
+    void Keep(const PartTokens& part, int64_t room, bool confirmed);
     void Drop(uint64_t part);
   };
   struct State {
@@ -208,21 +218,35 @@
     EndpointId endpoint;
     int64_t started = 0;  // the endpoint's start, as EndpointRun has it
     int64_t new_tokens = 0;
+    std::vector<PartTokens> parts;
     bool read = false;
   };
+  // An engine that keeps the start of a prompt.
+  struct Source {
+    EndpointId endpoint;
+    ZoneId zone;
+    int64_t tokens = 0;
+  };
   struct Weighed {
     EndpointId endpoint;
     double score = 0;
     double seconds = 0;
     int64_t new_tokens = 0;
     bool reader = false;
+    bool copies = false;
   };
 
   bool Takes(Instant now,
              const State& state,
              const WorkShape& shape,
              const std::set<EndpointId>& tried) const;
-  Weighed WeighEngine(const State& state, const WorkShape& shape) const;
+  Source BestSource(const WorkShape& shape) const;
+  static int64_t Kept(const Cache& cache,
+                      const WorkShape& shape,
+                      bool confirmed_only);
+  Weighed WeighEngine(const State& state,
+                      const WorkShape& shape,
+                      const Source& source) const;
   void PreferHomes(const WorkShape& shape, std::vector<Weighed>& weighed) const;
   Weighed WeighPlain(const State& state, const WorkShape& shape) const;
   double Rate(const State& state) const;
--- /dev/null
+++ b/packages/relay/fleet_duties.cc
@@ -0,0 +1,300 @@
+#include "relay/fleet_duties.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kernel/log.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "duties";
+constexpr std::string_view kUsagePrefix = "hickorystand/usage/";
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+
+// The lease ends this much earlier for its holder than in the store.
+constexpr Duration kLeaseMargin = std::chrono::milliseconds(600);
+
+// Counts come from other hosts every half second; a window is closed when all
+// have told of it, but not sooner than this after its end.
+constexpr Duration kSettle = std::chrono::milliseconds(700);
+
+// Windows whose record is kept; older ones are removed with each new one.
+constexpr int64_t kKeptRecords = 12;
+
+// How long an order's effect may take to show: the change itself, a heartbeat
+// and a reading of the list. Longer than that it counts as lost.
+constexpr Duration kRoleShows = std::chrono::milliseconds(6500);
+
+// One group of hosts shares the duties.
+const DataCentreId& Group() {
+  static const DataCentreId group("fleet");
+  return group;
+}
+
+std::string UsageKey(int64_t window) {
+  return std::string(kUsagePrefix) + std::to_string(window);
+}
+
+int64_t Milliseconds(Duration length) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
+}  // namespace
+
+FleetDuties::FleetDuties(FleetDutiesOptions options,
+                         const Clock& clock,
+                         KeyValueStore& store,
+                         PlatformDuties& platform,
+                         FleetDutiesInputs inputs)
+    : options(std::move(options)),
+      clock(&clock),
+      store(&store),
+      platform(&platform),
+      inputs(std::move(inputs)),
+      lease({.data_centre = Group(),
+             .host = this->options.host,
+             .incarnation = this->options.incarnation,
+             .length = this->options.lease,
+             .margin = kLeaseMargin,
+             .renew_every = this->options.lease / 4,
+             .poll_every = std::chrono::milliseconds(1500),
+             .call_timeout = std::chrono::milliseconds(1600)}),
+      usage({.host = this->options.host,
+             .incarnation = this->options.incarnation},
+            this->options.window),
+      unix_at_boot(clock.WallMilliseconds() -
+                   Milliseconds(clock.Now().time_since_epoch())) {}
+
+FleetDuties::~FleetDuties() = default;
+
+int64_t FleetDuties::UnixMilliseconds() const {
+  return this->unix_at_boot +
+         Milliseconds(this->clock->Now().time_since_epoch());
+}
+
+void FleetDuties::Start() {
+  this->timer = Timer::Every(kTick, [this] { this->Tick(); });
+}
+
+void FleetDuties::Retire() {
+  std::vector<LeaseAction> actions;
+  this->lease.Retire(actions);
+  this->NoteHolding(this->clock->Now());
+  this->Run(actions);
+}
+
+bool FleetDuties::MayAct() const {
+  const Instant now = this->clock->Now();
+  return this->lease.MayAct(now) && now >= this->act_from;
+}
+
+DutyAuthority FleetDuties::Authority() const {
+  return {.holder = this->options.host,
+          .fencing = this->lease.Fencing(),
+          .may_send = [this, fencing = this->lease.Fencing()] {
+            return this->MayAct() && this->lease.Fencing() == fencing;
+          }};
+}
+
+void FleetDuties::Tick() {
+  const Instant now = this->clock->Now();
+  std::vector<LeaseAction> actions;
+  this->lease.SetRank(static_cast<int64_t>(this->inputs.rank()));
+  this->lease.OnTick(now, actions);
+  this->NoteHolding(now);
+  this->Run(actions);
+  if (this->MayAct()) {
+    this->ReportDue(now);
+    this->PlanRoles(now);
+  }
+}
+
+void FleetDuties::NoteHolding(Instant now) {
+  const bool held = this->lease.Held();
+  if (held == this->holding) {
+    return;
+  }
+  this->holding = held;
+  LogInfo(kPart, held ? "Took the duties." : "Let go of the duties.",
+          {{"fencing", std::to_string(this->lease.Fencing())}});
+  if (held) {
+    this->act_from = now + this->options.lease;
+    return;
+  }
+  // What was sent and not answered could still arrive after the next holder
+  // has begun.
+  this->platform->CancelAll();
+  this->under_way.clear();
+  this->role_orders.clear();
+  this->reported.clear();
+}
+
+void FleetDuties::TakeLease(
+    Instant now,
+    const std::function<bool(std::vector<LeaseAction>&)>& take) {
+  std::vector<LeaseAction> actions;
+  take(actions);
+  this->NoteHolding(now);
+  this->Run(actions);
+}
+
+void FleetDuties::Run(const std::vector<LeaseAction>& actions) {
+  for (const LeaseAction& action : actions) {
+    if (const auto* run = std::get_if<RunTransaction>(&action)) {
+      this->store->Transact(
+          run->transaction, [this, tag = run->tag](const StoreReply& reply) {
+            const Instant now = this->clock->Now();
+            this->TakeLease(now, [&](std::vector<LeaseAction>& out) {
+              return this->lease.OnStoreReply(now, tag, reply, out);
+            });
+          });
+    } else if (const auto* grant = std::get_if<GrantLease>(&action)) {
+      this->store->GrantLease(
+          grant->length, [this, tag = grant->tag](Result<int64_t> granted) {
+            const Instant now = this->clock->Now();
+            this->TakeLease(now, [&](std::vector<LeaseAction>& out) {
+              return this->lease.OnLeaseGranted(now, tag, granted, out);
+            });
+          });
+    } else if (const auto* renew = std::get_if<RenewLease>(&action)) {
+      this->store->RenewLease(
+          renew->lease, [this, tag = renew->tag](Result<Duration> left) {
+            const Instant now = this->clock->Now();
+            this->TakeLease(now, [&](std::vector<LeaseAction>& out) {
+              return this->lease.OnLeaseRenewed(now, tag, left, out);
+            });
+          });
+    } else if (const auto* revoke = std::get_if<RevokeLease>(&action)) {
+      this->store->RevokeLease(revoke->lease, [](const Result<int64_t>&) {});
+    }
+  }
+}
+
+// Reports each window that is over and whose counts are all there, or that
+// can't wait for them any longer.
+void FleetDuties::ReportDue(Instant /*now*/) {
+  const int64_t now = this->UnixMilliseconds();
+  const int64_t current = this->usage.WindowAt(now);
+  const int64_t oldest = this->usage.WindowAt(
+      now - Milliseconds(this->options.report_due + this->options.window));
+  const std::vector<HostId> hosts = this->inputs.other_hosts();
+  for (int64_t window = oldest; window < current; ++window) {
+    const int64_t passed = now - this->usage.EndOf(window);
+    const bool complete =
+        std::ranges::all_of(hosts, [this, window](const HostId& host) {
+          return this->usage.Knows(host, window);
+        });
+    const bool urgent = passed >= Milliseconds(this->options.report_due -
+                                               this->options.report_reserve);
+    if (!this->reported.contains(window) &&
+        !this->under_way.contains(window) &&
+        passed >= Milliseconds(kSettle) && (complete || urgent)) {
+      this->WriteWindow(window);
+    }
+  }
+}
+
+// Fixes a window's figures before they are reported: two reports of one window
+// must not differ, whoever makes the second one.
+void FleetDuties::WriteWindow(int64_t window) {
+  this->under_way.insert(window);
+  const WindowCounts counts = this->usage.Total(window);
+  const std::string key = UsageKey(window);
+  this->store->Transact(
+      {.conditions = {{.key = key, .revision = 0}},
+       .then = {StorePut(key, EncodeWindowCounts(counts)),
+                StoreDelete(UsageKey(window - kKeptRecords))},
+       .otherwise = {StoreGet(key)}},
+      [this, window, counts](const StoreReply& reply) {
+        if (reply.outcome == StoreOutcome::kThen) {
+          this->ReportWindow(window, counts);
+          return;
+        }
+        const auto found =
+            reply.outcome == StoreOutcome::kOtherwise && !reply.records.empty()
+                ? DecodeWindowCounts(reply.records.front().value)
+                : Result<WindowCounts>(
+                      Fail(ErrorKind::kPlatformDown, "not written"));
+        if (found) {
+          this->ReportWindow(window, *found);
+        } else {
+          this->under_way.erase(window);  // the next tick tries again
+        }
+      });
+}
+
+void FleetDuties::ReportWindow(int64_t window, const WindowCounts& counts) {
+  if (!this->MayAct()) {
+    this->under_way.erase(window);
+    return;
+  }
+  this->platform->ReportUsage(
+      {.window = window, .counts = counts}, this->Authority(),
+      [this, window](DutyOutcome outcome) {
+        this->under_way.erase(window);
+        if (outcome == DutyOutcome::kAccepted) {
+          this->reported.insert(window);
+        }
+        LogInfo(kPart, "Usage reported.",
+                {{"window", std::to_string(window)},
+                 {"accepted",
+                  outcome == DutyOutcome::kAccepted ? "true" : "false"},
+                 {"fencing", std::to_string(this->lease.Fencing())}});
+      });
+}
+
+void FleetDuties::PlanRoles(Instant now) {
+  const FleetConfigurationPtr configuration = this->inputs.configuration();
+  if (!configuration || now < this->next_role) {
+    return;
+  }
+  FleetEndpoints expected = this->inputs.endpoints();
+  std::erase_if(this->role_orders, [&](const auto& entry) {
+    const auto found = expected.find(entry.first);
+    return found == expected.end() || found->second.run != entry.second.run ||
+           found->second.role == entry.second.role ||
+           now >= entry.second.until;
+  });
+  // What was ordered counts as done already, or it would be ordered twice.
+  for (const auto& [id, order] : this->role_orders) {
+    expected.at(id).role = order.role;
+  }
+  for (const auto& [id, service] : configuration->services) {
+    if (!service.engine || static_cast<int64_t>(this->role_orders.size()) >=
+                               this->options.roles_under_way) {
+      continue;
+    }
+    if (const auto change =
+            PlanRole(expected, id, this->inputs.streams(id))) {
+      this->next_role = now + this->options.role_pause;
+      this->OrderRole(*change);
+      return;
+    }
+  }
+}
+
+void FleetDuties::OrderRole(const RoleChange& change) {
+  const FleetEndpoint& endpoint = this->inputs.endpoints().at(change.endpoint);
+  this->role_orders[change.endpoint] = {
+      .run = endpoint.run,
+      .role = change.role,
+      .until = this->clock->Now() + kRoleShows};
+  LogInfo(kPart, "Role ordered.",
+          {{"endpoint", change.endpoint.Text()},
+           {"role", change.role == EndpointRole::kPrefill ? "read prompts"
+                                                          : "generate"},
+           {"fencing", std::to_string(this->lease.Fencing())}});
+  this->platform->ChangeRole(
+      {.run = endpoint.run, .address = endpoint.address, .role = change.role},
+      this->Authority(), [this, id = change.endpoint](DutyOutcome outcome) {
+        if (outcome == DutyOutcome::kRefused ||
+            outcome == DutyOutcome::kNotSent) {
+          LogInfo(kPart, "Role order has no effect.",
+                  {{"endpoint", id.Text()}});
+        }
+      });
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/relay/fleet_duties.h
@@ -0,0 +1,113 @@
+// What one host at a time does for the whole fleet: reports what client
+// accounts used, gives engines their roles, and orders endpoints.
+//
+// Which host: the one that holds a lease in the platform's store. It checks
+// the lease in the step that hands bytes to a socket; when its time is over by
+// its own clock, before the store would let anybody else in, it resets the
+// connections of calls that weren't answered. A new holder waits for the length
+// of a lease before it acts. So nothing of an old holder arrives after the
+// first call of its successor, and no two hosts act by turns within a lease's
+// length, though nobody on the other side checks the fencing number.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "decisions/lease.h"
+#include "decisions/role_plan.h"
+#include "decisions/usage_windows.h"
+#include "kernel/task.h"
+#include "platform/key_value_store.h"
+#include "relay/fleet_configuration.h"
+#include "relay/platform_duties.h"
+
+namespace hickorystand {
+
+// How duties are done.
+struct FleetDutiesOptions {
+  HostId host;
+  uint64_t incarnation = 0;
+  Duration lease = std::chrono::seconds(3);
+  Duration window = std::chrono::seconds(5);
+  Duration report_due = std::chrono::seconds(10);  // after a window's end
+  // The counts of all hosts are waited for until this long before that.
+  Duration report_reserve = std::chrono::milliseconds(3500);
+  // Between two changes of roles; a change takes an engine out for seconds,
+  // and its new role shows after a heartbeat.
+  Duration role_pause = std::chrono::milliseconds(400);
+  int64_t roles_under_way = 3;
+};
+
+// What duties need to know of the rest of the host.
+struct FleetDutiesInputs {
+  std::function<FleetConfigurationPtr()> configuration;
+  std::function<const FleetEndpoints&()> endpoints;
+  std::function<std::vector<HostId>()> other_hosts;
+  std::function<size_t()> rank;  // of this host among all, by id
+  // Streams of a service that run at a time in the whole fleet.
+  std::function<double(const ServiceId&)> streams;
+};
+
+class FleetDuties {
+ public:
+  FleetDuties(FleetDutiesOptions options,
+              const Clock& clock,
+              KeyValueStore& store,
+              PlatformDuties& platform,
+              FleetDutiesInputs inputs);
+  ~FleetDuties();
+
+  void Start();
+
+  // Lets go of the lease and never takes it again.
+  void Retire();
+
+  UsageWindows& Usage() { return this->usage; }
+
+  // Unix time that doesn't jump: the time of day at the start, carried on by
+  // the clock since boot. The time of day may be set by seconds, back and
+  // forth; windows would then be counted wrongly.
+  int64_t UnixMilliseconds() const;
+
+ private:
+  struct RoleOrder {
+    EndpointRun run;
+    EndpointRole role = EndpointRole::kPrefill;
+    Instant until{};  // then its outcome shows in the list, or never will
+  };
+
+  void Tick();
+  void Run(const std::vector<LeaseAction>& actions);
+  void TakeLease(Instant now, const std::function<bool(
+                                  std::vector<LeaseAction>&)>& take);
+  void NoteHolding(Instant now);
+  bool MayAct() const;
+  DutyAuthority Authority() const;
+
+  void ReportDue(Instant now);
+  void WriteWindow(int64_t window);
+  void ReportWindow(int64_t window, const WindowCounts& counts);
+  void PlanRoles(Instant now);
+  void OrderRole(const RoleChange& change);
+
+  FleetDutiesOptions options;
+  const Clock* clock;
+  KeyValueStore* store;
+  PlatformDuties* platform;
+  FleetDutiesInputs inputs;
+  Lease lease;
+  UsageWindows usage;
+  int64_t unix_at_boot = 0;
+  bool holding = false;
+  Instant act_from{};
+  std::set<int64_t> reported;
+  std::set<int64_t> under_way;  // windows being written or reported
+  std::map<EndpointId, RoleOrder> role_orders;
+  Instant next_role{};
+  std::unique_ptr<Timer> timer;
+};
+
+}  // namespace hickorystand
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -205,6 +205,13 @@
   }
 }
 
+std::vector<HostId> FleetPeers::Others() const {
+  std::vector<HostId> others;
+  std::ranges::transform(this->hosts, std::back_inserter(others),
+                         &PeerHost::host);
+  return others;
+}
+
 size_t FleetPeers::Broadcast(const PeerMessage& message) {
   return this->links ? this->links->Broadcast(message) : 0;
 }
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -59,6 +59,7 @@
   // How many hosts stand in the list, this one included; and this host's place
   // in it, by id.
   size_t Listed() const { return this->listed; }
+  std::vector<HostId> Others() const;
   size_t Rank() const { return this->rank; }
 
  private:
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -108,6 +108,13 @@
          this->clock->Now() - this->proven < this->settings.key_proof_limit;
 }
 
+double FleetRelay::Streams(const ServiceId& service) const {
+  const auto found = this->stream_seconds.find(service);
+  return found == this->stream_seconds.end()
+             ? 0
+             : found->second.PerSecond(this->clock->Now());
+}
+
 void FleetRelay::OnRequest(const CallerExchangePtr& exchange) {
   const auto request = std::make_shared<RelayedRequest>(this, exchange);
   this->requests.insert(request);
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -20,6 +20,7 @@
 #include <string>
 
 #include "decisions/fleet_placement.h"
+#include "decisions/decaying_rate.h"
 #include "decisions/suspects.h"
 #include "decisions/window_budget.h"
 #include "kernel/log.h"
@@ -93,6 +94,12 @@
   const FleetConfigurationPtr& Configuration() const {
     return this->configuration;
   }
+  const FleetEndpoints& Endpoints() const { return this->endpoints; }
+
+  // Streams of a service that this host passes on at a time, over the last ten
+  // seconds or so.
+  double Streams(const ServiceId& service) const;
+
   FleetPlacement& Placement() { return this->placement; }
   Suspects& SuspectList() { return this->suspects; }
   WindowBudget& Budget() { return this->budget; }
@@ -126,6 +133,7 @@
   FleetConfigurationPtr configuration;
   FleetEndpoints endpoints;
   Instant proven{};
+  std::map<ServiceId, DecayingRate> stream_seconds;
   std::set<std::shared_ptr<RelayedRequest>> requests;
 };
 
--- a/packages/relay/message_codec.h
+++ b/packages/relay/message_codec.h
@@ -58,6 +58,8 @@
   std::optional<int64_t> resume_after;  // the last event that was passed on
   bool read_prompt_only = false;        // no answer, only a handle
   std::string fetch_from;  // ADDRESS/HANDLE of a prompt that was read
+  // An engine whose memory of the prompt's start is to be copied first.
+  std::optional<SocketAddress> copy_from;
 
   bool operator==(const EndpointCall&) const = default;
 };
--- a/packages/relay/platform_duties.h
+++ b/packages/relay/platform_duties.h
@@ -5,6 +5,7 @@
 //   DutyAuthority         the right to act, checked as the bytes leave
 //   UsageReport           requests that began in one window
 //   EndpointCountOrder    how many endpoints a service shall have in a zone
+//   RoleOrder             which role an engine shall have
 //   DutyOutcome           what became of a call
 //   PlatformDuties        the interface
 
@@ -16,6 +17,7 @@
 #include <memory>
 #include <string>
 
+#include "decisions/fleet_endpoint.h"
 #include "kernel/ids.h"
 #include "kernel/settings.h"
 
@@ -47,6 +49,15 @@
   auto operator<=>(const EndpointCountOrder&) const = default;
 };
 
+// Which role an engine shall have.
+struct RoleOrder {
+  EndpointRun run;
+  SocketAddress address;
+  EndpointRole role = EndpointRole::kPrefill;
+
+  auto operator<=>(const RoleOrder&) const = default;
+};
+
 // What became of a call.
 enum class DutyOutcome {
   kAccepted,
@@ -71,6 +82,13 @@
                               const DutyAuthority& authority,
                               Done done) = 0;
 
+  // Orders a role. The engine is asked first how many orders it has taken, and
+  // takes this one only if it is the next: a copy that is carried out late
+  // finds another number and does nothing.
+  virtual void ChangeRole(const RoleOrder& order,
+                          const DutyAuthority& authority,
+                          Done done) = 0;
+
   // Ends the calls under way by closing their connections, so that nothing of
   // them can still arrive once the authority is gone.
   virtual void CancelAll() = 0;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -168,7 +168,7 @@
       this->request.prompt_tokens >= this->relay->settings.split_from_tokens) {
     this->SendReading(placed);
   } else {
-    this->SendRun(placed.endpoint, placed.new_tokens, "");
+    this->SendRun(placed, "");
   }
 }
 
@@ -198,21 +198,30 @@
               .reading = true},
              {.account = this->account,
               .priority = this->priority,
-              .read_prompt_only = true},
+              .read_prompt_only = true,
+              .copy_from = this->AddressOf(placed.copy_from)},
              placed.new_tokens);
 }
 
-void RelayedRequest::SendRun(const EndpointId& endpoint,
-                             int64_t new_tokens,
+std::optional<SocketAddress> RelayedRequest::AddressOf(
+    const std::optional<EndpointId>& endpoint) const {
+  if (!endpoint || !this->relay->endpoints.contains(*endpoint)) {
+    return {};
+  }
+  return this->relay->endpoints.at(*endpoint).address;
+}
+
+void RelayedRequest::SendRun(const Placed& placed,
                              const std::string& fetch_from) {
   ++this->runs_sent;
   ++this->arrivals;
-  this->Send({.endpoint = this->relay->endpoints.at(endpoint)},
+  this->Send({.endpoint = this->relay->endpoints.at(placed.endpoint)},
              {.account = this->account,
               .priority = this->priority,
               .resume_after = this->cutter.LastId(),
-              .fetch_from = fetch_from},
-             new_tokens);
+              .fetch_from = fetch_from,
+              .copy_from = this->AddressOf(placed.copy_from)},
+             placed.new_tokens);
 }
 
 void RelayedRequest::Send(Attempt next,
@@ -323,11 +332,12 @@
 
 void RelayedRequest::NoteFirstByte() {
   Attempt& at = *this->attempt;
-  if (std::exchange(at.first_byte, true)) {
+  if (at.first_byte_at) {
     return;
   }
   this->stall_timer.reset();
   const Instant now = this->relay->clock->Now();
+  at.first_byte_at = now;
   this->relay->placement.OnPromptRead(now, at.work);
   this->relay->metrics->Observe(
       "first_byte_seconds", ToSeconds(now - this->arrived),
@@ -364,6 +374,10 @@
   this->relay->placement.OnOutcome(now, at.endpoint.run.id,
                                    fate == Fate::kDone);
   this->handle.clear();
+  if (at.first_byte_at) {
+    this->relay->stream_seconds[this->service].Add(
+        now, ToSeconds(now - *at.first_byte_at));
+  }
   if (fate == Fate::kDone) {
     this->relay->suspects.OnAnswered(this->fingerprint);
     this->Over(std::to_string(at.status));
@@ -435,8 +449,11 @@
   const Instant now = this->relay->clock->Now();
   const Attempt at = std::move(*this->attempt);
   this->attempt.reset();
-  this->relay->placement.OnEnded(now, at.work);
   const bool whole = end == HttpEnd::kWhole && at.status == 200;
+  if (whole) {
+    this->relay->placement.OnPromptRead(now, at.work);
+  }
+  this->relay->placement.OnEnded(now, at.work);
   auto read = whole ? this->relay->codec->ReadPromptHandle(at.body)
                     : Result<PromptHandle>(Fail(ErrorKind::kEndpointFailed,
                                                 "the prompt was not read"));
@@ -466,9 +483,9 @@
                        this->relay->settings.placement.eject_for);
     return;
   }
-  this->SendRun(*answers,
-                this->shape.prompt_tokens - this->relay->placement.KeptTokens(
-                                                *answers, this->shape),
+  this->SendRun({.endpoint = *answers,
+                 .new_tokens = this->relay->placement.NewTokens(
+                     *answers, this->shape)},
                 "");
 }
 
@@ -481,7 +498,7 @@
                        this->relay->settings.placement.eject_for);
     return;
   }
-  this->SendRun(*answers, 0,
+  this->SendRun({.endpoint = *answers},
                 this->handle_at.host + ":" +
                     std::to_string(this->handle_at.port) + "/" + read.handle);
 }
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -49,7 +49,7 @@
     std::string body;       // held until it is whole
     bool foreign = false;   // bears no id, or another request's
     bool passing = false;   // the body goes on to the caller as it comes
-    bool first_byte = false;
+    std::optional<Instant> first_byte_at;
   };
 
   // What an attempt's end means for the request.
@@ -60,9 +60,9 @@
   void Place();
   bool MaySendAgain();
   void SendReading(const Placed& placed);
-  void SendRun(const EndpointId& endpoint,
-               int64_t new_tokens,
-               const std::string& handle);
+  void SendRun(const Placed& placed, const std::string& fetch_from);
+  std::optional<SocketAddress> AddressOf(
+      const std::optional<EndpointId>& endpoint) const;
   void Send(Attempt next, const EndpointCall& call, int64_t new_tokens);
   std::string HeadFor(const EndpointCall& call) const;
 
