Measure engines' slowness, spare generating ones long readings, stop without cuts

Causes: prompts that were never read counted as kept, so their repeats came to the same engine as if free; readings over 200 ms at a generating engine made pauses in all its streams; a wrong-role refusal was tried again at once; roles moved back and forth with every stream; a request taken late in a stop was cut.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -116,8 +116,9 @@
     return opened;
   }
   this->source->Start();
-  this->StartPeers();
   this->StartDuties();
+  this->StartPeers();
+  this->duties->Start();
   return 0;
 }
 
@@ -143,7 +144,6 @@
                 return this->relay->Streams(service) *
                        static_cast<double>(this->peers->Listed());
               }});
-  this->duties->Start();
   this->usage_timer = Timer::Every(kUsagePeriod, [this] {
     const WindowCopy copy =
         this->duties->Usage().OwnCopy(this->duties->UnixMilliseconds());
@@ -189,14 +189,25 @@
 }
 
 Digest RelayDaemon::MakeDigest() const {
-  return {.outstanding = this->relay->Placement().OwnWork(),
-          .suspicions = this->relay->SuspectList().Own()};
+  Digest digest{.outstanding = this->relay->Placement().OwnWork(),
+                .suspicions = this->relay->SuspectList().Own()};
+  for (const EndpointId& id : this->duties->ChangingRole()) {
+    digest.endpoints.push_back({.endpoint = id, .down = true});
+  }
+  return digest;
 }
 
 void RelayDaemon::OnDigest(const Digest& digest) {
   this->relay->Placement().OnPeerWork(digest.host, digest.outstanding);
   this->relay->SuspectList().OnPeer(this->clock->Now(), digest.host,
                                     digest.suspicions);
+  std::set<EndpointId> away;
+  for (const EndpointNews& news : digest.endpoints) {
+    if (news.down) {
+      away.insert(news.endpoint);
+    }
+  }
+  this->relay->Placement().SetAway(digest.host, std::move(away));
 }
 
 void RelayDaemon::AnswerReady(const CallerExchangePtr& exchange) {
@@ -226,6 +237,9 @@
 
 void RelayDaemon::CheckDrained() {
   const Duration passed = this->clock->Now() - *this->draining_since;
+  if (passed >= kDrainNotice) {
+    this->relay->RefuseNew();
+  }
   const bool finished =
       passed >= kDrainNotice && this->relay->Waiting() == 0;
   if (finished || passed >= this->settings.grace - kKillMargin) {
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -14,6 +14,11 @@
 // outcomes are remembered.
 constexpr double kOutcomeWeight = 0.15;
 
+// Weight of the newest measurement of an engine's slowness, and how long a
+// reading must be to be measured: on short ones other delays weigh more.
+constexpr double kSlownessWeight = 0.12;
+constexpr double kLeastMeasured = 0.08;  // seconds
+
 // Weight of the newest duration of a plain call.
 constexpr double kPlainWeight = 0.1;
 
@@ -103,9 +108,10 @@
 
 double FleetPlacement::Rate(const State& state) const {
   const EngineRates& rates = this->options.rates;
-  return state.endpoint.role == EndpointRole::kPrefill
-             ? rates.prompt_tokens
-             : rates.prompt_tokens * rates.decode_role_share;
+  const double share = state.endpoint.role == EndpointRole::kPrefill
+                           ? 1
+                           : rates.decode_role_share;
+  return rates.prompt_tokens * share / state.slowness;
 }
 
 double FleetPlacement::Penalty(const State& state) const {
@@ -191,8 +197,9 @@
                            const State& state,
                            const WorkShape& shape,
                            const std::set<EndpointId>& tried) const {
+  const EndpointId& id = state.endpoint.run.id;
   return state.endpoint.service == shape.service && !state.endpoint.leaving &&
-         now >= state.out_until && !tried.contains(state.endpoint.run.id);
+         now >= state.out_until && !tried.contains(id) && !this->IsAway(id);
 }
 
 FleetPlacement::Weighed FleetPlacement::WeighEngine(
@@ -216,15 +223,21 @@
   const int64_t own = shape.parts.empty() ? 0 : shape.parts.back().tokens;
   const double missed = static_cast<double>(std::max<int64_t>(fresh - own, 0));
   const bool reader = state.endpoint.role == EndpointRole::kPrefill;
-  const double seconds =
+  const double reading =
       static_cast<double>(state.waiting_tokens + others.prompt_tokens + fresh) /
-          rate +
-      copying + ToSeconds(rates.first_token) + (reader ? ToSeconds(rates.transfer) : 0);
-  const double held_up =
-      reader ? 0
-             : this->options.held_up_weight *
-                   static_cast<double>(state.running + others.requests) *
-                   static_cast<double>(fresh) / rate;
+      rate;
+  const double seconds =
+      reading + copying + ToSeconds(rates.first_token) +
+      (reader ? ToSeconds(rates.transfer) : 0);
+  const double streams = static_cast<double>(state.running + others.requests);
+  double held_up = 0;
+  if (!reader) {
+    held_up = this->options.held_up_weight * streams *
+                  static_cast<double>(fresh) / rate +
+              (reading > ToSeconds(this->options.longest_hold_up)
+                   ? ToSeconds(this->options.pause_penalty)
+                   : 0);
+  }
   return {.endpoint = id,
           .score = seconds + this->Penalty(state) + held_up +
                    (this->options.miss_weight - 1) * missed / rate,
@@ -355,7 +368,7 @@
   return best;
 }
 
-WorkId FleetPlacement::OnSent(Instant /*now*/,
+WorkId FleetPlacement::OnSent(Instant now,
                               const EndpointId& endpoint,
                               const WorkShape& shape,
                               int64_t new_tokens) {
@@ -373,10 +386,18 @@
                      static_cast<int64_t>(this->options.rates.cache_tokens),
                      false);
   }
-  this->works[++this->last_work] = {.endpoint = endpoint,
-                                    .started = state.endpoint.run.started,
-                                    .new_tokens = new_tokens,
-                                    .parts = shape.parts};
+  const double tokens =
+      static_cast<double>(state.waiting_tokens +
+                          this->PeerWork(endpoint).prompt_tokens);
+  this->works[++this->last_work] = {
+      .endpoint = endpoint,
+      .started = state.endpoint.run.started,
+      .new_tokens = new_tokens,
+      .parts = shape.parts,
+      .sent = now,
+      .seconds = new_tokens == 0
+                     ? 0
+                     : tokens / this->Rate(state) / state.slowness};
   return this->last_work;
 }
 
@@ -388,7 +409,24 @@
              : nullptr;
 }
 
-void FleetPlacement::OnPromptRead(Instant /*now*/, WorkId work) {
+// Compares how long a prompt took to be read with what the sheet says. Engines
+// of one service differ, and one that turns slow shows nowhere else.
+void FleetPlacement::LearnSlowness(Instant now,
+                                   const Work& work,
+                                   State& state) {
+  if (work.seconds < kLeastMeasured) {
+    return;
+  }
+  const double measured =
+      (ToSeconds(now - work.sent) - ToSeconds(this->options.rates.first_token)) /
+      work.seconds;
+  state.slowness += kSlownessWeight *
+                    (std::clamp(measured, this->options.least_slowness,
+                                this->options.most_slowness) -
+                     state.slowness);
+}
+
+void FleetPlacement::OnPromptRead(Instant now, WorkId work) {
   const auto found = this->works.find(work);
   if (found == this->works.end() || found->second.read) {
     return;
@@ -396,6 +434,7 @@
   found->second.read = true;
   if (State* state = this->Find(found->second)) {
     state->waiting_tokens -= found->second.new_tokens;
+    this->LearnSlowness(now, found->second, *state);
     for (const PartTokens& part : found->second.parts) {
       state->cache.Keep(
           part, static_cast<int64_t>(this->options.rates.cache_tokens), true);
@@ -410,10 +449,45 @@
   }
   if (State* state = this->Find(over.mapped())) {
     --state->running;
-    state->waiting_tokens -= over.mapped().read ? 0 : over.mapped().new_tokens;
+    if (over.mapped().read) {
+      return;
+    }
+    state->waiting_tokens -= over.mapped().new_tokens;
+    // Nobody knows how far it was read. Believed to be kept, it would draw the
+    // same prompt here again.
+    for (const PartTokens& part : over.mapped().parts) {
+      const auto found = state->cache.entries.find(part.part);
+      if (found != state->cache.entries.end() && !found->second.confirmed) {
+        state->cache.Drop(part.part);
+      }
+    }
   }
 }
 
+void FleetPlacement::OnWrongRole(Instant now, const EndpointId& endpoint) {
+  if (const auto found = this->states.find(endpoint);
+      found != this->states.end()) {
+    found->second.out_until =
+        std::max(found->second.out_until, now + this->options.role_unknown_for);
+  }
+}
+
+void FleetPlacement::SetAway(const HostId& host,
+                             std::set<EndpointId> endpoints) {
+  this->away[host] = std::move(endpoints);
+}
+
+void FleetPlacement::ForgetPeer(const HostId& host) {
+  this->peers.erase(host);
+  this->away.erase(host);
+}
+
+bool FleetPlacement::IsAway(const EndpointId& endpoint) const {
+  return std::ranges::any_of(this->away, [&endpoint](const auto& entry) {
+    return entry.second.contains(endpoint);
+  });
+}
+
 void FleetPlacement::OnOutcome(Instant now,
                                const EndpointId& endpoint,
                                bool good) {
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -72,6 +72,16 @@
   // Reading at an engine that generates holds up each of its streams for as
   // long; what each such stream adds to the score, as a share of the reading.
   double held_up_weight = 0.15;
+  // Reading that takes longer than this in one go there makes pauses of over
+  // 300 ms in all its streams, which is as bad as a wait of `pause_penalty`.
+  Duration longest_hold_up = std::chrono::milliseconds(200);
+  Duration pause_penalty = std::chrono::milliseconds(500);
+  // How far an engine's measured slowness may go from its sheet.
+  double least_slowness = 0.6;
+  double most_slowness = 5;
+  // An engine that refused a call for its role is left alone for so long: the
+  // change shows in its next heartbeat and the next reading of the list.
+  Duration role_unknown_for = std::chrono::milliseconds(1800);
   // What a failure of late costs in score, at a failure share of 1.
   Duration failure_penalty = std::chrono::milliseconds(1500);
   // An endpoint that failed so often in a row gets nothing for a while.
@@ -163,6 +173,13 @@
   // It is over.
   void OnEnded(Instant now, WorkId work);
 
+  // An endpoint refused a call that its role doesn't allow: the list is behind.
+  void OnWrongRole(Instant now, const EndpointId& endpoint);
+
+  // Endpoints that another host says must get nothing now. Replaces what that
+  // host said before.
+  void SetAway(const HostId& host, std::set<EndpointId> endpoints);
+
   // What an engine keeps of a part changed; `tokens` 0: nothing is left.
   void OnCache(const EndpointId& endpoint, const PartTokens& part);
 
@@ -178,7 +195,7 @@
   // Work of other hosts, which replaces what the host told before.
   void OnPeerWork(const HostId& host,
                   const std::vector<EndpointOutstanding>& work);
-  void ForgetPeer(const HostId& host) { this->peers.erase(host); }
+  void ForgetPeer(const HostId& host);
 
   // This host's work, for the others.
   std::vector<EndpointOutstanding> OwnWork() const;
@@ -209,6 +226,7 @@
     Cache cache;
     int64_t waiting_tokens = 0;  // of this host's work, not yet read
     int64_t running = 0;         // this host's work
+    double slowness = 1;  // measured reading time over the sheet's
     double failure_share = 0;
     int64_t failures_in_row = 0;
     Duration ejection{};
@@ -219,6 +237,8 @@
     int64_t started = 0;  // the endpoint's start, as EndpointRun has it
     int64_t new_tokens = 0;
     std::vector<PartTokens> parts;
+    Instant sent{};
+    double seconds = 0;  // expected to the first byte, without slowness
     bool read = false;
   };
   // An engine that keeps the start of a prompt.
@@ -253,12 +273,15 @@
   double Penalty(const State& state) const;
   EndpointOutstanding PeerWork(const EndpointId& endpoint) const;
   State* Find(const Work& work);
+  bool IsAway(const EndpointId& endpoint) const;
+  void LearnSlowness(Instant now, const Work& work, State& state);
   double PlainSeconds(const ServiceId& service) const;
 
   PlacementOptions options;
   std::map<EndpointId, State> states;
   std::map<WorkId, Work> works;
   std::map<HostId, std::vector<EndpointOutstanding>> peers;
+  std::map<HostId, std::set<EndpointId>> away;
   std::map<ServiceId, double> plain_seconds;
   WorkId last_work = 0;
 };
--- a/packages/decisions/role_plan.cc
+++ b/packages/decisions/role_plan.cc
@@ -57,7 +57,7 @@
       std::max({needed + options.spare_engines, share,
                 static_cast<int64_t>(zones.size()) + options.spare_engines}),
       1, std::max<int64_t>(engines / 2, 1));
-  if (CountAll(generators) > wanted) {
+  if (CountAll(generators) > wanted + options.tolerated_more) {
     return RoleChange{.endpoint = FromFullest(generators),
                       .role = EndpointRole::kPrefill};
   }
--- a/packages/decisions/role_plan.h
+++ b/packages/decisions/role_plan.h
@@ -22,6 +22,9 @@
   // Of those, at least one for each zone, since moving a prompt's memory to
   // another zone takes twice as long, and some more for the loss of one.
   int64_t spare_engines = 1;
+  // Engines that generate beyond what is needed are left so up to this many:
+  // streams come and go, and each change takes an engine out for seconds.
+  int64_t tolerated_more = 2;
   // The least share of engines that generate, whatever the streams need.
   double least_share = 0.2;
 
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -85,6 +85,14 @@
   this->Run(actions);
 }
 
+std::vector<EndpointId> FleetDuties::ChangingRole() const {
+  std::vector<EndpointId> changing;
+  for (const auto& [id, order] : this->role_orders) {
+    changing.push_back(id);
+  }
+  return changing;
+}
+
 bool FleetDuties::MayAct() const {
   const Instant now = this->clock->Now();
   return this->lease.MayAct(now) && now >= this->act_from;
@@ -291,6 +299,7 @@
       this->Authority(), [this, id = change.endpoint](DutyOutcome outcome) {
         if (outcome == DutyOutcome::kRefused ||
             outcome == DutyOutcome::kNotSent) {
+          this->role_orders.erase(id);
           LogInfo(kPart, "Role order has no effect.",
                   {{"endpoint", id.Text()}});
         }
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -65,6 +65,10 @@
   // Lets go of the lease and never takes it again.
   void Retire();
 
+  // Engines whose role is being changed by this host: they refuse new work
+  // until they are done.
+  std::vector<EndpointId> ChangingRole() const;
+
   UsageWindows& Usage() { return this->usage; }
 
   // Unix time that doesn't jump: the time of day at the start, carried on by
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -42,11 +42,11 @@
   Duration key_proof_limit = std::chrono::milliseconds(4200);
   // Hosts that share the connections that an endpoint takes.
   int64_t hosts_at_most = 16;
-  // A first byte that takes longer than this many times the route's target,
-  // and than the floor, is taken for a hung endpoint; what may run again then
+  // A first byte that takes longer than this many times the route's target and
+  // the expected time, and than the floor, is taken for a hung endpoint; what may run again then
   // goes elsewhere.
   double stall_factor = 2.5;
-  Duration stall_floor = std::chrono::milliseconds(900);
+  Duration stall_floor = std::chrono::milliseconds(1300);
   // The longest wait for the first byte that callers of streams put up with.
   Duration first_byte_patience = std::chrono::milliseconds(2000);
   // A prompt this long is worth reading at one engine for another.
@@ -87,6 +87,10 @@
   // Each answer is the last of its connection from now on.
   void StartDrain() { this->server.StartDrain(); }
 
+  // Requests that come from now on are refused as not run: they couldn't be
+  // finished before the process ends.
+  void RefuseNew() { this->refusing = true; }
+
   // Whether requests can be served: a configuration and endpoints are known.
   bool Ready() const;
 
@@ -133,6 +137,7 @@
   FleetConfigurationPtr configuration;
   FleetEndpoints endpoints;
   Instant proven{};
+  bool refusing = false;
   std::map<ServiceId, DecayingRate> stream_seconds;
   std::set<std::shared_ptr<RelayedRequest>> requests;
 };
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -21,6 +21,9 @@
 // Bytes that a slow caller may leave unread before its endpoint has to wait.
 constexpr size_t kUnsentLimit = size_t{256} << 10;
 
+// An endpoint's answer to a call for another process or another role.
+constexpr int kMisdirected = 421;
+
 // A rest of time too short for a send to be worth it.
 constexpr Duration kLeastLeft = std::chrono::milliseconds(60);
 
@@ -84,6 +87,9 @@
     return read.error();
   }
   this->request = std::move(*read);
+  if (this->relay->refusing) {
+    return Error{ErrorKind::kShuttingDown, "this host stops", Duration{}};
+  }
   if (!this->configuration) {
     return Error{ErrorKind::kNoEndpoint, "no configuration yet",
                  std::chrono::milliseconds(300)};
@@ -195,6 +201,7 @@
 
 void RelayedRequest::SendReading(const Placed& placed) {
   this->Send({.endpoint = this->relay->endpoints.at(*placed.reader),
+              .expected = placed.expected,
               .reading = true},
              {.account = this->account,
               .priority = this->priority,
@@ -215,7 +222,8 @@
                              const std::string& fetch_from) {
   ++this->runs_sent;
   ++this->arrivals;
-  this->Send({.endpoint = this->relay->endpoints.at(placed.endpoint)},
+  this->Send({.endpoint = this->relay->endpoints.at(placed.endpoint),
+              .expected = placed.expected},
              {.account = this->account,
               .priority = this->priority,
               .resume_after = this->cutter.LastId(),
@@ -371,8 +379,7 @@
   const Instant now = this->relay->clock->Now();
   Attempt& at = *this->attempt;
   this->relay->placement.OnEnded(now, at.work);
-  this->relay->placement.OnOutcome(now, at.endpoint.run.id,
-                                   fate == Fate::kDone);
+  this->NoteOutcome(at, fate == Fate::kDone);
   this->handle.clear();
   if (at.first_byte_at) {
     this->relay->stream_seconds[this->service].Add(
@@ -444,6 +451,16 @@
   return Fate::kDone;
 }
 
+// Remembers what became of an attempt, for later placing.
+void RelayedRequest::NoteOutcome(const Attempt& at, bool good) {
+  const Instant now = this->relay->clock->Now();
+  if (at.status == kMisdirected) {
+    this->relay->placement.OnWrongRole(now, at.endpoint.run.id);
+  } else {
+    this->relay->placement.OnOutcome(now, at.endpoint.run.id, good);
+  }
+}
+
 // A reading call has ended.
 void RelayedRequest::OnRead(HttpEnd end) {
   const Instant now = this->relay->clock->Now();
@@ -457,7 +474,7 @@
   auto read = whole ? this->relay->codec->ReadPromptHandle(at.body)
                     : Result<PromptHandle>(Fail(ErrorKind::kEndpointFailed,
                                                 "the prompt was not read"));
-  this->relay->placement.OnOutcome(now, at.endpoint.run.id, read.has_value());
+  this->NoteOutcome(at, read.has_value());
   if (read) {
     this->handle = read->handle;
     this->handle_at = at.endpoint.address;
@@ -541,8 +558,11 @@
   }
   const RelaySettings& settings = this->relay->settings;
   const Duration limit = std::max(
-      settings.stall_floor, FromSeconds(ToSeconds(this->route->target_latency) *
-                                        settings.stall_factor));
+      {settings.stall_floor,
+       FromSeconds(ToSeconds(this->route->target_latency) *
+                   settings.stall_factor),
+       FromSeconds(ToSeconds(this->attempt->expected) *
+                   settings.stall_factor)});
   this->stall_timer = Timer::After(limit, [this] { this->OnStall(); });
 }
 
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -42,6 +42,7 @@
     EndpointExchangePtr exchange;
     WorkId work = 0;
     Instant sent{};
+    Duration expected{};    // to the first byte
     bool reading = false;  // reads the prompt for another endpoint
     int status = 0;
     EndpointAnswer answer;
@@ -70,6 +71,7 @@
   void OnBytes(std::string_view bytes);
   void OnEnd(HttpEnd end);
   void OnRead(HttpEnd end);
+  void NoteOutcome(const Attempt& at, bool good);
   void OnPromptHandle(const PromptHandle& handle);
   Fate JudgeEnd(HttpEnd end);
   Fate JudgeWhole();
