--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -143,6 +143,12 @@
                 // Callers are spread over hosts by a hash.
                 return this->relay->Streams(service) *
                        static_cast<double>(this->peers->Listed());
+              },
+          .reading =
+              [this](const ServiceId& service) {
+                return this->relay->ReadPerSecond(service) *
+                       static_cast<double>(this->peers->Listed()) /
+                       this->settings.relay.placement.rates.prompt_tokens;
               }});
   this->usage_timer = Timer::Every(kUsagePeriod, [this] {
     const WindowCopy copy =
--- a/packages/decisions/role_plan.cc
+++ b/packages/decisions/role_plan.cc
@@ -19,11 +19,18 @@
   return count;
 }
 
-// An engine of the zone that has the most of them.
-EndpointId FromFullest(const ByZone& engines) {
+// An engine of the zone that has the most of them: a spot one, or one that
+// stays, where there is one of that kind.
+EndpointId FromFullest(const FleetEndpoints& endpoints,
+                       const ByZone& engines,
+                       bool spot) {
   const auto fullest = std::ranges::max_element(
       engines, {}, [](const auto& entry) { return entry.second.size(); });
-  return fullest->second.front();
+  const auto of_kind = std::ranges::find_if(
+      fullest->second, [&endpoints, spot](const EndpointId& id) {
+        return endpoints.at(id).spot == spot;
+      });
+  return of_kind != fullest->second.end() ? *of_kind : fullest->second.front();
 }
 
 }  // namespace
@@ -58,18 +65,20 @@
                 static_cast<int64_t>(zones.size()) + options.spare_engines}),
       1, std::max<int64_t>(engines / 2, 1));
   if (CountAll(generators) > wanted + options.tolerated_more) {
-    return RoleChange{.endpoint = FromFullest(generators),
+    return RoleChange{.endpoint = FromFullest(endpoints, generators, true),
                       .role = EndpointRole::kPrefill};
   }
   if (CountAll(generators) >= wanted || readers.empty()) {
     return {};
   }
-  // Where none generates yet, if there is such a zone.
+  // Where none generates yet, if there is such a zone. Streams go to engines
+  // that can't be reclaimed, since theirs would break.
   const auto bare = std::ranges::find_if(readers, [&](const auto& entry) {
     return !generators.contains(entry.first);
   });
   return RoleChange{.endpoint = bare != readers.end() ? bare->second.front()
-                                                      : FromFullest(readers),
+                                                      : FromFullest(endpoints, readers,
+                                                                  false),
                     .role = EndpointRole::kDecode};
 }
 
--- /dev/null
+++ b/packages/decisions/scale_plan.cc
@@ -0,0 +1,122 @@
+#include "decisions/scale_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace hickorystand {
+namespace {
+
+bool UsesSpot(const ScaleBounds& bounds, const ScalePlanOptions& options) {
+  return bounds.spot_price < options.spot_worth_it;
+}
+
+// The zones, cheapest first.
+std::vector<ZoneId> ZonesByPrice(const ScaleBounds& bounds) {
+  std::vector<ZoneId> zones;
+  for (const auto& [zone, price] : bounds.zone_prices) {
+    zones.push_back(zone);
+  }
+  std::ranges::stable_sort(zones, {}, [&bounds](const ZoneId& zone) {
+    return bounds.zone_prices.at(zone);
+  });
+  return zones;
+}
+
+// Hands out `count` engines, one to each zone in turn, as long as `room` has a
+// place; the cheaper zones get the odd ones.
+template <typename Room, typename Add>
+void Deal(const std::vector<ZoneId>& zones, int64_t count, Room room, Add add) {
+  bool dealt = true;
+  while (count > 0 && dealt) {
+    dealt = false;
+    for (const ZoneId& zone : zones) {
+      if (count > 0 && room(zone)) {
+        add(zone);
+        --count;
+        dealt = true;
+      }
+    }
+  }
+}
+
+int64_t Live(const EnginesByZone& engines) {
+  int64_t live = 0;
+  for (const auto& [zone, counts] : engines) {
+    live += counts.dependable + counts.spot;
+  }
+  return live;
+}
+
+ZoneEngines In(const EnginesByZone& engines, const ZoneId& zone) {
+  const auto found = engines.find(zone);
+  return found == engines.end() ? ZoneEngines() : found->second;
+}
+
+}  // namespace
+
+int64_t EnginesWanted(double reading,
+                      const ScaleBounds& bounds,
+                      const ScalePlanOptions& options) {
+  const double share = UsesSpot(bounds, options)
+                           ? options.reading_share_spot
+                           : options.reading_share_dependable;
+  const auto zones = static_cast<int64_t>(bounds.zone_prices.size());
+  return static_cast<int64_t>(std::ceil(reading / share)) + zones +
+         options.generating_spare;
+}
+
+int64_t EnginesAtFirst(int64_t live,
+                       const ScaleBounds& bounds,
+                       const ScalePlanOptions& options) {
+  return UsesSpot(bounds, options)
+             ? static_cast<int64_t>(std::ceil(options.first_factor_spot *
+                                              static_cast<double>(live)))
+             : live;
+}
+
+EnginesByZone PlanScale(const EnginesByZone& now,
+                        int64_t wanted,
+                        const ScaleBounds& bounds,
+                        const ScalePlanOptions& options) {
+  const std::vector<ZoneId> zones = ZonesByPrice(bounds);
+  const bool spot = UsesSpot(bounds, options);
+  const auto least = static_cast<int64_t>(zones.size()) *
+                     std::max<int64_t>(bounds.minimum, 1);
+  const int64_t dependable =
+      spot ? std::max(least, static_cast<int64_t>(std::ceil(
+                                 options.dependable_share *
+                                 static_cast<double>(wanted))))
+           : std::max(least, wanted);
+  EnginesByZone plan;
+  Deal(
+      zones, dependable,
+      [&](const ZoneId& zone) {
+        return plan[zone].dependable < bounds.maximum;
+      },
+      [&](const ZoneId& zone) { ++plan[zone].dependable; });
+  // More dependable engines than planned go one in each zone at a time, and
+  // only when the rest is enough.
+  int64_t spare = std::max<int64_t>(Live(now) - wanted, 0);
+  for (auto& [zone, counts] : plan) {
+    const int64_t has = In(now, zone).dependable;
+    if (has > counts.dependable) {
+      const int64_t gone = std::min<int64_t>(spare, 1);
+      counts.dependable = has - gone;
+      spare -= gone;
+    }
+  }
+  if (spot) {
+    Deal(
+        zones, wanted - dependable,
+        [&](const ZoneId& zone) {
+          const ZoneEngines& counts = plan.at(zone);
+          return !In(now, zone).dry &&
+                 counts.dependable + counts.spot < bounds.maximum;
+        },
+        [&](const ZoneId& zone) { ++plan.at(zone).spot; });
+  }
+  return plan;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/scale_plan.h
@@ -0,0 +1,79 @@
+// How many engines to order, where, and which of them may be reclaimed.
+//
+// A spot engine costs a fraction of a dependable one, but its zone's owner may
+// take all of a zone's back within seconds. So a base of dependable engines in
+// every zone carries the streams, and spot engines, spread over the zones,
+// carry most of the reading: the loss of one zone's takes a part of them, and
+// what is missing is ordered in the other zones.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "decisions/fleet_endpoint.h"
+
+namespace hickorystand {
+
+// How engines are priced and bounded, for one service.
+struct ScaleBounds {
+  int64_t minimum = 0;  // in a zone
+  int64_t maximum = 0;  // in a zone, of both kinds together
+  double spot_price = 1;
+  std::map<ZoneId, double> zone_prices;
+
+  bool operator==(const ScaleBounds&) const = default;
+};
+
+// Engines of one zone, by kind.
+struct ZoneEngines {
+  int64_t dependable = 0;
+  int64_t spot = 0;
+  bool dry = false;  // no spot engine was to be had lately
+
+  auto operator<=>(const ZoneEngines&) const = default;
+};
+
+using EnginesByZone = std::map<ZoneId, ZoneEngines>;
+
+// How scaling is set.
+struct ScalePlanOptions {
+  // The share of its time that an engine reads on average. Bursts double the
+  // work within a second, hosts spread it unevenly, and an engine takes four
+  // seconds to come; the cheaper engines are, the more room is worth having.
+  double reading_share_dependable = 0.4;
+  double reading_share_spot = 0.22;
+  // Spot engines are used if they cost less than this share.
+  double spot_worth_it = 0.6;
+  // Dependable engines among all.
+  double dependable_share = 0.15;
+  // Engines for streams, beside those that read: this many for each zone and
+  // some more.
+  int64_t generating_spare = 1;
+  // Before there was any load, this many times what stands there is wanted:
+  // cold engines read every shared part for the first time.
+  double first_factor_spot = 1.3;
+  // So much less may be wanted without a change: loads go up and down by the
+  // second, and each engine that comes again reads everything anew.
+  int64_t tolerated_less = 3;
+};
+
+// How many engines a service wants whose prompts need `reading` engines that
+// read all the time.
+int64_t EnginesWanted(double reading,
+                      const ScaleBounds& bounds,
+                      const ScalePlanOptions& options = {});
+
+// How many engines are wanted before any load is known.
+int64_t EnginesAtFirst(int64_t live,
+                       const ScaleBounds& bounds,
+                       const ScalePlanOptions& options = {});
+
+// What each zone shall have now. Dependable engines go one in each zone at a
+// time, and only while the others are enough without them.
+EnginesByZone PlanScale(const EnginesByZone& now,
+                        int64_t wanted,
+                        const ScaleBounds& bounds,
+                        const ScalePlanOptions& options = {});
+
+}  // namespace hickorystand
--- a/packages/relay/fleet_configuration.h
+++ b/packages/relay/fleet_configuration.h
@@ -4,7 +4,7 @@
 //
 // Index
 //   Repeatability, Route, RouteTarget   where requests go and what may repeat
-//   EngineShape, ScaleRules             what a service of engines looks like
+//   EngineShape                         what a service of engines looks like
 //   FleetService, CallerLimits          the other records
 //   FleetConfiguration                  all of them at one version
 
@@ -18,6 +18,7 @@
 #include <string_view>
 #include <vector>
 
+#include "decisions/scale_plan.h"
 #include "kernel/ids.h"
 #include "kernel/time.h"
 
@@ -78,24 +79,13 @@
   auto operator<=>(const EngineShape&) const = default;
 };
 
-// How many endpoints of a service may be ordered, and at what price.
-struct ScaleRules {
-  int64_t minimum = 0;  // in each zone
-  int64_t maximum = 0;  // in each zone
-  Duration boot{};
-  double spot_price = 1;  // against a dependable one
-  std::map<ZoneId, double> zone_prices;
-
-  bool operator==(const ScaleRules&) const = default;
-};
-
 // A group of endpoints that do the same.
 struct FleetService {
   ServiceId id;
   std::string health_path;
   int64_t max_connections = 0;  // of one endpoint, from all hosts together
   std::optional<EngineShape> engine;
-  std::optional<ScaleRules> scaling;
+  std::optional<ScaleBounds> scaling;
 
   bool operator==(const FleetService&) const = default;
 };
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -23,6 +23,10 @@
 // Windows whose record is kept; older ones are removed with each new one.
 constexpr int64_t kKeptRecords = 12;
 
+// How much of the highest reading load is still planned for after each look:
+// the next burst comes within half a minute.
+constexpr double kPeakKept = 0.985;
+
 // How long an order's effect may take to show: the change itself, a heartbeat
 // and a reading of the list. Longer than that it counts as lost.
 constexpr Duration kRoleShows = std::chrono::milliseconds(6500);
@@ -116,6 +120,7 @@
   if (this->MayAct()) {
     this->ReportDue(now);
     this->PlanRoles(now);
+    this->PlanEngines(now);
   }
 }
 
@@ -136,6 +141,10 @@
   this->platform->CancelAll();
   this->under_way.clear();
   this->role_orders.clear();
+  this->scale_orders.clear();
+  this->dry_until.clear();
+  this->first_wanted.clear();
+  this->planned.clear();
   this->reported.clear();
 }
 
@@ -306,4 +315,113 @@
       });
 }
 
+EnginesByZone FleetDuties::CountEngines(Instant now,
+                                        const ServiceId& service) const {
+  EnginesByZone counts;
+  for (const auto& [id, endpoint] : this->inputs.endpoints()) {
+    if (endpoint.service == service && !endpoint.leaving) {
+      ZoneEngines& zone = counts[endpoint.zone];
+      ++(endpoint.spot ? zone.spot : zone.dependable);
+    }
+  }
+  for (const auto& [key, until] : this->dry_until) {
+    if (key.service == service && now < until) {
+      counts[key.zone].dry = true;
+    }
+  }
+  return counts;
+}
+
+int64_t FleetDuties::WantedEngines(const FleetService& service, int64_t live) {
+  double& peak = this->reading_peak[service.id];
+  peak = std::max(this->inputs.reading(service.id), peak * kPeakKept);
+  const ScalePlanOptions scaling;
+  const int64_t first =
+      this->first_wanted
+          .try_emplace(service.id,
+                       EnginesAtFirst(live, *service.scaling, scaling))
+          .first->second;
+  const int64_t wanted =
+      std::max(EnginesWanted(peak, *service.scaling, scaling), first);
+  int64_t& planned = this->planned[service.id];
+  if (wanted > planned || wanted < planned - scaling.tolerated_less) {
+    planned = wanted;
+  }
+  return planned;
+}
+
+void FleetDuties::PlanEngines(Instant now) {
+  const FleetConfigurationPtr configuration = this->inputs.configuration();
+  if (!configuration || now < this->next_scale) {
+    return;
+  }
+  this->next_scale = now + this->options.scale_period;
+  for (const auto& [id, service] : configuration->services) {
+    if (!service.scaling || service.scaling->maximum <= 0) {
+      continue;
+    }
+    const EnginesByZone counts = this->CountEngines(now, id);
+    int64_t live = 0;
+    for (const auto& [zone, of] : counts) {
+      live += of.dependable + of.spot;
+    }
+    const EnginesByZone plan = PlanScale(
+        counts, this->WantedEngines(service, live), *service.scaling);
+    for (const auto& [zone, target] : plan) {
+      const auto found = counts.find(zone);
+      const ZoneEngines has =
+          found == counts.end() ? ZoneEngines() : found->second;
+      this->OrderEngines(now, {.service = id, .zone = zone},
+                         has.dependable, target.dependable);
+      if (!has.dry) {
+        this->OrderEngines(now, {.service = id, .zone = zone, .spot = true},
+                           has.spot, target.spot);
+      }
+    }
+  }
+}
+
+void FleetDuties::OrderEngines(Instant now,
+                               const ScaleKey& key,
+                               int64_t has,
+                               int64_t count) {
+  const auto before = this->scale_orders.find(key);
+  if (before != this->scale_orders.end()) {
+    const bool same = before->second.count == count;
+    const bool shows = now - before->second.ordered < this->options.scale_shows;
+    if (before->second.under_way || (same && (has == count || shows))) {
+      return;
+    }
+  } else if (has == count) {
+    return;
+  }
+  this->scale_orders[key] = {.count = count, .ordered = now, .under_way = true};
+  LogInfo(kPart, "Engines ordered.",
+          {{"service", key.service.Text()},
+           {"zone", key.zone.Text()},
+           {"kind", key.spot ? "spot" : "dependable"},
+           {"listed", std::to_string(has)},
+           {"count", std::to_string(count)},
+           {"fencing", std::to_string(this->lease.Fencing())}});
+  this->platform->OrderEndpoints(
+      {.service = key.service,
+       .zone = key.zone,
+       .count = count,
+       .spot = key.spot},
+      this->Authority(), [this, key](DutyOutcome outcome) {
+        const auto order = this->scale_orders.find(key);
+        if (order != this->scale_orders.end()) {
+          order->second.under_way = false;
+        }
+        if (outcome == DutyOutcome::kAccepted) {
+          return;
+        }
+        LogInfo(kPart, "Engines can't be had.",
+                {{"zone", key.zone.Text()},
+                 {"kind", key.spot ? "spot" : "dependable"}});
+        this->scale_orders.erase(key);
+        this->dry_until[key] = this->clock->Now() + this->options.dry_for;
+      });
+}
+
 }  // namespace hickorystand
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -39,6 +39,13 @@
   // and its new role shows after a heartbeat.
   Duration role_pause = std::chrono::milliseconds(400);
   int64_t roles_under_way = 3;
+  // Between two looks at how many engines there should be.
+  Duration scale_period = std::chrono::milliseconds(800);
+  // An order is repeated if its engines aren't there after this: they take
+  // four seconds to start and a heartbeat to show.
+  Duration scale_shows = std::chrono::milliseconds(7000);
+  // A zone without spot engines is asked again after this.
+  Duration dry_for = std::chrono::milliseconds(4000);
 };
 
 // What duties need to know of the rest of the host.
@@ -49,6 +56,9 @@
   std::function<size_t()> rank;  // of this host among all, by id
   // Streams of a service that run at a time in the whole fleet.
   std::function<double(const ServiceId&)> streams;
+  // Engines of a service that the whole fleet's prompts would keep reading all
+  // the time.
+  std::function<double(const ServiceId&)> reading;
 };
 
 class FleetDuties {
@@ -83,6 +93,20 @@
     Instant until{};  // then its outcome shows in the list, or never will
   };
 
+  // One kind of engine of one service in one zone.
+  struct ScaleKey {
+    ServiceId service;
+    ZoneId zone;
+    bool spot = false;
+
+    auto operator<=>(const ScaleKey&) const = default;
+  };
+  struct ScaleOrder {
+    int64_t count = 0;
+    Instant ordered{};
+    bool under_way = false;
+  };
+
   void Tick();
   void Run(const std::vector<LeaseAction>& actions);
   void TakeLease(Instant now, const std::function<bool(
@@ -96,6 +120,11 @@
   void ReportWindow(int64_t window, const WindowCounts& counts);
   void PlanRoles(Instant now);
   void OrderRole(const RoleChange& change);
+  void PlanEngines(Instant now);
+  EnginesByZone CountEngines(Instant now, const ServiceId& service) const;
+  int64_t WantedEngines(const FleetService& service, int64_t live);
+  void OrderEngines(Instant now, const ScaleKey& key, int64_t has,
+                    int64_t count);
 
   FleetDutiesOptions options;
   const Clock* clock;
@@ -111,6 +140,12 @@
   std::set<int64_t> under_way;  // windows being written or reported
   std::map<EndpointId, RoleOrder> role_orders;
   Instant next_role{};
+  std::map<ScaleKey, ScaleOrder> scale_orders;
+  std::map<ScaleKey, Instant> dry_until;
+  std::map<ServiceId, double> reading_peak;
+  std::map<ServiceId, int64_t> first_wanted;  // when the duty began
+  std::map<ServiceId, int64_t> planned;       // engines wanted now
+  Instant next_scale{};
   std::unique_ptr<Timer> timer;
 };
 
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -108,11 +108,23 @@
          this->clock->Now() - this->proven < this->settings.key_proof_limit;
 }
 
+namespace {
+
+double RateOf(const std::map<ServiceId, DecayingRate>& rates,
+              const ServiceId& service,
+              Instant now) {
+  const auto found = rates.find(service);
+  return found == rates.end() ? 0 : found->second.PerSecond(now);
+}
+
+}  // namespace
+
 double FleetRelay::Streams(const ServiceId& service) const {
-  const auto found = this->stream_seconds.find(service);
-  return found == this->stream_seconds.end()
-             ? 0
-             : found->second.PerSecond(this->clock->Now());
+  return RateOf(this->stream_seconds, service, this->clock->Now());
+}
+
+double FleetRelay::ReadPerSecond(const ServiceId& service) const {
+  return RateOf(this->read_tokens, service, this->clock->Now());
 }
 
 void FleetRelay::OnRequest(const CallerExchangePtr& exchange) {
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -104,6 +104,9 @@
   // seconds or so.
   double Streams(const ServiceId& service) const;
 
+  // Prompt tokens a second of a service that this host sends to be read.
+  double ReadPerSecond(const ServiceId& service) const;
+
   FleetPlacement& Placement() { return this->placement; }
   Suspects& SuspectList() { return this->suspects; }
   WindowBudget& Budget() { return this->budget; }
@@ -139,6 +142,7 @@
   Instant proven{};
   bool refusing = false;
   std::map<ServiceId, DecayingRate> stream_seconds;
+  std::map<ServiceId, DecayingRate> read_tokens;
   std::set<std::shared_ptr<RelayedRequest>> requests;
 };
 
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -253,6 +253,8 @@
   next.sent = now;
   next.work = this->relay->placement.OnSent(now, next.endpoint.run.id,
                                             this->shape, new_tokens);
+  this->relay->read_tokens[this->service].Add(
+      now, static_cast<double>(new_tokens));
   this->attempt = std::move(next);
   this->relay->Log(
       LogLevel::kInfo, this->request.id, "Sent.",
