Test the relay against scripted endpoints; keep a handler alive while it runs

The test of an answer without a length crashed: a connection that is closed from within its own handler destroyed that handler. Handlers are now copied before they are called.

--- a/packages/http/stream_socket.cc
+++ b/packages/http/stream_socket.cc
@@ -147,8 +147,8 @@
   }
   this->state = State::kOpen;
   this->WatchInput();
-  if (this->events.on_open) {
-    this->events.on_open();
+  if (const auto call = this->events.on_open) {
+    call();
   }
   if (this->state == State::kOpen) {
     this->Flush();
@@ -165,7 +165,9 @@
     if (this->state == State::kClosing) {
       return;
     }
-    this->events.on_bytes({block.data(), static_cast<size_t>(got)});
+    // A copy: the owner may replace its handlers from within one of them.
+    const auto call = this->events.on_bytes;
+    call({block.data(), static_cast<size_t>(got)});
   } else if (got == 0) {
     this->End(StreamEnd::kClosed);
   } else if (!IsError(error, G_IO_ERROR_WOULD_BLOCK)) {
@@ -207,8 +209,8 @@
   this->output.reset();
   if (this->state == State::kClosing) {
     g_socket_shutdown(this->socket.get(), FALSE, TRUE, nullptr);
-  } else if (this->events.on_drained) {
-    this->events.on_drained();
+  } else if (const auto call = this->events.on_drained) {
+    call();
   }
 }
 
@@ -260,8 +262,8 @@
 void StreamSocket::End(StreamEnd end) {
   const auto keep = std::exchange(this->self, nullptr);
   this->Close();
-  if (this->events.on_end) {
-    this->events.on_end(end);
+  if (const auto call = this->events.on_end) {
+    call(end);
   }
 }
 
--- /dev/null
+++ b/tests/relay.cmake
@@ -0,0 +1,1 @@
+add_unit_test(relay_test SOURCES tests/relay_test.cc LIBRARIES hs_adapter)
--- /dev/null
+++ b/tests/relay_bed.h
@@ -0,0 +1,248 @@
+// A relay between scripted endpoints and raw callers, all on one main context,
+// for tests of what travels on which connection.
+//
+// Index
+//   RunUntil           lets events happen until something holds
+//   ScriptedEndpoint   answers each request as a test says
+//   RawCaller          sends bytes and collects what comes back
+//   RelayBed           all of it, with a configuration of three routes
+
+#pragma once
+
+#include <glib.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/http1_parser.h"
+#include "http/stream_socket.h"
+#include "kernel/registry.h"
+#include "relay/fleet_relay.h"
+
+namespace hickorystand {
+
+// Lets events happen until `holds`, or for a while at the most.
+inline bool RunUntil(const std::function<bool()>& holds,
+                     Duration limit = std::chrono::seconds(5)) {
+  bool expired = false;
+  const auto timer = Timer::After(limit, [&expired] { expired = true; });
+  while (!holds() && !expired) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  return holds();
+}
+
+// Lets events happen for a while.
+inline void RunFor(Duration length) {
+  RunUntil([] { return false; }, length);
+}
+
+// A request as an endpoint saw it.
+struct SeenRequest {
+  Http1Head head;
+  std::string body;
+  StreamSocketPtr on;  // to answer on it
+
+  std::string Header(std::string_view name) const {
+    return FindHeader(this->head.headers, name).value_or("");
+  }
+};
+
+// Accepts connections and hands each whole request to a script.
+class ScriptedEndpoint {
+ public:
+  using Script = std::function<void(const SeenRequest&)>;
+
+  ScriptedEndpoint(uint16_t port, Script script)
+      : address{.host = "127.0.0.1", .port = port}, script(std::move(script)) {
+    this->listener = std::move(*Listener::Open(
+        this->address,
+        [this](ObjectPtr<GSocket> socket) { this->Accept(std::move(socket)); }));
+  }
+
+  const SocketAddress& Address() const { return this->address; }
+  const std::vector<SeenRequest>& Seen() const { return this->seen; }
+  size_t Connections() const { return this->peers.size(); }
+  size_t Closed() const { return this->closed; }
+  void SetScript(Script changed) { this->script = std::move(changed); }
+
+ private:
+  struct Peer {
+    StreamSocketPtr socket;
+    std::unique_ptr<Http1Parser> parser;
+    SeenRequest request;
+  };
+
+  void Accept(ObjectPtr<GSocket> accepted) {
+    auto& peer = *this->peers.emplace_back(std::make_unique<Peer>());
+    peer.parser = std::make_unique<Http1Parser>(
+        Http1Side::kRequests,
+        Http1Events{
+            .on_head = [&peer](const Http1Head& head) {
+              peer.request = {.head = head, .on = peer.socket};
+            },
+            .on_body = [&peer](std::string_view bytes) {
+              peer.request.body += bytes;
+            },
+            .on_end = [] {}});
+    peer.parser->Begin({});
+    peer.socket = StreamSocket::Adopt(
+        std::move(accepted), std::chrono::seconds(5),
+        {.on_bytes = [this, &peer](std::string_view bytes) {
+           peer.parser->Feed(bytes);
+           peer.parser->Read();
+           while (peer.parser->Done()) {
+             const SeenRequest request = peer.request;
+             peer.parser->Begin({});
+             this->seen.push_back(request);
+             this->script(request);
+             peer.parser->Read();
+           }
+         },
+         .on_end = [this](StreamEnd) { ++this->closed; }});
+  }
+
+  SocketAddress address;
+  Script script;
+  std::unique_ptr<Listener> listener;
+  std::vector<std::unique_ptr<Peer>> peers;
+  std::vector<SeenRequest> seen;
+  size_t closed = 0;
+};
+
+// A caller's connection.
+class RawCaller {
+ public:
+  explicit RawCaller(const SocketAddress& to) {
+    this->socket = StreamSocket::Connect(
+        to, std::chrono::seconds(5),
+        {.on_bytes = [this](std::string_view bytes) { this->got += bytes; },
+         .on_end = [this](StreamEnd) { this->closed = true; }});
+  }
+
+  void Send(std::string_view bytes) { this->socket->Write(bytes); }
+  void HangUp() { this->socket->Close(); }
+  bool Closed() const { return this->closed; }
+  const std::string& Got() const { return this->got; }
+  bool GotText(std::string_view text) const {
+    return this->got.find(text) != std::string::npos;
+  }
+
+ private:
+  StreamSocketPtr socket;
+  std::string got;
+  bool closed = false;
+};
+
+// What the bed's requests are: the route's path decides.
+inline constexpr std::string_view kLookUp = "/lookup/";  // idempotent
+inline constexpr std::string_view kFiling = "/file/";    // at most once
+inline constexpr std::string_view kStream = "/stream/";  // resumable
+inline constexpr std::string_view kStreamOnce = "/once/";
+
+class RelayBed {
+ public:
+  // Each test takes ports of its own, so that none waits for another's.
+  explicit RelayBed(uint16_t port, RelaySettings settings = {})
+      : front{.host = "127.0.0.1", .port = port},
+        codec((*Registry<MessageCodec>::Find("platform"))()) {
+    settings.budget.slack = 8;
+    this->relay = std::make_unique<FleetRelay>(
+        settings, this->clock, *this->codec, this->metrics,
+        RelayHooks{.on_begun = [this](const AccountId& account) {
+          this->begun.push_back(account);
+        }});
+    this->relay->SetConfiguration(Configuration(1));
+    this->relay->ProveFresh(this->clock.Now());
+    this->listening = this->relay->Listen(this->front).has_value();
+  }
+
+  static FleetConfigurationPtr Configuration(int64_t version) {
+    auto made = std::make_shared<FleetConfiguration>();
+    made->version = version;
+    made->keys_required = true;
+    made->accounts_by_key["key-a"] = {.id = AccountId("account-a")};
+    made->services[ServiceId("plain")] = {.id = ServiceId("plain")};
+    const auto add = [&made](std::string_view path, Repeatability kind,
+                             int64_t attempts) {
+      made->routes.push_back(
+          {.name = std::string(path),
+           .host = "h.example",
+           .path_prefix = std::string(path),
+           .kind = kind,
+           .timeout = std::chrono::seconds(2),
+           .target_latency = std::chrono::milliseconds(300),
+           .targets = {{.service = ServiceId("plain")}},
+           .max_attempts = attempts});
+    };
+    add(kLookUp, Repeatability::kIdempotent, 2);
+    add(kFiling, Repeatability::kOnce, 2);
+    add(kStream, Repeatability::kStreamResumable, 2);
+    add(kStreamOnce, Repeatability::kStreamOnce, 1);
+    return made;
+  }
+
+  // Makes scripted endpoints known to the relay, in this order.
+  void Serve(const std::vector<ScriptedEndpoint*>& endpoints) {
+    FleetEndpoints known;
+    for (const ScriptedEndpoint* one : endpoints) {
+      const EndpointId id("e" + std::to_string(one->Address().port));
+      known[id] = {.run = {.id = id, .started = 1},
+                   .service = ServiceId("plain"),
+                   .address = one->Address(),
+                   .slots = 4};
+    }
+    this->relay->SetEndpoints(known);
+  }
+
+  static std::string Request(std::string_view path,
+                             std::string_view id,
+                             std::string_view more = "",
+                             std::string_view body = "") {
+    return "POST " + std::string(path) +
+           "x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + std::string(id) +
+           "\r\nRequest-Deadline: 2000\r\nAuthorization: Bearer key-a\r\n" +
+           std::string(more) +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           std::string(body);
+  }
+
+  // An endpoint's good answer.
+  static std::string Good(std::string_view id, std::string_view body) {
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: " + std::string(id) +
+           "\r\nResponse-Seal: s." + std::string(id) + "\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+  }
+
+  // An endpoint's statement that it didn't run a request.
+  static std::string NotRun() {
+    return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+           "Content-Length: 0\r\n\r\n";
+  }
+
+  // The head of a stream in chunks, and one chunk.
+  static std::string StreamHead(std::string_view id) {
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: " + std::string(id) +
+           "\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+  }
+  static std::string Chunk(std::string_view bytes) {
+    gchar* size = g_strdup_printf("%zx\r\n", bytes.size());
+    std::string text(size);
+    g_free(size);
+    return text + std::string(bytes) + "\r\n";
+  }
+
+  bool listening = false;
+  SocketAddress front;
+  BootClock clock;
+  Metrics metrics;
+  std::unique_ptr<MessageCodec> codec;
+  std::vector<AccountId> begun;
+  std::unique_ptr<FleetRelay> relay;
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/tests/relay_test.cc
@@ -0,0 +1,393 @@
+// What the relay does when endpoints, callers and connections fail.
+
+#include "relay_bed.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace hickorystand {
+namespace {
+
+void CheckFirstLine(const RawCaller& caller, std::string_view status) {
+  STRNCMP_EQUAL(("HTTP/1.1 " + std::string(status)).c_str(),
+                caller.Got().c_str(), 9 + status.size());
+}
+
+// Answers every request well, with the request's own id.
+void AnswerWell(const SeenRequest& request) {
+  request.on->Write(RelayBed::Good(request.Header("Attempt-Id"), "done"));
+}
+
+}  // namespace
+
+TEST_GROUP(Relay){};
+
+// A caller's request goes through unchanged, and its answer comes back whole
+// with the endpoint's proof. The key stays here; the account goes along.
+TEST(Relay, PassesRequestAndAnswerOn) {
+  RelayBed bed(21100);
+  ScriptedEndpoint endpoint(21101, &AnswerWell);
+  bed.Serve({&endpoint});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kLookUp, "r1", "X-Own: 1\r\n", "body"));
+  CHECK(RunUntil([&] { return caller.GotText("done"); }));
+  CheckFirstLine(caller, "200");
+  CHECK(caller.GotText("Response-Seal: s.r1"));
+  const SeenRequest& seen = endpoint.Seen().at(0);
+  STRCMP_EQUAL("/lookup/x", seen.head.target.c_str());
+  STRCMP_EQUAL("body", seen.body.c_str());
+  STRCMP_EQUAL("1", seen.Header("X-Own").c_str());
+  STRCMP_EQUAL("account-a", seen.Header("Tenant").c_str());
+  STRCMP_EQUAL("e21101", seen.Header("Expect-Instance").c_str());
+  STRCMP_EQUAL("", seen.Header("Authorization").c_str());
+  LONGS_EQUAL(1, bed.begun.size());
+}
+
+// A caller claims another account, another endpoint and a prompt's memory.
+// Only the relay may say these, so the endpoint must not see them.
+TEST(Relay, StripsWhatOnlyTheRelayMaySay) {
+  RelayBed bed(21110);
+  ScriptedEndpoint endpoint(21111, &AnswerWell);
+  bed.Serve({&endpoint});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(
+      kLookUp, "r1",
+      "Tenant: other\r\nKv-Source: 1.2.3.4:5/x\r\nKv-Hold: h\r\nPin-Ms: 9\r\n"
+      "Kv-Backup: 1.2.3.4:5\r\nStage: prefill\r\nRequest-Priority: 0\r\n"));
+  CHECK(RunUntil([&] { return caller.GotText("done"); }));
+  const SeenRequest& seen = endpoint.Seen().at(0);
+  STRCMP_EQUAL("account-a", seen.Header("Tenant").c_str());
+  for (const char* name :
+       {"Kv-Source", "Kv-Hold", "Pin-Ms", "Kv-Backup", "Stage"}) {
+    STRCMP_EQUAL("", seen.Header(name).c_str());
+  }
+}
+
+// A caller lists the request's id and a header of its own in Connection. The
+// own one concerns the connection only; without the id the endpoint would run
+// a request that nobody sent.
+TEST(Relay, DropsHeadersNamedInConnectionButKeepsTheRequestsId) {
+  RelayBed bed(21120);
+  ScriptedEndpoint endpoint(21121, &AnswerWell);
+  bed.Serve({&endpoint});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(
+      kLookUp, "r1", "Connection: x-own, attempt-id\r\nX-Own: 1\r\n"));
+  CHECK(RunUntil([&] { return caller.GotText("done"); }));
+  STRCMP_EQUAL("r1", endpoint.Seen().at(0).Header("Attempt-Id").c_str());
+  STRCMP_EQUAL("", endpoint.Seen().at(0).Header("X-Own").c_str());
+}
+
+// Two lengths in one request: a second request could hide in what one reader
+// takes for the body. It is refused and the connection ends.
+TEST(Relay, RefusesConflictingLengths) {
+  RelayBed bed(21130);
+  ScriptedEndpoint endpoint(21131, &AnswerWell);
+  bed.Serve({&endpoint});
+  RawCaller caller(bed.front);
+  caller.Send(
+      "POST /lookup/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: r1\r\n"
+      "Authorization: Bearer key-a\r\nContent-Length: 5\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /lookup/y HTTP/1.1\r\n");
+  CHECK(RunUntil([&] { return caller.Closed(); }));
+  CheckFirstLine(caller, "400");
+  LONGS_EQUAL(0, endpoint.Seen().size());
+}
+
+// An endpoint resets the connection of a filing after it has read it. The
+// filing may have run: it must not be sent again, and the caller must not be
+// told that it hasn't run.
+TEST(Relay, NeverRepeatsAFilingThatMayHaveRun) {
+  RelayBed bed(21140);
+  const auto reset = [](const SeenRequest& request) { request.on->Reset(); };
+  ScriptedEndpoint first(21141, reset);
+  ScriptedEndpoint second(21142, reset);
+  bed.Serve({&first, &second});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kFiling, "r1"));
+  CHECK(RunUntil([&] { return !caller.Got().empty(); }));
+  CheckFirstLine(caller, "502");
+  LONGS_EQUAL(1, first.Seen().size() + second.Seen().size());
+}
+
+// An endpoint says that it didn't run a filing. That is certain, so another
+// endpoint gets it.
+TEST(Relay, SendsAFilingElsewhereThatSurelyHasNotRun) {
+  RelayBed bed(21150);
+  const auto refuse = [](const SeenRequest& request) {
+    request.on->Write(RelayBed::NotRun());
+  };
+  ScriptedEndpoint first(21151, refuse);
+  ScriptedEndpoint second(21152, refuse);
+  size_t calls = 0;
+  const auto second_call_runs = [&](const SeenRequest& request) {
+    if (++calls == 2) {
+      AnswerWell(request);
+    } else {
+      refuse(request);
+    }
+  };
+  first.SetScript(second_call_runs);
+  second.SetScript(second_call_runs);
+  bed.Serve({&first, &second});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kFiling, "r1"));
+  CHECK(RunUntil([&] { return caller.GotText("done"); }));
+  LONGS_EQUAL(1, first.Seen().size());
+  LONGS_EQUAL(1, second.Seen().size());
+}
+
+// No endpoint runs the request. The caller learns at once that it has not run
+// and when to come back, within the time that it would wait.
+TEST(Relay, RefusesAtOnceWithATimeToComeBack) {
+  RelayBed bed(21160);
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kFiling, "r1"));
+  CHECK(RunUntil([&] { return caller.GotText("Retry-After: 0."); },
+                 std::chrono::milliseconds(500)));
+  CheckFirstLine(caller, "503");
+}
+
+// An endpoint's late second answer to an earlier request arrives where the
+// next answer is due. It must not reach the next caller.
+TEST(Relay, DropsALateAnswerToAnEarlierRequest) {
+  RelayBed bed(21170);
+  ScriptedEndpoint endpoint(21171, [](const SeenRequest& request) {
+    const std::string id = request.Header("Attempt-Id");
+    const std::string stray = id == "r2" ? RelayBed::Good("r1", "stray") : "";
+    request.on->Write(stray + RelayBed::Good(id, "done"));
+  });
+  bed.Serve({&endpoint});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kLookUp, "r1"));
+  CHECK(RunUntil([&] { return caller.GotText("done"); }));
+  RawCaller next(bed.front);
+  next.Send(RelayBed::Request(kLookUp, "r2"));
+  CHECK(RunUntil([&] { return next.GotText("done"); }));
+  CHECK(next.GotText("s.r2"));
+  CHECK(!next.GotText("stray"));
+}
+
+// A success without the endpoint's proof isn't the endpoint's answer. What may
+// run again is asked for elsewhere; the caller sees only the good answer.
+TEST(Relay, AsksAgainForAnAnswerWithoutProof) {
+  RelayBed bed(21180);
+  size_t calls = 0;
+  const auto script = [&calls](const SeenRequest& request) {
+    const std::string id = request.Header("Attempt-Id");
+    request.on->Write(++calls == 1
+                          ? "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
+                                "\r\nContent-Length: 3\r\n\r\nbad"
+                          : RelayBed::Good(id, "done"));
+  };
+  ScriptedEndpoint first(21181, script);
+  ScriptedEndpoint second(21182, script);
+  bed.Serve({&first, &second});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kLookUp, "r1"));
+  CHECK(RunUntil([&] { return caller.GotText("done"); }));
+  CHECK(!caller.GotText("bad"));
+}
+
+// A stream breaks in the middle of its third event. It goes on at another
+// endpoint behind the second one, within the same answer: no event is missing,
+// none comes twice, and the torn one isn't seen.
+TEST(Relay, ResumesAStreamBehindTheLastWholeEvent) {
+  RelayBed bed(21190);
+  const auto script = [](const SeenRequest& request) {
+    const std::string id = request.Header("Attempt-Id");
+    if (request.Header("Last-Event-Id").empty()) {
+      request.on->Write(RelayBed::StreamHead(id) +
+                        RelayBed::Chunk("id: 1\ndata: a\n\n") +
+                        RelayBed::Chunk("id: 2\ndata: b\n\nid: 3\nda"));
+      request.on->CloseAfterWrite();
+      return;
+    }
+    STRCMP_EQUAL("2", request.Header("Last-Event-Id").c_str());
+    request.on->Write(RelayBed::StreamHead(id) +
+                      RelayBed::Chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+  };
+  ScriptedEndpoint first(21191, script);
+  ScriptedEndpoint second(21192, script);
+  bed.Serve({&first, &second});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kStream, "r1"));
+  CHECK(RunUntil([&] { return caller.GotText("\r\n0\r\n\r\n"); }));
+  CHECK(caller.GotText("id: 2\ndata: b\n\n\r\n"));
+  CHECK(caller.GotText("id: 3\ndata: c\n\n"));
+  CHECK(!caller.GotText("id: 3\nda\r\n"));
+  LONGS_EQUAL(1, bed.begun.size());
+}
+
+// A stream that may run only once breaks. The caller must see that the answer
+// isn't whole: the connection ends without the last chunk.
+TEST(Relay, BreaksOffAStreamThatMayNotRunAgain) {
+  RelayBed bed(21200);
+  ScriptedEndpoint endpoint(21201, [](const SeenRequest& request) {
+    request.on->Write(RelayBed::StreamHead(request.Header("Attempt-Id")) +
+                      RelayBed::Chunk("id: 1\ndata: a\n\n"));
+    request.on->CloseAfterWrite();
+  });
+  bed.Serve({&endpoint});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kStreamOnce, "r1"));
+  CHECK(RunUntil([&] { return caller.Closed(); }));
+  CHECK(caller.GotText("data: a"));
+  CHECK(!caller.GotText("\r\n0\r\n\r\n"));
+  LONGS_EQUAL(1, endpoint.Seen().size());
+}
+
+// A caller hangs up while its request runs. The endpoint sees its connection
+// close at once, so that it stops.
+TEST(Relay, CancelsAtTheEndpointWhenTheCallerLeaves) {
+  RelayBed bed(21210);
+  ScriptedEndpoint endpoint(21211, [](const SeenRequest&) {});
+  bed.Serve({&endpoint});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kLookUp, "r1"));
+  CHECK(RunUntil([&] { return endpoint.Seen().size() == 1; }));
+  caller.HangUp();
+  CHECK(RunUntil([&] { return endpoint.Closed() == 1; },
+                 std::chrono::milliseconds(400)));
+}
+
+// An answer without a length ends with its connection: in order it is whole,
+// by a reset it is not.
+TEST(Relay, TellsAnAnswerThatEndedFromOneThatWasCut) {
+  RelayBed bed(21220);
+  std::unique_ptr<Timer> reset;  // once the bytes have arrived
+  ScriptedEndpoint endpoint(21221, [&reset](const SeenRequest& request) {
+    const std::string id = request.Header("Attempt-Id");
+    request.on->Write("HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
+                      "\r\nResponse-Seal: s\r\n\r\nuntil the end");
+    if (id == "whole") {
+      request.on->CloseAfterWrite();
+    } else {
+      reset = Timer::After(std::chrono::milliseconds(50),
+                           [on = request.on] { on->Reset(); });
+    }
+  });
+  bed.Serve({&endpoint});
+  RawCaller whole(bed.front);
+  whole.Send(RelayBed::Request(kFiling, "whole"));
+  CHECK(RunUntil([&] { return whole.GotText("until the end"); }));
+  CheckFirstLine(whole, "200");
+  RawCaller cut(bed.front);
+  cut.Send(RelayBed::Request(kFiling, "cut"));
+  CHECK(RunUntil([&] { return !cut.Got().empty(); }));
+  CheckFirstLine(cut, "502");
+}
+
+// An endpoint answers before it has read a long body and keeps the connection.
+// The next request must not go there: its bytes would be taken for the rest.
+TEST(Relay, DoesNotReuseAConnectionWhoseBodyIsNotSent) {
+  RelayBed bed(21230);
+  ScriptedEndpoint endpoint(21231, &AnswerWell);
+  bed.Serve({&endpoint});
+  const std::string body(3000000, 'b');
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kLookUp, "r1", "", body));
+  CHECK(RunUntil([&] { return caller.GotText("done"); }));
+  LONGS_EQUAL(body.size(), endpoint.Seen().at(0).body.size());
+}
+
+// The store is cut off for longer than a withdrawn key may still work. Nobody
+// can say that the key holds, so the request is refused as not run, before it
+// goes anywhere; with fresh proof it is served again.
+TEST(Relay, RefusesKeysWithoutFreshProof) {
+  RelaySettings settings;
+  settings.key_proof_limit = std::chrono::milliseconds(150);
+  RelayBed bed(21240, settings);
+  ScriptedEndpoint endpoint(21241, &AnswerWell);
+  bed.Serve({&endpoint});
+  RunFor(std::chrono::milliseconds(200));
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kLookUp, "r1"));
+  CHECK(RunUntil([&] { return !caller.Got().empty(); }));
+  CheckFirstLine(caller, "503");
+  LONGS_EQUAL(0, endpoint.Seen().size());
+  bed.relay->ProveFresh(bed.clock.Now());
+  RawCaller again(bed.front);
+  again.Send(RelayBed::Request(kLookUp, "r2"));
+  CHECK(RunUntil([&] { return again.GotText("done"); }));
+}
+
+// A withdrawn key, an unknown route: each has its own answer; an older
+// configuration that arrives late doesn't bring either back.
+TEST(Relay, NeverGoesBackToAnOlderConfiguration) {
+  RelayBed bed(21250);
+  ScriptedEndpoint endpoint(21251, &AnswerWell);
+  bed.Serve({&endpoint});
+  auto newer = std::make_shared<FleetConfiguration>(
+      *RelayBed::Configuration(5));
+  newer->accounts_by_key.clear();
+  bed.relay->SetConfiguration(newer);
+  bed.relay->SetConfiguration(RelayBed::Configuration(4));
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kLookUp, "r1"));
+  CHECK(RunUntil([&] { return !caller.Got().empty(); }));
+  CheckFirstLine(caller, "401");
+  RawCaller lost(bed.front);
+  lost.Send(RelayBed::Request("/none/", "r2"));
+  CHECK(RunUntil([&] { return !lost.Got().empty(); }));
+  CheckFirstLine(lost, "404");
+}
+
+// An endpoint hangs while its health is good. What may run again is asked for
+// elsewhere in time; the hung send is cancelled first.
+TEST(Relay, LeavesAHungEndpointWhenTheRequestMayRunAgain) {
+  RelaySettings settings;
+  settings.stall_floor = std::chrono::milliseconds(100);
+  settings.stall_factor = 0.2;
+  RelayBed bed(21260, settings);
+  size_t calls = 0;
+  const auto script = [&calls](const SeenRequest& request) {
+    if (++calls > 1) {
+      AnswerWell(request);
+    }
+  };
+  ScriptedEndpoint first(21261, script);
+  ScriptedEndpoint second(21262, script);
+  bed.Serve({&first, &second});
+  RawCaller caller(bed.front);
+  caller.Send(RelayBed::Request(kLookUp, "r1"));
+  CHECK(RunUntil([&] { return caller.GotText("done"); },
+                 std::chrono::seconds(1)));
+  LONGS_EQUAL(1, first.Closed() + second.Closed());
+}
+
+// The route's time is over while a filing runs. The caller gets its answer
+// then and not later; it doesn't say that the filing hasn't run.
+TEST(Relay, AnswersWhenTheRoutesTimeIsOver) {
+  RelayBed bed(21270);
+  ScriptedEndpoint endpoint(21271, [](const SeenRequest&) {});
+  bed.Serve({&endpoint});
+  RawCaller caller(bed.front);
+  std::string request = RelayBed::Request(kFiling, "r1");
+  request.replace(request.find("2000"), 4, "0300");
+  caller.Send(request);
+  CHECK(RunUntil([&] { return !caller.Got().empty(); },
+                 std::chrono::milliseconds(600)));
+  CheckFirstLine(caller, "504");
+}
+
+// A host that stops serves what still comes on open connections and tells each
+// caller that the connection ends; later it refuses, so that nothing is cut.
+TEST(Relay, StopsWithoutCuttingARequest) {
+  RelayBed bed(21280);
+  ScriptedEndpoint endpoint(21281, &AnswerWell);
+  bed.Serve({&endpoint});
+  RawCaller caller(bed.front);
+  RawCaller late(bed.front);
+  bed.relay->StartDrain();
+  caller.Send(RelayBed::Request(kLookUp, "r1"));
+  CHECK(RunUntil([&] { return caller.Closed(); }));
+  CHECK(caller.GotText("Connection: close"));
+  CHECK(caller.GotText("done"));
+  bed.relay->RefuseNew();
+  late.Send(RelayBed::Request(kFiling, "r2"));
+  CHECK(RunUntil([&] { return late.Closed(); }));
+  CheckFirstLine(late, "503");
+  LONGS_EQUAL(1, endpoint.Seen().size());
+}
+
+}  // namespace hickorystand
