--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -127,6 +127,7 @@
       FleetDutiesOptions{.host = this->settings.host,
                          .incarnation = static_cast<uint64_t>(
                              this->clock->WallMilliseconds()),
+                         .first_start = this->settings.first_start,
                          .lease = this->settings.lease_length,
                          .window = this->settings.usage_window,
                          .report_due = this->settings.usage_late},
--- a/packages/daemon/relay_settings.h
+++ b/packages/daemon/relay_settings.h
@@ -20,6 +20,7 @@
   SocketAddress ready;
   SocketAddress metrics;
   SocketAddress peers;
+  bool first_start = false;  // of the whole fleet, so nobody acted before
   std::string adapter;  // the plug-ins that speak to this platform
   SocketAddress store;
   Duration store_timeout{};
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -11,6 +11,9 @@
 constexpr std::string_view kPart = "duties";
 constexpr std::string_view kUsagePrefix = "hickorystand/usage/";
 
+// Fewer streams at a time than this are none.
+constexpr double kIdleStreams = 0.5;
+
 constexpr Duration kTick = std::chrono::milliseconds(100);
 
 // The lease ends this much earlier for its holder than in the store.
@@ -79,6 +82,7 @@
 }
 
 void FleetDuties::Start() {
+  this->started = this->clock->Now();
   this->timer = Timer::Every(kTick, [this] { this->Tick(); });
 }
 
@@ -133,7 +137,9 @@
   LogInfo(kPart, held ? "Took the duties." : "Let go of the duties.",
           {{"fencing", std::to_string(this->lease.Fencing())}});
   if (held) {
-    this->act_from = now + this->options.lease;
+    const bool first =
+        this->options.first_start && now - this->started < this->options.lease;
+    this->act_from = first ? now : now + this->options.lease;
     return;
   }
   // What was sent and not answered could still arrive after the next holder
@@ -279,13 +285,16 @@
     expected.at(id).role = order.role;
   }
   for (const auto& [id, service] : configuration->services) {
-    if (!service.engine || static_cast<int64_t>(this->role_orders.size()) >=
-                               this->options.roles_under_way) {
+    const double streams = this->inputs.streams(id);
+    const bool idle = streams < kIdleStreams;
+    if (!service.engine ||
+        static_cast<int64_t>(this->role_orders.size()) >=
+            (idle ? this->options.roles_under_way_idle
+                  : this->options.roles_under_way)) {
       continue;
     }
-    if (const auto change =
-            PlanRole(expected, id, this->inputs.streams(id))) {
-      this->next_role = now + this->options.role_pause;
+    if (const auto change = PlanRole(expected, id, streams)) {
+      this->next_role = now + (idle ? Duration{} : this->options.role_pause);
       this->OrderRole(*change);
       return;
     }
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -30,6 +30,9 @@
 struct FleetDutiesOptions {
   HostId host;
   uint64_t incarnation = 0;
+  // Nobody can have had the duties before, so there is nobody to wait for
+  // within the first lease after the start.
+  bool first_start = false;
   Duration lease = std::chrono::seconds(3);
   Duration window = std::chrono::seconds(5);
   Duration report_due = std::chrono::seconds(10);  // after a window's end
@@ -39,6 +42,8 @@
   // and its new role shows after a heartbeat.
   Duration role_pause = std::chrono::milliseconds(400);
   int64_t roles_under_way = 3;
+  // While no streams run, nobody misses engines that change their role.
+  int64_t roles_under_way_idle = 8;
   // Between two looks at how many engines there should be.
   Duration scale_period = std::chrono::milliseconds(800);
   // An order is repeated if its engines aren't there after this: they take
@@ -134,6 +139,7 @@
   Lease lease;
   UsageWindows usage;
   int64_t unix_at_boot = 0;
+  Instant started{};
   bool holding = false;
   Instant act_from{};
   std::set<int64_t> reported;
--- /dev/null
+++ b/tests/fleet_decisions_test.cc
@@ -0,0 +1,348 @@
+// The pure decisions of a fleet host: placing, budgets, usage, roles, scale.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+#include "decisions/fleet_placement.h"
+#include "decisions/role_plan.h"
+#include "decisions/scale_plan.h"
+#include "decisions/usage_windows.h"
+#include "decisions/window_budget.h"
+
+namespace hickorystand {
+namespace {
+
+const ServiceId kService("s");
+const ZoneId kHere("here");
+const ZoneId kThere("there");
+
+Instant At(double seconds) {
+  return Instant(FromSeconds(seconds));
+}
+
+FleetEndpoint Engine(const std::string& id,
+                     EndpointRole role,
+                     const ZoneId& zone = kHere) {
+  return {.run = {.id = EndpointId(id), .started = 1},
+          .service = kService,
+          .zone = zone,
+          .role = role,
+          .slots = 64};
+}
+
+FleetEndpoints Fleet(const std::vector<FleetEndpoint>& engines) {
+  FleetEndpoints fleet;
+  for (const FleetEndpoint& one : engines) {
+    fleet[one.run.id] = one;
+  }
+  return fleet;
+}
+
+// Two engines that read and two that generate.
+FleetEndpoints FourEngines() {
+  return Fleet({Engine("r1", EndpointRole::kPrefill),
+                Engine("r2", EndpointRole::kPrefill),
+                Engine("g1", EndpointRole::kDecode),
+                Engine("g2", EndpointRole::kDecode)});
+}
+
+// A prompt of 13,300 shared tokens and 3,700 of its own.
+WorkShape LongPrompt(uint64_t shared, uint64_t own) {
+  return {.service = kService,
+          .engine = true,
+          .prompt_tokens = 17000,
+          .parts = {{.part = shared, .tokens = 13300},
+                    {.part = own, .tokens = 3700}}};
+}
+
+Placed PlacedAt(const FleetPlacement& placement, const WorkShape& shape) {
+  const Verdict verdict = placement.Place(At(1), shape, {});
+  CHECK(std::holds_alternative<Placed>(verdict));
+  return std::get<Placed>(verdict);
+}
+
+FleetPlacement MakePlacement(const FleetEndpoints& fleet) {
+  FleetPlacement placement({.zone = kHere});
+  placement.SetEndpoints(fleet);
+  return placement;
+}
+
+}  // namespace
+
+TEST_GROUP(FleetPlacement){};
+
+// Hosts that know nothing must not each read the same long part at another
+// engine: every host chooses the same one.
+TEST(FleetPlacement, ColdHostsChooseTheSameEngine) {
+  const FleetPlacement one = MakePlacement(FourEngines());
+  const FleetPlacement other = MakePlacement(FourEngines());
+  for (uint64_t part = 1; part < 20; ++part) {
+    const Placed first = PlacedAt(one, LongPrompt(part, 1000 + part));
+    const Placed second = PlacedAt(other, LongPrompt(part, 2000 + part));
+    CHECK(first.reader == second.reader);
+    CHECK(first.reader || first.endpoint == second.endpoint);
+  }
+}
+
+// One engine keeps a part and has a second of work waiting. Another engine
+// copies the part and reads only what is new, instead of either waiting there
+// or reading 13,300 tokens again.
+TEST(FleetPlacement, CopiesWhatABusyEngineKeeps) {
+  FleetPlacement placement = MakePlacement(FourEngines());
+  placement.OnCache(EndpointId("r1"), {.part = 7, .tokens = 13300});
+  placement.OnPeerWork(HostId("peer"), {{.endpoint = EndpointId("r1"),
+                                         .prompt_tokens = 38000,
+                                         .requests = 3}});
+  const Placed placed = PlacedAt(placement, LongPrompt(7, 8));
+  CHECK(placed.reader != EndpointId("r1"));
+  CHECK(placed.copy_from == EndpointId("r1"));
+  LONGS_EQUAL(3700, placed.new_tokens);
+}
+
+// A request was sent to be read and failed. What it would have left must not
+// count as kept: its repeat would be sent there as if there were nothing to
+// read, and wait behind a whole prompt.
+TEST(FleetPlacement, ForgetsWhatWasNeverRead) {
+  FleetPlacement placement = MakePlacement(FourEngines());
+  const WorkShape shape = LongPrompt(7, 8);
+  const WorkId work =
+      placement.OnSent(At(1), EndpointId("r1"), shape, shape.prompt_tokens);
+  LONGS_EQUAL(0, placement.NewTokens(EndpointId("r1"), shape));
+  placement.OnEnded(At(2), work);
+  LONGS_EQUAL(17000, placement.NewTokens(EndpointId("r1"), shape));
+}
+
+// What was read stays known after its request has ended, until the engine says
+// that it is gone or another process has its id.
+TEST(FleetPlacement, KeepsWhatWasReadUntilTheEngineLosesIt) {
+  FleetPlacement placement = MakePlacement(FourEngines());
+  const WorkShape shape = LongPrompt(7, 8);
+  const WorkId work = placement.OnSent(At(1), EndpointId("r1"), shape, 17000);
+  placement.OnPromptRead(At(1.4), work);
+  placement.OnEnded(At(1.5), work);
+  LONGS_EQUAL(0, placement.NewTokens(EndpointId("r1"), shape));
+  placement.OnCache(EndpointId("r1"), {.part = 8, .tokens = 0});
+  LONGS_EQUAL(3700, placement.NewTokens(EndpointId("r1"), shape));
+  FleetEndpoints restarted = FourEngines();
+  restarted.at(EndpointId("r1")).run.started = 2;
+  placement.SetEndpoints(restarted);
+  LONGS_EQUAL(17000, placement.NewTokens(EndpointId("r1"), shape));
+}
+
+// An engine works four times as slowly as its sheet says, and its health is
+// good. After some readings it gets less work.
+TEST(FleetPlacement, LearnsThatAnEngineIsSlow) {
+  FleetPlacement placement =
+      MakePlacement(Fleet({Engine("r1", EndpointRole::kPrefill),
+                           Engine("r2", EndpointRole::kPrefill),
+                           Engine("g1", EndpointRole::kDecode)}));
+  const WorkShape shape = LongPrompt(1, 2);
+  for (int round = 0; round < 30; ++round) {
+    const WorkId work =
+        placement.OnSent(At(round * 3), EndpointId("r1"), shape, 17000);
+    placement.OnPromptRead(At(round * 3 + 1.9), work);
+    placement.OnEnded(At(round * 3 + 1.9), work);
+    placement.ForgetCache(EndpointId("r1"));
+  }
+  for (uint64_t part = 10; part < 30; ++part) {
+    CHECK(PlacedAt(placement, LongPrompt(part, 1000 + part)).reader !=
+          EndpointId("r1"));
+  }
+}
+
+// An endpoint fails three times in a row: it is out for a second, gets one
+// probe, and is out for twice as long when that fails too.
+TEST(FleetPlacement, EjectsAFailingEndpointAndProbesIt) {
+  FleetPlacement placement = MakePlacement(FourEngines());
+  const EndpointId bad("g1");
+  for (int failure = 0; failure < 3; ++failure) {
+    placement.OnOutcome(At(1), bad, false);
+  }
+  CHECK(!placement.Usable(At(1.9), bad));
+  CHECK(placement.Usable(At(2.1), bad));
+  placement.OnOutcome(At(2.2), bad, false);
+  CHECK(!placement.Usable(At(4.1), bad));
+  CHECK(placement.Usable(At(4.3), bad));
+  placement.OnOutcome(At(4.4), bad, true);
+  CHECK(placement.Usable(At(4.5), bad));
+}
+
+// A leaving endpoint, one that another host holds back, and one whose role is
+// unknown get nothing.
+TEST(FleetPlacement, LeavesOutWhatMustGetNothing) {
+  FleetEndpoints fleet = FourEngines();
+  fleet.at(EndpointId("g1")).leaving = true;
+  FleetPlacement placement = MakePlacement(fleet);
+  placement.SetAway(HostId("peer"), {EndpointId("r1")});
+  placement.OnWrongRole(At(0.9), EndpointId("r2"));
+  const Placed placed = PlacedAt(placement, LongPrompt(1, 2));
+  CHECK(placed.endpoint == EndpointId("g2"));
+  CHECK(!placed.reader);
+  placement.ForgetPeer(HostId("peer"));
+  CHECK(PlacedAt(placement, LongPrompt(1, 2)).reader == EndpointId("r1"));
+}
+
+// All engines have four seconds of work waiting, and the caller gives up after
+// two. It is refused at once, with the time after which there is room.
+TEST(FleetPlacement, RefusesWhatWouldComeTooLate) {
+  FleetPlacement placement = MakePlacement(FourEngines());
+  std::vector<EndpointOutstanding> work;
+  for (const auto& [id, engine] : FourEngines()) {
+    work.push_back(
+        {.endpoint = id, .prompt_tokens = 4 * 37900, .requests = 30});
+  }
+  placement.OnPeerWork(HostId("peer"), work);
+  const Verdict verdict = placement.Place(At(1), LongPrompt(1, 2), {});
+  CHECK(std::holds_alternative<Refused>(verdict));
+  const Duration wait = std::get<Refused>(verdict).retry_after;
+  CHECK(wait > std::chrono::seconds(1) && wait < std::chrono::seconds(4));
+}
+
+TEST_GROUP(WindowBudget){};
+
+// Endpoints fail everything. Repeats stay within a fifth of the requests of the
+// window and a fixed slack, in any window.
+TEST(WindowBudget, BoundsRepeatsInEveryWindow) {
+  WindowBudget budget(
+      {.window = std::chrono::seconds(10), .share = 0.2, .slack = 3});
+  std::vector<Instant> taken;
+  for (int i = 0; i < 600; ++i) {
+    const Instant now{std::chrono::milliseconds(100 * i)};
+    budget.OnRequest(now, kService);
+    if (budget.Take(now, kService)) {
+      taken.push_back(now);
+    }
+  }
+  for (const Instant from : taken) {
+    const auto within = std::ranges::count_if(taken, [from](Instant time) {
+      return time >= from && time < from + std::chrono::seconds(10);
+    });
+    CHECK(within <= 23);
+  }
+  CHECK(taken.size() > 100);
+}
+
+TEST_GROUP(UsageWindows){};
+
+// Copies come twice, late and out of order, and one host starts again. The sum
+// counts each request once.
+TEST(UsageWindows, CountsEachRequestOnce) {
+  const AccountId account("a");
+  UsageWindows one({.host = HostId("h1"), .incarnation = 1},
+                   std::chrono::seconds(5));
+  UsageWindows holder({.host = HostId("h2"), .incarnation = 1},
+                      std::chrono::seconds(5));
+  one.OnBegun(11000, account);
+  const WindowCopy early = one.OwnCopy(11500);
+  one.OnBegun(12000, account);
+  const WindowCopy late = one.OwnCopy(15100);
+  holder.OnBegun(13000, account);
+  holder.Merge(late);
+  holder.Merge(early);
+  holder.Merge(late);
+  UsageWindows restarted({.host = HostId("h1"), .incarnation = 2},
+                         std::chrono::seconds(5));
+  restarted.OnBegun(14900, account);
+  holder.Merge(*DecodeWindowCopy(EncodeWindowCopy(restarted.OwnCopy(16000))));
+  LONGS_EQUAL(4, holder.Total(2).at(account));
+  CHECK(holder.Knows(HostId("h1"), 2));
+  CHECK(!holder.Knows(HostId("h3"), 2));
+}
+
+TEST_GROUP(RolePlan){};
+
+// Nearly all work is reading. Engines that generate are turned into readers one
+// by one until only what the streams need is left, with one in each zone, and
+// then nothing changes any more.
+TEST(RolePlan, LeavesFewEnginesGeneratingAndSettles) {
+  FleetEndpoints fleet;
+  for (int i = 0; i < 18; ++i) {
+    const FleetEndpoint engine =
+        Engine("e" + std::to_string(10 + i),
+               i < 6 ? EndpointRole::kPrefill : EndpointRole::kDecode,
+               i % 2 == 0 ? kHere : kThere);
+    fleet[engine.run.id] = engine;
+  }
+  int changes = 0;
+  while (const auto change = PlanRole(fleet, kService, 9)) {
+    fleet.at(change->endpoint).role = change->role;
+    CHECK(++changes < 20);
+  }
+  std::map<ZoneId, int> generating;
+  for (const auto& [id, engine] : fleet) {
+    generating[engine.zone] += engine.role == EndpointRole::kDecode ? 1 : 0;
+  }
+  LONGS_EQUAL(6, changes);
+  CHECK(generating[kHere] > 0 && generating[kThere] > 0);
+  // Streams come and go without a change.
+  for (const double streams : {0.0, 5.0, 20.0, 40.0}) {
+    CHECK(!PlanRole(fleet, kService, streams));
+  }
+}
+
+// The only generating engine is lost: a reader takes its place.
+TEST(RolePlan, ReplacesALostGeneratingEngine) {
+  const FleetEndpoints fleet = Fleet({Engine("r1", EndpointRole::kPrefill),
+                                      Engine("r2", EndpointRole::kPrefill),
+                                      Engine("r3", EndpointRole::kPrefill)});
+  const auto change = PlanRole(fleet, kService, 0);
+  CHECK(change && change->role == EndpointRole::kDecode);
+}
+
+TEST_GROUP(ScalePlan){};
+
+namespace {
+
+ScaleBounds Bounds(double spot_price) {
+  return {.minimum = 1,
+          .maximum = 12,
+          .spot_price = spot_price,
+          .zone_prices = {{kHere, 1.0}, {kThere, 0.8}}};
+}
+
+int64_t Sum(const EnginesByZone& plan) {
+  int64_t sum = 0;
+  for (const auto& [zone, counts] : plan) {
+    sum += counts.dependable + counts.spot;
+  }
+  return sum;
+}
+
+}  // namespace
+
+// Spot engines are cheap: they are ordered first, and dependable ones go only
+// once the others are enough without them.
+TEST(ScalePlan, ReplacesDependableEnginesOnceSpotOnesAreThere) {
+  EnginesByZone now{{kHere, {.dependable = 6}}, {kThere, {.dependable = 6}}};
+  EnginesByZone plan = PlanScale(now, 12, Bounds(0.2));
+  LONGS_EQUAL(6, plan.at(kHere).dependable);
+  LONGS_EQUAL(6, plan.at(kThere).dependable);
+  CHECK(plan.at(kHere).spot + plan.at(kThere).spot >= 10);
+  for (int round = 0; round < 10; ++round) {
+    now = PlanScale(now, 12, Bounds(0.2));
+    CHECK(Sum(now) >= 12);
+  }
+  CHECK(now.at(kHere).dependable + now.at(kThere).dependable <= 3);
+  CHECK(now.at(kHere).dependable >= 1);
+}
+
+// A zone's spot engines are taken back and none are to be had there: the other
+// zone gets them, up to its bound.
+TEST(ScalePlan, OrdersElsewhereWhatAZoneCannotGive) {
+  const EnginesByZone now{{kHere, {.dependable = 1, .dry = true}},
+                          {kThere, {.dependable = 1, .spot = 5}}};
+  const EnginesByZone plan = PlanScale(now, 12, Bounds(0.2));
+  LONGS_EQUAL(0, plan.at(kHere).spot);
+  CHECK(plan.at(kThere).spot >= 9);
+  CHECK(plan.at(kThere).spot + plan.at(kThere).dependable <= 12);
+}
+
+// Where a spot engine costs nearly as much, none is used.
+TEST(ScalePlan, UsesNoSpotEngineThatSavesNothing) {
+  const EnginesByZone plan = PlanScale({}, 10, Bounds(0.9));
+  LONGS_EQUAL(10, Sum(plan));
+  LONGS_EQUAL(0, plan.at(kHere).spot);
+}
+
+}  // namespace hickorystand
