--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -34,6 +34,9 @@
 // and a reading of the list. Longer than that it counts as lost.
 constexpr Duration kRoleShows = std::chrono::milliseconds(6500);
 
+// Until an engine that refused a role is asked again.
+constexpr Duration kRoleRetry = std::chrono::seconds(2);
+
 // One group of hosts shares the duties.
 const DataCentreId& Group() {
   static const DataCentreId group("fleet");
@@ -96,7 +99,9 @@
 std::vector<EndpointId> FleetDuties::ChangingRole() const {
   std::vector<EndpointId> changing;
   for (const auto& [id, order] : this->role_orders) {
-    changing.push_back(id);
+    if (!order.refused) {
+      changing.push_back(id);
+    }
   }
   return changing;
 }
@@ -151,6 +156,7 @@
   this->dry_until.clear();
   this->first_wanted.clear();
   this->planned.clear();
+  this->live_counts.clear();
   this->reported.clear();
 }
 
@@ -301,6 +307,16 @@
   }
 }
 
+// An engine that can't be reached or is busy isn't asked again at once; another
+// one may take the role.
+void FleetDuties::NoteRefusedRole(const EndpointId& endpoint) {
+  const auto order = this->role_orders.find(endpoint);
+  if (order != this->role_orders.end()) {
+    order->second.refused = true;
+    order->second.until = this->clock->Now() + kRoleRetry;
+  }
+}
+
 void FleetDuties::OrderRole(const RoleChange& change) {
   const FleetEndpoint& endpoint = this->inputs.endpoints().at(change.endpoint);
   this->role_orders[change.endpoint] = {
@@ -317,7 +333,7 @@
       this->Authority(), [this, id = change.endpoint](DutyOutcome outcome) {
         if (outcome == DutyOutcome::kRefused ||
             outcome == DutyOutcome::kNotSent) {
-          this->role_orders.erase(id);
+          this->NoteRefusedRole(id);
           LogInfo(kPart, "Role order has no effect.",
                   {{"endpoint", id.Text()}});
         }
@@ -341,6 +357,20 @@
   return counts;
 }
 
+bool FleetDuties::CountSettled(Instant now,
+                               const ServiceId& service,
+                               int64_t live) {
+  LiveCount& known = this->live_counts[service];
+  if (known.count != live) {
+    known.count = live;
+    known.since = now;
+  }
+  known.settled = known.settled ||
+                  (live > 0 && now - known.since >= this->options.count_settles);
+  return known.settled;
+}
+
+// Before there was any load, what stood there when the duty began decides.
 int64_t FleetDuties::WantedEngines(const FleetService& service, int64_t live) {
   double& peak = this->reading_peak[service.id];
   peak = std::max(this->inputs.reading(service.id), peak * kPeakKept);
@@ -374,6 +404,9 @@
     for (const auto& [zone, of] : counts) {
       live += of.dependable + of.spot;
     }
+    if (!this->CountSettled(now, id, live)) {
+      continue;
+    }
     const EnginesByZone plan = PlanScale(
         counts, this->WantedEngines(service, live), *service.scaling);
     for (const auto& [zone, target] : plan) {
@@ -394,6 +427,10 @@
                                const ScaleKey& key,
                                int64_t has,
                                int64_t count) {
+  const auto dry = this->dry_until.find(key);
+  if (dry != this->dry_until.end() && now < dry->second) {
+    return;
+  }
   const auto before = this->scale_orders.find(key);
   if (before != this->scale_orders.end()) {
     const bool same = before->second.count == count;
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -46,6 +46,11 @@
   int64_t roles_under_way_idle = 8;
   // Between two looks at how many engines there should be.
   Duration scale_period = std::chrono::milliseconds(800);
+  // Engines are counted only after their number has been the same for this
+  // long. A fleet that has just started, or a store that has just come back,
+  // lists its engines one by one; an order by half a list would send away the
+  // other half.
+  Duration count_settles = std::chrono::milliseconds(1700);
   // An order is repeated if its engines aren't there after this: they take
   // four seconds to start and a heartbeat to show.
   Duration scale_shows = std::chrono::milliseconds(7000);
@@ -96,6 +101,7 @@
     EndpointRun run;
     EndpointRole role = EndpointRole::kPrefill;
     Instant until{};  // then its outcome shows in the list, or never will
+    bool refused = false;
   };
 
   // One kind of engine of one service in one zone.
@@ -106,6 +112,11 @@
 
     auto operator<=>(const ScaleKey&) const = default;
   };
+  struct LiveCount {
+    int64_t count = -1;
+    Instant since{};
+    bool settled = false;  // once in this tenure
+  };
   struct ScaleOrder {
     int64_t count = 0;
     Instant ordered{};
@@ -125,8 +136,10 @@
   void ReportWindow(int64_t window, const WindowCounts& counts);
   void PlanRoles(Instant now);
   void OrderRole(const RoleChange& change);
+  void NoteRefusedRole(const EndpointId& endpoint);
   void PlanEngines(Instant now);
   EnginesByZone CountEngines(Instant now, const ServiceId& service) const;
+  bool CountSettled(Instant now, const ServiceId& service, int64_t live);
   int64_t WantedEngines(const FleetService& service, int64_t live);
   void OrderEngines(Instant now, const ScaleKey& key, int64_t has,
                     int64_t count);
@@ -148,6 +161,7 @@
   Instant next_role{};
   std::map<ScaleKey, ScaleOrder> scale_orders;
   std::map<ScaleKey, Instant> dry_until;
+  std::map<ServiceId, LiveCount> live_counts;
   std::map<ServiceId, double> reading_peak;
   std::map<ServiceId, int64_t> first_wanted;  // when the duty began
   std::map<ServiceId, int64_t> planned;       // engines wanted now
