--- a/packages/relay/endpoint_pool.cc
+++ b/packages/relay/endpoint_pool.cc
@@ -9,15 +9,15 @@
 
 // The seconds that a Keep-Alive header grants an idle connection.
 std::optional<Duration> IdleTimeout(const HttpHeaders& headers) {
-  const auto value = FindHeader(headers, "Keep-Alive");
-  const size_t at = value ? value->find("timeout=") : std::string::npos;
+  const std::string value = FindHeader(headers, "Keep-Alive").value_or("");
+  const size_t at = value.find("timeout=");
   if (at == std::string::npos) {
     return {};
   }
   int64_t seconds = 0;
-  const char* from = value->data() + at + std::string_view("timeout=").size();
+  const char* from = value.data() + at + std::string_view("timeout=").size();
   const auto [end, error] =
-      std::from_chars(from, value->data() + value->size(), seconds);
+      std::from_chars(from, value.data() + value.size(), seconds);
   if (error != std::errc() || seconds < 0) {
     return {};
   }
@@ -50,7 +50,7 @@
          .on_end = [this](StreamEnd end) { this->OnEnd(end); }});
   }
 
-  void Carry(EndpointSend send, EndpointExchangePtr next) {
+  void Carry(const EndpointSend& send, EndpointExchangePtr next) {
     this->exchange = std::move(next);
     this->exchange->connection = this->weak_from_this();
     this->no_answer_body = send.no_answer_body;
@@ -269,7 +269,7 @@
     ++this->opened;
   }
   lane.busy.push_back(connection);
-  connection->Carry(std::move(send), exchange);
+  connection->Carry(send, exchange);
   return exchange;
 }
 
@@ -279,7 +279,7 @@
   if (lane.idle.empty()) {
     return {};
   }
-  const auto connection = lane.idle.back();
+  auto connection = lane.idle.back();
   const Duration rested = this->clock->Now() - connection->idle_since;
   const Duration allowed = once
                                ? FromSeconds(ToSeconds(connection->idle_limit) *
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -39,8 +39,8 @@
 
 // One group of hosts shares the duties.
 const DataCentreId& Group() {
-  static const DataCentreId group("fleet");
-  return group;
+  static const DataCentreId kGroup("fleet");
+  return kGroup;
 }
 
 std::string UsageKey(int64_t window) {
@@ -373,13 +373,12 @@
   double& peak = this->reading_peak[service.id];
   peak = std::max(this->inputs.reading(service.id), peak * kPeakKept);
   const ScalePlanOptions scaling;
+  const ScaleBounds bounds = service.scaling.value_or(ScaleBounds());
   const int64_t first =
       this->first_wanted
-          .try_emplace(service.id,
-                       EnginesAtFirst(live, *service.scaling, scaling))
+          .try_emplace(service.id, EnginesAtFirst(live, bounds, scaling))
           .first->second;
-  const int64_t wanted =
-      std::max(EnginesWanted(peak, *service.scaling, scaling), first);
+  const int64_t wanted = std::max(EnginesWanted(peak, bounds, scaling), first);
   int64_t& planned = this->planned[service.id];
   if (wanted > planned || wanted < planned - scaling.tolerated_less) {
     planned = wanted;
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -17,8 +17,8 @@
 // All hosts form one group: in a fleet of today's size each is linked with
 // every other.
 const DataCentreId& Group() {
-  static const DataCentreId group("fleet");
-  return group;
+  static const DataCentreId kGroup("fleet");
+  return kGroup;
 }
 
 std::string RandomSecret() {
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -173,7 +173,7 @@
   const Placed& placed = std::get<Placed>(verdict);
   if (placed.reader &&
       this->request.prompt_tokens >= this->relay->settings.split_from_tokens) {
-    this->SendReading(placed);
+    this->SendReading(*placed.reader, placed);
   } else {
     this->SendRun(placed, "");
   }
@@ -199,8 +199,9 @@
   return text + "\r\n";
 }
 
-void RelayedRequest::SendReading(const Placed& placed) {
-  this->Send({.endpoint = this->relay->endpoints.at(*placed.reader),
+void RelayedRequest::SendReading(const EndpointId& reader,
+                                 const Placed& placed) {
+  this->Send({.endpoint = this->relay->endpoints.at(reader),
               .expected = placed.expected,
               .reading = true},
              {.account = this->account,
@@ -249,19 +250,20 @@
   }
   EndpointCall whole = call;
   whole.endpoint = next.endpoint.run.id;
-  whole.patience = std::max(this->Left() - kWayBack, Duration{});
+  const Duration left = std::max(this->Left() - kWayBack, Duration{});
+  whole.patience = left;
   next.sent = now;
   next.work = this->relay->placement.OnSent(now, next.endpoint.run.id,
                                             this->shape, new_tokens);
   this->relay->read_tokens[this->service].Add(now,
                                               static_cast<double>(new_tokens));
-  this->attempt = std::move(next);
+  this->attempt = std::make_unique<Attempt>(std::move(next));
   this->relay->Log(
       LogLevel::kInfo, this->request.id, "Sent.",
       {{"endpoint", whole.endpoint.Text()},
        {"step", whole.read_prompt_only ? "read" : "run"},
        {"new_tokens", std::to_string(new_tokens)},
-       {"left_ms", MillisecondsText(*whole.patience)},
+       {"left_ms", MillisecondsText(left)},
        {"configuration", std::to_string(this->configuration->version)}});
   this->attempt->exchange = this->relay->pool.Send(
       {.address = this->attempt->endpoint.address,
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -61,7 +61,7 @@
   std::optional<Error> CheckKey();
   void Place();
   bool MaySendAgain();
-  void SendReading(const Placed& placed);
+  void SendReading(const EndpointId& reader, const Placed& placed);
   void SendRun(const Placed& placed, const std::string& fetch_from);
   std::optional<SocketAddress> AddressOf(
       const std::optional<EndpointId>& endpoint) const;
@@ -113,7 +113,7 @@
   Instant arrived{};
   Instant deadline{};
   std::shared_ptr<const std::string> body;
-  std::optional<Attempt> attempt;
+  std::unique_ptr<Attempt> attempt;
   std::set<EndpointId> tried;
   int64_t runs_sent = 0;  // sends that may run the request
   int64_t arrivals = 0;   // of those, and of reading calls beyond the first
--- a/tests/policy_bench_test.cc
+++ b/tests/policy_bench_test.cc
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <string>
 #include <vector>
@@ -70,7 +71,8 @@
 }
 
 TEST(PolicyBench, TraceIsReadAndFaultsAreNamed) {
-  const std::string path = "policy_bench_test_trace.csv";
+  const std::string path =
+      std::filesystem::temp_directory_path() / "policy_bench_test_trace.csv";
   std::ofstream(path) << "time,account,service,class,prompt_tokens,"
                          "shared_prefix,output_tokens,deadline\n"
                          "2.5,a1,language,interactive,1000,500,50,5\n"
