--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -219,6 +219,11 @@
 }
 
 void RelayDaemon::AnswerMetrics(const CallerExchangePtr& exchange) {
+  this->metrics.Set("log_lines_unread_total",
+                    static_cast<double>(LogLinesDropped()));
+  this->metrics.Set("requests_waiting",
+                    static_cast<double>(this->relay->Waiting()));
+  this->metrics.Set("hosts_known", static_cast<double>(this->peers->Listed()));
   exchange->Answer({.headers = {{.name = "Content-Type",
                                  .value = "text/plain; version=0.0.4"}}},
                    this->metrics.PrometheusText());
--- a/packages/kernel/log.cc
+++ b/packages/kernel/log.cc
@@ -1,5 +1,7 @@
 #include "kernel/log.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -17,6 +19,8 @@
 #include <fstream>
 #include <iostream>
 
+#include "kernel/dropping_buffer.h"
+
 namespace hickorystand {
 namespace {
 
@@ -116,16 +120,27 @@
   return line + "}";
 }
 
+// Outlives every line that is written.
+DroppingBuffer& StandardOutput() {
+  static DroppingBuffer buffer(STDOUT_FILENO);
+  return buffer;
+}
+
 }  // namespace
 
+int64_t LogLinesDropped() {
+  return StandardOutput().Dropped();
+}
+
 void StartLog(const LogOptions& options) {
   log_threshold = options.level;
   log_json = options.json;
   auto backend = boost::make_shared<sinks::text_ostream_backend>();
-  if (options.file.empty()) {
+  if (options.standard_output) {
+    backend->add_stream(boost::make_shared<std::ostream>(&StandardOutput()));
+  } else if (options.file.empty()) {
     backend->add_stream(boost::shared_ptr<std::ostream>(
-        options.standard_output ? &std::cout : &std::clog,
-        [](std::ostream*) { /* not ours to delete */ }));
+        &std::clog, [](std::ostream*) { /* not ours to delete */ }));
   } else {
     backend->add_stream(
         boost::make_shared<std::ofstream>(options.file, std::ios::app));
--- a/packages/kernel/log.h
+++ b/packages/kernel/log.h
@@ -36,13 +36,17 @@
 struct LogOptions {
   LogLevel level = LogLevel::kInfo;
   bool json = false;
-  std::string file;              // empty: standard error
-  bool standard_output = false;  // instead of standard error
+  std::string file;  // empty: standard error
+  // Instead of standard error; a line that can't be written at once is dropped.
+  bool standard_output = false;
 };
 
 // Sets up logging; call once, before any task starts.
 void StartLog(const LogOptions& options);
 
+// Lines dropped since the start because nobody read standard output.
+int64_t LogLinesDropped();
+
 // Writes one line, unless its level is below the one set.
 void LogLine(LogLevel level,
              std::string_view part,
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -264,6 +264,8 @@
        {"step", whole.read_prompt_only ? "read" : "run"},
        {"new_tokens", std::to_string(new_tokens)},
        {"left_ms", MillisecondsText(left)},
+       {"expected_ms", MillisecondsText(this->attempt->expected)},
+       {"proof_ms", MillisecondsText(now - this->relay->proven)},
        {"configuration", std::to_string(this->configuration->version)}});
   this->attempt->exchange = this->relay->pool.Send(
       {.address = this->attempt->endpoint.address,
@@ -326,6 +328,7 @@
     return;
   }
   this->NoteFirstByte();
+  this->NoteEvent();
   this->NoteBegun();
   if (!this->StreamBegun()) {
     this->StartAnswer({});
@@ -355,6 +358,17 @@
                                 {{"service", this->service.Text()}});
 }
 
+// Keeps what a caller of a stream notices: its start and its longest pause.
+void RelayedRequest::NoteEvent() {
+  const Instant now = this->relay->clock->Now();
+  if (this->first_event) {
+    this->longest_pause = std::max(this->longest_pause, now - this->last_event);
+  } else {
+    this->first_event = now;
+  }
+  this->last_event = now;
+}
+
 void RelayedRequest::NoteBegun() {
   if (!std::exchange(this->begun, true) && !this->account.Empty()) {
     this->relay->hooks.on_begun(this->account);
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -81,6 +81,7 @@
   void AfterFailure(Fate fate, std::string_view why);
   void NoteBegun();
   void NoteFirstByte();
+  void NoteEvent();
 
   void ArmStall();
   void OnStall();
@@ -124,6 +125,9 @@
   SocketAddress handle_at;     // of a prompt that was read and not yet taken
   std::string handle;
   EventCutter cutter;
+  std::optional<Instant> first_event;  // passed on to the caller
+  Instant last_event{};
+  Duration longest_pause{};  // between two passed on
   std::unique_ptr<Timer> deadline_timer;
   std::unique_ptr<Timer> stall_timer;
 };
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -1,12 +1,15 @@
 // Tests of the kernel: settings, errors, tasks, logs and metrics.
 
 #include <CppUTest/TestHarness.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <string>
 #include <vector>
 
+#include "kernel/dropping_buffer.h"
 #include "kernel/error.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -171,4 +174,25 @@
   DOUBLES_EQUAL(990, metrics.Summary("seconds").p99, 10);
 }
 
+TEST_GROUP(DroppingBuffer){};
+
+// Nobody reads the log any more and its pipe is full. Writing goes on at once;
+// the lines that found no room are counted, and none is cut in two.
+TEST(DroppingBuffer, DropsLinesRatherThanWait) {
+  std::array<int, 2> ends{};
+  LONGS_EQUAL(0, pipe(ends.data()));
+  DroppingBuffer buffer(ends[1]);
+  std::ostream out(&buffer);
+  const std::string line(999, 'x');
+  for (int i = 0; i < 200; ++i) {
+    out << line << '\n' << std::flush;
+  }
+  CHECK(buffer.Dropped() > 100);
+  std::array<char, 1 << 18> read_back;
+  const ssize_t got = read(ends[0], read_back.data(), read_back.size());
+  LONGS_EQUAL((200 - buffer.Dropped()) * 1000, got);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 }  // namespace hickorystand
