--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -703,12 +703,17 @@
   this->stall_timer.reset();
   this->deadline_timer.reset();
   const Duration took = this->relay->clock->Now() - this->arrived;
-  this->relay->Log(LogLevel::kInfo, this->request.id, "Answered.",
-                   {{"outcome", std::string(outcome)},
-                    {"route", this->route == nullptr ? "" : this->route->name},
-                    {"account", this->account.Text()},
-                    {"sends", std::to_string(this->arrivals)},
-                    {"ms", MillisecondsText(took)}});
+  this->relay->Log(
+      LogLevel::kInfo, this->request.id, "Answered.",
+      {{"outcome", std::string(outcome)},
+       {"route", this->route == nullptr ? "" : this->route->name},
+       {"account", this->account.Text()},
+       {"sends", std::to_string(this->arrivals)},
+       {"first_ms",
+        MillisecondsText(this->first_event.value_or(this->arrived + took) -
+                         this->arrived)},
+       {"pause_ms", MillisecondsText(this->longest_pause)},
+       {"ms", MillisecondsText(took)}});
   this->relay->metrics->Observe("request_seconds", ToSeconds(took),
                                 {{"service", this->service.Text()}});
   this->relay->requests.erase(keep);
