--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -77,6 +77,7 @@
                   .secrets = {secret}},
       .listen = this->options.listen,
       .clock = this->clock,
+      .longest_backoff = this->options.longest_backoff,
       .seed = this->options.incarnation,
       .budget_bytes_per_second = this->options.digest_bytes_per_second,
       .shortest_period = this->options.shortest_digest};
@@ -186,6 +187,7 @@
     this->rank += id < this->options.host ? 1 : 0;
     listed.push_back({.host = id, .data_centre = Group(), .address = *address});
   }
+  this->KeepLinked(listed);
   this->listed = listed.size() + 1;
   if (listed != this->hosts) {
     this->hosts = std::move(listed);
@@ -195,6 +197,24 @@
   }
 }
 
+// Adds the hosts that aren't listed any more but still talk to this one. The
+// store may turn a host away: its record lapses while it serves on, and without
+// its link nobody would hear what it counted and what it sent to endpoints. A
+// host that is really gone falls silent, and its link ends by that.
+void FleetPeers::KeepLinked(std::vector<PeerHost>& listed) const {
+  if (!this->links) {
+    return;
+  }
+  const std::vector<HostId> linked = this->links->Linked();
+  for (const PeerHost& host : this->hosts) {
+    if (std::ranges::find(linked, host.host) != linked.end() &&
+        std::ranges::find(listed, host.host, &PeerHost::host) == listed.end()) {
+      listed.push_back(host);
+    }
+  }
+  std::ranges::sort(listed);
+}
+
 void FleetPeers::Leave() {
   this->left = true;
   if (this->lease != 0) {
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -27,6 +27,9 @@
   Duration renew = std::chrono::seconds(3);
   Duration list = std::chrono::seconds(3);  // between reads of all records
   Duration first_list = std::chrono::milliseconds(400);
+  // Between tries to link to a host again: after a partition has healed, the
+  // counts of the other side must arrive before their report is due.
+  Duration longest_backoff = std::chrono::milliseconds(1500);
   // Of digests. Queues at endpoints change within tenths of a second.
   Duration shortest_digest = std::chrono::milliseconds(100);
   double digest_bytes_per_second = 24000;
@@ -71,6 +74,7 @@
   void Renew();
   void List();
   void TakeList(const StoreReply& reply);
+  void KeepLinked(std::vector<PeerHost>& listed) const;
   void OpenLinks(const std::string& secret);
   void SendDigest();
 
