--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -37,6 +37,12 @@
   return (*factory)(std::forward<Arguments>(arguments)...);
 }
 
+UsageCopyMessage MessageOf(const WindowCopy& copy) {
+  return {.host = copy.source.host,
+          .incarnation = copy.source.incarnation,
+          .value = EncodeWindowCopy(copy)};
+}
+
 // Takes a plug-in out of its result; false and the error if there is none.
 template <typename Interface>
 bool Take(Result<std::unique_ptr<Interface>> made,
@@ -147,14 +153,20 @@
                        static_cast<double>(this->peers->Listed()) /
                        this->settings.relay.placement.rates.prompt_tokens;
               }});
-  this->usage_timer = Timer::Every(kUsagePeriod, [this] {
-    const WindowCopy copy =
-        this->duties->Usage().OwnCopy(this->duties->UnixMilliseconds());
-    this->peers->Broadcast(
-        UsageCopyMessage{.host = copy.source.host,
-                         .incarnation = copy.source.incarnation,
-                         .value = EncodeWindowCopy(copy)});
-  });
+  this->usage_timer = Timer::Every(kUsagePeriod, [this] { this->TellUsage(); });
+}
+
+// Tells all hosts what was counted here.
+void RelayDaemon::TellUsage() {
+  this->peers->Broadcast(MessageOf(
+      this->duties->Usage().OwnCopy(this->duties->UnixMilliseconds())));
+}
+
+// Tells a host that has just been linked what all hosts have counted.
+void RelayDaemon::TellAllUsage(const HostId& host) {
+  for (const WindowCopy& copy : this->duties->Usage().AllCopies()) {
+    this->peers->Send(host, MessageOf(copy));
+  }
 }
 
 void RelayDaemon::OnPeerMessage(const PeerMessage& message) {
@@ -180,6 +192,7 @@
       FleetPeersHandlers{
           .make_digest = [this] { return this->MakeDigest(); },
           .on_digest = [this](const Digest& digest) { this->OnDigest(digest); },
+          .on_linked = [this](const HostId& host) { this->TellAllUsage(host); },
           .on_gone =
               [this](const HostId& host) {
                 this->relay->Placement().ForgetPeer(host);
@@ -252,6 +265,7 @@
   if (finished || passed >= this->settings.grace - kKillMargin) {
     LogInfo(kPart, "Stopped.",
             {{"left", std::to_string(this->relay->Waiting())}});
+    this->TellUsage();
     this->drain_timer.reset();
     this->stopped();
   }
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -39,6 +39,8 @@
   void CheckDrained();
   void StartPeers();
   void StartDuties();
+  void TellUsage();
+  void TellAllUsage(const HostId& host);
   void OnPeerMessage(const PeerMessage& message);
   Digest MakeDigest() const;
   void OnDigest(const Digest& digest);
--- a/packages/decisions/usage_windows.cc
+++ b/packages/decisions/usage_windows.cc
@@ -99,6 +99,15 @@
   return own;
 }
 
+std::vector<WindowCopy> UsageWindows::AllCopies() const {
+  std::vector<WindowCopy> all;
+  for (const auto& [source, copy] : this->copies) {
+    all.push_back(copy);
+    all.back().source = source;
+  }
+  return all;
+}
+
 void UsageWindows::Merge(const WindowCopy& copy) {
   WindowCopy& known = this->copies[copy.source];
   known.source = copy.source;
--- a/packages/decisions/usage_windows.h
+++ b/packages/decisions/usage_windows.h
@@ -48,6 +48,11 @@
   // What this host counted in the windows that may still be reported.
   WindowCopy OwnCopy(int64_t unix_ms);
 
+  // Everything known, of all hosts and also of their earlier runs. A host that
+  // has just started is told it: it may be the one that reports, and what was
+  // counted by runs that have ended stands nowhere else.
+  std::vector<WindowCopy> AllCopies() const;
+
   // What another host counted.
   void Merge(const WindowCopy& copy);
 
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -93,9 +93,10 @@
                        },
                    .on_heard = [](const PeerHello&) {},
                    .on_up =
-                       [](const HostId& host, uint64_t) {
+                       [this](const HostId& host, uint64_t) {
                          LogInfo(kPart, "Host linked.",
                                  {{"host", host.Text()}});
+                         this->handlers.on_linked(host);
                        },
                    .on_down =
                        [this](const HostId& host) {
@@ -230,6 +231,10 @@
   return others;
 }
 
+bool FleetPeers::Send(const HostId& host, const PeerMessage& message) {
+  return this->links && this->links->Send(host, message);
+}
+
 size_t FleetPeers::Broadcast(const PeerMessage& message) {
   return this->links ? this->links->Broadcast(message) : 0;
 }
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -39,6 +39,7 @@
 struct FleetPeersHandlers {
   std::function<Digest()> make_digest;
   std::function<void(const Digest&)> on_digest;
+  std::function<void(const HostId&)> on_linked;
   std::function<void(const HostId&)> on_gone;
   std::function<void(const HostId&, const PeerMessage&)> on_message;
 };
@@ -57,7 +58,8 @@
   // Takes this host off the list; the others stop to count on it.
   void Leave();
 
-  // Sends to all linked hosts.
+  // Sends to one host, or to all linked ones.
+  bool Send(const HostId& host, const PeerMessage& message);
   size_t Broadcast(const PeerMessage& message);
 
   // How many hosts stand in the list, this one included; and this host's place
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -250,6 +250,34 @@
   CHECK(!holder.Knows(HostId("h3"), 2));
 }
 
+// All hosts are restarted one after the other, and one of them that has just
+// started reports. It was told all copies by those that it linked with, also of
+// runs that have ended, so nothing is missing.
+TEST(UsageWindows, CountsOfEndedRunsOutliveRollingRestarts) {
+  const AccountId account("a");
+  const auto make = [](const std::string& host, uint64_t incarnation) {
+    return UsageWindows({.host = HostId(host), .incarnation = incarnation},
+                        std::chrono::seconds(5));
+  };
+  const auto tell = [](const UsageWindows& from, UsageWindows& to) {
+    for (const WindowCopy& copy : from.AllCopies()) {
+      to.Merge(*DecodeWindowCopy(EncodeWindowCopy(copy)));
+    }
+  };
+  UsageWindows first = make("h1", 1);
+  UsageWindows second = make("h2", 1);
+  first.OnBegun(11000, account);
+  second.OnBegun(12000, account);
+  (void)first.OwnCopy(12500);
+  (void)second.OwnCopy(12500);
+  tell(first, second);
+  UsageWindows first_again = make("h1", 2);
+  tell(second, first_again);
+  UsageWindows second_again = make("h2", 2);
+  tell(first_again, second_again);
+  LONGS_EQUAL(2, second_again.Total(2).at(account));
+}
+
 TEST_GROUP(RolePlan){};
 
 // Nearly all work is reading. Engines that generate are turned into readers one
