--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -257,7 +257,8 @@
 }
 
 void RelayDaemon::CheckDrained() {
-  const Duration passed = this->clock->Now() - *this->draining_since;
+  const Instant now = this->clock->Now();
+  const Duration passed = now - this->draining_since.value_or(now);
   if (passed >= kDrainNotice) {
     this->relay->RefuseNew();
   }
--- a/packages/decisions/scale_plan.cc
+++ b/packages/decisions/scale_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace hickorystand {
@@ -17,8 +18,8 @@
   for (const auto& [zone, price] : bounds.zone_prices) {
     zones.push_back(zone);
   }
-  std::ranges::stable_sort(zones, {}, [&bounds](const ZoneId& zone) {
-    return bounds.zone_prices.at(zone);
+  std::ranges::sort(zones, {}, [&bounds](const ZoneId& zone) {
+    return std::pair(bounds.zone_prices.at(zone), zone);
   });
   return zones;
 }
--- a/packages/relay/endpoint_pool.cc
+++ b/packages/relay/endpoint_pool.cc
@@ -257,7 +257,7 @@
   }
 }
 
-EndpointExchangePtr EndpointPool::Send(EndpointSend send,
+EndpointExchangePtr EndpointPool::Send(const EndpointSend& send,
                                        EndpointEvents events) {
   auto exchange = std::make_shared<EndpointExchange>();
   exchange->events = std::move(events);
--- a/packages/relay/endpoint_pool.h
+++ b/packages/relay/endpoint_pool.h
@@ -96,7 +96,7 @@
   EndpointPool& operator=(const EndpointPool&) = delete;
 
   // Sends a request; `events` are called later, never from within.
-  EndpointExchangePtr Send(EndpointSend send, EndpointEvents events);
+  EndpointExchangePtr Send(const EndpointSend& send, EndpointEvents events);
 
   // The most connections to an address, and whether all of them are busy. An
   // endpoint resets what comes beyond its limit.
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -14,16 +14,6 @@
 namespace hickorystand {
 namespace {
 
-// An answer up to this size is held until it is whole, so that one that turns
-// out broken can be asked for again. Longer ones are passed on as they come.
-constexpr size_t kHeldAnswer = size_t{256} << 10;
-
-// Bytes that a slow caller may leave unread before its endpoint has to wait.
-constexpr size_t kUnsentLimit = size_t{256} << 10;
-
-// An endpoint's answer to a call for another process or another role.
-constexpr int kMisdirected = 421;
-
 // A rest of time too short for a send to be worth it.
 constexpr Duration kLeastLeft = std::chrono::milliseconds(60);
 
@@ -155,6 +145,10 @@
   return this->deadline - this->relay->clock->Now();
 }
 
+bool RelayedRequest::WorthSending() const {
+  return this->Left() > kLeastLeft;
+}
+
 void RelayedRequest::Place() {
   const Instant now = this->relay->clock->Now();
   WorkShape left = this->shape;
@@ -181,7 +175,8 @@
 
 // Whether the request may go to a further endpoint, which is charged.
 bool RelayedRequest::MaySendAgain() {
-  return this->runs_sent<this->route->max_attempts&& this->Left()> kLeastLeft &&
+  const bool attempts_left = this->runs_sent < this->route->max_attempts;
+  return attempts_left && this->WorthSending() &&
          this->relay->budget.Take(this->relay->clock->Now(), this->service);
 }
 
@@ -279,264 +274,6 @@
   this->ArmStall();
 }
 
-bool RelayedRequest::OnHead(const Http1Head& head) {
-  Attempt& at = *this->attempt;
-  at.answer = this->relay->codec->ReadAnswer(head.status, head.headers);
-  if (at.answer.id && *at.answer.id != this->request.id) {
-    this->relay->Log(LogLevel::kWarning, this->request.id,
-                     "Dropped an answer to another request.",
-                     {{"endpoint", at.endpoint.run.id.Text()}});
-    return false;
-  }
-  at.foreign = !at.answer.id;
-  at.status = head.status;
-  at.headers = head.headers;
-  return true;
-}
-
-// Whether an attempt's answer so far is the endpoint's own success.
-void RelayedRequest::OnBytes(std::string_view bytes) {
-  const auto keep = this->shared_from_this();
-  Attempt& at = *this->attempt;
-  const bool good = at.status / 100 == 2 && at.answer.sealed &&
-                    !at.answer.encoded && !at.foreign && !at.reading;
-  if (good && IsStream(this->route->kind)) {
-    this->PassOn(this->cutter.Feed(bytes));
-    return;
-  }
-  if (at.passing) {
-    this->caller->Send(bytes);
-    return;
-  }
-  at.body += bytes;
-  if (at.body.size() <= kHeldAnswer) {
-    return;
-  }
-  if (!good) {
-    at.body.resize(kHeldAnswer);  // is not passed on as it is anyway
-    return;
-  }
-  at.passing = true;
-  this->NoteBegun();
-  this->StartAnswer({});
-  this->caller->Send(at.body);
-  at.body.clear();
-}
-
-void RelayedRequest::PassOn(std::string_view events) {
-  if (events.empty()) {
-    return;
-  }
-  this->NoteFirstByte();
-  this->NoteEvent();
-  this->NoteBegun();
-  if (!this->StreamBegun()) {
-    this->StartAnswer({});
-  }
-  this->caller->Send(events);
-  if (this->caller->Unsent() > kUnsentLimit) {
-    this->attempt->exchange->Pause();
-    this->caller->OnDrained([this] {
-      if (this->attempt) {
-        this->attempt->exchange->Resume();
-      }
-    });
-  }
-}
-
-void RelayedRequest::NoteFirstByte() {
-  Attempt& at = *this->attempt;
-  if (at.first_byte_at) {
-    return;
-  }
-  this->stall_timer.reset();
-  const Instant now = this->relay->clock->Now();
-  at.first_byte_at = now;
-  this->relay->placement.OnPromptRead(now, at.work);
-  this->relay->metrics->Observe("first_byte_seconds",
-                                ToSeconds(now - this->arrived),
-                                {{"service", this->service.Text()}});
-}
-
-// Keeps what a caller of a stream notices: its start and its longest pause.
-void RelayedRequest::NoteEvent() {
-  const Instant now = this->relay->clock->Now();
-  if (this->first_event) {
-    this->longest_pause = std::max(this->longest_pause, now - this->last_event);
-  } else {
-    this->first_event = now;
-  }
-  this->last_event = now;
-}
-
-void RelayedRequest::NoteBegun() {
-  if (!std::exchange(this->begun, true) && !this->account.Empty()) {
-    this->relay->hooks.on_begun(this->account);
-  }
-}
-
-void RelayedRequest::StartAnswer(std::optional<uint64_t> length) {
-  HttpHeaders headers = ForwardableHeaders(this->attempt->headers);
-  std::erase_if(headers, [](const HttpHeader& header) {
-    return g_ascii_strcasecmp(header.name.c_str(), "Content-Length") == 0;
-  });
-  this->caller->Start({.status = this->attempt->status,
-                       .headers = std::move(headers),
-                       .length = length});
-}
-
-void RelayedRequest::OnEnd(HttpEnd end) {
-  const auto keep = this->shared_from_this();
-  this->stall_timer.reset();
-  if (this->attempt->reading) {
-    this->OnRead(end);
-    return;
-  }
-  const Fate fate = this->JudgeEnd(end);
-  const Instant now = this->relay->clock->Now();
-  Attempt& at = *this->attempt;
-  this->relay->placement.OnEnded(now, at.work);
-  this->NoteOutcome(at, fate == Fate::kDone);
-  this->handle.clear();
-  if (at.first_byte_at) {
-    this->relay->stream_seconds[this->service].Add(
-        now, ToSeconds(now - *at.first_byte_at));
-  }
-  if (fate == Fate::kDone) {
-    this->relay->suspects.OnAnswered(this->fingerprint);
-    this->Over(std::to_string(at.status));
-    return;
-  }
-  if (fate == Fate::kMayHaveRun && end == HttpEnd::kReset) {
-    this->relay->suspects.OnCrash(now, at.endpoint.zone, {this->fingerprint});
-  }
-  this->AfterFailure(fate, fate == Fate::kNotRun ? "not run at the endpoint"
-                                                 : "broken at the endpoint");
-}
-
-RelayedRequest::Fate RelayedRequest::JudgeEnd(HttpEnd end) {
-  if (end == HttpEnd::kNotSent) {
-    return Fate::kNotRun;
-  }
-  if (end != HttpEnd::kWhole) {
-    return Fate::kMayHaveRun;
-  }
-  return this->JudgeWhole();
-}
-
-// Judges an answer that ended in order, and passes it on if it is one.
-RelayedRequest::Fate RelayedRequest::JudgeWhole() {
-  Attempt& at = *this->attempt;
-  if (at.answer.not_run) {
-    return Fate::kNotRun;
-  }
-  const bool ours = at.answer.sealed && !at.answer.encoded && !at.foreign;
-  const bool promise = at.status == 429 || at.status == 503 ||
-                       at.status == 408 || at.status == 421;
-  // Without the proof that the endpoint wrote it, nothing of it is an answer;
-  // and a status that promises "not run" may only be passed on when it is so.
-  if (!ours || promise) {
-    return Fate::kMayHaveRun;
-  }
-  if (this->StreamBegun()) {
-    if (at.status / 100 != 2) {
-      return Fate::kMayHaveRun;  // of a resumed run; can't be told any more
-    }
-    if (this->cutter.HoldsRest()) {
-      this->caller->Send(this->cutter.TakeRest());
-    }
-    this->caller->Finish();
-    return Fate::kDone;
-  }
-  if (at.status / 100 == 5 && MayRunAgain(this->route->kind) &&
-      this->MaySendAgain()) {
-    // Goes on in AfterFailure, which must not charge the budget again.
-    this->NoteBegun();
-    this->retry_charged = true;
-    return Fate::kMayHaveRun;
-  }
-  this->NoteBegun();
-  const std::string rest = this->cutter.TakeRest();
-  const std::string& whole = rest.empty() ? at.body : rest;
-  this->StartAnswer(whole.size());
-  this->caller->Send(whole);
-  this->caller->Finish();
-  if (!this->shape.engine) {
-    this->relay->placement.OnPlainTime(this->service,
-                                       this->relay->clock->Now() - at.sent);
-  }
-  return Fate::kDone;
-}
-
-// Remembers what became of an attempt, for later placing.
-void RelayedRequest::NoteOutcome(const Attempt& at, bool good) {
-  const Instant now = this->relay->clock->Now();
-  if (at.status == kMisdirected) {
-    this->relay->placement.OnWrongRole(now, at.endpoint.run.id);
-  } else {
-    this->relay->placement.OnOutcome(now, at.endpoint.run.id, good);
-  }
-}
-
-// A reading call has ended.
-void RelayedRequest::OnRead(HttpEnd end) {
-  const Instant now = this->relay->clock->Now();
-  const Attempt at = std::move(*this->attempt);
-  this->attempt.reset();
-  const bool whole = end == HttpEnd::kWhole && at.status == 200;
-  if (whole) {
-    this->relay->placement.OnPromptRead(now, at.work);
-  }
-  this->relay->placement.OnEnded(now, at.work);
-  auto read = whole ? this->relay->codec->ReadPromptHandle(at.body)
-                    : Result<PromptHandle>(Fail(ErrorKind::kEndpointFailed,
-                                                "the prompt was not read"));
-  this->NoteOutcome(at, read.has_value());
-  if (read) {
-    this->handle = read->handle;
-    this->handle_at = at.endpoint.address;
-    this->OnPromptHandle(*read);
-    return;
-  }
-  this->relay->Log(LogLevel::kInfo, this->request.id, "Prompt not read.",
-                   {{"endpoint", at.endpoint.run.id.Text()},
-                    {"status", std::to_string(at.status)},
-                    {"why", read.error().message}});
-  // Nothing of the request has run, whatever became of the prompt. The call
-  // counts as one arrival more, since an accepted one would have been free.
-  this->tried.insert(at.endpoint.run.id);
-  if (++this->arrivals > 1 || this->Left() <= kLeastLeft ||
-      !this->relay->budget.Take(now, this->service)) {
-    this->AfterFailure(Fate::kNotRun, "the prompt was not read");
-    return;
-  }
-  const auto answers = this->relay->placement.PlaceAnswer(
-      now, this->shape, at.endpoint.run.id, this->tried);
-  if (!answers) {
-    this->RefuseNotRun("no endpoint",
-                       this->relay->settings.placement.eject_for);
-    return;
-  }
-  this->SendRun(
-      {.endpoint = *answers,
-       .new_tokens = this->relay->placement.NewTokens(*answers, this->shape)},
-      "");
-}
-
-void RelayedRequest::OnPromptHandle(const PromptHandle& read) {
-  const auto answers = this->relay->placement.PlaceAnswer(
-      this->relay->clock->Now(), this->shape, EndpointId(), this->tried);
-  if (!answers) {
-    this->DropHandle();
-    this->RefuseNotRun("no endpoint",
-                       this->relay->settings.placement.eject_for);
-    return;
-  }
-  this->SendRun({.endpoint = *answers},
-                this->handle_at.host + ":" +
-                    std::to_string(this->handle_at.port) + "/" + read.handle);
-}
-
 void RelayedRequest::AfterFailure(Fate fate, std::string_view why) {
   if (this->attempt) {
     this->tried.insert(this->attempt->endpoint.run.id);
@@ -588,8 +325,7 @@
   const auto keep = this->shared_from_this();
   this->stall_timer.reset();
   if (!this->attempt->reading &&
-      (this->runs_sent >= this->route->max_attempts ||
-       this->Left() <= kLeastLeft)) {
+      (this->runs_sent >= this->route->max_attempts || !this->WorthSending())) {
     return;  // nowhere to go: it may still come
   }
   this->attempt->exchange->Cancel();
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -99,6 +99,9 @@
   void Over(std::string_view outcome);
 
   Duration Left() const;
+
+  // Whether there is time enough for another send.
+  bool WorthSending() const;
   bool StreamBegun() const { return this->caller->Started(); }
 
   FleetRelay* relay;
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -190,7 +190,7 @@
   std::vector<EndpointOutstanding> work;
   for (const auto& [id, engine] : FourEngines()) {
     work.push_back(
-        {.endpoint = id, .prompt_tokens = 4 * 37900, .requests = 30});
+        {.endpoint = id, .prompt_tokens = int64_t{4} * 37900, .requests = 30});
   }
   placement.OnPeerWork(HostId("peer"), work);
   const Verdict verdict = placement.Place(At(1), LongPrompt(1, 2), {});
