Drop what nothing reads; one comparison of header names

Fields and a reader of an endpoint's load that nobody used, a flag that was only set, a setting that no file can set, and a parameter without a reader go.

--- a/packages/daemon/program/main.cc
+++ b/packages/daemon/program/main.cc
@@ -120,9 +120,8 @@
     std::cout << "The settings are right.\n";
     return 0;
   }
-  StartLog({.level = settings->log_level,
-            .json = settings->log_json,
-            .standard_output = true});
+  StartLog(
+      {.level = settings->log_level, .json = true, .standard_output = true});
   std::signal(SIGPIPE, SIG_IGN);
   const BootClock clock;
   GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
--- a/packages/daemon/relay_settings.h
+++ b/packages/daemon/relay_settings.h
@@ -26,7 +26,6 @@
   Duration store_timeout{};
   SocketAddress duties;
   LogLevel log_level = LogLevel::kInfo;
-  bool log_json = true;
   Duration grace{};  // from the stop signal to the kill
   Duration lease_length{};
   Duration usage_window{};
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -81,8 +81,7 @@
   if (part.tokens == 0) {
     cache.Drop(part.part);
   } else {
-    cache.Keep(part, static_cast<int64_t>(this->options.rates.cache_tokens),
-               true);
+    cache.Keep(part, this->CacheRoom(), true);
   }
 }
 
@@ -381,8 +380,7 @@
   // Kept from the start: the next request with the same parts that comes here
   // while this one is read waits for it and finds them.
   for (const PartTokens& part : shape.parts) {
-    state.cache.Keep(
-        part, static_cast<int64_t>(this->options.rates.cache_tokens), false);
+    state.cache.Keep(part, this->CacheRoom(), false);
   }
   const double tokens = static_cast<double>(
       state.waiting_tokens + this->PeerWork(endpoint).prompt_tokens);
@@ -432,8 +430,7 @@
     state->waiting_tokens -= found->second.new_tokens;
     this->LearnSlowness(now, found->second, *state);
     for (const PartTokens& part : found->second.parts) {
-      state->cache.Keep(
-          part, static_cast<int64_t>(this->options.rates.cache_tokens), true);
+      state->cache.Keep(part, this->CacheRoom(), true);
     }
   }
 }
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -269,6 +269,9 @@
                       const Source& source) const;
   void PreferHomes(const WorkShape& shape, std::vector<Weighed>& weighed) const;
   Weighed WeighPlain(const State& state, const WorkShape& shape) const;
+  int64_t CacheRoom() const {
+    return static_cast<int64_t>(this->options.rates.cache_tokens);
+  }
   double Rate(const State& state) const;
   double Penalty(const State& state) const;
   EndpointOutstanding PeerWork(const EndpointId& endpoint) const;
--- a/packages/http/http_types.cc
+++ b/packages/http/http_types.cc
@@ -34,24 +34,25 @@
     "x-resume-from",
 };
 
-bool SameName(std::string_view left, std::string_view right) {
-  return std::ranges::equal(left, right, {}, &g_ascii_tolower,
-                            &g_ascii_tolower);
-}
-
 bool Forwardable(const HttpHeader& header) {
   return std::ranges::none_of(kNotForwarded, [&](std::string_view name) {
-    return SameName(name, header.name);
+    return SameHeaderName(name, header.name);
   });
 }
 
 }  // namespace
 
+bool SameHeaderName(std::string_view left, std::string_view right) {
+  return std::ranges::equal(left, right, {}, &g_ascii_tolower,
+                            &g_ascii_tolower);
+}
+
 std::optional<std::string> FindHeader(const HttpHeaders& headers,
                                       std::string_view name) {
-  const auto found = std::ranges::find_if(
-      headers,
-      [&](const HttpHeader& header) { return SameName(header.name, name); });
+  const auto found =
+      std::ranges::find_if(headers, [&](const HttpHeader& header) {
+        return SameHeaderName(header.name, name);
+      });
   return found == headers.end() ? std::nullopt : std::optional(found->value);
 }
 
--- a/packages/http/http_types.h
+++ b/packages/http/http_types.h
@@ -21,6 +21,9 @@
 
 using HttpHeaders = std::vector<HttpHeader>;
 
+// Whether two header names are the same, in any case of letters.
+bool SameHeaderName(std::string_view left, std::string_view right);
+
 // The value of the first header of that name, in any case of letters.
 std::optional<std::string> FindHeader(const HttpHeaders& headers,
                                       std::string_view name);
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -130,7 +130,6 @@
   void RefuseSlow() { this->Refuse(408); }
 
   void Refuse(int status) {
-    this->refused = true;
     this->socket->Write(HeadText({.status = status, .length = 0}, false, true));
     this->Leave();
   }
@@ -213,7 +212,6 @@
   CallerMessage message;
   CallerExchangePtr exchange;
   std::unique_ptr<Timer> timer;
-  bool refused = false;
   bool last = false;
 };
 
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -127,7 +127,7 @@
   this->NoteHolding(now);
   this->Run(actions);
   if (this->MayAct()) {
-    this->ReportDue(now);
+    this->ReportDue();
     this->PlanRoles(now);
     this->PlanEngines(now);
   }
@@ -203,7 +203,7 @@
 
 // Reports each window that is over and whose counts are all there, or that
 // can't wait for them any longer.
-void FleetDuties::ReportDue(Instant /*now*/) {
+void FleetDuties::ReportDue() {
   const int64_t now = this->UnixMilliseconds();
   const int64_t current = this->usage.WindowAt(now);
   const int64_t oldest = this->usage.WindowAt(
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -131,7 +131,7 @@
   bool MayAct() const;
   DutyAuthority Authority() const;
 
-  void ReportDue(Instant now);
+  void ReportDue();
   void WriteWindow(int64_t window);
   void ReportWindow(int64_t window, const WindowCounts& counts);
   void PlanRoles(Instant now);
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -19,6 +19,13 @@
 // Requests that ran while this many endpoints crashed are run no more.
 constexpr int64_t kCondemnedAfter = 3;
 
+double RateOf(const std::map<ServiceId, DecayingRate>& rates,
+              const ServiceId& service,
+              Instant now) {
+  const auto found = rates.find(service);
+  return found == rates.end() ? 0 : found->second.PerSecond(now);
+}
+
 }  // namespace
 
 FleetRelay::FleetRelay(RelaySettings settings,
@@ -107,17 +114,6 @@
          this->clock->Now() - this->proven < this->settings.key_proof_limit;
 }
 
-namespace {
-
-double RateOf(const std::map<ServiceId, DecayingRate>& rates,
-              const ServiceId& service,
-              Instant now) {
-  const auto found = rates.find(service);
-  return found == rates.end() ? 0 : found->second.PerSecond(now);
-}
-
-}  // namespace
-
 double FleetRelay::Streams(const ServiceId& service) const {
   return RateOf(this->stream_seconds, service, this->clock->Now());
 }
--- a/packages/relay/message_codec.h
+++ b/packages/relay/message_codec.h
@@ -64,23 +64,12 @@
   bool operator==(const EndpointCall&) const = default;
 };
 
-// How loaded an endpoint says it is.
-struct EndpointLoad {
-  int64_t running = 0;
-  int64_t waiting = 0;
-  int64_t slots = 0;
-
-  auto operator<=>(const EndpointLoad&) const = default;
-};
-
 // What an endpoint's headers say.
 struct EndpointAnswer {
   std::optional<RequestId> id;  // of the request that it answers
   bool sealed = false;          // bears the proof that an endpoint wrote it
   bool not_run = false;         // the endpoint states that nothing ran
   bool encoded = false;         // the body isn't the endpoint's plain one
-  std::optional<EndpointLoad> load;
-  std::optional<Duration> idle_timeout;  // of the connection
 
   bool operator==(const EndpointAnswer&) const = default;
 };
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -20,6 +20,10 @@
 // Time that the endpoint is given less than the caller has, for the way back.
 constexpr Duration kWayBack = std::chrono::milliseconds(5);
 
+// Until a caller may come back when keys can't be trusted: the next proof is
+// due within a second.
+constexpr Duration kProofReturn = std::chrono::milliseconds(700);
+
 // Callers come back within a third of the time they have left, or not at all.
 constexpr double kReturnShare = 0.33;
 constexpr Duration kLeastReturn = std::chrono::milliseconds(100);
@@ -129,7 +133,7 @@
   if (!this->relay->KeysProven()) {
     return Error{ErrorKind::kPlatformDown,
                  "the configuration may be outdated, so no key can be trusted",
-                 std::chrono::milliseconds(700)};
+                 kProofReturn};
   }
   if (holder == nullptr) {
     return Error{ErrorKind::kBadKey, "unknown key", {}};
@@ -238,8 +242,7 @@
     if (this->StreamBegun()) {
       this->BreakOff("the configuration may be outdated");
     } else {
-      this->RefuseNotRun("the configuration may be outdated",
-                         std::chrono::milliseconds(700));
+      this->RefuseNotRun("the configuration may be outdated", kProofReturn);
     }
     return;
   }
