Make the gateway before the control task reads the store

Cause of the hang of daemon_test: StartControl() ran first, and on a busy machine the control task had the configuration before StartGateway() made the gateway; it is handed on once, so the host answered 503 to /readyz for ever. Seen in a hung run: the operators' page says revision 1, the gateway 'no configuration yet'. Ruled out: a spinning libsoup thread (it served 7,000 polls of the test).

--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -59,11 +59,16 @@
   this->Stop();
 }
 
+// The gateway exists before the control task reads the store: that task hands
+// on each configuration once, and with nobody there to take it the host would
+// stay unready until an operator changes something. It listens only when the
+// control task is there for what its callers need.
 Result<void> HostDaemon::Start() {
+  this->MakeGateway();
   if (auto started = this->StartControl(); !started) {
     return started;
   }
-  return this->StartGateway();
+  return this->OpenGateway();
 }
 
 Result<void> HostDaemon::StartControl() {
@@ -92,9 +97,8 @@
   return result;
 }
 
-Result<void> HostDaemon::StartGateway() {
-  Result<void> result;
-  this->serving_task.Call([&] {
+void HostDaemon::MakeGateway() {
+  this->serving_task.Call([this] {
     const auto seed = static_cast<uint64_t>(this->clock.WallMilliseconds());
     this->gateway = std::make_unique<Gateway>(
         MakeGatewayOptions(this->settings, seed), this->clock, this->metrics);
@@ -103,6 +107,12 @@
       this->control_task.Post(
           [this, report] { this->control->OnLoad(report); });
     });
+  });
+}
+
+Result<void> HostDaemon::OpenGateway() {
+  Result<void> result;
+  this->serving_task.Call([&] {
     const auto address = this->gateway->Start();
     if (!address) {
       result = tl::unexpected(address.error());
--- a/packages/daemon/host_daemon.h
+++ b/packages/daemon/host_daemon.h
@@ -55,8 +55,9 @@
   const SocketAddress& PeerAddress() const { return this->peer_address; }
 
  private:
+  void MakeGateway();
   Result<void> StartControl();
-  Result<void> StartGateway();
+  Result<void> OpenGateway();
   ControlEvents EventsForServing();
   RequestHooks HooksForGateway();
   AdminHandlers HandlersForOperators();
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -2,11 +2,14 @@
 // the caller to the platform, and its planned stop.
 
 #include <CppUTest/TestHarness.h>
+#include <sched.h>
 
 #include <cstdio>
 #include <fstream>
 #include <numeric>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "host_bed.h"
 
@@ -14,6 +17,8 @@
 namespace {
 
 constexpr int kBadKeyStatus = 401;
+// Over a second: a host is ready 30 ms after its start on an idle machine.
+constexpr int kReadyTries = 1000;
 
 // A settings file with the secrets that it names, removed in the end.
 class SettingsFile {
@@ -44,6 +49,36 @@
   std::string secret_path = "daemon_test_secret";
 };
 
+// A core that some threads keep busy. Whoever enters it is scheduled a time
+// slice late after each wait, and leaves it when the core is destroyed.
+class BusyCore {
+ public:
+  BusyCore() {
+    sched_getaffinity(0, sizeof this->before, &this->before);
+    CPU_ZERO(&this->core);
+    CPU_SET(sched_getcpu(), &this->core);
+    constexpr int kThreads = 8;
+    for (int i = 0; i < kThreads; ++i) {
+      this->threads.emplace_back([this](const std::stop_token& over) {
+        this->Enter();
+        while (!over.stop_requested()) {
+        }
+      });
+    }
+  }
+  ~BusyCore() { sched_setaffinity(0, sizeof this->before, &this->before); }
+  BusyCore(const BusyCore&) = delete;
+  BusyCore& operator=(const BusyCore&) = delete;
+
+  // Binds the calling thread to the core.
+  void Enter() const { sched_setaffinity(0, sizeof this->core, &this->core); }
+
+ private:
+  cpu_set_t before{};
+  cpu_set_t core{};
+  std::vector<std::jthread> threads;
+};
+
 int64_t GeneratedBy(const std::vector<fakes::RunRecord>& runs) {
   return std::accumulate(runs.begin(), runs.end(), int64_t{0},
                          [](int64_t sum, const fakes::RunRecord& run) {
@@ -123,6 +158,22 @@
   STRCMP_CONTAINS("\"endpoint\":\"e1\"", why.body.c_str());
 }
 
+// A host answers 503 for hours although it has read the configuration. It
+// started on a busy machine: the control task had read the configuration before
+// the thread that starts the host came to make the gateway, and nobody hands a
+// configuration on twice. Here that thread shares a core with others that spin.
+TEST(Host, IsReadyHoweverSoonTheStoreAnswers) {
+  constexpr int kHosts = 24;
+  int ready = 0;
+  for (int i = 0; i < kHosts; ++i) {
+    const BusyCore core;
+    HostBed bed(0);
+    bed.StartHost("h1", [&core] { core.Enter(); });
+    ready += Eventually([&] { return bed.InForce(1); }, kReadyTries) ? 1 : 0;
+  }
+  LONGS_EQUAL(kHosts, ready);
+}
+
 // A customer is billed for tokens that no engine made, or an engine's work is
 // never billed: counts get lost or doubled between the gateway, the host's
 // meter, the copies at other hosts, the window and the report.
--- a/tests/gateway_bed.h
+++ b/tests/gateway_bed.h
@@ -86,10 +86,11 @@
   HttpExchangePtr last;
 };
 
-// Waits until a condition holds; false if it never does.
-inline bool Eventually(const std::function<bool()>& condition) {
-  constexpr int kTries = 20'000;
-  for (int i = 0; i < kTries; ++i) {
+// Waits until a condition holds; false if it never does within the tries, which
+// are a millisecond and the condition's own time apart.
+inline bool Eventually(const std::function<bool()>& condition,
+                       int tries = 20'000) {
+  for (int i = 0; i < tries; ++i) {
     if (condition()) {
       return true;
     }
--- a/tests/host_bed.h
+++ b/tests/host_bed.h
@@ -25,10 +25,16 @@
     StartLog({.level = LogLevel::kError});
     this->Store();
     for (int i = 1; i <= hosts; ++i) {
-      this->StartHost(this->SettingsOf(HostId("h" + std::to_string(i))));
+      this->StartHost("h" + std::to_string(i));
     }
   }
 
+  // Starts one more host. `before` is called when its tasks run already.
+  void StartHost(const std::string& id,
+                 const std::function<void()>& before = {}) {
+    this->StartHost(this->SettingsOf(HostId(id)), before);
+  }
+
   // Starts one more host, in another data centre, which can't reach the
   // key-value service.
   void StartCutOffHost() {
@@ -100,9 +106,13 @@
   std::vector<std::unique_ptr<HostDaemon>> hosts;
 
  private:
-  void StartHost(const HostSettings& settings) {
+  void StartHost(const HostSettings& settings,
+                 const std::function<void()>& before = {}) {
     this->hosts.push_back(std::make_unique<HostDaemon>(
         settings, this->clock, [this] { ++this->stopped; }));
+    if (before) {
+      before();
+    }
     const auto started = this->hosts.back()->Start();
     assert(started && "a host of the test can't start");
     this->listed.push_back({.host = settings.host,
