Divide the retry budget and endpoints' connections among the hosts there are

Cause, by reading for fleets of other sizes: the slack was divided by a fixed 16, so 89 hosts could spend 5.6 times the budget; its share of repeats was fixed at a fifth whatever the deployment says; the bound on an endpoint's connections was computed and never asked; an engine's memory was taken from one sheet. Five tests; each fails on the code before or didn't compile there.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -192,6 +192,10 @@
       FleetPeersHandlers{
           .make_digest = [this] { return this->MakeDigest(); },
           .on_digest = [this](const Digest& digest) { this->OnDigest(digest); },
+          .on_listed =
+              [this](size_t hosts) {
+                this->relay->SetHosts(static_cast<int64_t>(hosts));
+              },
           .on_linked = [this](const HostId& host) { this->TellAllUsage(host); },
           .on_gone =
               [this](const HostId& host) {
--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -1,5 +1,6 @@
 #include "daemon/relay_settings.h"
 
+#include <algorithm>
 #include <fstream>
 #include <utility>
 
@@ -8,6 +9,12 @@
 
 constexpr int64_t kMinuteInMilliseconds = 60000;
 
+// The longest and the shortest time between two reads of the store. What must
+// be known within a bound is read twice in it, so that one read may fail.
+constexpr Duration kLongestPoll = std::chrono::seconds(1);
+constexpr Duration kShortestPoll = std::chrono::milliseconds(200);
+constexpr int64_t kReadsWithinABound = 2;
+
 // What the proof that a key still holds may be older than when it is used, is
 // the bound on withdrawn keys less this: the request's way to the endpoint,
 // and clocks that run at different speeds.
@@ -33,15 +40,6 @@
           .help = std::move(help)};
 }
 
-SettingRule Count(std::string key, std::string fallback, std::string help) {
-  return {.section = "fleet",
-          .key = std::move(key),
-          .type = SettingType::kInteger,
-          .fallback = std::move(fallback),
-          .maximum = int64_t{1} << 40,
-          .help = std::move(help)};
-}
-
 std::vector<SettingRule> Rules() {
   return {
       {.section = "relay",
@@ -76,23 +74,35 @@
       Length("stop", "grace", "8s", "from the stop signal to the kill"),
       Length("keys", "revoke_within", "5s",
              "how soon a withdrawn key must stop working"),
+      {.section = "keys",
+       .key = "proof_needed",
+       .type = SettingType::kBoolean,
+       .fallback = "true",
+       .help = "whether a host that can't prove the configuration to be the "
+               "newest refuses keys"},
+      Length("fleet", "apply_within", "2s",
+             "how soon a new configuration must be in force"),
+      Length("fleet", "drain_within", "2s",
+             "how soon a leaving endpoint must get nothing new"),
       Length("retries", "window", "10s", "over which repeats are counted"),
       {.section = "retries",
-       .key = "percent",
-       .type = SettingType::kInteger,
-       .fallback = "20",
-       .maximum = 1000,
-       .help = "repeats for a hundred requests"},
+       .key = "share",
+       .type = SettingType::kShare,
+       .fallback = "0.2",
+       .help = "repeats for each request"},
       {.section = "retries",
        .key = "slack",
        .type = SettingType::kInteger,
        .fallback = "48",
        .maximum = 1000000,
        .help = "repeats beyond that in each window, of all hosts together"},
-      Count("hosts_at_most", "16",
-            "hosts among which slack and connections are divided"),
-      Count("prompt_tokens_per_second", "37900",
-            "an engine's reading rate in the prefill role"),
+      {.section = "fleet",
+       .key = "prompt_tokens_per_second",
+       .type = SettingType::kInteger,
+       .fallback = "37900",
+       .minimum = 1,
+       .maximum = int64_t{1} << 40,
+       .help = "an engine's reading rate in the prefill role"},
       {.section = "log",
        .key = "level",
        .type = SettingType::kChoice,
@@ -104,19 +114,27 @@
 
 RelaySettings ReadRelay(const Settings& from) {
   RelaySettings relay;
-  relay.hosts_at_most = from.Integer("fleet", "hosts_at_most");
   relay.placement.zone = ZoneId(from.Text("relay", "zone"));
   relay.placement.rates.prompt_tokens =
       static_cast<double>(from.Integer("fleet", "prompt_tokens_per_second"));
-  relay.key_proof_limit = from.Length("keys", "revoke_within") - kRevokeMargin;
+  relay.key_proof_limit =
+      from.Flag("keys", "proof_needed")
+          ? from.Length("keys", "revoke_within") - kRevokeMargin
+          : Duration::max();
   relay.budget = {
       .window = from.Length("retries", "window"),
-      .share = static_cast<double>(from.Integer("retries", "percent")) / 100,
-      .slack = static_cast<double>(from.Integer("retries", "slack")) /
-               static_cast<double>(relay.hosts_at_most)};
+      .share = from.Share("retries", "share"),
+      .slack = static_cast<double>(from.Integer("retries", "slack"))};
   return relay;
 }
 
+FleetSourceOptions ReadSource(const Settings& from) {
+  const Duration bound = std::min(from.Length("fleet", "apply_within"),
+                                  from.Length("fleet", "drain_within"));
+  return {.poll = std::clamp(bound / kReadsWithinABound, kShortestPoll,
+                             kLongestPoll)};
+}
+
 }  // namespace
 
 Result<RelayHostSettings> LoadRelaySettings(const std::string& path) {
@@ -142,7 +160,8 @@
                          .lease_length = from->Length("duties", "lease"),
                          .usage_window = from->Length("duties", "usage_window"),
                          .usage_late = from->Length("duties", "usage_late"),
-                         .relay = ReadRelay(*from)};
+                         .relay = ReadRelay(*from),
+                         .source = ReadSource(*from)};
   ParseLogLevel(from->Text("log", "level"), made.log_level);
   return made;
 }
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -81,7 +81,7 @@
   if (part.tokens == 0) {
     cache.Drop(part.part);
   } else {
-    cache.Keep(part, this->CacheRoom(), true);
+    cache.Keep(part, this->CacheRoom(found->second.endpoint.service), true);
   }
 }
 
@@ -113,6 +113,13 @@
   return rates.prompt_tokens * share / state.slowness;
 }
 
+int64_t FleetPlacement::CacheRoom(const ServiceId& service) const {
+  const auto share = this->shares.find(service);
+  return share != this->shares.end() && share->second.cache_tokens > 0
+             ? share->second.cache_tokens
+             : static_cast<int64_t>(this->options.rates.cache_tokens);
+}
+
 double FleetPlacement::Penalty(const State& state) const {
   const double zone = state.endpoint.zone == this->options.zone
                           ? 0
@@ -196,6 +203,11 @@
                            const WorkShape& shape,
                            const std::set<EndpointId>& tried) const {
   const EndpointId& id = state.endpoint.run.id;
+  const auto share = this->shares.find(shape.service);
+  if (share != this->shares.end() &&
+      state.running >= share->second.requests_at_once) {
+    return false;
+  }
   return state.endpoint.service == shape.service && !state.endpoint.leaving &&
          now >= state.out_until && !tried.contains(id) && !this->IsAway(id);
 }
@@ -380,7 +392,7 @@
   // Kept from the start: the next request with the same parts that comes here
   // while this one is read waits for it and finds them.
   for (const PartTokens& part : shape.parts) {
-    state.cache.Keep(part, this->CacheRoom(), false);
+    state.cache.Keep(part, this->CacheRoom(shape.service), false);
   }
   const double tokens = static_cast<double>(
       state.waiting_tokens + this->PeerWork(endpoint).prompt_tokens);
@@ -430,7 +442,7 @@
     state->waiting_tokens -= found->second.new_tokens;
     this->LearnSlowness(now, found->second, *state);
     for (const PartTokens& part : found->second.parts) {
-      state->cache.Keep(part, this->CacheRoom(), true);
+      state->cache.Keep(part, this->CacheRoom(state->endpoint.service), true);
     }
   }
 }
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -94,6 +94,16 @@
   double plain_queue = 3;
 };
 
+// What a service's endpoints allow to this host.
+struct ServiceShare {
+  // Requests that this host may have at one endpoint at once.
+  int64_t requests_at_once = INT64_MAX;
+  // Prompt tokens that an engine keeps for later prompts; 0: as its sheet says.
+  int64_t cache_tokens = 0;
+
+  auto operator<=>(const ServiceShare&) const = default;
+};
+
 // A run of prompt tokens, by the hash of its id.
 struct PartTokens {
   uint64_t part = 0;
@@ -149,6 +159,11 @@
   // start with nothing kept.
   void SetEndpoints(const FleetEndpoints& endpoints);
 
+  // What a service allows from now on.
+  void SetServiceShare(const ServiceId& service, const ServiceShare& share) {
+    this->shares[service] = share;
+  }
+
   // Chooses for a request that was not at `tried` before.
   Verdict Place(Instant now,
                 const WorkShape& shape,
@@ -269,9 +284,7 @@
                       const Source& source) const;
   void PreferHomes(const WorkShape& shape, std::vector<Weighed>& weighed) const;
   Weighed WeighPlain(const State& state, const WorkShape& shape) const;
-  int64_t CacheRoom() const {
-    return static_cast<int64_t>(this->options.rates.cache_tokens);
-  }
+  int64_t CacheRoom(const ServiceId& service) const;
   double Rate(const State& state) const;
   double Penalty(const State& state) const;
   EndpointOutstanding PeerWork(const EndpointId& endpoint) const;
@@ -286,6 +299,7 @@
   std::map<HostId, std::vector<EndpointOutstanding>> peers;
   std::map<HostId, std::set<EndpointId>> away;
   std::map<ServiceId, double> plain_seconds;
+  std::map<ServiceId, ServiceShare> shares;
   WorkId last_work = 0;
 };
 
--- a/packages/decisions/window_budget.cc
+++ b/packages/decisions/window_budget.cc
@@ -12,9 +12,13 @@
   Count& count = this->counts[service];
   this->Forget(now, count.requests);
   this->Forget(now, count.repeats);
+  const double slack =
+      this->hosts == 0
+          ? 0
+          : this->options.slack /
+                (kHostsForEachListed * static_cast<double>(this->hosts));
   const double allowed =
-      this->options.share * static_cast<double>(count.requests.size()) +
-      this->options.slack;
+      this->options.share * static_cast<double>(count.requests.size()) + slack;
   if (static_cast<double>(count.repeats.size()) + 1 > allowed) {
     return false;
   }
--- a/packages/decisions/window_budget.h
+++ b/packages/decisions/window_budget.h
@@ -18,11 +18,16 @@
 struct WindowBudgetOptions {
   Duration window = std::chrono::seconds(10);
   double share = 0.2;  // repeats for each request
-  double slack = 3;    // repeats beyond that in each window
+  double slack = 0;    // of all hosts, beyond that in each window
 
   auto operator<=>(const WindowBudgetOptions&) const = default;
 };
 
+// Hosts among which the slack is divided, for each that is listed: one that is
+// restarted or replaced within a window begins with its part unspent, so half
+// of the fleet may be.
+constexpr double kHostsForEachListed = 2;
+
 // Counts requests and repeats by service.
 class WindowBudget {
  public:
@@ -33,6 +38,10 @@
     this->options = changed;
   }
 
+  // How many hosts there are. Before the list of hosts was read nobody knows
+  // how many share the slack, so nothing of it is spent.
+  void SetHosts(int64_t listed) { this->hosts = listed; }
+
   // A caller's request for a service came in.
   void OnRequest(Instant now, const ServiceId& service);
 
@@ -48,6 +57,7 @@
   void Forget(Instant now, std::deque<Instant>& times) const;
 
   WindowBudgetOptions options;
+  int64_t hosts = 0;
   std::map<ServiceId, Count> counts;
 };
 
--- a/packages/kernel/settings.cc
+++ b/packages/kernel/settings.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cassert>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -38,6 +39,18 @@
   return value;
 }
 
+// A number that is no word such as "nan" and not negative.
+std::optional<double> ParseShare(std::string_view text) {
+  double value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() ||
+      !std::isfinite(value) || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 std::string Join(const std::vector<std::string>& words) {
   std::string out;
   for (const std::string& word : words) {
@@ -76,6 +89,11 @@
       }
       return "";
     }
+    case SettingType::kShare:
+      return ParseShare(value) ? ""
+                               : "'" + value +
+                                     "' is not allowed; a decimal number of "
+                                     "at least 0, such as 0.2, is";
     case SettingType::kDuration: {
       const auto length = ParseDuration(value);
       const auto in_range = [&](int64_t ms) {
@@ -206,6 +224,12 @@
   return *number;
 }
 
+double Settings::Share(std::string_view section, std::string_view key) const {
+  const auto number = ParseShare(this->Text(section, key));
+  assert(number && "the setting is not a share in the schema");
+  return *number;
+}
+
 Duration Settings::Length(std::string_view section,
                           std::string_view key) const {
   const auto length = ParseDuration(this->Text(section, key));
--- a/packages/kernel/settings.h
+++ b/packages/kernel/settings.h
@@ -19,6 +19,7 @@
 enum class SettingType {
   kText,       // any text, not empty
   kInteger,    // a whole number within [minimum, maximum]
+  kShare,      // a decimal number of at least 0, such as 0.2
   kDuration,   // a number with unit: 250ms, 5s, 10m, 24h
   kBoolean,    // true or false
   kAddress,    // IP:PORT, or [IPv6]:PORT
@@ -56,6 +57,7 @@
   // another type than it has, is a fault of the program and is asserted.
   const std::string& Text(std::string_view section, std::string_view key) const;
   int64_t Integer(std::string_view section, std::string_view key) const;
+  double Share(std::string_view section, std::string_view key) const;
   Duration Length(std::string_view section, std::string_view key) const;
   bool Flag(std::string_view section, std::string_view key) const;
   std::vector<std::string> List(std::string_view section,
--- a/packages/relay/endpoint_pool.cc
+++ b/packages/relay/endpoint_pool.cc
@@ -292,16 +292,6 @@
   return connection;
 }
 
-void EndpointPool::SetLimit(const SocketAddress& address, size_t limit) {
-  this->lanes[address].limit = std::max<size_t>(limit, 1);
-}
-
-bool EndpointPool::Full(const SocketAddress& address) const {
-  const auto found = this->lanes.find(address);
-  return found != this->lanes.end() &&
-         found->second.busy.size() >= found->second.limit;
-}
-
 void EndpointPool::Forget(const SocketAddress& address) {
   const auto found = this->lanes.find(address);
   if (found == this->lanes.end()) {
--- a/packages/relay/endpoint_pool.h
+++ b/packages/relay/endpoint_pool.h
@@ -98,11 +98,6 @@
   // Sends a request; `events` are called later, never from within.
   EndpointExchangePtr Send(const EndpointSend& send, EndpointEvents events);
 
-  // The most connections to an address, and whether all of them are busy. An
-  // endpoint resets what comes beyond its limit.
-  void SetLimit(const SocketAddress& address, size_t limit);
-  bool Full(const SocketAddress& address) const;
-
   // Closes the idle connections to an address whose process is gone.
   void Forget(const SocketAddress& address);
 
@@ -115,7 +110,6 @@
   struct Lane {
     std::list<std::shared_ptr<EndpointConnection>> idle;
     std::list<std::shared_ptr<EndpointConnection>> busy;
-    size_t limit = 64;
   };
 
   std::shared_ptr<EndpointConnection> TakeIdle(Lane& lane, bool once);
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -190,6 +190,7 @@
   }
   this->KeepLinked(listed);
   this->listed = listed.size() + 1;
+  this->handlers.on_listed(this->listed);
   if (listed != this->hosts) {
     this->hosts = std::move(listed);
     if (this->links) {
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -39,6 +39,7 @@
 struct FleetPeersHandlers {
   std::function<Digest()> make_digest;
   std::function<void(const Digest&)> on_digest;
+  std::function<void(size_t)> on_listed;  // hosts, this one included
   std::function<void(const HostId&)> on_linked;
   std::function<void(const HostId&)> on_gone;
   std::function<void(const HostId&, const PeerMessage&)> on_message;
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -67,6 +67,7 @@
   }
   this->configuration = std::move(changed);
   this->server.SetLimits(this->configuration->limits);
+  this->ShareServices();
   LogInfo(
       kPart, "Configuration in force.",
       {{"version", std::to_string(this->configuration->version)},
@@ -87,17 +88,37 @@
   this->endpoints = listed;
   this->placement.SetEndpoints(listed);
   this->cache_feed.SetEndpoints(listed);
-  if (!this->configuration) {
+}
+
+// The list shrinks when hosts leave, and also when their records lapse while
+// the store is away and they serve on. Then the rest must not take their parts.
+void FleetRelay::SetHosts(int64_t listed) {
+  if (listed <= this->hosts) {
     return;
   }
-  for (const auto& [id, endpoint] : listed) {
-    const auto service = this->configuration->services.find(endpoint.service);
-    if (service != this->configuration->services.end() &&
-        service->second.max_connections > 0) {
-      this->pool.SetLimit(endpoint.address,
-                          static_cast<size_t>(service->second.max_connections /
-                                              this->settings.hosts_at_most));
+  this->hosts = listed;
+  this->budget.SetHosts(listed);
+  this->ShareServices();
+}
+
+// An endpoint resets what comes beyond its connections, and a request that was
+// reset may have run. So each host keeps to its part of them.
+void FleetRelay::ShareServices() {
+  if (!this->configuration || this->hosts == 0) {
+    return;
+  }
+  for (const auto& [id, service] : this->configuration->services) {
+    ServiceShare share;
+    if (service.max_connections > 0) {
+      share.requests_at_once = std::max<int64_t>(
+          1, static_cast<int64_t>(static_cast<double>(service.max_connections) *
+                                  this->settings.connections_used /
+                                  static_cast<double>(this->hosts)));
+    }
+    if (service.engine && service.engine->cache_tokens > 0) {
+      share.cache_tokens = service.engine->cache_tokens;
     }
+    this->placement.SetServiceShare(id, share);
   }
 }
 
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -40,8 +40,9 @@
   // How old the proof that the configuration is the newest may be when a key
   // is used. Beyond it the key may have been withdrawn.
   Duration key_proof_limit = std::chrono::milliseconds(4200);
-  // Hosts that share the connections that an endpoint takes.
-  int64_t hosts_at_most = 16;
+  // Share of an endpoint's connections that all hosts together use for
+  // requests; cache events and freed prompts need some as well.
+  double connections_used = 0.8;
   // A first byte that takes longer than this many times the route's target and
   // the expected time, and than the floor, is taken for a hung endpoint; what
   // may run again then goes elsewhere.
@@ -81,6 +82,10 @@
   // All endpoints there are.
   void SetEndpoints(const FleetEndpoints& endpoints);
 
+  // How many hosts are listed, which share the retry budget and the endpoints'
+  // connections.
+  void SetHosts(int64_t listed);
+
   // The configuration in force was the newest at that moment.
   void ProveFresh(Instant at);
 
@@ -116,6 +121,9 @@
 
   void OnRequest(const CallerExchangePtr& exchange);
 
+  // Tells placing what each service allows to this host.
+  void ShareServices();
+
   // Whether a key may be used now, by the age of the proof.
   bool KeysProven() const;
 
@@ -139,6 +147,7 @@
   LogLimiter log_limiter;
   FleetConfigurationPtr configuration;
   FleetEndpoints endpoints;
+  int64_t hosts = 0;  // the most ever listed; 0: not known yet
   Instant proven{};
   bool refusing = false;
   std::map<ServiceId, DecayingRate> stream_seconds;
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -199,13 +199,46 @@
   CHECK(wait > std::chrono::seconds(1) && wait < std::chrono::seconds(4));
 }
 
+// One host sends an endpoint more than its part of the connections that the
+// endpoint takes from all hosts. The endpoint resets what is beyond, and nobody
+// knows whether those requests ran. They go elsewhere, or are refused.
+TEST(FleetPlacement, KeepsToItsPartOfAnEndpointsConnections) {
+  FleetPlacement placement =
+      MakePlacement(Fleet({Engine("g1", EndpointRole::kDecode),
+                           Engine("g2", EndpointRole::kDecode)}));
+  const WorkShape shape = LongPrompt(1, 2);
+  placement.SetServiceShare(shape.service, {.requests_at_once = 2});
+  std::map<EndpointId, int> sent;
+  for (int i = 0; i < 4; ++i) {
+    const Placed placed = PlacedAt(placement, shape);
+    placement.OnSent(At(1), placed.endpoint, shape, 0);
+    ++sent[placed.endpoint];
+  }
+  LONGS_EQUAL(2, sent[EndpointId("g1")]);
+  LONGS_EQUAL(2, sent[EndpointId("g2")]);
+  CHECK(std::holds_alternative<Refused>(placement.Place(At(1), shape, {})));
+}
+
+// An engine with less memory than others: what it can't keep any more must not
+// draw prompts there as if it were.
+TEST(FleetPlacement, BelievesNoMoreKeptThanAServicesEnginesHold) {
+  FleetPlacement placement = MakePlacement(FourEngines());
+  const WorkShape shape = LongPrompt(1, 2);
+  placement.SetServiceShare(shape.service, {.cache_tokens = 20000});
+  const EndpointId engine("r1");
+  placement.OnCache(engine, {.part = 1, .tokens = 13300});
+  placement.OnCache(engine, {.part = 9, .tokens = 13300});
+  LONGS_EQUAL(17000, placement.NewTokens(engine, shape));
+}
+
 TEST_GROUP(WindowBudget){};
 
 // Endpoints fail everything. Repeats stay within a fifth of the requests of the
 // window and a fixed slack, in any window.
 TEST(WindowBudget, BoundsRepeatsInEveryWindow) {
   WindowBudget budget(
-      {.window = std::chrono::seconds(10), .share = 0.2, .slack = 3});
+      {.window = std::chrono::seconds(10), .share = 0.2, .slack = 6});
+  budget.SetHosts(1);
   std::vector<Instant> taken;
   for (int i = 0; i < 600; ++i) {
     const Instant now{std::chrono::milliseconds(100 * i)};
@@ -223,6 +256,36 @@
   CHECK(taken.size() > 100);
 }
 
+// A service fails everything at 89 hosts at once, and each of them repeats what
+// it may. All parts of the slack together must stay within it, also when every
+// host is killed and starts again in the window.
+TEST(WindowBudget, PartsOfTheSlackAddUpToNoMoreThanIt) {
+  constexpr int kHosts = 89;
+  constexpr int kSlack = 218;
+  int repeats = 0;
+  for (int run = 0; run < 2 * kHosts; ++run) {
+    WindowBudget budget({.share = 0, .slack = kSlack});
+    budget.SetHosts(kHosts);
+    for (int i = 0; i < kSlack; ++i) {
+      repeats += budget.Take(At(1), kService) ? 1 : 0;
+    }
+  }
+  CHECK(repeats > 0);
+  CHECK(repeats <= kSlack);
+}
+
+// A host has just started and doesn't know yet how many there are. It spends
+// nothing of the slack that all share, but its own requests allow repeats.
+TEST(WindowBudget, SpendsNoSlackBeforeTheHostsAreListed) {
+  WindowBudget budget({.share = 0.2, .slack = 50});
+  CHECK(!budget.Take(At(1), kService));
+  for (int i = 0; i < 5; ++i) {
+    budget.OnRequest(At(1), kService);
+  }
+  CHECK(budget.Take(At(1), kService));
+  CHECK(!budget.Take(At(1), kService));
+}
+
 TEST_GROUP(UsageWindows){};
 
 // Copies come twice, late and out of order, and one host starts again. The sum
