Prove the configuration through other hosts; tell them who leaves

Now such a host asks two others, twice a second; an answer is dated from before it was asked, so it gets no younger on the way, and brings a newer configuration along. Hosts that can read the list tell the others which endpoint leaves.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -22,6 +22,13 @@
 // its last copy is lost: a tenth of a window of 5 s, on one host of several.
 constexpr Duration kUsagePeriod = std::chrono::milliseconds(500);
 
+// Hosts that are asked at once for proof of the configuration.
+constexpr size_t kPeersAsked = 2;
+
+// Hosts that tell all others which endpoint leaves: the first by id, several in
+// case one of them is cut off.
+constexpr size_t kTellers = 3;
+
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 
 // The plug-in of that name, or why there is none.
@@ -105,7 +112,13 @@
               [this](const FleetEndpoints& listed) {
                 this->relay->SetEndpoints(listed);
               },
-          .on_fresh = [this](Instant at) { this->relay->ProveFresh(at); }});
+          .on_fresh = [this](Instant at) { this->relay->ProveFresh(at); },
+          .ask_peers =
+              [this](const FreshnessQuestion& question) {
+                this->AskPeers(question);
+              },
+          .on_leaving =
+              [this](const EndpointRun& run) { this->TellLeaving(run); }});
   for (const auto& [server, address] :
        {std::pair(&this->ready_server, &this->settings.ready),
         std::pair(&this->metrics_server, &this->settings.metrics)}) {
@@ -169,16 +182,53 @@
   }
 }
 
-void RelayDaemon::OnPeerMessage(const PeerMessage& message) {
-  const auto* usage = std::get_if<UsageCopyMessage>(&message);
-  if (usage == nullptr) {
-    return;
+void RelayDaemon::OnPeerMessage(const HostId& from,
+                                const PeerMessage& message) {
+  if (const auto* usage = std::get_if<UsageCopyMessage>(&message)) {
+    this->TakeUsage(*usage);
+  } else if (const auto* asked = std::get_if<FreshnessQuestion>(&message)) {
+    if (const auto answer = this->source->Answer(*asked)) {
+      this->peers->Send(from, *answer);
+    }
+  } else if (const auto* answer = std::get_if<FreshnessAnswer>(&message)) {
+    this->source->TakeAnswer(*answer);
+  } else if (const auto* news = std::get_if<EndpointNews>(&message)) {
+    this->source->LearnLeaving(
+        {.id = news->endpoint,
+         .started = static_cast<int64_t>(news->incarnation)});
   }
-  if (const auto copy = DecodeWindowCopy(usage->value)) {
+}
+
+void RelayDaemon::TakeUsage(const UsageCopyMessage& usage) {
+  if (const auto copy = DecodeWindowCopy(usage.value)) {
     this->duties->Usage().Merge(*copy);
   } else {
     LogWarning(kPart, "Usage of another host can't be read.",
-               {{"host", usage->host.Text()}, {"why", copy.error().message}});
+               {{"host", usage.host.Text()}, {"why", copy.error().message}});
+  }
+}
+
+// A host that the store turns away, or that is cut off from it, gets proof and
+// newer configurations from hosts that aren't. Without, it would refuse every
+// key after the bound on withdrawn keys. The hosts are asked in turn, since the
+// first ones may be cut off as well.
+void RelayDaemon::AskPeers(const FreshnessQuestion& question) {
+  const std::vector<HostId> others = this->peers->Others();
+  size_t asked = 0;
+  for (size_t i = 0; i < others.size() && asked < kPeersAsked; ++i) {
+    const HostId& host = others[this->next_asked++ % others.size()];
+    asked += this->peers->Send(host, question) ? 1 : 0;
+  }
+}
+
+// Hosts that can't read the list hear from others that an endpoint leaves.
+// Those that can have read it within a second, so a few tellers are enough.
+void RelayDaemon::TellLeaving(const EndpointRun& run) {
+  if (this->peers && this->peers->Rank() < kTellers) {
+    this->peers->Broadcast(
+        EndpointNews{.endpoint = run.id,
+                     .incarnation = static_cast<uint64_t>(run.started),
+                     .leaving = true});
   }
 }
 
@@ -202,8 +252,8 @@
                 this->relay->Placement().ForgetPeer(host);
               },
           .on_message =
-              [this](const HostId&, const PeerMessage& message) {
-                this->OnPeerMessage(message);
+              [this](const HostId& from, const PeerMessage& message) {
+                this->OnPeerMessage(from, message);
               }});
   this->peers->Start();
 }
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -41,7 +41,10 @@
   void StartDuties();
   void TellUsage();
   void TellAllUsage(const HostId& host);
-  void OnPeerMessage(const PeerMessage& message);
+  void OnPeerMessage(const HostId& from, const PeerMessage& message);
+  void TakeUsage(const UsageCopyMessage& usage);
+  void AskPeers(const FreshnessQuestion& question);
+  void TellLeaving(const EndpointRun& run);
   Digest MakeDigest() const;
   void OnDigest(const Digest& digest);
 
@@ -62,6 +65,7 @@
   CallerServer metrics_server;
   std::optional<Instant> draining_since;
   std::unique_ptr<Timer> drain_timer;
+  size_t next_asked = 0;  // place among the other hosts
 };
 
 }  // namespace hickorystand
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -1879,6 +1879,268 @@
   return *this;
 }
 
+FreshnessQuestion::~FreshnessQuestion() noexcept {
+}
+
+
+void FreshnessQuestion::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void FreshnessQuestion::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+uint32_t FreshnessQuestion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FreshnessQuestion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FreshnessQuestion");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FreshnessQuestion &a, FreshnessQuestion &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+FreshnessQuestion::FreshnessQuestion(const FreshnessQuestion& other90) noexcept {
+  number = other90.number;
+  revision = other90.revision;
+  __isset = other90.__isset;
+}
+FreshnessQuestion::FreshnessQuestion(FreshnessQuestion&& other91) noexcept {
+  number = other91.number;
+  revision = other91.revision;
+  __isset = other91.__isset;
+}
+FreshnessQuestion& FreshnessQuestion::operator=(const FreshnessQuestion& other92) noexcept {
+  number = other92.number;
+  revision = other92.revision;
+  __isset = other92.__isset;
+  return *this;
+}
+FreshnessQuestion& FreshnessQuestion::operator=(FreshnessQuestion&& other93) noexcept {
+  number = other93.number;
+  revision = other93.revision;
+  __isset = other93.__isset;
+  return *this;
+}
+
+FreshnessAnswer::~FreshnessAnswer() noexcept {
+}
+
+
+void FreshnessAnswer::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void FreshnessAnswer::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void FreshnessAnswer::__set_age(const int64_t val) {
+  this->age = val;
+}
+
+void FreshnessAnswer::__set_record(const std::string& val) {
+  this->record = val;
+__isset.record = true;
+}
+
+uint32_t FreshnessAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->record);
+          this->__isset.record = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FreshnessAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FreshnessAnswer");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.record) {
+    xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeBinary(this->record);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FreshnessAnswer &a, FreshnessAnswer &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.revision, b.revision);
+  swap(a.age, b.age);
+  swap(a.record, b.record);
+  swap(a.__isset, b.__isset);
+}
+
+FreshnessAnswer::FreshnessAnswer(const FreshnessAnswer& other94) {
+  number = other94.number;
+  revision = other94.revision;
+  age = other94.age;
+  record = other94.record;
+  __isset = other94.__isset;
+}
+FreshnessAnswer::FreshnessAnswer(FreshnessAnswer&& other95) noexcept {
+  number = other95.number;
+  revision = other95.revision;
+  age = other95.age;
+  record = std::move(other95.record);
+  __isset = other95.__isset;
+}
+FreshnessAnswer& FreshnessAnswer::operator=(const FreshnessAnswer& other96) {
+  number = other96.number;
+  revision = other96.revision;
+  age = other96.age;
+  record = other96.record;
+  __isset = other96.__isset;
+  return *this;
+}
+FreshnessAnswer& FreshnessAnswer::operator=(FreshnessAnswer&& other97) noexcept {
+  number = other97.number;
+  revision = other97.revision;
+  age = other97.age;
+  record = std::move(other97.record);
+  __isset = other97.__isset;
+  return *this;
+}
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -1927,18 +2189,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other90) noexcept {
-  (void) other90;
+Heartbeat::Heartbeat(const Heartbeat& other98) noexcept {
+  (void) other98;
 }
-Heartbeat::Heartbeat(Heartbeat&& other91) noexcept {
-  (void) other91;
+Heartbeat::Heartbeat(Heartbeat&& other99) noexcept {
+  (void) other99;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other92) noexcept {
-  (void) other92;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other100) noexcept {
+  (void) other100;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other93) noexcept {
-  (void) other93;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other101) noexcept {
+  (void) other101;
   return *this;
 }
 
@@ -1981,6 +2243,16 @@
 __isset.endpoint_news = true;
 }
 
+void Message::__set_freshness_question(const FreshnessQuestion& val) {
+  this->freshness_question = val;
+__isset.freshness_question = true;
+}
+
+void Message::__set_freshness_answer(const FreshnessAnswer& val) {
+  this->freshness_answer = val;
+__isset.freshness_answer = true;
+}
+
 uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -2058,6 +2330,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->freshness_question.read(iprot);
+          this->__isset.freshness_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->freshness_answer.read(iprot);
+          this->__isset.freshness_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2110,6 +2398,16 @@
     xfer += this->endpoint_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.freshness_question) {
+    xfer += oprot->writeFieldBegin("freshness_question", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->freshness_question.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.freshness_answer) {
+    xfer += oprot->writeFieldBegin("freshness_answer", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->freshness_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2124,49 +2422,59 @@
   swap(a.usage_copy, b.usage_copy);
   swap(a.released, b.released);
   swap(a.endpoint_news, b.endpoint_news);
+  swap(a.freshness_question, b.freshness_question);
+  swap(a.freshness_answer, b.freshness_answer);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other94) {
-  heartbeat = other94.heartbeat;
-  digest = other94.digest;
-  buckets_request = other94.buckets_request;
-  buckets_reply = other94.buckets_reply;
-  usage_copy = other94.usage_copy;
-  released = other94.released;
-  endpoint_news = other94.endpoint_news;
-  __isset = other94.__isset;
-}
-Message::Message(Message&& other95) noexcept {
-  heartbeat = std::move(other95.heartbeat);
-  digest = std::move(other95.digest);
-  buckets_request = std::move(other95.buckets_request);
-  buckets_reply = std::move(other95.buckets_reply);
-  usage_copy = std::move(other95.usage_copy);
-  released = std::move(other95.released);
-  endpoint_news = std::move(other95.endpoint_news);
-  __isset = other95.__isset;
-}
-Message& Message::operator=(const Message& other96) {
-  heartbeat = other96.heartbeat;
-  digest = other96.digest;
-  buckets_request = other96.buckets_request;
-  buckets_reply = other96.buckets_reply;
-  usage_copy = other96.usage_copy;
-  released = other96.released;
-  endpoint_news = other96.endpoint_news;
-  __isset = other96.__isset;
+Message::Message(const Message& other102) {
+  heartbeat = other102.heartbeat;
+  digest = other102.digest;
+  buckets_request = other102.buckets_request;
+  buckets_reply = other102.buckets_reply;
+  usage_copy = other102.usage_copy;
+  released = other102.released;
+  endpoint_news = other102.endpoint_news;
+  freshness_question = other102.freshness_question;
+  freshness_answer = other102.freshness_answer;
+  __isset = other102.__isset;
+}
+Message::Message(Message&& other103) noexcept {
+  heartbeat = std::move(other103.heartbeat);
+  digest = std::move(other103.digest);
+  buckets_request = std::move(other103.buckets_request);
+  buckets_reply = std::move(other103.buckets_reply);
+  usage_copy = std::move(other103.usage_copy);
+  released = std::move(other103.released);
+  endpoint_news = std::move(other103.endpoint_news);
+  freshness_question = std::move(other103.freshness_question);
+  freshness_answer = std::move(other103.freshness_answer);
+  __isset = other103.__isset;
+}
+Message& Message::operator=(const Message& other104) {
+  heartbeat = other104.heartbeat;
+  digest = other104.digest;
+  buckets_request = other104.buckets_request;
+  buckets_reply = other104.buckets_reply;
+  usage_copy = other104.usage_copy;
+  released = other104.released;
+  endpoint_news = other104.endpoint_news;
+  freshness_question = other104.freshness_question;
+  freshness_answer = other104.freshness_answer;
+  __isset = other104.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other97) noexcept {
-  heartbeat = std::move(other97.heartbeat);
-  digest = std::move(other97.digest);
-  buckets_request = std::move(other97.buckets_request);
-  buckets_reply = std::move(other97.buckets_reply);
-  usage_copy = std::move(other97.usage_copy);
-  released = std::move(other97.released);
-  endpoint_news = std::move(other97.endpoint_news);
-  __isset = other97.__isset;
+Message& Message::operator=(Message&& other105) noexcept {
+  heartbeat = std::move(other105.heartbeat);
+  digest = std::move(other105.digest);
+  buckets_request = std::move(other105.buckets_request);
+  buckets_reply = std::move(other105.buckets_reply);
+  usage_copy = std::move(other105.usage_copy);
+  released = std::move(other105.released);
+  endpoint_news = std::move(other105.endpoint_news);
+  freshness_question = std::move(other105.freshness_question);
+  freshness_answer = std::move(other105.freshness_answer);
+  __isset = other105.__isset;
   return *this;
 }
 }} // namespace
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -45,6 +45,10 @@
 
 class Released;
 
+class FreshnessQuestion;
+
+class FreshnessAnswer;
+
 class Heartbeat;
 
 class Message;
@@ -802,6 +806,124 @@
 
 std::ostream& operator<<(std::ostream& out, const Released& obj);
 
+typedef struct _FreshnessQuestion__isset {
+  _FreshnessQuestion__isset() : number(false), revision(false) {}
+  bool number :1;
+  bool revision :1;
+} _FreshnessQuestion__isset;
+
+class FreshnessQuestion : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessQuestion(const FreshnessQuestion&) noexcept;
+  FreshnessQuestion(FreshnessQuestion&&) noexcept;
+  FreshnessQuestion& operator=(const FreshnessQuestion&) noexcept;
+  FreshnessQuestion& operator=(FreshnessQuestion&&) noexcept;
+  FreshnessQuestion() noexcept
+                    : number(0),
+                      revision(0) {
+  }
+
+  virtual ~FreshnessQuestion() noexcept;
+  int64_t number;
+  int64_t revision;
+
+  _FreshnessQuestion__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const FreshnessQuestion & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessQuestion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessQuestion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(FreshnessQuestion &a, FreshnessQuestion &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessQuestion& obj);
+
+typedef struct _FreshnessAnswer__isset {
+  _FreshnessAnswer__isset() : number(false), revision(false), age(false), record(false) {}
+  bool number :1;
+  bool revision :1;
+  bool age :1;
+  bool record :1;
+} _FreshnessAnswer__isset;
+
+class FreshnessAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessAnswer(const FreshnessAnswer&);
+  FreshnessAnswer(FreshnessAnswer&&) noexcept;
+  FreshnessAnswer& operator=(const FreshnessAnswer&);
+  FreshnessAnswer& operator=(FreshnessAnswer&&) noexcept;
+  FreshnessAnswer() noexcept
+                  : number(0),
+                    revision(0),
+                    age(0),
+                    record() {
+  }
+
+  virtual ~FreshnessAnswer() noexcept;
+  int64_t number;
+  int64_t revision;
+  int64_t age;
+  std::string record;
+
+  _FreshnessAnswer__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_age(const int64_t val);
+
+  void __set_record(const std::string& val);
+
+  bool operator == (const FreshnessAnswer & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    if (__isset.record != rhs.__isset.record)
+      return false;
+    else if (__isset.record && !(record == rhs.record))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(FreshnessAnswer &a, FreshnessAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj);
+
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
  public:
@@ -835,7 +957,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false) {}
+  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false) {}
   bool heartbeat :1;
   bool digest :1;
   bool buckets_request :1;
@@ -843,6 +965,8 @@
   bool usage_copy :1;
   bool released :1;
   bool endpoint_news :1;
+  bool freshness_question :1;
+  bool freshness_answer :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -863,6 +987,8 @@
   UsageCopy usage_copy;
   Released released;
   EndpointNews endpoint_news;
+  FreshnessQuestion freshness_question;
+  FreshnessAnswer freshness_answer;
 
   _Message__isset __isset;
 
@@ -880,6 +1006,10 @@
 
   void __set_endpoint_news(const EndpointNews& val);
 
+  void __set_freshness_question(const FreshnessQuestion& val);
+
+  void __set_freshness_answer(const FreshnessAnswer& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -910,6 +1040,14 @@
       return false;
     else if (__isset.endpoint_news && !(endpoint_news == rhs.endpoint_news))
       return false;
+    if (__isset.freshness_question != rhs.__isset.freshness_question)
+      return false;
+    else if (__isset.freshness_question && !(freshness_question == rhs.freshness_question))
+      return false;
+    if (__isset.freshness_answer != rhs.__isset.freshness_answer)
+      return false;
+    else if (__isset.freshness_answer && !(freshness_answer == rhs.freshness_answer))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -56,11 +56,32 @@
   bool operator==(const Released&) const = default;
 };
 
+// Asks for proof that the configuration record of a revision is the newest.
+struct FreshnessQuestion {
+  int64_t number = 0;  // chosen by the asking host
+  int64_t revision = 0;
+
+  auto operator<=>(const FreshnessQuestion&) const = default;
+};
+
+// The answer to it: a record, and how long ago it was the newest for certain
+// when the answer was made.
+struct FreshnessAnswer {
+  int64_t number = 0;  // of the question
+  int64_t revision = 0;
+  Duration age{};
+  std::string record;  // empty: the asking host has it
+
+  bool operator==(const FreshnessAnswer&) const = default;
+};
+
 // Everything but digests, which PeerLinks sends and takes as whole values.
 using PeerMessage = std::variant<BucketsRequest,
                                  BucketsReply,
                                  UsageCopyMessage,
                                  Released,
-                                 EndpointNews>;
+                                 EndpointNews,
+                                 FreshnessQuestion,
+                                 FreshnessAnswer>;
 
 }  // namespace hickorystand
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -93,6 +93,20 @@
   3: i64 incarnation
 }
 
+// Asks for proof that a record of the configuration is the newest.
+struct FreshnessQuestion {
+  1: i64 number  // of the asking process, so that it knows when it asked
+  2: i64 revision  // of the record that it has
+}
+
+// When this was written, the record had been the newest `age` microseconds ago.
+struct FreshnessAnswer {
+  1: i64 number
+  2: i64 revision
+  3: i64 age
+  4: optional binary record  // absent: the asking host has it
+}
+
 struct Heartbeat {
 }
 
@@ -104,4 +118,6 @@
   5: UsageCopy usage_copy
   6: Released released
   7: EndpointNews endpoint_news
+  8: FreshnessQuestion freshness_question
+  9: FreshnessAnswer freshness_answer
 }
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -253,6 +253,22 @@
   void operator()(const EndpointNews& news) {
     out.__set_endpoint_news(ToWire(news));
   }
+  void operator()(const FreshnessQuestion& question) {
+    wire::FreshnessQuestion item;
+    item.number = question.number;
+    item.revision = question.revision;
+    out.__set_freshness_question(item);
+  }
+  void operator()(const FreshnessAnswer& answer) {
+    wire::FreshnessAnswer item;
+    item.number = answer.number;
+    item.revision = answer.revision;
+    item.age = answer.age.count();
+    if (!answer.record.empty()) {
+      item.__set_record(answer.record);
+    }
+    out.__set_freshness_answer(item);
+  }
 };
 
 PeerMessage ReadBuckets(wire::BucketsReply& in) {
@@ -339,6 +355,19 @@
                      .leaving = news.leaving,
                      .down = news.down}));
   }
+  if (set.freshness_question) {
+    return WireMessage(PeerMessage(
+        FreshnessQuestion{.number = in->freshness_question.number,
+                          .revision = in->freshness_question.revision}));
+  }
+  // A negative age would date the proof later than the question.
+  if (set.freshness_answer && in->freshness_answer.age >= 0) {
+    return WireMessage(PeerMessage(
+        FreshnessAnswer{.number = in->freshness_answer.number,
+                        .revision = in->freshness_answer.revision,
+                        .age = Duration(in->freshness_answer.age),
+                        .record = std::move(in->freshness_answer.record)}));
+  }
   if (set.heartbeat) {
     return WireMessage(PeerHeartbeat{});
   }
--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -13,6 +13,10 @@
 // How often it is checked whether a read is due.
 constexpr Duration kTick = std::chrono::milliseconds(50);
 
+// Questions to other hosts that are remembered. At two a second, an answer to
+// an older one would be too old to prove anything.
+constexpr size_t kQuestionsKept = 16;
+
 }  // namespace
 
 FleetSource::FleetSource(FleetSourceOptions options,
@@ -41,6 +45,54 @@
       this->list.under_way < this->options.most_under_way) {
     this->AskEndpoints(now);
   }
+  if (now - this->proven > this->options.ask_peers_after &&
+      now >= this->next_question) {
+    this->AskPeers(now);
+  }
+}
+
+void FleetSource::AskPeers(Instant now) {
+  this->next_question = now + this->options.ask_peers_every;
+  this->questions[++this->last_question] = now;
+  if (this->questions.size() > kQuestionsKept) {
+    this->questions.erase(this->questions.begin());
+  }
+  this->handlers.ask_peers(
+      {.number = this->last_question, .revision = this->record_revision});
+}
+
+std::optional<FreshnessAnswer> FleetSource::Answer(
+    const FreshnessQuestion& asked) const {
+  if (this->proven == Instant{} || this->record_revision < asked.revision) {
+    return {};
+  }
+  return FreshnessAnswer{
+      .number = asked.number,
+      .revision = this->record_revision,
+      .age = this->clock->Now() - this->proven,
+      .record = this->record_revision > asked.revision ? this->record : ""};
+}
+
+// The other host made its answer after it was asked, so the record was the
+// newest at the latest `age` before that, however long the answer was on its
+// way. Clocks of two hosts are never compared.
+void FleetSource::TakeAnswer(const FreshnessAnswer& answer) {
+  const auto asked = this->questions.find(answer.number);
+  if (asked == this->questions.end()) {
+    return;
+  }
+  this->TakeConfiguration(asked->second - answer.age, answer.revision,
+                          answer.record);
+}
+
+void FleetSource::LearnLeaving(const EndpointRun& run) {
+  this->leaving.insert(run);
+  const auto found = this->endpoints.find(run.id);
+  if (found != this->endpoints.end() && found->second.run == run &&
+      !found->second.leaving) {
+    found->second.leaving = true;
+    this->handlers.on_endpoints(this->endpoints);
+  }
 }
 
 void FleetSource::AskConfiguration(Instant now) {
@@ -53,33 +105,37 @@
       [this, now](const StoreReply& reply) {
         --this->configuration.under_way;
         this->NoteReachable(reply.outcome == StoreOutcome::kThen);
-        if (reply.outcome == StoreOutcome::kThen) {
-          this->TakeConfiguration(now, reply);
+        // Without a record, none was written yet.
+        if (reply.outcome == StoreOutcome::kThen && !reply.records.empty()) {
+          const StoreRecord& read = reply.records.front();
+          this->TakeConfiguration(now, read.mod_revision, read.value);
         }
       });
 }
 
-void FleetSource::TakeConfiguration(Instant asked, const StoreReply& reply) {
-  if (reply.records.empty()) {
-    return;  // none was written yet
-  }
-  const StoreRecord& record = reply.records.front();
-  if (record.mod_revision < this->record_revision) {
+// A record that was the newest at `asked`.
+void FleetSource::TakeConfiguration(Instant asked,
+                                    int64_t revision,
+                                    const std::string& value) {
+  if (revision < this->record_revision) {
     return;  // answers may overtake each other
   }
-  if (record.mod_revision > this->record_revision) {
-    auto read = this->records->ReadConfiguration(record.value);
+  if (revision > this->record_revision) {
+    auto read = this->records->ReadConfiguration(value);
     if (!read) {
       LogError(kPart, "Configuration can't be read.",
-               {{"revision", std::to_string(record.mod_revision)},
+               {{"revision", std::to_string(revision)},
                 {"why", read.error().message}});
       return;
     }
-    this->record_revision = record.mod_revision;
+    this->record_revision = revision;
+    this->record = value;
+    this->proven = {};  // what was proven was the record before
     this->handlers.on_configuration(
         std::make_shared<const FleetConfiguration>(std::move(*read)));
   }
-  this->handlers.on_fresh(asked);
+  this->proven = std::max(this->proven, asked);
+  this->handlers.on_fresh(this->proven);
 }
 
 void FleetSource::AskEndpoints(Instant now) {
@@ -130,8 +186,8 @@
 FleetEndpoints FleetSource::Judge(Instant now, const FleetEndpoints& listed) {
   FleetEndpoints judged = listed;
   for (auto& [id, endpoint] : judged) {
-    if (endpoint.leaving) {
-      this->leaving.insert(endpoint.run);
+    if (endpoint.leaving && this->leaving.insert(endpoint.run).second) {
+      this->handlers.on_leaving(endpoint.run);
     }
     // An older heartbeat may be written after the news that the endpoint
     // leaves; it must not be taken for a change of mind.
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -14,6 +14,7 @@
 #include <set>
 
 #include "kernel/task.h"
+#include "peers/message.h"
 #include "platform/key_value_store.h"
 #include "relay/fleet_records.h"
 
@@ -34,6 +35,9 @@
   Duration return_grace = std::chrono::milliseconds(2200);
   // Without an answer for this long, the service counts as having been away.
   Duration away_after = std::chrono::milliseconds(1900);
+  // With a proof older than this, other hosts are asked for theirs, this often.
+  Duration ask_peers_after = std::chrono::milliseconds(1800);
+  Duration ask_peers_every = std::chrono::milliseconds(500);
 };
 
 // Whom the source tells.
@@ -42,6 +46,10 @@
   std::function<void(const FleetEndpoints&)> on_endpoints;
   // The configuration told last was the newest at that moment.
   std::function<void(Instant)> on_fresh;
+  // The store doesn't answer this host; others may have what it would say.
+  std::function<void(const FreshnessQuestion&)> ask_peers;
+  // The store has just said that this run leaves.
+  std::function<void(const EndpointRun&)> on_leaving;
 };
 
 class FleetSource {
@@ -55,11 +63,25 @@
   // Starts to read.
   void Start();
 
+  // What this host can say to another one that the store doesn't answer;
+  // nothing if it has no proof itself.
+  std::optional<FreshnessAnswer> Answer(const FreshnessQuestion& asked) const;
+
+  // Takes what another host says: as good as the store's own answer, dated by
+  // when this host asked.
+  void TakeAnswer(const FreshnessAnswer& answer);
+
+  // Another host has heard from the store that a run leaves.
+  void LearnLeaving(const EndpointRun& run);
+
  private:
   void Tick();
   void AskConfiguration(Instant now);
   void AskEndpoints(Instant now);
-  void TakeConfiguration(Instant asked, const StoreReply& reply);
+  void AskPeers(Instant now);
+  void TakeConfiguration(Instant asked,
+                         int64_t revision,
+                         const std::string& value);
   void TakeEndpoints(Instant asked, const StoreReply& reply);
   void NoteReachable(bool reachable);
   FleetEndpoints Judge(Instant now, const FleetEndpoints& listed);
@@ -79,6 +101,11 @@
   Polling configuration;
   Polling list;
   int64_t record_revision = 0;  // of the configuration record last read
+  std::string record;           // as it was read, for hosts that lack it
+  Instant proven{};             // when that record was the newest for certain
+  int64_t last_question = 0;
+  std::map<int64_t, Instant> questions;  // to peers, and when each was asked
+  Instant next_question{};
   std::optional<Instant> last_list;
   Instant grace_until{};
   FleetEndpoints endpoints;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -597,7 +597,12 @@
           .host = HostId("h"), .incarnation = 2, .value = "figures"}),
       PeerMessage(Released{.data_centre = DataCentreId("d"), .fencing = 8}),
       PeerMessage(EndpointNews{
-          .endpoint = EndpointId("e"), .incarnation = 1, .leaving = true})};
+          .endpoint = EndpointId("e"), .incarnation = 1, .leaving = true}),
+      PeerMessage(FreshnessQuestion{.number = 3, .revision = 40}),
+      PeerMessage(FreshnessAnswer{.number = 3,
+                                  .revision = 41,
+                                  .age = std::chrono::milliseconds(700),
+                                  .record = "{}"})};
   std::mt19937_64 random(20261202);
   int refused = 0;
   constexpr int kMutationsEach = 20000;
