--- a/packages/daemon/program/main.cc
+++ b/packages/daemon/program/main.cc
@@ -6,7 +6,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <string>
 
 #include "daemon/host_daemon.h"
@@ -88,12 +90,24 @@
   return 0;
 }
 
+// How often the settings file is looked at: it may change without a signal, and
+// not every system tells of a changed file.
+constexpr guint kLookSeconds = 2;
+
 // What the signals of a relay host share.
 struct RelaySignals {
   RelayDaemon* host;
   std::string path;  // of the settings
+  std::string text;  // of the file when it was last read
 };
 
+std::string TextOf(const std::string& path) {
+  std::ifstream in(path);
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
 gboolean OnRelayStop(gpointer data) {
   static_cast<RelaySignals*>(data)->host->Drain();
   return G_SOURCE_CONTINUE;
@@ -101,6 +115,7 @@
 
 gboolean OnRelayReload(gpointer data) {
   auto* signals = static_cast<RelaySignals*>(data);
+  signals->text = TextOf(signals->path);
   if (const auto read = LoadRelaySettings(signals->path)) {
     signals->host->Reload(*read);
   } else {
@@ -110,6 +125,14 @@
   return G_SOURCE_CONTINUE;
 }
 
+gboolean OnRelayLook(gpointer data) {
+  auto* signals = static_cast<RelaySignals*>(data);
+  const std::string text = TextOf(signals->path);
+  // An empty file is one that is being written.
+  return text.empty() || text == signals->text ? G_SOURCE_CONTINUE
+                                               : OnRelayReload(data);
+}
+
 int RunRelay(const std::string& path, bool check_only) {
   const auto settings = LoadRelaySettings(path);
   if (!settings) {
@@ -134,7 +157,8 @@
           {{"host", settings->host.Text()},
            {"zone", settings->zone.Text()},
            {"version", HICKORYSTAND_VERSION}});
-  RelaySignals signals{.host = &host, .path = path};
+  RelaySignals signals{.host = &host, .path = path, .text = TextOf(path)};
+  g_timeout_add_seconds(kLookSeconds, &OnRelayLook, &signals);
   g_unix_signal_add(SIGTERM, &OnRelayStop, &signals);
   g_unix_signal_add(SIGINT, &OnRelayStop, &signals);
   g_unix_signal_add(SIGHUP, &OnRelayReload, &signals);
--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -130,9 +130,9 @@
       !opened) {
     return opened;
   }
-  this->source->Start();
   this->StartDuties();
   this->StartPeers();
+  this->source->Start();
   this->duties->Start();
   return 0;
 }
@@ -224,7 +224,7 @@
 // Hosts that can't read the list hear from others that an endpoint leaves.
 // Those that can have read it within a second, so a few tellers are enough.
 void RelayDaemon::TellLeaving(const EndpointRun& run) {
-  if (this->peers && this->peers->Rank() < kTellers) {
+  if (this->peers->Rank() < kTellers) {
     this->peers->Broadcast(
         EndpointNews{.endpoint = run.id,
                      .incarnation = static_cast<uint64_t>(run.started),
@@ -327,8 +327,21 @@
 }
 
 void RelayDaemon::Reload(const RelayHostSettings& changed) {
+  const std::vector<std::string_view> fixed =
+      NeedRestart(this->settings, changed);
+  SetLogLevel(changed.log_level);
+  this->relay->SetLimits(changed.relay.budget, changed.relay.key_proof_limit);
+  this->source->SetOptions(changed.source);
   this->settings.log_level = changed.log_level;
-  LogInfo(kPart, "Settings read again.", {});
+  this->settings.grace = changed.grace;
+  this->settings.relay.budget = changed.relay.budget;
+  this->settings.relay.key_proof_limit = changed.relay.key_proof_limit;
+  this->settings.source = changed.source;
+  std::string names;
+  for (const std::string_view name : fixed) {
+    names.append(names.empty() ? "" : " ").append(name);
+  }
+  LogInfo(kPart, "Settings read again.", {{"need_restart", names}});
 }
 
 }  // namespace hickorystand
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -30,7 +30,8 @@
   // come, finishes what runs, and ends before the kill.
   void Drain();
 
-  // Reads the settings again; the log's level changes, all else needs a start.
+  // Takes changed settings: bounds, budgets and the log's level at once. What
+  // only a start takes up is named in the log.
   void Reload(const RelayHostSettings& changed);
 
  private:
--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -1,6 +1,7 @@
 #include "daemon/relay_settings.h"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <utility>
 
@@ -15,6 +16,9 @@
 constexpr Duration kShortestPoll = std::chrono::milliseconds(200);
 constexpr int64_t kReadsWithinABound = 2;
 
+// Reads that may stay unanswered until other hosts are asked.
+constexpr int64_t kReadsBeforePeers = 2;
+
 // What the proof that a key still holds may be older than when it is used, is
 // the bound on withdrawn keys less this: the request's way to the endpoint,
 // and clocks that run at different speeds.
@@ -131,10 +135,40 @@
 FleetSourceOptions ReadSource(const Settings& from) {
   const Duration bound = std::min(from.Length("fleet", "apply_within"),
                                   from.Length("fleet", "drain_within"));
-  return {.poll = std::clamp(bound / kReadsWithinABound, kShortestPoll,
-                             kLongestPoll)};
+  const Duration poll =
+      std::clamp(bound / kReadsWithinABound, kShortestPoll, kLongestPoll);
+  return {.poll = poll, .ask_peers_after = poll * kReadsBeforePeers};
 }
 
+// A setting that a running host can't change: others know the host by it, or
+// what it holds was agreed under it.
+struct FixedSetting {
+  std::string_view name;
+  bool (*differs)(const RelayHostSettings&, const RelayHostSettings&);
+};
+
+template <auto Member>
+bool Differs(const RelayHostSettings& one, const RelayHostSettings& other) {
+  return one.*Member != other.*Member;
+}
+
+constexpr std::array kFixedSettings = {
+    FixedSetting{"relay.id", &Differs<&RelayHostSettings::host>},
+    FixedSetting{"relay.zone", &Differs<&RelayHostSettings::zone>},
+    FixedSetting{"relay.adapter", &Differs<&RelayHostSettings::adapter>},
+    FixedSetting{"listen.callers", &Differs<&RelayHostSettings::callers>},
+    FixedSetting{"listen.ready", &Differs<&RelayHostSettings::ready>},
+    FixedSetting{"listen.metrics", &Differs<&RelayHostSettings::metrics>},
+    FixedSetting{"listen.peers", &Differs<&RelayHostSettings::peers>},
+    FixedSetting{"store.address", &Differs<&RelayHostSettings::store>},
+    FixedSetting{"store.timeout", &Differs<&RelayHostSettings::store_timeout>},
+    FixedSetting{"duties.address", &Differs<&RelayHostSettings::duties>},
+    FixedSetting{"duties.lease", &Differs<&RelayHostSettings::lease_length>},
+    FixedSetting{"duties.usage_window",
+                 &Differs<&RelayHostSettings::usage_window>},
+    FixedSetting{"duties.usage_late", &Differs<&RelayHostSettings::usage_late>},
+};
+
 }  // namespace
 
 Result<RelayHostSettings> LoadRelaySettings(const std::string& path) {
@@ -166,6 +200,17 @@
   return made;
 }
 
+std::vector<std::string_view> NeedRestart(const RelayHostSettings& before,
+                                          const RelayHostSettings& after) {
+  std::vector<std::string_view> changed;
+  for (const FixedSetting& setting : kFixedSettings) {
+    if (setting.differs(before, after)) {
+      changed.push_back(setting.name);
+    }
+  }
+  return changed;
+}
+
 bool IsRelayFile(const std::string& path) {
   std::ifstream in(path);
   std::string line;
--- a/packages/daemon/relay_settings.h
+++ b/packages/daemon/relay_settings.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "kernel/log.h"
 #include "kernel/settings.h"
@@ -37,6 +39,10 @@
 // Reads and checks the file. The error lists every fault found.
 Result<RelayHostSettings> LoadRelaySettings(const std::string& path);
 
+// The settings that differ and that only a start takes up, by section and key.
+std::vector<std::string_view> NeedRestart(const RelayHostSettings& before,
+                                          const RelayHostSettings& after);
+
 // Whether a file asks for a relay host, rather than a stand-alone one.
 bool IsRelayFile(const std::string& path);
 
--- a/packages/kernel/log.cc
+++ b/packages/kernel/log.cc
@@ -154,6 +154,10 @@
   boost::log::core::get()->add_sink(sink);
 }
 
+void SetLogLevel(LogLevel level) {
+  log_threshold = level;
+}
+
 void LogLine(LogLevel level,
              std::string_view part,
              std::string_view sentence,
--- a/packages/kernel/log.h
+++ b/packages/kernel/log.h
@@ -44,6 +44,9 @@
 // Sets up logging; call once, before any task starts.
 void StartLog(const LogOptions& options);
 
+// Sets the least level that is written from now on.
+void SetLogLevel(LogLevel level);
+
 // Lines dropped since the start because nobody read standard output.
 int64_t LogLinesDropped();
 
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -90,6 +90,12 @@
   this->cache_feed.SetEndpoints(listed);
 }
 
+void FleetRelay::SetLimits(const WindowBudgetOptions& retries,
+                           Duration proof_limit) {
+  this->budget.SetOptions(retries);
+  this->settings.key_proof_limit = proof_limit;
+}
+
 // The list shrinks when hosts leave, and also when their records lapse while
 // the store is away and they serve on. Then the rest must not take their parts.
 void FleetRelay::SetHosts(int64_t listed) {
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -89,6 +89,10 @@
   // The configuration in force was the newest at that moment.
   void ProveFresh(Instant at);
 
+  // Changes the retry budget and the age that proof may have. Placing keeps
+  // what it has learned, so its options take a start.
+  void SetLimits(const WindowBudgetOptions& retries, Duration proof_limit);
+
   // Each answer is the last of its connection from now on.
   void StartDrain() { this->server.StartDrain(); }
 
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -36,7 +36,7 @@
   // Without an answer for this long, the service counts as having been away.
   Duration away_after = std::chrono::milliseconds(1900);
   // With a proof older than this, other hosts are asked for theirs, this often.
-  Duration ask_peers_after = std::chrono::milliseconds(1800);
+  Duration ask_peers_after = std::chrono::milliseconds(2000);
   Duration ask_peers_every = std::chrono::milliseconds(500);
 };
 
@@ -63,6 +63,11 @@
   // Starts to read.
   void Start();
 
+  // Reads as these options say from now on.
+  void SetOptions(const FleetSourceOptions& changed) {
+    this->options = changed;
+  }
+
   // What this host can say to another one that the store doesn't answer;
   // nothing if it has no proof itself.
   std::optional<FreshnessAnswer> Answer(const FreshnessQuestion& asked) const;
