Agree on true time; link by the store's revision; pause between refused reports

Hosts now take the median of what all say. By reading: a host restarted below its last run's time of day was refused at the links of all others for as long as it ran; the links' incarnation is the store's revision now. From host_test's log: refused reports were sent again ten times a second, each window; now 0.7 s apart.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -185,7 +185,7 @@
 void RelayDaemon::OnPeerMessage(const HostId& from,
                                 const PeerMessage& message) {
   if (const auto* usage = std::get_if<UsageCopyMessage>(&message)) {
-    this->TakeUsage(*usage);
+    this->TakeUsage(from, *usage);
   } else if (const auto* asked = std::get_if<FreshnessQuestion>(&message)) {
     if (const auto answer = this->source->Answer(*asked)) {
       this->peers->Send(from, *answer);
@@ -199,8 +199,13 @@
   }
 }
 
-void RelayDaemon::TakeUsage(const UsageCopyMessage& usage) {
+void RelayDaemon::TakeUsage(const HostId& from, const UsageCopyMessage& usage) {
   if (const auto copy = DecodeWindowCopy(usage.value)) {
+    // Its own copy is dated just before it left; one that it passes on is
+    // older.
+    if (copy->source.host == from) {
+      this->duties->OnPeerTime(from, copy->until_ms);
+    }
     this->duties->Usage().Merge(*copy);
   } else {
     LogWarning(kPart, "Usage of another host can't be read.",
@@ -236,7 +241,7 @@
   this->peers = std::make_unique<FleetPeers>(
       FleetPeersOptions{
           .host = this->settings.host,
-          .incarnation = static_cast<uint64_t>(this->clock->WallMilliseconds()),
+          .seed = static_cast<uint64_t>(this->clock->WallMilliseconds()),
           .listen = this->settings.peers},
       *this->clock, *this->store,
       FleetPeersHandlers{
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -43,7 +43,7 @@
   void TellUsage();
   void TellAllUsage(const HostId& host);
   void OnPeerMessage(const HostId& from, const PeerMessage& message);
-  void TakeUsage(const UsageCopyMessage& usage);
+  void TakeUsage(const HostId& from, const UsageCopyMessage& usage);
   void AskPeers(const FreshnessQuestion& question);
   void TellLeaving(const EndpointRun& run);
   Digest MakeDigest() const;
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -23,6 +23,10 @@
 // have told of it, but not sooner than this after its end.
 constexpr Duration kSettle = std::chrono::milliseconds(700);
 
+// After a report that was not accepted: each call is billed and the platform
+// takes 50 a second from all hosts, while a report is due in 10 s.
+constexpr Duration kReportRetry = std::chrono::milliseconds(700);
+
 // Windows whose record is kept; older ones are removed with each new one.
 constexpr int64_t kKeptRecords = 12;
 
@@ -74,14 +78,19 @@
       usage({.host = this->options.host,
              .incarnation = this->options.incarnation},
             this->options.window),
-      unix_at_boot(clock.WallMilliseconds() -
-                   Milliseconds(clock.Now().time_since_epoch())) {}
+      true_time(clock.WallMilliseconds(),
+                Milliseconds(clock.Now().time_since_epoch())) {}
 
 FleetDuties::~FleetDuties() = default;
 
 int64_t FleetDuties::UnixMilliseconds() const {
-  return this->unix_at_boot +
-         Milliseconds(this->clock->Now().time_since_epoch());
+  return this->true_time.UnixAt(
+      Milliseconds(this->clock->Now().time_since_epoch()));
+}
+
+void FleetDuties::OnPeerTime(const HostId& host, int64_t unix_ms) {
+  this->true_time.OnPeer(host, unix_ms,
+                         Milliseconds(this->clock->Now().time_since_epoch()));
 }
 
 void FleetDuties::Start() {
@@ -204,6 +213,9 @@
 // Reports each window that is over and whose counts are all there, or that
 // can't wait for them any longer.
 void FleetDuties::ReportDue() {
+  if (this->clock->Now() < this->next_report) {
+    return;
+  }
   const int64_t now = this->UnixMilliseconds();
   const int64_t current = this->usage.WindowAt(now);
   const int64_t oldest = this->usage.WindowAt(
@@ -264,6 +276,8 @@
         this->under_way.erase(window);
         if (outcome == DutyOutcome::kAccepted) {
           this->reported.insert(window);
+        } else {
+          this->next_report = this->clock->Now() + kReportRetry;
         }
         LogInfo(
             kPart, "Usage reported.",
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <set>
 
+#include "decisions/fleet_clock.h"
 #include "decisions/lease.h"
 #include "decisions/role_plan.h"
 #include "decisions/usage_windows.h"
@@ -91,11 +92,13 @@
 
   UsageWindows& Usage() { return this->usage; }
 
-  // Unix time that doesn't jump: the time of day at the start, carried on by
-  // the clock since boot. The time of day may be set by seconds, back and
-  // forth; windows would then be counted wrongly.
+  // True time, in Unix milliseconds. The time of day may be set by seconds,
+  // back and forth; windows would then be counted wrongly.
   int64_t UnixMilliseconds() const;
 
+  // Another host has just said which time it has.
+  void OnPeerTime(const HostId& host, int64_t unix_ms);
+
  private:
   struct RoleOrder {
     EndpointRun run;
@@ -153,12 +156,13 @@
   FleetDutiesInputs inputs;
   Lease lease;
   UsageWindows usage;
-  int64_t unix_at_boot = 0;
+  FleetClock true_time;
   Instant started{};
   bool holding = false;
   Instant act_from{};
   std::set<int64_t> reported;
   std::set<int64_t> under_way;  // windows being written or reported
+  Instant next_report{};        // after one that wasn't accepted
   std::map<EndpointId, RoleOrder> role_orders;
   Instant next_role{};
   std::map<ScaleKey, ScaleOrder> scale_orders;
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -48,37 +48,56 @@
       Timer::After(this->options.first_list, [this] { this->List(); });
 }
 
+// The first host to come makes the secret.
 void FleetPeers::ReadSecret() {
   const std::string key(kSecretKey);
-  this->store->Transact(
-      {.conditions = {{.key = key, .revision = 0}},
-       .then = {StorePut(key, RandomSecret())},
-       .otherwise = {StoreGet(key)}},
-      [this](const StoreReply& reply) { this->TakeSecret(reply); });
+  this->store->Transact({.conditions = {{.key = key, .revision = 0}},
+                         .then = {StorePut(key, RandomSecret())},
+                         .otherwise = {StoreGet(key)}},
+                        [this](const StoreReply& reply) {
+                          if (reply.outcome == StoreOutcome::kThen ||
+                              reply.outcome == StoreOutcome::kOtherwise) {
+                            this->OpenLinksBySecret();
+                          } else {
+                            this->ReadSecretLater();
+                          }
+                        });
 }
 
-void FleetPeers::TakeSecret(const StoreReply& reply) {
-  if (reply.outcome == StoreOutcome::kOtherwise && !reply.records.empty()) {
-    this->OpenLinks(reply.records.front().value);
-    return;
-  }
-  // Made just now, or not answered: what stands there counts, so read it.
-  this->secret_timer = Timer::After(reply.outcome == StoreOutcome::kThen
-                                        ? Duration{}
-                                        : this->options.first_list,
-                                    [this] { this->ReadSecret(); });
+void FleetPeers::ReadSecretLater() {
+  this->secret_timer =
+      Timer::After(this->options.first_list, [this] { this->ReadSecret(); });
+}
+
+// The store's revision is this run's incarnation at the links. Others refuse an
+// incarnation below one that they have seen, and by the time of day a host that
+// is restarted after its clock was set back would be refused for as long as it
+// runs. Between two runs of a host the revision has grown, at the least by the
+// first run's own record.
+void FleetPeers::OpenLinksBySecret() {
+  this->store->Transact(
+      {.then = {StoreGet(std::string(kSecretKey))}},
+      [this](const StoreReply& reply) {
+        if (reply.outcome != StoreOutcome::kThen || reply.records.empty()) {
+          this->ReadSecretLater();
+          return;
+        }
+        this->OpenLinks(reply.records.front().value,
+                        static_cast<uint64_t>(reply.revision));
+      });
 }
 
-void FleetPeers::OpenLinks(const std::string& secret) {
+void FleetPeers::OpenLinks(const std::string& secret, uint64_t incarnation) {
+  this->incarnation = incarnation;
   PeerLinksOptions how{
       .session = {.host = this->options.host,
                   .data_centre = Group(),
-                  .incarnation = this->options.incarnation,
+                  .incarnation = this->incarnation,
                   .secrets = {secret}},
       .listen = this->options.listen,
       .clock = this->clock,
       .longest_backoff = this->options.longest_backoff,
-      .seed = this->options.incarnation,
+      .seed = this->options.seed,
       .budget_bytes_per_second = this->options.digest_bytes_per_second,
       .shortest_period = this->options.shortest_digest};
   this->links = std::make_unique<PeerLinks>(
@@ -115,7 +134,7 @@
   Digest digest = this->handlers.make_digest();
   digest.host = this->options.host;
   digest.data_centre = Group();
-  digest.incarnation = this->options.incarnation;
+  digest.incarnation = this->incarnation;
   digest.leaving = this->left;
   this->links->SendDigest(DigestScope::kHost, digest);
   this->digest_timer = Timer::After(this->links->NextDigestDelay(),
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -21,7 +21,7 @@
 // How hosts are found and talk.
 struct FleetPeersOptions {
   HostId host;
-  uint64_t incarnation = 0;
+  uint64_t seed = 1;  // of the pauses between tries
   SocketAddress listen;
   Duration lease = std::chrono::seconds(10);  // of the host's record
   Duration renew = std::chrono::seconds(3);
@@ -69,22 +69,27 @@
   std::vector<HostId> Others() const;
   size_t Rank() const { return this->rank; }
 
+  // Of this run at the links; 0 until they are open.
+  uint64_t Incarnation() const { return this->incarnation; }
+
  private:
   void ReadSecret();
-  void TakeSecret(const StoreReply& reply);
+  void ReadSecretLater();
+  void OpenLinksBySecret();
   void Register();
   void WriteRecord();
   void Renew();
   void List();
   void TakeList(const StoreReply& reply);
   void KeepLinked(std::vector<PeerHost>& listed) const;
-  void OpenLinks(const std::string& secret);
+  void OpenLinks(const std::string& secret, uint64_t incarnation);
   void SendDigest();
 
   FleetPeersOptions options;
   const Clock* clock;
   KeyValueStore* store;
   FleetPeersHandlers handlers;
+  uint64_t incarnation = 0;  // of this run, once it is known
   std::unique_ptr<PeerLinks> links;
   std::vector<PeerHost> hosts;
   int64_t lease = 0;
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "decisions/fleet_clock.h"
 #include "decisions/fleet_placement.h"
 #include "decisions/role_plan.h"
 #include "decisions/scale_plan.h"
@@ -286,6 +287,30 @@
   CHECK(!budget.Take(At(1), kService));
 }
 
+TEST_GROUP(FleetClock){};
+
+// A host starts while its time of day is four seconds behind. What it counted
+// went into earlier windows for as long as it ran, and the reports of the whole
+// fleet were wrong.
+TEST(FleetClock, AWrongClockAtTheStartDoesNotLast) {
+  FleetClock clock(1'000'000 - 4000, 500);
+  LONGS_EQUAL(996'000, clock.UnixAt(500));
+  clock.OnPeer(HostId("a"), 1'000'100, 600);
+  LONGS_EQUAL(1'000'400, clock.UnixAt(900));
+  clock.OnPeer(HostId("b"), 1'000'101, 600);
+  clock.OnPeer(HostId("c"), 1'007'100, 600);  // wrong as well
+  LONGS_EQUAL(1'000'401, clock.UnixAt(900));
+}
+
+// A message was held up for three seconds by a partition. Its time is past, and
+// must not set this host's clock back.
+TEST(FleetClock, AMessageThatWasHeldUpSetsNothingBack) {
+  FleetClock clock(1'000'000, 0);
+  clock.OnPeer(HostId("a"), 1'000'500, 500);
+  clock.OnPeer(HostId("a"), 1'000'600, 3600);
+  LONGS_EQUAL(1'004'000, clock.UnixAt(4000));
+}
+
 TEST_GROUP(UsageWindows){};
 
 // Copies come twice, late and out of order, and one host starts again. The sum
