Take another host's time only from what it says of now

Cause, from the log line added for it: copies of usage that a host passes on when it links are dated up to 17 s back, and were taken for that host's time: clocks went back by 1 to 9 s after a restart, and one window was off by 132 of 472. The time has a field of its own.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -171,8 +171,10 @@
 
 // Tells all hosts what was counted here.
 void RelayDaemon::TellUsage() {
-  this->peers->Broadcast(MessageOf(
-      this->duties->Usage().OwnCopy(this->duties->UnixMilliseconds())));
+  const int64_t now = this->duties->UnixMilliseconds();
+  UsageCopyMessage message = MessageOf(this->duties->Usage().OwnCopy(now));
+  message.time = now;
+  this->peers->Broadcast(message);
 }
 
 // Tells a host that has just been linked what all hosts have counted.
@@ -200,12 +202,10 @@
 }
 
 void RelayDaemon::TakeUsage(const HostId& from, const UsageCopyMessage& usage) {
+  if (usage.time) {
+    this->duties->OnPeerTime(from, *usage.time);
+  }
   if (const auto copy = DecodeWindowCopy(usage.value)) {
-    // Its own copy is dated just before it left; one that it passes on is
-    // older.
-    if (copy->source.host == from) {
-      this->duties->OnPeerTime(from, copy->until_ms);
-    }
     this->duties->Usage().Merge(*copy);
   } else {
     LogWarning(kPart, "Usage of another host can't be read.",
@@ -293,6 +293,10 @@
 void RelayDaemon::AnswerMetrics(const CallerExchangePtr& exchange) {
   this->metrics.Set("log_lines_unread_total",
                     static_cast<double>(LogLinesDropped()));
+  this->metrics.Set("clock_behind_seconds",
+                    static_cast<double>(this->duties->UnixMilliseconds() -
+                                        this->clock->WallMilliseconds()) /
+                        1000);
   this->metrics.Set("requests_waiting",
                     static_cast<double>(this->relay->Waiting()));
   this->metrics.Set("hosts_known", static_cast<double>(this->peers->Listed()));
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -1635,6 +1635,11 @@
   this->value = val;
 }
 
+void UsageCopy::__set_time(const int64_t val) {
+  this->time = val;
+__isset.time = true;
+}
+
 uint32_t UsageCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -1680,6 +1685,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->time);
+          this->__isset.time = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1709,6 +1722,11 @@
   xfer += oprot->writeBinary(this->value);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.time) {
+    xfer += oprot->writeFieldBegin("time", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->time);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1719,6 +1737,7 @@
   swap(a.host, b.host);
   swap(a.incarnation, b.incarnation);
   swap(a.value, b.value);
+  swap(a.time, b.time);
   swap(a.__isset, b.__isset);
 }
 
@@ -1726,18 +1745,21 @@
   host = other82.host;
   incarnation = other82.incarnation;
   value = other82.value;
+  time = other82.time;
   __isset = other82.__isset;
 }
 UsageCopy::UsageCopy(UsageCopy&& other83) noexcept {
   host = std::move(other83.host);
   incarnation = other83.incarnation;
   value = std::move(other83.value);
+  time = other83.time;
   __isset = other83.__isset;
 }
 UsageCopy& UsageCopy::operator=(const UsageCopy& other84) {
   host = other84.host;
   incarnation = other84.incarnation;
   value = other84.value;
+  time = other84.time;
   __isset = other84.__isset;
   return *this;
 }
@@ -1745,6 +1767,7 @@
   host = std::move(other85.host);
   incarnation = other85.incarnation;
   value = std::move(other85.value);
+  time = other85.time;
   __isset = other85.__isset;
   return *this;
 }
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -691,10 +691,11 @@
 std::ostream& operator<<(std::ostream& out, const BucketsReply& obj);
 
 typedef struct _UsageCopy__isset {
-  _UsageCopy__isset() : host(false), incarnation(false), value(false) {}
+  _UsageCopy__isset() : host(false), incarnation(false), value(false), time(false) {}
   bool host :1;
   bool incarnation :1;
   bool value :1;
+  bool time :1;
 } _UsageCopy__isset;
 
 class UsageCopy : public virtual ::apache::thrift::TBase {
@@ -707,13 +708,15 @@
   UsageCopy() noexcept
             : host(),
               incarnation(0),
-              value() {
+              value(),
+              time(0) {
   }
 
   virtual ~UsageCopy() noexcept;
   std::string host;
   int64_t incarnation;
   std::string value;
+  int64_t time;
 
   _UsageCopy__isset __isset;
 
@@ -723,6 +726,8 @@
 
   void __set_value(const std::string& val);
 
+  void __set_time(const int64_t val);
+
   bool operator == (const UsageCopy & rhs) const
   {
     if (!(host == rhs.host))
@@ -731,6 +736,10 @@
       return false;
     if (!(value == rhs.value))
       return false;
+    if (__isset.time != rhs.__isset.time)
+      return false;
+    else if (__isset.time && !(time == rhs.time))
+      return false;
     return true;
   }
   bool operator != (const UsageCopy &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -42,6 +43,7 @@
   HostId host;
   uint64_t incarnation = 0;
   std::string value;
+  std::optional<int64_t> time;  // the sender's, Unix milliseconds
 
   bool operator==(const UsageCopyMessage&) const = default;
 };
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -85,6 +85,7 @@
   1: string host
   2: i64 incarnation
   3: binary value
+  4: optional i64 time  // the sender's, Unix milliseconds
 }
 
 struct Released {
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -241,6 +241,9 @@
     item.host = copy.host.Text();
     item.incarnation = static_cast<int64_t>(copy.incarnation);
     item.value = copy.value;
+    if (copy.time) {
+      item.__set_time(*copy.time);
+    }
     out.__set_usage_copy(item);
   }
   void operator()(const Released& released) {
@@ -339,7 +342,9 @@
     return WireMessage(PeerMessage(UsageCopyMessage{
         .host = HostId(in->usage_copy.host),
         .incarnation = static_cast<uint64_t>(in->usage_copy.incarnation),
-        .value = std::move(in->usage_copy.value)}));
+        .value = std::move(in->usage_copy.value),
+        .time = in->usage_copy.__isset.time ? std::optional(in->usage_copy.time)
+                                            : std::nullopt}));
   }
   if (set.released && GoodId(in->released.data_centre)) {
     return WireMessage(PeerMessage(
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -1,6 +1,7 @@
 #include "relay/fleet_duties.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "kernel/log.h"
@@ -27,6 +28,9 @@
 // takes 50 a second from all hosts, while a report is due in 10 s.
 constexpr Duration kReportRetry = std::chrono::milliseconds(700);
 
+// A change of what is believed of true time that is worth a line, milliseconds.
+constexpr int64_t kTimeChangeLogged = 50;
+
 // Windows whose record is kept; older ones are removed with each new one.
 constexpr int64_t kKeptRecords = 12;
 
@@ -89,8 +93,16 @@
 }
 
 void FleetDuties::OnPeerTime(const HostId& host, int64_t unix_ms) {
+  const int64_t before = this->UnixMilliseconds();
   this->true_time.OnPeer(host, unix_ms,
                          Milliseconds(this->clock->Now().time_since_epoch()));
+  const int64_t change = this->UnixMilliseconds() - before;
+  if (std::abs(change) >= kTimeChangeLogged) {
+    LogInfo(kPart, "True time is another one than was believed.",
+            {{"change_ms", std::to_string(change)},
+             {"told_by", host.Text()},
+             {"told_ms", std::to_string(unix_ms - before)}});
+  }
 }
 
 void FleetDuties::Start() {
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -595,6 +595,8 @@
           .buckets = {{.name = "07", .revision = 2, .value = "{}"}}}),
       PeerMessage(UsageCopyMessage{
           .host = HostId("h"), .incarnation = 2, .value = "figures"}),
+      PeerMessage(UsageCopyMessage{
+          .host = HostId("h"), .value = "figures", .time = 1787030001985}),
       PeerMessage(Released{.data_centre = DataCentreId("d"), .fencing = 8}),
       PeerMessage(EndpointNews{
           .endpoint = EndpointId("e"), .incarnation = 1, .leaving = true}),
