Keep missing entries after an outage only if they never came back

Ruled out: the poll (1 s). The list is judged again when that time ends, instead of at the next read.

--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -45,6 +45,10 @@
       this->list.under_way < this->options.most_under_way) {
     this->AskEndpoints(now);
   }
+  if (this->grace_until != Instant{} && now >= this->grace_until) {
+    this->grace_until = {};
+    this->TellEndpoints(now);
+  }
   if (now - this->proven > this->options.ask_peers_after &&
       now >= this->next_question) {
     this->AskPeers(now);
@@ -160,31 +164,39 @@
   const Instant now = this->clock->Now();
   if (this->last_list && asked - *this->last_list > this->options.away_after) {
     this->grace_until = now + this->options.return_grace;
+    this->listed_since.clear();
     LogInfo(kPart, "Endpoints are listed again after an outage.",
             {{"known", std::to_string(this->endpoints.size())},
              {"listed", std::to_string(reply.records.size())}});
   }
   this->last_list = now;
-  FleetEndpoints listed;
+  this->listed.clear();
   for (const StoreRecord& record : reply.records) {
     auto read = this->records->ReadEndpoint(record);
     if (read) {
-      listed[read->run.id] = std::move(*read);
+      if (now < this->grace_until) {
+        this->listed_since.insert(read->run.id);
+      }
+      this->listed[read->run.id] = std::move(*read);
     } else {
       LogDebug(kPart, "Entry names no endpoint.",
                {{"key", record.key}, {"why", read.error().message}});
     }
   }
-  const FleetEndpoints judged = this->Judge(now, listed);
+  this->TellEndpoints(now);
+}
+
+void FleetSource::TellEndpoints(Instant now) {
+  const FleetEndpoints judged = this->Judge(now);
   if (judged != this->endpoints) {
     this->endpoints = judged;
     this->handlers.on_endpoints(this->endpoints);
   }
 }
 
-// What holds of a list that was just read.
-FleetEndpoints FleetSource::Judge(Instant now, const FleetEndpoints& listed) {
-  FleetEndpoints judged = listed;
+// What holds of the list that was read last.
+FleetEndpoints FleetSource::Judge(Instant now) {
+  FleetEndpoints judged = this->listed;
   for (auto& [id, endpoint] : judged) {
     if (endpoint.leaving && this->leaving.insert(endpoint.run).second) {
       this->handlers.on_leaving(endpoint.run);
@@ -194,10 +206,13 @@
     endpoint.leaving = this->leaving.contains(endpoint.run);
   }
   // Entries lapse while the service is away although their endpoints live.
-  // Taking all of them for gone would leave nobody to serve.
+  // Taking all of them for gone would leave nobody to serve. But one that was
+  // listed since and is missing now has left, and work sent to it would be cut.
   if (now < this->grace_until) {
     for (const auto& [id, endpoint] : this->endpoints) {
-      judged.try_emplace(id, endpoint);
+      if (!this->listed_since.contains(id)) {
+        judged.try_emplace(id, endpoint);
+      }
     }
   }
   return judged;
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -89,7 +89,8 @@
                          const std::string& value);
   void TakeEndpoints(Instant asked, const StoreReply& reply);
   void NoteReachable(bool reachable);
-  FleetEndpoints Judge(Instant now, const FleetEndpoints& listed);
+  FleetEndpoints Judge(Instant now);
+  void TellEndpoints(Instant now);
 
   // One kind of read.
   struct Polling {
@@ -113,6 +114,8 @@
   Instant next_question{};
   std::optional<Instant> last_list;
   Instant grace_until{};
+  FleetEndpoints listed;              // as read last
+  std::set<EndpointId> listed_since;  // in the grace after an outage
   FleetEndpoints endpoints;
   std::set<EndpointRun> leaving;  // runs that said they leave, or were told to
   bool reachable = false;
