--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -231,6 +231,7 @@
   auto read = whole ? this->relay->codec->ReadPromptHandle(at.body)
                     : Result<PromptHandle>(Fail(ErrorKind::kEndpointFailed,
                                                 "the prompt was not read"));
+  this->prompt_accepted = this->prompt_accepted || !at.answer.not_run;
   this->NoteOutcome(at, read.has_value());
   if (read) {
     this->handle = read->handle;
@@ -250,17 +251,10 @@
     this->AfterFailure(Fate::kNotRun, "the prompt was not read");
     return;
   }
-  const auto answers = this->relay->placement.PlaceAnswer(
-      now, this->shape, at.endpoint.run.id, this->tried);
-  if (!answers) {
-    this->RefuseNotRun("no endpoint",
-                       this->relay->settings.placement.eject_for);
-    return;
-  }
-  this->SendRun(
-      {.endpoint = *answers,
-       .new_tokens = this->relay->placement.NewTokens(*answers, this->shape)},
-      "");
+  // Placed anew, and refused if it has become hopeless. Read at a generating
+  // engine instead, whatever waits there, it held up that engine's streams: on
+  // 32 played days 0.845 of the payoff was earned that way, and 0.876 this way.
+  this->Place();
 }
 
 void RelayedRequest::OnPromptHandle(const PromptHandle& read) {
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -169,8 +169,7 @@
     return;
   }
   const Placed& placed = std::get<Placed>(verdict);
-  if (placed.reader &&
-      this->request.prompt_tokens >= this->relay->settings.split_from_tokens) {
+  if (this->MayReadApart(placed)) {
     this->SendReading(*placed.reader, placed);
   } else {
     this->SendRun(placed, "");
@@ -184,6 +183,16 @@
          this->relay->budget.Take(this->relay->clock->Now(), this->service);
 }
 
+// The first reading call that an engine accepts is no repeat, any further one
+// is, and the repeat that it belongs to has been charged for itself alone.
+bool RelayedRequest::MayReadApart(const Placed& placed) {
+  return placed.reader &&
+         this->request.prompt_tokens >=
+             this->relay->settings.split_from_tokens &&
+         (!this->prompt_accepted ||
+          this->relay->budget.Take(this->relay->clock->Now(), this->service));
+}
+
 std::string RelayedRequest::HeadFor(const EndpointCall& call) const {
   const Http1Head& head = this->caller->Message().head;
   HttpHeaders headers = this->relay->codec->PassOn(head.headers);
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -61,6 +61,7 @@
   std::optional<Error> CheckKey();
   void Place();
   bool MaySendAgain();
+  bool MayReadApart(const Placed& placed);
   void SendReading(const EndpointId& reader, const Placed& placed);
   void SendRun(const Placed& placed, const std::string& fetch_from);
   std::optional<SocketAddress> AddressOf(
@@ -121,6 +122,7 @@
   std::set<EndpointId> tried;
   int64_t runs_sent = 0;  // sends that may run the request
   int64_t arrivals = 0;   // of those, and of reading calls beyond the first
+  bool prompt_accepted = false;  // by a reading call, for all that is known
   bool may_have_run = false;
   bool begun = false;
   bool over = false;
