Refuse answers of no tokens; answer GET /v1/models/NAME

max_tokens of 0 or less was passed on to the engine, and the caller got nothing for ten seconds. A model that is listed was 404 by its name.

--- a/packages/gateway/completion_body.cc
+++ b/packages/gateway/completion_body.cc
@@ -95,6 +95,13 @@
   if (kind == CompletionKind::kText && !prompt.IsText() && !prompt.IsArray()) {
     return BadBody("'prompt' must be a string or a list.");
   }
+  // An engine that is asked for no tokens answers with no stream, and the
+  // caller would wait for one until its deadline.
+  for (const char* name : {"max_tokens", "max_completion_tokens"}) {
+    if (json.At(name).IsNumber() && json.At(name).Number() < 1) {
+      return BadBody(std::string("'") + name + "' must be at least 1.");
+    }
+  }
   if (json.At("stream").Exists() && !json.At("stream").IsFlag()) {
     return BadBody("'stream' must be true or false.");
   }
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -22,6 +22,7 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnavailable = 503;
 constexpr std::string_view kServicesPath = "/services/";
+constexpr std::string_view kModelsPath = "/v1/models/";
 constexpr size_t kMaxKeyBytes = 512;
 constexpr size_t kMaxIdempotencyKeyBytes = 256;
 
@@ -74,12 +75,20 @@
          request.body.find(key) != std::string::npos;
 }
 
+// A model as OpenAI's clients read it.
+void WriteModel(JsonWriter& out, const ServiceId& id) {
+  out.BeginObject().Member("id", id.Text());
+  out.Member("object", "model").Member("created", 0);
+  out.Member("owned_by", "hickorystand").EndObject();
+}
+
 }  // namespace
 
 const Gateway::Route Gateway::kRoutes[] = {
     {"POST", "/v1/chat/completions", false, &Gateway::HandleChat},
     {"POST", "/v1/completions", false, &Gateway::HandleText},
     {"GET", "/v1/models", false, &Gateway::HandleModels},
+    {"GET", kModelsPath, true, &Gateway::HandleModel},
     {"", kServicesPath, true, &Gateway::HandleService},
     {"GET", "/healthz", false, &Gateway::HandleHealth},
     {"GET", "/readyz", false, &Gateway::HandleReady},
@@ -227,9 +236,7 @@
   out.BeginObject().Member("object", "list").Name("data").BeginArray();
   for (const auto& [service_id, service] : this->configuration->services) {
     if (service.kind == ServiceKind::kLanguage) {
-      out.BeginObject().Member("id", service_id.Text());
-      out.Member("object", "model").Member("created", 0);
-      out.Member("owned_by", "hickorystand").EndObject();
+      WriteModel(out, service_id);
     }
   }
   call->Answer(
@@ -238,6 +245,25 @@
       out.EndArray().EndObject().Text());
 }
 
+void Gateway::HandleModel(const HttpCallPtr& call, const RequestId& id) {
+  if (const auto caller = this->Authenticate(call->Request()); !caller) {
+    this->Refuse(call, id, caller.error());
+    return;
+  }
+  const std::string name = call->Request().path.substr(kModelsPath.size());
+  if (const auto found = this->FindService(name, ServiceKind::kLanguage);
+      !found) {
+    this->Refuse(call, id, found.error());
+    return;
+  }
+  JsonWriter out;
+  WriteModel(out, ServiceId(name));
+  call->Answer(
+      kStatusOk,
+      {{"Content-Type", "application/json"}, {"X-Request-Id", id.Text()}},
+      out.Text());
+}
+
 void Gateway::HandleHealth(const HttpCallPtr& call, const RequestId& id) {
   call->Answer(kStatusOk,
                {{"Content-Type", "text/plain"}, {"X-Request-Id", id.Text()}},
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -1,7 +1,7 @@
 // The gateway: HTTP towards callers. It checks keys and bodies, turns calls
 // into requests, and has them dispatched.
 //
-//   POST /v1/chat/completions   POST /v1/completions   GET /v1/models
+//   POST /v1/chat/completions   POST /v1/completions   GET /v1/models[/NAME]
 //   ANY  /services/NAME/...
 //   GET  /healthz   GET /readyz   GET /metrics
 //
@@ -119,6 +119,7 @@
   void HandleChat(const HttpCallPtr& call, const RequestId& id);
   void HandleText(const HttpCallPtr& call, const RequestId& id);
   void HandleModels(const HttpCallPtr& call, const RequestId& id);
+  void HandleModel(const HttpCallPtr& call, const RequestId& id);
   void HandleService(const HttpCallPtr& call, const RequestId& id);
   void HandleHealth(const HttpCallPtr& call, const RequestId& id);
   void HandleReady(const HttpCallPtr& call, const RequestId& id);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -558,6 +558,12 @@
       bed.caller.Send(bed.Outgoing("GET", "/v1/models"));
   CHECK(Contains(models.body, R"("id":"m")"));
   CHECK(!Contains(models.body, "filing"));
+  const CallerAnswer model =
+      bed.caller.Send(bed.Outgoing("GET", "/v1/models/m"));
+  LONGS_EQUAL(200, model.status);
+  CHECK(Contains(model.body, R"("id":"m")"));
+  LONGS_EQUAL(404,
+              bed.caller.Send(bed.Outgoing("GET", "/v1/models/filing")).status);
   LONGS_EQUAL(200, bed.caller.Send(bed.Outgoing("GET", "/readyz")).status);
   bed.caller.Send(bed.Chat("x", true));
   const std::string metrics =
@@ -618,6 +624,9 @@
       R"({"model":7,"messages":[{}]})",
       R"({"model":"m","messages":[]})",
       R"({"model":"m","messages":[{}],"stream":"yes"})",
+      // Was passed on, and its caller got no answer for ten seconds.
+      R"({"model":"m","max_tokens":0,"messages":[{}]})",
+      R"({"model":"m","max_completion_tokens":-4,"messages":[{}]})",
       head + "\"\xff\xfe\"}]}",
       head + R"("a\u0000b"}]})",
       head + R"("a"}]} trailing)",
