--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -85,6 +85,9 @@
   if (asked == this->questions.end()) {
     return;
   }
+  if (answer.revision >= this->record_revision) {
+    this->NoteProof(true, answer.age);
+  }
   this->TakeConfiguration(asked->second - answer.age, answer.revision,
                           answer.record);
 }
@@ -112,6 +115,7 @@
         // Without a record, none was written yet.
         if (reply.outcome == StoreOutcome::kThen && !reply.records.empty()) {
           const StoreRecord& read = reply.records.front();
+          this->NoteProof(false, this->clock->Now() - now);
           this->TakeConfiguration(now, read.mod_revision, read.value);
         }
       });
@@ -218,6 +222,15 @@
   return judged;
 }
 
+void FleetSource::NoteProof(bool by_peer, Duration age) {
+  if (std::exchange(this->proven_by_peer, by_peer) != by_peer) {
+    LogInfo(kPart, "The configuration is proven by another source.",
+            {{"source", by_peer ? "another host" : "the store"},
+             {"revision", std::to_string(this->record_revision)},
+             {"age_ms", std::to_string(age / std::chrono::milliseconds(1))}});
+  }
+}
+
 void FleetSource::NoteReachable(bool answered) {
   if (std::exchange(this->reachable, answered) != answered) {
     LogInfo(kPart, answered ? "Store answers." : "Store doesn't answer.");
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -89,6 +89,7 @@
                          const std::string& value);
   void TakeEndpoints(Instant asked, const StoreReply& reply);
   void NoteReachable(bool reachable);
+  void NoteProof(bool by_peer, Duration age);
   FleetEndpoints Judge(Instant now);
   void TellEndpoints(Instant now);
 
@@ -112,6 +113,7 @@
   int64_t last_question = 0;
   std::map<int64_t, Instant> questions;  // to peers, and when each was asked
   Instant next_question{};
+  bool proven_by_peer = false;  // and not by the store itself
   std::optional<Instant> last_list;
   Instant grace_until{};
   FleetEndpoints listed;              // as read last
