--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -169,7 +169,7 @@
     return;
   }
   const Placed& placed = std::get<Placed>(verdict);
-  if (this->MayReadApart(placed)) {
+  if (placed.reader && this->MayReadApart()) {
     this->SendReading(*placed.reader, placed);
   } else {
     this->SendRun(placed, "");
@@ -185,9 +185,8 @@
 
 // The first reading call that an engine accepts is no repeat, any further one
 // is, and the repeat that it belongs to has been charged for itself alone.
-bool RelayedRequest::MayReadApart(const Placed& placed) {
-  return placed.reader &&
-         this->request.prompt_tokens >=
+bool RelayedRequest::MayReadApart() {
+  return this->request.prompt_tokens >=
              this->relay->settings.split_from_tokens &&
          (!this->prompt_accepted ||
           this->relay->budget.Take(this->relay->clock->Now(), this->service));
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -61,7 +61,7 @@
   std::optional<Error> CheckKey();
   void Place();
   bool MaySendAgain();
-  bool MayReadApart(const Placed& placed);
+  bool MayReadApart();
   void SendReading(const EndpointId& reader, const Placed& placed);
   void SendRun(const Placed& placed, const std::string& fetch_from);
   std::optional<SocketAddress> AddressOf(
