Refuse settings whose lengths of time can't be kept

A usage window of nothing ended a relay host by a division, and a bound on withdrawn keys below the proof's margin let it serve nobody; the check passed both.

--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -24,6 +24,13 @@
 // and clocks that run at different speeds.
 constexpr Duration kRevokeMargin = std::chrono::milliseconds(800);
 
+// Windows, bounds and the grace of a stop below a second can't be kept: hosts
+// tell each other twice a second and read the store once in one.
+constexpr int64_t kLeastLength = 1000;  // ms
+
+// A holder stops 600 ms before its lease ends, and renews it four times in it.
+constexpr int64_t kLeastLease = 1200;  // ms
+
 SettingRule Address(std::string section, std::string key, std::string help) {
   return {.section = std::move(section),
           .key = std::move(key),
@@ -32,14 +39,17 @@
           .help = std::move(help)};
 }
 
+// A length of time of at least so many milliseconds.
 SettingRule Length(std::string section,
                    std::string key,
                    std::string fallback,
+                   int64_t minimum,
                    std::string help) {
   return {.section = std::move(section),
           .key = std::move(key),
           .type = SettingType::kDuration,
           .fallback = std::move(fallback),
+          .minimum = minimum,
           .maximum = 10 * kMinuteInMilliseconds,
           .help = std::move(help)};
 }
@@ -69,14 +79,17 @@
       Address("listen", "metrics", "address of the metrics"),
       Address("listen", "peers", "address towards the other hosts"),
       Address("store", "address", "the platform's key-value service"),
-      Length("store", "timeout", "1500ms", "for one call"),
+      Length("store", "timeout", "1500ms", 10, "for one call"),
       Address("duties", "address", "the platform's usage and scaling calls"),
-      Length("duties", "lease", "3s", "of the host that has the duties"),
-      Length("duties", "usage_window", "5s", "that one usage report covers"),
-      Length("duties", "usage_late", "10s",
+      Length("duties", "lease", "3s", kLeastLease,
+             "of the host that has the duties"),
+      Length("duties", "usage_window", "5s", kLeastLength,
+             "that one usage report covers"),
+      Length("duties", "usage_late", "10s", kLeastLength,
              "after a window's end, until its report is due"),
-      Length("stop", "grace", "8s", "from the stop signal to the kill"),
-      Length("keys", "revoke_within", "5s",
+      Length("stop", "grace", "8s", kLeastLength,
+             "from the stop signal to the kill"),
+      Length("keys", "revoke_within", "5s", kLeastLength,
              "how soon a withdrawn key must stop working"),
       {.section = "keys",
        .key = "proof_needed",
@@ -84,11 +97,12 @@
        .fallback = "true",
        .help = "whether a host that can't prove the configuration to be the "
                "newest refuses keys"},
-      Length("fleet", "apply_within", "2s",
+      Length("fleet", "apply_within", "2s", kLeastLength,
              "how soon a new configuration must be in force"),
-      Length("fleet", "drain_within", "2s",
+      Length("fleet", "drain_within", "2s", kLeastLength,
              "how soon a leaving endpoint must get nothing new"),
-      Length("retries", "window", "10s", "over which repeats are counted"),
+      Length("retries", "window", "10s", kLeastLength,
+             "over which repeats are counted"),
       {.section = "retries",
        .key = "share",
        .type = SettingType::kShare,
