--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -154,17 +154,16 @@
           },
           .other_hosts = [this] { return this->peers->Others(); },
           .rank = [this] { return this->peers->Rank(); },
-          .streams =
-              [this](const ServiceId& service) {
-                // Callers are spread over hosts by a hash.
-                return this->relay->Streams(service) *
-                       static_cast<double>(this->peers->Listed());
+          .running =
+              [this](const EndpointId& endpoint) {
+                return this->relay->Placement().Running(endpoint);
               },
           .reading =
               [this](const ServiceId& service) {
                 return this->relay->ReadPerSecond(service) *
                        static_cast<double>(this->peers->Listed()) /
-                       this->settings.relay.placement.rates.prompt_tokens;
+                       this->relay->Placement().Pace(service).PromptTokens(
+                           EndpointRole::kPrefill);
               }});
   this->usage_timer = Timer::Every(kUsagePeriod, [this] { this->TellUsage(); });
 }
@@ -198,6 +197,11 @@
     this->source->LearnLeaving(
         {.id = news->endpoint,
          .started = static_cast<int64_t>(news->incarnation)});
+  } else if (const auto* pace = std::get_if<PaceMessage>(&message)) {
+    this->relay->Placement().AdoptPace(pace->services);
+    LogInfo(kPart, "Another host told how fast engines are.",
+            {{"host", from.Text()},
+             {"services", std::to_string(pace->services.size())}});
   }
 }
 
@@ -251,7 +255,12 @@
               [this](size_t hosts) {
                 this->relay->SetHosts(static_cast<int64_t>(hosts));
               },
-          .on_linked = [this](const HostId& host) { this->TellAllUsage(host); },
+          .on_linked =
+              [this](const HostId& host) {
+                this->TellAllUsage(host);
+                this->peers->Send(
+                    host, PaceMessage{this->relay->Placement().OwnPace()});
+              },
           .on_gone =
               [this](const HostId& host) {
                 this->relay->Placement().ForgetPeer(host);
@@ -300,11 +309,27 @@
   this->metrics.Set("requests_waiting",
                     static_cast<double>(this->relay->Waiting()));
   this->metrics.Set("hosts_known", static_cast<double>(this->peers->Listed()));
+  for (const auto& [service, pace] : this->relay->Placement().OwnPace()) {
+    this->SetPaceMetrics(service, pace);
+  }
   exchange->Answer({.headers = {{.name = "Content-Type",
                                  .value = "text/plain; version=0.0.4"}}},
                    this->metrics.PrometheusText());
 }
 
+// What was learned of a service's engines.
+void RelayDaemon::SetPaceMetrics(const ServiceId& service,
+                                 const PaceFigures& pace) {
+  this->metrics.Set("engine_prompt_tokens_per_second",
+                    1 / pace.token_prefill.seconds,
+                    {{"service", service.Text()}, {"role", "prefill"}});
+  this->metrics.Set("engine_prompt_tokens_per_second",
+                    1 / pace.token_decode.seconds,
+                    {{"service", service.Text()}, {"role", "decode"}});
+  this->metrics.Set("engine_first_token_seconds", pace.first_token.seconds,
+                    {{"service", service.Text()}});
+}
+
 void RelayDaemon::Drain() {
   if (this->draining_since) {
     return;
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -37,6 +37,7 @@
  private:
   void AnswerReady(const CallerExchangePtr& exchange);
   void AnswerMetrics(const CallerExchangePtr& exchange);
+  void SetPaceMetrics(const ServiceId& service, const PaceFigures& pace);
   void CheckDrained();
   void StartPeers();
   void StartDuties();
--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -120,7 +120,8 @@
        .fallback = "37900",
        .minimum = 1,
        .maximum = int64_t{1} << 40,
-       .help = "an engine's reading rate in the prefill role"},
+       .help = "an engine's reading rate in the prefill role, until it is "
+               "measured"},
       {.section = "log",
        .key = "level",
        .type = SettingType::kChoice,
@@ -133,7 +134,7 @@
 RelaySettings ReadRelay(const Settings& from) {
   RelaySettings relay;
   relay.placement.zone = ZoneId(from.Text("relay", "zone"));
-  relay.placement.rates.prompt_tokens =
+  relay.placement.pace.prompt_tokens =
       static_cast<double>(from.Integer("fleet", "prompt_tokens_per_second"));
   relay.key_proof_limit =
       from.Flag("keys", "proof_needed")
--- a/packages/decisions/decaying_rate.h
+++ b/packages/decisions/decaying_rate.h
@@ -10,6 +10,10 @@
 
 class DecayingRate {
  public:
+  // An amount's weight falls to 1/e in `memory`.
+  explicit DecayingRate(Duration memory = std::chrono::seconds(8))
+      : memory(ToSeconds(memory)) {}
+
   // Adds an amount that came now.
   void Add(Instant now, double amount) {
     this->sum = this->SumAt(now) + amount;
@@ -17,17 +21,16 @@
   }
 
   // The amount a second.
-  double PerSecond(Instant now) const { return this->SumAt(now) / kSeconds; }
+  double PerSecond(Instant now) const {
+    return this->SumAt(now) / this->memory;
+  }
 
  private:
-  // Time in which an amount's weight falls to 1/e: long enough for bursts of
-  // three seconds to be averaged, short against a shift of the mix.
-  static constexpr double kSeconds = 8;
-
   double SumAt(Instant now) const {
-    return this->sum * std::exp(-ToSeconds(now - this->at) / kSeconds);
+    return this->sum * std::exp(-ToSeconds(now - this->at) / this->memory);
   }
 
+  double memory;  // seconds
   double sum = 0;
   Instant at{};
 };
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -14,10 +14,13 @@
 // outcomes are remembered.
 constexpr double kOutcomeWeight = 0.15;
 
-// Weight of the newest measurement of an engine's slowness, and how long a
-// reading must be to be measured: on short ones other delays weigh more.
+// Weight of the newest measurement of an engine's slowness, and the prompt
+// tokens that it needs: on short readings other delays weigh more.
 constexpr double kSlownessWeight = 0.12;
-constexpr double kLeastMeasured = 0.08;  // seconds
+constexpr int64_t kLeastMeasured = 2000;
+
+// The target latency of requests whose route has none.
+constexpr Duration kUsualTarget = std::chrono::milliseconds(600);
 
 // Weight of the newest duration of a plain call.
 constexpr double kPlainWeight = 0.1;
@@ -38,6 +41,10 @@
   return shape.parts[shape.parts.size() > 1 ? shape.parts.size() - 2 : 0].part;
 }
 
+Duration TargetOf(const WorkShape& shape) {
+  return shape.target > Duration{} ? shape.target : kUsualTarget;
+}
+
 }  // namespace
 
 void FleetPlacement::Cache::Keep(const PartTokens& part,
@@ -105,39 +112,81 @@
   }
 }
 
+void FleetPlacement::SetServiceShare(const ServiceId& service,
+                                     const ServiceShare& share) {
+  this->shares[service] = share;
+  if (share.copied_tokens > 0) {
+    this->PaceOf(service).SetCopiedTokens(share.copied_tokens);
+  }
+}
+
+EnginePace& FleetPlacement::PaceOf(const ServiceId& service) {
+  return this->paces.try_emplace(service, this->options.pace).first->second;
+}
+
+const EnginePace& FleetPlacement::Pace(const ServiceId& service) const {
+  const auto found = this->paces.find(service);
+  return found == this->paces.end() ? this->unmeasured : found->second;
+}
+
+PaceByService FleetPlacement::OwnPace() const {
+  PaceByService own;
+  for (const auto& [service, pace] : this->paces) {
+    own[service] = pace.Figures();
+  }
+  return own;
+}
+
+void FleetPlacement::AdoptPace(const PaceByService& told) {
+  for (const auto& [service, figures] : told) {
+    this->PaceOf(service).Adopt(figures);
+  }
+}
+
 double FleetPlacement::Rate(const State& state) const {
-  const EngineRates& rates = this->options.rates;
-  const double share = state.endpoint.role == EndpointRole::kPrefill
-                           ? 1
-                           : rates.decode_role_share;
-  return rates.prompt_tokens * share / state.slowness;
+  return this->Pace(state.endpoint.service).PromptTokens(state.endpoint.role) /
+         state.slowness;
 }
 
 int64_t FleetPlacement::CacheRoom(const ServiceId& service) const {
   const auto share = this->shares.find(service);
   return share != this->shares.end() && share->second.cache_tokens > 0
              ? share->second.cache_tokens
-             : static_cast<int64_t>(this->options.rates.cache_tokens);
+             : this->options.cache_tokens;
 }
 
-double FleetPlacement::Penalty(const State& state) const {
-  const double zone = state.endpoint.zone == this->options.zone
-                          ? 0
-                          : ToSeconds(this->options.other_zone);
+double FleetPlacement::Penalty(const State& state,
+                               const WorkShape& shape) const {
+  const double zone =
+      state.endpoint.zone == this->options.zone
+          ? 0
+          : this->options.other_zone * ToSeconds(TargetOf(shape));
   return zone + state.failure_share * ToSeconds(this->options.failure_penalty);
 }
 
+// What speaks against generating there: the requests that run there already,
+// and that the engine may be reclaimed.
+double FleetPlacement::StreamPenalty(const State& state,
+                                     const WorkShape& shape) const {
+  const double taken =
+      static_cast<double>(this->Running(state.endpoint.run.id)) /
+      static_cast<double>(std::max<int64_t>(state.endpoint.slots, 1));
+  const double spot = state.endpoint.spot ? this->options.spot_streams : 0;
+  return (this->options.full_slots * taken * taken + spot) *
+         ToSeconds(TargetOf(shape));
+}
+
 EndpointOutstanding FleetPlacement::PeerWork(const EndpointId& endpoint) const {
-  EndpointOutstanding sum{.endpoint = endpoint};
-  for (const auto& [host, work] : this->peers) {
-    for (const EndpointOutstanding& item : work) {
-      if (item.endpoint == endpoint) {
-        sum.prompt_tokens += item.prompt_tokens;
-        sum.requests += item.requests;
-      }
-    }
-  }
-  return sum;
+  const auto found = this->peer_totals.find(endpoint);
+  return found == this->peer_totals.end()
+             ? EndpointOutstanding{.endpoint = endpoint}
+             : found->second;
+}
+
+int64_t FleetPlacement::Running(const EndpointId& endpoint) const {
+  const auto found = this->states.find(endpoint);
+  const int64_t own = found == this->states.end() ? 0 : found->second.running;
+  return own + this->PeerWork(endpoint).requests;
 }
 
 double FleetPlacement::PlainSeconds(const ServiceId& service) const {
@@ -212,48 +261,60 @@
          now >= state.out_until && !tried.contains(id) && !this->IsAway(id);
 }
 
+// What reading at an engine that generates costs the streams that run there.
+double FleetPlacement::HeldUp(const State& state,
+                              const WorkShape& shape,
+                              double fresh,
+                              double reading) const {
+  const auto share = this->shares.find(shape.service);
+  const double pause =
+      share == this->shares.end() ? 0 : ToSeconds(share->second.pause_target);
+  const bool too_long =
+      pause > 0 && reading > this->options.longest_hold_up * pause;
+  const auto streams =
+      static_cast<double>(this->Running(state.endpoint.run.id));
+  return this->options.held_up_weight * streams * fresh +
+         (too_long ? this->options.pause_penalty * pause : 0);
+}
+
 FleetPlacement::Weighed FleetPlacement::WeighEngine(
     const State& state,
     const WorkShape& shape,
     const Source& source) const {
   const EndpointId& id = state.endpoint.run.id;
-  const EngineRates& rates = this->options.rates;
-  const EndpointOutstanding others = this->PeerWork(id);
+  const EnginePace& pace = this->Pace(shape.service);
   const double rate = this->Rate(state);
   const int64_t kept = Kept(state.cache, shape, false);
   const int64_t more = source.tokens - kept;
-  const bool copies = more >= this->options.least_copy;
-  const int64_t fresh = shape.prompt_tokens - kept - (copies ? more : 0);
+  const int64_t copied = more >= this->options.least_copy ? more : 0;
+  const int64_t fresh = shape.prompt_tokens - kept - copied;
   const double copying =
-      copies ? (ToSeconds(rates.copy_setup) +
-                static_cast<double>(more) / rates.copied_tokens) *
-                   (source.zone == state.endpoint.zone ? 1 : 2)
-             : 0;
+      copied > 0
+          ? pace.Copying(copied) * (source.zone == state.endpoint.zone ? 1 : 2)
+          : 0;
   // What only this request has must be read anywhere; the rest is a miss.
   const int64_t own = shape.parts.empty() ? 0 : shape.parts.back().tokens;
   const double missed = static_cast<double>(std::max<int64_t>(fresh - own, 0));
   const bool reader = state.endpoint.role == EndpointRole::kPrefill;
-  const double reading =
-      static_cast<double>(state.waiting_tokens + others.prompt_tokens + fresh) /
-      rate;
-  const double seconds = reading + copying + ToSeconds(rates.first_token) +
-                         (reader ? ToSeconds(rates.transfer) : 0);
-  const double streams = static_cast<double>(state.running + others.requests);
-  double held_up = 0;
-  if (!reader) {
-    held_up = this->options.held_up_weight * streams *
-                  static_cast<double>(fresh) / rate +
-              (reading > ToSeconds(this->options.longest_hold_up)
-                   ? ToSeconds(this->options.pause_penalty)
-                   : 0);
-  }
+  const double waiting = static_cast<double>(state.waiting_tokens +
+                                             this->PeerWork(id).prompt_tokens) /
+                         rate;
+  const double reading = waiting + static_cast<double>(fresh) / rate;
+  const double seconds =
+      reading + copying + (reader ? pace.AfterReading() : pace.FirstToken());
+  const double held_up =
+      reader ? 0
+             : this->StreamPenalty(state, shape) +
+                   this->HeldUp(state, shape, static_cast<double>(fresh) / rate,
+                                reading);
   return {.endpoint = id,
-          .score = seconds + this->Penalty(state) + held_up +
+          .score = seconds + this->Penalty(state, shape) + held_up +
                    (this->options.miss_weight - 1) * missed / rate,
           .seconds = seconds,
+          .waiting = waiting,
           .new_tokens = fresh,
-          .reader = reader,
-          .copies = copies};
+          .copied_tokens = copied,
+          .reader = reader};
 }
 
 // Adds to each engine's score its place in the order of the prompt's longest
@@ -273,11 +334,15 @@
          .engine = &one});
   }
   std::ranges::sort(order, {}, &Place::draw);
+  const int64_t own = shape.parts.empty() ? 0 : shape.parts.back().tokens;
+  const int64_t shared = std::max<int64_t>(shape.prompt_tokens - own, 0);
+  const double step =
+      static_cast<double>(std::min(this->options.home_step_tokens, shared)) /
+      this->Pace(shape.service).PromptTokens(EndpointRole::kPrefill);
   int64_t place = 0;
   for (const Place& one : order) {
     one.engine->score +=
-        ToSeconds(this->options.home_step) *
-        static_cast<double>(std::min(place++, this->options.home_steps));
+        step * static_cast<double>(std::min(place++, this->options.home_steps));
   }
 }
 
@@ -291,12 +356,30 @@
   const double before = static_cast<double>(state.running + others.requests);
   const double seconds = one * (1 + std::floor(before / slots));
   return {.endpoint = state.endpoint.run.id,
-          .score = one * before / slots + this->Penalty(state),
+          .score = one * before / slots + this->Penalty(state, shape),
           .seconds = before / slots > this->options.plain_queue
                          ? ToSeconds(shape.patience) + seconds
                          : seconds};
 }
 
+// Refuses what can't be served in time anywhere, and what would have to wait so
+// long that all who wait are late.
+std::optional<Refused> FleetPlacement::RefuseIfTooLate(
+    const WorkShape& shape,
+    const std::vector<Weighed>& weighed) const {
+  const auto least = [&weighed](double Weighed::* figure) {
+    return std::ranges::min(weighed, {}, figure).*figure;
+  };
+  const double late = least(&Weighed::seconds) - ToSeconds(shape.patience);
+  const double queued = least(&Weighed::waiting) -
+                        this->options.longest_wait * ToSeconds(TargetOf(shape));
+  if (std::max(late, queued) <= 0) {
+    return {};
+  }
+  return Refused{.reason = "overloaded",
+                 .retry_after = FromSeconds(std::max(late, queued))};
+}
+
 Verdict FleetPlacement::Place(Instant now,
                               const WorkShape& shape,
                               const std::set<EndpointId>& tried) const {
@@ -320,21 +403,17 @@
   }
   const Weighed& best = *std::ranges::min_element(
       weighed, std::less<>(), [](const Weighed& one) { return one.score; });
-  const double soonest =
-      std::ranges::min(weighed, std::less<>(), [](const Weighed& one) {
-        return one.seconds;
-      }).seconds;
   const Duration expected = FromSeconds(best.seconds);
-  if (FromSeconds(soonest) > shape.patience) {
-    return Refused{.reason = "overloaded",
-                   .retry_after = FromSeconds(soonest) - shape.patience};
+  if (auto refused = this->RefuseIfTooLate(shape, weighed)) {
+    return *std::move(refused);
   }
   const auto copy_from =
-      best.copies ? std::optional(source.endpoint) : std::nullopt;
+      best.copied_tokens > 0 ? std::optional(source.endpoint) : std::nullopt;
   if (!best.reader) {
     return Placed{.endpoint = best.endpoint,
                   .copy_from = copy_from,
                   .new_tokens = best.new_tokens,
+                  .copied_tokens = best.copied_tokens,
                   .expected = expected};
   }
   const auto answers = this->PlaceAnswer(now, shape, best.endpoint, tried);
@@ -343,6 +422,7 @@
                 .reader = best.endpoint,
                 .copy_from = copy_from,
                 .new_tokens = best.new_tokens,
+                .copied_tokens = best.copied_tokens,
                 .expected = expected};
 }
 
@@ -352,6 +432,7 @@
     const EndpointId& reader,
     const std::set<EndpointId>& tried) const {
   const auto from = this->states.find(reader);
+  const EnginePace& pace = this->Pace(shape.service);
   std::optional<EndpointId> best;
   double least = 0;
   for (const auto& [id, state] : this->states) {
@@ -367,9 +448,8 @@
     const double score =
         static_cast<double>(state.waiting_tokens + others.prompt_tokens) /
             this->Rate(state) +
-        static_cast<double>(state.running + others.requests) * 0.005 +
-        (far ? ToSeconds(this->options.rates.transfer) : 0) +
-        this->Penalty(state);
+        (far ? std::max(pace.AfterReading() - pace.FirstToken(), 0.0) : 0) +
+        this->StreamPenalty(state, shape) + this->Penalty(state, shape);
     if (!best || score < least) {
       best = id;
       least = score;
@@ -381,29 +461,27 @@
 WorkId FleetPlacement::OnSent(Instant now,
                               const EndpointId& endpoint,
                               const WorkShape& shape,
-                              int64_t new_tokens) {
+                              const SentWork& sent) {
   const auto found = this->states.find(endpoint);
   if (found == this->states.end()) {
     return 0;
   }
   State& state = found->second;
-  state.waiting_tokens += new_tokens;
+  this->works[++this->last_work] = {
+      .endpoint = endpoint,
+      .started = state.endpoint.run.started,
+      .what = sent,
+      .tokens_before =
+          state.waiting_tokens + this->PeerWork(endpoint).prompt_tokens,
+      .parts = shape.parts,
+      .sent = now};
+  state.waiting_tokens += sent.new_tokens;
   ++state.running;
   // Kept from the start: the next request with the same parts that comes here
   // while this one is read waits for it and finds them.
   for (const PartTokens& part : shape.parts) {
     state.cache.Keep(part, this->CacheRoom(shape.service), false);
   }
-  const double tokens = static_cast<double>(
-      state.waiting_tokens + this->PeerWork(endpoint).prompt_tokens);
-  this->works[++this->last_work] = {
-      .endpoint = endpoint,
-      .started = state.endpoint.run.started,
-      .new_tokens = new_tokens,
-      .parts = shape.parts,
-      .sent = now,
-      .seconds =
-          new_tokens == 0 ? 0 : tokens / this->Rate(state) / state.slowness};
   return this->last_work;
 }
 
@@ -415,23 +493,47 @@
              : nullptr;
 }
 
-// Compares how long a prompt took to be read with what the sheet says. Engines
-// of one service differ, and one that turns slow shows nowhere else.
-void FleetPlacement::LearnSlowness(Instant now,
+// Compares how long a prompt took to be read with what is usual. Engines of one
+// service differ, and one that turns slow shows nowhere else.
+void FleetPlacement::LearnSlowness(Duration took,
                                    const Work& work,
                                    State& state) {
-  if (work.seconds < kLeastMeasured) {
+  const int64_t tokens = work.what.new_tokens + work.tokens_before;
+  if (tokens < kLeastMeasured || work.what.new_tokens == 0) {
     return;
   }
-  const double measured = (ToSeconds(now - work.sent) -
-                           ToSeconds(this->options.rates.first_token)) /
-                          work.seconds;
+  const EnginePace& pace = this->Pace(state.endpoint.service);
+  const bool reads = state.endpoint.role == EndpointRole::kPrefill;
+  const double other_delays =
+      (reads ? 0 : pace.FirstToken()) +
+      (work.what.copied_tokens > 0 ? pace.Copying(work.what.copied_tokens) : 0);
+  const double measured = (ToSeconds(took) - other_delays) *
+                          pace.PromptTokens(state.endpoint.role) /
+                          static_cast<double>(tokens);
   state.slowness +=
       kSlownessWeight * (std::clamp(measured, this->options.least_slowness,
                                     this->options.most_slowness) -
                          state.slowness);
 }
 
+void FleetPlacement::LearnPace(Instant now, const Work& work, State& state) {
+  const Duration took = now - work.sent;
+  if (state.endpoint.role == EndpointRole::kPlain) {
+    return;
+  }
+  EnginePace& pace = this->PaceOf(state.endpoint.service);
+  if (work.what.prompt_read) {
+    pace.OnAnswerAfterReading(took);
+    return;
+  }
+  this->LearnSlowness(took, work, state);
+  pace.OnRead({.role = state.endpoint.role,
+               .tokens = work.what.new_tokens,
+               .tokens_before = work.tokens_before,
+               .copied_tokens = work.what.copied_tokens,
+               .took = took});
+}
+
 void FleetPlacement::OnPromptRead(Instant now, WorkId work) {
   const auto found = this->works.find(work);
   if (found == this->works.end() || found->second.read) {
@@ -439,8 +541,8 @@
   }
   found->second.read = true;
   if (State* state = this->Find(found->second)) {
-    state->waiting_tokens -= found->second.new_tokens;
-    this->LearnSlowness(now, found->second, *state);
+    state->waiting_tokens -= found->second.what.new_tokens;
+    this->LearnPace(now, found->second, *state);
     for (const PartTokens& part : found->second.parts) {
       state->cache.Keep(part, this->CacheRoom(state->endpoint.service), true);
     }
@@ -457,7 +559,7 @@
     if (over.mapped().read) {
       return;
     }
-    state->waiting_tokens -= over.mapped().new_tokens;
+    state->waiting_tokens -= over.mapped().what.new_tokens;
     // Nobody knows how far it was read. Believed to be kept, it would draw the
     // same prompt here again.
     for (const PartTokens& part : over.mapped().parts) {
@@ -483,6 +585,7 @@
 }
 
 void FleetPlacement::ForgetPeer(const HostId& host) {
+  this->OnPeerWork(host, {});
   this->peers.erase(host);
   this->away.erase(host);
 }
@@ -528,7 +631,23 @@
 
 void FleetPlacement::OnPeerWork(const HostId& host,
                                 const std::vector<EndpointOutstanding>& work) {
-  this->peers[host] = work;
+  std::vector<EndpointOutstanding>& before = this->peers[host];
+  this->AddPeerWork(before, -1);
+  this->AddPeerWork(work, 1);
+  before = work;
+}
+
+void FleetPlacement::AddPeerWork(const std::vector<EndpointOutstanding>& work,
+                                 int64_t sign) {
+  for (const EndpointOutstanding& item : work) {
+    EndpointOutstanding& total = this->peer_totals[item.endpoint];
+    total.endpoint = item.endpoint;
+    total.prompt_tokens += sign * item.prompt_tokens;
+    total.requests += sign * item.requests;
+    if (total.prompt_tokens == 0 && total.requests == 0) {
+      this->peer_totals.erase(item.endpoint);
+    }
+  }
 }
 
 std::vector<EndpointOutstanding> FleetPlacement::OwnWork() const {
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -1,20 +1,18 @@
 // Which endpoint takes a request, and whether it can be served at all.
 //
-// An engine's prompt work decides: on the fleets that this answers, 580,000
-// prompt tokens a second are asked for, 160,000 of them new if every shared
-// part is found in the cache of the engine that gets it, against 680,000 that
-// all engines could read at full speed. So requests go where their prompt's
-// parts are kept, as long as the work that waits there doesn't cost more than
-// reading them again somewhere else.
+// An engine's prompt work decides: prompts are long, share most of their parts,
+// and ask for nearly all that the engines can read, or more. So requests go
+// where their prompt's parts are kept, as long as the work that waits there
+// doesn't cost more than reading them again somewhere else.
 //
 //   score = (work waiting there + the prompt's missing part) / its rate
 //
-// What another engine keeps is copied from there rather than read again: 13,300
-// tokens are moved in 5 ms and read in 350. Hosts that know nothing of a part
-// all try the same engine first, which a hash of the part names.
+// The rates are learned as requests run (engine_pace.h). What another engine
+// keeps is copied from there rather than read again. Hosts that know nothing of
+// a part all try the same engine first, which a hash of the part names.
 //
 // Index
-//   EngineRates, PlacementOptions   what an engine can do
+//   PlacementOptions, ServiceShare  how it is set
 //   PartTokens, WorkShape           a request as far as placing goes
 //   Placed, Refused, Verdict        where to, or why not
 //   FleetPlacement                  the decision
@@ -32,37 +30,27 @@
 #include <vector>
 
 #include "decisions/digest.h"
+#include "decisions/engine_pace.h"
 #include "decisions/fleet_endpoint.h"
 #include "kernel/ids.h"
 #include "kernel/time.h"
 
 namespace hickorystand {
 
-// What an engine does in a second, from its maker's sheet.
-struct EngineRates {
-  double prompt_tokens = 37900;    // in the prefill role
-  double decode_role_share = 0.5;  // of that rate, in the decode role
-  double cache_tokens = 420000;    // kept for later prompts
-  double copied_tokens = 2.5e6;    // a second, from another engine's memory
-  Duration copy_setup = std::chrono::milliseconds(6);
-  Duration first_token = std::chrono::milliseconds(24);  // beside reading
-  Duration transfer = std::chrono::milliseconds(20);     // of a read prompt
-
-  auto operator<=>(const EngineRates&) const = default;
-};
-
 // How placing is set.
 struct PlacementOptions {
-  EngineRates rates;
+  EnginePaceOptions pace;  // of engines that weren't measured yet
+  // Prompt tokens that an engine keeps, where the configuration doesn't say.
+  int64_t cache_tokens = 420000;
   ZoneId zone;  // of this host
-  // What another zone costs in score. Bodies that cross zones are billed; at
-  // 17 KB a prompt that is worth about as much as 1% of an answer.
-  Duration other_zone = std::chrono::milliseconds(15);
+  // What another zone costs in score, as a share of the request's target
+  // latency: bodies that cross zones are billed.
+  double other_zone = 0.025;
   // Each part has an order of engines, by a hash that is the same on every
   // host, so that hosts which know nothing of a part read it at the same one.
   // What the second, the third and any later engine costs in score more than
-  // the one before.
-  Duration home_step = std::chrono::milliseconds(40);
+  // the one before: the time to read so many tokens, or all that are shared.
+  int64_t home_step_tokens = 1500;
   int64_t home_steps = 4;
   // What is shorter isn't worth a copy.
   int64_t least_copy = 512;
@@ -72,11 +60,24 @@
   // Reading at an engine that generates holds up each of its streams for as
   // long; what each such stream adds to the score, as a share of the reading.
   double held_up_weight = 0.15;
-  // Reading that takes longer than this in one go there makes pauses of over
-  // 300 ms in all its streams, which is as bad as a wait of `pause_penalty`.
-  Duration longest_hold_up = std::chrono::milliseconds(200);
-  Duration pause_penalty = std::chrono::milliseconds(500);
-  // How far an engine's measured slowness may go from its sheet.
+  // Reading there for longer than this share of the longest pause that is on
+  // time makes longer pauses in all its streams, which is as bad as a wait of
+  // `pause_penalty` times that pause.
+  double longest_hold_up = 0.67;
+  double pause_penalty = 1.67;
+  // What an engine with all slots taken costs in score when one more request is
+  // to run there, as a share of the target latency; half as many taken cost a
+  // quarter of it.
+  double full_slots = 0.5;
+  // What generating at a spot engine costs in score, as a share of the target
+  // latency: when it is reclaimed, its streams break. It also keeps spot
+  // engines free to take the other role.
+  double spot_streams = 0.1;
+  // The longest that a prompt waits for others to be read, as a share of the
+  // target latency. While more is asked for than engines can read, a longer
+  // queue serves nobody more: it makes all that wait in it late.
+  double longest_wait = 0.5;
+  // How far an engine's measured slowness may go from what is usual.
   double least_slowness = 0.6;
   double most_slowness = 5;
   // An engine that refused a call for its role is left alone for so long: the
@@ -98,8 +99,12 @@
 struct ServiceShare {
   // Requests that this host may have at one endpoint at once.
   int64_t requests_at_once = INT64_MAX;
-  // Prompt tokens that an engine keeps for later prompts; 0: as its sheet says.
+  // Prompt tokens that an engine keeps for later prompts; 0: not known.
   int64_t cache_tokens = 0;
+  // Tokens a second that engines copy from each other; 0: not known.
+  double copied_tokens = 0;
+  // The longest pause in a stream that is on time; 0: not known.
+  Duration pause_target{};
 
   auto operator<=>(const ServiceShare&) const = default;
 };
@@ -118,6 +123,7 @@
   bool engine = false;
   int64_t prompt_tokens = 0;
   std::vector<PartTokens> parts;
+  Duration target{};  // to the first byte, for an answer that is on time
   // The longest that the first byte may take; beyond it, refusing at once
   // serves the caller better.
   Duration patience = std::chrono::seconds(2);
@@ -131,6 +137,7 @@
   std::optional<EndpointId> reader;     // reads the prompt first, if another
   std::optional<EndpointId> copy_from;  // keeps more of the prompt's start
   int64_t new_tokens = 0;               // that the first of them has to read
+  int64_t copied_tokens = 0;            // that it fetches
   Duration expected{};                  // to the first byte
 
   auto operator<=>(const Placed&) const = default;
@@ -149,20 +156,30 @@
 // Names one piece of work at an endpoint.
 using WorkId = uint64_t;
 
+// What an endpoint was sent.
+struct SentWork {
+  int64_t new_tokens = 0;     // that it has to read
+  int64_t copied_tokens = 0;  // that it fetches from another engine
+  bool prompt_read = false;   // by another engine, which hands it over
+
+  auto operator<=>(const SentWork&) const = default;
+};
+
+// What one host tells another of a service's engines.
+using PaceByService = std::map<ServiceId, PaceFigures>;
+
 // Everything that placing knows, on one host.
 class FleetPlacement {
  public:
   explicit FleetPlacement(PlacementOptions options)
-      : options(std::move(options)) {}
+      : options(std::move(options)), unmeasured(this->options.pace) {}
 
   // All endpoints there are. Those whose process is another one than before
   // start with nothing kept.
   void SetEndpoints(const FleetEndpoints& endpoints);
 
   // What a service allows from now on.
-  void SetServiceShare(const ServiceId& service, const ServiceShare& share) {
-    this->shares[service] = share;
-  }
+  void SetServiceShare(const ServiceId& service, const ServiceShare& share);
 
   // Chooses for a request that was not at `tried` before.
   Verdict Place(Instant now,
@@ -176,11 +193,11 @@
       const EndpointId& reader,
       const std::set<EndpointId>& tried) const;
 
-  // A request was sent. `new_tokens` is what the endpoint has to read.
+  // A request was sent.
   WorkId OnSent(Instant now,
                 const EndpointId& endpoint,
                 const WorkShape& shape,
-                int64_t new_tokens);
+                const SentWork& sent);
 
   // Its prompt is read: the first byte of the answer came.
   void OnPromptRead(Instant now, WorkId work);
@@ -221,6 +238,17 @@
   // Whether an endpoint may get anything new.
   bool Usable(Instant now, const EndpointId& endpoint) const;
 
+  // Requests of all hosts that run at an endpoint.
+  int64_t Running(const EndpointId& endpoint) const;
+
+  // How fast a service's engines are.
+  const EnginePace& Pace(const ServiceId& service) const;
+
+  // What was measured here, for hosts that have just started, and what another
+  // host has measured.
+  PaceByService OwnPace() const;
+  void AdoptPace(const PaceByService& told);
+
  private:
   // Parts kept by an engine, least recently used first.
   struct Cache {
@@ -241,7 +269,7 @@
     Cache cache;
     int64_t waiting_tokens = 0;  // of this host's work, not yet read
     int64_t running = 0;         // this host's work
-    double slowness = 1;         // measured reading time over the sheet's
+    double slowness = 1;         // measured reading time over what is usual
     double failure_share = 0;
     int64_t failures_in_row = 0;
     Duration ejection{};
@@ -250,10 +278,10 @@
   struct Work {
     EndpointId endpoint;
     int64_t started = 0;  // the endpoint's start, as EndpointRun has it
-    int64_t new_tokens = 0;
+    SentWork what;
+    int64_t tokens_before = 0;  // that waited there before it
     std::vector<PartTokens> parts;
     Instant sent{};
-    double seconds = 0;  // expected to the first byte, without slowness
     bool read = false;
   };
   // An engine that keeps the start of a prompt.
@@ -265,10 +293,11 @@
   struct Weighed {
     EndpointId endpoint;
     double score = 0;
-    double seconds = 0;
+    double seconds = 0;  // to the first byte
+    double waiting = 0;  // of that, for what was sent before
     int64_t new_tokens = 0;
+    int64_t copied_tokens = 0;
     bool reader = false;
-    bool copies = false;
   };
 
   bool Takes(Instant now,
@@ -283,23 +312,37 @@
                       const WorkShape& shape,
                       const Source& source) const;
   void PreferHomes(const WorkShape& shape, std::vector<Weighed>& weighed) const;
+  std::optional<Refused> RefuseIfTooLate(
+      const WorkShape& shape,
+      const std::vector<Weighed>& weighed) const;
   Weighed WeighPlain(const State& state, const WorkShape& shape) const;
   int64_t CacheRoom(const ServiceId& service) const;
   double Rate(const State& state) const;
-  double Penalty(const State& state) const;
+  double Penalty(const State& state, const WorkShape& shape) const;
+  double StreamPenalty(const State& state, const WorkShape& shape) const;
+  double HeldUp(const State& state,
+                const WorkShape& shape,
+                double fresh,
+                double reading) const;
   EndpointOutstanding PeerWork(const EndpointId& endpoint) const;
+  void AddPeerWork(const std::vector<EndpointOutstanding>& work, int64_t sign);
+  EnginePace& PaceOf(const ServiceId& service);
   State* Find(const Work& work);
   bool IsAway(const EndpointId& endpoint) const;
-  void LearnSlowness(Instant now, const Work& work, State& state);
+  void LearnPace(Instant now, const Work& work, State& state);
+  void LearnSlowness(Duration took, const Work& work, State& state);
   double PlainSeconds(const ServiceId& service) const;
 
   PlacementOptions options;
   std::map<EndpointId, State> states;
   std::map<WorkId, Work> works;
   std::map<HostId, std::vector<EndpointOutstanding>> peers;
+  std::map<EndpointId, EndpointOutstanding> peer_totals;  // of all of them
   std::map<HostId, std::set<EndpointId>> away;
   std::map<ServiceId, double> plain_seconds;
   std::map<ServiceId, ServiceShare> shares;
+  std::map<ServiceId, EnginePace> paces;
+  EnginePace unmeasured;  // of services that nothing was sent to yet
   WorkId last_work = 0;
 };
 
--- a/packages/decisions/role_plan.cc
+++ b/packages/decisions/role_plan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace hickorystand {
@@ -19,35 +20,54 @@
   return count;
 }
 
-// An engine of the zone that has the most of them: a spot one, or one that
-// stays, where there is one of that kind.
-EndpointId FromFullest(const FleetEndpoints& endpoints,
-                       const ByZone& engines,
-                       bool spot) {
-  const auto fullest = std::ranges::max_element(
-      engines, {}, [](const auto& entry) { return entry.second.size(); });
-  const auto of_kind = std::ranges::find_if(
-      fullest->second, [&endpoints, spot](const EndpointId& id) {
-        return endpoints.at(id).spot == spot;
-      });
-  return of_kind != fullest->second.end() ? *of_kind : fullest->second.front();
+// What speaks against changing an engine's role, the strongest reason first.
+struct ChangeCost {
+  int64_t running = 0;      // requests that must end first
+  bool wrong_kind = false;  // a spot engine, or one that stays, where the other
+                            // kind serves better
+  int64_t left_in_zone = 0;  // fewer: negated number of its role in its zone
+
+  auto operator<=>(const ChangeCost&) const = default;
+};
+
+// The engine whose change costs the least.
+EndpointId Cheapest(const FleetEndpoints& endpoints,
+                    const ByZone& engines,
+                    const RoleLoad& load,
+                    bool spot) {
+  std::optional<std::pair<ChangeCost, EndpointId>> best;
+  for (const auto& [zone, ids] : engines) {
+    for (const EndpointId& id : ids) {
+      const std::pair cost(
+          ChangeCost{.running = load.running(id),
+                     .wrong_kind = endpoints.at(id).spot != spot,
+                     .left_in_zone = -static_cast<int64_t>(ids.size())},
+          id);
+      if (!best || cost < *best) {
+        best = cost;
+      }
+    }
+  }
+  return best->second;
 }
 
 }  // namespace
 
 std::optional<RoleChange> PlanRole(const FleetEndpoints& endpoints,
                                    const ServiceId& service,
-                                   double streams,
+                                   const RoleLoad& load,
                                    const RolePlanOptions& options) {
   ByZone readers;
   ByZone generators;
   std::map<ZoneId, int64_t> zones;
+  int64_t slots = 0;
   for (const auto& [id, endpoint] : endpoints) {
     if (endpoint.service != service || endpoint.leaving ||
         endpoint.role == EndpointRole::kPlain) {
       continue;
     }
     ++zones[endpoint.zone];
+    slots += endpoint.slots;
     ByZone& of_role =
         endpoint.role == EndpointRole::kPrefill ? readers : generators;
     of_role[endpoint.zone].push_back(id);
@@ -56,8 +76,10 @@
   if (engines < 2) {
     return {};
   }
-  const auto needed =
-      static_cast<int64_t>(std::ceil(streams / options.streams_per_engine));
+  const double slots_each =
+      static_cast<double>(slots) / static_cast<double>(engines);
+  const auto needed = static_cast<int64_t>(
+      std::ceil(load.streams / std::max(options.slots_used * slots_each, 1.0)));
   const auto share = static_cast<int64_t>(
       std::ceil(options.least_share * static_cast<double>(engines)));
   const int64_t wanted = std::clamp<int64_t>(
@@ -65,7 +87,7 @@
                 static_cast<int64_t>(zones.size()) + options.spare_engines}),
       1, std::max<int64_t>(engines / 2, 1));
   if (CountAll(generators) > wanted + options.tolerated_more) {
-    return RoleChange{.endpoint = FromFullest(endpoints, generators, true),
+    return RoleChange{.endpoint = Cheapest(endpoints, generators, load, true),
                       .role = EndpointRole::kPrefill};
   }
   if (CountAll(generators) >= wanted || readers.empty()) {
@@ -76,9 +98,9 @@
   const auto bare = std::ranges::find_if(readers, [&](const auto& entry) {
     return !generators.contains(entry.first);
   });
-  return RoleChange{.endpoint = bare != readers.end()
-                                    ? bare->second.front()
-                                    : FromFullest(endpoints, readers, false),
+  const ByZone candidates =
+      bare != readers.end() ? ByZone{*bare} : std::move(readers);
+  return RoleChange{.endpoint = Cheapest(endpoints, candidates, load, false),
                     .role = EndpointRole::kDecode};
 }
 
--- a/packages/decisions/role_plan.h
+++ b/packages/decisions/role_plan.h
@@ -1,13 +1,15 @@
 // How many engines read prompts for others, and how many generate.
 //
 // An engine that generates reads prompts at half the rate, and each piece that
-// it reads holds up every stream that runs there: eight tokens, with a piece of
-// 54 ms before each, make a pause of 470 ms between two events. So prompts are
-// read apart wherever there is room, and only as many engines generate as the
-// streams need.
+// it reads holds up every stream that runs there. So prompts are read apart
+// wherever there is room, and only as many engines generate as the streams
+// need. An engine takes its new role only when all that runs there is over, so
+// those with the fewest requests change.
 
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <optional>
 
 #include "decisions/fleet_endpoint.h"
@@ -16,9 +18,8 @@
 
 // How roles are planned.
 struct RolePlanOptions {
-  // Streams that one engine generates at a time: at 24 of them a token takes
-  // 8 ms, and eight tokens come together.
-  double streams_per_engine = 24;
+  // The share of an engine's slots that streams take.
+  double slots_used = 0.7;
   // Of those, at least one for each zone, since moving a prompt's memory to
   // another zone takes twice as long, and some more for the loss of one.
   int64_t spare_engines = 1;
@@ -39,11 +40,17 @@
   auto operator<=>(const RoleChange&) const = default;
 };
 
-// The change to make next for a service with so many streams at a time, if any.
-// One at a time: each takes an engine out for seconds.
+// What is known of a service's load.
+struct RoleLoad {
+  double streams = 0;  // at a time, in the whole fleet
+  std::function<int64_t(const EndpointId&)> running;  // requests there now
+};
+
+// The change to make next for a service, if any. One at a time: each takes an
+// engine out for seconds.
 std::optional<RoleChange> PlanRole(const FleetEndpoints& endpoints,
                                    const ServiceId& service,
-                                   double streams,
+                                   const RoleLoad& load,
                                    const RolePlanOptions& options = {});
 
 }  // namespace hickorystand
--- a/packages/decisions/scale_plan.cc
+++ b/packages/decisions/scale_plan.cc
@@ -56,10 +56,16 @@
 
 }  // namespace
 
+double CheapestPrice(const ScaleBounds& bounds,
+                     const ScalePlanOptions& options) {
+  return UsesSpot(bounds, options) ? bounds.spot_price : 1;
+}
+
 int64_t EnginesWanted(double reading,
+                      double price,
                       const ScaleBounds& bounds,
                       const ScalePlanOptions& options) {
-  const double share = UsesSpot(bounds, options)
+  const double share = price < options.spot_worth_it
                            ? options.reading_share_spot
                            : options.reading_share_dependable;
   const auto zones = static_cast<int64_t>(bounds.zone_prices.size());
@@ -78,10 +84,13 @@
 
 EnginesByZone PlanScale(const EnginesByZone& now,
                         int64_t wanted,
+                        int64_t needed,
                         const ScaleBounds& bounds,
                         const ScalePlanOptions& options) {
   const std::vector<ZoneId> zones = ZonesByPrice(bounds);
   const bool spot = UsesSpot(bounds, options);
+  wanted =
+      std::min(wanted, static_cast<int64_t>(zones.size()) * bounds.maximum);
   const auto least =
       static_cast<int64_t>(zones.size()) * std::max<int64_t>(bounds.minimum, 1);
   const int64_t dependable =
@@ -96,27 +105,28 @@
         return plan[zone].dependable < bounds.maximum;
       },
       [&](const ZoneId& zone) { ++plan[zone].dependable; });
-  // More dependable engines than planned go one in each zone at a time, and
-  // only when the rest is enough.
-  int64_t spare = std::max<int64_t>(Live(now) - wanted, 0);
+  int64_t spare = std::max<int64_t>(Live(now) - needed, 0);
   for (auto& [zone, counts] : plan) {
     const int64_t has = In(now, zone).dependable;
     if (has > counts.dependable) {
-      const int64_t gone = std::min<int64_t>(spare, 1);
+      const int64_t gone = std::min(spare, has - counts.dependable);
       counts.dependable = has - gone;
       spare -= gone;
     }
   }
+  const auto in_bounds = [&](const ZoneId& zone) {
+    return plan.at(zone).dependable + plan.at(zone).spot < bounds.maximum;
+  };
   if (spot) {
     Deal(
         zones, wanted - dependable,
         [&](const ZoneId& zone) {
-          const ZoneEngines& counts = plan.at(zone);
-          return !In(now, zone).dry &&
-                 counts.dependable + counts.spot < bounds.maximum;
+          return !In(now, zone).dry && in_bounds(zone);
         },
         [&](const ZoneId& zone) { ++plan.at(zone).spot; });
   }
+  Deal(zones, needed - Live(plan), in_bounds,
+       [&](const ZoneId& zone) { ++plan.at(zone).dependable; });
   return plan;
 }
 
--- a/packages/decisions/scale_plan.h
+++ b/packages/decisions/scale_plan.h
@@ -41,8 +41,8 @@
   // The share of its time that an engine reads on average. Bursts double the
   // work within a second, hosts spread it unevenly, and an engine takes four
   // seconds to come; the cheaper engines are, the more room is worth having.
-  double reading_share_dependable = 0.4;
-  double reading_share_spot = 0.22;
+  double reading_share_dependable = 0.6;
+  double reading_share_spot = 0.4;
   // Spot engines are used if they cost less than this share.
   double spot_worth_it = 0.6;
   // Dependable engines among all.
@@ -52,27 +52,35 @@
   int64_t generating_spare = 1;
   // Before there was any load, this many times what stands there is wanted:
   // cold engines read every shared part for the first time.
-  double first_factor_spot = 1.3;
+  double first_factor_spot = 2;
   // So much less may be wanted without a change: loads go up and down by the
   // second, and each engine that comes again reads everything anew.
   int64_t tolerated_less = 3;
 };
 
 // How many engines a service wants whose prompts need `reading` engines that
-// read all the time.
+// read all the time, if each more costs `price` times a dependable one.
 int64_t EnginesWanted(double reading,
+                      double price,
                       const ScaleBounds& bounds,
                       const ScalePlanOptions& options = {});
 
+// What the cheaper kind of engine costs, as a share of a dependable one.
+double CheapestPrice(const ScaleBounds& bounds,
+                     const ScalePlanOptions& options = {});
+
 // How many engines are wanted before any load is known.
 int64_t EnginesAtFirst(int64_t live,
                        const ScaleBounds& bounds,
                        const ScalePlanOptions& options = {});
 
-// What each zone shall have now. Dependable engines go one in each zone at a
-// time, and only while the others are enough without them.
+// What each zone shall have now, to get to `wanted` engines. Dependable ones
+// beyond the plan go while at least `needed` are left for the load there is, so
+// that cheaper ones take their places; where too few spot engines are to be had
+// for that load, dependable ones are ordered.
 EnginesByZone PlanScale(const EnginesByZone& now,
                         int64_t wanted,
+                        int64_t needed,
                         const ScaleBounds& bounds,
                         const ScalePlanOptions& options = {});
 
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -2164,6 +2164,416 @@
   return *this;
 }
 
+PaceFigure::~PaceFigure() noexcept {
+}
+
+
+void PaceFigure::__set_seconds(const double val) {
+  this->seconds = val;
+}
+
+void PaceFigure::__set_measurements(const int64_t val) {
+  this->measurements = val;
+}
+
+uint32_t PaceFigure::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->seconds);
+          this->__isset.seconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->measurements);
+          this->__isset.measurements = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PaceFigure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PaceFigure");
+
+  xfer += oprot->writeFieldBegin("seconds", ::apache::thrift::protocol::T_DOUBLE, 1);
+  xfer += oprot->writeDouble(this->seconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("measurements", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->measurements);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PaceFigure &a, PaceFigure &b) {
+  using ::std::swap;
+  swap(a.seconds, b.seconds);
+  swap(a.measurements, b.measurements);
+  swap(a.__isset, b.__isset);
+}
+
+PaceFigure::PaceFigure(const PaceFigure& other98) noexcept {
+  seconds = other98.seconds;
+  measurements = other98.measurements;
+  __isset = other98.__isset;
+}
+PaceFigure::PaceFigure(PaceFigure&& other99) noexcept {
+  seconds = other99.seconds;
+  measurements = other99.measurements;
+  __isset = other99.__isset;
+}
+PaceFigure& PaceFigure::operator=(const PaceFigure& other100) noexcept {
+  seconds = other100.seconds;
+  measurements = other100.measurements;
+  __isset = other100.__isset;
+  return *this;
+}
+PaceFigure& PaceFigure::operator=(PaceFigure&& other101) noexcept {
+  seconds = other101.seconds;
+  measurements = other101.measurements;
+  __isset = other101.__isset;
+  return *this;
+}
+
+ServicePace::~ServicePace() noexcept {
+}
+
+
+void ServicePace::__set_service_id(const std::string& val) {
+  this->service_id = val;
+}
+
+void ServicePace::__set_token_prefill(const PaceFigure& val) {
+  this->token_prefill = val;
+}
+
+void ServicePace::__set_token_decode(const PaceFigure& val) {
+  this->token_decode = val;
+}
+
+void ServicePace::__set_first_token(const PaceFigure& val) {
+  this->first_token = val;
+}
+
+void ServicePace::__set_after_reading(const PaceFigure& val) {
+  this->after_reading = val;
+}
+
+void ServicePace::__set_copy_setup(const PaceFigure& val) {
+  this->copy_setup = val;
+}
+
+uint32_t ServicePace::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_id);
+          this->__isset.service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->token_prefill.read(iprot);
+          this->__isset.token_prefill = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->token_decode.read(iprot);
+          this->__isset.token_decode = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->first_token.read(iprot);
+          this->__isset.first_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->after_reading.read(iprot);
+          this->__isset.after_reading = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->copy_setup.read(iprot);
+          this->__isset.copy_setup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServicePace::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServicePace");
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token_prefill", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->token_prefill.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token_decode", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->token_decode.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first_token", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->first_token.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after_reading", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->after_reading.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("copy_setup", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->copy_setup.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServicePace &a, ServicePace &b) {
+  using ::std::swap;
+  swap(a.service_id, b.service_id);
+  swap(a.token_prefill, b.token_prefill);
+  swap(a.token_decode, b.token_decode);
+  swap(a.first_token, b.first_token);
+  swap(a.after_reading, b.after_reading);
+  swap(a.copy_setup, b.copy_setup);
+  swap(a.__isset, b.__isset);
+}
+
+ServicePace::ServicePace(const ServicePace& other102) {
+  service_id = other102.service_id;
+  token_prefill = other102.token_prefill;
+  token_decode = other102.token_decode;
+  first_token = other102.first_token;
+  after_reading = other102.after_reading;
+  copy_setup = other102.copy_setup;
+  __isset = other102.__isset;
+}
+ServicePace::ServicePace(ServicePace&& other103) noexcept {
+  service_id = std::move(other103.service_id);
+  token_prefill = std::move(other103.token_prefill);
+  token_decode = std::move(other103.token_decode);
+  first_token = std::move(other103.first_token);
+  after_reading = std::move(other103.after_reading);
+  copy_setup = std::move(other103.copy_setup);
+  __isset = other103.__isset;
+}
+ServicePace& ServicePace::operator=(const ServicePace& other104) {
+  service_id = other104.service_id;
+  token_prefill = other104.token_prefill;
+  token_decode = other104.token_decode;
+  first_token = other104.first_token;
+  after_reading = other104.after_reading;
+  copy_setup = other104.copy_setup;
+  __isset = other104.__isset;
+  return *this;
+}
+ServicePace& ServicePace::operator=(ServicePace&& other105) noexcept {
+  service_id = std::move(other105.service_id);
+  token_prefill = std::move(other105.token_prefill);
+  token_decode = std::move(other105.token_decode);
+  first_token = std::move(other105.first_token);
+  after_reading = std::move(other105.after_reading);
+  copy_setup = std::move(other105.copy_setup);
+  __isset = other105.__isset;
+  return *this;
+}
+
+EnginePaces::~EnginePaces() noexcept {
+}
+
+
+void EnginePaces::__set_services(const std::vector<ServicePace> & val) {
+  this->services = val;
+}
+
+uint32_t EnginePaces::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->services.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
+            {
+              xfer += this->services[_i110].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EnginePaces::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EnginePaces");
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<ServicePace> ::const_iterator _iter111;
+    for (_iter111 = this->services.begin(); _iter111 != this->services.end(); ++_iter111)
+    {
+      xfer += (*_iter111).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EnginePaces &a, EnginePaces &b) {
+  using ::std::swap;
+  swap(a.services, b.services);
+  swap(a.__isset, b.__isset);
+}
+
+EnginePaces::EnginePaces(const EnginePaces& other112) {
+  services = other112.services;
+  __isset = other112.__isset;
+}
+EnginePaces::EnginePaces(EnginePaces&& other113) noexcept {
+  services = std::move(other113.services);
+  __isset = other113.__isset;
+}
+EnginePaces& EnginePaces::operator=(const EnginePaces& other114) {
+  services = other114.services;
+  __isset = other114.__isset;
+  return *this;
+}
+EnginePaces& EnginePaces::operator=(EnginePaces&& other115) noexcept {
+  services = std::move(other115.services);
+  __isset = other115.__isset;
+  return *this;
+}
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -2212,18 +2622,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other98) noexcept {
-  (void) other98;
+Heartbeat::Heartbeat(const Heartbeat& other116) noexcept {
+  (void) other116;
 }
-Heartbeat::Heartbeat(Heartbeat&& other99) noexcept {
-  (void) other99;
+Heartbeat::Heartbeat(Heartbeat&& other117) noexcept {
+  (void) other117;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other100) noexcept {
-  (void) other100;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other118) noexcept {
+  (void) other118;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other101) noexcept {
-  (void) other101;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other119) noexcept {
+  (void) other119;
   return *this;
 }
 
@@ -2276,6 +2686,11 @@
 __isset.freshness_answer = true;
 }
 
+void Message::__set_engine_paces(const EnginePaces& val) {
+  this->engine_paces = val;
+__isset.engine_paces = true;
+}
+
 uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -2369,6 +2784,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->engine_paces.read(iprot);
+          this->__isset.engine_paces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2431,6 +2854,11 @@
     xfer += this->freshness_answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.engine_paces) {
+    xfer += oprot->writeFieldBegin("engine_paces", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->engine_paces.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2447,57 +2875,62 @@
   swap(a.endpoint_news, b.endpoint_news);
   swap(a.freshness_question, b.freshness_question);
   swap(a.freshness_answer, b.freshness_answer);
+  swap(a.engine_paces, b.engine_paces);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other102) {
-  heartbeat = other102.heartbeat;
-  digest = other102.digest;
-  buckets_request = other102.buckets_request;
-  buckets_reply = other102.buckets_reply;
-  usage_copy = other102.usage_copy;
-  released = other102.released;
-  endpoint_news = other102.endpoint_news;
-  freshness_question = other102.freshness_question;
-  freshness_answer = other102.freshness_answer;
-  __isset = other102.__isset;
-}
-Message::Message(Message&& other103) noexcept {
-  heartbeat = std::move(other103.heartbeat);
-  digest = std::move(other103.digest);
-  buckets_request = std::move(other103.buckets_request);
-  buckets_reply = std::move(other103.buckets_reply);
-  usage_copy = std::move(other103.usage_copy);
-  released = std::move(other103.released);
-  endpoint_news = std::move(other103.endpoint_news);
-  freshness_question = std::move(other103.freshness_question);
-  freshness_answer = std::move(other103.freshness_answer);
-  __isset = other103.__isset;
-}
-Message& Message::operator=(const Message& other104) {
-  heartbeat = other104.heartbeat;
-  digest = other104.digest;
-  buckets_request = other104.buckets_request;
-  buckets_reply = other104.buckets_reply;
-  usage_copy = other104.usage_copy;
-  released = other104.released;
-  endpoint_news = other104.endpoint_news;
-  freshness_question = other104.freshness_question;
-  freshness_answer = other104.freshness_answer;
-  __isset = other104.__isset;
+Message::Message(const Message& other120) {
+  heartbeat = other120.heartbeat;
+  digest = other120.digest;
+  buckets_request = other120.buckets_request;
+  buckets_reply = other120.buckets_reply;
+  usage_copy = other120.usage_copy;
+  released = other120.released;
+  endpoint_news = other120.endpoint_news;
+  freshness_question = other120.freshness_question;
+  freshness_answer = other120.freshness_answer;
+  engine_paces = other120.engine_paces;
+  __isset = other120.__isset;
+}
+Message::Message(Message&& other121) noexcept {
+  heartbeat = std::move(other121.heartbeat);
+  digest = std::move(other121.digest);
+  buckets_request = std::move(other121.buckets_request);
+  buckets_reply = std::move(other121.buckets_reply);
+  usage_copy = std::move(other121.usage_copy);
+  released = std::move(other121.released);
+  endpoint_news = std::move(other121.endpoint_news);
+  freshness_question = std::move(other121.freshness_question);
+  freshness_answer = std::move(other121.freshness_answer);
+  engine_paces = std::move(other121.engine_paces);
+  __isset = other121.__isset;
+}
+Message& Message::operator=(const Message& other122) {
+  heartbeat = other122.heartbeat;
+  digest = other122.digest;
+  buckets_request = other122.buckets_request;
+  buckets_reply = other122.buckets_reply;
+  usage_copy = other122.usage_copy;
+  released = other122.released;
+  endpoint_news = other122.endpoint_news;
+  freshness_question = other122.freshness_question;
+  freshness_answer = other122.freshness_answer;
+  engine_paces = other122.engine_paces;
+  __isset = other122.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other105) noexcept {
-  heartbeat = std::move(other105.heartbeat);
-  digest = std::move(other105.digest);
-  buckets_request = std::move(other105.buckets_request);
-  buckets_reply = std::move(other105.buckets_reply);
-  usage_copy = std::move(other105.usage_copy);
-  released = std::move(other105.released);
-  endpoint_news = std::move(other105.endpoint_news);
-  freshness_question = std::move(other105.freshness_question);
-  freshness_answer = std::move(other105.freshness_answer);
-  __isset = other105.__isset;
+Message& Message::operator=(Message&& other123) noexcept {
+  heartbeat = std::move(other123.heartbeat);
+  digest = std::move(other123.digest);
+  buckets_request = std::move(other123.buckets_request);
+  buckets_reply = std::move(other123.buckets_reply);
+  usage_copy = std::move(other123.usage_copy);
+  released = std::move(other123.released);
+  endpoint_news = std::move(other123.endpoint_news);
+  freshness_question = std::move(other123.freshness_question);
+  freshness_answer = std::move(other123.freshness_answer);
+  engine_paces = std::move(other123.engine_paces);
+  __isset = other123.__isset;
   return *this;
 }
 }} // namespace
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -49,6 +49,12 @@
 
 class FreshnessAnswer;
 
+class PaceFigure;
+
+class ServicePace;
+
+class EnginePaces;
+
 class Heartbeat;
 
 class Message;
@@ -933,6 +939,174 @@
 
 std::ostream& operator<<(std::ostream& out, const FreshnessAnswer& obj);
 
+typedef struct _PaceFigure__isset {
+  _PaceFigure__isset() : seconds(false), measurements(false) {}
+  bool seconds :1;
+  bool measurements :1;
+} _PaceFigure__isset;
+
+class PaceFigure : public virtual ::apache::thrift::TBase {
+ public:
+
+  PaceFigure(const PaceFigure&) noexcept;
+  PaceFigure(PaceFigure&&) noexcept;
+  PaceFigure& operator=(const PaceFigure&) noexcept;
+  PaceFigure& operator=(PaceFigure&&) noexcept;
+  PaceFigure() noexcept
+             : seconds(0),
+               measurements(0) {
+  }
+
+  virtual ~PaceFigure() noexcept;
+  double seconds;
+  int64_t measurements;
+
+  _PaceFigure__isset __isset;
+
+  void __set_seconds(const double val);
+
+  void __set_measurements(const int64_t val);
+
+  bool operator == (const PaceFigure & rhs) const
+  {
+    if (!(seconds == rhs.seconds))
+      return false;
+    if (!(measurements == rhs.measurements))
+      return false;
+    return true;
+  }
+  bool operator != (const PaceFigure &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PaceFigure & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(PaceFigure &a, PaceFigure &b);
+
+std::ostream& operator<<(std::ostream& out, const PaceFigure& obj);
+
+typedef struct _ServicePace__isset {
+  _ServicePace__isset() : service_id(false), token_prefill(false), token_decode(false), first_token(false), after_reading(false), copy_setup(false) {}
+  bool service_id :1;
+  bool token_prefill :1;
+  bool token_decode :1;
+  bool first_token :1;
+  bool after_reading :1;
+  bool copy_setup :1;
+} _ServicePace__isset;
+
+class ServicePace : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServicePace(const ServicePace&);
+  ServicePace(ServicePace&&) noexcept;
+  ServicePace& operator=(const ServicePace&);
+  ServicePace& operator=(ServicePace&&) noexcept;
+  ServicePace() noexcept
+              : service_id() {
+  }
+
+  virtual ~ServicePace() noexcept;
+  std::string service_id;
+  PaceFigure token_prefill;
+  PaceFigure token_decode;
+  PaceFigure first_token;
+  PaceFigure after_reading;
+  PaceFigure copy_setup;
+
+  _ServicePace__isset __isset;
+
+  void __set_service_id(const std::string& val);
+
+  void __set_token_prefill(const PaceFigure& val);
+
+  void __set_token_decode(const PaceFigure& val);
+
+  void __set_first_token(const PaceFigure& val);
+
+  void __set_after_reading(const PaceFigure& val);
+
+  void __set_copy_setup(const PaceFigure& val);
+
+  bool operator == (const ServicePace & rhs) const
+  {
+    if (!(service_id == rhs.service_id))
+      return false;
+    if (!(token_prefill == rhs.token_prefill))
+      return false;
+    if (!(token_decode == rhs.token_decode))
+      return false;
+    if (!(first_token == rhs.first_token))
+      return false;
+    if (!(after_reading == rhs.after_reading))
+      return false;
+    if (!(copy_setup == rhs.copy_setup))
+      return false;
+    return true;
+  }
+  bool operator != (const ServicePace &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServicePace & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(ServicePace &a, ServicePace &b);
+
+std::ostream& operator<<(std::ostream& out, const ServicePace& obj);
+
+typedef struct _EnginePaces__isset {
+  _EnginePaces__isset() : services(false) {}
+  bool services :1;
+} _EnginePaces__isset;
+
+class EnginePaces : public virtual ::apache::thrift::TBase {
+ public:
+
+  EnginePaces(const EnginePaces&);
+  EnginePaces(EnginePaces&&) noexcept;
+  EnginePaces& operator=(const EnginePaces&);
+  EnginePaces& operator=(EnginePaces&&) noexcept;
+  EnginePaces() noexcept {
+  }
+
+  virtual ~EnginePaces() noexcept;
+  std::vector<ServicePace>  services;
+
+  _EnginePaces__isset __isset;
+
+  void __set_services(const std::vector<ServicePace> & val);
+
+  bool operator == (const EnginePaces & rhs) const
+  {
+    if (!(services == rhs.services))
+      return false;
+    return true;
+  }
+  bool operator != (const EnginePaces &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EnginePaces & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(EnginePaces &a, EnginePaces &b);
+
+std::ostream& operator<<(std::ostream& out, const EnginePaces& obj);
+
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
  public:
@@ -966,7 +1140,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false) {}
+  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false) {}
   bool heartbeat :1;
   bool digest :1;
   bool buckets_request :1;
@@ -976,6 +1150,7 @@
   bool endpoint_news :1;
   bool freshness_question :1;
   bool freshness_answer :1;
+  bool engine_paces :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -998,6 +1173,7 @@
   EndpointNews endpoint_news;
   FreshnessQuestion freshness_question;
   FreshnessAnswer freshness_answer;
+  EnginePaces engine_paces;
 
   _Message__isset __isset;
 
@@ -1019,6 +1195,8 @@
 
   void __set_freshness_answer(const FreshnessAnswer& val);
 
+  void __set_engine_paces(const EnginePaces& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1057,6 +1235,10 @@
       return false;
     else if (__isset.freshness_answer && !(freshness_answer == rhs.freshness_answer))
       return false;
+    if (__isset.engine_paces != rhs.__isset.engine_paces)
+      return false;
+    else if (__isset.engine_paces && !(engine_paces == rhs.engine_paces))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "decisions/digest.h"
+#include "decisions/engine_pace.h"
 #include "kernel/ids.h"
 
 namespace hickorystand {
@@ -77,6 +79,13 @@
   bool operator==(const FreshnessAnswer&) const = default;
 };
 
+// What the sender has learned of engines, for hosts that have just started.
+struct PaceMessage {
+  std::map<ServiceId, PaceFigures> services;
+
+  bool operator==(const PaceMessage&) const = default;
+};
+
 // Everything but digests, which PeerLinks sends and takes as whole values.
 using PeerMessage = std::variant<BucketsRequest,
                                  BucketsReply,
@@ -84,6 +93,7 @@
                                  Released,
                                  EndpointNews,
                                  FreshnessQuestion,
-                                 FreshnessAnswer>;
+                                 FreshnessAnswer,
+                                 PaceMessage>;
 
 }  // namespace hickorystand
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -108,6 +108,27 @@
   4: optional binary record  // absent: the asking host has it
 }
 
+// A length of time that engines usually take for something, and how often it
+// was measured.
+struct PaceFigure {
+  1: double seconds
+  2: i64 measurements
+}
+
+// What a host has learned of the engines of a service.
+struct ServicePace {
+  1: string service_id
+  2: PaceFigure token_prefill  // to read one prompt token
+  3: PaceFigure token_decode
+  4: PaceFigure first_token
+  5: PaceFigure after_reading
+  6: PaceFigure copy_setup
+}
+
+struct EnginePaces {
+  1: list<ServicePace> services
+}
+
 struct Heartbeat {
 }
 
@@ -121,4 +142,5 @@
   7: EndpointNews endpoint_news
   8: FreshnessQuestion freshness_question
   9: FreshnessAnswer freshness_answer
+  10: EnginePaces engine_paces
 }
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -4,6 +4,7 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
+#include <array>
 #include <exception>
 #include <memory>
 #include <utility>
@@ -211,6 +212,44 @@
 }
 
 // Puts each kind of message into its field of the union.
+// The figures of a service and the fields that carry them.
+struct PaceField {
+  PaceFigures::Figure PaceFigures::* figure;
+  wire::PaceFigure wire::ServicePace::* field;
+};
+
+constexpr std::array kPaceFields = {
+    PaceField{&PaceFigures::token_prefill, &wire::ServicePace::token_prefill},
+    PaceField{&PaceFigures::token_decode, &wire::ServicePace::token_decode},
+    PaceField{&PaceFigures::first_token, &wire::ServicePace::first_token},
+    PaceField{&PaceFigures::after_reading, &wire::ServicePace::after_reading},
+    PaceField{&PaceFigures::copy_setup, &wire::ServicePace::copy_setup}};
+
+wire::ServicePace ToWire(const ServiceId& service, const PaceFigures& figures) {
+  wire::ServicePace out;
+  out.service_id = service.Text();
+  for (const PaceField& one : kPaceFields) {
+    (out.*one.field).seconds = (figures.*one.figure).seconds;
+    (out.*one.field).measurements = (figures.*one.figure).measurements;
+  }
+  return out;
+}
+
+PaceMessage ReadPaces(const wire::EnginePaces& in) {
+  PaceMessage message;
+  for (const wire::ServicePace& from : in.services) {
+    if (!GoodId(from.service_id)) {
+      continue;
+    }
+    PaceFigures& figures = message.services[ServiceId(from.service_id)];
+    for (const PaceField& one : kPaceFields) {
+      figures.*one.figure = {.seconds = (from.*one.field).seconds,
+                             .measurements = (from.*one.field).measurements};
+    }
+  }
+  return message;
+}
+
 struct Writer {
   wire::Message out;
 
@@ -272,6 +311,13 @@
     }
     out.__set_freshness_answer(item);
   }
+  void operator()(const PaceMessage& message) {
+    wire::EnginePaces item;
+    for (const auto& [service, figures] : message.services) {
+      item.services.push_back(ToWire(service, figures));
+    }
+    out.__set_engine_paces(item);
+  }
 };
 
 PeerMessage ReadBuckets(wire::BucketsReply& in) {
@@ -373,6 +419,9 @@
                         .age = Duration(in->freshness_answer.age),
                         .record = std::move(in->freshness_answer.record)}));
   }
+  if (set.engine_paces) {
+    return WireMessage(PeerMessage(ReadPaces(in->engine_paces)));
+  }
   if (set.heartbeat) {
     return WireMessage(PeerHeartbeat{});
   }
--- a/packages/relay/fleet_configuration.cc
+++ b/packages/relay/fleet_configuration.cc
@@ -21,6 +21,20 @@
   return best;
 }
 
+Duration FleetConfiguration::ShortestPause(const ServiceId& service) const {
+  Duration shortest{};
+  for (const Route& route : this->routes) {
+    const bool leads_there =
+        std::ranges::find(route.targets, service, &RouteTarget::service) !=
+        route.targets.end();
+    if (leads_there && route.gap_target > Duration{} &&
+        (shortest == Duration{} || route.gap_target < shortest)) {
+      shortest = route.gap_target;
+    }
+  }
+  return shortest;
+}
+
 const RelayAccount* FleetConfiguration::FindAccount(
     std::string_view key) const {
   const auto found = this->accounts_by_key.find(key);
--- a/packages/relay/fleet_configuration.h
+++ b/packages/relay/fleet_configuration.h
@@ -72,9 +72,10 @@
 struct EngineShape {
   int64_t slots = 0;
   int64_t cache_tokens = 0;
-  int64_t event_polls = 0;  // cache event calls an engine keeps waiting
-  Duration handle_life{};   // how long a prompt that was read is kept
-  Duration role_change{};   // how long an engine is away for it
+  double copied_tokens = 0;  // a second, between engines of a zone
+  int64_t event_polls = 0;   // cache event calls an engine keeps waiting
+  Duration handle_life{};    // how long a prompt that was read is kept
+  Duration role_change{};    // how long an engine is away for it
 
   auto operator<=>(const EngineShape&) const = default;
 };
@@ -121,6 +122,10 @@
   // nullptr if there is none.
   const Route* FindRoute(std::string_view host, std::string_view path) const;
 
+  // The shortest pause that any route allows in a stream of a service, or
+  // nothing if no route says.
+  Duration ShortestPause(const ServiceId& service) const;
+
   // The account that holds a key, or nullptr.
   const RelayAccount* FindAccount(std::string_view key) const;
 
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -1,6 +1,7 @@
 #include "relay/fleet_duties.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <utility>
 
@@ -38,10 +39,16 @@
 // the next burst comes within half a minute.
 constexpr double kPeakKept = 0.985;
 
+// How much of the most streams at a time is still planned for after each tick.
+constexpr double kStreamsKept = 0.99;
+
 // How long an order's effect may take to show: the change itself, a heartbeat
 // and a reading of the list. Longer than that it counts as lost.
 constexpr Duration kRoleShows = std::chrono::milliseconds(6500);
 
+// How long an engine that took the order may take, with long streams to end.
+constexpr Duration kRoleTaken = std::chrono::seconds(20);
+
 // Until an engine that refused a role is asked again.
 constexpr Duration kRoleRetry = std::chrono::seconds(2);
 
@@ -175,7 +182,7 @@
   this->role_orders.clear();
   this->scale_orders.clear();
   this->dry_until.clear();
-  this->first_wanted.clear();
+  this->first_live.clear();
   this->planned.clear();
   this->live_counts.clear();
   this->reported.clear();
@@ -301,7 +308,7 @@
 
 void FleetDuties::PlanRoles(Instant now) {
   const FleetConfigurationPtr configuration = this->inputs.configuration();
-  if (!configuration || now < this->next_role) {
+  if (!configuration) {
     return;
   }
   FleetEndpoints expected = this->inputs.endpoints();
@@ -315,18 +322,53 @@
     expected.at(id).role = order.role;
   }
   for (const auto& [id, service] : configuration->services) {
-    const double streams = this->inputs.streams(id);
-    const bool idle = streams < kIdleStreams;
-    if (!service.engine || static_cast<int64_t>(this->role_orders.size()) >=
-                               (idle ? this->options.roles_under_way_idle
-                                     : this->options.roles_under_way)) {
-      continue;
+    if (service.engine) {
+      this->PlanRolesOf(id, expected);
+    }
+  }
+}
+
+// The most streams that lately ran at a time.
+double FleetDuties::StreamsOf(const ServiceId& service,
+                              const FleetEndpoints& expected) {
+  double running = 0;
+  for (const auto& [id, endpoint] : expected) {
+    if (endpoint.service == service &&
+        endpoint.role != EndpointRole::kPrefill) {
+      running += static_cast<double>(this->inputs.running(id));
     }
-    if (const auto change = PlanRole(expected, id, streams)) {
-      this->next_role = now + (idle ? Duration{} : this->options.role_pause);
-      this->OrderRole(*change);
+  }
+  double& peak = this->streams_peak[service];
+  peak = std::max(running, peak * kStreamsKept);
+  return peak;
+}
+
+// Orders changes of a service until enough are under way.
+void FleetDuties::PlanRolesOf(const ServiceId& service,
+                              FleetEndpoints& expected) {
+  const RoleLoad load{.streams = this->StreamsOf(service, expected),
+                      .running = this->inputs.running};
+  const double share = load.streams < kIdleStreams
+                           ? this->options.roles_under_way_idle
+                           : this->options.roles_under_way;
+  const auto of_service = [&service](const auto& entry) {
+    return entry.second.service == service;
+  };
+  const auto engines = std::ranges::count_if(expected, of_service);
+  const auto most =
+      static_cast<int64_t>(std::ceil(share * static_cast<double>(engines)));
+  const FleetEndpoints& listed = this->inputs.endpoints();
+  auto under_way =
+      std::ranges::count_if(this->role_orders, [&](const auto& entry) {
+        return listed.at(entry.first).service == service;
+      });
+  for (; under_way < most; ++under_way) {
+    const auto change = PlanRole(expected, service, load);
+    if (!change) {
       return;
     }
+    this->OrderRole(*change);
+    expected.at(change->endpoint).role = change->role;
   }
 }
 
@@ -340,6 +382,16 @@
   }
 }
 
+// The engine changes once all that runs there is over, and refuses what is new
+// until then. Taken for lost after the usual time, the order would draw
+// requests there again, which the engine refuses.
+void FleetDuties::NoteAcceptedRole(const EndpointId& endpoint) {
+  const auto order = this->role_orders.find(endpoint);
+  if (order != this->role_orders.end()) {
+    order->second.until = this->clock->Now() + kRoleTaken;
+  }
+}
+
 void FleetDuties::OrderRole(const RoleChange& change) {
   const FleetEndpoint& endpoint = this->inputs.endpoints().at(change.endpoint);
   this->role_orders[change.endpoint] = {
@@ -359,6 +411,8 @@
           this->NoteRefusedRole(id);
           LogInfo(kPart, "Role order has no effect.",
                   {{"endpoint", id.Text()}});
+        } else if (outcome == DutyOutcome::kAccepted) {
+          this->NoteAcceptedRole(id);
         }
       });
 }
@@ -395,21 +449,23 @@
 }
 
 // Before there was any load, what stood there when the duty began decides.
-int64_t FleetDuties::WantedEngines(const FleetService& service, int64_t live) {
+FleetDuties::EngineNeed FleetDuties::NeededEngines(const FleetService& service,
+                                                   int64_t live) {
   double& peak = this->reading_peak[service.id];
   peak = std::max(this->inputs.reading(service.id), peak * kPeakKept);
   const ScalePlanOptions scaling;
   const ScaleBounds bounds = service.scaling.value_or(ScaleBounds());
   const int64_t first =
-      this->first_wanted
-          .try_emplace(service.id, EnginesAtFirst(live, bounds, scaling))
-          .first->second;
-  const int64_t wanted = std::max(EnginesWanted(peak, bounds, scaling), first);
+      this->first_live.try_emplace(service.id, live).first->second;
+  const int64_t wanted = std::max(
+      EnginesWanted(peak, CheapestPrice(bounds, scaling), bounds, scaling),
+      EnginesAtFirst(first, bounds, scaling));
   int64_t& planned = this->planned[service.id];
   if (wanted > planned || wanted < planned - scaling.tolerated_less) {
     planned = wanted;
   }
-  return planned;
+  return {.wanted = planned,
+          .needed = std::max(EnginesWanted(peak, 1, bounds, scaling), first)};
 }
 
 void FleetDuties::PlanEngines(Instant now) {
@@ -430,8 +486,9 @@
     if (!this->CountSettled(now, id, live)) {
       continue;
     }
+    const EngineNeed need = this->NeededEngines(service, live);
     const EnginesByZone plan =
-        PlanScale(counts, this->WantedEngines(service, live), *service.scaling);
+        PlanScale(counts, need.wanted, need.needed, *service.scaling);
     for (const auto& [zone, target] : plan) {
       const auto found = counts.find(zone);
       const ZoneEngines has =
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -39,12 +39,11 @@
   Duration report_due = std::chrono::seconds(10);  // after a window's end
   // The counts of all hosts are waited for until this long before that.
   Duration report_reserve = std::chrono::milliseconds(3500);
-  // Between two changes of roles; a change takes an engine out for seconds,
-  // and its new role shows after a heartbeat.
-  Duration role_pause = std::chrono::milliseconds(400);
-  int64_t roles_under_way = 3;
+  // The most engines of a service that change their role at a time, as a share
+  // of all: a change takes an engine out for seconds.
+  double roles_under_way = 0.25;
   // While no streams run, nobody misses engines that change their role.
-  int64_t roles_under_way_idle = 8;
+  double roles_under_way_idle = 0.6;
   // Between two looks at how many engines there should be.
   Duration scale_period = std::chrono::milliseconds(800);
   // Engines are counted only after their number has been the same for this
@@ -65,8 +64,8 @@
   std::function<const FleetEndpoints&()> endpoints;
   std::function<std::vector<HostId>()> other_hosts;
   std::function<size_t()> rank;  // of this host among all, by id
-  // Streams of a service that run at a time in the whole fleet.
-  std::function<double(const ServiceId&)> streams;
+  // Requests of the whole fleet that run at an engine.
+  std::function<int64_t(const EndpointId&)> running;
   // Engines of a service that the whole fleet's prompts would keep reading all
   // the time.
   std::function<double(const ServiceId&)> reading;
@@ -138,12 +137,20 @@
   void WriteWindow(int64_t window);
   void ReportWindow(int64_t window, const WindowCounts& counts);
   void PlanRoles(Instant now);
+  double StreamsOf(const ServiceId& service, const FleetEndpoints& expected);
+  void PlanRolesOf(const ServiceId& service, FleetEndpoints& expected);
   void OrderRole(const RoleChange& change);
+  void NoteAcceptedRole(const EndpointId& endpoint);
   void NoteRefusedRole(const EndpointId& endpoint);
   void PlanEngines(Instant now);
   EnginesByZone CountEngines(Instant now, const ServiceId& service) const;
   bool CountSettled(Instant now, const ServiceId& service, int64_t live);
-  int64_t WantedEngines(const FleetService& service, int64_t live);
+  // Engines that a service shall have, and those that its load needs.
+  struct EngineNeed {
+    int64_t wanted = 0;
+    int64_t needed = 0;
+  };
+  EngineNeed NeededEngines(const FleetService& service, int64_t live);
   void OrderEngines(Instant now,
                     const ScaleKey& key,
                     int64_t has,
@@ -164,13 +171,13 @@
   std::set<int64_t> under_way;  // windows being written or reported
   Instant next_report{};        // after one that wasn't accepted
   std::map<EndpointId, RoleOrder> role_orders;
-  Instant next_role{};
   std::map<ScaleKey, ScaleOrder> scale_orders;
   std::map<ScaleKey, Instant> dry_until;
   std::map<ServiceId, LiveCount> live_counts;
   std::map<ServiceId, double> reading_peak;
-  std::map<ServiceId, int64_t> first_wanted;  // when the duty began
-  std::map<ServiceId, int64_t> planned;       // engines wanted now
+  std::map<ServiceId, double> streams_peak;
+  std::map<ServiceId, int64_t> first_live;  // engines when the duty began
+  std::map<ServiceId, int64_t> planned;     // engines wanted now
   Instant next_scale{};
   std::unique_ptr<Timer> timer;
 };
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -19,12 +19,9 @@
 // Requests that ran while this many endpoints crashed are run no more.
 constexpr int64_t kCondemnedAfter = 3;
 
-double RateOf(const std::map<ServiceId, DecayingRate>& rates,
-              const ServiceId& service,
-              Instant now) {
-  const auto found = rates.find(service);
-  return found == rates.end() ? 0 : found->second.PerSecond(now);
-}
+// Reading is averaged over no more than this, so that what a burst of two or
+// three seconds asks for shows in full.
+constexpr Duration kReadingMemory = std::chrono::milliseconds(1500);
 
 }  // namespace
 
@@ -124,6 +121,10 @@
     if (service.engine && service.engine->cache_tokens > 0) {
       share.cache_tokens = service.engine->cache_tokens;
     }
+    if (service.engine) {
+      share.copied_tokens = service.engine->copied_tokens;
+    }
+    share.pause_target = this->configuration->ShortestPause(id);
     this->placement.SetServiceShare(id, share);
   }
 }
@@ -141,12 +142,16 @@
          this->clock->Now() - this->proven < this->settings.key_proof_limit;
 }
 
-double FleetRelay::Streams(const ServiceId& service) const {
-  return RateOf(this->stream_seconds, service, this->clock->Now());
+void FleetRelay::NoteReading(const ServiceId& service, int64_t tokens) {
+  this->read_tokens.try_emplace(service, kReadingMemory)
+      .first->second.Add(this->clock->Now(), static_cast<double>(tokens));
 }
 
 double FleetRelay::ReadPerSecond(const ServiceId& service) const {
-  return RateOf(this->read_tokens, service, this->clock->Now());
+  const auto found = this->read_tokens.find(service);
+  return found == this->read_tokens.end()
+             ? 0
+             : found->second.PerSecond(this->clock->Now());
 }
 
 void FleetRelay::OnRequest(const CallerExchangePtr& exchange) {
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -109,10 +109,6 @@
   }
   const FleetEndpoints& Endpoints() const { return this->endpoints; }
 
-  // Streams of a service that this host passes on at a time, over the last ten
-  // seconds or so.
-  double Streams(const ServiceId& service) const;
-
   // Prompt tokens a second of a service that this host sends to be read.
   double ReadPerSecond(const ServiceId& service) const;
 
@@ -131,6 +127,9 @@
   // Whether a key may be used now, by the age of the proof.
   bool KeysProven() const;
 
+  // A prompt of so many new tokens was sent to be read.
+  void NoteReading(const ServiceId& service, int64_t tokens);
+
   // Line of a decision that touches a request, bounded in number.
   void Log(LogLevel level,
            const RequestId& request,
@@ -154,7 +153,6 @@
   int64_t hosts = 0;  // the most ever listed; 0: not known yet
   Instant proven{};
   bool refusing = false;
-  std::map<ServiceId, DecayingRate> stream_seconds;
   std::map<ServiceId, DecayingRate> read_tokens;
   std::set<std::shared_ptr<RelayedRequest>> requests;
 };
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -138,10 +138,6 @@
   this->relay->placement.OnEnded(now, at.work);
   this->NoteOutcome(at, fate == Fate::kDone);
   this->handle.clear();
-  if (at.first_byte_at) {
-    this->relay->stream_seconds[this->service].Add(
-        now, ToSeconds(now - *at.first_byte_at));
-  }
   if (fate == Fate::kDone) {
     this->relay->suspects.OnAnswered(this->fingerprint);
     this->Over(std::to_string(at.status));
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -108,6 +108,7 @@
                  .engine = found != this->configuration->services.end() &&
                            found->second.engine.has_value(),
                  .prompt_tokens = this->request.prompt_tokens,
+                 .target = this->route->target_latency,
                  .patience = patience};
   if (IsStream(this->route->kind)) {
     this->shape.patience =
@@ -208,14 +209,15 @@
 
 void RelayedRequest::SendReading(const EndpointId& reader,
                                  const Placed& placed) {
-  this->Send({.endpoint = this->relay->endpoints.at(reader),
-              .expected = placed.expected,
-              .reading = true},
-             {.account = this->account,
-              .priority = this->priority,
-              .read_prompt_only = true,
-              .copy_from = this->AddressOf(placed.copy_from)},
-             placed.new_tokens);
+  this->Send(
+      {.endpoint = this->relay->endpoints.at(reader),
+       .expected = placed.expected,
+       .reading = true},
+      {.account = this->account,
+       .priority = this->priority,
+       .read_prompt_only = true,
+       .copy_from = this->AddressOf(placed.copy_from)},
+      {.new_tokens = placed.new_tokens, .copied_tokens = placed.copied_tokens});
 }
 
 std::optional<SocketAddress> RelayedRequest::AddressOf(
@@ -237,12 +239,14 @@
               .resume_after = this->cutter.LastId(),
               .fetch_from = fetch_from,
               .copy_from = this->AddressOf(placed.copy_from)},
-             placed.new_tokens);
+             {.new_tokens = placed.new_tokens,
+              .copied_tokens = placed.copied_tokens,
+              .prompt_read = !fetch_from.empty()});
 }
 
 void RelayedRequest::Send(Attempt next,
                           const EndpointCall& call,
-                          int64_t new_tokens) {
+                          const SentWork& work) {
   const Instant now = this->relay->clock->Now();
   // The key may have been withdrawn while the request waited.
   if (!this->account.Empty() && !this->relay->KeysProven()) {
@@ -260,15 +264,15 @@
   whole.patience = left;
   next.sent = now;
   next.work = this->relay->placement.OnSent(now, next.endpoint.run.id,
-                                            this->shape, new_tokens);
-  this->relay->read_tokens[this->service].Add(now,
-                                              static_cast<double>(new_tokens));
+                                            this->shape, work);
+  this->relay->NoteReading(this->service, work.new_tokens);
   this->attempt = std::make_unique<Attempt>(std::move(next));
   this->relay->Log(
       LogLevel::kInfo, this->request.id, "Sent.",
       {{"endpoint", whole.endpoint.Text()},
        {"step", whole.read_prompt_only ? "read" : "run"},
-       {"new_tokens", std::to_string(new_tokens)},
+       {"new_tokens", std::to_string(work.new_tokens)},
+       {"copied_tokens", std::to_string(work.copied_tokens)},
        {"left_ms", MillisecondsText(left)},
        {"expected_ms", MillisecondsText(this->attempt->expected)},
        {"proof_ms", MillisecondsText(now - this->relay->proven)},
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -66,7 +66,7 @@
   void SendRun(const Placed& placed, const std::string& fetch_from);
   std::optional<SocketAddress> AddressOf(
       const std::optional<EndpointId>& endpoint) const;
-  void Send(Attempt next, const EndpointCall& call, int64_t new_tokens);
+  void Send(Attempt next, const EndpointCall& call, const SentWork& work);
   std::string HeadFor(const EndpointCall& call) const;
 
   bool OnHead(const Http1Head& head);
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "decisions/engine_pace.h"
 #include "decisions/fleet_clock.h"
 #include "decisions/fleet_placement.h"
 #include "decisions/role_plan.h"
@@ -107,8 +108,8 @@
 TEST(FleetPlacement, ForgetsWhatWasNeverRead) {
   FleetPlacement placement = MakePlacement(FourEngines());
   const WorkShape shape = LongPrompt(7, 8);
-  const WorkId work =
-      placement.OnSent(At(1), EndpointId("r1"), shape, shape.prompt_tokens);
+  const WorkId work = placement.OnSent(At(1), EndpointId("r1"), shape,
+                                       {.new_tokens = shape.prompt_tokens});
   LONGS_EQUAL(0, placement.NewTokens(EndpointId("r1"), shape));
   placement.OnEnded(At(2), work);
   LONGS_EQUAL(17000, placement.NewTokens(EndpointId("r1"), shape));
@@ -119,7 +120,8 @@
 TEST(FleetPlacement, KeepsWhatWasReadUntilTheEngineLosesIt) {
   FleetPlacement placement = MakePlacement(FourEngines());
   const WorkShape shape = LongPrompt(7, 8);
-  const WorkId work = placement.OnSent(At(1), EndpointId("r1"), shape, 17000);
+  const WorkId work =
+      placement.OnSent(At(1), EndpointId("r1"), shape, {.new_tokens = 17000});
   placement.OnPromptRead(At(1.4), work);
   placement.OnEnded(At(1.5), work);
   LONGS_EQUAL(0, placement.NewTokens(EndpointId("r1"), shape));
@@ -131,7 +133,7 @@
   LONGS_EQUAL(17000, placement.NewTokens(EndpointId("r1"), shape));
 }
 
-// An engine works four times as slowly as its sheet says, and its health is
+// An engine works four times as slowly as the other one, and its health is
 // good. After some readings it gets less work.
 TEST(FleetPlacement, LearnsThatAnEngineIsSlow) {
   FleetPlacement placement =
@@ -140,11 +142,16 @@
                            Engine("g1", EndpointRole::kDecode)}));
   const WorkShape shape = LongPrompt(1, 2);
   for (int round = 0; round < 30; ++round) {
-    const WorkId work =
-        placement.OnSent(At(round * 3), EndpointId("r1"), shape, 17000);
+    const WorkId work = placement.OnSent(At(round * 3), EndpointId("r1"), shape,
+                                         {.new_tokens = 17000});
+    const WorkId usual = placement.OnSent(At(round * 3), EndpointId("r2"),
+                                          shape, {.new_tokens = 17000});
+    placement.OnPromptRead(At(round * 3 + 0.48), usual);
+    placement.OnEnded(At(round * 3 + 0.48), usual);
     placement.OnPromptRead(At(round * 3 + 1.9), work);
     placement.OnEnded(At(round * 3 + 1.9), work);
     placement.ForgetCache(EndpointId("r1"));
+    placement.ForgetCache(EndpointId("r2"));
   }
   for (uint64_t part = 10; part < 30; ++part) {
     CHECK(PlacedAt(placement, LongPrompt(part, 1000 + part)).reader !=
@@ -212,7 +219,7 @@
   std::map<EndpointId, int> sent;
   for (int i = 0; i < 4; ++i) {
     const Placed placed = PlacedAt(placement, shape);
-    placement.OnSent(At(1), placed.endpoint, shape, 0);
+    placement.OnSent(At(1), placed.endpoint, shape, {});
     ++sent[placed.endpoint];
   }
   LONGS_EQUAL(2, sent[EndpointId("g1")]);
@@ -232,6 +239,133 @@
   LONGS_EQUAL(17000, placement.NewTokens(engine, shape));
 }
 
+// Bursts ask for more than all engines read. A prompt that would wait behind
+// others for longer than half its target is refused at once, since a longer
+// queue makes all late and serves nobody more; one prompt that takes long by
+// itself is served however long it is.
+TEST(FleetPlacement, KeepsItsQueuesShorterThanTheTarget) {
+  FleetPlacement placement =
+      MakePlacement(Fleet({Engine("r1", EndpointRole::kPrefill),
+                           Engine("g1", EndpointRole::kDecode)}));
+  WorkShape shape = LongPrompt(1, 2);
+  shape.target = std::chrono::milliseconds(300);
+  const auto wait = [&placement](int64_t tokens) {
+    placement.OnPeerWork(
+        HostId("peer"),
+        {{.endpoint = EndpointId("r1"), .prompt_tokens = tokens, .requests = 1},
+         {.endpoint = EndpointId("g1"),
+          .prompt_tokens = tokens,
+          .requests = 1}});
+  };
+  CHECK(std::holds_alternative<Placed>(placement.Place(At(1), shape, {})));
+  wait(5000);  // 132 ms at r1
+  CHECK(std::holds_alternative<Placed>(placement.Place(At(1), shape, {})));
+  wait(7000);  // 185 ms at r1, more at g1
+  const Verdict verdict = placement.Place(At(1), shape, {});
+  CHECK(std::holds_alternative<Refused>(verdict));
+  const Duration back = std::get<Refused>(verdict).retry_after;
+  CHECK(back > std::chrono::milliseconds(20) &&
+        back < std::chrono::milliseconds(60));
+}
+
+// Streams run at an engine that stays and at one that may be reclaimed: the
+// first gets them, until so many of its slots are taken that they slow down.
+TEST(FleetPlacement, GeneratesAtEnginesThatStayWhileTheyHaveRoom) {
+  FleetEndpoints fleet = Fleet({Engine("stays", EndpointRole::kDecode),
+                                Engine("spot", EndpointRole::kDecode)});
+  fleet.at(EndpointId("spot")).spot = true;
+  FleetPlacement placement = MakePlacement(fleet);
+  std::map<EndpointId, int> sent;
+  for (int i = 0; i < 60; ++i) {
+    WorkShape shape{.service = kService,
+                    .engine = true,
+                    .prompt_tokens = 100,
+                    .target = std::chrono::milliseconds(500)};
+    const Placed placed = PlacedAt(placement, shape);
+    placement.OnSent(At(1), placed.endpoint, shape, {});
+    ++sent[placed.endpoint];
+    if (i == 19) {
+      LONGS_EQUAL(20, sent[EndpointId("stays")]);
+    }
+  }
+  CHECK(sent[EndpointId("spot")] >= 10);
+  CHECK(sent[EndpointId("stays")] > sent[EndpointId("spot")]);
+}
+
+TEST_GROUP(EnginePace){};
+
+namespace {
+
+// An engine that reads so many tokens a second, beside a fixed delay.
+struct PlayedEngine {
+  double tokens_a_second = 0;
+  Duration delay = std::chrono::milliseconds(2);
+
+  ReadingMeasured Read(int64_t tokens) const {
+    return {.tokens = tokens,
+            .took = this->delay + FromSeconds(static_cast<double>(tokens) /
+                                              this->tokens_a_second)};
+  }
+};
+
+constexpr double kGuess = 40000;  // tokens a second
+
+double LearnedFrom(const std::vector<PlayedEngine>& engines, int readings) {
+  EnginePace pace({.prompt_tokens = kGuess});
+  for (int i = 0; i < readings; ++i) {
+    const auto engine = static_cast<size_t>(i) % engines.size();
+    pace.OnRead(engines[engine].Read(3000 + 500 * (i % 7)));
+  }
+  return pace.PromptTokens(EndpointRole::kPrefill);
+}
+
+}  // namespace
+
+// A fleet's engines read eight times as fast as was guessed, or eight times as
+// slowly. Within 40 readings the figure is right within a third, so that hosts
+// neither refuse what could be served nor pile up what can't.
+TEST(EnginePace, FindsEnginesFarFromTheGuess) {
+  for (const double factor : {8.0, 2.5, 1.0, 0.4, 0.125}) {
+    const double learned =
+        LearnedFrom({{.tokens_a_second = kGuess * factor}}, 40);
+    CHECK(learned > kGuess * factor / 1.34);
+    CHECK(learned < kGuess * factor * 1.34);
+  }
+}
+
+// One engine in five hangs, and answers after seconds; in another fleet one in
+// five claims to have read at once. The figure stays that of the others.
+TEST(EnginePace, IsNotLedOffByAFewEngines) {
+  const PlayedEngine sound{.tokens_a_second = kGuess};
+  for (const PlayedEngine& odd :
+       {PlayedEngine{.tokens_a_second = kGuess / 100},
+        PlayedEngine{.tokens_a_second = kGuess * 1000}}) {
+    const double learned = LearnedFrom({sound, sound, sound, sound, odd}, 500);
+    CHECK(learned > kGuess / 1.34);
+    CHECK(learned < kGuess * 1.34);
+  }
+}
+
+// A host that has just started takes over what others have measured, and not
+// what is no figure or was measured less often than here.
+TEST(EnginePace, AHostThatHasJustStartedTakesOverWhatOthersKnow) {
+  EnginePace known({.prompt_tokens = kGuess});
+  const PlayedEngine fast{.tokens_a_second = 8 * kGuess};
+  for (int i = 0; i < 100; ++i) {
+    known.OnRead(fast.Read(4000));
+  }
+  EnginePace fresh({.prompt_tokens = kGuess});
+  PaceFigures broken = fresh.Figures();
+  broken.token_prefill = {.seconds = 0, .measurements = 1000};
+  fresh.Adopt(broken);
+  DOUBLES_EQUAL(kGuess, fresh.PromptTokens(EndpointRole::kPrefill), 1);
+  fresh.Adopt(known.Figures());
+  DOUBLES_EQUAL(known.PromptTokens(EndpointRole::kPrefill),
+                fresh.PromptTokens(EndpointRole::kPrefill), 1);
+  known.Adopt(EnginePace({.prompt_tokens = kGuess}).Figures());
+  CHECK(known.PromptTokens(EndpointRole::kPrefill) > 5 * kGuess);
+}
+
 TEST_GROUP(WindowBudget){};
 
 // Endpoints fail everything. Repeats stay within a fifth of the requests of the
@@ -368,6 +502,15 @@
 
 TEST_GROUP(RolePlan){};
 
+namespace {
+
+// So many streams at a time, at engines that all run the same number.
+RoleLoad LoadOf(double streams) {
+  return {.streams = streams, .running = [](const EndpointId&) { return 0; }};
+}
+
+}  // namespace
+
 // Nearly all work is reading. Engines that generate are turned into readers one
 // by one until only what the streams need is left, with one in each zone, and
 // then nothing changes any more.
@@ -381,7 +524,7 @@
     fleet[engine.run.id] = engine;
   }
   int changes = 0;
-  while (const auto change = PlanRole(fleet, kService, 9)) {
+  while (const auto change = PlanRole(fleet, kService, LoadOf(9))) {
     fleet.at(change->endpoint).role = change->role;
     CHECK(++changes < 20);
   }
@@ -393,7 +536,7 @@
   CHECK(generating[kHere] > 0 && generating[kThere] > 0);
   // Streams come and go without a change.
   for (const double streams : {0.0, 5.0, 20.0, 40.0}) {
-    CHECK(!PlanRole(fleet, kService, streams));
+    CHECK(!PlanRole(fleet, kService, LoadOf(streams)));
   }
 }
 
@@ -402,10 +545,28 @@
   const FleetEndpoints fleet = Fleet({Engine("r1", EndpointRole::kPrefill),
                                       Engine("r2", EndpointRole::kPrefill),
                                       Engine("r3", EndpointRole::kPrefill)});
-  const auto change = PlanRole(fleet, kService, 0);
+  const auto change = PlanRole(fleet, kService, LoadOf(0));
   CHECK(change && change->role == EndpointRole::kDecode);
 }
 
+// Streams of many seconds run at most engines, and one stands idle. An engine
+// takes its new role when all its streams are over, and serves nothing new
+// until then: the idle one changes.
+TEST(RolePlan, ChangesAnEngineThatHasNothingToEnd) {
+  FleetEndpoints fleet;
+  for (int i = 0; i < 12; ++i) {
+    const FleetEndpoint engine =
+        Engine("e" + std::to_string(10 + i), EndpointRole::kDecode);
+    fleet[engine.run.id] = engine;
+  }
+  const EndpointId idle("e17");
+  const auto change =
+      PlanRole(fleet, kService, {.streams = 20, .running = [&](const auto& id) {
+                                   return id == idle ? 0 : 4;
+                                 }});
+  CHECK(change && change->endpoint == idle);
+}
+
 TEST_GROUP(ScalePlan){};
 
 namespace {
@@ -431,12 +592,12 @@
 // once the others are enough without them.
 TEST(ScalePlan, ReplacesDependableEnginesOnceSpotOnesAreThere) {
   EnginesByZone now{{kHere, {.dependable = 6}}, {kThere, {.dependable = 6}}};
-  EnginesByZone plan = PlanScale(now, 12, Bounds(0.2));
+  EnginesByZone plan = PlanScale(now, 12, 12, Bounds(0.2));
   LONGS_EQUAL(6, plan.at(kHere).dependable);
   LONGS_EQUAL(6, plan.at(kThere).dependable);
   CHECK(plan.at(kHere).spot + plan.at(kThere).spot >= 10);
   for (int round = 0; round < 10; ++round) {
-    now = PlanScale(now, 12, Bounds(0.2));
+    now = PlanScale(now, 12, 12, Bounds(0.2));
     CHECK(Sum(now) >= 12);
   }
   CHECK(now.at(kHere).dependable + now.at(kThere).dependable <= 3);
@@ -448,15 +609,25 @@
 TEST(ScalePlan, OrdersElsewhereWhatAZoneCannotGive) {
   const EnginesByZone now{{kHere, {.dependable = 1, .dry = true}},
                           {kThere, {.dependable = 1, .spot = 5}}};
-  const EnginesByZone plan = PlanScale(now, 12, Bounds(0.2));
+  const EnginesByZone plan = PlanScale(now, 12, 6, Bounds(0.2));
   LONGS_EQUAL(0, plan.at(kHere).spot);
   CHECK(plan.at(kThere).spot >= 9);
   CHECK(plan.at(kThere).spot + plan.at(kThere).dependable <= 12);
 }
 
+// Both zones' spot engines are taken back while the load needs 16 engines:
+// dependable ones are ordered for it, and no more than it needs.
+TEST(ScalePlan, OrdersDependableEnginesWhereNoSpotOnesAreToBeHad) {
+  const EnginesByZone now{{kHere, {.dependable = 1, .dry = true}},
+                          {kThere, {.dependable = 1, .dry = true}}};
+  const EnginesByZone plan = PlanScale(now, 24, 16, Bounds(0.2));
+  LONGS_EQUAL(16, Sum(plan));
+  LONGS_EQUAL(0, plan.at(kHere).spot + plan.at(kThere).spot);
+}
+
 // Where a spot engine costs nearly as much, none is used.
 TEST(ScalePlan, UsesNoSpotEngineThatSavesNothing) {
-  const EnginesByZone plan = PlanScale({}, 10, Bounds(0.9));
+  const EnginesByZone plan = PlanScale({}, 10, 10, Bounds(0.9));
   LONGS_EQUAL(10, Sum(plan));
   LONGS_EQUAL(0, plan.at(kHere).spot);
 }
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -604,7 +604,12 @@
       PeerMessage(FreshnessAnswer{.number = 3,
                                   .revision = 41,
                                   .age = std::chrono::milliseconds(700),
-                                  .record = "{}"})};
+                                  .record = "{}"}),
+      PeerMessage(PaceMessage{
+          .services = {
+              {ServiceId("s"),
+               {.token_prefill = {.seconds = 3.2e-6, .measurements = 40},
+                .first_token = {.seconds = 0.004, .measurements = 7}}}}})};
   std::mt19937_64 random(20261202);
   int refused = 0;
   constexpr int kMutationsEach = 20000;
