Order the first spot engines at once; leave dry zones out until they give

A zone without spot engines was asked every 4 s, and each time the plan counted on it, sent the dependable engines that stood in away and ordered them anew. At the first start spot engines came 1.3 s after the callers.

The wait that is bounded is that at the engine chosen, no longer the shortest anywhere: generating engines, which read slowly, have hardly any queue, so that hosts went on sending to engines that read with long ones.

--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -366,13 +366,13 @@
 // long that all who wait are late.
 std::optional<Refused> FleetPlacement::RefuseIfTooLate(
     const WorkShape& shape,
-    const std::vector<Weighed>& weighed) const {
-  const auto least = [&weighed](double Weighed::* figure) {
-    return std::ranges::min(weighed, {}, figure).*figure;
-  };
-  const double late = least(&Weighed::seconds) - ToSeconds(shape.patience);
-  const double queued = least(&Weighed::waiting) -
-                        this->options.longest_wait * ToSeconds(TargetOf(shape));
+    const std::vector<Weighed>& weighed,
+    const Weighed& best) const {
+  const double soonest =
+      std::ranges::min(weighed, {}, &Weighed::seconds).seconds;
+  const double late = soonest - ToSeconds(shape.patience);
+  const double queued =
+      best.waiting - this->options.longest_wait * ToSeconds(TargetOf(shape));
   if (std::max(late, queued) <= 0) {
     return {};
   }
@@ -404,7 +404,7 @@
   const Weighed& best = *std::ranges::min_element(
       weighed, std::less<>(), [](const Weighed& one) { return one.score; });
   const Duration expected = FromSeconds(best.seconds);
-  if (auto refused = this->RefuseIfTooLate(shape, weighed)) {
+  if (auto refused = this->RefuseIfTooLate(shape, weighed, best)) {
     return *std::move(refused);
   }
   const auto copy_from =
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -76,7 +76,7 @@
   // The longest that a prompt waits for others to be read, as a share of the
   // target latency. While more is asked for than engines can read, a longer
   // queue serves nobody more: it makes all that wait in it late.
-  double longest_wait = 0.5;
+  double longest_wait = 0.75;
   // How far an engine's measured slowness may go from what is usual.
   double least_slowness = 0.6;
   double most_slowness = 5;
@@ -312,9 +312,9 @@
                       const WorkShape& shape,
                       const Source& source) const;
   void PreferHomes(const WorkShape& shape, std::vector<Weighed>& weighed) const;
-  std::optional<Refused> RefuseIfTooLate(
-      const WorkShape& shape,
-      const std::vector<Weighed>& weighed) const;
+  std::optional<Refused> RefuseIfTooLate(const WorkShape& shape,
+                                         const std::vector<Weighed>& weighed,
+                                         const Weighed& best) const;
   Weighed WeighPlain(const State& state, const WorkShape& shape) const;
   int64_t CacheRoom(const ServiceId& service) const;
   double Rate(const State& state) const;
--- a/packages/decisions/role_plan.h
+++ b/packages/decisions/role_plan.h
@@ -25,7 +25,7 @@
   int64_t spare_engines = 1;
   // Engines that generate beyond what is needed are left so up to this many:
   // streams come and go, and each change takes an engine out for seconds.
-  int64_t tolerated_more = 2;
+  int64_t tolerated_more = 1;
   // The least share of engines that generate, whatever the streams need.
   double least_share = 0.2;
 
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -39,8 +39,12 @@
 // the next burst comes within half a minute.
 constexpr double kPeakKept = 0.985;
 
+// The same for the load that dependable engines are kept or ordered for: they
+// are dear, and a burst that is over needs none.
+constexpr double kNowKept = 0.9;
+
 // How much of the most streams at a time is still planned for after each tick.
-constexpr double kStreamsKept = 0.99;
+constexpr double kStreamsKept = 0.997;
 
 // How long an order's effect may take to show: the change itself, a heartbeat
 // and a reading of the list. Longer than that it counts as lost.
@@ -170,9 +174,9 @@
   LogInfo(kPart, held ? "Took the duties." : "Let go of the duties.",
           {{"fencing", std::to_string(this->lease.Fencing())}});
   if (held) {
-    const bool first =
+    this->first_tenure =
         this->options.first_start && now - this->started < this->options.lease;
-    this->act_from = first ? now : now + this->options.lease;
+    this->act_from = this->first_tenure ? now : now + this->options.lease;
     return;
   }
   // What was sent and not answered could still arrive after the next holder
@@ -357,12 +361,8 @@
   const auto engines = std::ranges::count_if(expected, of_service);
   const auto most =
       static_cast<int64_t>(std::ceil(share * static_cast<double>(engines)));
-  const FleetEndpoints& listed = this->inputs.endpoints();
-  auto under_way =
-      std::ranges::count_if(this->role_orders, [&](const auto& entry) {
-        return listed.at(entry.first).service == service;
-      });
-  for (; under_way < most; ++under_way) {
+  for (int64_t under_way = this->ChangingRoleOf(service); under_way < most;
+       ++under_way) {
     const auto change = PlanRole(expected, service, load);
     if (!change) {
       return;
@@ -417,8 +417,7 @@
       });
 }
 
-EnginesByZone FleetDuties::CountEngines(Instant now,
-                                        const ServiceId& service) const {
+EnginesByZone FleetDuties::CountEngines(const ServiceId& service) const {
   EnginesByZone counts;
   for (const auto& [id, endpoint] : this->inputs.endpoints()) {
     if (endpoint.service == service && !endpoint.leaving) {
@@ -427,7 +426,7 @@
     }
   }
   for (const auto& [key, until] : this->dry_until) {
-    if (key.service == service && now < until) {
+    if (key.service == service && key.spot) {
       counts[key.zone].dry = true;
     }
   }
@@ -442,17 +441,32 @@
     known.count = live;
     known.since = now;
   }
+  if (live > 0 && known.first_seen == Instant{}) {
+    known.first_seen = now;
+  }
   known.settled =
       known.settled ||
       (live > 0 && now - known.since >= this->options.count_settles);
   return known.settled;
 }
 
+int64_t FleetDuties::ChangingRoleOf(const ServiceId& service) const {
+  const FleetEndpoints& listed = this->inputs.endpoints();
+  return std::ranges::count_if(this->role_orders, [&](const auto& entry) {
+    const auto found = listed.find(entry.first);
+    return !entry.second.refused && found != listed.end() &&
+           found->second.service == service;
+  });
+}
+
 // Before there was any load, what stood there when the duty began decides.
 FleetDuties::EngineNeed FleetDuties::NeededEngines(const FleetService& service,
                                                    int64_t live) {
   double& peak = this->reading_peak[service.id];
-  peak = std::max(this->inputs.reading(service.id), peak * kPeakKept);
+  double& lately = this->reading_now[service.id];
+  const double reading = this->inputs.reading(service.id);
+  peak = std::max(reading, peak * kPeakKept);
+  lately = std::max(reading, lately * kNowKept);
   const ScalePlanOptions scaling;
   const ScaleBounds bounds = service.scaling.value_or(ScaleBounds());
   const int64_t first =
@@ -478,27 +492,78 @@
     if (!service.scaling || service.scaling->maximum <= 0) {
       continue;
     }
-    const EnginesByZone counts = this->CountEngines(now, id);
+    const EnginesByZone counts = this->CountEngines(id);
     int64_t live = 0;
     for (const auto& [zone, of] : counts) {
       live += of.dependable + of.spot;
     }
     if (!this->CountSettled(now, id, live)) {
+      this->OrderFirst(now, service, counts, live);
       continue;
     }
     const EngineNeed need = this->NeededEngines(service, live);
-    const EnginesByZone plan =
-        PlanScale(counts, need.wanted, need.needed, *service.scaling);
-    for (const auto& [zone, target] : plan) {
-      const auto found = counts.find(zone);
-      const ZoneEngines has =
-          found == counts.end() ? ZoneEngines() : found->second;
-      this->OrderEngines(now, {.service = id, .zone = zone}, has.dependable,
-                         target.dependable);
-      if (!has.dry) {
-        this->OrderEngines(now, {.service = id, .zone = zone, .spot = true},
-                           has.spot, target.spot);
-      }
+    this->OrderZones(
+        now, id, counts,
+        PlanScale(counts, need.wanted, need.needed, *service.scaling));
+    this->AskDryZones(now, service, counts, need);
+  }
+}
+
+// Orders the first spot engines by what is listed so far. What is missing is
+// ordered once all are listed.
+void FleetDuties::OrderFirst(Instant now,
+                             const FleetService& service,
+                             const EnginesByZone& counts,
+                             int64_t live) {
+  const Instant seen = this->live_counts.at(service.id).first_seen;
+  if (!this->first_tenure || live == 0 ||
+      now - seen < this->options.first_order) {
+    return;
+  }
+  const EnginesByZone plan = PlanScale(
+      counts, EnginesAtFirst(live, *service.scaling), live, *service.scaling);
+  for (const auto& [zone, target] : plan) {
+    const ScaleKey key{.service = service.id, .zone = zone, .spot = true};
+    if (target.spot > 0 && !this->scale_orders.contains(key)) {
+      this->OrderEngines(now, key, 0, target.spot);
+    }
+  }
+}
+
+void FleetDuties::OrderZones(Instant now,
+                             const ServiceId& service,
+                             const EnginesByZone& counts,
+                             const EnginesByZone& plan) {
+  for (const auto& [zone, target] : plan) {
+    const auto found = counts.find(zone);
+    const ZoneEngines has =
+        found == counts.end() ? ZoneEngines() : found->second;
+    this->OrderEngines(now, {.service = service, .zone = zone}, has.dependable,
+                       target.dependable);
+    if (!has.dry) {
+      this->OrderEngines(now, {.service = service, .zone = zone, .spot = true},
+                         has.spot, target.spot);
+    }
+  }
+}
+
+// Asks zones that had no spot engines whether they have some again. Until one
+// says yes the plan does without it: an order that counted on it would send
+// away the dependable engines that stand in, and a refusal order them anew.
+void FleetDuties::AskDryZones(Instant now,
+                              const FleetService& service,
+                              const EnginesByZone& counts,
+                              const EngineNeed& need) {
+  EnginesByZone hoped = counts;
+  for (auto& [zone, of] : hoped) {
+    of.dry = false;
+  }
+  const EnginesByZone plan =
+      PlanScale(hoped, need.wanted, need.needed, *service.scaling);
+  for (const auto& [zone, of] : counts) {
+    const ScaleKey key{.service = service.id, .zone = zone, .spot = true};
+    if (of.dry && now >= this->dry_until.at(key) && plan.contains(zone)) {
+      this->OrderEngines(now, key, of.spot, plan.at(zone).spot);
     }
   }
 }
@@ -540,6 +605,7 @@
           order->second.under_way = false;
         }
         if (outcome == DutyOutcome::kAccepted) {
+          this->dry_until.erase(key);
           return;
         }
         LogInfo(kPart, "Engines can't be had.",
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -51,6 +51,10 @@
   // lists its engines one by one; an order by half a list would send away the
   // other half.
   Duration count_settles = std::chrono::milliseconds(1700);
+  // At the fleet's first start nobody can have ordered a spot engine, so the
+  // first ones are ordered when endpoints have been listed for this long, of
+  // however many: they take seconds to start, and callers come soon.
+  Duration first_order = std::chrono::milliseconds(900);
   // An order is repeated if its engines aren't there after this: they take
   // four seconds to start and a heartbeat to show.
   Duration scale_shows = std::chrono::milliseconds(7000);
@@ -117,6 +121,7 @@
   struct LiveCount {
     int64_t count = -1;
     Instant since{};
+    Instant first_seen{};
     bool settled = false;  // once in this tenure
   };
   struct ScaleOrder {
@@ -125,6 +130,12 @@
     bool under_way = false;
   };
 
+  // Engines that a service shall have, and those that its load needs.
+  struct EngineNeed {
+    int64_t wanted = 0;
+    int64_t needed = 0;
+  };
+
   void Tick();
   void Run(const std::vector<LeaseAction>& actions);
   void TakeLease(Instant now,
@@ -143,13 +154,21 @@
   void NoteAcceptedRole(const EndpointId& endpoint);
   void NoteRefusedRole(const EndpointId& endpoint);
   void PlanEngines(Instant now);
-  EnginesByZone CountEngines(Instant now, const ServiceId& service) const;
+  EnginesByZone CountEngines(const ServiceId& service) const;
+  void OrderZones(Instant now,
+                  const ServiceId& service,
+                  const EnginesByZone& counts,
+                  const EnginesByZone& plan);
+  void OrderFirst(Instant now,
+                  const FleetService& service,
+                  const EnginesByZone& counts,
+                  int64_t live);
+  void AskDryZones(Instant now,
+                   const FleetService& service,
+                   const EnginesByZone& counts,
+                   const EngineNeed& need);
   bool CountSettled(Instant now, const ServiceId& service, int64_t live);
-  // Engines that a service shall have, and those that its load needs.
-  struct EngineNeed {
-    int64_t wanted = 0;
-    int64_t needed = 0;
-  };
+  int64_t ChangingRoleOf(const ServiceId& service) const;
   EngineNeed NeededEngines(const FleetService& service, int64_t live);
   void OrderEngines(Instant now,
                     const ScaleKey& key,
@@ -167,14 +186,18 @@
   Instant started{};
   bool holding = false;
   Instant act_from{};
+  bool first_tenure = false;  // of the fleet's first start
   std::set<int64_t> reported;
   std::set<int64_t> under_way;  // windows being written or reported
   Instant next_report{};        // after one that wasn't accepted
   std::map<EndpointId, RoleOrder> role_orders;
   std::map<ScaleKey, ScaleOrder> scale_orders;
+  // Zones that had no spot engine to give, and when they are asked again.
   std::map<ScaleKey, Instant> dry_until;
   std::map<ServiceId, LiveCount> live_counts;
+  // The most reading lately, remembered for long and for a short while.
   std::map<ServiceId, double> reading_peak;
+  std::map<ServiceId, double> reading_now;
   std::map<ServiceId, double> streams_peak;
   std::map<ServiceId, int64_t> first_live;  // engines when the duty began
   std::map<ServiceId, int64_t> planned;     // engines wanted now
