Start with whatever the platform renders; keep dependable engines until others read

A slack of 38.7 ended every process at its start on the small twins of the three grown sites.

Dependable engines. Now engines that change their role don't count, and dependable ones are kept or ordered for the load of the last seconds, not for that of the last half minute.

--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -110,9 +110,8 @@
        .help = "repeats for each request"},
       {.section = "retries",
        .key = "slack",
-       .type = SettingType::kInteger,
+       .type = SettingType::kShare,
        .fallback = "48",
-       .maximum = 1000000,
        .help = "repeats beyond that in each window, of all hosts together"},
       {.section = "fleet",
        .key = "prompt_tokens_per_second",
@@ -140,10 +139,9 @@
       from.Flag("keys", "proof_needed")
           ? from.Length("keys", "revoke_within") - kRevokeMargin
           : Duration::max();
-  relay.budget = {
-      .window = from.Length("retries", "window"),
-      .share = from.Share("retries", "share"),
-      .slack = static_cast<double>(from.Integer("retries", "slack"))};
+  relay.budget = {.window = from.Length("retries", "window"),
+                  .share = from.Share("retries", "share"),
+                  .slack = from.Share("retries", "slack")};
   return relay;
 }
 
--- a/packages/kernel/settings.cc
+++ b/packages/kernel/settings.cc
@@ -248,16 +248,18 @@
 
 Result<Duration> ParseDuration(std::string_view text) {
   const size_t digits =
-      std::min(text.find_first_not_of("0123456789"), text.size());
-  const auto number = ParseInteger(text.substr(0, digits));
+      std::min(text.find_first_not_of("0123456789."), text.size());
+  const auto number = ParseShare(text.substr(0, digits));
   const auto unit =
       std::ranges::find(kUnits, text.substr(digits), &Unit::suffix);
-  constexpr int64_t kMost = int64_t{100} * 365 * 24 * 3600 * 1000;
-  if (!number || unit == kUnits.end() || *number > kMost) {
+  constexpr double kMost = 100.0 * 365 * 24 * 3600;  // seconds
+  if (!number || unit == kUnits.end() ||
+      *number * ToSeconds(unit->length) > kMost) {
     return Fail(ErrorKind::kBadSetting,
                 "'" + std::string(text) + "' is not a length of time");
   }
-  return unit->length * *number;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, Duration::period>(unit->length) * *number);
 }
 
 Result<SocketAddress> ParseAddress(std::string_view text) {
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -478,8 +478,12 @@
   if (wanted > planned || wanted < planned - scaling.tolerated_less) {
     planned = wanted;
   }
+  // While the load isn't known yet, half of what is wanted has to stay. Engines
+  // that change their role serve nobody meanwhile.
+  const int64_t least = std::min(first, planned / 2);
   return {.wanted = planned,
-          .needed = std::max(EnginesWanted(peak, 1, bounds, scaling), first)};
+          .needed = std::max(EnginesWanted(lately, 1, bounds, scaling), least) +
+                    this->ChangingRoleOf(service.id)};
 }
 
 void FleetDuties::PlanEngines(Instant now) {
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -87,6 +87,17 @@
   CHECK(!ParseAddress("127.0.0.1:65536").has_value());
 }
 
+// A platform renders its figures with fractions: 38.5 s, 1200.25 ms.
+TEST(Settings, TakesDurationsWithFractions) {
+  CHECK(ParseDuration("38.5s").value() == std::chrono::milliseconds(38500));
+  CHECK(ParseDuration("1200.25ms").value() ==
+        std::chrono::microseconds(1200250));
+  CHECK(ParseDuration("0.5m").value() == std::chrono::seconds(30));
+  for (const char* wrong : {"1.2.3s", ".", "-1s", "1e3s", "nans", "1,5s"}) {
+    CHECK(!ParseDuration(wrong).has_value());
+  }
+}
+
 TEST(Settings, RefusesDurationsThatOverflow) {
   CHECK(!ParseDuration("9223372036854775807h").has_value());
   CHECK(!ParseDuration("5").has_value());
