Send refused callers away for as long as the burst has lasted

A refused caller was told to come back when the queue would be short again, some tens of ms later, came back into the same burst and was refused for good: its one repeat was used up.

--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -19,6 +19,9 @@
 constexpr double kSlownessWeight = 0.12;
 constexpr int64_t kLeastMeasured = 2000;
 
+// Without a refusal for so long, an overload is over.
+constexpr Duration kOverloadPause = std::chrono::milliseconds(300);
+
 // The target latency of requests whose route has none.
 constexpr Duration kUsualTarget = std::chrono::milliseconds(600);
 
@@ -426,6 +429,17 @@
                 .expected = expected};
 }
 
+Duration FleetPlacement::OnRefused(Instant now,
+                                   const ServiceId& service,
+                                   Duration until_room) {
+  Overload& overload = this->overloads[service];
+  if (overload.last == Instant{} || now - overload.last > kOverloadPause) {
+    overload.since = now;
+  }
+  overload.last = now;
+  return std::max(until_room, now - overload.since);
+}
+
 std::optional<EndpointId> FleetPlacement::PlaceAnswer(
     Instant now,
     const WorkShape& shape,
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -193,6 +193,13 @@
       const EndpointId& reader,
       const std::set<EndpointId>& tried) const;
 
+  // A request was refused with room expected after `until_room`; the time after
+  // which its caller should come back. Bursts that have lasted for long go on
+  // for long, and who comes back before the end is refused again.
+  Duration OnRefused(Instant now,
+                     const ServiceId& service,
+                     Duration until_room);
+
   // A request was sent.
   WorkId OnSent(Instant now,
                 const EndpointId& endpoint,
@@ -284,6 +291,11 @@
     Instant sent{};
     bool read = false;
   };
+  // Refusals of a service, one soon after the other.
+  struct Overload {
+    Instant since{};
+    Instant last{};
+  };
   // An engine that keeps the start of a prompt.
   struct Source {
     EndpointId endpoint;
@@ -341,6 +353,7 @@
   std::map<HostId, std::set<EndpointId>> away;
   std::map<ServiceId, double> plain_seconds;
   std::map<ServiceId, ServiceShare> shares;
+  std::map<ServiceId, Overload> overloads;
   std::map<ServiceId, EnginePace> paces;
   EnginePace unmeasured;  // of services that nothing was sent to yet
   WorkId last_work = 0;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -165,7 +165,9 @@
     } else if (this->may_have_run) {
       this->AnswerError(ErrorKind::kEndpointFailed, refused->reason);
     } else {
-      this->RefuseNotRun(refused->reason, refused->retry_after);
+      this->RefuseNotRun(refused->reason,
+                         this->relay->placement.OnRefused(
+                             now, this->service, refused->retry_after));
     }
     return;
   }
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -268,6 +268,23 @@
         back < std::chrono::milliseconds(60));
 }
 
+// A burst lasts for seconds. Callers that were told to come back when the queue
+// would be short again came back into the same burst and were refused for good.
+// The longer a host has refused, the later they are to return; after the burst
+// the next one starts anew.
+TEST(FleetPlacement, SendsCallersAwayForAsLongAsTheBurstHasLasted) {
+  FleetPlacement placement = MakePlacement(FourEngines());
+  const Duration queue = std::chrono::milliseconds(40);
+  CHECK(placement.OnRefused(At(10), kService, queue) == queue);
+  for (int i = 1; i < 10; ++i) {
+    placement.OnRefused(At(10 + 0.1 * i), kService, queue);
+  }
+  CHECK(placement.OnRefused(At(11), kService, queue) ==
+        std::chrono::seconds(1));
+  CHECK(placement.OnRefused(At(11), ServiceId("other"), queue) == queue);
+  CHECK(placement.OnRefused(At(15), kService, queue) == queue);
+}
+
 // Streams run at an engine that stays and at one that may be reclaimed: the
 // first gets them, until so many of its slots are taken that they slow down.
 TEST(FleetPlacement, GeneratesAtEnginesThatStayWhileTheyHaveRoom) {
