--- a/packages/decisions/scale_plan.cc
+++ b/packages/decisions/scale_plan.cc
@@ -12,6 +12,11 @@
   return bounds.spot_price < options.spot_worth_it;
 }
 
+// What all zones may have together.
+int64_t MostEngines(const ScaleBounds& bounds) {
+  return static_cast<int64_t>(bounds.zone_prices.size()) * bounds.maximum;
+}
+
 // The zones, cheapest first.
 std::vector<ZoneId> ZonesByPrice(const ScaleBounds& bounds) {
   std::vector<ZoneId> zones;
@@ -69,17 +74,19 @@
                            ? options.reading_share_spot
                            : options.reading_share_dependable;
   const auto zones = static_cast<int64_t>(bounds.zone_prices.size());
-  return static_cast<int64_t>(std::ceil(reading / share)) + zones +
-         options.generating_spare;
+  return std::min(static_cast<int64_t>(std::ceil(reading / share)) + zones +
+                      options.generating_spare,
+                  MostEngines(bounds));
 }
 
 int64_t EnginesAtFirst(int64_t live,
                        const ScaleBounds& bounds,
                        const ScalePlanOptions& options) {
-  return UsesSpot(bounds, options)
-             ? static_cast<int64_t>(std::ceil(options.first_factor_spot *
-                                              static_cast<double>(live)))
-             : live;
+  const double factor =
+      UsesSpot(bounds, options) ? options.first_factor_spot : 1;
+  return std::min(
+      static_cast<int64_t>(std::ceil(factor * static_cast<double>(live))),
+      MostEngines(bounds));
 }
 
 EnginesByZone PlanScale(const EnginesByZone& now,
@@ -89,8 +96,6 @@
                         const ScalePlanOptions& options) {
   const std::vector<ZoneId> zones = ZonesByPrice(bounds);
   const bool spot = UsesSpot(bounds, options);
-  wanted =
-      std::min(wanted, static_cast<int64_t>(zones.size()) * bounds.maximum);
   const auto least =
       static_cast<int64_t>(zones.size()) * std::max<int64_t>(bounds.minimum, 1);
   const int64_t dependable =
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -643,6 +643,15 @@
   LONGS_EQUAL(0, plan.at(kHere).spot + plan.at(kThere).spot);
 }
 
+// A holder takes over with more engines than half of what all zones may have.
+// Without a bound it wanted twice as many, and half of that counted as needed
+// before it knew the load: dear engines that stood in for others never went.
+TEST(ScalePlan, WantsNoMoreThanAllZonesMayHave) {
+  LONGS_EQUAL(24, EnginesAtFirst(20, Bounds(0.2)));
+  LONGS_EQUAL(24, EnginesWanted(1000, 1, Bounds(0.2)));
+  LONGS_EQUAL(10, EnginesAtFirst(5, Bounds(0.2)));
+}
+
 // Where a spot engine costs nearly as much, none is used.
 TEST(ScalePlan, UsesNoSpotEngineThatSavesNothing) {
   const EnginesByZone plan = PlanScale({}, 10, 10, Bounds(0.9));
