Read no long prompts where streams fall behind; say why engines are ordered

On an invented fleet (engines 2.5 times slower, 140,000 tokens of memory, the same load) streams of thousands of tokens missed their deadline while prompts were read between their tokens all along: a fixed bound on one reading doesn't see that one reading follows the other. The mean pause between two events is measured; from half the longest pause that is on time reading long prompts among streams costs more and more.

Orders of engines are logged with the load and the number that they answer, learned rates when they change by a quarter. The change of the guessed rate is named among those that need a restart.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -1,6 +1,7 @@
 #include "daemon/relay_daemon.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "kernel/log.h"
@@ -22,6 +23,9 @@
 // its last copy is lost: a tenth of a window of 5 s, on one host of several.
 constexpr Duration kUsagePeriod = std::chrono::milliseconds(500);
 
+// A change of a believed rate that is worth a line, as a power of e.
+constexpr double kPaceChange = 0.22;
+
 // Hosts that are asked at once for proof of the configuration.
 constexpr size_t kPeersAsked = 2;
 
@@ -165,7 +169,10 @@
                        this->relay->Placement().Pace(service).PromptTokens(
                            EndpointRole::kPrefill);
               }});
-  this->usage_timer = Timer::Every(kUsagePeriod, [this] { this->TellUsage(); });
+  this->usage_timer = Timer::Every(kUsagePeriod, [this] {
+    this->TellUsage();
+    this->LogPace();
+  });
 }
 
 // Tells all hosts what was counted here.
@@ -176,6 +183,23 @@
   this->peers->Broadcast(message);
 }
 
+// Logs how fast engines are believed to be, whenever that has changed much.
+void RelayDaemon::LogPace() {
+  for (const auto& [service, pace] : this->relay->Placement().OwnPace()) {
+    double& logged = this->logged_pace[service];
+    const double seconds = pace.token_prefill.seconds;
+    if (logged > 0 && std::abs(std::log(seconds / logged)) < kPaceChange) {
+      continue;
+    }
+    logged = seconds;
+    LogInfo(
+        kPart, "Engines read at another rate than was believed.",
+        {{"service", service.Text()},
+         {"prompt_tokens_per_second", std::to_string(1 / seconds)},
+         {"measurements", std::to_string(pace.token_prefill.measurements)}});
+  }
+}
+
 // Tells a host that has just been linked what all hosts have counted.
 void RelayDaemon::TellAllUsage(const HostId& host) {
   for (const WindowCopy& copy : this->duties->Usage().AllCopies()) {
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -37,6 +37,7 @@
  private:
   void AnswerReady(const CallerExchangePtr& exchange);
   void AnswerMetrics(const CallerExchangePtr& exchange);
+  void LogPace();
   void SetPaceMetrics(const ServiceId& service, const PaceFigures& pace);
   void CheckDrained();
   void StartPeers();
@@ -62,6 +63,8 @@
   std::unique_ptr<FleetSource> source;
   std::unique_ptr<FleetPeers> peers;
   std::unique_ptr<FleetDuties> duties;
+  // Seconds for a prompt token, as they stand in the log.
+  std::map<ServiceId, double> logged_pace;
   std::unique_ptr<Timer> usage_timer;
   CallerServer ready_server;
   CallerServer metrics_server;
--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -165,6 +165,12 @@
   return one.*Member != other.*Member;
 }
 
+// The guessed reading rate: by the time that it changes, rates are learned.
+bool GuessDiffers(const RelayHostSettings& one,
+                  const RelayHostSettings& other) {
+  return one.relay.placement.pace != other.relay.placement.pace;
+}
+
 constexpr std::array kFixedSettings = {
     FixedSetting{"relay.id", &Differs<&RelayHostSettings::host>},
     FixedSetting{"relay.zone", &Differs<&RelayHostSettings::zone>},
@@ -180,6 +186,7 @@
     FixedSetting{"duties.usage_window",
                  &Differs<&RelayHostSettings::usage_window>},
     FixedSetting{"duties.usage_late", &Differs<&RelayHostSettings::usage_late>},
+    FixedSetting{"fleet.prompt_tokens_per_second", &GuessDiffers},
 };
 
 }  // namespace
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -19,6 +19,14 @@
 constexpr double kSlownessWeight = 0.12;
 constexpr int64_t kLeastMeasured = 2000;
 
+// Weight of the newest pause between two events of a stream, and how long what
+// was measured holds without a newer one.
+constexpr double kPauseWeight = 0.03;
+constexpr Duration kPauseMemory = std::chrono::seconds(2);
+
+// The most that long pauses raise the cost of reading among streams.
+constexpr double kMostPauseShare = 3;
+
 // Without a refusal for so long, an overload is over.
 constexpr Duration kOverloadPause = std::chrono::milliseconds(300);
 
@@ -264,23 +272,54 @@
          now >= state.out_until && !tried.contains(id) && !this->IsAway(id);
 }
 
+void FleetPlacement::OnPause(Instant now,
+                             const ServiceId& service,
+                             Duration pause) {
+  Pauses& known = this->pauses[service];
+  known.mean += kPauseWeight * (ToSeconds(pause) - known.mean);
+  known.last = now;
+}
+
+// How near the pauses of a service's streams are to being too long: 0 while
+// they are short, 1 and more where reading must not make them longer.
+double FleetPlacement::PauseShare(Instant now,
+                                  const ServiceId& service,
+                                  double target) const {
+  const auto found = this->pauses.find(service);
+  if (found == this->pauses.end() || target <= 0 ||
+      now - found->second.last > kPauseMemory) {
+    return 0;
+  }
+  const double over = found->second.mean / target - this->options.pause_free;
+  return std::clamp(
+      over / (this->options.pause_full - this->options.pause_free), 0.0,
+      kMostPauseShare);
+}
+
 // What reading at an engine that generates costs the streams that run there.
-double FleetPlacement::HeldUp(const State& state,
+// Between two of their tokens it reads a piece, so that on slow engines a
+// stream of many tokens missed its deadline while prompts were read all along.
+double FleetPlacement::HeldUp(Instant now,
+                              const State& state,
                               const WorkShape& shape,
-                              double fresh,
-                              double reading) const {
+                              const Reading& reading) const {
   const auto share = this->shares.find(shape.service);
   const double pause =
       share == this->shares.end() ? 0 : ToSeconds(share->second.pause_target);
   const bool too_long =
-      pause > 0 && reading > this->options.longest_hold_up * pause;
+      pause > 0 && reading.all > this->options.longest_hold_up * pause;
+  const double crowded = reading.tokens > this->options.short_prompt
+                             ? this->PauseShare(now, shape.service, pause)
+                             : 0;
   const auto streams =
       static_cast<double>(this->Running(state.endpoint.run.id));
-  return this->options.held_up_weight * streams * fresh +
-         (too_long ? this->options.pause_penalty * pause : 0);
+  return this->options.held_up_weight * streams * reading.own +
+         this->options.pause_penalty * pause *
+             std::max(too_long ? 1.0 : 0.0, crowded);
 }
 
 FleetPlacement::Weighed FleetPlacement::WeighEngine(
+    Instant now,
     const State& state,
     const WorkShape& shape,
     const Source& source) const {
@@ -308,8 +347,10 @@
   const double held_up =
       reader ? 0
              : this->StreamPenalty(state, shape) +
-                   this->HeldUp(state, shape, static_cast<double>(fresh) / rate,
-                                reading);
+                   this->HeldUp(now, state, shape,
+                                {.tokens = fresh,
+                                 .own = static_cast<double>(fresh) / rate,
+                                 .all = reading});
   return {.endpoint = id,
           .score = seconds + this->Penalty(state, shape) + held_up +
                    (this->options.miss_weight - 1) * missed / rate,
@@ -393,8 +434,9 @@
     if (!this->Takes(now, state, shape, tried)) {
       continue;
     }
-    weighed.push_back(shape.engine ? this->WeighEngine(state, shape, source)
-                                   : this->WeighPlain(state, shape));
+    weighed.push_back(shape.engine
+                          ? this->WeighEngine(now, state, shape, source)
+                          : this->WeighPlain(state, shape));
     any_answers = any_answers || !weighed.back().reader;
   }
   if (weighed.empty() || !any_answers) {
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -65,6 +65,13 @@
   // `pause_penalty` times that pause.
   double longest_hold_up = 0.67;
   double pause_penalty = 1.67;
+  // The mean pause in streams, as a share of the longest that is on time, from
+  // which on reading long prompts where they run costs something, and the one
+  // at which it costs `pause_penalty` times that pause.
+  double pause_free = 0.5;
+  double pause_full = 1;
+  // Prompts up to this long may be read there at any time.
+  int64_t short_prompt = 600;
   // What an engine with all slots taken costs in score when one more request is
   // to run there, as a share of the target latency; half as many taken cost a
   // quarter of it.
@@ -225,6 +232,9 @@
   // The engine's cache is to be learned anew.
   void ForgetCache(const EndpointId& endpoint);
 
+  // A stream of a service paused for so long between two events.
+  void OnPause(Instant now, const ServiceId& service, Duration pause);
+
   // What became of a request at an endpoint, for its failure share.
   void OnOutcome(Instant now, const EndpointId& endpoint, bool good);
 
@@ -296,6 +306,11 @@
     Instant since{};
     Instant last{};
   };
+  // Pauses between the events of a service's streams.
+  struct Pauses {
+    double mean = 0;  // seconds
+    Instant last{};
+  };
   // An engine that keeps the start of a prompt.
   struct Source {
     EndpointId endpoint;
@@ -320,7 +335,8 @@
   static int64_t Kept(const Cache& cache,
                       const WorkShape& shape,
                       bool confirmed_only);
-  Weighed WeighEngine(const State& state,
+  Weighed WeighEngine(Instant now,
+                      const State& state,
                       const WorkShape& shape,
                       const Source& source) const;
   void PreferHomes(const WorkShape& shape, std::vector<Weighed>& weighed) const;
@@ -332,10 +348,16 @@
   double Rate(const State& state) const;
   double Penalty(const State& state, const WorkShape& shape) const;
   double StreamPenalty(const State& state, const WorkShape& shape) const;
-  double HeldUp(const State& state,
+  struct Reading {
+    int64_t tokens = 0;  // new ones
+    double own = 0;      // seconds for those
+    double all = 0;      // with what waits before them
+  };
+  double HeldUp(Instant now,
+                const State& state,
                 const WorkShape& shape,
-                double fresh,
-                double reading) const;
+                const Reading& reading) const;
+  double PauseShare(Instant now, const ServiceId& service, double target) const;
   EndpointOutstanding PeerWork(const EndpointId& endpoint) const;
   void AddPeerWork(const std::vector<EndpointOutstanding>& work, int64_t sign);
   EnginePace& PaceOf(const ServiceId& service);
@@ -354,6 +376,7 @@
   std::map<ServiceId, double> plain_seconds;
   std::map<ServiceId, ServiceShare> shares;
   std::map<ServiceId, Overload> overloads;
+  std::map<ServiceId, Pauses> pauses;
   std::map<ServiceId, EnginePace> paces;
   EnginePace unmeasured;  // of services that nothing was sent to yet
   WorkId last_work = 0;
--- a/packages/decisions/role_plan.cc
+++ b/packages/decisions/role_plan.cc
@@ -30,25 +30,22 @@
   auto operator<=>(const ChangeCost&) const = default;
 };
 
-// The engine whose change costs the least.
+// The engine whose change costs the least; there is one at the least.
 EndpointId Cheapest(const FleetEndpoints& endpoints,
                     const ByZone& engines,
                     const RoleLoad& load,
                     bool spot) {
-  std::optional<std::pair<ChangeCost, EndpointId>> best;
+  std::vector<std::pair<ChangeCost, EndpointId>> costs;
   for (const auto& [zone, ids] : engines) {
     for (const EndpointId& id : ids) {
-      const std::pair cost(
+      costs.emplace_back(
           ChangeCost{.running = load.running(id),
                      .wrong_kind = endpoints.at(id).spot != spot,
                      .left_in_zone = -static_cast<int64_t>(ids.size())},
           id);
-      if (!best || cost < *best) {
-        best = cost;
-      }
     }
   }
-  return best->second;
+  return std::ranges::min(costs).second;
 }
 
 }  // namespace
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -460,21 +460,21 @@
 }
 
 // Before there was any load, what stood there when the duty began decides.
-FleetDuties::EngineNeed FleetDuties::NeededEngines(const FleetService& service,
+FleetDuties::EngineNeed FleetDuties::NeededEngines(const ServiceId& service,
+                                                   const ScaleBounds& bounds,
                                                    int64_t live) {
-  double& peak = this->reading_peak[service.id];
-  double& lately = this->reading_now[service.id];
-  const double reading = this->inputs.reading(service.id);
+  double& peak = this->reading_peak[service];
+  double& lately = this->reading_now[service];
+  const double reading = this->inputs.reading(service);
   peak = std::max(reading, peak * kPeakKept);
   lately = std::max(reading, lately * kNowKept);
   const ScalePlanOptions scaling;
-  const ScaleBounds bounds = service.scaling.value_or(ScaleBounds());
   const int64_t first =
-      this->first_live.try_emplace(service.id, live).first->second;
+      this->first_live.try_emplace(service, live).first->second;
   const int64_t wanted = std::max(
       EnginesWanted(peak, CheapestPrice(bounds, scaling), bounds, scaling),
       EnginesAtFirst(first, bounds, scaling));
-  int64_t& planned = this->planned[service.id];
+  int64_t& planned = this->planned[service];
   if (wanted > planned || wanted < planned - scaling.tolerated_less) {
     planned = wanted;
   }
@@ -483,7 +483,8 @@
   const int64_t least = std::min(first, planned / 2);
   return {.wanted = planned,
           .needed = std::max(EnginesWanted(lately, 1, bounds, scaling), least) +
-                    this->ChangingRoleOf(service.id)};
+                    this->ChangingRoleOf(service),
+          .reading = reading};
 }
 
 void FleetDuties::PlanEngines(Instant now) {
@@ -496,40 +497,42 @@
     if (!service.scaling || service.scaling->maximum <= 0) {
       continue;
     }
+    const ScaleBounds& bounds = service.scaling.value();
     const EnginesByZone counts = this->CountEngines(id);
     int64_t live = 0;
     for (const auto& [zone, of] : counts) {
       live += of.dependable + of.spot;
     }
     if (!this->CountSettled(now, id, live)) {
-      this->OrderFirst(now, service, counts, live);
+      this->OrderFirst(now, id, bounds, counts, live);
       continue;
     }
-    const EngineNeed need = this->NeededEngines(service, live);
-    this->OrderZones(
-        now, id, counts,
-        PlanScale(counts, need.wanted, need.needed, *service.scaling));
-    this->AskDryZones(now, service, counts, need);
+    const EngineNeed need = this->NeededEngines(id, bounds, live);
+    this->OrderZones(now, id, counts, need,
+                     PlanScale(counts, need.wanted, need.needed, bounds));
+    this->AskDryZones(now, id, bounds, counts, need);
   }
 }
 
 // Orders the first spot engines by what is listed so far. What is missing is
 // ordered once all are listed.
 void FleetDuties::OrderFirst(Instant now,
-                             const FleetService& service,
+                             const ServiceId& service,
+                             const ScaleBounds& bounds,
                              const EnginesByZone& counts,
                              int64_t live) {
-  const Instant seen = this->live_counts.at(service.id).first_seen;
+  const Instant seen = this->live_counts.at(service).first_seen;
   if (!this->first_tenure || live == 0 ||
       now - seen < this->options.first_order) {
     return;
   }
-  const EnginesByZone plan = PlanScale(
-      counts, EnginesAtFirst(live, *service.scaling), live, *service.scaling);
+  const EngineNeed need{.wanted = EnginesAtFirst(live, bounds), .needed = live};
+  const EnginesByZone plan =
+      PlanScale(counts, need.wanted, need.needed, bounds);
   for (const auto& [zone, target] : plan) {
-    const ScaleKey key{.service = service.id, .zone = zone, .spot = true};
+    const ScaleKey key{.service = service, .zone = zone, .spot = true};
     if (target.spot > 0 && !this->scale_orders.contains(key)) {
-      this->OrderEngines(now, key, 0, target.spot);
+      this->OrderEngines(now, key, 0, target.spot, need);
     }
   }
 }
@@ -537,16 +540,17 @@
 void FleetDuties::OrderZones(Instant now,
                              const ServiceId& service,
                              const EnginesByZone& counts,
+                             const EngineNeed& need,
                              const EnginesByZone& plan) {
   for (const auto& [zone, target] : plan) {
     const auto found = counts.find(zone);
     const ZoneEngines has =
         found == counts.end() ? ZoneEngines() : found->second;
     this->OrderEngines(now, {.service = service, .zone = zone}, has.dependable,
-                       target.dependable);
+                       target.dependable, need);
     if (!has.dry) {
       this->OrderEngines(now, {.service = service, .zone = zone, .spot = true},
-                         has.spot, target.spot);
+                         has.spot, target.spot, need);
     }
   }
 }
@@ -555,19 +559,19 @@
 // says yes the plan does without it: an order that counted on it would send
 // away the dependable engines that stand in, and a refusal order them anew.
 void FleetDuties::AskDryZones(Instant now,
-                              const FleetService& service,
+                              const ServiceId& service,
+                              const ScaleBounds& bounds,
                               const EnginesByZone& counts,
                               const EngineNeed& need) {
   EnginesByZone hoped = counts;
   for (auto& [zone, of] : hoped) {
     of.dry = false;
   }
-  const EnginesByZone plan =
-      PlanScale(hoped, need.wanted, need.needed, *service.scaling);
+  const EnginesByZone plan = PlanScale(hoped, need.wanted, need.needed, bounds);
   for (const auto& [zone, of] : counts) {
-    const ScaleKey key{.service = service.id, .zone = zone, .spot = true};
+    const ScaleKey key{.service = service, .zone = zone, .spot = true};
     if (of.dry && now >= this->dry_until.at(key) && plan.contains(zone)) {
-      this->OrderEngines(now, key, of.spot, plan.at(zone).spot);
+      this->OrderEngines(now, key, of.spot, plan.at(zone).spot, need);
     }
   }
 }
@@ -575,7 +579,8 @@
 void FleetDuties::OrderEngines(Instant now,
                                const ScaleKey& key,
                                int64_t has,
-                               int64_t count) {
+                               int64_t count,
+                               const EngineNeed& need) {
   const auto dry = this->dry_until.find(key);
   if (dry != this->dry_until.end() && now < dry->second) {
     return;
@@ -597,6 +602,9 @@
            {"kind", key.spot ? "spot" : "dependable"},
            {"listed", std::to_string(has)},
            {"count", std::to_string(count)},
+           {"wanted", std::to_string(need.wanted)},
+           {"needed", std::to_string(need.needed)},
+           {"reading", std::to_string(need.reading)},
            {"fencing", std::to_string(this->lease.Fencing())}});
   this->platform->OrderEndpoints(
       {.service = key.service,
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -130,10 +130,12 @@
     bool under_way = false;
   };
 
-  // Engines that a service shall have, and those that its load needs.
+  // Engines that a service shall have, those that its load needs, and that
+  // load: engines that would keep reading all the time.
   struct EngineNeed {
     int64_t wanted = 0;
     int64_t needed = 0;
+    double reading = 0;
   };
 
   void Tick();
@@ -158,22 +160,28 @@
   void OrderZones(Instant now,
                   const ServiceId& service,
                   const EnginesByZone& counts,
+                  const EngineNeed& need,
                   const EnginesByZone& plan);
   void OrderFirst(Instant now,
-                  const FleetService& service,
+                  const ServiceId& service,
+                  const ScaleBounds& bounds,
                   const EnginesByZone& counts,
                   int64_t live);
   void AskDryZones(Instant now,
-                   const FleetService& service,
+                   const ServiceId& service,
+                   const ScaleBounds& bounds,
                    const EnginesByZone& counts,
                    const EngineNeed& need);
   bool CountSettled(Instant now, const ServiceId& service, int64_t live);
   int64_t ChangingRoleOf(const ServiceId& service) const;
-  EngineNeed NeededEngines(const FleetService& service, int64_t live);
+  EngineNeed NeededEngines(const ServiceId& service,
+                           const ScaleBounds& bounds,
+                           int64_t live);
   void OrderEngines(Instant now,
                     const ScaleKey& key,
                     int64_t has,
-                    int64_t count);
+                    int64_t count,
+                    const EngineNeed& need);
 
   FleetDutiesOptions options;
   const Clock* clock;
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -102,7 +102,9 @@
 void RelayedRequest::NoteEvent() {
   const Instant now = this->relay->clock->Now();
   if (this->first_event) {
-    this->longest_pause = std::max(this->longest_pause, now - this->last_event);
+    const Duration pause = now - this->last_event;
+    this->longest_pause = std::max(this->longest_pause, pause);
+    this->relay->placement.OnPause(now, this->service, pause);
   } else {
     this->first_event = now;
   }
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -285,6 +285,39 @@
   CHECK(placement.OnRefused(At(15), kService, queue) == queue);
 }
 
+// Slow engines: while prompts are read where streams run, the streams' events
+// come so late that they miss their deadline. Long prompts are no longer read
+// there once the pauses come near their bound, short ones are, and when the
+// pauses are short again or nothing streams any more all are.
+TEST(FleetPlacement, ReadsNoLongPromptsWhereStreamsFallBehind) {
+  FleetPlacement placement =
+      MakePlacement(Fleet({Engine("r1", EndpointRole::kPrefill),
+                           Engine("g1", EndpointRole::kDecode)}));
+  WorkShape shape = LongPrompt(1, 2);
+  shape.prompt_tokens = 4000;
+  shape.parts = {{.part = 2, .tokens = 4000}};
+  placement.SetServiceShare(kService,
+                            {.pause_target = std::chrono::milliseconds(600)});
+  placement.OnPeerWork(
+      HostId("peer"),
+      {{.endpoint = EndpointId("r1"), .prompt_tokens = 14000, .requests = 5}});
+  const auto reader = [&](double at) {
+    const Verdict verdict = placement.Place(At(at), shape, {});
+    CHECK(std::holds_alternative<Placed>(verdict));
+    return std::get<Placed>(verdict).reader;
+  };
+  CHECK(!reader(1));
+  for (int i = 0; i < 100; ++i) {
+    placement.OnPause(At(1), kService, std::chrono::milliseconds(500));
+  }
+  CHECK(reader(1) == EndpointId("r1"));
+  CHECK(!reader(4));
+  for (int i = 0; i < 100; ++i) {
+    placement.OnPause(At(4), kService, std::chrono::milliseconds(50));
+  }
+  CHECK(!reader(4));
+}
+
 // Streams run at an engine that stays and at one that may be reclaimed: the
 // first gets them, until so many of its slots are taken that they slow down.
 TEST(FleetPlacement, GeneratesAtEnginesThatStayWhileTheyHaveRoom) {
