Split the engines' cache from placing, and the orders of engines from the duties

Moved text only: what an engine keeps of prompts is a class of its own (engine_cache), and roles and numbers of engines stand in fleet_duties_engines.cc beside the lease and the usage reports.

--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -52,50 +52,26 @@
   return shape.parts[shape.parts.size() > 1 ? shape.parts.size() - 2 : 0].part;
 }
 
+// The tokens of a request's prompt that an engine keeps.
+int64_t KeptOf(const EngineCache& cache,
+               const WorkShape& shape,
+               bool confirmed_only) {
+  return std::min(cache.Kept(shape.parts, confirmed_only), shape.prompt_tokens);
+}
+
 Duration TargetOf(const WorkShape& shape) {
   return shape.target > Duration{} ? shape.target : kUsualTarget;
 }
 
 }  // namespace
 
-void FleetPlacement::Cache::Keep(const PartTokens& part,
-                                 int64_t room,
-                                 bool confirmed) {
-  if (const auto found = this->entries.find(part.part);
-      found != this->entries.end()) {
-    found->second.confirmed = found->second.confirmed || confirmed;
-    this->order.splice(this->order.end(), this->order, found->second.place);
-    return;
-  }
-  this->order.push_back(part.part);
-  this->entries[part.part] = {.tokens = part.tokens,
-                              .confirmed = confirmed,
-                              .place = std::prev(this->order.end())};
-  this->total += part.tokens;
-  while (this->total > room && this->order.size() > 1) {
-    const auto oldest = this->entries.find(this->order.front());
-    this->total -= oldest->second.tokens;
-    this->entries.erase(oldest);
-    this->order.pop_front();
-  }
-}
-
-void FleetPlacement::Cache::Drop(uint64_t part) {
-  const auto found = this->entries.find(part);
-  if (found != this->entries.end()) {
-    this->total -= found->second.tokens;
-    this->order.erase(found->second.place);
-    this->entries.erase(found);
-  }
-}
-
 void FleetPlacement::OnCache(const EndpointId& endpoint,
                              const PartTokens& part) {
   const auto found = this->states.find(endpoint);
   if (found == this->states.end()) {
     return;
   }
-  Cache& cache = found->second.cache;
+  EngineCache& cache = found->second.cache;
   if (part.tokens == 0) {
     cache.Drop(part.part);
   } else {
@@ -207,28 +183,12 @@
              : found->second;
 }
 
-int64_t FleetPlacement::Kept(const Cache& cache,
-                             const WorkShape& shape,
-                             bool confirmed_only) {
-  // A part helps only if all before it are there too.
-  int64_t kept = 0;
-  for (const PartTokens& part : shape.parts) {
-    const auto found = cache.entries.find(part.part);
-    if (found == cache.entries.end() ||
-        (confirmed_only && !found->second.confirmed)) {
-      break;
-    }
-    kept += part.tokens;
-  }
-  return std::min(kept, shape.prompt_tokens);
-}
-
 int64_t FleetPlacement::NewTokens(const EndpointId& endpoint,
                                   const WorkShape& shape) const {
   const auto found = this->states.find(endpoint);
   return found == this->states.end()
              ? shape.prompt_tokens
-             : shape.prompt_tokens - Kept(found->second.cache, shape, false);
+             : shape.prompt_tokens - KeptOf(found->second.cache, shape, false);
 }
 
 // The engine that keeps the most of a prompt's start. One that leaves still
@@ -241,7 +201,7 @@
         state.failures_in_row >= this->options.failures_to_eject - 1) {
       continue;
     }
-    const int64_t kept = Kept(state.cache, shape, true);
+    const int64_t kept = KeptOf(state.cache, shape, true);
     const bool nearer = kept == best.tokens && kept > 0 &&
                         state.endpoint.zone == this->options.zone &&
                         best.zone != this->options.zone;
@@ -326,7 +286,7 @@
   const EndpointId& id = state.endpoint.run.id;
   const EnginePace& pace = this->Pace(shape.service);
   const double rate = this->Rate(state);
-  const int64_t kept = Kept(state.cache, shape, false);
+  const int64_t kept = KeptOf(state.cache, shape, false);
   const int64_t more = source.tokens - kept;
   const int64_t copied = more >= this->options.least_copy ? more : 0;
   const int64_t fresh = shape.prompt_tokens - kept - copied;
@@ -619,10 +579,7 @@
     // Nobody knows how far it was read. Believed to be kept, it would draw the
     // same prompt here again.
     for (const PartTokens& part : over.mapped().parts) {
-      const auto found = state->cache.entries.find(part.part);
-      if (found != state->cache.entries.end() && !found->second.confirmed) {
-        state->cache.Drop(part.part);
-      }
+      state->cache.DropUnconfirmed(part.part);
     }
   }
 }
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -13,23 +13,22 @@
 //
 // Index
 //   PlacementOptions, ServiceShare  how it is set
-//   PartTokens, WorkShape           a request as far as placing goes
+//   WorkShape                       a request as far as placing goes
 //   Placed, Refused, Verdict        where to, or why not
 //   FleetPlacement                  the decision
 
 #pragma once
 
 #include <cstdint>
-#include <list>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "decisions/digest.h"
+#include "decisions/engine_cache.h"
 #include "decisions/engine_pace.h"
 #include "decisions/fleet_endpoint.h"
 #include "kernel/ids.h"
@@ -116,14 +115,6 @@
   auto operator<=>(const ServiceShare&) const = default;
 };
 
-// A run of prompt tokens, by the hash of its id.
-struct PartTokens {
-  uint64_t part = 0;
-  int64_t tokens = 0;
-
-  auto operator<=>(const PartTokens&) const = default;
-};
-
 // A request as far as placing goes.
 struct WorkShape {
   ServiceId service;
@@ -267,23 +258,9 @@
   void AdoptPace(const PaceByService& told);
 
  private:
-  // Parts kept by an engine, least recently used first.
-  struct Cache {
-    struct Entry {
-      int64_t tokens = 0;
-      bool confirmed = false;  // read, and not only about to be
-      std::list<uint64_t>::iterator place;
-    };
-    std::list<uint64_t> order;
-    std::unordered_map<uint64_t, Entry> entries;
-    int64_t total = 0;
-
-    void Keep(const PartTokens& part, int64_t room, bool confirmed);
-    void Drop(uint64_t part);
-  };
   struct State {
     FleetEndpoint endpoint;
-    Cache cache;
+    EngineCache cache;
     int64_t waiting_tokens = 0;  // of this host's work, not yet read
     int64_t running = 0;         // this host's work
     double slowness = 1;         // measured reading time over what is usual
@@ -332,9 +309,6 @@
              const WorkShape& shape,
              const std::set<EndpointId>& tried) const;
   Source BestSource(const WorkShape& shape) const;
-  static int64_t Kept(const Cache& cache,
-                      const WorkShape& shape,
-                      bool confirmed_only);
   Weighed WeighEngine(Instant now,
                       const State& state,
                       const WorkShape& shape,
--- /dev/null
+++ b/packages/relay/fleet_duties_engines.cc
@@ -0,0 +1,360 @@
+// Which role each engine has and how many there are: the part of the duties
+// that orders them. The lease and the usage reports are in fleet_duties.cc.
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "kernel/log.h"
+#include "relay/fleet_duties.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "duties";
+
+// Fewer streams at a time than this are none.
+constexpr double kIdleStreams = 0.5;
+
+// How much of the highest reading load is still planned for after each look:
+// the next burst comes within half a minute.
+constexpr double kPeakKept = 0.985;
+
+// The same for the load that dependable engines are kept or ordered for: they
+// are dear, and a burst that is over needs none.
+constexpr double kNowKept = 0.9;
+
+// How much of the most streams at a time is still planned for after each tick.
+constexpr double kStreamsKept = 0.997;
+
+// How long an order's effect may take to show: the change itself, a heartbeat
+// and a reading of the list. Longer than that it counts as lost.
+constexpr Duration kRoleShows = std::chrono::milliseconds(6500);
+
+// How long an engine that took the order may take, with long streams to end.
+constexpr Duration kRoleTaken = std::chrono::seconds(20);
+
+// Until an engine that refused a role is asked again.
+constexpr Duration kRoleRetry = std::chrono::seconds(2);
+
+}  // namespace
+
+void FleetDuties::PlanRoles(Instant now) {
+  const FleetConfigurationPtr configuration = this->inputs.configuration();
+  if (!configuration) {
+    return;
+  }
+  FleetEndpoints expected = this->inputs.endpoints();
+  std::erase_if(this->role_orders, [&](const auto& entry) {
+    const auto found = expected.find(entry.first);
+    return found == expected.end() || found->second.run != entry.second.run ||
+           found->second.role == entry.second.role || now >= entry.second.until;
+  });
+  // What was ordered counts as done already, or it would be ordered twice.
+  for (const auto& [id, order] : this->role_orders) {
+    expected.at(id).role = order.role;
+  }
+  for (const auto& [id, service] : configuration->services) {
+    if (service.engine) {
+      this->PlanRolesOf(id, expected);
+    }
+  }
+}
+
+// The most streams that lately ran at a time.
+double FleetDuties::StreamsOf(const ServiceId& service,
+                              const FleetEndpoints& expected) {
+  double running = 0;
+  for (const auto& [id, endpoint] : expected) {
+    if (endpoint.service == service &&
+        endpoint.role != EndpointRole::kPrefill) {
+      running += static_cast<double>(this->inputs.running(id));
+    }
+  }
+  double& peak = this->streams_peak[service];
+  peak = std::max(running, peak * kStreamsKept);
+  return peak;
+}
+
+// Orders changes of a service until enough are under way.
+void FleetDuties::PlanRolesOf(const ServiceId& service,
+                              FleetEndpoints& expected) {
+  const RoleLoad load{.streams = this->StreamsOf(service, expected),
+                      .running = this->inputs.running};
+  const double share = load.streams < kIdleStreams
+                           ? this->options.roles_under_way_idle
+                           : this->options.roles_under_way;
+  const auto of_service = [&service](const auto& entry) {
+    return entry.second.service == service;
+  };
+  const auto engines = std::ranges::count_if(expected, of_service);
+  const auto most =
+      static_cast<int64_t>(std::ceil(share * static_cast<double>(engines)));
+  for (int64_t under_way = this->ChangingRoleOf(service); under_way < most;
+       ++under_way) {
+    const auto change = PlanRole(expected, service, load);
+    if (!change) {
+      return;
+    }
+    this->OrderRole(*change);
+    expected.at(change->endpoint).role = change->role;
+  }
+}
+
+// An engine that can't be reached or is busy isn't asked again at once; another
+// one may take the role.
+void FleetDuties::NoteRefusedRole(const EndpointId& endpoint) {
+  const auto order = this->role_orders.find(endpoint);
+  if (order != this->role_orders.end()) {
+    order->second.refused = true;
+    order->second.until = this->clock->Now() + kRoleRetry;
+  }
+}
+
+// The engine changes once all that runs there is over, and refuses what is new
+// until then. Taken for lost after the usual time, the order would draw
+// requests there again, which the engine refuses.
+void FleetDuties::NoteAcceptedRole(const EndpointId& endpoint) {
+  const auto order = this->role_orders.find(endpoint);
+  if (order != this->role_orders.end()) {
+    order->second.until = this->clock->Now() + kRoleTaken;
+  }
+}
+
+void FleetDuties::OrderRole(const RoleChange& change) {
+  const FleetEndpoint& endpoint = this->inputs.endpoints().at(change.endpoint);
+  this->role_orders[change.endpoint] = {
+      .run = endpoint.run,
+      .role = change.role,
+      .until = this->clock->Now() + kRoleShows};
+  LogInfo(kPart, "Role ordered.",
+          {{"endpoint", change.endpoint.Text()},
+           {"role", change.role == EndpointRole::kPrefill ? "read prompts"
+                                                          : "generate"},
+           {"fencing", std::to_string(this->lease.Fencing())}});
+  this->platform->ChangeRole(
+      {.run = endpoint.run, .address = endpoint.address, .role = change.role},
+      this->Authority(), [this, id = change.endpoint](DutyOutcome outcome) {
+        if (outcome == DutyOutcome::kRefused ||
+            outcome == DutyOutcome::kNotSent) {
+          this->NoteRefusedRole(id);
+          LogInfo(kPart, "Role order has no effect.",
+                  {{"endpoint", id.Text()}});
+        } else if (outcome == DutyOutcome::kAccepted) {
+          this->NoteAcceptedRole(id);
+        }
+      });
+}
+
+EnginesByZone FleetDuties::CountEngines(const ServiceId& service) const {
+  EnginesByZone counts;
+  for (const auto& [id, endpoint] : this->inputs.endpoints()) {
+    if (endpoint.service == service && !endpoint.leaving) {
+      ZoneEngines& zone = counts[endpoint.zone];
+      ++(endpoint.spot ? zone.spot : zone.dependable);
+    }
+  }
+  for (const auto& [key, until] : this->dry_until) {
+    if (key.service == service && key.spot) {
+      counts[key.zone].dry = true;
+    }
+  }
+  return counts;
+}
+
+bool FleetDuties::CountSettled(Instant now,
+                               const ServiceId& service,
+                               int64_t live) {
+  LiveCount& known = this->live_counts[service];
+  if (known.count != live) {
+    known.count = live;
+    known.since = now;
+  }
+  if (live > 0 && known.first_seen == Instant{}) {
+    known.first_seen = now;
+  }
+  known.settled =
+      known.settled ||
+      (live > 0 && now - known.since >= this->options.count_settles);
+  return known.settled;
+}
+
+int64_t FleetDuties::ChangingRoleOf(const ServiceId& service) const {
+  const FleetEndpoints& listed = this->inputs.endpoints();
+  return std::ranges::count_if(this->role_orders, [&](const auto& entry) {
+    const auto found = listed.find(entry.first);
+    return !entry.second.refused && found != listed.end() &&
+           found->second.service == service;
+  });
+}
+
+// Before there was any load, what stood there when the duty began decides.
+FleetDuties::EngineNeed FleetDuties::NeededEngines(const ServiceId& service,
+                                                   const ScaleBounds& bounds,
+                                                   int64_t live) {
+  double& peak = this->reading_peak[service];
+  double& lately = this->reading_now[service];
+  const double reading = this->inputs.reading(service);
+  peak = std::max(reading, peak * kPeakKept);
+  lately = std::max(reading, lately * kNowKept);
+  const ScalePlanOptions scaling;
+  const int64_t first =
+      this->first_live.try_emplace(service, live).first->second;
+  const int64_t wanted = std::max(
+      EnginesWanted(peak, CheapestPrice(bounds, scaling), bounds, scaling),
+      EnginesAtFirst(first, bounds, scaling));
+  int64_t& planned = this->planned[service];
+  if (wanted > planned || wanted < planned - scaling.tolerated_less) {
+    planned = wanted;
+  }
+  // While the load isn't known yet, half of what is wanted has to stay. Engines
+  // that change their role serve nobody meanwhile.
+  const int64_t least = std::min(first, planned / 2);
+  return {.wanted = planned,
+          .needed = std::max(EnginesWanted(lately, 1, bounds, scaling), least) +
+                    this->ChangingRoleOf(service),
+          .reading = reading};
+}
+
+void FleetDuties::PlanEngines(Instant now) {
+  const FleetConfigurationPtr configuration = this->inputs.configuration();
+  if (!configuration || now < this->next_scale) {
+    return;
+  }
+  this->next_scale = now + this->options.scale_period;
+  for (const auto& [id, service] : configuration->services) {
+    if (!service.scaling || service.scaling->maximum <= 0) {
+      continue;
+    }
+    const ScaleBounds& bounds = service.scaling.value();
+    const EnginesByZone counts = this->CountEngines(id);
+    int64_t live = 0;
+    for (const auto& [zone, of] : counts) {
+      live += of.dependable + of.spot;
+    }
+    if (!this->CountSettled(now, id, live)) {
+      this->OrderFirst(now, id, bounds, counts, live);
+      continue;
+    }
+    const EngineNeed need = this->NeededEngines(id, bounds, live);
+    this->OrderZones(now, id, counts, need,
+                     PlanScale(counts, need.wanted, need.needed, bounds));
+    this->AskDryZones(now, id, bounds, counts, need);
+  }
+}
+
+// Orders the first spot engines by what is listed so far. What is missing is
+// ordered once all are listed.
+void FleetDuties::OrderFirst(Instant now,
+                             const ServiceId& service,
+                             const ScaleBounds& bounds,
+                             const EnginesByZone& counts,
+                             int64_t live) {
+  const Instant seen = this->live_counts.at(service).first_seen;
+  if (!this->first_tenure || live == 0 ||
+      now - seen < this->options.first_order) {
+    return;
+  }
+  const EngineNeed need{.wanted = EnginesAtFirst(live, bounds), .needed = live};
+  const EnginesByZone plan =
+      PlanScale(counts, need.wanted, need.needed, bounds);
+  for (const auto& [zone, target] : plan) {
+    const ScaleKey key{.service = service, .zone = zone, .spot = true};
+    if (target.spot > 0 && !this->scale_orders.contains(key)) {
+      this->OrderEngines(now, key, 0, target.spot, need);
+    }
+  }
+}
+
+void FleetDuties::OrderZones(Instant now,
+                             const ServiceId& service,
+                             const EnginesByZone& counts,
+                             const EngineNeed& need,
+                             const EnginesByZone& plan) {
+  for (const auto& [zone, target] : plan) {
+    const auto found = counts.find(zone);
+    const ZoneEngines has =
+        found == counts.end() ? ZoneEngines() : found->second;
+    this->OrderEngines(now, {.service = service, .zone = zone}, has.dependable,
+                       target.dependable, need);
+    if (!has.dry) {
+      this->OrderEngines(now, {.service = service, .zone = zone, .spot = true},
+                         has.spot, target.spot, need);
+    }
+  }
+}
+
+// Asks zones that had no spot engines whether they have some again. Until one
+// says yes the plan does without it: an order that counted on it would send
+// away the dependable engines that stand in, and a refusal order them anew.
+void FleetDuties::AskDryZones(Instant now,
+                              const ServiceId& service,
+                              const ScaleBounds& bounds,
+                              const EnginesByZone& counts,
+                              const EngineNeed& need) {
+  EnginesByZone hoped = counts;
+  for (auto& [zone, of] : hoped) {
+    of.dry = false;
+  }
+  const EnginesByZone plan = PlanScale(hoped, need.wanted, need.needed, bounds);
+  for (const auto& [zone, of] : counts) {
+    const ScaleKey key{.service = service, .zone = zone, .spot = true};
+    if (of.dry && now >= this->dry_until.at(key) && plan.contains(zone)) {
+      this->OrderEngines(now, key, of.spot, plan.at(zone).spot, need);
+    }
+  }
+}
+
+void FleetDuties::OrderEngines(Instant now,
+                               const ScaleKey& key,
+                               int64_t has,
+                               int64_t count,
+                               const EngineNeed& need) {
+  const auto dry = this->dry_until.find(key);
+  if (dry != this->dry_until.end() && now < dry->second) {
+    return;
+  }
+  const auto before = this->scale_orders.find(key);
+  if (before != this->scale_orders.end()) {
+    const bool same = before->second.count == count;
+    const bool shows = now - before->second.ordered < this->options.scale_shows;
+    if (before->second.under_way || (same && (has == count || shows))) {
+      return;
+    }
+  } else if (has == count) {
+    return;
+  }
+  this->scale_orders[key] = {.count = count, .ordered = now, .under_way = true};
+  LogInfo(kPart, "Engines ordered.",
+          {{"service", key.service.Text()},
+           {"zone", key.zone.Text()},
+           {"kind", key.spot ? "spot" : "dependable"},
+           {"listed", std::to_string(has)},
+           {"count", std::to_string(count)},
+           {"wanted", std::to_string(need.wanted)},
+           {"needed", std::to_string(need.needed)},
+           {"reading", std::to_string(need.reading)},
+           {"fencing", std::to_string(this->lease.Fencing())}});
+  this->platform->OrderEndpoints(
+      {.service = key.service,
+       .zone = key.zone,
+       .count = count,
+       .spot = key.spot},
+      this->Authority(), [this, key](DutyOutcome outcome) {
+        const auto order = this->scale_orders.find(key);
+        if (order != this->scale_orders.end()) {
+          order->second.under_way = false;
+        }
+        if (outcome == DutyOutcome::kAccepted) {
+          this->dry_until.erase(key);
+          return;
+        }
+        LogInfo(kPart, "Engines can't be had.",
+                {{"zone", key.zone.Text()},
+                 {"kind", key.spot ? "spot" : "dependable"}});
+        this->scale_orders.erase(key);
+        this->dry_until[key] = this->clock->Now() + this->options.dry_for;
+      });
+}
+
+}  // namespace hickorystand
