Let a begun stream wait however long the queue is

Cause, found on reading the change: the bound on waiting also held for the second engine of a stream that had broken midway, and would have broken it off for good. The check in KeepsItsQueuesShorterThanTheTarget fails on the code before.

--- a/packages/decisions/engine_cache.h
+++ b/packages/decisions/engine_cache.h
@@ -25,6 +25,7 @@
   auto operator<=>(const PartTokens&) const = default;
 };
 
+// The parts that one engine keeps.
 class EngineCache {
  public:
   // A part is used at the engine, which keeps `room` tokens at the most.
--- a/packages/decisions/engine_pace.h
+++ b/packages/decisions/engine_pace.h
@@ -83,6 +83,7 @@
   auto operator<=>(const ReadingMeasured&) const = default;
 };
 
+// The figures of one service's engines.
 class EnginePace {
  public:
   explicit EnginePace(const EnginePaceOptions& guess);
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -375,8 +375,10 @@
   const double soonest =
       std::ranges::min(weighed, {}, &Weighed::seconds).seconds;
   const double late = soonest - ToSeconds(shape.patience);
-  const double queued =
-      best.waiting - this->options.longest_wait * ToSeconds(TargetOf(shape));
+  const double queued = shape.begun
+                            ? 0
+                            : best.waiting - this->options.longest_wait *
+                                                 ToSeconds(TargetOf(shape));
   if (std::max(late, queued) <= 0) {
     return {};
   }
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -125,6 +125,9 @@
   // The longest that the first byte may take; beyond it, refusing at once
   // serves the caller better.
   Duration patience = std::chrono::seconds(2);
+  // Its caller has got a part of the answer, or it may have run: a long queue
+  // is no reason to give it up.
+  bool begun = false;
 
   auto operator<=>(const WorkShape&) const = default;
 };
@@ -322,6 +325,7 @@
   double Rate(const State& state) const;
   double Penalty(const State& state, const WorkShape& shape) const;
   double StreamPenalty(const State& state, const WorkShape& shape) const;
+  // What a prompt's reading takes at an engine.
   struct Reading {
     int64_t tokens = 0;  // new ones
     double own = 0;      // seconds for those
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -158,6 +158,7 @@
   const Instant now = this->relay->clock->Now();
   WorkShape left = this->shape;
   left.patience = std::min(left.patience, this->Left());
+  left.begun = this->StreamBegun() || this->may_have_run;
   const Verdict verdict = this->relay->placement.Place(now, left, this->tried);
   if (const auto* refused = std::get_if<Refused>(&verdict)) {
     if (this->StreamBegun()) {
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -266,6 +266,9 @@
   const Duration back = std::get<Refused>(verdict).retry_after;
   CHECK(back > std::chrono::milliseconds(20) &&
         back < std::chrono::milliseconds(60));
+  // A stream that broke midway goes on all the same.
+  shape.begun = true;
+  CHECK(std::holds_alternative<Placed>(placement.Place(At(1), shape, {})));
 }
 
 // A burst lasts for seconds. Callers that were told to come back when the queue
