--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -33,6 +33,9 @@
 // case one of them is cut off.
 constexpr size_t kTellers = 3;
 
+// How often a scheduler looks whether what it tells ingress hosts has changed.
+constexpr Duration kNewsPeriod = std::chrono::milliseconds(250);
+
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 
 // The plug-in of that name, or why there is none.
@@ -105,12 +108,37 @@
         this->duties->Usage().OnBegun(this->duties->UnixMilliseconds(),
                                       account);
       }});
+  this->MakeSource();
+  this->MakeDuties();
+  this->MakeForwarding();
+  this->MakePeers();
+  for (const auto& [server, address] :
+       {std::pair(&this->ready_server, &this->settings.ready),
+        std::pair(&this->metrics_server, &this->settings.metrics)}) {
+    if (const auto opened = server->Listen(*address); !opened) {
+      return opened;
+    }
+  }
+  if (const auto opened = this->relay->Listen(this->settings.callers);
+      !opened) {
+    return opened;
+  }
+  this->usage_timer = Timer::Every(kUsagePeriod, [this] {
+    this->TellUsage();
+    this->LogPace();
+  });
+  this->peers->Start();
+  return 0;
+}
+
+void RelayDaemon::MakeSource() {
   this->source = std::make_unique<FleetSource>(
       this->settings.source, *this->clock, *this->store, *this->records,
       FleetSourceHandlers{
           .on_configuration =
               [this](FleetConfigurationPtr read) {
                 this->relay->SetConfiguration(std::move(read));
+                this->TellNews();
               },
           .on_endpoints =
               [this](const FleetEndpoints& listed) {
@@ -123,30 +151,106 @@
               },
           .on_leaving =
               [this](const EndpointRun& run) { this->TellLeaving(run); }});
-  for (const auto& [server, address] :
-       {std::pair(&this->ready_server, &this->settings.ready),
-        std::pair(&this->metrics_server, &this->settings.metrics)}) {
-    if (const auto opened = server->Listen(*address); !opened) {
-      return opened;
+}
+
+void RelayDaemon::MakeForwarding() {
+  const auto send = [this](const HostId& host, const PeerMessage& message) {
+    return this->peers->Send(host, message);
+  };
+  this->forwarder = std::make_unique<RequestForwarder>(
+      this->settings.zone, *this->clock, *this->codec, this->metrics, send);
+  this->receiver = std::make_unique<ForwardReceiver>(
+      send,
+      [this](const CallerExchangePtr& caller, const RequestOrigin& origin) {
+        this->relay->Serve(caller, origin);
+      });
+}
+
+void RelayDaemon::OnRole(FleetRole role) {
+  if (role == FleetRole::kScheduler) {
+    if (this->duties_retired) {
+      this->former_duties.push_back(std::move(this->duties));
+      this->MakeDuties();
+      this->duties_retired = false;
     }
+    this->relay->SetForward({});
+    this->source->Start();
+    this->duties->Start();
+    this->news_timer = Timer::Every(kNewsPeriod, [this] { this->TellNews(); });
+    return;
   }
-  if (const auto opened = this->relay->Listen(this->settings.callers);
-      !opened) {
-    return opened;
+  this->TellUsage();
+  this->news_timer.reset();
+  this->source->Stop();
+  this->duties->Retire();
+  this->duties_retired = true;
+  this->relay->SetForward([this](const CallerExchangePtr& caller) {
+    this->forwarder->OnRequest(caller);
+  });
+}
+
+SchedulerNews RelayDaemon::News() const {
+  const FleetConfigurationPtr& configuration = this->relay->Configuration();
+  if (!configuration) {
+    return {};
+  }
+  const CallerLimits& limits = configuration->limits;
+  return {.ready = this->relay->Ready() && !this->draining_since,
+          .keys_proven = this->relay->KeysProven(),
+          .configuration_version = configuration->version,
+          .head_bytes = limits.head_bytes,
+          .body_bytes = limits.body_bytes,
+          .head_timeout = limits.head_timeout,
+          .idle_timeout = limits.idle_timeout};
+}
+
+void RelayDaemon::TellNews() {
+  const SchedulerNews news = this->News();
+  if (news != this->told_news) {
+    this->told_news = news;
+    this->peers->BroadcastToIngress(news);
+  }
+}
+
+void RelayDaemon::TakeNews(const HostId& from, const SchedulerNews& news) {
+  this->forwarder->OnNews(from, news);
+  if (news.configuration_version > 0 && !this->IsScheduler()) {
+    this->relay->SetCallerLimits({.head_bytes = news.head_bytes,
+                                  .body_bytes = news.body_bytes,
+                                  .head_timeout = news.head_timeout,
+                                  .idle_timeout = news.idle_timeout});
   }
-  this->StartDuties();
-  this->StartPeers();
-  this->source->Start();
-  this->duties->Start();
-  return 0;
 }
 
-void RelayDaemon::StartDuties() {
+// A new link may replace one that nobody saw break; what was sent on the old one
+// is lost.
+void RelayDaemon::OnLinked(const HostId& host) {
+  this->forwarder->OnLost(host);
+  this->receiver->OnLost(host);
+  if (!this->IsScheduler()) {
+    return;
+  }
+  if (this->peers->IsScheduler(host)) {
+    this->TellAllUsage(host);
+    this->peers->Send(host, PaceMessage{this->relay->Placement().OwnPace()});
+  } else {
+    this->peers->Send(host, this->News());
+  }
+}
+
+void RelayDaemon::OnGone(const HostId& host) {
+  this->relay->Placement().ForgetPeer(host);
+  this->forwarder->OnLost(host);
+  this->receiver->OnLost(host);
+}
+
+void RelayDaemon::MakeDuties() {
   this->duties = std::make_unique<FleetDuties>(
       FleetDutiesOptions{
           .host = this->settings.host,
           .incarnation = static_cast<uint64_t>(this->clock->WallMilliseconds()),
-          .first_start = this->settings.first_start,
+          .first_start =
+              this->settings.first_start && this->former_duties.empty(),
           .lease = this->settings.lease_length,
           .window = this->settings.usage_window,
           .report_due = this->settings.usage_late},
@@ -169,18 +273,17 @@
                        this->relay->Placement().Pace(service).PromptTokens(
                            EndpointRole::kPrefill);
               }});
-  this->usage_timer = Timer::Every(kUsagePeriod, [this] {
-    this->TellUsage();
-    this->LogPace();
-  });
 }
 
-// Tells all hosts what was counted here.
+// Tells the other schedulers what was counted here.
 void RelayDaemon::TellUsage() {
+  if (!this->IsScheduler()) {
+    return;
+  }
   const int64_t now = this->duties->UnixMilliseconds();
   UsageCopyMessage message = MessageOf(this->duties->Usage().OwnCopy(now));
   message.time = now;
-  this->peers->Broadcast(message);
+  this->peers->BroadcastToSchedulers(message);
 }
 
 // Logs how fast engines are believed to be, whenever that has changed much.
@@ -209,7 +312,17 @@
 
 void RelayDaemon::OnPeerMessage(const HostId& from,
                                 const PeerMessage& message) {
-  if (const auto* usage = std::get_if<UsageCopyMessage>(&message)) {
+  if (const auto* request = std::get_if<ForwardedRequest>(&message)) {
+    this->receiver->OnRequest(from, *request);
+  } else if (const auto* body = std::get_if<ForwardedBody>(&message)) {
+    this->receiver->OnBody(from, *body);
+  } else if (const auto* control = std::get_if<ForwardControl>(&message)) {
+    this->receiver->OnControl(from, *control);
+  } else if (const auto* part = std::get_if<ForwardedAnswer>(&message)) {
+    this->forwarder->OnAnswer(from, *part);
+  } else if (const auto* news = std::get_if<SchedulerNews>(&message)) {
+    this->TakeNews(from, *news);
+  } else if (const auto* usage = std::get_if<UsageCopyMessage>(&message)) {
     this->TakeUsage(from, *usage);
   } else if (const auto* asked = std::get_if<FreshnessQuestion>(&message)) {
     if (const auto answer = this->source->Answer(*asked)) {
@@ -258,42 +371,41 @@
 // Those that can have read it within a second, so a few tellers are enough.
 void RelayDaemon::TellLeaving(const EndpointRun& run) {
   if (this->peers->Rank() < kTellers) {
-    this->peers->Broadcast(
+    this->peers->BroadcastToSchedulers(
         EndpointNews{.endpoint = run.id,
                      .incarnation = static_cast<uint64_t>(run.started),
                      .leaving = true});
   }
 }
 
-void RelayDaemon::StartPeers() {
+void RelayDaemon::MakePeers() {
   this->peers = std::make_unique<FleetPeers>(
       FleetPeersOptions{
-          .host = this->settings.host,
+          .self = {.id = this->settings.host,
+                   .address = this->settings.peers,
+                   .zone = this->settings.zone,
+                   .capacity = this->settings.capacity},
           .seed = static_cast<uint64_t>(this->clock->WallMilliseconds()),
-          .listen = this->settings.peers},
+          .first_start = this->settings.first_start},
       *this->clock, *this->store,
       FleetPeersHandlers{
           .make_digest = [this] { return this->MakeDigest(); },
           .on_digest = [this](const Digest& digest) { this->OnDigest(digest); },
-          .on_listed =
-              [this](size_t hosts) {
-                this->relay->SetHosts(static_cast<int64_t>(hosts));
+          .on_role = [this](FleetRole role) { this->OnRole(role); },
+          .on_schedulers =
+              [this](const std::vector<FleetHost>& schedulers) {
+                this->forwarder->SetSchedulers(schedulers);
               },
-          .on_linked =
-              [this](const HostId& host) {
-                this->TellAllUsage(host);
-                this->peers->Send(
-                    host, PaceMessage{this->relay->Placement().OwnPace()});
-              },
-          .on_gone =
-              [this](const HostId& host) {
-                this->relay->Placement().ForgetPeer(host);
+          .on_listed =
+              [this](size_t schedulers) {
+                this->relay->SetHosts(static_cast<int64_t>(schedulers));
               },
+          .on_linked = [this](const HostId& host) { this->OnLinked(host); },
+          .on_gone = [this](const HostId& host) { this->OnGone(host); },
           .on_message =
               [this](const HostId& from, const PeerMessage& message) {
                 this->OnPeerMessage(from, message);
               }});
-  this->peers->Start();
 }
 
 Digest RelayDaemon::MakeDigest() const {
@@ -319,7 +431,9 @@
 }
 
 void RelayDaemon::AnswerReady(const CallerExchangePtr& exchange) {
-  const bool ready = this->relay->Ready() && !this->draining_since;
+  const bool serves =
+      this->IsScheduler() ? this->relay->Ready() : this->forwarder->Ready();
+  const bool ready = serves && !this->draining_since;
   exchange->Answer({.status = ready ? 200 : 503}, "");
 }
 
@@ -362,6 +476,7 @@
   LogInfo(kPart, "Stopping.",
           {{"running", std::to_string(this->relay->Waiting())}});
   this->relay->StartDrain();
+  this->TellNews();
   this->peers->Leave();
   this->duties->Retire();
   this->drain_timer =
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -1,5 +1,9 @@
 // A host that relays requests for a fleet on the users' platform: the relay,
 // what it knows of the fleet, and its answers to the balancer.
+//
+// As a scheduler it reads the store and serves requests itself, its own callers'
+// and those that ingress hosts forward. As an ingress host it forwards, and
+// reads nothing but the list of hosts (decisions/fleet_topology.h).
 
 #pragma once
 
@@ -9,7 +13,9 @@
 #include "daemon/relay_settings.h"
 #include "relay/fleet_duties.h"
 #include "relay/fleet_peers.h"
+#include "relay/forward_receiver.h"
 #include "relay/platform_duties.h"
+#include "relay/request_forwarder.h"
 
 namespace hickorystand {
 
@@ -40,8 +46,19 @@
   void LogPace();
   void SetPaceMetrics(const ServiceId& service, const PaceFigures& pace);
   void CheckDrained();
-  void StartPeers();
-  void StartDuties();
+  void MakeSource();
+  void MakePeers();
+  void MakeDuties();
+  void MakeForwarding();
+  void OnRole(FleetRole role);
+  void OnLinked(const HostId& host);
+  void OnGone(const HostId& host);
+  bool IsScheduler() const {
+    return this->peers->Role() == FleetRole::kScheduler;
+  }
+  SchedulerNews News() const;
+  void TellNews();
+  void TakeNews(const HostId& from, const SchedulerNews& news);
   void TellUsage();
   void TellAllUsage(const HostId& host);
   void OnPeerMessage(const HostId& from, const PeerMessage& message);
@@ -63,6 +80,13 @@
   std::unique_ptr<FleetSource> source;
   std::unique_ptr<FleetPeers> peers;
   std::unique_ptr<FleetDuties> duties;
+  // Of earlier times as a scheduler: calls of theirs may still be answered.
+  std::vector<std::unique_ptr<FleetDuties>> former_duties;
+  bool duties_retired = false;
+  std::unique_ptr<RequestForwarder> forwarder;
+  std::unique_ptr<ForwardReceiver> receiver;
+  SchedulerNews told_news;  // to all ingress hosts that are linked
+  std::unique_ptr<Timer> news_timer;
   // Seconds for a prompt token, as they stand in the log.
   std::map<ServiceId, double> logged_pace;
   std::unique_ptr<Timer> usage_timer;
--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <fstream>
 #include <utility>
 
@@ -28,6 +29,8 @@
 // tell each other twice a second and read the store once in one.
 constexpr int64_t kLeastLength = 1000;  // ms
 
+constexpr double kThousandths = 1000;
+
 // A holder stops 600 ms before its lease ends, and renews it four times in it.
 constexpr int64_t kLeastLease = 1200;  // ms
 
@@ -74,6 +77,12 @@
        .fallback = "false",
        .help = "the whole fleet starts for the first time, so that no other "
                "host can have had the duties before"},
+      {.section = "relay",
+       .key = "processor_share",
+       .type = SettingType::kShare,
+       .fallback = "1",
+       .help = "cores that this host may use: the strongest hosts of a zone "
+               "schedule, the others forward to them"},
       Address("listen", "callers", "address towards callers"),
       Address("listen", "ready", "address that says whether callers may come"),
       Address("listen", "metrics", "address of the metrics"),
@@ -174,6 +183,8 @@
 constexpr std::array kFixedSettings = {
     FixedSetting{"relay.id", &Differs<&RelayHostSettings::host>},
     FixedSetting{"relay.zone", &Differs<&RelayHostSettings::zone>},
+    FixedSetting{"relay.processor_share",
+                 &Differs<&RelayHostSettings::capacity>},
     FixedSetting{"relay.adapter", &Differs<&RelayHostSettings::adapter>},
     FixedSetting{"listen.callers", &Differs<&RelayHostSettings::callers>},
     FixedSetting{"listen.ready", &Differs<&RelayHostSettings::ready>},
@@ -205,6 +216,9 @@
                          .ready = address("listen", "ready"),
                          .metrics = address("listen", "metrics"),
                          .peers = address("listen", "peers"),
+                         .capacity = std::llround(
+                             from->Share("relay", "processor_share") *
+                             kThousandths),
                          .first_start = from->Flag("relay", "first_start"),
                          .adapter = from->Text("relay", "adapter"),
                          .store = address("store", "address"),
--- /dev/null
+++ b/packages/decisions/fleet_topology.cc
@@ -0,0 +1,116 @@
+#include "decisions/fleet_topology.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <sstream>
+
+namespace hickorystand {
+namespace {
+
+// Stronger hosts first, then by id.
+bool Before(const FleetHost& left, const FleetHost& right) {
+  return left.capacity != right.capacity ? left.capacity > right.capacity
+                                         : left.id < right.id;
+}
+
+int64_t CapacityOf(const std::vector<FleetHost>& hosts) {
+  int64_t sum = 0;
+  for (const FleetHost& host : hosts) {
+    sum += host.capacity;
+  }
+  return sum;
+}
+
+// The distance of a host from another one in weighted rendezvous hashing: the
+// least distance wins, and a host wins in proportion to its capacity.
+double Distance(const HostId& from, const FleetHost& to) {
+  constexpr double kHashRange = 18446744073709551616.0;  // 2^64
+  const uint64_t seed =
+      XXH3_64bits(from.Text().data(), from.Text().size());
+  const uint64_t hash = XXH3_64bits_withSeed(to.id.Text().data(),
+                                             to.id.Text().size(), seed);
+  const double draw = (static_cast<double>(hash) + 1) / (kHashRange + 2);
+  return -std::log(draw) /
+         static_cast<double>(std::max<int64_t>(to.capacity, 1));
+}
+
+// The nearest hosts, at most `count`.
+std::vector<FleetHost> Nearest(const HostId& from,
+                               std::vector<FleetHost> hosts,
+                               size_t count) {
+  std::ranges::sort(hosts, {}, [&from](const FleetHost& host) {
+    return std::pair(Distance(from, host), host.id);
+  });
+  hosts.resize(std::min(hosts.size(), count));
+  return hosts;
+}
+
+}  // namespace
+
+std::string EncodeFleetHost(const FleetHost& host) {
+  return host.address.host + ":" + std::to_string(host.address.port) + " " +
+         std::to_string(host.capacity) + " " + host.zone.Text();
+}
+
+// A record with an address alone is of a host whose zone isn't known.
+Result<FleetHost> DecodeFleetHost(const HostId& id, const std::string& text) {
+  std::istringstream in(text);
+  std::string address;
+  FleetHost host{.id = id};
+  in >> address >> host.capacity;
+  std::string zone;
+  std::getline(in >> std::ws, zone);
+  host.zone = ZoneId(zone);
+  const auto parsed = ParseAddress(address);
+  if (!parsed) {
+    return tl::unexpected(parsed.error());
+  }
+  host.address = *parsed;
+  return host;
+}
+
+std::set<HostId> PlanSchedulers(const std::vector<FleetHost>& hosts,
+                                const FleetTopologyOptions& options) {
+  std::map<ZoneId, std::vector<FleetHost>> zones;
+  for (const FleetHost& host : hosts) {
+    zones[host.zone].push_back(host);
+  }
+  std::set<HostId> schedulers;
+  for (auto& [zone, members] : zones) {
+    std::ranges::sort(members, Before);
+    const double wanted = options.capacity_share *
+                          static_cast<double>(CapacityOf(members));
+    double capacity = 0;
+    size_t count = 0;
+    for (const FleetHost& host : members) {
+      if (count >= options.least_schedulers && capacity >= wanted) {
+        break;
+      }
+      schedulers.insert(host.id);
+      capacity += static_cast<double>(host.capacity);
+      ++count;
+    }
+  }
+  return schedulers;
+}
+
+std::vector<FleetHost> PickSchedulers(const FleetHost& self,
+                                      const std::vector<FleetHost>& schedulers,
+                                      const FleetTopologyOptions& options) {
+  std::vector<FleetHost> near;
+  std::vector<FleetHost> far;
+  for (const FleetHost& host : schedulers) {
+    (host.zone == self.zone ? near : far).push_back(host);
+  }
+  std::vector<FleetHost> picked = Nearest(self.id, near, options.near_links);
+  const size_t missing = options.near_links - picked.size();
+  const auto others =
+      Nearest(self.id, far, options.far_links + missing);
+  picked.insert(picked.end(), others.begin(), others.end());
+  return picked;
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/scheduler_choice.cc
@@ -0,0 +1,110 @@
+#include "decisions/scheduler_choice.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace hickorystand {
+namespace {
+
+// Requests in flight at one scheduler, beyond twice those of the least loaded
+// one, from which on it is taken to be stuck.
+constexpr int64_t kStuckFrom = 6;
+
+double CapacityOf(const FleetHost& host) {
+  return static_cast<double>(std::max<int64_t>(host.capacity, 1));
+}
+
+}  // namespace
+
+void SchedulerChoice::SetSchedulers(const std::vector<FleetHost>& schedulers) {
+  std::set<HostId> listed;
+  for (const FleetHost& host : schedulers) {
+    listed.insert(host.id);
+    this->states[host.id].host = host;
+  }
+  std::erase_if(this->states, [&listed](const auto& entry) {
+    return !listed.contains(entry.first);
+  });
+}
+
+// A scheduler that has just come begins level with the others: it would get
+// every request until it had caught up.
+void SchedulerChoice::OnNews(const HostId& scheduler,
+                             const SchedulerState& told) {
+  const auto found = this->states.find(scheduler);
+  if (found == this->states.end()) {
+    return;
+  }
+  State& state = found->second;
+  if (told.ready && !state.told.ready) {
+    state.forwarded = std::max(state.forwarded, this->LeastForwarded());
+  }
+  state.told = told;
+  this->version = std::max(this->version, told.version);
+}
+
+void SchedulerChoice::OnLost(const HostId& scheduler) {
+  const auto found = this->states.find(scheduler);
+  if (found != this->states.end()) {
+    found->second.told = {};
+    found->second.in_flight = 0;
+  }
+}
+
+bool SchedulerChoice::Serves(const State& state) const {
+  return state.told.ready && state.told.version >= this->version;
+}
+
+double SchedulerChoice::LeastForwarded() const {
+  std::optional<double> least;
+  for (const auto& [id, state] : this->states) {
+    if (state.told.ready) {
+      least = std::min(least.value_or(state.forwarded), state.forwarded);
+    }
+  }
+  return least.value_or(0);
+}
+
+int64_t SchedulerChoice::LeastInFlight() const {
+  std::optional<int64_t> least;
+  for (const auto& [id, state] : this->states) {
+    if (state.told.ready) {
+      least = std::min(least.value_or(state.in_flight), state.in_flight);
+    }
+  }
+  return least.value_or(0);
+}
+
+std::optional<HostId> SchedulerChoice::Choose(
+    const std::set<HostId>& tried) const {
+  const State* best = nullptr;
+  const int64_t stuck_at = this->LeastInFlight() * 2 + kStuckFrom;
+  const auto rank = [&](const State& state) {
+    return std::tuple(!state.told.keys_proven, state.host.zone != this->own,
+                      state.in_flight > stuck_at, state.forwarded);
+  };
+  for (const auto& [id, state] : this->states) {
+    if (this->Serves(state) && !tried.contains(id) &&
+        (best == nullptr || rank(state) < rank(*best))) {
+      best = &state;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional(best->host.id);
+}
+
+void SchedulerChoice::OnForwarded(const HostId& scheduler) {
+  const auto found = this->states.find(scheduler);
+  if (found != this->states.end()) {
+    ++found->second.in_flight;
+    found->second.forwarded += 1 / CapacityOf(found->second.host);
+  }
+}
+
+void SchedulerChoice::OnEnded(const HostId& scheduler) {
+  const auto found = this->states.find(scheduler);
+  if (found != this->states.end() && found->second.in_flight > 0) {
+    --found->second.in_flight;
+  }
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/decisions/scheduler_choice.h
@@ -0,0 +1,72 @@
+// The scheduler to which an ingress host forwards the next request.
+//
+// Requests are spread over the schedulers of the host's own zone in proportion
+// to their capacity; those of other zones serve only while none of its own can.
+// A host that has seen one version of the configuration at work never forwards
+// to a scheduler that has only an older one: its callers would see the change
+// undone.
+
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "decisions/fleet_topology.h"
+
+namespace hickorystand {
+
+// What a scheduler tells of itself.
+struct SchedulerState {
+  bool ready = false;
+  bool keys_proven = false;  // others are preferred while it is false
+  int64_t version = 0;       // of its configuration
+
+  auto operator<=>(const SchedulerState&) const = default;
+};
+
+class SchedulerChoice {
+ public:
+  explicit SchedulerChoice(ZoneId own) : own(std::move(own)) {}
+
+  // The schedulers that may be chosen, once they have told of themselves.
+  void SetSchedulers(const std::vector<FleetHost>& schedulers);
+
+  // What a linked scheduler told of itself.
+  void OnNews(const HostId& scheduler, const SchedulerState& told);
+
+  // A scheduler's link is gone.
+  void OnLost(const HostId& scheduler);
+
+  // The scheduler for a request that was not forwarded to `tried` before.
+  std::optional<HostId> Choose(const std::set<HostId>& tried) const;
+
+  // A request was forwarded there, or is over.
+  void OnForwarded(const HostId& scheduler);
+  void OnEnded(const HostId& scheduler);
+
+  // Whether any scheduler serves.
+  bool Ready() const { return this->Choose({}).has_value(); }
+
+  // The newest version that any scheduler told of.
+  int64_t Version() const { return this->version; }
+
+ private:
+  struct State {
+    FleetHost host;
+    SchedulerState told;
+    int64_t in_flight = 0;
+    double forwarded = 0;  // requests for each unit of capacity
+  };
+
+  bool Serves(const State& state) const;
+  double LeastForwarded() const;
+  int64_t LeastInFlight() const;
+
+  ZoneId own;
+  int64_t version = 0;
+  std::map<HostId, State> states;
+};
+
+}  // namespace hickorystand
--- a/packages/decisions/store.h
+++ b/packages/decisions/store.h
@@ -58,6 +58,9 @@
   std::vector<StoreCompare> conditions;
   std::vector<StoreOperation> then;
   std::vector<StoreOperation> otherwise;
+  // Its reads, if it does nothing else, may be seconds old. A service for which
+  // such reads are no cheaper may ignore it.
+  bool stale = false;
 
   auto operator<=>(const StoreTransaction&) const = default;
 };
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -2574,6 +2574,1073 @@
   return *this;
 }
 
+Header::~Header() noexcept {
+}
+
+
+void Header::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Header::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+uint32_t Header::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Header::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Header");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Header &a, Header &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+Header::Header(const Header& other116) {
+  name = other116.name;
+  value = other116.value;
+  __isset = other116.__isset;
+}
+Header::Header(Header&& other117) noexcept {
+  name = std::move(other117.name);
+  value = std::move(other117.value);
+  __isset = other117.__isset;
+}
+Header& Header::operator=(const Header& other118) {
+  name = other118.name;
+  value = other118.value;
+  __isset = other118.__isset;
+  return *this;
+}
+Header& Header::operator=(Header&& other119) noexcept {
+  name = std::move(other119.name);
+  value = std::move(other119.value);
+  __isset = other119.__isset;
+  return *this;
+}
+
+ForwardedRequest::~ForwardedRequest() noexcept {
+}
+
+
+void ForwardedRequest::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void ForwardedRequest::__set_method(const std::string& val) {
+  this->method = val;
+}
+
+void ForwardedRequest::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void ForwardedRequest::__set_headers(const std::vector<Header> & val) {
+  this->headers = val;
+}
+
+void ForwardedRequest::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void ForwardedRequest::__set_body_length(const int64_t val) {
+  this->body_length = val;
+}
+
+void ForwardedRequest::__set_age(const int64_t val) {
+  this->age = val;
+}
+
+void ForwardedRequest::__set_earlier_sends(const int64_t val) {
+  this->earlier_sends = val;
+__isset.earlier_sends = true;
+}
+
+void ForwardedRequest::__set_resume_after(const int64_t val) {
+  this->resume_after = val;
+__isset.resume_after = true;
+}
+
+void ForwardedRequest::__set_stream_begun(const bool val) {
+  this->stream_begun = val;
+__isset.stream_begun = true;
+}
+
+uint32_t ForwardedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->method);
+          this->__isset.method = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->headers.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
+            {
+              xfer += this->headers[_i124].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->body_length);
+          this->__isset.body_length = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->earlier_sends);
+          this->__isset.earlier_sends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->resume_after);
+          this->__isset.resume_after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stream_begun);
+          this->__isset.stream_begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardedRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardedRequest");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->method);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<Header> ::const_iterator _iter125;
+    for (_iter125 = this->headers.begin(); _iter125 != this->headers.end(); ++_iter125)
+    {
+      xfer += (*_iter125).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body_length", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->body_length);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.earlier_sends) {
+    xfer += oprot->writeFieldBegin("earlier_sends", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->earlier_sends);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.resume_after) {
+    xfer += oprot->writeFieldBegin("resume_after", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->resume_after);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.stream_begun) {
+    xfer += oprot->writeFieldBegin("stream_begun", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->stream_begun);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardedRequest &a, ForwardedRequest &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.method, b.method);
+  swap(a.target, b.target);
+  swap(a.headers, b.headers);
+  swap(a.body, b.body);
+  swap(a.body_length, b.body_length);
+  swap(a.age, b.age);
+  swap(a.earlier_sends, b.earlier_sends);
+  swap(a.resume_after, b.resume_after);
+  swap(a.stream_begun, b.stream_begun);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardedRequest::ForwardedRequest(const ForwardedRequest& other126) {
+  number = other126.number;
+  method = other126.method;
+  target = other126.target;
+  headers = other126.headers;
+  body = other126.body;
+  body_length = other126.body_length;
+  age = other126.age;
+  earlier_sends = other126.earlier_sends;
+  resume_after = other126.resume_after;
+  stream_begun = other126.stream_begun;
+  __isset = other126.__isset;
+}
+ForwardedRequest::ForwardedRequest(ForwardedRequest&& other127) noexcept {
+  number = other127.number;
+  method = std::move(other127.method);
+  target = std::move(other127.target);
+  headers = std::move(other127.headers);
+  body = std::move(other127.body);
+  body_length = other127.body_length;
+  age = other127.age;
+  earlier_sends = other127.earlier_sends;
+  resume_after = other127.resume_after;
+  stream_begun = other127.stream_begun;
+  __isset = other127.__isset;
+}
+ForwardedRequest& ForwardedRequest::operator=(const ForwardedRequest& other128) {
+  number = other128.number;
+  method = other128.method;
+  target = other128.target;
+  headers = other128.headers;
+  body = other128.body;
+  body_length = other128.body_length;
+  age = other128.age;
+  earlier_sends = other128.earlier_sends;
+  resume_after = other128.resume_after;
+  stream_begun = other128.stream_begun;
+  __isset = other128.__isset;
+  return *this;
+}
+ForwardedRequest& ForwardedRequest::operator=(ForwardedRequest&& other129) noexcept {
+  number = other129.number;
+  method = std::move(other129.method);
+  target = std::move(other129.target);
+  headers = std::move(other129.headers);
+  body = std::move(other129.body);
+  body_length = other129.body_length;
+  age = other129.age;
+  earlier_sends = other129.earlier_sends;
+  resume_after = other129.resume_after;
+  stream_begun = other129.stream_begun;
+  __isset = other129.__isset;
+  return *this;
+}
+
+ForwardedBody::~ForwardedBody() noexcept {
+}
+
+
+void ForwardedBody::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void ForwardedBody::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+
+uint32_t ForwardedBody::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardedBody::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardedBody");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardedBody &a, ForwardedBody &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.bytes, b.bytes);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardedBody::ForwardedBody(const ForwardedBody& other130) {
+  number = other130.number;
+  bytes = other130.bytes;
+  __isset = other130.__isset;
+}
+ForwardedBody::ForwardedBody(ForwardedBody&& other131) noexcept {
+  number = other131.number;
+  bytes = std::move(other131.bytes);
+  __isset = other131.__isset;
+}
+ForwardedBody& ForwardedBody::operator=(const ForwardedBody& other132) {
+  number = other132.number;
+  bytes = other132.bytes;
+  __isset = other132.__isset;
+  return *this;
+}
+ForwardedBody& ForwardedBody::operator=(ForwardedBody&& other133) noexcept {
+  number = other133.number;
+  bytes = std::move(other133.bytes);
+  __isset = other133.__isset;
+  return *this;
+}
+
+ForwardedAnswer::~ForwardedAnswer() noexcept {
+}
+
+
+void ForwardedAnswer::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void ForwardedAnswer::__set_status(const int32_t val) {
+  this->status = val;
+__isset.status = true;
+}
+
+void ForwardedAnswer::__set_headers(const std::vector<Header> & val) {
+  this->headers = val;
+__isset.headers = true;
+}
+
+void ForwardedAnswer::__set_length(const int64_t val) {
+  this->length = val;
+__isset.length = true;
+}
+
+void ForwardedAnswer::__set_bytes(const std::string& val) {
+  this->bytes = val;
+__isset.bytes = true;
+}
+
+void ForwardedAnswer::__set_ending(const int32_t val) {
+  this->ending = val;
+__isset.ending = true;
+}
+
+uint32_t ForwardedAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->headers.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
+            {
+              xfer += this->headers[_i138].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->length);
+          this->__isset.length = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ending);
+          this->__isset.ending = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardedAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardedAnswer");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.status) {
+    xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->status);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.headers) {
+    xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+      std::vector<Header> ::const_iterator _iter139;
+      for (_iter139 = this->headers.begin(); _iter139 != this->headers.end(); ++_iter139)
+      {
+        xfer += (*_iter139).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.length) {
+    xfer += oprot->writeFieldBegin("length", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->length);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.bytes) {
+    xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeBinary(this->bytes);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ending) {
+    xfer += oprot->writeFieldBegin("ending", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->ending);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardedAnswer &a, ForwardedAnswer &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.status, b.status);
+  swap(a.headers, b.headers);
+  swap(a.length, b.length);
+  swap(a.bytes, b.bytes);
+  swap(a.ending, b.ending);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardedAnswer::ForwardedAnswer(const ForwardedAnswer& other140) {
+  number = other140.number;
+  status = other140.status;
+  headers = other140.headers;
+  length = other140.length;
+  bytes = other140.bytes;
+  ending = other140.ending;
+  __isset = other140.__isset;
+}
+ForwardedAnswer::ForwardedAnswer(ForwardedAnswer&& other141) noexcept {
+  number = other141.number;
+  status = other141.status;
+  headers = std::move(other141.headers);
+  length = other141.length;
+  bytes = std::move(other141.bytes);
+  ending = other141.ending;
+  __isset = other141.__isset;
+}
+ForwardedAnswer& ForwardedAnswer::operator=(const ForwardedAnswer& other142) {
+  number = other142.number;
+  status = other142.status;
+  headers = other142.headers;
+  length = other142.length;
+  bytes = other142.bytes;
+  ending = other142.ending;
+  __isset = other142.__isset;
+  return *this;
+}
+ForwardedAnswer& ForwardedAnswer::operator=(ForwardedAnswer&& other143) noexcept {
+  number = other143.number;
+  status = other143.status;
+  headers = std::move(other143.headers);
+  length = other143.length;
+  bytes = std::move(other143.bytes);
+  ending = other143.ending;
+  __isset = other143.__isset;
+  return *this;
+}
+
+ForwardControl::~ForwardControl() noexcept {
+}
+
+
+void ForwardControl::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void ForwardControl::__set_action(const int32_t val) {
+  this->action = val;
+}
+
+uint32_t ForwardControl::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->action);
+          this->__isset.action = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardControl::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardControl");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("action", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->action);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardControl &a, ForwardControl &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.action, b.action);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardControl::ForwardControl(const ForwardControl& other144) noexcept {
+  number = other144.number;
+  action = other144.action;
+  __isset = other144.__isset;
+}
+ForwardControl::ForwardControl(ForwardControl&& other145) noexcept {
+  number = other145.number;
+  action = other145.action;
+  __isset = other145.__isset;
+}
+ForwardControl& ForwardControl::operator=(const ForwardControl& other146) noexcept {
+  number = other146.number;
+  action = other146.action;
+  __isset = other146.__isset;
+  return *this;
+}
+ForwardControl& ForwardControl::operator=(ForwardControl&& other147) noexcept {
+  number = other147.number;
+  action = other147.action;
+  __isset = other147.__isset;
+  return *this;
+}
+
+SchedulerNews::~SchedulerNews() noexcept {
+}
+
+
+void SchedulerNews::__set_ready(const bool val) {
+  this->ready = val;
+}
+
+void SchedulerNews::__set_configuration_version(const int64_t val) {
+  this->configuration_version = val;
+}
+
+void SchedulerNews::__set_head_bytes(const int64_t val) {
+  this->head_bytes = val;
+}
+
+void SchedulerNews::__set_body_bytes(const int64_t val) {
+  this->body_bytes = val;
+}
+
+void SchedulerNews::__set_head_timeout(const int64_t val) {
+  this->head_timeout = val;
+}
+
+void SchedulerNews::__set_idle_timeout(const int64_t val) {
+  this->idle_timeout = val;
+}
+
+void SchedulerNews::__set_keys_proven(const bool val) {
+  this->keys_proven = val;
+}
+
+uint32_t SchedulerNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ready);
+          this->__isset.ready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configuration_version);
+          this->__isset.configuration_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->head_bytes);
+          this->__isset.head_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->body_bytes);
+          this->__isset.body_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->head_timeout);
+          this->__isset.head_timeout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->idle_timeout);
+          this->__isset.idle_timeout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->keys_proven);
+          this->__isset.keys_proven = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SchedulerNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SchedulerNews");
+
+  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->ready);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configuration_version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->configuration_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("head_bytes", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->head_bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body_bytes", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->body_bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("head_timeout", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->head_timeout);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idle_timeout", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->idle_timeout);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keys_proven", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->keys_proven);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SchedulerNews &a, SchedulerNews &b) {
+  using ::std::swap;
+  swap(a.ready, b.ready);
+  swap(a.configuration_version, b.configuration_version);
+  swap(a.head_bytes, b.head_bytes);
+  swap(a.body_bytes, b.body_bytes);
+  swap(a.head_timeout, b.head_timeout);
+  swap(a.idle_timeout, b.idle_timeout);
+  swap(a.keys_proven, b.keys_proven);
+  swap(a.__isset, b.__isset);
+}
+
+SchedulerNews::SchedulerNews(const SchedulerNews& other148) noexcept {
+  ready = other148.ready;
+  configuration_version = other148.configuration_version;
+  head_bytes = other148.head_bytes;
+  body_bytes = other148.body_bytes;
+  head_timeout = other148.head_timeout;
+  idle_timeout = other148.idle_timeout;
+  keys_proven = other148.keys_proven;
+  __isset = other148.__isset;
+}
+SchedulerNews::SchedulerNews(SchedulerNews&& other149) noexcept {
+  ready = other149.ready;
+  configuration_version = other149.configuration_version;
+  head_bytes = other149.head_bytes;
+  body_bytes = other149.body_bytes;
+  head_timeout = other149.head_timeout;
+  idle_timeout = other149.idle_timeout;
+  keys_proven = other149.keys_proven;
+  __isset = other149.__isset;
+}
+SchedulerNews& SchedulerNews::operator=(const SchedulerNews& other150) noexcept {
+  ready = other150.ready;
+  configuration_version = other150.configuration_version;
+  head_bytes = other150.head_bytes;
+  body_bytes = other150.body_bytes;
+  head_timeout = other150.head_timeout;
+  idle_timeout = other150.idle_timeout;
+  keys_proven = other150.keys_proven;
+  __isset = other150.__isset;
+  return *this;
+}
+SchedulerNews& SchedulerNews::operator=(SchedulerNews&& other151) noexcept {
+  ready = other151.ready;
+  configuration_version = other151.configuration_version;
+  head_bytes = other151.head_bytes;
+  body_bytes = other151.body_bytes;
+  head_timeout = other151.head_timeout;
+  idle_timeout = other151.idle_timeout;
+  keys_proven = other151.keys_proven;
+  __isset = other151.__isset;
+  return *this;
+}
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -2622,18 +3689,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other116) noexcept {
-  (void) other116;
+Heartbeat::Heartbeat(const Heartbeat& other152) noexcept {
+  (void) other152;
 }
-Heartbeat::Heartbeat(Heartbeat&& other117) noexcept {
-  (void) other117;
+Heartbeat::Heartbeat(Heartbeat&& other153) noexcept {
+  (void) other153;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other118) noexcept {
-  (void) other118;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other154) noexcept {
+  (void) other154;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other119) noexcept {
-  (void) other119;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other155) noexcept {
+  (void) other155;
   return *this;
 }
 
@@ -2691,6 +3758,31 @@
 __isset.engine_paces = true;
 }
 
+void Message::__set_forwarded_request(const ForwardedRequest& val) {
+  this->forwarded_request = val;
+__isset.forwarded_request = true;
+}
+
+void Message::__set_forwarded_body(const ForwardedBody& val) {
+  this->forwarded_body = val;
+__isset.forwarded_body = true;
+}
+
+void Message::__set_forwarded_answer(const ForwardedAnswer& val) {
+  this->forwarded_answer = val;
+__isset.forwarded_answer = true;
+}
+
+void Message::__set_forward_control(const ForwardControl& val) {
+  this->forward_control = val;
+__isset.forward_control = true;
+}
+
+void Message::__set_scheduler_news(const SchedulerNews& val) {
+  this->scheduler_news = val;
+__isset.scheduler_news = true;
+}
+
 uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -2792,6 +3884,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->forwarded_request.read(iprot);
+          this->__isset.forwarded_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->forwarded_body.read(iprot);
+          this->__isset.forwarded_body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->forwarded_answer.read(iprot);
+          this->__isset.forwarded_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->forward_control.read(iprot);
+          this->__isset.forward_control = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->scheduler_news.read(iprot);
+          this->__isset.scheduler_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2859,6 +3991,31 @@
     xfer += this->engine_paces.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.forwarded_request) {
+    xfer += oprot->writeFieldBegin("forwarded_request", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->forwarded_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.forwarded_body) {
+    xfer += oprot->writeFieldBegin("forwarded_body", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->forwarded_body.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.forwarded_answer) {
+    xfer += oprot->writeFieldBegin("forwarded_answer", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->forwarded_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.forward_control) {
+    xfer += oprot->writeFieldBegin("forward_control", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->forward_control.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.scheduler_news) {
+    xfer += oprot->writeFieldBegin("scheduler_news", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->scheduler_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2876,61 +4033,86 @@
   swap(a.freshness_question, b.freshness_question);
   swap(a.freshness_answer, b.freshness_answer);
   swap(a.engine_paces, b.engine_paces);
+  swap(a.forwarded_request, b.forwarded_request);
+  swap(a.forwarded_body, b.forwarded_body);
+  swap(a.forwarded_answer, b.forwarded_answer);
+  swap(a.forward_control, b.forward_control);
+  swap(a.scheduler_news, b.scheduler_news);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other120) {
-  heartbeat = other120.heartbeat;
-  digest = other120.digest;
-  buckets_request = other120.buckets_request;
-  buckets_reply = other120.buckets_reply;
-  usage_copy = other120.usage_copy;
-  released = other120.released;
-  endpoint_news = other120.endpoint_news;
-  freshness_question = other120.freshness_question;
-  freshness_answer = other120.freshness_answer;
-  engine_paces = other120.engine_paces;
-  __isset = other120.__isset;
-}
-Message::Message(Message&& other121) noexcept {
-  heartbeat = std::move(other121.heartbeat);
-  digest = std::move(other121.digest);
-  buckets_request = std::move(other121.buckets_request);
-  buckets_reply = std::move(other121.buckets_reply);
-  usage_copy = std::move(other121.usage_copy);
-  released = std::move(other121.released);
-  endpoint_news = std::move(other121.endpoint_news);
-  freshness_question = std::move(other121.freshness_question);
-  freshness_answer = std::move(other121.freshness_answer);
-  engine_paces = std::move(other121.engine_paces);
-  __isset = other121.__isset;
-}
-Message& Message::operator=(const Message& other122) {
-  heartbeat = other122.heartbeat;
-  digest = other122.digest;
-  buckets_request = other122.buckets_request;
-  buckets_reply = other122.buckets_reply;
-  usage_copy = other122.usage_copy;
-  released = other122.released;
-  endpoint_news = other122.endpoint_news;
-  freshness_question = other122.freshness_question;
-  freshness_answer = other122.freshness_answer;
-  engine_paces = other122.engine_paces;
-  __isset = other122.__isset;
+Message::Message(const Message& other156) {
+  heartbeat = other156.heartbeat;
+  digest = other156.digest;
+  buckets_request = other156.buckets_request;
+  buckets_reply = other156.buckets_reply;
+  usage_copy = other156.usage_copy;
+  released = other156.released;
+  endpoint_news = other156.endpoint_news;
+  freshness_question = other156.freshness_question;
+  freshness_answer = other156.freshness_answer;
+  engine_paces = other156.engine_paces;
+  forwarded_request = other156.forwarded_request;
+  forwarded_body = other156.forwarded_body;
+  forwarded_answer = other156.forwarded_answer;
+  forward_control = other156.forward_control;
+  scheduler_news = other156.scheduler_news;
+  __isset = other156.__isset;
+}
+Message::Message(Message&& other157) noexcept {
+  heartbeat = std::move(other157.heartbeat);
+  digest = std::move(other157.digest);
+  buckets_request = std::move(other157.buckets_request);
+  buckets_reply = std::move(other157.buckets_reply);
+  usage_copy = std::move(other157.usage_copy);
+  released = std::move(other157.released);
+  endpoint_news = std::move(other157.endpoint_news);
+  freshness_question = std::move(other157.freshness_question);
+  freshness_answer = std::move(other157.freshness_answer);
+  engine_paces = std::move(other157.engine_paces);
+  forwarded_request = std::move(other157.forwarded_request);
+  forwarded_body = std::move(other157.forwarded_body);
+  forwarded_answer = std::move(other157.forwarded_answer);
+  forward_control = std::move(other157.forward_control);
+  scheduler_news = std::move(other157.scheduler_news);
+  __isset = other157.__isset;
+}
+Message& Message::operator=(const Message& other158) {
+  heartbeat = other158.heartbeat;
+  digest = other158.digest;
+  buckets_request = other158.buckets_request;
+  buckets_reply = other158.buckets_reply;
+  usage_copy = other158.usage_copy;
+  released = other158.released;
+  endpoint_news = other158.endpoint_news;
+  freshness_question = other158.freshness_question;
+  freshness_answer = other158.freshness_answer;
+  engine_paces = other158.engine_paces;
+  forwarded_request = other158.forwarded_request;
+  forwarded_body = other158.forwarded_body;
+  forwarded_answer = other158.forwarded_answer;
+  forward_control = other158.forward_control;
+  scheduler_news = other158.scheduler_news;
+  __isset = other158.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other123) noexcept {
-  heartbeat = std::move(other123.heartbeat);
-  digest = std::move(other123.digest);
-  buckets_request = std::move(other123.buckets_request);
-  buckets_reply = std::move(other123.buckets_reply);
-  usage_copy = std::move(other123.usage_copy);
-  released = std::move(other123.released);
-  endpoint_news = std::move(other123.endpoint_news);
-  freshness_question = std::move(other123.freshness_question);
-  freshness_answer = std::move(other123.freshness_answer);
-  engine_paces = std::move(other123.engine_paces);
-  __isset = other123.__isset;
+Message& Message::operator=(Message&& other159) noexcept {
+  heartbeat = std::move(other159.heartbeat);
+  digest = std::move(other159.digest);
+  buckets_request = std::move(other159.buckets_request);
+  buckets_reply = std::move(other159.buckets_reply);
+  usage_copy = std::move(other159.usage_copy);
+  released = std::move(other159.released);
+  endpoint_news = std::move(other159.endpoint_news);
+  freshness_question = std::move(other159.freshness_question);
+  freshness_answer = std::move(other159.freshness_answer);
+  engine_paces = std::move(other159.engine_paces);
+  forwarded_request = std::move(other159.forwarded_request);
+  forwarded_body = std::move(other159.forwarded_body);
+  forwarded_answer = std::move(other159.forwarded_answer);
+  forward_control = std::move(other159.forward_control);
+  scheduler_news = std::move(other159.scheduler_news);
+  __isset = other159.__isset;
   return *this;
 }
 }} // namespace
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -55,6 +55,18 @@
 
 class EnginePaces;
 
+class Header;
+
+class ForwardedRequest;
+
+class ForwardedBody;
+
+class ForwardedAnswer;
+
+class ForwardControl;
+
+class SchedulerNews;
+
 class Heartbeat;
 
 class Message;
@@ -1107,6 +1119,445 @@
 
 std::ostream& operator<<(std::ostream& out, const EnginePaces& obj);
 
+typedef struct _Header__isset {
+  _Header__isset() : name(false), value(false) {}
+  bool name :1;
+  bool value :1;
+} _Header__isset;
+
+class Header : public virtual ::apache::thrift::TBase {
+ public:
+
+  Header(const Header&);
+  Header(Header&&) noexcept;
+  Header& operator=(const Header&);
+  Header& operator=(Header&&) noexcept;
+  Header() noexcept
+         : name(),
+           value() {
+  }
+
+  virtual ~Header() noexcept;
+  std::string name;
+  std::string value;
+
+  _Header__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  bool operator == (const Header & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const Header &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Header & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(Header &a, Header &b);
+
+std::ostream& operator<<(std::ostream& out, const Header& obj);
+
+typedef struct _ForwardedRequest__isset {
+  _ForwardedRequest__isset() : number(false), method(false), target(false), headers(false), body(false), body_length(false), age(false), earlier_sends(false), resume_after(false), stream_begun(false) {}
+  bool number :1;
+  bool method :1;
+  bool target :1;
+  bool headers :1;
+  bool body :1;
+  bool body_length :1;
+  bool age :1;
+  bool earlier_sends :1;
+  bool resume_after :1;
+  bool stream_begun :1;
+} _ForwardedRequest__isset;
+
+class ForwardedRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardedRequest(const ForwardedRequest&);
+  ForwardedRequest(ForwardedRequest&&) noexcept;
+  ForwardedRequest& operator=(const ForwardedRequest&);
+  ForwardedRequest& operator=(ForwardedRequest&&) noexcept;
+  ForwardedRequest() noexcept
+                   : number(0),
+                     method(),
+                     target(),
+                     body(),
+                     body_length(0),
+                     age(0),
+                     earlier_sends(0),
+                     resume_after(0),
+                     stream_begun(0) {
+  }
+
+  virtual ~ForwardedRequest() noexcept;
+  int64_t number;
+  std::string method;
+  std::string target;
+  std::vector<Header>  headers;
+  std::string body;
+  int64_t body_length;
+  int64_t age;
+  int64_t earlier_sends;
+  int64_t resume_after;
+  bool stream_begun;
+
+  _ForwardedRequest__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_method(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_headers(const std::vector<Header> & val);
+
+  void __set_body(const std::string& val);
+
+  void __set_body_length(const int64_t val);
+
+  void __set_age(const int64_t val);
+
+  void __set_earlier_sends(const int64_t val);
+
+  void __set_resume_after(const int64_t val);
+
+  void __set_stream_begun(const bool val);
+
+  bool operator == (const ForwardedRequest & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(method == rhs.method))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(headers == rhs.headers))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    if (!(body_length == rhs.body_length))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    if (__isset.earlier_sends != rhs.__isset.earlier_sends)
+      return false;
+    else if (__isset.earlier_sends && !(earlier_sends == rhs.earlier_sends))
+      return false;
+    if (__isset.resume_after != rhs.__isset.resume_after)
+      return false;
+    else if (__isset.resume_after && !(resume_after == rhs.resume_after))
+      return false;
+    if (__isset.stream_begun != rhs.__isset.stream_begun)
+      return false;
+    else if (__isset.stream_begun && !(stream_begun == rhs.stream_begun))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardedRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardedRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(ForwardedRequest &a, ForwardedRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardedRequest& obj);
+
+typedef struct _ForwardedBody__isset {
+  _ForwardedBody__isset() : number(false), bytes(false) {}
+  bool number :1;
+  bool bytes :1;
+} _ForwardedBody__isset;
+
+class ForwardedBody : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardedBody(const ForwardedBody&);
+  ForwardedBody(ForwardedBody&&) noexcept;
+  ForwardedBody& operator=(const ForwardedBody&);
+  ForwardedBody& operator=(ForwardedBody&&) noexcept;
+  ForwardedBody() noexcept
+                : number(0),
+                  bytes() {
+  }
+
+  virtual ~ForwardedBody() noexcept;
+  int64_t number;
+  std::string bytes;
+
+  _ForwardedBody__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_bytes(const std::string& val);
+
+  bool operator == (const ForwardedBody & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardedBody &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardedBody & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(ForwardedBody &a, ForwardedBody &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardedBody& obj);
+
+typedef struct _ForwardedAnswer__isset {
+  _ForwardedAnswer__isset() : number(false), status(false), headers(false), length(false), bytes(false), ending(false) {}
+  bool number :1;
+  bool status :1;
+  bool headers :1;
+  bool length :1;
+  bool bytes :1;
+  bool ending :1;
+} _ForwardedAnswer__isset;
+
+class ForwardedAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardedAnswer(const ForwardedAnswer&);
+  ForwardedAnswer(ForwardedAnswer&&) noexcept;
+  ForwardedAnswer& operator=(const ForwardedAnswer&);
+  ForwardedAnswer& operator=(ForwardedAnswer&&) noexcept;
+  ForwardedAnswer() noexcept
+                  : number(0),
+                    status(0),
+                    length(0),
+                    bytes(),
+                    ending(0) {
+  }
+
+  virtual ~ForwardedAnswer() noexcept;
+  int64_t number;
+  int32_t status;
+  std::vector<Header>  headers;
+  int64_t length;
+  std::string bytes;
+  int32_t ending;
+
+  _ForwardedAnswer__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_status(const int32_t val);
+
+  void __set_headers(const std::vector<Header> & val);
+
+  void __set_length(const int64_t val);
+
+  void __set_bytes(const std::string& val);
+
+  void __set_ending(const int32_t val);
+
+  bool operator == (const ForwardedAnswer & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (__isset.status != rhs.__isset.status)
+      return false;
+    else if (__isset.status && !(status == rhs.status))
+      return false;
+    if (__isset.headers != rhs.__isset.headers)
+      return false;
+    else if (__isset.headers && !(headers == rhs.headers))
+      return false;
+    if (__isset.length != rhs.__isset.length)
+      return false;
+    else if (__isset.length && !(length == rhs.length))
+      return false;
+    if (__isset.bytes != rhs.__isset.bytes)
+      return false;
+    else if (__isset.bytes && !(bytes == rhs.bytes))
+      return false;
+    if (__isset.ending != rhs.__isset.ending)
+      return false;
+    else if (__isset.ending && !(ending == rhs.ending))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardedAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardedAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(ForwardedAnswer &a, ForwardedAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardedAnswer& obj);
+
+typedef struct _ForwardControl__isset {
+  _ForwardControl__isset() : number(false), action(false) {}
+  bool number :1;
+  bool action :1;
+} _ForwardControl__isset;
+
+class ForwardControl : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardControl(const ForwardControl&) noexcept;
+  ForwardControl(ForwardControl&&) noexcept;
+  ForwardControl& operator=(const ForwardControl&) noexcept;
+  ForwardControl& operator=(ForwardControl&&) noexcept;
+  ForwardControl() noexcept
+                 : number(0),
+                   action(0) {
+  }
+
+  virtual ~ForwardControl() noexcept;
+  int64_t number;
+  int32_t action;
+
+  _ForwardControl__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_action(const int32_t val);
+
+  bool operator == (const ForwardControl & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(action == rhs.action))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardControl &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardControl & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(ForwardControl &a, ForwardControl &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardControl& obj);
+
+typedef struct _SchedulerNews__isset {
+  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false) {}
+  bool ready :1;
+  bool configuration_version :1;
+  bool head_bytes :1;
+  bool body_bytes :1;
+  bool head_timeout :1;
+  bool idle_timeout :1;
+  bool keys_proven :1;
+} _SchedulerNews__isset;
+
+class SchedulerNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  SchedulerNews(const SchedulerNews&) noexcept;
+  SchedulerNews(SchedulerNews&&) noexcept;
+  SchedulerNews& operator=(const SchedulerNews&) noexcept;
+  SchedulerNews& operator=(SchedulerNews&&) noexcept;
+  SchedulerNews() noexcept
+                : ready(0),
+                  configuration_version(0),
+                  head_bytes(0),
+                  body_bytes(0),
+                  head_timeout(0),
+                  idle_timeout(0),
+                  keys_proven(0) {
+  }
+
+  virtual ~SchedulerNews() noexcept;
+  bool ready;
+  int64_t configuration_version;
+  int64_t head_bytes;
+  int64_t body_bytes;
+  int64_t head_timeout;
+  int64_t idle_timeout;
+  bool keys_proven;
+
+  _SchedulerNews__isset __isset;
+
+  void __set_ready(const bool val);
+
+  void __set_configuration_version(const int64_t val);
+
+  void __set_head_bytes(const int64_t val);
+
+  void __set_body_bytes(const int64_t val);
+
+  void __set_head_timeout(const int64_t val);
+
+  void __set_idle_timeout(const int64_t val);
+
+  void __set_keys_proven(const bool val);
+
+  bool operator == (const SchedulerNews & rhs) const
+  {
+    if (!(ready == rhs.ready))
+      return false;
+    if (!(configuration_version == rhs.configuration_version))
+      return false;
+    if (!(head_bytes == rhs.head_bytes))
+      return false;
+    if (!(body_bytes == rhs.body_bytes))
+      return false;
+    if (!(head_timeout == rhs.head_timeout))
+      return false;
+    if (!(idle_timeout == rhs.idle_timeout))
+      return false;
+    if (!(keys_proven == rhs.keys_proven))
+      return false;
+    return true;
+  }
+  bool operator != (const SchedulerNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SchedulerNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(SchedulerNews &a, SchedulerNews &b);
+
+std::ostream& operator<<(std::ostream& out, const SchedulerNews& obj);
+
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
  public:
@@ -1140,7 +1591,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false) {}
+  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false), forwarded_request(false), forwarded_body(false), forwarded_answer(false), forward_control(false), scheduler_news(false) {}
   bool heartbeat :1;
   bool digest :1;
   bool buckets_request :1;
@@ -1151,6 +1602,11 @@
   bool freshness_question :1;
   bool freshness_answer :1;
   bool engine_paces :1;
+  bool forwarded_request :1;
+  bool forwarded_body :1;
+  bool forwarded_answer :1;
+  bool forward_control :1;
+  bool scheduler_news :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1174,6 +1630,11 @@
   FreshnessQuestion freshness_question;
   FreshnessAnswer freshness_answer;
   EnginePaces engine_paces;
+  ForwardedRequest forwarded_request;
+  ForwardedBody forwarded_body;
+  ForwardedAnswer forwarded_answer;
+  ForwardControl forward_control;
+  SchedulerNews scheduler_news;
 
   _Message__isset __isset;
 
@@ -1197,6 +1658,16 @@
 
   void __set_engine_paces(const EnginePaces& val);
 
+  void __set_forwarded_request(const ForwardedRequest& val);
+
+  void __set_forwarded_body(const ForwardedBody& val);
+
+  void __set_forwarded_answer(const ForwardedAnswer& val);
+
+  void __set_forward_control(const ForwardControl& val);
+
+  void __set_scheduler_news(const SchedulerNews& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1239,6 +1710,26 @@
       return false;
     else if (__isset.engine_paces && !(engine_paces == rhs.engine_paces))
       return false;
+    if (__isset.forwarded_request != rhs.__isset.forwarded_request)
+      return false;
+    else if (__isset.forwarded_request && !(forwarded_request == rhs.forwarded_request))
+      return false;
+    if (__isset.forwarded_body != rhs.__isset.forwarded_body)
+      return false;
+    else if (__isset.forwarded_body && !(forwarded_body == rhs.forwarded_body))
+      return false;
+    if (__isset.forwarded_answer != rhs.__isset.forwarded_answer)
+      return false;
+    else if (__isset.forwarded_answer && !(forwarded_answer == rhs.forwarded_answer))
+      return false;
+    if (__isset.forward_control != rhs.__isset.forward_control)
+      return false;
+    else if (__isset.forward_control && !(forward_control == rhs.forward_control))
+      return false;
+    if (__isset.scheduler_news != rhs.__isset.scheduler_news)
+      return false;
+    else if (__isset.scheduler_news && !(scheduler_news == rhs.scheduler_news))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -11,6 +11,7 @@
 
 #include "decisions/digest.h"
 #include "decisions/engine_pace.h"
+#include "http/http_types.h"
 #include "kernel/ids.h"
 
 namespace hickorystand {
@@ -86,6 +87,76 @@
   bool operator==(const PaceMessage&) const = default;
 };
 
+// A caller's request that the host which read it hands to a scheduler.
+struct ForwardedRequest {
+  int64_t number = 0;  // chosen by the sending process, never used twice
+  std::string method;
+  std::string target;
+  HttpHeaders headers;
+  std::string body;          // its beginning
+  uint64_t body_length = 0;  // the rest follows as ForwardedBody
+  Duration age{};            // since the request was read
+  // Runs that may have been started by schedulers that were lost.
+  int64_t earlier_sends = 0;
+  std::optional<int64_t> resume_after;  // the last event that the caller has
+  bool stream_begun = false;            // the caller has the answer's head
+
+  bool operator==(const ForwardedRequest&) const = default;
+};
+
+// The next part of a forwarded request's body.
+struct ForwardedBody {
+  int64_t number = 0;
+  std::string bytes;
+
+  bool operator==(const ForwardedBody&) const = default;
+};
+
+// Whether an answer goes on.
+enum class AnswerEnd { kMore, kWhole, kBroken };
+
+// The head of an answer.
+struct ForwardedHead {
+  int status = 200;
+  HttpHeaders headers;
+  std::optional<uint64_t> length;  // unknown: until the end
+
+  bool operator==(const ForwardedHead&) const = default;
+};
+
+// The next part of the answer to a forwarded request.
+struct ForwardedAnswer {
+  int64_t number = 0;
+  std::optional<ForwardedHead> head;
+  std::string bytes;
+  AnswerEnd end = AnswerEnd::kMore;
+
+  bool operator==(const ForwardedAnswer&) const = default;
+};
+
+// What the host that has the caller asks of the scheduler.
+enum class ForwardAction { kCancel, kPause, kResume };
+
+struct ForwardControl {
+  int64_t number = 0;
+  ForwardAction action = ForwardAction::kCancel;
+
+  auto operator<=>(const ForwardControl&) const = default;
+};
+
+// What a scheduler tells the hosts that forward to it.
+struct SchedulerNews {
+  bool ready = false;
+  bool keys_proven = false;  // API keys can be trusted now
+  int64_t configuration_version = 0;
+  int64_t head_bytes = 0;  // bounds on what callers may send
+  int64_t body_bytes = 0;
+  Duration head_timeout{};
+  Duration idle_timeout{};
+
+  auto operator<=>(const SchedulerNews&) const = default;
+};
+
 // Everything but digests, which PeerLinks sends and takes as whole values.
 using PeerMessage = std::variant<BucketsRequest,
                                  BucketsReply,
@@ -94,6 +165,11 @@
                                  EndpointNews,
                                  FreshnessQuestion,
                                  FreshnessAnswer,
-                                 PaceMessage>;
+                                 PaceMessage,
+                                 ForwardedRequest,
+                                 ForwardedBody,
+                                 ForwardedAnswer,
+                                 ForwardControl,
+                                 SchedulerNews>;
 
 }  // namespace hickorystand
--- a/packages/peers/peer_links.cc
+++ b/packages/peers/peer_links.cc
@@ -488,6 +488,23 @@
   return linked;
 }
 
+std::vector<HostId> PeerLinks::LinkedIn(
+    const DataCentreId& data_centre) const {
+  std::vector<HostId> linked = this->Linked();
+  std::erase_if(linked, [&](const HostId& host) {
+    return !this->IsIn(host, data_centre);
+  });
+  return linked;
+}
+
+bool PeerLinks::IsIn(const HostId& host,
+                     const DataCentreId& data_centre) const {
+  const auto found = this->links.find(host);
+  return found != this->links.end() && found->second.up &&
+         found->second.session != nullptr &&
+         found->second.session->Peer().data_centre == data_centre;
+}
+
 PeerStats PeerLinks::Stats() const {
   PeerStats all = this->stats;
   for (const auto& [id, link] : this->links) {
--- a/packages/peers/peer_links.h
+++ b/packages/peers/peer_links.h
@@ -123,8 +123,12 @@
   // Sends to all linked hosts; returns to how many.
   size_t Broadcast(const PeerMessage& message);
 
-  // The hosts that are linked now.
+  // The hosts that are linked now; those of one data centre.
   std::vector<HostId> Linked() const;
+  std::vector<HostId> LinkedIn(const DataCentreId& data_centre) const;
+
+  // Whether a host is linked and says that it is in a data centre.
+  bool IsIn(const HostId& host, const DataCentreId& data_centre) const;
 
   PeerStats Stats() const;
 
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -129,6 +129,55 @@
   1: list<ServicePace> services
 }
 
+struct Header {
+  1: string name
+  2: string value
+}
+
+// A caller's request on its way to a scheduler. A long body follows in parts.
+struct ForwardedRequest {
+  1: i64 number  // of the sending process
+  2: string method
+  3: string target
+  4: list<Header> headers
+  5: binary body
+  6: i64 body_length
+  7: i64 age  // microseconds since it was read
+  8: optional i64 earlier_sends
+  9: optional i64 resume_after
+  10: optional bool stream_begun
+}
+
+struct ForwardedBody {
+  1: i64 number
+  2: binary bytes
+}
+
+// The next part of the answer to a forwarded request.
+struct ForwardedAnswer {
+  1: i64 number
+  2: optional i32 status  // with the head
+  3: optional list<Header> headers
+  4: optional i64 length
+  5: optional binary bytes
+  6: optional i32 ending  // AnswerEnd; absent: more follows
+}
+
+struct ForwardControl {
+  1: i64 number
+  2: i32 action  // ForwardAction
+}
+
+struct SchedulerNews {
+  1: bool ready
+  2: i64 configuration_version
+  3: i64 head_bytes
+  4: i64 body_bytes
+  5: i64 head_timeout  // microseconds
+  6: i64 idle_timeout  // microseconds
+  7: bool keys_proven
+}
+
 struct Heartbeat {
 }
 
@@ -143,4 +192,9 @@
   8: FreshnessQuestion freshness_question
   9: FreshnessAnswer freshness_answer
   10: EnginePaces engine_paces
+  11: ForwardedRequest forwarded_request
+  12: ForwardedBody forwarded_body
+  13: ForwardedAnswer forwarded_answer
+  14: ForwardControl forward_control
+  15: SchedulerNews scheduler_news
 }
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -250,6 +250,62 @@
   return message;
 }
 
+std::vector<wire::Header> ToWire(const HttpHeaders& headers) {
+  std::vector<wire::Header> out;
+  std::ranges::transform(headers, std::back_inserter(out),
+                         [](const HttpHeader& header) {
+                           wire::Header item;
+                           item.name = header.name;
+                           item.value = header.value;
+                           return item;
+                         });
+  return out;
+}
+
+HttpHeaders ReadHeaders(std::vector<wire::Header>& in) {
+  HttpHeaders headers;
+  std::ranges::transform(in, std::back_inserter(headers),
+                         [](wire::Header& item) {
+                           return HttpHeader{.name = std::move(item.name),
+                                             .value = std::move(item.value)};
+                         });
+  return headers;
+}
+
+ForwardedRequest ReadForwarded(wire::ForwardedRequest& in) {
+  return {.number = in.number,
+          .method = std::move(in.method),
+          .target = std::move(in.target),
+          .headers = ReadHeaders(in.headers),
+          .body = std::move(in.body),
+          .body_length = static_cast<uint64_t>(in.body_length),
+          .age = Duration(std::max<int64_t>(in.age, 0)),
+          .earlier_sends = std::max<int64_t>(in.earlier_sends, 0),
+          .resume_after = in.__isset.resume_after
+                              ? std::optional(in.resume_after)
+                              : std::nullopt,
+          .stream_begun = in.stream_begun};
+}
+
+bool GoodAnswer(const wire::ForwardedAnswer& in) {
+  return in.ending >= 0 && in.ending <= static_cast<int>(AnswerEnd::kBroken) &&
+         in.length >= 0;
+}
+
+ForwardedAnswer ReadAnswer(wire::ForwardedAnswer& in) {
+  ForwardedAnswer answer{.number = in.number,
+                         .bytes = std::move(in.bytes),
+                         .end = static_cast<AnswerEnd>(in.ending)};
+  if (in.__isset.status) {
+    answer.head = {.status = in.status,
+                   .headers = ReadHeaders(in.headers),
+                   .length = in.__isset.length
+                                 ? std::optional<uint64_t>(in.length)
+                                 : std::nullopt};
+  }
+  return answer;
+}
+
 struct Writer {
   wire::Message out;
 
@@ -318,6 +374,67 @@
     }
     out.__set_engine_paces(item);
   }
+  void operator()(const ForwardedRequest& request) {
+    wire::ForwardedRequest item;
+    item.number = request.number;
+    item.method = request.method;
+    item.target = request.target;
+    item.headers = ToWire(request.headers);
+    item.body = request.body;
+    item.body_length = static_cast<int64_t>(request.body_length);
+    item.age = request.age.count();
+    if (request.earlier_sends > 0) {
+      item.__set_earlier_sends(request.earlier_sends);
+    }
+    if (request.resume_after) {
+      item.__set_resume_after(*request.resume_after);
+    }
+    if (request.stream_begun) {
+      item.__set_stream_begun(true);
+    }
+    out.__set_forwarded_request(item);
+  }
+  void operator()(const ForwardedBody& body) {
+    wire::ForwardedBody item;
+    item.number = body.number;
+    item.bytes = body.bytes;
+    out.__set_forwarded_body(item);
+  }
+  void operator()(const ForwardedAnswer& answer) {
+    wire::ForwardedAnswer item;
+    item.number = answer.number;
+    if (answer.head) {
+      item.__set_status(answer.head->status);
+      item.__set_headers(ToWire(answer.head->headers));
+      if (answer.head->length) {
+        item.__set_length(static_cast<int64_t>(*answer.head->length));
+      }
+    }
+    if (!answer.bytes.empty()) {
+      item.__set_bytes(answer.bytes);
+    }
+    if (answer.end != AnswerEnd::kMore) {
+      item.__set_ending(static_cast<int>(answer.end));
+    }
+    out.__set_forwarded_answer(item);
+  }
+  void operator()(const ForwardControl& control) {
+    wire::ForwardControl item;
+    item.number = control.number;
+    item.action = static_cast<int>(control.action);
+    out.__set_forward_control(item);
+  }
+  void operator()(const SchedulerNews& news) {
+    wire::SchedulerNews item;
+    item.ready = news.ready;
+    item.keys_proven = news.keys_proven;
+    item.configuration_version = news.configuration_version;
+    item.head_bytes = news.head_bytes;
+    item.body_bytes = news.body_bytes;
+    item.head_timeout = news.head_timeout.count();
+    item.idle_timeout = news.idle_timeout.count();
+    out.__set_scheduler_news(item);
+  }
 };
 
 PeerMessage ReadBuckets(wire::BucketsReply& in) {
@@ -422,6 +539,34 @@
   if (set.engine_paces) {
     return WireMessage(PeerMessage(ReadPaces(in->engine_paces)));
   }
+  if (set.forwarded_request && in->forwarded_request.body_length >= 0) {
+    return WireMessage(PeerMessage(ReadForwarded(in->forwarded_request)));
+  }
+  if (set.forwarded_body) {
+    return WireMessage(PeerMessage(
+        ForwardedBody{.number = in->forwarded_body.number,
+                      .bytes = std::move(in->forwarded_body.bytes)}));
+  }
+  if (set.forwarded_answer && GoodAnswer(in->forwarded_answer)) {
+    return WireMessage(PeerMessage(ReadAnswer(in->forwarded_answer)));
+  }
+  if (set.forward_control && in->forward_control.action >= 0 &&
+      in->forward_control.action <= static_cast<int>(ForwardAction::kResume)) {
+    return WireMessage(PeerMessage(ForwardControl{
+        .number = in->forward_control.number,
+        .action = static_cast<ForwardAction>(in->forward_control.action)}));
+  }
+  if (set.scheduler_news) {
+    const auto& news = in->scheduler_news;
+    return WireMessage(PeerMessage(
+        SchedulerNews{.ready = news.ready,
+                      .keys_proven = news.keys_proven,
+                       .configuration_version = news.configuration_version,
+                       .head_bytes = news.head_bytes,
+                       .body_bytes = news.body_bytes,
+                       .head_timeout = Duration(news.head_timeout),
+                       .idle_timeout = Duration(news.idle_timeout)}));
+  }
   if (set.heartbeat) {
     return WireMessage(PeerHeartbeat{});
   }
--- /dev/null
+++ b/packages/relay/caller_exchange.cc
@@ -0,0 +1,66 @@
+#include "relay/caller_exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "kernel/json.h"
+
+namespace hickorystand {
+namespace {
+
+std::string SecondsText(Duration length) {
+  std::array<char, 32> text;
+  const int size = std::snprintf(text.data(), text.size(), "%.3f",
+                                 std::max(ToSeconds(length), 0.0));
+  return {text.data(), static_cast<size_t>(size)};
+}
+
+}  // namespace
+
+void CallerExchange::Answer(const AnswerStart& start, std::string_view body) {
+  AnswerStart whole = start;
+  if (HasBody(start.status)) {
+    whole.length = body.size();
+  }
+  this->Start(whole);
+  this->Send(body);
+  this->Finish();
+}
+
+void CallerExchange::TellGone() {
+  if (!std::exchange(this->over, true) && this->gone) {
+    this->gone();
+  }
+}
+
+void CallerExchange::TellDrained() {
+  if (this->drained) {
+    this->drained();
+  }
+}
+
+int AnswerOwnError(CallerExchange& exchange,
+                   Metrics& metrics,
+                   ErrorKind kind,
+                   std::string_view why,
+                   std::optional<Duration> retry_after) {
+  AnswerStart start{
+      .status = AnswerFor(kind).status,
+      .headers = {{.name = "Content-Type", .value = "application/json"}}};
+  if (retry_after) {
+    start.headers.push_back(
+        {.name = "Retry-After", .value = SecondsText(*retry_after)});
+  }
+  metrics.Add("own_answers_total", 1,
+              {{"code", std::string(AnswerFor(kind).code)}});
+  exchange.Answer(start, JsonWriter()
+                             .BeginObject()
+                             .Member("error", std::string(why))
+                             .EndObject()
+                             .Text());
+  return start.status;
+}
+
+}  // namespace hickorystand
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -41,10 +41,6 @@
   return text + "\r\n";
 }
 
-bool HasBody(int status) {
-  return status != 204 && status != 304 && status / 100 != 1;
-}
-
 int StatusOf(Http1Failure failure) {
   switch (failure) {
     case Http1Failure::kHeadTooLarge:
@@ -65,6 +61,30 @@
   return reason == nullptr ? "Unknown" : reason;
 }
 
+// A request whose caller is connected to this host.
+class ConnectedExchange final : public CallerExchange {
+ public:
+  ConnectedExchange(std::weak_ptr<CallerConnection> connection,
+                    CallerMessage message)
+      : CallerExchange(std::move(message)),
+        connection(std::move(connection)) {}
+
+  void Start(const AnswerStart& start) override;
+  void Send(std::string_view bytes) override;
+  void Finish() override;
+  void Break() override;
+  size_t Unsent() const override;
+
+  // The connection ended, or took all that was written.
+  void OnConnectionEnd() { this->TellGone(); }
+  void OnConnectionDrained() { this->TellDrained(); }
+
+ private:
+  std::weak_ptr<CallerConnection> connection;
+  bool chunked = false;
+  uint64_t missing = 0;  // bytes of the declared length still to be sent
+};
+
 // One caller's connection. It reads a request, waits for its answer, and reads
 // the next one.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
@@ -86,8 +106,8 @@
         {.on_bytes = [this](std::string_view bytes) { this->OnBytes(bytes); },
          .on_drained =
              [this] {
-               if (this->exchange && this->exchange->drained) {
-                 this->exchange->drained();
+               if (this->exchange) {
+                 this->exchange->OnConnectionDrained();
                }
              },
          .on_end = [this](StreamEnd) { this->OnEnd(); }});
@@ -101,7 +121,7 @@
   }
 
  private:
-  friend class CallerExchange;
+  friend class ConnectedExchange;
   friend class CallerServer;
 
   void AwaitRequest() {
@@ -166,7 +186,7 @@
       this->Refuse(StatusOf(this->parser.Failure()));
     } else if (this->parser.Done()) {
       this->timer.reset();
-      this->exchange = std::make_shared<CallerExchange>(
+      this->exchange = std::make_shared<ConnectedExchange>(
           this->weak_from_this(), std::move(this->message));
       this->server->handler(this->exchange);
     } else if (this->parser.HeadRead()) {
@@ -192,40 +212,27 @@
   void OnEnd() {
     const auto keep = this->shared_from_this();
     this->timer.reset();
-    const CallerExchangePtr open = std::exchange(this->exchange, nullptr);
-    if (open && !open->over) {
-      open->over = true;
-      if (open->gone) {
-        open->gone();
-      }
+    if (const auto open = std::exchange(this->exchange, nullptr)) {
+      open->OnConnectionEnd();
     }
     this->server->connections.erase(keep);
   }
 
   bool IsLast() const {
-    return this->server->draining || !this->exchange->message.head.keep_alive;
+    return this->server->draining ||
+           !this->exchange->Message().head.keep_alive;
   }
 
   CallerServer* server;
   StreamSocketPtr socket;
   Http1Parser parser;
   CallerMessage message;
-  CallerExchangePtr exchange;
+  std::shared_ptr<ConnectedExchange> exchange;
   std::unique_ptr<Timer> timer;
   bool last = false;
 };
 
-void CallerExchange::Answer(const AnswerStart& start, std::string_view body) {
-  AnswerStart whole = start;
-  if (HasBody(start.status)) {
-    whole.length = body.size();
-  }
-  this->Start(whole);
-  this->Send(body);
-  this->Finish();
-}
-
-void CallerExchange::Start(const AnswerStart& start) {
+void ConnectedExchange::Start(const AnswerStart& start) {
   const auto to = this->connection.lock();
   if (this->over || !to) {
     return;
@@ -238,7 +245,7 @@
   to->socket->Write(HeadText(start, this->chunked, to->last));
 }
 
-void CallerExchange::Send(std::string_view bytes) {
+void ConnectedExchange::Send(std::string_view bytes) {
   const auto to = this->connection.lock();
   if (this->over || !to || bytes.empty()) {
     return;
@@ -252,7 +259,7 @@
   }
 }
 
-void CallerExchange::Finish() {
+void ConnectedExchange::Finish() {
   const auto to = this->connection.lock();
   if (this->over || !to) {
     return;
@@ -268,7 +275,7 @@
   to->OnAnswered(to->last);
 }
 
-void CallerExchange::Break() {
+void ConnectedExchange::Break() {
   const auto to = this->connection.lock();
   if (this->over || !to) {
     return;
@@ -279,7 +286,7 @@
   to->Leave();
 }
 
-size_t CallerExchange::Unsent() const {
+size_t ConnectedExchange::Unsent() const {
   const auto to = this->connection.lock();
   return to ? to->socket->Unsent() : 0;
 }
--- a/packages/relay/event_cutter.h
+++ b/packages/relay/event_cutter.h
@@ -24,6 +24,9 @@
   // Forgets the begun event: a new run repeats it.
   void DropRest() { this->rest.clear(); }
 
+  // The caller has all events up to this one.
+  void ResumeAfter(int64_t id) { this->last_id = id; }
+
   // Whether bytes of an event that hasn't ended are held.
   bool HoldsRest() const { return !this->rest.empty(); }
 
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -14,11 +14,15 @@
 constexpr std::string_view kSecretKey = "hickorystand/secret";
 constexpr std::string_view kHostPrefix = "hickorystand/hosts/";
 
-// All hosts form one group: in a fleet of today's size each is linked with
-// every other.
-const DataCentreId& Group() {
-  static const DataCentreId kGroup("fleet");
-  return kGroup;
+// Digests go between hosts of one group, and that is the schedulers.
+const DataCentreId& GroupOf(FleetRole role) {
+  static const DataCentreId kSchedulers("schedulers");
+  static const DataCentreId kIngress("ingress");
+  return role == FleetRole::kScheduler ? kSchedulers : kIngress;
+}
+
+std::string_view NameOf(FleetRole role) {
+  return role == FleetRole::kScheduler ? "scheduler" : "ingress";
 }
 
 std::string RandomSecret() {
@@ -43,13 +47,13 @@
 
 void FleetPeers::Start() {
   this->ReadSecret();
-  this->Register();
-  this->list_timer =
-      Timer::After(this->options.first_list, [this] { this->List(); });
+  this->list_timer = Timer::After(
+      this->options.first_start ? this->options.first_list : Duration{},
+      [this] { this->List(); });
 }
 
 // The first host to come makes the secret.
-void FleetPeers::ReadSecret() {
+void FleetPeers::MakeSecret() {
   const std::string key(kSecretKey);
   this->store->Transact({.conditions = {{.key = key, .revision = 0}},
                          .then = {StorePut(key, RandomSecret())},
@@ -57,7 +61,7 @@
                         [this](const StoreReply& reply) {
                           if (reply.outcome == StoreOutcome::kThen ||
                               reply.outcome == StoreOutcome::kOtherwise) {
-                            this->OpenLinksBySecret();
+                            this->ReadSecret();
                           } else {
                             this->ReadSecretLater();
                           }
@@ -72,68 +76,105 @@
 // The store's revision is this run's incarnation at the links. Others refuse an
 // incarnation below one that they have seen, and by the time of day a host that
 // is restarted after its clock was set back would be refused for as long as it
-// runs. Between two runs of a host the revision has grown, at the least by the
-// first run's own record.
-void FleetPeers::OpenLinksBySecret() {
-  this->store->Transact(
-      {.then = {StoreGet(std::string(kSecretKey))}},
-      [this](const StoreReply& reply) {
-        if (reply.outcome != StoreOutcome::kThen || reply.records.empty()) {
-          this->ReadSecretLater();
-          return;
-        }
-        this->OpenLinks(reply.records.front().value,
-                        static_cast<uint64_t>(reply.revision));
-      });
+// runs. Between two runs of a host the revision has grown: each run writes its
+// own record only after it has read the revision.
+void FleetPeers::ReadSecret() {
+  this->store->Transact({.then = {StoreGet(std::string(kSecretKey))}},
+                        [this](const StoreReply& reply) {
+                          if (reply.outcome != StoreOutcome::kThen) {
+                            this->ReadSecretLater();
+                            return;
+                          }
+                          if (reply.records.empty()) {
+                            this->MakeSecret();
+                            return;
+                          }
+                          this->secret = reply.records.front().value;
+                          this->incarnation =
+                              static_cast<uint64_t>(reply.revision);
+                          this->Register();
+                          this->OpenLinks();
+                        });
+}
+
+PeerHandlers FleetPeers::LinkHandlers() {
+  return {.on_digest =
+              [this](DigestScope, const Digest& digest) {
+                this->handlers.on_digest(digest);
+              },
+          .on_message =
+              [this](const HostId& host, const PeerMessage& message) {
+                this->handlers.on_message(host, message);
+              },
+          .on_heard = [](const PeerHello&) {},
+          .on_up =
+              [this](const HostId& host, uint64_t) {
+                LogInfo(kPart, "Host linked.", {{"host", host.Text()}});
+                this->handlers.on_linked(host);
+              },
+          .on_down =
+              [this](const HostId& host) {
+                LogInfo(kPart, "Host lost.", {{"host", host.Text()}});
+                this->handlers.on_gone(host);
+              }};
 }
 
-void FleetPeers::OpenLinks(const std::string& secret, uint64_t incarnation) {
-  this->incarnation = incarnation;
+// Once both the secret and the role are known, and anew for another role.
+void FleetPeers::OpenLinks() {
+  if (this->secret.empty() || this->role == FleetRole::kUnknown) {
+    return;
+  }
   PeerLinksOptions how{
-      .session = {.host = this->options.host,
-                  .data_centre = Group(),
+      .session = {.host = this->options.self.id,
+                  .data_centre = GroupOf(this->role),
                   .incarnation = this->incarnation,
-                  .secrets = {secret}},
-      .listen = this->options.listen,
+                  .secrets = {this->secret},
+                  .heartbeat_period = this->options.heartbeat},
+      .listen = this->options.self.address,
       .clock = this->clock,
       .longest_backoff = this->options.longest_backoff,
       .seed = this->options.seed,
       .budget_bytes_per_second = this->options.digest_bytes_per_second,
       .shortest_period = this->options.shortest_digest};
-  this->links = std::make_unique<PeerLinks>(
-      std::move(how),
-      PeerHandlers{.on_digest =
-                       [this](DigestScope, const Digest& digest) {
-                         this->handlers.on_digest(digest);
-                       },
-                   .on_message =
-                       [this](const HostId& host, const PeerMessage& message) {
-                         this->handlers.on_message(host, message);
-                       },
-                   .on_heard = [](const PeerHello&) {},
-                   .on_up =
-                       [this](const HostId& host, uint64_t) {
-                         LogInfo(kPart, "Host linked.",
-                                 {{"host", host.Text()}});
-                         this->handlers.on_linked(host);
-                       },
-                   .on_down =
-                       [this](const HostId& host) {
-                         LogInfo(kPart, "Host lost.", {{"host", host.Text()}});
-                         this->handlers.on_gone(host);
-                       }});
+  if (this->role == FleetRole::kIngress) {
+    how.session.silence_timeout = this->options.ingress_silence;
+    how.dial_grace = Duration{};  // nobody dials an ingress host
+  }
+  const std::vector<HostId> before =
+      this->links ? this->links->Linked() : std::vector<HostId>();
+  this->links.reset();  // frees the address
+  std::ranges::for_each(before, this->handlers.on_gone);
+  this->links =
+      std::make_unique<PeerLinks>(std::move(how), this->LinkHandlers());
   if (const auto opened = this->links->Listen(); !opened) {
     LogError(kPart, "Can't listen to other hosts.",
              {{"why", opened.error().message}});
   }
-  this->links->SetHosts(this->hosts);
-  this->SendDigest();
+  this->LinkToSchedulers();
+  this->digest_timer.reset();
+  if (this->role == FleetRole::kScheduler) {
+    this->SendDigest();
+  }
+}
+
+void FleetPeers::LinkToSchedulers() {
+  if (!this->links) {
+    return;
+  }
+  std::vector<PeerHost> targets;
+  std::ranges::transform(
+      this->schedulers, std::back_inserter(targets), [](const FleetHost& host) {
+        return PeerHost{.host = host.id,
+                        .data_centre = GroupOf(FleetRole::kScheduler),
+                        .address = host.address};
+      });
+  this->links->SetHosts(targets);
 }
 
 void FleetPeers::SendDigest() {
   Digest digest = this->handlers.make_digest();
-  digest.host = this->options.host;
-  digest.data_centre = Group();
+  digest.host = this->options.self.id;
+  digest.data_centre = GroupOf(this->role);
   digest.incarnation = this->incarnation;
   digest.leaving = this->left;
   this->links->SendDigest(DigestScope::kHost, digest);
@@ -153,11 +194,10 @@
 }
 
 void FleetPeers::WriteRecord() {
-  const SocketAddress& at = this->options.listen;
+  const FleetHost& self = this->options.self;
   this->store->Transact(
-      {.then = {StorePut(std::string(kHostPrefix) + this->options.host.Text(),
-                         at.host + ":" + std::to_string(at.port),
-                         this->lease)}},
+      {.then = {StorePut(std::string(kHostPrefix) + self.id.Text(),
+                         EncodeFleetHost(self), this->lease)}},
       [this](const StoreReply& reply) {
         if (reply.outcome != StoreOutcome::kThen) {
           this->lease = 0;  // the next renewal starts over
@@ -183,11 +223,17 @@
 }
 
 void FleetPeers::List() {
+  const bool settled = this->role != FleetRole::kUnknown &&
+                       this->lists_against_role == 0 &&
+                       (this->listed > 1 || !this->schedulers.empty());
+  const Duration often = this->role == FleetRole::kIngress
+                             ? this->options.ingress_list
+                             : this->options.list;
   this->list_timer = Timer::After(
-      this->listed > 1 ? this->options.list : this->options.first_list * 2,
-      [this] { this->List(); });
+      settled ? often : this->options.first_list * 2, [this] { this->List(); });
   this->store->Transact({.then = {{.kind = StoreOperation::Kind::kGetPrefix,
-                                   .key = std::string(kHostPrefix)}}},
+                                   .key = std::string(kHostPrefix)}},
+                         .stale = true},
                         [this](const StoreReply& reply) {
                           if (reply.outcome == StoreOutcome::kThen) {
                             this->TakeList(reply);
@@ -196,44 +242,89 @@
 }
 
 void FleetPeers::TakeList(const StoreReply& reply) {
-  std::vector<PeerHost> listed;
-  this->rank = 0;
+  if (reply.revision < this->list_revision) {
+    return;  // a stale answer, and older than the last one
+  }
+  this->list_revision = reply.revision;
+  std::vector<FleetHost> hosts;
+  bool self_listed = false;
   for (const StoreRecord& record : reply.records) {
-    const auto address = ParseAddress(record.value);
     const HostId id(record.key.substr(kHostPrefix.size()));
-    if (!address || id == this->options.host) {
-      continue;
+    const auto host = DecodeFleetHost(id, record.value);
+    if (id == this->options.self.id) {
+      self_listed = true;
+    } else if (host) {
+      hosts.push_back(*host);
+    } else {
+      LogWarning(kPart, "Record of a host can't be read.",
+                 {{"host", id.Text()}, {"why", host.error().message}});
     }
-    this->rank += id < this->options.host ? 1 : 0;
-    listed.push_back({.host = id, .data_centre = Group(), .address = *address});
   }
-  this->KeepLinked(listed);
-  this->listed = listed.size() + 1;
+  if (this->role == FleetRole::kUnknown && this->options.first_start &&
+      !self_listed) {
+    return;  // this host's own record isn't there yet, nor are many others
+  }
+  this->KeepLinked(hosts);
+  hosts.push_back(this->options.self);
+  const std::set<HostId> planned =
+      PlanSchedulers(hosts, this->options.topology);
+  std::erase_if(hosts, [&](const FleetHost& host) {
+    return !planned.contains(host.id) || host.id == this->options.self.id;
+  });
+  std::ranges::sort(hosts, {}, &FleetHost::id);
+  this->TakeRole(planned.contains(this->options.self.id) ? FleetRole::kScheduler
+                                                         : FleetRole::kIngress);
+  this->listed = planned.size();
+  this->rank = static_cast<size_t>(
+      std::ranges::count_if(hosts, [this](const FleetHost& host) {
+        return host.id < this->options.self.id;
+      }));
   this->handlers.on_listed(this->listed);
-  if (listed != this->hosts) {
-    this->hosts = std::move(listed);
-    if (this->links) {
-      this->links->SetHosts(this->hosts);
-    }
+  const std::vector<FleetHost> wanted =
+      this->role == FleetRole::kIngress
+          ? PickSchedulers(this->options.self, hosts, this->options.topology)
+          : hosts;
+  if (wanted != this->schedulers) {
+    this->schedulers = wanted;
+    this->handlers.on_schedulers(this->schedulers);
+    this->LinkToSchedulers();
+  }
+}
+
+// A list may be read while records are missing, so one alone doesn't change a
+// role that a host has.
+void FleetPeers::TakeRole(FleetRole planned) {
+  if (planned == this->role) {
+    this->lists_against_role = 0;
+    return;
+  }
+  if (this->role != FleetRole::kUnknown &&
+      ++this->lists_against_role < this->options.lists_for_role) {
+    return;
   }
+  this->lists_against_role = 0;
+  this->role = planned;
+  LogInfo(kPart, "This host has another role.",
+          {{"role", std::string(NameOf(planned))}});
+  this->handlers.on_role(planned);
+  this->OpenLinks();
 }
 
-// Adds the hosts that aren't listed any more but still talk to this one. The
-// store may turn a host away: its record lapses while it serves on, and without
-// its link nobody would hear what it counted and what it sent to endpoints. A
-// host that is really gone falls silent, and its link ends by that.
-void FleetPeers::KeepLinked(std::vector<PeerHost>& listed) const {
+// Adds the schedulers that aren't listed any more but still talk to this host.
+// The store may turn a host away: its record lapses while it serves on, and
+// without its link nobody would hear what it counted and what it sent to
+// endpoints. A host that is really gone falls silent, and its link ends.
+void FleetPeers::KeepLinked(std::vector<FleetHost>& listed) const {
   if (!this->links) {
     return;
   }
   const std::vector<HostId> linked = this->links->Linked();
-  for (const PeerHost& host : this->hosts) {
-    if (std::ranges::find(linked, host.host) != linked.end() &&
-        std::ranges::find(listed, host.host, &PeerHost::host) == listed.end()) {
-      listed.push_back(host);
-    }
-  }
-  std::ranges::sort(listed);
+  std::ranges::copy_if(
+      this->schedulers, std::back_inserter(listed), [&](const FleetHost& host) {
+        return std::ranges::find(linked, host.id) != linked.end() &&
+               std::ranges::find(listed, host.id, &FleetHost::id) ==
+                   listed.end();
+      });
 }
 
 void FleetPeers::Leave() {
@@ -246,17 +337,35 @@
 
 std::vector<HostId> FleetPeers::Others() const {
   std::vector<HostId> others;
-  std::ranges::transform(this->hosts, std::back_inserter(others),
-                         &PeerHost::host);
+  std::ranges::transform(this->schedulers, std::back_inserter(others),
+                         &FleetHost::id);
   return others;
 }
 
+bool FleetPeers::IsScheduler(const HostId& host) const {
+  return this->links && this->links->IsIn(host, GroupOf(FleetRole::kScheduler));
+}
+
 bool FleetPeers::Send(const HostId& host, const PeerMessage& message) {
   return this->links && this->links->Send(host, message);
 }
 
-size_t FleetPeers::Broadcast(const PeerMessage& message) {
-  return this->links ? this->links->Broadcast(message) : 0;
+size_t FleetPeers::SendToGroup(FleetRole group, const PeerMessage& message) {
+  if (!this->links) {
+    return 0;
+  }
+  const auto hosts = this->links->LinkedIn(GroupOf(group));
+  return static_cast<size_t>(std::ranges::count_if(
+      hosts,
+      [&](const HostId& host) { return this->links->Send(host, message); }));
+}
+
+size_t FleetPeers::BroadcastToSchedulers(const PeerMessage& message) {
+  return this->SendToGroup(FleetRole::kScheduler, message);
+}
+
+size_t FleetPeers::BroadcastToIngress(const PeerMessage& message) {
+  return this->SendToGroup(FleetRole::kIngress, message);
 }
 
 }  // namespace hickorystand
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -1,10 +1,12 @@
-// The other hosts of the fleet: how they find each other, and the work, the
-// suspicions, the leaving endpoints and the usage that they tell each other.
+// The other hosts of the fleet: how they find each other, which of them are
+// schedulers, and the links between them.
 //
-// Each host writes its address into the platform's key-value service, bound to
-// a lease, so that the record goes when the host does. A secret in the same
-// place, made once by whoever comes first, proves that a caller is of the
-// fleet.
+// Each host writes a record of itself into the platform's key-value service,
+// bound to a lease, so that the record goes when the host does. Every host reads
+// all records and works out the same schedulers from them (fleet_topology.h).
+// Schedulers are linked with each other; an ingress host is linked with a few
+// of them. A secret in the store, made once by whoever comes first, proves that
+// a caller is of the fleet.
 
 #pragma once
 
@@ -12,6 +14,7 @@
 #include <memory>
 #include <string>
 
+#include "decisions/fleet_topology.h"
 #include "kernel/task.h"
 #include "peers/peer_links.h"
 #include "platform/key_value_store.h"
@@ -20,26 +23,44 @@
 
 // How hosts are found and talk.
 struct FleetPeersOptions {
-  HostId host;
+  FleetHost self;
   uint64_t seed = 1;  // of the pauses between tries
-  SocketAddress listen;
+  // The whole fleet starts for the first time: its records come one by one.
+  bool first_start = false;
+  FleetTopologyOptions topology;
   Duration lease = std::chrono::seconds(10);  // of the host's record
   Duration renew = std::chrono::seconds(3);
-  Duration list = std::chrono::seconds(3);  // between reads of all records
+  // Between reads of all records, by schedulers and by ingress hosts.
+  Duration list = std::chrono::seconds(3);
+  Duration ingress_list = std::chrono::seconds(8);
   Duration first_list = std::chrono::milliseconds(400);
+  // Lists in a row that have to give a host another role until it takes it.
+  int64_t lists_for_role = 2;
   // Between tries to link to a host again: after a partition has healed, the
   // counts of the other side must arrive before their report is due.
   Duration longest_backoff = std::chrono::milliseconds(1500);
+  // An ingress host sends requests to another scheduler once one has been
+  // silent for so long; schedulers say something at least this often.
+  Duration ingress_silence = std::chrono::milliseconds(2600);
+  Duration heartbeat = std::chrono::milliseconds(1000);
   // Of digests. Queues at endpoints change within tenths of a second.
   Duration shortest_digest = std::chrono::milliseconds(100);
   double digest_bytes_per_second = 24000;
 };
 
-// Whom the peers tell what.
+// What a host does for the fleet.
+enum class FleetRole { kUnknown, kIngress, kScheduler };
+
+// Callbacks of FleetPeers.
 struct FleetPeersHandlers {
   std::function<Digest()> make_digest;
   std::function<void(const Digest&)> on_digest;
-  std::function<void(size_t)> on_listed;  // hosts, this one included
+  // This host has another role from now on; its links are made anew.
+  std::function<void(FleetRole)> on_role;
+  // The schedulers that this host is to be linked with.
+  std::function<void(const std::vector<FleetHost>&)> on_schedulers;
+  // How many schedulers there are, this host included if it is one.
+  std::function<void(size_t)> on_listed;
   std::function<void(const HostId&)> on_linked;
   std::function<void(const HostId&)> on_gone;
   std::function<void(const HostId&, const PeerMessage&)> on_message;
@@ -59,12 +80,19 @@
   // Takes this host off the list; the others stop to count on it.
   void Leave();
 
-  // Sends to one host, or to all linked ones.
+  // Sends to one host, to all linked schedulers, or to all ingress hosts that
+  // are linked.
   bool Send(const HostId& host, const PeerMessage& message);
-  size_t Broadcast(const PeerMessage& message);
+  size_t BroadcastToSchedulers(const PeerMessage& message);
+  size_t BroadcastToIngress(const PeerMessage& message);
+
+  FleetRole Role() const { return this->role; }
+
+  // Whether a linked host is a scheduler.
+  bool IsScheduler(const HostId& host) const;
 
-  // How many hosts stand in the list, this one included; and this host's place
-  // in it, by id.
+  // How many schedulers stand in the list, this host included; the others that
+  // this host is to be linked with; and its place among all, by id.
   size_t Listed() const { return this->listed; }
   std::vector<HostId> Others() const;
   size_t Rank() const { return this->rank; }
@@ -75,23 +103,31 @@
  private:
   void ReadSecret();
   void ReadSecretLater();
-  void OpenLinksBySecret();
+  void MakeSecret();
   void Register();
   void WriteRecord();
   void Renew();
   void List();
   void TakeList(const StoreReply& reply);
-  void KeepLinked(std::vector<PeerHost>& listed) const;
-  void OpenLinks(const std::string& secret, uint64_t incarnation);
+  void KeepLinked(std::vector<FleetHost>& listed) const;
+  void TakeRole(FleetRole planned);
+  void OpenLinks();
+  PeerHandlers LinkHandlers();
+  void LinkToSchedulers();
   void SendDigest();
+  size_t SendToGroup(FleetRole group, const PeerMessage& message);
 
   FleetPeersOptions options;
   const Clock* clock;
   KeyValueStore* store;
   FleetPeersHandlers handlers;
   uint64_t incarnation = 0;  // of this run, once it is known
+  std::string secret;        // of the fleet, once it was read
   std::unique_ptr<PeerLinks> links;
-  std::vector<PeerHost> hosts;
+  FleetRole role = FleetRole::kUnknown;
+  int64_t lists_against_role = 0;
+  std::vector<FleetHost> schedulers;  // that this host is to be linked with
+  int64_t list_revision = -1;
   int64_t lease = 0;
   size_t listed = 1;
   size_t rank = 0;
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -36,7 +36,11 @@
       metrics(&metrics),
       hooks(std::move(hooks)),
       server([this](const CallerExchangePtr& exchange) {
-        this->OnRequest(exchange);
+        if (this->forward) {
+          this->forward(exchange);
+        } else {
+          this->Serve(exchange, {});
+        }
       }),
       pool(clock),
       placement(this->settings.placement),
@@ -154,8 +158,9 @@
              : found->second.PerSecond(this->clock->Now());
 }
 
-void FleetRelay::OnRequest(const CallerExchangePtr& exchange) {
-  const auto request = std::make_shared<RelayedRequest>(this, exchange);
+void FleetRelay::Serve(const CallerExchangePtr& caller,
+                       const RequestOrigin& origin) {
+  const auto request = std::make_shared<RelayedRequest>(this, caller, origin);
   this->requests.insert(request);
   request->Begin();
 }
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -14,6 +14,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <set>
@@ -29,6 +30,7 @@
 #include "relay/caller_server.h"
 #include "relay/endpoint_pool.h"
 #include "relay/fleet_configuration.h"
+#include "relay/forward_receiver.h"
 #include "relay/message_codec.h"
 
 namespace hickorystand {
@@ -76,6 +78,18 @@
   // Accepts callers.
   Result<int> Listen(const SocketAddress& address);
 
+  // Serves a request, whoever read it.
+  void Serve(const CallerExchangePtr& caller, const RequestOrigin& origin);
+
+  // Whom callers' requests are handed to instead of being served here; null:
+  // nobody.
+  void SetForward(CallerHandler handler) { this->forward = std::move(handler); }
+
+  // Bounds on callers, while no configuration is known here.
+  void SetCallerLimits(const CallerLimits& limits) {
+    this->server.SetLimits(limits);
+  }
+
   // A configuration; one that is older than the one in force is ignored.
   void SetConfiguration(FleetConfigurationPtr configuration);
 
@@ -103,7 +117,13 @@
   // Whether requests can be served: a configuration and endpoints are known.
   bool Ready() const;
 
-  size_t Waiting() const { return this->server.Waiting(); }
+  // Whether a key may be used now, by the age of the proof.
+  bool KeysProven() const;
+
+  // Requests that wait for an answer, of callers here and at other hosts.
+  size_t Waiting() const {
+    return std::max(this->server.Waiting(), this->requests.size());
+  }
   const FleetConfigurationPtr& Configuration() const {
     return this->configuration;
   }
@@ -119,14 +139,9 @@
  private:
   friend class RelayedRequest;
 
-  void OnRequest(const CallerExchangePtr& exchange);
-
   // Tells placing what each service allows to this host.
   void ShareServices();
 
-  // Whether a key may be used now, by the age of the proof.
-  bool KeysProven() const;
-
   // A prompt of so many new tokens was sent to be read.
   void NoteReading(const ServiceId& service, int64_t tokens);
 
@@ -142,6 +157,7 @@
   Metrics* metrics;
   RelayHooks hooks;
   CallerServer server;
+  CallerHandler forward;
   EndpointPool pool;
   FleetPlacement placement;
   CacheFeed cache_feed;
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -60,8 +60,9 @@
               const FleetRecords& records,
               FleetSourceHandlers handlers);
 
-  // Starts to read.
+  // Starts to read, and stops. What is known then stays.
   void Start();
+  void Stop() { this->timer.reset(); }
 
   // Reads as these options say from now on.
   void SetOptions(const FleetSourceOptions& changed) {
--- /dev/null
+++ b/packages/relay/forward_receiver.cc
@@ -0,0 +1,178 @@
+#include "relay/forward_receiver.h"
+
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "kernel/task.h"
+
+namespace hickorystand {
+
+// A request whose caller is connected to another host.
+class ForwardedExchange final
+    : public CallerExchange,
+      public std::enable_shared_from_this<ForwardedExchange> {
+ public:
+  ForwardedExchange(ForwardReceiver* receiver,
+                    ForwardReceiver::Key key,
+                    CallerMessage message)
+      : CallerExchange(std::move(message)),
+        receiver(receiver),
+        key(std::move(key)) {}
+
+  // The head goes out with the first bytes, in one message.
+  void Start(const AnswerStart& start) override {
+    this->started = true;
+    this->next.head = {.status = start.status,
+                       .headers = start.headers,
+                       .length = start.length};
+    this->missing = start.length;
+  }
+
+  void Send(std::string_view bytes) override {
+    if (this->over || bytes.empty()) {
+      return;
+    }
+    this->next.bytes += bytes;
+    if (this->missing) {
+      *this->missing -= std::min<uint64_t>(*this->missing, bytes.size());
+    }
+    // The last bytes of a declared length go out with the end.
+    if (!this->missing || *this->missing > 0) {
+      this->Flush(AnswerEnd::kMore);
+    }
+  }
+
+  void Finish() override {
+    this->Flush(this->missing.value_or(0) > 0 ? AnswerEnd::kBroken
+                                              : AnswerEnd::kWhole);
+  }
+
+  void Break() override { this->Flush(AnswerEnd::kBroken); }
+
+  // The host that has the caller knows; it says when to pause.
+  size_t Unsent() const override { return this->paused ? SIZE_MAX : 0; }
+
+  void SetPaused(bool to) {
+    this->paused = to;
+    if (!to) {
+      this->TellDrained();
+    }
+  }
+
+  // The caller hung up, or the host that has it is gone.
+  void OnCancelled() { this->TellGone(); }
+
+ private:
+  void Flush(AnswerEnd end) {
+    if (this->over) {
+      return;
+    }
+    const auto keep = this->shared_from_this();
+    this->next.number = this->key.second;
+    this->next.end = end;
+    const bool sent = this->receiver->send(
+        this->key.first, std::exchange(this->next, ForwardedAnswer{}));
+    this->over = end != AnswerEnd::kMore;
+    if (this->over) {
+      this->receiver->exchanges.erase(this->key);
+    } else if (!sent) {
+      this->CancelLater();
+    }
+  }
+
+  // What couldn't be sent is missing from the answer for good. The handler is
+  // told later, since it has just called.
+  void CancelLater() {
+    this->failure = Timer::After(Duration{}, [this] {
+      const auto keep = this->shared_from_this();
+      this->receiver->exchanges.erase(this->key);
+      this->OnCancelled();
+    });
+  }
+
+  ForwardReceiver* receiver;
+  ForwardReceiver::Key key;
+  ForwardedAnswer next;  // not yet sent
+  std::optional<uint64_t> missing;  // of the declared length
+  bool paused = false;
+  std::unique_ptr<Timer> failure;
+};
+
+ForwardReceiver::~ForwardReceiver() = default;
+
+void ForwardReceiver::OnRequest(const HostId& from, ForwardedRequest request) {
+  if (request.body.size() < request.body_length) {
+    this->partial[{from, request.number}] = std::move(request);
+    return;
+  }
+  this->Begin(from, std::move(request));
+}
+
+void ForwardReceiver::OnBody(const HostId& from, const ForwardedBody& body) {
+  const auto found = this->partial.find({from, body.number});
+  if (found == this->partial.end()) {
+    return;
+  }
+  found->second.body += body.bytes;
+  if (found->second.body.size() >= found->second.body_length) {
+    ForwardedRequest whole = std::move(found->second);
+    this->partial.erase(found);
+    this->Begin(from, std::move(whole));
+  }
+}
+
+void ForwardReceiver::Begin(const HostId& from, ForwardedRequest request) {
+  const Key key{from, request.number};
+  CallerMessage message{
+      .head = {.method = std::move(request.method),
+               .target = std::move(request.target),
+               .headers = std::move(request.headers),
+               .keep_alive = true,
+               .body_length = request.body_length},
+      .body = std::move(request.body)};
+  const auto exchange =
+      std::make_shared<ForwardedExchange>(this, key, std::move(message));
+  this->exchanges[key] = exchange;
+  this->handler(exchange, {.host = from,
+                           .age = request.age,
+                           .earlier_sends = request.earlier_sends,
+                           .resume_after = request.resume_after,
+                           .stream_begun = request.stream_begun});
+}
+
+void ForwardReceiver::OnControl(const HostId& from,
+                                const ForwardControl& control) {
+  const Key key{from, control.number};
+  this->partial.erase(key);
+  const auto found = this->exchanges.find(key);
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  const auto exchange = found->second;
+  if (control.action == ForwardAction::kCancel) {
+    this->exchanges.erase(found);
+    exchange->OnCancelled();
+  } else {
+    exchange->SetPaused(control.action == ForwardAction::kPause);
+  }
+}
+
+void ForwardReceiver::OnLost(const HostId& from) {
+  std::erase_if(this->partial, [&from](const auto& entry) {
+    return entry.first.first == from;
+  });
+  std::vector<std::shared_ptr<ForwardedExchange>> lost;
+  std::erase_if(this->exchanges, [&](const auto& entry) {
+    const bool ours = entry.first.first == from;
+    if (ours) {
+      lost.push_back(entry.second);
+    }
+    return ours;
+  });
+  for (const auto& exchange : lost) {
+    exchange->OnCancelled();
+  }
+}
+
+}  // namespace hickorystand
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -70,7 +70,7 @@
   this->NoteFirstByte();
   this->NoteEvent();
   this->NoteBegun();
-  if (!this->StreamBegun()) {
+  if (!this->caller->Started()) {
     this->StartAnswer({});
   }
   this->caller->Send(events);
@@ -180,6 +180,9 @@
     if (at.status / 100 != 2) {
       return Fate::kMayHaveRun;  // of a resumed run; can't be told any more
     }
+    if (!this->caller->Started()) {
+      this->StartAnswer({});
+    }
     if (this->cutter.HoldsRest()) {
       this->caller->Send(this->cutter.TakeRest());
     }
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -3,12 +3,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <numeric>
 #include <utility>
 
-#include "kernel/json.h"
 #include "relay/part_hash.h"
 
 namespace hickorystand {
@@ -28,13 +25,6 @@
 constexpr double kReturnShare = 0.33;
 constexpr Duration kLeastReturn = std::chrono::milliseconds(100);
 
-std::string SecondsText(Duration length) {
-  std::array<char, 32> text;
-  const int size = std::snprintf(text.data(), text.size(), "%.3f",
-                                 std::max(ToSeconds(length), 0.0));
-  return {text.data(), static_cast<size_t>(size)};
-}
-
 std::string MillisecondsText(Duration length) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
@@ -50,21 +40,35 @@
 
 }  // namespace
 
-RelayedRequest::RelayedRequest(FleetRelay* relay, CallerExchangePtr caller)
-    : relay(relay), caller(std::move(caller)) {}
+RelayedRequest::RelayedRequest(FleetRelay* relay,
+                               CallerExchangePtr caller,
+                               RequestOrigin origin)
+    : relay(relay), caller(std::move(caller)), origin(std::move(origin)) {}
 
 RelayedRequest::~RelayedRequest() = default;
 
 void RelayedRequest::Begin() {
-  this->arrived = this->relay->clock->Now();
+  this->arrived = this->relay->clock->Now() - this->origin.age;
   this->caller->OnGone([this] { this->OnCallerGone(); });
   if (const auto error = this->Admit()) {
-    this->AnswerError(error->kind, error->message, error->retry_after);
+    if (this->StreamBegun()) {
+      this->BreakOff(error->message);
+    } else if (this->origin.earlier_sends > 0) {
+      this->AnswerError(ErrorKind::kEndpointFailed, error->message);
+    } else {
+      this->AnswerError(error->kind, error->message, error->retry_after);
+    }
+    return;
+  }
+  this->deadline_timer =
+      Timer::After(std::max(this->Left(), Duration{}), [this] {
+        this->OnDeadline();
+      });
+  if (this->origin.earlier_sends > 0) {
+    this->TakeOver();
     return;
   }
   this->relay->budget.OnRequest(this->arrived, this->service);
-  this->deadline_timer = Timer::After(this->deadline - this->arrived,
-                                      [this] { this->OnDeadline(); });
   if (this->relay->suspects.IsCondemned(this->arrived, this->fingerprint)) {
     this->RefuseNotRun("endpoints crash when they run it",
                        this->relay->settings.placement.eject_at_most);
@@ -73,6 +77,20 @@
   this->Place();
 }
 
+// Goes on with a request that another scheduler had when it was lost. It may
+// have run there, and what it had read or used up isn't known.
+void RelayedRequest::TakeOver() {
+  this->may_have_run = true;
+  this->prompt_accepted = true;
+  this->runs_sent = this->origin.earlier_sends;
+  this->arrivals = this->origin.earlier_sends;
+  this->begun = this->origin.stream_begun;
+  if (this->origin.resume_after) {
+    this->cutter.ResumeAfter(*this->origin.resume_after);
+  }
+  this->AfterFailure(Fate::kMayHaveRun, "the scheduler was lost");
+}
+
 std::optional<Error> RelayedRequest::Admit() {
   const CallerMessage& message = this->caller->Message();
   this->configuration = this->relay->configuration;
@@ -419,21 +437,9 @@
 void RelayedRequest::AnswerError(ErrorKind kind,
                                  std::string_view why,
                                  std::optional<Duration> retry_after) {
-  AnswerStart start{
-      .status = AnswerFor(kind).status,
-      .headers = {{.name = "Content-Type", .value = "application/json"}}};
-  if (retry_after) {
-    start.headers.push_back(
-        {.name = "Retry-After", .value = SecondsText(*retry_after)});
-  }
-  this->relay->metrics->Add("own_answers_total", 1,
-                            {{"code", std::string(AnswerFor(kind).code)}});
-  this->caller->Answer(start, JsonWriter()
-                                  .BeginObject()
-                                  .Member("error", std::string(why))
-                                  .EndObject()
-                                  .Text());
-  this->Over(std::to_string(start.status) + " " + std::string(why));
+  const int status = AnswerOwnError(*this->caller, *this->relay->metrics, kind,
+                                    why, retry_after);
+  this->Over(std::to_string(status) + " " + std::string(why));
 }
 
 void RelayedRequest::RefuseNotRun(std::string_view why, Duration retry_after) {
@@ -462,6 +468,7 @@
       {{"outcome", std::string(outcome)},
        {"route", this->route == nullptr ? "" : this->route->name},
        {"account", this->account.Text()},
+       {"forwarded_by", this->origin.host.Text()},
        {"sends", std::to_string(this->arrivals)},
        {"first_ms",
         MillisecondsText(this->first_event.value_or(this->arrived + took) -
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -25,7 +25,9 @@
 
 class RelayedRequest : public std::enable_shared_from_this<RelayedRequest> {
  public:
-  RelayedRequest(FleetRelay* relay, CallerExchangePtr caller);
+  RelayedRequest(FleetRelay* relay,
+                 CallerExchangePtr caller,
+                 RequestOrigin origin);
   ~RelayedRequest();
   RelayedRequest(const RelayedRequest&) = delete;
   RelayedRequest& operator=(const RelayedRequest&) = delete;
@@ -58,6 +60,7 @@
   enum class Fate { kDone, kNotRun, kMayHaveRun };
 
   std::optional<Error> Admit();
+  void TakeOver();
   std::optional<Error> CheckKey();
   void Place();
   bool MaySendAgain();
@@ -103,10 +106,13 @@
 
   // Whether there is time enough for another send.
   bool WorthSending() const;
-  bool StreamBegun() const { return this->caller->Started(); }
+  bool StreamBegun() const {
+    return this->caller->Started() || this->origin.stream_begun;
+  }
 
   FleetRelay* relay;
   CallerExchangePtr caller;
+  RequestOrigin origin;
   CallerRequest request;
   FleetConfigurationPtr configuration;  // in force when it came
   const Route* route = nullptr;         // of that configuration
--- /dev/null
+++ b/packages/relay/request_forwarder.cc
@@ -0,0 +1,295 @@
+#include "relay/request_forwarder.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "forward";
+
+// Schedulers that one request is sent to, one after the other.
+constexpr int64_t kMostSends = 3;
+
+// The part of a request's body in one message.
+constexpr size_t kBodyPart = size_t{256} << 10;
+
+// Bytes that a slow caller may leave unread before the scheduler has to wait.
+constexpr size_t kUnsentLimit = size_t{256} << 10;
+
+// Schedulers answer in time themselves; this much later one is taken for hung.
+constexpr Duration kDeadlineMargin = std::chrono::milliseconds(150);
+constexpr Duration kDefaultPatience = std::chrono::seconds(30);
+
+// Until a caller may come back while no scheduler is linked: they are dialled
+// again within this time.
+constexpr Duration kLinkReturn = std::chrono::milliseconds(600);
+
+constexpr int kLogBurst = 300;
+constexpr Duration kLogInterval = std::chrono::milliseconds(10);
+
+bool IsEventStream(const HttpHeaders& headers) {
+  return FindHeader(headers, "Content-Type")
+      .value_or("")
+      .starts_with("text/event-stream");
+}
+
+}  // namespace
+
+RequestForwarder::RequestForwarder(ZoneId own,
+                                   const Clock& clock,
+                                   const MessageCodec& codec,
+                                   Metrics& metrics,
+                                   SendTo send)
+    : clock(&clock),
+      codec(&codec),
+      metrics(&metrics),
+      send(std::move(send)),
+      choice(std::move(own)),
+      log_limiter(kLogBurst, kLogInterval) {}
+
+RequestForwarder::~RequestForwarder() {
+  for (const auto& [number, call] : std::exchange(this->calls, {})) {
+    call->caller->OnGone({});
+    call->caller->OnDrained({});
+  }
+}
+
+void RequestForwarder::SetSchedulers(const std::vector<FleetHost>& schedulers) {
+  this->choice.SetSchedulers(schedulers);
+}
+
+void RequestForwarder::OnNews(const HostId& from, const SchedulerNews& news) {
+  this->choice.OnNews(from, {.ready = news.ready,
+                             .keys_proven = news.keys_proven,
+                             .version = news.configuration_version});
+}
+
+void RequestForwarder::OnRequest(const CallerExchangePtr& caller) {
+  const auto call = std::make_shared<Call>();
+  call->caller = caller;
+  call->arrived = this->clock->Now();
+  const auto read = this->codec->ReadRequest(caller->Message().head.headers);
+  if (!read) {
+    this->GiveUp(*call, read.error().kind, read.error().message);
+    return;
+  }
+  call->request = read->id;
+  const Duration patience = read->patience.value_or(kDefaultPatience);
+  call->deadline = Timer::After(
+      patience + kDeadlineMargin, [this, weak = std::weak_ptr(call)] {
+        if (const auto late = weak.lock()) {
+          this->OnDeadline(late->number);
+        }
+      });
+  this->Forward(call);
+}
+
+// Sends a request to the next scheduler, or ends it if there is none.
+void RequestForwarder::Forward(const CallPtr& call) {
+  const auto to = call->sends < kMostSends ? this->choice.Choose(call->tried)
+                                           : std::nullopt;
+  if (!to) {
+    this->GiveUp(*call,
+                 call->sends > 0 ? ErrorKind::kEndpointFailed
+                                 : ErrorKind::kNoEndpoint,
+                 "no scheduler");
+    return;
+  }
+  const int64_t number = ++this->last_number;
+  call->scheduler = *to;
+  call->tried.insert(*to);
+  if (!this->SendRequest(*call, *to, number)) {
+    // Not whole there, so it doesn't run: the link is down or full.
+    this->Forward(call);
+    return;
+  }
+  ++call->sends;
+  call->number = number;
+  this->calls[number] = call;
+  this->choice.OnForwarded(*to);
+  this->LogCall(*call, "Forwarded.");
+  call->caller->OnGone([this, number] { this->Cancel(number); });
+}
+
+bool RequestForwarder::SendRequest(const Call& call,
+                                   const HostId& to,
+                                   int64_t number) const {
+  const CallerMessage& message = call.caller->Message();
+  const std::string_view body = message.body;
+  const ForwardedRequest first{
+      .number = number,
+      .method = message.head.method,
+      .target = message.head.target,
+      .headers = message.head.headers,
+      .body = std::string(body.substr(0, kBodyPart)),
+      .body_length = body.size(),
+      .age = this->clock->Now() - call.arrived,
+      .earlier_sends = call.sends,
+      .resume_after = call.events.LastId(),
+      .stream_begun = call.caller->Started()};
+  bool sent = this->send(to, first);
+  for (size_t at = kBodyPart; sent && at < body.size(); at += kBodyPart) {
+    sent = this->send(to, ForwardedBody{.number = number,
+                                        .bytes = std::string(
+                                            body.substr(at, kBodyPart))});
+  }
+  return sent;
+}
+
+void RequestForwarder::OnAnswer(const HostId& from,
+                                const ForwardedAnswer& part) {
+  const auto found = this->calls.find(part.number);
+  if (found == this->calls.end() || found->second->scheduler != from) {
+    return;
+  }
+  const CallPtr call = found->second;
+  if (part.head) {
+    this->StartAnswer(*call, *part.head);
+  }
+  if (call->caller->Started()) {
+    this->PassOn(part.number, *call, part.bytes);
+  }
+  if (part.end == AnswerEnd::kMore) {
+    return;
+  }
+  this->End(part.number);
+  if (part.end == AnswerEnd::kWhole) {
+    call->caller->Finish();
+  } else {
+    call->caller->Break();
+  }
+}
+
+// A stream that goes on from another scheduler has its head already; any other
+// answer in its place can't be passed on any more.
+void RequestForwarder::StartAnswer(Call& call, const ForwardedHead& head) {
+  if (!call.caller->Started()) {
+    call.streams = IsEventStream(head.headers);
+    call.caller->Start({.status = head.status,
+                        .headers = head.headers,
+                        .length = head.length});
+  } else if (head.status / 100 != 2) {
+    call.caller->Break();
+  }
+}
+
+void RequestForwarder::PassOn(int64_t number,
+                              Call& call,
+                              std::string_view bytes) {
+  if (bytes.empty()) {
+    return;
+  }
+  if (call.streams) {
+    call.events.Feed(bytes);
+  }
+  call.caller->Send(bytes);
+  if (call.paused || call.caller->Unsent() <= kUnsentLimit) {
+    return;
+  }
+  call.paused = true;
+  this->send(call.scheduler,
+             ForwardControl{.number = number, .action = ForwardAction::kPause});
+  call.caller->OnDrained([this, number] {
+    const auto found = this->calls.find(number);
+    if (found != this->calls.end() &&
+        std::exchange(found->second->paused, false)) {
+      this->send(found->second->scheduler,
+                 ForwardControl{.number = number,
+                                .action = ForwardAction::kResume});
+    }
+  });
+}
+
+void RequestForwarder::End(int64_t number) {
+  const auto over = this->calls.extract(number);
+  if (over.empty()) {
+    return;
+  }
+  Call& call = *over.mapped();
+  this->choice.OnEnded(call.scheduler);
+  call.deadline.reset();
+  call.caller->OnGone({});
+  call.caller->OnDrained({});
+  this->metrics->Observe("forwarded_seconds",
+                         ToSeconds(this->clock->Now() - call.arrived));
+}
+
+void RequestForwarder::Cancel(int64_t number) {
+  const auto found = this->calls.find(number);
+  if (found == this->calls.end()) {
+    return;
+  }
+  const CallPtr call = found->second;
+  this->send(call->scheduler, ForwardControl{.number = number});
+  this->LogCall(*call, "Caller gone.");
+  this->End(number);
+}
+
+void RequestForwarder::OnDeadline(int64_t number) {
+  const auto found = this->calls.find(number);
+  if (found == this->calls.end()) {
+    return;
+  }
+  const CallPtr call = found->second;
+  this->send(call->scheduler, ForwardControl{.number = number});
+  this->End(number);
+  this->GiveUp(*call, ErrorKind::kTimeout, "no answer from the scheduler");
+}
+
+void RequestForwarder::OnLost(const HostId& scheduler) {
+  this->choice.OnLost(scheduler);
+  std::vector<CallPtr> lost;
+  std::erase_if(this->calls, [&](const auto& entry) {
+    const bool ours = entry.second->scheduler == scheduler;
+    if (ours) {
+      lost.push_back(entry.second);
+    }
+    return ours;
+  });
+  for (const CallPtr& call : lost) {
+    this->LogCall(*call, "Scheduler lost.");
+    if (call->caller->Started() && !call->streams) {
+      this->GiveUp(*call, ErrorKind::kBrokenAnswer, "scheduler lost");
+    } else {
+      call->paused = false;
+      call->events.DropRest();
+      this->Forward(call);
+    }
+  }
+}
+
+// Ends a request with an answer of this host's own.
+void RequestForwarder::GiveUp(Call& call,
+                              ErrorKind kind,
+                              std::string_view why) {
+  call.deadline.reset();
+  call.caller->OnGone({});
+  call.caller->OnDrained({});
+  if (call.caller->Started()) {
+    call.caller->Break();
+  } else {
+    const bool not_run = AnswerFor(kind).not_run && call.sends == 0;
+    AnswerOwnError(*call.caller, *this->metrics, kind, why,
+                   not_run ? std::optional(kLinkReturn) : std::nullopt);
+  }
+  this->LogCall(call, why);
+}
+
+void RequestForwarder::LogCall(const Call& call, std::string_view sentence) {
+  if (!this->log_limiter.Allow(this->clock->Now())) {
+    this->metrics->Add("log_lines_dropped_total", 1);
+    return;
+  }
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->clock->Now() - call.arrived);
+  LogInfo(kPart, sentence,
+          {{"request", call.request.Text()},
+           {"scheduler", call.scheduler.Text()},
+           {"configuration", std::to_string(this->choice.Version())},
+           {"sends", std::to_string(call.sends)},
+           {"ms", std::to_string(age.count())}});
+}
+
+}  // namespace hickorystand
--- /dev/null
+++ b/packages/relay/request_forwarder.h
@@ -0,0 +1,87 @@
+// An ingress host's side of forwarding: hands each request that a caller sent
+// to a scheduler, and passes the answer on as it comes.
+//
+// While a scheduler answers nothing has to be decided here. When one is lost,
+// its requests go to another one, which is told how far they got: it knows the
+// routes, so it decides whether they may run again.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "decisions/scheduler_choice.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "kernel/task.h"
+#include "peers/message.h"
+#include "relay/caller_exchange.h"
+#include "relay/event_cutter.h"
+#include "relay/message_codec.h"
+
+namespace hickorystand {
+
+class RequestForwarder {
+ public:
+  using SendTo = std::function<bool(const HostId&, const PeerMessage&)>;
+
+  RequestForwarder(ZoneId own,
+                   const Clock& clock,
+                   const MessageCodec& codec,
+                   Metrics& metrics,
+                   SendTo send);
+  ~RequestForwarder();
+  RequestForwarder(const RequestForwarder&) = delete;
+  RequestForwarder& operator=(const RequestForwarder&) = delete;
+
+  // A caller's request.
+  void OnRequest(const CallerExchangePtr& caller);
+
+  // The schedulers that may be chosen, what one says, and one that is lost.
+  void SetSchedulers(const std::vector<FleetHost>& schedulers);
+  void OnNews(const HostId& from, const SchedulerNews& news);
+  void OnAnswer(const HostId& from, const ForwardedAnswer& part);
+  void OnLost(const HostId& scheduler);
+
+  // Whether requests can be served.
+  bool Ready() const { return this->choice.Ready(); }
+
+ private:
+  struct Call {
+    CallerExchangePtr caller;
+    RequestId request;
+    int64_t number = 0;  // at the scheduler that has it now
+    HostId scheduler;
+    Instant arrived{};
+    int64_t sends = 0;  // to schedulers
+    std::set<HostId> tried;
+    EventCutter events;  // knows the last event that was passed on
+    bool streams = false;
+    bool paused = false;
+    std::unique_ptr<Timer> deadline;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  void Forward(const CallPtr& call);
+  bool SendRequest(const Call& call, const HostId& to, int64_t number) const;
+  void StartAnswer(Call& call, const ForwardedHead& head);
+  void PassOn(int64_t number, Call& call, std::string_view bytes);
+  void End(int64_t number);
+  void Cancel(int64_t number);
+  void OnDeadline(int64_t number);
+  void GiveUp(Call& call, ErrorKind kind, std::string_view why);
+  void LogCall(const Call& call, std::string_view sentence);
+
+  const Clock* clock;
+  const MessageCodec* codec;
+  Metrics* metrics;
+  SendTo send;
+  SchedulerChoice choice;
+  LogLimiter log_limiter;
+  int64_t last_number = 0;
+  std::map<int64_t, CallPtr> calls;
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/tests/fleet_topology_test.cc
@@ -0,0 +1,208 @@
+// Who schedules in a fleet, and where ingress hosts forward to.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+#include "decisions/fleet_topology.h"
+#include "decisions/scheduler_choice.h"
+
+namespace hickorystand {
+namespace {
+
+FleetHost Host(const std::string& id, const std::string& zone, int64_t cores) {
+  return {.id = HostId(id),
+          .address = {.host = "127.0.0.1", .port = 1},
+          .zone = ZoneId(zone),
+          .capacity = cores};
+}
+
+// A zone of some strong hosts and many weak ones.
+std::vector<FleetHost> Zone(const std::string& zone, int strong, int weak) {
+  std::vector<FleetHost> hosts;
+  for (int i = 0; i < strong + weak; ++i) {
+    hosts.push_back(
+        Host(zone + "-" + std::to_string(i), zone, i < strong ? 500 : 120));
+  }
+  return hosts;
+}
+
+std::vector<FleetHost> Only(const std::vector<FleetHost>& hosts,
+                            const std::set<HostId>& ids) {
+  std::vector<FleetHost> found;
+  std::ranges::copy_if(
+      hosts, std::back_inserter(found),
+      [&ids](const FleetHost& host) { return ids.contains(host.id); });
+  return found;
+}
+
+SchedulerState Serving(int64_t version) {
+  return {.ready = true, .keys_proven = true, .version = version};
+}
+
+}  // namespace
+
+TEST_GROUP(FleetTopology){};
+
+TEST(FleetTopology, RecordsKeepEverything) {
+  const FleetHost host = Host("h", "zone a", 120);
+  CHECK(DecodeFleetHost(host.id, EncodeFleetHost(host)).value() == host);
+  CHECK(!DecodeFleetHost(host.id, "").has_value());
+  CHECK(!DecodeFleetHost(host.id, "nowhere 120 z").has_value());
+}
+
+TEST(FleetTopology, EveryHostOfASmallZoneSchedules) {
+  const auto hosts = Zone("a", 0, 3);
+  LONGS_EQUAL(3, PlanSchedulers(hosts, {}).size());
+}
+
+TEST(FleetTopology, TheStrongestOfALargeZoneSchedule) {
+  const auto hosts = Zone("a", 3, 40);
+  const auto schedulers = PlanSchedulers(hosts, {.capacity_share = 0.2});
+  LONGS_EQUAL(3, schedulers.size());
+  for (const char* id : {"a-0", "a-1", "a-2"}) {
+    CHECK(schedulers.contains(HostId(id)));
+  }
+}
+
+// Guards against a zone whose few strong hosts can't carry its load.
+TEST(FleetTopology, SchedulersHaveTheirShareOfTheZone) {
+  const auto hosts = Zone("a", 2, 40);
+  const auto schedulers = PlanSchedulers(hosts, {.capacity_share = 0.5});
+  int64_t capacity = 0;
+  for (const FleetHost& host : Only(hosts, schedulers)) {
+    capacity += host.capacity;
+  }
+  CHECK(capacity >= (2 * 500 + 40 * 120) / 2);
+}
+
+// Guards against zones that are served through one link alone.
+TEST(FleetTopology, IngressHostsLinkNearAndFar) {
+  auto hosts = Zone("a", 3, 5);
+  const auto other = Zone("b", 3, 5);
+  hosts.insert(hosts.end(), other.begin(), other.end());
+  const auto schedulers = Only(hosts, PlanSchedulers(hosts, {}));
+  const auto picked = PickSchedulers(Host("a-7", "a", 120), schedulers, {});
+  LONGS_EQUAL(4, picked.size());
+  LONGS_EQUAL(3, std::ranges::count(picked, ZoneId("a"), &FleetHost::zone));
+}
+
+// Guards against one scheduler that all ingress hosts of other zones pick.
+TEST(FleetTopology, FarLinksAreSpread) {
+  auto hosts = Zone("a", 0, 60);
+  const auto other = Zone("b", 6, 0);
+  hosts.insert(hosts.end(), other.begin(), other.end());
+  std::map<HostId, int> picks;
+  for (int i = 0; i < 60; ++i) {
+    const FleetHost self = Host("a-" + std::to_string(i), "a", 120);
+    for (const FleetHost& one :
+         PickSchedulers(self, other, {.near_links = 0})) {
+      ++picks[one.id];
+    }
+  }
+  LONGS_EQUAL(6, picks.size());
+  for (const auto& [id, count] : picks) {
+    CHECK(count < 30);
+  }
+}
+
+TEST_GROUP(SchedulerChoice){};
+
+TEST(SchedulerChoice, SpreadsByCapacityWithinTheZone) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers(
+      {Host("s1", "a", 500), Host("s2", "a", 250), Host("s3", "b", 500)});
+  for (const char* id : {"s1", "s2", "s3"}) {
+    choice.OnNews(HostId(id), Serving(1));
+  }
+  std::map<HostId, int> chosen;
+  for (int i = 0; i < 90; ++i) {
+    const HostId to = choice.Choose({}).value();
+    ++chosen[to];
+    choice.OnForwarded(to);
+    choice.OnEnded(to);
+  }
+  CHECK(std::abs(chosen[HostId("s1")] - 60) <= 1);
+  CHECK(std::abs(chosen[HostId("s2")] - 30) <= 1);
+  LONGS_EQUAL(0, chosen[HostId("s3")]);
+}
+
+// Guards against a zone that isn't served after all of its schedulers died.
+TEST(SchedulerChoice, OtherZonesServeWhileTheOwnCannot) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers({Host("s1", "a", 500), Host("s2", "b", 500)});
+  CHECK(!choice.Ready());
+  choice.OnNews(HostId("s1"), Serving(1));
+  choice.OnNews(HostId("s2"), Serving(1));
+  choice.OnLost(HostId("s1"));
+  CHECK(choice.Choose({}) == HostId("s2"));
+  CHECK(!choice.Choose({HostId("s2")}).has_value());
+}
+
+// Guards against a change of the configuration that a caller sees undone: it
+// was served by a scheduler that has the change, then by one that hasn't.
+TEST(SchedulerChoice, NeverGoesBackToAnOlderConfiguration) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers({Host("s1", "a", 500), Host("s2", "a", 500)});
+  choice.OnNews(HostId("s1"), Serving(4));
+  choice.OnNews(HostId("s2"), Serving(5));
+  CHECK(choice.Choose({}) == HostId("s2"));
+  choice.OnLost(HostId("s2"));
+  CHECK(!choice.Ready());
+  choice.OnNews(HostId("s1"), Serving(5));
+  CHECK(choice.Ready());
+}
+
+// Guards against refused keys while another scheduler could check them.
+TEST(SchedulerChoice, PrefersSchedulersThatCanTrustKeys) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers({Host("s1", "a", 500), Host("s2", "b", 500)});
+  choice.OnNews(HostId("s1"), {.ready = true, .version = 1});
+  choice.OnNews(HostId("s2"), Serving(1));
+  CHECK(choice.Choose({}) == HostId("s2"));
+  choice.OnLost(HostId("s2"));
+  CHECK(choice.Choose({}) == HostId("s1"));
+}
+
+// Guards against a scheduler that has stopped answering and draws the requests
+// of its whole zone until its link ends.
+TEST(SchedulerChoice, AvoidsASchedulerThatIsStuck) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers({Host("s1", "a", 500), Host("s2", "a", 500)});
+  choice.OnNews(HostId("s1"), Serving(1));
+  choice.OnNews(HostId("s2"), Serving(1));
+  int to_stuck = 0;
+  for (int i = 0; i < 100; ++i) {
+    const HostId to = choice.Choose({}).value();
+    choice.OnForwarded(to);
+    if (to == HostId("s1")) {
+      ++to_stuck;
+    } else {
+      choice.OnEnded(to);
+    }
+  }
+  CHECK(to_stuck < 10);
+}
+
+// Guards against a scheduler that comes back and gets every request until it
+// has had as many as the others.
+TEST(SchedulerChoice, NewSchedulersBeginLevel) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers({Host("s1", "a", 500), Host("s2", "a", 500)});
+  choice.OnNews(HostId("s1"), Serving(1));
+  for (int i = 0; i < 50; ++i) {
+    choice.OnForwarded(HostId("s1"));
+    choice.OnEnded(HostId("s1"));
+  }
+  choice.OnNews(HostId("s2"), Serving(1));
+  int to_new = 0;
+  for (int i = 0; i < 10; ++i) {
+    const HostId to = choice.Choose({}).value();
+    to_new += to == HostId("s2") ? 1 : 0;
+    choice.OnForwarded(to);
+    choice.OnEnded(to);
+  }
+  LONGS_EQUAL(5, to_new);
+}
+
+}  // namespace hickorystand
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -609,7 +609,36 @@
           .services = {
               {ServiceId("s"),
                {.token_prefill = {.seconds = 3.2e-6, .measurements = 40},
-                .first_token = {.seconds = 0.004, .measurements = 7}}}}})};
+                .first_token = {.seconds = 0.004, .measurements = 7}}}}}),
+      PeerMessage(ForwardedRequest{
+          .number = 9,
+          .method = "POST",
+          .target = "/a/1",
+          .headers = {{.name = "Host", .value = "h.example"}},
+          .body = "{}",
+          .body_length = 2,
+          .age = std::chrono::milliseconds(3),
+          .earlier_sends = 1,
+          .resume_after = 4,
+          .stream_begun = true}),
+      PeerMessage(ForwardedBody{.number = 9, .bytes = "more"}),
+      PeerMessage(ForwardedAnswer{
+          .number = 9,
+          .head = ForwardedHead{.status = 200,
+                                .headers = {{.name = "A", .value = "b"}},
+                                .length = 3},
+          .bytes = "abc",
+          .end = AnswerEnd::kWhole}),
+      PeerMessage(
+          ForwardControl{.number = 9, .action = ForwardAction::kPause}),
+      PeerMessage(
+          SchedulerNews{.ready = true,
+                        .keys_proven = true,
+                         .configuration_version = 12,
+                         .head_bytes = 16384,
+                         .body_bytes = 4096,
+                         .head_timeout = std::chrono::seconds(3),
+                         .idle_timeout = std::chrono::seconds(15)})};
   std::mt19937_64 random(20261202);
   int refused = 0;
   constexpr int kMutationsEach = 20000;
