Share engines' cache events: one subscriber each, which tells the other schedulers

Change: one scheduler of the engine's zone subscribes (subscription_plan) and passes on what changes; two schedulers that link tell each other all they know.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "decisions/subscription_plan.h"
 #include "kernel/log.h"
 #include "kernel/registry.h"
 
@@ -112,6 +113,17 @@
   this->MakeDuties();
   this->MakeForwarding();
   this->MakePeers();
+  this->relay->Caches().SetHandlers(
+      {.subscribes =
+           [this](const FleetEndpoint& engine) {
+             return !this->subscribers.empty() &&
+                    SubscriberOf(engine, this->subscribers).id ==
+                        this->settings.host;
+           },
+       .on_update =
+           [this](const CacheUpdate& update) {
+             this->peers->BroadcastToSchedulers(update);
+           }});
   for (const auto& [server, address] :
        {std::pair(&this->ready_server, &this->settings.ready),
         std::pair(&this->metrics_server, &this->settings.metrics)}) {
@@ -174,6 +186,7 @@
       this->duties_retired = false;
     }
     this->relay->SetForward({});
+    this->FollowCaches();
     this->source->Start();
     this->duties->Start();
     this->news_timer = Timer::Every(kNewsPeriod, [this] { this->TellNews(); });
@@ -184,6 +197,7 @@
   this->source->Stop();
   this->duties->Retire();
   this->duties_retired = true;
+  this->FollowCaches();
   this->relay->SetForward([this](const CallerExchangePtr& caller) {
     this->forwarder->OnRequest(caller);
   });
@@ -222,8 +236,18 @@
   }
 }
 
-// A new link may replace one that nobody saw break; what was sent on the old one
-// is lost.
+// Shares the engines' cache events among the schedulers that are linked.
+void RelayDaemon::FollowCaches() {
+  this->subscribers.clear();
+  if (this->IsScheduler()) {
+    this->subscribers = this->peers->LinkedSchedulers();
+    this->subscribers.push_back(this->peers->Self());
+  }
+  this->relay->RefreshCaches();
+}
+
+// A new link may replace one that nobody saw break; what was sent on the old
+// one is lost.
 void RelayDaemon::OnLinked(const HostId& host) {
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
@@ -233,6 +257,10 @@
   if (this->peers->IsScheduler(host)) {
     this->TellAllUsage(host);
     this->peers->Send(host, PaceMessage{this->relay->Placement().OwnPace()});
+    for (const CacheUpdate& update : this->relay->Caches().Snapshot()) {
+      this->peers->Send(host, update);
+    }
+    this->FollowCaches();
   } else {
     this->peers->Send(host, this->News());
   }
@@ -242,6 +270,7 @@
   this->relay->Placement().ForgetPeer(host);
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
+  this->FollowCaches();
 }
 
 void RelayDaemon::MakeDuties() {
@@ -322,6 +351,8 @@
     this->forwarder->OnAnswer(from, *part);
   } else if (const auto* news = std::get_if<SchedulerNews>(&message)) {
     this->TakeNews(from, *news);
+  } else if (const auto* update = std::get_if<CacheUpdate>(&message)) {
+    this->relay->Caches().TakeUpdate(*update);
   } else if (const auto* usage = std::get_if<UsageCopyMessage>(&message)) {
     this->TakeUsage(from, *usage);
   } else if (const auto* asked = std::get_if<FreshnessQuestion>(&message)) {
@@ -395,6 +426,7 @@
           .on_schedulers =
               [this](const std::vector<FleetHost>& schedulers) {
                 this->forwarder->SetSchedulers(schedulers);
+                this->FollowCaches();
               },
           .on_listed =
               [this](size_t schedulers) {
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -1,9 +1,10 @@
 // A host that relays requests for a fleet on the users' platform: the relay,
 // what it knows of the fleet, and its answers to the balancer.
 //
-// As a scheduler it reads the store and serves requests itself, its own callers'
-// and those that ingress hosts forward. As an ingress host it forwards, and
-// reads nothing but the list of hosts (decisions/fleet_topology.h).
+// As a scheduler it reads the store and serves requests itself, its own
+// callers' and those that ingress hosts forward. As an ingress host it
+// forwards, and reads nothing but the list of hosts
+// (decisions/fleet_topology.h).
 
 #pragma once
 
@@ -58,6 +59,7 @@
   }
   SchedulerNews News() const;
   void TellNews();
+  void FollowCaches();
   void TakeNews(const HostId& from, const SchedulerNews& news);
   void TellUsage();
   void TellAllUsage(const HostId& host);
@@ -85,7 +87,8 @@
   bool duties_retired = false;
   std::unique_ptr<RequestForwarder> forwarder;
   std::unique_ptr<ForwardReceiver> receiver;
-  SchedulerNews told_news;  // to all ingress hosts that are linked
+  std::vector<FleetHost> subscribers;  // to engines' cache events, in turn
+  SchedulerNews told_news;             // to all ingress hosts that are linked
   std::unique_ptr<Timer> news_timer;
   // Seconds for a prompt token, as they stand in the log.
   std::map<ServiceId, double> logged_pace;
--- a/packages/decisions/engine_cache.cc
+++ b/packages/decisions/engine_cache.cc
@@ -40,6 +40,17 @@
   }
 }
 
+std::vector<PartTokens> EngineCache::Confirmed() const {
+  std::vector<PartTokens> parts;
+  for (const uint64_t part : this->order) {
+    const Entry& entry = this->entries.at(part);
+    if (entry.confirmed) {
+      parts.push_back({.part = part, .tokens = entry.tokens});
+    }
+  }
+  return parts;
+}
+
 int64_t EngineCache::Kept(const std::vector<PartTokens>& parts,
                           bool confirmed_only) const {
   // A part helps only if all before it are there too.
--- a/packages/decisions/engine_cache.h
+++ b/packages/decisions/engine_cache.h
@@ -38,6 +38,9 @@
   // The same, unless it is known to have been read.
   void DropUnconfirmed(uint64_t part);
 
+  // The parts that are known to have been read, least recently used first.
+  std::vector<PartTokens> Confirmed() const;
+
   // The tokens of a prompt's start that are kept.
   int64_t Kept(const std::vector<PartTokens>& parts, bool confirmed_only) const;
 
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -86,6 +86,18 @@
   }
 }
 
+bool FleetPlacement::Knows(const EndpointRun& run) const {
+  const auto found = this->states.find(run.id);
+  return found != this->states.end() && found->second.endpoint.run == run;
+}
+
+std::vector<PartTokens> FleetPlacement::ConfirmedParts(
+    const EndpointId& endpoint) const {
+  const auto found = this->states.find(endpoint);
+  return found == this->states.end() ? std::vector<PartTokens>()
+                                     : found->second.cache.Confirmed();
+}
+
 void FleetPlacement::SetEndpoints(const FleetEndpoints& endpoints) {
   std::erase_if(this->states, [&endpoints](const auto& entry) {
     return !endpoints.contains(entry.first);
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -226,6 +226,12 @@
   // The engine's cache is to be learned anew.
   void ForgetCache(const EndpointId& endpoint);
 
+  // Whether this run of an endpoint is the one that is listed.
+  bool Knows(const EndpointRun& run) const;
+
+  // What an engine is known to keep, least recently used first.
+  std::vector<PartTokens> ConfirmedParts(const EndpointId& endpoint) const;
+
   // A stream of a service paused for so long between two events.
   void OnPause(Instant now, const ServiceId& service, Duration pause);
 
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -3641,6 +3641,218 @@
   return *this;
 }
 
+CacheUpdate::~CacheUpdate() noexcept {
+}
+
+
+void CacheUpdate::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void CacheUpdate::__set_started(const int64_t val) {
+  this->started = val;
+}
+
+void CacheUpdate::__set_reset(const bool val) {
+  this->reset = val;
+}
+
+void CacheUpdate::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+
+void CacheUpdate::__set_tokens(const std::vector<int64_t> & val) {
+  this->tokens = val;
+}
+
+uint32_t CacheUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started);
+          this->__isset.started = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reset);
+          this->__isset.reset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->parts.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
+            {
+              xfer += iprot->readI64(this->parts[_i156]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tokens.clear();
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->tokens.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
+            {
+              xfer += iprot->readI64(this->tokens[_i161]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CacheUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CacheUpdate");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reset", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->reset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter162;
+    for (_iter162 = this->parts.begin(); _iter162 != this->parts.end(); ++_iter162)
+    {
+      xfer += oprot->writeI64((*_iter162));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tokens.size()));
+    std::vector<int64_t> ::const_iterator _iter163;
+    for (_iter163 = this->tokens.begin(); _iter163 != this->tokens.end(); ++_iter163)
+    {
+      xfer += oprot->writeI64((*_iter163));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CacheUpdate &a, CacheUpdate &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.started, b.started);
+  swap(a.reset, b.reset);
+  swap(a.parts, b.parts);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+CacheUpdate::CacheUpdate(const CacheUpdate& other164) {
+  endpoint = other164.endpoint;
+  started = other164.started;
+  reset = other164.reset;
+  parts = other164.parts;
+  tokens = other164.tokens;
+  __isset = other164.__isset;
+}
+CacheUpdate::CacheUpdate(CacheUpdate&& other165) noexcept {
+  endpoint = std::move(other165.endpoint);
+  started = other165.started;
+  reset = other165.reset;
+  parts = std::move(other165.parts);
+  tokens = std::move(other165.tokens);
+  __isset = other165.__isset;
+}
+CacheUpdate& CacheUpdate::operator=(const CacheUpdate& other166) {
+  endpoint = other166.endpoint;
+  started = other166.started;
+  reset = other166.reset;
+  parts = other166.parts;
+  tokens = other166.tokens;
+  __isset = other166.__isset;
+  return *this;
+}
+CacheUpdate& CacheUpdate::operator=(CacheUpdate&& other167) noexcept {
+  endpoint = std::move(other167.endpoint);
+  started = other167.started;
+  reset = other167.reset;
+  parts = std::move(other167.parts);
+  tokens = std::move(other167.tokens);
+  __isset = other167.__isset;
+  return *this;
+}
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -3689,18 +3901,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other152) noexcept {
-  (void) other152;
+Heartbeat::Heartbeat(const Heartbeat& other168) noexcept {
+  (void) other168;
 }
-Heartbeat::Heartbeat(Heartbeat&& other153) noexcept {
-  (void) other153;
+Heartbeat::Heartbeat(Heartbeat&& other169) noexcept {
+  (void) other169;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other154) noexcept {
-  (void) other154;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other170) noexcept {
+  (void) other170;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other155) noexcept {
-  (void) other155;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other171) noexcept {
+  (void) other171;
   return *this;
 }
 
@@ -3783,6 +3995,11 @@
 __isset.scheduler_news = true;
 }
 
+void Message::__set_cache_update(const CacheUpdate& val) {
+  this->cache_update = val;
+__isset.cache_update = true;
+}
+
 uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3924,6 +4141,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->cache_update.read(iprot);
+          this->__isset.cache_update = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4016,6 +4241,11 @@
     xfer += this->scheduler_news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.cache_update) {
+    xfer += oprot->writeFieldBegin("cache_update", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->cache_update.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4038,81 +4268,86 @@
   swap(a.forwarded_answer, b.forwarded_answer);
   swap(a.forward_control, b.forward_control);
   swap(a.scheduler_news, b.scheduler_news);
+  swap(a.cache_update, b.cache_update);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other156) {
-  heartbeat = other156.heartbeat;
-  digest = other156.digest;
-  buckets_request = other156.buckets_request;
-  buckets_reply = other156.buckets_reply;
-  usage_copy = other156.usage_copy;
-  released = other156.released;
-  endpoint_news = other156.endpoint_news;
-  freshness_question = other156.freshness_question;
-  freshness_answer = other156.freshness_answer;
-  engine_paces = other156.engine_paces;
-  forwarded_request = other156.forwarded_request;
-  forwarded_body = other156.forwarded_body;
-  forwarded_answer = other156.forwarded_answer;
-  forward_control = other156.forward_control;
-  scheduler_news = other156.scheduler_news;
-  __isset = other156.__isset;
-}
-Message::Message(Message&& other157) noexcept {
-  heartbeat = std::move(other157.heartbeat);
-  digest = std::move(other157.digest);
-  buckets_request = std::move(other157.buckets_request);
-  buckets_reply = std::move(other157.buckets_reply);
-  usage_copy = std::move(other157.usage_copy);
-  released = std::move(other157.released);
-  endpoint_news = std::move(other157.endpoint_news);
-  freshness_question = std::move(other157.freshness_question);
-  freshness_answer = std::move(other157.freshness_answer);
-  engine_paces = std::move(other157.engine_paces);
-  forwarded_request = std::move(other157.forwarded_request);
-  forwarded_body = std::move(other157.forwarded_body);
-  forwarded_answer = std::move(other157.forwarded_answer);
-  forward_control = std::move(other157.forward_control);
-  scheduler_news = std::move(other157.scheduler_news);
-  __isset = other157.__isset;
-}
-Message& Message::operator=(const Message& other158) {
-  heartbeat = other158.heartbeat;
-  digest = other158.digest;
-  buckets_request = other158.buckets_request;
-  buckets_reply = other158.buckets_reply;
-  usage_copy = other158.usage_copy;
-  released = other158.released;
-  endpoint_news = other158.endpoint_news;
-  freshness_question = other158.freshness_question;
-  freshness_answer = other158.freshness_answer;
-  engine_paces = other158.engine_paces;
-  forwarded_request = other158.forwarded_request;
-  forwarded_body = other158.forwarded_body;
-  forwarded_answer = other158.forwarded_answer;
-  forward_control = other158.forward_control;
-  scheduler_news = other158.scheduler_news;
-  __isset = other158.__isset;
+Message::Message(const Message& other172) {
+  heartbeat = other172.heartbeat;
+  digest = other172.digest;
+  buckets_request = other172.buckets_request;
+  buckets_reply = other172.buckets_reply;
+  usage_copy = other172.usage_copy;
+  released = other172.released;
+  endpoint_news = other172.endpoint_news;
+  freshness_question = other172.freshness_question;
+  freshness_answer = other172.freshness_answer;
+  engine_paces = other172.engine_paces;
+  forwarded_request = other172.forwarded_request;
+  forwarded_body = other172.forwarded_body;
+  forwarded_answer = other172.forwarded_answer;
+  forward_control = other172.forward_control;
+  scheduler_news = other172.scheduler_news;
+  cache_update = other172.cache_update;
+  __isset = other172.__isset;
+}
+Message::Message(Message&& other173) noexcept {
+  heartbeat = std::move(other173.heartbeat);
+  digest = std::move(other173.digest);
+  buckets_request = std::move(other173.buckets_request);
+  buckets_reply = std::move(other173.buckets_reply);
+  usage_copy = std::move(other173.usage_copy);
+  released = std::move(other173.released);
+  endpoint_news = std::move(other173.endpoint_news);
+  freshness_question = std::move(other173.freshness_question);
+  freshness_answer = std::move(other173.freshness_answer);
+  engine_paces = std::move(other173.engine_paces);
+  forwarded_request = std::move(other173.forwarded_request);
+  forwarded_body = std::move(other173.forwarded_body);
+  forwarded_answer = std::move(other173.forwarded_answer);
+  forward_control = std::move(other173.forward_control);
+  scheduler_news = std::move(other173.scheduler_news);
+  cache_update = std::move(other173.cache_update);
+  __isset = other173.__isset;
+}
+Message& Message::operator=(const Message& other174) {
+  heartbeat = other174.heartbeat;
+  digest = other174.digest;
+  buckets_request = other174.buckets_request;
+  buckets_reply = other174.buckets_reply;
+  usage_copy = other174.usage_copy;
+  released = other174.released;
+  endpoint_news = other174.endpoint_news;
+  freshness_question = other174.freshness_question;
+  freshness_answer = other174.freshness_answer;
+  engine_paces = other174.engine_paces;
+  forwarded_request = other174.forwarded_request;
+  forwarded_body = other174.forwarded_body;
+  forwarded_answer = other174.forwarded_answer;
+  forward_control = other174.forward_control;
+  scheduler_news = other174.scheduler_news;
+  cache_update = other174.cache_update;
+  __isset = other174.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other159) noexcept {
-  heartbeat = std::move(other159.heartbeat);
-  digest = std::move(other159.digest);
-  buckets_request = std::move(other159.buckets_request);
-  buckets_reply = std::move(other159.buckets_reply);
-  usage_copy = std::move(other159.usage_copy);
-  released = std::move(other159.released);
-  endpoint_news = std::move(other159.endpoint_news);
-  freshness_question = std::move(other159.freshness_question);
-  freshness_answer = std::move(other159.freshness_answer);
-  engine_paces = std::move(other159.engine_paces);
-  forwarded_request = std::move(other159.forwarded_request);
-  forwarded_body = std::move(other159.forwarded_body);
-  forwarded_answer = std::move(other159.forwarded_answer);
-  forward_control = std::move(other159.forward_control);
-  scheduler_news = std::move(other159.scheduler_news);
-  __isset = other159.__isset;
+Message& Message::operator=(Message&& other175) noexcept {
+  heartbeat = std::move(other175.heartbeat);
+  digest = std::move(other175.digest);
+  buckets_request = std::move(other175.buckets_request);
+  buckets_reply = std::move(other175.buckets_reply);
+  usage_copy = std::move(other175.usage_copy);
+  released = std::move(other175.released);
+  endpoint_news = std::move(other175.endpoint_news);
+  freshness_question = std::move(other175.freshness_question);
+  freshness_answer = std::move(other175.freshness_answer);
+  engine_paces = std::move(other175.engine_paces);
+  forwarded_request = std::move(other175.forwarded_request);
+  forwarded_body = std::move(other175.forwarded_body);
+  forwarded_answer = std::move(other175.forwarded_answer);
+  forward_control = std::move(other175.forward_control);
+  scheduler_news = std::move(other175.scheduler_news);
+  cache_update = std::move(other175.cache_update);
+  __isset = other175.__isset;
   return *this;
 }
 }} // namespace
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -67,6 +67,8 @@
 
 class SchedulerNews;
 
+class CacheUpdate;
+
 class Heartbeat;
 
 class Message;
@@ -1558,6 +1560,76 @@
 
 std::ostream& operator<<(std::ostream& out, const SchedulerNews& obj);
 
+typedef struct _CacheUpdate__isset {
+  _CacheUpdate__isset() : endpoint(false), started(false), reset(false), parts(false), tokens(false) {}
+  bool endpoint :1;
+  bool started :1;
+  bool reset :1;
+  bool parts :1;
+  bool tokens :1;
+} _CacheUpdate__isset;
+
+class CacheUpdate : public virtual ::apache::thrift::TBase {
+ public:
+
+  CacheUpdate(const CacheUpdate&);
+  CacheUpdate(CacheUpdate&&) noexcept;
+  CacheUpdate& operator=(const CacheUpdate&);
+  CacheUpdate& operator=(CacheUpdate&&) noexcept;
+  CacheUpdate() noexcept
+              : endpoint(),
+                started(0),
+                reset(0) {
+  }
+
+  virtual ~CacheUpdate() noexcept;
+  std::string endpoint;
+  int64_t started;
+  bool reset;
+  std::vector<int64_t>  parts;
+  std::vector<int64_t>  tokens;
+
+  _CacheUpdate__isset __isset;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_started(const int64_t val);
+
+  void __set_reset(const bool val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  void __set_tokens(const std::vector<int64_t> & val);
+
+  bool operator == (const CacheUpdate & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(started == rhs.started))
+      return false;
+    if (!(reset == rhs.reset))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const CacheUpdate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CacheUpdate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(CacheUpdate &a, CacheUpdate &b);
+
+std::ostream& operator<<(std::ostream& out, const CacheUpdate& obj);
+
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
  public:
@@ -1591,7 +1663,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false), forwarded_request(false), forwarded_body(false), forwarded_answer(false), forward_control(false), scheduler_news(false) {}
+  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false), forwarded_request(false), forwarded_body(false), forwarded_answer(false), forward_control(false), scheduler_news(false), cache_update(false) {}
   bool heartbeat :1;
   bool digest :1;
   bool buckets_request :1;
@@ -1607,6 +1679,7 @@
   bool forwarded_answer :1;
   bool forward_control :1;
   bool scheduler_news :1;
+  bool cache_update :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1635,6 +1708,7 @@
   ForwardedAnswer forwarded_answer;
   ForwardControl forward_control;
   SchedulerNews scheduler_news;
+  CacheUpdate cache_update;
 
   _Message__isset __isset;
 
@@ -1668,6 +1742,8 @@
 
   void __set_scheduler_news(const SchedulerNews& val);
 
+  void __set_cache_update(const CacheUpdate& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1730,6 +1806,10 @@
       return false;
     else if (__isset.scheduler_news && !(scheduler_news == rhs.scheduler_news))
       return false;
+    if (__isset.cache_update != rhs.__isset.cache_update)
+      return false;
+    else if (__isset.cache_update && !(cache_update == rhs.cache_update))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "decisions/digest.h"
+#include "decisions/engine_cache.h"
 #include "decisions/engine_pace.h"
+#include "decisions/fleet_endpoint.h"
 #include "http/http_types.h"
 #include "kernel/ids.h"
 
@@ -157,6 +159,15 @@
   auto operator<=>(const SchedulerNews&) const = default;
 };
 
+// What an engine keeps of prompts has changed.
+struct CacheUpdate {
+  EndpointRun engine;
+  bool reset = false;             // nothing else is kept
+  std::vector<PartTokens> parts;  // no tokens: not kept any more
+
+  bool operator==(const CacheUpdate&) const = default;
+};
+
 // Everything but digests, which PeerLinks sends and takes as whole values.
 using PeerMessage = std::variant<BucketsRequest,
                                  BucketsReply,
@@ -170,6 +181,7 @@
                                  ForwardedBody,
                                  ForwardedAnswer,
                                  ForwardControl,
-                                 SchedulerNews>;
+                                 SchedulerNews,
+                                 CacheUpdate>;
 
 }  // namespace hickorystand
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -178,6 +178,15 @@
   7: bool keys_proven
 }
 
+// What an engine keeps of prompts has changed.
+struct CacheUpdate {
+  1: string endpoint
+  2: i64 started  // the run of the endpoint, as EndpointRun has it
+  3: bool reset  // nothing else is kept
+  4: list<i64> parts  // hashes
+  5: list<i64> tokens  // for each part; 0: not kept any more
+}
+
 struct Heartbeat {
 }
 
@@ -197,4 +206,5 @@
   13: ForwardedAnswer forwarded_answer
   14: ForwardControl forward_control
   15: SchedulerNews scheduler_news
+  16: CacheUpdate cache_update
 }
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -306,6 +306,17 @@
   return answer;
 }
 
+CacheUpdate ReadCacheUpdate(const wire::CacheUpdate& in) {
+  CacheUpdate update{
+      .engine = {.id = EndpointId(in.endpoint), .started = in.started},
+      .reset = in.reset};
+  for (size_t i = 0; i < in.parts.size(); ++i) {
+    update.parts.push_back(
+        {.part = static_cast<uint64_t>(in.parts[i]), .tokens = in.tokens[i]});
+  }
+  return update;
+}
+
 struct Writer {
   wire::Message out;
 
@@ -435,6 +446,17 @@
     item.idle_timeout = news.idle_timeout.count();
     out.__set_scheduler_news(item);
   }
+  void operator()(const CacheUpdate& update) {
+    wire::CacheUpdate item;
+    item.endpoint = update.engine.id.Text();
+    item.started = update.engine.started;
+    item.reset = update.reset;
+    for (const PartTokens& part : update.parts) {
+      item.parts.push_back(static_cast<int64_t>(part.part));
+      item.tokens.push_back(part.tokens);
+    }
+    out.__set_cache_update(item);
+  }
 };
 
 PeerMessage ReadBuckets(wire::BucketsReply& in) {
@@ -561,11 +583,15 @@
     return WireMessage(PeerMessage(
         SchedulerNews{.ready = news.ready,
                       .keys_proven = news.keys_proven,
-                       .configuration_version = news.configuration_version,
-                       .head_bytes = news.head_bytes,
-                       .body_bytes = news.body_bytes,
-                       .head_timeout = Duration(news.head_timeout),
-                       .idle_timeout = Duration(news.idle_timeout)}));
+                      .configuration_version = news.configuration_version,
+                      .head_bytes = news.head_bytes,
+                      .body_bytes = news.body_bytes,
+                      .head_timeout = Duration(news.head_timeout),
+                      .idle_timeout = Duration(news.idle_timeout)}));
+  }
+  if (set.cache_update && GoodId(in->cache_update.endpoint) &&
+      in->cache_update.parts.size() == in->cache_update.tokens.size()) {
+    return WireMessage(PeerMessage(ReadCacheUpdate(in->cache_update)));
   }
   if (set.heartbeat) {
     return WireMessage(PeerHeartbeat{});
--- a/packages/relay/cache_feed.cc
+++ b/packages/relay/cache_feed.cc
@@ -1,5 +1,6 @@
 #include "relay/cache_feed.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "kernel/log.h"
@@ -22,84 +23,122 @@
   this->SetEndpoints({});
 }
 
+bool CacheFeed::Subscribes(const FleetEndpoint& endpoint) const {
+  return endpoint.role != EndpointRole::kPlain &&
+         (!this->handlers.subscribes || this->handlers.subscribes(endpoint));
+}
+
 void CacheFeed::SetEndpoints(const FleetEndpoints& endpoints) {
-  std::erase_if(this->ears, [&endpoints](const auto& entry) {
+  std::erase_if(this->subscriptions, [&](const auto& entry) {
     const auto found = endpoints.find(entry.first);
-    const bool gone =
-        found == endpoints.end() || found->second.run != entry.second.run;
+    const bool gone = found == endpoints.end() ||
+                      found->second.run != entry.second.run ||
+                      !this->Subscribes(found->second);
     if (gone && entry.second.call) {
       entry.second.call->Cancel();
     }
     return gone;
   });
   for (const auto& [id, endpoint] : endpoints) {
-    if (endpoint.role != EndpointRole::kPlain && !this->ears.contains(id)) {
-      this->ears[id] = {.run = endpoint.run, .address = endpoint.address};
-      this->Ask(id);
+    if (!this->subscriptions.contains(id) && this->Subscribes(endpoint)) {
+      this->subscriptions[id] = {.run = endpoint.run,
+                                 .address = endpoint.address};
+      this->Poll(id);
     }
   }
 }
 
-void CacheFeed::Ask(const EndpointId& engine) {
-  Ear& ear = this->ears.at(engine);
-  ear.body.clear();
-  ear.status = 0;
-  ear.timer = Timer::After(this->options.limit, [this, engine] {
-    this->ears.at(engine).call->Cancel();
-    this->Rest(engine, this->options.rest_after_failure);
+void CacheFeed::Poll(const EndpointId& engine) {
+  Subscription& to = this->subscriptions.at(engine);
+  to.body.clear();
+  to.status = 0;
+  to.timer = Timer::After(this->options.limit, [this, engine] {
+    this->subscriptions.at(engine).call->Cancel();
+    this->PollAfter(engine, this->options.pause_after_failure);
   });
-  ear.call = this->pool->Send(
-      {.address = ear.address,
-       .head = this->codec->CacheNewsCall(ear.address, ear.next,
-                                          this->options.wait)},
+  to.call = this->pool->Send(
+      {.address = to.address,
+       .head =
+           this->codec->CacheNewsCall(to.address, to.next, this->options.wait)},
       {.on_head =
            [this, engine](const Http1Head& head) {
-             this->ears.at(engine).status = head.status;
+             this->subscriptions.at(engine).status = head.status;
              return true;
            },
        .on_bytes =
            [this, engine](std::string_view bytes) {
-             this->ears.at(engine).body += bytes;
+             this->subscriptions.at(engine).body += bytes;
            },
        .on_end = [this, engine](HttpEnd end) { this->OnEnd(engine, end); }});
 }
 
-void CacheFeed::Rest(const EndpointId& engine, Duration rest) {
-  Ear& ear = this->ears.at(engine);
-  ear.call.reset();
-  ear.timer = Timer::After(rest, [this, engine] { this->Ask(engine); });
+void CacheFeed::PollAfter(const EndpointId& engine, Duration pause) {
+  Subscription& to = this->subscriptions.at(engine);
+  to.call.reset();
+  to.timer = Timer::After(pause, [this, engine] { this->Poll(engine); });
 }
 
 void CacheFeed::OnEnd(const EndpointId& engine, HttpEnd end) {
-  const Ear& ear = this->ears.at(engine);
+  const Subscription& to = this->subscriptions.at(engine);
   const auto news =
-      end == HttpEnd::kWhole && ear.status == 200
-          ? this->codec->ReadCacheNews(ear.body)
+      end == HttpEnd::kWhole && to.status == 200
+          ? this->codec->ReadCacheNews(to.body)
           : Result<CacheNews>(Fail(ErrorKind::kEndpointFailed, "no answer"));
   if (!news) {
     LogDebug(
-        kPart, "Engine doesn't tell its cache.",
-        {{"endpoint", engine.Text()}, {"status", std::to_string(ear.status)}});
-    this->Rest(engine, this->options.rest_after_failure);
+        kPart, "Cache events weren't answered.",
+        {{"endpoint", engine.Text()}, {"status", std::to_string(to.status)}});
+    this->PollAfter(engine, this->options.pause_after_failure);
     return;
   }
-  this->Take(engine, *news);
-  this->Rest(engine, this->options.rest);
+  this->TakeNews(engine, *news);
+  this->PollAfter(engine, this->options.pause);
 }
 
-void CacheFeed::Take(const EndpointId& engine, const CacheNews& news) {
-  Ear& ear = this->ears.at(engine);
-  // Another process answers, or changes are missing: what was believed to be
+void CacheFeed::TakeNews(const EndpointId& engine, const CacheNews& news) {
+  Subscription& from = this->subscriptions.at(engine);
+  // Another process answers, or events are missing: what was believed to be
   // kept may be gone. What is still there shows as it is used again.
-  if (!ear.epoch.empty() && (ear.epoch != news.epoch || news.lost)) {
+  CacheUpdate update{
+      .engine = from.run,
+      .reset = !from.epoch.empty() && (from.epoch != news.epoch || news.lost)};
+  from.epoch = news.epoch;
+  from.next = news.next;
+  std::ranges::transform(news.changes, std::back_inserter(update.parts),
+                         [](const CacheChange& change) {
+                           return PartTokens{.part = HashOfPart(change.part),
+                                             .tokens = change.tokens};
+                         });
+  this->TakeUpdate(update);
+  if (this->handlers.on_update && (update.reset || !update.parts.empty())) {
+    this->handlers.on_update(update);
+  }
+}
+
+void CacheFeed::TakeUpdate(const CacheUpdate& update) {
+  const EndpointId& engine = update.engine.id;
+  if (!this->placement->Knows(update.engine)) {
+    return;
+  }
+  if (update.reset) {
     this->placement->ForgetCache(engine);
   }
-  ear.epoch = news.epoch;
-  ear.next = news.next;
-  for (const CacheChange& change : news.changes) {
-    this->placement->OnCache(
-        engine, {.part = HashOfPart(change.part), .tokens = change.tokens});
+  for (const PartTokens& part : update.parts) {
+    this->placement->OnCache(engine, part);
   }
 }
 
+std::vector<CacheUpdate> CacheFeed::Snapshot() const {
+  std::vector<CacheUpdate> known;
+  std::ranges::transform(
+      this->subscriptions, std::back_inserter(known),
+      [this](const auto& entry) {
+        return CacheUpdate{
+            .engine = entry.second.run,
+            .reset = true,
+            .parts = this->placement->ConfirmedParts(entry.first)};
+      });
+  return known;
+}
+
 }  // namespace hickorystand
--- a/packages/relay/cache_feed.h
+++ b/packages/relay/cache_feed.h
@@ -1,31 +1,42 @@
-// Hears from each engine what it keeps of prompts, by calls that wait for
-// changes, and tells the placement. So every host knows what any host's
-// requests left behind, without a word between hosts.
+// Subscribes to engines' cache events by long polls and tells the placement.
+//
+// Each engine has one subscriber among the schedulers. What it hears goes on to
+// the others as CacheUpdate messages, so that every scheduler knows what any
+// scheduler's requests left behind.
 
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
 #include "decisions/fleet_placement.h"
+#include "peers/message.h"
 #include "relay/endpoint_pool.h"
 #include "relay/message_codec.h"
 
 namespace hickorystand {
 
-// How engines are asked.
+// How engines are polled.
 struct CacheFeedOptions {
-  // How long a call waits for a change.
+  // How long a call waits for an event.
   Duration wait = std::chrono::seconds(1);
-  // Without an answer after this, the call is given up.
+  // Without an answer after this, the call is cancelled.
   Duration limit = std::chrono::milliseconds(2500);
-  // Between an answer and the next call. A busy engine has news at once, and
-  // each call that it answers at once costs as much as a health check.
-  Duration rest = std::chrono::milliseconds(700);
-  // After a failed call. An engine keeps a few such calls waiting and refuses
-  // more; it is asked again rarely.
-  Duration rest_after_failure = std::chrono::seconds(2);
+  // Between an answer and the next call. A busy engine has events at once, and
+  // a call that it answers at once costs as much as a health check.
+  Duration pause = std::chrono::milliseconds(700);
+  // After a failed call: an engine keeps a few calls waiting and refuses more.
+  Duration pause_after_failure = std::chrono::seconds(2);
+};
+
+// Callbacks of CacheFeed.
+struct CacheFeedHandlers {
+  // Whether this host is an engine's subscriber.
+  std::function<bool(const FleetEndpoint&)> subscribes;
+  // An engine that this host subscribes to has told what changed.
+  std::function<void(const CacheUpdate&)> on_update;
 };
 
 class CacheFeed {
@@ -38,12 +49,23 @@
   CacheFeed(const CacheFeed&) = delete;
   CacheFeed& operator=(const CacheFeed&) = delete;
 
-  // Listens to the engines among these endpoints, and to no others.
+  // Without handlers this host subscribes to every engine.
+  void SetHandlers(CacheFeedHandlers changed) {
+    this->handlers = std::move(changed);
+  }
+
+  // Subscribes to the engines among these endpoints that are this host's to
+  // follow, and to no others. Again whenever the subscribers may have changed.
   void SetEndpoints(const FleetEndpoints& endpoints);
 
+  // What another host has heard from an engine.
+  void TakeUpdate(const CacheUpdate& update);
+
+  // All that is known of the engines that this host subscribes to.
+  std::vector<CacheUpdate> Snapshot() const;
+
  private:
-  // One engine that is listened to.
-  struct Ear {
+  struct Subscription {
     EndpointRun run;
     SocketAddress address;
     EndpointExchangePtr call;
@@ -54,16 +76,18 @@
     int64_t next = 0;
   };
 
-  void Ask(const EndpointId& engine);
-  void Rest(const EndpointId& engine, Duration rest);
+  bool Subscribes(const FleetEndpoint& endpoint) const;
+  void Poll(const EndpointId& engine);
+  void PollAfter(const EndpointId& engine, Duration pause);
   void OnEnd(const EndpointId& engine, HttpEnd end);
-  void Take(const EndpointId& engine, const CacheNews& news);
+  void TakeNews(const EndpointId& engine, const CacheNews& news);
 
   CacheFeedOptions options;
   EndpointPool* pool;
   const MessageCodec* codec;
   FleetPlacement* placement;
-  std::map<EndpointId, Ear> ears;
+  CacheFeedHandlers handlers;
+  std::map<EndpointId, Subscription> subscriptions;
 };
 
 }  // namespace hickorystand
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -346,6 +346,14 @@
   return this->links && this->links->IsIn(host, GroupOf(FleetRole::kScheduler));
 }
 
+std::vector<FleetHost> FleetPeers::LinkedSchedulers() const {
+  std::vector<FleetHost> linked;
+  std::ranges::copy_if(
+      this->schedulers, std::back_inserter(linked),
+      [this](const FleetHost& host) { return this->IsScheduler(host.id); });
+  return linked;
+}
+
 bool FleetPeers::Send(const HostId& host, const PeerMessage& message) {
   return this->links && this->links->Send(host, message);
 }
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -2,11 +2,11 @@
 // schedulers, and the links between them.
 //
 // Each host writes a record of itself into the platform's key-value service,
-// bound to a lease, so that the record goes when the host does. Every host reads
-// all records and works out the same schedulers from them (fleet_topology.h).
-// Schedulers are linked with each other; an ingress host is linked with a few
-// of them. A secret in the store, made once by whoever comes first, proves that
-// a caller is of the fleet.
+// bound to a lease, so that the record goes when the host does. Every host
+// reads all records and works out the same schedulers from them
+// (fleet_topology.h). Schedulers are linked with each other; an ingress host is
+// linked with a few of them. A secret in the store, made once by whoever comes
+// first, proves that a caller is of the fleet.
 
 #pragma once
 
@@ -87,10 +87,14 @@
   size_t BroadcastToIngress(const PeerMessage& message);
 
   FleetRole Role() const { return this->role; }
+  const FleetHost& Self() const { return this->options.self; }
 
   // Whether a linked host is a scheduler.
   bool IsScheduler(const HostId& host) const;
 
+  // The other schedulers that are linked now.
+  std::vector<FleetHost> LinkedSchedulers() const;
+
   // How many schedulers stand in the list, this host included; the others that
   // this host is to be linked with; and its place among all, by id.
   size_t Listed() const { return this->listed; }
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -96,6 +96,13 @@
   // All endpoints there are.
   void SetEndpoints(const FleetEndpoints& endpoints);
 
+  // Which engines' cache events this host follows for all schedulers, and what
+  // others have heard.
+  CacheFeed& Caches() { return this->cache_feed; }
+
+  // Follows engines anew, since other hosts may have come or gone.
+  void RefreshCaches() { this->cache_feed.SetEndpoints(this->endpoints); }
+
   // How many hosts are listed, which share the retry budget and the endpoints'
   // connections.
   void SetHosts(int64_t listed);
--- a/tests/fleet_topology_test.cc
+++ b/tests/fleet_topology_test.cc
@@ -6,6 +6,7 @@
 
 #include "decisions/fleet_topology.h"
 #include "decisions/scheduler_choice.h"
+#include "decisions/subscription_plan.h"
 
 namespace hickorystand {
 namespace {
@@ -40,6 +41,11 @@
   return {.ready = true, .keys_proven = true, .version = version};
 }
 
+FleetEndpoint EngineIn(const std::string& zone, int number) {
+  return {.run = {.id = EndpointId(zone + "-e" + std::to_string(number))},
+          .zone = ZoneId(zone)};
+}
+
 }  // namespace
 
 TEST_GROUP(FleetTopology){};
@@ -106,6 +112,37 @@
   }
 }
 
+// Guards against engines that every scheduler polls, and against all engines
+// polled by one.
+TEST(FleetTopology, EachEngineHasOneSubscriberInItsZone) {
+  auto schedulers = Zone("a", 3, 0);
+  const auto other = Zone("b", 3, 0);
+  schedulers.insert(schedulers.end(), other.begin(), other.end());
+  std::map<HostId, int> followed;
+  for (int i = 0; i < 90; ++i) {
+    const FleetHost& host = SubscriberOf(EngineIn("b", i), schedulers);
+    CHECK(host.zone == ZoneId("b"));
+    ++followed[host.id];
+  }
+  LONGS_EQUAL(3, followed.size());
+  for (const auto& [id, count] : followed) {
+    CHECK(count > 15);
+  }
+}
+
+// Guards against engines that nobody follows once their subscriber is lost, and
+// against all of them changing hands.
+TEST(FleetTopology, OnlyEnginesOfALostSubscriberChangeHands) {
+  const auto before = Zone("a", 4, 0);
+  const std::vector<FleetHost> after(before.begin() + 1, before.end());
+  for (int i = 0; i < 60; ++i) {
+    const FleetEndpoint engine = EngineIn("a", i);
+    const HostId old = SubscriberOf(engine, before).id;
+    const HostId now = SubscriberOf(engine, after).id;
+    CHECK(now == old || old == before.front().id);
+  }
+}
+
 TEST_GROUP(SchedulerChoice){};
 
 TEST(SchedulerChoice, SpreadsByCapacityWithinTheZone) {
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -606,21 +606,21 @@
                                   .age = std::chrono::milliseconds(700),
                                   .record = "{}"}),
       PeerMessage(PaceMessage{
-          .services = {
-              {ServiceId("s"),
-               {.token_prefill = {.seconds = 3.2e-6, .measurements = 40},
-                .first_token = {.seconds = 0.004, .measurements = 7}}}}}),
-      PeerMessage(ForwardedRequest{
-          .number = 9,
-          .method = "POST",
-          .target = "/a/1",
-          .headers = {{.name = "Host", .value = "h.example"}},
-          .body = "{}",
-          .body_length = 2,
-          .age = std::chrono::milliseconds(3),
-          .earlier_sends = 1,
-          .resume_after = 4,
-          .stream_begun = true}),
+          .services =
+              {{ServiceId("s"),
+                {.token_prefill = {.seconds = 3.2e-6, .measurements = 40},
+                 .first_token = {.seconds = 0.004, .measurements = 7}}}}}),
+      PeerMessage(
+          ForwardedRequest{.number = 9,
+                           .method = "POST",
+                           .target = "/a/1",
+                           .headers = {{.name = "Host", .value = "h.example"}},
+                           .body = "{}",
+                           .body_length = 2,
+                           .age = std::chrono::milliseconds(3),
+                           .earlier_sends = 1,
+                           .resume_after = 4,
+                           .stream_begun = true}),
       PeerMessage(ForwardedBody{.number = 9, .bytes = "more"}),
       PeerMessage(ForwardedAnswer{
           .number = 9,
@@ -629,16 +629,19 @@
                                 .length = 3},
           .bytes = "abc",
           .end = AnswerEnd::kWhole}),
+      PeerMessage(ForwardControl{.number = 9, .action = ForwardAction::kPause}),
+      PeerMessage(SchedulerNews{.ready = true,
+                                .keys_proven = true,
+                                .configuration_version = 12,
+                                .head_bytes = 16384,
+                                .body_bytes = 4096,
+                                .head_timeout = std::chrono::seconds(3),
+                                .idle_timeout = std::chrono::seconds(15)}),
       PeerMessage(
-          ForwardControl{.number = 9, .action = ForwardAction::kPause}),
-      PeerMessage(
-          SchedulerNews{.ready = true,
-                        .keys_proven = true,
-                         .configuration_version = 12,
-                         .head_bytes = 16384,
-                         .body_bytes = 4096,
-                         .head_timeout = std::chrono::seconds(3),
-                         .idle_timeout = std::chrono::seconds(15)})};
+          CacheUpdate{.engine = {.id = EndpointId("e"), .started = 5},
+                      .reset = true,
+                      .parts = {{.part = 0xfedcba9876543210, .tokens = 800},
+                                {.part = 2, .tokens = 0}}})};
   std::mt19937_64 random(20261202);
   int refused = 0;
   constexpr int kMutationsEach = 20000;
