Keep links through changes of role and of the list

The replay shows why links end there: when hosts join, an ingress host picks other schedulers and closes links that carry requests ('no longer in the host list', 54 requests handed over); and a host that takes another role opened its links anew, which cut everything on them.

Change: a host's role isn't part of a link any more; schedulers say on each link that they are. Links that are up are picked first, and a link that carries requests stays until they are over. A host that has become a scheduler forwards until it has read what it needs.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -113,6 +113,8 @@
   this->MakeDuties();
   this->MakeForwarding();
   this->MakePeers();
+  this->relay->SetForward(
+      [this](const CallerExchangePtr& caller) { this->OnCaller(caller); });
   this->relay->Caches().SetHandlers(
       {.subscribes =
            [this](const FleetEndpoint& engine) {
@@ -185,31 +187,40 @@
       this->MakeDuties();
       this->duties_retired = false;
     }
-    this->relay->SetForward({});
     this->FollowCaches();
     this->source->Start();
     this->duties->Start();
     this->news_timer = Timer::Every(kNewsPeriod, [this] { this->TellNews(); });
+    this->TellNews();
     return;
   }
-  this->TellUsage();
   this->news_timer.reset();
+  this->TellNews();
   this->source->Stop();
   this->duties->Retire();
   this->duties_retired = true;
   this->FollowCaches();
-  this->relay->SetForward([this](const CallerExchangePtr& caller) {
+}
+
+// A host that has become a scheduler forwards until it has read what it needs.
+void RelayDaemon::OnCaller(const CallerExchangePtr& caller) {
+  const bool forwards = !this->IsScheduler() ||
+                        (!this->relay->Ready() && this->forwarder->Ready());
+  if (forwards) {
     this->forwarder->OnRequest(caller);
-  });
+  } else {
+    this->relay->Serve(caller, {});
+  }
 }
 
 SchedulerNews RelayDaemon::News() const {
   const FleetConfigurationPtr& configuration = this->relay->Configuration();
-  if (!configuration) {
-    return {};
+  if (!configuration || !this->IsScheduler()) {
+    return {.scheduler = this->IsScheduler()};
   }
   const CallerLimits& limits = configuration->limits;
-  return {.ready = this->relay->Ready() && !this->draining_since,
+  return {.scheduler = true,
+          .ready = this->relay->Ready() && !this->draining_since,
           .keys_proven = this->relay->KeysProven(),
           .configuration_version = configuration->version,
           .head_bytes = limits.head_bytes,
@@ -222,7 +233,7 @@
   const SchedulerNews news = this->News();
   if (news != this->told_news) {
     this->told_news = news;
-    this->peers->BroadcastToIngress(news);
+    this->peers->Broadcast(news);
   }
 }
 
@@ -251,21 +262,20 @@
 void RelayDaemon::OnLinked(const HostId& host) {
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
-  if (!this->IsScheduler()) {
-    return;
-  }
-  if (this->peers->IsScheduler(host)) {
-    this->TellAllUsage(host);
-    this->peers->Send(host, PaceMessage{this->relay->Placement().OwnPace()});
-    for (const CacheUpdate& update : this->relay->Caches().Snapshot()) {
-      this->peers->Send(host, update);
-    }
-    this->FollowCaches();
-  } else {
+  if (this->IsScheduler()) {
     this->peers->Send(host, this->News());
   }
 }
 
+void RelayDaemon::OnSchedulerLinked(const HostId& host) {
+  this->TellAllUsage(host);
+  this->peers->Send(host, PaceMessage{this->relay->Placement().OwnPace()});
+  for (const CacheUpdate& update : this->relay->Caches().Snapshot()) {
+    this->peers->Send(host, update);
+  }
+  this->FollowCaches();
+}
+
 void RelayDaemon::OnGone(const HostId& host) {
   this->relay->Placement().ForgetPeer(host);
   this->forwarder->OnLost(host);
@@ -434,6 +444,13 @@
               },
           .on_linked = [this](const HostId& host) { this->OnLinked(host); },
           .on_gone = [this](const HostId& host) { this->OnGone(host); },
+          .on_scheduler_linked =
+              [this](const HostId& host) { this->OnSchedulerLinked(host); },
+          .in_use =
+              [this](const HostId& host) {
+                return this->forwarder->HasRequestsAt(host) ||
+                       this->receiver->HasRequestsOf(host);
+              },
           .on_message =
               [this](const HostId& from, const PeerMessage& message) {
                 this->OnPeerMessage(from, message);
@@ -464,7 +481,7 @@
 
 void RelayDaemon::AnswerReady(const CallerExchangePtr& exchange) {
   const bool serves =
-      this->IsScheduler() ? this->relay->Ready() : this->forwarder->Ready();
+      (this->IsScheduler() && this->relay->Ready()) || this->forwarder->Ready();
   const bool ready = serves && !this->draining_since;
   exchange->Answer({.status = ready ? 200 : 503}, "");
 }
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -52,7 +52,9 @@
   void MakeDuties();
   void MakeForwarding();
   void OnRole(FleetRole role);
+  void OnCaller(const CallerExchangePtr& caller);
   void OnLinked(const HostId& host);
+  void OnSchedulerLinked(const HostId& host);
   void OnGone(const HostId& host);
   bool IsScheduler() const {
     return this->peers->Role() == FleetRole::kScheduler;
--- a/packages/decisions/fleet_topology.cc
+++ b/packages/decisions/fleet_topology.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <map>
 #include <sstream>
+#include <tuple>
 
 namespace hickorystand {
 namespace {
@@ -28,21 +29,21 @@
 // least distance wins, and a host wins in proportion to its capacity.
 double Distance(const HostId& from, const FleetHost& to) {
   constexpr double kHashRange = 18446744073709551616.0;  // 2^64
-  const uint64_t seed =
-      XXH3_64bits(from.Text().data(), from.Text().size());
-  const uint64_t hash = XXH3_64bits_withSeed(to.id.Text().data(),
-                                             to.id.Text().size(), seed);
+  const uint64_t seed = XXH3_64bits(from.Text().data(), from.Text().size());
+  const uint64_t hash =
+      XXH3_64bits_withSeed(to.id.Text().data(), to.id.Text().size(), seed);
   const double draw = (static_cast<double>(hash) + 1) / (kHashRange + 2);
   return -std::log(draw) /
          static_cast<double>(std::max<int64_t>(to.capacity, 1));
 }
 
-// The nearest hosts, at most `count`.
+// The linked hosts and then the nearest ones, at most `count`.
 std::vector<FleetHost> Nearest(const HostId& from,
                                std::vector<FleetHost> hosts,
+                               const std::set<HostId>& linked,
                                size_t count) {
-  std::ranges::sort(hosts, {}, [&from](const FleetHost& host) {
-    return std::pair(Distance(from, host), host.id);
+  std::ranges::sort(hosts, {}, [&](const FleetHost& host) {
+    return std::tuple(!linked.contains(host.id), Distance(from, host), host.id);
   });
   hosts.resize(std::min(hosts.size(), count));
   return hosts;
@@ -81,8 +82,8 @@
   std::set<HostId> schedulers;
   for (auto& [zone, members] : zones) {
     std::ranges::sort(members, Before);
-    const double wanted = options.capacity_share *
-                          static_cast<double>(CapacityOf(members));
+    const double wanted =
+        options.capacity_share * static_cast<double>(CapacityOf(members));
     double capacity = 0;
     size_t count = 0;
     for (const FleetHost& host : members) {
@@ -99,16 +100,18 @@
 
 std::vector<FleetHost> PickSchedulers(const FleetHost& self,
                                       const std::vector<FleetHost>& schedulers,
+                                      const std::set<HostId>& linked,
                                       const FleetTopologyOptions& options) {
   std::vector<FleetHost> near;
   std::vector<FleetHost> far;
   for (const FleetHost& host : schedulers) {
     (host.zone == self.zone ? near : far).push_back(host);
   }
-  std::vector<FleetHost> picked = Nearest(self.id, near, options.near_links);
+  std::vector<FleetHost> picked =
+      Nearest(self.id, near, linked, options.near_links);
   const size_t missing = options.near_links - picked.size();
   const auto others =
-      Nearest(self.id, far, options.far_links + missing);
+      Nearest(self.id, far, linked, options.far_links + missing);
   picked.insert(picked.end(), others.begin(), others.end());
   return picked;
 }
--- a/packages/decisions/fleet_topology.h
+++ b/packages/decisions/fleet_topology.h
@@ -60,10 +60,11 @@
 std::set<HostId> PlanSchedulers(const std::vector<FleetHost>& hosts,
                                 const FleetTopologyOptions& options);
 
-// The schedulers that an ingress host links to. Different hosts pick different
-// ones, stronger ones more often, and most picks stay when the list changes.
+// The schedulers that an ingress host links to; those that it is linked with
+// come first. Different hosts pick different ones, stronger ones more often.
 std::vector<FleetHost> PickSchedulers(const FleetHost& self,
                                       const std::vector<FleetHost>& schedulers,
+                                      const std::set<HostId>& linked,
                                       const FleetTopologyOptions& options);
 
 }  // namespace hickorystand
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -3459,6 +3459,10 @@
   this->keys_proven = val;
 }
 
+void SchedulerNews::__set_scheduler(const bool val) {
+  this->scheduler = val;
+}
+
 uint32_t SchedulerNews::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3536,6 +3540,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->scheduler);
+          this->__isset.scheduler = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3581,6 +3593,10 @@
   xfer += oprot->writeBool(this->keys_proven);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("scheduler", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->scheduler);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3595,6 +3611,7 @@
   swap(a.head_timeout, b.head_timeout);
   swap(a.idle_timeout, b.idle_timeout);
   swap(a.keys_proven, b.keys_proven);
+  swap(a.scheduler, b.scheduler);
   swap(a.__isset, b.__isset);
 }
 
@@ -3606,6 +3623,7 @@
   head_timeout = other148.head_timeout;
   idle_timeout = other148.idle_timeout;
   keys_proven = other148.keys_proven;
+  scheduler = other148.scheduler;
   __isset = other148.__isset;
 }
 SchedulerNews::SchedulerNews(SchedulerNews&& other149) noexcept {
@@ -3616,6 +3634,7 @@
   head_timeout = other149.head_timeout;
   idle_timeout = other149.idle_timeout;
   keys_proven = other149.keys_proven;
+  scheduler = other149.scheduler;
   __isset = other149.__isset;
 }
 SchedulerNews& SchedulerNews::operator=(const SchedulerNews& other150) noexcept {
@@ -3626,6 +3645,7 @@
   head_timeout = other150.head_timeout;
   idle_timeout = other150.idle_timeout;
   keys_proven = other150.keys_proven;
+  scheduler = other150.scheduler;
   __isset = other150.__isset;
   return *this;
 }
@@ -3637,6 +3657,7 @@
   head_timeout = other151.head_timeout;
   idle_timeout = other151.idle_timeout;
   keys_proven = other151.keys_proven;
+  scheduler = other151.scheduler;
   __isset = other151.__isset;
   return *this;
 }
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -1475,7 +1475,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardControl& obj);
 
 typedef struct _SchedulerNews__isset {
-  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false) {}
+  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false) {}
   bool ready :1;
   bool configuration_version :1;
   bool head_bytes :1;
@@ -1483,6 +1483,7 @@
   bool head_timeout :1;
   bool idle_timeout :1;
   bool keys_proven :1;
+  bool scheduler :1;
 } _SchedulerNews__isset;
 
 class SchedulerNews : public virtual ::apache::thrift::TBase {
@@ -1499,7 +1500,8 @@
                   body_bytes(0),
                   head_timeout(0),
                   idle_timeout(0),
-                  keys_proven(0) {
+                  keys_proven(0),
+                  scheduler(0) {
   }
 
   virtual ~SchedulerNews() noexcept;
@@ -1510,6 +1512,7 @@
   int64_t head_timeout;
   int64_t idle_timeout;
   bool keys_proven;
+  bool scheduler;
 
   _SchedulerNews__isset __isset;
 
@@ -1527,6 +1530,8 @@
 
   void __set_keys_proven(const bool val);
 
+  void __set_scheduler(const bool val);
+
   bool operator == (const SchedulerNews & rhs) const
   {
     if (!(ready == rhs.ready))
@@ -1543,6 +1548,8 @@
       return false;
     if (!(keys_proven == rhs.keys_proven))
       return false;
+    if (!(scheduler == rhs.scheduler))
+      return false;
     return true;
   }
   bool operator != (const SchedulerNews &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -146,8 +146,9 @@
   auto operator<=>(const ForwardControl&) const = default;
 };
 
-// What a scheduler tells the hosts that forward to it.
+// What a scheduler tells every host that is linked with it.
 struct SchedulerNews {
+  bool scheduler = false;  // it still is one
   bool ready = false;
   bool keys_proven = false;  // API keys can be trusted now
   int64_t configuration_version = 0;
--- a/packages/peers/peer_links.cc
+++ b/packages/peers/peer_links.cc
@@ -137,6 +137,11 @@
           }};
 }
 
+void PeerLinks::SetPatience(Duration silence_timeout, Duration dial_grace) {
+  this->options.session.silence_timeout = silence_timeout;
+  this->options.dial_grace = dial_grace;
+}
+
 void PeerLinks::SetHosts(const std::vector<PeerHost>& hosts) {
   std::map<HostId, PeerHost> wanted;
   for (const auto& host : hosts) {
@@ -383,6 +388,9 @@
 }
 
 bool PeerLinks::MeantFor(DigestScope scope, const Link& link) const {
+  if (scope == DigestScope::kHost && this->options.digests_to) {
+    return link.up && this->options.digests_to(link.host.host);
+  }
   const bool near = link.host.data_centre == this->options.session.data_centre;
   return link.up && near == (scope != DigestScope::kDataCentre);
 }
@@ -488,23 +496,6 @@
   return linked;
 }
 
-std::vector<HostId> PeerLinks::LinkedIn(
-    const DataCentreId& data_centre) const {
-  std::vector<HostId> linked = this->Linked();
-  std::erase_if(linked, [&](const HostId& host) {
-    return !this->IsIn(host, data_centre);
-  });
-  return linked;
-}
-
-bool PeerLinks::IsIn(const HostId& host,
-                     const DataCentreId& data_centre) const {
-  const auto found = this->links.find(host);
-  return found != this->links.end() && found->second.up &&
-         found->second.session != nullptr &&
-         found->second.session->Peer().data_centre == data_centre;
-}
-
 PeerStats PeerLinks::Stats() const {
   PeerStats all = this->stats;
   for (const auto& [id, link] : this->links) {
--- a/packages/peers/peer_links.h
+++ b/packages/peers/peer_links.h
@@ -62,6 +62,9 @@
   double budget_bytes_per_second = 2900;
   Duration shortest_period = std::chrono::milliseconds(250);
   Duration longest_period = std::chrono::seconds(2);
+  // The linked hosts that this host's own digests go to; null: those of its
+  // data centre.
+  std::function<bool(const HostId&)> digests_to;
 };
 
 // Whom the links tell what.
@@ -102,6 +105,10 @@
   // Starts to accept connections; kBadSetting if the address is taken.
   Result<SocketAddress> Listen();
 
+  // When a silent link is given up, and how long this host waits for one that
+  // has to call it.
+  void SetPatience(Duration silence_timeout, Duration dial_grace);
+
   // The hosts to be linked to. Links to hosts taken off the list are closed.
   // A host that calls without standing in the list is taken all the same: the
   // list lags, and whoever knows the fleet secret is a host of this fleet.
@@ -123,12 +130,8 @@
   // Sends to all linked hosts; returns to how many.
   size_t Broadcast(const PeerMessage& message);
 
-  // The hosts that are linked now; those of one data centre.
+  // The hosts that are linked now.
   std::vector<HostId> Linked() const;
-  std::vector<HostId> LinkedIn(const DataCentreId& data_centre) const;
-
-  // Whether a host is linked and says that it is in a data centre.
-  bool IsIn(const HostId& host, const DataCentreId& data_centre) const;
 
   PeerStats Stats() const;
 
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -176,6 +176,7 @@
   5: i64 head_timeout  // microseconds
   6: i64 idle_timeout  // microseconds
   7: bool keys_proven
+  8: bool scheduler  // false: it is one no longer
 }
 
 // What an engine keeps of prompts has changed.
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -437,6 +437,7 @@
   }
   void operator()(const SchedulerNews& news) {
     wire::SchedulerNews item;
+    item.scheduler = news.scheduler;
     item.ready = news.ready;
     item.keys_proven = news.keys_proven;
     item.configuration_version = news.configuration_version;
@@ -581,7 +582,8 @@
   if (set.scheduler_news) {
     const auto& news = in->scheduler_news;
     return WireMessage(PeerMessage(
-        SchedulerNews{.ready = news.ready,
+        SchedulerNews{.scheduler = news.scheduler,
+                      .ready = news.ready,
                       .keys_proven = news.keys_proven,
                       .configuration_version = news.configuration_version,
                       .head_bytes = news.head_bytes,
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -14,11 +14,10 @@
 constexpr std::string_view kSecretKey = "hickorystand/secret";
 constexpr std::string_view kHostPrefix = "hickorystand/hosts/";
 
-// Digests go between hosts of one group, and that is the schedulers.
-const DataCentreId& GroupOf(FleetRole role) {
-  static const DataCentreId kSchedulers("schedulers");
-  static const DataCentreId kIngress("ingress");
-  return role == FleetRole::kScheduler ? kSchedulers : kIngress;
+// One list of hosts, whatever their zones and roles.
+const DataCentreId& Group() {
+  static const DataCentreId kGroup("fleet");
+  return kGroup;
 }
 
 std::string_view NameOf(FleetRole role) {
@@ -104,29 +103,46 @@
               },
           .on_message =
               [this](const HostId& host, const PeerMessage& message) {
-                this->handlers.on_message(host, message);
+                this->OnMessage(host, message);
               },
           .on_heard = [](const PeerHello&) {},
           .on_up =
               [this](const HostId& host, uint64_t) {
                 LogInfo(kPart, "Host linked.", {{"host", host.Text()}});
+                this->linked_schedulers.erase(host);
                 this->handlers.on_linked(host);
               },
           .on_down =
               [this](const HostId& host) {
                 LogInfo(kPart, "Host lost.", {{"host", host.Text()}});
+                this->linked_schedulers.erase(host);
                 this->handlers.on_gone(host);
               }};
 }
 
-// Once both the secret and the role are known, and anew for another role.
+void FleetPeers::OnMessage(const HostId& host, const PeerMessage& message) {
+  this->handlers.on_message(host, message);
+  const auto* news = std::get_if<SchedulerNews>(&message);
+  if (news == nullptr) {
+    return;
+  }
+  if (!news->scheduler) {
+    this->linked_schedulers.erase(host);
+  } else if (this->linked_schedulers.insert(host).second &&
+             this->role == FleetRole::kScheduler) {
+    this->handlers.on_scheduler_linked(host);
+  }
+}
+
+// Once both the secret and the role are known.
 void FleetPeers::OpenLinks() {
-  if (this->secret.empty() || this->role == FleetRole::kUnknown) {
+  if (this->secret.empty() || this->role == FleetRole::kUnknown ||
+      this->links) {
     return;
   }
   PeerLinksOptions how{
       .session = {.host = this->options.self.id,
-                  .data_centre = GroupOf(this->role),
+                  .data_centre = Group(),
                   .incarnation = this->incarnation,
                   .secrets = {this->secret},
                   .heartbeat_period = this->options.heartbeat},
@@ -135,25 +151,29 @@
       .longest_backoff = this->options.longest_backoff,
       .seed = this->options.seed,
       .budget_bytes_per_second = this->options.digest_bytes_per_second,
-      .shortest_period = this->options.shortest_digest};
-  if (this->role == FleetRole::kIngress) {
-    how.session.silence_timeout = this->options.ingress_silence;
-    how.dial_grace = Duration{};  // nobody dials an ingress host
-  }
-  const std::vector<HostId> before =
-      this->links ? this->links->Linked() : std::vector<HostId>();
-  this->links.reset();  // frees the address
-  std::ranges::for_each(before, this->handlers.on_gone);
+      .shortest_period = this->options.shortest_digest,
+      .digests_to = [this](const HostId& host) {
+        return this->role == FleetRole::kScheduler && this->IsScheduler(host);
+      }};
   this->links =
       std::make_unique<PeerLinks>(std::move(how), this->LinkHandlers());
   if (const auto opened = this->links->Listen(); !opened) {
     LogError(kPart, "Can't listen to other hosts.",
              {{"why", opened.error().message}});
   }
+  this->SetPatience();
   this->LinkToSchedulers();
-  this->digest_timer.reset();
-  if (this->role == FleetRole::kScheduler) {
-    this->SendDigest();
+  this->SendDigest();
+}
+
+// Nobody calls an ingress host, and its callers wait while a scheduler says
+// nothing.
+void FleetPeers::SetPatience() {
+  if (this->links && this->role == FleetRole::kIngress) {
+    this->links->SetPatience(this->options.ingress_silence, Duration{});
+  } else if (this->links) {
+    const PeerLinksOptions usual;
+    this->links->SetPatience(usual.session.silence_timeout, usual.dial_grace);
   }
 }
 
@@ -162,19 +182,22 @@
     return;
   }
   std::vector<PeerHost> targets;
-  std::ranges::transform(
-      this->schedulers, std::back_inserter(targets), [](const FleetHost& host) {
-        return PeerHost{.host = host.id,
-                        .data_centre = GroupOf(FleetRole::kScheduler),
-                        .address = host.address};
-      });
+  std::ranges::transform(this->schedulers, std::back_inserter(targets),
+                         [](const FleetHost& host) {
+                           return PeerHost{.host = host.id,
+                                           .data_centre = Group(),
+                                           .address = host.address};
+                         });
   this->links->SetHosts(targets);
 }
 
 void FleetPeers::SendDigest() {
+  if (this->role != FleetRole::kScheduler) {
+    return;
+  }
   Digest digest = this->handlers.make_digest();
   digest.host = this->options.self.id;
-  digest.data_centre = GroupOf(this->role);
+  digest.data_centre = Group();
   digest.incarnation = this->incarnation;
   digest.leaving = this->left;
   this->links->SendDigest(DigestScope::kHost, digest);
@@ -281,9 +304,7 @@
       }));
   this->handlers.on_listed(this->listed);
   const std::vector<FleetHost> wanted =
-      this->role == FleetRole::kIngress
-          ? PickSchedulers(this->options.self, hosts, this->options.topology)
-          : hosts;
+      this->role == FleetRole::kIngress ? this->PickLinks(hosts) : hosts;
   if (wanted != this->schedulers) {
     this->schedulers = wanted;
     this->handlers.on_schedulers(this->schedulers);
@@ -291,6 +312,22 @@
   }
 }
 
+// Links that are up stay as long as they are to schedulers, and any that
+// carries requests stays until they are over.
+std::vector<FleetHost> FleetPeers::PickLinks(
+    const std::vector<FleetHost>& listed) const {
+  std::vector<FleetHost> picked =
+      PickSchedulers(this->options.self, listed, this->linked_schedulers,
+                     this->options.topology);
+  std::ranges::copy_if(
+      this->schedulers, std::back_inserter(picked), [&](const FleetHost& host) {
+        return this->handlers.in_use(host.id) &&
+               std::ranges::find(picked, host.id, &FleetHost::id) ==
+                   picked.end();
+      });
+  return picked;
+}
+
 // A list may be read while records are missing, so one alone doesn't change a
 // role that a host has.
 void FleetPeers::TakeRole(FleetRole planned) {
@@ -307,7 +344,12 @@
   LogInfo(kPart, "This host has another role.",
           {{"role", std::string(NameOf(planned))}});
   this->handlers.on_role(planned);
+  this->SetPatience();
   this->OpenLinks();
+  this->digest_timer.reset();
+  if (this->links) {
+    this->SendDigest();
+  }
 }
 
 // Adds the schedulers that aren't listed any more but still talk to this host.
@@ -342,10 +384,6 @@
   return others;
 }
 
-bool FleetPeers::IsScheduler(const HostId& host) const {
-  return this->links && this->links->IsIn(host, GroupOf(FleetRole::kScheduler));
-}
-
 std::vector<FleetHost> FleetPeers::LinkedSchedulers() const {
   std::vector<FleetHost> linked;
   std::ranges::copy_if(
@@ -358,22 +396,14 @@
   return this->links && this->links->Send(host, message);
 }
 
-size_t FleetPeers::SendToGroup(FleetRole group, const PeerMessage& message) {
-  if (!this->links) {
-    return 0;
-  }
-  const auto hosts = this->links->LinkedIn(GroupOf(group));
-  return static_cast<size_t>(std::ranges::count_if(
-      hosts,
-      [&](const HostId& host) { return this->links->Send(host, message); }));
+size_t FleetPeers::Broadcast(const PeerMessage& message) {
+  return this->links ? this->links->Broadcast(message) : 0;
 }
 
 size_t FleetPeers::BroadcastToSchedulers(const PeerMessage& message) {
-  return this->SendToGroup(FleetRole::kScheduler, message);
-}
-
-size_t FleetPeers::BroadcastToIngress(const PeerMessage& message) {
-  return this->SendToGroup(FleetRole::kIngress, message);
+  return static_cast<size_t>(std::ranges::count_if(
+      this->linked_schedulers,
+      [&](const HostId& host) { return this->Send(host, message); }));
 }
 
 }  // namespace hickorystand
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -55,7 +55,7 @@
 struct FleetPeersHandlers {
   std::function<Digest()> make_digest;
   std::function<void(const Digest&)> on_digest;
-  // This host has another role from now on; its links are made anew.
+  // This host has another role from now on.
   std::function<void(FleetRole)> on_role;
   // The schedulers that this host is to be linked with.
   std::function<void(const std::vector<FleetHost>&)> on_schedulers;
@@ -63,6 +63,10 @@
   std::function<void(size_t)> on_listed;
   std::function<void(const HostId&)> on_linked;
   std::function<void(const HostId&)> on_gone;
+  // A linked host has said that it is a scheduler, as this host is.
+  std::function<void(const HostId&)> on_scheduler_linked;
+  // Whether a link carries something that would be lost with it.
+  std::function<bool(const HostId&)> in_use;
   std::function<void(const HostId&, const PeerMessage&)> on_message;
 };
 
@@ -80,17 +84,18 @@
   // Takes this host off the list; the others stop to count on it.
   void Leave();
 
-  // Sends to one host, to all linked schedulers, or to all ingress hosts that
-  // are linked.
+  // Sends to one host, to all linked ones, or to the schedulers among them.
   bool Send(const HostId& host, const PeerMessage& message);
+  size_t Broadcast(const PeerMessage& message);
   size_t BroadcastToSchedulers(const PeerMessage& message);
-  size_t BroadcastToIngress(const PeerMessage& message);
 
   FleetRole Role() const { return this->role; }
   const FleetHost& Self() const { return this->options.self; }
 
-  // Whether a linked host is a scheduler.
-  bool IsScheduler(const HostId& host) const;
+  // Whether a linked host has said that it is a scheduler.
+  bool IsScheduler(const HostId& host) const {
+    return this->linked_schedulers.contains(host);
+  }
 
   // The other schedulers that are linked now.
   std::vector<FleetHost> LinkedSchedulers() const;
@@ -115,11 +120,13 @@
   void TakeList(const StoreReply& reply);
   void KeepLinked(std::vector<FleetHost>& listed) const;
   void TakeRole(FleetRole planned);
+  std::vector<FleetHost> PickLinks(const std::vector<FleetHost>& listed) const;
   void OpenLinks();
   PeerHandlers LinkHandlers();
   void LinkToSchedulers();
+  void OnMessage(const HostId& host, const PeerMessage& message);
+  void SetPatience();
   void SendDigest();
-  size_t SendToGroup(FleetRole group, const PeerMessage& message);
 
   FleetPeersOptions options;
   const Clock* clock;
@@ -131,6 +138,7 @@
   FleetRole role = FleetRole::kUnknown;
   int64_t lists_against_role = 0;
   std::vector<FleetHost> schedulers;  // that this host is to be linked with
+  std::set<HostId> linked_schedulers;
   int64_t list_revision = -1;
   int64_t lease = 0;
   size_t listed = 1;
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -81,8 +81,7 @@
   // Serves a request, whoever read it.
   void Serve(const CallerExchangePtr& caller, const RequestOrigin& origin);
 
-  // Whom callers' requests are handed to instead of being served here; null:
-  // nobody.
+  // Who decides whether a caller's request is served here; null: it always is.
   void SetForward(CallerHandler handler) { this->forward = std::move(handler); }
 
   // Bounds on callers, while no configuration is known here.
--- a/packages/relay/forward_receiver.cc
+++ b/packages/relay/forward_receiver.cc
@@ -1,5 +1,6 @@
 #include "relay/forward_receiver.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <utility>
 #include <vector>
@@ -93,7 +94,7 @@
 
   ForwardReceiver* receiver;
   ForwardReceiver::Key key;
-  ForwardedAnswer next;  // not yet sent
+  ForwardedAnswer next;             // not yet sent
   std::optional<uint64_t> missing;  // of the declared length
   bool paused = false;
   std::unique_ptr<Timer> failure;
@@ -124,13 +125,12 @@
 
 void ForwardReceiver::Begin(const HostId& from, ForwardedRequest request) {
   const Key key{from, request.number};
-  CallerMessage message{
-      .head = {.method = std::move(request.method),
-               .target = std::move(request.target),
-               .headers = std::move(request.headers),
-               .keep_alive = true,
-               .body_length = request.body_length},
-      .body = std::move(request.body)};
+  CallerMessage message{.head = {.method = std::move(request.method),
+                                 .target = std::move(request.target),
+                                 .headers = std::move(request.headers),
+                                 .keep_alive = true,
+                                 .body_length = request.body_length},
+                        .body = std::move(request.body)};
   const auto exchange =
       std::make_shared<ForwardedExchange>(this, key, std::move(message));
   this->exchanges[key] = exchange;
@@ -158,6 +158,12 @@
   }
 }
 
+bool ForwardReceiver::HasRequestsOf(const HostId& host) const {
+  return std::ranges::any_of(this->exchanges, [&host](const auto& entry) {
+    return entry.first.first == host;
+  });
+}
+
 void ForwardReceiver::OnLost(const HostId& from) {
   std::erase_if(this->partial, [&from](const auto& entry) {
     return entry.first.first == from;
--- a/packages/relay/forward_receiver.h
+++ b/packages/relay/forward_receiver.h
@@ -47,6 +47,9 @@
   // The link to a host broke, or was replaced by a new one.
   void OnLost(const HostId& from);
 
+  // Whether requests of a host wait for an answer.
+  bool HasRequestsOf(const HostId& host) const;
+
   // Requests that wait for an answer.
   size_t Waiting() const { return this->exchanges.size(); }
 
@@ -56,7 +59,6 @@
   using Key = std::pair<HostId, int64_t>;
   using Exchanges = std::map<Key, std::shared_ptr<ForwardedExchange>>;
 
-
   void Begin(const HostId& from, ForwardedRequest request);
 
   SendTo send;
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -60,6 +60,12 @@
   this->choice.SetSchedulers(schedulers);
 }
 
+bool RequestForwarder::HasRequestsAt(const HostId& scheduler) const {
+  return std::ranges::any_of(this->calls, [&scheduler](const auto& entry) {
+    return entry.second->scheduler == scheduler;
+  });
+}
+
 void RequestForwarder::OnNews(const HostId& from, const SchedulerNews& news) {
   this->choice.OnNews(from, {.ready = news.ready,
                              .keys_proven = news.keys_proven,
@@ -77,12 +83,12 @@
   }
   call->request = read->id;
   const Duration patience = read->patience.value_or(kDefaultPatience);
-  call->deadline = Timer::After(
-      patience + kDeadlineMargin, [this, weak = std::weak_ptr(call)] {
-        if (const auto late = weak.lock()) {
-          this->OnDeadline(late->number);
-        }
-      });
+  call->deadline = Timer::After(patience + kDeadlineMargin,
+                                [this, weak = std::weak_ptr(call)] {
+                                  if (const auto late = weak.lock()) {
+                                    this->OnDeadline(late->number);
+                                  }
+                                });
   this->Forward(call);
 }
 
@@ -91,10 +97,10 @@
   const auto to = call->sends < kMostSends ? this->choice.Choose(call->tried)
                                            : std::nullopt;
   if (!to) {
-    this->GiveUp(*call,
-                 call->sends > 0 ? ErrorKind::kEndpointFailed
-                                 : ErrorKind::kNoEndpoint,
-                 "no scheduler");
+    this->GiveUp(
+        *call,
+        call->sends > 0 ? ErrorKind::kEndpointFailed : ErrorKind::kNoEndpoint,
+        "no scheduler");
     return;
   }
   const int64_t number = ++this->last_number;
@@ -118,22 +124,21 @@
                                    int64_t number) const {
   const CallerMessage& message = call.caller->Message();
   const std::string_view body = message.body;
-  const ForwardedRequest first{
-      .number = number,
-      .method = message.head.method,
-      .target = message.head.target,
-      .headers = message.head.headers,
-      .body = std::string(body.substr(0, kBodyPart)),
-      .body_length = body.size(),
-      .age = this->clock->Now() - call.arrived,
-      .earlier_sends = call.sends,
-      .resume_after = call.events.LastId(),
-      .stream_begun = call.caller->Started()};
+  const ForwardedRequest first{.number = number,
+                               .method = message.head.method,
+                               .target = message.head.target,
+                               .headers = message.head.headers,
+                               .body = std::string(body.substr(0, kBodyPart)),
+                               .body_length = body.size(),
+                               .age = this->clock->Now() - call.arrived,
+                               .earlier_sends = call.sends,
+                               .resume_after = call.events.LastId(),
+                               .stream_begun = call.caller->Started()};
   bool sent = this->send(to, first);
   for (size_t at = kBodyPart; sent && at < body.size(); at += kBodyPart) {
-    sent = this->send(to, ForwardedBody{.number = number,
-                                        .bytes = std::string(
-                                            body.substr(at, kBodyPart))});
+    sent = this->send(
+        to, ForwardedBody{.number = number,
+                          .bytes = std::string(body.substr(at, kBodyPart))});
   }
   return sent;
 }
@@ -195,9 +200,9 @@
     const auto found = this->calls.find(number);
     if (found != this->calls.end() &&
         std::exchange(found->second->paused, false)) {
-      this->send(found->second->scheduler,
-                 ForwardControl{.number = number,
-                                .action = ForwardAction::kResume});
+      this->send(
+          found->second->scheduler,
+          ForwardControl{.number = number, .action = ForwardAction::kResume});
     }
   });
 }
--- a/packages/relay/request_forwarder.h
+++ b/packages/relay/request_forwarder.h
@@ -45,6 +45,9 @@
   void OnAnswer(const HostId& from, const ForwardedAnswer& part);
   void OnLost(const HostId& scheduler);
 
+  // Whether a scheduler has requests of this host.
+  bool HasRequestsAt(const HostId& scheduler) const;
+
   // Whether requests can be served.
   bool Ready() const { return this->choice.Ready(); }
 
--- a/tests/fleet_topology_test.cc
+++ b/tests/fleet_topology_test.cc
@@ -88,11 +88,26 @@
   const auto other = Zone("b", 3, 5);
   hosts.insert(hosts.end(), other.begin(), other.end());
   const auto schedulers = Only(hosts, PlanSchedulers(hosts, {}));
-  const auto picked = PickSchedulers(Host("a-7", "a", 120), schedulers, {});
+  const auto picked = PickSchedulers(Host("a-7", "a", 120), schedulers, {}, {});
   LONGS_EQUAL(4, picked.size());
   LONGS_EQUAL(3, std::ranges::count(picked, ZoneId("a"), &FleetHost::zone));
 }
 
+// Guards against links, and the requests on them, that are cut because the list
+// of schedulers has grown.
+TEST(FleetTopology, LinksStayWhenSchedulersCome) {
+  const FleetHost self = Host("i", "a", 120);
+  const auto few = Zone("a", 3, 0);
+  std::set<HostId> linked;
+  for (const FleetHost& host : few) {
+    linked.insert(host.id);
+  }
+  for (const FleetHost& host :
+       PickSchedulers(self, Zone("a", 12, 0), linked, {.far_links = 0})) {
+    CHECK(linked.contains(host.id));
+  }
+}
+
 // Guards against one scheduler that all ingress hosts of other zones pick.
 TEST(FleetTopology, FarLinksAreSpread) {
   auto hosts = Zone("a", 0, 60);
@@ -102,7 +117,7 @@
   for (int i = 0; i < 60; ++i) {
     const FleetHost self = Host("a-" + std::to_string(i), "a", 120);
     for (const FleetHost& one :
-         PickSchedulers(self, other, {.near_links = 0})) {
+         PickSchedulers(self, other, {}, {.near_links = 0})) {
       ++picks[one.id];
     }
   }
