Refuse late in a stop while forwarding

It refused late requests only where it would have served them itself.

Change: once the balancer has had its time, a stopping host refuses whatever it would do with the request.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -204,8 +204,9 @@
 
 // A host that has become a scheduler forwards until it has read what it needs.
 void RelayDaemon::OnCaller(const CallerExchangePtr& caller) {
-  const bool forwards = !this->IsScheduler() ||
-                        (!this->relay->Ready() && this->forwarder->Ready());
+  const bool serves = this->IsScheduler() &&
+                      (this->relay->Ready() || !this->forwarder->Ready());
+  const bool forwards = !serves && !this->relay->Refusing();
   if (forwards) {
     this->forwarder->OnRequest(caller);
   } else {
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -463,6 +463,11 @@
     const std::set<EndpointId>& tried) const {
   const auto from = this->states.find(reader);
   const EnginePace& pace = this->Pace(shape.service);
+  const double crossing =
+      std::max(pace.AfterReading() - pace.FirstToken(), 0.0) +
+      this->options.other_zone_handover *
+          static_cast<double>(shape.prompt_tokens) /
+          pace.PromptTokens(EndpointRole::kPrefill);
   std::optional<EndpointId> best;
   double least = 0;
   for (const auto& [id, state] : this->states) {
@@ -478,8 +483,8 @@
     const double score =
         static_cast<double>(state.waiting_tokens + others.prompt_tokens) /
             this->Rate(state) +
-        (far ? std::max(pace.AfterReading() - pace.FirstToken(), 0.0) : 0) +
-        this->StreamPenalty(state, shape) + this->Penalty(state, shape);
+        (far ? crossing : 0) + this->StreamPenalty(state, shape) +
+        this->Penalty(state, shape);
     if (!best || score < least) {
       best = id;
       least = score;
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -45,6 +45,10 @@
   // What another zone costs in score, as a share of the request's target
   // latency: bodies that cross zones are billed.
   double other_zone = 0.025;
+  // What handing a prefilled prompt to an engine of another zone costs in
+  // score, as a share of the time that prefilling it takes: the transfer takes
+  // twice as long, and is billed more.
+  double other_zone_handover = 0.15;
   // Each part has an order of engines, by a hash that is the same on every
   // host, so that hosts which know nothing of a part read it at the same one.
   // What the second, the third and any later engine costs in score more than
--- a/packages/relay/cache_feed.cc
+++ b/packages/relay/cache_feed.cc
@@ -58,8 +58,9 @@
   });
   to.call = this->pool->Send(
       {.address = to.address,
-       .head =
-           this->codec->CacheNewsCall(to.address, to.next, this->options.wait)},
+       .head = to.listed ? this->codec->CacheNewsCall(to.address, to.next,
+                                                      this->options.wait)
+                         : this->codec->CacheListCall(to.address)},
       {.on_head =
            [this, engine](const Http1Head& head) {
              this->subscriptions.at(engine).status = head.status;
@@ -79,11 +80,13 @@
 }
 
 void CacheFeed::OnEnd(const EndpointId& engine, HttpEnd end) {
-  const Subscription& to = this->subscriptions.at(engine);
+  Subscription& to = this->subscriptions.at(engine);
+  const bool whole = end == HttpEnd::kWhole && to.status == 200;
+  const bool list = !std::exchange(to.listed, true);
   const auto news =
-      end == HttpEnd::kWhole && to.status == 200
-          ? this->codec->ReadCacheNews(to.body)
-          : Result<CacheNews>(Fail(ErrorKind::kEndpointFailed, "no answer"));
+      whole ? list ? this->codec->ReadCacheList(to.body)
+                   : this->codec->ReadCacheNews(to.body)
+            : Result<CacheNews>(Fail(ErrorKind::kEndpointFailed, "no answer"));
   if (!news) {
     LogDebug(
         kPart, "Cache events weren't answered.",
--- a/packages/relay/cache_feed.h
+++ b/packages/relay/cache_feed.h
@@ -1,5 +1,8 @@
 // Subscribes to engines' cache events by long polls and tells the placement.
 //
+// A new subscription begins with a list of all that the engine keeps: a host
+// that starts beside engines that have run for long knows nothing of it.
+//
 // Each engine has one subscriber among the schedulers. What it hears goes on to
 // the others as CacheUpdate messages, so that every scheduler knows what any
 // scheduler's requests left behind.
@@ -74,6 +77,7 @@
     int status = 0;
     std::string epoch;
     int64_t next = 0;
+    bool listed = false;  // all that it keeps was asked for
   };
 
   bool Subscribes(const FleetEndpoint& endpoint) const;
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -119,6 +119,7 @@
   // Requests that come from now on are refused as not run: they couldn't be
   // finished before the process ends.
   void RefuseNew() { this->refusing = true; }
+  bool Refusing() const { return this->refusing; }
 
   // Whether requests can be served: a configuration and endpoints are known.
   bool Ready() const;
--- a/packages/relay/message_codec.h
+++ b/packages/relay/message_codec.h
@@ -135,6 +135,10 @@
                                     Duration wait) const = 0;
   virtual Result<CacheNews> ReadCacheNews(std::string_view body) const = 0;
 
+  // A call for all that an engine keeps, up to the empty line, and its answer.
+  virtual std::string CacheListCall(const SocketAddress& engine) const = 0;
+  virtual Result<CacheNews> ReadCacheList(std::string_view body) const = 0;
+
   // The target of the call that frees a handle.
   virtual std::string DropHandleTarget(const std::string& handle) const = 0;
 };
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -237,7 +237,7 @@
   if (read) {
     this->handle = read->handle;
     this->handle_at = at.endpoint.address;
-    this->OnPromptHandle(*read);
+    this->OnPromptHandle(*read, at.endpoint.run.id);
     return;
   }
   this->relay->Log(LogLevel::kInfo, this->request.id, "Prompt not read.",
@@ -258,9 +258,10 @@
   this->Place();
 }
 
-void RelayedRequest::OnPromptHandle(const PromptHandle& read) {
+void RelayedRequest::OnPromptHandle(const PromptHandle& read,
+                                    const EndpointId& reader) {
   const auto answers = this->relay->placement.PlaceAnswer(
-      this->relay->clock->Now(), this->shape, EndpointId(), this->tried);
+      this->relay->clock->Now(), this->shape, reader, this->tried);
   if (!answers) {
     this->DropHandle();
     this->RefuseNotRun("no endpoint",
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -77,7 +77,7 @@
   void OnEnd(HttpEnd end);
   void OnRead(HttpEnd end);
   void NoteOutcome(const Attempt& at, bool good);
-  void OnPromptHandle(const PromptHandle& handle);
+  void OnPromptHandle(const PromptHandle& handle, const EndpointId& reader);
   Fate JudgeEnd(HttpEnd end);
   Fate JudgeWhole();
   void PassOn(std::string_view bytes);
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -321,6 +321,22 @@
   CHECK(!reader(4));
 }
 
+// Moving a prompt's memory to another zone takes longer and is billed, whatever
+// zone the host is in; a full engine is worse.
+TEST(FleetPlacement, HandsPromptsOverWithinTheirZone) {
+  FleetPlacement placement =
+      MakePlacement(Fleet({Engine("r1", EndpointRole::kPrefill, kThere),
+                           Engine("g1", EndpointRole::kDecode, kHere),
+                           Engine("g2", EndpointRole::kDecode, kThere)}));
+  const WorkShape shape = LongPrompt(1, 2);
+  const EndpointId reader("r1");
+  CHECK(placement.PlaceAnswer(At(1), shape, reader, {}) == EndpointId("g2"));
+  for (int i = 0; i < 60; ++i) {
+    placement.OnSent(At(1), EndpointId("g2"), shape, {.prompt_read = true});
+  }
+  CHECK(placement.PlaceAnswer(At(1), shape, reader, {}) == EndpointId("g1"));
+}
+
 // Streams run at an engine that stays and at one that may be reclaimed: the
 // first gets them, until so many of its slots are taken that they slow down.
 TEST(FleetPlacement, GeneratesAtEnginesThatStayWhileTheyHaveRoom) {
