Read the configuration only when it has changed; two strong hosts schedule a zone

The configuration had grown by 1,480 routes, and each poll read all of it again over 10 Mbit/s.

Change: a poll is a condition on the record's revision; the record comes along only if it fails. As good a proof as a read, at the same price. And a host that is much weaker than its zone's strongest schedules only where fewer than two others do, or a fifth of the zone's processor isn't reached; a quarter made weak hosts schedulers in the zones of 31 and 40 hosts.

--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -160,7 +160,11 @@
       state.endpoint.zone == this->options.zone
           ? 0
           : this->options.other_zone * ToSeconds(TargetOf(shape));
-  return zone + state.failure_share * ToSeconds(this->options.failure_penalty);
+  const bool known = !this->connected || this->connected(state.endpoint);
+  const double connecting =
+      known ? 0 : this->options.new_connection * ToSeconds(TargetOf(shape));
+  return zone + connecting +
+         state.failure_share * ToSeconds(this->options.failure_penalty);
 }
 
 // What speaks against generating there: the requests that run there already,
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -20,6 +20,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,6 +46,9 @@
   // What another zone costs in score, as a share of the request's target
   // latency: bodies that cross zones are billed.
   double other_zone = 0.025;
+  // What an endpoint without an open connection from this host costs in score,
+  // as a share of the target latency: new connections are billed.
+  double new_connection = 0.03;
   // What handing a prefilled prompt to an engine of another zone costs in
   // score, as a share of the time that prefilling it takes: the transfer takes
   // twice as long, and is billed more.
@@ -183,6 +187,12 @@
   // start with nothing kept.
   void SetEndpoints(const FleetEndpoints& endpoints);
 
+  // Tells whether this host has an open connection to an endpoint that is idle.
+  // Without it none counts as new.
+  void SetConnected(std::function<bool(const FleetEndpoint&)> connected) {
+    this->connected = std::move(connected);
+  }
+
   // What a service allows from now on.
   void SetServiceShare(const ServiceId& service, const ServiceShare& share);
 
@@ -356,6 +366,7 @@
   double PlainSeconds(const ServiceId& service) const;
 
   PlacementOptions options;
+  std::function<bool(const FleetEndpoint&)> connected;
   std::map<EndpointId, State> states;
   std::map<WorkId, Work> works;
   std::map<HostId, std::vector<EndpointOutstanding>> peers;
--- a/packages/decisions/fleet_topology.cc
+++ b/packages/decisions/fleet_topology.cc
@@ -87,7 +87,12 @@
     double capacity = 0;
     size_t count = 0;
     for (const FleetHost& host : members) {
-      if (count >= options.least_schedulers && capacity >= wanted) {
+      const bool weak =
+          static_cast<double>(host.capacity) <
+          options.much_weaker * static_cast<double>(members.front().capacity);
+      const size_t least =
+          weak ? options.least_strong_schedulers : options.least_schedulers;
+      if (count >= least && capacity >= wanted) {
         break;
       }
       schedulers.insert(host.id);
--- a/packages/decisions/fleet_topology.h
+++ b/packages/decisions/fleet_topology.h
@@ -45,8 +45,12 @@
 
 // How many schedulers there are.
 struct FleetTopologyOptions {
-  size_t least_schedulers = 3;   // a zone, where it has so many hosts
-  double capacity_share = 0.25;  // of a zone's processor, at schedulers
+  // Schedulers of a zone, where it has so many hosts; and where the next one is
+  // much weaker than the strongest.
+  size_t least_schedulers = 3;
+  size_t least_strong_schedulers = 2;
+  double much_weaker = 0.34;    // of the strongest one's capacity
+  double capacity_share = 0.2;  // of a zone's processor, at schedulers
   // Schedulers that an ingress host links to: in its own zone, and in others,
   // which serve while its own zone's are gone.
   size_t near_links = 3;
--- a/packages/relay/endpoint_pool.cc
+++ b/packages/relay/endpoint_pool.cc
@@ -292,6 +292,11 @@
   return connection;
 }
 
+bool EndpointPool::HasIdle(const SocketAddress& address) const {
+  const auto found = this->lanes.find(address);
+  return found != this->lanes.end() && !found->second.idle.empty();
+}
+
 void EndpointPool::Forget(const SocketAddress& address) {
   const auto found = this->lanes.find(address);
   if (found == this->lanes.end()) {
--- a/packages/relay/endpoint_pool.h
+++ b/packages/relay/endpoint_pool.h
@@ -98,6 +98,9 @@
   // Sends a request; `events` are called later, never from within.
   EndpointExchangePtr Send(const EndpointSend& send, EndpointEvents events);
 
+  // Whether a connection to an address is open and idle.
+  bool HasIdle(const SocketAddress& address) const;
+
   // Closes the idle connections to an address whose process is gone.
   void Forget(const SocketAddress& address);
 
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -48,7 +48,11 @@
       budget(this->settings.budget),
       suspects({.condemned_after = kCondemnedAfter,
                 .memory = std::chrono::minutes(2)}),
-      log_limiter(kLogBurst, kLogInterval) {}
+      log_limiter(kLogBurst, kLogInterval) {
+  this->placement.SetConnected([this](const FleetEndpoint& endpoint) {
+    return this->pool.HasIdle(endpoint.address);
+  });
+}
 
 FleetRelay::~FleetRelay() {
   for (const auto& request : std::exchange(this->requests, {})) {
--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -107,18 +107,36 @@
       now + (this->record_revision == 0 ? this->options.first_poll
                                         : this->options.poll);
   ++this->configuration.under_way;
-  this->store->Transact(
-      {.then = {StoreGet(this->records->ConfigurationKey())}},
-      [this, now](const StoreReply& reply) {
-        --this->configuration.under_way;
-        this->NoteReachable(reply.outcome == StoreOutcome::kThen);
-        // Without a record, none was written yet.
-        if (reply.outcome == StoreOutcome::kThen && !reply.records.empty()) {
-          const StoreRecord& read = reply.records.front();
-          this->NoteProof(false, this->clock->Now() - now);
-          this->TakeConfiguration(now, read.mod_revision, read.value);
-        }
-      });
+  const int64_t known = this->record_revision;
+  this->store->Transact(this->ReadIfNewer(known), [this, now, known](
+                                                      const StoreReply& reply) {
+    --this->configuration.under_way;
+    const bool unchanged = known > 0 && reply.outcome == StoreOutcome::kThen;
+    const bool answered = unchanged || reply.outcome == StoreOutcome::kThen ||
+                          reply.outcome == StoreOutcome::kOtherwise;
+    this->NoteReachable(answered);
+    if (unchanged) {
+      this->NoteProof(false, this->clock->Now() - now);
+      this->TakeConfiguration(now, known, "");
+    } else if (answered && !reply.records.empty()) {
+      // Without a record, none was written yet.
+      const StoreRecord& read = reply.records.front();
+      this->NoteProof(false, this->clock->Now() - now);
+      this->TakeConfiguration(now, read.mod_revision, read.value);
+    }
+  });
+}
+
+// Once a record is known, a condition that it hasn't changed is as good a proof
+// as reading it again: of a large configuration that would take a weak host
+// longer than the time between two reads.
+StoreTransaction FleetSource::ReadIfNewer(int64_t known) const {
+  const std::string key = this->records->ConfigurationKey();
+  if (known == 0) {
+    return {.then = {StoreGet(key)}};
+  }
+  return {.conditions = {{.key = key, .revision = known}},
+          .otherwise = {StoreGet(key)}};
 }
 
 // A record that was the newest at `asked`.
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -1,7 +1,8 @@
 // Reads the configuration and the list of endpoints from the platform's
 // key-value service, again and again, and says how fresh they are.
 //
-// Polls are linearizable reads of one record and of one prefix. A watch was
+// Polls are linearizable: a condition on the configuration's record, which is
+// only sent if it has changed, and a read of the endpoints' prefix. A watch was
 // weighed: on the endpoints' prefix it wakes with every heartbeat, about 17
 // times a second on a fleet of 21 endpoints, against one read a second here.
 
@@ -83,6 +84,7 @@
  private:
   void Tick();
   void AskConfiguration(Instant now);
+  StoreTransaction ReadIfNewer(int64_t known) const;
   void AskEndpoints(Instant now);
   void AskPeers(Instant now);
   void TakeConfiguration(Instant asked,
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -321,6 +321,30 @@
   CHECK(!reader(4));
 }
 
+// Guards against a new connection for nearly every request: of engines that are
+// alike, the one that this host is connected with answers, until it has more to
+// do than the others.
+TEST(FleetPlacement, PrefersEnginesThatItIsConnectedWith) {
+  std::vector<FleetEndpoint> engines;
+  for (int i = 0; i < 8; ++i) {
+    engines.push_back(Engine("g" + std::to_string(i), EndpointRole::kDecode));
+  }
+  FleetPlacement placement = MakePlacement(Fleet(engines));
+  const EndpointId connected("g5");
+  placement.SetConnected([&connected](const FleetEndpoint& endpoint) {
+    return endpoint.run.id == connected;
+  });
+  const WorkShape shape = LongPrompt(1, 2);
+  const auto answers = [&] {
+    return placement.PlaceAnswer(At(1), shape, EndpointId("r"), {});
+  };
+  CHECK(answers() == connected);
+  for (int i = 0; i < 32; ++i) {
+    placement.OnSent(At(1), connected, shape, {.prompt_read = true});
+  }
+  CHECK(answers() != connected);
+}
+
 // Moving a prompt's memory to another zone takes longer and is billed, whatever
 // zone the host is in; a full engine is worse.
 TEST(FleetPlacement, HandsPromptsOverWithinTheirZone) {
--- a/tests/fleet_topology_test.cc
+++ b/tests/fleet_topology_test.cc
@@ -71,6 +71,14 @@
   }
 }
 
+// Guards against weak hosts that schedule though they aren't needed: what a
+// scheduler reads and computes takes them too long.
+TEST(FleetTopology, TwoStrongHostsAreEnough) {
+  LONGS_EQUAL(2, PlanSchedulers(Zone("a", 2, 30), {}).size());
+  LONGS_EQUAL(2, PlanSchedulers(Zone("a", 1, 4), {}).size());
+  LONGS_EQUAL(3, PlanSchedulers(Zone("a", 3, 4), {}).size());
+}
+
 // Guards against a zone whose few strong hosts can't carry its load.
 TEST(FleetTopology, SchedulersHaveTheirShareOfTheZone) {
   const auto hosts = Zone("a", 2, 40);
