--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -275,21 +275,21 @@
 // What reading at an engine that generates costs the streams that run there.
 // Between two of their tokens it reads a piece, so that on slow engines a
 // stream of many tokens missed its deadline while prompts were read all along.
-double FleetPlacement::HeldUp(Instant now,
-                              const State& state,
-                              const WorkShape& shape,
-                              const Reading& reading) const {
+double FleetPlacement::DecodeStall(Instant now,
+                                   const State& state,
+                                   const WorkShape& shape,
+                                   const Reading& reading) const {
   const auto share = this->shares.find(shape.service);
   const double pause =
       share == this->shares.end() ? 0 : ToSeconds(share->second.pause_target);
   const bool too_long =
-      pause > 0 && reading.all > this->options.longest_hold_up * pause;
+      pause > 0 && reading.all > this->options.longest_decode_stall * pause;
   const double crowded = reading.tokens > this->options.short_prompt
                              ? this->PauseShare(now, shape.service, pause)
                              : 0;
   const auto streams =
       static_cast<double>(this->Running(state.endpoint.run.id));
-  return this->options.held_up_weight * streams * reading.own +
+  return this->options.decode_stall_weight * streams * reading.own +
          this->options.pause_penalty * pause *
              std::max(too_long ? 1.0 : 0.0, crowded);
 }
@@ -304,7 +304,7 @@
   const double rate = this->Rate(state);
   const int64_t kept = KeptOf(state.cache, shape, false);
   const int64_t more = source.tokens - kept;
-  const int64_t copied = more >= this->options.least_copy ? more : 0;
+  const int64_t copied = more >= this->options.minimum_kv_transfer ? more : 0;
   const int64_t fresh = shape.prompt_tokens - kept - copied;
   const double copying =
       copied > 0
@@ -320,15 +320,15 @@
   const double reading = waiting + static_cast<double>(fresh) / rate;
   const double seconds =
       reading + copying + (reader ? pace.AfterReading() : pace.FirstToken());
-  const double held_up =
+  const double decode_stall =
       reader ? 0
              : this->StreamPenalty(state, shape) +
-                   this->HeldUp(now, state, shape,
-                                {.tokens = fresh,
-                                 .own = static_cast<double>(fresh) / rate,
-                                 .all = reading});
+                   this->DecodeStall(now, state, shape,
+                                     {.tokens = fresh,
+                                      .own = static_cast<double>(fresh) / rate,
+                                      .all = reading});
   return {.endpoint = id,
-          .score = seconds + this->Penalty(state, shape) + held_up +
+          .score = seconds + this->Penalty(state, shape) + decode_stall +
                    (this->options.miss_weight - 1) * missed / rate,
           .seconds = seconds,
           .waiting = waiting,
@@ -339,8 +339,8 @@
 
 // Adds to each engine's score its place in the order of the prompt's longest
 // shared part. Engines come first in proportion to their reading rate.
-void FleetPlacement::PreferHomes(const WorkShape& shape,
-                                 std::vector<Weighed>& weighed) const {
+void FleetPlacement::AddRendezvousPenalty(const WorkShape& shape,
+                                          std::vector<Weighed>& weighed) const {
   struct Place {
     double draw = 0;
     Weighed* engine = nullptr;
@@ -357,12 +357,13 @@
   const int64_t own = shape.parts.empty() ? 0 : shape.parts.back().tokens;
   const int64_t shared = std::max<int64_t>(shape.prompt_tokens - own, 0);
   const double step =
-      static_cast<double>(std::min(this->options.home_step_tokens, shared)) /
+      static_cast<double>(
+          std::min(this->options.rendezvous_rank_penalty_tokens, shared)) /
       this->Pace(shape.service).PromptTokens(EndpointRole::kPrefill);
   int64_t place = 0;
   for (const Place& one : order) {
-    one.engine->score +=
-        step * static_cast<double>(std::min(place++, this->options.home_steps));
+    one.engine->score += step * static_cast<double>(std::min(
+                                    place++, this->options.rendezvous_ranks));
   }
 }
 
@@ -422,7 +423,7 @@
                    .retry_after = this->options.eject_for};
   }
   if (shape.engine) {
-    this->PreferHomes(shape, weighed);
+    this->AddRendezvousPenalty(shape, weighed);
   }
   const Weighed& best = *std::ranges::min_element(
       weighed, std::less<>(), [](const Weighed& one) { return one.score; });
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -5,11 +5,11 @@
 // where their prompt's parts are kept, as long as the work that waits there
 // doesn't cost more than reading them again somewhere else.
 //
-//   score = (work waiting there + the prompt's missing part) / its rate
+//   score = (queued prefill tokens + the prompt's cache misses) / prefill rate
 //
 // The rates are learned as requests run (engine_pace.h). What another engine
-// keeps is copied from there rather than read again. Hosts that know nothing of
-// a part all try the same engine first, which a hash of the part names.
+// has cached is transferred from there rather than recomputed. Without cache
+// information all hosts rank engines alike, by rendezvous hashing.
 //
 // Index
 //   PlacementOptions, ServiceShare  how it is set
@@ -53,31 +53,30 @@
   // score, as a share of the time that prefilling it takes: the transfer takes
   // twice as long, and is billed more.
   double other_zone_handover = 0.15;
-  // Each part has an order of engines, by a hash that is the same on every
-  // host, so that hosts which know nothing of a part read it at the same one.
-  // What the second, the third and any later engine costs in score more than
-  // the one before: the time to read so many tokens, or all that are shared.
-  int64_t home_step_tokens = 1500;
-  int64_t home_steps = 4;
-  // What is shorter isn't worth a copy.
-  int64_t least_copy = 512;
-  // An engine's time that reading a shared part again takes from others,
-  // against the wait that it costs the request itself.
+  // Each shared part ranks the engines by rendezvous hashing, the same on every
+  // host, so that hosts without cache information choose the same engine. Each
+  // rank below the first costs the time to prefill this many tokens, or all
+  // that are shared, up to so many ranks.
+  int64_t rendezvous_rank_penalty_tokens = 1500;
+  int64_t rendezvous_ranks = 4;
+  // Minimum KV transfer, in tokens.
+  int64_t minimum_kv_transfer = 512;
+  // Weight of recomputing a cached prefix: it also takes engine time from other
+  // requests.
   double miss_weight = 1.5;
-  // Reading at an engine that generates holds up each of its streams for as
-  // long; what each such stream adds to the score, as a share of the reading.
-  double held_up_weight = 0.15;
-  // Reading there for longer than this share of the longest pause that is on
-  // time makes longer pauses in all its streams, which is as bad as a wait of
-  // `pause_penalty` times that pause.
-  double longest_hold_up = 0.67;
+  // Prefill on a decode engine stalls its streams; what each stalled stream
+  // adds to the score, as a share of the prefill time.
+  double decode_stall_weight = 0.15;
+  // A stall longer than this share of the allowed pause makes all its streams
+  // late, which costs `pause_penalty` times that pause.
+  double longest_decode_stall = 0.67;
   double pause_penalty = 1.67;
-  // The mean pause in streams, as a share of the longest that is on time, from
-  // which on reading long prompts where they run costs something, and the one
-  // at which it costs `pause_penalty` times that pause.
+  // Mean pause in streams, as a share of the allowed pause, from which long
+  // prefills on decode engines cost something, and at which they cost
+  // `pause_penalty` times that pause.
   double pause_free = 0.5;
   double pause_full = 1;
-  // Prompts up to this long may be read there at any time.
+  // Prompts up to this many tokens are exempt from it.
   int64_t short_prompt = 600;
   // What an engine with all slots taken costs in score when one more request is
   // to run there, as a share of the target latency; half as many taken cost a
@@ -87,9 +86,8 @@
   // latency: when it is reclaimed, its streams break. It also keeps spot
   // engines free to take the other role.
   double spot_streams = 0.1;
-  // The longest that a prompt waits for others to be read, as a share of the
-  // target latency. While more is asked for than engines can read, a longer
-  // queue serves nobody more: it makes all that wait in it late.
+  // Longest wait for other prompts' prefill, as a share of the target latency.
+  // Under overload a longer queue only makes every request in it late.
   double longest_wait = 0.75;
   // How far an engine's measured slowness may go from what is usual.
   double least_slowness = 0.6;
@@ -336,7 +334,8 @@
                       const State& state,
                       const WorkShape& shape,
                       const Source& source) const;
-  void PreferHomes(const WorkShape& shape, std::vector<Weighed>& weighed) const;
+  void AddRendezvousPenalty(const WorkShape& shape,
+                            std::vector<Weighed>& weighed) const;
   std::optional<Refused> RefuseIfTooLate(const WorkShape& shape,
                                          const std::vector<Weighed>& weighed,
                                          const Weighed& best) const;
@@ -351,10 +350,10 @@
     double own = 0;      // seconds for those
     double all = 0;      // with what waits before them
   };
-  double HeldUp(Instant now,
-                const State& state,
-                const WorkShape& shape,
-                const Reading& reading) const;
+  double DecodeStall(Instant now,
+                     const State& state,
+                     const WorkShape& shape,
+                     const Reading& reading) const;
   double PauseShare(Instant now, const ServiceId& service, double target) const;
   EndpointOutstanding PeerWork(const EndpointId& endpoint) const;
   void AddPeerWork(const std::vector<EndpointOutstanding>& work, int64_t sign);
--- a/packages/decisions/scale_plan.cc
+++ b/packages/decisions/scale_plan.cc
@@ -49,7 +49,7 @@
 int64_t Live(const EnginesByZone& engines) {
   int64_t live = 0;
   for (const auto& [zone, counts] : engines) {
-    live += counts.dependable + counts.spot;
+    live += counts.on_demand + counts.spot;
   }
   return live;
 }
@@ -72,7 +72,7 @@
                       const ScalePlanOptions& options) {
   const double share = price < options.spot_worth_it
                            ? options.reading_share_spot
-                           : options.reading_share_dependable;
+                           : options.prefill_share_on_demand;
   const auto zones = static_cast<int64_t>(bounds.zone_prices.size());
   return std::min(static_cast<int64_t>(std::ceil(reading / share)) + zones +
                       options.generating_spare,
@@ -98,40 +98,38 @@
   const bool spot = UsesSpot(bounds, options);
   const auto least =
       static_cast<int64_t>(zones.size()) * std::max<int64_t>(bounds.minimum, 1);
-  const int64_t dependable =
+  const int64_t on_demand =
       spot ? std::max(least, static_cast<int64_t>(
-                                 std::ceil(options.dependable_share *
+                                 std::ceil(options.on_demand_share *
                                            static_cast<double>(wanted))))
            : std::max(least, wanted);
   EnginesByZone plan;
   Deal(
-      zones, dependable,
-      [&](const ZoneId& zone) {
-        return plan[zone].dependable < bounds.maximum;
-      },
-      [&](const ZoneId& zone) { ++plan[zone].dependable; });
+      zones, on_demand,
+      [&](const ZoneId& zone) { return plan[zone].on_demand < bounds.maximum; },
+      [&](const ZoneId& zone) { ++plan[zone].on_demand; });
   int64_t spare = std::max<int64_t>(Live(now) - needed, 0);
   for (auto& [zone, counts] : plan) {
-    const int64_t has = In(now, zone).dependable;
-    if (has > counts.dependable) {
-      const int64_t gone = std::min(spare, has - counts.dependable);
-      counts.dependable = has - gone;
+    const int64_t has = In(now, zone).on_demand;
+    if (has > counts.on_demand) {
+      const int64_t gone = std::min(spare, has - counts.on_demand);
+      counts.on_demand = has - gone;
       spare -= gone;
     }
   }
   const auto in_bounds = [&](const ZoneId& zone) {
-    return plan.at(zone).dependable + plan.at(zone).spot < bounds.maximum;
+    return plan.at(zone).on_demand + plan.at(zone).spot < bounds.maximum;
   };
   if (spot) {
     Deal(
-        zones, wanted - dependable,
+        zones, wanted - on_demand,
         [&](const ZoneId& zone) {
-          return !In(now, zone).dry && in_bounds(zone);
+          return !In(now, zone).spot_unavailable && in_bounds(zone);
         },
         [&](const ZoneId& zone) { ++plan.at(zone).spot; });
   }
   Deal(zones, needed - Live(plan), in_bounds,
-       [&](const ZoneId& zone) { ++plan.at(zone).dependable; });
+       [&](const ZoneId& zone) { ++plan.at(zone).on_demand; });
   return plan;
 }
 
--- a/packages/decisions/scale_plan.h
+++ b/packages/decisions/scale_plan.h
@@ -1,7 +1,7 @@
 // How many engines to order, where, and which of them may be reclaimed.
 //
-// A spot engine costs a fraction of a dependable one, but its zone's owner may
-// take all of a zone's back within seconds. So a base of dependable engines in
+// A spot engine costs a fraction of a on-demand one, but its zone's owner may
+// take all of a zone's back within seconds. So a base of on-demand engines in
 // every zone carries the streams, and spot engines, spread over the zones,
 // carry most of the reading: the loss of one zone's takes a part of them, and
 // what is missing is ordered in the other zones.
@@ -27,9 +27,9 @@
 
 // Engines of one zone, by kind.
 struct ZoneEngines {
-  int64_t dependable = 0;
+  int64_t on_demand = 0;
   int64_t spot = 0;
-  bool dry = false;  // no spot engine was to be had lately
+  bool spot_unavailable = false;  // none was to be had lately
 
   auto operator<=>(const ZoneEngines&) const = default;
 };
@@ -41,12 +41,12 @@
   // The share of its time that an engine reads on average. Bursts double the
   // work within a second, hosts spread it unevenly, and an engine takes four
   // seconds to come; the cheaper engines are, the more room is worth having.
-  double reading_share_dependable = 0.6;
+  double prefill_share_on_demand = 0.6;
   double reading_share_spot = 0.4;
   // Spot engines are used if they cost less than this share.
   double spot_worth_it = 0.6;
   // Dependable engines among all.
-  double dependable_share = 0.15;
+  double on_demand_share = 0.15;
   // Engines for streams, beside those that read: this many for each zone and
   // some more.
   int64_t generating_spare = 1;
@@ -59,13 +59,13 @@
 };
 
 // How many engines a service wants whose prompts need `reading` engines that
-// read all the time, if each more costs `price` times a dependable one.
+// read all the time, if each more costs `price` times a on-demand one.
 int64_t EnginesWanted(double reading,
                       double price,
                       const ScaleBounds& bounds,
                       const ScalePlanOptions& options = {});
 
-// What the cheaper kind of engine costs, as a share of a dependable one.
+// What the cheaper kind of engine costs, as a share of a on-demand one.
 double CheapestPrice(const ScaleBounds& bounds,
                      const ScalePlanOptions& options = {});
 
@@ -77,7 +77,7 @@
 // What each zone shall have now, to get to `wanted` engines. Dependable ones
 // beyond the plan go while at least `needed` are left for the load there is, so
 // that cheaper ones take their places; where too few spot engines are to be had
-// for that load, dependable ones are ordered.
+// for that load, on-demand ones are ordered.
 EnginesByZone PlanScale(const EnginesByZone& now,
                         int64_t wanted,
                         int64_t needed,
--- a/packages/http/stream_socket.h
+++ b/packages/http/stream_socket.h
@@ -6,7 +6,7 @@
 //
 // Index
 //   StreamEnd      how a connection ended
-//   StreamEvents   what its owner hears
+//   StreamEvents   callbacks
 //   StreamSocket   the connection
 //   Listener       accepts connections at an address
 
@@ -34,7 +34,7 @@
   kReset,    // lost, or timed out by the kernel
 };
 
-// What the owner of a connection hears. Called on the task; the owner may drop
+// Callbacks of a connection. Called on the task; the owner may drop
 // the connection from within.
 struct StreamEvents {
   std::function<void()> on_open;  // outgoing ones only
@@ -61,7 +61,7 @@
   StreamSocket(const StreamSocket&) = delete;
   StreamSocket& operator=(const StreamSocket&) = delete;
 
-  // Replaces who hears of the connection.
+  // Replaces the callbacks.
   void SetEvents(StreamEvents events) { this->events = std::move(events); }
 
   // Sends bytes after those written before.
--- a/packages/relay/endpoint_pool.h
+++ b/packages/relay/endpoint_pool.h
@@ -3,7 +3,7 @@
 //
 // Index
 //   EndpointSend       what is sent
-//   EndpointEvents     what the sender hears
+//   EndpointEvents     callbacks
 //   EndpointExchange   one exchange under way
 //   EndpointPool       the connections
 
@@ -34,7 +34,7 @@
   bool once = false;
 };
 
-// What the sender hears.
+// Callbacks of one exchange.
 struct EndpointEvents {
   // Whether an answer is the one to this request. A faulty endpoint may send a
   // late second answer to the request before: it is dropped, and reading goes
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -160,7 +160,7 @@
   this->under_way.clear();
   this->role_orders.clear();
   this->scale_orders.clear();
-  this->dry_until.clear();
+  this->spot_unavailable_until.clear();
   this->first_live.clear();
   this->planned.clear();
   this->live_counts.clear();
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -59,7 +59,7 @@
   // four seconds to start and a heartbeat to show.
   Duration scale_shows = std::chrono::milliseconds(7000);
   // A zone without spot engines is asked again after this.
-  Duration dry_for = std::chrono::milliseconds(4000);
+  Duration spot_retry = std::chrono::milliseconds(4000);
 };
 
 // What duties need to know of the rest of the host.
@@ -167,11 +167,11 @@
                   const ScaleBounds& bounds,
                   const EnginesByZone& counts,
                   int64_t live);
-  void AskDryZones(Instant now,
-                   const ServiceId& service,
-                   const ScaleBounds& bounds,
-                   const EnginesByZone& counts,
-                   const EngineNeed& need);
+  void RetryUnavailableZones(Instant now,
+                             const ServiceId& service,
+                             const ScaleBounds& bounds,
+                             const EnginesByZone& counts,
+                             const EngineNeed& need);
   bool CountSettled(Instant now, const ServiceId& service, int64_t live);
   int64_t ChangingRoleOf(const ServiceId& service) const;
   EngineNeed NeededEngines(const ServiceId& service,
@@ -201,7 +201,7 @@
   std::map<EndpointId, RoleOrder> role_orders;
   std::map<ScaleKey, ScaleOrder> scale_orders;
   // Zones that had no spot engine to give, and when they are asked again.
-  std::map<ScaleKey, Instant> dry_until;
+  std::map<ScaleKey, Instant> spot_unavailable_until;
   std::map<ServiceId, LiveCount> live_counts;
   // The most reading lately, remembered for long and for a short while.
   std::map<ServiceId, double> reading_peak;
--- a/packages/relay/fleet_duties_engines.cc
+++ b/packages/relay/fleet_duties_engines.cc
@@ -20,7 +20,7 @@
 // the next burst comes within half a minute.
 constexpr double kPeakKept = 0.985;
 
-// The same for the load that dependable engines are kept or ordered for: they
+// The same for the load that on-demand engines are kept or ordered for: they
 // are dear, and a burst that is over needs none.
 constexpr double kNowKept = 0.9;
 
@@ -151,12 +151,12 @@
   for (const auto& [id, endpoint] : this->inputs.endpoints()) {
     if (endpoint.service == service && !endpoint.leaving) {
       ZoneEngines& zone = counts[endpoint.zone];
-      ++(endpoint.spot ? zone.spot : zone.dependable);
+      ++(endpoint.spot ? zone.spot : zone.on_demand);
     }
   }
-  for (const auto& [key, until] : this->dry_until) {
+  for (const auto& [key, until] : this->spot_unavailable_until) {
     if (key.service == service && key.spot) {
-      counts[key.zone].dry = true;
+      counts[key.zone].spot_unavailable = true;
     }
   }
   return counts;
@@ -230,7 +230,7 @@
     const EnginesByZone counts = this->CountEngines(id);
     int64_t live = 0;
     for (const auto& [zone, of] : counts) {
-      live += of.dependable + of.spot;
+      live += of.on_demand + of.spot;
     }
     if (!this->CountSettled(now, id, live)) {
       this->OrderFirst(now, id, bounds, counts, live);
@@ -239,7 +239,7 @@
     const EngineNeed need = this->NeededEngines(id, bounds, live);
     this->OrderZones(now, id, counts, need,
                      PlanScale(counts, need.wanted, need.needed, bounds));
-    this->AskDryZones(now, id, bounds, counts, need);
+    this->RetryUnavailableZones(now, id, bounds, counts, need);
   }
 }
 
@@ -275,9 +275,9 @@
     const auto found = counts.find(zone);
     const ZoneEngines has =
         found == counts.end() ? ZoneEngines() : found->second;
-    this->OrderEngines(now, {.service = service, .zone = zone}, has.dependable,
-                       target.dependable, need);
-    if (!has.dry) {
+    this->OrderEngines(now, {.service = service, .zone = zone}, has.on_demand,
+                       target.on_demand, need);
+    if (!has.spot_unavailable) {
       this->OrderEngines(now, {.service = service, .zone = zone, .spot = true},
                          has.spot, target.spot, need);
     }
@@ -286,20 +286,21 @@
 
 // Asks zones that had no spot engines whether they have some again. Until one
 // says yes the plan does without it: an order that counted on it would send
-// away the dependable engines that stand in, and a refusal order them anew.
-void FleetDuties::AskDryZones(Instant now,
-                              const ServiceId& service,
-                              const ScaleBounds& bounds,
-                              const EnginesByZone& counts,
-                              const EngineNeed& need) {
+// away the on-demand engines that stand in, and a refusal order them anew.
+void FleetDuties::RetryUnavailableZones(Instant now,
+                                        const ServiceId& service,
+                                        const ScaleBounds& bounds,
+                                        const EnginesByZone& counts,
+                                        const EngineNeed& need) {
   EnginesByZone hoped = counts;
   for (auto& [zone, of] : hoped) {
-    of.dry = false;
+    of.spot_unavailable = false;
   }
   const EnginesByZone plan = PlanScale(hoped, need.wanted, need.needed, bounds);
   for (const auto& [zone, of] : counts) {
     const ScaleKey key{.service = service, .zone = zone, .spot = true};
-    if (of.dry && now >= this->dry_until.at(key) && plan.contains(zone)) {
+    if (of.spot_unavailable && now >= this->spot_unavailable_until.at(key) &&
+        plan.contains(zone)) {
       this->OrderEngines(now, key, of.spot, plan.at(zone).spot, need);
     }
   }
@@ -310,8 +311,8 @@
                                int64_t has,
                                int64_t count,
                                const EngineNeed& need) {
-  const auto dry = this->dry_until.find(key);
-  if (dry != this->dry_until.end() && now < dry->second) {
+  const auto found = this->spot_unavailable_until.find(key);
+  if (found != this->spot_unavailable_until.end() && now < found->second) {
     return;
   }
   const auto before = this->scale_orders.find(key);
@@ -328,7 +329,7 @@
   LogInfo(kPart, "Engines ordered.",
           {{"service", key.service.Text()},
            {"zone", key.zone.Text()},
-           {"kind", key.spot ? "spot" : "dependable"},
+           {"kind", key.spot ? "spot" : "on-demand"},
            {"listed", std::to_string(has)},
            {"count", std::to_string(count)},
            {"wanted", std::to_string(need.wanted)},
@@ -346,14 +347,15 @@
           order->second.under_way = false;
         }
         if (outcome == DutyOutcome::kAccepted) {
-          this->dry_until.erase(key);
+          this->spot_unavailable_until.erase(key);
           return;
         }
         LogInfo(kPart, "Engines can't be had.",
                 {{"zone", key.zone.Text()},
-                 {"kind", key.spot ? "spot" : "dependable"}});
+                 {"kind", key.spot ? "spot" : "on-demand"}});
         this->scale_orders.erase(key);
-        this->dry_until[key] = this->clock->Now() + this->options.dry_for;
+        this->spot_unavailable_until[key] =
+            this->clock->Now() + this->options.spot_retry;
       });
 }
 
--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -47,7 +47,7 @@
   }
   if (this->grace_until != Instant{} && now >= this->grace_until) {
     this->grace_until = {};
-    this->TellEndpoints(now);
+    this->PublishEndpoints(now);
   }
   if (now - this->proven > this->options.ask_peers_after &&
       now >= this->next_question) {
@@ -205,21 +205,21 @@
                {{"key", record.key}, {"why", read.error().message}});
     }
   }
-  this->TellEndpoints(now);
+  this->PublishEndpoints(now);
 }
 
-void FleetSource::TellEndpoints(Instant now) {
-  const FleetEndpoints judged = this->Judge(now);
-  if (judged != this->endpoints) {
-    this->endpoints = judged;
+void FleetSource::PublishEndpoints(Instant now) {
+  const FleetEndpoints visible = this->VisibleEndpoints(now);
+  if (visible != this->endpoints) {
+    this->endpoints = visible;
     this->handlers.on_endpoints(this->endpoints);
   }
 }
 
 // What holds of the list that was read last.
-FleetEndpoints FleetSource::Judge(Instant now) {
-  FleetEndpoints judged = this->listed;
-  for (auto& [id, endpoint] : judged) {
+FleetEndpoints FleetSource::VisibleEndpoints(Instant now) {
+  FleetEndpoints visible = this->listed;
+  for (auto& [id, endpoint] : visible) {
     if (endpoint.leaving && this->leaving.insert(endpoint.run).second) {
       this->handlers.on_leaving(endpoint.run);
     }
@@ -233,11 +233,11 @@
   if (now < this->grace_until) {
     for (const auto& [id, endpoint] : this->endpoints) {
       if (!this->listed_since.contains(id)) {
-        judged.try_emplace(id, endpoint);
+        visible.try_emplace(id, endpoint);
       }
     }
   }
-  return judged;
+  return visible;
 }
 
 void FleetSource::NoteProof(bool by_peer, Duration age) {
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -41,7 +41,7 @@
   Duration ask_peers_every = std::chrono::milliseconds(500);
 };
 
-// Whom the source tells.
+// Callbacks of FleetSource.
 struct FleetSourceHandlers {
   std::function<void(FleetConfigurationPtr)> on_configuration;
   std::function<void(const FleetEndpoints&)> on_endpoints;
@@ -93,8 +93,8 @@
   void TakeEndpoints(Instant asked, const StoreReply& reply);
   void NoteReachable(bool reachable);
   void NoteProof(bool by_peer, Duration age);
-  FleetEndpoints Judge(Instant now);
-  void TellEndpoints(Instant now);
+  FleetEndpoints VisibleEndpoints(Instant now);
+  void PublishEndpoints(Instant now);
 
   // One kind of read.
   struct Polling {
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -60,10 +60,8 @@
     }
     return;
   }
-  this->deadline_timer =
-      Timer::After(std::max(this->Left(), Duration{}), [this] {
-        this->OnDeadline();
-      });
+  this->deadline_timer = Timer::After(std::max(this->Left(), Duration{}),
+                                      [this] { this->OnDeadline(); });
   if (this->origin.earlier_sends > 0) {
     this->TakeOver();
     return;
@@ -191,8 +189,8 @@
     return;
   }
   const Placed& placed = std::get<Placed>(verdict);
-  if (placed.reader && this->MayReadApart()) {
-    this->SendReading(*placed.reader, placed);
+  if (placed.reader && this->MayPrefillApart()) {
+    this->SendPrefill(*placed.reader, placed);
   } else {
     this->SendRun(placed, "");
   }
@@ -207,7 +205,7 @@
 
 // The first reading call that an engine accepts is no repeat, any further one
 // is, and the repeat that it belongs to has been charged for itself alone.
-bool RelayedRequest::MayReadApart() {
+bool RelayedRequest::MayPrefillApart() {
   return this->request.prompt_tokens >=
              this->relay->settings.split_from_tokens &&
          (!this->prompt_accepted ||
@@ -228,7 +226,7 @@
   return text + "\r\n";
 }
 
-void RelayedRequest::SendReading(const EndpointId& reader,
+void RelayedRequest::SendPrefill(const EndpointId& reader,
                                  const Placed& placed) {
   this->Send(
       {.endpoint = this->relay->endpoints.at(reader),
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -1,7 +1,7 @@
 // The life of one caller's request in the relay.
 //
 //   Begin: read headers, find route and account -> Place -> SendRun
-//                                                   |  `-> SendReading ->
+//                                                   |  `-> SendPrefill ->
 //                                                   SendRun
 //                                                   `-> Refuse
 //   answer whole -> pass it on
@@ -64,8 +64,8 @@
   std::optional<Error> CheckKey();
   void Place();
   bool MaySendAgain();
-  bool MayReadApart();
-  void SendReading(const EndpointId& reader, const Placed& placed);
+  bool MayPrefillApart();
+  void SendPrefill(const EndpointId& reader, const Placed& placed);
   void SendRun(const Placed& placed, const std::string& fetch_from);
   std::optional<SocketAddress> AddressOf(
       const std::optional<EndpointId>& endpoint) const;
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -675,45 +675,45 @@
 int64_t Sum(const EnginesByZone& plan) {
   int64_t sum = 0;
   for (const auto& [zone, counts] : plan) {
-    sum += counts.dependable + counts.spot;
+    sum += counts.on_demand + counts.spot;
   }
   return sum;
 }
 
 }  // namespace
 
-// Spot engines are cheap: they are ordered first, and dependable ones go only
+// Spot engines are cheap: they are ordered first, and on-demand ones go only
 // once the others are enough without them.
 TEST(ScalePlan, ReplacesDependableEnginesOnceSpotOnesAreThere) {
-  EnginesByZone now{{kHere, {.dependable = 6}}, {kThere, {.dependable = 6}}};
+  EnginesByZone now{{kHere, {.on_demand = 6}}, {kThere, {.on_demand = 6}}};
   EnginesByZone plan = PlanScale(now, 12, 12, Bounds(0.2));
-  LONGS_EQUAL(6, plan.at(kHere).dependable);
-  LONGS_EQUAL(6, plan.at(kThere).dependable);
+  LONGS_EQUAL(6, plan.at(kHere).on_demand);
+  LONGS_EQUAL(6, plan.at(kThere).on_demand);
   CHECK(plan.at(kHere).spot + plan.at(kThere).spot >= 10);
   for (int round = 0; round < 10; ++round) {
     now = PlanScale(now, 12, 12, Bounds(0.2));
     CHECK(Sum(now) >= 12);
   }
-  CHECK(now.at(kHere).dependable + now.at(kThere).dependable <= 3);
-  CHECK(now.at(kHere).dependable >= 1);
+  CHECK(now.at(kHere).on_demand + now.at(kThere).on_demand <= 3);
+  CHECK(now.at(kHere).on_demand >= 1);
 }
 
 // A zone's spot engines are taken back and none are to be had there: the other
 // zone gets them, up to its bound.
 TEST(ScalePlan, OrdersElsewhereWhatAZoneCannotGive) {
-  const EnginesByZone now{{kHere, {.dependable = 1, .dry = true}},
-                          {kThere, {.dependable = 1, .spot = 5}}};
+  const EnginesByZone now{{kHere, {.on_demand = 1, .spot_unavailable = true}},
+                          {kThere, {.on_demand = 1, .spot = 5}}};
   const EnginesByZone plan = PlanScale(now, 12, 6, Bounds(0.2));
   LONGS_EQUAL(0, plan.at(kHere).spot);
   CHECK(plan.at(kThere).spot >= 9);
-  CHECK(plan.at(kThere).spot + plan.at(kThere).dependable <= 12);
+  CHECK(plan.at(kThere).spot + plan.at(kThere).on_demand <= 12);
 }
 
 // Both zones' spot engines are taken back while the load needs 16 engines:
-// dependable ones are ordered for it, and no more than it needs.
+// on-demand ones are ordered for it, and no more than it needs.
 TEST(ScalePlan, OrdersDependableEnginesWhereNoSpotOnesAreToBeHad) {
-  const EnginesByZone now{{kHere, {.dependable = 1, .dry = true}},
-                          {kThere, {.dependable = 1, .dry = true}}};
+  const EnginesByZone now{{kHere, {.on_demand = 1, .spot_unavailable = true}},
+                          {kThere, {.on_demand = 1, .spot_unavailable = true}}};
   const EnginesByZone plan = PlanScale(now, 24, 16, Bounds(0.2));
   LONGS_EQUAL(16, Sum(plan));
   LONGS_EQUAL(0, plan.at(kHere).spot + plan.at(kThere).spot);
