Schedulers say when they are busy, and read a newer configuration at once

Found on reading the design: a scheduler that turns slow kept its share of the requests, since an ingress host has only a few in flight; and the first scheduler with a new configuration got all requests of its zone until the others polled. A request whose body doesn't fit into a link's queue left its first part at the scheduler. An ingress host without any link read the list every 8 s only.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -37,6 +37,13 @@
 // How often a scheduler looks whether what it tells ingress hosts has changed.
 constexpr Duration kNewsPeriod = std::chrono::milliseconds(250);
 
+// A host whose timers are this late on average, in seconds, says that it is
+// busy, until they aren't any more.
+constexpr double kBusyLag = 0.08;
+constexpr double kNoLongerBusyLag = 0.03;
+constexpr double kLagWeight = 0.3;  // of the newest measurement
+constexpr double kMillisecondsPerSecond = 1000;
+
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 
 // The plug-in of that name, or why there is none.
@@ -190,7 +197,11 @@
     this->FollowCaches();
     this->source->Start();
     this->duties->Start();
-    this->news_timer = Timer::Every(kNewsPeriod, [this] { this->TellNews(); });
+    this->news_due = this->clock->Now() + kNewsPeriod;
+    this->news_timer = Timer::Every(kNewsPeriod, [this] {
+      this->MeasureLag();
+      this->TellNews();
+    });
     this->TellNews();
     return;
   }
@@ -221,6 +232,7 @@
   }
   const CallerLimits& limits = configuration->limits;
   return {.scheduler = true,
+          .busy = this->busy,
           .ready = this->relay->Ready() && !this->draining_since,
           .keys_proven = this->relay->KeysProven(),
           .configuration_version = configuration->version,
@@ -230,6 +242,20 @@
           .idle_timeout = limits.idle_timeout};
 }
 
+// How late timers fire shows whether this host keeps up with its work.
+void RelayDaemon::MeasureLag() {
+  const Instant now = this->clock->Now();
+  const double late = std::max(ToSeconds(now - this->news_due), 0.0);
+  this->news_due = now + kNewsPeriod;
+  this->lag += kLagWeight * (late - this->lag);
+  const bool was = this->busy;
+  this->busy = this->lag > (was ? kNoLongerBusyLag : kBusyLag);
+  if (this->busy != was) {
+    LogInfo(kPart, this->busy ? "This host is busy." : "This host keeps up.",
+            {{"lag_ms", std::to_string(this->lag * kMillisecondsPerSecond)}});
+  }
+}
+
 void RelayDaemon::TellNews() {
   const SchedulerNews news = this->News();
   if (news != this->told_news) {
@@ -240,6 +266,11 @@
 
 void RelayDaemon::TakeNews(const HostId& from, const SchedulerNews& news) {
   this->forwarder->OnNews(from, news);
+  // Until the others have it too, ingress hosts send everything to that one.
+  const FleetConfigurationPtr& own = this->relay->Configuration();
+  if (this->IsScheduler() && own && news.configuration_version > own->version) {
+    this->source->PollConfigurationNow();
+  }
   if (news.configuration_version > 0 && !this->IsScheduler()) {
     this->relay->SetCallerLimits({.head_bytes = news.head_bytes,
                                   .body_bytes = news.body_bytes,
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -60,6 +60,7 @@
     return this->peers->Role() == FleetRole::kScheduler;
   }
   SchedulerNews News() const;
+  void MeasureLag();
   void TellNews();
   void FollowCaches();
   void TakeNews(const HostId& from, const SchedulerNews& news);
@@ -92,6 +93,9 @@
   std::vector<FleetHost> subscribers;  // to engines' cache events, in turn
   SchedulerNews told_news;             // to all ingress hosts that are linked
   std::unique_ptr<Timer> news_timer;
+  Instant news_due{};
+  double lag = 0;  // mean lateness of timers, seconds
+  bool busy = false;
   // Seconds for a prompt token, as they stand in the log.
   std::map<ServiceId, double> logged_pace;
   std::unique_ptr<Timer> usage_timer;
--- a/packages/decisions/scheduler_choice.cc
+++ b/packages/decisions/scheduler_choice.cc
@@ -81,7 +81,8 @@
   const int64_t stuck_at = this->LeastInFlight() * 2 + kStuckFrom;
   const auto rank = [&](const State& state) {
     return std::tuple(!state.told.keys_proven, state.host.zone != this->own,
-                      state.in_flight > stuck_at, state.forwarded);
+                      state.in_flight > stuck_at, state.told.busy,
+                      state.forwarded);
   };
   for (const auto& [id, state] : this->states) {
     if (this->Serves(state) && !tried.contains(id) &&
--- a/packages/decisions/scheduler_choice.h
+++ b/packages/decisions/scheduler_choice.h
@@ -20,6 +20,7 @@
 // What a scheduler tells of itself.
 struct SchedulerState {
   bool ready = false;
+  bool busy = false;         // others of its zone are preferred
   bool keys_proven = false;  // others are preferred while it is false
   int64_t version = 0;       // of its configuration
 
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -3463,6 +3463,10 @@
   this->scheduler = val;
 }
 
+void SchedulerNews::__set_busy(const bool val) {
+  this->busy = val;
+}
+
 uint32_t SchedulerNews::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3548,6 +3552,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->busy);
+          this->__isset.busy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3597,6 +3609,10 @@
   xfer += oprot->writeBool(this->scheduler);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("busy", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->busy);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3612,6 +3628,7 @@
   swap(a.idle_timeout, b.idle_timeout);
   swap(a.keys_proven, b.keys_proven);
   swap(a.scheduler, b.scheduler);
+  swap(a.busy, b.busy);
   swap(a.__isset, b.__isset);
 }
 
@@ -3624,6 +3641,7 @@
   idle_timeout = other148.idle_timeout;
   keys_proven = other148.keys_proven;
   scheduler = other148.scheduler;
+  busy = other148.busy;
   __isset = other148.__isset;
 }
 SchedulerNews::SchedulerNews(SchedulerNews&& other149) noexcept {
@@ -3635,6 +3653,7 @@
   idle_timeout = other149.idle_timeout;
   keys_proven = other149.keys_proven;
   scheduler = other149.scheduler;
+  busy = other149.busy;
   __isset = other149.__isset;
 }
 SchedulerNews& SchedulerNews::operator=(const SchedulerNews& other150) noexcept {
@@ -3646,6 +3665,7 @@
   idle_timeout = other150.idle_timeout;
   keys_proven = other150.keys_proven;
   scheduler = other150.scheduler;
+  busy = other150.busy;
   __isset = other150.__isset;
   return *this;
 }
@@ -3658,6 +3678,7 @@
   idle_timeout = other151.idle_timeout;
   keys_proven = other151.keys_proven;
   scheduler = other151.scheduler;
+  busy = other151.busy;
   __isset = other151.__isset;
   return *this;
 }
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -1475,7 +1475,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardControl& obj);
 
 typedef struct _SchedulerNews__isset {
-  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false) {}
+  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false), busy(false) {}
   bool ready :1;
   bool configuration_version :1;
   bool head_bytes :1;
@@ -1484,6 +1484,7 @@
   bool idle_timeout :1;
   bool keys_proven :1;
   bool scheduler :1;
+  bool busy :1;
 } _SchedulerNews__isset;
 
 class SchedulerNews : public virtual ::apache::thrift::TBase {
@@ -1501,7 +1502,8 @@
                   head_timeout(0),
                   idle_timeout(0),
                   keys_proven(0),
-                  scheduler(0) {
+                  scheduler(0),
+                  busy(0) {
   }
 
   virtual ~SchedulerNews() noexcept;
@@ -1513,6 +1515,7 @@
   int64_t idle_timeout;
   bool keys_proven;
   bool scheduler;
+  bool busy;
 
   _SchedulerNews__isset __isset;
 
@@ -1532,6 +1535,8 @@
 
   void __set_scheduler(const bool val);
 
+  void __set_busy(const bool val);
+
   bool operator == (const SchedulerNews & rhs) const
   {
     if (!(ready == rhs.ready))
@@ -1550,6 +1555,8 @@
       return false;
     if (!(scheduler == rhs.scheduler))
       return false;
+    if (!(busy == rhs.busy))
+      return false;
     return true;
   }
   bool operator != (const SchedulerNews &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -149,6 +149,7 @@
 // What a scheduler tells every host that is linked with it.
 struct SchedulerNews {
   bool scheduler = false;  // it still is one
+  bool busy = false;       // it doesn't keep up with its work
   bool ready = false;
   bool keys_proven = false;  // API keys can be trusted now
   int64_t configuration_version = 0;
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -177,6 +177,7 @@
   6: i64 idle_timeout  // microseconds
   7: bool keys_proven
   8: bool scheduler  // false: it is one no longer
+  9: bool busy
 }
 
 // What an engine keeps of prompts has changed.
--- a/packages/peers/session.h
+++ b/packages/peers/session.h
@@ -32,7 +32,7 @@
 namespace hickorystand {
 
 // Most bytes that wait to be written to one peer.
-inline constexpr size_t kMaxQueuedBytes = 4UL * 1024 * 1024;
+inline constexpr size_t kMaxQueuedBytes = 8UL * 1024 * 1024;
 
 // What every session of a host has in common.
 struct SessionOptions {
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -438,6 +438,7 @@
   void operator()(const SchedulerNews& news) {
     wire::SchedulerNews item;
     item.scheduler = news.scheduler;
+    item.busy = news.busy;
     item.ready = news.ready;
     item.keys_proven = news.keys_proven;
     item.configuration_version = news.configuration_version;
@@ -583,6 +584,7 @@
     const auto& news = in->scheduler_news;
     return WireMessage(PeerMessage(
         SchedulerNews{.scheduler = news.scheduler,
+                      .busy = news.busy,
                       .ready = news.ready,
                       .keys_proven = news.keys_proven,
                       .configuration_version = news.configuration_version,
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -182,12 +182,11 @@
     return;
   }
   std::vector<PeerHost> targets;
-  std::ranges::transform(this->schedulers, std::back_inserter(targets),
-                         [](const FleetHost& host) {
-                           return PeerHost{.host = host.id,
-                                           .data_centre = Group(),
-                                           .address = host.address};
-                         });
+  std::ranges::transform(
+      this->schedulers, std::back_inserter(targets), [](const FleetHost& host) {
+        return PeerHost{
+            .host = host.id, .data_centre = Group(), .address = host.address};
+      });
   this->links->SetHosts(targets);
 }
 
@@ -246,8 +245,10 @@
 }
 
 void FleetPeers::List() {
+  const bool lost =
+      this->role == FleetRole::kIngress && this->linked_schedulers.empty();
   const bool settled = this->role != FleetRole::kUnknown &&
-                       this->lists_against_role == 0 &&
+                       this->lists_against_role == 0 && !lost &&
                        (this->listed > 1 || !this->schedulers.empty());
   const Duration often = this->role == FleetRole::kIngress
                              ? this->options.ingress_list
--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -92,6 +92,13 @@
                           answer.record);
 }
 
+void FleetSource::PollConfigurationNow() {
+  if (this->timer &&
+      this->configuration.under_way < this->options.most_under_way) {
+    this->AskConfiguration(this->clock->Now());
+  }
+}
+
 void FleetSource::LearnLeaving(const EndpointRun& run) {
   this->leaving.insert(run);
   const auto found = this->endpoints.find(run.id);
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -78,6 +78,10 @@
   // when this host asked.
   void TakeAnswer(const FreshnessAnswer& answer);
 
+  // Another host has a newer configuration: reads it without waiting for the
+  // next poll.
+  void PollConfigurationNow();
+
   // Another host has heard from the store that a run leaves.
   void LearnLeaving(const EndpointRun& run);
 
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -68,6 +68,7 @@
 
 void RequestForwarder::OnNews(const HostId& from, const SchedulerNews& news) {
   this->choice.OnNews(from, {.ready = news.ready,
+                             .busy = news.busy,
                              .keys_proven = news.keys_proven,
                              .version = news.configuration_version});
 }
@@ -108,6 +109,7 @@
   call->tried.insert(*to);
   if (!this->SendRequest(*call, *to, number)) {
     // Not whole there, so it doesn't run: the link is down or full.
+    this->send(*to, ForwardControl{.number = number});
     this->Forward(call);
     return;
   }
--- a/tests/fleet_topology_test.cc
+++ b/tests/fleet_topology_test.cc
@@ -244,6 +244,26 @@
   CHECK(to_stuck < 10);
 }
 
+// Guards against a slow host that delays its share of the requests while others
+// of its zone keep up; other zones aren't asked for that.
+TEST(SchedulerChoice, AvoidsABusySchedulerOfItsZone) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers(
+      {Host("s1", "a", 500), Host("s2", "a", 500), Host("s3", "b", 500)});
+  SchedulerState busy = Serving(1);
+  busy.busy = true;
+  choice.OnNews(HostId("s1"), busy);
+  choice.OnNews(HostId("s2"), Serving(1));
+  choice.OnNews(HostId("s3"), Serving(1));
+  for (int i = 0; i < 10; ++i) {
+    CHECK(choice.Choose({}) == HostId("s2"));
+    choice.OnForwarded(HostId("s2"));
+    choice.OnEnded(HostId("s2"));
+  }
+  choice.OnNews(HostId("s2"), busy);
+  CHECK(choice.Choose({}) == HostId("s1"));
+}
+
 // Guards against a scheduler that comes back and gets every request until it
 // has had as many as the others.
 TEST(SchedulerChoice, NewSchedulersBeginLevel) {
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -631,6 +631,7 @@
           .end = AnswerEnd::kWhole}),
       PeerMessage(ForwardControl{.number = 9, .action = ForwardAction::kPause}),
       PeerMessage(SchedulerNews{.scheduler = true,
+                                .busy = true,
                                 .ready = true,
                                 .keys_proven = true,
                                 .configuration_version = 12,
