Size the fleet by the prefill load of all schedulers, as they tell it

Hypothesis: the holder of the duties took its own load times the number of hosts. Callers come unevenly, so its peaks over- or underrate the fleet's, and engines are the largest price. The sum of what all schedulers ask for should order fewer engines for the same service.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -310,6 +310,7 @@
 
 void RelayDaemon::OnGone(const HostId& host) {
   this->relay->Placement().ForgetPeer(host);
+  this->peer_loads.erase(host);
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
   this->FollowCaches();
@@ -339,8 +340,7 @@
               },
           .reading =
               [this](const ServiceId& service) {
-                return this->relay->ReadPerSecond(service) *
-                       static_cast<double>(this->peers->Listed()) /
+                return this->FleetPrefill(service) /
                        this->relay->Placement().Pace(service).PromptTokens(
                            EndpointRole::kPrefill);
               }});
@@ -355,6 +355,21 @@
   UsageCopyMessage message = MessageOf(this->duties->Usage().OwnCopy(now));
   message.time = now;
   this->peers->BroadcastToSchedulers(message);
+  this->peers->BroadcastToSchedulers(
+      PrefillLoad{this->relay->PrefillPerSecond()});
+}
+
+// Prompt tokens a second of a service that all schedulers ask for.
+double RelayDaemon::FleetPrefill(const ServiceId& service) const {
+  const auto of = [&service](const std::map<ServiceId, double>& rates) {
+    const auto found = rates.find(service);
+    return found == rates.end() ? 0 : found->second;
+  };
+  double sum = of(this->relay->PrefillPerSecond());
+  for (const auto& [host, load] : this->peer_loads) {
+    sum += of(load.tokens_per_second);
+  }
+  return sum;
 }
 
 // Logs how fast engines are believed to be, whenever that has changed much.
@@ -393,6 +408,8 @@
     this->forwarder->OnAnswer(from, *part);
   } else if (const auto* news = std::get_if<SchedulerNews>(&message)) {
     this->TakeNews(from, *news);
+  } else if (const auto* load = std::get_if<PrefillLoad>(&message)) {
+    this->peer_loads[from] = *load;
   } else if (const auto* update = std::get_if<CacheUpdate>(&message)) {
     this->relay->Caches().TakeUpdate(*update);
   } else if (const auto* usage = std::get_if<UsageCopyMessage>(&message)) {
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -65,6 +65,7 @@
   void FollowCaches();
   void TakeNews(const HostId& from, const SchedulerNews& news);
   void TellUsage();
+  double FleetPrefill(const ServiceId& service) const;
   void TellAllUsage(const HostId& host);
   void OnPeerMessage(const HostId& from, const PeerMessage& message);
   void TakeUsage(const HostId& from, const UsageCopyMessage& usage);
@@ -91,7 +92,8 @@
   std::unique_ptr<RequestForwarder> forwarder;
   std::unique_ptr<ForwardReceiver> receiver;
   std::vector<FleetHost> subscribers;  // to engines' cache events, in turn
-  SchedulerNews told_news;             // to all ingress hosts that are linked
+  std::map<HostId, PrefillLoad> peer_loads;  // of the other schedulers
+  SchedulerNews told_news;  // to all ingress hosts that are linked
   std::unique_ptr<Timer> news_timer;
   Instant news_due{};
   double lag = 0;  // mean lateness of timers, seconds
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -3895,6 +3895,223 @@
   return *this;
 }
 
+ServiceLoad::~ServiceLoad() noexcept {
+}
+
+
+void ServiceLoad::__set_service_id(const std::string& val) {
+  this->service_id = val;
+}
+
+void ServiceLoad::__set_tokens_per_second(const double val) {
+  this->tokens_per_second = val;
+}
+
+uint32_t ServiceLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_id);
+          this->__isset.service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->tokens_per_second);
+          this->__isset.tokens_per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServiceLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServiceLoad");
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens_per_second", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->tokens_per_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServiceLoad &a, ServiceLoad &b) {
+  using ::std::swap;
+  swap(a.service_id, b.service_id);
+  swap(a.tokens_per_second, b.tokens_per_second);
+  swap(a.__isset, b.__isset);
+}
+
+ServiceLoad::ServiceLoad(const ServiceLoad& other168) {
+  service_id = other168.service_id;
+  tokens_per_second = other168.tokens_per_second;
+  __isset = other168.__isset;
+}
+ServiceLoad::ServiceLoad(ServiceLoad&& other169) noexcept {
+  service_id = std::move(other169.service_id);
+  tokens_per_second = other169.tokens_per_second;
+  __isset = other169.__isset;
+}
+ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other170) {
+  service_id = other170.service_id;
+  tokens_per_second = other170.tokens_per_second;
+  __isset = other170.__isset;
+  return *this;
+}
+ServiceLoad& ServiceLoad::operator=(ServiceLoad&& other171) noexcept {
+  service_id = std::move(other171.service_id);
+  tokens_per_second = other171.tokens_per_second;
+  __isset = other171.__isset;
+  return *this;
+}
+
+PrefillLoad::~PrefillLoad() noexcept {
+}
+
+
+void PrefillLoad::__set_services(const std::vector<ServiceLoad> & val) {
+  this->services = val;
+}
+
+uint32_t PrefillLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->services.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
+            {
+              xfer += this->services[_i176].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PrefillLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PrefillLoad");
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<ServiceLoad> ::const_iterator _iter177;
+    for (_iter177 = this->services.begin(); _iter177 != this->services.end(); ++_iter177)
+    {
+      xfer += (*_iter177).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PrefillLoad &a, PrefillLoad &b) {
+  using ::std::swap;
+  swap(a.services, b.services);
+  swap(a.__isset, b.__isset);
+}
+
+PrefillLoad::PrefillLoad(const PrefillLoad& other178) {
+  services = other178.services;
+  __isset = other178.__isset;
+}
+PrefillLoad::PrefillLoad(PrefillLoad&& other179) noexcept {
+  services = std::move(other179.services);
+  __isset = other179.__isset;
+}
+PrefillLoad& PrefillLoad::operator=(const PrefillLoad& other180) {
+  services = other180.services;
+  __isset = other180.__isset;
+  return *this;
+}
+PrefillLoad& PrefillLoad::operator=(PrefillLoad&& other181) noexcept {
+  services = std::move(other181.services);
+  __isset = other181.__isset;
+  return *this;
+}
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -3943,18 +4160,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other168) noexcept {
-  (void) other168;
+Heartbeat::Heartbeat(const Heartbeat& other182) noexcept {
+  (void) other182;
 }
-Heartbeat::Heartbeat(Heartbeat&& other169) noexcept {
-  (void) other169;
+Heartbeat::Heartbeat(Heartbeat&& other183) noexcept {
+  (void) other183;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other170) noexcept {
-  (void) other170;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other184) noexcept {
+  (void) other184;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other171) noexcept {
-  (void) other171;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other185) noexcept {
+  (void) other185;
   return *this;
 }
 
@@ -4042,6 +4259,11 @@
 __isset.cache_update = true;
 }
 
+void Message::__set_prefill_load(const PrefillLoad& val) {
+  this->prefill_load = val;
+__isset.prefill_load = true;
+}
+
 uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -4191,6 +4413,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->prefill_load.read(iprot);
+          this->__isset.prefill_load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4288,6 +4518,11 @@
     xfer += this->cache_update.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.prefill_load) {
+    xfer += oprot->writeFieldBegin("prefill_load", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->prefill_load.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4311,85 +4546,90 @@
   swap(a.forward_control, b.forward_control);
   swap(a.scheduler_news, b.scheduler_news);
   swap(a.cache_update, b.cache_update);
+  swap(a.prefill_load, b.prefill_load);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other172) {
-  heartbeat = other172.heartbeat;
-  digest = other172.digest;
-  buckets_request = other172.buckets_request;
-  buckets_reply = other172.buckets_reply;
-  usage_copy = other172.usage_copy;
-  released = other172.released;
-  endpoint_news = other172.endpoint_news;
-  freshness_question = other172.freshness_question;
-  freshness_answer = other172.freshness_answer;
-  engine_paces = other172.engine_paces;
-  forwarded_request = other172.forwarded_request;
-  forwarded_body = other172.forwarded_body;
-  forwarded_answer = other172.forwarded_answer;
-  forward_control = other172.forward_control;
-  scheduler_news = other172.scheduler_news;
-  cache_update = other172.cache_update;
-  __isset = other172.__isset;
-}
-Message::Message(Message&& other173) noexcept {
-  heartbeat = std::move(other173.heartbeat);
-  digest = std::move(other173.digest);
-  buckets_request = std::move(other173.buckets_request);
-  buckets_reply = std::move(other173.buckets_reply);
-  usage_copy = std::move(other173.usage_copy);
-  released = std::move(other173.released);
-  endpoint_news = std::move(other173.endpoint_news);
-  freshness_question = std::move(other173.freshness_question);
-  freshness_answer = std::move(other173.freshness_answer);
-  engine_paces = std::move(other173.engine_paces);
-  forwarded_request = std::move(other173.forwarded_request);
-  forwarded_body = std::move(other173.forwarded_body);
-  forwarded_answer = std::move(other173.forwarded_answer);
-  forward_control = std::move(other173.forward_control);
-  scheduler_news = std::move(other173.scheduler_news);
-  cache_update = std::move(other173.cache_update);
-  __isset = other173.__isset;
-}
-Message& Message::operator=(const Message& other174) {
-  heartbeat = other174.heartbeat;
-  digest = other174.digest;
-  buckets_request = other174.buckets_request;
-  buckets_reply = other174.buckets_reply;
-  usage_copy = other174.usage_copy;
-  released = other174.released;
-  endpoint_news = other174.endpoint_news;
-  freshness_question = other174.freshness_question;
-  freshness_answer = other174.freshness_answer;
-  engine_paces = other174.engine_paces;
-  forwarded_request = other174.forwarded_request;
-  forwarded_body = other174.forwarded_body;
-  forwarded_answer = other174.forwarded_answer;
-  forward_control = other174.forward_control;
-  scheduler_news = other174.scheduler_news;
-  cache_update = other174.cache_update;
-  __isset = other174.__isset;
+Message::Message(const Message& other186) {
+  heartbeat = other186.heartbeat;
+  digest = other186.digest;
+  buckets_request = other186.buckets_request;
+  buckets_reply = other186.buckets_reply;
+  usage_copy = other186.usage_copy;
+  released = other186.released;
+  endpoint_news = other186.endpoint_news;
+  freshness_question = other186.freshness_question;
+  freshness_answer = other186.freshness_answer;
+  engine_paces = other186.engine_paces;
+  forwarded_request = other186.forwarded_request;
+  forwarded_body = other186.forwarded_body;
+  forwarded_answer = other186.forwarded_answer;
+  forward_control = other186.forward_control;
+  scheduler_news = other186.scheduler_news;
+  cache_update = other186.cache_update;
+  prefill_load = other186.prefill_load;
+  __isset = other186.__isset;
+}
+Message::Message(Message&& other187) noexcept {
+  heartbeat = std::move(other187.heartbeat);
+  digest = std::move(other187.digest);
+  buckets_request = std::move(other187.buckets_request);
+  buckets_reply = std::move(other187.buckets_reply);
+  usage_copy = std::move(other187.usage_copy);
+  released = std::move(other187.released);
+  endpoint_news = std::move(other187.endpoint_news);
+  freshness_question = std::move(other187.freshness_question);
+  freshness_answer = std::move(other187.freshness_answer);
+  engine_paces = std::move(other187.engine_paces);
+  forwarded_request = std::move(other187.forwarded_request);
+  forwarded_body = std::move(other187.forwarded_body);
+  forwarded_answer = std::move(other187.forwarded_answer);
+  forward_control = std::move(other187.forward_control);
+  scheduler_news = std::move(other187.scheduler_news);
+  cache_update = std::move(other187.cache_update);
+  prefill_load = std::move(other187.prefill_load);
+  __isset = other187.__isset;
+}
+Message& Message::operator=(const Message& other188) {
+  heartbeat = other188.heartbeat;
+  digest = other188.digest;
+  buckets_request = other188.buckets_request;
+  buckets_reply = other188.buckets_reply;
+  usage_copy = other188.usage_copy;
+  released = other188.released;
+  endpoint_news = other188.endpoint_news;
+  freshness_question = other188.freshness_question;
+  freshness_answer = other188.freshness_answer;
+  engine_paces = other188.engine_paces;
+  forwarded_request = other188.forwarded_request;
+  forwarded_body = other188.forwarded_body;
+  forwarded_answer = other188.forwarded_answer;
+  forward_control = other188.forward_control;
+  scheduler_news = other188.scheduler_news;
+  cache_update = other188.cache_update;
+  prefill_load = other188.prefill_load;
+  __isset = other188.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other175) noexcept {
-  heartbeat = std::move(other175.heartbeat);
-  digest = std::move(other175.digest);
-  buckets_request = std::move(other175.buckets_request);
-  buckets_reply = std::move(other175.buckets_reply);
-  usage_copy = std::move(other175.usage_copy);
-  released = std::move(other175.released);
-  endpoint_news = std::move(other175.endpoint_news);
-  freshness_question = std::move(other175.freshness_question);
-  freshness_answer = std::move(other175.freshness_answer);
-  engine_paces = std::move(other175.engine_paces);
-  forwarded_request = std::move(other175.forwarded_request);
-  forwarded_body = std::move(other175.forwarded_body);
-  forwarded_answer = std::move(other175.forwarded_answer);
-  forward_control = std::move(other175.forward_control);
-  scheduler_news = std::move(other175.scheduler_news);
-  cache_update = std::move(other175.cache_update);
-  __isset = other175.__isset;
+Message& Message::operator=(Message&& other189) noexcept {
+  heartbeat = std::move(other189.heartbeat);
+  digest = std::move(other189.digest);
+  buckets_request = std::move(other189.buckets_request);
+  buckets_reply = std::move(other189.buckets_reply);
+  usage_copy = std::move(other189.usage_copy);
+  released = std::move(other189.released);
+  endpoint_news = std::move(other189.endpoint_news);
+  freshness_question = std::move(other189.freshness_question);
+  freshness_answer = std::move(other189.freshness_answer);
+  engine_paces = std::move(other189.engine_paces);
+  forwarded_request = std::move(other189.forwarded_request);
+  forwarded_body = std::move(other189.forwarded_body);
+  forwarded_answer = std::move(other189.forwarded_answer);
+  forward_control = std::move(other189.forward_control);
+  scheduler_news = std::move(other189.scheduler_news);
+  cache_update = std::move(other189.cache_update);
+  prefill_load = std::move(other189.prefill_load);
+  __isset = other189.__isset;
   return *this;
 }
 }} // namespace
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -69,6 +69,10 @@
 
 class CacheUpdate;
 
+class ServiceLoad;
+
+class PrefillLoad;
+
 class Heartbeat;
 
 class Message;
@@ -1644,6 +1648,100 @@
 
 std::ostream& operator<<(std::ostream& out, const CacheUpdate& obj);
 
+typedef struct _ServiceLoad__isset {
+  _ServiceLoad__isset() : service_id(false), tokens_per_second(false) {}
+  bool service_id :1;
+  bool tokens_per_second :1;
+} _ServiceLoad__isset;
+
+class ServiceLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServiceLoad(const ServiceLoad&);
+  ServiceLoad(ServiceLoad&&) noexcept;
+  ServiceLoad& operator=(const ServiceLoad&);
+  ServiceLoad& operator=(ServiceLoad&&) noexcept;
+  ServiceLoad() noexcept
+              : service_id(),
+                tokens_per_second(0) {
+  }
+
+  virtual ~ServiceLoad() noexcept;
+  std::string service_id;
+  double tokens_per_second;
+
+  _ServiceLoad__isset __isset;
+
+  void __set_service_id(const std::string& val);
+
+  void __set_tokens_per_second(const double val);
+
+  bool operator == (const ServiceLoad & rhs) const
+  {
+    if (!(service_id == rhs.service_id))
+      return false;
+    if (!(tokens_per_second == rhs.tokens_per_second))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(ServiceLoad &a, ServiceLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceLoad& obj);
+
+typedef struct _PrefillLoad__isset {
+  _PrefillLoad__isset() : services(false) {}
+  bool services :1;
+} _PrefillLoad__isset;
+
+class PrefillLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  PrefillLoad(const PrefillLoad&);
+  PrefillLoad(PrefillLoad&&) noexcept;
+  PrefillLoad& operator=(const PrefillLoad&);
+  PrefillLoad& operator=(PrefillLoad&&) noexcept;
+  PrefillLoad() noexcept {
+  }
+
+  virtual ~PrefillLoad() noexcept;
+  std::vector<ServiceLoad>  services;
+
+  _PrefillLoad__isset __isset;
+
+  void __set_services(const std::vector<ServiceLoad> & val);
+
+  bool operator == (const PrefillLoad & rhs) const
+  {
+    if (!(services == rhs.services))
+      return false;
+    return true;
+  }
+  bool operator != (const PrefillLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PrefillLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(PrefillLoad &a, PrefillLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const PrefillLoad& obj);
+
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
  public:
@@ -1677,7 +1775,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false), forwarded_request(false), forwarded_body(false), forwarded_answer(false), forward_control(false), scheduler_news(false), cache_update(false) {}
+  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false), forwarded_request(false), forwarded_body(false), forwarded_answer(false), forward_control(false), scheduler_news(false), cache_update(false), prefill_load(false) {}
   bool heartbeat :1;
   bool digest :1;
   bool buckets_request :1;
@@ -1694,6 +1792,7 @@
   bool forward_control :1;
   bool scheduler_news :1;
   bool cache_update :1;
+  bool prefill_load :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1723,6 +1822,7 @@
   ForwardControl forward_control;
   SchedulerNews scheduler_news;
   CacheUpdate cache_update;
+  PrefillLoad prefill_load;
 
   _Message__isset __isset;
 
@@ -1758,6 +1858,8 @@
 
   void __set_cache_update(const CacheUpdate& val);
 
+  void __set_prefill_load(const PrefillLoad& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1824,6 +1926,10 @@
       return false;
     else if (__isset.cache_update && !(cache_update == rhs.cache_update))
       return false;
+    if (__isset.prefill_load != rhs.__isset.prefill_load)
+      return false;
+    else if (__isset.prefill_load && !(prefill_load == rhs.prefill_load))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -170,6 +170,13 @@
   bool operator==(const CacheUpdate&) const = default;
 };
 
+// Prompt tokens a second that the sender's requests ask engines to prefill.
+struct PrefillLoad {
+  std::map<ServiceId, double> tokens_per_second;
+
+  bool operator==(const PrefillLoad&) const = default;
+};
+
 // Everything but digests, which PeerLinks sends and takes as whole values.
 using PeerMessage = std::variant<BucketsRequest,
                                  BucketsReply,
@@ -184,6 +191,7 @@
                                  ForwardedAnswer,
                                  ForwardControl,
                                  SchedulerNews,
-                                 CacheUpdate>;
+                                 CacheUpdate,
+                                 PrefillLoad>;
 
 }  // namespace hickorystand
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -189,6 +189,16 @@
   5: list<i64> tokens  // for each part; 0: not kept any more
 }
 
+struct ServiceLoad {
+  1: string service_id
+  2: double tokens_per_second
+}
+
+// Prompt tokens that the sender's requests ask engines to prefill.
+struct PrefillLoad {
+  1: list<ServiceLoad> services
+}
+
 struct Heartbeat {
 }
 
@@ -209,4 +219,5 @@
   14: ForwardControl forward_control
   15: SchedulerNews scheduler_news
   16: CacheUpdate cache_update
+  17: PrefillLoad prefill_load
 }
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -317,6 +317,16 @@
   return update;
 }
 
+PrefillLoad ReadLoad(const wire::PrefillLoad& in) {
+  PrefillLoad load;
+  for (const wire::ServiceLoad& one : in.services) {
+    if (GoodId(one.service_id) && one.tokens_per_second >= 0) {
+      load.tokens_per_second[ServiceId(one.service_id)] = one.tokens_per_second;
+    }
+  }
+  return load;
+}
+
 struct Writer {
   wire::Message out;
 
@@ -459,6 +469,16 @@
     }
     out.__set_cache_update(item);
   }
+  void operator()(const PrefillLoad& load) {
+    wire::PrefillLoad item;
+    for (const auto& [service, rate] : load.tokens_per_second) {
+      wire::ServiceLoad one;
+      one.service_id = service.Text();
+      one.tokens_per_second = rate;
+      item.services.push_back(one);
+    }
+    out.__set_prefill_load(item);
+  }
 };
 
 PeerMessage ReadBuckets(wire::BucketsReply& in) {
@@ -597,6 +617,9 @@
       in->cache_update.parts.size() == in->cache_update.tokens.size()) {
     return WireMessage(PeerMessage(ReadCacheUpdate(in->cache_update)));
   }
+  if (set.prefill_load) {
+    return WireMessage(PeerMessage(ReadLoad(in->prefill_load)));
+  }
   if (set.heartbeat) {
     return WireMessage(PeerHeartbeat{});
   }
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -155,11 +155,12 @@
       .first->second.Add(this->clock->Now(), static_cast<double>(tokens));
 }
 
-double FleetRelay::ReadPerSecond(const ServiceId& service) const {
-  const auto found = this->read_tokens.find(service);
-  return found == this->read_tokens.end()
-             ? 0
-             : found->second.PerSecond(this->clock->Now());
+std::map<ServiceId, double> FleetRelay::PrefillPerSecond() const {
+  std::map<ServiceId, double> rates;
+  for (const auto& [service, rate] : this->read_tokens) {
+    rates[service] = rate.PerSecond(this->clock->Now());
+  }
+  return rates;
 }
 
 void FleetRelay::Serve(const CallerExchangePtr& caller,
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -136,8 +137,8 @@
   }
   const FleetEndpoints& Endpoints() const { return this->endpoints; }
 
-  // Prompt tokens a second of a service that this host sends to be read.
-  double ReadPerSecond(const ServiceId& service) const;
+  // Prompt tokens a second that this host's requests ask engines to prefill.
+  std::map<ServiceId, double> PrefillPerSecond() const;
 
   FleetPlacement& Placement() { return this->placement; }
   Suspects& SuspectList() { return this->suspects; }
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -643,7 +643,9 @@
           CacheUpdate{.engine = {.id = EndpointId("e"), .started = 5},
                       .reset = true,
                       .parts = {{.part = 0xfedcba9876543210, .tokens = 800},
-                                {.part = 2, .tokens = 0}}})};
+                                {.part = 2, .tokens = 0}}}),
+      PeerMessage(
+          PrefillLoad{.tokens_per_second = {{ServiceId("s"), 37900.5}}})};
   std::mt19937_64 random(20261202);
   int refused = 0;
   constexpr int kMutationsEach = 20000;
