Don't wait for entries that vanished while other hosts were served

Ruled out: the forwarding (all eight hosts schedule there); a lost message, since an entry that vanishes unannounced isn't told to others.

Change: entries are waited for only if nobody had proof of the configuration in the outage, or has had it again only just now. Proof from other hosts shows that the store served them, so no entry lapsed. And the list is read as soon as the store answers again.

--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -153,6 +153,7 @@
   if (revision < this->record_revision) {
     return;  // answers may overtake each other
   }
+  const Instant before = this->proven;
   if (revision > this->record_revision) {
     auto read = this->records->ReadConfiguration(value);
     if (!read) {
@@ -167,6 +168,9 @@
     this->handlers.on_configuration(
         std::make_shared<const FleetConfiguration>(std::move(*read)));
   }
+  if (asked - before > this->options.away_after) {
+    this->proof_regained = this->clock->Now();
+  }
   this->proven = std::max(this->proven, asked);
   this->handlers.on_fresh(this->proven);
 }
@@ -191,7 +195,8 @@
   }
   this->list.revision = reply.revision;
   const Instant now = this->clock->Now();
-  if (this->last_list && asked - *this->last_list > this->options.away_after) {
+  if (this->last_list && asked - *this->last_list > this->options.away_after &&
+      this->StoreWasAway(now)) {
     this->grace_until = now + this->options.return_grace;
     this->listed_since.clear();
     LogInfo(kPart, "Endpoints are listed again after an outage.",
@@ -215,6 +220,13 @@
   this->PublishEndpoints(now);
 }
 
+// Whether other hosts weren't answered either. If they were, as their proofs
+// show, no entry lapsed, and what is missing has left.
+bool FleetSource::StoreWasAway(Instant now) const {
+  return now - this->proven > this->options.away_after ||
+         now - this->proof_regained < this->options.return_grace;
+}
+
 void FleetSource::PublishEndpoints(Instant now) {
   const FleetEndpoints visible = this->VisibleEndpoints(now);
   if (visible != this->endpoints) {
@@ -258,6 +270,9 @@
 
 void FleetSource::NoteReachable(bool answered) {
   if (std::exchange(this->reachable, answered) != answered) {
+    if (answered) {
+      this->list.next = {};  // a leaving endpoint may have been missed
+    }
     LogInfo(kPart, answered ? "Store answers." : "Store doesn't answer.");
   }
 }
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -97,6 +97,7 @@
   void TakeEndpoints(Instant asked, const StoreReply& reply);
   void NoteReachable(bool reachable);
   void NoteProof(bool by_peer, Duration age);
+  bool StoreWasAway(Instant now) const;
   FleetEndpoints VisibleEndpoints(Instant now);
   void PublishEndpoints(Instant now);
 
@@ -117,6 +118,7 @@
   int64_t record_revision = 0;  // of the configuration record last read
   std::string record;           // as it was read, for hosts that lack it
   Instant proven{};             // when that record was the newest for certain
+  Instant proof_regained{};     // after nobody had any for a while
   int64_t last_question = 0;
   std::map<int64_t, Instant> questions;  // to peers, and when each was asked
   Instant next_question{};
