Keep the link of a host that is a scheduler no longer

Change: a scheduler keeps links that are up; the other side closes them, or they fall silent. A host that stops takes no other role.

--- a/packages/peers/peer_links.cc
+++ b/packages/peers/peer_links.cc
@@ -142,7 +142,8 @@
   this->options.dial_grace = dial_grace;
 }
 
-void PeerLinks::SetHosts(const std::vector<PeerHost>& hosts) {
+void PeerLinks::SetHosts(const std::vector<PeerHost>& hosts,
+                         Delisted delisted) {
   std::map<HostId, PeerHost> wanted;
   for (const auto& host : hosts) {
     if (host.host != this->options.session.host) {
@@ -157,6 +158,9 @@
   }
   for (const auto& id : gone) {
     Link& link = this->links[id];
+    if (link.up && delisted == Delisted::kKeep) {
+      continue;
+    }
     if (link.session != nullptr) {
       link.session->Close({.kind = ErrorKind::kNotFound,
                            .message = "no longer in the host list"});
--- a/packages/peers/peer_links.h
+++ b/packages/peers/peer_links.h
@@ -94,6 +94,9 @@
   std::map<ErrorKind, uint64_t> closed;
 };
 
+// What becomes of links to hosts that are taken off the list.
+enum class Delisted { kClose, kKeep };
+
 // All links of one host.
 class PeerLinks {
  public:
@@ -109,10 +112,12 @@
   // has to call it.
   void SetPatience(Duration silence_timeout, Duration dial_grace);
 
-  // The hosts to be linked to. Links to hosts taken off the list are closed.
+  // The hosts to be linked to. Links to hosts taken off the list are closed, or
+  // stay until the other side closes them or falls silent.
   // A host that calls without standing in the list is taken all the same: the
   // list lags, and whoever knows the fleet secret is a host of this fleet.
-  void SetHosts(const std::vector<PeerHost>& hosts);
+  void SetHosts(const std::vector<PeerHost>& hosts,
+                Delisted delisted = Delisted::kClose);
 
   // Sends a digest to the linked hosts that its scope is meant for: to those
   // of other data centres for kDataCentre, else to those of this one. The host
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -187,7 +187,10 @@
         return PeerHost{
             .host = host.id, .data_centre = Group(), .address = host.address};
       });
-  this->links->SetHosts(targets);
+  // A scheduler that became an ingress host forwards on the link it had.
+  this->links->SetHosts(targets, this->role == FleetRole::kScheduler
+                                     ? Delisted::kKeep
+                                     : Delisted::kClose);
 }
 
 void FleetPeers::SendDigest() {
@@ -266,8 +269,8 @@
 }
 
 void FleetPeers::TakeList(const StoreReply& reply) {
-  if (reply.revision < this->list_revision) {
-    return;  // a stale answer, and older than the last one
+  if (this->left || reply.revision < this->list_revision) {
+    return;  // this host stops, or the stale answer is older than the last one
   }
   this->list_revision = reply.revision;
   std::vector<FleetHost> hosts;
