--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -210,26 +210,26 @@
   const auto address = [&from](std::string_view section, std::string_view key) {
     return *ParseAddress(from->Text(section, key));
   };
-  RelayHostSettings made{.host = HostId(from->Text("relay", "id")),
-                         .zone = ZoneId(from->Text("relay", "zone")),
-                         .callers = address("listen", "callers"),
-                         .ready = address("listen", "ready"),
-                         .metrics = address("listen", "metrics"),
-                         .peers = address("listen", "peers"),
-                         .capacity = std::llround(
-                             from->Share("relay", "processor_share") *
-                             kThousandths),
-                         .first_start = from->Flag("relay", "first_start"),
-                         .adapter = from->Text("relay", "adapter"),
-                         .store = address("store", "address"),
-                         .store_timeout = from->Length("store", "timeout"),
-                         .duties = address("duties", "address"),
-                         .grace = from->Length("stop", "grace"),
-                         .lease_length = from->Length("duties", "lease"),
-                         .usage_window = from->Length("duties", "usage_window"),
-                         .usage_late = from->Length("duties", "usage_late"),
-                         .relay = ReadRelay(*from),
-                         .source = ReadSource(*from)};
+  RelayHostSettings made{
+      .host = HostId(from->Text("relay", "id")),
+      .zone = ZoneId(from->Text("relay", "zone")),
+      .callers = address("listen", "callers"),
+      .ready = address("listen", "ready"),
+      .metrics = address("listen", "metrics"),
+      .peers = address("listen", "peers"),
+      .capacity =
+          std::llround(from->Share("relay", "processor_share") * kThousandths),
+      .first_start = from->Flag("relay", "first_start"),
+      .adapter = from->Text("relay", "adapter"),
+      .store = address("store", "address"),
+      .store_timeout = from->Length("store", "timeout"),
+      .duties = address("duties", "address"),
+      .grace = from->Length("stop", "grace"),
+      .lease_length = from->Length("duties", "lease"),
+      .usage_window = from->Length("duties", "usage_window"),
+      .usage_late = from->Length("duties", "usage_late"),
+      .relay = ReadRelay(*from),
+      .source = ReadSource(*from)};
   ParseLogLevel(from->Text("log", "level"), made.log_level);
   return made;
 }
--- a/packages/daemon/relay_settings.h
+++ b/packages/daemon/relay_settings.h
@@ -22,7 +22,7 @@
   SocketAddress ready;
   SocketAddress metrics;
   SocketAddress peers;
-  int64_t capacity = 0;  // processor, thousandths of a core
+  int64_t capacity = 0;      // processor, thousandths of a core
   bool first_start = false;  // of the whole fleet, so nobody acted before
   std::string adapter;       // the plug-ins that speak to this platform
   SocketAddress store;
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -66,8 +66,7 @@
  public:
   ConnectedExchange(std::weak_ptr<CallerConnection> connection,
                     CallerMessage message)
-      : CallerExchange(std::move(message)),
-        connection(std::move(connection)) {}
+      : CallerExchange(std::move(message)), connection(std::move(connection)) {}
 
   void Start(const AnswerStart& start) override;
   void Send(std::string_view bytes) override;
@@ -219,8 +218,7 @@
   }
 
   bool IsLast() const {
-    return this->server->draining ||
-           !this->exchange->Message().head.keep_alive;
+    return this->server->draining || !this->exchange->Message().head.keep_alive;
   }
 
   CallerServer* server;
--- a/tests/fleet_topology_test.cc
+++ b/tests/fleet_topology_test.cc
@@ -41,6 +41,11 @@
   return {.ready = true, .keys_proven = true, .version = version};
 }
 
+// The scheduler for the next request; no id if there is none.
+HostId Chosen(const SchedulerChoice& choice) {
+  return choice.Choose({}).value_or(HostId());
+}
+
 FleetEndpoint EngineIn(const std::string& zone, int number) {
   return {.run = {.id = EndpointId(zone + "-e" + std::to_string(number))},
           .zone = ZoneId(zone)};
@@ -177,7 +182,7 @@
   }
   std::map<HostId, int> chosen;
   for (int i = 0; i < 90; ++i) {
-    const HostId to = choice.Choose({}).value();
+    const HostId to = Chosen(choice);
     ++chosen[to];
     choice.OnForwarded(to);
     choice.OnEnded(to);
@@ -233,7 +238,7 @@
   choice.OnNews(HostId("s2"), Serving(1));
   int to_stuck = 0;
   for (int i = 0; i < 100; ++i) {
-    const HostId to = choice.Choose({}).value();
+    const HostId to = Chosen(choice);
     choice.OnForwarded(to);
     if (to == HostId("s1")) {
       ++to_stuck;
@@ -277,7 +282,7 @@
   choice.OnNews(HostId("s2"), Serving(1));
   int to_new = 0;
   for (int i = 0; i < 10; ++i) {
-    const HostId to = choice.Choose({}).value();
+    const HostId to = Chosen(choice);
     to_new += to == HostId("s2") ? 1 : 0;
     choice.OnForwarded(to);
     choice.OnEnded(to);
