--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -93,7 +93,7 @@
   std::unique_ptr<ForwardReceiver> receiver;
   std::vector<FleetHost> subscribers;  // to engines' cache events, in turn
   std::map<HostId, PrefillLoad> peer_loads;  // of the other schedulers
-  SchedulerNews told_news;  // to all ingress hosts that are linked
+  SchedulerNews told_news;                   // to all hosts that are linked
   std::unique_ptr<Timer> news_timer;
   Instant news_due{};
   double lag = 0;  // mean lateness of timers, seconds
