Log the deciding configuration version and the record's read latency

Callers saw configuration changes applied late or reverted, and the logs did not show why: they recorded when a version came into force, but not when it was requested, how large its record was, how many reads were in flight, or which version caused a request to be refused.

Log each configuration record that is read, with its size, age, source and the number of pending polls. The final log line of a request names the configuration version that decided it and the age of the newest proof at its end. A host that changes role logs its own version and the newest version it has learned of.

Add the metrics configuration_version and configuration_proof_age_seconds.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -188,6 +188,13 @@
 }
 
 void RelayDaemon::OnRole(FleetRole role) {
+  LogInfo(
+      kPart,
+      role == FleetRole::kScheduler ? "Switched to the scheduler role."
+                                    : "Switched to the ingress role.",
+      {{"configuration", std::to_string(this->relay->ConfigurationVersion())},
+       {"newest_known",
+        std::to_string(this->forwarder->NewestConfigurationVersion())}});
   if (role == FleetRole::kScheduler) {
     if (this->duties_retired) {
       this->former_duties.push_back(std::move(this->duties));
@@ -542,6 +549,11 @@
                     static_cast<double>(this->duties->UnixMilliseconds() -
                                         this->clock->WallMilliseconds()) /
                         1000);
+  this->metrics.Set("configuration_version",
+                    static_cast<double>(this->relay->ConfigurationVersion()));
+  if (const auto age = this->relay->ProofAge()) {
+    this->metrics.Set("configuration_proof_age_seconds", ToSeconds(*age));
+  }
   this->metrics.Set("requests_waiting",
                     static_cast<double>(this->relay->Waiting()));
   this->metrics.Set("hosts_known", static_cast<double>(this->peers->Listed()));
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -145,9 +145,15 @@
   return this->configuration != nullptr && !this->endpoints.empty();
 }
 
+std::optional<Duration> FleetRelay::ProofAge() const {
+  return this->proven == Instant{}
+             ? std::nullopt
+             : std::optional(this->clock->Now() - this->proven);
+}
+
 bool FleetRelay::KeysProven() const {
-  return this->proven != Instant{} &&
-         this->clock->Now() - this->proven < this->settings.key_proof_limit;
+  const auto age = this->ProofAge();
+  return age && *age < this->settings.key_proof_limit;
 }
 
 void FleetRelay::NoteReading(const ServiceId& service, int64_t tokens) {
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -128,6 +129,15 @@
   // Whether a key may be used now, by the age of the proof.
   bool KeysProven() const;
 
+  // Time since the configuration in force was last confirmed to be the newest;
+  // nullopt if it never was.
+  std::optional<Duration> ProofAge() const;
+
+  // Returns 0 before the first configuration.
+  int64_t ConfigurationVersion() const {
+    return this->configuration ? this->configuration->version : 0;
+  }
+
   // Requests that wait for an answer, of callers here and at other hosts.
   size_t Waiting() const {
     return std::max(this->server.Waiting(), this->requests.size());
--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -165,6 +165,7 @@
     this->record_revision = revision;
     this->record = value;
     this->proven = {};  // what was proven was the record before
+    this->LogConfigurationRead(asked, value.size(), read->version);
     this->handlers.on_configuration(
         std::make_shared<const FleetConfiguration>(std::move(*read)));
   }
@@ -175,6 +176,21 @@
   this->handlers.on_fresh(this->proven);
 }
 
+// The size, age and pending polls distinguish a slow store from a record that
+// takes long to transfer.
+void FleetSource::LogConfigurationRead(Instant asked,
+                                       size_t bytes,
+                                       int64_t version) const {
+  const Duration age = this->clock->Now() - asked;
+  LogInfo(kPart, "Configuration read.",
+          {{"version", std::to_string(version)},
+           {"revision", std::to_string(this->record_revision)},
+           {"bytes", std::to_string(bytes)},
+           {"age_ms", std::to_string(age / std::chrono::milliseconds(1))},
+           {"pending_polls", std::to_string(this->configuration.under_way)},
+           {"source", this->proven_by_peer ? "another host" : "the store"}});
+}
+
 void FleetSource::AskEndpoints(Instant now) {
   this->list.next =
       now + (this->last_list ? this->options.poll : this->options.first_poll);
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -95,6 +95,7 @@
                          int64_t revision,
                          const std::string& value);
   void TakeEndpoints(Instant asked, const StoreReply& reply);
+  void LogConfigurationRead(Instant asked, size_t bytes, int64_t version) const;
   void NoteReachable(bool reachable);
   void NoteProof(bool by_peer, Duration age);
   bool StoreWasAway(Instant now) const;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -461,12 +461,16 @@
   this->stall_timer.reset();
   this->deadline_timer.reset();
   const Duration took = this->relay->clock->Now() - this->arrived;
+  const auto proof_age = this->relay->ProofAge();
   this->relay->Log(
       LogLevel::kInfo, this->request.id, "Answered.",
       {{"outcome", std::string(outcome)},
        {"route", this->route == nullptr ? "" : this->route->name},
        {"account", this->account.Text()},
        {"forwarded_by", this->origin.host.Text()},
+       {"configuration",
+        std::to_string(this->configuration ? this->configuration->version : 0)},
+       {"proof_ms", proof_age ? MillisecondsText(*proof_age) : ""},
        {"sends", std::to_string(this->arrivals)},
        {"first_ms",
         MillisecondsText(this->first_event.value_or(this->arrived + took) -
--- a/packages/relay/request_forwarder.h
+++ b/packages/relay/request_forwarder.h
@@ -48,6 +48,9 @@
   // Whether a scheduler has requests of this host.
   bool HasRequestsAt(const HostId& scheduler) const;
 
+  // The newest configuration version reported by any scheduler.
+  int64_t NewestConfigurationVersion() const { return this->choice.Version(); }
+
   // Whether requests can be served.
   bool Ready() const { return this->choice.Ready(); }
 
