Read a large configuration over a slow link

On slow hosts, callers got 404 for routes that had been added seconds before. A changed configuration record was read up to three times concurrently over one link. Each read was abandoned after a fixed timeout, regardless of what had arrived, and started over, so a record whose transfer outlasts the timeout was never read. The general fault is a fixed deadline on a transfer of growing length, with retries that share its link.

The timeout now restarts with each part of the answer that arrives, up to four times its length in total. No further poll is sent while an answer is arriving, and each version reported by other hosts triggers one poll only. The list of endpoints is read in the same way.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -276,7 +276,7 @@
   // Until the others have it too, ingress hosts send everything to that one.
   const FleetConfigurationPtr& own = this->relay->Configuration();
   if (this->IsScheduler() && own && news.configuration_version > own->version) {
-    this->source->PollConfigurationNow();
+    this->source->PollConfigurationNow(news.configuration_version);
   }
   if (news.configuration_version > 0 && !this->IsScheduler()) {
     this->relay->SetCallerLimits({.head_bytes = news.head_bytes,
--- a/packages/platform/json_client.cc
+++ b/packages/platform/json_client.cc
@@ -9,6 +9,9 @@
 // A whole configuration fits: 64 buckets of a megabyte, in base64.
 constexpr size_t kMaxReply = size_t{96} << 20;
 
+// Limits a call whose timeout restarts on progress to this many timeouts.
+constexpr int kMaxTimeoutFactor = 4;
+
 }  // namespace
 
 // One call under way.
@@ -17,7 +20,10 @@
   std::function<void(JsonReply)> done;
   JsonReply reply;
   HttpExchangePtr exchange;
+  Duration timeout{};
+  std::function<void()> on_progress;
   std::unique_ptr<Timer> deadline;
+  std::unique_ptr<Timer> overall_deadline;  // not extended by progress
 };
 
 JsonClient::JsonClient() = default;
@@ -35,12 +41,16 @@
   auto& call = *(this->pending[id] = std::make_unique<Pending>());
   call.address = request.address;
   call.done = std::move(done);
+  call.timeout = request.timeout;
+  call.on_progress = std::move(request.on_progress);
   // The deadline of the whole call rules; no phase may end it before.
   const HttpTimeouts patience{.connect = request.timeout * 2,
                               .first_byte = request.timeout * 2,
                               .between_bytes = request.timeout * 2};
-  call.deadline =
-      Timer::After(request.timeout, [this, id] { this->GiveUp(id); });
+  const auto give_up = [this, id] { this->GiveUp(id); };
+  call.deadline = Timer::After(request.timeout, give_up);
+  call.overall_deadline =
+      Timer::After(request.timeout * kMaxTimeoutFactor, give_up);
   HttpOutgoing outgoing{.address = request.address,
                         .method = std::move(request.method),
                         .target = std::move(request.target),
@@ -55,6 +65,7 @@
       {.on_head =
            [this, id](const HttpAnswerHead& head) {
              this->pending.at(id)->reply.status = head.status;
+             this->OnProgress(id);
            },
        .on_bytes =
            [this, id](std::string_view bytes) {
@@ -63,7 +74,9 @@
              if (at.reply.body.size() > kMaxReply) {
                at.exchange->Cancel();
                this->TakeEnd(id, HttpEnd::kProtocol, "the answer is too long");
+               return;
              }
+             this->OnProgress(id);
            },
        .on_end =
            [this, id](HttpEnd end, const std::string& detail) {
@@ -71,6 +84,15 @@
            }});
 }
 
+void JsonClient::OnProgress(uint64_t id) {
+  Pending& call = *this->pending.at(id);
+  if (call.on_progress) {
+    call.deadline =
+        Timer::After(call.timeout, [this, id] { this->GiveUp(id); });
+    call.on_progress();
+  }
+}
+
 void JsonClient::TakeEnd(uint64_t id, HttpEnd end, const std::string& detail) {
   if (end == HttpEnd::kWhole) {
     JsonReply reply = std::move(this->pending.at(id)->reply);
--- a/packages/platform/json_client.h
+++ b/packages/platform/json_client.h
@@ -26,6 +26,10 @@
   HttpHeaders headers;
   Duration timeout = std::chrono::seconds(2);  // for the whole call
   bool idempotent = false;                     // may be sent twice
+  // Called for each part of the answer that arrives. If set, each part restarts
+  // the timeout, up to four times its length in total, so that a large answer
+  // is not cut off on a slow link.
+  std::function<void()> on_progress;
   // Asked in the step that hands bytes to the socket; false stops them.
   std::function<bool()> may_send;
 };
@@ -65,6 +69,7 @@
  private:
   struct Pending;
 
+  void OnProgress(uint64_t id);
   void End(uint64_t id, JsonReply reply);
   void TakeEnd(uint64_t id, HttpEnd end, const std::string& detail);
   void GiveUp(uint64_t id);
--- a/packages/platform/key_value_store.h
+++ b/packages/platform/key_value_store.h
@@ -57,6 +57,15 @@
   virtual void Transact(const StoreTransaction& transaction,
                         std::function<void(StoreReply)> done) = 0;
 
+  // Runs a transaction whose answer may be large. `on_progress` is called for
+  // each part of the answer that arrives; implementations may ignore it.
+  virtual void TransactWithProgress(
+      const StoreTransaction& transaction,
+      [[maybe_unused]] std::function<void()> on_progress,
+      std::function<void(StoreReply)> done) {
+    this->Transact(transaction, std::move(done));
+  }
+
   // Asks for a new lease; answers its id.
   virtual void GrantLease(Duration length,
                           std::function<void(Result<int64_t>)> done) = 0;
--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -37,12 +37,10 @@
 
 void FleetSource::Tick() {
   const Instant now = this->clock->Now();
-  if (now >= this->configuration.next &&
-      this->configuration.under_way < this->options.most_under_way) {
+  if (this->ShouldPoll(this->configuration, now)) {
     this->AskConfiguration(now);
   }
-  if (now >= this->list.next &&
-      this->list.under_way < this->options.most_under_way) {
+  if (this->ShouldPoll(this->list, now)) {
     this->AskEndpoints(now);
   }
   if (this->grace_until != Instant{} && now >= this->grace_until) {
@@ -55,6 +53,27 @@
   }
 }
 
+bool FleetSource::ShouldPoll(const Polling& polling, Instant now) const {
+  const bool receiving =
+      polling.under_way > 0 && now - polling.last_progress < this->options.poll;
+  return now >= polling.next && !receiving &&
+         polling.under_way < this->options.most_under_way;
+}
+
+void FleetSource::Read(Polling& polling,
+                       const StoreTransaction& transaction,
+                       std::function<void(StoreReply)> done) {
+  ++polling.under_way;
+  this->store->TransactWithProgress(
+      transaction,
+      [this, &polling] { polling.last_progress = this->clock->Now(); },
+      [&polling, done = std::move(done)](const StoreReply& reply) {
+        --polling.under_way;
+        polling.last_progress = {};
+        done(reply);
+      });
+}
+
 void FleetSource::AskPeers(Instant now) {
   this->next_question = now + this->options.ask_peers_every;
   this->questions[++this->last_question] = now;
@@ -92,10 +111,11 @@
                           answer.record);
 }
 
-void FleetSource::PollConfigurationNow() {
-  if (this->timer &&
-      this->configuration.under_way < this->options.most_under_way) {
-    this->AskConfiguration(this->clock->Now());
+void FleetSource::PollConfigurationNow(int64_t version) {
+  if (this->timer && version > this->newest_reported_version) {
+    this->newest_reported_version = version;
+    this->configuration.next = {};
+    this->Tick();
   }
 }
 
@@ -113,25 +133,25 @@
   this->configuration.next =
       now + (this->record_revision == 0 ? this->options.first_poll
                                         : this->options.poll);
-  ++this->configuration.under_way;
   const int64_t known = this->record_revision;
-  this->store->Transact(this->ReadIfNewer(known), [this, now, known](
-                                                      const StoreReply& reply) {
-    --this->configuration.under_way;
-    const bool unchanged = known > 0 && reply.outcome == StoreOutcome::kThen;
-    const bool answered = unchanged || reply.outcome == StoreOutcome::kThen ||
-                          reply.outcome == StoreOutcome::kOtherwise;
-    this->NoteReachable(answered);
-    if (unchanged) {
-      this->NoteProof(false, this->clock->Now() - now);
-      this->TakeConfiguration(now, known, "");
-    } else if (answered && !reply.records.empty()) {
-      // Without a record, none was written yet.
-      const StoreRecord& read = reply.records.front();
-      this->NoteProof(false, this->clock->Now() - now);
-      this->TakeConfiguration(now, read.mod_revision, read.value);
-    }
-  });
+  this->Read(this->configuration, this->ReadIfNewer(known),
+             [this, now, known](const StoreReply& reply) {
+               const bool unchanged =
+                   known > 0 && reply.outcome == StoreOutcome::kThen;
+               const bool answered = unchanged ||
+                                     reply.outcome == StoreOutcome::kThen ||
+                                     reply.outcome == StoreOutcome::kOtherwise;
+               this->NoteReachable(answered);
+               if (unchanged) {
+                 this->NoteProof(false, this->clock->Now() - now);
+                 this->TakeConfiguration(now, known, "");
+               } else if (answered && !reply.records.empty()) {
+                 // Without a record, none was written yet.
+                 const StoreRecord& read = reply.records.front();
+                 this->NoteProof(false, this->clock->Now() - now);
+                 this->TakeConfiguration(now, read.mod_revision, read.value);
+               }
+             });
 }
 
 // Once a record is known, a condition that it hasn't changed is as good a proof
@@ -194,15 +214,14 @@
 void FleetSource::AskEndpoints(Instant now) {
   this->list.next =
       now + (this->last_list ? this->options.poll : this->options.first_poll);
-  ++this->list.under_way;
-  this->store->Transact({.then = {{.kind = StoreOperation::Kind::kGetPrefix,
-                                   .key = this->records->EndpointPrefix()}}},
-                        [this, now](const StoreReply& reply) {
-                          --this->list.under_way;
-                          if (reply.outcome == StoreOutcome::kThen) {
-                            this->TakeEndpoints(now, reply);
-                          }
-                        });
+  this->Read(this->list,
+             {.then = {{.kind = StoreOperation::Kind::kGetPrefix,
+                        .key = this->records->EndpointPrefix()}}},
+             [this, now](const StoreReply& reply) {
+               if (reply.outcome == StoreOutcome::kThen) {
+                 this->TakeEndpoints(now, reply);
+               }
+             });
 }
 
 void FleetSource::TakeEndpoints(Instant asked, const StoreReply& reply) {
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -29,7 +29,8 @@
   // The first reads come faster: until they are answered nothing is served.
   Duration first_poll = std::chrono::milliseconds(250);
   // Reads of one kind under way at once. While the service is slow, the next
-  // read is asked before the last one is answered.
+  // read is asked before the last one is answered, except while an answer is
+  // arriving, as both would share the link.
   int64_t most_under_way = 3;
   // Entries that lapsed while the service was away are back within this time
   // after its return; what is missing after that is gone.
@@ -78,15 +79,21 @@
   // when this host asked.
   void TakeAnswer(const FreshnessAnswer& answer);
 
-  // Another host has a newer configuration: reads it without waiting for the
-  // next poll.
-  void PollConfigurationNow();
+  // Reads a newer configuration version that another host has reported, without
+  // waiting for the next poll. Further reports of that version are ignored.
+  void PollConfigurationNow(int64_t version);
 
   // Another host has heard from the store that a run leaves.
   void LearnLeaving(const EndpointRun& run);
 
  private:
+  struct Polling;
+
   void Tick();
+  bool ShouldPoll(const Polling& polling, Instant now) const;
+  void Read(Polling& polling,
+            const StoreTransaction& transaction,
+            std::function<void(StoreReply)> done);
   void AskConfiguration(Instant now);
   StoreTransaction ReadIfNewer(int64_t known) const;
   void AskEndpoints(Instant now);
@@ -106,7 +113,8 @@
   struct Polling {
     Instant next{};
     int64_t under_way = 0;
-    int64_t revision = -1;  // of the newest answer that was taken
+    int64_t revision = -1;    // of the newest answer that was taken
+    Instant last_progress{};  // when a part of an answer last arrived
   };
 
   FleetSourceOptions options;
@@ -118,8 +126,9 @@
   Polling list;
   int64_t record_revision = 0;  // of the configuration record last read
   std::string record;           // as it was read, for hosts that lack it
-  Instant proven{};             // when that record was the newest for certain
-  Instant proof_regained{};     // after nobody had any for a while
+  int64_t newest_reported_version = 0;  // by other hosts
+  Instant proven{};          // when that record was the newest for certain
+  Instant proof_regained{};  // after nobody had any for a while
   int64_t last_question = 0;
   std::map<int64_t, Instant> questions;  // to peers, and when each was asked
   Instant next_question{};
