Do not serve state read in an earlier role

A host that became a scheduler again served the configuration of its previous term until it had read a newer one. In the test, it answers 404 for a route that callers had been using through it. It also treated endpoints that had left in the meantime as entries that lapsed in an outage, and kept them. State from before the pause was considered current.

After a change of role, a host now serves only once the configuration has been proven and the endpoints have been listed again.

Both tests failed before. host_test DoesNotServeAConfigurationReadInAnEarlierRole: 404 instead of 503. fleet_test DiscardsEndpointsOnRestart: the endpoint was still listed after 150 ms.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -203,6 +203,7 @@
     }
     this->FollowCaches();
     this->source->Start();
+    this->relay->RequireRefresh();
     this->duties->Start();
     this->news_due = this->clock->Now() + kNewsPeriod;
     this->news_timer = Timer::Every(kNewsPeriod, [this] {
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -91,6 +91,7 @@
     }
   }
   this->endpoints = listed;
+  this->endpoints_refreshed = true;
   this->placement.SetEndpoints(listed);
   this->cache_feed.SetEndpoints(listed);
 }
@@ -141,8 +142,18 @@
   this->proven = std::max(this->proven, at);
 }
 
+void FleetRelay::RequireRefresh() {
+  this->refresh_required_at = this->clock->Now();
+  this->endpoints_refreshed = false;
+}
+
+bool FleetRelay::Refreshed() const {
+  return this->configuration != nullptr &&
+         this->proven >= this->refresh_required_at && this->endpoints_refreshed;
+}
+
 bool FleetRelay::Ready() const {
-  return this->configuration != nullptr && !this->endpoints.empty();
+  return this->Refreshed() && !this->endpoints.empty();
 }
 
 std::optional<Duration> FleetRelay::ProofAge() const {
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -111,6 +111,10 @@
   // The configuration in force was the newest at that moment.
   void ProveFresh(Instant at);
 
+  // Stops serving until the configuration has been proven and the endpoints
+  // have been listed again.
+  void RequireRefresh();
+
   // Changes the retry budget and the age that proof may have. Placing keeps
   // what it has learned, so its options take a start.
   void SetLimits(const WindowBudgetOptions& retries, Duration proof_limit);
@@ -123,7 +127,8 @@
   void RefuseNew() { this->refusing = true; }
   bool Refusing() const { return this->refusing; }
 
-  // Whether requests can be served: a configuration and endpoints are known.
+  // Whether requests can be served: a configuration and endpoints are known,
+  // and both are newer than the last RequireRefresh.
   bool Ready() const;
 
   // Whether a key may be used now, by the age of the proof.
@@ -157,6 +162,10 @@
  private:
   friend class RelayedRequest;
 
+  // Whether a configuration is known and has been proven, and the endpoints
+  // have been listed, since the last RequireRefresh.
+  bool Refreshed() const;
+
   // Tells placing what each service allows to this host.
   void ShareServices();
 
@@ -186,6 +195,8 @@
   FleetEndpoints endpoints;
   int64_t hosts = 0;  // the most ever listed; 0: not known yet
   Instant proven{};
+  Instant refresh_required_at{};    // of the last RequireRefresh
+  bool endpoints_refreshed = true;  // since then
   bool refusing = false;
   std::map<ServiceId, DecayingRate> read_tokens;
   std::set<std::shared_ptr<RelayedRequest>> requests;
--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -31,6 +31,13 @@
       handlers(std::move(handlers)) {}
 
 void FleetSource::Start() {
+  this->started_at = this->clock->Now();
+  this->proven = {};
+  this->last_list.reset();
+  this->grace_until = {};
+  this->listed.clear();
+  this->endpoints.clear();
+  this->endpoints_published = false;
   this->timer = Timer::Every(kTick, [this] { this->Tick(); });
   this->Tick();
 }
@@ -225,8 +232,8 @@
 }
 
 void FleetSource::TakeEndpoints(Instant asked, const StoreReply& reply) {
-  if (reply.revision < this->list.revision) {
-    return;  // answers may overtake each other
+  if (reply.revision < this->list.revision || asked < this->started_at) {
+    return;  // out of order, or requested before Start()
   }
   this->list.revision = reply.revision;
   const Instant now = this->clock->Now();
@@ -264,7 +271,8 @@
 
 void FleetSource::PublishEndpoints(Instant now) {
   const FleetEndpoints visible = this->VisibleEndpoints(now);
-  if (visible != this->endpoints) {
+  if (visible != this->endpoints || !this->endpoints_published) {
+    this->endpoints_published = true;
     this->endpoints = visible;
     this->handlers.on_endpoints(this->endpoints);
   }
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -62,7 +62,8 @@
               const FleetRecords& records,
               FleetSourceHandlers handlers);
 
-  // Starts to read, and stops. What is known then stays.
+  // Starts and stops reading. Starting again keeps the known configuration but
+  // discards its proof and the endpoints.
   void Start();
   void Stop() { this->timer.reset(); }
 
@@ -132,12 +133,14 @@
   int64_t last_question = 0;
   std::map<int64_t, Instant> questions;  // to peers, and when each was asked
   Instant next_question{};
+  Instant started_at{};
   bool proven_by_peer = false;  // and not by the store itself
   std::optional<Instant> last_list;
   Instant grace_until{};
   FleetEndpoints listed;              // as read last
   std::set<EndpointId> listed_since;  // in the grace after an outage
   FleetEndpoints endpoints;
+  bool endpoints_published = false;  // since Start()
   std::set<EndpointRun> leaving;  // runs that said they leave, or were told to
   bool reachable = false;
   std::unique_ptr<Timer> timer;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -100,7 +100,7 @@
   if (this->relay->refusing) {
     return Error{ErrorKind::kShuttingDown, "this host stops", Duration{}};
   }
-  if (!this->configuration) {
+  if (!this->relay->Refreshed()) {
     return Error{ErrorKind::kNoEndpoint, "no configuration yet",
                  std::chrono::milliseconds(300)};
   }
