Never forward to a scheduler behind this host's own configuration

A host that had applied a newer configuration version itself and then became an ingress host could forward to schedulers that lacked it, so its callers saw the change undone. Only versions reported by schedulers were considered. The host's own version is now considered as well.

The new test does not compile without the change, since it uses a new method.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -158,6 +158,7 @@
       FleetSourceHandlers{
           .on_configuration =
               [this](FleetConfigurationPtr read) {
+                this->forwarder->NoteAppliedVersion(read->version);
                 this->relay->SetConfiguration(std::move(read));
                 this->TellNews();
               },
@@ -202,8 +203,8 @@
       this->duties_retired = false;
     }
     this->FollowCaches();
-    this->source->Start();
     this->relay->RequireRefresh();
+    this->source->Start();
     this->duties->Start();
     this->news_due = this->clock->Now() + kNewsPeriod;
     this->news_timer = Timer::Every(kNewsPeriod, [this] {
--- a/packages/decisions/scheduler_choice.cc
+++ b/packages/decisions/scheduler_choice.cc
@@ -43,6 +43,10 @@
   this->version = std::max(this->version, told.version);
 }
 
+void SchedulerChoice::NoteAppliedVersion(int64_t applied_version) {
+  this->version = std::max(this->version, applied_version);
+}
+
 void SchedulerChoice::OnLost(const HostId& scheduler) {
   const auto found = this->states.find(scheduler);
   if (found != this->states.end()) {
--- a/packages/decisions/scheduler_choice.h
+++ b/packages/decisions/scheduler_choice.h
@@ -37,6 +37,10 @@
   // What a linked scheduler told of itself.
   void OnNews(const HostId& scheduler, const SchedulerState& told);
 
+  // Notes that this host has applied a configuration version itself. Schedulers
+  // with an older one are no longer chosen.
+  void NoteAppliedVersion(int64_t applied_version);
+
   // A scheduler's link is gone.
   void OnLost(const HostId& scheduler);
 
@@ -50,7 +54,7 @@
   // Whether any scheduler serves.
   bool Ready() const { return this->Choose({}).has_value(); }
 
-  // The newest version that any scheduler told of.
+  // The newest version that any scheduler told of or this host applied.
   int64_t Version() const { return this->version; }
 
  private:
--- a/packages/relay/request_forwarder.h
+++ b/packages/relay/request_forwarder.h
@@ -45,10 +45,16 @@
   void OnAnswer(const HostId& from, const ForwardedAnswer& part);
   void OnLost(const HostId& scheduler);
 
+  // Notes that this host has applied a configuration version itself.
+  void NoteAppliedVersion(int64_t version) {
+    this->choice.NoteAppliedVersion(version);
+  }
+
   // Whether a scheduler has requests of this host.
   bool HasRequestsAt(const HostId& scheduler) const;
 
-  // The newest configuration version reported by any scheduler.
+  // The newest configuration version reported by any scheduler or applied by
+  // this host.
   int64_t NewestConfigurationVersion() const { return this->choice.Version(); }
 
   // Whether requests can be served.
--- a/tests/fleet_topology_test.cc
+++ b/tests/fleet_topology_test.cc
@@ -218,6 +218,18 @@
   CHECK(choice.Ready());
 }
 
+// Guards against forwarding to a scheduler whose configuration is older than
+// one that this host has already applied.
+TEST(SchedulerChoice, NeverChoosesASchedulerBehindThisHost) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers({Host("s1", "a", 500)});
+  choice.OnNews(HostId("s1"), Serving(4));
+  choice.NoteAppliedVersion(5);
+  CHECK(!choice.Ready());
+  choice.OnNews(HostId("s1"), Serving(5));
+  CHECK(choice.Choose({}) == HostId("s1"));
+}
+
 // Guards against refused keys while another scheduler could check them.
 TEST(SchedulerChoice, PrefersSchedulersThatCanTrustKeys) {
   SchedulerChoice choice(ZoneId("a"));
