Answer "not run" only if the request cannot have run

If a look-up had been sent and had failed, and keys could not be trusted when it was due to be sent again, it was answered with 503 (not run) although it may have run. It is now answered with 502. A single function ends every request that cannot be sent or sent again.

relay_test DoesNotAnswerNotRunIfTheRequestMayHaveRun failed before, with 503.

--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -177,15 +177,12 @@
   left.begun = this->StreamBegun() || this->may_have_run;
   const Verdict verdict = this->relay->placement.Place(now, left, this->tried);
   if (const auto* refused = std::get_if<Refused>(&verdict)) {
-    if (this->StreamBegun()) {
-      this->BreakOff(refused->reason);
-    } else if (this->may_have_run) {
-      this->AnswerError(ErrorKind::kEndpointFailed, refused->reason);
-    } else {
-      this->RefuseNotRun(refused->reason,
-                         this->relay->placement.OnRefused(
-                             now, this->service, refused->retry_after));
-    }
+    const bool not_run = !this->StreamBegun() && !this->may_have_run;
+    this->FailWithoutSending(ErrorKind::kNoEndpoint, refused->reason,
+                             not_run
+                                 ? this->relay->placement.OnRefused(
+                                       now, this->service, refused->retry_after)
+                                 : Duration{});
     return;
   }
   const Placed& placed = std::get<Placed>(verdict);
@@ -267,14 +264,11 @@
                           const EndpointCall& call,
                           const SentWork& work) {
   const Instant now = this->relay->clock->Now();
-  // The key may have been withdrawn while the request waited.
+  // The key may have been revoked since the request was admitted.
   if (!this->account.Empty() && !this->relay->KeysProven()) {
     this->DropHandle();
-    if (this->StreamBegun()) {
-      this->BreakOff("the configuration may be outdated");
-    } else {
-      this->RefuseNotRun("the configuration may be outdated", kProofReturn);
-    }
+    this->FailWithoutSending(ErrorKind::kNoEndpoint,
+                             "the configuration may be outdated", kProofReturn);
     return;
   }
   EndpointCall whole = call;
@@ -327,13 +321,7 @@
     this->Place();
     return;
   }
-  if (this->StreamBegun()) {
-    this->BreakOff(why);
-  } else if (this->may_have_run) {
-    this->AnswerError(ErrorKind::kEndpointFailed, why);
-  } else {
-    this->RefuseNotRun(why, kLeastReturn);
-  }
+  this->FailWithoutSending(ErrorKind::kNoEndpoint, why, kLeastReturn);
 }
 
 void RelayedRequest::ArmStall() {
@@ -448,6 +436,22 @@
       std::clamp(retry_after, Duration{}, std::max(most, Duration{})));
 }
 
+// Answers "not run" only if no endpoint can have run the request, as the caller
+// may then safely repeat it.
+void RelayedRequest::FailWithoutSending(ErrorKind kind,
+                                        std::string_view why,
+                                        Duration retry_after) {
+  if (this->StreamBegun()) {
+    this->BreakOff(why);
+  } else if (this->may_have_run) {
+    this->AnswerError(ErrorKind::kEndpointFailed, why);
+  } else if (kind == ErrorKind::kNoEndpoint) {
+    this->RefuseNotRun(why, retry_after);
+  } else {
+    this->AnswerError(kind, why);
+  }
+}
+
 void RelayedRequest::BreakOff(std::string_view why) {
   this->caller->Break();
   this->Over("broken off: " + std::string(why));
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -99,6 +99,9 @@
                    std::string_view why,
                    std::optional<Duration> retry_after = {});
   void RefuseNotRun(std::string_view why, Duration retry_after);
+  void FailWithoutSending(ErrorKind kind,
+                          std::string_view why,
+                          Duration retry_after);
   void BreakOff(std::string_view why);
   void Over(std::string_view outcome);
 
