Check the API key again before each send

A retried request used its key according to the configuration in force when it was admitted, so a key revoked in the meantime still worked for it. The key is now checked against the current configuration before each send. If it has been revoked, the caller gets 401 and nothing is sent.

relay_test DoesNotRetryWithARevokedKey failed before: the second endpoint got the request.

--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -162,6 +162,14 @@
   return {};
 }
 
+bool RelayedRequest::KeyStillValid() const {
+  const FleetConfiguration& current = *this->relay->configuration;
+  const RelayAccount* holder =
+      current.FindAccount(this->request.key.value_or(""));
+  return !current.keys_required ||
+         (holder != nullptr && holder->id == this->account);
+}
+
 Duration RelayedRequest::Left() const {
   return this->deadline - this->relay->clock->Now();
 }
@@ -271,6 +279,11 @@
                              "the configuration may be outdated", kProofReturn);
     return;
   }
+  if (!this->account.Empty() && !this->KeyStillValid()) {
+    this->DropHandle();
+    this->FailWithoutSending(ErrorKind::kBadKey, "API key revoked", {});
+    return;
+  }
   EndpointCall whole = call;
   whole.endpoint = next.endpoint.run.id;
   const Duration left = std::max(this->Left() - kWayBack, Duration{});
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -62,6 +62,7 @@
   std::optional<Error> Admit();
   void TakeOver();
   std::optional<Error> CheckKey();
+  bool KeyStillValid() const;
   void Place();
   bool MaySendAgain();
   bool MayPrefillApart();
