Close the connection when a response is cancelled

In a run that hung, the caller's socket was still open with 108 KB unread.

Cause: cancelling only aborts a read in progress. With no read in progress (the exchange was paused, or the read had just finished), nothing closed the stream until the exchange was destroyed.

Fix: an exchange that is over releases its stream.

--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -222,6 +222,7 @@
       soup_session_send_finish(this->pool->session.get(), result, &error));
   const ErrorPtr owned(error);
   if (this->over) {
+    this->stream.reset();
     return;
   }
   if (error != nullptr) {
@@ -263,6 +264,7 @@
       g_input_stream_read_bytes_finish(this->stream.get(), result, &error));
   const ErrorPtr owned(error);
   if (this->over) {
+    this->stream.reset();
     return;
   }
   if (error != nullptr) {
@@ -325,6 +327,10 @@
   this->timer.reset();
   if (end != HttpEnd::kWhole) {
     g_cancellable_cancel(this->cancellable.get());
+    // With no read in progress, cancelling does not close the connection.
+    if (!this->reading) {
+      this->stream.reset();
+    }
   }
   const auto call = std::exchange(this->events, {}).on_end;
   if (call) {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -154,6 +154,31 @@
 
 }  // namespace
 
+// Guards against a connection that stays open after a cancel with no read in
+// progress, for as long as the exchange object is kept alive.
+TEST(Http, CancellingAPausedAnswerClosesItsConnection) {
+  std::promise<void> gone;
+  Pair pair([&gone](const HttpCallPtr& call) {
+    call->OnGone([&gone] { gone.set_value(); });
+    call->StartStream(200, {});
+    call->Write("begun");
+  });
+  HttpExchangePtr exchange;
+  std::promise<void> bytes_received;
+  pair.client_task.Call([&] {
+    exchange = pair.client->Send({.address = pair.address},
+                                 {.on_bytes = [&](std::string_view) {
+                                   exchange->Pause();
+                                   bytes_received.set_value();
+                                 }});
+  });
+  bytes_received.get_future().wait();
+  pair.client_task.Call([&] { exchange->Cancel(); });
+  CHECK(gone.get_future().wait_for(std::chrono::seconds(5)) ==
+        std::future_status::ready);
+  pair.client_task.Call([&] { exchange.reset(); });
+}
+
 TEST(Http, RefusesABodyThatIsTooLong) {
   CHECK(Begins(RawAnswer(kPost + "Content-Length: 1000\r\n\r\n" +
                          std::string(1000, 'x')),
