--- a/packages/platform/key_value_store.h
+++ b/packages/platform/key_value_store.h
@@ -61,7 +61,7 @@
   // each part of the answer that arrives; implementations may ignore it.
   virtual void TransactWithProgress(
       const StoreTransaction& transaction,
-      [[maybe_unused]] std::function<void()> on_progress,
+      [[maybe_unused]] const std::function<void()>& on_progress,
       std::function<void(StoreReply)> done) {
     this->Transact(transaction, std::move(done));
   }
