--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -82,6 +82,54 @@
   }
 };
 
+// HTTP server that streams the same body in response to every call, one part
+// every 150 ms.
+class SlowService {
+ public:
+  SlowService(const std::string& body, size_t part_size) {
+    this->task.Call([&] {
+      this->server = std::make_unique<HttpServer>(
+          HttpServerOptions{},
+          [this, body, part_size](const HttpCallPtr& call) {
+            this->Answer(call, body, part_size);
+          });
+      this->address = this->server->Start().value();
+    });
+  }
+  ~SlowService() {
+    this->task.Call([this] {
+      this->timers.clear();
+      this->server.reset();
+    });
+  }
+
+  const SocketAddress& Address() const { return this->address; }
+
+ private:
+  void Answer(const HttpCallPtr& call,
+              const std::string& body,
+              size_t part_size) {
+    call->StartStream(200, {});
+    this->timers.push_back(Timer::Every(
+        std::chrono::milliseconds(150),
+        [call, part_size, remaining = std::make_shared<std::string>(body)] {
+          if (remaining->empty()) {
+            return;
+          }
+          call->Write(remaining->substr(0, part_size));
+          remaining->erase(0, part_size);
+          if (remaining->empty()) {
+            call->EndStream();
+          }
+        }));
+  }
+
+  Task task{"slow service"};
+  std::unique_ptr<HttpServer> server;
+  std::vector<std::unique_ptr<Timer>> timers;
+  SocketAddress address;
+};
+
 // A watch on the store's task, with what it saw.
 class WatchLog {
  public:
@@ -234,42 +282,27 @@
       R"({"header":{"revision":"3"},"kvs":[{"key":"L2E=","value":"eA==",)"
       R"("create_revision":"2","mod_revision":"3"}],"count":"1"})";
   constexpr size_t kParts = 6;
-  Task task("service");
-  std::unique_ptr<HttpServer> server;
-  std::vector<std::unique_ptr<Timer>> timers;
-  SocketAddress address;
-  const auto handler = [&](const HttpCallPtr& call) {
-    call->StartStream(200, {});
-    timers.push_back(Timer::Every(
-        std::chrono::milliseconds(150),
-        [&body, call, remaining = std::make_shared<std::string>(body)] {
-          if (remaining->empty()) {
-            return;
-          }
-          const size_t part_size = body.size() / kParts + 1;
-          call->Write(remaining->substr(0, part_size));
-          remaining->erase(0, part_size);
-          if (remaining->empty()) {
-            call->EndStream();
-          }
-        }));
-  };
-  task.Call([&] {
-    server = std::make_unique<HttpServer>(HttpServerOptions{}, handler);
-    address = server->Start().value();
-  });
+  SlowService service(body, body.size() / kParts + 1);
   Fixture f;
-  const auto reader = f.Connect({address});
-  const StoreReply read = reader->Transact(Get("/a"));
-  task.Call([&] {
-    timers.clear();
-    server.reset();
-  });
+  const StoreReply read = f.Connect({service.Address()})->Transact(Get("/a"));
   CHECK(read.outcome == StoreOutcome::kThen);
   LONGS_EQUAL(1, read.records.size());
   STRCMP_EQUAL("x", read.records.front().value.c_str());
 }
 
+// Guards against a read that never times out because each part of the response
+// restarts its timeout.
+TEST(EtcdStore, GivesUpOnAnEndlessAnswer) {
+  SlowService service(std::string(1000, ' '), 1);
+  Fixture f;
+  const auto started = std::chrono::steady_clock::now();
+  const StoreReply read = f.Connect({service.Address()})->Transact(Get("/a"));
+  CHECK(read.outcome != StoreOutcome::kThen);
+  const auto took = std::chrono::steady_clock::now() - started;
+  CHECK(took > std::chrono::seconds(1));
+  CHECK(took < kPatience);
+}
+
 // In an outage every filing needs a claim that can't be had. Each would wait
 // for its whole time limit before it is refused; once the outage is known,
 // refusals come at once and the service isn't flooded when it comes back.
