Forward requests while another scheduler has a newer configuration

Clients of a scheduler that was slow to load a new configuration were refused on newly added routes, although the host knew that other schedulers already had them.

Only ingress hosts compared configuration versions; a scheduler served its own clients from the configuration it had. A scheduler now forwards such requests to a scheduler that has reported a newer version, as an ingress host does, until it has loaded that version. If no such scheduler is available, it serves from the configuration it has.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -222,10 +222,15 @@
   this->FollowCaches();
 }
 
-// A host that has become a scheduler forwards until it has read what it needs.
+// A scheduler forwards requests until it is ready to serve, and while another
+// scheduler reports a newer configuration version: loading a large
+// configuration can take more than a second on a slow host.
 void RelayDaemon::OnCaller(const CallerExchangePtr& caller) {
-  const bool serves = this->IsScheduler() &&
-                      (this->relay->Ready() || !this->forwarder->Ready());
+  const bool up_to_date =
+      this->relay->Ready() && this->relay->ConfigurationVersion() >=
+                                  this->forwarder->NewestConfigurationVersion();
+  const bool serves =
+      this->IsScheduler() && (up_to_date || !this->forwarder->Ready());
   const bool forwards = !serves && !this->relay->Refusing();
   if (forwards) {
     this->forwarder->OnRequest(caller);
