Arm the overall deadline of a call only where progress extends it

Every call to the platform armed a second timer, although without a progress handler the first deadline always fires before it. No change in behaviour.

--- a/packages/platform/json_client.cc
+++ b/packages/platform/json_client.cc
@@ -49,8 +49,10 @@
                               .between_bytes = request.timeout * 2};
   const auto give_up = [this, id] { this->GiveUp(id); };
   call.deadline = Timer::After(request.timeout, give_up);
-  call.overall_deadline =
-      Timer::After(request.timeout * kMaxTimeoutFactor, give_up);
+  if (call.on_progress) {
+    call.overall_deadline =
+        Timer::After(request.timeout * kMaxTimeoutFactor, give_up);
+  }
   HttpOutgoing outgoing{.address = request.address,
                         .method = std::move(request.method),
                         .target = std::move(request.target),
