Decide how the limits of client accounts hold across hosts

An account's token bucket is split among the schedulers. Tokens are only ever moved: pooled at one host for each account, which pulls from the others and grants to them. So no order of lost, late or repeated messages, restarts and cuts makes any.

--- /dev/null
+++ b/bench/limit_world.h
@@ -0,0 +1,203 @@
+// A fleet of hosts in virtual time that hold client accounts to their limits:
+// the decision classes of the daemon, messages that are late, lost or repeated,
+// partitions, and a key-value service whose answers may be lost.
+//
+//   LimitWorld world({.hosts = 6, .limits = {{AccountId("a"), limit}}});
+//   world.Start();
+//   world.Offer(host, account, cost);
+//   world.Run(seconds);
+//   world.MostIn(account, window);
+//
+// Index
+//   LimitWorldOptions   the fleet
+//   LimitTally          what became of an account's requests
+//   CountingLimiter     a baseline: counts are exchanged, tokens aren't moved
+//   LimitWorld          the fleet in virtual time
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "decisions/account_limiter.h"
+#include "decisions/limit_shares.h"
+
+namespace hickorystand {
+
+struct LimitWorldOptions {
+  int hosts = 6;
+  AccountLimits limits;
+  LimitOptions how;
+  bool counting = false;  // CountingLimiter decides instead
+  LimitSharesOptions shares;
+  Duration delay = std::chrono::milliseconds(2);        // of a message
+  Duration store_delay = std::chrono::milliseconds(8);  // of a call
+  Duration silence = std::chrono::milliseconds(2600);   // until a link ends
+  Duration lease = std::chrono::seconds(10);  // of a host's record in the list
+  Duration tick = std::chrono::milliseconds(20);
+  double lost = 0;      // part of messages
+  double repeated = 0;  // part of messages
+  double late = 0;      // part of messages, by up to a second
+  uint32_t seed = 1;
+};
+
+// Requests of one account, and their cost.
+struct LimitTally {
+  int64_t offered = 0;
+  int64_t admitted = 0;
+  int64_t refused = 0;
+  double admitted_cost = 0;
+
+  auto operator<=>(const LimitTally&) const = default;
+};
+
+// Every host counts against the whole limit what it admits and what others say
+// that they admitted. While others are silent it keeps to the parts of those
+// that it hears.
+class CountingLimiter {
+ public:
+  explicit CountingLimiter(const AccountLimits& limits) : limits(limits) {}
+
+  bool Take(Instant now, const LimitAsk& ask, double heard);
+  void OnCounts(Instant now, const std::map<AccountId, double>& admitted);
+  std::map<AccountId, double> TakeCounts();
+
+ private:
+  struct Bucket {
+    double tokens = 0;
+    Instant at{};
+  };
+  Bucket& Count(Instant now, const AccountId& account, double heard);
+
+  AccountLimits limits;
+  std::map<AccountId, Bucket> buckets;
+  std::map<AccountId, double> untold;
+};
+
+class LimitWorld {
+ public:
+  explicit LimitWorld(LimitWorldOptions options);
+
+  // All hosts start as schedulers, and the world runs until each has a share.
+  void Start();
+
+  void Run(double seconds);
+
+  // A request comes to a host now.
+  void Offer(int host,
+             const AccountId& account,
+             int64_t cost,
+             int64_t priority = 0);
+
+  // No messages between two hosts, or between a host and the service.
+  void Cut(int one, int other);
+  void CutStore(int host);
+  void HealAll();
+
+  void Kill(int host);
+  void Restart(int host);
+  void Freeze(int host);
+  void Thaw(int host);
+  void SetScheduler(int host, bool schedules);
+  void SetLimits(int host, const AccountLimits& limits);
+  void GiveBack(int host, const AccountId& account, int64_t cost);
+
+  // The service doesn't answer, or carries writes out but loses the answers.
+  void SetStoreDown(bool down) { this->store_down = down; }
+  void SetAnswersLost(bool lost) { this->answers_lost = lost; }
+  // Writes take effect this much later than they were sent.
+  void SetWritesLate(Duration late) { this->writes_late = late; }
+
+  bool IsUp(int host) const { return this->At(host).up; }
+  double Own(int host) const;
+
+  // The sum of all hosts' parts of the limits.
+  double OwnSum() const;
+
+  // The highest cost admitted in any window of so many seconds.
+  double MostIn(const AccountId& account, double window) const;
+
+  const LimitTally& Tally(const AccountId& account) {
+    return this->tallies[account];
+  }
+  void ResetTallies() { this->tallies.clear(); }
+
+  int64_t Messages() const { return this->messages; }
+  int64_t Entries() const { return this->entries; }
+  Instant Now() const { return this->now; }
+
+  // Takes each of the events that are due in this order from now on; 0: the
+  // first, as usual. For searches through all orders.
+  void SetOrder(std::function<size_t(size_t due)> pick) {
+    this->pick = std::move(pick);
+  }
+
+ private:
+  struct Host {
+    HostId id;
+    bool up = false;
+    bool frozen = false;
+    bool scheduler = false;
+    std::optional<Instant> store_cut;  // since
+    int64_t process = 0;
+    AccountLimits limits;
+    std::unique_ptr<LimitShares> shares;
+    std::unique_ptr<AccountLimiter> limiter;
+    std::unique_ptr<CountingLimiter> counter;
+    std::map<int, Instant> unheard_since;
+    std::map<int64_t, LimitAsk> waiting;
+    std::map<int, int64_t> told;
+    std::vector<std::function<void()>> held_up;  // while frozen
+  };
+
+  Host& At(int host) { return this->hosts[static_cast<size_t>(host)]; }
+  const Host& At(int host) const {
+    return this->hosts[static_cast<size_t>(host)];
+  }
+  void Later(Duration delay, std::function<void()> happen);
+  void OnHost(int host, int64_t process, std::function<void()> happen);
+  bool Reach(int one, int other) const;
+  std::vector<HostId> Linked(int host);
+  std::set<HostId> Present(int host);
+  void Begin(int host);
+  void Tick(int host);
+  void CallStore(int host);
+  StoreReply Carry(const StoreTransaction& transaction);
+  void Send(int from,
+            const HostId& to,
+            const std::function<void(int)>& deliver);
+  void TellRevision(int host);
+  void Flush(int host);
+  void Admit(const AccountId& account, int64_t cost);
+  double Random() {
+    return std::uniform_real_distribution<double>()(this->random);
+  }
+
+  LimitWorldOptions options;
+  std::mt19937 random;
+  std::vector<Host> hosts;
+  std::set<std::pair<int, int>> cuts;
+  std::multimap<Instant, std::function<void()>> events;
+  int64_t last_process = 0;
+  int64_t last_ask = 0;
+  Instant now = Instant(std::chrono::seconds(1000));
+  std::optional<StoreRecord> record;
+  int64_t revision = 100;
+  bool store_down = false;
+  bool answers_lost = false;
+  Duration writes_late{};
+  int64_t messages = 0;
+  int64_t entries = 0;
+  std::map<AccountId, LimitTally> tallies;
+  std::map<AccountId, std::vector<std::pair<Instant, double>>> admitted;
+  std::function<size_t(size_t)> pick;
+};
+
+}  // namespace hickorystand
--- /dev/null
+++ b/bench/limits.cmake
@@ -0,0 +1,5 @@
+add_library(limit_world STATIC bench/limit_world.cc)
+target_include_directories(limit_world PUBLIC bench)
+target_link_libraries(limit_world PUBLIC hs_kernel hs_decisions)
+add_executable(limits_bench bench/limits_bench.cc)
+target_link_libraries(limits_bench PRIVATE limit_world)
--- /dev/null
+++ b/bench/limits_bench.cc
@@ -0,0 +1,207 @@
+// Compares ways to hold the limits of client accounts across hosts, in virtual
+// time: equal parts, parts moved between all hosts, parts pooled at a home, and
+// counts that hosts exchange. Writes a table to standard output.
+//
+//   limits_bench [--seeds N]
+
+#include <array>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <functional>
+#include <string>
+
+#include "limit_world.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr double kWindow = 8;  // seconds
+constexpr double kOverage = 0.1;
+constexpr double kSlack = 190000;
+constexpr double kRate = 400000;
+constexpr double kSmallRate = 47000;
+constexpr int64_t kCost = 9200;
+constexpr int64_t kLargeCost = 17000;
+constexpr double kPercent = 100;
+// A want or grant on the wire, with its part of the message around it.
+constexpr double kEntryBytes = 24;
+constexpr double kMessageBytes = 60;
+
+const AccountId kBig("big");
+const AccountId kSmall("small");
+
+struct Way {
+  const char* name;
+  LimitPooling pooling;
+  bool counting;
+};
+
+constexpr std::array kWays = {
+    Way{"equal parts", LimitPooling::kNone, false},
+    Way{"moved between all", LimitPooling::kPeers, false},
+    Way{"pooled at a home", LimitPooling::kHome, false},
+    Way{"counts exchanged", LimitPooling::kNone, true}};
+
+AccountLimit Limit(double rate) {
+  return {.rate = rate, .burst = rate, .unit = LimitUnit::kTokens};
+}
+
+LimitWorldOptions Options(const Way& way, int hosts, uint32_t seed = 1) {
+  return {.hosts = hosts,
+          .limits = {{kBig, Limit(kRate)}, {kSmall, Limit(kSmallRate)}},
+          .how = {.pooling = way.pooling, .overage = kOverage, .slack = kSlack},
+          .counting = way.counting,
+          .seed = seed};
+}
+
+void Play(LimitWorld& world,
+          const AccountId& account,
+          double tokens_per_second,
+          int64_t cost,
+          double seconds,
+          const std::function<int(int)>& where) {
+  const double gap = static_cast<double>(cost) / tokens_per_second;
+  int number = 0;
+  for (double at = 0; at < seconds; at += gap) {
+    world.Offer(where(number++), account, cost);
+    world.Run(gap);
+  }
+}
+
+double RefusedPercent(LimitWorld& world, const AccountId& account) {
+  const LimitTally& tally = world.Tally(account);
+  return kPercent * static_cast<double>(tally.refused) /
+         static_cast<double>(tally.offered);
+}
+
+double RefusedAtOneHost(const Way& way) {
+  LimitWorld world(Options(way, 6));
+  world.Start();
+  Play(world, kBig, 0.95 * kRate, kCost, 10, [](int) { return 2; });
+  return RefusedPercent(world, kBig);
+}
+
+double RefusedOfASmallAccount(const Way& way) {
+  LimitWorld world(Options(way, 6));
+  world.Start();
+  Play(world, kSmall, 0.95 * kSmallRate, kLargeCost, 60,
+       [](int n) { return n % 6; });
+  return RefusedPercent(world, kSmall);
+}
+
+// Seconds from a move of all demand to another host to the last refusal.
+double TimeToFollow(const Way& way) {
+  LimitWorld world(Options(way, 6));
+  world.Start();
+  Play(world, kBig, 0.95 * kRate, kCost, 5, [](int) { return 0; });
+  double last = 0;
+  for (int step = 0; step < 100; ++step) {
+    world.ResetTallies();
+    Play(world, kBig, 0.95 * kRate, kCost, 0.1, [](int) { return 5; });
+    if (world.Tally(kBig).refused > 0) {
+      last = 0.1 * (step + 1);
+    }
+  }
+  return last;
+}
+
+// The most in a window, of what the limit allows, over cuts into two or three
+// parts at any time of a day on which the account sends all over.
+double MostUnderCuts(const Way& way, uint32_t seeds) {
+  double most = 0;
+  for (uint32_t seed = 0; seed < seeds; ++seed) {
+    LimitWorld world(Options(way, 6, seed));
+    world.Start();
+    Play(world, kBig, kRate * 0.2 * (1 + seed % 5), kCost, 3,
+         [](int n) { return n % 6; });
+    for (int one = 0; one < 6; ++one) {
+      for (int other = one + 1; other < 6; ++other) {
+        const bool apart =
+            seed % 2 == 0 ? one / 2 != other / 2 : (one < 3) != (other < 3);
+        if (apart) {
+          world.Cut(one, other);
+        }
+      }
+    }
+    Play(world, kBig, 7.5 * kRate, kCost, 2 + seed % 8,
+         [](int n) { return n % 6; });
+    world.HealAll();
+    Play(world, kBig, 7.5 * kRate, kCost, 8, [](int n) { return n % 6; });
+    most = std::max(most, world.MostIn(kBig, kWindow));
+  }
+  return most / (kRate * (kWindow + 1) * (1 + kOverage) + kSlack);
+}
+
+struct Traffic {
+  double messages = 0;  // sent by a host and second
+  double bytes = 0;
+};
+
+// Accounts at half of their limits, each through all hosts.
+Traffic TrafficOf(const Way& way, int hosts, int accounts, double requests) {
+  LimitWorldOptions options = Options(way, hosts);
+  options.limits.clear();
+  const double rate = 2 * requests * static_cast<double>(kCost) / accounts;
+  for (int i = 0; i < accounts; ++i) {
+    options.limits[AccountId("account-" + std::to_string(i))] = Limit(rate);
+  }
+  LimitWorld world(options);
+  world.Start();
+  const int64_t messages = world.Messages();
+  const int64_t entries = world.Entries();
+  constexpr double kSeconds = 5;
+  const int count = static_cast<int>(kSeconds * requests);
+  for (int n = 0; n < count; ++n) {
+    world.Offer(n * 7 % hosts,
+                AccountId("account-" + std::to_string(n * 13 % accounts)),
+                kCost);
+    world.Run(1 / requests);
+  }
+  const double per = kSeconds * hosts;
+  const auto sent = static_cast<double>(world.Messages() - messages);
+  const auto listed = static_cast<double>(world.Entries() - entries);
+  return {.messages = sent / per,
+          .bytes = (sent * kMessageBytes + listed * kEntryBytes) / per};
+}
+
+void PrintWay(const Way& way, uint32_t seeds) {
+  std::printf("%-18s %8.2f %9.1f %9.1f %8.1f", way.name,
+              MostUnderCuts(way, seeds), RefusedAtOneHost(way),
+              RefusedOfASmallAccount(way), TimeToFollow(way));
+  // Schedulers of 8, 60 and 330 hosts.
+  for (const auto& [hosts, accounts, requests] :
+       {std::tuple(8, 8, 90.0), std::tuple(6, 16, 206.0),
+        std::tuple(57, 470, 2000.0)}) {
+    const Traffic traffic = TrafficOf(way, hosts, accounts, requests);
+    std::printf("  %6.0f %7.0f", traffic.messages, traffic.bytes);
+    std::fflush(stdout);
+  }
+  std::printf("\n");
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("limits_bench", "compares ways to hold limits");
+  options.add_options()("seeds", "days with cuts",
+                        cxxopts::value<uint32_t>()->default_value("40"));
+  const auto given = options.parse(argc, argv);
+  std::printf(
+      "most: in a window of 8 s under cuts, of what the limit allows\n"
+      "one host, small: refused in 100 at 0.95 of the limit, all at one host,\n"
+      "  and large requests of a small account\n"
+      "follow: seconds until a move of all demand is followed\n"
+      "then messages and bytes sent by a scheduler and second, for the\n"
+      "  schedulers of 8, 60 and 330 hosts (8, 6, 57)\n");
+  std::printf("%-18s %8s %9s %9s %8s\n", "way", "most", "one host", "small",
+              "follow");
+  for (const Way& way : kWays) {
+    PrintWay(way, given["seeds"].as<uint32_t>());
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace hickorystand
+
+int main(int argc, char** argv) {
+  return hickorystand::Main(argc, argv);
+}
--- /dev/null
+++ b/packages/decisions/account_limiter.cc
@@ -0,0 +1,543 @@
+#include "decisions/account_limiter.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <ranges>
+#include <tuple>
+
+namespace hickorystand {
+namespace {
+
+uint64_t HashOf(std::string_view text, uint64_t seed) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+}  // namespace
+
+int64_t AccountLimit::CostOf(int64_t prompt_tokens,
+                             int64_t output_tokens) const {
+  if (this->unit == LimitUnit::kRequests) {
+    return 1;
+  }
+  const int64_t tokens = prompt_tokens + output_tokens;
+  return tokens > 0 ? tokens : this->plain_tokens;
+}
+
+AccountLimiter::AccountLimiter(HostId self, const LimitOptions& options)
+    : self(std::move(self)),
+      options(options),
+      last_number(options.first_number - 1) {}
+
+double AccountLimiter::Full(const AccountLimit& limit) const {
+  const double tolerance =
+      (limit.rate * ToSeconds(this->options.window) + limit.burst) *
+          this->options.overage +
+      this->options.slack;
+  return std::max(limit.burst,
+                  limit.rate * ToSeconds(this->options.least_burst)) +
+         this->options.tolerance_used * tolerance;
+}
+
+// The part of all tokens that this host and the hosts linked with it receive.
+double AccountLimiter::Linked() const {
+  return std::min(1.0,
+                  this->each * static_cast<double>(this->peers.size() + 1));
+}
+
+// The tokens up to which this host's part of a bucket fills. The pooled part
+// shrinks with the hosts that are linked, so that homes on several sides of a
+// partition don't each hold all of it.
+double AccountLimiter::Capacity(const Bucket& bucket) const {
+  const double full = this->Full(bucket.limit);
+  switch (this->options.pooling) {
+    case LimitPooling::kNone:
+    case LimitPooling::kPeers:
+      return full * this->each;
+    case LimitPooling::kHome:
+      break;
+  }
+  const double local = this->options.local_part;
+  return full * (local * this->each +
+                 (this->IsHome(bucket) ? (1 - local) * this->Linked() : 0));
+}
+
+double AccountLimiter::CountedAt(const Bucket& bucket, Instant now) const {
+  const double seconds = std::max(ToSeconds(now - bucket.at), 0.0);
+  const double capacity = this->Capacity(bucket);
+  if (bucket.tokens > capacity) {
+    return std::max(capacity,
+                    bucket.tokens - this->Full(bucket.limit) * seconds);
+  }
+  return std::min(capacity,
+                  bucket.tokens + bucket.limit.rate * this->own * seconds);
+}
+
+void AccountLimiter::Count(Bucket& bucket, Instant now) const {
+  bucket.tokens = this->CountedAt(bucket, now);
+  bucket.at = now;
+}
+
+HostId AccountLimiter::ChooseHome(const AccountId& account) const {
+  if (this->options.pooling != LimitPooling::kHome) {
+    return this->self;
+  }
+  const auto rank = [&account](const HostId& host) {
+    return std::tuple(HashOf(host.Text(), HashOf(account.Text(), 0)), host);
+  };
+  HostId home = this->self;
+  for (const HostId& peer : this->peers) {
+    if (rank(peer) < rank(home)) {
+      home = peer;
+    }
+  }
+  return home;
+}
+
+void AccountLimiter::SetLimits(Instant now, const AccountLimits& limits) {
+  std::erase_if(this->buckets, [&](auto& entry) {
+    if (limits.contains(entry.first)) {
+      return false;
+    }
+    for (const Waiting& waiting : entry.second.queue) {
+      this->Decide(waiting, {.granted = waiting.from.Empty(),
+                             .retry_after = this->options.shortest_retry,
+                             .reason = "no limit"});
+    }
+    return true;
+  });
+  for (const auto& [account, limit] : limits) {
+    const auto [found, added] = this->buckets.try_emplace(account);
+    Bucket& bucket = found->second;
+    if (added) {
+      bucket.account = account;
+      bucket.limit = limit;
+      bucket.at = now;
+      bucket.home = this->ChooseHome(account);
+      if (this->configured && this->own > 0) {
+        bucket.tokens = this->Full(limit) * this->each *
+                        (this->options.pooling == LimitPooling::kHome
+                             ? this->options.local_part
+                             : 1);
+      }
+      continue;
+    }
+    this->Count(bucket, now);
+    bucket.limit = limit;
+    bucket.tokens = std::min(bucket.tokens, this->Capacity(bucket));
+  }
+  this->configured = true;
+}
+
+void AccountLimiter::SetShare(Instant now, double own, double each) {
+  // A host that doesn't know how many holders there are still pools what the
+  // others give it.
+  const double counted =
+      each > 0 ? each : 1 / static_cast<double>(this->peers.size() + 1);
+  if (own == this->own && counted == this->each) {
+    return;
+  }
+  for (auto& [account, bucket] : this->buckets) {
+    this->Count(bucket, now);
+  }
+  this->own = own;
+  this->each = counted;
+}
+
+void AccountLimiter::SetPeers(Instant now, const std::vector<HostId>& linked) {
+  if (linked == this->peers) {
+    return;
+  }
+  for (auto& [account, bucket] : this->buckets) {
+    this->Count(bucket, now);
+  }
+  this->peers = linked;
+  const auto gone = [&](const auto& entry) {
+    return std::ranges::find(linked, entry.second.to) == linked.end();
+  };
+  std::erase_if(this->pending, gone);
+  for (auto& [account, bucket] : this->buckets) {
+    bucket.home = this->ChooseHome(account);
+    bucket.refused_until = {};
+    std::erase_if(bucket.queue, [&](const Waiting& waiting) {
+      return !waiting.from.Empty() &&
+             std::ranges::find(linked, waiting.from) == linked.end();
+    });
+    for (Waiting& waiting : bucket.queue) {
+      if (!this->pending.contains(waiting.want)) {
+        waiting.want = 0;
+        this->AskHome(bucket, waiting, now);
+      }
+    }
+  }
+}
+
+// The tokens that must be there for a request to pass.
+double AccountLimiter::Needed(const Bucket& bucket,
+                              const LimitAsk& ask,
+                              Instant now) const {
+  const double capacity = this->Capacity(bucket);
+  const auto cost = static_cast<double>(ask.cost);
+  const double needed = this->IsHome(bucket)
+                            ? std::min(cost, this->options.low_part * capacity)
+                            : cost;
+  const double kept = now < bucket.short_until
+                          ? std::min(this->options.most_kept * capacity,
+                                     this->options.kept_per_step * cost *
+                                         static_cast<double>(ask.priority))
+                          : 0;
+  return needed + kept;
+}
+
+// Takes the tokens of a request if they are there.
+bool AccountLimiter::Spend(Bucket& bucket,
+                           const LimitAsk& ask,
+                           Instant now) const {
+  if (this->Capacity(bucket) <= 0 ||
+      bucket.tokens < this->Needed(bucket, ask, now)) {
+    return false;
+  }
+  bucket.tokens -= static_cast<double>(ask.cost);
+  return true;
+}
+
+// Whether enough tokens can come in before the wait is over.
+bool AccountLimiter::WorthWaiting(const Bucket& bucket,
+                                  const LimitAsk& ask,
+                                  Instant now) const {
+  if (this->options.pooling == LimitPooling::kNone || this->peers.empty()) {
+    return false;
+  }
+  if (!this->IsHome(bucket)) {
+    return now >= bucket.refused_until;
+  }
+  const bool others_empty =
+      std::ranges::all_of(this->peers, [&](const HostId& peer) {
+        const auto found = bucket.emptied.find(peer);
+        return found != bucket.emptied.end() &&
+               now - found->second < this->options.refusal_memory;
+      });
+  const double missing = this->Needed(bucket, ask, now) - bucket.tokens;
+  return !others_empty || missing < bucket.limit.rate * this->Linked() *
+                                        ToSeconds(this->options.home_wait);
+}
+
+std::optional<LimitVerdict> AccountLimiter::Take(Instant now,
+                                                 const LimitAsk& ask) {
+  const auto found = this->buckets.find(ask.account);
+  if (found == this->buckets.end()) {
+    return LimitVerdict{.granted = true, .reason = "no limit"};
+  }
+  return this->Serve(found->second, {.ask = ask}, now);
+}
+
+std::optional<LimitVerdict> AccountLimiter::Serve(Bucket& bucket,
+                                                  Waiting waiting,
+                                                  Instant now) {
+  this->Count(bucket, now);
+  bucket.demanded = now;
+  if (bucket.queue.empty() && this->Spend(bucket, waiting.ask, now)) {
+    return this->Granted(bucket);
+  }
+  // A host that was asked as the home but isn't by its own list of hosts has no
+  // one to ask in turn.
+  if (!waiting.from.Empty() && !this->IsHome(bucket)) {
+    return this->Refused(bucket, waiting.ask, "not the account's home", now);
+  }
+  if (!this->WorthWaiting(bucket, waiting.ask, now)) {
+    return this->Refused(bucket, waiting.ask, "used up", now);
+  }
+  waiting.until = now + (this->IsHome(bucket) ? this->options.home_wait
+                                              : this->options.wait);
+  this->AskHome(bucket, waiting, now);
+  const auto place = std::ranges::upper_bound(
+      bucket.queue, waiting.ask.priority, {},
+      [](const Waiting& one) { return one.ask.priority; });
+  bucket.queue.insert(place, std::move(waiting));
+  return {};
+}
+
+// Gets tokens for a request that waits: from the home, or, at the home, from
+// all others.
+void AccountLimiter::AskHome(Bucket& bucket, Waiting& waiting, Instant now) {
+  if (this->IsHome(bucket)) {
+    if (this->PullDue(bucket, now, 1)) {
+      this->Pull(bucket, now);
+    }
+    return;
+  }
+  if (!waiting.from.Empty()) {
+    return;
+  }
+  this->Send(bucket.home,
+             {.account = bucket.account,
+              .tokens = waiting.ask.cost,
+              .priority = waiting.ask.priority},
+             now);
+  waiting.want = this->last_number;
+}
+
+void AccountLimiter::Send(const HostId& to, TokenWant want, Instant now) {
+  want.number = ++this->last_number;
+  this->pending[want.number] = {.to = to, .want = want, .sent = now};
+  this->effects.wants.emplace_back(to, std::move(want));
+}
+
+LimitVerdict AccountLimiter::Granted(const Bucket& bucket) const {
+  return {.granted = true, .home = bucket.home, .held = bucket.tokens};
+}
+
+// Refused requests are told to come back one after the other, as fast as
+// tokens come in.
+LimitVerdict AccountLimiter::Refused(Bucket& bucket,
+                                     const LimitAsk& ask,
+                                     std::string_view reason,
+                                     Instant now) const {
+  bucket.short_until = now + this->options.shortage_memory;
+  const double part = this->IsHome(bucket) ? this->Linked() : this->each;
+  const double rate = std::max(bucket.limit.rate * part, 1.0);
+  const double capacity = this->Capacity(bucket);
+  const double missing = std::max(
+      std::min(static_cast<double>(ask.cost), capacity) - bucket.tokens, 0.0);
+  const Instant longest = now + this->options.longest_retry;
+  const Instant refilled =
+      std::min(longest, now + FromSeconds(std::min(missing / rate, 60.0)));
+  bucket.backlog_until = std::min(
+      longest,
+      std::max(bucket.backlog_until, refilled) +
+          FromSeconds(std::min(static_cast<double>(ask.cost) / rate, 60.0)));
+  return {.retry_after = std::max(bucket.backlog_until - now,
+                                  this->options.shortest_retry),
+          .reason = reason,
+          .home = bucket.home,
+          .held = bucket.tokens};
+}
+
+void AccountLimiter::Decide(const Waiting& waiting,
+                            const LimitVerdict& verdict) {
+  if (waiting.from.Empty()) {
+    this->effects.decided.emplace_back(waiting.ask.number, verdict);
+    return;
+  }
+  this->effects.grants.emplace_back(
+      waiting.from, TokenGrant{.number = waiting.ask.number,
+                               .account = waiting.ask.account,
+                               .tokens = verdict.granted ? waiting.ask.cost : 0,
+                               .retry_after = verdict.retry_after});
+}
+
+void AccountLimiter::Cancel(int64_t number) {
+  for (auto& [account, bucket] : this->buckets) {
+    std::erase_if(bucket.queue, [number](const Waiting& waiting) {
+      return waiting.from.Empty() && waiting.ask.number == number;
+    });
+  }
+}
+
+void AccountLimiter::GiveBack(Instant now,
+                              const AccountId& account,
+                              int64_t cost) {
+  const auto found = this->buckets.find(account);
+  if (found != this->buckets.end()) {
+    this->Count(found->second, now);
+    found->second.tokens += static_cast<double>(cost);
+    this->Advance(found->second, now);
+  }
+}
+
+// Tokens that this host can give to one that pools them.
+double AccountLimiter::Spare(const Bucket& bucket, Instant now) const {
+  const bool busy = now - bucket.demanded < this->options.shortage_memory;
+  const bool keeps = this->IsHome(bucket) && busy;
+  return std::max(bucket.tokens - (keeps ? this->Capacity(bucket) / 2 : 0),
+                  0.0);
+}
+
+void AccountLimiter::OnWant(Instant now,
+                            const HostId& from,
+                            const TokenWant& want) {
+  const auto found = this->buckets.find(want.account);
+  if (found == this->buckets.end()) {
+    this->effects.grants.emplace_back(
+        from, TokenGrant{.number = want.number,
+                         .account = want.account,
+                         .retry_after = this->options.shortest_retry});
+    return;
+  }
+  Bucket& bucket = found->second;
+  Waiting waiting{.ask = {.number = want.number,
+                          .account = want.account,
+                          .cost = want.tokens,
+                          .priority = want.priority},
+                  .from = from};
+  if (!want.pull) {
+    if (const auto verdict = this->Serve(bucket, waiting, now)) {
+      this->Decide(waiting, *verdict);
+    }
+    return;
+  }
+  this->Count(bucket, now);
+  waiting.ask.cost =
+      std::min(want.tokens, static_cast<int64_t>(this->Spare(bucket, now)));
+  bucket.tokens -= static_cast<double>(waiting.ask.cost);
+  this->Decide(waiting, {.granted = true});
+}
+
+// A grant counts once, and only as the answer to a want that is still known.
+void AccountLimiter::OnGrant(Instant now,
+                             const HostId& from,
+                             const TokenGrant& grant) {
+  const auto asked = this->pending.find(grant.number);
+  if (asked == this->pending.end() || asked->second.to != from ||
+      asked->second.want.account != grant.account || grant.tokens < 0) {
+    return;
+  }
+  const bool pulled = asked->second.want.pull;
+  const bool emptied = pulled && grant.tokens < asked->second.want.tokens;
+  this->pending.erase(asked);
+  const auto found = this->buckets.find(grant.account);
+  if (found == this->buckets.end()) {
+    return;
+  }
+  Bucket& bucket = found->second;
+  this->Count(bucket, now);
+  bucket.tokens += static_cast<double>(grant.tokens);
+  if (emptied) {
+    bucket.emptied[from] = now;
+  }
+  const auto waiting =
+      std::ranges::find(bucket.queue, grant.number, &Waiting::want);
+  if (!pulled && waiting != bucket.queue.end()) {
+    const Waiting served = std::move(*waiting);
+    bucket.queue.erase(waiting);
+    if (grant.tokens >= served.ask.cost) {
+      bucket.tokens -= static_cast<double>(served.ask.cost);
+      this->Decide(served, this->Granted(bucket));
+    } else {
+      const LimitVerdict refused =
+          this->Refused(bucket, served.ask, "used up at the home", now);
+      bucket.refused_until = now + this->options.refusal_memory;
+      this->Decide(served, {.retry_after = std::max(grant.retry_after,
+                                                    refused.retry_after),
+                            .reason = refused.reason,
+                            .home = refused.home,
+                            .held = refused.held});
+    }
+  }
+  this->Advance(bucket, now);
+}
+
+// Grants what the tokens now suffice for, and ends what has waited too long or
+// waits for nothing.
+void AccountLimiter::Advance(Bucket& bucket, Instant now) {
+  std::deque<Waiting> rest;
+  for (Waiting& waiting : std::exchange(bucket.queue, {})) {
+    const bool asked =
+        waiting.want != 0 && this->pending.contains(waiting.want);
+    if (this->Spend(bucket, waiting.ask, now)) {
+      this->Decide(waiting, this->Granted(bucket));
+    } else if (now >= waiting.until) {
+      this->Decide(
+          waiting,
+          this->Refused(bucket, waiting.ask,
+                        asked ? "no answer of the home" : "used up", now));
+    } else if (!asked && !this->WorthWaiting(bucket, waiting.ask, now)) {
+      this->Decide(waiting, this->Refused(bucket, waiting.ask, "used up", now));
+    } else {
+      rest.push_back(std::move(waiting));
+    }
+  }
+  bucket.queue = std::move(rest);
+}
+
+Duration AccountLimiter::PullPeriod(const Bucket& bucket) const {
+  const double fills = this->options.local_part * this->Full(bucket.limit) /
+                       std::max(bucket.limit.rate, 1.0);
+  const Duration usual =
+      std::clamp(FromSeconds(std::min(fills, 60.0) * this->options.pull_part),
+                 this->options.shortest_pull, this->options.longest_pull);
+  if (bucket.queue.empty() && bucket.tokens >= 0) {
+    return usual;
+  }
+  const auto peers = static_cast<int64_t>(this->peers.size());
+  return std::clamp(this->options.hasty_pull_per_peer * peers,
+                    this->options.hasty_pull, usual);
+}
+
+// Whether so large a part of the time between two pulls has passed.
+bool AccountLimiter::PullDue(const Bucket& bucket,
+                             Instant now,
+                             double part) const {
+  return !this->peers.empty() && ToSeconds(now - bucket.pulled) >=
+                                     part * ToSeconds(this->PullPeriod(bucket));
+}
+
+void AccountLimiter::Pull(Bucket& bucket, Instant now) {
+  bucket.pulled = now;
+  const auto waiting = [](double sum, const Waiting& one) {
+    return sum + static_cast<double>(one.ask.cost);
+  };
+  const double missing =
+      std::accumulate(bucket.queue.begin(), bucket.queue.end(),
+                      this->Capacity(bucket) - bucket.tokens, waiting);
+  const auto part = static_cast<int64_t>(
+      std::ceil(missing / static_cast<double>(this->peers.size())));
+  for (const HostId& peer : this->peers) {
+    const bool asked =
+        std::ranges::any_of(this->pending, [&](const auto& entry) {
+          return entry.second.want.pull && entry.second.to == peer &&
+                 entry.second.want.account == bucket.account;
+        });
+    if (part > 0 && !asked) {
+      this->Send(
+          peer, {.account = bucket.account, .tokens = part, .pull = true}, now);
+    }
+  }
+}
+
+void AccountLimiter::Tick(Instant now) {
+  std::erase_if(this->pending, [&](const auto& entry) {
+    return now - entry.second.sent >= this->options.pull_timeout;
+  });
+  std::vector<Bucket*> low;
+  for (auto& [account, bucket] : this->buckets) {
+    const bool wanted = now - bucket.demanded < this->options.idle_after;
+    if (!wanted && bucket.queue.empty()) {
+      continue;
+    }
+    this->Count(bucket, now);
+    this->Advance(bucket, now);
+    const bool lacks =
+        !bucket.queue.empty() ||
+        bucket.tokens < this->options.low_part * this->Capacity(bucket);
+    if (this->options.pooling != LimitPooling::kNone && this->IsHome(bucket) &&
+        lacks) {
+      low.push_back(&bucket);
+    }
+  }
+  // Accounts that are nearly due are pulled along, in the same messages.
+  const auto due = [&](double part) {
+    return [this, now, part](const Bucket* bucket) {
+      return this->PullDue(*bucket, now, part);
+    };
+  };
+  if (std::ranges::any_of(low, due(1))) {
+    for (Bucket* bucket : low | std::views::filter(due(0.5))) {
+      this->Pull(*bucket, now);
+    }
+  }
+}
+
+double AccountLimiter::Held(Instant now, const AccountId& account) const {
+  const auto found = this->buckets.find(account);
+  return found == this->buckets.end() ? 0 : this->CountedAt(found->second, now);
+}
+
+const HostId& AccountLimiter::HomeOf(const AccountId& account) const {
+  const auto found = this->buckets.find(account);
+  return found == this->buckets.end() ? this->self : found->second.home;
+}
+
+}  // namespace hickorystand
