--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -119,6 +119,7 @@
   this->MakeSource();
   this->MakeDuties();
   this->MakeForwarding();
+  this->MakeLimits();
   this->MakePeers();
   this->relay->SetForward(
       [this](const CallerExchangePtr& caller) { this->OnCaller(caller); });
@@ -188,6 +189,29 @@
       });
 }
 
+void RelayDaemon::MakeLimits() {
+  this->limits = std::make_unique<LimitGate>(
+      LimitGateOptions{.self = this->settings.host,
+                       .limits = this->settings.limits},
+      *this->clock, *this->store, this->metrics,
+      LimitGateHandlers{
+          .send =
+              [this](const HostId& host, const LimitTokens& tokens) {
+                return this->peers->Send(host, tokens);
+              },
+          .linked =
+              [this] {
+                std::vector<HostId> linked;
+                std::ranges::transform(this->peers->LinkedSchedulers(),
+                                       std::back_inserter(linked),
+                                       &FleetHost::id);
+                return linked;
+              },
+          .listed = [this] { return this->peers->Others(); },
+          .cleans_up = [this] { return this->peers->Rank() == 0; }});
+  this->relay->SetLimitGate(this->limits.get());
+}
+
 void RelayDaemon::OnRole(FleetRole role) {
   LogInfo(
       kPart,
@@ -205,6 +229,7 @@
     this->FollowCaches();
     this->relay->RequireRefresh();
     this->source->Start();
+    this->limits->Start();
     this->duties->Start();
     this->news_due = this->clock->Now() + kNewsPeriod;
     this->news_timer = Timer::Every(kNewsPeriod, [this] {
@@ -217,6 +242,7 @@
   this->news_timer.reset();
   this->TellNews();
   this->source->Stop();
+  this->limits->Stop();
   this->duties->Retire();
   this->duties_retired = true;
   this->FollowCaches();
@@ -301,6 +327,7 @@
     this->subscribers.push_back(this->peers->Self());
   }
   this->relay->RefreshCaches();
+  this->limits->RefreshPeers();
 }
 
 // A new link may replace one that nobody saw break; what was sent on the old
@@ -424,6 +451,8 @@
     this->TakeNews(from, *news);
   } else if (const auto* load = std::get_if<PrefillLoad>(&message)) {
     this->peer_loads[from] = *load;
+  } else if (const auto* tokens = std::get_if<LimitTokens>(&message)) {
+    this->limits->OnMessage(from, *tokens);
   } else if (const auto* update = std::get_if<CacheUpdate>(&message)) {
     this->relay->Caches().TakeUpdate(*update);
   } else if (const auto* usage = std::get_if<UsageCopyMessage>(&message)) {
@@ -561,6 +590,7 @@
   if (const auto age = this->relay->ProofAge()) {
     this->metrics.Set("configuration_proof_age_seconds", ToSeconds(*age));
   }
+  this->limits->SetMetrics();
   this->metrics.Set("requests_waiting",
                     static_cast<double>(this->relay->Waiting()));
   this->metrics.Set("hosts_known", static_cast<double>(this->peers->Listed()));
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -15,6 +15,7 @@
 #include "relay/fleet_duties.h"
 #include "relay/fleet_peers.h"
 #include "relay/forward_receiver.h"
+#include "relay/limit_gate.h"
 #include "relay/platform_duties.h"
 #include "relay/request_forwarder.h"
 
@@ -51,6 +52,7 @@
   void MakePeers();
   void MakeDuties();
   void MakeForwarding();
+  void MakeLimits();
   void OnRole(FleetRole role);
   void OnCaller(const CallerExchangePtr& caller);
   void OnLinked(const HostId& host);
@@ -82,6 +84,7 @@
   std::unique_ptr<FleetRecords> records;
   std::unique_ptr<KeyValueStore> store;
   std::unique_ptr<PlatformDuties> platform_duties;
+  std::unique_ptr<LimitGate> limits;
   std::unique_ptr<FleetRelay> relay;
   std::unique_ptr<FleetSource> source;
   std::unique_ptr<FleetPeers> peers;
--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -130,6 +130,18 @@
        .maximum = int64_t{1} << 40,
        .help = "an engine's reading rate in the prefill role, until it is "
                "measured"},
+      Length("limits", "window", "8s", kLeastLength,
+             "over which the use of a client account's limit is judged"),
+      {.section = "limits",
+       .key = "overage",
+       .type = SettingType::kShare,
+       .fallback = "0",
+       .help = "part of a limit that a window may exceed it by"},
+      {.section = "limits",
+       .key = "slack",
+       .type = SettingType::kShare,
+       .fallback = "0",
+       .help = "tokens or requests that a window may exceed it by besides"},
       {.section = "log",
        .key = "level",
        .type = SettingType::kChoice,
@@ -198,6 +210,7 @@
                  &Differs<&RelayHostSettings::usage_window>},
     FixedSetting{"duties.usage_late", &Differs<&RelayHostSettings::usage_late>},
     FixedSetting{"fleet.prompt_tokens_per_second", &GuessDiffers},
+    FixedSetting{"limits", &Differs<&RelayHostSettings::limits>},
 };
 
 }  // namespace
@@ -229,6 +242,9 @@
       .usage_window = from->Length("duties", "usage_window"),
       .usage_late = from->Length("duties", "usage_late"),
       .relay = ReadRelay(*from),
+      .limits = {.window = from->Length("limits", "window"),
+                 .overage = from->Share("limits", "overage"),
+                 .slack = from->Share("limits", "slack")},
       .source = ReadSource(*from)};
   ParseLogLevel(from->Text("log", "level"), made.log_level);
   return made;
--- a/packages/daemon/relay_settings.h
+++ b/packages/daemon/relay_settings.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "decisions/account_limiter.h"
 #include "kernel/log.h"
 #include "kernel/settings.h"
 #include "relay/fleet_relay.h"
@@ -34,6 +35,7 @@
   Duration usage_window{};
   Duration usage_late{};  // after a window's end, when its report is due
   RelaySettings relay;
+  LimitOptions limits;
   FleetSourceOptions source;
 };
 
--- a/packages/kernel/error.cc
+++ b/packages/kernel/error.cc
@@ -24,6 +24,7 @@
     ErrorAnswer{K::kConflict,           409, kInvalid,               "conflict",            false, true,  5},
     ErrorAnswer{K::kDuplicate,          409, kInvalid,               "duplicate_request",   false, false, 5},
     ErrorAnswer{K::kOverloaded,         429, kLimit,                 "overloaded",          true,  true,  6},
+    ErrorAnswer{K::kRateLimited,        429, kLimit,                 "rate_limit_exceeded", true,  true,  6},
     ErrorAnswer{K::kDeadlineUnmeetable, 503, kServer,                "deadline_unmeetable", true,  true,  6},
     ErrorAnswer{K::kNoEndpoint,         503, kServer,                "no_endpoint",         true,  true,  6},
     ErrorAnswer{K::kSuspectRequest,     422, kInvalid,               "suspect_request",     false, true,  6},
--- a/packages/kernel/error.h
+++ b/packages/kernel/error.h
@@ -27,6 +27,7 @@
   kConflict,            // somebody else changed the record first
   kDuplicate,           // this non-idempotent request was sent before
   kOverloaded,          // refused by admission; not run
+  kRateLimited,         // over the client account's limit; not run
   kDeadlineUnmeetable,  // would be too late; not run
   kNoEndpoint,          // no endpoint can take it now; not run
   kSuspectRequest,      // crashed the endpoints that ran it; not run
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -4112,6 +4112,505 @@
   return *this;
 }
 
+TokenWant::~TokenWant() noexcept {
+}
+
+
+void TokenWant::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void TokenWant::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void TokenWant::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+
+void TokenWant::__set_priority(const int64_t val) {
+  this->priority = val;
+__isset.priority = true;
+}
+
+void TokenWant::__set_pull(const bool val) {
+  this->pull = val;
+__isset.pull = true;
+}
+
+uint32_t TokenWant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pull);
+          this->__isset.pull = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TokenWant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TokenWant");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.priority) {
+    xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->priority);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.pull) {
+    xfer += oprot->writeFieldBegin("pull", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->pull);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TokenWant &a, TokenWant &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.account, b.account);
+  swap(a.tokens, b.tokens);
+  swap(a.priority, b.priority);
+  swap(a.pull, b.pull);
+  swap(a.__isset, b.__isset);
+}
+
+TokenWant::TokenWant(const TokenWant& other182) {
+  number = other182.number;
+  account = other182.account;
+  tokens = other182.tokens;
+  priority = other182.priority;
+  pull = other182.pull;
+  __isset = other182.__isset;
+}
+TokenWant::TokenWant(TokenWant&& other183) noexcept {
+  number = other183.number;
+  account = std::move(other183.account);
+  tokens = other183.tokens;
+  priority = other183.priority;
+  pull = other183.pull;
+  __isset = other183.__isset;
+}
+TokenWant& TokenWant::operator=(const TokenWant& other184) {
+  number = other184.number;
+  account = other184.account;
+  tokens = other184.tokens;
+  priority = other184.priority;
+  pull = other184.pull;
+  __isset = other184.__isset;
+  return *this;
+}
+TokenWant& TokenWant::operator=(TokenWant&& other185) noexcept {
+  number = other185.number;
+  account = std::move(other185.account);
+  tokens = other185.tokens;
+  priority = other185.priority;
+  pull = other185.pull;
+  __isset = other185.__isset;
+  return *this;
+}
+
+TokenGrant::~TokenGrant() noexcept {
+}
+
+
+void TokenGrant::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void TokenGrant::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void TokenGrant::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+
+void TokenGrant::__set_retry_after(const int64_t val) {
+  this->retry_after = val;
+__isset.retry_after = true;
+}
+
+uint32_t TokenGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after);
+          this->__isset.retry_after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TokenGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TokenGrant");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.retry_after) {
+    xfer += oprot->writeFieldBegin("retry_after", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->retry_after);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TokenGrant &a, TokenGrant &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.account, b.account);
+  swap(a.tokens, b.tokens);
+  swap(a.retry_after, b.retry_after);
+  swap(a.__isset, b.__isset);
+}
+
+TokenGrant::TokenGrant(const TokenGrant& other186) {
+  number = other186.number;
+  account = other186.account;
+  tokens = other186.tokens;
+  retry_after = other186.retry_after;
+  __isset = other186.__isset;
+}
+TokenGrant::TokenGrant(TokenGrant&& other187) noexcept {
+  number = other187.number;
+  account = std::move(other187.account);
+  tokens = other187.tokens;
+  retry_after = other187.retry_after;
+  __isset = other187.__isset;
+}
+TokenGrant& TokenGrant::operator=(const TokenGrant& other188) {
+  number = other188.number;
+  account = other188.account;
+  tokens = other188.tokens;
+  retry_after = other188.retry_after;
+  __isset = other188.__isset;
+  return *this;
+}
+TokenGrant& TokenGrant::operator=(TokenGrant&& other189) noexcept {
+  number = other189.number;
+  account = std::move(other189.account);
+  tokens = other189.tokens;
+  retry_after = other189.retry_after;
+  __isset = other189.__isset;
+  return *this;
+}
+
+LimitTokens::~LimitTokens() noexcept {
+}
+
+
+void LimitTokens::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void LimitTokens::__set_wants(const std::vector<TokenWant> & val) {
+  this->wants = val;
+}
+
+void LimitTokens::__set_grants(const std::vector<TokenGrant> & val) {
+  this->grants = val;
+}
+
+uint32_t LimitTokens::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wants.clear();
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->wants.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
+            {
+              xfer += this->wants[_i194].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _etype198;
+            xfer += iprot->readListBegin(_etype198, _size195);
+            this->grants.resize(_size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
+            {
+              xfer += this->grants[_i199].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitTokens::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitTokens");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wants", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->wants.size()));
+    std::vector<TokenWant> ::const_iterator _iter200;
+    for (_iter200 = this->wants.begin(); _iter200 != this->wants.end(); ++_iter200)
+    {
+      xfer += (*_iter200).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<TokenGrant> ::const_iterator _iter201;
+    for (_iter201 = this->grants.begin(); _iter201 != this->grants.end(); ++_iter201)
+    {
+      xfer += (*_iter201).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitTokens &a, LimitTokens &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.wants, b.wants);
+  swap(a.grants, b.grants);
+  swap(a.__isset, b.__isset);
+}
+
+LimitTokens::LimitTokens(const LimitTokens& other202) {
+  revision = other202.revision;
+  wants = other202.wants;
+  grants = other202.grants;
+  __isset = other202.__isset;
+}
+LimitTokens::LimitTokens(LimitTokens&& other203) noexcept {
+  revision = other203.revision;
+  wants = std::move(other203.wants);
+  grants = std::move(other203.grants);
+  __isset = other203.__isset;
+}
+LimitTokens& LimitTokens::operator=(const LimitTokens& other204) {
+  revision = other204.revision;
+  wants = other204.wants;
+  grants = other204.grants;
+  __isset = other204.__isset;
+  return *this;
+}
+LimitTokens& LimitTokens::operator=(LimitTokens&& other205) noexcept {
+  revision = other205.revision;
+  wants = std::move(other205.wants);
+  grants = std::move(other205.grants);
+  __isset = other205.__isset;
+  return *this;
+}
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -4160,18 +4659,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other182) noexcept {
-  (void) other182;
+Heartbeat::Heartbeat(const Heartbeat& other206) noexcept {
+  (void) other206;
 }
-Heartbeat::Heartbeat(Heartbeat&& other183) noexcept {
-  (void) other183;
+Heartbeat::Heartbeat(Heartbeat&& other207) noexcept {
+  (void) other207;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other184) noexcept {
-  (void) other184;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other208) noexcept {
+  (void) other208;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other185) noexcept {
-  (void) other185;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other209) noexcept {
+  (void) other209;
   return *this;
 }
 
@@ -4264,6 +4763,11 @@
 __isset.prefill_load = true;
 }
 
+void Message::__set_limit_tokens(const LimitTokens& val) {
+  this->limit_tokens = val;
+__isset.limit_tokens = true;
+}
+
 uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -4421,6 +4925,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limit_tokens.read(iprot);
+          this->__isset.limit_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4523,6 +5035,11 @@
     xfer += this->prefill_load.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.limit_tokens) {
+    xfer += oprot->writeFieldBegin("limit_tokens", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->limit_tokens.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4547,89 +5064,94 @@
   swap(a.scheduler_news, b.scheduler_news);
   swap(a.cache_update, b.cache_update);
   swap(a.prefill_load, b.prefill_load);
+  swap(a.limit_tokens, b.limit_tokens);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other186) {
-  heartbeat = other186.heartbeat;
-  digest = other186.digest;
-  buckets_request = other186.buckets_request;
-  buckets_reply = other186.buckets_reply;
-  usage_copy = other186.usage_copy;
-  released = other186.released;
-  endpoint_news = other186.endpoint_news;
-  freshness_question = other186.freshness_question;
-  freshness_answer = other186.freshness_answer;
-  engine_paces = other186.engine_paces;
-  forwarded_request = other186.forwarded_request;
-  forwarded_body = other186.forwarded_body;
-  forwarded_answer = other186.forwarded_answer;
-  forward_control = other186.forward_control;
-  scheduler_news = other186.scheduler_news;
-  cache_update = other186.cache_update;
-  prefill_load = other186.prefill_load;
-  __isset = other186.__isset;
-}
-Message::Message(Message&& other187) noexcept {
-  heartbeat = std::move(other187.heartbeat);
-  digest = std::move(other187.digest);
-  buckets_request = std::move(other187.buckets_request);
-  buckets_reply = std::move(other187.buckets_reply);
-  usage_copy = std::move(other187.usage_copy);
-  released = std::move(other187.released);
-  endpoint_news = std::move(other187.endpoint_news);
-  freshness_question = std::move(other187.freshness_question);
-  freshness_answer = std::move(other187.freshness_answer);
-  engine_paces = std::move(other187.engine_paces);
-  forwarded_request = std::move(other187.forwarded_request);
-  forwarded_body = std::move(other187.forwarded_body);
-  forwarded_answer = std::move(other187.forwarded_answer);
-  forward_control = std::move(other187.forward_control);
-  scheduler_news = std::move(other187.scheduler_news);
-  cache_update = std::move(other187.cache_update);
-  prefill_load = std::move(other187.prefill_load);
-  __isset = other187.__isset;
-}
-Message& Message::operator=(const Message& other188) {
-  heartbeat = other188.heartbeat;
-  digest = other188.digest;
-  buckets_request = other188.buckets_request;
-  buckets_reply = other188.buckets_reply;
-  usage_copy = other188.usage_copy;
-  released = other188.released;
-  endpoint_news = other188.endpoint_news;
-  freshness_question = other188.freshness_question;
-  freshness_answer = other188.freshness_answer;
-  engine_paces = other188.engine_paces;
-  forwarded_request = other188.forwarded_request;
-  forwarded_body = other188.forwarded_body;
-  forwarded_answer = other188.forwarded_answer;
-  forward_control = other188.forward_control;
-  scheduler_news = other188.scheduler_news;
-  cache_update = other188.cache_update;
-  prefill_load = other188.prefill_load;
-  __isset = other188.__isset;
+Message::Message(const Message& other210) {
+  heartbeat = other210.heartbeat;
+  digest = other210.digest;
+  buckets_request = other210.buckets_request;
+  buckets_reply = other210.buckets_reply;
+  usage_copy = other210.usage_copy;
+  released = other210.released;
+  endpoint_news = other210.endpoint_news;
+  freshness_question = other210.freshness_question;
+  freshness_answer = other210.freshness_answer;
+  engine_paces = other210.engine_paces;
+  forwarded_request = other210.forwarded_request;
+  forwarded_body = other210.forwarded_body;
+  forwarded_answer = other210.forwarded_answer;
+  forward_control = other210.forward_control;
+  scheduler_news = other210.scheduler_news;
+  cache_update = other210.cache_update;
+  prefill_load = other210.prefill_load;
+  limit_tokens = other210.limit_tokens;
+  __isset = other210.__isset;
+}
+Message::Message(Message&& other211) noexcept {
+  heartbeat = std::move(other211.heartbeat);
+  digest = std::move(other211.digest);
+  buckets_request = std::move(other211.buckets_request);
+  buckets_reply = std::move(other211.buckets_reply);
+  usage_copy = std::move(other211.usage_copy);
+  released = std::move(other211.released);
+  endpoint_news = std::move(other211.endpoint_news);
+  freshness_question = std::move(other211.freshness_question);
+  freshness_answer = std::move(other211.freshness_answer);
+  engine_paces = std::move(other211.engine_paces);
+  forwarded_request = std::move(other211.forwarded_request);
+  forwarded_body = std::move(other211.forwarded_body);
+  forwarded_answer = std::move(other211.forwarded_answer);
+  forward_control = std::move(other211.forward_control);
+  scheduler_news = std::move(other211.scheduler_news);
+  cache_update = std::move(other211.cache_update);
+  prefill_load = std::move(other211.prefill_load);
+  limit_tokens = std::move(other211.limit_tokens);
+  __isset = other211.__isset;
+}
+Message& Message::operator=(const Message& other212) {
+  heartbeat = other212.heartbeat;
+  digest = other212.digest;
+  buckets_request = other212.buckets_request;
+  buckets_reply = other212.buckets_reply;
+  usage_copy = other212.usage_copy;
+  released = other212.released;
+  endpoint_news = other212.endpoint_news;
+  freshness_question = other212.freshness_question;
+  freshness_answer = other212.freshness_answer;
+  engine_paces = other212.engine_paces;
+  forwarded_request = other212.forwarded_request;
+  forwarded_body = other212.forwarded_body;
+  forwarded_answer = other212.forwarded_answer;
+  forward_control = other212.forward_control;
+  scheduler_news = other212.scheduler_news;
+  cache_update = other212.cache_update;
+  prefill_load = other212.prefill_load;
+  limit_tokens = other212.limit_tokens;
+  __isset = other212.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other189) noexcept {
-  heartbeat = std::move(other189.heartbeat);
-  digest = std::move(other189.digest);
-  buckets_request = std::move(other189.buckets_request);
-  buckets_reply = std::move(other189.buckets_reply);
-  usage_copy = std::move(other189.usage_copy);
-  released = std::move(other189.released);
-  endpoint_news = std::move(other189.endpoint_news);
-  freshness_question = std::move(other189.freshness_question);
-  freshness_answer = std::move(other189.freshness_answer);
-  engine_paces = std::move(other189.engine_paces);
-  forwarded_request = std::move(other189.forwarded_request);
-  forwarded_body = std::move(other189.forwarded_body);
-  forwarded_answer = std::move(other189.forwarded_answer);
-  forward_control = std::move(other189.forward_control);
-  scheduler_news = std::move(other189.scheduler_news);
-  cache_update = std::move(other189.cache_update);
-  prefill_load = std::move(other189.prefill_load);
-  __isset = other189.__isset;
+Message& Message::operator=(Message&& other213) noexcept {
+  heartbeat = std::move(other213.heartbeat);
+  digest = std::move(other213.digest);
+  buckets_request = std::move(other213.buckets_request);
+  buckets_reply = std::move(other213.buckets_reply);
+  usage_copy = std::move(other213.usage_copy);
+  released = std::move(other213.released);
+  endpoint_news = std::move(other213.endpoint_news);
+  freshness_question = std::move(other213.freshness_question);
+  freshness_answer = std::move(other213.freshness_answer);
+  engine_paces = std::move(other213.engine_paces);
+  forwarded_request = std::move(other213.forwarded_request);
+  forwarded_body = std::move(other213.forwarded_body);
+  forwarded_answer = std::move(other213.forwarded_answer);
+  forward_control = std::move(other213.forward_control);
+  scheduler_news = std::move(other213.scheduler_news);
+  cache_update = std::move(other213.cache_update);
+  prefill_load = std::move(other213.prefill_load);
+  limit_tokens = std::move(other213.limit_tokens);
+  __isset = other213.__isset;
   return *this;
 }
 }} // namespace
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -73,6 +73,12 @@
 
 class PrefillLoad;
 
+class TokenWant;
+
+class TokenGrant;
+
+class LimitTokens;
+
 class Heartbeat;
 
 class Message;
@@ -1742,6 +1748,205 @@
 
 std::ostream& operator<<(std::ostream& out, const PrefillLoad& obj);
 
+typedef struct _TokenWant__isset {
+  _TokenWant__isset() : number(false), account(false), tokens(false), priority(false), pull(false) {}
+  bool number :1;
+  bool account :1;
+  bool tokens :1;
+  bool priority :1;
+  bool pull :1;
+} _TokenWant__isset;
+
+class TokenWant : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenWant(const TokenWant&);
+  TokenWant(TokenWant&&) noexcept;
+  TokenWant& operator=(const TokenWant&);
+  TokenWant& operator=(TokenWant&&) noexcept;
+  TokenWant() noexcept
+            : number(0),
+              account(),
+              tokens(0),
+              priority(0),
+              pull(0) {
+  }
+
+  virtual ~TokenWant() noexcept;
+  int64_t number;
+  std::string account;
+  int64_t tokens;
+  int64_t priority;
+  bool pull;
+
+  _TokenWant__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_account(const std::string& val);
+
+  void __set_tokens(const int64_t val);
+
+  void __set_priority(const int64_t val);
+
+  void __set_pull(const bool val);
+
+  bool operator == (const TokenWant & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (__isset.priority != rhs.__isset.priority)
+      return false;
+    else if (__isset.priority && !(priority == rhs.priority))
+      return false;
+    if (__isset.pull != rhs.__isset.pull)
+      return false;
+    else if (__isset.pull && !(pull == rhs.pull))
+      return false;
+    return true;
+  }
+  bool operator != (const TokenWant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenWant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(TokenWant &a, TokenWant &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenWant& obj);
+
+typedef struct _TokenGrant__isset {
+  _TokenGrant__isset() : number(false), account(false), tokens(false), retry_after(false) {}
+  bool number :1;
+  bool account :1;
+  bool tokens :1;
+  bool retry_after :1;
+} _TokenGrant__isset;
+
+class TokenGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenGrant(const TokenGrant&);
+  TokenGrant(TokenGrant&&) noexcept;
+  TokenGrant& operator=(const TokenGrant&);
+  TokenGrant& operator=(TokenGrant&&) noexcept;
+  TokenGrant() noexcept
+             : number(0),
+               account(),
+               tokens(0),
+               retry_after(0) {
+  }
+
+  virtual ~TokenGrant() noexcept;
+  int64_t number;
+  std::string account;
+  int64_t tokens;
+  int64_t retry_after;
+
+  _TokenGrant__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_account(const std::string& val);
+
+  void __set_tokens(const int64_t val);
+
+  void __set_retry_after(const int64_t val);
+
+  bool operator == (const TokenGrant & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (__isset.retry_after != rhs.__isset.retry_after)
+      return false;
+    else if (__isset.retry_after && !(retry_after == rhs.retry_after))
+      return false;
+    return true;
+  }
+  bool operator != (const TokenGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(TokenGrant &a, TokenGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenGrant& obj);
+
+typedef struct _LimitTokens__isset {
+  _LimitTokens__isset() : revision(false), wants(false), grants(false) {}
+  bool revision :1;
+  bool wants :1;
+  bool grants :1;
+} _LimitTokens__isset;
+
+class LimitTokens : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitTokens(const LimitTokens&);
+  LimitTokens(LimitTokens&&) noexcept;
+  LimitTokens& operator=(const LimitTokens&);
+  LimitTokens& operator=(LimitTokens&&) noexcept;
+  LimitTokens() noexcept
+              : revision(0) {
+  }
+
+  virtual ~LimitTokens() noexcept;
+  int64_t revision;
+  std::vector<TokenWant>  wants;
+  std::vector<TokenGrant>  grants;
+
+  _LimitTokens__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_wants(const std::vector<TokenWant> & val);
+
+  void __set_grants(const std::vector<TokenGrant> & val);
+
+  bool operator == (const LimitTokens & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(wants == rhs.wants))
+      return false;
+    if (!(grants == rhs.grants))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitTokens &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitTokens & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(LimitTokens &a, LimitTokens &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitTokens& obj);
+
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
  public:
@@ -1775,7 +1980,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false), forwarded_request(false), forwarded_body(false), forwarded_answer(false), forward_control(false), scheduler_news(false), cache_update(false), prefill_load(false) {}
+  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false), forwarded_request(false), forwarded_body(false), forwarded_answer(false), forward_control(false), scheduler_news(false), cache_update(false), prefill_load(false), limit_tokens(false) {}
   bool heartbeat :1;
   bool digest :1;
   bool buckets_request :1;
@@ -1793,6 +1998,7 @@
   bool scheduler_news :1;
   bool cache_update :1;
   bool prefill_load :1;
+  bool limit_tokens :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1823,6 +2029,7 @@
   SchedulerNews scheduler_news;
   CacheUpdate cache_update;
   PrefillLoad prefill_load;
+  LimitTokens limit_tokens;
 
   _Message__isset __isset;
 
@@ -1860,6 +2067,8 @@
 
   void __set_prefill_load(const PrefillLoad& val);
 
+  void __set_limit_tokens(const LimitTokens& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1930,6 +2139,10 @@
       return false;
     else if (__isset.prefill_load && !(prefill_load == rhs.prefill_load))
       return false;
+    if (__isset.limit_tokens != rhs.__isset.limit_tokens)
+      return false;
+    else if (__isset.limit_tokens && !(limit_tokens == rhs.limit_tokens))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "decisions/account_limiter.h"
 #include "decisions/digest.h"
 #include "decisions/engine_cache.h"
 #include "decisions/engine_pace.h"
@@ -177,6 +178,15 @@
   bool operator==(const PrefillLoad&) const = default;
 };
 
+// Parts of client accounts' limits that change hands between schedulers.
+struct LimitTokens {
+  int64_t revision = 0;  // of the newest record of share holders read
+  std::vector<TokenWant> wants;
+  std::vector<TokenGrant> grants;
+
+  bool operator==(const LimitTokens&) const = default;
+};
+
 // Everything but digests, which PeerLinks sends and takes as whole values.
 using PeerMessage = std::variant<BucketsRequest,
                                  BucketsReply,
@@ -192,6 +202,7 @@
                                  ForwardControl,
                                  SchedulerNews,
                                  CacheUpdate,
-                                 PrefillLoad>;
+                                 PrefillLoad,
+                                 LimitTokens>;
 
 }  // namespace hickorystand
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -199,6 +199,29 @@
   1: list<ServiceLoad> services
 }
 
+// Asks for a part of a client account's limit.
+struct TokenWant {
+  1: i64 number  // of the sending process
+  2: string account
+  3: i64 tokens
+  4: optional i64 priority
+  5: optional bool pull  // the sender pools the account's tokens
+}
+
+// The answer to a TokenWant. The tokens are the receiver's from now on.
+struct TokenGrant {
+  1: i64 number
+  2: string account
+  3: i64 tokens
+  4: optional i64 retry_after  // microseconds; where there are no tokens
+}
+
+struct LimitTokens {
+  1: i64 revision  // of the record of share holders that the sender has read
+  2: list<TokenWant> wants
+  3: list<TokenGrant> grants
+}
+
 struct Heartbeat {
 }
 
@@ -220,4 +243,5 @@
   15: SchedulerNews scheduler_news
   16: CacheUpdate cache_update
   17: PrefillLoad prefill_load
+  18: LimitTokens limit_tokens
 }
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -317,6 +317,60 @@
   return update;
 }
 
+wire::LimitTokens ToWire(const LimitTokens& tokens) {
+  wire::LimitTokens out;
+  out.revision = tokens.revision;
+  for (const TokenWant& want : tokens.wants) {
+    wire::TokenWant item;
+    item.number = want.number;
+    item.account = want.account.Text();
+    item.tokens = want.tokens;
+    if (want.priority != 0) {
+      item.__set_priority(want.priority);
+    }
+    if (want.pull) {
+      item.__set_pull(true);
+    }
+    out.wants.push_back(std::move(item));
+  }
+  for (const TokenGrant& grant : tokens.grants) {
+    wire::TokenGrant item;
+    item.number = grant.number;
+    item.account = grant.account.Text();
+    item.tokens = grant.tokens;
+    if (grant.retry_after > Duration{}) {
+      item.__set_retry_after(grant.retry_after.count());
+    }
+    out.grants.push_back(std::move(item));
+  }
+  return out;
+}
+
+// Wants and grants of less than nothing, and of ids that are too long, are left
+// out: tokens must not come into being here.
+LimitTokens ReadLimitTokens(const wire::LimitTokens& in) {
+  LimitTokens tokens{.revision = in.revision};
+  for (const wire::TokenWant& want : in.wants) {
+    if (GoodId(want.account) && want.tokens >= 0) {
+      tokens.wants.push_back({.number = want.number,
+                              .account = AccountId(want.account),
+                              .tokens = want.tokens,
+                              .priority = std::max<int64_t>(want.priority, 0),
+                              .pull = want.pull});
+    }
+  }
+  for (const wire::TokenGrant& grant : in.grants) {
+    if (GoodId(grant.account) && grant.tokens >= 0) {
+      tokens.grants.push_back(
+          {.number = grant.number,
+           .account = AccountId(grant.account),
+           .tokens = grant.tokens,
+           .retry_after = Duration(std::max<int64_t>(grant.retry_after, 0))});
+    }
+  }
+  return tokens;
+}
+
 PrefillLoad ReadLoad(const wire::PrefillLoad& in) {
   PrefillLoad load;
   for (const wire::ServiceLoad& one : in.services) {
@@ -469,6 +523,9 @@
     }
     out.__set_cache_update(item);
   }
+  void operator()(const LimitTokens& tokens) {
+    out.__set_limit_tokens(ToWire(tokens));
+  }
   void operator()(const PrefillLoad& load) {
     wire::PrefillLoad item;
     for (const auto& [service, rate] : load.tokens_per_second) {
@@ -620,6 +677,9 @@
   if (set.prefill_load) {
     return WireMessage(PeerMessage(ReadLoad(in->prefill_load)));
   }
+  if (set.limit_tokens) {
+    return WireMessage(PeerMessage(ReadLimitTokens(in->limit_tokens)));
+  }
   if (set.heartbeat) {
     return WireMessage(PeerHeartbeat{});
   }
--- a/packages/relay/fleet_configuration.h
+++ b/packages/relay/fleet_configuration.h
@@ -18,6 +18,7 @@
 #include <string_view>
 #include <vector>
 
+#include "decisions/account_limiter.h"
 #include "decisions/scale_plan.h"
 #include "kernel/ids.h"
 #include "kernel/time.h"
@@ -116,6 +117,7 @@
   std::map<ServiceId, FleetService> services;
   std::map<std::string, RelayAccount, std::less<>> accounts_by_key;
   bool keys_required = false;
+  AccountLimits account_limits;  // an account without one is not limited
   CallerLimits limits;
 
   // The route of a host whose prefix is the longest that begins a path, or
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -72,6 +72,9 @@
   }
   this->configuration = std::move(changed);
   this->server.SetLimits(this->configuration->limits);
+  if (this->limit_gate != nullptr) {
+    this->limit_gate->SetConfiguration(*this->configuration);
+  }
   this->ShareServices();
   LogInfo(
       kPart, "Configuration in force.",
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -33,6 +33,7 @@
 #include "relay/endpoint_pool.h"
 #include "relay/fleet_configuration.h"
 #include "relay/forward_receiver.h"
+#include "relay/limit_gate.h"
 #include "relay/message_codec.h"
 
 namespace hickorystand {
@@ -86,6 +87,9 @@
   // Who decides whether a caller's request is served here; null: it always is.
   void SetForward(CallerHandler handler) { this->forward = std::move(handler); }
 
+  // Who holds requests to the limits of client accounts; null: nobody does.
+  void SetLimitGate(LimitGate* gate) { this->limit_gate = gate; }
+
   // Bounds on callers, while no configuration is known here.
   void SetCallerLimits(const CallerLimits& limits) {
     this->server.SetLimits(limits);
@@ -189,6 +193,7 @@
   FleetPlacement placement;
   CacheFeed cache_feed;
   WindowBudget budget;
+  LimitGate* limit_gate = nullptr;
   Suspects suspects;
   LogLimiter log_limiter;
   FleetConfigurationPtr configuration;
--- /dev/null
+++ b/packages/relay/limit_gate.cc
@@ -0,0 +1,219 @@
+#include "relay/limit_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kernel/log.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kPart = "limits";
+
+std::string HoldersText(const std::vector<LimitHolder>& holders) {
+  std::string text = EncodeHolders(holders);
+  std::ranges::replace(text, '\n', ';');
+  return text;
+}
+
+}  // namespace
+
+LimitGate::LimitGate(LimitGateOptions options,
+                     const Clock& clock,
+                     KeyValueStore& store,
+                     Metrics& metrics,
+                     LimitGateHandlers handlers)
+    : options(std::move(options)),
+      clock(&clock),
+      store(&store),
+      metrics(&metrics),
+      handlers(std::move(handlers)),
+      shares(this->options.self, this->options.shares),
+      limiter(this->options.self, this->options.limits) {}
+
+LimitGate::~LimitGate() = default;
+
+void LimitGate::SetConfiguration(const FleetConfiguration& configuration) {
+  this->limits = configuration.account_limits;
+  this->limited = !this->limits.empty();
+  if (this->limited && !this->timer) {
+    this->timer = Timer::Every(this->options.tick, [this] { this->Tick(); });
+  }
+  this->Tick();
+  this->limiter.SetLimits(this->clock->Now(), this->limits);
+  this->Flush();
+}
+
+void LimitGate::Start() {
+  this->schedules = true;
+  this->Tick();
+}
+
+void LimitGate::Stop() {
+  this->schedules = false;
+  this->Tick();
+}
+
+// Starts and stops to hold a share, and does what is due.
+void LimitGate::Tick() {
+  const bool wanted = this->limited && this->schedules;
+  if (wanted != std::exchange(this->holding, wanted)) {
+    if (wanted) {
+      this->shares.Start();
+    } else {
+      this->shares.Stop();
+    }
+  }
+  if (!this->timer) {
+    return;
+  }
+  this->CallStore();
+  this->RefreshPeers();
+  this->limiter.Tick(this->clock->Now());
+  this->Flush();
+}
+
+void LimitGate::RefreshPeers() {
+  const Instant now = this->clock->Now();
+  this->limiter.SetPeers(now, this->handlers.linked());
+  const double own = this->shares.Own(now);
+  this->limiter.SetShare(now, own, this->shares.Each());
+  if (own != std::exchange(this->logged_share, own)) {
+    LogInfo(kPart, "Share of the accounts' limits changed.",
+            {{"share", std::to_string(own)},
+             {"revision", std::to_string(this->shares.Revision())},
+             {"holders", HoldersText(this->shares.Holders())}});
+  }
+  this->TellRevision();
+}
+
+void LimitGate::CallStore() {
+  const std::vector<HostId> linked = this->handlers.linked();
+  const std::vector<HostId> listed = this->handlers.listed();
+  std::set<HostId> present(linked.begin(), linked.end());
+  present.insert(listed.begin(), listed.end());
+  const Instant asked = this->clock->Now();
+  const auto due =
+      this->shares.Next(asked, present, this->handlers.cleans_up());
+  if (!due) {
+    return;
+  }
+  this->store->Transact(*due, [this, asked, weak = std::weak_ptr(this->alive)](
+                                  const StoreReply& reply) {
+    if (!weak.expired()) {
+      this->OnStoreReply(asked, reply);
+    }
+  });
+}
+
+void LimitGate::OnStoreReply(Instant asked, const StoreReply& reply) {
+  this->shares.OnReply(this->clock->Now(), asked, reply);
+  this->RefreshPeers();
+  this->CallStore();
+}
+
+// A host that joins gets its share once all others have read of it.
+void LimitGate::TellRevision() {
+  const int64_t revision = this->shares.Revision();
+  const std::vector<HostId> linked = this->handlers.linked();
+  std::erase_if(this->told, [&linked](const auto& entry) {
+    return std::ranges::find(linked, entry.first) == linked.end();
+  });
+  if (!this->holding) {
+    return;
+  }
+  for (const HostId& host : linked) {
+    int64_t& newest = this->told[host];
+    if (newest < revision &&
+        this->handlers.send(host, {.revision = revision})) {
+      newest = revision;
+    }
+  }
+}
+
+std::optional<LimitVerdict> LimitGate::Take(LimitAsk& ask, Later later) {
+  ask.number = ++this->last_number;
+  const auto verdict = this->limiter.Take(this->clock->Now(), ask);
+  if (!verdict) {
+    this->waiting[ask.number] = std::move(later);
+  }
+  this->Flush();
+  return verdict;
+}
+
+void LimitGate::Cancel(int64_t number) {
+  if (this->waiting.erase(number) > 0) {
+    this->limiter.Cancel(number);
+  }
+}
+
+void LimitGate::GiveBack(const AccountId& account, int64_t cost) {
+  this->limiter.GiveBack(this->clock->Now(), account, cost);
+  this->Flush();
+}
+
+void LimitGate::OnMessage(const HostId& from, const LimitTokens& message) {
+  const Instant now = this->clock->Now();
+  const bool behind = message.revision > this->shares.Revision();
+  this->shares.OnPeerRevision(from, message.revision);
+  if (behind && this->holding) {
+    this->CallStore();
+  }
+  for (const TokenGrant& grant : message.grants) {
+    this->limiter.OnGrant(now, from, grant);
+  }
+  for (const TokenWant& want : message.wants) {
+    this->limiter.OnWant(now, from, want);
+  }
+  this->Flush();
+}
+
+// Sends and tells what the last calls led to. A request that is told may end at
+// once and give tokens back, so this goes on until nothing is left.
+void LimitGate::Flush() {
+  LimitEffects effects = this->limiter.TakeEffects();
+  while (!effects.Empty()) {
+    std::map<HostId, LimitTokens> messages;
+    for (auto& [host, want] : effects.wants) {
+      messages[host].wants.push_back(std::move(want));
+    }
+    for (auto& [host, grant] : effects.grants) {
+      messages[host].grants.push_back(std::move(grant));
+    }
+    for (auto& [host, message] : messages) {
+      message.revision = this->shares.Revision();
+      this->handlers.send(host, message);
+      this->metrics->Add("limit_messages_sent_total", 1);
+    }
+    for (const auto& [number, verdict] : effects.decided) {
+      const auto found = this->waiting.extract(number);
+      if (!found.empty()) {
+        found.mapped()(verdict);
+      }
+    }
+    effects = this->limiter.TakeEffects();
+  }
+  if (this->waiting.empty()) {
+    this->hasty_timer.reset();
+  } else if (!this->hasty_timer) {
+    this->hasty_timer =
+        Timer::Every(this->options.hasty_tick, [this] { this->Tick(); });
+  }
+}
+
+void LimitGate::SetMetrics() {
+  if (!this->limited) {
+    return;
+  }
+  const Instant now = this->clock->Now();
+  this->metrics->Set("limit_share", this->shares.Own(now));
+  if (const auto age = this->shares.Age(now)) {
+    this->metrics->Set("limit_share_age_seconds", ToSeconds(*age));
+  }
+  for (const auto& [account, limit] : this->limits) {
+    this->metrics->Set("limit_tokens_held", this->limiter.Held(now, account),
+                       {{"account", account.Text()}});
+  }
+}
+
+}  // namespace hickorystand
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -115,6 +115,13 @@
   if (auto error = this->CheckKey()) {
     return error;
   }
+  const auto limit = this->configuration->account_limits.find(this->account);
+  if (limit != this->configuration->account_limits.end()) {
+    this->tokens = {.account = this->account,
+                    .cost = limit->second.CostOf(this->request.prompt_tokens,
+                                                 this->request.output_tokens),
+                    .priority = this->route->priority};
+  }
   const Duration patience =
       std::min(this->request.patience.value_or(this->route->timeout),
                this->route->timeout);
@@ -178,7 +185,80 @@
   return this->Left() > kLeastLeft;
 }
 
+// Takes what the next run counts against the account's limit. False if it can't
+// be had, or not yet.
+bool RelayedRequest::TakeTokens() {
+  if (this->tokens_held || this->tokens.cost == 0 ||
+      this->relay->limit_gate == nullptr) {
+    return true;
+  }
+  const auto verdict = this->relay->limit_gate->Take(
+      this->tokens,
+      [this, weak = this->weak_from_this()](const LimitVerdict& decided) {
+        if (const auto keep = weak.lock()) {
+          this->OnTokens(decided);
+        }
+      });
+  if (!verdict) {
+    this->tokens_asked = true;
+    return false;
+  }
+  this->tokens_held = verdict->granted;
+  if (!verdict->granted) {
+    this->RefuseOverLimit(*verdict);
+  }
+  return verdict->granted;
+}
+
+void RelayedRequest::OnTokens(const LimitVerdict& verdict) {
+  this->tokens_asked = false;
+  this->tokens_held = verdict.granted;
+  if (verdict.granted) {
+    this->PlaceWithTokens();
+  } else {
+    this->RefuseOverLimit(verdict);
+  }
+}
+
+void RelayedRequest::RefuseOverLimit(const LimitVerdict& verdict) {
+  LimitGate& gate = *this->relay->limit_gate;
+  const auto age = gate.ShareAge();
+  this->relay->metrics->Add("limit_tokens_refused_total",
+                            static_cast<double>(this->tokens.cost),
+                            {{"account", this->account.Text()}});
+  this->relay->Log(
+      LogLevel::kInfo, this->request.id, "Over the account's limit.",
+      {{"account", this->account.Text()},
+       {"tokens", std::to_string(this->tokens.cost)},
+       {"held", std::to_string(static_cast<int64_t>(verdict.held))},
+       {"why", std::string(verdict.reason)},
+       {"home", verdict.home.Text()},
+       {"share", std::to_string(gate.Share())},
+       {"share_ms", age ? MillisecondsText(*age) : ""},
+       {"holders_revision", std::to_string(gate.Revision())},
+       {"configuration", std::to_string(this->configuration->version)},
+       {"retry_after_ms", MillisecondsText(verdict.retry_after)}});
+  this->FailWithoutSending(ErrorKind::kRateLimited, "over the account's limit",
+                           verdict.retry_after);
+}
+
+// Gives back what was taken for a run that wasn't sent.
+void RelayedRequest::ReleaseTokens() {
+  if (std::exchange(this->tokens_asked, false)) {
+    this->relay->limit_gate->Cancel(this->tokens.number);
+  }
+  if (std::exchange(this->tokens_held, false)) {
+    this->relay->limit_gate->GiveBack(this->account, this->tokens.cost);
+  }
+}
+
 void RelayedRequest::Place() {
+  if (this->TakeTokens()) {
+    this->PlaceWithTokens();
+  }
+}
+
+void RelayedRequest::PlaceWithTokens() {
   const Instant now = this->relay->clock->Now();
   WorkShape left = this->shape;
   left.patience = std::min(left.patience, this->Left());
@@ -292,6 +372,11 @@
   next.work = this->relay->placement.OnSent(now, next.endpoint.run.id,
                                             this->shape, work);
   this->relay->NoteReading(this->service, work.new_tokens);
+  if (!whole.read_prompt_only && std::exchange(this->tokens_held, false)) {
+    this->relay->metrics->Add("limit_tokens_admitted_total",
+                              static_cast<double>(this->tokens.cost),
+                              {{"account", this->account.Text()}});
+  }
   this->attempt = std::make_unique<Attempt>(std::move(next));
   this->relay->Log(
       LogLevel::kInfo, this->request.id, "Sent.",
@@ -323,6 +408,10 @@
                       {"status", std::to_string(this->attempt->status)},
                       {"why", std::string(why)}});
     this->attempt.reset();
+    // What surely hasn't run is kept for the next send, or given back.
+    this->tokens_held =
+        this->tokens_held || (fate == Fate::kNotRun && this->tokens.cost > 0 &&
+                              this->relay->limit_gate != nullptr);
   }
   this->cutter.DropRest();
   if (fate == Fate::kMayHaveRun) {
@@ -399,6 +488,8 @@
 void RelayedRequest::Abandon() {
   const auto keep = this->shared_from_this();
   this->over = true;
+  this->tokens_asked = false;
+  this->tokens_held = false;
   this->EndAttempt();
   this->caller->OnGone({});
   this->caller->OnDrained({});
@@ -460,6 +551,8 @@
     this->AnswerError(ErrorKind::kEndpointFailed, why);
   } else if (kind == ErrorKind::kNoEndpoint) {
     this->RefuseNotRun(why, retry_after);
+  } else if (kind == ErrorKind::kRateLimited) {
+    this->AnswerError(kind, why, retry_after);
   } else {
     this->AnswerError(kind, why);
   }
@@ -475,6 +568,7 @@
   if (std::exchange(this->over, true)) {
     return;
   }
+  this->ReleaseTokens();
   this->stall_timer.reset();
   this->deadline_timer.reset();
   const Duration took = this->relay->clock->Now() - this->arrived;
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -1,9 +1,10 @@
 // The life of one caller's request in the relay.
 //
-//   Begin: read headers, find route and account -> Place -> SendRun
-//                                                   |  `-> SendPrefill ->
-//                                                   SendRun
-//                                                   `-> Refuse
+//   Begin: read headers, find route and account
+//   -> TakeTokens of the account's limit -> Place -> SendRun
+//                                     |       |  `-> SendPrefill -> SendRun
+//                                     |       `-> Refuse
+//                                     `-> Refuse
 //   answer whole -> pass it on
 //   surely not run -> Place again, or refuse as not run
 //   may have run   -> Place again if it may repeat, else answer that the
@@ -63,7 +64,12 @@
   void TakeOver();
   std::optional<Error> CheckKey();
   bool KeyStillValid() const;
+  bool TakeTokens();
+  void OnTokens(const LimitVerdict& verdict);
+  void RefuseOverLimit(const LimitVerdict& verdict);
+  void ReleaseTokens();
   void Place();
+  void PlaceWithTokens();
   bool MaySendAgain();
   bool MayPrefillApart();
   void SendPrefill(const EndpointId& reader, const Placed& placed);
@@ -123,6 +129,9 @@
   ServiceId service;
   AccountId account;
   std::optional<int64_t> priority;
+  LimitAsk tokens;            // of the account's limit; no cost: none needed
+  bool tokens_held = false;   // taken for the next run, which isn't sent yet
+  bool tokens_asked = false;  // waits for them
   WorkShape shape;
   uint64_t fingerprint = 0;
   Instant arrived{};
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -645,7 +645,21 @@
                       .parts = {{.part = 0xfedcba9876543210, .tokens = 800},
                                 {.part = 2, .tokens = 0}}}),
       PeerMessage(
-          PrefillLoad{.tokens_per_second = {{ServiceId("s"), 37900.5}}})};
+          PrefillLoad{.tokens_per_second = {{ServiceId("s"), 37900.5}}}),
+      PeerMessage(LimitTokens{
+          .revision = 68,
+          .wants = {{.number = 3,
+                     .account = AccountId("a"),
+                     .tokens = 17000,
+                     .priority = 2},
+                    {.number = 4,
+                     .account = AccountId("b"),
+                     .tokens = 9,
+                     .pull = true}},
+          .grants = {{.number = 5, .account = AccountId("a"), .tokens = 800},
+                     {.number = 6,
+                      .account = AccountId("b"),
+                      .retry_after = std::chrono::milliseconds(620)}}})};
   std::mt19937_64 random(20261202);
   int refused = 0;
   constexpr int kMutationsEach = 20000;
