--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -342,6 +342,29 @@
   CHECK(RefusedShare(world, kBig) < 0.005);
 }
 
+// Guards against an account that is refused for long after it got its limit,
+// and against one that may spend twice when its limit is dropped and set again.
+TEST(AccountLimiter, AccountsThatComeAndGoKeepToTheirLimits) {
+  LimitWorld world(World(6));
+  world.Start();
+  const AccountId added("added");
+  AccountLimits with = Limits();
+  with[added] = Limit(100000);
+  for (int round = 0; round < 4; ++round) {
+    for (int host = 0; host < 6; ++host) {
+      world.SetLimits(host, with);
+    }
+    world.ResetTallies();
+    Play(world, added, 0.95 * 100000, 9200, 3, [](int n) { return n % 6; });
+    CHECK(RefusedShare(world, added) < 0.005);
+    for (int host = 0; host < 6; ++host) {
+      world.SetLimits(host, Limits());
+    }
+    world.Run(kWindow);
+  }
+  CHECK(world.MostIn(added, kWindow) <= Allowed(Limit(100000)));
+}
+
 // Guards against tokens that are taken for nothing, and against tokens that
 // are given back twice.
 TEST(AccountLimiter, WhatWasNotRunIsGivenBack) {
