--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -178,6 +178,36 @@
   DOUBLES_EQUAL(1.0 / 3, world.Own(1), 1e-9);
 }
 
+// Guards against a share that is used after it was deleted: the host reads that
+// it is taken for gone, and its objection never reaches the store.
+TEST(LimitShares, AHostThatIsMarkedAsGoneDoesNotRenewItsShareByReading) {
+  LimitShares shares(HostId("a"));
+  Instant now(std::chrono::seconds(100));
+  const auto call = [&](const StoreReply& reply) {
+    CHECK(shares.Next(now, {}, false).has_value());
+    shares.OnReply(now, now, reply);
+  };
+  shares.Start();
+  call({.outcome = StoreOutcome::kThen, .revision = 1});
+  call({.outcome = StoreOutcome::kThen, .revision = 2});
+  DOUBLES_EQUAL(1, shares.Own(now), 1e-9);
+  const StoreRecord marked{.key = LimitSharesOptions{}.key,
+                           .value = "leaving a\nactive b\n",
+                           .mod_revision = 3};
+  for (int second = 0; second < 32; ++second) {
+    now += std::chrono::seconds(1);
+    if (const auto due = shares.Next(now, {}, false)) {
+      shares.OnReply(now, now,
+                     due->conditions.empty()
+                         ? StoreReply{.outcome = StoreOutcome::kThen,
+                                      .revision = 3,
+                                      .records = {marked}}
+                         : StoreReply{.outcome = StoreOutcome::kNotApplied});
+    }
+  }
+  DOUBLES_EQUAL(0, shares.Own(now), 1e-9);
+}
+
 TEST_GROUP(AccountLimiter){};
 
 TEST(AccountLimiter, CountsTokensOrRequests) {
