--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -5,7 +5,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
-#include <cmath>
+#include <array>
 #include <numeric>
 
 #include "limit_world.h"
@@ -269,27 +269,31 @@
 }
 
 TEST(AccountLimiter, UrgentRequestsOfAnAccountPassBeforeOthers) {
-  LimitWorld world(World(6));
-  world.Start();
-  std::map<int64_t, LimitTally> by_priority;
-  const auto play = [&](double seconds) {
-    for (int n = 0; n < static_cast<int>(seconds * 100); ++n) {
-      const int64_t priority = n % 3;
-      const int64_t before = world.Tally(kBig).admitted;
-      world.Offer(n % 6, kBig, 8000, priority);
-      world.Run(0.07);  // longer than any wait for tokens
-      by_priority[priority].offered += 1;
-      by_priority[priority].admitted += world.Tally(kBig).admitted - before;
-      world.Offer((n + 1) % 6, kBig, 40000, 2);
-      world.Run(0.0);
-    }
-  };
-  play(5);
-  const auto part = [&](int64_t priority) {
-    return static_cast<double>(by_priority[priority].admitted) /
-           static_cast<double>(by_priority[priority].offered);
-  };
-  CHECK(part(0) > 0.95);
+  AccountLimiter limiter(HostId("a"));
+  Instant now(std::chrono::seconds(10));
+  limiter.SetLimits(now, Limits());
+  limiter.SetShare(now, 1, 1);
+  constexpr int64_t kCost = 4000;
+  // Urgent requests at 0.6 of the limit, others at twice the limit.
+  const std::array<Duration, 2> gaps = {FromSeconds(kCost / (0.6 * 400000)),
+                                        FromSeconds(kCost / (2.0 * 400000))};
+  std::array<Instant, 2> next = {now, now};
+  std::array<LimitTally, 2> tallies;
+  const Instant end = now + std::chrono::seconds(10);
+  while (now < end) {
+    const size_t kind = next[0] <= next[1] ? 0 : 1;
+    now = next[kind];
+    next[kind] += gaps[kind];
+    const auto verdict = limiter.Take(
+        now, {.account = kBig, .cost = kCost, .priority = kind == 0 ? 0 : 2});
+    ++tallies[kind].offered;
+    tallies[kind].admitted += verdict.value_or(LimitVerdict{}).granted ? 1 : 0;
+  }
+  CHECK(static_cast<double>(tallies[0].admitted) >
+        0.95 * static_cast<double>(tallies[0].offered));
+  const auto all =
+      static_cast<double>(tallies[0].admitted + tallies[1].admitted);
+  CHECK(all * kCost > 0.95 * 400000 * 10);
 }
 
 // Guards against a part of the fleet that refuses all while it is cut off, and
