Use the usual terms in comments and private names

Revoked keys, callbacks and outcomes are called so; one comment stood above the wrong struct. No behaviour, setting or wire name changes; the reason that the decision log gives for a revoked key of a queued request is worded anew.

--- a/packages/daemon/control.cc
+++ b/packages/daemon/control.cc
@@ -320,7 +320,7 @@
   return keepers;
 }
 
-// Keys withdrawn elsewhere can't be heard of while this data centre is cut off
+// Keys revoked elsewhere can't be heard of while this data centre is cut off
 // from both the platform and every other host that knows more.
 void Control::CheckKeys() {
   const bool trusted = this->configuration->KeysTrusted();
--- a/packages/daemon/coordinator_driver.cc
+++ b/packages/daemon/coordinator_driver.cc
@@ -13,7 +13,7 @@
 constexpr Duration kCoordinatorTick = std::chrono::milliseconds(50);
 
 // What an endpoint's or the platform's answer means to the coordinator.
-OrderReply Judge(OrderState state) {
+OrderReply OutcomeOf(OrderState state) {
   switch (state) {
     case OrderState::kAccepted:
     case OrderState::kRunning:
@@ -262,7 +262,7 @@
        .argument = order.argument},
       this->MaySend(action.fencing),
       [this, id = order.id](const OrderAnswer& answer) {
-        this->Replied(id, Judge(answer.state));
+        this->Replied(id, OutcomeOf(answer.state));
       });
 }
 
--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -489,7 +489,7 @@
 
 // A host that the store turns away, or that is cut off from it, gets proof and
 // newer configurations from hosts that aren't. Without, it would refuse every
-// key after the bound on withdrawn keys. The hosts are asked in turn, since the
+// key after the bound on revoked keys. The hosts are asked in turn, since the
 // first ones may be cut off as well.
 void RelayDaemon::AskPeers(const FreshnessQuestion& question) {
   const std::vector<HostId> others = this->peers->Others();
--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -21,7 +21,7 @@
 constexpr int64_t kReadsBeforePeers = 2;
 
 // What the proof that a key still holds may be older than when it is used, is
-// the bound on withdrawn keys less this: the request's way to the endpoint,
+// the bound on revoked keys less this: the request's way to the endpoint,
 // and clocks that run at different speeds.
 constexpr Duration kRevokeMargin = std::chrono::milliseconds(800);
 
@@ -99,7 +99,7 @@
       Length("stop", "grace", "8s", kLeastLength,
              "from the stop signal to the kill"),
       Length("keys", "revoke_within", "5s", kLeastLength,
-             "how soon a withdrawn key must stop working"),
+             "how soon a revoked key must stop working"),
       {.section = "keys",
        .key = "proof_needed",
        .type = SettingType::kBoolean,
--- a/packages/decisions/claims.cc
+++ b/packages/decisions/claims.cc
@@ -266,7 +266,7 @@
         this->Answer(token, ClaimResult::kGranted, out);
         break;
       case StoreOutcome::kOtherwise:
-        this->Judge(claim, reply, out);
+        this->SettleWrite(claim, reply, out);
         break;
       case StoreOutcome::kNotApplied:
         if (!claim.perhaps_recorded) {
@@ -290,9 +290,9 @@
 
 // One of the batch's keys existed already, so none was created. The records
 // tell this claim's own part.
-void ClaimBook::Judge(Waiting& claim,
-                      const StoreReply& reply,
-                      ClaimActions& out) {
+void ClaimBook::SettleWrite(Waiting& claim,
+                            const StoreReply& reply,
+                            ClaimActions& out) {
   const StoreRecord* record = FindRecord(reply, claim.request.key);
   if (record == nullptr) {
     return;  // free: another key was in the way; goes with the next batch
--- a/packages/decisions/claims.h
+++ b/packages/decisions/claims.h
@@ -149,7 +149,7 @@
     bool perhaps_recorded = false;  // an attempt's reply was lost
   };
 
-  // A claim that was granted and neither sent nor withdrawn yet.
+  // A claim that was granted and neither sent nor cancelled yet.
   struct Granted {
     std::string key;
     std::string token;
@@ -188,7 +188,7 @@
                const StoreReply& reply,
                ClaimActions& out);
   void OnCleanUp(const std::string& token, const StoreReply& reply);
-  void Judge(Waiting& claim, const StoreReply& reply, ClaimActions& out);
+  void SettleWrite(Waiting& claim, const StoreReply& reply, ClaimActions& out);
   void Grant(const Waiting& claim);
   void Answer(const std::string& token, ClaimResult result, ClaimActions& out);
   void ExpireDue(Instant now, ClaimActions& out);
--- a/packages/decisions/configuration_codec.cc
+++ b/packages/decisions/configuration_codec.cc
@@ -303,7 +303,7 @@
     const StoreReply& reply) {
   assert(this->phase != Phase::kDone && "the change has already ended");
   return this->phase == Phase::kReading ? this->Write(reply)
-                                        : this->Judge(reply);
+                                        : this->StepAfter(reply);
 }
 
 ConfigurationChange::Step ConfigurationChange::Write(const StoreReply& reply) {
@@ -341,7 +341,8 @@
   return this->transaction;
 }
 
-ConfigurationChange::Step ConfigurationChange::Judge(const StoreReply& reply) {
+ConfigurationChange::Step ConfigurationChange::StepAfter(
+    const StoreReply& reply) {
   if (reply.outcome == StoreOutcome::kThen) {
     return this->Finish(this->applied);
   }
--- a/packages/decisions/configuration_codec.h
+++ b/packages/decisions/configuration_codec.h
@@ -167,7 +167,7 @@
   enum class Phase { kReading, kWriting, kDone };
 
   Step Write(const StoreReply& reply);
-  Step Judge(const StoreReply& reply);
+  Step StepAfter(const StoreReply& reply);
   Result<Applied> Conclude(const StoreReply& reply) const;
   Step Finish(Result<Applied> result);
 
--- a/packages/decisions/configuration_replica.h
+++ b/packages/decisions/configuration_replica.h
@@ -139,7 +139,7 @@
 
   // Whether keys may still be trusted. A host that is cut off goes on serving
   // known keys for the time set for its site; afterwards a key may have been
-  // withdrawn for so long that to refuse is the lesser harm.
+  // revoked for so long that to refuse is the lesser harm.
   bool KeysTrusted(Instant now) const;
 
   // When it was last certain that nothing newer was in force.
--- a/packages/decisions/endpoint_board.h
+++ b/packages/decisions/endpoint_board.h
@@ -4,8 +4,8 @@
 // holds for all until the endpoint starts anew. Down is one host's experience
 // and may be that host's own fault: a host that lost its way to every endpoint
 // would otherwise take the whole fleet out of service. So "down" is believed
-// until this host itself hears from the endpoint, or until the one who said so
-// takes it back or is gone.
+// until this host itself is answered by the endpoint, or until the one who said
+// so takes it back or is gone.
 
 #pragma once
 
--- a/packages/endpoints/endpoint_client.h
+++ b/packages/endpoints/endpoint_client.h
@@ -77,7 +77,7 @@
   std::string detail;   // for the log
 };
 
-// What the starter of an attempt hears. on_end comes last, once.
+// Callbacks of an attempt's starter. on_end comes last, once.
 struct AttemptEvents {
   // kBytes: the head of an answer that will be passed on.
   std::function<void(const HttpAnswerHead&)> on_head;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -72,7 +72,7 @@
   void ApplyConfiguration(ConfigurationPtr next);
 
   // Whether keys may still be trusted. A data centre that was cut off for too
-  // long can't know which keys were withdrawn, and refuses them all.
+  // long can't know which keys were revoked, and refuses them all.
   void TrustKeys(bool trusted) { this->keys_trusted = trusted; }
 
   void OnDigest(const Digest& digest) { this->driver->OnDigest(digest); }
--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -140,7 +140,7 @@
   return found == this->live.end() ? nullptr : &found->second;
 }
 
-// A key that was good on arrival may have been withdrawn while the request
+// A key that was good on arrival may have been revoked while the request
 // waited; without this check the account's queue would still be worked off.
 // Requests that run already are finished.
 bool RequestDriver::Permitted(LiveRequest& live) {
@@ -156,7 +156,7 @@
   const RequestId id = live.incoming.request.id;
   this->Apply({{.kind = DispatchKind::kRefuse,
                 .request = id,
-                .reason = "key withdrawn while queued",
+                .reason = "key revoked while queued",
                 .error = Error{ErrorKind::kBadKey,
                                "The API key is no longer valid."}}});
   this->Apply(this->dispatcher->OnCallerGone(this->clock.Now(), id));
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -76,7 +76,7 @@
   HostId host;
   EndpointClientOptions endpoints;
   size_t remembered_decisions = 8192;
-  // For the mutation test only: without it a withdrawn key's queued requests
+  // For the mutation test only: without it a revoked key's queued requests
   // still run.
   bool check_keys_again = true;
 };
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -5,7 +5,7 @@
 //   HttpTimeouts    how long each phase may stand still
 //   HttpOutgoing    what is sent
 //   HttpEnd         how an exchange ended
-//   HttpEvents      what the sender hears
+//   HttpEvents      callbacks of the sender
 //   HttpExchange    one exchange under way
 //   HttpClient      the connections, pooled by address
 //
@@ -74,7 +74,7 @@
   HttpHeaders headers;
 };
 
-// What the sender of a request hears, in this order.
+// Callbacks of a request's sender, in this order.
 struct HttpEvents {
   std::function<void(const HttpAnswerHead&)> on_head;
   std::function<void(std::string_view)> on_bytes;
--- a/packages/kernel/error.h
+++ b/packages/kernel/error.h
@@ -21,7 +21,7 @@
 enum class ErrorKind {
   kBadRequest,          // the caller's request can't be understood
   kTooLarge,            // a body, header or field is over its limit
-  kBadKey,              // no key, an unknown one or a withdrawn one
+  kBadKey,              // no key, an unknown one or a revoked one
   kUnknownModel,        // no such service for this account
   kNotFound,            // no such path or record
   kConflict,            // somebody else changed the record first
--- a/packages/peers/peer_group.h
+++ b/packages/peers/peer_group.h
@@ -9,7 +9,7 @@
 // Within a data centre every host sends its digest to every other. The two
 // representatives also send a summary of their data centre to those of the
 // others; the first of them passes on, as one digest, what all other data
-// centres said. So a host hears of distant work without a link to it.
+// centres said. So a host learns of distant work without a link to it.
 
 #pragma once
 
@@ -44,7 +44,7 @@
   // under an id that no host bears. For Dispatcher::OnDigest().
   std::function<void(const Digest&)> on_digest;
   // The configuration's revision at a linked host, in this data centre or
-  // another: a data centre cut off from the platform hears of changes so.
+  // another: a data centre cut off from the platform learns of changes so.
   std::function<void(const HostId&, int64_t revision)> on_revision;
   // What that id sent no longer counts. For Dispatcher::OnHostGone().
   std::function<void(const HostId&)> on_gone;
--- a/packages/peers/peer_links.cc
+++ b/packages/peers/peer_links.cc
@@ -245,7 +245,7 @@
 }
 
 // Makes a proved session the link's own. The newest one wins: the other side
-// called again because it no longer hears this side on the old one.
+// called again because it no longer receives on the old one.
 void PeerLinks::Adopt(Link& link, std::unique_ptr<PeerSession> session) {
   if (link.session != nullptr) {
     auto old = std::move(link.session);
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -211,7 +211,6 @@
   return digest;
 }
 
-// Puts each kind of message into its field of the union.
 // The figures of a service and the fields that carry them.
 struct PaceField {
   PaceFigures::Figure PaceFigures::* figure;
@@ -381,6 +380,7 @@
   return load;
 }
 
+// Puts each kind of message into its field of the union.
 struct Writer {
   wire::Message out;
 
--- a/packages/platform/etcd_store.cc
+++ b/packages/platform/etcd_store.cc
@@ -160,7 +160,7 @@
 };
 
 // One watch. The service sends nothing while nothing changes, so a connection
-// that has gone silent for good looks like a quiet one: keys withdrawn
+// that has gone silent for good looks like a quiet one: keys revoked
 // meanwhile would stay good on this host. So a quiet watch is checked: a read
 // asks which keys changed above the last revision seen; one that did, and whose
 // event doesn't come within a grace, shows that the watch is dead. Records
--- a/packages/platform/platform_client.cc
+++ b/packages/platform/platform_client.cc
@@ -10,7 +10,7 @@
 constexpr int kServerErrors = 500;
 constexpr int kTimeoutStatus = 408;
 
-PlatformOutcome Judge(const JsonReply& reply) {
+PlatformOutcome OutcomeOf(const JsonReply& reply) {
   switch (reply.outcome) {
     case JsonOutcome::kNotSent:
       return PlatformOutcome::kNotSent;
@@ -58,13 +58,14 @@
                           std::string body,
                           MaySend may_send,
                           Done done) {
-  this->client.Send(
-      {.address = this->options.address,
-       .target = std::move(target),
-       .body = std::move(body),
-       .timeout = this->options.timeout,
-       .may_send = std::move(may_send)},
-      [done = std::move(done)](const JsonReply& reply) { done(Judge(reply)); });
+  this->client.Send({.address = this->options.address,
+                     .target = std::move(target),
+                     .body = std::move(body),
+                     .timeout = this->options.timeout,
+                     .may_send = std::move(may_send)},
+                    [done = std::move(done)](const JsonReply& reply) {
+                      done(OutcomeOf(reply));
+                    });
 }
 
 void PlatformClient::OrderEndpoints(const DataCentreId& data_centre,
--- a/packages/relay/cache_feed.h
+++ b/packages/relay/cache_feed.h
@@ -3,8 +3,8 @@
 // A new subscription begins with a list of all that the engine keeps: a host
 // that starts beside engines that have run for long knows nothing of it.
 //
-// Each engine has one subscriber among the schedulers. What it hears goes on to
-// the others as CacheUpdate messages, so that every scheduler knows what any
+// Each engine has one subscriber among the schedulers. What it receives goes on
+// to the others as CacheUpdate messages, so that every scheduler knows what any
 // scheduler's requests left behind.
 
 #pragma once
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -43,7 +43,7 @@
   PlacementOptions placement;
   WindowBudgetOptions budget;
   // How old the proof that the configuration is the newest may be when a key
-  // is used. Beyond it the key may have been withdrawn.
+  // is used. Beyond it the key may have been revoked.
   Duration key_proof_limit = std::chrono::milliseconds(4200);
   // Share of an endpoint's connections that all hosts together use for
   // requests; cache events and freed prompts need some as well.
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -23,7 +23,7 @@
 
 // How often is read, and what holds after an outage.
 struct FleetSourceOptions {
-  // A withdrawn key, a new route and a leaving endpoint are known this much
+  // A revoked key, a new route and a leaving endpoint are known this much
   // later at most; the tightest bound on them is 2 s.
   Duration poll = std::chrono::milliseconds(1000);
   // The first reads come faster: until they are answered nothing is served.
