Log how far a host is in its stop, and what its end leaves unfinished

An answer was cut when its host stopped, and the logs couldn't say when the stop signal arrived, how long after it a request was taken, or which requests the end cut off.

Relay hosts keep the arrival of the signal (StopSignal; a busy main loop handles it late) and log signal_ms and grace_ms in "Stopping.", stopping_ms in "Forwarded.", "Answered." and "Stopped.", and a line for each request that is unfinished when the process ends. What a host takes, refuses and cuts is unchanged.

relay_test, forward_test, host_test and kernel_test pass.

--- a/packages/daemon/program/main.cc
+++ b/packages/daemon/program/main.cc
@@ -17,6 +17,7 @@
 #include "daemon/relay_settings.h"
 #include "kernel/log.h"
 #include "kernel/registry.h"
+#include "kernel/stop_signal.h"
 
 namespace hickorystand {
 namespace {
@@ -108,11 +109,6 @@
   return text.str();
 }
 
-gboolean OnRelayStop(gpointer data) {
-  static_cast<RelaySignals*>(data)->host->Drain();
-  return G_SOURCE_CONTINUE;
-}
-
 gboolean OnRelayReload(gpointer data) {
   auto* signals = static_cast<RelaySignals*>(data);
   signals->text = TextOf(signals->path);
@@ -159,8 +155,7 @@
            {"version", HICKORYSTAND_VERSION}});
   RelaySignals signals{.host = &host, .path = path, .text = TextOf(path)};
   g_timeout_add_seconds(kLookSeconds, &OnRelayLook, &signals);
-  g_unix_signal_add(SIGTERM, &OnRelayStop, &signals);
-  g_unix_signal_add(SIGINT, &OnRelayStop, &signals);
+  const StopSignal stop([&host](Instant arrived) { host.Drain(arrived); });
   g_unix_signal_add(SIGHUP, &OnRelayReload, &signals);
   g_main_loop_run(loop);
   g_main_loop_unref(loop);
--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -615,14 +615,18 @@
                     {{"service", service.Text()}});
 }
 
-void RelayDaemon::Drain() {
+void RelayDaemon::Drain(Instant signalled) {
   if (this->draining_since) {
     return;
   }
-  this->draining_since = this->clock->Now();
+  const Instant now = this->clock->Now();
+  this->draining_since = now;
   LogInfo(kPart, "Stopping.",
-          {{"running", std::to_string(this->relay->Waiting())}});
-  this->relay->StartDrain();
+          {{"running", std::to_string(this->relay->Waiting())},
+           {"signal_ms", MillisecondsText(now - signalled)},
+           {"grace_ms", MillisecondsText(this->settings.grace)}});
+  this->relay->StartDrain(signalled);
+  this->forwarder->StartDrain(signalled);
   this->TellNews();
   this->peers->Leave();
   this->duties->Retire();
@@ -638,8 +642,11 @@
   }
   const bool finished = passed >= kDrainNotice && this->relay->Waiting() == 0;
   if (finished || passed >= this->settings.grace - kKillMargin) {
+    this->relay->LogUnfinished();
+    this->forwarder->LogUnfinished();
     LogInfo(kPart, "Stopped.",
-            {{"left", std::to_string(this->relay->Waiting())}});
+            {{"left", std::to_string(this->relay->Waiting())},
+             {"stopping_ms", MillisecondsText(passed)}});
     this->TellUsage();
     this->drain_timer.reset();
     this->stopped();
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -35,8 +35,9 @@
   Result<int> Start();
 
   // Stops in order: says that it isn't ready, serves on while callers still
-  // come, finishes what runs, and ends before the kill.
-  void Drain();
+  // come, finishes what runs, and ends before the kill, whose time counts from
+  // when the stop signal arrived.
+  void Drain(Instant signalled);
 
   // Takes changed settings: bounds, budgets and the log's level at once. What
   // only a start takes up is named in the log.
--- a/packages/kernel/time.cc
+++ b/packages/kernel/time.cc
@@ -4,6 +4,11 @@
 
 namespace hickorystand {
 
+std::string MillisecondsText(Duration length) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
+}
+
 Instant BootClock::Now() const {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
--- a/packages/kernel/time.h
+++ b/packages/kernel/time.h
@@ -2,6 +2,7 @@
 //
 // Index
 //   Instant, Duration   the types every decision takes
+//   MillisecondsText    a length of time in logs
 //   Clock               where a process reads the time
 //   BootClock           the real one; runs through suspend
 //   ManualClock         for tests and benches; moves only when told
@@ -10,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace hickorystand {
 
@@ -28,6 +30,9 @@
 // A moment on this host's own clock. Instants of two hosts can't be compared.
 using Instant = BootTime::time_point;
 
+// Whole milliseconds as a decimal number, for logs.
+std::string MillisecondsText(Duration length);
+
 // Tells the time. Only tasks hold one; decisions take an Instant.
 class Clock {
  public:
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -190,6 +190,18 @@
   request->Begin();
 }
 
+void FleetRelay::LogUnfinished() {
+  for (const auto& request : this->requests) {
+    request->LogUnfinished();
+  }
+}
+
+std::string FleetRelay::StoppingText() const {
+  return this->stopping_since
+             ? MillisecondsText(this->clock->Now() - *this->stopping_since)
+             : "";
+}
+
 void FleetRelay::Log(LogLevel level,
                      const RequestId& request,
                      std::string_view sentence,
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -123,8 +123,15 @@
   // what it has learned, so its options take a start.
   void SetLimits(const WindowBudgetOptions& retries, Duration proof_limit);
 
-  // Each answer is the last of its connection from now on.
-  void StartDrain() { this->server.StartDrain(); }
+  // Each answer is the last of its connection from now on. The stop signal came
+  // at `since`.
+  void StartDrain(Instant since) {
+    this->stopping_since = since;
+    this->server.StartDrain();
+  }
+
+  // Logs each request that is unfinished at the end of the process.
+  void LogUnfinished();
 
   // Requests that come from now on are refused as not run: they couldn't be
   // finished before the process ends.
@@ -176,6 +183,9 @@
   // A prompt of so many new tokens was sent to be read.
   void NoteReading(const ServiceId& service, int64_t tokens);
 
+  // Time since the stop signal, for logs; empty if there was none.
+  std::string StoppingText() const;
+
   // Line of a decision that touches a request, bounded in number.
   void Log(LogLevel level,
            const RequestId& request,
@@ -202,6 +212,7 @@
   Instant proven{};
   Instant refresh_required_at{};    // of the last RequireRefresh
   bool endpoints_refreshed = true;  // since then
+  std::optional<Instant> stopping_since;
   bool refusing = false;
   std::map<ServiceId, DecayingRate> read_tokens;
   std::set<std::shared_ptr<RelayedRequest>> requests;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -25,11 +25,6 @@
 constexpr double kReturnShare = 0.33;
 constexpr Duration kLeastReturn = std::chrono::milliseconds(100);
 
-std::string MillisecondsText(Duration length) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
-}
-
 uint64_t Hash(std::string_view text, uint64_t seed = 0) {
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
@@ -495,6 +490,18 @@
   this->caller->OnDrained({});
 }
 
+void RelayedRequest::LogUnfinished() const {
+  this->relay->Log(
+      LogLevel::kWarning, this->request.id,
+      "Unfinished at the end of the process.",
+      {{"route", this->route == nullptr ? "" : this->route->name},
+       {"forwarded_by", this->origin.host.Text()},
+       {"endpoint", this->attempt ? this->attempt->endpoint.run.id.Text() : ""},
+       {"begun", this->StreamBegun() ? "true" : "false"},
+       {"ms", MillisecondsText(this->relay->clock->Now() - this->arrived)},
+       {"stopping_ms", this->relay->StoppingText()}});
+}
+
 // Cancels what is under way, at the endpoint too.
 void RelayedRequest::EndAttempt() {
   this->stall_timer.reset();
@@ -583,6 +590,7 @@
         std::to_string(this->configuration ? this->configuration->version : 0)},
        {"proof_ms", proof_age ? MillisecondsText(*proof_age) : ""},
        {"sends", std::to_string(this->arrivals)},
+       {"stopping_ms", this->relay->StoppingText()},
        {"first_ms",
         MillisecondsText(this->first_event.value_or(this->arrived + took) -
                          this->arrived)},
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -39,6 +39,9 @@
   // Drops it without an answer; the process ends.
   void Abandon();
 
+  // Logs that it is unfinished at the end of the process.
+  void LogUnfinished() const;
+
  private:
   // The one send under way.
   struct Attempt {
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -1,6 +1,7 @@
 #include "relay/request_forwarder.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <vector>
 
@@ -284,19 +285,31 @@
   this->LogCall(call, why);
 }
 
-void RequestForwarder::LogCall(const Call& call, std::string_view sentence) {
+void RequestForwarder::LogUnfinished() {
+  for (const auto& [number, call] : this->calls) {
+    this->LogCall(*call, "Unfinished at the end of the process.",
+                  LogLevel::kWarning);
+  }
+}
+
+void RequestForwarder::LogCall(const Call& call,
+                               std::string_view sentence,
+                               LogLevel level) {
   if (!this->log_limiter.Allow(this->clock->Now())) {
     this->metrics->Add("log_lines_dropped_total", 1);
     return;
   }
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      this->clock->Now() - call.arrived);
-  LogInfo(kPart, sentence,
-          {{"request", call.request.Text()},
-           {"scheduler", call.scheduler.Text()},
-           {"configuration", std::to_string(this->choice.Version())},
-           {"sends", std::to_string(call.sends)},
-           {"ms", std::to_string(age.count())}});
+  const Instant now = this->clock->Now();
+  const std::array<LogField, 6> fields{
+      {{"request", call.request.Text()},
+       {"scheduler", call.scheduler.Text()},
+       {"configuration", std::to_string(this->choice.Version())},
+       {"sends", std::to_string(call.sends)},
+       {"ms", MillisecondsText(now - call.arrived)},
+       {"stopping_ms", this->stopping_since
+                           ? MillisecondsText(now - *this->stopping_since)
+                           : ""}}};
+  LogLineWith(level, kPart, sentence, fields);
 }
 
 }  // namespace hickorystand
--- a/packages/relay/request_forwarder.h
+++ b/packages/relay/request_forwarder.h
@@ -50,6 +50,12 @@
     this->choice.NoteAppliedVersion(version);
   }
 
+  // The stop signal came at `since`.
+  void StartDrain(Instant since) { this->stopping_since = since; }
+
+  // Logs each request that is unfinished at the end of the process.
+  void LogUnfinished();
+
   // Whether a scheduler has requests of this host.
   bool HasRequestsAt(const HostId& scheduler) const;
 
@@ -84,7 +90,9 @@
   void Cancel(int64_t number);
   void OnDeadline(int64_t number);
   void GiveUp(Call& call, ErrorKind kind, std::string_view why);
-  void LogCall(const Call& call, std::string_view sentence);
+  void LogCall(const Call& call,
+               std::string_view sentence,
+               LogLevel level = LogLevel::kInfo);
 
   const Clock* clock;
   const MessageCodec* codec;
@@ -92,6 +100,7 @@
   SendTo send;
   SchedulerChoice choice;
   LogLimiter log_limiter;
+  std::optional<Instant> stopping_since;
   int64_t last_number = 0;
   std::map<int64_t, CallPtr> calls;
 };
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <csignal>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/settings.h"
+#include "kernel/stop_signal.h"
 #include "kernel/task.h"
 
 namespace hickorystand {
@@ -206,4 +208,27 @@
   close(ends[1]);
 }
 
+TEST_GROUP(StopSignal){};
+
+// Guards against a stop that counts its time from when a busy loop noticed it.
+TEST(StopSignal, TellsWhenTheFirstSignalArrived) {
+  const BootClock clock;
+  std::vector<Instant> arrivals;
+  const StopSignal signal(
+      [&arrivals](Instant arrived) { arrivals.push_back(arrived); });
+  const Instant before = clock.Now();
+  std::raise(SIGTERM);
+  const Instant after = clock.Now();
+  g_usleep(50000);
+  while (arrivals.empty()) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  CHECK(arrivals.front() >= before && arrivals.front() <= after);
+  std::raise(SIGINT);
+  while (arrivals.size() < 2) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  CHECK(arrivals.back() == arrivals.front());
+}
+
 }  // namespace hickorystand
