Refuse what a stopping host can't finish, by what such answers take

Callers saw a stream cut in the middle 7.5 s after its host's stop signal. It had been taken 3.03 s after the signal: a timer every 50 ms looked at the bound of 3 s, and a request that was read between the bound and the next look was taken. Behind that lies the class of the fault: requests were taken by the clock alone, whatever their answers need.

Schedulers learn how long whole answers take by route and size, over the last 10 to 20 s (decisions/answer_times). A stopping host decides when it takes a request, and again before each send, whether its answer ends in time (decisions/stop_schedule): by what is learned, with a quarter to spare, until 2.5 s after the signal; later only if the request's own limit ends before the process does. The time counts from the signal's arrival. Ingress hosts tell schedulers how long their process still lasts, since they know neither routes nor times; a scheduler that ends itself leaves forwarded requests to be resumed elsewhere. What is unfinished at the end gets its final answer (504, or a broken stream) instead of a closed connection.

Why it works: whatever runs behind 2.5 s can't outlast the process, and before that the estimate follows the present load. A kind of answer of which nothing is known is refused unless its limit fits.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -13,13 +13,6 @@
 
 constexpr std::string_view kPart = "host";
 
-// The balancer asks once a second and takes a host out after two misses; what
-// it sent before that is on its way for a moment longer.
-constexpr Duration kDrainNotice = std::chrono::milliseconds(3000);
-
-// Time to end the process before the platform kills it.
-constexpr Duration kKillMargin = std::chrono::milliseconds(500);
-
 // Between copies of what was counted here. What a killed host counted since
 // its last copy is lost: a tenth of a window of 5 s, on one host of several.
 constexpr Duration kUsagePeriod = std::chrono::milliseconds(500);
@@ -46,6 +39,9 @@
 
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 
+// Time for the final answers that the end of a stop causes to leave the host.
+constexpr Duration kLastAnswers = std::chrono::milliseconds(100);
+
 // The plug-in of that name, or why there is none.
 template <typename Interface, typename... Arguments>
 Result<std::unique_ptr<Interface>> MakePlugin(const std::string& name,
@@ -257,11 +253,10 @@
                                   this->forwarder->NewestConfigurationVersion();
   const bool serves =
       this->IsScheduler() && (up_to_date || !this->forwarder->Ready());
-  const bool forwards = !serves && !this->relay->Refusing();
-  if (forwards) {
-    this->forwarder->OnRequest(caller);
-  } else {
+  if (serves) {
     this->relay->Serve(caller, {});
+  } else {
+    this->forwarder->OnRequest(caller);
   }
 }
 
@@ -273,7 +268,7 @@
   const CallerLimits& limits = configuration->limits;
   return {.scheduler = true,
           .busy = this->busy,
-          .ready = this->relay->Ready() && !this->draining_since,
+          .ready = this->relay->Ready() && !this->stop,
           .keys_proven = this->relay->KeysProven(),
           .configuration_version = configuration->version,
           .head_bytes = limits.head_bytes,
@@ -574,7 +569,7 @@
 void RelayDaemon::AnswerReady(const CallerExchangePtr& exchange) {
   const bool serves =
       (this->IsScheduler() && this->relay->Ready()) || this->forwarder->Ready();
-  const bool ready = serves && !this->draining_since;
+  const bool ready = serves && !this->stop;
   exchange->Answer({.status = ready ? 200 : 503}, "");
 }
 
@@ -616,17 +611,16 @@
 }
 
 void RelayDaemon::Drain(Instant signalled) {
-  if (this->draining_since) {
+  if (this->stop) {
     return;
   }
-  const Instant now = this->clock->Now();
-  this->draining_since = now;
+  this->stop = StopSchedule::From(signalled, this->settings.grace);
   LogInfo(kPart, "Stopping.",
           {{"running", std::to_string(this->relay->Waiting())},
-           {"signal_ms", MillisecondsText(now - signalled)},
+           {"signal_ms", MillisecondsText(this->clock->Now() - signalled)},
            {"grace_ms", MillisecondsText(this->settings.grace)}});
-  this->relay->StartDrain(signalled);
-  this->forwarder->StartDrain(signalled);
+  this->relay->StartDrain(*this->stop);
+  this->forwarder->StartDrain(*this->stop);
   this->TellNews();
   this->peers->Leave();
   this->duties->Retire();
@@ -636,17 +630,14 @@
 
 void RelayDaemon::CheckDrained() {
   const Instant now = this->clock->Now();
-  const Duration passed = now - this->draining_since.value_or(now);
-  if (passed >= kDrainNotice) {
-    this->relay->RefuseNew();
-  }
-  const bool finished = passed >= kDrainNotice && this->relay->Waiting() == 0;
-  if (finished || passed >= this->settings.grace - kKillMargin) {
+  const bool finished =
+      now >= this->stop->takes_until && this->relay->Waiting() == 0;
+  if (finished || now >= this->stop->finish_by + kLastAnswers) {
     this->relay->LogUnfinished();
     this->forwarder->LogUnfinished();
     LogInfo(kPart, "Stopped.",
             {{"left", std::to_string(this->relay->Waiting())},
-             {"stopping_ms", MillisecondsText(passed)}});
+             {"stopping_ms", MillisecondsText(now - this->stop->signalled)}});
     this->TellUsage();
     this->drain_timer.reset();
     this->stopped();
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -107,7 +107,7 @@
   std::unique_ptr<Timer> usage_timer;
   CallerServer ready_server;
   CallerServer metrics_server;
-  std::optional<Instant> draining_since;
+  std::optional<StopSchedule> stop;
   std::unique_ptr<Timer> drain_timer;
   size_t next_asked = 0;  // place among the other hosts
 };
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -2730,6 +2730,11 @@
 __isset.stream_begun = true;
 }
 
+void ForwardedRequest::__set_finish_within(const int64_t val) {
+  this->finish_within = val;
+__isset.finish_within = true;
+}
+
 uint32_t ForwardedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -2843,6 +2848,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->finish_within);
+          this->__isset.finish_within = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2911,6 +2924,11 @@
     xfer += oprot->writeBool(this->stream_begun);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.finish_within) {
+    xfer += oprot->writeFieldBegin("finish_within", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->finish_within);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2928,6 +2946,7 @@
   swap(a.earlier_sends, b.earlier_sends);
   swap(a.resume_after, b.resume_after);
   swap(a.stream_begun, b.stream_begun);
+  swap(a.finish_within, b.finish_within);
   swap(a.__isset, b.__isset);
 }
 
@@ -2942,6 +2961,7 @@
   earlier_sends = other126.earlier_sends;
   resume_after = other126.resume_after;
   stream_begun = other126.stream_begun;
+  finish_within = other126.finish_within;
   __isset = other126.__isset;
 }
 ForwardedRequest::ForwardedRequest(ForwardedRequest&& other127) noexcept {
@@ -2955,6 +2975,7 @@
   earlier_sends = other127.earlier_sends;
   resume_after = other127.resume_after;
   stream_begun = other127.stream_begun;
+  finish_within = other127.finish_within;
   __isset = other127.__isset;
 }
 ForwardedRequest& ForwardedRequest::operator=(const ForwardedRequest& other128) {
@@ -2968,6 +2989,7 @@
   earlier_sends = other128.earlier_sends;
   resume_after = other128.resume_after;
   stream_begun = other128.stream_begun;
+  finish_within = other128.finish_within;
   __isset = other128.__isset;
   return *this;
 }
@@ -2982,6 +3004,7 @@
   earlier_sends = other129.earlier_sends;
   resume_after = other129.resume_after;
   stream_begun = other129.stream_begun;
+  finish_within = other129.finish_within;
   __isset = other129.__isset;
   return *this;
 }
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -1183,7 +1183,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _ForwardedRequest__isset {
-  _ForwardedRequest__isset() : number(false), method(false), target(false), headers(false), body(false), body_length(false), age(false), earlier_sends(false), resume_after(false), stream_begun(false) {}
+  _ForwardedRequest__isset() : number(false), method(false), target(false), headers(false), body(false), body_length(false), age(false), earlier_sends(false), resume_after(false), stream_begun(false), finish_within(false) {}
   bool number :1;
   bool method :1;
   bool target :1;
@@ -1194,6 +1194,7 @@
   bool earlier_sends :1;
   bool resume_after :1;
   bool stream_begun :1;
+  bool finish_within :1;
 } _ForwardedRequest__isset;
 
 class ForwardedRequest : public virtual ::apache::thrift::TBase {
@@ -1212,7 +1213,8 @@
                      age(0),
                      earlier_sends(0),
                      resume_after(0),
-                     stream_begun(0) {
+                     stream_begun(0),
+                     finish_within(0) {
   }
 
   virtual ~ForwardedRequest() noexcept;
@@ -1226,6 +1228,7 @@
   int64_t earlier_sends;
   int64_t resume_after;
   bool stream_begun;
+  int64_t finish_within;
 
   _ForwardedRequest__isset __isset;
 
@@ -1249,6 +1252,8 @@
 
   void __set_stream_begun(const bool val);
 
+  void __set_finish_within(const int64_t val);
+
   bool operator == (const ForwardedRequest & rhs) const
   {
     if (!(number == rhs.number))
@@ -1277,6 +1282,10 @@
       return false;
     else if (__isset.stream_begun && !(stream_begun == rhs.stream_begun))
       return false;
+    if (__isset.finish_within != rhs.__isset.finish_within)
+      return false;
+    else if (__isset.finish_within && !(finish_within == rhs.finish_within))
+      return false;
     return true;
   }
   bool operator != (const ForwardedRequest &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -103,6 +103,8 @@
   int64_t earlier_sends = 0;
   std::optional<int64_t> resume_after;  // the last event that the caller has
   bool stream_begun = false;            // the caller has the answer's head
+  // Time until the sending process ends; nullopt: it isn't stopping.
+  std::optional<Duration> finish_within;
 
   bool operator==(const ForwardedRequest&) const = default;
 };
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -146,6 +146,7 @@
   8: optional i64 earlier_sends
   9: optional i64 resume_after
   10: optional bool stream_begun
+  11: optional i64 finish_within  // microseconds
 }
 
 struct ForwardedBody {
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -283,7 +283,10 @@
           .resume_after = in.__isset.resume_after
                               ? std::optional(in.resume_after)
                               : std::nullopt,
-          .stream_begun = in.stream_begun};
+          .stream_begun = in.stream_begun,
+          .finish_within = in.__isset.finish_within
+                               ? std::optional(Duration(in.finish_within))
+                               : std::nullopt};
 }
 
 bool GoodAnswer(const wire::ForwardedAnswer& in) {
@@ -467,6 +470,9 @@
     if (request.stream_begun) {
       item.__set_stream_begun(true);
     }
+    if (request.finish_within) {
+      item.__set_finish_within(request.finish_within->count());
+    }
     out.__set_forwarded_request(item);
   }
   void operator()(const ForwardedBody& body) {
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -190,6 +190,14 @@
   request->Begin();
 }
 
+void FleetRelay::StartDrain(const StopSchedule& schedule) {
+  this->stop = schedule;
+  this->server.StartDrain();
+  for (const auto& request : this->requests) {
+    request->OnStop(schedule);
+  }
+}
+
 void FleetRelay::LogUnfinished() {
   for (const auto& request : this->requests) {
     request->LogUnfinished();
@@ -197,8 +205,8 @@
 }
 
 std::string FleetRelay::StoppingText() const {
-  return this->stopping_since
-             ? MillisecondsText(this->clock->Now() - *this->stopping_since)
+  return this->stop
+             ? MillisecondsText(this->clock->Now() - this->stop->signalled)
              : "";
 }
 
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -22,8 +22,10 @@
 #include <set>
 #include <string>
 
+#include "decisions/answer_times.h"
 #include "decisions/decaying_rate.h"
 #include "decisions/fleet_placement.h"
+#include "decisions/stop_schedule.h"
 #include "decisions/suspects.h"
 #include "decisions/window_budget.h"
 #include "kernel/log.h"
@@ -123,21 +125,14 @@
   // what it has learned, so its options take a start.
   void SetLimits(const WindowBudgetOptions& retries, Duration proof_limit);
 
-  // Each answer is the last of its connection from now on. The stop signal came
-  // at `since`.
-  void StartDrain(Instant since) {
-    this->stopping_since = since;
-    this->server.StartDrain();
-  }
+  // Each answer is the last of its connection from now on. A request that can't
+  // be finished in time is refused as not run; what is unfinished when the
+  // schedule ends gets its final answer then.
+  void StartDrain(const StopSchedule& schedule);
 
   // Logs each request that is unfinished at the end of the process.
   void LogUnfinished();
 
-  // Requests that come from now on are refused as not run: they couldn't be
-  // finished before the process ends.
-  void RefuseNew() { this->refusing = true; }
-  bool Refusing() const { return this->refusing; }
-
   // Whether requests can be served: a configuration and endpoints are known,
   // and both are newer than the last RequireRefresh.
   bool Ready() const;
@@ -212,8 +207,8 @@
   Instant proven{};
   Instant refresh_required_at{};    // of the last RequireRefresh
   bool endpoints_refreshed = true;  // since then
-  std::optional<Instant> stopping_since;
-  bool refusing = false;
+  std::optional<StopSchedule> stop;
+  AnswerTimes answer_times;
   std::map<ServiceId, DecayingRate> read_tokens;
   std::set<std::shared_ptr<RelayedRequest>> requests;
 };
--- a/packages/relay/forward_receiver.cc
+++ b/packages/relay/forward_receiver.cc
@@ -138,7 +138,8 @@
                            .age = request.age,
                            .earlier_sends = request.earlier_sends,
                            .resume_after = request.resume_after,
-                           .stream_begun = request.stream_begun});
+                           .stream_begun = request.stream_begun,
+                           .finish_within = request.finish_within});
 }
 
 void ForwardReceiver::OnControl(const HostId& from,
--- a/packages/relay/forward_receiver.h
+++ b/packages/relay/forward_receiver.h
@@ -23,6 +23,8 @@
   int64_t earlier_sends = 0;
   std::optional<int64_t> resume_after;  // the last event that the caller has
   bool stream_begun = false;            // the caller has the answer's head
+  // The time that the forwarding host's process has left, if it stops.
+  std::optional<Duration> finish_within;
 };
 
 class ForwardedExchange;
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -142,6 +142,9 @@
   this->handle.clear();
   if (fate == Fate::kDone) {
     this->relay->suspects.OnAnswered(this->fingerprint);
+    this->relay->answer_times.Add(
+        now, AnswerKind::Of(this->route->name, this->request.output_tokens),
+        now - this->arrived);
     this->Over(std::to_string(at.status));
     return;
   }
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -55,8 +55,7 @@
     }
     return;
   }
-  this->deadline_timer = Timer::After(std::max(this->Left(), Duration{}),
-                                      [this] { this->OnDeadline(); });
+  this->ArmDeadline();
   if (this->origin.earlier_sends > 0) {
     this->TakeOver();
     return;
@@ -92,9 +91,6 @@
     return read.error();
   }
   this->request = std::move(*read);
-  if (this->relay->refusing) {
-    return Error{ErrorKind::kShuttingDown, "this host stops", Duration{}};
-  }
   if (!this->relay->Refreshed()) {
     return Error{ErrorKind::kNoEndpoint, "no configuration yet",
                  std::chrono::milliseconds(300)};
@@ -139,9 +135,60 @@
   this->body = std::make_shared<const std::string>(message.body);
   this->fingerprint =
       Hash(message.body, Hash(message.head.target, Hash(account.Text())));
+  return this->CheckStop();
+}
+
+// Refuses what the end of a process would cut: of this one, or of the one that
+// has the caller. A stream that goes on here had been taken before.
+std::optional<Error> RelayedRequest::CheckStop() {
+  const Instant now = this->relay->clock->Now();
+  const std::optional<StopSchedule>& stop = this->relay->stop;
+  if (this->origin.finish_within) {
+    this->finish_by = now + *this->origin.finish_within;
+  }
+  if (stop && this->origin.host.Empty()) {
+    this->finish_by = stop->finish_by;
+  }
+  if (this->origin.earlier_sends > 0) {
+    return {};
+  }
+  if (stop && !stop->MayTake(now, this->Need())) {
+    return Error{ErrorKind::kShuttingDown, "this host stops", Duration{}};
+  }
+  if (!this->CanStillFinish()) {
+    return Error{ErrorKind::kShuttingDown, "the host of the caller stops",
+                 Duration{}};
+  }
   return {};
 }
 
+AnswerNeed RelayedRequest::Need() const {
+  return {.limit = this->Left(),
+          .expected = this->relay->answer_times.Longest(
+              this->relay->clock->Now(),
+              AnswerKind::Of(this->route->name, this->request.output_tokens))};
+}
+
+bool RelayedRequest::CanStillFinish() const {
+  return !this->finish_by ||
+         CanFinish(*this->finish_by - this->relay->clock->Now(), this->Need());
+}
+
+void RelayedRequest::OnStop(const StopSchedule& schedule) {
+  if (this->origin.host.Empty()) {
+    this->finish_by = schedule.finish_by;
+    this->ArmDeadline();
+  }
+}
+
+void RelayedRequest::ArmDeadline() {
+  const Instant end =
+      std::min(this->deadline, this->finish_by.value_or(this->deadline));
+  this->deadline_timer =
+      Timer::After(std::max(end - this->relay->clock->Now(), Duration{}),
+                   [this] { this->OnDeadline(); });
+}
+
 std::optional<Error> RelayedRequest::CheckKey() {
   if (this->route->keyless || !this->configuration->keys_required) {
     return {};
@@ -347,6 +394,12 @@
                           const EndpointCall& call,
                           const SentWork& work) {
   const Instant now = this->relay->clock->Now();
+  if (!this->StreamBegun() && !this->CanStillFinish()) {
+    this->DropHandle();
+    this->FailWithoutSending(ErrorKind::kShuttingDown,
+                             "the host of the caller stops", Duration{});
+    return;
+  }
   // The key may have been revoked since the request was admitted.
   if (!this->account.Empty() && !this->relay->KeysProven()) {
     this->DropHandle();
@@ -461,13 +514,16 @@
 void RelayedRequest::OnDeadline() {
   const auto keep = this->shared_from_this();
   const bool sent = this->attempt && !this->attempt->reading;
+  const std::string_view why = this->Left() > Duration{}
+                                   ? "the host of the caller stops"
+                                   : "out of time";
   this->EndAttempt();
   if (this->StreamBegun()) {
-    this->BreakOff("out of time");
+    this->BreakOff(why);
   } else if (sent || this->may_have_run) {
-    this->AnswerError(ErrorKind::kTimeout, "out of time");
+    this->AnswerError(ErrorKind::kTimeout, why);
   } else {
-    this->RefuseNotRun("out of time", kLeastReturn);
+    this->RefuseNotRun(why, kLeastReturn);
   }
 }
 
@@ -558,7 +614,8 @@
     this->AnswerError(ErrorKind::kEndpointFailed, why);
   } else if (kind == ErrorKind::kNoEndpoint) {
     this->RefuseNotRun(why, retry_after);
-  } else if (kind == ErrorKind::kRateLimited) {
+  } else if (kind == ErrorKind::kRateLimited ||
+             kind == ErrorKind::kShuttingDown) {
     this->AnswerError(kind, why, retry_after);
   } else {
     this->AnswerError(kind, why);
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -39,6 +39,10 @@
   // Drops it without an answer; the process ends.
   void Abandon();
 
+  // This host stops. A request of a caller that is connected here ends when the
+  // schedule does; another host goes on with those that it forwarded.
+  void OnStop(const StopSchedule& schedule);
+
   // Logs that it is unfinished at the end of the process.
   void LogUnfinished() const;
 
@@ -66,6 +70,10 @@
   std::optional<Error> Admit();
   void TakeOver();
   std::optional<Error> CheckKey();
+  std::optional<Error> CheckStop();
+  void ArmDeadline();
+  AnswerNeed Need() const;
+  bool CanStillFinish() const;
   bool KeyStillValid() const;
   bool TakeTokens();
   void OnTokens(const LimitVerdict& verdict);
@@ -139,6 +147,8 @@
   uint64_t fingerprint = 0;
   Instant arrived{};
   Instant deadline{};
+  // When the process that has the caller ends, if that one stops.
+  std::optional<Instant> finish_by;
   std::shared_ptr<const std::string> body;
   std::unique_ptr<Attempt> attempt;
   std::set<EndpointId> tried;
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -85,13 +85,35 @@
   }
   call->request = read->id;
   const Duration patience = read->patience.value_or(kDefaultPatience);
-  call->deadline = Timer::After(patience + kDeadlineMargin,
+  // How long answers take is known to schedulers: until `takes_until` they
+  // decide.
+  if (this->stop && call->arrived >= this->stop->takes_until &&
+      !this->stop->MayTake(call->arrived, {.limit = patience})) {
+    this->GiveUp(*call, ErrorKind::kShuttingDown, "this host stops");
+    return;
+  }
+  call->give_up_at = call->arrived + patience + kDeadlineMargin;
+  this->ArmDeadline(call);
+  this->Forward(call);
+}
+
+void RequestForwarder::StartDrain(const StopSchedule& schedule) {
+  this->stop = schedule;
+  for (const auto& [number, call] : this->calls) {
+    this->ArmDeadline(call);
+  }
+}
+
+void RequestForwarder::ArmDeadline(const CallPtr& call) {
+  const Instant end = this->stop
+                          ? std::min(call->give_up_at, this->stop->finish_by)
+                          : call->give_up_at;
+  call->deadline = Timer::After(std::max(end - this->clock->Now(), Duration{}),
                                 [this, weak = std::weak_ptr(call)] {
                                   if (const auto late = weak.lock()) {
                                     this->OnDeadline(late->number);
                                   }
                                 });
-  this->Forward(call);
 }
 
 // Sends a request to the next scheduler, or ends it if there is none.
@@ -127,16 +149,20 @@
                                    int64_t number) const {
   const CallerMessage& message = call.caller->Message();
   const std::string_view body = message.body;
-  const ForwardedRequest first{.number = number,
-                               .method = message.head.method,
-                               .target = message.head.target,
-                               .headers = message.head.headers,
-                               .body = std::string(body.substr(0, kBodyPart)),
-                               .body_length = body.size(),
-                               .age = this->clock->Now() - call.arrived,
-                               .earlier_sends = call.sends,
-                               .resume_after = call.events.LastId(),
-                               .stream_begun = call.caller->Started()};
+  const ForwardedRequest first{
+      .number = number,
+      .method = message.head.method,
+      .target = message.head.target,
+      .headers = message.head.headers,
+      .body = std::string(body.substr(0, kBodyPart)),
+      .body_length = body.size(),
+      .age = this->clock->Now() - call.arrived,
+      .earlier_sends = call.sends,
+      .resume_after = call.events.LastId(),
+      .stream_begun = call.caller->Started(),
+      .finish_within = this->stop
+                           ? std::optional(this->stop->Left(this->clock->Now()))
+                           : std::nullopt};
   bool sent = this->send(to, first);
   for (size_t at = kBodyPart; sent && at < body.size(); at += kBodyPart) {
     sent = this->send(
@@ -243,7 +269,9 @@
   const CallPtr call = found->second;
   this->send(call->scheduler, ForwardControl{.number = number});
   this->End(number);
-  this->GiveUp(*call, ErrorKind::kTimeout, "no answer from the scheduler");
+  const bool stops = this->clock->Now() < call->give_up_at;
+  this->GiveUp(*call, ErrorKind::kTimeout,
+               stops ? "this host stops" : "no answer from the scheduler");
 }
 
 void RequestForwarder::OnLost(const HostId& scheduler) {
@@ -279,8 +307,10 @@
     call.caller->Break();
   } else {
     const bool not_run = AnswerFor(kind).not_run && call.sends == 0;
+    const Duration retry_after =
+        kind == ErrorKind::kShuttingDown ? Duration{} : kLinkReturn;
     AnswerOwnError(*call.caller, *this->metrics, kind, why,
-                   not_run ? std::optional(kLinkReturn) : std::nullopt);
+                   not_run ? std::optional(retry_after) : std::nullopt);
   }
   this->LogCall(call, why);
 }
@@ -306,9 +336,8 @@
        {"configuration", std::to_string(this->choice.Version())},
        {"sends", std::to_string(call.sends)},
        {"ms", MillisecondsText(now - call.arrived)},
-       {"stopping_ms", this->stopping_since
-                           ? MillisecondsText(now - *this->stopping_since)
-                           : ""}}};
+       {"stopping_ms",
+        this->stop ? MillisecondsText(now - this->stop->signalled) : ""}}};
   LogLineWith(level, kPart, sentence, fields);
 }
 
--- a/packages/relay/request_forwarder.h
+++ b/packages/relay/request_forwarder.h
@@ -13,6 +13,7 @@
 #include <set>
 
 #include "decisions/scheduler_choice.h"
+#include "decisions/stop_schedule.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/task.h"
@@ -50,8 +51,9 @@
     this->choice.NoteAppliedVersion(version);
   }
 
-  // The stop signal came at `since`.
-  void StartDrain(Instant since) { this->stopping_since = since; }
+  // This host stops: schedulers are told how long a request may last, what
+  // can't be finished is refused, and all calls end when the schedule does.
+  void StartDrain(const StopSchedule& schedule);
 
   // Logs each request that is unfinished at the end of the process.
   void LogUnfinished();
@@ -73,7 +75,8 @@
     int64_t number = 0;  // at the scheduler that has it now
     HostId scheduler;
     Instant arrived{};
-    int64_t sends = 0;  // to schedulers
+    Instant give_up_at{};  // without an answer of a scheduler
+    int64_t sends = 0;     // to schedulers
     std::set<HostId> tried;
     EventCutter events;  // knows the last event that was passed on
     bool streams = false;
@@ -83,6 +86,7 @@
   using CallPtr = std::shared_ptr<Call>;
 
   void Forward(const CallPtr& call);
+  void ArmDeadline(const CallPtr& call);
   bool SendRequest(const Call& call, const HostId& to, int64_t number) const;
   void StartAnswer(Call& call, const ForwardedHead& head);
   void PassOn(int64_t number, Call& call, std::string_view bytes);
@@ -100,7 +104,7 @@
   SendTo send;
   SchedulerChoice choice;
   LogLimiter log_limiter;
-  std::optional<Instant> stopping_since;
+  std::optional<StopSchedule> stop;
   int64_t last_number = 0;
   std::map<int64_t, CallPtr> calls;
 };
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -620,7 +620,8 @@
                            .age = std::chrono::milliseconds(3),
                            .earlier_sends = 1,
                            .resume_after = 4,
-                           .stream_begun = true}),
+                           .stream_begun = true,
+                           .finish_within = std::chrono::seconds(2)}),
       PeerMessage(ForwardedBody{.number = 9, .bytes = "more"}),
       PeerMessage(ForwardedAnswer{
           .number = 9,
--- /dev/null
+++ b/tests/stop_decisions_test.cc
@@ -0,0 +1,116 @@
+// What a stopping host takes, and how long answers are expected to take.
+
+#include <CppUTest/TestHarness.h>
+
+#include "decisions/answer_times.h"
+#include "decisions/stop_schedule.h"
+
+namespace hickorystand {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Instant kStart{seconds(100)};
+
+void CheckNear(Duration expected, std::optional<Duration> got) {
+  CHECK(got.has_value());
+  DOUBLES_EQUAL(ToSeconds(expected), ToSeconds(*got),
+                ToSeconds(expected) * 0.1);
+}
+
+// Answers at ten a second that take `from`, then evenly more up to `to`.
+Instant AddAnswers(AnswerTimes& times,
+                   const AnswerKind& kind,
+                   Instant from_when,
+                   int count,
+                   Duration from,
+                   Duration to) {
+  Instant now = from_when;
+  for (int i = 0; i < count; ++i) {
+    now += milliseconds(100);
+    times.Add(now, kind, from + (to - from) * i / count);
+  }
+  return now;
+}
+
+}  // namespace
+
+TEST_GROUP(StopSchedule){};
+
+// Guards against refusing callers that the balancer still sends, though their
+// answers end in time.
+TEST(StopSchedule, TakesWhatEndsInTime) {
+  const auto stop = StopSchedule::From(kStart, seconds(8));
+  CHECK(stop.MayTake(kStart, {.limit = seconds(15), .expected = seconds(5)}));
+  CHECK(stop.MayTake(kStart + seconds(2),
+                     {.limit = seconds(15), .expected = seconds(4)}));
+  CHECK(stop.MayTake(kStart + seconds(6), {.limit = milliseconds(1500)}));
+}
+
+// Guards against answers that are cut when the process ends.
+TEST(StopSchedule, RefusesWhatMayOutlastIt) {
+  const auto stop = StopSchedule::From(kStart, seconds(8));
+  CHECK(!stop.MayTake(kStart, {.limit = seconds(15)}));
+  CHECK(!stop.MayTake(kStart, {.limit = seconds(15), .expected = seconds(7)}));
+  CHECK(!stop.MayTake(kStart + seconds(2),
+                      {.limit = seconds(15), .expected = seconds(5)}));
+  CHECK(!stop.MayTake(kStart + seconds(6), {.limit = milliseconds(1501)}));
+}
+
+// Guards against an estimate that decides when callers have had the time to go
+// elsewhere.
+TEST(StopSchedule, NeedsCertaintyAfterTheTimeForTakingRequests) {
+  const auto stop = StopSchedule::From(kStart, seconds(8));
+  const AnswerNeed need{.limit = seconds(15), .expected = milliseconds(10)};
+  CHECK(stop.MayTake(stop.takes_until - milliseconds(1), need));
+  CHECK(!stop.MayTake(stop.takes_until, need));
+  CHECK(stop.takes_until < kStart + seconds(3));
+}
+
+// Guards against a process that is killed before it has answered, whatever the
+// grace time is.
+TEST(StopSchedule, EndsBeforeTheGraceTime) {
+  for (const Duration grace :
+       {Duration(milliseconds(200)), Duration(seconds(1)), Duration(seconds(8)),
+        Duration(seconds(600))}) {
+    const auto stop = StopSchedule::From(kStart, grace);
+    CHECK(stop.finish_by > kStart && stop.finish_by < kStart + grace);
+    CHECK(stop.takes_until <= stop.finish_by);
+  }
+}
+
+TEST_GROUP(AnswerTimes){};
+
+// Guards against a few lucky answers that stand for all.
+TEST(AnswerTimes, TellsWhatNearlyAllAnswersStayBelow) {
+  AnswerTimes times;
+  const auto kind = AnswerKind::Of("r", 100);
+  const Instant now =
+      AddAnswers(times, kind, kStart, 80, seconds(1), seconds(5));
+  CheckNear(milliseconds(4800), times.Longest(now, kind));
+}
+
+// Guards against estimates from before a slowdown, or after it.
+TEST(AnswerTimes, FollowsTheLastSeconds) {
+  AnswerTimes times;
+  const auto kind = AnswerKind::Of("r", 100);
+  Instant now = AddAnswers(times, kind, kStart, 100, seconds(1), seconds(1));
+  now = AddAnswers(times, kind, now, 30, seconds(3), seconds(3));
+  CheckNear(seconds(3), times.Longest(now, kind));
+  now = AddAnswers(times, kind, now, 300, seconds(1), seconds(1));
+  CheckNear(seconds(1), times.Longest(now, kind));
+  CHECK(!times.Longest(now + seconds(60), kind).has_value());
+}
+
+// Guards against refusing every answer of a size that is seldom asked for.
+TEST(AnswerTimes, InfersFromTheNearestSize) {
+  AnswerTimes times;
+  const Instant now = AddAnswers(times, AnswerKind::Of("r", 100), kStart, 10,
+                                 seconds(1), seconds(1));
+  CheckNear(seconds(2), times.Longest(now, AnswerKind::Of("r", 200)));
+  CheckNear(seconds(1), times.Longest(now, AnswerKind::Of("r", 20)));
+  CHECK(!times.Longest(now, AnswerKind::Of("other", 100)).has_value());
+}
+
+}  // namespace hickorystand
