Relay hosts: a host that stops says so, and a successor takes its role at once

Cause: a scheduler that stopped revoked its record, but FleetPeers::KeepLinked kept it in the plan while its link was up, so no other host took the scheduler role until its process had ended, and ingress hosts looked for other schedulers with their next list, up to 8 s later.

SchedulerNews has two new optional fields. A host that says `leaving` isn't planned with; its links stay until it is gone. `last_resort`: it still serves what no other scheduler can take. A host that hears of a leaving one plans anew from the list it has and reads the list again soon. A host that the store turns away, and that says nothing, stays in the plan as before.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -267,19 +267,23 @@
 
 SchedulerNews RelayDaemon::News() const {
   const FleetConfigurationPtr& configuration = this->relay->Configuration();
+  const bool leaving = this->draining_since.has_value();
   if (!configuration || !this->IsScheduler()) {
-    return {.scheduler = this->IsScheduler()};
+    return {.scheduler = this->IsScheduler(), .leaving = leaving};
   }
   const CallerLimits& limits = configuration->limits;
+  const bool serves = this->relay->Ready() && !this->relay->Refusing();
   return {.scheduler = true,
           .busy = this->busy,
-          .ready = this->relay->Ready() && !this->draining_since,
+          .ready = serves && !leaving,
           .keys_proven = this->relay->KeysProven(),
           .configuration_version = configuration->version,
           .head_bytes = limits.head_bytes,
           .body_bytes = limits.body_bytes,
           .head_timeout = limits.head_timeout,
-          .idle_timeout = limits.idle_timeout};
+          .idle_timeout = limits.idle_timeout,
+          .leaving = leaving,
+          .last_resort = serves && leaving};
 }
 
 // How late timers fire shows whether this host keeps up with its work.
@@ -306,6 +310,9 @@
 
 void RelayDaemon::TakeNews(const HostId& from, const SchedulerNews& news) {
   this->forwarder->OnNews(from, news);
+  if (news.leaving) {
+    this->FollowCaches();
+  }
   // Until the others have it too, ingress hosts send everything to that one.
   const FleetConfigurationPtr& own = this->relay->Configuration();
   if (this->IsScheduler() && own && news.configuration_version > own->version) {
@@ -324,6 +331,9 @@
   this->subscribers.clear();
   if (this->IsScheduler()) {
     this->subscribers = this->peers->LinkedSchedulers();
+    std::erase_if(this->subscribers, [this](const FleetHost& host) {
+      return this->peers->IsLeaving(host.id);
+    });
     this->subscribers.push_back(this->peers->Self());
   }
   this->relay->RefreshCaches();
@@ -335,7 +345,7 @@
 void RelayDaemon::OnLinked(const HostId& host) {
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
-  if (this->IsScheduler()) {
+  if (this->IsScheduler() || this->draining_since) {
     this->peers->Send(host, this->News());
   }
 }
