Relay hosts: a request that a stopping scheduler declines goes to another one

Cause: a request that crossed a scheduler's refusal was answered 503, although another scheduler could have served it.

A scheduler that refuses because it stops, or because it has no current configuration, marks its answer as declined. The ingress host forwards the request to another scheduler, within the same number of sends, and passes the answer on only if there is none. Declined sends don't count as sends that may have run. Hosts of older releases ignore the mark and pass the answer on. A host that is a scheduler no longer declines as well.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -246,6 +246,7 @@
   this->duties->Retire();
   this->duties_retired = true;
   this->FollowCaches();
+  this->relay->RequireRefresh();
 }
 
 // A scheduler forwards requests until it is ready to serve, and while another
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -3128,6 +3128,11 @@
 __isset.ending = true;
 }
 
+void ForwardedAnswer::__set_declined(const bool val) {
+  this->declined = val;
+__isset.declined = true;
+}
+
 uint32_t ForwardedAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3209,6 +3214,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->declined);
+          this->__isset.declined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3263,6 +3276,11 @@
     xfer += oprot->writeI32(this->ending);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.declined) {
+    xfer += oprot->writeFieldBegin("declined", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->declined);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3276,6 +3294,7 @@
   swap(a.length, b.length);
   swap(a.bytes, b.bytes);
   swap(a.ending, b.ending);
+  swap(a.declined, b.declined);
   swap(a.__isset, b.__isset);
 }
 
@@ -3286,6 +3305,7 @@
   length = other140.length;
   bytes = other140.bytes;
   ending = other140.ending;
+  declined = other140.declined;
   __isset = other140.__isset;
 }
 ForwardedAnswer::ForwardedAnswer(ForwardedAnswer&& other141) noexcept {
@@ -3295,6 +3315,7 @@
   length = other141.length;
   bytes = std::move(other141.bytes);
   ending = other141.ending;
+  declined = other141.declined;
   __isset = other141.__isset;
 }
 ForwardedAnswer& ForwardedAnswer::operator=(const ForwardedAnswer& other142) {
@@ -3304,6 +3325,7 @@
   length = other142.length;
   bytes = other142.bytes;
   ending = other142.ending;
+  declined = other142.declined;
   __isset = other142.__isset;
   return *this;
 }
@@ -3314,6 +3336,7 @@
   length = other143.length;
   bytes = std::move(other143.bytes);
   ending = other143.ending;
+  declined = other143.declined;
   __isset = other143.__isset;
   return *this;
 }
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -1346,13 +1346,14 @@
 std::ostream& operator<<(std::ostream& out, const ForwardedBody& obj);
 
 typedef struct _ForwardedAnswer__isset {
-  _ForwardedAnswer__isset() : number(false), status(false), headers(false), length(false), bytes(false), ending(false) {}
+  _ForwardedAnswer__isset() : number(false), status(false), headers(false), length(false), bytes(false), ending(false), declined(false) {}
   bool number :1;
   bool status :1;
   bool headers :1;
   bool length :1;
   bool bytes :1;
   bool ending :1;
+  bool declined :1;
 } _ForwardedAnswer__isset;
 
 class ForwardedAnswer : public virtual ::apache::thrift::TBase {
@@ -1367,7 +1368,8 @@
                     status(0),
                     length(0),
                     bytes(),
-                    ending(0) {
+                    ending(0),
+                    declined(0) {
   }
 
   virtual ~ForwardedAnswer() noexcept;
@@ -1377,6 +1379,7 @@
   int64_t length;
   std::string bytes;
   int32_t ending;
+  bool declined;
 
   _ForwardedAnswer__isset __isset;
 
@@ -1392,6 +1395,8 @@
 
   void __set_ending(const int32_t val);
 
+  void __set_declined(const bool val);
+
   bool operator == (const ForwardedAnswer & rhs) const
   {
     if (!(number == rhs.number))
@@ -1416,6 +1421,10 @@
       return false;
     else if (__isset.ending && !(ending == rhs.ending))
       return false;
+    if (__isset.declined != rhs.__isset.declined)
+      return false;
+    else if (__isset.declined && !(declined == rhs.declined))
+      return false;
     return true;
   }
   bool operator != (const ForwardedAnswer &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -133,6 +133,9 @@
   std::optional<ForwardedHead> head;
   std::string bytes;
   AnswerEnd end = AnswerEnd::kMore;
+  // The request hasn't run at the sender and won't, but another scheduler may
+  // take it. The answer is for the caller if none does.
+  bool declined = false;
 
   bool operator==(const ForwardedAnswer&) const = default;
 };
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -161,6 +161,7 @@
   4: optional i64 length
   5: optional binary bytes
   6: optional i32 ending  // AnswerEnd; absent: more follows
+  7: optional bool declined  // not run here; another scheduler may take it
 }
 
 struct ForwardControl {
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -294,7 +294,8 @@
 ForwardedAnswer ReadAnswer(wire::ForwardedAnswer& in) {
   ForwardedAnswer answer{.number = in.number,
                          .bytes = std::move(in.bytes),
-                         .end = static_cast<AnswerEnd>(in.ending)};
+                         .end = static_cast<AnswerEnd>(in.ending),
+                         .declined = in.declined};
   if (in.__isset.status) {
     answer.head = {.status = in.status,
                    .headers = ReadHeaders(in.headers),
@@ -491,6 +492,9 @@
     if (answer.end != AnswerEnd::kMore) {
       item.__set_ending(static_cast<int>(answer.end));
     }
+    if (answer.declined) {
+      item.__set_declined(true);
+    }
     out.__set_forwarded_answer(item);
   }
   void operator()(const ForwardControl& control) {
--- a/packages/relay/caller_exchange.h
+++ b/packages/relay/caller_exchange.h
@@ -61,6 +61,10 @@
     this->drained = std::move(handler);
   }
 
+  // Says that this host neither has run the request nor will, but that another
+  // one may. The answer that follows reaches the caller only if none does.
+  virtual void Decline() {}
+
   // Answers in one piece.
   void Answer(const AnswerStart& start, std::string_view body);
 
--- a/packages/relay/forward_receiver.cc
+++ b/packages/relay/forward_receiver.cc
@@ -21,6 +21,9 @@
         receiver(receiver),
         key(std::move(key)) {}
 
+  // Goes out with the whole refusal, in one message.
+  void Decline() override { this->next.declined = true; }
+
   // The head goes out with the first bytes, in one message.
   void Start(const AnswerStart& start) override {
     this->started = true;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -98,9 +98,11 @@
   }
   this->request = std::move(*read);
   if (this->relay->refusing) {
+    this->caller->Decline();
     return Error{ErrorKind::kShuttingDown, "this host stops", Duration{}};
   }
   if (!this->relay->Refreshed()) {
+    this->caller->Decline();
     return Error{ErrorKind::kNoEndpoint, "no configuration yet",
                  std::chrono::milliseconds(300)};
   }
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -99,10 +99,10 @@
   const auto to = call->sends < kMostSends ? this->choice.Choose(call->tried)
                                            : std::nullopt;
   if (!to) {
-    this->GiveUp(
-        *call,
-        call->sends > 0 ? ErrorKind::kEndpointFailed : ErrorKind::kNoEndpoint,
-        "no scheduler");
+    this->GiveUp(*call,
+                 call->UncertainSends() > 0 ? ErrorKind::kEndpointFailed
+                                            : ErrorKind::kNoEndpoint,
+                 "no scheduler");
     return;
   }
   const int64_t number = ++this->last_number;
@@ -134,7 +134,7 @@
                                .body = std::string(body.substr(0, kBodyPart)),
                                .body_length = body.size(),
                                .age = this->clock->Now() - call.arrived,
-                               .earlier_sends = call.sends,
+                               .earlier_sends = call.UncertainSends(),
                                .resume_after = call.events.LastId(),
                                .stream_begun = call.caller->Started()};
   bool sent = this->send(to, first);
@@ -153,6 +153,9 @@
     return;
   }
   const CallPtr call = found->second;
+  if (part.declined && this->ForwardDeclined(part.number, call)) {
+    return;
+  }
   if (part.head) {
     this->StartAnswer(*call, *part.head);
   }
@@ -170,6 +173,21 @@
   }
 }
 
+// Forwards a request that its scheduler has declined. False if no other one can
+// take it: then the answer that came with it is the caller's.
+bool RequestForwarder::ForwardDeclined(int64_t number, const CallPtr& call) {
+  ++call->declined;
+  this->metrics->Add("forwards_declined_total", 1);
+  this->LogCall(*call, "Declined by the scheduler.");
+  if (call->sends >= kMostSends || !this->choice.Choose(call->tried)) {
+    return false;
+  }
+  this->calls.erase(number);
+  this->choice.OnEnded(call->scheduler);
+  this->Forward(call);
+  return true;
+}
+
 // A stream that goes on from another scheduler has its head already; any other
 // answer in its place can't be passed on any more.
 void RequestForwarder::StartAnswer(Call& call, const ForwardedHead& head) {
@@ -278,7 +296,7 @@
   if (call.caller->Started()) {
     call.caller->Break();
   } else {
-    const bool not_run = AnswerFor(kind).not_run && call.sends == 0;
+    const bool not_run = AnswerFor(kind).not_run && call.UncertainSends() == 0;
     AnswerOwnError(*call.caller, *this->metrics, kind, why,
                    not_run ? std::optional(kLinkReturn) : std::nullopt);
   }
--- a/packages/relay/request_forwarder.h
+++ b/packages/relay/request_forwarder.h
@@ -3,7 +3,9 @@
 //
 // While a scheduler answers nothing has to be decided here. When one is lost,
 // its requests go to another one, which is told how far they got: it knows the
-// routes, so it decides whether they may run again.
+// routes, so it decides whether they may run again. A request that a scheduler
+// declines hasn't run there and goes to another one as if it had never been
+// sent.
 
 #pragma once
 
@@ -67,16 +69,21 @@
     int64_t number = 0;  // at the scheduler that has it now
     HostId scheduler;
     Instant arrived{};
-    int64_t sends = 0;  // to schedulers
+    int64_t sends = 0;     // to schedulers
+    int64_t declined = 0;  // of the sends: surely not run
     std::set<HostId> tried;
     EventCutter events;  // knows the last event that was passed on
     bool streams = false;
     bool paused = false;
     std::unique_ptr<Timer> deadline;
+
+    // Sends that may have led to a run.
+    int64_t UncertainSends() const { return this->sends - this->declined; }
   };
   using CallPtr = std::shared_ptr<Call>;
 
   void Forward(const CallPtr& call);
+  bool ForwardDeclined(int64_t number, const CallPtr& call);
   bool SendRequest(const Call& call, const HostId& to, int64_t number) const;
   void StartAnswer(Call& call, const ForwardedHead& head);
   void PassOn(int64_t number, Call& call, std::string_view bytes);
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -629,6 +629,8 @@
                                 .length = 3},
           .bytes = "abc",
           .end = AnswerEnd::kWhole}),
+      PeerMessage(ForwardedAnswer{
+          .number = 10, .end = AnswerEnd::kBroken, .declined = true}),
       PeerMessage(ForwardControl{.number = 9, .action = ForwardAction::kPause}),
       PeerMessage(SchedulerNews{.scheduler = true,
                                 .busy = true,
