--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -242,6 +242,7 @@
   this->duties->Retire();
   this->duties_retired = true;
   this->FollowCaches();
+  this->relay->RequireRefresh();
 }
 
 // A scheduler forwards requests until it is ready to serve, and while another
@@ -262,19 +263,24 @@
 
 SchedulerNews RelayDaemon::News() const {
   const FleetConfigurationPtr& configuration = this->relay->Configuration();
+  const bool leaving = this->stop.has_value();
   if (!configuration || !this->IsScheduler()) {
-    return {.scheduler = this->IsScheduler()};
+    return {.scheduler = this->IsScheduler(), .leaving = leaving};
   }
   const CallerLimits& limits = configuration->limits;
+  const bool takes = !leaving || this->clock->Now() < this->stop->takes_until;
+  const bool serves = this->relay->Ready() && takes;
   return {.scheduler = true,
           .busy = this->busy,
-          .ready = this->relay->Ready() && !this->stop,
+          .ready = serves && !leaving,
           .keys_proven = this->relay->KeysProven(),
           .configuration_version = configuration->version,
           .head_bytes = limits.head_bytes,
           .body_bytes = limits.body_bytes,
           .head_timeout = limits.head_timeout,
-          .idle_timeout = limits.idle_timeout};
+          .idle_timeout = limits.idle_timeout,
+          .leaving = leaving,
+          .last_resort = serves && leaving};
 }
 
 // How late timers fire shows whether this host keeps up with its work.
@@ -301,6 +307,9 @@
 
 void RelayDaemon::TakeNews(const HostId& from, const SchedulerNews& news) {
   this->forwarder->OnNews(from, news);
+  if (news.leaving) {
+    this->FollowCaches();
+  }
   // Until the others have it too, ingress hosts send everything to that one.
   const FleetConfigurationPtr& own = this->relay->Configuration();
   if (this->IsScheduler() && own && news.configuration_version > own->version) {
@@ -319,6 +328,9 @@
   this->subscribers.clear();
   if (this->IsScheduler()) {
     this->subscribers = this->peers->LinkedSchedulers();
+    std::erase_if(this->subscribers, [this](const FleetHost& host) {
+      return this->peers->IsLeaving(host.id);
+    });
     this->subscribers.push_back(this->peers->Self());
   }
   this->relay->RefreshCaches();
@@ -330,7 +342,7 @@
 void RelayDaemon::OnLinked(const HostId& host) {
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
-  if (this->IsScheduler()) {
+  if (this->IsScheduler() || this->stop) {
     this->peers->Send(host, this->News());
   }
 }
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -3151,6 +3151,11 @@
 __isset.ending = true;
 }
 
+void ForwardedAnswer::__set_declined(const bool val) {
+  this->declined = val;
+__isset.declined = true;
+}
+
 uint32_t ForwardedAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3232,6 +3237,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->declined);
+          this->__isset.declined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3286,6 +3299,11 @@
     xfer += oprot->writeI32(this->ending);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.declined) {
+    xfer += oprot->writeFieldBegin("declined", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->declined);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3299,6 +3317,7 @@
   swap(a.length, b.length);
   swap(a.bytes, b.bytes);
   swap(a.ending, b.ending);
+  swap(a.declined, b.declined);
   swap(a.__isset, b.__isset);
 }
 
@@ -3309,6 +3328,7 @@
   length = other140.length;
   bytes = other140.bytes;
   ending = other140.ending;
+  declined = other140.declined;
   __isset = other140.__isset;
 }
 ForwardedAnswer::ForwardedAnswer(ForwardedAnswer&& other141) noexcept {
@@ -3318,6 +3338,7 @@
   length = other141.length;
   bytes = std::move(other141.bytes);
   ending = other141.ending;
+  declined = other141.declined;
   __isset = other141.__isset;
 }
 ForwardedAnswer& ForwardedAnswer::operator=(const ForwardedAnswer& other142) {
@@ -3327,6 +3348,7 @@
   length = other142.length;
   bytes = other142.bytes;
   ending = other142.ending;
+  declined = other142.declined;
   __isset = other142.__isset;
   return *this;
 }
@@ -3337,6 +3359,7 @@
   length = other143.length;
   bytes = std::move(other143.bytes);
   ending = other143.ending;
+  declined = other143.declined;
   __isset = other143.__isset;
   return *this;
 }
@@ -3490,6 +3513,16 @@
   this->busy = val;
 }
 
+void SchedulerNews::__set_leaving(const bool val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
+
+void SchedulerNews::__set_last_resort(const bool val) {
+  this->last_resort = val;
+__isset.last_resort = true;
+}
+
 uint32_t SchedulerNews::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3583,6 +3616,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->last_resort);
+          this->__isset.last_resort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3636,6 +3685,16 @@
   xfer += oprot->writeBool(this->busy);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->leaving);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.last_resort) {
+    xfer += oprot->writeFieldBegin("last_resort", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->last_resort);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3652,6 +3711,8 @@
   swap(a.keys_proven, b.keys_proven);
   swap(a.scheduler, b.scheduler);
   swap(a.busy, b.busy);
+  swap(a.leaving, b.leaving);
+  swap(a.last_resort, b.last_resort);
   swap(a.__isset, b.__isset);
 }
 
@@ -3665,6 +3726,8 @@
   keys_proven = other148.keys_proven;
   scheduler = other148.scheduler;
   busy = other148.busy;
+  leaving = other148.leaving;
+  last_resort = other148.last_resort;
   __isset = other148.__isset;
 }
 SchedulerNews::SchedulerNews(SchedulerNews&& other149) noexcept {
@@ -3677,6 +3740,8 @@
   keys_proven = other149.keys_proven;
   scheduler = other149.scheduler;
   busy = other149.busy;
+  leaving = other149.leaving;
+  last_resort = other149.last_resort;
   __isset = other149.__isset;
 }
 SchedulerNews& SchedulerNews::operator=(const SchedulerNews& other150) noexcept {
@@ -3689,6 +3754,8 @@
   keys_proven = other150.keys_proven;
   scheduler = other150.scheduler;
   busy = other150.busy;
+  leaving = other150.leaving;
+  last_resort = other150.last_resort;
   __isset = other150.__isset;
   return *this;
 }
@@ -3702,6 +3769,8 @@
   keys_proven = other151.keys_proven;
   scheduler = other151.scheduler;
   busy = other151.busy;
+  leaving = other151.leaving;
+  last_resort = other151.last_resort;
   __isset = other151.__isset;
   return *this;
 }
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -1355,13 +1355,14 @@
 std::ostream& operator<<(std::ostream& out, const ForwardedBody& obj);
 
 typedef struct _ForwardedAnswer__isset {
-  _ForwardedAnswer__isset() : number(false), status(false), headers(false), length(false), bytes(false), ending(false) {}
+  _ForwardedAnswer__isset() : number(false), status(false), headers(false), length(false), bytes(false), ending(false), declined(false) {}
   bool number :1;
   bool status :1;
   bool headers :1;
   bool length :1;
   bool bytes :1;
   bool ending :1;
+  bool declined :1;
 } _ForwardedAnswer__isset;
 
 class ForwardedAnswer : public virtual ::apache::thrift::TBase {
@@ -1376,7 +1377,8 @@
                     status(0),
                     length(0),
                     bytes(),
-                    ending(0) {
+                    ending(0),
+                    declined(0) {
   }
 
   virtual ~ForwardedAnswer() noexcept;
@@ -1386,6 +1388,7 @@
   int64_t length;
   std::string bytes;
   int32_t ending;
+  bool declined;
 
   _ForwardedAnswer__isset __isset;
 
@@ -1401,6 +1404,8 @@
 
   void __set_ending(const int32_t val);
 
+  void __set_declined(const bool val);
+
   bool operator == (const ForwardedAnswer & rhs) const
   {
     if (!(number == rhs.number))
@@ -1425,6 +1430,10 @@
       return false;
     else if (__isset.ending && !(ending == rhs.ending))
       return false;
+    if (__isset.declined != rhs.__isset.declined)
+      return false;
+    else if (__isset.declined && !(declined == rhs.declined))
+      return false;
     return true;
   }
   bool operator != (const ForwardedAnswer &rhs) const {
@@ -1494,7 +1503,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardControl& obj);
 
 typedef struct _SchedulerNews__isset {
-  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false), busy(false) {}
+  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false), busy(false), leaving(false), last_resort(false) {}
   bool ready :1;
   bool configuration_version :1;
   bool head_bytes :1;
@@ -1504,6 +1513,8 @@
   bool keys_proven :1;
   bool scheduler :1;
   bool busy :1;
+  bool leaving :1;
+  bool last_resort :1;
 } _SchedulerNews__isset;
 
 class SchedulerNews : public virtual ::apache::thrift::TBase {
@@ -1522,7 +1533,9 @@
                   idle_timeout(0),
                   keys_proven(0),
                   scheduler(0),
-                  busy(0) {
+                  busy(0),
+                  leaving(0),
+                  last_resort(0) {
   }
 
   virtual ~SchedulerNews() noexcept;
@@ -1535,6 +1548,8 @@
   bool keys_proven;
   bool scheduler;
   bool busy;
+  bool leaving;
+  bool last_resort;
 
   _SchedulerNews__isset __isset;
 
@@ -1556,6 +1571,10 @@
 
   void __set_busy(const bool val);
 
+  void __set_leaving(const bool val);
+
+  void __set_last_resort(const bool val);
+
   bool operator == (const SchedulerNews & rhs) const
   {
     if (!(ready == rhs.ready))
@@ -1576,6 +1595,14 @@
       return false;
     if (!(busy == rhs.busy))
       return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
+    if (__isset.last_resort != rhs.__isset.last_resort)
+      return false;
+    else if (__isset.last_resort && !(last_resort == rhs.last_resort))
+      return false;
     return true;
   }
   bool operator != (const SchedulerNews &rhs) const {
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -162,6 +162,7 @@
   4: optional i64 length
   5: optional binary bytes
   6: optional i32 ending  // AnswerEnd; absent: more follows
+  7: optional bool declined  // not run here; another scheduler may take it
 }
 
 struct ForwardControl {
@@ -179,6 +180,8 @@
   7: bool keys_proven
   8: bool scheduler  // false: it is one no longer
   9: bool busy
+  10: optional bool leaving
+  11: optional bool last_resort
 }
 
 // What an engine keeps of prompts has changed.
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -297,7 +297,8 @@
 ForwardedAnswer ReadAnswer(wire::ForwardedAnswer& in) {
   ForwardedAnswer answer{.number = in.number,
                          .bytes = std::move(in.bytes),
-                         .end = static_cast<AnswerEnd>(in.ending)};
+                         .end = static_cast<AnswerEnd>(in.ending),
+                         .declined = in.declined};
   if (in.__isset.status) {
     answer.head = {.status = in.status,
                    .headers = ReadHeaders(in.headers),
@@ -497,6 +498,9 @@
     if (answer.end != AnswerEnd::kMore) {
       item.__set_ending(static_cast<int>(answer.end));
     }
+    if (answer.declined) {
+      item.__set_declined(true);
+    }
     out.__set_forwarded_answer(item);
   }
   void operator()(const ForwardControl& control) {
@@ -516,6 +520,12 @@
     item.body_bytes = news.body_bytes;
     item.head_timeout = news.head_timeout.count();
     item.idle_timeout = news.idle_timeout.count();
+    if (news.leaving) {
+      item.__set_leaving(true);
+    }
+    if (news.last_resort) {
+      item.__set_last_resort(true);
+    }
     out.__set_scheduler_news(item);
   }
   void operator()(const CacheUpdate& update) {
@@ -674,7 +684,9 @@
                       .head_bytes = news.head_bytes,
                       .body_bytes = news.body_bytes,
                       .head_timeout = Duration(news.head_timeout),
-                      .idle_timeout = Duration(news.idle_timeout)}));
+                      .idle_timeout = Duration(news.idle_timeout),
+                      .leaving = news.leaving,
+                      .last_resort = news.last_resort}));
   }
   if (set.cache_update && GoodId(in->cache_update.endpoint) &&
       in->cache_update.parts.size() == in->cache_update.tokens.size()) {
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -92,6 +92,7 @@
   }
   this->request = std::move(*read);
   if (!this->relay->Refreshed()) {
+    this->caller->Decline();
     return Error{ErrorKind::kNoEndpoint, "no configuration yet",
                  std::chrono::milliseconds(300)};
   }
@@ -153,6 +154,7 @@
     return {};
   }
   if (stop && !stop->MayTake(now, this->Need())) {
+    this->caller->Decline();
     return Error{ErrorKind::kShuttingDown, "this host stops", Duration{}};
   }
   if (!this->CanStillFinish()) {
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -68,10 +68,11 @@
 }
 
 void RequestForwarder::OnNews(const HostId& from, const SchedulerNews& news) {
-  this->choice.OnNews(from, {.ready = news.ready,
+  this->choice.OnNews(from, {.ready = news.ready || news.last_resort,
                              .busy = news.busy,
                              .keys_proven = news.keys_proven,
-                             .version = news.configuration_version});
+                             .version = news.configuration_version,
+                             .leaving = news.leaving});
 }
 
 void RequestForwarder::OnRequest(const CallerExchangePtr& caller) {
@@ -121,10 +122,10 @@
   const auto to = call->sends < kMostSends ? this->choice.Choose(call->tried)
                                            : std::nullopt;
   if (!to) {
-    this->GiveUp(
-        *call,
-        call->sends > 0 ? ErrorKind::kEndpointFailed : ErrorKind::kNoEndpoint,
-        "no scheduler");
+    this->GiveUp(*call,
+                 call->UncertainSends() > 0 ? ErrorKind::kEndpointFailed
+                                            : ErrorKind::kNoEndpoint,
+                 "no scheduler");
     return;
   }
   const int64_t number = ++this->last_number;
@@ -157,7 +158,7 @@
       .body = std::string(body.substr(0, kBodyPart)),
       .body_length = body.size(),
       .age = this->clock->Now() - call.arrived,
-      .earlier_sends = call.sends,
+      .earlier_sends = call.UncertainSends(),
       .resume_after = call.events.LastId(),
       .stream_begun = call.caller->Started(),
       .finish_within = this->stop
@@ -179,6 +180,9 @@
     return;
   }
   const CallPtr call = found->second;
+  if (part.declined && this->ForwardDeclined(part.number, call)) {
+    return;
+  }
   if (part.head) {
     this->StartAnswer(*call, *part.head);
   }
@@ -196,6 +200,21 @@
   }
 }
 
+// Forwards a request that its scheduler has declined. False if no other one can
+// take it: then the answer that came with it is the caller's.
+bool RequestForwarder::ForwardDeclined(int64_t number, const CallPtr& call) {
+  ++call->declined;
+  this->metrics->Add("forwards_declined_total", 1);
+  this->LogCall(*call, "Declined by the scheduler.");
+  if (call->sends >= kMostSends || !this->choice.Choose(call->tried)) {
+    return false;
+  }
+  this->calls.erase(number);
+  this->choice.OnEnded(call->scheduler);
+  this->Forward(call);
+  return true;
+}
+
 // A stream that goes on from another scheduler has its head already; any other
 // answer in its place can't be passed on any more.
 void RequestForwarder::StartAnswer(Call& call, const ForwardedHead& head) {
@@ -306,7 +325,7 @@
   if (call.caller->Started()) {
     call.caller->Break();
   } else {
-    const bool not_run = AnswerFor(kind).not_run && call.sends == 0;
+    const bool not_run = AnswerFor(kind).not_run && call.UncertainSends() == 0;
     const Duration retry_after =
         kind == ErrorKind::kShuttingDown ? Duration{} : kLinkReturn;
     AnswerOwnError(*call.caller, *this->metrics, kind, why,
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -630,6 +630,8 @@
                                 .length = 3},
           .bytes = "abc",
           .end = AnswerEnd::kWhole}),
+      PeerMessage(ForwardedAnswer{
+          .number = 10, .end = AnswerEnd::kBroken, .declined = true}),
       PeerMessage(ForwardControl{.number = 9, .action = ForwardAction::kPause}),
       PeerMessage(SchedulerNews{.scheduler = true,
                                 .busy = true,
@@ -640,6 +642,8 @@
                                 .body_bytes = 4096,
                                 .head_timeout = std::chrono::seconds(3),
                                 .idle_timeout = std::chrono::seconds(15)}),
+      PeerMessage(SchedulerNews{
+          .scheduler = true, .leaving = true, .last_resort = true}),
       PeerMessage(
           CacheUpdate{.engine = {.id = EndpointId("e"), .started = 5},
                       .reset = true,
