Take no request in the last turn of the main loop

Cause: a host that is idle decides to end and quits its main loop, which still calls everything that is ready in the same turn. A request that is read there is taken by a process that ends with the turn.

When a host ends, it closes its listener and all connections that wait for no answer, reads no more from the others, and ignores what other hosts forward. Bytes that were on their way stay unread, so the caller knows that the request didn't run.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -446,6 +446,9 @@
 
 void RelayDaemon::OnPeerMessage(const HostId& from,
                                 const PeerMessage& message) {
+  if (this->ended) {
+    return;
+  }
   if (const auto* request = std::get_if<ForwardedRequest>(&message)) {
     this->receiver->OnRequest(from, *request);
   } else if (const auto* body = std::get_if<ForwardedBody>(&message)) {
@@ -645,6 +648,9 @@
   const bool finished =
       now >= this->stop->takes_until && this->relay->Waiting() == 0;
   if (finished || now >= this->stop->finish_by + kLastAnswers) {
+    // The main loop may still call what is ready in this turn.
+    this->ended = true;
+    this->relay->StopReading();
     this->relay->LogUnfinished();
     this->forwarder->LogUnfinished();
     LogInfo(kPart, "Stopped.",
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -108,6 +108,7 @@
   CallerServer ready_server;
   CallerServer metrics_server;
   std::optional<StopSchedule> stop;
+  bool ended = false;  // takes nothing any more
   std::unique_ptr<Timer> drain_timer;
   size_t next_asked = 0;  // place among the other hosts
 };
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -312,6 +312,18 @@
   return 0;
 }
 
+void CallerServer::StopReading() {
+  this->listener.reset();
+  const auto open = this->connections;
+  for (const auto& connection : open) {
+    if (connection->exchange) {
+      connection->socket->Pause();
+    } else {
+      connection->Leave();
+    }
+  }
+}
+
 size_t CallerServer::Waiting() const {
   return static_cast<size_t>(std::ranges::count_if(
       this->connections,
--- a/packages/relay/caller_server.h
+++ b/packages/relay/caller_server.h
@@ -35,6 +35,10 @@
   // closing would lose it.
   void StartDrain() { this->draining = true; }
 
+  // Accepts and reads nothing any more, and closes all connections that wait
+  // for no answer.
+  void StopReading();
+
   // Requests that wait for an answer, and open connections.
   size_t Waiting() const;
   size_t Connections() const { return this->connections.size(); }
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -130,6 +130,9 @@
   // schedule ends gets its final answer then.
   void StartDrain(const StopSchedule& schedule);
 
+  // Takes no request any more: the process ends.
+  void StopReading() { this->server.StopReading(); }
+
   // Logs each request that is unfinished at the end of the process.
   void LogUnfinished();
 
