Choose a linked scheduler that told of itself before it was listed

Cause: SchedulerChoice kept what a scheduler tells only while the host's own list has it, and a scheduler tells of itself when the link is made and when something changes. So one that told of itself before it was listed, or was missing in one list, was never chosen until its state changed.

What linked schedulers tell is kept for as long as they are linked. fleet_topology_test RemembersWhatAnUnlistedSchedulerTold fails before.

--- a/packages/decisions/scheduler_choice.cc
+++ b/packages/decisions/scheduler_choice.cc
@@ -25,12 +25,23 @@
   std::erase_if(this->states, [&listed](const auto& entry) {
     return !listed.contains(entry.first);
   });
+  // A linked scheduler tells of itself only when something changes, which may
+  // have been before it was listed here.
+  for (const auto& [id, told] : this->news) {
+    this->Apply(id, told);
+  }
 }
 
-// A scheduler that has just come begins level with the others: it would get
-// every request until it had caught up.
 void SchedulerChoice::OnNews(const HostId& scheduler,
                              const SchedulerState& told) {
+  this->news[scheduler] = told;
+  this->Apply(scheduler, told);
+}
+
+// A scheduler that has just come begins level with the others: it would get
+// every request until it had caught up.
+void SchedulerChoice::Apply(const HostId& scheduler,
+                            const SchedulerState& told) {
   const auto found = this->states.find(scheduler);
   if (found == this->states.end()) {
     return;
@@ -48,6 +59,7 @@
 }
 
 void SchedulerChoice::OnLost(const HostId& scheduler) {
+  this->news.erase(scheduler);
   const auto found = this->states.find(scheduler);
   if (found != this->states.end()) {
     found->second.told = {};
--- a/packages/decisions/scheduler_choice.h
+++ b/packages/decisions/scheduler_choice.h
@@ -62,18 +62,20 @@
  private:
   struct State {
     FleetHost host;
-    SchedulerState told;
+    SchedulerState told;  // a copy of `news`
     int64_t in_flight = 0;
     double forwarded = 0;  // requests for each unit of capacity
   };
 
+  void Apply(const HostId& scheduler, const SchedulerState& told);
   bool Serves(const State& state) const;
   double LeastForwarded() const;
   int64_t LeastInFlight() const;
 
   ZoneId own;
   int64_t version = 0;
-  std::map<HostId, State> states;
+  std::map<HostId, State> states;  // of the schedulers that may be chosen
+  std::map<HostId, SchedulerState> news;  // of all that are linked
 };
 
 }  // namespace hickorystand
--- a/tests/fleet_topology_test.cc
+++ b/tests/fleet_topology_test.cc
@@ -204,6 +204,23 @@
   CHECK(!choice.Choose({HostId("s2")}).has_value());
 }
 
+// Guards against a linked scheduler that is never chosen, since it told of
+// itself before it was listed, or was missing in one list.
+TEST(SchedulerChoice, RemembersWhatAnUnlistedSchedulerTold) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.OnNews(HostId("s1"), Serving(1));
+  CHECK(!choice.Ready());
+  choice.SetSchedulers({Host("s1", "a", 500)});
+  CHECK(choice.Ready());
+  choice.SetSchedulers({});
+  CHECK(!choice.Ready());
+  choice.SetSchedulers({Host("s1", "a", 500)});
+  CHECK(choice.Ready());
+  choice.OnLost(HostId("s1"));
+  choice.SetSchedulers({Host("s1", "a", 500)});
+  CHECK(!choice.Ready());
+}
+
 // Guards against a change of the configuration that a caller sees undone: it
 // was served by a scheduler that has the change, then by one that hasn't.
 TEST(SchedulerChoice, NeverGoesBackToAnOlderConfiguration) {
