Let a stop wait for answers that slow callers still take

The rest of a whole answer was lost when its host ended: a request counted as over once its last byte was written, though up to megabytes could wait in the process for a caller that reads slowly. The same class: the decision to end didn't ask what the end cuts.

A connection with bytes that haven't left the process counts as waiting, whether it is kept or closing.

--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -141,6 +141,7 @@
 
   // An idle connection is closed in order.
   void Leave() {
+    this->server->NoteClosing(this->socket);
     this->socket->CloseAfterWrite();
     this->OnEnd();
   }
@@ -324,10 +325,23 @@
   }
 }
 
+void CallerServer::NoteClosing(const StreamSocketPtr& socket) {
+  std::erase_if(this->closing, [](const auto& old) { return old.expired(); });
+  if (socket->Unsent() > 0) {
+    this->closing.push_back(socket);
+  }
+}
+
 size_t CallerServer::Waiting() const {
-  return static_cast<size_t>(std::ranges::count_if(
-      this->connections,
-      [](const auto& connection) { return connection->exchange != nullptr; }));
+  const auto waits = [](const auto& connection) {
+    return connection->exchange != nullptr || connection->socket->Unsent() > 0;
+  };
+  const auto writes = [](const std::weak_ptr<StreamSocket>& socket) {
+    const StreamSocketPtr open = socket.lock();
+    return open && open->Unsent() > 0;
+  };
+  return static_cast<size_t>(std::ranges::count_if(this->connections, waits) +
+                             std::ranges::count_if(this->closing, writes));
 }
 
 }  // namespace hickorystand
--- a/packages/relay/caller_server.h
+++ b/packages/relay/caller_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string_view>
+#include <vector>
 
 #include "http/stream_socket.h"
 #include "kernel/task.h"
@@ -39,18 +40,22 @@
   // for no answer.
   void StopReading();
 
-  // Requests that wait for an answer, and open connections.
+  // Connections with a request that waits for an answer, or with an answer that
+  // hasn't left this process yet.
   size_t Waiting() const;
   size_t Connections() const { return this->connections.size(); }
 
  private:
   friend class CallerConnection;
 
+  void NoteClosing(const StreamSocketPtr& socket);
+
   CallerHandler handler;
   CallerLimits limits;
   bool draining = false;
   std::unique_ptr<Listener> listener;
   std::set<std::shared_ptr<CallerConnection>> connections;
+  std::vector<std::weak_ptr<StreamSocket>> closing;  // after what they write
 };
 
 // The reason phrase of a status, for the answer's first line.
