Leave requests unread when the process ends

So a whole request was read and dropped, and the caller couldn't tell.

Connections without an answer under way are closed unread at the end: the caller sees a reset. stop_test TakesNothingOnceItEnds checks that and fails before (closed in order).

--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -146,6 +146,13 @@
     this->OnEnd();
   }
 
+  // Closes an idle connection. A request that is on its way stays unread, and
+  // its caller sees a reset.
+  void CloseUnread() {
+    this->socket->Close();
+    this->OnEnd();
+  }
+
   // A request that doesn't get on would hold memory for ever.
   void RefuseSlow() { this->Refuse(408); }
 
@@ -317,10 +324,10 @@
   this->listener.reset();
   const auto open = this->connections;
   for (const auto& connection : open) {
-    if (connection->exchange) {
+    if (connection->exchange || connection->socket->Unsent() > 0) {
       connection->socket->Pause();
     } else {
-      connection->Leave();
+      connection->CloseUnread();
     }
   }
 }
