--- a/packages/daemon/program/main.cc
+++ b/packages/daemon/program/main.cc
@@ -145,6 +145,8 @@
   const BootClock clock;
   GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
   RelayDaemon host(*settings, clock, [loop] { g_main_loop_quit(loop); });
+  // Before the host takes its first request; the call waits for the main loop.
+  const StopSignal stop([&host](Instant arrived) { host.Drain(arrived); });
   if (const auto started = host.Start(); !started) {
     LogError(kPart, "Host can't start.", {{"why", started.error().message}});
     return AnswerFor(started.error().kind).exit_code;
@@ -155,7 +157,6 @@
            {"version", HICKORYSTAND_VERSION}});
   RelaySignals signals{.host = &host, .path = path, .text = TextOf(path)};
   g_timeout_add_seconds(kLookSeconds, &OnRelayLook, &signals);
-  const StopSignal stop([&host](Instant arrived) { host.Drain(arrived); });
   g_unix_signal_add(SIGHUP, &OnRelayReload, &signals);
   g_main_loop_run(loop);
   g_main_loop_unref(loop);
