Close each connection with its answer once a host is stopping

Callers kept their connections to a stopping host: after the stop signal its answers, refusals among them, had no "Connection: close". A caller, or a balancer's pool, sent its next request on such a connection while the process ended, saw a reset, and couldn't know whether the request had run.

Cause: nothing told the HTTP server that the host was leaving. Evidence: gateway_test AStoppingHostClosesEachConnectionWithItsAnswer; on the code before, the header was missing from answers after AnnounceLeaving().

Change: from AnnounceLeaving() on, the server writes the header into each answer and closes the connection behind it. New connections are accepted as before. Answers that began earlier don't bear it; the next one on their connection does.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -164,7 +164,13 @@
   }
 }
 
+void Gateway::AnnounceLeaving() {
+  this->leaving = true;
+  this->server->CloseAfterAnswers();
+}
+
 void Gateway::StartDrain(std::function<void()> on_drained) {
+  this->AnnounceLeaving();
   this->draining = true;
   this->driver->StartDrain(std::move(on_drained));
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -80,8 +80,8 @@
   void FillDigest(Digest& digest) const { this->driver->FillDigest(digest); }
 
   // /readyz fails from now on, so that the balancer looks away; whoever still
-  // calls is served.
-  void AnnounceLeaving() { this->leaving = true; }
+  // calls is served, and its connection closed with the answer.
+  void AnnounceLeaving();
 
   // Not ready from now on; new requests are refused as not run, and those here
   // are finished. Then calls back.
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -43,10 +43,10 @@
 
 HttpCall::HttpCall(const HttpServerOptions& options,
                    SoupServerMessage* message,
-                   std::shared_ptr<int64_t> bodies_held)
+                   std::shared_ptr<HttpServerState> server)
     : options(options),
       message(ShareObject(message)),
-      bodies_held(std::move(bodies_held)) {
+      server(std::move(server)) {
   if (GSocket* raw = soup_server_message_get_socket(message)) {
     this->socket = ShareObject(raw);
   }
@@ -54,7 +54,7 @@
 
 HttpCall::~HttpCall() {
   this->StopWatching();
-  *this->bodies_held -= std::ssize(this->request.body);
+  this->server->bodies_held -= std::ssize(this->request.body);
 }
 
 void HttpCall::ReadHead() {
@@ -106,18 +106,18 @@
   }
   if (this->received > this->options.max_body_bytes) {
     this->RefuseBody(ErrorKind::kTooLarge, "The body is too long.");
-  } else if (*this->bodies_held + static_cast<int64_t>(size) >
+  } else if (this->server->bodies_held + static_cast<int64_t>(size) >
              this->options.max_total_body_bytes) {
     this->RefuseBody(ErrorKind::kOverloaded, "Too many bodies are held.");
   }
   if (!this->refusal) {
     this->request.body.append(data, size);
-    *this->bodies_held += static_cast<int64_t>(size);
+    this->server->bodies_held += static_cast<int64_t>(size);
   }
 }
 
 void HttpCall::RefuseBody(ErrorKind kind, std::string message) {
-  *this->bodies_held -= std::ssize(this->request.body);
+  this->server->bodies_held -= std::ssize(this->request.body);
   this->request.body = {};
   if (!this->refusal) {
     this->refusal = Error{kind, std::move(message), std::chrono::seconds(1)};
@@ -187,9 +187,8 @@
   this->started = true;
   this->ended = true;
   this->StopWatching();
+  this->WriteHead(status, headers);
   SoupServerMessage* raw = this->message.get();
-  soup_server_message_set_status(raw, static_cast<guint>(status), nullptr);
-  AppendHeaders(soup_server_message_get_response_headers(raw), headers);
   soup_message_body_append(soup_server_message_get_response_body(raw),
                            SOUP_MEMORY_COPY, body.data(), body.size());
   this->unsent += std::ssize(body);
@@ -204,11 +203,10 @@
   assert(!this->started && "a call is answered once");
   this->started = true;
   this->streaming = true;
+  this->WriteHead(status, headers);
   SoupServerMessage* raw = this->message.get();
-  soup_server_message_set_status(raw, static_cast<guint>(status), nullptr);
-  SoupMessageHeaders* out = soup_server_message_get_response_headers(raw);
-  AppendHeaders(out, headers);
-  soup_message_headers_set_encoding(out, SOUP_ENCODING_CHUNKED);
+  soup_message_headers_set_encoding(
+      soup_server_message_get_response_headers(raw), SOUP_ENCODING_CHUNKED);
   soup_message_body_set_accumulate(soup_server_message_get_response_body(raw),
                                    FALSE);
   soup_server_message_unpause(raw);
@@ -217,6 +215,16 @@
   this->WatchCaller();
 }
 
+void HttpCall::WriteHead(int status, const HttpHeaders& headers) {
+  SoupServerMessage* raw = this->message.get();
+  soup_server_message_set_status(raw, static_cast<guint>(status), nullptr);
+  SoupMessageHeaders* out = soup_server_message_get_response_headers(raw);
+  AppendHeaders(out, headers);
+  if (this->server->closing) {
+    soup_message_headers_replace(out, "Connection", "close");
+  }
+}
+
 void HttpCall::Write(std::string_view bytes) {
   if (this->gone || bytes.empty()) {
     return;
@@ -397,8 +405,7 @@
                            SoupServerMessage* message,
                            gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
-  auto call =
-      std::make_shared<HttpCall>(self->options, message, self->bodies_held);
+  auto call = std::make_shared<HttpCall>(self->options, message, self->state);
   HttpCall* raw = call.get();
   self->calls[message] = std::move(call);
   // A caller that sends its head one byte a minute would hold a connection for
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -3,6 +3,7 @@
 //
 // Index
 //   HttpServerOptions   addresses and limits
+//   HttpServerState     shared by a server and its calls
 //   HttpRequest         what a caller asked, read whole
 //   HttpCall            one request being answered, at once or as a stream
 //   HttpServer          listens and hands out calls
@@ -52,6 +53,12 @@
   int64_t high_water_bytes = int64_t{256} << 10;
 };
 
+// What all calls of a server share with it.
+struct HttpServerState {
+  int64_t bodies_held = 0;  // bytes
+  bool closing = false;     // each answer closes its connection
+};
+
 // What a caller asked.
 struct HttpRequest {
   std::string method;
@@ -67,7 +74,7 @@
  public:
   HttpCall(const HttpServerOptions& options,
            SoupServerMessage* message,
-           std::shared_ptr<int64_t> bodies_held);
+           std::shared_ptr<HttpServerState> server);
   ~HttpCall();
   HttpCall(const HttpCall&) = delete;
   HttpCall& operator=(const HttpCall&) = delete;
@@ -112,6 +119,7 @@
   void WatchCaller();
   void StopWatching();
   bool CallerClosed() const;
+  void WriteHead(int status, const HttpHeaders& headers);
   void Wrote(int64_t bytes);
   void ArmWriteTimer();
   void CloseSocket();
@@ -130,7 +138,7 @@
   bool ended = false;
   bool gone = false;
   int64_t received = 0;
-  std::shared_ptr<int64_t> bodies_held;  // bytes, by all calls of the server
+  std::shared_ptr<HttpServerState> server;
   int64_t unsent = 0;
   std::unique_ptr<Timer> timer;  // the phase that the call is in
   GSource* watch = nullptr;
@@ -159,6 +167,10 @@
   // Takes no further connection; those that exist are served on.
   void StopListening();
 
+  // Closes each connection after its next answer from now on, and says so in
+  // that answer. Connections are still accepted.
+  void CloseAfterAnswers() { this->state->closing = true; }
+
   // Calls that are being read or answered, idle connections among them.
   int64_t OpenCalls() const { return static_cast<int64_t>(this->calls.size()); }
 
@@ -183,7 +195,7 @@
   Refuser refuser;
   ObjectPtr<SoupServer> server;
   std::map<SoupServerMessage*, HttpCallPtr> calls;
-  std::shared_ptr<int64_t> bodies_held = std::make_shared<int64_t>(0);
+  std::shared_ptr<HttpServerState> state = std::make_shared<HttpServerState>();
 };
 
 }  // namespace hickorystand
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -521,6 +521,22 @@
   CHECK(stream.done);
 }
 
+// Guards against a caller who sends its next request on a connection that the
+// process is about to close, and can't know whether it ran.
+TEST(Gateway, AStoppingHostClosesEachConnectionWithItsAnswer) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  STRCMP_EQUAL(
+      "", bed.caller.Send(bed.Chat("x", true)).Header("Connection").c_str());
+  bed.task.Call([&] { bed.gateway->AnnounceLeaving(); });
+  for (const bool stream : {true, false}) {
+    const CallerAnswer answer = bed.caller.Send(bed.Chat("x", stream));
+    LONGS_EQUAL(200, answer.status);
+    STRCMP_EQUAL("close", answer.Header("Connection").c_str());
+  }
+}
+
 // Readers hang up all the time. Their streams must not keep engines busy.
 TEST(Gateway, AHangUpCancelsTheStream) {
   FakeEngine engine;
