Let a drain wait for answers to be written and for requests half read

A host whose drain was over ended although a slow caller was still fetching an answer, and cut it. A request whose body was still arriving was cut too, and its caller not told that it hadn't run.

Cause: the drain was over when the request driver held nothing. It forgets a request when its answer is handed to the HTTP server, and doesn't know one before its body is whole.

Change: when the driver is empty, the server waits for all requests whose head it has read by then. Later ones are refused, and don't prolong the drain.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -169,10 +169,14 @@
   this->server->CloseAfterAnswers();
 }
 
+// Requests whose bodies are still read aren't with the driver yet, and answers
+// that slow callers fetch no longer are.
 void Gateway::StartDrain(std::function<void()> on_drained) {
   this->AnnounceLeaving();
   this->draining = true;
-  this->driver->StartDrain(std::move(on_drained));
+  this->driver->StartDrain([this, on_drained = std::move(on_drained)] {
+    this->server->WhenAnswered(on_drained);
+  });
 }
 
 std::vector<Decision> Gateway::RecentDecisions(const RequestId& request) const {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -84,7 +84,7 @@
   void AnnounceLeaving();
 
   // Not ready from now on; new requests are refused as not run, and those here
-  // are finished. Then calls back.
+  // are finished. Calls back when their answers are written.
   void StartDrain(std::function<void()> on_drained);
   bool Draining() const { return this->draining; }
 
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -396,6 +396,25 @@
   g_slist_free(listeners);
 }
 
+// Only requests that are here by now are awaited: on a busy server there is
+// always one under way.
+void HttpServer::WhenAnswered(std::function<void()> call) {
+  this->on_answered = std::move(call);
+  this->awaited.clear();
+  for (const auto& [message, open] : this->calls) {
+    if (open->head_read) {
+      this->awaited.insert(message);
+    }
+  }
+  this->CheckAnswered();
+}
+
+void HttpServer::CheckAnswered() {
+  if (this->awaited.empty() && this->on_answered) {
+    std::exchange(this->on_answered, {})();
+  }
+}
+
 HttpCallPtr HttpServer::Find(SoupServerMessage* message) const {
   const auto found = this->calls.find(message);
   return found == this->calls.end() ? nullptr : found->second;
@@ -437,6 +456,8 @@
   self->calls.erase(message);
   g_signal_handlers_disconnect_by_data(message, call.get());
   call->MarkGone();
+  self->awaited.erase(message);
+  self->CheckAnswered();
 }
 
 void HttpServer::OnHead(SoupServer*,
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -171,11 +172,17 @@
   // that answer. Connections are still accepted.
   void CloseAfterAnswers() { this->state->closing = true; }
 
+  // Calls back once when all requests whose head has been read by now have
+  // been answered and the answers written, or their callers have gone. Calls
+  // back at once if there are none. A second call replaces the first.
+  void WhenAnswered(std::function<void()> call);
+
   // Calls that are being read or answered, idle connections among them.
   int64_t OpenCalls() const { return static_cast<int64_t>(this->calls.size()); }
 
  private:
   HttpCallPtr Find(SoupServerMessage* message) const;
+  void CheckAnswered();
   void Refuse(const HttpCallPtr& call);
   static void OnStarted(SoupServer*, SoupServerMessage*, gpointer self);
   static void OnEnded(SoupServer*, SoupServerMessage*, gpointer self);
@@ -196,6 +203,8 @@
   ObjectPtr<SoupServer> server;
   std::map<SoupServerMessage*, HttpCallPtr> calls;
   std::shared_ptr<HttpServerState> state = std::make_shared<HttpServerState>();
+  std::set<SoupServerMessage*> awaited;  // by on_answered
+  std::function<void()> on_answered;
 };
 
 }  // namespace hickorystand
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -9,6 +9,7 @@
 
 #include "gateway_bed.h"
 #include "kernel/json.h"
+#include "raw_socket.h"
 
 namespace hickorystand {
 namespace {
@@ -62,6 +63,17 @@
   return text.find(part) != std::string::npos;
 }
 
+// A request's head as bytes, for callers that read or write slowly.
+std::string RawHead(const std::string& method,
+                    const std::string& target,
+                    size_t body_bytes = 0,
+                    const std::string& more = "") {
+  return method + " " + target + " HTTP/1.1\r\nHost: a\r\n" + more +
+         "Authorization: Bearer " + GatewayBed::kKey + "\r\n" +
+         "Content-Type: application/json\r\n" +
+         "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+}
+
 }  // namespace
 
 // Run with every dispatcher.
@@ -537,6 +549,55 @@
   }
 }
 
+// Guards against a process that ends while a slow caller still fetches.
+TEST(Gateway, ADrainWaitsForACallerThatReadsSlowly) {
+  constexpr size_t kBytes = 24'000'000;
+  FakePlainService service;
+  GatewayOptions options;
+  options.hold_bytes = 2 * kBytes;
+  GatewayBed bed(options);
+  bed.AddPlain("p1", service.Address());
+  RawSocket slow(bed.address);
+  slow.Write(RawHead("GET",
+                     "/services/filing/large?bytes=" + std::to_string(kBytes),
+                     0, "Connection: close\r\n"));
+  CHECK(Eventually([&] {
+    return bed.metrics.Value("hickorystand_requests_total",
+                             {{"service", "filing"}}) == 1;
+  }));
+  std::promise<void> drained;
+  const auto done = drained.get_future();
+  bed.task.Call([&] { bed.gateway->StartDrain([&] { drained.set_value(); }); });
+  CHECK(done.wait_for(std::chrono::milliseconds(100)) ==
+        std::future_status::timeout);
+  CHECK(slow.ReadAll().size() > kBytes);
+  done.wait();
+}
+
+// Guards against a request that is cut off unanswered while its body arrives.
+TEST(Gateway, ADrainAnswersARequestThatIsHalfRead) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  RawSocket half(bed.address);
+  const HttpOutgoing call = bed.Chat("late", true);
+  half.Write(RawHead(call.method, call.target, call.body.size()) +
+             call.body.substr(0, 10));
+  std::promise<void> drained;
+  const auto done = drained.get_future();
+  g_usleep(50'000);
+  bed.task.Call([&] { bed.gateway->StartDrain([&] { drained.set_value(); }); });
+  CHECK(done.wait_for(std::chrono::milliseconds(100)) ==
+        std::future_status::timeout);
+  half.Write(call.body.substr(10));
+  const std::string answer = half.ReadAll();
+  CHECK(Contains(answer, "HTTP/1.1 503"));
+  CHECK(Contains(answer, "shutting_down"));
+  CHECK(Contains(answer, "Retry-After: 1"));
+  done.wait();
+  LONGS_EQUAL(0, engine.Runs().size());
+}
+
 // Readers hang up all the time. Their streams must not keep engines busy.
 TEST(Gateway, AHangUpCancelsTheStream) {
   FakeEngine engine;
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -4,6 +4,7 @@
 
 #include <gio/gio.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <functional>
@@ -45,7 +46,9 @@
   // What comes until `end` has come, or the other end closes.
   std::string ReadUntil(std::string_view end) {
     std::string text;
-    while (text.find(end) == std::string::npos) {
+    size_t searched = 0;  // no `end` begins before it
+    while (text.find(end, searched) == std::string::npos) {
+      searched = text.size() - std::min(text.size(), end.size() - 1);
       std::array<char, 4096> buffer{};
       const gssize got =
           g_input_stream_read(g_io_stream_get_input_stream(this->Stream()),
