Send callers of a leaving host elsewhere at once

A leaving host refused requests with a Retry-After from its own queue: 18 s in the test, at most 30 s, although other hosts would have taken them at once.

Cause: the dispatcher refused them, with the time after which its queue has room. Evidence: gateway_test ALeavingHostSendsCallersElsewhereWhateverItsQueue got "Retry-After: 18" on the code before.

Change: the driver refuses them itself, with one second.

--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -16,6 +16,9 @@
          outcome == AttemptOutcome::kRefused;
 }
 
+// Another host takes the request at once.
+constexpr Duration kRetryElsewhere = std::chrono::seconds(1);
+
 bool IsOnce(const Request& request) {
   return request.request_class == RequestClass::kOnce;
 }
@@ -68,6 +71,14 @@
   const auto [where, fresh] =
       this->live.emplace(id, LiveRequest{.incoming = std::move(incoming)});
   assert(fresh && "request ids are unique");
+  if (this->draining) {
+    this->Apply({{.kind = DispatchKind::kRefuse,
+                  .request = id,
+                  .reason = "refused on arrival",
+                  .error = Error{ErrorKind::kShuttingDown,
+                                 "This host is leaving.", kRetryElsewhere}}});
+    return;
+  }
   this->Apply(this->dispatcher->OnArrival(this->clock.Now(), request));
 }
 
@@ -93,6 +104,7 @@
 
 void RequestDriver::StartDrain(std::function<void()> on_drained) {
   this->on_drained = std::move(on_drained);
+  this->draining = true;
   this->dispatcher->StartDrain();
   this->CheckDrained();
 }
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -191,6 +191,7 @@
   std::map<RequestId, LiveRequest> live;
   std::deque<Dispatch> pending;
   bool applying = false;
+  bool draining = false;
   std::function<void()> on_drained;
   // Lets callbacks that come after the driver's end do nothing.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -598,6 +598,31 @@
   LONGS_EQUAL(0, engine.Runs().size());
 }
 
+// Guards against callers who wait for the queue of a host that they can't use,
+// while others have room.
+TEST(Gateway, ALeavingHostSendsCallersElsewhereWhateverItsQueue) {
+  constexpr int kRequests = 60;
+  FakeEngine engine(
+      {.step = std::chrono::milliseconds(5), .batch = {.capacity = 1}});
+  GatewayOptions options;
+  options.dispatcher = "hickorystand";
+  GatewayBed bed(options);
+  bed.AddEngine("e1", engine.Address());
+  HttpOutgoing batch = bed.Chat("long", true, 40);
+  batch.body.insert(1, R"("service_tier":"flex",)");
+  for (int i = 0; i < kRequests; ++i) {
+    bed.caller.Start(batch);
+  }
+  // The queue's pace is known a second after its first start.
+  g_usleep(2'500'000);
+  const auto queued = bed.Ask<int64_t>([](Gateway& g) { return g.Queued(); });
+  CHECK(queued > 0);
+  bed.task.Call([&] { bed.gateway->StartDrain([] {}); });
+  const CallerAnswer refused = bed.caller.Send(bed.Chat("new", true));
+  STRCMP_EQUAL("shutting_down", ErrorCode(refused).c_str());
+  STRCMP_EQUAL("1", refused.Header("Retry-After").c_str());
+}
+
 // Readers hang up all the time. Their streams must not keep engines busy.
 TEST(Gateway, AHangUpCancelsTheStream) {
   FakeEngine engine;
