Answer every request before a host ends at its drain limit

At the drain limit connections were closed without a word: queued requests weren't told that they hadn't run, running ones had no answer, streams stopped without an error event. By reading the code: tokens of these streams were never billed, as their attempts were dropped after the usage had been handed over.

Cause: the limit only ended the wait; nothing ended the requests.

Change: at the limit each request gets a final answer: shutting_down, not run, where no byte has left for an endpoint; outcome_unknown where one may have; an error event in a stream. Plain answers of which a part has been passed on are cut, as there is no other way to mark them. The host waits a second at most for these answers to be written. Filings that were sent run on until the process ends; those that were not sent are cancelled. An account pays for what its callers were given.

--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -10,6 +10,9 @@
 
 constexpr std::string_view kPart = "host";
 
+// How long a host waits for callers to fetch the errors of ended requests.
+constexpr Duration kFinalAnswersWithin = std::chrono::seconds(1);
+
 GatewayOptions MakeGatewayOptions(const HostSettings& settings, uint64_t seed) {
   GatewayOptions options;
   options.http.listen = settings.gateway.listen;
@@ -251,10 +254,21 @@
     this->gateway->StartDrain(
         [this] { this->control_task.Post([this] { this->Finish(); }); });
   });
-  this->limit_timer = Timer::After(this->settings.drain_limit, [this] {
-    LogWarning(kPart, "Requests are still running at the drain limit.");
-    this->Finish();
+  this->limit_timer =
+      Timer::After(this->settings.drain_limit, [this] { this->EndRequests(); });
+}
+
+void HostDaemon::EndRequests() {
+  if (this->finishing) {
+    return;
+  }
+  LogWarning(kPart, "Requests are still running at the drain limit.");
+  this->serving_task.Post([this] {
+    this->gateway->EndRequests(
+        [this] { this->control_task.Post([this] { this->Finish(); }); });
   });
+  this->answer_timer =
+      Timer::After(kFinalAnswersWithin, [this] { this->Finish(); });
 }
 
 void HostDaemon::Finish() {
@@ -276,6 +290,7 @@
   this->control_task.Post([this] {
     this->notice_timer.reset();
     this->limit_timer.reset();
+    this->answer_timer.reset();
     this->admin.reset();
     this->control.reset();
   });
--- a/packages/daemon/host_daemon.h
+++ b/packages/daemon/host_daemon.h
@@ -64,6 +64,7 @@
   void SendView();
   void AnnounceLeaving();
   void FinishRequests();
+  void EndRequests();
   void Finish();
 
   HostSettings settings;
@@ -83,6 +84,7 @@
   std::unique_ptr<AdminServer> admin;
   std::unique_ptr<Timer> notice_timer;  // of the control task
   std::unique_ptr<Timer> limit_timer;   // of the control task
+  std::unique_ptr<Timer> answer_timer;  // of the control task
   Task serving_task;
   Task control_task;
 };
--- a/packages/endpoints/endpoint_client.h
+++ b/packages/endpoints/endpoint_client.h
@@ -107,6 +107,11 @@
 
   const AttemptCall& Call() const { return this->call; }
 
+  // Whether bytes of the request may have left this process.
+  bool MayHaveSent() const {
+    return this->exchange && this->exchange->MayHaveSent();
+  }
+
  private:
   friend class EndpointClient;
 
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -179,6 +179,11 @@
   });
 }
 
+void Gateway::EndRequests(std::function<void()> on_answered) {
+  this->StartDrain(std::move(on_answered));
+  this->driver->EndAll();
+}
+
 std::vector<Decision> Gateway::RecentDecisions(const RequestId& request) const {
   return this->driver->Decisions().About(request);
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -86,6 +86,10 @@
   // Not ready from now on; new requests are refused as not run, and those here
   // are finished. Calls back when their answers are written.
   void StartDrain(std::function<void()> on_drained);
+
+  // Drains, but gives requests that are here their final answer at once: an
+  // error that says whether they may have run.
+  void EndRequests(std::function<void()> on_answered);
   bool Draining() const { return this->draining; }
 
   // What was decided about a request, oldest first.
--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -53,6 +53,9 @@
       run.attempt->Cancel();
     }
   }
+  for (const AttemptPtr& attempt : this->detached) {
+    attempt->Cancel();
+  }
 }
 
 void RequestDriver::ApplyConfiguration(ConfigurationPtr next) {
@@ -75,8 +78,7 @@
     this->Apply({{.kind = DispatchKind::kRefuse,
                   .request = id,
                   .reason = "refused on arrival",
-                  .error = Error{ErrorKind::kShuttingDown,
-                                 "This host is leaving.", kRetryElsewhere}}});
+                  .error = ErrorAtEnd(where->second)}});
     return;
   }
   this->Apply(this->dispatcher->OnArrival(this->clock.Now(), request));
@@ -115,6 +117,51 @@
   }
 }
 
+void RequestDriver::EndAll() {
+  while (!this->live.empty()) {
+    this->EndNow(this->live.begin()->first);
+  }
+  this->CheckDrained();
+}
+
+void RequestDriver::EndNow(const RequestId& request) {
+  assert(!this->applying && "final answers aren't given within Apply()");
+  const RequestId id = request;
+  LiveRequest& live = this->live.at(id);
+  live.incoming.call->OnGone({});
+  live.may_have_run |= std::ranges::any_of(
+      live.attempts,
+      [](const auto& entry) { return entry.second.attempt->MayHaveSent(); });
+  if (!live.incoming.call->Started()) {
+    for (auto& [attempt, run] : live.attempts) {
+      run.generated = 0;  // not billed, as the caller gets none of it
+    }
+  }
+  if (live.caller_gone) {
+    this->Forget(id);
+  } else {
+    this->Apply({{.kind = DispatchKind::kRefuse,
+                  .request = id,
+                  .reason = "this host stops",
+                  .error = ErrorAtEnd(live)}});
+  }
+  this->Apply(this->dispatcher->OnCallerGone(this->clock.Now(), id));
+}
+
+Error RequestDriver::ErrorAtEnd(const LiveRequest& live) {
+  if (live.incoming.call->Started()) {
+    return {ErrorKind::kBrokenAnswer,
+            "The host stopped before the answer was whole.",
+            {}};
+  }
+  if (live.may_have_run) {
+    return {ErrorKind::kOutcomeUnknown,
+            "The host stopped while the request ran.",
+            {}};
+  }
+  return {ErrorKind::kShuttingDown, "This host is leaving.", kRetryElsewhere};
+}
+
 void RequestDriver::Apply(DispatchList actions) {
   std::ranges::move(actions, std::back_inserter(this->pending));
   if (this->applying) {
@@ -356,11 +403,27 @@
   this->SettleClaim(live);
   live.incoming.call->OnGone({});
   live.incoming.call->OnDrained({});
-  while (!live.attempts.empty() && !IsOnce(live.incoming.request)) {
+  if (IsOnce(live.incoming.request)) {
+    this->DetachAttempts(live);
+    return;
+  }
+  while (!live.attempts.empty()) {
     this->Abandon(live, live.attempts.begin()->first);
   }
 }
 
+// Lets attempts of a non-idempotent request go on, but for those of which
+// nothing was sent: their caller is told that the request hasn't run.
+void RequestDriver::DetachAttempts(const LiveRequest& live) {
+  for (const auto& [id, run] : live.attempts) {
+    if (run.attempt->MayHaveSent()) {
+      this->detached.push_back(run.attempt);
+    } else {
+      run.attempt->Cancel();
+    }
+  }
+}
+
 // A claim of a request that didn't run must not keep the caller from sending
 // it again; one of a request that may have run must.
 void RequestDriver::SettleClaim(const LiveRequest& live) {
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "decisions/claims.h"
 #include "decisions/dispatcher.h"
@@ -108,6 +109,10 @@
   // Takes nothing new; calls back when nothing is left, at once if need be.
   void StartDrain(std::function<void()> on_drained);
 
+  // Gives every request its final answer now: not run where no byte has left
+  // for an endpoint, else an error that says that the answer is lost.
+  void EndAll();
+
   void FillDigest(Digest& digest) const {
     this->dispatcher->FillDigest(digest);
   }
@@ -176,9 +181,12 @@
             const AttemptEnd& end);
   void Abandon(LiveRequest& live, AttemptId attempt);
   Error WithLookUp(Error error, const LiveRequest& live) const;
+  void DetachAttempts(const LiveRequest& live);
   void SettleClaim(const LiveRequest& live);
   void Forget(const RequestId& id);
   void CheckDrained();
+  void EndNow(const RequestId& id);
+  static Error ErrorAtEnd(const LiveRequest& live);
 
   RequestDriverOptions options;
   std::unique_ptr<Dispatcher> dispatcher;
@@ -189,6 +197,8 @@
   RequestHooks hooks;
   ConfigurationPtr configuration = std::make_shared<Configuration>();
   std::map<RequestId, LiveRequest> live;
+  // Attempts of non-idempotent requests that run on after their final answer.
+  std::vector<AttemptPtr> detached;
   std::deque<Dispatch> pending;
   bool applying = false;
   bool draining = false;
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -252,4 +252,61 @@
   CHECK(bed.engine.Runs().at(0).finished);
 }
 
+TEST_GROUP(HostStop) {
+  // Starts one request of each kind that can be under way: queued, running
+  // without a byte, and half streamed. All of them last until the host stops.
+  void StartRequests() {
+    CHECK(Eventually([&] { return this->bed.InForce(1); }));
+    this->queued = this->bed.caller.Start(
+        this->bed.Chat(0, 8, R"("service_tier":"flex",)", "unserved"));
+    this->bed.engine.SetFault(
+        {.kind = fakes::EngineFault::kSilent, .after_tokens = 3});
+    this->running = this->bed.caller.Start(this->bed.Chat(0, 8));
+    this->streamed =
+        this->bed.caller.Start(this->bed.Chat(0, 8, R"("stream":true,)"));
+    this->filing = this->bed.caller.Start(
+        this->bed.Call(0, "POST", "/services/filing/petitions", "{}"));
+    CHECK(Eventually([&] {
+      return this->bed.engine.Runs().size() == 2 &&
+             this->bed.plain.Runs().size() == 1 &&
+             this->bed.Status(0).At("queued").Integer() == 1;
+    }));
+  }
+
+  // What each of them must be told.
+  void CheckAnswers() {
+    const CallerAnswer refused = this->queued.get();
+    LONGS_EQUAL(503, refused.status);
+    STRCMP_CONTAINS("shutting_down", refused.body.c_str());
+    STRCMP_EQUAL("1", refused.Header("Retry-After").c_str());
+    for (auto* answer : {&this->running, &this->filing}) {
+      const CallerAnswer unknown = answer->get();
+      LONGS_EQUAL(504, unknown.status);
+      STRCMP_CONTAINS("outcome_unknown", unknown.body.c_str());
+      STRCMP_EQUAL("close", unknown.Header("Connection").c_str());
+    }
+    const CallerAnswer broken = this->streamed.get();
+    LONGS_EQUAL(static_cast<int>(HttpEnd::kWhole),
+                static_cast<int>(broken.end));
+    STRCMP_CONTAINS("broken_answer", broken.body.c_str());
+    CHECK(broken.body.find("[DONE]") == std::string::npos);
+  }
+
+  HostBed bed{1, std::chrono::milliseconds(300)};
+  std::future<CallerAnswer> queued;
+  std::future<CallerAnswer> running;
+  std::future<CallerAnswer> streamed;
+  std::future<CallerAnswer> filing;
+};
+
+// Guards against connections that close without an answer at the drain limit.
+TEST(HostStop, AnswersEveryRequestAtTheDrainLimit) {
+  this->bed.plain.SetFault(fakes::PlainFault::kSilentAfterRun);
+  this->StartRequests();
+  this->bed.hosts[0]->Drain();
+  CHECK(Eventually([&] { return this->bed.stopped == 1; }));
+  this->bed.hosts[0]->Stop();
+  this->CheckAnswers();
+}
+
 }  // namespace hickorystand
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -623,6 +623,29 @@
   STRCMP_EQUAL("1", refused.Header("Retry-After").c_str());
 }
 
+// Guards against an account that pays for more, or less, than it was given.
+TEST(Gateway, BillsWhatWasDeliveredBeforeRequestsEnd) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  engine.SetFault({.kind = EngineFault::kSilent, .after_tokens = 3});
+  auto whole = bed.caller.Start(bed.Chat("whole", false));
+  auto stream = bed.caller.Start(bed.Chat("stream", true));
+  CHECK(Eventually([&] {
+    const auto runs = engine.Runs();
+    return runs.size() == 2 && runs[0].generated + runs[1].generated == 6;
+  }));
+  g_usleep(50'000);
+  bed.task.Call([&] { bed.gateway->EndRequests([] {}); });
+  STRCMP_EQUAL("outcome_unknown", ErrorCode(whole.get()).c_str());
+  STRCMP_EQUAL("broken_answer",
+               ReadStream(stream.get().body).error_code.c_str());
+  const auto usage =
+      bed.Ask<std::vector<UsageRecord>>([&](Gateway&) { return bed.usage; });
+  LONGS_EQUAL(1, usage.size());
+  LONGS_EQUAL(3, usage[0].generated_tokens);
+}
+
 // Readers hang up all the time. Their streams must not keep engines busy.
 TEST(Gateway, AHangUpCancelsTheStream) {
   FakeEngine engine;
--- a/tests/host_bed.h
+++ b/tests/host_bed.h
@@ -21,7 +21,9 @@
   static constexpr const char* kKey = "sk-host-test-0123456789";
   static constexpr const char* kToken = "operators-token-0123456789";
 
-  explicit HostBed(int hosts) {
+  // With `drain_limit` each host waits that long for running requests.
+  explicit HostBed(int hosts, Duration drain_limit = std::chrono::seconds(30))
+      : drain_limit(drain_limit) {
     StartLog({.level = LogLevel::kError});
     this->Store();
     for (int i = 1; i <= hosts; ++i) {
@@ -58,10 +60,15 @@
             .once = true};
   }
 
-  // A whole chat answer of some tokens.
-  HttpOutgoing Chat(int host, int tokens) const {
+  // A chat answer of some tokens; `more` goes into the body, for example
+  // R"("stream":true,)".
+  HttpOutgoing Chat(int host,
+                    int tokens,
+                    const std::string& more = "",
+                    const std::string& model = "m") const {
     return this->Call(host, "POST", "/v1/chat/completions",
-                      R"({"model":"m","max_tokens":)" + std::to_string(tokens) +
+                      "{" + more + R"("model":")" + model +
+                          R"(","max_tokens":)" + std::to_string(tokens) +
                           R"(,"messages":[{"role":"user","content":"hi"}]})");
   }
 
@@ -125,7 +132,7 @@
     HostSettings settings;
     settings.host = id;
     settings.data_centre = DataCentreId("dc1");
-    settings.drain_limit = std::chrono::seconds(30);
+    settings.drain_limit = this->drain_limit;
     settings.gateway = {.listen = {"127.0.0.1", 0},
                         .max_body_bytes = 1 << 20,
                         .max_queued = 100,
@@ -143,6 +150,7 @@
     return settings;
   }
 
+  Duration drain_limit;
   std::vector<PlatformHost> listed;
 
   // Writes the fleet's configuration to the key-value service.
@@ -154,6 +162,8 @@
     wanted.accounts[account] = {.id = account};
     wanted.keys[hash] = {.hash = hash, .account = account};
     wanted.services[ServiceId("m")] = {.id = ServiceId("m")};
+    // No endpoint serves it, so its batch requests stay queued.
+    wanted.services[ServiceId("unserved")] = {.id = ServiceId("unserved")};
     wanted.services[ServiceId("filing")] = {.id = ServiceId("filing"),
                                             .kind = ServiceKind::kPlain};
     wanted.sites[DataCentreId("dc1")] = {.id = DataCentreId("dc1")};
