Answer every request before an immediate stop

A second signal, or Stop() without a drain, closed all connections without an answer, as the drain limit did.

Evidence: daemon_test HostStop AnswersEveryRequestBeforeAnImmediateStop; on the code before, its queued request ended with status 0 in place of 503.

Change: Stop() gives requests the same final answers and waits a second at most until they are written. Usage and claims aren't handed over then, as before.

--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/host_daemon.h"
 
+#include <future>
 #include <utility>
 
 #include "kernel/json.h"
@@ -283,6 +284,18 @@
 }
 
 void HostDaemon::Stop() {
+  if (std::exchange(this->stopped, true)) {
+    return;
+  }
+  const auto answered = std::make_shared<std::promise<void>>();
+  this->serving_task.Post([this, answered] {
+    if (this->gateway) {
+      this->gateway->EndRequests([answered] { answered->set_value(); });
+    } else {
+      answered->set_value();
+    }
+  });
+  answered->get_future().wait_for(kFinalAnswersWithin);
   // Each part is destroyed on its own task; work that the other one still
   // posts is dropped with the task.
   this->serving_task.Post([this] { this->gateway.reset(); });
--- a/packages/daemon/host_daemon.h
+++ b/packages/daemon/host_daemon.h
@@ -45,7 +45,8 @@
   // Begins a planned stop. Asking twice changes nothing.
   void Drain();
 
-  // Ends both tasks at once, without a planned stop.
+  // Ends both tasks without a planned stop. Requests under way are answered
+  // with an error first, which takes a second at most.
   void Stop();
 
   // Where callers are served, operators answered and peers accepted; known
@@ -76,6 +77,7 @@
   std::function<void()> on_stopped;
   bool draining = false;   // of the control task
   bool finishing = false;  // of the control task
+  bool stopped = false;    // of the thread that calls Stop()
   // Until when claimed requests may be sent; used on the serving task only.
   std::map<RequestId, Instant> claimed_until;
   // The parts of each task; made, used and destroyed there.
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -309,4 +309,12 @@
   this->CheckAnswers();
 }
 
+// The same for a stop without a drain, as after a second signal.
+TEST(HostStop, AnswersEveryRequestBeforeAnImmediateStop) {
+  this->bed.plain.SetFault(fakes::PlainFault::kSilentAfterRun);
+  this->StartRequests();
+  this->bed.hosts[0]->Stop();
+  this->CheckAnswers();
+}
+
 }  // namespace hickorystand
