Withdraw claims of requests that didn't run before a host ends

A petition that waited for its claim at the drain limit was refused as not run, to be sent again; but sent to another host it was refused as a duplicate, for the whole duplicate window.

Cause: the process ended while the claim was on its way to the key-value service, and nobody was left to withdraw it.

Change: the hand-over waits until each claim has been answered and either used or withdrawn, for 5 s at most, which is the time after which the claim book gives up as well.

--- a/packages/daemon/control.cc
+++ b/packages/daemon/control.cc
@@ -16,6 +16,7 @@
 constexpr Duration kHostListEvery = std::chrono::seconds(5);
 constexpr Duration kKeyCheckEvery = std::chrono::seconds(1);
 constexpr Duration kReleaseCheckEvery = std::chrono::milliseconds(50);
+constexpr Duration kClaimsSettleWithin = std::chrono::seconds(5);
 
 PeerGroupOptions MakePeerOptions(const HostSettings& settings,
                                  uint64_t incarnation,
@@ -337,19 +338,25 @@
   this->peers->StartDrain();
 }
 
+// A claim whose request was refused as not run has to be withdrawn, or the
+// caller's next try would be refused as a duplicate.
 void Control::HandOver(std::function<void()> on_released) {
   this->ShareUsage();
   this->coordinator->StartRelease();
-  this->release_timer = Timer::Every(
-      kReleaseCheckEvery, [this, on_released = std::move(on_released)] {
-        if (!this->coordinator->Released()) {
-          return;
-        }
-        // The callback may destroy this object, and so the timer.
-        const auto call = on_released;
-        this->release_timer.reset();
-        call();
-      });
+  const Instant claims_until = this->clock.Now() + kClaimsSettleWithin;
+  this->release_timer =
+      Timer::Every(kReleaseCheckEvery,
+                   [this, claims_until, on_released = std::move(on_released)] {
+                     const bool claims_open = !this->claims->Settled() &&
+                                              this->clock.Now() < claims_until;
+                     if (claims_open || !this->coordinator->Released()) {
+                       return;
+                     }
+                     // The callback may destroy this object, and so the timer.
+                     const auto call = on_released;
+                     this->release_timer.reset();
+                     call();
+                   });
 }
 
 std::string Control::StatusJson() const {
--- a/packages/daemon/control.h
+++ b/packages/daemon/control.h
@@ -84,7 +84,8 @@
   // This host leaves: the others are told, and nothing new rests on it.
   void StartDrain();
 
-  // Gives up the lease and hands over usage; then calls back. Comes last.
+  // Gives up the lease, hands over usage and withdraws claims of requests that
+  // didn't run; then calls back. Comes last.
   void HandOver(std::function<void()> on_released);
 
   // This host's view of the fleet, as the admin page shows it.
--- a/packages/daemon/coordinator_driver.h
+++ b/packages/daemon/coordinator_driver.h
@@ -33,6 +33,9 @@
   void Forget(const RequestId& request) { this->book.Forget(request); }
   void Withdraw(const RequestId& request);
 
+  // Whether each claim was answered, and then sent or withdrawn for good.
+  bool Settled() const { return this->book.Settled(); }
+
   const ClaimCounts& Counts() const { return this->book.Counts(); }
 
  private:
--- a/packages/decisions/claims.h
+++ b/packages/decisions/claims.h
@@ -124,6 +124,9 @@
   void OnTick(Instant now, ClaimActions& out);
   bool Busy() const;
 
+  // Whether each claim was answered, and then sent or withdrawn for good.
+  bool Settled() const { return !this->Busy() && this->granted.empty(); }
+
   // Replies of the key-value service.
   void OnStoreReply(Instant now,
                     CallTag tag,
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -317,4 +317,27 @@
   this->CheckAnswers();
 }
 
+// Guards against a petition that is refused as not run, and then, sent again
+// to another host, as a duplicate.
+TEST(Host, WithdrawsAClaimBeforeItStops) {
+  HostBed bed(2, std::chrono::milliseconds(100));
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  const auto file = [&](int host, const std::string& body) {
+    return bed.Call(host, "POST", "/services/filing/petitions", body);
+  };
+  LONGS_EQUAL(201, bed.caller.Send(file(1, "{\"p\":1}")).status);
+  bed.store.SetFault(fakes::KeyValueFault::kSlow, std::chrono::seconds(1));
+  auto refused = bed.caller.Start(file(1, "{\"p\":2}"));
+  CHECK(Eventually([&] { return bed.Status(1).At("running").Integer() == 1; }));
+  bed.hosts[1]->Drain();
+  CHECK(Eventually([&] { return bed.stopped == 1; }));
+  bed.hosts[1]->Stop();
+  const CallerAnswer answer = refused.get();
+  LONGS_EQUAL(503, answer.status);
+  STRCMP_EQUAL("true", answer.Header("x-should-retry").c_str());
+  bed.store.SetFault(fakes::KeyValueFault::kNone);
+  LONGS_EQUAL(201, bed.caller.Send(file(0, "{\"p\":2}")).status);
+  LONGS_EQUAL(2, bed.plain.Petitions().size());
+}
+
 }  // namespace hickorystand
