--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -35,8 +35,9 @@
   Result<int> Start();
 
   // Stops in order: says that it isn't ready, serves on while callers still
-  // come, finishes what runs, and ends before the kill.
-  void Drain();
+  // come, finishes what runs, and ends before the kill, whose time counts from
+  // when the stop signal arrived.
+  void Drain(Instant signalled);
 
   // Takes changed settings: bounds, budgets and the log's level at once. What
   // only a start takes up is named in the log.
@@ -106,7 +107,7 @@
   std::unique_ptr<Timer> usage_timer;
   CallerServer ready_server;
   CallerServer metrics_server;
-  std::optional<Instant> draining_since;
+  std::optional<StopSchedule> stop;
   std::unique_ptr<Timer> drain_timer;
   size_t next_asked = 0;  // place among the other hosts
 };
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -190,6 +190,26 @@
   request->Begin();
 }
 
+void FleetRelay::StartDrain(const StopSchedule& schedule) {
+  this->stop = schedule;
+  this->server.StartDrain();
+  for (const auto& request : this->requests) {
+    request->OnStop(schedule);
+  }
+}
+
+void FleetRelay::LogUnfinished() {
+  for (const auto& request : this->requests) {
+    request->LogUnfinished();
+  }
+}
+
+std::string FleetRelay::StoppingText() const {
+  return this->stop
+             ? MillisecondsText(this->clock->Now() - this->stop->signalled)
+             : "";
+}
+
 void FleetRelay::Log(LogLevel level,
                      const RequestId& request,
                      std::string_view sentence,
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -22,8 +22,10 @@
 #include <set>
 #include <string>
 
+#include "decisions/answer_times.h"
 #include "decisions/decaying_rate.h"
 #include "decisions/fleet_placement.h"
+#include "decisions/stop_schedule.h"
 #include "decisions/suspects.h"
 #include "decisions/window_budget.h"
 #include "kernel/log.h"
@@ -123,13 +125,13 @@
   // what it has learned, so its options take a start.
   void SetLimits(const WindowBudgetOptions& retries, Duration proof_limit);
 
-  // Each answer is the last of its connection from now on.
-  void StartDrain() { this->server.StartDrain(); }
+  // Each answer is the last of its connection from now on. A request that can't
+  // be finished in time is refused as not run; what is unfinished when the
+  // schedule ends gets its final answer then.
+  void StartDrain(const StopSchedule& schedule);
 
-  // Requests that come from now on are refused as not run: they couldn't be
-  // finished before the process ends.
-  void RefuseNew() { this->refusing = true; }
-  bool Refusing() const { return this->refusing; }
+  // Logs each request that is unfinished at the end of the process.
+  void LogUnfinished();
 
   // Whether requests can be served: a configuration and endpoints are known,
   // and both are newer than the last RequireRefresh.
@@ -176,6 +178,9 @@
   // A prompt of so many new tokens was sent to be read.
   void NoteReading(const ServiceId& service, int64_t tokens);
 
+  // Time since the stop signal, for logs; empty if there was none.
+  std::string StoppingText() const;
+
   // Line of a decision that touches a request, bounded in number.
   void Log(LogLevel level,
            const RequestId& request,
@@ -202,7 +207,8 @@
   Instant proven{};
   Instant refresh_required_at{};    // of the last RequireRefresh
   bool endpoints_refreshed = true;  // since then
-  bool refusing = false;
+  std::optional<StopSchedule> stop;
+  AnswerTimes answer_times;
   std::map<ServiceId, DecayingRate> read_tokens;
   std::set<std::shared_ptr<RelayedRequest>> requests;
 };
