Refuse what a stand-alone host can't finish before it stops

A stand-alone host took each request that came within drain_notice, and ran what was queued, however long the answers took. At the drain limit they were cut; a batch request that waited for an endpoint was kept for the whole limit, although another host might have run it.

Requests were taken by the clock alone; nothing looked at how long an answer takes.

Evidence: daemon_test RefusesWhatItCannotFinishBeforeItStops, in which a stream of 1.5 s was taken (status 200) one second before the end; and RefusesWhatIsQueuedAsSoonAsItCannotBeFinished, in which a queued request had no answer 5 s after the signal.

Change: the driver learns how long whole answers take from their first send (decisions/answer_times, by service, method and size). From the stop signal on it asks CanFinish (decisions/stop_schedule) on arrival, before the first send, and every tick for what waits, and refuses as not run, with Retry-After 1. For kinds without recent answers the service's deadline stands for the estimate.

--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -245,7 +245,10 @@
 // The balancer notices a failing /readyz only after a while. Until then callers
 // still come, and refusing them would cut them off.
 void HostDaemon::AnnounceLeaving() {
-  this->serving_task.Post([this] { this->gateway->AnnounceLeaving(); });
+  const Instant ends_at = this->clock.Now() + this->settings.drain_notice +
+                          this->settings.drain_limit;
+  this->serving_task.Post(
+      [this, ends_at] { this->gateway->AnnounceLeaving(ends_at); });
   this->notice_timer = Timer::After(this->settings.drain_notice,
                                     [this] { this->FinishRequests(); });
 }
--- a/packages/daemon/host_daemon.h
+++ b/packages/daemon/host_daemon.h
@@ -8,7 +8,8 @@
 //
 // A planned stop takes five steps, in this order, so that nobody is cut off:
 // not ready (the balancer looks away), callers are refused as not run, running
-// requests finish, usage and the lease are handed over, and the tasks end.
+// requests finish, usage and the lease are handed over, and the tasks end. What
+// can't be finished by the drain limit is refused from the start.
 
 #pragma once
 
--- a/packages/daemon/host_settings.cc
+++ b/packages/daemon/host_settings.cc
@@ -53,7 +53,8 @@
        .key = "drain_limit",
        .type = SettingType::kDuration,
        .fallback = "10m",
-       .help = "how long a stopping host waits for running requests"},
+       .help = "how long a stopping host waits for running requests "
+               "before it ends them with an error"},
   };
 }
 
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -164,15 +164,16 @@
   }
 }
 
-void Gateway::AnnounceLeaving() {
+void Gateway::AnnounceLeaving(Instant ends_at) {
   this->leaving = true;
   this->server->CloseAfterAnswers();
+  this->driver->SetEnd(ends_at);
 }
 
 // Requests whose bodies are still read aren't with the driver yet, and answers
 // that slow callers fetch no longer are.
 void Gateway::StartDrain(std::function<void()> on_drained) {
-  this->AnnounceLeaving();
+  this->server->CloseAfterAnswers();
   this->draining = true;
   this->driver->StartDrain([this, on_drained = std::move(on_drained)] {
     this->server->WhenAnswered(on_drained);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -80,8 +80,10 @@
   void FillDigest(Digest& digest) const { this->driver->FillDigest(digest); }
 
   // /readyz fails from now on, so that the balancer looks away; whoever still
-  // calls is served, and its connection closed with the answer.
-  void AnnounceLeaving();
+  // calls is served, and its connection closed with the answer. Requests
+  // whose answers wouldn't be whole at `ends_at`, when the process may end, are
+  // refused.
+  void AnnounceLeaving(Instant ends_at);
 
   // Not ready from now on; new requests are refused as not run, and those here
   // are finished. Calls back when their answers are written.
--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <utility>
 
+#include "decisions/stop_schedule.h"
 #include "kernel/log.h"
 
 namespace hickorystand {
@@ -19,6 +20,12 @@
 // Another host takes the request at once.
 constexpr Duration kRetryElsewhere = std::chrono::seconds(1);
 
+AnswerKind KindOf(const IncomingRequest& incoming) {
+  const Request& request = incoming.request;
+  return AnswerKind::Of(request.service.Text() + " " + incoming.method,
+                        request.output_tokens);
+}
+
 bool IsOnce(const Request& request) {
   return request.request_class == RequestClass::kOnce;
 }
@@ -74,7 +81,7 @@
   const auto [where, fresh] =
       this->live.emplace(id, LiveRequest{.incoming = std::move(incoming)});
   assert(fresh && "request ids are unique");
-  if (this->draining) {
+  if (this->draining || !this->FinishesInTime(where->second)) {
     this->Apply({{.kind = DispatchKind::kRefuse,
                   .request = id,
                   .reason = "refused on arrival",
@@ -101,6 +108,7 @@
 }
 
 void RequestDriver::Tick() {
+  this->RefuseUnfinishable();
   this->Apply(this->dispatcher->OnTick(this->clock.Now()));
 }
 
@@ -212,14 +220,64 @@
   if (live.permitted) {
     return true;
   }
-  const RequestId id = live.incoming.request.id;
+  this->RefuseUnstarted(
+      live.incoming.request.id, "key revoked while queued",
+      {ErrorKind::kBadKey, "The API key is no longer valid.", {}});
+  return false;
+}
+
+void RequestDriver::RefuseUnstarted(const RequestId& request,
+                                    std::string reason,
+                                    Error error) {
+  const RequestId id = request;
   this->Apply({{.kind = DispatchKind::kRefuse,
                 .request = id,
-                .reason = "key revoked while queued",
-                .error = Error{ErrorKind::kBadKey,
-                               "The API key is no longer valid."}}});
+                .reason = std::move(reason),
+                .error = std::move(error)}});
   this->Apply(this->dispatcher->OnCallerGone(this->clock.Now(), id));
-  return false;
+}
+
+// Whether an answer that begins now is whole before the process ends. For kinds
+// without recent answers, the limit of the first byte stands for the estimate.
+bool RequestDriver::FinishesInTime(const LiveRequest& live) const {
+  if (!this->ends_at) {
+    return true;
+  }
+  const Instant now = this->clock.Now();
+  const auto service =
+      this->configuration->services.find(live.incoming.request.service);
+  const Duration first_byte = service == this->configuration->services.end()
+                                  ? Duration{}
+                                  : service->second.deadline;
+  return CanFinish(
+      *this->ends_at - now,
+      {.limit = Duration::max(),
+       .expected = this->answer_times.Longest(now, KindOf(live.incoming))
+                       .value_or(first_byte)});
+}
+
+void RequestDriver::RefuseUnfinishable() {
+  if (!this->ends_at) {
+    return;
+  }
+  std::map<AnswerKind, bool> in_time;
+  std::vector<RequestId> late;
+  for (const auto& [id, request] : this->live) {
+    if (request.caller_gone || request.may_have_run ||
+        !request.attempts.empty()) {
+      continue;
+    }
+    const auto [kind, fresh] =
+        in_time.try_emplace(KindOf(request.incoming), true);
+    if (fresh) {
+      kind->second = this->FinishesInTime(request);
+    }
+    if (!kind->second) {
+      late.push_back(id);
+    }
+  }
+  std::ranges::for_each(late,
+                        [this](const RequestId& id) { this->EndNow(id); });
 }
 
 // -- Actions -----------------------------------------------------------------
@@ -268,6 +326,13 @@
     this->Skip(action);
     return;
   }
+  if (live.attempts.empty() && !live.may_have_run &&
+      !this->FinishesInTime(live)) {
+    this->RefuseUnstarted(action.request, "can't be finished before the stop",
+                          ErrorAtEnd(live));
+    this->Skip(action);
+    return;
+  }
   const auto endpoint = this->configuration->endpoints.find(action.endpoint);
   if (endpoint == this->configuration->endpoints.end()) {
     this->Skip(action);
@@ -276,6 +341,9 @@
   RunningAttempt& run = live.attempts[action.attempt];
   run.endpoint = action.endpoint;
   run.started = this->clock.Now();
+  if (live.first_sent == Instant{}) {
+    live.first_sent = run.started;
+  }
   run.attempt =
       this->client.Start(this->MakeCall(live, action, endpoint->second),
                          this->MakeEvents(action.request, action.attempt));
@@ -365,6 +433,10 @@
   LiveRequest& live = *this->Find(action.request);
   this->metrics.Add("hickorystand_requests_total", 1,
                     {{"service", live.incoming.request.service.Text()}});
+  if (live.last_end.result.outcome == AttemptOutcome::kComplete) {
+    const Instant now = this->clock.Now();
+    this->answer_times.Add(now, KindOf(live.incoming), now - live.first_sent);
+  }
   live.incoming.relay->Finish(live.last_end);
   this->Forget(action.request);
 }
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -14,9 +14,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "decisions/answer_times.h"
 #include "decisions/claims.h"
 #include "decisions/dispatcher.h"
 #include "endpoints/endpoint_client.h"
@@ -106,6 +108,10 @@
   void OnHostGone(const HostId& host);
   void Tick();
 
+  // The process may end at `at`: requests whose answers wouldn't be whole by
+  // then are refused from now on, those that wait among them.
+  void SetEnd(Instant at) { this->ends_at = at; }
+
   // Takes nothing new; calls back when nothing is left, at once if need be.
   void StartDrain(std::function<void()> on_drained);
 
@@ -135,6 +141,7 @@
     IncomingRequest incoming;
     std::map<AttemptId, RunningAttempt> attempts;
     AttemptEnd last_end;
+    Instant first_sent{};
     bool permitted = false;  // its key was checked when it started
     bool claimed = false;
     bool may_have_run = false;
@@ -161,6 +168,11 @@
   void Skip(const Dispatch& action);
   LiveRequest* Find(const RequestId& id);
   bool Permitted(LiveRequest& live);
+  void RefuseUnstarted(const RequestId& request,
+                       std::string reason,
+                       Error error);
+  bool FinishesInTime(const LiveRequest& live) const;
+  void RefuseUnfinishable();
   AttemptCall MakeCall(LiveRequest& live,
                        const Dispatch& action,
                        const Endpoint& endpoint) const;
@@ -202,6 +214,8 @@
   std::deque<Dispatch> pending;
   bool applying = false;
   bool draining = false;
+  AnswerTimes answer_times;  // from the first send to the end of the answer
+  std::optional<Instant> ends_at;
   std::function<void()> on_drained;
   // Lets callbacks that come after the driver's end do nothing.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -340,4 +340,34 @@
   LONGS_EQUAL(2, bed.plain.Petitions().size());
 }
 
+// Guards against a stopping host that takes a request and then cuts its answer.
+TEST(Host, RefusesWhatItCannotFinishBeforeItStops) {
+  constexpr int kLongTokens = 1500;
+  HostBed bed(1, std::chrono::milliseconds(300),
+              std::chrono::milliseconds(700));
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat(0, kLongTokens)).status);
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat(0, 8)).status);
+  bed.hosts[0]->Drain();
+  const CallerAnswer refused =
+      bed.caller.Send(bed.Chat(0, kLongTokens, R"("stream":true,)"));
+  LONGS_EQUAL(503, refused.status);
+  STRCMP_CONTAINS("shutting_down", refused.body.c_str());
+  STRCMP_EQUAL("1", refused.Header("Retry-After").c_str());
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat(0, 8)).status);
+  LONGS_EQUAL(3, bed.engine.Runs().size());
+}
+
+// Guards against a request that waits until the drain limit for nothing.
+TEST(Host, RefusesWhatIsQueuedAsSoonAsItCannotBeFinished) {
+  HostBed bed(1);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  auto queued =
+      bed.caller.Start(bed.Chat(0, 8, R"("service_tier":"flex",)", "unserved"));
+  CHECK(Eventually([&] { return bed.Status(0).At("queued").Integer() == 1; }));
+  bed.hosts[0]->Drain();
+  CHECK(queued.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+  STRCMP_CONTAINS("shutting_down", queued.get().body.c_str());
+}
+
 }  // namespace hickorystand
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -541,7 +541,9 @@
   bed.AddEngine("e1", engine.Address());
   STRCMP_EQUAL(
       "", bed.caller.Send(bed.Chat("x", true)).Header("Connection").c_str());
-  bed.task.Call([&] { bed.gateway->AnnounceLeaving(); });
+  bed.task.Call([&] {
+    bed.gateway->AnnounceLeaving(bed.clock.Now() + std::chrono::hours(1));
+  });
   for (const bool stream : {true, false}) {
     const CallerAnswer answer = bed.caller.Send(bed.Chat("x", stream));
     LONGS_EQUAL(200, answer.status);
--- a/tests/host_bed.h
+++ b/tests/host_bed.h
@@ -21,9 +21,12 @@
   static constexpr const char* kKey = "sk-host-test-0123456789";
   static constexpr const char* kToken = "operators-token-0123456789";
 
-  // With `drain_limit` each host waits that long for running requests.
-  explicit HostBed(int hosts, Duration drain_limit = std::chrono::seconds(30))
-      : drain_limit(drain_limit) {
+  // Each host that drains serves on for `drain_notice`, and then waits for
+  // running requests for `drain_limit`.
+  explicit HostBed(int hosts,
+                   Duration drain_limit = std::chrono::seconds(30),
+                   Duration drain_notice = {})
+      : drain_limit(drain_limit), drain_notice(drain_notice) {
     StartLog({.level = LogLevel::kError});
     this->Store();
     for (int i = 1; i <= hosts; ++i) {
@@ -132,6 +135,7 @@
     HostSettings settings;
     settings.host = id;
     settings.data_centre = DataCentreId("dc1");
+    settings.drain_notice = this->drain_notice;
     settings.drain_limit = this->drain_limit;
     settings.gateway = {.listen = {"127.0.0.1", 0},
                         .max_body_bytes = 1 << 20,
@@ -151,6 +155,7 @@
   }
 
   Duration drain_limit;
+  Duration drain_notice;
   std::vector<PlatformHost> listed;
 
   // Writes the fleet's configuration to the key-value service.
