Refuse and end requests without a needless copy of their ids

EndAll() now takes the ids first, and the refusal of an unstarted request asserts that it is made within an action, so that the request outlives the call.

--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
+#include <ranges>
 #include <utility>
 
 #include "decisions/stop_schedule.h"
@@ -126,15 +127,14 @@
 }
 
 void RequestDriver::EndAll() {
-  while (!this->live.empty()) {
-    this->EndNow(this->live.begin()->first);
-  }
+  std::vector<RequestId> ids;
+  std::ranges::copy(this->live | std::views::keys, std::back_inserter(ids));
+  std::ranges::for_each(ids, [this](const RequestId& id) { this->EndNow(id); });
   this->CheckDrained();
 }
 
-void RequestDriver::EndNow(const RequestId& request) {
+void RequestDriver::EndNow(const RequestId& id) {
   assert(!this->applying && "final answers aren't given within Apply()");
-  const RequestId id = request;
   LiveRequest& live = this->live.at(id);
   live.incoming.call->OnGone({});
   live.may_have_run |= std::ranges::any_of(
@@ -226,10 +226,10 @@
   return false;
 }
 
-void RequestDriver::RefuseUnstarted(const RequestId& request,
+void RequestDriver::RefuseUnstarted(const RequestId& id,
                                     std::string reason,
                                     Error error) {
-  const RequestId id = request;
+  assert(this->applying && "the request is refused after this action");
   this->Apply({{.kind = DispatchKind::kRefuse,
                 .request = id,
                 .reason = std::move(reason),
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -168,9 +168,7 @@
   void Skip(const Dispatch& action);
   LiveRequest* Find(const RequestId& id);
   bool Permitted(LiveRequest& live);
-  void RefuseUnstarted(const RequestId& request,
-                       std::string reason,
-                       Error error);
+  void RefuseUnstarted(const RequestId& id, std::string reason, Error error);
   bool FinishesInTime(const LiveRequest& live) const;
   void RefuseUnfinishable();
   AttemptCall MakeCall(LiveRequest& live,
