Test that a petition which never left is ended as not run

gateway_test AFilingThatStillConnectsIsEndedAsNotRun: the endpoint's accept queue is full, so no byte leaves; the caller is told so, and the claim is given back.

daemon_test RefusesWhatItCannotFinishBeforeItStops failed once in five runs: its request was sometimes read before the stop had reached the gateway. It now waits until /readyz fails, and leaves more time for the requests behind that.

--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -343,12 +343,15 @@
 // Guards against a stopping host that takes a request and then cuts its answer.
 TEST(Host, RefusesWhatItCannotFinishBeforeItStops) {
   constexpr int kLongTokens = 1500;
-  HostBed bed(1, std::chrono::milliseconds(300),
-              std::chrono::milliseconds(700));
+  HostBed bed(1, std::chrono::milliseconds(100),
+              std::chrono::milliseconds(1500));
   CHECK(Eventually([&] { return bed.InForce(1); }));
   LONGS_EQUAL(200, bed.caller.Send(bed.Chat(0, kLongTokens)).status);
   LONGS_EQUAL(200, bed.caller.Send(bed.Chat(0, 8)).status);
   bed.hosts[0]->Drain();
+  CHECK(Eventually([&] {
+    return bed.caller.Send(bed.Call(0, "GET", "/readyz")).status == 503;
+  }));
   const CallerAnswer refused =
       bed.caller.Send(bed.Chat(0, kLongTokens, R"("stream":true,)"));
   LONGS_EQUAL(503, refused.status);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -648,6 +648,33 @@
   LONGS_EQUAL(3, usage[0].generated_tokens);
 }
 
+// Guards against a petition that never left being answered as unknown.
+TEST(Gateway, AFilingThatStillConnectsIsEndedAsNotRun) {
+  GatewayBed bed;
+  const ObjectPtr<GSocketAddress> any(
+      g_inet_socket_address_new_from_string("127.0.0.1", 0));
+  const ObjectPtr<GSocket> full(g_socket_new(G_SOCKET_FAMILY_IPV4,
+                                             G_SOCKET_TYPE_STREAM,
+                                             G_SOCKET_PROTOCOL_TCP, nullptr));
+  g_socket_set_listen_backlog(full.get(), 0);
+  g_socket_bind(full.get(), any.get(), FALSE, nullptr);
+  g_socket_listen(full.get(), nullptr);
+  const ObjectPtr<GSocketAddress> taken(
+      g_socket_get_local_address(full.get(), nullptr));
+  const SocketAddress at{"127.0.0.1", g_inet_socket_address_get_port(
+                                          G_INET_SOCKET_ADDRESS(taken.get()))};
+  const RawSocket first(at);  // further ones wait
+  bed.AddPlain("p1", at);
+  auto filing = bed.caller.Start(
+      bed.Outgoing("POST", "/services/filing/petitions", "{}"));
+  CHECK(Eventually([&] {
+    return bed.Ask<size_t>([&](Gateway&) { return bed.claims.size(); }) == 1;
+  }));
+  bed.task.Call([&] { bed.gateway->EndRequests([] {}); });
+  STRCMP_EQUAL("shutting_down", ErrorCode(filing.get()).c_str());
+  LONGS_EQUAL(0, bed.Ask<size_t>([&](Gateway&) { return bed.claims.size(); }));
+}
+
 // Readers hang up all the time. Their streams must not keep engines busy.
 TEST(Gateway, AHangUpCancelsTheStream) {
   FakeEngine engine;
