--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/host_daemon.h"
 
+#include <future>
 #include <utility>
 
 #include "kernel/json.h"
@@ -10,6 +11,9 @@
 
 constexpr std::string_view kPart = "host";
 
+// How long a host waits for callers to fetch the errors of ended requests.
+constexpr Duration kFinalAnswersWithin = std::chrono::seconds(1);
+
 GatewayOptions MakeGatewayOptions(const HostSettings& settings, uint64_t seed) {
   GatewayOptions options;
   options.http.listen = settings.gateway.listen;
@@ -241,7 +245,10 @@
 // The balancer notices a failing /readyz only after a while. Until then callers
 // still come, and refusing them would cut them off.
 void HostDaemon::AnnounceLeaving() {
-  this->serving_task.Post([this] { this->gateway->AnnounceLeaving(); });
+  const Instant ends_at = this->clock.Now() + this->settings.drain_notice +
+                          this->settings.drain_limit;
+  this->serving_task.Post(
+      [this, ends_at] { this->gateway->AnnounceLeaving(ends_at); });
   this->notice_timer = Timer::After(this->settings.drain_notice,
                                     [this] { this->FinishRequests(); });
 }
@@ -251,10 +258,21 @@
     this->gateway->StartDrain(
         [this] { this->control_task.Post([this] { this->Finish(); }); });
   });
-  this->limit_timer = Timer::After(this->settings.drain_limit, [this] {
-    LogWarning(kPart, "Requests are still running at the drain limit.");
-    this->Finish();
+  this->limit_timer =
+      Timer::After(this->settings.drain_limit, [this] { this->EndRequests(); });
+}
+
+void HostDaemon::EndRequests() {
+  if (this->finishing) {
+    return;
+  }
+  LogWarning(kPart, "Requests are still running at the drain limit.");
+  this->serving_task.Post([this] {
+    this->gateway->EndRequests(
+        [this] { this->control_task.Post([this] { this->Finish(); }); });
   });
+  this->answer_timer =
+      Timer::After(kFinalAnswersWithin, [this] { this->Finish(); });
 }
 
 void HostDaemon::Finish() {
@@ -269,6 +287,18 @@
 }
 
 void HostDaemon::Stop() {
+  if (std::exchange(this->stopped, true)) {
+    return;
+  }
+  const auto answered = std::make_shared<std::promise<void>>();
+  this->serving_task.Post([this, answered] {
+    if (this->gateway) {
+      this->gateway->EndRequests([answered] { answered->set_value(); });
+    } else {
+      answered->set_value();
+    }
+  });
+  answered->get_future().wait_for(kFinalAnswersWithin);
   // Each part is destroyed on its own task; work that the other one still
   // posts is dropped with the task.
   this->serving_task.Post([this] { this->gateway.reset(); });
@@ -276,6 +306,7 @@
   this->control_task.Post([this] {
     this->notice_timer.reset();
     this->limit_timer.reset();
+    this->answer_timer.reset();
     this->admin.reset();
     this->control.reset();
   });
--- a/packages/daemon/host_daemon.h
+++ b/packages/daemon/host_daemon.h
@@ -8,7 +8,8 @@
 //
 // A planned stop takes five steps, in this order, so that nobody is cut off:
 // not ready (the balancer looks away), callers are refused as not run, running
-// requests finish, usage and the lease are handed over, and the tasks end.
+// requests finish, usage and the lease are handed over, and the tasks end. What
+// can't be finished by the drain limit is refused from the start.
 
 #pragma once
 
@@ -45,7 +46,8 @@
   // Begins a planned stop. Asking twice changes nothing.
   void Drain();
 
-  // Ends both tasks at once, without a planned stop.
+  // Ends both tasks without a planned stop. Requests under way are answered
+  // with an error first, which takes a second at most.
   void Stop();
 
   // Where callers are served, operators answered and peers accepted; known
@@ -64,6 +66,7 @@
   void SendView();
   void AnnounceLeaving();
   void FinishRequests();
+  void EndRequests();
   void Finish();
 
   HostSettings settings;
@@ -75,6 +78,7 @@
   std::function<void()> on_stopped;
   bool draining = false;   // of the control task
   bool finishing = false;  // of the control task
+  bool stopped = false;    // of the thread that calls Stop()
   // Until when claimed requests may be sent; used on the serving task only.
   std::map<RequestId, Instant> claimed_until;
   // The parts of each task; made, used and destroyed there.
@@ -83,6 +87,7 @@
   std::unique_ptr<AdminServer> admin;
   std::unique_ptr<Timer> notice_timer;  // of the control task
   std::unique_ptr<Timer> limit_timer;   // of the control task
+  std::unique_ptr<Timer> answer_timer;  // of the control task
   Task serving_task;
   Task control_task;
 };
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -80,12 +80,18 @@
   void FillDigest(Digest& digest) const { this->driver->FillDigest(digest); }
 
   // /readyz fails from now on, so that the balancer looks away; whoever still
-  // calls is served.
-  void AnnounceLeaving() { this->leaving = true; }
+  // calls is served, and its connection closed with the answer. Requests
+  // whose answers wouldn't be whole at `ends_at`, when the process may end, are
+  // refused.
+  void AnnounceLeaving(Instant ends_at);
 
   // Not ready from now on; new requests are refused as not run, and those here
-  // are finished. Then calls back.
+  // are finished. Calls back when their answers are written.
   void StartDrain(std::function<void()> on_drained);
+
+  // Drains, but gives requests that are here their final answer at once: an
+  // error that says whether they may have run.
+  void EndRequests(std::function<void()> on_answered);
   bool Draining() const { return this->draining; }
 
   // What was decided about a request, oldest first.
--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
+#include <ranges>
 #include <utility>
 
+#include "decisions/stop_schedule.h"
 #include "kernel/log.h"
 
 namespace hickorystand {
@@ -16,6 +18,15 @@
          outcome == AttemptOutcome::kRefused;
 }
 
+// Another host takes the request at once.
+constexpr Duration kRetryElsewhere = std::chrono::seconds(1);
+
+AnswerKind KindOf(const IncomingRequest& incoming) {
+  const Request& request = incoming.request;
+  return AnswerKind::Of(request.service.Text() + " " + incoming.method,
+                        request.output_tokens);
+}
+
 bool IsOnce(const Request& request) {
   return request.request_class == RequestClass::kOnce;
 }
@@ -50,6 +61,9 @@
       run.attempt->Cancel();
     }
   }
+  for (const AttemptPtr& attempt : this->detached) {
+    attempt->Cancel();
+  }
 }
 
 void RequestDriver::ApplyConfiguration(ConfigurationPtr next) {
@@ -68,6 +82,13 @@
   const auto [where, fresh] =
       this->live.emplace(id, LiveRequest{.incoming = std::move(incoming)});
   assert(fresh && "request ids are unique");
+  if (this->draining || !this->FinishesInTime(where->second)) {
+    this->Apply({{.kind = DispatchKind::kRefuse,
+                  .request = id,
+                  .reason = "refused on arrival",
+                  .error = ErrorAtEnd(where->second)}});
+    return;
+  }
   this->Apply(this->dispatcher->OnArrival(this->clock.Now(), request));
 }
 
@@ -88,11 +109,13 @@
 }
 
 void RequestDriver::Tick() {
+  this->RefuseUnfinishable();
   this->Apply(this->dispatcher->OnTick(this->clock.Now()));
 }
 
 void RequestDriver::StartDrain(std::function<void()> on_drained) {
   this->on_drained = std::move(on_drained);
+  this->draining = true;
   this->dispatcher->StartDrain();
   this->CheckDrained();
 }
@@ -103,6 +126,50 @@
   }
 }
 
+void RequestDriver::EndAll() {
+  std::vector<RequestId> ids;
+  std::ranges::copy(this->live | std::views::keys, std::back_inserter(ids));
+  std::ranges::for_each(ids, [this](const RequestId& id) { this->EndNow(id); });
+  this->CheckDrained();
+}
+
+void RequestDriver::EndNow(const RequestId& id) {
+  assert(!this->applying && "final answers aren't given within Apply()");
+  LiveRequest& live = this->live.at(id);
+  live.incoming.call->OnGone({});
+  live.may_have_run |= std::ranges::any_of(
+      live.attempts,
+      [](const auto& entry) { return entry.second.attempt->MayHaveSent(); });
+  if (!live.incoming.call->Started()) {
+    for (auto& [attempt, run] : live.attempts) {
+      run.generated = 0;  // not billed, as the caller gets none of it
+    }
+  }
+  if (live.caller_gone) {
+    this->Forget(id);
+  } else {
+    this->Apply({{.kind = DispatchKind::kRefuse,
+                  .request = id,
+                  .reason = "this host stops",
+                  .error = ErrorAtEnd(live)}});
+  }
+  this->Apply(this->dispatcher->OnCallerGone(this->clock.Now(), id));
+}
+
+Error RequestDriver::ErrorAtEnd(const LiveRequest& live) {
+  if (live.incoming.call->Started()) {
+    return {ErrorKind::kBrokenAnswer,
+            "The host stopped before the answer was whole.",
+            {}};
+  }
+  if (live.may_have_run) {
+    return {ErrorKind::kOutcomeUnknown,
+            "The host stopped while the request ran.",
+            {}};
+  }
+  return {ErrorKind::kShuttingDown, "This host is leaving.", kRetryElsewhere};
+}
+
 void RequestDriver::Apply(DispatchList actions) {
   std::ranges::move(actions, std::back_inserter(this->pending));
   if (this->applying) {
@@ -153,14 +220,64 @@
   if (live.permitted) {
     return true;
   }
-  const RequestId id = live.incoming.request.id;
+  this->RefuseUnstarted(
+      live.incoming.request.id, "key revoked while queued",
+      {ErrorKind::kBadKey, "The API key is no longer valid.", {}});
+  return false;
+}
+
+void RequestDriver::RefuseUnstarted(const RequestId& id,
+                                    std::string reason,
+                                    Error error) {
+  assert(this->applying && "the request is refused after this action");
   this->Apply({{.kind = DispatchKind::kRefuse,
                 .request = id,
-                .reason = "key revoked while queued",
-                .error = Error{ErrorKind::kBadKey,
-                               "The API key is no longer valid."}}});
+                .reason = std::move(reason),
+                .error = std::move(error)}});
   this->Apply(this->dispatcher->OnCallerGone(this->clock.Now(), id));
-  return false;
+}
+
+// Whether an answer that begins now is whole before the process ends. For kinds
+// without recent answers, the limit of the first byte stands for the estimate.
+bool RequestDriver::FinishesInTime(const LiveRequest& live) const {
+  if (!this->ends_at) {
+    return true;
+  }
+  const Instant now = this->clock.Now();
+  const auto service =
+      this->configuration->services.find(live.incoming.request.service);
+  const Duration first_byte = service == this->configuration->services.end()
+                                  ? Duration{}
+                                  : service->second.deadline;
+  return CanFinish(
+      *this->ends_at - now,
+      {.limit = Duration::max(),
+       .expected = this->answer_times.Longest(now, KindOf(live.incoming))
+                       .value_or(first_byte)});
+}
+
+void RequestDriver::RefuseUnfinishable() {
+  if (!this->ends_at) {
+    return;
+  }
+  std::map<AnswerKind, bool> in_time;
+  std::vector<RequestId> late;
+  for (const auto& [id, request] : this->live) {
+    if (request.caller_gone || request.may_have_run ||
+        !request.attempts.empty()) {
+      continue;
+    }
+    const auto [kind, fresh] =
+        in_time.try_emplace(KindOf(request.incoming), true);
+    if (fresh) {
+      kind->second = this->FinishesInTime(request);
+    }
+    if (!kind->second) {
+      late.push_back(id);
+    }
+  }
+  std::ranges::for_each(late,
+                        [this](const RequestId& id) { this->EndNow(id); });
 }
 
 // -- Actions -----------------------------------------------------------------
@@ -209,6 +326,13 @@
     this->Skip(action);
     return;
   }
+  if (live.attempts.empty() && !live.may_have_run &&
+      !this->FinishesInTime(live)) {
+    this->RefuseUnstarted(action.request, "can't be finished before the stop",
+                          ErrorAtEnd(live));
+    this->Skip(action);
+    return;
+  }
   const auto endpoint = this->configuration->endpoints.find(action.endpoint);
   if (endpoint == this->configuration->endpoints.end()) {
     this->Skip(action);
@@ -217,6 +341,9 @@
   RunningAttempt& run = live.attempts[action.attempt];
   run.endpoint = action.endpoint;
   run.started = this->clock.Now();
+  if (live.first_sent == Instant{}) {
+    live.first_sent = run.started;
+  }
   run.attempt =
       this->client.Start(this->MakeCall(live, action, endpoint->second),
                          this->MakeEvents(action.request, action.attempt));
@@ -306,6 +433,10 @@
   LiveRequest& live = *this->Find(action.request);
   this->metrics.Add("hickorystand_requests_total", 1,
                     {{"service", live.incoming.request.service.Text()}});
+  if (live.last_end.result.outcome == AttemptOutcome::kComplete) {
+    const Instant now = this->clock.Now();
+    this->answer_times.Add(now, KindOf(live.incoming), now - live.first_sent);
+  }
   live.incoming.relay->Finish(live.last_end);
   this->Forget(action.request);
 }
@@ -344,11 +475,27 @@
   this->SettleClaim(live);
   live.incoming.call->OnGone({});
   live.incoming.call->OnDrained({});
-  while (!live.attempts.empty() && !IsOnce(live.incoming.request)) {
+  if (IsOnce(live.incoming.request)) {
+    this->DetachAttempts(live);
+    return;
+  }
+  while (!live.attempts.empty()) {
     this->Abandon(live, live.attempts.begin()->first);
   }
 }
 
+// Lets attempts of a non-idempotent request go on, but for those of which
+// nothing was sent: their caller is told that the request hasn't run.
+void RequestDriver::DetachAttempts(const LiveRequest& live) {
+  for (const auto& [id, run] : live.attempts) {
+    if (run.attempt->MayHaveSent()) {
+      this->detached.push_back(run.attempt);
+    } else {
+      run.attempt->Cancel();
+    }
+  }
+}
+
 // A claim of a request that didn't run must not keep the caller from sending
 // it again; one of a request that may have run must.
 void RequestDriver::SettleClaim(const LiveRequest& live) {
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -14,8 +14,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
+#include "decisions/answer_times.h"
 #include "decisions/claims.h"
 #include "decisions/dispatcher.h"
 #include "endpoints/endpoint_client.h"
@@ -105,9 +108,17 @@
   void OnHostGone(const HostId& host);
   void Tick();
 
+  // The process may end at `at`: requests whose answers wouldn't be whole by
+  // then are refused from now on, those that wait among them.
+  void SetEnd(Instant at) { this->ends_at = at; }
+
   // Takes nothing new; calls back when nothing is left, at once if need be.
   void StartDrain(std::function<void()> on_drained);
 
+  // Gives every request its final answer now: not run where no byte has left
+  // for an endpoint, else an error that says that the answer is lost.
+  void EndAll();
+
   void FillDigest(Digest& digest) const {
     this->dispatcher->FillDigest(digest);
   }
@@ -130,6 +141,7 @@
     IncomingRequest incoming;
     std::map<AttemptId, RunningAttempt> attempts;
     AttemptEnd last_end;
+    Instant first_sent{};
     bool permitted = false;  // its key was checked when it started
     bool claimed = false;
     bool may_have_run = false;
@@ -156,6 +168,9 @@
   void Skip(const Dispatch& action);
   LiveRequest* Find(const RequestId& id);
   bool Permitted(LiveRequest& live);
+  void RefuseUnstarted(const RequestId& id, std::string reason, Error error);
+  bool FinishesInTime(const LiveRequest& live) const;
+  void RefuseUnfinishable();
   AttemptCall MakeCall(LiveRequest& live,
                        const Dispatch& action,
                        const Endpoint& endpoint) const;
@@ -176,9 +191,12 @@
             const AttemptEnd& end);
   void Abandon(LiveRequest& live, AttemptId attempt);
   Error WithLookUp(Error error, const LiveRequest& live) const;
+  void DetachAttempts(const LiveRequest& live);
   void SettleClaim(const LiveRequest& live);
   void Forget(const RequestId& id);
   void CheckDrained();
+  void EndNow(const RequestId& id);
+  static Error ErrorAtEnd(const LiveRequest& live);
 
   RequestDriverOptions options;
   std::unique_ptr<Dispatcher> dispatcher;
@@ -189,8 +207,13 @@
   RequestHooks hooks;
   ConfigurationPtr configuration = std::make_shared<Configuration>();
   std::map<RequestId, LiveRequest> live;
+  // Attempts of non-idempotent requests that run on after their final answer.
+  std::vector<AttemptPtr> detached;
   std::deque<Dispatch> pending;
   bool applying = false;
+  bool draining = false;
+  AnswerTimes answer_times;  // from the first send to the end of the answer
+  std::optional<Instant> ends_at;
   std::function<void()> on_drained;
   // Lets callbacks that come after the driver's end do nothing.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -252,4 +252,125 @@
   CHECK(bed.engine.Runs().at(0).finished);
 }
 
+TEST_GROUP(HostStop) {
+  // Starts one request of each kind that can be under way: queued, running
+  // without a byte, and half streamed. All of them last until the host stops.
+  void StartRequests() {
+    CHECK(Eventually([&] { return this->bed.InForce(1); }));
+    this->queued = this->bed.caller.Start(
+        this->bed.Chat(0, 8, R"("service_tier":"flex",)", "unserved"));
+    this->bed.engine.SetFault(
+        {.kind = fakes::EngineFault::kSilent, .after_tokens = 3});
+    this->running = this->bed.caller.Start(this->bed.Chat(0, 8));
+    this->streamed =
+        this->bed.caller.Start(this->bed.Chat(0, 8, R"("stream":true,)"));
+    this->filing = this->bed.caller.Start(
+        this->bed.Call(0, "POST", "/services/filing/petitions", "{}"));
+    CHECK(Eventually([&] {
+      return this->bed.engine.Runs().size() == 2 &&
+             this->bed.plain.Runs().size() == 1 &&
+             this->bed.Status(0).At("queued").Integer() == 1;
+    }));
+  }
+
+  // What each of them must be told.
+  void CheckAnswers() {
+    const CallerAnswer refused = this->queued.get();
+    LONGS_EQUAL(503, refused.status);
+    STRCMP_CONTAINS("shutting_down", refused.body.c_str());
+    STRCMP_EQUAL("1", refused.Header("Retry-After").c_str());
+    for (auto* answer : {&this->running, &this->filing}) {
+      const CallerAnswer unknown = answer->get();
+      LONGS_EQUAL(504, unknown.status);
+      STRCMP_CONTAINS("outcome_unknown", unknown.body.c_str());
+      STRCMP_EQUAL("close", unknown.Header("Connection").c_str());
+    }
+    const CallerAnswer broken = this->streamed.get();
+    LONGS_EQUAL(static_cast<int>(HttpEnd::kWhole),
+                static_cast<int>(broken.end));
+    STRCMP_CONTAINS("broken_answer", broken.body.c_str());
+    CHECK(broken.body.find("[DONE]") == std::string::npos);
+  }
+
+  HostBed bed{1, std::chrono::milliseconds(300)};
+  std::future<CallerAnswer> queued;
+  std::future<CallerAnswer> running;
+  std::future<CallerAnswer> streamed;
+  std::future<CallerAnswer> filing;
+};
+
+// Guards against connections that close without an answer at the drain limit.
+TEST(HostStop, AnswersEveryRequestAtTheDrainLimit) {
+  this->bed.plain.SetFault(fakes::PlainFault::kSilentAfterRun);
+  this->StartRequests();
+  this->bed.hosts[0]->Drain();
+  CHECK(Eventually([&] { return this->bed.stopped == 1; }));
+  this->bed.hosts[0]->Stop();
+  this->CheckAnswers();
+}
+
+// The same for a stop without a drain, as after a second signal.
+TEST(HostStop, AnswersEveryRequestBeforeAnImmediateStop) {
+  this->bed.plain.SetFault(fakes::PlainFault::kSilentAfterRun);
+  this->StartRequests();
+  this->bed.hosts[0]->Stop();
+  this->CheckAnswers();
+}
+
+// Guards against a petition that is refused as not run, and then, sent again
+// to another host, as a duplicate.
+TEST(Host, WithdrawsAClaimBeforeItStops) {
+  HostBed bed(2, std::chrono::milliseconds(100));
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  const auto file = [&](int host, const std::string& body) {
+    return bed.Call(host, "POST", "/services/filing/petitions", body);
+  };
+  LONGS_EQUAL(201, bed.caller.Send(file(1, "{\"p\":1}")).status);
+  bed.store.SetFault(fakes::KeyValueFault::kSlow, std::chrono::seconds(1));
+  auto refused = bed.caller.Start(file(1, "{\"p\":2}"));
+  CHECK(Eventually([&] { return bed.Status(1).At("running").Integer() == 1; }));
+  bed.hosts[1]->Drain();
+  CHECK(Eventually([&] { return bed.stopped == 1; }));
+  bed.hosts[1]->Stop();
+  const CallerAnswer answer = refused.get();
+  LONGS_EQUAL(503, answer.status);
+  STRCMP_EQUAL("true", answer.Header("x-should-retry").c_str());
+  bed.store.SetFault(fakes::KeyValueFault::kNone);
+  LONGS_EQUAL(201, bed.caller.Send(file(0, "{\"p\":2}")).status);
+  LONGS_EQUAL(2, bed.plain.Petitions().size());
+}
+
+// Guards against a stopping host that takes a request and then cuts its answer.
+TEST(Host, RefusesWhatItCannotFinishBeforeItStops) {
+  constexpr int kLongTokens = 1500;
+  HostBed bed(1, std::chrono::milliseconds(100),
+              std::chrono::milliseconds(1500));
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat(0, kLongTokens)).status);
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat(0, 8)).status);
+  bed.hosts[0]->Drain();
+  CHECK(Eventually([&] {
+    return bed.caller.Send(bed.Call(0, "GET", "/readyz")).status == 503;
+  }));
+  const CallerAnswer refused =
+      bed.caller.Send(bed.Chat(0, kLongTokens, R"("stream":true,)"));
+  LONGS_EQUAL(503, refused.status);
+  STRCMP_CONTAINS("shutting_down", refused.body.c_str());
+  STRCMP_EQUAL("1", refused.Header("Retry-After").c_str());
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat(0, 8)).status);
+  LONGS_EQUAL(3, bed.engine.Runs().size());
+}
+
+// Guards against a request that waits until the drain limit for nothing.
+TEST(Host, RefusesWhatIsQueuedAsSoonAsItCannotBeFinished) {
+  HostBed bed(1);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  auto queued =
+      bed.caller.Start(bed.Chat(0, 8, R"("service_tier":"flex",)", "unserved"));
+  CHECK(Eventually([&] { return bed.Status(0).At("queued").Integer() == 1; }));
+  bed.hosts[0]->Drain();
+  CHECK(queued.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+  STRCMP_CONTAINS("shutting_down", queued.get().body.c_str());
+}
+
 }  // namespace hickorystand
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -9,6 +9,7 @@
 
 #include "gateway_bed.h"
 #include "kernel/json.h"
+#include "raw_socket.h"
 
 namespace hickorystand {
 namespace {
@@ -62,6 +63,17 @@
   return text.find(part) != std::string::npos;
 }
 
+// A request's head as bytes, for callers that read or write slowly.
+std::string RawHead(const std::string& method,
+                    const std::string& target,
+                    size_t body_bytes = 0,
+                    const std::string& more = "") {
+  return method + " " + target + " HTTP/1.1\r\nHost: a\r\n" + more +
+         "Authorization: Bearer " + GatewayBed::kKey + "\r\n" +
+         "Content-Type: application/json\r\n" +
+         "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+}
+
 }  // namespace
 
 // Run with every dispatcher.
@@ -521,6 +533,148 @@
   CHECK(stream.done);
 }
 
+// Guards against a caller who sends its next request on a connection that the
+// process is about to close, and can't know whether it ran.
+TEST(Gateway, AStoppingHostClosesEachConnectionWithItsAnswer) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  STRCMP_EQUAL(
+      "", bed.caller.Send(bed.Chat("x", true)).Header("Connection").c_str());
+  bed.task.Call([&] {
+    bed.gateway->AnnounceLeaving(bed.clock.Now() + std::chrono::hours(1));
+  });
+  for (const bool stream : {true, false}) {
+    const CallerAnswer answer = bed.caller.Send(bed.Chat("x", stream));
+    LONGS_EQUAL(200, answer.status);
+    STRCMP_EQUAL("close", answer.Header("Connection").c_str());
+  }
+}
+
+// Guards against a process that ends while a slow caller still fetches.
+TEST(Gateway, ADrainWaitsForACallerThatReadsSlowly) {
+  constexpr size_t kBytes = 24'000'000;
+  FakePlainService service;
+  GatewayOptions options;
+  options.hold_bytes = 2 * kBytes;
+  GatewayBed bed(options);
+  bed.AddPlain("p1", service.Address());
+  RawSocket slow(bed.address);
+  slow.Write(RawHead("GET",
+                     "/services/filing/large?bytes=" + std::to_string(kBytes),
+                     0, "Connection: close\r\n"));
+  CHECK(Eventually([&] {
+    return bed.metrics.Value("hickorystand_requests_total",
+                             {{"service", "filing"}}) == 1;
+  }));
+  std::promise<void> drained;
+  const auto done = drained.get_future();
+  bed.task.Call([&] { bed.gateway->StartDrain([&] { drained.set_value(); }); });
+  CHECK(done.wait_for(std::chrono::milliseconds(100)) ==
+        std::future_status::timeout);
+  CHECK(slow.ReadAll().size() > kBytes);
+  done.wait();
+}
+
+// Guards against a request that is cut off unanswered while its body arrives.
+TEST(Gateway, ADrainAnswersARequestThatIsHalfRead) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  RawSocket half(bed.address);
+  const HttpOutgoing call = bed.Chat("late", true);
+  half.Write(RawHead(call.method, call.target, call.body.size()) +
+             call.body.substr(0, 10));
+  std::promise<void> drained;
+  const auto done = drained.get_future();
+  g_usleep(50'000);
+  bed.task.Call([&] { bed.gateway->StartDrain([&] { drained.set_value(); }); });
+  CHECK(done.wait_for(std::chrono::milliseconds(100)) ==
+        std::future_status::timeout);
+  half.Write(call.body.substr(10));
+  const std::string answer = half.ReadAll();
+  CHECK(Contains(answer, "HTTP/1.1 503"));
+  CHECK(Contains(answer, "shutting_down"));
+  CHECK(Contains(answer, "Retry-After: 1"));
+  done.wait();
+  LONGS_EQUAL(0, engine.Runs().size());
+}
+
+// Guards against callers who wait for the queue of a host that they can't use,
+// while others have room.
+TEST(Gateway, ALeavingHostSendsCallersElsewhereWhateverItsQueue) {
+  constexpr int kRequests = 60;
+  FakeEngine engine(
+      {.step = std::chrono::milliseconds(5), .batch = {.capacity = 1}});
+  GatewayOptions options;
+  options.dispatcher = "hickorystand";
+  GatewayBed bed(options);
+  bed.AddEngine("e1", engine.Address());
+  HttpOutgoing batch = bed.Chat("long", true, 40);
+  batch.body.insert(1, R"("service_tier":"flex",)");
+  for (int i = 0; i < kRequests; ++i) {
+    bed.caller.Start(batch);
+  }
+  // The queue's pace is known a second after its first start.
+  g_usleep(2'500'000);
+  const auto queued = bed.Ask<int64_t>([](Gateway& g) { return g.Queued(); });
+  CHECK(queued > 0);
+  bed.task.Call([&] { bed.gateway->StartDrain([] {}); });
+  const CallerAnswer refused = bed.caller.Send(bed.Chat("new", true));
+  STRCMP_EQUAL("shutting_down", ErrorCode(refused).c_str());
+  STRCMP_EQUAL("1", refused.Header("Retry-After").c_str());
+}
+
+// Guards against an account that pays for more, or less, than it was given.
+TEST(Gateway, BillsWhatWasDeliveredBeforeRequestsEnd) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  engine.SetFault({.kind = EngineFault::kSilent, .after_tokens = 3});
+  auto whole = bed.caller.Start(bed.Chat("whole", false));
+  auto stream = bed.caller.Start(bed.Chat("stream", true));
+  CHECK(Eventually([&] {
+    const auto runs = engine.Runs();
+    return runs.size() == 2 && runs[0].generated + runs[1].generated == 6;
+  }));
+  g_usleep(50'000);
+  bed.task.Call([&] { bed.gateway->EndRequests([] {}); });
+  STRCMP_EQUAL("outcome_unknown", ErrorCode(whole.get()).c_str());
+  STRCMP_EQUAL("broken_answer",
+               ReadStream(stream.get().body).error_code.c_str());
+  const auto usage =
+      bed.Ask<std::vector<UsageRecord>>([&](Gateway&) { return bed.usage; });
+  LONGS_EQUAL(1, usage.size());
+  LONGS_EQUAL(3, usage[0].generated_tokens);
+}
+
+// Guards against a petition that never left being answered as unknown.
+TEST(Gateway, AFilingThatStillConnectsIsEndedAsNotRun) {
+  GatewayBed bed;
+  const ObjectPtr<GSocketAddress> any(
+      g_inet_socket_address_new_from_string("127.0.0.1", 0));
+  const ObjectPtr<GSocket> full(g_socket_new(G_SOCKET_FAMILY_IPV4,
+                                             G_SOCKET_TYPE_STREAM,
+                                             G_SOCKET_PROTOCOL_TCP, nullptr));
+  g_socket_set_listen_backlog(full.get(), 0);
+  g_socket_bind(full.get(), any.get(), FALSE, nullptr);
+  g_socket_listen(full.get(), nullptr);
+  const ObjectPtr<GSocketAddress> taken(
+      g_socket_get_local_address(full.get(), nullptr));
+  const SocketAddress at{"127.0.0.1", g_inet_socket_address_get_port(
+                                          G_INET_SOCKET_ADDRESS(taken.get()))};
+  const RawSocket first(at);  // further ones wait
+  bed.AddPlain("p1", at);
+  auto filing = bed.caller.Start(
+      bed.Outgoing("POST", "/services/filing/petitions", "{}"));
+  CHECK(Eventually([&] {
+    return bed.Ask<size_t>([&](Gateway&) { return bed.claims.size(); }) == 1;
+  }));
+  bed.task.Call([&] { bed.gateway->EndRequests([] {}); });
+  STRCMP_EQUAL("shutting_down", ErrorCode(filing.get()).c_str());
+  LONGS_EQUAL(0, bed.Ask<size_t>([&](Gateway&) { return bed.claims.size(); }));
+}
+
 // Readers hang up all the time. Their streams must not keep engines busy.
 TEST(Gateway, AHangUpCancelsTheStream) {
   FakeEngine engine;
