--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -263,24 +263,19 @@
 
 SchedulerNews RelayDaemon::News() const {
   const FleetConfigurationPtr& configuration = this->relay->Configuration();
-  const bool leaving = this->stop.has_value();
   if (!configuration || !this->IsScheduler()) {
-    return {.scheduler = this->IsScheduler(), .leaving = leaving};
+    return {.scheduler = this->IsScheduler()};
   }
   const CallerLimits& limits = configuration->limits;
-  const bool takes = !leaving || this->clock->Now() < this->stop->takes_until;
-  const bool serves = this->relay->Ready() && takes;
   return {.scheduler = true,
           .busy = this->busy,
-          .ready = serves && !leaving,
+          .ready = this->relay->Ready() && !this->stop,
           .keys_proven = this->relay->KeysProven(),
           .configuration_version = configuration->version,
           .head_bytes = limits.head_bytes,
           .body_bytes = limits.body_bytes,
           .head_timeout = limits.head_timeout,
-          .idle_timeout = limits.idle_timeout,
-          .leaving = leaving,
-          .last_resort = serves && leaving};
+          .idle_timeout = limits.idle_timeout};
 }
 
 // How late timers fire shows whether this host keeps up with its work.
@@ -307,9 +302,6 @@
 
 void RelayDaemon::TakeNews(const HostId& from, const SchedulerNews& news) {
   this->forwarder->OnNews(from, news);
-  if (news.leaving) {
-    this->FollowCaches();
-  }
   // Until the others have it too, ingress hosts send everything to that one.
   const FleetConfigurationPtr& own = this->relay->Configuration();
   if (this->IsScheduler() && own && news.configuration_version > own->version) {
@@ -328,9 +320,6 @@
   this->subscribers.clear();
   if (this->IsScheduler()) {
     this->subscribers = this->peers->LinkedSchedulers();
-    std::erase_if(this->subscribers, [this](const FleetHost& host) {
-      return this->peers->IsLeaving(host.id);
-    });
     this->subscribers.push_back(this->peers->Self());
   }
   this->relay->RefreshCaches();
@@ -342,7 +331,7 @@
 void RelayDaemon::OnLinked(const HostId& host) {
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
-  if (this->IsScheduler() || this->stop) {
+  if (this->IsScheduler()) {
     this->peers->Send(host, this->News());
   }
 }
--- a/packages/decisions/scheduler_choice.cc
+++ b/packages/decisions/scheduler_choice.cc
@@ -71,11 +71,10 @@
   return state.told.ready && state.told.version >= this->version;
 }
 
-// Requests to a scheduler that leaves have ended, so it is no measure.
 double SchedulerChoice::LeastForwarded() const {
   std::optional<double> least;
   for (const auto& [id, state] : this->states) {
-    if (state.told.ready && !state.told.leaving) {
+    if (state.told.ready) {
       least = std::min(least.value_or(state.forwarded), state.forwarded);
     }
   }
@@ -85,7 +84,7 @@
 int64_t SchedulerChoice::LeastInFlight() const {
   std::optional<int64_t> least;
   for (const auto& [id, state] : this->states) {
-    if (state.told.ready && !state.told.leaving) {
+    if (state.told.ready) {
       least = std::min(least.value_or(state.in_flight), state.in_flight);
     }
   }
@@ -97,9 +96,9 @@
   const State* best = nullptr;
   const int64_t stuck_at = this->LeastInFlight() * 2 + kStuckFrom;
   const auto rank = [&](const State& state) {
-    return std::tuple(!state.told.keys_proven, state.told.leaving,
-                      state.host.zone != this->own, state.in_flight > stuck_at,
-                      state.told.busy, state.forwarded);
+    return std::tuple(!state.told.keys_proven, state.host.zone != this->own,
+                      state.in_flight > stuck_at, state.told.busy,
+                      state.forwarded);
   };
   for (const auto& [id, state] : this->states) {
     if (this->Serves(state) && !tried.contains(id) &&
--- a/packages/decisions/scheduler_choice.h
+++ b/packages/decisions/scheduler_choice.h
@@ -1,8 +1,7 @@
 // The scheduler to which an ingress host forwards the next request.
 //
 // Requests are spread over the schedulers of the host's own zone in proportion
-// to their capacity; those of other zones serve only while none of its own can,
-// and those that stop only while no other one can.
+// to their capacity; those of other zones serve only while none of its own can.
 // A host that has seen one version of the configuration at work never forwards
 // to a scheduler that has only an older one: its callers would see the change
 // undone.
@@ -24,7 +23,6 @@
   bool busy = false;         // others of its zone are preferred
   bool keys_proven = false;  // others are preferred while it is false
   int64_t version = 0;       // of its configuration
-  bool leaving = false;      // others are preferred
 
   auto operator<=>(const SchedulerState&) const = default;
 };
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -1503,7 +1503,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardControl& obj);
 
 typedef struct _SchedulerNews__isset {
-  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false), busy(false), leaving(false), last_resort(false) {}
+  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false), busy(false) {}
   bool ready :1;
   bool configuration_version :1;
   bool head_bytes :1;
@@ -1513,8 +1513,6 @@
   bool keys_proven :1;
   bool scheduler :1;
   bool busy :1;
-  bool leaving :1;
-  bool last_resort :1;
 } _SchedulerNews__isset;
 
 class SchedulerNews : public virtual ::apache::thrift::TBase {
@@ -1533,9 +1531,7 @@
                   idle_timeout(0),
                   keys_proven(0),
                   scheduler(0),
-                  busy(0),
-                  leaving(0),
-                  last_resort(0) {
+                  busy(0) {
   }
 
   virtual ~SchedulerNews() noexcept;
@@ -1548,8 +1544,6 @@
   bool keys_proven;
   bool scheduler;
   bool busy;
-  bool leaving;
-  bool last_resort;
 
   _SchedulerNews__isset __isset;
 
@@ -1571,10 +1565,6 @@
 
   void __set_busy(const bool val);
 
-  void __set_leaving(const bool val);
-
-  void __set_last_resort(const bool val);
-
   bool operator == (const SchedulerNews & rhs) const
   {
     if (!(ready == rhs.ready))
@@ -1595,14 +1585,6 @@
       return false;
     if (!(busy == rhs.busy))
       return false;
-    if (__isset.leaving != rhs.__isset.leaving)
-      return false;
-    else if (__isset.leaving && !(leaving == rhs.leaving))
-      return false;
-    if (__isset.last_resort != rhs.__isset.last_resort)
-      return false;
-    else if (__isset.last_resort && !(last_resort == rhs.last_resort))
-      return false;
     return true;
   }
   bool operator != (const SchedulerNews &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -152,8 +152,7 @@
   auto operator<=>(const ForwardControl&) const = default;
 };
 
-// What a scheduler, and any host that stops, tells every host that is linked
-// with it.
+// What a scheduler tells every host that is linked with it.
 struct SchedulerNews {
   bool scheduler = false;  // it still is one
   bool busy = false;       // it doesn't keep up with its work
@@ -164,8 +163,6 @@
   int64_t body_bytes = 0;
   Duration head_timeout{};
   Duration idle_timeout{};
-  bool leaving = false;      // the host stops
-  bool last_resort = false;  // not ready, but serves what no other host can
 
   auto operator<=>(const SchedulerNews&) const = default;
 };
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -14,9 +14,6 @@
 constexpr std::string_view kSecretKey = "hickorystand/secret";
 constexpr std::string_view kHostPrefix = "hickorystand/hosts/";
 
-// With fewer links to schedulers that stay, an ingress host lists at once.
-constexpr size_t kFewLinks = 2;
-
 // One list of hosts, whatever their zones and roles.
 const DataCentreId& Group() {
   static const DataCentreId kGroup("fleet");
@@ -113,30 +110,19 @@
               [this](const HostId& host, uint64_t) {
                 LogInfo(kPart, "Host linked.", {{"host", host.Text()}});
                 this->linked_schedulers.erase(host);
-                this->leaving.erase(host);
                 this->handlers.on_linked(host);
               },
-          .on_down = [this](const HostId& host) { this->OnDown(host); }};
-}
-
-void FleetPeers::OnDown(const HostId& host) {
-  LogInfo(kPart, "Host lost.", {{"host", host.Text()}});
-  this->linked_schedulers.erase(host);
-  this->handlers.on_gone(host);
-  if (this->IsLeaving(host)) {
-    this->PlanWithout();
-  }
-  if (this->HasFewLinks()) {
-    this->ListSoon();
-  }
+          .on_down =
+              [this](const HostId& host) {
+                LogInfo(kPart, "Host lost.", {{"host", host.Text()}});
+                this->linked_schedulers.erase(host);
+                this->handlers.on_gone(host);
+              }};
 }
 
 void FleetPeers::OnMessage(const HostId& host, const PeerMessage& message) {
-  const auto* news = std::get_if<SchedulerNews>(&message);
-  if (news != nullptr && news->leaving) {
-    this->NoteLeaving(host);
-  }
   this->handlers.on_message(host, message);
+  const auto* news = std::get_if<SchedulerNews>(&message);
   if (news == nullptr) {
     return;
   }
@@ -148,38 +134,6 @@
   }
 }
 
-// A host's next run writes its record anew, so records that are as old as the
-// list are of the run that stops.
-void FleetPeers::NoteLeaving(const HostId& host) {
-  if (!this->leaving.emplace(host, this->list_revision).second) {
-    return;
-  }
-  LogInfo(kPart, "Host is leaving.",
-          {{"host", host.Text()},
-           {"scheduler", this->IsScheduler(host) ? "true" : "false"},
-           {"list_revision", std::to_string(this->list_revision)}});
-  this->PlanWithout();
-  this->ListSoon();
-}
-
-// Plans without the hosts that stop, but not in a callback of the links, which
-// mustn't be closed there.
-void FleetPeers::PlanWithout() {
-  this->plan_timer =
-      Timer::After(Duration{}, [this] { this->Plan(PlanReason::kLeaving); });
-}
-
-// Links to schedulers that stay.
-size_t FleetPeers::ServingLinks() const {
-  return static_cast<size_t>(std::ranges::count_if(
-      this->linked_schedulers,
-      [this](const HostId& host) { return !this->IsLeaving(host); }));
-}
-
-bool FleetPeers::HasFewLinks() const {
-  return this->role == FleetRole::kIngress && this->ServingLinks() < kFewLinks;
-}
-
 // Once both the secret and the role are known.
 void FleetPeers::OpenLinks() {
   if (this->secret.empty() || this->role == FleetRole::kUnknown ||
@@ -293,23 +247,9 @@
   });
 }
 
-// Others may stop as well, unheard by this host.
-void FleetPeers::ListSoon() {
-  if (std::exchange(this->lists_soon, true)) {
-    return;
-  }
-  const Duration age = this->clock->Now() - this->listed_at;
-  this->list_timer = Timer::After(
-      this->HasFewLinks()
-          ? this->options.first_list
-          : std::max(this->options.first_list, this->options.list - age),
-      [this] { this->List(); });
-}
-
 void FleetPeers::List() {
-  this->lists_soon = false;
   const bool lost =
-      this->role == FleetRole::kIngress && this->ServingLinks() == 0;
+      this->role == FleetRole::kIngress && this->linked_schedulers.empty();
   const bool settled = this->role != FleetRole::kUnknown &&
                        this->lists_against_role == 0 && !lost &&
                        (this->listed > 1 || !this->schedulers.empty());
@@ -329,12 +269,11 @@
 }
 
 void FleetPeers::TakeList(const StoreReply& reply) {
-  if (reply.revision < this->list_revision) {
-    return;  // the stale answer is older than the last one
+  if (this->left || reply.revision < this->list_revision) {
+    return;  // this host stops, or the stale answer is older than the last one
   }
   this->list_revision = reply.revision;
-  this->listed_at = this->clock->Now();
-  this->listed_hosts.clear();
+  std::vector<FleetHost> hosts;
   bool self_listed = false;
   for (const StoreRecord& record : reply.records) {
     const HostId id(record.key.substr(kHostPrefix.size()));
@@ -342,11 +281,7 @@
     if (id == this->options.self.id) {
       self_listed = true;
     } else if (host) {
-      this->listed_hosts.push_back(*host);
-      const auto found = this->leaving.find(id);
-      if (found != this->leaving.end() && record.mod_revision > found->second) {
-        this->leaving.erase(found);
-      }
+      hosts.push_back(*host);
     } else {
       LogWarning(kPart, "Record of a host can't be read.",
                  {{"host", id.Text()}, {"why", host.error().message}});
@@ -356,59 +291,24 @@
       !self_listed) {
     return;  // this host's own record isn't there yet, nor are many others
   }
-  this->ForgetLeft();
-  this->Plan(PlanReason::kListed);
-}
-
-// Forgets hosts that said they stop and are gone.
-void FleetPeers::ForgetLeft() {
-  const std::vector<HostId> linked =
-      this->links ? this->links->Linked() : std::vector<HostId>();
-  std::erase_if(this->leaving, [&](const auto& entry) {
-    const HostId& id = entry.first;
-    return std::ranges::find(this->listed_hosts, id, &FleetHost::id) ==
-               this->listed_hosts.end() &&
-           std::ranges::find(linked, id) == linked.end();
-  });
-}
-
-// Works out roles and links. A host that stops isn't planned with, so that
-// another one takes its role while it finishes what it has. If this host stops
-// it still looks for schedulers that its last requests go to.
-void FleetPeers::Plan(PlanReason reason) {
-  const bool forwards = this->role == FleetRole::kIngress;
-  if (this->list_revision < 0 || (this->left && !forwards)) {
-    return;
-  }
-  std::vector<FleetHost> hosts = this->listed_hosts;
   this->KeepLinked(hosts);
-  std::erase_if(hosts, [this](const FleetHost& host) {
-    return this->IsLeaving(host.id);
-  });
-  if (!this->left) {
-    hosts.push_back(this->options.self);
-  }
+  hosts.push_back(this->options.self);
   const std::set<HostId> planned =
       PlanSchedulers(hosts, this->options.topology);
   std::erase_if(hosts, [&](const FleetHost& host) {
     return !planned.contains(host.id) || host.id == this->options.self.id;
   });
   std::ranges::sort(hosts, {}, &FleetHost::id);
-  if (!this->left) {
-    this->TakeRole(planned.contains(this->options.self.id)
-                       ? FleetRole::kScheduler
-                       : FleetRole::kIngress,
-                   reason);
-  }
+  this->TakeRole(planned.contains(this->options.self.id) ? FleetRole::kScheduler
+                                                         : FleetRole::kIngress);
   this->listed = planned.size();
   this->rank = static_cast<size_t>(
       std::ranges::count_if(hosts, [this](const FleetHost& host) {
         return host.id < this->options.self.id;
       }));
   this->handlers.on_listed(this->listed);
-  std::vector<FleetHost> wanted =
+  const std::vector<FleetHost> wanted =
       this->role == FleetRole::kIngress ? this->PickLinks(hosts) : hosts;
-  this->KeepLeaving(wanted);
   if (wanted != this->schedulers) {
     this->schedulers = wanted;
     this->handlers.on_schedulers(this->schedulers);
@@ -433,16 +333,13 @@
 }
 
 // A list may be read while records are missing, so one alone doesn't change a
-// role that a host has. A scheduler that says it stops is certain.
-void FleetPeers::TakeRole(FleetRole planned, PlanReason reason) {
+// role that a host has.
+void FleetPeers::TakeRole(FleetRole planned) {
   if (planned == this->role) {
     this->lists_against_role = 0;
     return;
   }
-  const bool successor = reason == PlanReason::kLeaving &&
-                         planned == FleetRole::kScheduler &&
-                         this->lists_against_role == 0;
-  if (this->role != FleetRole::kUnknown && !successor &&
+  if (this->role != FleetRole::kUnknown &&
       ++this->lists_against_role < this->options.lists_for_role) {
     return;
   }
@@ -463,30 +360,19 @@
 // The store may turn a host away: its record lapses while it serves on, and
 // without its link nobody would hear what it counted and what it sent to
 // endpoints. A host that is really gone falls silent, and its link ends.
-void FleetPeers::KeepLinked(std::vector<FleetHost>& hosts) const {
+void FleetPeers::KeepLinked(std::vector<FleetHost>& listed) const {
   if (!this->links) {
     return;
   }
   const std::vector<HostId> linked = this->links->Linked();
   std::ranges::copy_if(
-      this->schedulers, std::back_inserter(hosts), [&](const FleetHost& host) {
+      this->schedulers, std::back_inserter(listed), [&](const FleetHost& host) {
         return std::ranges::find(linked, host.id) != linked.end() &&
-               std::ranges::find(hosts, host.id, &FleetHost::id) == hosts.end();
+               std::ranges::find(listed, host.id, &FleetHost::id) ==
+                   listed.end();
       });
 }
 
-// Adds the schedulers that leave for as long as they are linked: they finish
-// requests, and what they have counted and sent to endpoints is still to hear.
-void FleetPeers::KeepLeaving(std::vector<FleetHost>& wanted) const {
-  std::vector<FleetHost> linked = this->LinkedSchedulers();
-  std::erase_if(linked, [&](const FleetHost& host) {
-    return !this->IsLeaving(host.id) ||
-           std::ranges::find(wanted, host.id, &FleetHost::id) != wanted.end();
-  });
-  wanted.insert(wanted.end(), linked.begin(), linked.end());
-  std::ranges::sort(wanted, {}, &FleetHost::id);
-}
-
 void FleetPeers::Leave() {
   this->left = true;
   if (this->lease != 0) {
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -92,11 +92,6 @@
   FleetRole Role() const { return this->role; }
   const FleetHost& Self() const { return this->options.self; }
 
-  // Whether a host has said that it stops, and hasn't started again since.
-  bool IsLeaving(const HostId& host) const {
-    return this->leaving.contains(host);
-  }
-
   // Whether a linked host has said that it is a scheduler.
   bool IsScheduler(const HostId& host) const {
     return this->linked_schedulers.contains(host);
@@ -105,9 +100,8 @@
   // The other schedulers that are linked now.
   std::vector<FleetHost> LinkedSchedulers() const;
 
-  // How many schedulers are planned, this host included; the others that this
-  // host is to be linked with, and those that leave and still are; and its
-  // place among the planned ones, by id.
+  // How many schedulers stand in the list, this host included; the others that
+  // this host is to be linked with; and its place among all, by id.
   size_t Listed() const { return this->listed; }
   std::vector<HostId> Others() const;
   size_t Rank() const { return this->rank; }
@@ -116,9 +110,6 @@
   uint64_t Incarnation() const { return this->incarnation; }
 
  private:
-  // What a plan follows from: a list was read, or a host says that it stops.
-  enum class PlanReason { kListed, kLeaving };
-
   void ReadSecret();
   void ReadSecretLater();
   void MakeSecret();
@@ -127,18 +118,9 @@
   void Renew();
   void List();
   void TakeList(const StoreReply& reply);
-  void ListSoon();
-  void Plan(PlanReason reason);
-  void KeepLinked(std::vector<FleetHost>& hosts) const;
-  void KeepLeaving(std::vector<FleetHost>& wanted) const;
-  void ForgetLeft();
-  void TakeRole(FleetRole planned, PlanReason reason);
+  void KeepLinked(std::vector<FleetHost>& listed) const;
+  void TakeRole(FleetRole planned);
   std::vector<FleetHost> PickLinks(const std::vector<FleetHost>& listed) const;
-  size_t ServingLinks() const;
-  bool HasFewLinks() const;
-  void NoteLeaving(const HostId& host);
-  void PlanWithout();
-  void OnDown(const HostId& host);
   void OpenLinks();
   PeerHandlers LinkHandlers();
   void LinkToSchedulers();
@@ -157,12 +139,7 @@
   int64_t lists_against_role = 0;
   std::vector<FleetHost> schedulers;  // that this host is to be linked with
   std::set<HostId> linked_schedulers;
-  std::vector<FleetHost> listed_hosts;  // all others, as last read
-  // Hosts that stop. Their records up to these revisions don't count.
-  std::map<HostId, int64_t> leaving;
   int64_t list_revision = -1;
-  Instant listed_at{};
-  bool lists_soon = false;
   int64_t lease = 0;
   size_t listed = 1;
   size_t rank = 0;
@@ -170,7 +147,6 @@
   std::unique_ptr<Timer> secret_timer;
   std::unique_ptr<Timer> renew_timer;
   std::unique_ptr<Timer> list_timer;
-  std::unique_ptr<Timer> plan_timer;
   std::unique_ptr<Timer> digest_timer;
 };
 
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -68,11 +68,10 @@
 }
 
 void RequestForwarder::OnNews(const HostId& from, const SchedulerNews& news) {
-  this->choice.OnNews(from, {.ready = news.ready || news.last_resort,
+  this->choice.OnNews(from, {.ready = news.ready,
                              .busy = news.busy,
                              .keys_proven = news.keys_proven,
-                             .version = news.configuration_version,
-                             .leaving = news.leaving});
+                             .version = news.configuration_version});
 }
 
 void RequestForwarder::OnRequest(const CallerExchangePtr& caller) {
--- a/tests/fleet_topology_test.cc
+++ b/tests/fleet_topology_test.cc
@@ -298,46 +298,6 @@
   CHECK(choice.Choose({}) == HostId("s1"));
 }
 
-// Guards against requests that a scheduler gets shortly before its process ends
-// while another one could take them, and against refusals while only such ones
-// are left.
-TEST(SchedulerChoice, ASchedulerThatStopsIsTheLastResort) {
-  SchedulerChoice choice(ZoneId("a"));
-  choice.SetSchedulers({Host("s1", "a", 500), Host("s2", "b", 500)});
-  SchedulerState leaving = Serving(1);
-  leaving.leaving = true;
-  choice.OnNews(HostId("s1"), leaving);
-  CHECK(choice.Choose({}) == HostId("s1"));
-  choice.OnNews(HostId("s2"), Serving(1));
-  CHECK(choice.Choose({}) == HostId("s2"));
-  CHECK(choice.Choose({HostId("s2")}) == HostId("s1"));
-}
-
-// Guards against a new scheduler that gets every request until it has had as
-// many as one that stops.
-TEST(SchedulerChoice, OneThatStopsIsNoMeasureForOthers) {
-  SchedulerChoice choice(ZoneId("a"));
-  choice.SetSchedulers(
-      {Host("s1", "a", 500), Host("s2", "a", 500), Host("s3", "a", 500)});
-  SchedulerState leaving = Serving(1);
-  leaving.leaving = true;
-  choice.OnNews(HostId("s1"), leaving);
-  choice.OnNews(HostId("s2"), Serving(1));
-  for (int i = 0; i < 50; ++i) {
-    choice.OnForwarded(HostId("s2"));
-    choice.OnEnded(HostId("s2"));
-  }
-  choice.OnNews(HostId("s3"), Serving(1));
-  int to_new = 0;
-  for (int i = 0; i < 10; ++i) {
-    const HostId to = Chosen(choice);
-    to_new += to == HostId("s3") ? 1 : 0;
-    choice.OnForwarded(to);
-    choice.OnEnded(to);
-  }
-  CHECK(to_new < 10);
-}
-
 // Guards against a scheduler that comes back and gets every request until it
 // has had as many as the others.
 TEST(SchedulerChoice, NewSchedulersBeginLevel) {
