Never send a second answer behind the begun one

Cause: an answer over 256 KB is passed on as it comes, but the timer that waits for the first byte ran on, and a failure after that began another run whose answer was appended; a short one was dropped and the part looked complete.

The timer stops with the first byte that is passed on, and an answer that isn't a stream and has begun is broken off when its run fails. relay_test NeverRepeatsAnAnswerThatHasBegunToArrive fails before (the caller's connection stays open behind the part).

--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -57,6 +57,7 @@
     return;
   }
   at.passing = true;
+  this->stall_timer.reset();
   this->NoteBegun();
   this->StartAnswer({});
   this->caller->Send(at.body);
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -463,6 +463,10 @@
         this->tokens_held || (fate == Fate::kNotRun && this->tokens.cost > 0 &&
                               this->relay->limit_gate != nullptr);
   }
+  if (this->caller->Started() && !IsStream(this->route->kind)) {
+    this->BreakOff(why);  // another run can't go on with this answer
+    return;
+  }
   this->cutter.DropRest();
   if (fate == Fate::kMayHaveRun) {
     this->may_have_run = true;
