Take no request that was read ahead once the host reads no more

Suspected by review, not seen by callers. CallerServer::StopReading paused connections that wait for an answer. If the answer's head was written before the stop, the connection was to be kept, so the end of the answer in the last turn of the main loop resumed reading and took a request that had been read ahead, in a process that ends with the turn.

Such an answer is now the last of its connection. stop_test TakesNothingReadAheadOnceItReadsNoMore fails before: the connection stays open.

--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -314,10 +314,12 @@
 
 void CallerServer::StopReading() {
   this->listener.reset();
+  this->draining = true;
   const auto open = this->connections;
   for (const auto& connection : open) {
     if (connection->exchange) {
       connection->socket->Pause();
+      connection->last = true;
     } else {
       connection->Leave();
     }
