Limit how long a closing peer takes to close, not to read what it is sent

Suspected by review, not seen by callers. StreamSocket::CloseAfterWrite closed 1 s after it was called, with whatever bytes were still to be sent. Each answer of a host that stops is the last of its connection, so a caller that took longer than 1 s to read its end got a cut answer, though the host had seconds left.

The limit now counts from when the kernel has taken all bytes.

--- a/packages/http/stream_socket.cc
+++ b/packages/http/stream_socket.cc
@@ -17,7 +17,7 @@
 // and come again only after a second.
 constexpr int kBacklog = 512;
 
-// How long a peer may take to read the last bytes and to close in turn.
+// How long a peer may take to close in turn, once all was sent.
 constexpr Duration kCloseLimit = std::chrono::seconds(1);
 
 ObjectPtr<GSocketAddress> MakeAddress(const SocketAddress& address) {
@@ -200,6 +200,7 @@
         this->unsent.clear();
         this->output.reset();
         this->WatchInput();
+        this->LimitClose();
       }
       return;
     }
@@ -209,6 +210,7 @@
   this->output.reset();
   if (this->state == State::kClosing) {
     g_socket_shutdown(this->socket.get(), FALSE, TRUE, nullptr);
+    this->LimitClose();
   } else if (const auto call = this->events.on_drained) {
     call();
   }
@@ -232,14 +234,19 @@
   this->state = State::kClosing;
   this->events = {};
   this->self = this->shared_from_this();
-  this->closing =
-      Timer::After(kCloseLimit, [this] { this->End(StreamEnd::kClosed); });
   this->Resume();
   if (!this->output) {
     this->Flush();
   }
 }
 
+void StreamSocket::LimitClose() {
+  if (this->state == State::kClosing) {
+    this->closing =
+        Timer::After(kCloseLimit, [this] { this->End(StreamEnd::kClosed); });
+  }
+}
+
 void StreamSocket::Close() {
   this->state = State::kOver;
   this->input.reset();
--- a/packages/http/stream_socket.h
+++ b/packages/http/stream_socket.h
@@ -106,6 +106,7 @@
   void FinishConnect();
   void ReadSome();
   void Flush();
+  void LimitClose();
   void End(StreamEnd end);
 
   ObjectPtr<GSocket> socket;
