End a stop only when the kernel has taken all answers

Suspected by review, not seen by callers. A host that stops ended once no request waited for an answer. An answer counts as given once it is written to its connection's buffer, so bytes that a slow caller hadn't read yet were lost with the process, at 2.5 s, though it may live 5 s longer: what decides that all is done isn't what sends it.

The host now also waits until the kernel has taken what was written to callers, until the end of its schedule at most. stop_test EndsOnlyWhenItsAnswersHaveLeft fails before: the host has stopped while 16 MB of an answer are under way.

Not covered: answers in the queues of links to other hosts (PeerSession).

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -645,8 +645,8 @@
 
 void RelayDaemon::CheckDrained() {
   const Instant now = this->clock->Now();
-  const bool finished =
-      now >= this->stop->takes_until && this->relay->Waiting() == 0;
+  const bool finished = now >= this->stop->takes_until &&
+                        this->relay->Waiting() == 0 && this->relay->AllSent();
   if (finished || now >= this->stop->finish_by + kLastAnswers) {
     // The main loop may still call what is ready in this turn.
     this->ended = true;
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -41,6 +41,11 @@
   return text + "\r\n";
 }
 
+bool AllSentOn(const std::weak_ptr<StreamSocket>& socket) {
+  const StreamSocketPtr open = socket.lock();
+  return !open || open->Unsent() == 0;
+}
+
 int StatusOf(Http1Failure failure) {
   switch (failure) {
     case Http1Failure::kHeadTooLarge:
@@ -142,6 +147,11 @@
   // An idle connection is closed in order.
   void Leave() {
     this->socket->CloseAfterWrite();
+    auto& closing = this->server->closing;
+    std::erase_if(closing, &AllSentOn);
+    if (this->socket->Unsent() > 0) {
+      closing.push_back(this->socket);
+    }
     this->OnEnd();
   }
 
@@ -326,6 +336,13 @@
   }
 }
 
+bool CallerServer::AllSent() const {
+  return std::ranges::all_of(this->closing, &AllSentOn) &&
+         std::ranges::all_of(this->connections, [](const auto& connection) {
+           return connection->socket->Unsent() == 0;
+         });
+}
+
 size_t CallerServer::Waiting() const {
   return static_cast<size_t>(std::ranges::count_if(
       this->connections,
--- a/packages/relay/caller_server.h
+++ b/packages/relay/caller_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string_view>
+#include <vector>
 
 #include "http/stream_socket.h"
 #include "kernel/task.h"
@@ -43,6 +44,9 @@
   size_t Waiting() const;
   size_t Connections() const { return this->connections.size(); }
 
+  // Whether the kernel has taken all that was written to callers.
+  bool AllSent() const;
+
  private:
   friend class CallerConnection;
 
@@ -51,6 +55,7 @@
   bool draining = false;
   std::unique_ptr<Listener> listener;
   std::set<std::shared_ptr<CallerConnection>> connections;
+  std::vector<std::weak_ptr<StreamSocket>> closing;  // have bytes to send
 };
 
 // The reason phrase of a status, for the answer's first line.
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -130,6 +130,9 @@
   // schedule ends gets its final answer then.
   void StartDrain(const StopSchedule& schedule);
 
+  // Whether the kernel has taken all answers to callers connected here.
+  bool AllSent() const { return this->server.AllSent(); }
+
   // Takes no request any more: the process ends.
   void StopReading() { this->server.StopReading(); }
 
