Schedulers: don't begin a forwarded run that the stop of this host would cut

Suspected by review, not seen by callers. Before each send a request was checked against the end of its caller's host only. One that another host had forwarded, and that waited at a scheduler (for tokens of an account, or for its prompt) while that scheduler stopped, still began its run there and lost it with the process; a filing can't run again.

A scheduler that stops now declines it before the send if nothing of it may have run, so the ingress host forwards it elsewhere. forward_test GoesElsewhereIfItsPromptTookTooLongForTheStop fails before: the stopping scheduler runs it.

--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -402,6 +402,15 @@
                              "the host of the caller stops", Duration{});
     return;
   }
+  const std::optional<StopSchedule>& stop = this->relay->stop;
+  if (stop && !this->StreamBegun() && !this->may_have_run &&
+      !CanFinish(stop->Left(now), this->Need())) {
+    this->caller->Decline();
+    this->DropHandle();
+    this->FailWithoutSending(ErrorKind::kShuttingDown, "this host stops",
+                             Duration{});
+    return;
+  }
   // The key may have been revoked since the request was admitted.
   if (!this->account.Empty() && !this->relay->KeysProven()) {
     this->DropHandle();
