--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -633,22 +633,24 @@
 }
 
 void RelayDaemon::CheckDrained() {
+  const StopSchedule schedule = this->stop.value_or(StopSchedule{});
   const Instant now = this->clock->Now();
-  const bool finished =
-      now >= this->stop->takes_until && this->relay->Waiting() == 0;
-  if (finished || now >= this->stop->finish_by + kLastAnswers) {
-    // The main loop may still call what is ready in this turn.
-    this->ended = true;
-    this->relay->StopReading();
-    this->relay->LogUnfinished();
-    this->forwarder->LogUnfinished();
-    LogInfo(kPart, "Stopped.",
-            {{"left", std::to_string(this->relay->Waiting())},
-             {"stopping_ms", MillisecondsText(now - this->stop->signalled)}});
-    this->TellUsage();
-    this->drain_timer.reset();
-    this->stopped();
+  const bool finished = now >= schedule.takes_until &&
+                        this->relay->Waiting() == 0 && this->relay->AllSent();
+  if (!finished && now < schedule.finish_by + kLastAnswers) {
+    return;
   }
+  // The main loop may still call what is ready in this turn.
+  this->ended = true;
+  this->relay->StopReading();
+  this->relay->LogUnfinished();
+  this->forwarder->LogUnfinished();
+  LogInfo(kPart, "Stopped.",
+          {{"left", std::to_string(this->relay->Waiting())},
+           {"stopping_ms", MillisecondsText(now - schedule.signalled)}});
+  this->TellUsage();
+  this->drain_timer.reset();
+  this->stopped();
 }
 
 void RelayDaemon::Reload(const RelayHostSettings& changed) {
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -41,6 +41,11 @@
   return text + "\r\n";
 }
 
+bool AllSentOn(const std::weak_ptr<StreamSocket>& socket) {
+  const StreamSocketPtr open = socket.lock();
+  return !open || open->Unsent() == 0;
+}
+
 int StatusOf(Http1Failure failure) {
   switch (failure) {
     case Http1Failure::kHeadTooLarge:
@@ -141,8 +146,12 @@
 
   // An idle connection is closed in order.
   void Leave() {
-    this->server->NoteClosing(this->socket);
     this->socket->CloseAfterWrite();
+    auto& closing = this->server->closing;
+    std::erase_if(closing, &AllSentOn);
+    if (this->socket->Unsent() > 0) {
+      closing.push_back(this->socket);
+    }
     this->OnEnd();
   }
 
@@ -322,33 +331,29 @@
 
 void CallerServer::StopReading() {
   this->listener.reset();
+  this->draining = true;
   const auto open = this->connections;
   for (const auto& connection : open) {
     if (connection->exchange || connection->socket->Unsent() > 0) {
       connection->socket->Pause();
+      connection->last = true;
     } else {
       connection->CloseUnread();
     }
   }
 }
 
-void CallerServer::NoteClosing(const StreamSocketPtr& socket) {
-  std::erase_if(this->closing, [](const auto& old) { return old.expired(); });
-  if (socket->Unsent() > 0) {
-    this->closing.push_back(socket);
-  }
+bool CallerServer::AllSent() const {
+  return std::ranges::all_of(this->closing, &AllSentOn) &&
+         std::ranges::all_of(this->connections, [](const auto& connection) {
+           return connection->socket->Unsent() == 0;
+         });
 }
 
 size_t CallerServer::Waiting() const {
-  const auto waits = [](const auto& connection) {
-    return connection->exchange != nullptr || connection->socket->Unsent() > 0;
-  };
-  const auto writes = [](const std::weak_ptr<StreamSocket>& socket) {
-    const StreamSocketPtr open = socket.lock();
-    return open && open->Unsent() > 0;
-  };
-  return static_cast<size_t>(std::ranges::count_if(this->connections, waits) +
-                             std::ranges::count_if(this->closing, writes));
+  return static_cast<size_t>(std::ranges::count_if(
+      this->connections,
+      [](const auto& connection) { return connection->exchange != nullptr; }));
 }
 
 }  // namespace hickorystand
--- a/packages/relay/caller_server.h
+++ b/packages/relay/caller_server.h
@@ -45,17 +45,18 @@
   size_t Waiting() const;
   size_t Connections() const { return this->connections.size(); }
 
+  // Whether the kernel has taken all that was written to callers.
+  bool AllSent() const;
+
  private:
   friend class CallerConnection;
 
-  void NoteClosing(const StreamSocketPtr& socket);
-
   CallerHandler handler;
   CallerLimits limits;
   bool draining = false;
   std::unique_ptr<Listener> listener;
   std::set<std::shared_ptr<CallerConnection>> connections;
-  std::vector<std::weak_ptr<StreamSocket>> closing;  // after what they write
+  std::vector<std::weak_ptr<StreamSocket>> closing;  // have bytes to send
 };
 
 // The reason phrase of a status, for the answer's first line.
