Judge a run by the time of runs, once its prompt was read elsewhere

Callers of a stopping host got 503 after their prompt had been read, though the run would have ended in time: the time of the whole answer, prompt included, was asked for again before the run's send.

--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -214,7 +214,8 @@
   Instant refresh_required_at{};    // of the last RequireRefresh
   bool endpoints_refreshed = true;  // since then
   std::optional<StopSchedule> stop;
-  AnswerTimes answer_times;
+  AnswerTimes answer_times;  // since the arrivals of requests
+  AnswerTimes run_times;     // since the sends of their runs
   std::map<ServiceId, DecayingRate> read_tokens;
   std::set<std::shared_ptr<RelayedRequest>> requests;
 };
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -143,9 +143,11 @@
   this->handle.clear();
   if (fate == Fate::kDone) {
     this->relay->suspects.OnAnswered(this->fingerprint);
-    this->relay->answer_times.Add(
-        now, AnswerKind::Of(this->route->name, this->request.output_tokens),
-        now - this->arrived);
+    if (at.status / 100 == 2) {
+      const AnswerKind kind = this->Kind();
+      this->relay->answer_times.Add(now, kind, now - this->arrived);
+      this->relay->run_times.Add(now, kind, now - at.sent);
+    }
     this->Over(std::to_string(at.status));
     return;
   }
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -153,27 +153,32 @@
   if (this->origin.earlier_sends > 0) {
     return {};
   }
-  if (stop && !stop->MayTake(now, this->Need())) {
+  if (stop && !stop->MayTake(now, this->Need(Step::kArrival))) {
     this->caller->Decline();
     return Error{ErrorKind::kShuttingDown, "this host stops", Duration{}};
   }
-  if (!this->CanStillFinish()) {
+  if (!this->CanStillFinish(Step::kArrival)) {
     return Error{ErrorKind::kShuttingDown, "the host of the caller stops",
                  Duration{}};
   }
   return {};
 }
 
-AnswerNeed RelayedRequest::Need() const {
+AnswerKind RelayedRequest::Kind() const {
+  return AnswerKind::Of(this->route->name, this->request.output_tokens);
+}
+
+AnswerNeed RelayedRequest::Need(Step step) const {
+  const AnswerTimes& times =
+      step == Step::kRun ? this->relay->run_times : this->relay->answer_times;
   return {.limit = this->Left(),
-          .expected = this->relay->answer_times.Longest(
-              this->relay->clock->Now(),
-              AnswerKind::Of(this->route->name, this->request.output_tokens))};
+          .expected = times.Longest(this->relay->clock->Now(), this->Kind())};
 }
 
-bool RelayedRequest::CanStillFinish() const {
+bool RelayedRequest::CanStillFinish(Step step) const {
   return !this->finish_by ||
-         CanFinish(*this->finish_by - this->relay->clock->Now(), this->Need());
+         CanFinish(*this->finish_by - this->relay->clock->Now(),
+                   this->Need(step));
 }
 
 void RelayedRequest::OnStop(const StopSchedule& schedule) {
@@ -396,7 +401,8 @@
                           const EndpointCall& call,
                           const SentWork& work) {
   const Instant now = this->relay->clock->Now();
-  if (!this->StreamBegun() && !this->CanStillFinish()) {
+  const Step step = next.reading ? Step::kArrival : Step::kRun;
+  if (!this->StreamBegun() && !this->CanStillFinish(step)) {
     this->DropHandle();
     this->FailWithoutSending(ErrorKind::kShuttingDown,
                              "the host of the caller stops", Duration{});
@@ -404,7 +410,7 @@
   }
   const std::optional<StopSchedule>& stop = this->relay->stop;
   if (stop && !this->StreamBegun() && !this->may_have_run &&
-      !CanFinish(stop->Left(now), this->Need())) {
+      !CanFinish(stop->Left(now), this->Need(step))) {
     this->caller->Decline();
     this->DropHandle();
     this->FailWithoutSending(ErrorKind::kShuttingDown, "this host stops",
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -72,8 +72,12 @@
   std::optional<Error> CheckKey();
   std::optional<Error> CheckStop();
   void ArmDeadline();
-  AnswerNeed Need() const;
-  bool CanStillFinish() const;
+  // How long the answer takes from now on: from the request's arrival, or from
+  // the send of its run.
+  enum class Step { kArrival, kRun };
+  AnswerKind Kind() const;
+  AnswerNeed Need(Step step) const;
+  bool CanStillFinish(Step step) const;
   bool KeyStillValid() const;
   bool TakeTokens();
   void OnTokens(const LimitVerdict& verdict);
