Prefer strong schedulers of other zones to much weaker ones of the own zone

Ingress hosts put schedulers of their own zone first, whatever their strength, and had one link to other zones.

Schedulers below 0.34 of the strongest one that serves come after strong ones of other zones, unless those have many requests of the host in flight. An ingress host has one more link to other zones for each such scheduler it would link to in its own, strong ones first.

Two tests are new.

--- a/packages/decisions/fleet_topology.cc
+++ b/packages/decisions/fleet_topology.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
 #include <sstream>
 #include <tuple>
@@ -73,6 +74,11 @@
   return host;
 }
 
+bool IsMuchWeaker(const FleetHost& host, int64_t capacity) {
+  return static_cast<double>(host.capacity) <
+         kMuchWeaker * static_cast<double>(capacity);
+}
+
 std::set<HostId> PlanSchedulers(const std::vector<FleetHost>& hosts,
                                 const FleetTopologyOptions& options) {
   std::map<ZoneId, std::vector<FleetHost>> zones;
@@ -87,9 +93,7 @@
     double capacity = 0;
     size_t count = 0;
     for (const FleetHost& host : members) {
-      const bool weak =
-          static_cast<double>(host.capacity) <
-          options.much_weaker * static_cast<double>(members.front().capacity);
+      const bool weak = IsMuchWeaker(host, members.front().capacity);
       const size_t least =
           weak ? options.least_strong_schedulers : options.least_schedulers;
       if (count >= least && capacity >= wanted) {
@@ -112,12 +116,26 @@
   for (const FleetHost& host : schedulers) {
     (host.zone == self.zone ? near : far).push_back(host);
   }
+  int64_t strongest = 0;
+  for (const FleetHost& host : schedulers) {
+    strongest = std::max(strongest, host.capacity);
+  }
+  const auto is_weak = [strongest](const FleetHost& host) {
+    return IsMuchWeaker(host, strongest);
+  };
   std::vector<FleetHost> picked =
       Nearest(self.id, near, linked, options.near_links);
-  const size_t missing = options.near_links - picked.size();
-  const auto others =
-      Nearest(self.id, far, linked, options.far_links + missing);
-  picked.insert(picked.end(), others.begin(), others.end());
+  const size_t strong =
+      picked.size() -
+      static_cast<size_t>(std::ranges::count_if(picked, is_weak));
+  const size_t wanted = options.far_links + options.near_links - strong;
+  std::vector<FleetHost> strong_far = far;
+  std::erase_if(strong_far, is_weak);
+  std::erase_if(far, std::not_fn(is_weak));
+  const auto first = Nearest(self.id, strong_far, linked, wanted);
+  const auto rest = Nearest(self.id, far, linked, wanted - first.size());
+  picked.insert(picked.end(), first.begin(), first.end());
+  picked.insert(picked.end(), rest.begin(), rest.end());
   return picked;
 }
 
--- a/packages/decisions/fleet_topology.h
+++ b/packages/decisions/fleet_topology.h
@@ -43,13 +43,15 @@
 std::string EncodeFleetHost(const FleetHost& host);
 Result<FleetHost> DecodeFleetHost(const HostId& id, const std::string& text);
 
+// Hosts below this part of another one's capacity are much weaker.
+inline constexpr double kMuchWeaker = 0.34;
+
 // How many schedulers there are.
 struct FleetTopologyOptions {
   // Schedulers of a zone, where it has so many hosts; and where the next one is
   // much weaker than the strongest.
   size_t least_schedulers = 3;
   size_t least_strong_schedulers = 2;
-  double much_weaker = 0.34;    // of the strongest one's capacity
   double capacity_share = 0.2;  // of a zone's processor, at schedulers
   // Schedulers that an ingress host links to: in its own zone, and in others,
   // which serve while its own zone's are gone.
@@ -64,8 +66,13 @@
 std::set<HostId> PlanSchedulers(const std::vector<FleetHost>& hosts,
                                 const FleetTopologyOptions& options);
 
+// Whether a host is much weaker than one of some capacity.
+bool IsMuchWeaker(const FleetHost& host, int64_t capacity);
+
 // The schedulers that an ingress host links to; those that it is linked with
 // come first. Different hosts pick different ones, stronger ones more often.
+// For each much weaker one of its own zone it links to one more of other zones,
+// the stronger ones first.
 std::vector<FleetHost> PickSchedulers(const FleetHost& self,
                                       const std::vector<FleetHost>& schedulers,
                                       const std::set<HostId>& linked,
--- a/packages/decisions/scheduler_choice.cc
+++ b/packages/decisions/scheduler_choice.cc
@@ -95,9 +95,16 @@
     const std::set<HostId>& tried) const {
   const State* best = nullptr;
   const int64_t stuck_at = this->LeastInFlight() * 2 + kStuckFrom;
+  int64_t strongest = 0;
+  for (const auto& [id, state] : this->states) {
+    if (this->Serves(state)) {
+      strongest = std::max(strongest, state.host.capacity);
+    }
+  }
   const auto rank = [&](const State& state) {
-    return std::tuple(!state.told.keys_proven, state.host.zone != this->own,
-                      state.in_flight > stuck_at, state.told.busy,
+    return std::tuple(!state.told.keys_proven, state.in_flight > stuck_at,
+                      IsMuchWeaker(state.host, strongest),
+                      state.host.zone != this->own, state.told.busy,
                       state.forwarded);
   };
   for (const auto& [id, state] : this->states) {
--- a/tests/fleet_topology_test.cc
+++ b/tests/fleet_topology_test.cc
@@ -121,6 +121,20 @@
   }
 }
 
+// Guards against an ingress host that knows only the weak schedulers of its
+// zone.
+TEST(FleetTopology, LinksToStrongOnesOfOtherZonesBesideWeakOnes) {
+  std::vector<FleetHost> schedulers{Host("a1", "a", 120), Host("a2", "a", 120),
+                                    Host("a3", "a", 120)};
+  for (const char* id : {"b1", "b2", "c1", "c2"}) {
+    schedulers.push_back(Host(id, id[0] == 'b' ? "b" : "c", 500));
+    schedulers.push_back(Host(std::string(id) + "w", "c", 120));
+  }
+  const auto picked = PickSchedulers(Host("i", "a", 120), schedulers, {}, {});
+  LONGS_EQUAL(7, picked.size());
+  LONGS_EQUAL(4, std::ranges::count(picked, 500, &FleetHost::capacity));
+}
+
 // Guards against one scheduler that all ingress hosts of other zones pick.
 TEST(FleetTopology, FarLinksAreSpread) {
   auto hosts = Zone("a", 0, 60);
@@ -204,6 +218,23 @@
   CHECK(!choice.Choose({HostId("s2")}).has_value());
 }
 
+// Guards against a zone whose strong schedulers are away and whose weak ones,
+// with slow links, get everything while strong ones of other zones serve.
+TEST(SchedulerChoice, StrongOnesOfOtherZonesComeBeforeMuchWeakerOnes) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers(
+      {Host("w1", "a", 120), Host("w2", "a", 120), Host("s1", "b", 500)});
+  for (const char* id : {"w1", "w2", "s1"}) {
+    choice.OnNews(HostId(id), Serving(1));
+  }
+  CHECK(choice.Choose({}) == HostId("s1"));
+  CHECK(choice.Choose({HostId("s1")}) != HostId("s1"));
+  for (int i = 0; i < 10; ++i) {
+    choice.OnForwarded(HostId("s1"));
+  }
+  CHECK(choice.Choose({}) != HostId("s1"));
+}
+
 // Guards against a linked scheduler that is never chosen, since it told of
 // itself before it was listed, or was missing in one list.
 TEST(SchedulerChoice, RemembersWhatAnUnlistedSchedulerTold) {
