--- a/packages/decisions/answer_times.h
+++ b/packages/decisions/answer_times.h
@@ -40,7 +40,7 @@
 
 class AnswerTimes {
  public:
-  // An answer was whole `took` after its request had come.
+  // An answer of the kind took so long to be whole.
   void Add(Instant now, const AnswerKind& kind, Duration took);
 
   // A time that 19 of 20 answers of the kind don't exceed. Where none of the
