--- a/packages/ctl/session.cc
+++ b/packages/ctl/session.cc
@@ -246,13 +246,9 @@
     const Duration took = clock.Now() - start;
     for (const auto& centre : report.data_centres) {
       if (centre.behind.empty() && told.insert(centre.id).second) {
-        this->output.Line(
-            centre.id.Text() + ": in force at " + std::to_string(centre.hosts) +
-            " hosts after " +
-            std::to_string(
-                std::chrono::duration_cast<std::chrono::milliseconds>(took)
-                    .count()) +
-            " ms");
+        this->output.Line(centre.id.Text() + ": in force at " +
+                          std::to_string(centre.hosts) + " hosts after " +
+                          MillisecondsText(took) + " ms");
       }
     }
     if (report.Everywhere() || took > this->settings.wait) {
