Relay hosts: tell linked hosts of a drain, and link to schedulers that stay

Cause: a draining scheduler reports at once that it isn't ready, so it gets nothing more although it takes requests for 2.5 s. An ingress host looks for others only with its next list, up to 8 s later, and the draining one counts among its links until its process ends.

SchedulerNews has two optional fields, which older releases skip. `draining`: the host has got its stop signal. `last_resort`: it isn't ready, but takes what no other scheduler can. An ingress host that hears of it prefers all other schedulers, links at once to those of its last list that don't drain, and reads the list within 1.2 s, at random and at most every 0.8 s. A draining ingress host goes on to do so. Roles change as before, by two lists alone.

Tests that fail without the handling: SchedulerChoice ADrainingSchedulerIsTheLastResort and NewSchedulersBeginLevelWithThoseThatStay, FleetTopology LinksToSchedulersThatStayBesideDrainingOnes and LinksToStrongOnesWhileThoseOfItsZoneDrain.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -264,7 +264,8 @@
 SchedulerNews RelayDaemon::News() const {
   const FleetConfigurationPtr& configuration = this->relay->Configuration();
   if (!configuration || !this->IsScheduler()) {
-    return {.scheduler = this->IsScheduler()};
+    return {.scheduler = this->IsScheduler(),
+            .draining = this->stop.has_value()};
   }
   const CallerLimits& limits = configuration->limits;
   return {.scheduler = true,
@@ -275,7 +276,10 @@
           .head_bytes = limits.head_bytes,
           .body_bytes = limits.body_bytes,
           .head_timeout = limits.head_timeout,
-          .idle_timeout = limits.idle_timeout};
+          .idle_timeout = limits.idle_timeout,
+          .draining = this->stop.has_value(),
+          .last_resort = this->relay->Ready() && this->stop &&
+                         this->clock->Now() < this->stop->takes_until};
 }
 
 // How late timers fire shows whether this host keeps up with its work.
@@ -331,7 +335,7 @@
 void RelayDaemon::OnLinked(const HostId& host) {
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
-  if (this->IsScheduler()) {
+  if (this->IsScheduler() || this->stop) {
     this->peers->Send(host, this->News());
   }
 }
--- a/packages/decisions/fleet_topology.cc
+++ b/packages/decisions/fleet_topology.cc
@@ -109,22 +109,27 @@
 
 std::vector<FleetHost> PickSchedulers(const FleetHost& self,
                                       const std::vector<FleetHost>& schedulers,
-                                      const std::set<HostId>& linked,
+                                      const SchedulerLinks& links,
                                       const FleetTopologyOptions& options) {
   std::vector<FleetHost> near;
   std::vector<FleetHost> far;
+  std::vector<FleetHost> staying;
+  std::vector<FleetHost> draining;
   for (const FleetHost& host : schedulers) {
+    (links.draining.contains(host.id) ? draining : staying).push_back(host);
+  }
+  for (const FleetHost& host : staying) {
     (host.zone == self.zone ? near : far).push_back(host);
   }
   int64_t strongest = 0;
-  for (const FleetHost& host : schedulers) {
+  for (const FleetHost& host : staying) {
     strongest = std::max(strongest, host.capacity);
   }
   const auto is_weak = [strongest](const FleetHost& host) {
     return IsMuchWeaker(host, strongest);
   };
   std::vector<FleetHost> picked =
-      Nearest(self.id, near, linked, options.near_links);
+      Nearest(self.id, near, links.linked, options.near_links);
   const size_t strong =
       picked.size() -
       static_cast<size_t>(std::ranges::count_if(picked, is_weak));
@@ -132,10 +137,11 @@
   std::vector<FleetHost> strong_far = far;
   std::erase_if(strong_far, is_weak);
   std::erase_if(far, std::not_fn(is_weak));
-  const auto first = Nearest(self.id, strong_far, linked, wanted);
-  const auto rest = Nearest(self.id, far, linked, wanted - first.size());
+  const auto first = Nearest(self.id, strong_far, links.linked, wanted);
+  const auto rest = Nearest(self.id, far, links.linked, wanted - first.size());
   picked.insert(picked.end(), first.begin(), first.end());
   picked.insert(picked.end(), rest.begin(), rest.end());
+  picked.insert(picked.end(), draining.begin(), draining.end());
   return picked;
 }
 
--- a/packages/decisions/fleet_topology.h
+++ b/packages/decisions/fleet_topology.h
@@ -69,13 +69,22 @@
 // Whether a host is much weaker than one of some capacity.
 bool IsMuchWeaker(const FleetHost& host, int64_t capacity);
 
+// The links that an ingress host has to schedulers.
+struct SchedulerLinks {
+  std::set<HostId> linked;
+  std::set<HostId> draining;  // of the linked ones
+
+  auto operator<=>(const SchedulerLinks&) const = default;
+};
+
 // The schedulers that an ingress host links to; those that it is linked with
 // come first. Different hosts pick different ones, stronger ones more often.
 // For each much weaker one of its own zone it links to one more of other zones,
-// the stronger ones first.
+// the stronger ones first. Draining schedulers keep their links and don't
+// count.
 std::vector<FleetHost> PickSchedulers(const FleetHost& self,
                                       const std::vector<FleetHost>& schedulers,
-                                      const std::set<HostId>& linked,
+                                      const SchedulerLinks& links,
                                       const FleetTopologyOptions& options);
 
 }  // namespace hickorystand
--- a/packages/decisions/scheduler_choice.cc
+++ b/packages/decisions/scheduler_choice.cc
@@ -71,10 +71,11 @@
   return state.told.ready && state.told.version >= this->version;
 }
 
+// Draining schedulers get fewer requests than their share.
 double SchedulerChoice::LeastForwarded() const {
   std::optional<double> least;
   for (const auto& [id, state] : this->states) {
-    if (state.told.ready) {
+    if (state.told.ready && !state.told.draining) {
       least = std::min(least.value_or(state.forwarded), state.forwarded);
     }
   }
@@ -84,7 +85,7 @@
 int64_t SchedulerChoice::LeastInFlight() const {
   std::optional<int64_t> least;
   for (const auto& [id, state] : this->states) {
-    if (state.told.ready) {
+    if (state.told.ready && !state.told.draining) {
       least = std::min(least.value_or(state.in_flight), state.in_flight);
     }
   }
@@ -97,15 +98,15 @@
   const int64_t stuck_at = this->LeastInFlight() * 2 + kStuckFrom;
   int64_t strongest = 0;
   for (const auto& [id, state] : this->states) {
-    if (this->Serves(state)) {
+    if (this->Serves(state) && !state.told.draining) {
       strongest = std::max(strongest, state.host.capacity);
     }
   }
   const auto rank = [&](const State& state) {
-    return std::tuple(!state.told.keys_proven, state.in_flight > stuck_at,
-                      IsMuchWeaker(state.host, strongest),
-                      state.host.zone != this->own, state.told.busy,
-                      state.forwarded);
+    return std::tuple(
+        !state.told.keys_proven, state.told.draining,
+        state.in_flight > stuck_at, IsMuchWeaker(state.host, strongest),
+        state.host.zone != this->own, state.told.busy, state.forwarded);
   };
   for (const auto& [id, state] : this->states) {
     if (this->Serves(state) && !tried.contains(id) &&
--- a/packages/decisions/scheduler_choice.h
+++ b/packages/decisions/scheduler_choice.h
@@ -3,9 +3,10 @@
 // Requests are spread over the schedulers of the host's own zone in proportion
 // to their capacity. Those of other zones serve while none of its own can, or
 // only much weaker ones: a weak host's link is full long before its processor
-// is. A host that has seen one version of the configuration at work never
-// forwards to a scheduler that has only an older one: its callers would see the
-// change undone.
+// is. A draining scheduler is chosen only while no other one can serve. A host
+// that has seen one version of the configuration at work never forwards to a
+// scheduler that has only an older one: its callers would see the change
+// undone.
 
 #pragma once
 
@@ -24,6 +25,7 @@
   bool busy = false;         // others of its zone are preferred
   bool keys_proven = false;  // others are preferred while it is false
   int64_t version = 0;       // of its configuration
+  bool draining = false;     // others are preferred
 
   auto operator<=>(const SchedulerState&) const = default;
 };
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -3513,6 +3513,16 @@
   this->busy = val;
 }
 
+void SchedulerNews::__set_draining(const bool val) {
+  this->draining = val;
+__isset.draining = true;
+}
+
+void SchedulerNews::__set_last_resort(const bool val) {
+  this->last_resort = val;
+__isset.last_resort = true;
+}
+
 uint32_t SchedulerNews::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3606,6 +3616,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->last_resort);
+          this->__isset.last_resort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3659,6 +3685,16 @@
   xfer += oprot->writeBool(this->busy);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.draining) {
+    xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->draining);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.last_resort) {
+    xfer += oprot->writeFieldBegin("last_resort", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->last_resort);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3675,6 +3711,8 @@
   swap(a.keys_proven, b.keys_proven);
   swap(a.scheduler, b.scheduler);
   swap(a.busy, b.busy);
+  swap(a.draining, b.draining);
+  swap(a.last_resort, b.last_resort);
   swap(a.__isset, b.__isset);
 }
 
@@ -3688,6 +3726,8 @@
   keys_proven = other148.keys_proven;
   scheduler = other148.scheduler;
   busy = other148.busy;
+  draining = other148.draining;
+  last_resort = other148.last_resort;
   __isset = other148.__isset;
 }
 SchedulerNews::SchedulerNews(SchedulerNews&& other149) noexcept {
@@ -3700,6 +3740,8 @@
   keys_proven = other149.keys_proven;
   scheduler = other149.scheduler;
   busy = other149.busy;
+  draining = other149.draining;
+  last_resort = other149.last_resort;
   __isset = other149.__isset;
 }
 SchedulerNews& SchedulerNews::operator=(const SchedulerNews& other150) noexcept {
@@ -3712,6 +3754,8 @@
   keys_proven = other150.keys_proven;
   scheduler = other150.scheduler;
   busy = other150.busy;
+  draining = other150.draining;
+  last_resort = other150.last_resort;
   __isset = other150.__isset;
   return *this;
 }
@@ -3725,6 +3769,8 @@
   keys_proven = other151.keys_proven;
   scheduler = other151.scheduler;
   busy = other151.busy;
+  draining = other151.draining;
+  last_resort = other151.last_resort;
   __isset = other151.__isset;
   return *this;
 }
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -1503,7 +1503,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardControl& obj);
 
 typedef struct _SchedulerNews__isset {
-  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false), busy(false) {}
+  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false), busy(false), draining(false), last_resort(false) {}
   bool ready :1;
   bool configuration_version :1;
   bool head_bytes :1;
@@ -1513,6 +1513,8 @@
   bool keys_proven :1;
   bool scheduler :1;
   bool busy :1;
+  bool draining :1;
+  bool last_resort :1;
 } _SchedulerNews__isset;
 
 class SchedulerNews : public virtual ::apache::thrift::TBase {
@@ -1531,7 +1533,9 @@
                   idle_timeout(0),
                   keys_proven(0),
                   scheduler(0),
-                  busy(0) {
+                  busy(0),
+                  draining(0),
+                  last_resort(0) {
   }
 
   virtual ~SchedulerNews() noexcept;
@@ -1544,6 +1548,8 @@
   bool keys_proven;
   bool scheduler;
   bool busy;
+  bool draining;
+  bool last_resort;
 
   _SchedulerNews__isset __isset;
 
@@ -1565,6 +1571,10 @@
 
   void __set_busy(const bool val);
 
+  void __set_draining(const bool val);
+
+  void __set_last_resort(const bool val);
+
   bool operator == (const SchedulerNews & rhs) const
   {
     if (!(ready == rhs.ready))
@@ -1585,6 +1595,14 @@
       return false;
     if (!(busy == rhs.busy))
       return false;
+    if (__isset.draining != rhs.__isset.draining)
+      return false;
+    else if (__isset.draining && !(draining == rhs.draining))
+      return false;
+    if (__isset.last_resort != rhs.__isset.last_resort)
+      return false;
+    else if (__isset.last_resort && !(last_resort == rhs.last_resort))
+      return false;
     return true;
   }
   bool operator != (const SchedulerNews &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -152,7 +152,7 @@
   auto operator<=>(const ForwardControl&) const = default;
 };
 
-// What a scheduler tells every host that is linked with it.
+// What a scheduler, and any host that drains, tells every linked host.
 struct SchedulerNews {
   bool scheduler = false;  // it still is one
   bool busy = false;       // it doesn't keep up with its work
@@ -163,6 +163,8 @@
   int64_t body_bytes = 0;
   Duration head_timeout{};
   Duration idle_timeout{};
+  bool draining = false;     // its process ends within the grace time
+  bool last_resort = false;  // not ready, but takes what nobody else can
 
   auto operator<=>(const SchedulerNews&) const = default;
 };
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -180,6 +180,8 @@
   7: bool keys_proven
   8: bool scheduler  // false: it is one no longer
   9: bool busy
+  10: optional bool draining
+  11: optional bool last_resort
 }
 
 // What an engine keeps of prompts has changed.
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -520,6 +520,12 @@
     item.body_bytes = news.body_bytes;
     item.head_timeout = news.head_timeout.count();
     item.idle_timeout = news.idle_timeout.count();
+    if (news.draining) {
+      item.__set_draining(true);
+    }
+    if (news.last_resort) {
+      item.__set_last_resort(true);
+    }
     out.__set_scheduler_news(item);
   }
   void operator()(const CacheUpdate& update) {
@@ -678,7 +684,9 @@
                       .head_bytes = news.head_bytes,
                       .body_bytes = news.body_bytes,
                       .head_timeout = Duration(news.head_timeout),
-                      .idle_timeout = Duration(news.idle_timeout)}));
+                      .idle_timeout = Duration(news.idle_timeout),
+                      .draining = news.draining,
+                      .last_resort = news.last_resort}));
   }
   if (set.cache_update && GoodId(in->cache_update.endpoint) &&
       in->cache_update.parts.size() == in->cache_update.tokens.size()) {
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -40,7 +40,8 @@
     : options(std::move(options)),
       clock(&clock),
       store(&store),
-      handlers(std::move(handlers)) {}
+      handlers(std::move(handlers)),
+      random(this->options.seed + std::hash<HostId>()(this->options.self.id)) {}
 
 FleetPeers::~FleetPeers() = default;
 
@@ -110,14 +111,20 @@
               [this](const HostId& host, uint64_t) {
                 LogInfo(kPart, "Host linked.", {{"host", host.Text()}});
                 this->linked_schedulers.erase(host);
+                this->draining.erase(host);
                 this->handlers.on_linked(host);
               },
-          .on_down =
-              [this](const HostId& host) {
-                LogInfo(kPart, "Host lost.", {{"host", host.Text()}});
-                this->linked_schedulers.erase(host);
-                this->handlers.on_gone(host);
-              }};
+          .on_down = [this](const HostId& host) { this->OnDown(host); }};
+}
+
+// A draining host that is gone usually starts again at once.
+void FleetPeers::OnDown(const HostId& host) {
+  LogInfo(kPart, "Host lost.", {{"host", host.Text()}});
+  this->linked_schedulers.erase(host);
+  this->handlers.on_gone(host);
+  if (this->draining.erase(host) > 0) {
+    this->ListSoon();
+  }
 }
 
 void FleetPeers::OnMessage(const HostId& host, const PeerMessage& message) {
@@ -132,6 +139,31 @@
              this->role == FleetRole::kScheduler) {
     this->handlers.on_scheduler_linked(host);
   }
+  if (news->draining) {
+    this->NoteDraining(host);
+  }
+}
+
+// The refresh waits for the next turn: it may close links, which a callback of
+// theirs mustn't.
+void FleetPeers::NoteDraining(const HostId& host) {
+  if (!this->draining.insert(host).second) {
+    return;
+  }
+  const size_t staying = static_cast<size_t>(std::ranges::count_if(
+      this->linked_schedulers,
+      [this](const HostId& id) { return !this->IsDraining(id); }));
+  LogInfo(kPart, "Host is draining.",
+          {{"host", host.Text()},
+           {"scheduler", this->IsScheduler(host) ? "true" : "false"},
+           {"schedulers_left", std::to_string(staying)},
+           {"list_age_ms",
+            MillisecondsText(this->clock->Now() - this->listed_at)}});
+  if (this->role == FleetRole::kIngress) {
+    this->refresh_timer =
+        Timer::After(Duration{}, [this] { this->RefreshLinks(); });
+    this->ListSoon();
+  }
 }
 
 // Once both the secret and the role are known.
@@ -247,9 +279,24 @@
   });
 }
 
+void FleetPeers::ListSoon() {
+  if (this->role != FleetRole::kIngress ||
+      std::exchange(this->lists_soon, true)) {
+    return;
+  }
+  std::uniform_int_distribution<int64_t> spread(
+      0, this->options.list_spread.count());
+  const Duration age = this->clock->Now() - this->listed_at;
+  this->list_timer = Timer::After(std::max(Duration(spread(this->random)),
+                                           this->options.first_list * 2 - age),
+                                  [this] { this->List(); });
+}
+
 void FleetPeers::List() {
+  this->lists_soon = false;
   const bool lost =
-      this->role == FleetRole::kIngress && this->linked_schedulers.empty();
+      this->role == FleetRole::kIngress &&
+      std::ranges::includes(this->draining, this->linked_schedulers);
   const bool settled = this->role != FleetRole::kUnknown &&
                        this->lists_against_role == 0 && !lost &&
                        (this->listed > 1 || !this->schedulers.empty());
@@ -269,10 +316,14 @@
 }
 
 void FleetPeers::TakeList(const StoreReply& reply) {
-  if (this->left || reply.revision < this->list_revision) {
-    return;  // this host stops, or the stale answer is older than the last one
+  if (reply.revision < this->list_revision) {
+    return;  // the stale answer is older than the last one
+  }
+  if (this->left && this->role != FleetRole::kIngress) {
+    return;
   }
   this->list_revision = reply.revision;
+  this->listed_at = this->clock->Now();
   std::vector<FleetHost> hosts;
   bool self_listed = false;
   for (const StoreRecord& record : reply.records) {
@@ -299,16 +350,25 @@
     return !planned.contains(host.id) || host.id == this->options.self.id;
   });
   std::ranges::sort(hosts, {}, &FleetHost::id);
-  this->TakeRole(planned.contains(this->options.self.id) ? FleetRole::kScheduler
-                                                         : FleetRole::kIngress);
+  if (!this->left) {
+    this->TakeRole(planned.contains(this->options.self.id)
+                       ? FleetRole::kScheduler
+                       : FleetRole::kIngress);
+  }
   this->listed = planned.size();
   this->rank = static_cast<size_t>(
       std::ranges::count_if(hosts, [this](const FleetHost& host) {
         return host.id < this->options.self.id;
       }));
   this->handlers.on_listed(this->listed);
-  const std::vector<FleetHost> wanted =
-      this->role == FleetRole::kIngress ? this->PickLinks(hosts) : hosts;
+  this->planned = std::move(hosts);
+  this->RefreshLinks();
+}
+
+void FleetPeers::RefreshLinks() {
+  const std::vector<FleetHost> wanted = this->role == FleetRole::kIngress
+                                            ? this->PickLinks(this->planned)
+                                            : this->planned;
   if (wanted != this->schedulers) {
     this->schedulers = wanted;
     this->handlers.on_schedulers(this->schedulers);
@@ -320,9 +380,10 @@
 // carries requests stays until they are over.
 std::vector<FleetHost> FleetPeers::PickLinks(
     const std::vector<FleetHost>& listed) const {
-  std::vector<FleetHost> picked =
-      PickSchedulers(this->options.self, listed, this->linked_schedulers,
-                     this->options.topology);
+  std::vector<FleetHost> picked = PickSchedulers(
+      this->options.self, listed,
+      {.linked = this->linked_schedulers, .draining = this->draining},
+      this->options.topology);
   std::ranges::copy_if(
       this->schedulers, std::back_inserter(picked), [&](const FleetHost& host) {
         return this->handlers.in_use(host.id) &&
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -12,6 +12,8 @@
 
 #include <functional>
 #include <memory>
+#include <random>
+#include <set>
 #include <string>
 
 #include "decisions/fleet_topology.h"
@@ -34,6 +36,9 @@
   Duration list = std::chrono::seconds(3);
   Duration ingress_list = std::chrono::seconds(8);
   Duration first_list = std::chrono::milliseconds(400);
+  // An ingress host that hears of a draining host reads within this time, at
+  // random: many hosts hear it at once.
+  Duration list_spread = std::chrono::milliseconds(1200);
   // Lists in a row that have to give a host another role until it takes it.
   int64_t lists_for_role = 2;
   // Between tries to link to a host again: after a partition has healed, the
@@ -81,7 +86,8 @@
   // Starts to register, to list and to link.
   void Start();
 
-  // Takes this host off the list; the others stop to count on it.
+  // Takes this host off the list; the others stop to count on it. An ingress
+  // host goes on to look for schedulers that its last requests go to.
   void Leave();
 
   // Sends to one host, to all linked ones, or to the schedulers among them.
@@ -100,6 +106,11 @@
   // The other schedulers that are linked now.
   std::vector<FleetHost> LinkedSchedulers() const;
 
+  // Whether a linked host has said that it drains.
+  bool IsDraining(const HostId& host) const {
+    return this->draining.contains(host);
+  }
+
   // How many schedulers stand in the list, this host included; the others that
   // this host is to be linked with; and its place among all, by id.
   size_t Listed() const { return this->listed; }
@@ -117,6 +128,7 @@
   void WriteRecord();
   void Renew();
   void List();
+  void ListSoon();
   void TakeList(const StoreReply& reply);
   void KeepLinked(std::vector<FleetHost>& listed) const;
   void TakeRole(FleetRole planned);
@@ -124,6 +136,9 @@
   void OpenLinks();
   PeerHandlers LinkHandlers();
   void LinkToSchedulers();
+  void OnDown(const HostId& host);
+  void NoteDraining(const HostId& host);
+  void RefreshLinks();
   void OnMessage(const HostId& host, const PeerMessage& message);
   void SetPatience();
   void SendDigest();
@@ -132,6 +147,7 @@
   const Clock* clock;
   KeyValueStore* store;
   FleetPeersHandlers handlers;
+  std::mt19937_64 random;
   uint64_t incarnation = 0;  // of this run, once it is known
   std::string secret;        // of the fleet, once it was read
   std::unique_ptr<PeerLinks> links;
@@ -139,6 +155,10 @@
   int64_t lists_against_role = 0;
   std::vector<FleetHost> schedulers;  // that this host is to be linked with
   std::set<HostId> linked_schedulers;
+  std::set<HostId> draining;       // linked hosts that have said so
+  std::vector<FleetHost> planned;  // the other schedulers of the last list
+  Instant listed_at{};             // when that was read
+  bool lists_soon = false;
   int64_t list_revision = -1;
   int64_t lease = 0;
   size_t listed = 1;
@@ -147,6 +167,7 @@
   std::unique_ptr<Timer> secret_timer;
   std::unique_ptr<Timer> renew_timer;
   std::unique_ptr<Timer> list_timer;
+  std::unique_ptr<Timer> refresh_timer;
   std::unique_ptr<Timer> digest_timer;
 };
 
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -68,10 +68,11 @@
 }
 
 void RequestForwarder::OnNews(const HostId& from, const SchedulerNews& news) {
-  this->choice.OnNews(from, {.ready = news.ready,
+  this->choice.OnNews(from, {.ready = news.ready || news.last_resort,
                              .busy = news.busy,
                              .keys_proven = news.keys_proven,
-                             .version = news.configuration_version});
+                             .version = news.configuration_version,
+                             .draining = news.draining});
 }
 
 void RequestForwarder::OnRequest(const CallerExchangePtr& caller) {
--- a/tests/fleet_topology_test.cc
+++ b/tests/fleet_topology_test.cc
@@ -115,8 +115,8 @@
   for (const FleetHost& host : few) {
     linked.insert(host.id);
   }
-  for (const FleetHost& host :
-       PickSchedulers(self, Zone("a", 12, 0), linked, {.far_links = 0})) {
+  for (const FleetHost& host : PickSchedulers(
+           self, Zone("a", 12, 0), {.linked = linked}, {.far_links = 0})) {
     CHECK(linked.contains(host.id));
   }
 }
@@ -135,6 +135,41 @@
   LONGS_EQUAL(4, std::ranges::count(picked, 500, &FleetHost::capacity));
 }
 
+// Guards against an ingress host without a scheduler once those that it is
+// linked with have drained, and against answers that are cut with their links.
+TEST(FleetTopology, LinksToSchedulersThatStayBesideDrainingOnes) {
+  auto schedulers = Zone("a", 3, 0);
+  const auto other = Zone("b", 3, 0);
+  schedulers.insert(schedulers.end(), other.begin(), other.end());
+  const FleetHost self = Host("i", "a", 120);
+  SchedulerLinks links;
+  for (const FleetHost& host : PickSchedulers(self, schedulers, {}, {})) {
+    links.linked.insert(host.id);
+  }
+  links.draining = {HostId("a-0"), HostId("a-1")};
+  std::set<HostId> ids;
+  for (const FleetHost& host : PickSchedulers(self, schedulers, links, {})) {
+    ids.insert(host.id);
+  }
+  LONGS_EQUAL(6, ids.size());
+  CHECK(std::ranges::includes(ids, links.linked));
+}
+
+// Guards against weak schedulers in place of strong ones of other zones while
+// the strong ones of the own zone drain.
+TEST(FleetTopology, LinksToStrongOnesWhileThoseOfItsZoneDrain) {
+  std::vector<FleetHost> schedulers{Host("a1", "a", 500), Host("a2", "a", 500)};
+  for (const char* id : {"b1", "b2", "c1", "c2"}) {
+    schedulers.push_back(Host(id, id[0] == 'b' ? "b" : "c", 500));
+    schedulers.push_back(Host(std::string(id) + "w", "c", 120));
+  }
+  const std::set<HostId> gone{HostId("a1"), HostId("a2")};
+  const auto picked = PickSchedulers(Host("i", "a", 120), schedulers,
+                                     {.linked = gone, .draining = gone}, {});
+  LONGS_EQUAL(6, picked.size());
+  LONGS_EQUAL(6, std::ranges::count(picked, 500, &FleetHost::capacity));
+}
+
 // Guards against one scheduler that all ingress hosts of other zones pick.
 TEST(FleetTopology, FarLinksAreSpread) {
   auto hosts = Zone("a", 0, 60);
@@ -329,6 +364,45 @@
   CHECK(choice.Choose({}) == HostId("s1"));
 }
 
+// Guards against requests that go to a scheduler shortly before its process
+// ends, and against refusals while only such ones are linked.
+TEST(SchedulerChoice, ADrainingSchedulerIsTheLastResort) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers({Host("s1", "a", 500), Host("w1", "b", 120)});
+  SchedulerState draining = Serving(1);
+  draining.draining = true;
+  choice.OnNews(HostId("s1"), draining);
+  CHECK(choice.Choose({}) == HostId("s1"));
+  choice.OnNews(HostId("w1"), Serving(1));
+  CHECK(choice.Choose({}) == HostId("w1"));
+  CHECK(choice.Choose({HostId("w1")}) == HostId("s1"));
+}
+
+// Guards against a new scheduler that gets every request until it has had as
+// many as a draining one.
+TEST(SchedulerChoice, NewSchedulersBeginLevelWithThoseThatStay) {
+  SchedulerChoice choice(ZoneId("a"));
+  choice.SetSchedulers(
+      {Host("s1", "a", 500), Host("s2", "a", 500), Host("s3", "a", 500)});
+  SchedulerState draining = Serving(1);
+  draining.draining = true;
+  choice.OnNews(HostId("s1"), draining);
+  choice.OnNews(HostId("s2"), Serving(1));
+  for (int i = 0; i < 50; ++i) {
+    choice.OnForwarded(HostId("s2"));
+    choice.OnEnded(HostId("s2"));
+  }
+  choice.OnNews(HostId("s3"), Serving(1));
+  int to_new = 0;
+  for (int i = 0; i < 10; ++i) {
+    const HostId to = Chosen(choice);
+    to_new += to == HostId("s3") ? 1 : 0;
+    choice.OnForwarded(to);
+    choice.OnEnded(to);
+  }
+  LONGS_EQUAL(5, to_new);
+}
+
 // Guards against a scheduler that comes back and gets every request until it
 // has had as many as the others.
 TEST(SchedulerChoice, NewSchedulersBeginLevel) {
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -642,6 +642,8 @@
                                 .body_bytes = 4096,
                                 .head_timeout = std::chrono::seconds(3),
                                 .idle_timeout = std::chrono::seconds(15)}),
+      PeerMessage(SchedulerNews{
+          .scheduler = true, .draining = true, .last_resort = true}),
       PeerMessage(
           CacheUpdate{.engine = {.id = EndpointId("e"), .started = 5},
                       .reset = true,
