A lease can be released with the wait that is left for its successor

Operators saw usage windows come late in rolling restarts: each new holder of the duties waits a lease's length before it acts, because calls of the earlier holder may still arrive, and the store says the same of an orderly stop as of a crash: no record.

Change: Lease::Release() replaces the lease record by a release record, on condition that the lease record still exists. Whoever takes the lease deletes it in the transaction that creates its own record, so a release counts for one tenure; it is bound to the store lease of its holder and expires with it.

Bytes that arrive later than a lease's length after they were sent are outside the model, as before.

--- a/packages/decisions/lease.cc
+++ b/packages/decisions/lease.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "kernel/json.h"
+
 namespace hickorystand {
 namespace {
 
@@ -20,6 +22,34 @@
   return "/hickorystand/lease/" + data_centre.Text();
 }
 
+std::string ReleaseKey(const DataCentreId& data_centre) {
+  return "/hickorystand/lease-release/" + data_centre.Text();
+}
+
+std::string EncodeLeaseRelease(const LeaseRelease& release) {
+  const auto wait =
+      std::chrono::ceil<std::chrono::milliseconds>(release.wait).count();
+  return JsonWriter()
+      .BeginObject()
+      .Member("host", release.host.Text())
+      .Member("incarnation", release.incarnation)
+      .Member("wait_ms", wait)
+      .EndObject()
+      .Text();
+}
+
+std::optional<LeaseRelease> DecodeLeaseRelease(const std::string& value) {
+  const auto read = Json::ParseObject(value);
+  const int64_t wait = read ? read->At("wait_ms").Integer(-1) : -1;
+  if (wait < 0) {
+    return std::nullopt;
+  }
+  return LeaseRelease{
+      .host = HostId(read->At("host").Text()),
+      .incarnation = static_cast<uint64_t>(read->At("incarnation").Integer()),
+      .wait = std::chrono::milliseconds(wait)};
+}
+
 Lease::Lease(LeaseOptions options) : options(std::move(options)) {
   assert(!this->options.host.Empty() && "a lease needs its host's id");
   assert(this->options.host.Text().find('/') == std::string::npos &&
@@ -47,7 +77,8 @@
     this->call.reset();
     if (this->state == State::kCreating || this->state == State::kReadingBack) {
       this->ReadBack(now, out);
-    } else if (this->state == State::kGranting) {
+    } else if (this->state == State::kGranting ||
+               this->state == State::kReleasing) {
       this->Follow(now, out);
     }
   }
@@ -79,6 +110,9 @@
     case State::kReadingBack:
       this->JudgeRecord(now, reply, out);
       break;
+    case State::kReleasing:
+      this->OnReleased(now, reply, out);
+      break;
     case State::kGranting:
     case State::kHeld:
       break;
@@ -102,7 +136,7 @@
     return true;
   }
   this->store_lease = *lease;
-  this->Create(now, out);
+  this->Create(now, nullptr, out);
   return true;
 }
 
@@ -134,6 +168,9 @@
 
 void Lease::Retire(std::vector<LeaseAction>& out) {
   this->retired = true;
+  if (this->state == State::kReleasing) {
+    return;
+  }
   this->call.reset();
   this->state = State::kFollowing;
   this->fencing = 0;
@@ -142,6 +179,40 @@
   }
 }
 
+void Lease::Release(Instant now, Duration wait, std::vector<LeaseAction>& out) {
+  if (!this->MayAct(now)) {
+    this->Retire(out);
+    return;
+  }
+  this->retired = true;
+  this->call.reset();
+  this->state = State::kReleasing;
+  const std::string key = LeaseKey(this->options.data_centre);
+  const LeaseRelease release{.host = this->options.host,
+                             .incarnation = this->options.incarnation,
+                             .wait = wait};
+  // Bound to the lease, so that it expires unless a host takes over soon.
+  out.emplace_back(RunTransaction{
+      .tag = this->Ask(now),
+      .transaction = {
+          .conditions = {{.key = key,
+                          .revision = std::exchange(this->fencing, 0)}},
+          .then = {StoreDelete(key),
+                   StorePut(ReleaseKey(this->options.data_centre),
+                            EncodeLeaseRelease(release), this->store_lease)}}});
+}
+
+// The release record is bound to the lease, which is therefore only revoked if
+// the write failed or its outcome is unknown.
+void Lease::OnReleased(Instant now,
+                       const StoreReply& reply,
+                       std::vector<LeaseAction>& out) {
+  if (reply.outcome == StoreOutcome::kThen) {
+    this->store_lease = 0;
+  }
+  this->Follow(now, out);
+}
+
 void Lease::Lose(Instant now, std::vector<LeaseAction>& out) {
   this->call.reset();
   this->fencing = 0;
@@ -194,23 +265,32 @@
       GrantLease{.tag = this->Ask(now), .length = this->options.length});
 }
 
-void Lease::Create(Instant now, std::vector<LeaseAction>& out) {
+// Requires that the release record is `release`, or absent if null. If another
+// one is there, the reply has it, and the transaction is repeated with it.
+void Lease::Create(Instant now,
+                   const StoreRecord* release,
+                   std::vector<LeaseAction>& out) {
   this->state = State::kCreating;
   this->token = this->options.host.Text() + "/" +
                 std::to_string(this->options.incarnation) + "/" +
                 std::to_string(++this->attempts);
+  this->released.reset();
   const std::string key = LeaseKey(this->options.data_centre);
-  out.emplace_back(RunTransaction{
-      .tag = this->Ask(now),
-      .transaction = {
-          .conditions = {{.key = key,
-                          .field = StoreCompare::Field::kCreateRevision,
-                          .revision = 0}},
-          .then = {{.kind = StoreOperation::Kind::kPut,
-                    .key = key,
-                    .value = this->token,
-                    .lease = this->store_lease}},
-          .otherwise = {{.kind = StoreOperation::Kind::kGet, .key = key}}}});
+  const std::string release_key = ReleaseKey(this->options.data_centre);
+  StoreTransaction transaction{
+      .conditions = {{.key = key,
+                      .field = StoreCompare::Field::kCreateRevision,
+                      .revision = 0},
+                     {.key = release_key}},
+      .then = {StorePut(key, this->token, this->store_lease)},
+      .otherwise = {StoreGet(key), StoreGet(release_key)}};
+  if (release != nullptr) {
+    this->released = DecodeLeaseRelease(release->value);
+    transaction.conditions.back().revision = release->mod_revision;
+    transaction.then.push_back(StoreDelete(release_key));
+  }
+  out.emplace_back(RunTransaction{.tag = this->Ask(now),
+                                  .transaction = std::move(transaction)});
 }
 
 void Lease::OnCreated(Instant now,
@@ -221,7 +301,7 @@
       this->Take(now, reply.revision, out);
       break;
     case StoreOutcome::kOtherwise:
-      this->JudgeRecord(now, reply, out);
+      this->OnNotCreated(now, reply, out);
       break;
     case StoreOutcome::kNotApplied:
       this->Follow(now, out);
@@ -235,6 +315,19 @@
   }
 }
 
+void Lease::OnNotCreated(Instant now,
+                         const StoreReply& reply,
+                         std::vector<LeaseAction>& out) {
+  const DataCentreId& data_centre = this->options.data_centre;
+  const StoreRecord* release = FindRecord(reply, ReleaseKey(data_centre));
+  if (release != nullptr &&
+      FindRecord(reply, LeaseKey(data_centre)) == nullptr) {
+    this->Create(now, release, out);
+  } else {
+    this->JudgeRecord(now, reply, out);
+  }
+}
+
 void Lease::ReadBack(Instant now, std::vector<LeaseAction>& out) {
   this->state = State::kReadingBack;
   this->ReadRecord(now, out);
@@ -245,16 +338,17 @@
                         std::vector<LeaseAction>& out) {
   const bool answered = reply.outcome == StoreOutcome::kThen ||
                         reply.outcome == StoreOutcome::kOtherwise;
-  if (!answered || reply.records.empty()) {
+  const StoreRecord* record =
+      FindRecord(reply, LeaseKey(this->options.data_centre));
+  if (!answered || record == nullptr) {
     // Not there, or no telling. Following revokes the lease, without which a
     // write that is still on its way can't take effect.
     this->Follow(now, out);
     return;
   }
-  const StoreRecord& record = reply.records.front();
-  this->last_holder = HolderOf(record.value);
-  if (record.value == this->token) {
-    this->Take(now, record.create_revision, out);
+  this->last_holder = HolderOf(record->value);
+  if (record->value == this->token) {
+    this->Take(now, record->create_revision, out);
   } else {
     this->Follow(now, out);
   }
--- a/packages/decisions/lease.h
+++ b/packages/decisions/lease.h
@@ -7,10 +7,18 @@
 // its time on its own clock from the moment before it asked for a renewal, so
 // it always stops before the service lets anybody else in.
 //
-//   following -> granting -> creating -> held -> following
-//                               |  ^
-//                               v  |
+//   following -> granting -> creating -> held -> releasing -> following
+//                               |  ^      |                       ^
+//                               v  |      +-----------------------+
 //                           reading back   (the reply was lost)
+//
+// A holder that has finished may replace its record by a release record, on
+// condition that its own still exists, so nobody has held the lease between the
+// two. The release record says for how long calls of earlier holders may still
+// arrive. The next holder deletes it in the transaction that creates its own
+// record: it counts once, and a late or repeated copy of either transaction
+// finds its condition unmet. A holder that crashed, or whose write is late,
+// leaves none.
 
 #pragma once
 
@@ -85,6 +93,21 @@
 // The key of a data centre's lease record.
 std::string LeaseKey(const DataCentreId& data_centre);
 
+// The key of the release record.
+std::string ReleaseKey(const DataCentreId& data_centre);
+
+// What a release record says.
+struct LeaseRelease {
+  HostId host;
+  uint64_t incarnation = 0;
+  Duration wait{};  // calls of earlier holders may arrive for this long
+
+  bool operator==(const LeaseRelease&) const = default;
+};
+
+std::string EncodeLeaseRelease(const LeaseRelease& release);
+std::optional<LeaseRelease> DecodeLeaseRelease(const std::string& value);
+
 // One host's part in the contest for a data centre's lease.
 class Lease {
  public:
@@ -104,6 +127,10 @@
   // Who held the lease when it was last read: the host's id, or empty.
   const std::string& LastHolder() const { return this->last_holder; }
 
+  // The release record that was deleted when this tenure began. Empty: calls
+  // of earlier holders may be under way, for how long isn't known.
+  const std::optional<LeaseRelease>& Released() const { return this->released; }
+
   // How many live hosts of the data centre come before this one. Hosts poll
   // the less often the later they come, so that calls don't grow with hosts.
   void SetRank(int64_t rank);
@@ -128,6 +155,11 @@
   // Gives the lease up and doesn't contest it again.
   void Retire(std::vector<LeaseAction>& out);
 
+  // The same with a release record. Only for a holder that has nothing under
+  // way that could arrive later than `wait` from now. MayAct() is false from
+  // here on. Without a valid lease it is Retire().
+  void Release(Instant now, Duration wait, std::vector<LeaseAction>& out);
+
   // Ends the tenure because somebody proved that there is a newer holder.
   void Lose(Instant now, std::vector<LeaseAction>& out);
 
@@ -135,7 +167,14 @@
   CallTag NextTag() { return ++this->last_tag; }
 
  private:
-  enum class State { kFollowing, kGranting, kCreating, kReadingBack, kHeld };
+  enum class State {
+    kFollowing,
+    kGranting,
+    kCreating,
+    kReadingBack,
+    kHeld,
+    kReleasing
+  };
 
   // The one call under way.
   struct Call {
@@ -150,10 +189,18 @@
   void OnPolled(Instant now,
                 const StoreReply& reply,
                 std::vector<LeaseAction>& out);
-  void Create(Instant now, std::vector<LeaseAction>& out);
+  void Create(Instant now,
+              const StoreRecord* release,
+              std::vector<LeaseAction>& out);
   void OnCreated(Instant now,
                  const StoreReply& reply,
                  std::vector<LeaseAction>& out);
+  void OnNotCreated(Instant now,
+                    const StoreReply& reply,
+                    std::vector<LeaseAction>& out);
+  void OnReleased(Instant now,
+                  const StoreReply& reply,
+                  std::vector<LeaseAction>& out);
   void ReadBack(Instant now, std::vector<LeaseAction>& out);
   void JudgeRecord(Instant now,
                    const StoreReply& reply,
@@ -169,6 +216,7 @@
   int64_t store_lease = 0;
   uint64_t attempts = 0;
   std::string token;  // unique to each attempt to create the record
+  std::optional<LeaseRelease> released;  // deleted by that attempt
   std::string last_holder;
   Instant counted_from{};  // before the grant or renewal was asked for
   Instant valid_until{};
