Duties: release the lease in order, and act at once after a release

Change: a host that stops reports the windows whose counts are complete, waits up to 1.2 s until its calls are answered, and releases the lease. A holder that finds a release reports as soon as the wait in it is over; without one it waits a lease's length as before. Orders of engines and roles start a lease's length after the take-over in any case, as before, since those of the earlier holder must show in the list. A host that has been a scheduler for less than a lease's length reports without other hosts' counts only 1 s before a report is due: until now the wait covered the time in which it is sent them.

--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -25,6 +25,14 @@
 // takes 50 a second from all hosts, while a report is due in 10 s.
 constexpr Duration kReportRetry = std::chrono::milliseconds(700);
 
+// A host that has just become a scheduler is still being told what others
+// counted; it reports without their counts only this long before a report is
+// due.
+constexpr Duration kNewHostReserve = std::chrono::milliseconds(1000);
+
+// How long a host that stops waits for the answers to its calls.
+constexpr Duration kReleasePatience = std::chrono::milliseconds(1200);
+
 // A change of what is believed of true time that is worth a line, milliseconds.
 constexpr int64_t kTimeChangeLogged = 50;
 
@@ -69,7 +77,8 @@
              .incarnation = this->options.incarnation},
             this->options.window),
       true_time(clock.WallMilliseconds(),
-                Milliseconds(clock.Now().time_since_epoch())) {}
+                Milliseconds(clock.Now().time_since_epoch())),
+      tenure(this->options.lease) {}
 
 FleetDuties::~FleetDuties() = default;
 
@@ -97,10 +106,12 @@
 }
 
 void FleetDuties::Retire() {
-  std::vector<LeaseAction> actions;
-  this->lease.Retire(actions);
-  this->NoteHolding(this->clock->Now());
-  this->Run(actions);
+  const Instant now = this->clock->Now();
+  this->release_by = now + kReleasePatience;
+  if (this->MayAct()) {
+    this->ReportDue();
+  }
+  this->ReleaseWhenIdle(now);
 }
 
 std::vector<EndpointId> FleetDuties::ChangingRole() const {
@@ -115,7 +126,7 @@
 
 bool FleetDuties::MayAct() const {
   const Instant now = this->clock->Now();
-  return this->lease.MayAct(now) && now >= this->act_from;
+  return this->lease.MayAct(now) && this->tenure.MayAct(now);
 }
 
 DutyAuthority FleetDuties::Authority() const {
@@ -135,9 +146,36 @@
   this->Run(actions);
   if (this->MayAct()) {
     this->ReportDue();
-    this->PlanRoles(now);
-    this->PlanEngines(now);
+    if (!this->release_by && now >= this->orders_from) {
+      this->PlanRoles(now);
+      this->PlanEngines(now);
+    }
+  }
+  if (this->release_by) {
+    this->ReleaseWhenIdle(now);
+  }
+}
+
+void FleetDuties::ReleaseWhenIdle(Instant now) {
+  const bool idle = this->tenure.Idle() && this->under_way.empty();
+  if (this->lease.Held() && !idle && now < *this->release_by) {
+    return;
   }
+  std::vector<LeaseAction> actions;
+  if (this->lease.Held()) {
+    const Duration wait = this->tenure.SuccessorWait(now);
+    LogInfo(kPart, "Releasing the duties.",
+            {{"fencing", std::to_string(this->lease.Fencing())},
+             {"idle", idle ? "true" : "false"},
+             {"successor_wait_ms", std::to_string(Milliseconds(wait))}});
+    this->lease.Release(now, wait, actions);
+  } else {
+    this->lease.Retire(actions);
+  }
+  this->release_by.reset();
+  // Resets connections, so before the release record is sent.
+  this->NoteHolding(now);
+  this->Run(actions);
 }
 
 void FleetDuties::NoteHolding(Instant now) {
@@ -146,17 +184,16 @@
     return;
   }
   this->holding = held;
-  LogInfo(kPart, held ? "Took the duties." : "Let go of the duties.",
-          {{"fencing", std::to_string(this->lease.Fencing())}});
   if (held) {
-    this->first_tenure =
-        this->options.first_start && now - this->started < this->options.lease;
-    this->act_from = this->first_tenure ? now : now + this->options.lease;
+    this->NoteTaken(now);
     return;
   }
+  LogInfo(kPart, "Let go of the duties.",
+          {{"fencing", std::to_string(this->lease.Fencing())}});
   // What was sent and not answered could still arrive after the next holder
   // has begun.
   this->platform->CancelAll();
+  this->tenure.OnCallsCancelled(now);
   this->under_way.clear();
   this->role_orders.clear();
   this->scale_orders.clear();
@@ -167,6 +204,41 @@
   this->reported.clear();
 }
 
+void FleetDuties::NoteTaken(Instant now) {
+  this->first_tenure =
+      this->options.first_start && now - this->started < this->options.lease;
+  const std::optional<LeaseRelease>& released = this->lease.Released();
+  Duration wait = this->options.lease;
+  std::string_view reason = "no release";
+  if (this->first_tenure) {
+    wait = Duration{};
+    reason = "first start";
+  } else if (released) {
+    wait = released->wait;
+    reason = "released";
+  }
+  this->tenure.OnTaken(now, wait);
+  this->orders_from =
+      this->first_tenure ? now : now + std::max(wait, this->options.lease);
+  LogInfo(kPart, "Took the duties.",
+          {{"fencing", std::to_string(this->lease.Fencing())},
+           {"wait_ms", std::to_string(Milliseconds(wait))},
+           {"reason", std::string(reason)},
+           {"earlier_holder", released ? released->host.Text() : ""}});
+}
+
+// Notes when a call to the platform has ended.
+PlatformDuties::Done FleetDuties::TrackCall(PlatformDuties::Done done) {
+  return [this, call = this->tenure.OnCallStarted(this->clock->Now()),
+          done = std::move(done)](DutyOutcome outcome) {
+    this->tenure.OnCallEnded(this->clock->Now(), call,
+                             outcome == DutyOutcome::kUnknown
+                                 ? CallEnd::kUnanswered
+                                 : CallEnd::kAnswered);
+    done(outcome);
+  };
+}
+
 void FleetDuties::TakeLease(
     Instant now,
     const std::function<bool(std::vector<LeaseAction>&)>& take) {
@@ -208,6 +280,13 @@
   }
 }
 
+Duration FleetDuties::ReportReserve() const {
+  const bool just_started =
+      this->clock->Now() - this->started < this->options.lease;
+  return just_started ? std::min(kNewHostReserve, this->options.report_reserve)
+                      : this->options.report_reserve;
+}
+
 // Reports each window that is over and whose counts are all there, or that
 // can't wait for them any longer.
 void FleetDuties::ReportDue() {
@@ -226,9 +305,13 @@
           return this->usage.Knows(host, window);
         });
     const bool urgent = passed >= Milliseconds(this->options.report_due -
-                                               this->options.report_reserve);
+                                               this->ReportReserve());
     if (!this->reported.contains(window) && !this->under_way.contains(window) &&
         passed >= Milliseconds(kSettle) && (complete || urgent)) {
+      LogInfo(kPart, "Usage window closed.",
+              {{"window", std::to_string(window)},
+               {"reason", complete ? "counts complete" : "report due"},
+               {"after_end_ms", std::to_string(passed)}});
       this->WriteWindow(window);
     }
   }
@@ -270,7 +353,7 @@
   }
   this->platform->ReportUsage(
       {.window = window, .counts = counts}, this->Authority(),
-      [this, window](DutyOutcome outcome) {
+      this->TrackCall([this, window](DutyOutcome outcome) {
         this->under_way.erase(window);
         if (outcome == DutyOutcome::kAccepted) {
           this->reported.insert(window);
@@ -282,7 +365,7 @@
             {{"window", std::to_string(window)},
              {"accepted", outcome == DutyOutcome::kAccepted ? "true" : "false"},
              {"fencing", std::to_string(this->lease.Fencing())}});
-      });
+      }));
 }
 
 }  // namespace hickorystand
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -8,14 +8,23 @@
 // of a lease before it acts. So nothing of an old holder arrives after the
 // first call of its successor, and no two hosts act by turns within a lease's
 // length, though nobody on the other side checks the fencing number.
+//
+// A host that stops in order reports the windows that are ready, waits until
+// its calls are answered, stops acting, and only then replaces its lease record
+// by a release record (decisions/lease.h) with the wait that is left
+// (decisions/duty_tenure.h). The next holder waits that long instead. Orders of
+// engines and roles wait for a lease's length in any case, because those of the
+// earlier holder must show in the list first.
 
 #pragma once
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
+#include "decisions/duty_tenure.h"
 #include "decisions/fleet_clock.h"
 #include "decisions/lease.h"
 #include "decisions/role_plan.h"
@@ -86,7 +95,8 @@
 
   void Start();
 
-  // Lets go of the lease and never takes it again.
+  // Releases the lease, once what is under way has ended, and never takes it
+  // again.
   void Retire();
 
   // Engines whose role is being changed by this host: they refuse new work
@@ -143,12 +153,16 @@
   void TakeLease(Instant now,
                  const std::function<bool(std::vector<LeaseAction>&)>& take);
   void NoteHolding(Instant now);
+  void NoteTaken(Instant now);
+  void ReleaseWhenIdle(Instant now);
+  PlatformDuties::Done TrackCall(PlatformDuties::Done done);
   bool MayAct() const;
   DutyAuthority Authority() const;
 
   void ReportDue();
   void WriteWindow(int64_t window);
   void ReportWindow(int64_t window, const WindowCounts& counts);
+  Duration ReportReserve() const;
   void PlanRoles(Instant now);
   double StreamsOf(const ServiceId& service, const FleetEndpoints& expected);
   void PlanRolesOf(const ServiceId& service, FleetEndpoints& expected);
@@ -193,8 +207,12 @@
   FleetClock true_time;
   Instant started{};
   bool holding = false;
-  Instant act_from{};
+  DutyTenure tenure;
+  Instant orders_from{};
   bool first_tenure = false;  // of the fleet's first start
+  // Set while this host is about to release the lease: then it does so even if
+  // calls are under way.
+  std::optional<Instant> release_by;
   std::set<int64_t> reported;
   std::set<int64_t> under_way;  // windows being written or reported
   Instant next_report{};        // after one that wasn't accepted
--- a/packages/relay/fleet_duties_engines.cc
+++ b/packages/relay/fleet_duties_engines.cc
@@ -134,7 +134,8 @@
            {"fencing", std::to_string(this->lease.Fencing())}});
   this->platform->ChangeRole(
       {.run = endpoint.run, .address = endpoint.address, .role = change.role},
-      this->Authority(), [this, id = change.endpoint](DutyOutcome outcome) {
+      this->Authority(),
+      this->TrackCall([this, id = change.endpoint](DutyOutcome outcome) {
         if (outcome == DutyOutcome::kRefused ||
             outcome == DutyOutcome::kNotSent) {
           this->NoteRefusedRole(id);
@@ -143,7 +144,7 @@
         } else if (outcome == DutyOutcome::kAccepted) {
           this->NoteAcceptedRole(id);
         }
-      });
+      }));
 }
 
 EnginesByZone FleetDuties::CountEngines(const ServiceId& service) const {
@@ -341,7 +342,7 @@
        .zone = key.zone,
        .count = count,
        .spot = key.spot},
-      this->Authority(), [this, key](DutyOutcome outcome) {
+      this->Authority(), this->TrackCall([this, key](DutyOutcome outcome) {
         const auto order = this->scale_orders.find(key);
         if (order != this->scale_orders.end()) {
           order->second.under_way = false;
@@ -356,7 +357,7 @@
         this->scale_orders.erase(key);
         this->spot_unavailable_until[key] =
             this->clock->Now() + this->options.spot_retry;
-      });
+      }));
 }
 
 }  // namespace hickorystand
