--- a/packages/decisions/scheduler_choice.h
+++ b/packages/decisions/scheduler_choice.h
@@ -3,10 +3,10 @@
 // Requests are spread over the schedulers of the host's own zone in proportion
 // to their capacity. Those of other zones serve while none of its own can, or
 // only much weaker ones: a weak host's link is full long before its processor
-// is. A draining scheduler is chosen only while no other one can serve. A host
-// that has seen one version of the configuration at work never forwards to a
-// scheduler that has only an older one: its callers would see the change
-// undone.
+// is. A draining scheduler is chosen only while no other one can serve, or only
+// much weaker ones. A host that has seen one version of the configuration at
+// work never forwards to a scheduler that has only an older one: its callers
+// would see the change undone.
 
 #pragma once
 
