--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -151,24 +151,25 @@
       this->PlanEngines(now);
     }
   }
-  if (this->release_by) {
-    this->ReleaseWhenIdle(now);
-  }
+  this->ReleaseWhenIdle(now);
 }
 
 void FleetDuties::ReleaseWhenIdle(Instant now) {
   const bool idle = this->tenure.Idle() && this->under_way.empty();
-  if (this->lease.Held() && !idle && now < *this->release_by) {
+  const bool waits =
+      this->lease.Held() && !idle && now < this->release_by.value_or(now);
+  if (!this->release_by || waits) {
     return;
   }
   std::vector<LeaseAction> actions;
   if (this->lease.Held()) {
-    const Duration wait = this->tenure.SuccessorWait(now);
-    LogInfo(kPart, "Releasing the duties.",
-            {{"fencing", std::to_string(this->lease.Fencing())},
-             {"idle", idle ? "true" : "false"},
-             {"successor_wait_ms", std::to_string(Milliseconds(wait))}});
-    this->lease.Release(now, wait, actions);
+    const Duration successor_wait = this->tenure.SuccessorWait(now);
+    LogInfo(
+        kPart, "Releasing the duties.",
+        {{"fencing", std::to_string(this->lease.Fencing())},
+         {"idle", idle ? "true" : "false"},
+         {"successor_wait_ms", std::to_string(Milliseconds(successor_wait))}});
+    this->lease.Release(now, successor_wait, actions);
   } else {
     this->lease.Retire(actions);
   }
--- a/tests/lease_release_test.cc
+++ b/tests/lease_release_test.cc
@@ -230,7 +230,8 @@
     CHECK(store.Transact(At(0.9), copy).outcome != StoreOutcome::kThen);
   }
   third.Tick(1);
-  CHECK(third.lease.Released()->host == HostId("b"));
+  CHECK(third.lease.Released() ==
+        (LeaseRelease{.host = HostId("b"), .incarnation = 1}));
 }
 
 // Guards against a take-over that ends for good if the release goes meanwhile.
