gateway_test: wait for what was read, not for 50 ms

Two tests slept 50 ms for bytes to be read at the other end, found by reading. ADrainAnswersARequestThatIsHalfRead needs the server to have read the head: it asks for "100 Continue" and reads that. BillsWhatWasDeliveredBeforeRequestsEnd needs the caller's three tokens: it waits until they have arrived.

--- a/tests/gateway_bed.h
+++ b/tests/gateway_bed.h
@@ -53,6 +53,7 @@
     auto answer = std::make_shared<CallerAnswer>();
     auto done = std::make_shared<std::promise<CallerAnswer>>();
     this->task.Call([&] {
+      this->last_answer = answer;
       this->last = this->client->Send(
           std::move(outgoing),
           {.on_head =
@@ -75,6 +76,13 @@
     return this->Start(std::move(outgoing)).get();
   }
 
+  // What has arrived of the exchange started last.
+  CallerAnswer Arrived() {
+    CallerAnswer arrived;
+    this->task.Call([&] { arrived = *this->last_answer; });
+    return arrived;
+  }
+
   // Hangs up the exchange started last.
   void HangUp() {
     this->task.Call([this] { this->last->Cancel(); });
@@ -84,6 +92,7 @@
   Task task{"caller"};
   std::unique_ptr<HttpClient> client;
   HttpExchangePtr last;
+  std::shared_ptr<const CallerAnswer> last_answer;  // read on the task only
 };
 
 // Waits until a condition holds; false if it never does within the tries, which
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -583,11 +583,12 @@
   bed.AddEngine("e1", engine.Address());
   RawSocket half(bed.address);
   const HttpOutgoing call = bed.Chat("late", true);
-  half.Write(RawHead(call.method, call.target, call.body.size()) +
-             call.body.substr(0, 10));
+  half.Write(RawHead(call.method, call.target, call.body.size(),
+                     "Expect: 100-continue\r\n"));
+  STRCMP_CONTAINS("100 Continue", half.ReadUntil("\r\n\r\n").c_str());
+  half.Write(call.body.substr(0, 10));
   std::promise<void> drained;
   const auto done = drained.get_future();
-  g_usleep(50'000);
   bed.task.Call([&] { bed.gateway->StartDrain([&] { drained.set_value(); }); });
   CHECK(done.wait_for(std::chrono::milliseconds(100)) ==
         std::future_status::timeout);
@@ -633,11 +634,11 @@
   engine.SetFault({.kind = EngineFault::kSilent, .after_tokens = 3});
   auto whole = bed.caller.Start(bed.Chat("whole", false));
   auto stream = bed.caller.Start(bed.Chat("stream", true));
+  CHECK(Eventually([&] { return engine.Runs().size() == 2; }));
   CHECK(Eventually([&] {
-    const auto runs = engine.Runs();
-    return runs.size() == 2 && runs[0].generated + runs[1].generated == 6;
+    return ReadStream(bed.caller.Arrived().body).text ==
+           GatewayBed::ChatText("stream", 3);
   }));
-  g_usleep(50'000);
   bed.task.Call([&] { bed.gateway->EndRequests([] {}); });
   STRCMP_EQUAL("outcome_unknown", ErrorCode(whole.get()).c_str());
   STRCMP_EQUAL("broken_answer",
