--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -3,6 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <sched.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <fstream>
@@ -45,8 +46,8 @@
   Result<HostSettings> Load() const { return LoadHostSettings(this->path); }
 
  private:
-  std::string path = "daemon_test_settings.ini";
-  std::string secret_path = "daemon_test_secret";
+  std::string path = "daemon_test_" + std::to_string(getpid()) + ".ini";
+  std::string secret_path = this->path + ".secret";
 };
 
 // A core that some threads keep busy. Whoever enters it is scheduled a time
--- a/tests/policy_bench_test.cc
+++ b/tests/policy_bench_test.cc
@@ -2,8 +2,10 @@
 // virtual time. It checks what must hold in any run, not the figures.
 
 #include <CppUTest/TestHarness.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <string>
@@ -72,7 +74,8 @@
 
 TEST(PolicyBench, TraceIsReadAndFaultsAreNamed) {
   const std::string path =
-      std::filesystem::temp_directory_path() / "policy_bench_test_trace.csv";
+      std::filesystem::temp_directory_path() /
+      ("policy_bench_test_" + std::to_string(getpid()) + ".csv");
   std::ofstream(path) << "time,account,service,class,prompt_tokens,"
                          "shared_prefix,output_tokens,deadline\n"
                          "2.5,a1,language,interactive,1000,500,50,5\n"
@@ -83,6 +86,7 @@
   CHECK(trace->front().request.request_class == RequestClass::kOnce);
   std::ofstream(path) << "heading\n1,a1,language,urgent,1,0,1,5\n";
   const auto bad = ReadTrace(path);
+  std::remove(path.c_str());
   CHECK(!bad && bad.error().message.find(":2: class") != std::string::npos);
 }
 
