Metrics of planned stops on relay hosts

Operators couldn't see from metrics that a rolling restart goes too fast: requests that an ingress host refuses for want of a scheduler counted as `no_endpoint`, and nothing told which hosts stop, which schedulers take no requests, who holds the duties, or how many requests lost their scheduler.

New gauges: host_stopping, host_scheduler, host_busy, duties_held, forwarding_ready, schedulers_linked, schedulers_unready. New counters: ingress_errors_total{reason} and forwards_lost_total. Counters with fixed labels, own_answers_total{code} among them, start at 0, since Prometheus doesn't see the first increase of a series that is new. No label comes from a caller.

There is no counter of what a stopping host leaves unfinished: its process ends 0.1 s later and is rarely scraped in between. The hosts that forwarded these requests count them in forwards_lost_total.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -302,6 +302,11 @@
 
 void RelayDaemon::TakeNews(const HostId& from, const SchedulerNews& news) {
   this->forwarder->OnNews(from, news);
+  if (news.scheduler && !news.ready) {
+    this->unready_schedulers.insert(from);
+  } else {
+    this->unready_schedulers.erase(from);
+  }
   // Until the others have it too, ingress hosts send everything to that one.
   const FleetConfigurationPtr& own = this->relay->Configuration();
   if (this->IsScheduler() && own && news.configuration_version > own->version) {
@@ -331,6 +336,7 @@
 void RelayDaemon::OnLinked(const HostId& host) {
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
+  this->unready_schedulers.erase(host);
   if (this->IsScheduler()) {
     this->peers->Send(host, this->News());
   }
@@ -348,6 +354,7 @@
 void RelayDaemon::OnGone(const HostId& host) {
   this->relay->Placement().ForgetPeer(host);
   this->peer_loads.erase(host);
+  this->unready_schedulers.erase(host);
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
   this->FollowCaches();
@@ -590,6 +597,7 @@
     this->metrics.Set("configuration_proof_age_seconds", ToSeconds(*age));
   }
   this->limits->SetMetrics();
+  this->SetRoleMetrics();
   this->metrics.Set("requests_waiting",
                     static_cast<double>(this->relay->Waiting()));
   this->metrics.Set("hosts_known", static_cast<double>(this->peers->Listed()));
@@ -601,6 +609,20 @@
                    this->metrics.PrometheusText());
 }
 
+// What this host does now, and whom it can forward to.
+void RelayDaemon::SetRoleMetrics() {
+  const auto set = [this](std::string_view name, auto value) {
+    this->metrics.Set(name, static_cast<double>(value));
+  };
+  set("host_stopping", this->stop.has_value());
+  set("host_scheduler", this->IsScheduler());
+  set("host_busy", this->IsScheduler() && this->busy);
+  set("duties_held", this->duties->Holding());
+  set("forwarding_ready", this->forwarder->Ready());
+  set("schedulers_linked", this->peers->LinkedSchedulers().size());
+  set("schedulers_unready", this->unready_schedulers.size());
+}
+
 // What was learned of a service's engines.
 void RelayDaemon::SetPaceMetrics(const ServiceId& service,
                                  const PaceFigures& pace) {
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 #include "daemon/relay_settings.h"
 #include "relay/fleet_duties.h"
@@ -46,6 +47,7 @@
  private:
   void AnswerReady(const CallerExchangePtr& exchange);
   void AnswerMetrics(const CallerExchangePtr& exchange);
+  void SetRoleMetrics();
   void LogPace();
   void SetPaceMetrics(const ServiceId& service, const PaceFigures& pace);
   void CheckDrained();
@@ -97,6 +99,7 @@
   std::unique_ptr<ForwardReceiver> receiver;
   std::vector<FleetHost> subscribers;  // to engines' cache events, in turn
   std::map<HostId, PrefillLoad> peer_loads;  // of the other schedulers
+  std::set<HostId> unready_schedulers;       // linked, take no new requests
   SchedulerNews told_news;                   // to all hosts that are linked
   std::unique_ptr<Timer> news_timer;
   Instant news_due{};
--- a/packages/relay/fleet_duties.h
+++ b/packages/relay/fleet_duties.h
@@ -89,6 +89,10 @@
   // Lets go of the lease and never takes it again.
   void Retire();
 
+  // Whether this host holds the lease. It may still have to wait before it
+  // acts.
+  bool Holding() const { return this->holding; }
+
   // Engines whose role is being changed by this host: they refuse new work
   // until they are done.
   std::vector<EndpointId> ChangingRole() const;
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -1,6 +1,7 @@
 #include "relay/fleet_relay.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "relay/relayed_request.h"
@@ -19,6 +20,15 @@
 // Requests that ran while this many endpoints crashed are run no more.
 constexpr int64_t kCondemnedAfter = 3;
 
+// What callers are told by this program. Each is counted from 0 on: the first
+// increase of a counter that appears later can't be seen.
+constexpr std::array kOwnErrors = {
+    ErrorKind::kBadRequest,     ErrorKind::kBadKey,
+    ErrorKind::kNotFound,       ErrorKind::kRateLimited,
+    ErrorKind::kNoEndpoint,     ErrorKind::kShuttingDown,
+    ErrorKind::kEndpointFailed, ErrorKind::kBrokenAnswer,
+    ErrorKind::kTimeout,        ErrorKind::kPlatformDown};
+
 // Reading is averaged over no more than this, so that what a burst of two or
 // three seconds asks for shows in full.
 constexpr Duration kReadingMemory = std::chrono::milliseconds(1500);
@@ -49,6 +59,11 @@
       suspects({.condemned_after = kCondemnedAfter,
                 .memory = std::chrono::minutes(2)}),
       log_limiter(kLogBurst, kLogInterval) {
+  for (const ErrorKind kind : kOwnErrors) {
+    this->metrics->Add("own_answers_total", 0,
+                       {{"code", std::string(AnswerFor(kind).code)}});
+  }
+  this->metrics->Add("log_lines_dropped_total", 0);
   this->placement.SetConnected([this](const FleetEndpoint& endpoint) {
     return this->pool.HasIdle(endpoint.address);
   });
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -48,7 +48,16 @@
       metrics(&metrics),
       send(std::move(send)),
       choice(std::move(own)),
-      log_limiter(kLogBurst, kLogInterval) {}
+      log_limiter(kLogBurst, kLogInterval) {
+  for (const std::string_view label :
+       {kNoScheduler.label, kStopping.label, kNoAnswer.label,
+        kSchedulerLost.label, kBadRequestLabel}) {
+    this->metrics->Add("ingress_errors_total", 0,
+                       {{"reason", std::string(label)}});
+  }
+  this->metrics->Add("forwards_declined_total", 0);
+  this->metrics->Add("forwards_lost_total", 0);
+}
 
 RequestForwarder::~RequestForwarder() {
   for (const auto& [number, call] : std::exchange(this->calls, {})) {
@@ -80,7 +89,8 @@
   call->arrived = this->clock->Now();
   const auto read = this->codec->ReadRequest(caller->Message().head.headers);
   if (!read) {
-    this->GiveUp(*call, read.error().kind, read.error().message);
+    this->GiveUp(*call, read.error().kind,
+                 {read.error().message, kBadRequestLabel});
     return;
   }
   call->request = read->id;
@@ -89,7 +99,7 @@
   // decide.
   if (this->stop && call->arrived >= this->stop->takes_until &&
       !this->stop->MayTake(call->arrived, {.limit = patience})) {
-    this->GiveUp(*call, ErrorKind::kShuttingDown, "this host stops");
+    this->GiveUp(*call, ErrorKind::kShuttingDown, kStopping);
     return;
   }
   call->give_up_at = call->arrived + patience + kDeadlineMargin;
@@ -124,7 +134,7 @@
     this->GiveUp(*call,
                  call->UncertainSends() > 0 ? ErrorKind::kEndpointFailed
                                             : ErrorKind::kNoEndpoint,
-                 "no scheduler");
+                 kNoScheduler);
     return;
   }
   const int64_t number = ++this->last_number;
@@ -288,8 +298,7 @@
   this->send(call->scheduler, ForwardControl{.number = number});
   this->End(number);
   const bool stops = this->clock->Now() < call->give_up_at;
-  this->GiveUp(*call, ErrorKind::kTimeout,
-               stops ? "this host stops" : "no answer from the scheduler");
+  this->GiveUp(*call, ErrorKind::kTimeout, stops ? kStopping : kNoAnswer);
 }
 
 void RequestForwarder::OnLost(const HostId& scheduler) {
@@ -302,10 +311,11 @@
     }
     return ours;
   });
+  this->metrics->Add("forwards_lost_total", static_cast<double>(lost.size()));
   for (const CallPtr& call : lost) {
     this->LogCall(*call, "Scheduler lost.");
     if (call->caller->Started() && !call->streams) {
-      this->GiveUp(*call, ErrorKind::kBrokenAnswer, "scheduler lost");
+      this->GiveUp(*call, ErrorKind::kBrokenAnswer, kSchedulerLost);
     } else {
       call->paused = false;
       call->events.DropRest();
@@ -315,9 +325,9 @@
 }
 
 // Ends a request with an answer of this host's own.
-void RequestForwarder::GiveUp(Call& call,
-                              ErrorKind kind,
-                              std::string_view why) {
+void RequestForwarder::GiveUp(Call& call, ErrorKind kind, const Reason& why) {
+  this->metrics->Add("ingress_errors_total", 1,
+                     {{"reason", std::string(why.label)}});
   call.deadline.reset();
   call.caller->OnGone({});
   call.caller->OnDrained({});
@@ -327,10 +337,10 @@
     const bool not_run = AnswerFor(kind).not_run && call.UncertainSends() == 0;
     const Duration retry_after =
         kind == ErrorKind::kShuttingDown ? Duration{} : kLinkReturn;
-    AnswerOwnError(*call.caller, *this->metrics, kind, why,
+    AnswerOwnError(*call.caller, *this->metrics, kind, why.text,
                    not_run ? std::optional(retry_after) : std::nullopt);
   }
-  this->LogCall(call, why);
+  this->LogCall(call, why.text);
 }
 
 void RequestForwarder::LogUnfinished() {
--- a/packages/relay/request_forwarder.h
+++ b/packages/relay/request_forwarder.h
@@ -71,6 +71,19 @@
   bool Ready() const { return this->choice.Ready(); }
 
  private:
+  // Why this host ended a request itself, in answers and in metrics.
+  struct Reason {
+    std::string_view text;
+    std::string_view label;
+  };
+
+  static constexpr Reason kNoScheduler{"no scheduler", "no_scheduler"};
+  static constexpr Reason kStopping{"this host stops", "host_stopping"};
+  static constexpr Reason kNoAnswer{"no answer from the scheduler",
+                                    "no_answer"};
+  static constexpr Reason kSchedulerLost{"scheduler lost", "scheduler_lost"};
+  static constexpr std::string_view kBadRequestLabel = "bad_request";
+
   struct Call {
     CallerExchangePtr caller;
     RequestId request;
@@ -100,7 +113,7 @@
   void End(int64_t number);
   void Cancel(int64_t number);
   void OnDeadline(int64_t number);
-  void GiveUp(Call& call, ErrorKind kind, std::string_view why);
+  void GiveUp(Call& call, ErrorKind kind, const Reason& why);
   void LogCall(const Call& call,
                std::string_view sentence,
                LogLevel level = LogLevel::kInfo);
