hickoryctl why: explain a request by the logs of relay hosts

Operators of relay hosts had to search the logs of all hosts by hand and to know the fields; `why` asked stand-alone hosts only.

`hickoryctl why REQUEST-ID LOG...` reads JSON lines of several files or of standard input, also with the file name that grep puts before each line, orders the lines about the request by time, and prints each in plain words with its inputs and their age, then the outcome, who decided it in which role, and how long the request was where.

`why` without logs is unchanged.

--- a/packages/ctl/fleet_commands.cc
+++ b/packages/ctl/fleet_commands.cc
@@ -1,14 +1,20 @@
 // Commands about the hosts that run: status, drain and why.
 
 #include <algorithm>
+#include <cerrno>
 #include <cmath>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
 #include <limits>
 #include <map>
 #include <optional>
+#include <span>
 #include <sstream>
 #include <thread>
 
 #include "ctl/command.h"
+#include "ctl/request_trace.h"
 
 namespace hickorystand {
 namespace {
@@ -205,11 +211,79 @@
   return text;
 }
 
+// An input of log lines: HOST=FILE, FILE, or - for standard input.
+struct LogInput {
+  std::string host;
+  std::string path;
+
+  static LogInput Parse(const std::string& text) {
+    const size_t equals = text.find('=');
+    if (equals < text.find('/')) {
+      return {.host = text.substr(0, equals), .path = text.substr(equals + 1)};
+    }
+    return {.host = HostOfLog(text), .path = text};
+  }
+};
+
+Result<bool> ReadLog(const LogInput& input, RequestTrace& trace) {
+  const bool standard = input.path == "-";
+  std::error_code unknown;
+  const bool directory = std::filesystem::is_directory(input.path, unknown);
+  std::ifstream file;
+  errno = directory ? EISDIR : 0;
+  if (!standard && !directory) {
+    file.open(input.path);
+  }
+  if (directory || !file) {
+    return Fail(ErrorKind::kBadRequest,
+                input.path + " can't be read: " + g_strerror(errno));
+  }
+  if (!trace.Read(input.host, standard ? std::cin : file)) {
+    return Fail(ErrorKind::kBadRequest,
+                input.path + ": no line is a JSON log line of a relay host");
+  }
+  return true;
+}
+
+// Explains a request by log lines of relay hosts.
+Result<bool> WhyByLogs(CtlSession& session,
+                       const std::string& request,
+                       std::span<const std::string> inputs) {
+  if (request.empty()) {
+    return Fail(ErrorKind::kBadRequest, "the id of the request is empty");
+  }
+  RequestTrace trace(request);
+  for (const std::string& text : inputs) {
+    if (const auto read = ReadLog(LogInput::Parse(text), trace); !read) {
+      return read;
+    }
+  }
+  trace.Finish();
+  for (const ForeignLines& foreign : trace.Foreign()) {
+    session.Out().Notice(foreign.input + ": skipped " +
+                         std::to_string(foreign.count) +
+                         " lines that aren't of a relay host, the first is " +
+                         std::to_string(foreign.first));
+  }
+  if (trace.Empty()) {
+    return Fail(ErrorKind::kNotFound,
+                "no line names request '" + request + "'");
+  }
+  session.Out().Line(trace.Text());
+  session.Out().Document(trace.Document());
+  return true;
+}
+
 Result<bool> Why(CtlSession& session, const Invocation& invocation) {
+  const std::vector<std::string>& arguments = invocation.arguments;
+  if (arguments.size() > 1) {
+    return WhyByLogs(session, arguments.front(),
+                     std::span(arguments).subspan(1));
+  }
   if (const auto hosts = NeedHosts(session); !hosts) {
     return hosts;
   }
-  const std::string& request = invocation.arguments.front();
+  const std::string& request = arguments.front();
   if (!std::ranges::all_of(request, [](char c) {
         return g_ascii_isalnum(c) || c == '-' || c == '_' || c == '.';
       })) {
@@ -278,13 +352,23 @@
        .most_arguments = 1,
        .run = &Drain},
       {.name = "why",
-       .arguments = "REQUEST-ID",
+       .arguments = "REQUEST-ID [LOG...]",
        .summary = "Show the decisions about one request.",
-       .help = "The id is in the X-Request-Id header of the answer. Asks every "
-               "host, as the caller may have reached any of them.",
-       .examples = {"hickoryctl why 7b1c-204"},
+       .help =
+           "Without logs, asks every stand-alone host; the id is in the "
+           "X-Request-Id header of the answer.\n\n"
+           "With logs of relay hosts (JSON lines), puts the lines about the "
+           "request in order and says what happened, where it was, and who "
+           "ended it why. Give the logs of all hosts, since the caller may "
+           "have reached any of them. LOG is FILE, whose name without "
+           "\".log\" is taken for the host's, HOST=FILE, or - for standard "
+           "input. A line may begin with its host's name, as grep writes it. "
+           "Times are those of each host's own clock.",
+       .examples = {"hickoryctl why 7b1c-204",
+                    "hickoryctl why 72adbe3f3c42dcf2 logs/*.log",
+                    "grep 72adbe3f3c42dcf2 *.log | hickoryctl why "
+                    "72adbe3f3c42dcf2 -"},
        .least_arguments = 1,
-       .most_arguments = 1,
        .run = &Why},
   };
 }
--- /dev/null
+++ b/packages/ctl/request_trace.cc
@@ -0,0 +1,479 @@
+#include "ctl/request_trace.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <set>
+#include <sstream>
+#include <tuple>
+
+namespace hickorystand {
+namespace {
+
+constexpr std::string_view kIngressPart = "forward";
+constexpr std::string_view kSchedulerPart = "relay";
+
+// What a line says of the request's course.
+enum class LineKind { kOther, kForwarded, kSent, kAnswered, kIngressEnd };
+
+// How a kind of line is told. {name} stands for a field. A part in brackets is
+// left out if one of its fields is missing or empty; {host} is the line's host.
+// `stays_at` is where the
+// request is until its next line.
+struct LineRow {
+  std::string_view part;
+  std::string_view message;
+  LineKind kind;
+  std::string_view text;
+  std::string_view stays_at;
+};
+
+constexpr std::string_view kForwarderInputs =
+    "[; {ms} ms after it arrived][; schedulers tried: {sends}][; newest "
+    "configuration known here: {configuration}][; this host had been stopping "
+    "for {stopping_ms} ms]";
+
+constexpr std::array kLines = {
+    LineRow{kIngressPart, "Forwarded.", LineKind::kForwarded,
+            "forwarded to scheduler {scheduler}",
+            "between {host} and scheduler {scheduler}"},
+    LineRow{kIngressPart, "Declined by the scheduler.", LineKind::kOther,
+            "declined by scheduler {scheduler}, which hasn't run it", ""},
+    LineRow{kIngressPart, "Scheduler lost.", LineKind::kOther,
+            "the link to scheduler {scheduler} ended while it had the request",
+            ""},
+    LineRow{kIngressPart, "Caller gone.", LineKind::kIngressEnd,
+            "ended here: the caller closed its connection", ""},
+    LineRow{kIngressPart, "no scheduler", LineKind::kIngressEnd,
+            "ended here: no linked scheduler could take it", ""},
+    LineRow{kIngressPart, "this host stops", LineKind::kIngressEnd,
+            "ended here: this host stops", ""},
+    LineRow{kIngressPart, "no answer from the scheduler", LineKind::kIngressEnd,
+            "ended here: scheduler {scheduler} had not answered in time", ""},
+    LineRow{kIngressPart, "scheduler lost", LineKind::kIngressEnd,
+            "ended here: scheduler {scheduler} was lost in the middle of the "
+            "answer",
+            ""},
+    LineRow{kIngressPart, "Unfinished at the end of the process.",
+            LineKind::kIngressEnd,
+            "unfinished when this host's process ended; scheduler {scheduler} "
+            "had it",
+            ""},
+    LineRow{kSchedulerPart, "Sent.", LineKind::kSent,
+            "sent to endpoint {endpoint} (step: {step})[; prompt tokens to "
+            "read: {new_tokens}][, to copy: {copied_tokens}][; first byte "
+            "expected after {expected_ms} ms][; {left_ms} ms left][; "
+            "configuration {configuration}][, proven {proof_ms} ms before]",
+            "at endpoint {endpoint}"},
+    LineRow{kSchedulerPart, "Attempt failed.", LineKind::kOther,
+            "endpoint {endpoint} failed: {why} (status {status}; 0 is none)",
+            "at scheduler {host}"},
+    LineRow{kSchedulerPart, "Prompt not read.", LineKind::kOther,
+            "endpoint {endpoint} didn't read the prompt: {why} (status "
+            "{status}; 0 is none)",
+            "at scheduler {host}"},
+    LineRow{kSchedulerPart, "Dropped an answer to another request.",
+            LineKind::kOther,
+            "dropped an answer of endpoint {endpoint} to another request", ""},
+    LineRow{kSchedulerPart, "Over the account's limit.", LineKind::kOther,
+            "over the limit of account {account}: {why}; it counts as "
+            "{tokens}, {held} held here[; home {home}]; share {share}[, "
+            "confirmed {share_ms} ms before][, of record {holders_revision}]; "
+            "configuration {configuration}; may come back after "
+            "{retry_after_ms} ms",
+            ""},
+    LineRow{kSchedulerPart, "Answered.", LineKind::kAnswered,
+            "ended with \"{outcome}\" after {ms} ms[; route {route}][; account "
+            "{account}][; forwarded by {forwarded_by}][; sends: {sends}][; "
+            "configuration {configuration}][, proven "
+            "{proof_ms} ms before][; this host had been stopping for "
+            "{stopping_ms} ms][; first event after {first_ms} ms][, longest "
+            "pause {pause_ms} ms]",
+            ""},
+    LineRow{
+        kSchedulerPart, "Unfinished at the end of the process.",
+        LineKind::kAnswered,
+        "unfinished after {ms} ms when this host's process ended[; endpoint "
+        "{endpoint} had it][; forwarded by {forwarded_by}][; answer begun: "
+        "{begun}]",
+        ""},
+};
+
+const LineRow* FindRow(const LogEntry& entry) {
+  const auto* row = std::ranges::find_if(kLines, [&entry](const LineRow& one) {
+    return one.part == entry.part && one.message == entry.message;
+  });
+  return row == kLines.end() ? nullptr : row;
+}
+
+LineKind KindOf(const LogEntry& entry) {
+  const LineRow* row = FindRow(entry);
+  return row == nullptr ? LineKind::kOther : row->kind;
+}
+
+// A template without brackets, filled in; `missing` if a field is.
+std::string FillIn(std::string_view text,
+                   const LogEntry& entry,
+                   bool& missing) {
+  std::string out;
+  while (!text.empty()) {
+    const size_t open = std::min(text.find('{'), text.size());
+    out += text.substr(0, open);
+    text.remove_prefix(open);
+    if (text.empty()) {
+      break;
+    }
+    const size_t close = text.find('}');
+    const std::string_view name = text.substr(1, close - 1);
+    const std::string_view value = name == "host" ? entry.host : entry.At(name);
+    missing = missing || value.empty();
+    out += value.empty() ? "?" : value;
+    text.remove_prefix(close + 1);
+  }
+  return out;
+}
+
+std::string FillIn(std::string_view text, const LogEntry& entry) {
+  std::string out;
+  bool optional = false;
+  while (!text.empty()) {
+    const size_t end = std::min(text.find_first_of("[]"), text.size());
+    bool missing = false;
+    const std::string part = FillIn(text.substr(0, end), entry, missing);
+    out += optional && missing ? "" : part;
+    optional = end < text.size() && text[end] == '[';
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  return out;
+}
+
+// Text of a caller may hold sequences that control a terminal.
+std::string Printable(std::string text) {
+  std::ranges::replace_if(text, [](char c) { return g_ascii_iscntrl(c); }, ' ');
+  return text;
+}
+
+// Unix milliseconds of a line's time; nullopt if it is none.
+std::optional<int64_t> ParseTime(const std::string& text) {
+  g_autoptr(GDateTime) time =
+      g_date_time_new_from_iso8601(text.c_str(), nullptr);
+  if (time == nullptr) {
+    return {};
+  }
+  return g_date_time_to_unix(time) * 1000 +
+         g_date_time_get_microsecond(time) / 1000;
+}
+
+std::optional<LogEntry> ParseEntry(const std::string& host,
+                                   std::string_view line) {
+  const auto read = Json::ParseObject(line);
+  if (!read) {
+    return {};
+  }
+  LogEntry entry{.time = read->At("time").Text(),
+                 .host = host,
+                 .part = read->At("part").Text(),
+                 .message = Printable(read->At("message").Text())};
+  const auto unix_ms = ParseTime(entry.time);
+  if (!unix_ms || entry.part.empty() || entry.message.empty()) {
+    return {};
+  }
+  entry.unix_ms = *unix_ms;
+  constexpr std::array<std::string_view, 4> kHead = {"time", "level", "part",
+                                                     "message"};
+  for (const std::string& name : read->Names()) {
+    if (std::ranges::find(kHead, name) == kHead.end()) {
+      entry.fields.emplace_back(name, Printable(read->At(name).Text()));
+    }
+  }
+  return entry;
+}
+
+// Reads a line of up to `most` bytes; the rest of a longer one is skipped.
+bool ReadBounded(std::istream& in, size_t most, std::string& line) {
+  line.clear();
+  std::streambuf* bytes = in.rdbuf();
+  constexpr int kEnd = std::char_traits<char>::eof();
+  int byte = bytes->sbumpc();
+  if (byte == kEnd) {
+    return false;
+  }
+  for (; byte != kEnd && byte != '\n'; byte = bytes->sbumpc()) {
+    if (line.size() < most) {
+      line += static_cast<char>(byte);
+    }
+  }
+  return true;
+}
+
+// A line's time of day, without the date.
+std::string_view TimeOfDay(const LogEntry& entry) {
+  const std::string_view time = entry.time;
+  return time.substr(std::min(time.find('T') + 1, time.size()));
+}
+
+// The order of lines of the same millisecond on different hosts.
+int OrderWithin(const LogEntry& entry) {
+  if (KindOf(entry) == LineKind::kForwarded && entry.At("sends") == "1") {
+    return 0;
+  }
+  return entry.part == kIngressPart ? 2 : 1;
+}
+
+std::string Padded(std::string text, size_t width) {
+  text.resize(std::max(text.size(), width), ' ');
+  return text;
+}
+
+}  // namespace
+
+std::string_view LogEntry::At(std::string_view name) const {
+  const auto found = std::ranges::find(
+      this->fields, name, &std::pair<std::string, std::string>::first);
+  return found == this->fields.end() ? std::string_view() : found->second;
+}
+
+std::string_view LogEntry::Role() const {
+  return this->part == kIngressPart     ? "ingress"
+         : this->part == kSchedulerPart ? "scheduler"
+                                        : "host";
+}
+
+std::string HostOfLog(std::string_view path) {
+  constexpr std::string_view kEnding = ".log";
+  path = path.substr(path.rfind('/') + 1);
+  if (path.ends_with(kEnding)) {
+    path.remove_suffix(kEnding.size());
+  }
+  return std::string(path);
+}
+
+std::string Explain(const LogEntry& entry) {
+  if (const LineRow* row = FindRow(entry)) {
+    std::string text = FillIn(row->text, entry);
+    if (entry.part == kIngressPart) {
+      text += FillIn(kForwarderInputs, entry);
+    }
+    return text;
+  }
+  std::string text = entry.message;
+  for (const auto& [name, value] : entry.fields) {
+    if (name != "request" && !value.empty()) {
+      text += " " + name + "=" + value;
+    }
+  }
+  return text;
+}
+
+bool RequestTrace::Read(const std::string& host, std::istream& in) {
+  std::string line;
+  ForeignLines strange{.input = host};
+  bool any_ours = false;
+  for (int64_t number = 1; ReadBounded(in, kLongestLine, line); ++number) {
+    const bool ours = this->ReadLine(host, line);
+    any_ours = any_ours || ours;
+    if (!ours && !line.empty()) {
+      strange.first = strange.count++ == 0 ? number : strange.first;
+    }
+  }
+  if (strange.count > 0) {
+    this->foreign.push_back(strange);
+  }
+  return any_ours || strange.count == 0;
+}
+
+// Only lines that name the request are parsed; of the others it is enough to
+// see that they begin like a host's.
+bool RequestTrace::ReadLine(const std::string& host, std::string_view line) {
+  constexpr std::string_view kBegin = "{\"time\":\"";
+  const size_t begin = line.find(kBegin);
+  if (begin == std::string_view::npos || line.back() != '}') {
+    return false;
+  }
+  if (line.find(this->request) == std::string_view::npos) {
+    return true;
+  }
+  std::string_view prefix = line.substr(0, begin);
+  prefix = prefix.substr(0, prefix.find_last_not_of(" \t:") + 1);
+  auto entry =
+      ParseEntry(prefix.empty() ? host : HostOfLog(prefix), line.substr(begin));
+  if (!entry) {
+    return false;
+  }
+  if (entry->At("request") != this->request) {
+    return true;
+  }
+  if (this->entries.size() < kMostEntries) {
+    entry->place = this->entries.size();
+    this->entries.push_back(std::move(*entry));
+  } else {
+    ++this->dropped;
+  }
+  return true;
+}
+
+void RequestTrace::Finish() {
+  std::ranges::sort(this->entries, {}, [](const LogEntry& entry) {
+    return std::tuple(entry.unix_ms, OrderWithin(entry), entry.place);
+  });
+}
+
+// Schedulers answer ingress hosts, so an ingress host's last line tells whose
+// answer the caller got. Times of different hosts needn't agree for that.
+const LogEntry* RequestTrace::End() const {
+  const auto last = [this](const auto& matches) {
+    const auto found = std::ranges::find_if(this->entries.rbegin(),
+                                            this->entries.rend(), matches);
+    return found == this->entries.rend() ? nullptr : &*found;
+  };
+  const auto* direct = last([](const LogEntry& entry) {
+    return KindOf(entry) == LineKind::kAnswered &&
+           entry.At("forwarded_by").empty();
+  });
+  const auto* ingress =
+      last([](const LogEntry& entry) { return entry.part == kIngressPart; });
+  const auto* forwarded = ingress;
+  if (ingress == nullptr || KindOf(*ingress) != LineKind::kIngressEnd) {
+    forwarded = last([ingress](const LogEntry& entry) {
+      return KindOf(entry) == LineKind::kAnswered &&
+             !entry.At("forwarded_by").empty() &&
+             (ingress == nullptr || entry.host == ingress->At("scheduler"));
+    });
+  }
+  // A caller may repeat a request at another host.
+  const LogEntry* latest = forwarded != nullptr ? forwarded : ingress;
+  const bool direct_is_later =
+      direct != nullptr &&
+      (latest == nullptr || direct->unix_ms > latest->unix_ms);
+  return direct_is_later ? direct : forwarded;
+}
+
+std::string RequestTrace::Outcome() const {
+  const LogEntry* end = this->End();
+  if (end == nullptr) {
+    return "No line tells how the request ended: it still runs, the log of a "
+           "host is missing here, or its line was dropped "
+           "(log_lines_dropped_total).";
+  }
+  const std::string_view told = end->At("outcome");
+  const std::string_view outcome = told.empty() ? end->message : told;
+  std::set<std::string_view> sent_to;
+  for (const LogEntry& entry : this->entries) {
+    if (KindOf(entry) == LineKind::kSent && entry.At("step") == "run") {
+      sent_to.insert(entry.At("endpoint"));
+    }
+  }
+  std::string text = "\"" + std::string(outcome) + "\", by " + end->host +
+                     " as " + std::string(end->Role()) + ". ";
+  // Hosts give these statuses only if no endpoint ran the request.
+  const bool not_run = outcome.starts_with("503") ||
+                       outcome.starts_with("429") ||
+                       (end->part == kIngressPart && end->At("sends") == "0");
+  if (not_run) {
+    text += "This answer is given only if no endpoint ran the request. ";
+  }
+  if (sent_to.empty()) {
+    return text + "No line shows that it was sent to run.";
+  }
+  text += "Sent to run at";
+  std::string_view separator = " ";
+  for (const std::string_view endpoint : sent_to) {
+    text.append(std::exchange(separator, ", ")).append(endpoint);
+  }
+  return text + ".";
+}
+
+std::vector<std::pair<std::string, int64_t>> RequestTrace::Stays() const {
+  std::vector<std::pair<std::string, int64_t>> stays;
+  for (size_t i = 0; i + 1 < this->entries.size(); ++i) {
+    const LogEntry& entry = this->entries[i];
+    const LineRow* row = FindRow(entry);
+    const int64_t length = this->entries[i + 1].unix_ms - entry.unix_ms;
+    if (row != nullptr && !row->stays_at.empty() && length > 0) {
+      stays.emplace_back(FillIn(row->stays_at, entry), length);
+    }
+  }
+  return stays;
+}
+
+// Schedulers that have the request by a line of another host, and no own line.
+std::vector<std::string> RequestTrace::MissingHosts() const {
+  std::set<std::string> missing;
+  for (const LogEntry& entry : this->entries) {
+    if (KindOf(entry) == LineKind::kForwarded) {
+      missing.emplace(entry.At("scheduler"));
+    }
+  }
+  for (const LogEntry& entry : this->entries) {
+    missing.erase(entry.host);
+  }
+  return {missing.begin(), missing.end()};
+}
+
+std::string RequestTrace::Text() const {
+  std::ostringstream out;
+  std::set<std::string> hosts;
+  size_t width = 0;
+  for (const LogEntry& entry : this->entries) {
+    hosts.insert(entry.host);
+    width = std::max(width, entry.host.size());
+  }
+  out << "Request " << this->request << ": " << this->entries.size()
+      << " lines of " << hosts.size() << " hosts";
+  if (!this->entries.empty()) {
+    const std::string& first = this->entries.front().time;
+    out << ", " << first.substr(0, first.find('T'));
+  }
+  out << "\n\n";
+  for (const LogEntry& entry : this->entries) {
+    out << TimeOfDay(entry) << "  " << Padded(entry.host, width) << "  "
+        << Padded(std::string(entry.Role()), 9) << "  " << Explain(entry)
+        << "\n";
+  }
+  out << "\nOutcome: " << this->Outcome() << "\n";
+  for (const auto& [place, length] : this->Stays()) {
+    out << "Spent " << length << " ms " << place << "\n";
+  }
+  for (const std::string& host : this->MissingHosts()) {
+    out << "No line of " << host << ", to which it was forwarded.\n";
+  }
+  if (this->dropped > 0) {
+    out << this->dropped << " further lines were left out.\n";
+  }
+  std::string text = out.str();
+  text.pop_back();  // the output ends the last line
+  return text;
+}
+
+JsonWriter RequestTrace::Document() const {
+  JsonWriter out;
+  out.BeginObject().Member("request", this->request).Name("lines").BeginArray();
+  for (const LogEntry& entry : this->entries) {
+    out.BeginObject()
+        .Member("time", entry.time)
+        .Member("host", entry.host)
+        .Member("role", entry.Role())
+        .Member("message", entry.message)
+        .Member("text", Explain(entry))
+        .Name("fields")
+        .BeginObject();
+    for (const auto& [name, value] : entry.fields) {
+      out.Member(name, value);
+    }
+    out.EndObject().EndObject();
+  }
+  out.EndArray().Member("outcome", this->Outcome()).Name("stays").BeginArray();
+  for (const auto& [place, length] : this->Stays()) {
+    out.BeginObject().Member("where", place).Member("ms", length).EndObject();
+  }
+  out.EndArray().Name("missing_hosts").BeginArray();
+  for (const std::string& host : this->MissingHosts()) {
+    out.Value(host);
+  }
+  out.EndArray().Member("lines_left_out", this->dropped).EndObject();
+  return out;
+}
+
+}  // namespace hickorystand
