configuration: accounts state a limit by rate and burst

Operators of stand-alone hosts could not state how much a client account may use: an account had a weight and a number of requests in flight, which bind only under contention.

An account now has `rate` (units a second over all hosts, 0 to 1e9; 0: no limit), `burst` (units, 0 to 1e10) and `unit` (requests or tokens, by default tokens). A value out of bounds is an error that names file, line, key and what is allowed, and so is a burst without a rate. The limit's type moves from account_limiter.h to a header of its own, which the configuration includes. `hickoryctl apply`, `show`, `account add` and `account list` take the fields from the schema. No host holds an account to its limit yet.

Two checks of the message that lists an account's fields name the new ones. The round trip through the key-value service draws limits as well.

--- /dev/null
+++ b/packages/decisions/account_limit.h
@@ -0,0 +1,36 @@
+// The limit of a client account, as the operator sets it.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "kernel/ids.h"
+
+namespace hickorystand {
+
+// What a limit counts.
+enum class LimitUnit { kRequests, kTokens };
+
+// The limit of one account over all hosts.
+struct AccountLimit {
+  double rate = 0;   // units a second
+  double burst = 0;  // units
+  LimitUnit unit = LimitUnit::kRequests;
+  int64_t plain_tokens = 1;  // counted for a request that states no tokens
+
+  // What a request counts as.
+  int64_t CostOf(int64_t prompt_tokens, int64_t output_tokens) const {
+    if (this->unit == LimitUnit::kRequests) {
+      return 1;
+    }
+    const int64_t tokens = prompt_tokens + output_tokens;
+    return tokens > 0 ? tokens : this->plain_tokens;
+  }
+
+  auto operator<=>(const AccountLimit&) const = default;
+};
+
+using AccountLimits = std::map<AccountId, AccountLimit>;
+
+}  // namespace hickorystand
--- a/packages/decisions/account_limiter.cc
+++ b/packages/decisions/account_limiter.cc
@@ -17,15 +17,6 @@
 
 }  // namespace
 
-int64_t AccountLimit::CostOf(int64_t prompt_tokens,
-                             int64_t output_tokens) const {
-  if (this->unit == LimitUnit::kRequests) {
-    return 1;
-  }
-  const int64_t tokens = prompt_tokens + output_tokens;
-  return tokens > 0 ? tokens : this->plain_tokens;
-}
-
 AccountLimiter::AccountLimiter(HostId self, const LimitOptions& options)
     : self(std::move(self)),
       options(options),
--- a/packages/decisions/account_limiter.h
+++ b/packages/decisions/account_limiter.h
@@ -21,7 +21,6 @@
 //   limiter.Tick(now);             // every 20 ms or so
 //
 // Index
-//   LimitUnit, AccountLimit       what the operator sets
 //   TokenWant, TokenGrant         what hosts tell each other
 //   LimitAsk, LimitVerdict        a request, and whether it may go on
 //   LimitEffects                  what to send and to tell
@@ -38,29 +37,12 @@
 #include <utility>
 #include <vector>
 
+#include "decisions/account_limit.h"
 #include "kernel/ids.h"
 #include "kernel/time.h"
 
 namespace hickorystand {
 
-// What a limit counts.
-enum class LimitUnit { kRequests, kTokens };
-
-// The limit of one account over all hosts.
-struct AccountLimit {
-  double rate = 0;   // units a second
-  double burst = 0;  // units
-  LimitUnit unit = LimitUnit::kRequests;
-  int64_t plain_tokens = 1;  // counted for a request that states no tokens
-
-  // What a request counts as.
-  int64_t CostOf(int64_t prompt_tokens, int64_t output_tokens) const;
-
-  auto operator<=>(const AccountLimit&) const = default;
-};
-
-using AccountLimits = std::map<AccountId, AccountLimit>;
-
 // Asks another host for tokens.
 struct TokenWant {
   int64_t number = 0;  // of the asking process, never used twice
--- a/packages/decisions/configuration.h
+++ b/packages/decisions/configuration.h
@@ -4,6 +4,7 @@
 // Index
 //   Account, AccountKey, Service, Endpoint, Site   the records
 //   Configuration                                  all of them at one revision
+//   LimitsOf                                       its accounts' limits
 //
 // How records are written down for operators and for the key-value service is
 // the business of configuration_codec.h.
@@ -16,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "decisions/account_limit.h"
 #include "kernel/ids.h"
 #include "kernel/settings.h"
 #include "kernel/time.h"
@@ -27,6 +29,9 @@
   AccountId id;
   double weight = 1;          // share of contended capacity, relative to others
   int64_t max_in_flight = 0;  // requests at once under contention; 0: no limit
+  double rate = 0;            // units a second over all hosts; 0: no limit
+  double burst = 0;           // units beyond the rate at once
+  LimitUnit unit = LimitUnit::kTokens;  // of rate and burst
 
   auto operator<=>(const Account&) const = default;
 };
@@ -101,4 +106,7 @@
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
 
+// The limits of the accounts that have one.
+AccountLimits LimitsOf(const Configuration& configuration);
+
 }  // namespace hickorystand
--- a/packages/decisions/configuration_records.cc
+++ b/packages/decisions/configuration_records.cc
@@ -23,6 +23,8 @@
 constexpr size_t kHashLength = 64;  // SHA-256 in hex
 constexpr int64_t kMaxEndpointsOfService = 10000;
 constexpr int64_t kMaxContextTokens = 10'000'000;
+constexpr double kMaxRate = 1e9;    // of an account, units a second
+constexpr double kMaxBurst = 1e10;  // units
 
 // ---------------------------------------------------------------------------
 // Texts of single values. Each type has Read(), which answers why a text is
@@ -210,6 +212,9 @@
 constexpr std::array<std::string_view, 2> kNames<ServiceKind> = {"language",
                                                                  "plain"};
 template <>
+constexpr std::array<std::string_view, 2> kNames<LimitUnit> = {"requests",
+                                                               "tokens"};
+template <>
 constexpr std::array<std::string_view, 4> kNames<EndpointRole> = {
     "mixed", "prefill", "decode", "plain"};
 
@@ -285,6 +290,18 @@
                 "Requests that may run at once while capacity is contended; 0 "
                 "sets no limit.",
                 {.limits = {0, 1'000'000}}),
+      MakeField("rate", &Account::rate,
+                "Units a second that the account may use over all hosts; 0 "
+                "sets no limit.",
+                {.limits = {0, kMaxRate}}),
+      MakeField("burst", &Account::burst,
+                "Units that the account may use at once beyond its rate; a "
+                "burst below 250 ms of the rate counts as that.",
+                {.limits = {0, kMaxBurst}}),
+      MakeField("unit", &Account::unit,
+                "What rate and burst count: requests, or tokens of the prompt "
+                "and the longest answer together. A call of a plain service "
+                "counts as one."),
   };
   return kFields;
 }
@@ -495,6 +512,21 @@
   return Write(role);
 }
 
+std::string NameOfUnit(LimitUnit unit) {
+  return Write(unit);
+}
+
+AccountLimits LimitsOf(const Configuration& configuration) {
+  AccountLimits limits;
+  for (const auto& [id, account] : configuration.accounts) {
+    if (account.rate > 0) {
+      limits[id] = {
+          .rate = account.rate, .burst = account.burst, .unit = account.unit};
+    }
+  }
+  return limits;
+}
+
 Result<Record> RecordFromName(std::string_view name) {
   const size_t slash = name.find('/');
   Record record{.kind = std::string(name.substr(0, slash))};
@@ -572,6 +604,12 @@
 
 std::vector<RecordFault> CheckReferences(const Configuration& configuration) {
   std::vector<RecordFault> faults;
+  for (const auto& [id, account] : configuration.accounts) {
+    if (account.burst > 0 && account.rate == 0) {
+      faults.push_back({"account/" + id.Text(), "burst",
+                        Write(account.burst) + " needs a rate above 0"});
+    }
+  }
   for (const auto& [hash, key] : configuration.keys) {
     if (!configuration.accounts.contains(key.account)) {
       faults.push_back({"key/" + hash, "account",
--- a/packages/decisions/configuration_records.h
+++ b/packages/decisions/configuration_records.h
@@ -70,6 +70,9 @@
 // A role's name, as operators write it and as orders spell it.
 std::string NameOfRole(EndpointRole role);
 
+// What a limit counts, as operators write it.
+std::string NameOfUnit(LimitUnit unit);
+
 // Splits kind/id; kBadRequest if the kind is unknown or the id is none.
 Result<Record> RecordFromName(std::string_view name);
 
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -307,6 +307,24 @@
   CHECK(FaultOf({"account", "b", {{"colour", "red"}}}).empty());
 }
 
+TEST(ConfigurationRecords, ARecordWithoutALimitSetsNone) {
+  const auto read = AddRecord({}, {"account", "b", {{"weight", "2"}}});
+  CHECK(read.has_value());
+  CHECK(LimitsOf(*read).empty());
+}
+
+TEST(ConfigurationRecords, ReadsALimit) {
+  const auto read = AddRecord(
+      {}, {"account",
+           "b",
+           {{"rate", "500"}, {"burst", "2000"}, {"unit", "requests"}}});
+  CHECK(read.has_value());
+  CHECK(LimitsOf(*read) ==
+        (AccountLimits{
+            {AccountId("b"),
+             {.rate = 500, .burst = 2000, .unit = LimitUnit::kRequests}}}));
+}
+
 TEST(ConfigurationRecords, FindsReferencesThatLeadNowhere) {
   Configuration broken = Sample();
   broken.accounts.clear();
@@ -337,11 +355,14 @@
     Configuration any = Sample();
     for (int i = static_cast<int>(random() % 40); i > 0; --i) {
       const std::string id = "r" + std::to_string(random() % 1000);
-      const auto put =
-          PutRecord(any, {"account",
-                          id,
-                          {{"weight", std::to_string(1 + random() % 900) + "." +
-                                          std::to_string(random() % 1000)}}});
+      const auto put = PutRecord(
+          any, {"account",
+                id,
+                {{"weight", std::to_string(1 + random() % 900) + "." +
+                                std::to_string(random() % 1000)},
+                 {"rate", std::to_string(1 + random() % 900)},
+                 {"burst", std::to_string(random() % 900)},
+                 {"unit", random() % 2 == 0 ? "requests" : "tokens"}}});
       RC_ASSERT(put.has_value());
     }
     KeyValueState store;
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -232,7 +232,7 @@
                  "allowed; a number from 0.01 to 1000 is"));
   CHECK(Contains(faults,
                  "base.ini:3: [account acme] colour: unknown key; "
-                 "weight, max_in_flight are known"));
+                 "weight, max_in_flight, rate, burst, unit are known"));
   CHECK(Contains(faults, "base.ini:4: [key x]: keys don't stand in files"));
   CHECK(Contains(faults, "base.ini:5: [moon m]: unknown section"));
   CHECK(Contains(faults, "dc1.ini:2: [account b]: is the same at every site"));
@@ -259,6 +259,22 @@
                  "one site"));
 }
 
+TEST(ConfigurationFiles, NamesWhatIsWrongWithALimit) {
+  const std::string faults = FaultsOf(
+      "[account acme]\nrate = -1\nburst = much\nunit = bytes\n", "[site a]\n");
+  CHECK(Contains(faults,
+                 "base.ini:2: [account acme] rate: '-1' is not allowed; a "
+                 "number from 0 to 1000000000 is"));
+  CHECK(Contains(faults,
+                 "base.ini:3: [account acme] burst: 'much' is not allowed; a "
+                 "number from 0 to 10000000000 is"));
+  CHECK(Contains(faults,
+                 "base.ini:4: [account acme] unit: 'bytes' is not allowed; one "
+                 "of requests, tokens is"));
+  CHECK(Contains(FaultsOf("[account acme]\nburst = 5\n", "[site a]\n"),
+                 "base.ini:2: [account acme] burst: 5 needs a rate above 0"));
+}
+
 TEST(ConfigurationFiles, PageIsInStepWithTheSchema) {
   std::ifstream in(HICKORYSTAND_SOURCE_DIR "/docs/CONFIGURATION.md");
   std::ostringstream page;
@@ -360,6 +376,18 @@
   LONGS_EQUAL(4, bench.Run({"show", "--site", "dc7"}));
 }
 
+TEST(Ctl, ShowsAnAccountsLimit) {
+  Bench bench;
+  bench.Apply();
+  LONGS_EQUAL(0,
+              bench.Run({"account", "add", "acme", "rate=2.5", "burst=100"}));
+  LONGS_EQUAL(0, bench.Run({"show"}));
+  CHECK(Contains(bench.out, "rate = 2.5"));
+  CHECK(Contains(bench.out, "burst = 100"));
+  LONGS_EQUAL(0, bench.Run({"account", "list"}));
+  CHECK(Contains(bench.out, "rate=2.5  unit=tokens"));
+}
+
 TEST(Ctl, StatusShowsWhoIsBehindAndWhatIsCutOff) {
   Bench bench;
   bench.Apply();
@@ -437,7 +465,7 @@
   LONGS_EQUAL(2, bench.RunBare({"show"}));
   CHECK(Contains(bench.error, "--store"));
   LONGS_EQUAL(2, bench.Run({"account", "add", "a", "size=3"}));
-  CHECK(Contains(bench.error, "weight, max_in_flight"));
+  CHECK(Contains(bench.error, "weight, max_in_flight, rate, burst, unit"));
 }
 
 TEST(Ctl, HelpTeachesEveryCommand) {
