limits: a package of its own for the gate

LimitGate carries out what account_limiter.h and limit_shares.h decide, and took a relay's whole configuration of which it used the accounts' limits. It takes these alone now and stands in packages/limits, so that stand-alone hosts can drive it too. Code is moved; behaviour, wire and log lines are unchanged.

--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -12,10 +12,10 @@
 #include <memory>
 
 #include "daemon/relay_settings.h"
+#include "limits/limit_gate.h"
 #include "relay/fleet_duties.h"
 #include "relay/fleet_peers.h"
 #include "relay/forward_receiver.h"
-#include "relay/limit_gate.h"
 #include "relay/platform_duties.h"
 #include "relay/request_forwarder.h"
 
--- a/packages/relay/limit_gate.cc
+++ b/packages/limits/limit_gate.cc
@@ -1,4 +1,4 @@
-#include "relay/limit_gate.h"
+#include "limits/limit_gate.h"
 
 #include <algorithm>
 #include <utility>
@@ -33,8 +33,8 @@
 
 LimitGate::~LimitGate() = default;
 
-void LimitGate::SetConfiguration(const FleetConfiguration& configuration) {
-  this->limits = configuration.account_limits;
+void LimitGate::SetLimits(const AccountLimits& changed) {
+  this->limits = changed;
   this->limited = !this->limits.empty();
   if (this->limited && !this->timer) {
     this->timer = Timer::Every(this->options.tick, [this] { this->Tick(); });
@@ -45,18 +45,18 @@
 }
 
 void LimitGate::Start() {
-  this->schedules = true;
+  this->started = true;
   this->Tick();
 }
 
 void LimitGate::Stop() {
-  this->schedules = false;
+  this->started = false;
   this->Tick();
 }
 
 // Starts and stops to hold a share, and does what is due.
 void LimitGate::Tick() {
-  const bool wanted = this->limited && this->schedules;
+  const bool wanted = this->limited && this->started;
   if (wanted != std::exchange(this->holding, wanted)) {
     if (wanted) {
       this->shares.Start();
--- a/packages/relay/limit_gate.h
+++ b/packages/limits/limit_gate.h
@@ -1,13 +1,12 @@
 // Holds requests to the limits of client accounts: carries out what
 // decisions/account_limiter.h and decisions/limit_shares.h decide, over the
-// links to other schedulers and the key-value service.
+// links between hosts and the key-value service.
 //
-// As long as no account of the configuration has a limit, nothing is sent,
-// read or written.
+// As long as no account has a limit, nothing is sent, read or written.
 //
 //   LimitGate gate(options, clock, store, metrics, handlers);
-//   gate.SetConfiguration(configuration);
-//   gate.Start();                      // this host schedules
+//   gate.SetLimits(limits);
+//   gate.Start();                      // this host takes requests
 //   if (const auto verdict = gate.Take(ask, later)) { ... }
 //
 // Index
@@ -30,7 +29,6 @@
 #include "kernel/task.h"
 #include "peers/message.h"
 #include "platform/key_value_store.h"
-#include "relay/fleet_configuration.h"
 
 namespace hickorystand {
 
@@ -46,7 +44,7 @@
 // Callbacks of LimitGate.
 struct LimitGateHandlers {
   std::function<bool(const HostId&, const LimitTokens&)> send;
-  // The schedulers that are linked, and those that are listed.
+  // The hosts that take requests: those linked, and those listed.
   std::function<std::vector<HostId>()> linked;
   std::function<std::vector<HostId>()> listed;
   // Whether this host removes share holders that are gone.
@@ -66,13 +64,14 @@
   LimitGate(const LimitGate&) = delete;
   LimitGate& operator=(const LimitGate&) = delete;
 
-  void SetConfiguration(const FleetConfiguration& configuration);
+  // The limits in force.
+  void SetLimits(const AccountLimits& changed);
 
-  // This host schedules requests, or does so no longer.
+  // This host takes requests, or does so no longer.
   void Start();
   void Stop();
 
-  // The linked schedulers have changed.
+  // The linked hosts have changed.
   void RefreshPeers();
 
   // Takes a request's tokens. Nothing: `later` is told the verdict, unless the
@@ -111,9 +110,9 @@
   LimitGateHandlers handlers;
   LimitShares shares;
   AccountLimiter limiter;
-  bool limited = false;    // some account of the configuration has a limit
-  bool schedules = false;  // this host
-  bool holding = false;    // or is about to
+  bool limited = false;  // some account has a limit
+  bool started = false;
+  bool holding = false;  // or is about to
   double logged_share = 0;
   AccountLimits limits;
   int64_t last_number = 0;
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -73,7 +73,7 @@
   this->configuration = std::move(changed);
   this->server.SetLimits(this->configuration->limits);
   if (this->limit_gate != nullptr) {
-    this->limit_gate->SetConfiguration(*this->configuration);
+    this->limit_gate->SetLimits(this->configuration->account_limits);
   }
   this->ShareServices();
   LogInfo(
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -30,12 +30,12 @@
 #include "decisions/window_budget.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "limits/limit_gate.h"
 #include "relay/cache_feed.h"
 #include "relay/caller_server.h"
 #include "relay/endpoint_pool.h"
 #include "relay/fleet_configuration.h"
 #include "relay/forward_receiver.h"
-#include "relay/limit_gate.h"
 #include "relay/message_codec.h"
 
 namespace hickorystand {
