limits: tokens and debts don't cross a change of a limit's unit

An account that has a debt in tokens when its limit becomes one of requests would be refused for as long as the requests' rate takes to pay the tokens: a debt of 500,000 tokens at 100 requests a second lasts 83 minutes. Tokens held were cut to the new bucket already.

A bucket starts empty when its unit changes.

--- a/packages/decisions/account_limiter.cc
+++ b/packages/decisions/account_limiter.cc
@@ -116,6 +116,9 @@
       continue;
     }
     this->Count(bucket, now);
+    if (bucket.limit.unit != limit.unit) {
+      bucket.tokens = 0;  // tokens and debts count in the old unit
+    }
     bucket.limit = limit;
     bucket.tokens = std::min(bucket.tokens, this->Capacity(bucket));
   }
--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -376,6 +376,22 @@
   CHECK(RefusedShare(world, kBig) < 0.005);
 }
 
+// A debt in tokens would otherwise block an account for hours whose limit
+// counts requests from now on.
+TEST(AccountLimiter, NeitherTokensNorDebtsCrossAChangeOfTheUnit) {
+  const Instant start{};
+  AccountLimiter limiter(HostId("a"));
+  limiter.SetShare(start, 1, 1);
+  limiter.SetLimits(start, {{kBig, Limit(400000)}});
+  const Instant now = start + FromSeconds(2);
+  const auto verdict =
+      limiter.Take(now, {.number = 1, .account = kBig, .cost = 900000});
+  CHECK(verdict && verdict->granted);
+  CHECK(limiter.Held(now, kBig) < 0);
+  limiter.SetLimits(now, {{kBig, {.rate = 1, .burst = 5}}});
+  DOUBLES_EQUAL(0, limiter.Held(now, kBig), 0);
+}
+
 // Guards against an account that is refused for long after it got its limit,
 // and against one that may spend twice when its limit is dropped and set again.
 TEST(AccountLimiter, AccountsThatComeAndGoKeepToTheirLimits) {
