daemon: stand-alone hosts hold accounts to their limits

An account with a limit was served by stand-alone hosts whatever it sent: only relay hosts drove AccountLimiter and LimitShares.

The control task, which has the store and the links, drives LimitGate. The gateway asks it through new hooks: a request's tokens (prompt and the most output, or 1) are taken on arrival, before the dispatcher sees the request, and given back once when it ends and surely no endpoint ran it. A repeat isn't counted again, as lost work isn't billed either. Above the limit callers get 429 `rate_limit_exceeded` with Retry-After; batch requests come after others. The refusal's line, which `hickoryctl why` shows, has the reason, the home, the share, its age and the revision of the record that it comes from. The status page shows for each account what was admitted in the last 8 s and what may still be.

Tokens move between the linked hosts of one data centre. Between data centres they don't: each has the shares of its hosts, so no cut lets an account pass its limit, but an account whose callers all come to one data centre gets that data centre's part only. A host that can't read the key-value service for 30 s lets nothing of limited accounts through but what others give it.

Tests: gateway_test group GatewayLimits (8, under both dispatchers) and one of GatewayQueue, daemon_test group HostLimits: two real hosts whose callers all come to one admit 20 of 40 requests against a burst of 20.

--- a/fakes/endpoints.cmake
+++ b/fakes/endpoints.cmake
@@ -11,6 +11,6 @@
 add_unit_test(endpoints_test SOURCES tests/endpoints_test.cc LIBRARIES fakes_endpoints)
 add_unit_test(gateway_test SOURCES tests/gateway_test.cc LIBRARIES fakes_endpoints hs_gateway)
 # The same stories under the policy that hosts run by default.
-add_test(NAME gateway_policy_test COMMAND gateway_test -sg Gateway)
+add_test(NAME gateway_policy_test COMMAND gateway_test -sg Gateway -sg GatewayLimits)
 set_tests_properties(gateway_policy_test PROPERTIES TIMEOUT 600
   ENVIRONMENT HICKORYSTAND_DISPATCHER=hickorystand)
--- a/packages/daemon/control.cc
+++ b/packages/daemon/control.cc
@@ -15,6 +15,9 @@
 constexpr Duration kUsageShareEvery = std::chrono::seconds(1);
 constexpr Duration kHostListEvery = std::chrono::seconds(5);
 constexpr Duration kKeyCheckEvery = std::chrono::seconds(1);
+constexpr Duration kMetricsEvery = std::chrono::seconds(1);
+constexpr uint64_t kTokenWantsPerMillisecond = 1000;  // at most
+constexpr const char* kShareHoldersKey = "/hickorystand/limits";
 constexpr Duration kReleaseCheckEvery = std::chrono::milliseconds(50);
 constexpr Duration kClaimsSettleWithin = std::chrono::seconds(5);
 
@@ -128,12 +131,54 @@
               [this](const ConfigurationPtr& next) {
                 this->OnConfiguration(next);
               }});
+  this->MakeLimits(metrics);
+}
+
+void Control::MakeLimits(Metrics& metrics) {
+  LimitGateOptions options{.self = this->settings.host};
+  options.shares.key = kShareHoldersKey;
+  options.shares.names_listed = true;
+  // Starts above the numbers of earlier processes of this host.
+  options.limits.first_number =
+      static_cast<int64_t>(this->incarnation * kTokenWantsPerMillisecond);
+  this->limits = std::make_unique<LimitGate>(
+      options, this->clock, *this->store, metrics,
+      LimitGateHandlers{
+          .send =
+              [this](const HostId& host, const LimitTokens& tokens) {
+                return this->peers->Send(host, tokens);
+              },
+          .linked = [this] { return this->LinkedHosts(); },
+          .listed =
+              [this] {
+                std::vector<HostId> listed;
+                std::ranges::transform(
+                    this->peers->Members(), std::back_inserter(listed),
+                    [](const Member& member) { return member.peer.host; });
+                return listed;
+              },
+          .cleans_up = [this] { return this->peers->Rank() == 0; }});
+}
+
+// The hosts that tokens move between. All hosts of a data centre are linked
+// with each other; those of other data centres aren't, and would choose other
+// homes.
+std::vector<HostId> Control::LinkedHosts() const {
+  std::vector<HostId> linked;
+  for (const auto& [host, digest] : this->peers->Digests()) {
+    const HostState state = this->peers->StateOf(host);
+    if (state == HostState::kLive || state == HostState::kLeaving) {
+      linked.push_back(host);
+    }
+  }
+  return linked;
 }
 
 // The clients go first: what they still have under way must not call back into
 // drivers that are gone.
 Control::~Control() {
   this->timers.clear();
+  this->limits.reset();
   this->store.reset();
   this->platform.reset();
   this->orders.reset();
@@ -147,12 +192,15 @@
   }
   this->AskForHostList();
   this->ScheduleDigest();
+  this->limits->Start();
   this->timers.push_back(
       Timer::Every(kHostListEvery, [this] { this->AskForHostList(); }));
   this->timers.push_back(
       Timer::Every(kUsageShareEvery, [this] { this->ShareUsage(); }));
   this->timers.push_back(
       Timer::Every(kKeyCheckEvery, [this] { this->CheckKeys(); }));
+  this->timers.push_back(
+      Timer::Every(kMetricsEvery, [this] { this->limits->SetMetrics(); }));
   return address;
 }
 
@@ -208,6 +256,41 @@
   done(result);
 }
 
+void Control::TakeTokens(
+    const RequestId& request,
+    LimitAsk ask,
+    const std::function<void(const LimitDecision&)>& done) {
+  this->token_asks[request] = 0;  // Take() may call back at once
+  const auto verdict = this->limits->Take(
+      ask, [this, request, done](const LimitVerdict& decided) {
+        this->token_asks.erase(request);
+        done(this->DecisionOf(decided));
+      });
+  if (verdict) {
+    this->token_asks.erase(request);
+    done(this->DecisionOf(*verdict));
+    return;
+  }
+  const auto waiting = this->token_asks.find(request);
+  if (waiting != this->token_asks.end()) {
+    waiting->second = ask.number;
+  }
+}
+
+void Control::CancelTokens(const RequestId& request) {
+  const auto asked = this->token_asks.extract(request);
+  if (!asked.empty()) {
+    this->limits->Cancel(asked.mapped());
+  }
+}
+
+LimitDecision Control::DecisionOf(const LimitVerdict& verdict) const {
+  return {.verdict = verdict,
+          .share = this->limits->Share(),
+          .share_age = this->limits->ShareAge(),
+          .holders_revision = this->limits->Revision()};
+}
+
 void Control::OnConfiguration(const ConfigurationPtr& next) {
   LogInfo(kPart, "Configuration in force.",
           {{"revision", std::to_string(next->revision)},
@@ -221,6 +304,7 @@
   });
   this->peers->SetEndpoints(std::move(places));
   this->coordinator->ApplyConfiguration(next);
+  this->limits->SetLimits(LimitsOf(*next));
   this->events.on_configuration(next);
 }
 
@@ -234,6 +318,7 @@
 void Control::OnPeerGone(const HostId& host) {
   LogInfo(kPart, "Host is gone.", {{"host", host.Text()}});
   this->configuration->OnPeerGone(host);
+  this->limits->RefreshPeers();
   this->events.on_host_gone(host);
 }
 
@@ -252,6 +337,8 @@
     this->coordinator->OnReleased({.host = from,
                                    .incarnation = word->incarnation,
                                    .fencing = word->fencing});
+  } else if (const auto* tokens = std::get_if<LimitTokens>(&message)) {
+    this->limits->OnMessage(from, *tokens);
   }
 }
 
@@ -342,6 +429,7 @@
 // caller's next try would be refused as a duplicate.
 void Control::HandOver(std::function<void()> on_released) {
   this->ShareUsage();
+  this->limits->Stop();
   this->coordinator->StartRelease();
   const Instant claims_until = this->clock.Now() + kClaimsSettleWithin;
   this->release_timer =
@@ -379,7 +467,12 @@
                       .queued = this->view.queued,
                       .running = this->view.running,
                       .open_orders = static_cast<int64_t>(
-                          this->coordinator->State().OpenOrders().size())});
+                          this->coordinator->State().OpenOrders().size()),
+                      .limits = {.window = this->limits->Window(),
+                                 .share = this->limits->Share(),
+                                 .share_age = this->limits->ShareAge(),
+                                 .holders_revision = this->limits->Revision(),
+                                 .accounts = this->limits->Uses()}});
 }
 
 }  // namespace hickorystand
--- a/packages/daemon/control.h
+++ b/packages/daemon/control.h
@@ -26,8 +26,10 @@
 #include "daemon/host_settings.h"
 #include "decisions/usage.h"
 #include "endpoints/order_client.h"
+#include "gateway/decision_log.h"
 #include "kernel/metrics.h"
 #include "kernel/task.h"
+#include "limits/limit_gate.h"
 #include "peers/peer_group.h"
 #include "platform/key_value_store.h"
 #include "platform/platform_client.h"
@@ -81,6 +83,16 @@
     this->claims->Withdraw(request);
   }
 
+  // Takes a request's tokens from its account's limit; `done` is called on this
+  // task unless the request is cancelled first.
+  void TakeTokens(const RequestId& request,
+                  LimitAsk ask,
+                  const std::function<void(const LimitDecision&)>& done);
+  void CancelTokens(const RequestId& request);
+  void GiveBackTokens(const AccountId& account, LimitUnit unit, int64_t cost) {
+    this->limits->GiveBack(account, unit, cost);
+  }
+
   // This host leaves: the others are told, and nothing new rests on it.
   void StartDrain();
 
@@ -104,6 +116,9 @@
   void ShareUsage();
   void CheckKeys();
   std::set<HostId> UsageKeepers() const;
+  void MakeLimits(Metrics& metrics);
+  std::vector<HostId> LinkedHosts() const;
+  LimitDecision DecisionOf(const LimitVerdict& verdict) const;
 
   HostSettings settings;
   uint64_t incarnation;
@@ -117,6 +132,8 @@
   std::unique_ptr<CoordinatorDriver> coordinator;
   std::unique_ptr<ClaimDriver> claims;
   std::map<RequestId, std::function<void(ClaimResult)>> claiming;
+  std::unique_ptr<LimitGate> limits;
+  std::map<RequestId, int64_t> token_asks;  // undecided: numbers of the asks
   UsageMeter usage;
   AccountUsage shared_usage;  // as last sent to the keepers
   std::set<HostId> shared_with;
--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -201,6 +201,25 @@
     this->control_task.Post(
         [this, request] { this->control->WithdrawClaim(request); });
   };
+  hooks.take_tokens = [this](const RequestId& request, const LimitAsk& ask,
+                             std::function<void(const LimitDecision&)> done) {
+    this->control_task.Post([this, request, ask, done = std::move(done)] {
+      this->control->TakeTokens(
+          request, ask, [this, done](const LimitDecision& decision) {
+            this->serving_task.Post([done, decision] { done(decision); });
+          });
+    });
+  };
+  hooks.cancel_tokens = [this](const RequestId& request) {
+    this->control_task.Post(
+        [this, request] { this->control->CancelTokens(request); });
+  };
+  hooks.give_back_tokens = [this](const AccountId& account, LimitUnit unit,
+                                  int64_t cost) {
+    this->control_task.Post([this, account, unit, cost] {
+      this->control->GiveBackTokens(account, unit, cost);
+    });
+  };
   hooks.usage = [this](const UsageRecord& record) {
     this->control_task.Post([this, record] {
       this->control->OnUsage(record.account,
--- a/packages/daemon/status_page.cc
+++ b/packages/daemon/status_page.cc
@@ -8,6 +8,10 @@
 namespace hickorystand {
 namespace {
 
+int64_t Milliseconds(Duration length) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
 void WriteLease(JsonWriter& out, const HostStatus& status) {
   out.Name("lease")
       .BeginObject()
@@ -105,6 +109,30 @@
   out.EndArray();
 }
 
+void WriteLimits(JsonWriter& out, const LimitsStatus& limits) {
+  out.Name("limits")
+      .BeginObject()
+      .Member("window_ms", Milliseconds(limits.window))
+      .Member("share", limits.share);
+  if (limits.share_age) {
+    out.Member("share_age_ms", Milliseconds(*limits.share_age));
+  }
+  out.Member("holders_revision", limits.holders_revision)
+      .Name("accounts")
+      .BeginArray();
+  for (const LimitUse& use : limits.accounts) {
+    out.BeginObject()
+        .Member("id", use.account.Text())
+        .Member("unit", NameOfUnit(use.limit.unit))
+        .Member("rate", use.limit.rate)
+        .Member("burst", use.limit.burst)
+        .Member("used", use.used)
+        .Member("left", use.left)
+        .EndObject();
+  }
+  out.EndArray().EndObject();
+}
+
 void WriteUnreachable(JsonWriter& out, const HostStatus& status) {
   out.Name("unreachable").BeginArray();
   for (const Member& member : status.members) {
@@ -133,6 +161,7 @@
   WritePeers(out, status);
   WriteEndpoints(out, status);
   WriteAccounts(out, status);
+  WriteLimits(out, status.limits);
   out.Name("refusals").BeginObject();
   for (const auto& [code, count] : status.refusals) {
     out.Member(code, count);
--- a/packages/daemon/status_page.h
+++ b/packages/daemon/status_page.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,9 +12,19 @@
 #include "decisions/digest.h"
 #include "decisions/membership.h"
 #include "decisions/request.h"
+#include "limits/limit_gate.h"
 
 namespace hickorystand {
 
+// This host's part in the limits of client accounts.
+struct LimitsStatus {
+  Duration window{};                  // over which use is counted
+  double share = 0;                   // of each limit
+  std::optional<Duration> share_age;  // since it was confirmed; nothing: none
+  int64_t holders_revision = 0;       // of the record of share holders
+  std::vector<LimitUse> accounts;
+};
+
 // Everything that the page shows.
 struct HostStatus {
   HostId host;
@@ -32,6 +43,7 @@
   int64_t queued = 0;
   int64_t running = 0;
   int64_t open_orders = 0;
+  LimitsStatus limits;
 };
 
 // The page.
--- a/packages/gateway/decision_log.cc
+++ b/packages/gateway/decision_log.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::string_view kPart = "router";
+constexpr std::string_view kLimitsPart = "limits";
 constexpr size_t kMaxRunnersUp = 3;
 
 struct KindText {
@@ -92,6 +93,29 @@
                          {"detail", detail}}});
 }
 
+void DecisionLog::Record(int64_t wall_milliseconds,
+                         const RequestId& request,
+                         const LimitAsk& ask,
+                         const LimitDecision& decision) {
+  const LimitVerdict& verdict = decision.verdict;
+  this->Keep(
+      {.request = request,
+       .wall_milliseconds = wall_milliseconds,
+       .part = std::string(kLimitsPart),
+       .message = "Over the account's limit.",
+       .fields = {
+           {"account", ask.account.Text()},
+           {"tokens", std::to_string(ask.cost)},
+           {"held", std::to_string(static_cast<int64_t>(verdict.held))},
+           {"why", std::string(verdict.reason)},
+           {"home", verdict.home.Text()},
+           {"share", std::to_string(decision.share)},
+           {"share_ms",
+            decision.share_age ? MillisecondsText(*decision.share_age) : ""},
+           {"holders_revision", std::to_string(decision.holders_revision)},
+           {"retry_after_ms", MillisecondsText(verdict.retry_after)}}});
+}
+
 void DecisionLog::Keep(Decision decision) {
   std::vector<LogField> fields = {{"request", decision.request.Text()}};
   std::ranges::transform(
--- a/packages/gateway/decision_log.h
+++ b/packages/gateway/decision_log.h
@@ -6,10 +6,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "decisions/account_limiter.h"
 #include "decisions/dispatcher.h"
 #include "kernel/ids.h"
 
@@ -26,6 +28,16 @@
   bool operator==(const Decision&) const = default;
 };
 
+// What was decided about a request's tokens, and the share that it rests on.
+struct LimitDecision {
+  LimitVerdict verdict;
+  double share = 0;                   // of each limit, held by this host
+  std::optional<Duration> share_age;  // since it was confirmed; nothing: none
+  int64_t holders_revision = 0;       // of the record of share holders
+
+  bool operator==(const LimitDecision&) const = default;
+};
+
 // Writes and remembers decisions.
 class DecisionLog {
  public:
@@ -41,6 +53,12 @@
               const AttemptResult& result,
               const std::string& detail);
 
+  // A request was over its account's limit.
+  void Record(int64_t wall_milliseconds,
+              const RequestId& request,
+              const LimitAsk& ask,
+              const LimitDecision& decision);
+
   // All that is remembered about a request, oldest first.
   std::vector<Decision> About(const RequestId& request) const;
 
--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -27,6 +27,11 @@
                         request.output_tokens);
 }
 
+// What may wait leaves tokens to what somebody waits for.
+int64_t LimitPriority(const Request& request) {
+  return request.request_class == RequestClass::kBatch ? 1 : 0;
+}
+
 bool IsOnce(const Request& request) {
   return request.request_class == RequestClass::kOnce;
 }
@@ -68,6 +73,7 @@
 
 void RequestDriver::ApplyConfiguration(ConfigurationPtr next) {
   this->configuration = std::move(next);
+  this->limits = LimitsOf(*this->configuration);
   this->dispatcher->OnConfiguration(this->clock.Now(), this->configuration);
 }
 
@@ -82,14 +88,96 @@
   const auto [where, fresh] =
       this->live.emplace(id, LiveRequest{.incoming = std::move(incoming)});
   assert(fresh && "request ids are unique");
-  if (this->draining || !this->FinishesInTime(where->second)) {
+  const auto limit = this->limits.find(request.account);
+  if (limit != this->limits.end() && this->hooks.take_tokens &&
+      this->MayStart(where->second)) {
+    this->AskForTokens(where->second, limit->second);
+  } else {
+    this->Admit(id);
+  }
+}
+
+bool RequestDriver::MayStart(const LiveRequest& live) const {
+  return !this->draining && this->FinishesInTime(live);
+}
+
+void RequestDriver::Admit(const RequestId& id) {
+  const LiveRequest& live = this->live.at(id);
+  if (!this->MayStart(live)) {
     this->Apply({{.kind = DispatchKind::kRefuse,
                   .request = id,
                   .reason = "refused on arrival",
-                  .error = ErrorAtEnd(where->second)}});
+                  .error = ErrorAtEnd(live)}});
+    return;
+  }
+  this->Apply(
+      this->dispatcher->OnArrival(this->clock.Now(), live.incoming.request));
+}
+
+// -- Tokens of the account's limit -------------------------------------------
+
+void RequestDriver::AskForTokens(LiveRequest& live, const AccountLimit& limit) {
+  const Request& request = live.incoming.request;
+  const RequestId id = request.id;
+  const LimitAsk ask{
+      .account = request.account,
+      .cost = limit.CostOf(request.prompt_tokens, request.output_tokens),
+      .priority = LimitPriority(request)};
+  live.charge = {.unit = limit.unit, .cost = ask.cost, .asked = true};
+  this->hooks.take_tokens(id, ask,
+                          [this, alive = this->alive, id, ask,
+                           unit = limit.unit](const LimitDecision& decision) {
+                            if (*alive) {
+                              this->OnTokens(id, ask, unit, decision);
+                            }
+                          });
+}
+
+void RequestDriver::OnTokens(const RequestId& id,
+                             const LimitAsk& ask,
+                             LimitUnit unit,
+                             const LimitDecision& decision) {
+  const LimitVerdict& verdict = decision.verdict;
+  LiveRequest* live = this->Find(id);
+  if (live == nullptr) {
+    if (verdict.granted) {
+      this->hooks.give_back_tokens(ask.account, unit, ask.cost);
+    }
     return;
   }
-  this->Apply(this->dispatcher->OnArrival(this->clock.Now(), request));
+  live->charge.asked = false;
+  live->charge.held = verdict.granted;
+  if (verdict.granted) {
+    this->Admit(id);
+    return;
+  }
+  this->decisions.Record(this->clock.WallMilliseconds(), id, ask, decision);
+  this->metrics.Add("limit_tokens_refused_total", static_cast<double>(ask.cost),
+                    {{"account", ask.account.Text()}});
+  this->Apply({{.kind = DispatchKind::kRefuse,
+                .request = id,
+                .reason = "over the account's limit",
+                .error = Error{ErrorKind::kRateLimited,
+                               "The account is over its limit.",
+                               verdict.retry_after}}});
+}
+
+// Gives back the tokens of a request that no endpoint can have run.
+void RequestDriver::SettleTokens(const LiveRequest& live) {
+  const Request& request = live.incoming.request;
+  if (live.charge.asked) {
+    this->hooks.cancel_tokens(request.id);
+    return;
+  }
+  const bool may_have_run =
+      live.may_have_run || live.abandoned_may_have_run ||
+      std::ranges::any_of(live.attempts, [](const auto& entry) {
+        return entry.second.attempt->MayHaveSent();
+      });
+  if (live.charge.held && !may_have_run) {
+    this->hooks.give_back_tokens(request.account, live.charge.unit,
+                                 live.charge.cost);
+  }
 }
 
 void RequestDriver::OnLoad(const LoadReport& report) {
@@ -343,6 +431,11 @@
   run.started = this->clock.Now();
   if (live.first_sent == Instant{}) {
     live.first_sent = run.started;
+    if (live.charge.held) {
+      this->metrics.Add("limit_tokens_admitted_total",
+                        static_cast<double>(live.charge.cost),
+                        {{"account", live.incoming.request.account.Text()}});
+    }
   }
   run.attempt =
       this->client.Start(this->MakeCall(live, action, endpoint->second),
@@ -421,6 +514,7 @@
   }
   const RunningAttempt run = found->second;
   live.attempts.erase(found);
+  live.abandoned_may_have_run |= run.attempt->MayHaveSent();
   run.attempt->Cancel();
   if (run.attempt->Call().shape != AnswerShape::kBytes) {
     this->client.CancelAt(run.attempt->Call().address, live.incoming.request.id,
@@ -473,6 +567,7 @@
   }
   LiveRequest& live = node.mapped();
   this->SettleClaim(live);
+  this->SettleTokens(live);
   live.incoming.call->OnGone({});
   live.incoming.call->OnDrained({});
   if (IsOnce(live.incoming.request)) {
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -57,6 +57,18 @@
   // that the caller may send it again.
   std::function<void(const RequestId&)> release_claim;
   std::function<void(const UsageRecord&)> usage;
+  // Takes a request's tokens from its account's limit; `done` may be called at
+  // once or later, on this task. Without this hook no account is limited.
+  std::function<void(const RequestId&,
+                     const LimitAsk&,
+                     std::function<void(const LimitDecision&)>)>
+      take_tokens;
+  // The tokens aren't needed any more; `done` may still be called.
+  std::function<void(const RequestId&)> cancel_tokens;
+  // Tokens of a request that surely hasn't run. The unit is that of the limit
+  // under which they were taken.
+  std::function<void(const AccountId&, LimitUnit, int64_t cost)>
+      give_back_tokens;
 };
 
 // A request that is to be dispatched, with all that its attempts need.
@@ -137,14 +149,24 @@
     Instant started{};
   };
 
+  // What a request counts against its account's limit.
+  struct TokenCharge {
+    LimitUnit unit = LimitUnit::kTokens;
+    int64_t cost = 0;
+    bool asked = false;  // not decided yet
+    bool held = false;
+  };
+
   struct LiveRequest {
     IncomingRequest incoming;
+    TokenCharge charge;
     std::map<AttemptId, RunningAttempt> attempts;
     AttemptEnd last_end;
     Instant first_sent{};
     bool permitted = false;  // its key was checked when it started
     bool claimed = false;
     bool may_have_run = false;
+    bool abandoned_may_have_run = false;  // an abandoned attempt may have run
     bool prompt_billed = false;
     bool caller_gone = false;
   };
@@ -168,6 +190,14 @@
   void Skip(const Dispatch& action);
   LiveRequest* Find(const RequestId& id);
   bool Permitted(LiveRequest& live);
+  bool MayStart(const LiveRequest& live) const;
+  void AskForTokens(LiveRequest& live, const AccountLimit& limit);
+  void OnTokens(const RequestId& id,
+                const LimitAsk& ask,
+                LimitUnit unit,
+                const LimitDecision& decision);
+  void Admit(const RequestId& id);
+  void SettleTokens(const LiveRequest& live);
   void RefuseUnstarted(const RequestId& id, std::string reason, Error error);
   bool FinishesInTime(const LiveRequest& live) const;
   void RefuseUnfinishable();
@@ -206,6 +236,7 @@
   DecisionLog decisions;
   RequestHooks hooks;
   ConfigurationPtr configuration = std::make_shared<Configuration>();
+  AccountLimits limits;
   std::map<RequestId, LiveRequest> live;
   // Attempts of non-idempotent requests that run on after their final answer.
   std::vector<AttemptPtr> detached;
--- a/packages/limits/limit_gate.cc
+++ b/packages/limits/limit_gate.cc
@@ -34,6 +34,12 @@
 LimitGate::~LimitGate() = default;
 
 void LimitGate::SetLimits(const AccountLimits& changed) {
+  std::erase_if(this->used, [&](const auto& entry) {
+    const auto before = this->limits.find(entry.first);
+    const auto after = changed.find(entry.first);
+    return after == changed.end() || before == this->limits.end() ||
+           before->second.unit != after->second.unit;
+  });
   this->limits = changed;
   this->limited = !this->limits.empty();
   if (this->limited && !this->timer) {
@@ -135,7 +141,9 @@
   ask.number = ++this->last_number;
   const auto verdict = this->limiter.Take(this->clock->Now(), ask);
   if (!verdict) {
-    this->waiting[ask.number] = std::move(later);
+    this->waiting[ask.number] = {.ask = ask, .later = std::move(later)};
+  } else if (verdict->granted) {
+    this->CountUse(ask.account, ask.cost);
   }
   this->Flush();
   return verdict;
@@ -149,9 +157,40 @@
 
 void LimitGate::GiveBack(const AccountId& account, int64_t cost) {
   this->limiter.GiveBack(this->clock->Now(), account, cost);
+  this->CountUse(account, -cost);
   this->Flush();
 }
 
+void LimitGate::GiveBack(const AccountId& account,
+                         LimitUnit unit,
+                         int64_t cost) {
+  const auto limit = this->limits.find(account);
+  if (limit != this->limits.end() && limit->second.unit == unit) {
+    this->GiveBack(account, cost);
+  }
+}
+
+void LimitGate::CountUse(const AccountId& account, int64_t cost) {
+  if (this->limits.contains(account)) {
+    this->used.try_emplace(account, this->Window())
+        .first->second.Add(this->clock->Now(), cost);
+  }
+}
+
+std::vector<LimitUse> LimitGate::Uses() const {
+  const Instant now = this->clock->Now();
+  std::vector<LimitUse> uses;
+  for (const auto& [account, limit] : this->limits) {
+    const auto used = this->used.find(account);
+    uses.push_back(
+        {.account = account,
+         .limit = limit,
+         .used = used == this->used.end() ? 0 : used->second.Sum(now),
+         .left = static_cast<int64_t>(this->limiter.Held(now, account))});
+  }
+  return uses;
+}
+
 void LimitGate::OnMessage(const HostId& from, const LimitTokens& message) {
   const Instant now = this->clock->Now();
   const bool behind = message.revision > this->shares.Revision();
@@ -187,9 +226,14 @@
     }
     for (const auto& [number, verdict] : effects.decided) {
       const auto found = this->waiting.extract(number);
-      if (!found.empty()) {
-        found.mapped()(verdict);
+      if (found.empty()) {
+        continue;
+      }
+      const Waiting& waiter = found.mapped();
+      if (verdict.granted) {
+        this->CountUse(waiter.ask.account, waiter.ask.cost);
       }
+      waiter.later(verdict);
     }
     effects = this->limiter.TakeEffects();
   }
--- a/packages/limits/limit_gate.h
+++ b/packages/limits/limit_gate.h
@@ -11,6 +11,7 @@
 //
 // Index
 //   LimitGateOptions, LimitGateHandlers
+//   LimitUse                             what an account used at this host
 //   LimitGate
 
 #pragma once
@@ -25,6 +26,7 @@
 
 #include "decisions/account_limiter.h"
 #include "decisions/limit_shares.h"
+#include "decisions/window_sum.h"
 #include "kernel/metrics.h"
 #include "kernel/task.h"
 #include "peers/message.h"
@@ -51,6 +53,16 @@
   std::function<bool()> cleans_up;
 };
 
+// What an account used at this host, and may use here without tokens of others.
+struct LimitUse {
+  AccountId account;
+  AccountLimit limit;
+  int64_t used = 0;  // units within LimitOptions::window
+  int64_t left = 0;  // units; negative: a debt
+
+  auto operator<=>(const LimitUse&) const = default;
+};
+
 class LimitGate {
  public:
   using Later = std::function<void(const LimitVerdict&)>;
@@ -82,6 +94,9 @@
   // Tokens of a request that surely hasn't run.
   void GiveBack(const AccountId& account, int64_t cost);
 
+  // As above, unless the account's limit counts in another unit by now.
+  void GiveBack(const AccountId& account, LimitUnit unit, int64_t cost);
+
   void OnMessage(const HostId& from, const LimitTokens& message);
 
   // Of the newest record of share holders that was read.
@@ -93,15 +108,25 @@
     return this->shares.Age(this->clock->Now());
   }
 
+  // Of each account that has a limit.
+  std::vector<LimitUse> Uses() const;
+  Duration Window() const { return this->options.limits.window; }
+
   // Sets the gauges of what this host holds.
   void SetMetrics();
 
  private:
+  struct Waiting {
+    LimitAsk ask;
+    Later later;
+  };
+
   void Tick();
   void CallStore();
   void OnStoreReply(Instant asked, const StoreReply& reply);
   void TellRevision();
   void Flush();
+  void CountUse(const AccountId& account, int64_t cost);
 
   LimitGateOptions options;
   const Clock* clock;
@@ -116,8 +141,9 @@
   double logged_share = 0;
   AccountLimits limits;
   int64_t last_number = 0;
-  std::map<int64_t, Later> waiting;  // by number of the ask
-  std::map<HostId, int64_t> told;    // the newest revision, by linked host
+  std::map<AccountId, WindowSum> used;
+  std::map<int64_t, Waiting> waiting;  // by number of the ask
+  std::map<HostId, int64_t> told;      // the newest revision, by linked host
   std::unique_ptr<Timer> timer;
   std::unique_ptr<Timer> hasty_timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 #include <sched.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <numeric>
@@ -138,6 +139,7 @@
 }
 
 TEST_GROUP(Host){};
+TEST_GROUP(HostLimits){};
 
 TEST(Host, AnswersOperatorsOnlyWithTheirToken) {
   HostBed bed(1);
@@ -237,6 +239,66 @@
   CHECK(Eventually([&] { return bed.InForce(1); }));
 }
 
+// A customer's callers all come through one of two hosts. They must get all of
+// the limit there, and not a request more.
+TEST(HostLimits, OneHostServesTheWholeLimit) {
+  HostBed bed(2);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  CHECK(Eventually([&] {
+    const auto peers = bed.Status(0).At("peers").Items();
+    return !peers.empty() && peers.front().At("incarnation").Integer() > 0;
+  }));
+  bed.Limit(100, 20);
+  // Of 25 requests (250 ms of the rate) each host keeps a quarter, and the home
+  // the rest. On the way there single looks may show the same.
+  constexpr int kLooks = 50;
+  int looks = 0;
+  CHECK(Eventually([&] {
+    const bool full =
+        bed.LimitShare(0) == 0.5 && bed.LimitShare(1) == 0.5 &&
+        std::minmax({bed.LimitOf(0, "left"), bed.LimitOf(1, "left")}) ==
+            std::pair<int64_t, int64_t>(6, 18);
+    looks = full ? looks + 1 : 0;
+    return looks == kLooks;
+  }));
+  const int64_t revision = bed.Limit(0.01, 20);
+  CHECK(Eventually([&] { return bed.InForce(revision); }));
+  LONGS_EQUAL(20, bed.LimitSum("left"));
+  int served = 0;
+  for (int i = 0; i < 40; ++i) {
+    const auto answer = bed.caller.Send(bed.Chat(0, 1));
+    CHECK(answer.status == 200 || answer.status == 429);
+    served += answer.status == 200 ? 1 : 0;
+  }
+  LONGS_EQUAL(20, served);
+  LONGS_EQUAL(20, bed.engine.Runs().size());
+  LONGS_EQUAL(20, bed.LimitSum("used"));
+  LONGS_EQUAL(0, bed.LimitSum("left"));
+  const auto metrics = [&] {
+    return bed.caller.Send(bed.Call(0, "GET", "/metrics")).body;
+  };
+  STRCMP_CONTAINS("limit_tokens_admitted_total{account=\"alpha\"} 20",
+                  metrics().c_str());
+  CHECK(Eventually(
+      [&] { return metrics().find("limit_share 0.5") != std::string::npos; }));
+}
+
+// A host that can't know how many hosts share the limit lets nothing through.
+TEST(HostLimits, AHostWithoutAShareRefuses) {
+  HostBed bed(1);
+  CHECK(Eventually([&] { return bed.InForce(1); }));
+  const int64_t revision = bed.Limit(100, 20);
+  bed.StartCutOffHost();
+  CHECK(Eventually([&] { return bed.InForce(revision); }));
+  const auto answer = bed.caller.Send(bed.Chat(1, 1));
+  LONGS_EQUAL(429, answer.status);
+  const auto why = bed.caller.Send(bed.Admin(
+      1, "GET", "/admin/why?request=" + answer.Header("X-Request-Id")));
+  STRCMP_CONTAINS("\"share\":\"0.000000\"", why.body.c_str());
+  CHECK(Eventually(
+      [&] { return bed.caller.Send(bed.Chat(0, 1)).status == 200; }));
+}
+
 // An operator takes a host out of service while a long answer streams through
 // it. The caller gets the whole answer, and only then does the host stop.
 TEST(Host, FinishesAStreamBeforeItStops) {
--- a/tests/gateway_bed.h
+++ b/tests/gateway_bed.h
@@ -157,6 +157,18 @@
     return std::getenv(kDispatcherVariable) == nullptr ? 3 : 4;
   }
 
+  // Sets a limit of the first account in tokens.
+  void Limit() {
+    this->configuration.accounts[AccountId("alpha")].rate = 1000;
+    this->Apply();
+  }
+
+  // Tokens that count against limits at present.
+  int64_t Charged() {
+    return this->Ask<int64_t>(
+        [this](Gateway&) { return this->charged_tokens; });
+  }
+
   // Puts the configuration in force.
   void Apply() {
     auto next = std::make_shared<Configuration>(this->configuration);
@@ -214,6 +226,12 @@
   std::vector<std::function<void()>> held_claims;
   bool hold_claims = false;
   ClaimResult claim_answer = ClaimResult::kGranted;
+  LimitDecision token_answer{.verdict = {.granted = true}};
+  std::vector<std::function<void()>> held_token_answers;
+  bool hold_tokens = false;
+  int64_t charged_tokens = 0;  // taken and not given back
+  int64_t cancelled_asks = 0;
+  LimitAsk last_ask;
 
  private:
   void AddAccount(const std::string& id, const char* key) {
@@ -235,30 +253,51 @@
   }
 
   RequestHooks MakeHooks() {
-    return {.claim =
-                [this](const ClaimRequest& claim,
-                       const std::function<void(ClaimResult)>& done) {
-                  const auto answer = [this, claim, done] {
-                    const bool fresh =
-                        this->claims.emplace(claim.key, claim.request).second;
-                    done(fresh ? this->claim_answer : ClaimResult::kTaken);
-                  };
-                  if (this->hold_claims) {
-                    this->held_claims.push_back(answer);
-                  } else {
-                    answer();
-                  }
-                },
-            .release_claim =
-                [this](const RequestId& request) {
-                  std::erase_if(this->claims, [&](const auto& each) {
-                    return each.second == request;
-                  });
-                },
-            .usage =
-                [this](const UsageRecord& record) {
-                  this->usage.push_back(record);
-                }};
+    return {
+        .claim =
+            [this](const ClaimRequest& claim,
+                   const std::function<void(ClaimResult)>& done) {
+              const auto answer = [this, claim, done] {
+                const bool fresh =
+                    this->claims.emplace(claim.key, claim.request).second;
+                done(fresh ? this->claim_answer : ClaimResult::kTaken);
+              };
+              if (this->hold_claims) {
+                this->held_claims.push_back(answer);
+              } else {
+                answer();
+              }
+            },
+        .release_claim =
+            [this](const RequestId& request) {
+              std::erase_if(this->claims, [&](const auto& each) {
+                return each.second == request;
+              });
+            },
+        .usage =
+            [this](const UsageRecord& record) {
+              this->usage.push_back(record);
+            },
+        .take_tokens =
+            [this](const RequestId&, const LimitAsk& ask,
+                   const std::function<void(const LimitDecision&)>& done) {
+              this->last_ask = ask;
+              const auto answer = [this, cost = ask.cost, done] {
+                const LimitDecision decision = this->token_answer;
+                this->charged_tokens += decision.verdict.granted ? cost : 0;
+                done(decision);
+              };
+              if (this->hold_tokens) {
+                this->held_token_answers.push_back(answer);
+              } else {
+                answer();
+              }
+            },
+        .cancel_tokens = [this](const RequestId&) { ++this->cancelled_asks; },
+        .give_back_tokens =
+            [this](const AccountId&, LimitUnit, int64_t cost) {
+              this->charged_tokens -= cost;
+            }};
   }
 };
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -83,6 +83,9 @@
 // endpoint serves them; the policy refuses those at once.
 TEST_GROUP(GatewayQueue){};
 
+// Run with every dispatcher.
+TEST_GROUP(GatewayLimits){};
+
 TEST(Gateway, StreamsAChatAnswer) {
   FakeEngine engine;
   GatewayBed bed;
@@ -702,6 +705,169 @@
   }));
 }
 
+// -- Limits of accounts ------------------------------------------------------
+
+// An account sends more than its limit: no engine works for it, its callers
+// learn when to come back, and nobody else notices.
+TEST(GatewayLimits, AnAccountOverItsLimitIsRefusedAtOnce) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  bed.Limit();
+  bed.token_answer = {
+      .verdict = {.retry_after = std::chrono::milliseconds(1500),
+                  .reason = "used up"},
+      .share = 0.5,
+      .share_age = std::chrono::milliseconds(70),
+      .holders_revision = 12};
+  const CallerAnswer answer = bed.caller.Send(bed.Chat("x", false));
+  LONGS_EQUAL(429, answer.status);
+  STRCMP_EQUAL("rate_limit_exceeded", ErrorCode(answer).c_str());
+  STRCMP_EQUAL("2", answer.Header("Retry-After").c_str());
+  STRCMP_EQUAL("true", answer.Header("x-should-retry").c_str());
+  LONGS_EQUAL(0, engine.Runs().size());
+  const auto decisions = bed.Ask<std::vector<Decision>>([&](Gateway& g) {
+    return g.RecentDecisions(RequestId(answer.Header("X-Request-Id")));
+  });
+  STRCMP_EQUAL("Over the account's limit.", decisions.at(0).message.c_str());
+  const auto& fields = decisions.at(0).fields;
+  for (const auto& field : std::vector<std::pair<std::string, std::string>>{
+           {"why", "used up"},
+           {"share", "0.500000"},
+           {"share_ms", "70"},
+           {"holders_revision", "12"},
+           {"retry_after_ms", "1500"}}) {
+    CHECK(std::ranges::count(fields, field) == 1);
+  }
+  HttpOutgoing other = bed.Chat("x", false);
+  other.headers = {
+      {"Authorization", std::string("Bearer ") + GatewayBed::kOtherKey}};
+  LONGS_EQUAL(200, bed.caller.Send(other).status);
+  const double refused =
+      bed.metrics.Value("limit_tokens_refused_total", {{"account", "alpha"}});
+  CHECK(refused > 8);
+}
+
+TEST(GatewayLimits, CountsThePromptAndTheMostOutput) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  bed.Limit();
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat("x", false, 8)).status);
+  const int64_t small = bed.Charged();
+  CHECK(small > 8);
+  DOUBLES_EQUAL(
+      static_cast<double>(small),
+      bed.metrics.Value("limit_tokens_admitted_total", {{"account", "alpha"}}),
+      0);
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat("x", false, 108)).status);
+  LONGS_EQUAL(2 * small + 100, bed.Charged());
+}
+
+TEST(GatewayLimits, BatchRequestsLeaveTokensToOthers) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  bed.Limit();
+  const auto priority_of = [&](const std::string& more) {
+    bed.caller.Send(bed.Outgoing(
+        "POST", "/v1/completions",
+        R"({"model":"m","max_tokens":1,)" + more + R"("prompt":"x"})"));
+    return bed.Ask<int64_t>([&](Gateway&) { return bed.last_ask.priority; });
+  };
+  CHECK(priority_of("") < priority_of(R"("service_tier":"batch",)"));
+}
+
+// A crash of an endpoint isn't the account's: the repeat isn't counted again.
+TEST(GatewayLimits, CountsAResumedStreamOnce) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  bed.Limit();
+  bed.caller.Send(bed.Chat("x", true));
+  const int64_t once = bed.Charged();
+  engine.SetFault(
+      {.kind = EngineFault::kTruncate, .after_tokens = 3, .times = 1});
+  LONGS_EQUAL(200, bed.caller.Send(bed.Chat("x", true)).status);
+  LONGS_EQUAL(3, engine.Runs().size());
+  LONGS_EQUAL(2 * once, bed.Charged());
+}
+
+TEST(GatewayLimits, DoesNotChargeWhatNoEndpointRan) {
+  GatewayBed bed;
+  bed.AddEngine("e1", {"127.0.0.1", 1});
+  bed.Limit();
+  LONGS_EQUAL(503, bed.caller.Send(bed.Chat("x", false)).status);
+  LONGS_EQUAL(0, bed.Charged());
+}
+
+// Part of an answer was generated before its caller hung up: that counts.
+TEST(GatewayLimits, ChargesWhatRanUntilItsCallerHungUp) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  bed.Limit();
+  bed.caller.Start(bed.Chat("long", true, 100'000 / 4));
+  CHECK(Eventually([&] { return engine.Runs().size() == 1; }));
+  bed.caller.HangUp();
+  CHECK(Eventually([&] { return engine.Runs().at(0).cancelled; }));
+  CHECK(bed.Charged() > 25'000);
+}
+
+// Tokens that are granted after the caller went would be lost to the account.
+TEST(GatewayLimits, GivesBackTokensThatComeTooLate) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  bed.Limit();
+  bed.hold_tokens = true;
+  bed.caller.Start(bed.Chat("x", true));
+  CHECK(Eventually([&] {
+    return bed.Ask<size_t>(
+               [&](Gateway&) { return bed.held_token_answers.size(); }) == 1;
+  }));
+  bed.caller.HangUp();
+  CHECK(Eventually([&] {
+    return bed.Ask<int64_t>([&](Gateway&) { return bed.cancelled_asks; }) == 1;
+  }));
+  bed.task.Call([&] { bed.held_token_answers.front()(); });
+  LONGS_EQUAL(0, bed.Charged());
+  LONGS_EQUAL(0, engine.Runs().size());
+}
+
+// A host that stops refuses what still waits for tokens, and charges nothing.
+TEST(GatewayLimits, EndsWhatWaitsForTokens) {
+  FakeEngine engine;
+  GatewayBed bed;
+  bed.AddEngine("e1", engine.Address());
+  bed.Limit();
+  bed.hold_tokens = true;
+  auto answer = bed.caller.Start(bed.Chat("x", false));
+  CHECK(Eventually([&] {
+    return bed.Ask<size_t>(
+               [&](Gateway&) { return bed.held_token_answers.size(); }) == 1;
+  }));
+  bed.task.Call([&] { bed.gateway->EndRequests([] {}); });
+  STRCMP_EQUAL("shutting_down", ErrorCode(answer.get()).c_str());
+  bed.task.Call([&] { bed.held_token_answers.front()(); });
+  LONGS_EQUAL(0, bed.Charged());
+}
+
+TEST(GatewayQueue, AHangUpInTheQueueGivesTokensBackOnce) {
+  GatewayBed bed;
+  bed.Limit();
+  bed.caller.Start(bed.Chat("waits", true));
+  CHECK(Eventually([&] {
+    return bed.Ask<int64_t>([](Gateway& g) { return g.Queued(); }) == 1;
+  }));
+  CHECK(bed.Charged() > 8);
+  bed.caller.HangUp();
+  CHECK(Eventually([&] {
+    return bed.Ask<int64_t>([](Gateway& g) { return g.Queued(); }) == 0;
+  }));
+  LONGS_EQUAL(0, bed.Charged());
+}
+
 // -- Other answers -----------------------------------------------------------
 
 TEST(Gateway, ListsModelsAndReportsItself) {
--- a/tests/host_bed.h
+++ b/tests/host_bed.h
@@ -87,6 +87,43 @@
             .once = true};
   }
 
+  // Sets the account's limit, in requests; answers the revision.
+  int64_t Limit(double rate, double burst) {
+    const auto stored = ReadStoredConfiguration(
+        this->store.Transact(ReadConfigurationTransaction()));
+    Configuration wanted = *stored->configuration;
+    Account& account = wanted.accounts.at(AccountId("alpha"));
+    account.rate = rate;
+    account.burst = burst;
+    account.unit = LimitUnit::kRequests;
+    const int64_t revision = stored->head.revision + 1;
+    this->store.Transact(*MakeApplyTransaction(
+        *stored, wanted,
+        {.name = "test", .token = "limit" + std::to_string(revision)}));
+    return revision;
+  }
+
+  // The share of limits that a host holds.
+  double LimitShare(int host) {
+    return this->Status(host).At("limits").At("share").Number();
+  }
+
+  // What a host says of the account: "used" or "left".
+  int64_t LimitOf(int host, const std::string& what) {
+    const auto accounts =
+        this->Status(host).At("limits").At("accounts").Items();
+    return accounts.empty() ? 0 : accounts.front().At(what).Integer();
+  }
+
+  // The same of all hosts.
+  int64_t LimitSum(const std::string& what) {
+    int64_t sum = 0;
+    for (size_t i = 0; i < this->hosts.size(); ++i) {
+      sum += this->LimitOf(static_cast<int>(i), what);
+    }
+    return sum;
+  }
+
   // A host's status page.
   Json Status(int host) {
     const auto answer =
--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <numeric>
 
+#include "decisions/window_sum.h"
 #include "limit_world.h"
 
 namespace hickorystand {
@@ -226,6 +227,7 @@
 }
 
 TEST_GROUP(AccountLimiter){};
+TEST_GROUP(WindowSum){};
 
 TEST(AccountLimiter, CountsTokensOrRequests) {
   LONGS_EQUAL(17012, Limit(1).CostOf(17000, 12));
@@ -409,6 +411,18 @@
   DOUBLES_EQUAL(0, limiter.Held(now, kBig), 0);
 }
 
+TEST(WindowSum, ForgetsWhatIsOlderThanTheWindow) {
+  WindowSum sum(std::chrono::seconds(8));
+  const Instant start{};
+  const auto at = [&](double seconds) { return start + FromSeconds(seconds); };
+  sum.Add(at(0), 100);
+  sum.Add(at(0.1), -40);
+  sum.Add(at(5), 7);
+  LONGS_EQUAL(67, sum.Sum(at(7.9)));
+  LONGS_EQUAL(7, sum.Sum(at(8.2)));
+  LONGS_EQUAL(0, sum.Sum(at(13.1)));
+}
+
 // Guards against an account that is refused for long after it got its limit,
 // and against one that may spend twice when its limit is dropped and set again.
 TEST(AccountLimiter, AccountsThatComeAndGoKeepToTheirLimits) {
