ctl: account use shows what an account used and may still use

Operators could not see how near an account was to its limit without adding up every host's metrics.

`hickoryctl account use ACCOUNT` asks every host's status page and prints the limit, and for each host what it admitted in the last 8 s, what it may admit at once by itself, its share and how long ago that was confirmed, with the sums; hosts without the limit are named with their revision, and those that don't answer as not asked. `--json` prints one document. No limit in force anywhere is exit code 4, or 7 if a host didn't answer.

--- a/packages/ctl/command.h
+++ b/packages/ctl/command.h
@@ -56,6 +56,12 @@
 // status, drain and why.
 std::vector<Command> FleetCommands();
 
+// account use.
+std::vector<Command> LimitCommands();
+
+// kBadSetting if no entry host is set.
+Result<bool> NeedHosts(CtlSession& session);
+
 // All of them, in the order of the help.
 std::span<const Command> AllCommands();
 
--- a/packages/ctl/ctl.cc
+++ b/packages/ctl/ctl.cc
@@ -343,8 +343,8 @@
 std::span<const Command> AllCommands() {
   static const std::vector<Command> kCommands = [] {
     std::vector<Command> all;
-    for (auto&& group :
-         {ConfigurationCommands(), FleetCommands(), RecordCommands()}) {
+    for (auto&& group : {ConfigurationCommands(), FleetCommands(),
+                         RecordCommands(), LimitCommands()}) {
       std::ranges::copy(group, std::back_inserter(all));
     }
     return all;
--- a/packages/ctl/fleet_commands.cc
+++ b/packages/ctl/fleet_commands.cc
@@ -131,15 +131,6 @@
   return out;
 }
 
-Result<bool> NeedHosts(CtlSession& session) {
-  if (!session.Admin().HasHosts()) {
-    return Fail(ErrorKind::kBadSetting,
-                "no entry host is set; give --admin IP:PORT;IP:PORT, or "
-                "[admin] addresses in the file of --config");
-  }
-  return true;
-}
-
 Result<bool> Status(CtlSession& session, const Invocation& invocation) {
   if (const auto hosts = NeedHosts(session); !hosts) {
     return hosts;
@@ -256,6 +247,15 @@
 
 }  // namespace
 
+Result<bool> NeedHosts(CtlSession& session) {
+  if (!session.Admin().HasHosts()) {
+    return Fail(ErrorKind::kBadSetting,
+                "no entry host is set; give --admin IP:PORT;IP:PORT, or "
+                "[admin] addresses in the file of --config");
+  }
+  return true;
+}
+
 std::vector<Command> FleetCommands() {
   return {
       {.name = "status",
--- /dev/null
+++ b/packages/ctl/limit_commands.cc
@@ -0,0 +1,176 @@
+// Commands about the limits of client accounts: account use.
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <sstream>
+#include <vector>
+
+#include "ctl/command.h"
+
+namespace hickorystand {
+namespace {
+
+constexpr double kMillisecondsInSecond = 1000;
+
+// What one host says of the account. `limit` is absent if it knows of none.
+struct HostUse {
+  const FleetHost* host = nullptr;
+  Json limits;
+  Json limit;
+};
+
+std::vector<HostUse> UsesOf(const FleetStatus& fleet,
+                            const std::string& account) {
+  std::vector<HostUse> uses;
+  for (const FleetHost& host : fleet.hosts) {
+    const Json limits = host.whole.At("limits");
+    const std::vector<Json> known = limits.At("accounts").Items();
+    const auto found = std::ranges::find(
+        known, account, [](const Json& each) { return each.At("id").Text(); });
+    uses.push_back({.host = &host,
+                    .limits = limits,
+                    .limit = found == known.end() ? Json() : *found});
+  }
+  return uses;
+}
+
+// The host with the newest configuration among those that know of a limit.
+const HostUse* Newest(const std::vector<HostUse>& uses) {
+  const HostUse* newest = nullptr;
+  for (const HostUse& use : uses) {
+    if (use.limit.Exists() &&
+        (newest == nullptr || use.host->revision > newest->host->revision)) {
+      newest = &use;
+    }
+  }
+  return newest;
+}
+
+int64_t Sum(const std::vector<HostUse>& uses, std::string_view member) {
+  int64_t sum = 0;
+  for (const HostUse& use : uses) {
+    sum += use.limit.At(member).Integer();
+  }
+  return sum;
+}
+
+std::string ShareText(const Json& limits) {
+  const Json age = limits.At("share_age_ms");
+  std::ostringstream out;
+  if (limits.At("share").Number() > 0) {
+    out << "share " << limits.At("share").Number() << " confirmed "
+        << age.Integer() << " ms ago";
+  } else if (age.Exists()) {
+    out << "share ended, last confirmed " << age.Integer() << " ms ago";
+  } else {
+    out << "no share";
+  }
+  return out.str();
+}
+
+std::string UseText(const std::string& account,
+                    const std::vector<HostUse>& uses) {
+  const HostUse& newest = *Newest(uses);
+  std::ostringstream out;
+  out.precision(std::numeric_limits<double>::digits10);
+  out << account << ": " << newest.limit.At("rate").Number() << " "
+      << newest.limit.At("unit").Text() << " a second, burst "
+      << newest.limit.At("burst").Number() << ", over all hosts\n";
+  for (const HostUse& use : uses) {
+    out << "  " << use.host->data_centre << " " << use.host->host << ": ";
+    if (!use.limit.Exists()) {
+      out << "no limit in force at revision " << use.host->revision << "\n";
+      continue;
+    }
+    out << "used " << use.limit.At("used").Integer() << " in "
+        << use.limits.At("window_ms").Number() / kMillisecondsInSecond << " s, "
+        << use.limit.At("left").Integer() << " left, " << ShareText(use.limits)
+        << "\n";
+  }
+  out << "  all: used " << Sum(uses, "used") << ", " << Sum(uses, "left")
+      << " left";
+  return out.str();
+}
+
+JsonWriter UseDocument(const std::string& account,
+                       const FleetStatus& fleet,
+                       const std::vector<HostUse>& uses) {
+  const HostUse& newest = *Newest(uses);
+  JsonWriter out;
+  out.BeginObject()
+      .Member("account", account)
+      .Member("unit", newest.limit.At("unit").Text())
+      .Member("rate", newest.limit.At("rate").Number())
+      .Member("burst", newest.limit.At("burst").Number())
+      .Member("used", Sum(uses, "used"))
+      .Member("left", Sum(uses, "left"))
+      .Name("hosts")
+      .BeginArray();
+  for (const HostUse& use : uses) {
+    out.BeginObject()
+        .Member("host", use.host->host.Text())
+        .Member("data_centre", use.host->data_centre.Text())
+        .Member("revision", use.host->revision);
+    for (const char* member : {"used", "left"}) {
+      if (use.limit.Exists()) {
+        out.Member(member, use.limit.At(member).Integer());
+      }
+    }
+    out.Member("window_ms", use.limits.At("window_ms").Integer())
+        .Member("share", use.limits.At("share").Number());
+    if (const Json age = use.limits.At("share_age_ms"); age.Exists()) {
+      out.Member("share_age_ms", age.Integer());
+    }
+    out.EndObject();
+  }
+  out.EndArray().Name("unreachable").BeginArray();
+  for (const SocketAddress& address : fleet.unreachable) {
+    out.Value(AddressText(address));
+  }
+  out.EndArray().EndObject();
+  return out;
+}
+
+Result<bool> Use(CtlSession& session, const Invocation& invocation) {
+  if (const auto hosts = NeedHosts(session); !hosts) {
+    return hosts;
+  }
+  const std::string& account = invocation.arguments.front();
+  const FleetStatus fleet = session.Admin().Status();
+  const std::vector<HostUse> uses = UsesOf(fleet, account);
+  for (size_t i = 0; i < fleet.unreachable.size(); ++i) {
+    session.Out().Notice("not asked: " + AddressText(fleet.unreachable[i]) +
+                         ": " + fleet.reasons[i]);
+  }
+  if (Newest(uses) == nullptr) {
+    return Fail(
+        fleet.unreachable.empty() ? ErrorKind::kNotFound : ErrorKind::kTimeout,
+        "no host that answered has a limit of account '" + account +
+            "' in force");
+  }
+  session.Out().Line(UseText(account, uses));
+  session.Out().Document(UseDocument(account, fleet, uses));
+  return true;
+}
+
+}  // namespace
+
+std::vector<Command> LimitCommands() {
+  return {
+      {.name = "account use",
+       .arguments = "ACCOUNT",
+       .summary = "Show what an account used of its limit and may still use.",
+       .help = "Asks every host. 'used' counts what the host admitted within "
+               "the last seconds, less what was not run; 'left' is what it may "
+               "admit at once by itself, below 0 after a large request. A host "
+               "without a share admits only what others give it.",
+       .examples = {"hickoryctl account use acme",
+                    "hickoryctl account use acme --json"},
+       .least_arguments = 1,
+       .most_arguments = 1,
+       .run = &Use},
+  };
+}
+
+}  // namespace hickorystand
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -56,6 +56,7 @@
 
   std::atomic<int64_t> stays_at = 0;  // 0: follows
   std::atomic<bool> drained = false;
+  std::string limits = "{}";  // of the status; set before the first call
 
  private:
   int64_t Revision() {
@@ -82,6 +83,8 @@
         .BeginArray()
         .Value("dc9")
         .EndArray()
+        .Name("limits")
+        .Value(Json::Parse(this->limits).value_or(Json()))
         .EndObject()
         .Text();
   }
@@ -388,6 +391,42 @@
   CHECK(Contains(bench.out, "rate=2.5  unit=tokens"));
 }
 
+TEST(Ctl, ShowsWhatAnAccountUsedAndMayStillUse) {
+  Bench bench;
+  bench.one.limits =
+      R"({"window_ms":8000,"share":0.5,"share_age_ms":1200,"accounts":[)"
+      R"({"id":"acme","unit":"tokens","rate":1000,"burst":5000,)"
+      R"("used":300,"left":-40}]})";
+  bench.two.limits =
+      R"({"window_ms":8000,"share":0,"accounts":[{"id":"acme",)"
+      R"("unit":"tokens","rate":1000,"burst":5000,"used":20,"left":0}]})";
+  LONGS_EQUAL(0, bench.Run({"account", "use", "acme"}));
+  STRCMP_EQUAL(
+      "acme: 1000 tokens a second, burst 5000, over all hosts\n"
+      "  dc1 h1: used 300 in 8 s, -40 left, share 0.5 confirmed 1200 ms ago\n"
+      "  dc2 h2: used 20 in 8 s, 0 left, no share\n"
+      "  all: used 320, -40 left\n",
+      bench.out.c_str());
+  LONGS_EQUAL(0, bench.Run({"account", "use", "acme", "--json"}));
+  const auto document = Json::Parse(bench.out);
+  LONGS_EQUAL(320, document->At("used").Integer());
+  LONGS_EQUAL(2, document->At("hosts").Items().size());
+  LONGS_EQUAL(4, bench.Run({"account", "use", "other"}));
+}
+
+// A host that hasn't got the configuration yet doesn't limit the account.
+TEST(Ctl, NamesHostsWithoutTheLimit) {
+  Bench bench;
+  bench.Apply();
+  bench.one.limits =
+      R"({"window_ms":8000,"share":1,"share_age_ms":9,"accounts":[{"id":)"
+      R"("acme","unit":"requests","rate":2.5,"burst":0,"used":0,"left":1}]})";
+  bench.two.stays_at = 1;
+  LONGS_EQUAL(0, bench.Run({"account", "use", "acme"}));
+  CHECK(Contains(bench.out, "acme: 2.5 requests a second, burst 0"));
+  CHECK(Contains(bench.out, "dc2 h2: no limit in force at revision 1"));
+}
+
 TEST(Ctl, StatusShowsWhoIsBehindAndWhatIsCutOff) {
   Bench bench;
   bench.Apply();
