--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <numeric>
 
+#include "decisions/window_sum.h"
 #include "limit_world.h"
 
 namespace hickorystand {
@@ -100,6 +101,23 @@
   }
 }
 
+// Guards against accounts that are refused for long after the first limit was
+// set in a fleet whose hosts aren't all linked.
+TEST(LimitShares, HostsOfTheFirstRecordDoNotWaitForEachOther) {
+  LimitWorldOptions options = World(6);
+  options.shares.names_listed = true;
+  LimitWorld world(options);
+  for (int one = 0; one < 6; ++one) {
+    for (int other = 0; other < one; ++other) {
+      world.Cut(one, other);
+    }
+  }
+  world.Start();
+  for (int host = 0; host < 6; ++host) {
+    DOUBLES_EQUAL(1.0 / 6, world.Own(host), 1e-9);
+  }
+}
+
 // Guards against a share that a restarted host waits for though nobody else
 // can have it.
 TEST(LimitShares, ARestartedHostHasItsShareAtOnce) {
@@ -209,6 +227,7 @@
 }
 
 TEST_GROUP(AccountLimiter){};
+TEST_GROUP(WindowSum){};
 
 TEST(AccountLimiter, CountsTokensOrRequests) {
   LONGS_EQUAL(17012, Limit(1).CostOf(17000, 12));
@@ -376,6 +395,34 @@
   CHECK(RefusedShare(world, kBig) < 0.005);
 }
 
+// A debt in tokens would otherwise block an account for hours whose limit
+// counts requests from now on.
+TEST(AccountLimiter, NeitherTokensNorDebtsCrossAChangeOfTheUnit) {
+  const Instant start{};
+  AccountLimiter limiter(HostId("a"));
+  limiter.SetShare(start, 1, 1);
+  limiter.SetLimits(start, {{kBig, Limit(400000)}});
+  const Instant now = start + FromSeconds(2);
+  const auto verdict =
+      limiter.Take(now, {.number = 1, .account = kBig, .cost = 900000});
+  CHECK(verdict && verdict->granted);
+  CHECK(limiter.Held(now, kBig) < 0);
+  limiter.SetLimits(now, {{kBig, {.rate = 1, .burst = 5}}});
+  DOUBLES_EQUAL(0, limiter.Held(now, kBig), 0);
+}
+
+TEST(WindowSum, ForgetsWhatIsOlderThanTheWindow) {
+  WindowSum sum(std::chrono::seconds(8));
+  const Instant start{};
+  const auto at = [&](double seconds) { return start + FromSeconds(seconds); };
+  sum.Add(at(0), 100);
+  sum.Add(at(0.1), -40);
+  sum.Add(at(5), 7);
+  LONGS_EQUAL(67, sum.Sum(at(7.9)));
+  LONGS_EQUAL(7, sum.Sum(at(8.2)));
+  LONGS_EQUAL(0, sum.Sum(at(13.1)));
+}
+
 // Guards against an account that is refused for long after it got its limit,
 // and against one that may spend twice when its limit is dropped and set again.
 TEST(AccountLimiter, AccountsThatComeAndGoKeepToTheirLimits) {
@@ -519,24 +566,33 @@
   }
 }
 
+void CheckLimits(uint32_t seed, const LimitSharesOptions& shares) {
+  std::mt19937 random(seed);
+  const int hosts = 3 + static_cast<int>(seed % 5);
+  LimitWorldOptions options = World(hosts);
+  options.shares = shares;
+  options.seed = seed;
+  options.lost = seed % 3 == 0 ? 0.05 : 0;
+  options.repeated = seed % 5 == 0 ? 0.05 : 0;
+  options.late = seed % 7 == 0 ? 0.05 : 0;
+  LimitWorld world(options);
+  world.Start();
+  PlayFaults(world, random, hosts);
+  for (const auto& [account, limit] : Limits()) {
+    RC_ASSERT(world.MostIn(account, kWindow) <= Allowed(limit));
+  }
+}
+
 }  // namespace
 
 TEST(LimitProperties, NoFaultLetsAnAccountPassItsLimit) {
-  CHECK(rc::check("limits hold", [](uint32_t seed) {
-    std::mt19937 random(seed);
-    const int hosts = 3 + static_cast<int>(seed % 5);
-    LimitWorldOptions options = World(hosts);
-    options.seed = seed;
-    options.lost = seed % 3 == 0 ? 0.05 : 0;
-    options.repeated = seed % 5 == 0 ? 0.05 : 0;
-    options.late = seed % 7 == 0 ? 0.05 : 0;
-    LimitWorld world(options);
-    world.Start();
-    PlayFaults(world, random, hosts);
-    for (const auto& [account, limit] : Limits()) {
-      RC_ASSERT(world.MostIn(account, kWindow) <= Allowed(limit));
-    }
-  }));
+  CHECK(rc::check("limits hold", [](uint32_t seed) { CheckLimits(seed, {}); }));
+}
+
+TEST(LimitProperties, NoFaultLetsAnAccountPassItsLimitWhereAllHostsHoldAShare) {
+  CHECK(rc::check(
+      "limits hold where the first record names all",
+      [](uint32_t seed) { CheckLimits(seed, {.names_listed = true}); }));
 }
 
 }  // namespace hickorystand
