Stand-alone hosts: trust keys with the configuration that has them

What callers saw: for up to a second after a host became ready it answered 401 to valid keys. Seen as a failure of daemon_test AHostWithoutAShareRefuses in a run of the whole script.

Cause: whether keys can be trusted is looked at once a second. A host that reads its first configuration from another host, after the first look, is ready at once and trusts its keys with the next look.

Change: the look is repeated with each configuration, before the gateway is told of it.

Evidence: the test 36 times side by side on one core, twice: 12 of 72 runs fail with 401 before, none of 72 with the change.

--- a/packages/daemon/control.cc
+++ b/packages/daemon/control.cc
@@ -305,6 +305,7 @@
   this->peers->SetEndpoints(std::move(places));
   this->coordinator->ApplyConfiguration(next);
   this->limits->SetLimits(LimitsOf(*next));
+  this->CheckKeys();
   this->events.on_configuration(next);
 }
 
