daemon_test: stop once the stream's first token has reached its caller

HostStop waited for the engine's run and not for the token, so a stop could come before the stream had begun, which ends in another answer. Found by reading.

--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cstdio>
 #include <fstream>
 #include <future>
@@ -332,14 +333,14 @@
         this->bed.Call(0, "POST", "/services/filing/petitions", "{}"));
     CHECK(Eventually([&] {
       return this->bed.engine.Runs().size() == 2 &&
-             this->bed.plain.Runs().size() == 1 &&
+             this->bed.plain.Runs().size() == 1 && this->stream_begun &&
              this->bed.Status(0).At("queued").Integer() == 1;
     }));
   }
 
   // Reads the stream by a plain socket: HttpClient can't tell a chunked answer
   // whose connection closes behind its last chunk from one that is cut.
-  static std::future<std::string> ReadRaw(const HttpOutgoing& call) {
+  std::future<std::string> ReadRaw(const HttpOutgoing& call) {
     std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
     for (const auto& [name, value] : call.headers) {
       text += name + ": " + value + "\r\n";
@@ -347,9 +348,14 @@
     text += "Host: h1\r\nContent-Type: " + call.content_type +
             "\r\nContent-Length: " + std::to_string(call.body.size()) +
             "\r\n\r\n" + call.body;
-    return std::async(std::launch::async, [address = call.address, text] {
+    return std::async(std::launch::async, [this, address = call.address, text] {
       RawSocket socket(address);
-      return socket.Write(text) ? socket.ReadAll() : "";
+      if (!socket.Write(text)) {
+        return std::string();
+      }
+      const std::string begin = socket.ReadUntil("data: ");
+      this->stream_begun = true;
+      return begin + socket.ReadAll();
     });
   }
 
@@ -375,6 +381,7 @@
   HostBed bed{1, std::chrono::milliseconds(300)};
   std::future<CallerAnswer> queued;
   std::future<CallerAnswer> running;
+  std::atomic<bool> stream_begun = false;
   std::future<std::string> streamed;
   std::future<CallerAnswer> filing;
 };
