--- a/packages/ctl/request_trace.cc
+++ b/packages/ctl/request_trace.cc
@@ -18,10 +18,9 @@
 // What a line says of the request's course.
 enum class LineKind { kOther, kForwarded, kSent, kAnswered, kIngressEnd };
 
-// How a kind of line is told. {name} stands for a field. A part in brackets is
-// left out if one of its fields is missing or empty; {host} is the line's host.
-// `stays_at` is where the
-// request is until its next line.
+// How a kind of line is told. {name} stands for a field, {host} for the line's
+// host. A part in brackets is left out if one of its fields is missing or
+// empty. `stays_at` is where the request is until its next line.
 struct LineRow {
   std::string_view part;
   std::string_view message;
