Relay hosts: break off a begun stream that no engine can go on with

What callers saw: a host aborted and cut all its requests; on a build without assertions they would have got a second answer head within a stream, or "not run" for what may have run.

Cause: where a prompt had been read apart and no engine was left to generate the answer, the request was always refused as not run. A repeat of a begun stream whose prompt is read once more gets there too.

Change: such a request ends like all others that can't be sent: broken off, 502, or refused if surely nothing ran.

--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -270,8 +270,8 @@
       this->relay->clock->Now(), this->shape, reader, this->tried);
   if (!answers) {
     this->DropHandle();
-    this->RefuseNotRun("no endpoint",
-                       this->relay->settings.placement.eject_for);
+    this->FailWithoutSending(ErrorKind::kNoEndpoint, "no endpoint",
+                             this->relay->settings.placement.eject_for);
     return;
   }
   this->SendRun({.endpoint = *answers},
