Schedulers: compare capacities without copying hosts

For each request an ingress host copied the record of the strongest scheduler that stays, names included, to compare its capacity. IsMuchWeaker takes the two capacities. PickSchedulers sorts hosts into its groups once, in place of copying a group and erasing parts of both. No change of behaviour.

--- a/packages/decisions/fleet_topology.cc
+++ b/packages/decisions/fleet_topology.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <map>
 #include <sstream>
 #include <tuple>
@@ -74,9 +73,9 @@
   return host;
 }
 
-bool IsMuchWeaker(const FleetHost& host, int64_t capacity) {
-  return static_cast<double>(host.capacity) <
-         kMuchWeaker * static_cast<double>(capacity);
+bool IsMuchWeaker(int64_t capacity, int64_t other) {
+  return static_cast<double>(capacity) <
+         kMuchWeaker * static_cast<double>(other);
 }
 
 std::set<HostId> PlanSchedulers(const std::vector<FleetHost>& hosts,
@@ -93,7 +92,7 @@
     double capacity = 0;
     size_t count = 0;
     for (const FleetHost& host : members) {
-      const bool weak = IsMuchWeaker(host, members.front().capacity);
+      const bool weak = IsMuchWeaker(host.capacity, members.front().capacity);
       const size_t least =
           weak ? options.least_strong_schedulers : options.least_schedulers;
       if (count >= least && capacity >= wanted) {
@@ -111,34 +110,33 @@
                                       const std::vector<FleetHost>& schedulers,
                                       const SchedulerLinks& links,
                                       const FleetTopologyOptions& options) {
-  std::vector<FleetHost> near;
-  std::vector<FleetHost> far;
   std::vector<FleetHost> staying;
   std::vector<FleetHost> draining;
-  for (const FleetHost& host : schedulers) {
-    (links.draining.contains(host.id) ? draining : staying).push_back(host);
-  }
-  for (const FleetHost& host : staying) {
-    (host.zone == self.zone ? near : far).push_back(host);
-  }
   int64_t strongest = 0;
-  for (const FleetHost& host : staying) {
-    strongest = std::max(strongest, host.capacity);
+  for (const FleetHost& host : schedulers) {
+    const bool drains = links.draining.contains(host.id);
+    (drains ? draining : staying).push_back(host);
+    strongest = std::max(strongest, drains ? 0 : host.capacity);
   }
   const auto is_weak = [strongest](const FleetHost& host) {
-    return IsMuchWeaker(host, strongest);
+    return IsMuchWeaker(host.capacity, strongest);
   };
+  std::vector<FleetHost> near;
+  std::vector<FleetHost> strong_far;
+  std::vector<FleetHost> weak_far;
+  for (const FleetHost& host : staying) {
+    const bool is_near = host.zone == self.zone;
+    (is_near ? near : is_weak(host) ? weak_far : strong_far).push_back(host);
+  }
   std::vector<FleetHost> picked =
       Nearest(self.id, near, links.linked, options.near_links);
   const size_t strong =
       picked.size() -
       static_cast<size_t>(std::ranges::count_if(picked, is_weak));
   const size_t wanted = options.far_links + options.near_links - strong;
-  std::vector<FleetHost> strong_far = far;
-  std::erase_if(strong_far, is_weak);
-  std::erase_if(far, std::not_fn(is_weak));
   const auto first = Nearest(self.id, strong_far, links.linked, wanted);
-  const auto rest = Nearest(self.id, far, links.linked, wanted - first.size());
+  const auto rest =
+      Nearest(self.id, weak_far, links.linked, wanted - first.size());
   picked.insert(picked.end(), first.begin(), first.end());
   picked.insert(picked.end(), rest.begin(), rest.end());
   picked.insert(picked.end(), draining.begin(), draining.end());
--- a/packages/decisions/fleet_topology.h
+++ b/packages/decisions/fleet_topology.h
@@ -66,8 +66,8 @@
 std::set<HostId> PlanSchedulers(const std::vector<FleetHost>& hosts,
                                 const FleetTopologyOptions& options);
 
-// Whether a host is much weaker than one of some capacity.
-bool IsMuchWeaker(const FleetHost& host, int64_t capacity);
+// Whether a host of a capacity is much weaker than one of another.
+bool IsMuchWeaker(int64_t capacity, int64_t other);
 
 // The links that an ingress host has to schedulers.
 struct SchedulerLinks {
--- a/packages/decisions/scheduler_choice.cc
+++ b/packages/decisions/scheduler_choice.cc
@@ -97,23 +97,24 @@
   const State* best = nullptr;
   const int64_t stuck_at = this->LeastInFlight() * 2 + kStuckFrom;
   int64_t strongest = 0;
-  FleetHost strongest_staying;
+  int64_t strongest_staying = 0;
   for (const auto& [id, state] : this->states) {
-    if (this->Serves(state)) {
-      strongest = std::max(strongest, state.host.capacity);
+    if (!this->Serves(state)) {
+      continue;
     }
-    if (this->Serves(state) && !state.told.draining &&
-        state.host.capacity > strongest_staying.capacity) {
-      strongest_staying = state.host;
+    strongest = std::max(strongest, state.host.capacity);
+    if (!state.told.draining) {
+      strongest_staying = std::max(strongest_staying, state.host.capacity);
     }
   }
   const auto rank = [&](const State& state) {
-    return std::tuple(
-        !state.told.keys_proven,
-        state.told.draining &&
-            !IsMuchWeaker(strongest_staying, state.host.capacity),
-        state.in_flight > stuck_at, IsMuchWeaker(state.host, strongest),
-        state.host.zone != this->own, state.told.busy, state.forwarded);
+    return std::tuple(!state.told.keys_proven,
+                      state.told.draining &&
+                          !IsMuchWeaker(strongest_staying, state.host.capacity),
+                      state.in_flight > stuck_at,
+                      IsMuchWeaker(state.host.capacity, strongest),
+                      state.host.zone != this->own, state.told.busy,
+                      state.forwarded);
   };
   for (const auto& [id, state] : this->states) {
     if (this->Serves(state) && !tried.contains(id) &&
