One conversion to milliseconds, one check for sent attempts, one queue of timed calls

ToMilliseconds stands in kernel/time in place of three copies, and log lines of the duties use MillisecondsText. RequestDriver asks in one function whether an attempt may have reached its endpoint. lease_release_test uses the timed calls of promise_world. DutyTenure::ActFrom, which nobody called, and FleetPeers::IsDraining, which only FleetPeers did, are gone. No change of behaviour.

--- a/packages/daemon/status_page.cc
+++ b/packages/daemon/status_page.cc
@@ -8,10 +8,6 @@
 namespace hickorystand {
 namespace {
 
-int64_t Milliseconds(Duration length) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-}
-
 void WriteLease(JsonWriter& out, const HostStatus& status) {
   out.Name("lease")
       .BeginObject()
@@ -112,10 +108,10 @@
 void WriteLimits(JsonWriter& out, const LimitsStatus& limits) {
   out.Name("limits")
       .BeginObject()
-      .Member("window_ms", Milliseconds(limits.window))
+      .Member("window_ms", ToMilliseconds(limits.window))
       .Member("share", limits.share);
   if (limits.share_age) {
-    out.Member("share_age_ms", Milliseconds(*limits.share_age));
+    out.Member("share_age_ms", ToMilliseconds(*limits.share_age));
   }
   out.Member("holders_revision", limits.holders_revision)
       .Name("accounts")
--- a/packages/decisions/duty_tenure.h
+++ b/packages/decisions/duty_tenure.h
@@ -50,7 +50,6 @@
   void OnCallsCancelled(Instant now);
 
   bool MayAct(Instant now) const { return now >= this->act_from; }
-  Instant ActFrom() const { return this->act_from; }
 
   // Whether each call has ended.
   bool Idle() const { return this->calls.empty(); }
--- a/packages/decisions/usage_windows.cc
+++ b/packages/decisions/usage_windows.cc
@@ -11,10 +11,6 @@
 // end, four are open at a time.
 constexpr int64_t kKeptWindows = 8;
 
-int64_t Milliseconds(Duration length) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-}
-
 void WriteCounts(JsonWriter& out, const WindowCounts& counts) {
   out.BeginObject();
   for (const auto& [account, count] : counts) {
@@ -80,11 +76,11 @@
 }
 
 int64_t UsageWindows::WindowAt(int64_t unix_ms) const {
-  return unix_ms / Milliseconds(this->window);
+  return unix_ms / ToMilliseconds(this->window);
 }
 
 int64_t UsageWindows::EndOf(int64_t number) const {
-  return (number + 1) * Milliseconds(this->window);
+  return (number + 1) * ToMilliseconds(this->window);
 }
 
 void UsageWindows::OnBegun(int64_t unix_ms, const AccountId& account) {
--- a/packages/gateway/request_driver.cc
+++ b/packages/gateway/request_driver.cc
@@ -170,10 +170,7 @@
     return;
   }
   const bool may_have_run =
-      live.may_have_run || live.abandoned_may_have_run ||
-      std::ranges::any_of(live.attempts, [](const auto& entry) {
-        return entry.second.attempt->MayHaveSent();
-      });
+      live.may_have_run || live.abandoned_may_have_run || AnyMayHaveSent(live);
   if (live.charge.held && !may_have_run) {
     this->hooks.give_back_tokens(request.account, live.charge.unit,
                                  live.charge.cost);
@@ -225,9 +222,7 @@
   assert(!this->applying && "final answers aren't given within Apply()");
   LiveRequest& live = this->live.at(id);
   live.incoming.call->OnGone({});
-  live.may_have_run |= std::ranges::any_of(
-      live.attempts,
-      [](const auto& entry) { return entry.second.attempt->MayHaveSent(); });
+  live.may_have_run |= AnyMayHaveSent(live);
   if (!live.incoming.call->Started()) {
     for (auto& [attempt, run] : live.attempts) {
       run.generated = 0;  // not billed, as the caller gets none of it
@@ -244,6 +239,12 @@
   this->Apply(this->dispatcher->OnCallerGone(this->clock.Now(), id));
 }
 
+bool RequestDriver::AnyMayHaveSent(const LiveRequest& live) {
+  return std::ranges::any_of(live.attempts, [](const auto& entry) {
+    return entry.second.attempt->MayHaveSent();
+  });
+}
+
 Error RequestDriver::ErrorAtEnd(const LiveRequest& live) {
   if (live.incoming.call->Started()) {
     return {ErrorKind::kBrokenAnswer,
--- a/packages/gateway/request_driver.h
+++ b/packages/gateway/request_driver.h
@@ -228,6 +228,9 @@
   void EndNow(const RequestId& id);
   static Error ErrorAtEnd(const LiveRequest& live);
 
+  // Whether an attempt under way may have reached its endpoint.
+  static bool AnyMayHaveSent(const LiveRequest& live);
+
   RequestDriverOptions options;
   std::unique_ptr<Dispatcher> dispatcher;
   const Clock& clock;
--- a/packages/kernel/time.cc
+++ b/packages/kernel/time.cc
@@ -4,9 +4,12 @@
 
 namespace hickorystand {
 
+int64_t ToMilliseconds(Duration length) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
 std::string MillisecondsText(Duration length) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
+  return std::to_string(ToMilliseconds(length));
 }
 
 Instant BootClock::Now() const {
--- a/packages/kernel/time.h
+++ b/packages/kernel/time.h
@@ -2,7 +2,8 @@
 //
 // Index
 //   Instant, Duration   the types every decision takes
-//   MillisecondsText    a length of time in logs
+//   ToMilliseconds      a length of time in records and messages
+//   MillisecondsText    the same in logs
 //   Clock               where a process reads the time
 //   BootClock           the real one; runs through suspend
 //   ManualClock         for tests and benches; moves only when told
@@ -30,7 +31,10 @@
 // A moment on this host's own clock. Instants of two hosts can't be compared.
 using Instant = BootTime::time_point;
 
-// Whole milliseconds as a decimal number, for logs.
+// Whole milliseconds.
+int64_t ToMilliseconds(Duration length);
+
+// The same as a decimal number, for logs.
 std::string MillisecondsText(Duration length);
 
 // Tells the time. Only tasks hold one; decisions take an Instant.
--- a/packages/relay/fleet_duties.cc
+++ b/packages/relay/fleet_duties.cc
@@ -49,10 +49,6 @@
   return std::string(kUsagePrefix) + std::to_string(window);
 }
 
-int64_t Milliseconds(Duration length) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-}
-
 }  // namespace
 
 FleetDuties::FleetDuties(FleetDutiesOptions options,
@@ -77,20 +73,20 @@
              .incarnation = this->options.incarnation},
             this->options.window),
       true_time(clock.WallMilliseconds(),
-                Milliseconds(clock.Now().time_since_epoch())),
+                ToMilliseconds(clock.Now().time_since_epoch())),
       tenure(this->options.lease) {}
 
 FleetDuties::~FleetDuties() = default;
 
 int64_t FleetDuties::UnixMilliseconds() const {
   return this->true_time.UnixAt(
-      Milliseconds(this->clock->Now().time_since_epoch()));
+      ToMilliseconds(this->clock->Now().time_since_epoch()));
 }
 
 void FleetDuties::OnPeerTime(const HostId& host, int64_t unix_ms) {
   const int64_t before = this->UnixMilliseconds();
   this->true_time.OnPeer(host, unix_ms,
-                         Milliseconds(this->clock->Now().time_since_epoch()));
+                         ToMilliseconds(this->clock->Now().time_since_epoch()));
   const int64_t change = this->UnixMilliseconds() - before;
   if (std::abs(change) >= kTimeChangeLogged) {
     LogInfo(kPart, "True time is another one than was believed.",
@@ -164,11 +160,10 @@
   std::vector<LeaseAction> actions;
   if (this->lease.Held()) {
     const Duration successor_wait = this->tenure.SuccessorWait(now);
-    LogInfo(
-        kPart, "Releasing the duties.",
-        {{"fencing", std::to_string(this->lease.Fencing())},
-         {"idle", idle ? "true" : "false"},
-         {"successor_wait_ms", std::to_string(Milliseconds(successor_wait))}});
+    LogInfo(kPart, "Releasing the duties.",
+            {{"fencing", std::to_string(this->lease.Fencing())},
+             {"idle", idle ? "true" : "false"},
+             {"successor_wait_ms", MillisecondsText(successor_wait)}});
     this->lease.Release(now, successor_wait, actions);
   } else {
     this->lease.Retire(actions);
@@ -223,7 +218,7 @@
       this->first_tenure ? now : now + std::max(wait, this->options.lease);
   LogInfo(kPart, "Took the duties.",
           {{"fencing", std::to_string(this->lease.Fencing())},
-           {"wait_ms", std::to_string(Milliseconds(wait))},
+           {"wait_ms", MillisecondsText(wait)},
            {"reason", std::string(reason)},
            {"earlier_holder", released ? released->host.Text() : ""}});
 }
@@ -297,7 +292,7 @@
   const int64_t now = this->UnixMilliseconds();
   const int64_t current = this->usage.WindowAt(now);
   const int64_t oldest = this->usage.WindowAt(
-      now - Milliseconds(this->options.report_due + this->options.window));
+      now - ToMilliseconds(this->options.report_due + this->options.window));
   const std::vector<HostId> hosts = this->inputs.other_hosts();
   for (int64_t window = oldest; window < current; ++window) {
     const int64_t passed = now - this->usage.EndOf(window);
@@ -305,10 +300,10 @@
         std::ranges::all_of(hosts, [this, window](const HostId& host) {
           return this->usage.Knows(host, window);
         });
-    const bool urgent = passed >= Milliseconds(this->options.report_due -
-                                               this->ReportReserve());
+    const bool urgent = passed >= ToMilliseconds(this->options.report_due -
+                                                 this->ReportReserve());
     if (!this->reported.contains(window) && !this->under_way.contains(window) &&
-        passed >= Milliseconds(kSettle) && (complete || urgent)) {
+        passed >= ToMilliseconds(kSettle) && (complete || urgent)) {
       LogInfo(kPart, "Usage window closed.",
               {{"window", std::to_string(window)},
                {"reason", complete ? "counts complete" : "report due"},
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -152,7 +152,7 @@
   }
   const size_t staying = static_cast<size_t>(std::ranges::count_if(
       this->linked_schedulers,
-      [this](const HostId& id) { return !this->IsDraining(id); }));
+      [this](const HostId& id) { return !this->draining.contains(id); }));
   LogInfo(kPart, "Host is draining.",
           {{"host", host.Text()},
            {"scheduler", this->IsScheduler(host) ? "true" : "false"},
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -106,11 +106,6 @@
   // The other schedulers that are linked now.
   std::vector<FleetHost> LinkedSchedulers() const;
 
-  // Whether a linked host has said that it drains.
-  bool IsDraining(const HostId& host) const {
-    return this->draining.contains(host);
-  }
-
   // How many schedulers stand in the list, this host included; the others that
   // this host is to be linked with; and its place among all, by id.
   size_t Listed() const { return this->listed; }
--- a/tests/lease_release_test.cc
+++ b/tests/lease_release_test.cc
@@ -316,7 +316,7 @@
 
   void Run() {
     while (!this->events.empty() && this->now < At(120)) {
-      const Event event = this->events.top();
+      const TimedCall event = this->events.top();
       this->events.pop();
       this->now = event.at;
       event.run();
@@ -343,16 +343,6 @@
     bool kill = false;
     Instant next_call{};
   };
-  struct Event {
-    Instant at{};
-    uint64_t number = 0;
-    std::function<void()> run;
-
-    bool operator<(const Event& other) const {
-      return std::tie(other.at, other.number) <
-             std::tie(this->at, this->number);
-    }
-  };
 
   void After(Duration delay, std::function<void()> run) {
     this->events.push({.at = this->now + delay,
@@ -635,7 +625,7 @@
   std::mt19937_64 random;
   Mutation mutation;
   Instant now = At(0);
-  std::priority_queue<Event> events;
+  std::priority_queue<TimedCall> events;
   uint64_t last_event = 0;
   ModelStore store;
   std::vector<std::unique_ptr<Host>> hosts;
--- a/tests/promise_world.cc
+++ b/tests/promise_world.cc
@@ -346,7 +346,7 @@
     windows_before = this->platform.Effects();
   });
   while (!this->events.empty() && this->events.top().at <= end) {
-    const Event next = this->events.top();
+    const TimedCall next = this->events.top();
     this->events.pop();
     this->now = next.at;
     next.run();
--- a/tests/promise_world.h
+++ b/tests/promise_world.h
@@ -11,6 +11,7 @@
 //   ModelEndpoint            an endpoint with or without fencing
 //   ModelPlatform            endpoint orders and usage reports
 //   ModelFilings             a plain service whose calls may not be repeated
+//   TimedCall                what happens at a time
 //   World                    the hosts, the network and the clock
 
 #pragma once
@@ -245,6 +246,18 @@
   int64_t store_calls = 0;
 };
 
+// A call that is due at a time; in a std::priority_queue the earliest, and of
+// the same time the first one added, is on top.
+struct TimedCall {
+  Instant at{};
+  uint64_t number = 0;
+  std::function<void()> run;
+
+  bool operator<(const TimedCall& other) const {
+    return std::tie(other.at, other.number) < std::tie(this->at, this->number);
+  }
+};
+
 // The hosts, the network between them and the models, and true time.
 class World {
  public:
@@ -274,17 +287,6 @@
   WorldReport report;
 
  private:
-  struct Event {
-    Instant at{};
-    uint64_t number = 0;
-    std::function<void()> run;
-
-    bool operator<(const Event& other) const {
-      return std::tie(other.at, other.number) <
-             std::tie(this->at, this->number);
-    }
-  };
-
   void Apply(Fault fault, ModelHost& host);
   void Every(Duration period, const std::function<void()>& event);
   void AddHost(const HostId& id, uint64_t incarnation);
@@ -296,7 +298,7 @@
   ModelHost* Holder();
 
   std::mt19937_64 random;
-  std::priority_queue<Event> events;
+  std::priority_queue<TimedCall> events;
   uint64_t last_event = 0;
   Instant now{};
   std::vector<Injection> injections;  // the first one strikes next
