Log and count each decision on a retry

Nothing told which host took a retry, on which counts, or that one was refused, so the causes of too many repeats could not be told apart. Each decision is logged with the request's id, the counts and the number of hosts, and counted in retries_granted_total and retries_refused_total by service. No decision changes.

--- a/packages/decisions/fleet_retry_budget.cc
+++ b/packages/decisions/fleet_retry_budget.cc
@@ -8,7 +8,7 @@
   requests.push_back(now);
 }
 
-bool FleetRetryBudget::Take(Instant now, const ServiceId& service) {
+RetryVerdict FleetRetryBudget::Take(Instant now, const ServiceId& service) {
   Count& count = this->counts[service];
   this->RemoveExpired(now, count.requests);
   this->RemoveExpired(now, count.retries);
@@ -20,11 +20,16 @@
   const double allowed =
       this->options.retry_ratio * static_cast<double>(count.requests.size()) +
       slack;
-  if (static_cast<double>(count.retries.size()) + 1 > allowed) {
-    return false;
+  RetryVerdict verdict{.requests = static_cast<int64_t>(count.requests.size()),
+                       .retries = static_cast<int64_t>(count.retries.size()),
+                       .allowed = allowed,
+                       .hosts = this->hosts};
+  if (static_cast<double>(verdict.retries) + 1 <= allowed) {
+    verdict.granted = true;
+    ++verdict.retries;
+    count.retries.push_back(now);
   }
-  count.retries.push_back(now);
-  return true;
+  return verdict;
 }
 
 void FleetRetryBudget::RemoveExpired(Instant now,
--- a/packages/decisions/fleet_retry_budget.h
+++ b/packages/decisions/fleet_retry_budget.h
@@ -2,6 +2,11 @@
 // within a sliding window. All hosts together stay within the fleet's budget
 // without communication: each host may retry a fraction of the requests that it
 // received itself, plus its part of a fixed slack.
+//
+// Index
+//   FleetRetryBudgetOptions   window, ratio and slack
+//   RetryVerdict              a decision, and what it was based on
+//   FleetRetryBudget          this host's part of the budget
 
 #pragma once
 
@@ -27,6 +32,17 @@
 // parts, half of the fleet may do so without exceeding the slack.
 constexpr double kSlackPartsPerHost = 2;
 
+// What a decision on a retry was based on.
+struct RetryVerdict {
+  bool granted = false;
+  int64_t requests = 0;  // counted for the service
+  int64_t retries = 0;   // taken, this one included
+  double allowed = 0;
+  int64_t hosts = 0;  // that share the slack
+
+  auto operator<=>(const RetryVerdict&) const = default;
+};
+
 // Counts requests and retries by service.
 class FleetRetryBudget {
  public:
@@ -44,8 +60,8 @@
   // Counts a caller's request for a service.
   void OnRequest(Instant now, const ServiceId& service);
 
-  // Takes one retry from the budget; false if it is exhausted.
-  bool Take(Instant now, const ServiceId& service);
+  // Takes one retry from the budget, unless it is exhausted.
+  RetryVerdict Take(Instant now, const ServiceId& service);
 
  private:
   struct Count {
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -272,8 +272,7 @@
   // The request itself has not run, whether or not the prompt was prefilled.
   // The failed call counts as an arrival; a successful one does not.
   this->tried.insert(ended.endpoint.run.id);
-  if (++this->arrivals > 1 || !this->HasTimeToSend() ||
-      !this->relay->budget.Take(now, this->service)) {
+  if (++this->arrivals > 1 || !this->HasTimeToSend() || !this->TakeRetry()) {
     this->AfterFailure(RunResult::kNotRun, "the prompt was not read");
     return;
   }
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -385,8 +385,25 @@
 // budget.
 bool RelayedRequest::MaySendAgain() {
   const bool attempts_left = this->runs_sent < this->route->max_attempts;
-  return attempts_left && this->HasTimeToSend() &&
-         this->relay->budget.Take(this->relay->clock->Now(), this->service);
+  return attempts_left && this->HasTimeToSend() && this->TakeRetry();
+}
+
+// Charges one arrival at an endpoint beyond the first to the retry budget.
+bool RelayedRequest::TakeRetry() {
+  const RetryVerdict verdict =
+      this->relay->budget.Take(this->relay->clock->Now(), this->service);
+  this->relay->metrics->Add(
+      verdict.granted ? "retries_granted_total" : "retries_refused_total", 1,
+      {{"service", this->service.Text()}});
+  this->relay->Log(
+      LogLevel::kInfo, this->request.id,
+      verdict.granted ? "Retry granted." : "Retry refused: budget spent.",
+      {{"service", this->service.Text()},
+       {"requests", std::to_string(verdict.requests)},
+       {"retries", std::to_string(verdict.retries)},
+       {"allowed", std::to_string(verdict.allowed)},
+       {"hosts", std::to_string(verdict.hosts)}});
+  return verdict.granted;
 }
 
 // The first prefill call that an engine accepts is no retry; any further one is
@@ -395,8 +412,7 @@
 bool RelayedRequest::MayPrefillSeparately() {
   return this->request.prompt_tokens >=
              this->relay->settings.min_split_prompt_tokens &&
-         (!this->prompt_accepted ||
-          this->relay->budget.Take(this->relay->clock->Now(), this->service));
+         (!this->prompt_accepted || this->TakeRetry());
 }
 
 std::string RelayedRequest::HeadFor(const EndpointCall& call) const {
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -488,7 +488,7 @@
   for (int i = 0; i < 600; ++i) {
     const Instant now{std::chrono::milliseconds(100 * i)};
     budget.OnRequest(now, kService);
-    if (budget.Take(now, kService)) {
+    if (budget.Take(now, kService).granted) {
       retries.push_back(now);
     }
   }
@@ -512,7 +512,7 @@
     FleetRetryBudget budget({.retry_ratio = 0, .slack = kSlack});
     budget.SetHosts(kHosts);
     for (int i = 0; i < kSlack; ++i) {
-      repeats += budget.Take(At(1), kService) ? 1 : 0;
+      repeats += budget.Take(At(1), kService).granted ? 1 : 0;
     }
   }
   CHECK(repeats > 0);
@@ -523,12 +523,12 @@
 // not use the shared slack, but its own requests allow retries.
 TEST(FleetRetryBudget, SpendsNoSlackBeforeTheHostsAreListed) {
   FleetRetryBudget budget({.retry_ratio = 0.2, .slack = 50});
-  CHECK(!budget.Take(At(1), kService));
+  CHECK(!budget.Take(At(1), kService).granted);
   for (int i = 0; i < 5; ++i) {
     budget.OnRequest(At(1), kService);
   }
-  CHECK(budget.Take(At(1), kService));
-  CHECK(!budget.Take(At(1), kService));
+  CHECK(budget.Take(At(1), kService).granted);
+  CHECK(!budget.Take(At(1), kService).granted);
 }
 
 TEST_GROUP(FleetClock){};
