Retry budget: hold the fleet's bound over restarts, short lists and shifting load

Cause, of one class (each process decides by itself how much of a shared budget it may spend): - a process began with a whole part of the slack, so each restart within a window added one.

Change: FleetRetryBudget lets the retries since any time be at most half of what the host earned since a window before that time; requests earn the ratio, and time earns the host's part of the slack. The sum over all hosts is bounded by the mean of two windows, whoever received a request; the argument is at the class. FleetShare gives the parts: a host that sends keeps a record under its lease and holds 1/n only after its record has been in the store for 10 s, by a linearizable list of that time. A process begins with nothing. As before, half of the slack is spent. A retry that isn't sent is returned, and a request that a draining scheduler declines is counted by one scheduler only.

fleet_retry_budget_test plays 200 fleets with kills, pauses, outages, lost records, changes of roles and moving load; it fails without the settle time, with old lists, without the end of the lease, and with the whole of both windows. RequestsOfDifferentWindowsDoNotAddUp and RestartsDoNotAddToTheSlack play the old faults. The test of slack before a list needs ten requests for a retry now, five in each of two windows; BoundsRepeatsInEveryWindow is unchanged.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -577,6 +577,10 @@
                 this->relay->SetHosts(static_cast<int64_t>(schedulers));
                 this->UpdateSchedulers();
               },
+          .on_share =
+              [this](const ShareTerm& share) {
+                this->relay->SetRetryShare(share);
+              },
           .on_linked = [this](const HostId& host) { this->OnLinked(host); },
           .on_gone = [this](const HostId& host) { this->OnGone(host); },
           .on_scheduler_linked =
--- a/packages/decisions/fleet_retry_budget.h
+++ b/packages/decisions/fleet_retry_budget.h
@@ -1,7 +1,26 @@
-// FleetRetryBudget: how many retries this host may add to a service's load
-// within a sliding window. All hosts together stay within the fleet's budget
-// without communication: each host may retry a fraction of the requests that it
-// received itself, plus its part of a fixed slack.
+// FleetRetryBudget: how many retries this host may add to a service's load.
+//
+// The fleet's budget: in any window, a service gets at most `retry_ratio`
+// retries for each request for it, and `slack` besides. Requests may be those
+// of the window or of the one before it, whichever has more. Each host decides
+// alone, by what it earns:
+//
+//   - a request that it received earns `retry_ratio`;
+//   - time earns the host's part of the slack (decisions/fleet_share.h), evenly
+//     over a window.
+//
+// The retries since any time u, up to a window ago, must be at most half of
+// what was earned since a window before u. Then the retries of all hosts in any
+// window are at most half of what they earned in that window and the one before
+// it together: `retry_ratio` times the mean of the two windows' requests, and
+// `slack`. The sum doesn't depend on which host or process received a request,
+// so neither restarts nor changes of roles add to it: a process begins with
+// nothing earned, and the time of a host is earned by one process at a time.
+//
+//   FleetRetryBudget budget(options);
+//   budget.SetShare(now, share.Term(now));
+//   budget.OnRequest(now, arrived, service);
+//   if (budget.Take(now, service).granted) { ... }
 //
 // Index
 //   FleetRetryBudgetOptions   window, ratio and slack
@@ -14,6 +33,7 @@
 #include <deque>
 #include <map>
 
+#include "decisions/fleet_share.h"
 #include "kernel/ids.h"
 #include "kernel/time.h"
 
@@ -27,18 +47,18 @@
   auto operator<=>(const FleetRetryBudgetOptions&) const = default;
 };
 
-// The slack is divided into this many parts per listed host. A host that is
-// restarted or replaced within a window starts with its part unspent; with 2
-// parts, half of the fleet may do so without exceeding the slack.
-constexpr double kSlackPartsPerHost = 2;
+// The part of the slack that is spent. The rest is for retries that reach their
+// endpoints later than they were decided, in another window: of a host or an
+// endpoint that stood still in between.
+constexpr double kSpentSlackShare = 0.5;
 
 // What a decision on a retry was based on.
 struct RetryVerdict {
   bool granted = false;
-  int64_t requests = 0;  // counted for the service
-  int64_t retries = 0;   // taken, this one included
-  double allowed = 0;
-  int64_t hosts = 0;  // that share the slack
+  int64_t requests = 0;  // for the service, in the last two windows
+  int64_t retries = 0;   // in the last window, with this one if granted
+  double left = 0;       // retries that could be granted after this decision
+  double share = 0;      // of the slack, now
 
   auto operator<=>(const RetryVerdict&) const = default;
 };
@@ -49,30 +69,43 @@
   explicit FleetRetryBudget(const FleetRetryBudgetOptions& options = {})
       : options(options) {}
 
-  void SetOptions(const FleetRetryBudgetOptions& changed) {
-    this->options = changed;
-  }
+  // Changed options hold for what is earned from now on; the ratio also for the
+  // requests so far.
+  void SetOptions(Instant now, const FleetRetryBudgetOptions& changed);
 
-  // Sets the number of listed hosts. No slack is spent before the first call,
-  // as the number of hosts that share it is unknown.
-  void SetHosts(int64_t listed) { this->hosts = listed; }
+  // Sets this host's part of the slack from now on.
+  void SetShare(Instant now, const ShareTerm& share);
 
-  // Counts a caller's request for a service.
-  void OnRequest(Instant now, const ServiceId& service);
+  // Counts a caller's request for a service, received at `arrived`.
+  void OnRequest(Instant now, Instant arrived, const ServiceId& service);
 
   // Takes one retry from the budget, unless it is exhausted.
   RetryVerdict Take(Instant now, const ServiceId& service);
 
+  // Returns a retry that was taken at a time and not sent.
+  void Return(Instant taken, const ServiceId& service);
+
  private:
   struct Count {
-    std::deque<Instant> requests;
-    std::deque<Instant> retries;
+    std::deque<Instant> requests;  // of the last two windows, oldest first
+    std::deque<Instant> retries;   // of the last window, oldest first
+  };
+
+  // A time in which this host earned slack at a constant rate.
+  struct SlackTerm {
+    Instant from{};
+    Instant until{};
+    double per_second = 0;
   };
 
-  void RemoveExpired(Instant now, std::deque<Instant>& times) const;
+  void BeginTerm(Instant now, const ShareTerm& share);
+  void RemoveExpired(Instant now, Count& count);
+  double Earned(const Count& count, Instant since, Instant now) const;
+  double Left(const Count& count, Instant now) const;
 
   FleetRetryBudgetOptions options;
-  int64_t hosts = 0;
+  ShareTerm share;
+  std::deque<SlackTerm> terms;  // oldest first, without overlap
   std::map<ServiceId, Count> counts;
 };
 
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -2735,6 +2735,11 @@
 __isset.finish_within = true;
 }
 
+void ForwardedRequest::__set_resent(const bool val) {
+  this->resent = val;
+__isset.resent = true;
+}
+
 uint32_t ForwardedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -2856,6 +2861,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->resent);
+          this->__isset.resent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2929,6 +2942,11 @@
     xfer += oprot->writeI64(this->finish_within);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.resent) {
+    xfer += oprot->writeFieldBegin("resent", ::apache::thrift::protocol::T_BOOL, 12);
+    xfer += oprot->writeBool(this->resent);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2947,6 +2965,7 @@
   swap(a.resume_after, b.resume_after);
   swap(a.stream_begun, b.stream_begun);
   swap(a.finish_within, b.finish_within);
+  swap(a.resent, b.resent);
   swap(a.__isset, b.__isset);
 }
 
@@ -2962,6 +2981,7 @@
   resume_after = other126.resume_after;
   stream_begun = other126.stream_begun;
   finish_within = other126.finish_within;
+  resent = other126.resent;
   __isset = other126.__isset;
 }
 ForwardedRequest::ForwardedRequest(ForwardedRequest&& other127) noexcept {
@@ -2976,6 +2996,7 @@
   resume_after = other127.resume_after;
   stream_begun = other127.stream_begun;
   finish_within = other127.finish_within;
+  resent = other127.resent;
   __isset = other127.__isset;
 }
 ForwardedRequest& ForwardedRequest::operator=(const ForwardedRequest& other128) {
@@ -2990,6 +3011,7 @@
   resume_after = other128.resume_after;
   stream_begun = other128.stream_begun;
   finish_within = other128.finish_within;
+  resent = other128.resent;
   __isset = other128.__isset;
   return *this;
 }
@@ -3005,6 +3027,7 @@
   resume_after = other129.resume_after;
   stream_begun = other129.stream_begun;
   finish_within = other129.finish_within;
+  resent = other129.resent;
   __isset = other129.__isset;
   return *this;
 }
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -1193,7 +1193,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _ForwardedRequest__isset {
-  _ForwardedRequest__isset() : number(false), method(false), target(false), headers(false), body(false), body_length(false), age(false), earlier_sends(false), resume_after(false), stream_begun(false), finish_within(false) {}
+  _ForwardedRequest__isset() : number(false), method(false), target(false), headers(false), body(false), body_length(false), age(false), earlier_sends(false), resume_after(false), stream_begun(false), finish_within(false), resent(false) {}
   bool number :1;
   bool method :1;
   bool target :1;
@@ -1205,6 +1205,7 @@
   bool resume_after :1;
   bool stream_begun :1;
   bool finish_within :1;
+  bool resent :1;
 } _ForwardedRequest__isset;
 
 class ForwardedRequest : public virtual ::apache::thrift::TBase {
@@ -1224,7 +1225,8 @@
                      earlier_sends(0),
                      resume_after(0),
                      stream_begun(0),
-                     finish_within(0) {
+                     finish_within(0),
+                     resent(0) {
   }
 
   virtual ~ForwardedRequest() noexcept;
@@ -1239,6 +1241,7 @@
   int64_t resume_after;
   bool stream_begun;
   int64_t finish_within;
+  bool resent;
 
   _ForwardedRequest__isset __isset;
 
@@ -1264,6 +1267,8 @@
 
   void __set_finish_within(const int64_t val);
 
+  void __set_resent(const bool val);
+
   bool operator == (const ForwardedRequest & rhs) const
   {
     if (!(number == rhs.number))
@@ -1296,6 +1301,10 @@
       return false;
     else if (__isset.finish_within && !(finish_within == rhs.finish_within))
       return false;
+    if (__isset.resent != rhs.__isset.resent)
+      return false;
+    else if (__isset.resent && !(resent == rhs.resent))
+      return false;
     return true;
   }
   bool operator != (const ForwardedRequest &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -128,6 +128,8 @@
   bool stream_begun = false;  // the response head was sent to the caller
   // Time until the sending process exits; nullopt: it isn't stopping.
   std::optional<Duration> finish_within;
+  // Another scheduler got the request before, and may have counted it.
+  bool resent = false;
 
   bool operator==(const ForwardedRequest&) const = default;
 };
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -148,6 +148,7 @@
   9: optional i64 resume_after
   10: optional bool stream_begun
   11: optional i64 finish_within  // microseconds
+  12: optional bool resent  // another scheduler may have counted it
 }
 
 struct ForwardedBody {
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -291,7 +291,8 @@
           .stream_begun = in.stream_begun,
           .finish_within = in.__isset.finish_within
                                ? std::optional(Duration(in.finish_within))
-                               : std::nullopt};
+                               : std::nullopt,
+          .resent = in.resent};
 }
 
 bool IsValidAnswer(const wire::ForwardedAnswer& in) {
@@ -556,6 +557,9 @@
     if (request.finish_within) {
       item.__set_finish_within(request.finish_within->count());
     }
+    if (request.resent) {
+      item.__set_resent(true);
+    }
     out.__set_forwarded_request(item);
   }
   void operator()(const ForwardedBody& body) {
--- a/packages/relay/fleet_peers.cc
+++ b/packages/relay/fleet_peers.cc
@@ -13,6 +13,7 @@
 constexpr std::string_view kPart = "peers";
 constexpr std::string_view kSecretKey = "hickorystand/secret";
 constexpr std::string_view kHostPrefix = "hickorystand/hosts/";
+constexpr std::string_view kSenderPrefix = "hickorystand/senders/";
 
 // All hosts share one group, regardless of zone and role.
 const DataCentreId& Group() {
@@ -41,7 +42,8 @@
       clock(&clock),
       store(&store),
       handlers(std::move(handlers)),
-      random(this->options.seed + std::hash<HostId>()(this->options.self.id)) {}
+      random(this->options.seed + std::hash<HostId>()(this->options.self.id)),
+      share(this->options.self.id, this->options.share) {}
 
 FleetPeers::~FleetPeers() = default;
 
@@ -249,11 +251,73 @@
   this->store->GrantLease(this->options.lease, [this](Result<int64_t> granted) {
     if (granted && !this->left) {
       this->lease = *granted;
+      this->sender_written = false;
       this->WriteRecord();
+      this->WriteSenderRecord();
     }
   });
 }
 
+void FleetPeers::WriteSenderRecord() {
+  if (!this->sender || this->lease == 0 || this->sender_written) {
+    return;
+  }
+  this->store->Transact(
+      {.then = {StorePut(std::string(kSenderPrefix) +
+                             this->options.self.id.Text() + "/" +
+                             std::to_string(this->lease),
+                         "", this->lease)}},
+      [this, under = this->lease](const StoreReply& reply) {
+        this->OnSenderRecord(under, reply);
+      });
+}
+
+// Without an answer, the next renewal writes the record again.
+void FleetPeers::OnSenderRecord(int64_t under_lease, const StoreReply& reply) {
+  if (reply.outcome != StoreOutcome::kThen || under_lease != this->lease ||
+      std::exchange(this->sender_written, true)) {
+    return;
+  }
+  this->share.OnRegistered(this->clock->Now());
+}
+
+// The list must not be stale: it names every host that holds a part only if it
+// is newer than their records.
+void FleetPeers::ListSenders() {
+  const Instant requested_at = this->clock->Now();
+  this->store->Transact({.then = {{.kind = StoreOperation::Kind::kGetPrefix,
+                                   .key = std::string(kSenderPrefix)}}},
+                        [this, requested_at](const StoreReply& reply) {
+                          if (reply.outcome == StoreOutcome::kThen) {
+                            this->ApplySenders(requested_at, reply);
+                          }
+                        });
+}
+
+void FleetPeers::ApplySenders(Instant requested_at, const StoreReply& reply) {
+  std::set<HostId> senders;
+  for (const StoreRecord& record : reply.records) {
+    const std::string name = record.key.substr(kSenderPrefix.size());
+    senders.insert(HostId(name.substr(0, name.rfind('/'))));
+  }
+  if (!this->share.OnListed(requested_at, senders)) {
+    LogWarning(kPart, "This host's record is missing; registering again.", {});
+    this->lease = 0;
+  }
+  this->UpdateShare();
+}
+
+void FleetPeers::UpdateShare() {
+  const ShareTerm term = this->share.Term(this->clock->Now());
+  if (term.part != std::exchange(this->logged_share, term.part)) {
+    LogInfo(kPart, "Share of the retry budget changed.",
+            {{"share", std::to_string(term.part)},
+             {"hosts", std::to_string(this->share.Hosts())},
+             {"lease", std::to_string(this->lease)}});
+  }
+  this->handlers.on_share(term);
+}
+
 void FleetPeers::WriteRecord() {
   const FleetHost& self = this->options.self;
   this->store->Transact(
@@ -276,11 +340,22 @@
   }
   this->renew_timer =
       Timer::After(this->options.renew, [this] { this->Renew(); });
-  this->store->RenewLease(this->lease, [this](const Result<Duration>& left) {
-    if (!left && left.error().kind == ErrorKind::kNotFound) {
-      this->lease = 0;
-    }
-  });
+  this->WriteSenderRecord();
+  const Instant requested_at = this->clock->Now();
+  this->store->RenewLease(
+      this->lease, [this, requested_at,
+                    renewed = this->lease](const Result<Duration>& length) {
+        if (renewed != this->lease) {
+          return;
+        }
+        if (length) {
+          this->share.OnRenewed(requested_at, *length);
+        } else if (length.error().kind == ErrorKind::kNotFound) {
+          this->lease = 0;
+          this->share.OnUnregistered();
+        }
+        this->UpdateShare();
+      });
 }
 
 void FleetPeers::ScheduleEarlyList() {
@@ -416,6 +491,15 @@
   this->handlers.on_role(planned);
   this->SetTimeouts();
   this->OpenLinks();
+  this->share.SetSpending(planned == FleetRole::kScheduler);
+  this->share_timer.reset();
+  if (planned == FleetRole::kScheduler) {
+    this->sender = true;
+    this->WriteSenderRecord();
+    this->share_timer =
+        Timer::Every(this->options.share_list, [this] { this->ListSenders(); });
+  }
+  this->UpdateShare();
   this->digest_timer.reset();
   if (this->links) {
     this->SendDigest();
@@ -441,6 +525,9 @@
 
 void FleetPeers::Leave() {
   this->left = true;
+  this->share.OnUnregistered();
+  this->share_timer.reset();
+  this->UpdateShare();
   if (this->lease != 0) {
     this->store->RevokeLease(std::exchange(this->lease, 0),
                              [](const Result<int64_t>&) {});
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -13,6 +13,11 @@
 // (decisions/fleet_topology.h). Schedulers are linked with each other; an
 // ingress host is linked with a few of them. The first host generates a secret
 // in the store, with which hosts authenticate to each other.
+//
+// Hosts that send to endpoints write a second record under the same lease. The
+// key names the lease, so a late write or the record of an earlier process
+// can't replace a newer one. What these hosts may spend together is divided by
+// the number of hosts with such a record (decisions/fleet_share.h).
 
 #pragma once
 
@@ -22,6 +27,7 @@
 #include <set>
 #include <string>
 
+#include "decisions/fleet_share.h"
 #include "decisions/fleet_topology.h"
 #include "kernel/task.h"
 #include "peers/peer_links.h"
@@ -45,6 +51,10 @@
   // An ingress host that is notified of a draining host reads the list after a
   // random delay of up to this, because many hosts are notified at once.
   Duration list_jitter = std::chrono::milliseconds(1200);
+  // This host's part of what the hosts that send to endpoints spend together,
+  // and the interval between reads of the list of these hosts.
+  FleetShareOptions share;
+  Duration share_list = std::chrono::seconds(4);
   // Consecutive lists that must assign another role before a host switches.
   int64_t lists_to_confirm_role = 2;
   // Longest interval between attempts to reconnect. It is short so that the
@@ -75,6 +85,9 @@
   std::function<void(const std::vector<FleetHost>&)> on_schedulers;
   // The number of schedulers, including this host if it is one.
   std::function<void(size_t)> on_listed;
+  // This host's part of the budgets that all senders share was confirmed, has
+  // changed or is lost.
+  std::function<void(const ShareTerm&)> on_share = [](const ShareTerm&) {};
   std::function<void(const HostId&)> on_linked;
   std::function<void(const HostId&)> on_gone;
   // A linked host has reported that it is a scheduler. Called on schedulers
@@ -138,6 +151,11 @@
   void MakeSecret();
   void Register();
   void WriteRecord();
+  void WriteSenderRecord();
+  void OnSenderRecord(int64_t under_lease, const StoreReply& reply);
+  void ListSenders();
+  void ApplySenders(Instant requested_at, const StoreReply& reply);
+  void UpdateShare();
   void Renew();
   void List();
   void ScheduleEarlyList();
@@ -173,12 +191,17 @@
   bool early_list_scheduled = false;
   int64_t list_revision = -1;
   int64_t lease = 0;
+  FleetShare share;
+  double logged_share = 0;
+  bool sender = false;  // has been a scheduler, so its lease has the record
+  bool sender_written = false;
   size_t listed = 1;
   size_t rank = 0;
   bool left = false;
   std::unique_ptr<Timer> secret_timer;
   std::unique_ptr<Timer> renew_timer;
   std::unique_ptr<Timer> list_timer;
+  std::unique_ptr<Timer> share_timer;
   std::unique_ptr<Timer> refresh_timer;
   std::unique_ptr<Timer> digest_timer;
 };
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -128,19 +128,18 @@
 
 void FleetRelay::SetLimits(const FleetRetryBudgetOptions& retries,
                            Duration proof_limit) {
-  this->budget.SetOptions(retries);
+  this->budget.SetOptions(this->clock->Now(), retries);
   this->settings.key_proof_limit = proof_limit;
 }
 
 // The number never decreases. The list becomes shorter when hosts leave, but
 // also when their records expire during a store outage while they continue to
-// serve; the other hosts must not take over their shares then.
+// serve; the other hosts must not take over their connections then.
 void FleetRelay::SetHosts(int64_t listed) {
   if (listed <= this->hosts) {
     return;
   }
   this->hosts = listed;
-  this->budget.SetHosts(listed);
   this->UpdateServiceParameters();
 }
 
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -123,10 +123,14 @@
   // Reassigns the engines to follow, after a change of the list of hosts.
   void ReassignCacheFeeds() { this->cache_feed.SetEndpoints(this->endpoints); }
 
-  // Sets the number of listed hosts, which share the retry budget and the
-  // endpoints' connections.
+  // Sets the number of listed hosts, which share the endpoints' connections.
   void SetHosts(int64_t listed);
 
+  // Sets this host's part of the retry budget's slack.
+  void SetRetryShare(const ShareTerm& share) {
+    this->budget.SetShare(this->clock->Now(), share);
+  }
+
   // Sets the schedulers that send to endpoints and share the rates that these
   // state, with this host.
   void SetSchedulers(const HostId& self, const std::set<HostId>& schedulers) {
@@ -208,8 +212,6 @@
   }
   void MergeRates(const HostId& from, const EndpointRatesUpdate& update);
 
-  FleetRetryBudget& Budget() { return this->budget; }
-
  private:
   friend class RelayedRequest;
 
--- a/packages/relay/forward_receiver.cc
+++ b/packages/relay/forward_receiver.cc
@@ -143,7 +143,8 @@
                            .earlier_sends = request.earlier_sends,
                            .resume_after = request.resume_after,
                            .stream_begun = request.stream_begun,
-                           .finish_within = request.finish_within});
+                           .finish_within = request.finish_within,
+                           .resent = request.resent});
 }
 
 void ForwardReceiver::OnControl(const HostId& from,
--- a/packages/relay/forward_receiver.h
+++ b/packages/relay/forward_receiver.h
@@ -30,6 +30,7 @@
   bool stream_begun = false;            // the answer's head has been sent
   // Time until the ingress host's process ends, if it is shutting down.
   std::optional<Duration> finish_within;
+  bool resent = false;  // another scheduler may have counted it
 };
 
 class ForwardedExchange;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -61,7 +61,10 @@
     this->TakeOver();
     return;
   }
-  this->relay->budget.OnRequest(this->arrived, this->service);
+  if (!this->origin.resent) {
+    this->relay->budget.OnRequest(this->relay->clock->Now(), this->arrived,
+                                  this->service);
+  }
   if (!this->EndIfBlocked()) {
     this->Place();
   }
@@ -390,8 +393,11 @@
 
 // Charges one arrival at an endpoint beyond the first to the retry budget.
 bool RelayedRequest::TakeRetry() {
-  const RetryVerdict verdict =
-      this->relay->budget.Take(this->relay->clock->Now(), this->service);
+  const Instant now = this->relay->clock->Now();
+  const RetryVerdict verdict = this->relay->budget.Take(now, this->service);
+  if (verdict.granted) {
+    this->unsent_retry = now;
+  }
   this->relay->metrics->Add(
       verdict.granted ? "retries_granted_total" : "retries_refused_total", 1,
       {{"service", this->service.Text()}});
@@ -401,8 +407,8 @@
       {{"service", this->service.Text()},
        {"requests", std::to_string(verdict.requests)},
        {"retries", std::to_string(verdict.retries)},
-       {"allowed", std::to_string(verdict.allowed)},
-       {"hosts", std::to_string(verdict.hosts)}});
+       {"left", std::to_string(verdict.left)},
+       {"share", std::to_string(verdict.share)}});
   return verdict.granted;
 }
 
@@ -514,6 +520,7 @@
   const Duration left =
       std::max(this->Left() - kEndpointDeadlineMargin, Duration{});
   whole.time_left = left;
+  this->unsent_retry.reset();
   next.sent = now;
   next.work = this->relay->placement.OnSent(now, next.endpoint.run.id,
                                             this->shape, work);
@@ -752,6 +759,9 @@
   }
   this->ReleaseTokens();
   this->ReleaseReservation();
+  if (const auto taken = std::exchange(this->unsent_retry, {})) {
+    this->relay->budget.Return(*taken, this->service);
+  }
   this->stall_timer.reset();
   this->deadline_timer.reset();
   const Duration took = this->relay->clock->Now() - this->arrived;
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -177,6 +177,8 @@
   bool begun = false;
   bool over = false;
   bool retry_charged = false;  // the next send is charged to the retry budget
+  // When the last retry was taken from the budget, unless it was sent.
+  std::optional<Instant> unsent_retry;
   // Decode engine whose stated rate was charged when the prompt was sent to be
   // prefilled.
   std::optional<EndpointId> reserved;
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -177,7 +177,8 @@
       .stream_begun = call.caller->Started(),
       .finish_within =
           this->stop ? std::optional(this->stop->Remaining(this->clock->Now()))
-                     : std::nullopt};
+                     : std::nullopt,
+      .resent = call.sends > 0};
   bool sent = this->send(to, first);
   for (size_t at = kBodyChunkBytes; sent && at < body.size();
        at += kBodyChunkBytes) {
