Relay: wait for a slow endpoint if the retry budget is spent

A request or stream whose endpoint had not answered within the stall timeout was cancelled there before the retry budget was asked. Now the retry is taken first; without one, the endpoint goes on and the budget is asked again after the next stall timeout, as already when the attempts are used up.

Relay.WaitsForASlowEndpointWithoutARetry failed before.

--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -387,8 +387,11 @@
 // Whether the request may be sent to another endpoint; if so, charges the retry
 // budget.
 bool RelayedRequest::MaySendAgain() {
-  const bool attempts_left = this->runs_sent < this->route->max_attempts;
-  return attempts_left && this->HasTimeToSend() && this->TakeRetry();
+  return this->HasAttemptLeft() && this->TakeRetry();
+}
+
+bool RelayedRequest::HasAttemptLeft() const {
+  return this->runs_sent < this->route->max_attempts && this->HasTimeToSend();
 }
 
 // Charges one arrival at an endpoint beyond the first to the retry budget.
@@ -612,11 +615,15 @@
 void RelayedRequest::OnStall() {
   const auto keep = this->shared_from_this();
   this->stall_timer.reset();
-  if (!this->attempt->reading &&
-      (this->runs_sent >= this->route->max_attempts ||
-       !this->HasTimeToSend())) {
-    return;  // no other attempt is possible, and this one may still answer
+  // Without another attempt, this one may still answer.
+  if (!this->attempt->reading && !this->HasAttemptLeft()) {
+    return;
+  }
+  if (!this->attempt->reading && !this->TakeRetry()) {
+    this->ArmStall();
+    return;
   }
+  this->retry_charged = !this->attempt->reading;
   this->attempt->exchange->Cancel();
   if (this->attempt->reading) {
     this->OnPrefillEnd(HttpEnd::kTimedOut);
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -98,6 +98,7 @@
   void PlaceWithTokens();
   void LogOverRates(const PlacementRefusal& refused);
   bool MaySendAgain();
+  bool HasAttemptLeft() const;
   bool TakeRetry();
   bool MayPrefillSeparately();
   void SendPrefill(const EndpointId& reader, const PlacementTarget& placed);
