Relay: charge no retry for an endpoint that could not be reached

When endpoints are down, connections to them are refused. Each refused connection was charged to the retry budget, although the endpoint got nothing, and callers got 502 or 503 once the budget was spent. The next send takes the place of the one that did not leave; attempts are counted as before.

Relay.ChargesNoRetryForAnEndpointThatIsNotReached failed before.

--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -162,6 +162,10 @@
     this->Complete(std::to_string(current.status));
     return;
   }
+  // The endpoint got nothing, so the next send takes the place of this one.
+  if (end == HttpEnd::kNotSent && this->HasAttemptLeft()) {
+    this->retry_charged = true;
+  }
   if (fate == RunResult::kMayHaveRun && end == HttpEnd::kReset) {
     this->relay->RecordCrash(current.endpoint, this->fingerprint);
   }
