--- a/packages/ctl/request_trace.cc
+++ b/packages/ctl/request_trace.cc
@@ -81,6 +81,19 @@
                  "endpoint {endpoint} didn't read the prompt: {why} (status "
                  "{status}; 0 is none)",
                  "at scheduler {host}"},
+    LineTemplate{kSchedulerPart, "Retry granted.", LineKind::kOther,
+                 "took a retry from the budget of service {service}; retries "
+                 "taken here in the window: {retries}, left: {left}[; requests "
+                 "here in two windows: {requests}][; share of the slack: "
+                 "{share}]",
+                 ""},
+    LineTemplate{
+        kSchedulerPart, "Retry refused: budget spent.", LineKind::kOther,
+        "not sent again: the retry budget of service {service} is "
+        "spent here; retries taken in the window: {retries}[; requests "
+        "here in two windows: {requests}][; share of the slack: "
+        "{share}]",
+        ""},
     LineTemplate{kSchedulerPart, "Dropped an answer to another request.",
                  LineKind::kOther,
                  "dropped an answer of endpoint {endpoint} to another request",
--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -645,6 +645,7 @@
     this->metrics.Set("configuration_proof_age_seconds", ToSeconds(*age));
   }
   this->limits->SetMetrics();
+  this->metrics.Set("retry_share", this->relay->RetryShare());
   this->metrics.Set("crashing_requests_blocked",
                     static_cast<double>(this->relay->BlockedRequests()));
   this->metrics.Set(
--- a/packages/decisions/fleet_retry_budget.cc
+++ b/packages/decisions/fleet_retry_budget.cc
@@ -54,7 +54,7 @@
   verdict.requests = static_cast<int64_t>(count.requests.size());
   verdict.retries = static_cast<int64_t>(count.retries.size());
   verdict.left = std::max(this->Left(count, now), 0.0);
-  verdict.share = now < this->share.until ? this->share.part : 0;
+  verdict.share = this->Share(now);
   return verdict;
 }
 
--- a/packages/decisions/fleet_retry_budget.h
+++ b/packages/decisions/fleet_retry_budget.h
@@ -82,6 +82,11 @@
   // Takes one retry from the budget, unless it is exhausted.
   RetryVerdict Take(Instant now, const ServiceId& service);
 
+  // This host's part of the slack; 0 if its term has ended.
+  double Share(Instant now) const {
+    return now < this->share.until ? this->share.part : 0;
+  }
+
   // Returns a retry that was taken at a time and not sent.
   void Return(Instant taken, const ServiceId& service);
 
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -103,6 +103,13 @@
     this->limit_gate->SetLimits(this->configuration->account_limits);
   }
   this->UpdateServiceParameters();
+  for (const auto& [id, service] : this->configuration->services) {
+    for (const std::string_view name :
+         {"retries_granted_total", "retries_refused_total",
+          "retries_returned_total"}) {
+      this->metrics->Add(name, 0, {{"service", id.Text()}});
+    }
+  }
   LogInfo(
       kPart, "Configuration in force.",
       {{"version", std::to_string(this->configuration->version)},
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -130,6 +130,7 @@
   void SetRetryShare(const ShareTerm& share) {
     this->budget.SetShare(this->clock->Now(), share);
   }
+  double RetryShare() const { return this->budget.Share(this->clock->Now()); }
 
   // Sets the schedulers that send to endpoints and share the rates that these
   // state, with this host.
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -768,6 +768,8 @@
   this->ReleaseReservation();
   if (const auto taken = std::exchange(this->unsent_retry, {})) {
     this->relay->budget.Return(*taken, this->service);
+    this->relay->metrics->Add("retries_returned_total", 1,
+                              {{"service", this->service.Text()}});
   }
   this->stall_timer.reset();
   this->deadline_timer.reset();
--- a/tests/request_trace_test.cc
+++ b/tests/request_trace_test.cc
@@ -188,6 +188,24 @@
                trace.Outcome().c_str());
 }
 
+// Guards against a request that ends without a retry and no line that says by
+// which counts it was refused.
+TEST(RequestTrace, TellsWhyARetryWasRefused) {
+  const RequestTrace trace = TraceOf(
+      "s3-7",
+      {{"host0",
+        R"({"time":"2026-12-03T16:17:04.666Z","level":"info","part":"relay",)"
+        R"("message":"Retry refused: budget spent.","request":"s3-7",)"
+        R"("service":"plain","requests":"31","retries":"3","left":"0.1",)"
+        R"("share":"0.125"})"
+        "\n"}});
+  STRCMP_EQUAL(
+      "not sent again: the retry budget of service plain is spent here; "
+      "retries taken in the window: 3; requests here in two windows: 31; share "
+      "of the slack: 0.125",
+      Explain(trace.Entries().at(0)).c_str());
+}
+
 // Guards against a guessed cause where a host's log is missing.
 TEST(RequestTrace, NamesTheHostWhoseLinesAreMissing) {
   const RequestTrace trace =
