Stated rates: a reservation that becomes the run's keeps what was earned meanwhile

The token of a run is reserved while its prompt is prefilled, refunded and spent again; the refund was cut to the maximum of one token, so what was earned during the 150 ms of prefill was lost, and 8.06 runs fit into 3 s. A refund may now exceed the maximum by one.

--- a/packages/decisions/endpoint_rates.cc
+++ b/packages/decisions/endpoint_rates.cc
@@ -12,6 +12,9 @@
 // The largest number of tokens of a holder. Several holders may spend them at
 // the same moment.
 constexpr double kMaxTokens = 1;
+
+// The largest number after a refund: what was earned since the send is kept.
+constexpr double kMaxRefundedTokens = kMaxTokens + 1;
 constexpr double kRoundingError = 1e-6;
 
 // Maps an endpoint's run and a host to a number, identically on every host.
@@ -134,10 +137,11 @@
                     : 0;
 }
 
+// Tokens above the maximum come from refunds and stay until they are spent.
 double EndpointRates::TokensAt(const Rate& rate, Instant now) const {
-  return std::min(kMaxTokens,
-                  rate.tokens + this->OwnPerSecond(rate) *
-                                    ToSeconds(now - rate.refilled_at));
+  const double refilled = rate.tokens + this->OwnPerSecond(rate) *
+                                            ToSeconds(now - rate.refilled_at);
+  return std::max(rate.tokens, std::min(kMaxTokens, refilled));
 }
 
 const EndpointRates::Rate* EndpointRates::FindLimited(
@@ -172,7 +176,7 @@
   const auto found = this->rates.find(endpoint);
   if (found != this->rates.end() && found->second.per_second) {
     found->second.tokens =
-        std::min(kMaxTokens, this->TokensAt(found->second, now) + 1);
+        std::min(kMaxRefundedTokens, this->TokensAt(found->second, now) + 1);
     found->second.refilled_at = now;
   }
 }
--- a/tests/endpoint_rates_test.cc
+++ b/tests/endpoint_rates_test.cc
@@ -284,6 +284,16 @@
   CHECK(!rates.MaySend(At(1), kEndpoint.id));
 }
 
+// Guards against a rate that is used in part only, because what was earned
+// while a prompt was prefilled is lost when its reservation becomes the run's.
+TEST(EndpointRates, ARefundKeepsWhatWasEarnedSince) {
+  EndpointRates rates = OneHost(1, 2);
+  rates.OnSent(At(1), kEndpoint.id);
+  rates.Refund(At(1.4), kEndpoint.id);
+  rates.OnSent(At(1.4), kEndpoint.id);
+  CHECK(rates.MaySend(At(1.6), kEndpoint.id));
+}
+
 // Guards against a host that knows no other hosts yet and takes the whole rate.
 TEST(EndpointRates, AHostWithoutAListHoldsNothing) {
   EndpointRates rates;
