Log the software version of endpoints and the streams that callers take up

`Sent.` and `hickoryctl why` name them; `Software versions of a service changed.` and `endpoints_listed` tell what the list says.

--- a/packages/ctl/request_trace.cc
+++ b/packages/ctl/request_trace.cc
@@ -66,7 +66,9 @@
         ""},
     LineTemplate{
         kSchedulerPart, "Sent.", LineKind::kSent,
-        "sent to endpoint {endpoint} (step: {step})[; prompt tokens to "
+        "sent to endpoint {endpoint} (step: {step})[, software {software}][; "
+        "continues the stream after event {resume_after}][; the stream began "
+        "in attempt {first_attempt}][; prompt tokens to "
         "read: {new_tokens}][, to copy: {copied_tokens}][; first byte "
         "expected after {expected_ms} ms][; {left_ms} ms left][; "
         "configuration {configuration}][, proven {proof_ms} ms before]",
--- a/packages/decisions/fleet_endpoint.h
+++ b/packages/decisions/fleet_endpoint.h
@@ -28,6 +28,7 @@
   ServiceId service;
   ZoneId zone;
   SocketAddress address;
+  SoftwareVersion software;
   EndpointRole role = EndpointRole::kPlain;
   int64_t slots = 1;
   bool leaving = false;
--- a/packages/kernel/ids.h
+++ b/packages/kernel/ids.h
@@ -40,6 +40,8 @@
 using EndpointId = Id<struct EndpointTag>;      // an endpoint (back end)
 using RequestId = Id<struct RequestTag>;        // a caller's request
 using ZoneId = Id<struct ZoneTag>;              // a failure domain
+// The version of an endpoint's software, not of the model's weights.
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 
 }  // namespace hickorystand
 
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -46,6 +46,16 @@
 // time.
 constexpr Duration kCommonLossWindow = std::chrono::milliseconds(10);
 
+std::string NamesOfListed(const std::map<SoftwareVersion, int64_t>& counts) {
+  std::string names;
+  for (const auto& [version, count] : counts) {
+    if (count > 0) {
+      names += (names.empty() ? "" : " ") + version.Text();
+    }
+  }
+  return names;
+}
+
 // Averaging time of the prefill rate. It is short so that a burst of two or
 // three seconds is visible at its full rate.
 constexpr Duration kPrefillRateWindow = std::chrono::milliseconds(1500);
@@ -145,6 +155,7 @@
   }
   this->endpoints = listed;
   this->endpoints_refreshed = true;
+  this->ReportSoftware();
   this->placement.SetEndpoints(listed);
   this->cache_feed.SetEndpoints(listed);
   this->reach.SetEndpoints(this->clock->Now(), listed);
@@ -154,6 +165,33 @@
   }
 }
 
+// Logs the software versions of each service when they have changed, and
+// exports the number of listed endpoints of each.
+void FleetRelay::ReportSoftware() {
+  std::map<ServiceId, SoftwareCounts> listed;
+  for (const auto& [service, before] : this->software) {
+    for (const auto& [version, count] : before) {
+      listed[service][version] = 0;
+    }
+  }
+  for (const auto& [id, endpoint] : this->endpoints) {
+    ++listed[endpoint.service][endpoint.software];
+  }
+  for (const auto& [service, versions] : listed) {
+    for (const auto& [version, count] : versions) {
+      this->metrics->Set(
+          "endpoints_listed", static_cast<double>(count),
+          {{"service", service.Text()}, {"software", version.Text()}});
+    }
+    const std::string names = NamesOfListed(versions);
+    if (names != NamesOfListed(this->software[service])) {
+      LogInfo(kPart, "Software versions of a service changed.",
+              {{"service", service.Text()}, {"software", names}});
+    }
+  }
+  this->software = std::move(listed);
+}
+
 void FleetRelay::ObservePool() {
   using Report = std::function<void(Instant now, const EndpointId&)>;
   const auto report = [this](const SocketAddress& address, const Report& call) {
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -243,6 +243,8 @@
   // endpoints have been listed, since the last RequireRefresh.
   bool Refreshed() const;
 
+  void ReportSoftware();
+
   // Passes this host's limits for each service to placement.
   void UpdateServiceParameters();
 
@@ -314,6 +316,9 @@
   LogLimiter log_limiter;
   FleetConfigurationPtr configuration;
   FleetEndpoints endpoints;
+  // Listed endpoints by software version, with 0 for versions that left.
+  using SoftwareCounts = std::map<SoftwareVersion, int64_t>;
+  std::map<ServiceId, SoftwareCounts> software;
   int64_t hosts = 0;  // the most ever listed; 0: not listed yet
   Instant confirmed_at{};
   Instant refresh_required_at{};    // of the last RequireRefresh
--- a/packages/relay/message_codec.h
+++ b/packages/relay/message_codec.h
@@ -46,6 +46,8 @@
   int64_t output_tokens = 0;            // the most that may be generated
   std::vector<PromptPart> parts;        // of the prompt, in order
   std::optional<int64_t> resume_after;  // last event the caller received
+  // The caller continues a stream: its attempt that brought the first event.
+  std::optional<RequestId> first_attempt;
 
   auto operator<=>(const CallerRequest&) const = default;
 };
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -594,10 +594,16 @@
                               {{"account", this->account.Text()}});
   }
   this->attempt = std::make_unique<Attempt>(std::move(next));
+  const auto resume_after =
+      call.resume_after ? call.resume_after : this->request.resume_after;
   this->relay->Log(
       LogLevel::kInfo, this->request.id, "Sent.",
       {{"endpoint", whole.endpoint.Text()},
+       {"software", this->attempt->endpoint.software.Text()},
        {"step", whole.read_prompt_only ? "read" : "run"},
+       {"resume_after", resume_after ? std::to_string(*resume_after) : ""},
+       {"first_attempt",
+        this->request.first_attempt.value_or(RequestId()).Text()},
        {"new_tokens", std::to_string(work.new_tokens)},
        {"copied_tokens", std::to_string(work.copied_tokens)},
        {"left_ms", MillisecondsText(left)},
