--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -286,7 +286,8 @@
   const FleetConfigurationPtr& configuration = this->relay->Configuration();
   if (!configuration || !this->IsScheduler()) {
     return {.scheduler = this->IsScheduler(),
-            .draining = this->stop.has_value()};
+            .draining = this->stop.has_value(),
+            .keeps_software = true};
   }
   const CallerLimits& limits = configuration->limits;
   return {.scheduler = true,
@@ -301,7 +302,8 @@
           .draining = this->stop.has_value(),
           .last_resort = this->ReachesEndpoints() && this->stop &&
                          this->clock->Now() < this->stop->accept_until,
-          .cut_off = this->relay->CutOff()};
+          .cut_off = this->relay->CutOff(),
+          .keeps_software = true};
 }
 
 // Whether this host can serve requests of any service itself.
--- a/packages/decisions/fleet_endpoint.h
+++ b/packages/decisions/fleet_endpoint.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "decisions/configuration.h"
+#include "decisions/stream_origin.h"
 #include "kernel/ids.h"
 #include "kernel/settings.h"
 #include "kernel/time.h"
@@ -34,6 +35,17 @@
   bool leaving = false;
   bool spot = false;  // may be reclaimed along with its whole zone
 
+  // The origin of the streams that it begins.
+  StreamOrigin Origin() const {
+    return {.service = this->service, .software = this->software};
+  }
+
+  // Whether one of the two can read KV caches that the other has written. The
+  // layout of a cache is up to the software that wrote it.
+  bool SharesCachesWith(const FleetEndpoint& other) const {
+    return this->Origin() == other.Origin();
+  }
+
   auto operator<=>(const FleetEndpoint&) const = default;
 };
 
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -216,14 +216,17 @@
                    CachedTokens(found->second.cache, shape, false);
 }
 
-// The engine with the longest cached prefix of the prompt. A draining engine
-// still serves as a transfer source.
-FleetPlacement::PrefixSource FleetPlacement::BestSource(
+// The engine with the longest cached prefix of the prompt, for each software
+// version. A draining engine still serves as a transfer source.
+FleetPlacement::PrefixSources FleetPlacement::BestSources(
     const RequestProfile& shape) const {
-  PrefixSource best;
+  PrefixSources sources;
   for (const auto& [id, state] : this->states) {
-    if (state.endpoint.service != shape.service ||
-        state.consecutive_failures >= this->options.failures_to_eject - 1) {
+    if (state.endpoint.service != shape.service) {
+      continue;
+    }
+    PrefixSource& best = sources[state.endpoint.software];
+    if (state.consecutive_failures >= this->options.failures_to_eject - 1) {
       continue;
     }
     const int64_t cached = CachedTokens(state.cache, shape, true);
@@ -234,7 +237,7 @@
       best = {.endpoint = id, .zone = state.endpoint.zone, .tokens = cached};
     }
   }
-  return best;
+  return sources;
 }
 
 bool FleetPlacement::Usable(Instant now, const EndpointId& endpoint) const {
@@ -254,6 +257,7 @@
     return false;
   }
   return state.endpoint.service == shape.service && !state.endpoint.leaving &&
+         shape.progress.MayRunAt(state.endpoint.Origin()) &&
          now >= state.excluded_until && !tried.contains(id) &&
          !this->IsUnavailable(id) && this->rates.MaySend(now, id);
 }
@@ -268,6 +272,7 @@
   for (const auto& [id, state] : this->states) {
     const auto wait = this->rates.UntilAllowed(now, id);
     if (state.endpoint.service == shape.service && !state.endpoint.leaving &&
+        shape.progress.MayRunAt(state.endpoint.Origin()) &&
         now >= state.excluded_until && !tried.contains(id) &&
         !this->rates.MaySend(now, id) && wait) {
       soonest = std::min(soonest.value_or(*wait), *wait);
@@ -456,19 +461,27 @@
                                       const RequestProfile& shape,
                                       const std::set<EndpointId>& tried) const {
   std::vector<ScoredEndpoint> weighed;
-  const PrefixSource source =
-      shape.engine ? this->BestSource(shape) : PrefixSource();
-  bool any_answers = false;
+  const PrefixSources sources =
+      shape.engine ? this->BestSources(shape) : PrefixSources();
+  std::vector<const State*> accepting;
+  std::set<SoftwareVersion> generating;
   for (const auto& [id, state] : this->states) {
-    if (!this->CanAccept(now, state, shape, tried)) {
-      continue;
+    if (this->CanAccept(now, state, shape, tried)) {
+      accepting.push_back(&state);
+      if (state.endpoint.role != EndpointRole::kPrefill) {
+        generating.insert(state.endpoint.software);
+      }
+    }
+  }
+  for (const State* state : accepting) {
+    const SoftwareVersion& software = state->endpoint.software;
+    if (generating.contains(software)) {
+      weighed.push_back(shape.engine ? this->ScoreEngine(now, *state, shape,
+                                                         sources.at(software))
+                                     : this->ScorePlainEndpoint(*state, shape));
     }
-    weighed.push_back(shape.engine
-                          ? this->ScoreEngine(now, state, shape, source)
-                          : this->ScorePlainEndpoint(state, shape));
-    any_answers = any_answers || !weighed.back().is_prefill;
   }
-  if (weighed.empty() || !any_answers) {
+  if (weighed.empty()) {
     return this->RefuseWithoutEndpoint(now, shape, tried);
   }
   if (shape.engine) {
@@ -481,8 +494,11 @@
   if (auto refused = this->RefuseIfTooLate(shape, weighed, best)) {
     return *std::move(refused);
   }
+  const FleetEndpoint& first = this->states.at(best.endpoint).endpoint;
   const auto copy_from =
-      best.copied_tokens > 0 ? std::optional(source.endpoint) : std::nullopt;
+      best.copied_tokens > 0
+          ? std::optional(sources.at(first.software).endpoint)
+          : std::nullopt;
   if (!best.is_prefill) {
     return PlacementTarget{.endpoint = best.endpoint,
                            .copy_from = copy_from,
@@ -490,7 +506,7 @@
                            .copied_tokens = best.copied_tokens,
                            .expected = expected};
   }
-  const auto answers = this->PlaceAnswer(now, shape, best.endpoint, tried);
+  const auto answers = this->PlaceAnswer(now, shape, first, tried);
   assert(answers && "an endpoint that generates was found above");
   return PlacementTarget{.endpoint = *answers,
                          .prefill_endpoint = best.endpoint,
@@ -514,9 +530,8 @@
 std::optional<EndpointId> FleetPlacement::PlaceAnswer(
     Instant now,
     const RequestProfile& shape,
-    const EndpointId& prefill_endpoint,
+    const FleetEndpoint& prefill_endpoint,
     const std::set<EndpointId>& tried) const {
-  const auto prefill_state = this->states.find(prefill_endpoint);
   const EnginePace& pace = this->Pace(shape.service);
   const double other_zone_cost =
       std::max(pace.FirstTokenAfterHandover() - pace.FirstToken(), 0.0) +
@@ -527,15 +542,14 @@
   double least = 0;
   for (const auto& [id, state] : this->states) {
     if (!this->CanAccept(now, state, shape, tried) ||
-        state.endpoint.role == EndpointRole::kPrefill) {
+        state.endpoint.role == EndpointRole::kPrefill ||
+        !state.endpoint.SharesCachesWith(prefill_endpoint)) {
       continue;
     }
     const EndpointOutstanding others = this->PeerWork(id);
     // The answer waits for a prefill chunk on that engine, and the KV transfer
     // to another zone takes twice as long and costs more.
-    const bool is_other_zone =
-        prefill_state != this->states.end() &&
-        prefill_state->second.endpoint.zone != state.endpoint.zone;
+    const bool is_other_zone = prefill_endpoint.zone != state.endpoint.zone;
     const double score =
         static_cast<double>(state.queued_tokens + others.prompt_tokens) /
             this->Rate(state) +
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -37,6 +37,7 @@
 #include "decisions/engine_cache.h"
 #include "decisions/engine_pace.h"
 #include "decisions/fleet_endpoint.h"
+#include "decisions/stream_origin.h"
 #include "kernel/ids.h"
 #include "kernel/time.h"
 
@@ -144,6 +145,7 @@
   // Part of the answer was sent to the caller, or the request may have run: it
   // is not refused because of a long queue.
   bool in_progress = false;
+  StreamProgress progress;  // which endpoints may run it
 
   auto operator<=>(const RequestProfile&) const = default;
 };
@@ -220,11 +222,11 @@
                         const std::set<EndpointId>& tried) const;
 
   // Selects the engine that generates, after `prefill_endpoint` has prefilled
-  // the prompt.
+  // the prompt. It must be able to read the other one's KV cache.
   std::optional<EndpointId> PlaceAnswer(
       Instant now,
       const RequestProfile& shape,
-      const EndpointId& prefill_endpoint,
+      const FleetEndpoint& prefill_endpoint,
       const std::set<EndpointId>& tried) const;
 
   // Records that a request was refused and that capacity is expected after
@@ -345,7 +347,8 @@
     double mean = 0;  // seconds
     Instant last{};
   };
-  // The engine that has the most of a prompt's start cached.
+  // The engine of a software version that has the most of a prompt's start
+  // cached.
   struct PrefixSource {
     EndpointId endpoint;
     ZoneId zone;
@@ -369,7 +372,8 @@
       Instant now,
       const RequestProfile& shape,
       const std::set<EndpointId>& tried) const;
-  PrefixSource BestSource(const RequestProfile& shape) const;
+  using PrefixSources = std::map<SoftwareVersion, PrefixSource>;
+  PrefixSources BestSources(const RequestProfile& shape) const;
   ScoredEndpoint ScoreEngine(Instant now,
                              const State& state,
                              const RequestProfile& shape,
--- a/packages/decisions/scheduler_choice.cc
+++ b/packages/decisions/scheduler_choice.cc
@@ -92,8 +92,9 @@
   return least.value_or(0);
 }
 
-std::optional<HostId> SchedulerChoice::Choose(const std::set<HostId>& tried,
-                                              const ServiceId& service) const {
+std::optional<HostId> SchedulerChoice::Choose(
+    const std::set<HostId>& tried,
+    const SchedulerNeeds& needs) const {
   const State* best = nullptr;
   const int64_t stuck_at = this->LeastInFlight() * 2 + kStuckMargin;
   int64_t strongest = 0;
@@ -119,7 +120,8 @@
   };
   for (const auto& [id, state] : this->states) {
     if (this->Serves(state) && !tried.contains(id) &&
-        !state.reported.cut_off.contains(service) &&
+        !state.reported.cut_off.contains(needs.service) &&
+        (state.reported.keeps_software || !needs.keeps_software) &&
         (best == nullptr || rank(state) < rank(*best))) {
       best = &state;
     }
--- a/packages/decisions/scheduler_choice.h
+++ b/packages/decisions/scheduler_choice.h
@@ -29,10 +29,20 @@
   bool draining = false;     // others are preferred
   // Services of which it reaches no endpoint.
   std::set<ServiceId> cut_off = {};
+  // It continues a stream only at the software version that began it.
+  bool keeps_software = false;
 
   auto operator<=>(const SchedulerState&) const = default;
 };
 
+// What a request needs of its scheduler.
+struct SchedulerNeeds {
+  ServiceId service;            // that it reaches; empty: unknown
+  bool keeps_software = false;  // the request continues a stream
+
+  auto operator<=>(const SchedulerNeeds&) const = default;
+};
+
 class SchedulerChoice {
  public:
   explicit SchedulerChoice(ZoneId own) : own_zone(std::move(own)) {}
@@ -52,9 +62,9 @@
   void OnLinkLost(const HostId& scheduler);
 
   // Returns the scheduler for a request that was not forwarded to `tried`
-  // before; nullopt if there is none. An empty service is unknown.
+  // before; nullopt if there is none.
   std::optional<HostId> Choose(const std::set<HostId>& tried,
-                               const ServiceId& service = {}) const;
+                               const SchedulerNeeds& needs = {}) const;
 
   // Record that a request was forwarded to a scheduler, and that it ended.
   void OnForwarded(const HostId& scheduler);
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -2683,6 +2683,115 @@
   return *this;
 }
 
+StreamOrigin::~StreamOrigin() noexcept {
+}
+
+
+void StreamOrigin::__set_service_id(const std::string& val) {
+  this->service_id = val;
+}
+
+void StreamOrigin::__set_software(const std::string& val) {
+  this->software = val;
+}
+
+uint32_t StreamOrigin::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_id);
+          this->__isset.service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOrigin::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOrigin");
+
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->software);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOrigin &a, StreamOrigin &b) {
+  using ::std::swap;
+  swap(a.service_id, b.service_id);
+  swap(a.software, b.software);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOrigin::StreamOrigin(const StreamOrigin& other120) {
+  service_id = other120.service_id;
+  software = other120.software;
+  __isset = other120.__isset;
+}
+StreamOrigin::StreamOrigin(StreamOrigin&& other121) noexcept {
+  service_id = std::move(other121.service_id);
+  software = std::move(other121.software);
+  __isset = other121.__isset;
+}
+StreamOrigin& StreamOrigin::operator=(const StreamOrigin& other122) {
+  service_id = other122.service_id;
+  software = other122.software;
+  __isset = other122.__isset;
+  return *this;
+}
+StreamOrigin& StreamOrigin::operator=(StreamOrigin&& other123) noexcept {
+  service_id = std::move(other123.service_id);
+  software = std::move(other123.software);
+  __isset = other123.__isset;
+  return *this;
+}
+
 ForwardedRequest::~ForwardedRequest() noexcept {
 }
 
@@ -2745,6 +2854,11 @@
 __isset.until_close = true;
 }
 
+void ForwardedRequest::__set_origin(const StreamOrigin& val) {
+  this->origin = val;
+__isset.origin = true;
+}
+
 uint32_t ForwardedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -2794,14 +2908,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->headers.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->headers.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->headers[_i124].read(iprot);
+              xfer += this->headers[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2882,6 +2996,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->origin.read(iprot);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2914,10 +3036,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter125;
-    for (_iter125 = this->headers.begin(); _iter125 != this->headers.end(); ++_iter125)
+    std::vector<Header> ::const_iterator _iter129;
+    for (_iter129 = this->headers.begin(); _iter129 != this->headers.end(); ++_iter129)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter129).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2965,6 +3087,11 @@
     xfer += oprot->writeBool(this->until_close);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.origin) {
+    xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->origin.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2985,73 +3112,78 @@
   swap(a.finish_within, b.finish_within);
   swap(a.resent, b.resent);
   swap(a.until_close, b.until_close);
+  swap(a.origin, b.origin);
   swap(a.__isset, b.__isset);
 }
 
-ForwardedRequest::ForwardedRequest(const ForwardedRequest& other126) {
-  number = other126.number;
-  method = other126.method;
-  target = other126.target;
-  headers = other126.headers;
-  body = other126.body;
-  body_length = other126.body_length;
-  age = other126.age;
-  earlier_sends = other126.earlier_sends;
-  resume_after = other126.resume_after;
-  stream_begun = other126.stream_begun;
-  finish_within = other126.finish_within;
-  resent = other126.resent;
-  until_close = other126.until_close;
-  __isset = other126.__isset;
-}
-ForwardedRequest::ForwardedRequest(ForwardedRequest&& other127) noexcept {
-  number = other127.number;
-  method = std::move(other127.method);
-  target = std::move(other127.target);
-  headers = std::move(other127.headers);
-  body = std::move(other127.body);
-  body_length = other127.body_length;
-  age = other127.age;
-  earlier_sends = other127.earlier_sends;
-  resume_after = other127.resume_after;
-  stream_begun = other127.stream_begun;
-  finish_within = other127.finish_within;
-  resent = other127.resent;
-  until_close = other127.until_close;
-  __isset = other127.__isset;
-}
-ForwardedRequest& ForwardedRequest::operator=(const ForwardedRequest& other128) {
-  number = other128.number;
-  method = other128.method;
-  target = other128.target;
-  headers = other128.headers;
-  body = other128.body;
-  body_length = other128.body_length;
-  age = other128.age;
-  earlier_sends = other128.earlier_sends;
-  resume_after = other128.resume_after;
-  stream_begun = other128.stream_begun;
-  finish_within = other128.finish_within;
-  resent = other128.resent;
-  until_close = other128.until_close;
-  __isset = other128.__isset;
+ForwardedRequest::ForwardedRequest(const ForwardedRequest& other130) {
+  number = other130.number;
+  method = other130.method;
+  target = other130.target;
+  headers = other130.headers;
+  body = other130.body;
+  body_length = other130.body_length;
+  age = other130.age;
+  earlier_sends = other130.earlier_sends;
+  resume_after = other130.resume_after;
+  stream_begun = other130.stream_begun;
+  finish_within = other130.finish_within;
+  resent = other130.resent;
+  until_close = other130.until_close;
+  origin = other130.origin;
+  __isset = other130.__isset;
+}
+ForwardedRequest::ForwardedRequest(ForwardedRequest&& other131) noexcept {
+  number = other131.number;
+  method = std::move(other131.method);
+  target = std::move(other131.target);
+  headers = std::move(other131.headers);
+  body = std::move(other131.body);
+  body_length = other131.body_length;
+  age = other131.age;
+  earlier_sends = other131.earlier_sends;
+  resume_after = other131.resume_after;
+  stream_begun = other131.stream_begun;
+  finish_within = other131.finish_within;
+  resent = other131.resent;
+  until_close = other131.until_close;
+  origin = std::move(other131.origin);
+  __isset = other131.__isset;
+}
+ForwardedRequest& ForwardedRequest::operator=(const ForwardedRequest& other132) {
+  number = other132.number;
+  method = other132.method;
+  target = other132.target;
+  headers = other132.headers;
+  body = other132.body;
+  body_length = other132.body_length;
+  age = other132.age;
+  earlier_sends = other132.earlier_sends;
+  resume_after = other132.resume_after;
+  stream_begun = other132.stream_begun;
+  finish_within = other132.finish_within;
+  resent = other132.resent;
+  until_close = other132.until_close;
+  origin = other132.origin;
+  __isset = other132.__isset;
   return *this;
 }
-ForwardedRequest& ForwardedRequest::operator=(ForwardedRequest&& other129) noexcept {
-  number = other129.number;
-  method = std::move(other129.method);
-  target = std::move(other129.target);
-  headers = std::move(other129.headers);
-  body = std::move(other129.body);
-  body_length = other129.body_length;
-  age = other129.age;
-  earlier_sends = other129.earlier_sends;
-  resume_after = other129.resume_after;
-  stream_begun = other129.stream_begun;
-  finish_within = other129.finish_within;
-  resent = other129.resent;
-  until_close = other129.until_close;
-  __isset = other129.__isset;
+ForwardedRequest& ForwardedRequest::operator=(ForwardedRequest&& other133) noexcept {
+  number = other133.number;
+  method = std::move(other133.method);
+  target = std::move(other133.target);
+  headers = std::move(other133.headers);
+  body = std::move(other133.body);
+  body_length = other133.body_length;
+  age = other133.age;
+  earlier_sends = other133.earlier_sends;
+  resume_after = other133.resume_after;
+  stream_begun = other133.stream_begun;
+  finish_within = other133.finish_within;
+  resent = other133.resent;
+  until_close = other133.until_close;
+  origin = std::move(other133.origin);
+  __isset = other133.__isset;
   return *this;
 }
 
@@ -3141,26 +3273,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardedBody::ForwardedBody(const ForwardedBody& other130) {
-  number = other130.number;
-  bytes = other130.bytes;
-  __isset = other130.__isset;
+ForwardedBody::ForwardedBody(const ForwardedBody& other134) {
+  number = other134.number;
+  bytes = other134.bytes;
+  __isset = other134.__isset;
 }
-ForwardedBody::ForwardedBody(ForwardedBody&& other131) noexcept {
-  number = other131.number;
-  bytes = std::move(other131.bytes);
-  __isset = other131.__isset;
+ForwardedBody::ForwardedBody(ForwardedBody&& other135) noexcept {
+  number = other135.number;
+  bytes = std::move(other135.bytes);
+  __isset = other135.__isset;
 }
-ForwardedBody& ForwardedBody::operator=(const ForwardedBody& other132) {
-  number = other132.number;
-  bytes = other132.bytes;
-  __isset = other132.__isset;
+ForwardedBody& ForwardedBody::operator=(const ForwardedBody& other136) {
+  number = other136.number;
+  bytes = other136.bytes;
+  __isset = other136.__isset;
   return *this;
 }
-ForwardedBody& ForwardedBody::operator=(ForwardedBody&& other133) noexcept {
-  number = other133.number;
-  bytes = std::move(other133.bytes);
-  __isset = other133.__isset;
+ForwardedBody& ForwardedBody::operator=(ForwardedBody&& other137) noexcept {
+  number = other137.number;
+  bytes = std::move(other137.bytes);
+  __isset = other137.__isset;
   return *this;
 }
 
@@ -3212,6 +3344,11 @@
 __isset.unproven = true;
 }
 
+void ForwardedAnswer::__set_origin(const StreamOrigin& val) {
+  this->origin = val;
+__isset.origin = true;
+}
+
 uint32_t ForwardedAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3253,14 +3390,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->headers.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->headers.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->headers[_i138].read(iprot);
+              xfer += this->headers[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3317,6 +3454,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->origin.read(iprot);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3347,10 +3492,10 @@
     xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-      std::vector<Header> ::const_iterator _iter139;
-      for (_iter139 = this->headers.begin(); _iter139 != this->headers.end(); ++_iter139)
+      std::vector<Header> ::const_iterator _iter143;
+      for (_iter143 = this->headers.begin(); _iter143 != this->headers.end(); ++_iter143)
       {
-        xfer += (*_iter139).write(oprot);
+        xfer += (*_iter143).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3386,6 +3531,11 @@
     xfer += oprot->writeBool(this->unproven);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.origin) {
+    xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->origin.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3402,57 +3552,62 @@
   swap(a.declined, b.declined);
   swap(a.until_close, b.until_close);
   swap(a.unproven, b.unproven);
+  swap(a.origin, b.origin);
   swap(a.__isset, b.__isset);
 }
 
-ForwardedAnswer::ForwardedAnswer(const ForwardedAnswer& other140) {
-  number = other140.number;
-  status = other140.status;
-  headers = other140.headers;
-  length = other140.length;
-  bytes = other140.bytes;
-  ending = other140.ending;
-  declined = other140.declined;
-  until_close = other140.until_close;
-  unproven = other140.unproven;
-  __isset = other140.__isset;
-}
-ForwardedAnswer::ForwardedAnswer(ForwardedAnswer&& other141) noexcept {
-  number = other141.number;
-  status = other141.status;
-  headers = std::move(other141.headers);
-  length = other141.length;
-  bytes = std::move(other141.bytes);
-  ending = other141.ending;
-  declined = other141.declined;
-  until_close = other141.until_close;
-  unproven = other141.unproven;
-  __isset = other141.__isset;
-}
-ForwardedAnswer& ForwardedAnswer::operator=(const ForwardedAnswer& other142) {
-  number = other142.number;
-  status = other142.status;
-  headers = other142.headers;
-  length = other142.length;
-  bytes = other142.bytes;
-  ending = other142.ending;
-  declined = other142.declined;
-  until_close = other142.until_close;
-  unproven = other142.unproven;
-  __isset = other142.__isset;
+ForwardedAnswer::ForwardedAnswer(const ForwardedAnswer& other144) {
+  number = other144.number;
+  status = other144.status;
+  headers = other144.headers;
+  length = other144.length;
+  bytes = other144.bytes;
+  ending = other144.ending;
+  declined = other144.declined;
+  until_close = other144.until_close;
+  unproven = other144.unproven;
+  origin = other144.origin;
+  __isset = other144.__isset;
+}
+ForwardedAnswer::ForwardedAnswer(ForwardedAnswer&& other145) noexcept {
+  number = other145.number;
+  status = other145.status;
+  headers = std::move(other145.headers);
+  length = other145.length;
+  bytes = std::move(other145.bytes);
+  ending = other145.ending;
+  declined = other145.declined;
+  until_close = other145.until_close;
+  unproven = other145.unproven;
+  origin = std::move(other145.origin);
+  __isset = other145.__isset;
+}
+ForwardedAnswer& ForwardedAnswer::operator=(const ForwardedAnswer& other146) {
+  number = other146.number;
+  status = other146.status;
+  headers = other146.headers;
+  length = other146.length;
+  bytes = other146.bytes;
+  ending = other146.ending;
+  declined = other146.declined;
+  until_close = other146.until_close;
+  unproven = other146.unproven;
+  origin = other146.origin;
+  __isset = other146.__isset;
   return *this;
 }
-ForwardedAnswer& ForwardedAnswer::operator=(ForwardedAnswer&& other143) noexcept {
-  number = other143.number;
-  status = other143.status;
-  headers = std::move(other143.headers);
-  length = other143.length;
-  bytes = std::move(other143.bytes);
-  ending = other143.ending;
-  declined = other143.declined;
-  until_close = other143.until_close;
-  unproven = other143.unproven;
-  __isset = other143.__isset;
+ForwardedAnswer& ForwardedAnswer::operator=(ForwardedAnswer&& other147) noexcept {
+  number = other147.number;
+  status = other147.status;
+  headers = std::move(other147.headers);
+  length = other147.length;
+  bytes = std::move(other147.bytes);
+  ending = other147.ending;
+  declined = other147.declined;
+  until_close = other147.until_close;
+  unproven = other147.unproven;
+  origin = std::move(other147.origin);
+  __isset = other147.__isset;
   return *this;
 }
 
@@ -3542,26 +3697,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardControl::ForwardControl(const ForwardControl& other144) noexcept {
-  number = other144.number;
-  action = other144.action;
-  __isset = other144.__isset;
+ForwardControl::ForwardControl(const ForwardControl& other148) noexcept {
+  number = other148.number;
+  action = other148.action;
+  __isset = other148.__isset;
 }
-ForwardControl::ForwardControl(ForwardControl&& other145) noexcept {
-  number = other145.number;
-  action = other145.action;
-  __isset = other145.__isset;
+ForwardControl::ForwardControl(ForwardControl&& other149) noexcept {
+  number = other149.number;
+  action = other149.action;
+  __isset = other149.__isset;
 }
-ForwardControl& ForwardControl::operator=(const ForwardControl& other146) noexcept {
-  number = other146.number;
-  action = other146.action;
-  __isset = other146.__isset;
+ForwardControl& ForwardControl::operator=(const ForwardControl& other150) noexcept {
+  number = other150.number;
+  action = other150.action;
+  __isset = other150.__isset;
   return *this;
 }
-ForwardControl& ForwardControl::operator=(ForwardControl&& other147) noexcept {
-  number = other147.number;
-  action = other147.action;
-  __isset = other147.__isset;
+ForwardControl& ForwardControl::operator=(ForwardControl&& other151) noexcept {
+  number = other151.number;
+  action = other151.action;
+  __isset = other151.__isset;
   return *this;
 }
 
@@ -3620,6 +3775,11 @@
 __isset.cut_off = true;
 }
 
+void SchedulerNews::__set_keeps_software(const bool val) {
+  this->keeps_software = val;
+__isset.keeps_software = true;
+}
+
 uint32_t SchedulerNews::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3733,14 +3893,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cut_off.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->cut_off.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->cut_off.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += iprot->readString(this->cut_off[_i152]);
+              xfer += iprot->readString(this->cut_off[_i156]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3749,6 +3909,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->keeps_software);
+          this->__isset.keeps_software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3816,15 +3984,20 @@
     xfer += oprot->writeFieldBegin("cut_off", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cut_off.size()));
-      std::vector<std::string> ::const_iterator _iter153;
-      for (_iter153 = this->cut_off.begin(); _iter153 != this->cut_off.end(); ++_iter153)
+      std::vector<std::string> ::const_iterator _iter157;
+      for (_iter157 = this->cut_off.begin(); _iter157 != this->cut_off.end(); ++_iter157)
       {
-        xfer += oprot->writeString((*_iter153));
+        xfer += oprot->writeString((*_iter157));
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.keeps_software) {
+    xfer += oprot->writeFieldBegin("keeps_software", ::apache::thrift::protocol::T_BOOL, 13);
+    xfer += oprot->writeBool(this->keeps_software);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3844,69 +4017,74 @@
   swap(a.draining, b.draining);
   swap(a.last_resort, b.last_resort);
   swap(a.cut_off, b.cut_off);
+  swap(a.keeps_software, b.keeps_software);
   swap(a.__isset, b.__isset);
 }
 
-SchedulerNews::SchedulerNews(const SchedulerNews& other154) {
-  ready = other154.ready;
-  configuration_version = other154.configuration_version;
-  head_bytes = other154.head_bytes;
-  body_bytes = other154.body_bytes;
-  head_timeout = other154.head_timeout;
-  idle_timeout = other154.idle_timeout;
-  keys_proven = other154.keys_proven;
-  scheduler = other154.scheduler;
-  busy = other154.busy;
-  draining = other154.draining;
-  last_resort = other154.last_resort;
-  cut_off = other154.cut_off;
-  __isset = other154.__isset;
-}
-SchedulerNews::SchedulerNews(SchedulerNews&& other155) noexcept {
-  ready = other155.ready;
-  configuration_version = other155.configuration_version;
-  head_bytes = other155.head_bytes;
-  body_bytes = other155.body_bytes;
-  head_timeout = other155.head_timeout;
-  idle_timeout = other155.idle_timeout;
-  keys_proven = other155.keys_proven;
-  scheduler = other155.scheduler;
-  busy = other155.busy;
-  draining = other155.draining;
-  last_resort = other155.last_resort;
-  cut_off = std::move(other155.cut_off);
-  __isset = other155.__isset;
-}
-SchedulerNews& SchedulerNews::operator=(const SchedulerNews& other156) {
-  ready = other156.ready;
-  configuration_version = other156.configuration_version;
-  head_bytes = other156.head_bytes;
-  body_bytes = other156.body_bytes;
-  head_timeout = other156.head_timeout;
-  idle_timeout = other156.idle_timeout;
-  keys_proven = other156.keys_proven;
-  scheduler = other156.scheduler;
-  busy = other156.busy;
-  draining = other156.draining;
-  last_resort = other156.last_resort;
-  cut_off = other156.cut_off;
-  __isset = other156.__isset;
+SchedulerNews::SchedulerNews(const SchedulerNews& other158) {
+  ready = other158.ready;
+  configuration_version = other158.configuration_version;
+  head_bytes = other158.head_bytes;
+  body_bytes = other158.body_bytes;
+  head_timeout = other158.head_timeout;
+  idle_timeout = other158.idle_timeout;
+  keys_proven = other158.keys_proven;
+  scheduler = other158.scheduler;
+  busy = other158.busy;
+  draining = other158.draining;
+  last_resort = other158.last_resort;
+  cut_off = other158.cut_off;
+  keeps_software = other158.keeps_software;
+  __isset = other158.__isset;
+}
+SchedulerNews::SchedulerNews(SchedulerNews&& other159) noexcept {
+  ready = other159.ready;
+  configuration_version = other159.configuration_version;
+  head_bytes = other159.head_bytes;
+  body_bytes = other159.body_bytes;
+  head_timeout = other159.head_timeout;
+  idle_timeout = other159.idle_timeout;
+  keys_proven = other159.keys_proven;
+  scheduler = other159.scheduler;
+  busy = other159.busy;
+  draining = other159.draining;
+  last_resort = other159.last_resort;
+  cut_off = std::move(other159.cut_off);
+  keeps_software = other159.keeps_software;
+  __isset = other159.__isset;
+}
+SchedulerNews& SchedulerNews::operator=(const SchedulerNews& other160) {
+  ready = other160.ready;
+  configuration_version = other160.configuration_version;
+  head_bytes = other160.head_bytes;
+  body_bytes = other160.body_bytes;
+  head_timeout = other160.head_timeout;
+  idle_timeout = other160.idle_timeout;
+  keys_proven = other160.keys_proven;
+  scheduler = other160.scheduler;
+  busy = other160.busy;
+  draining = other160.draining;
+  last_resort = other160.last_resort;
+  cut_off = other160.cut_off;
+  keeps_software = other160.keeps_software;
+  __isset = other160.__isset;
   return *this;
 }
-SchedulerNews& SchedulerNews::operator=(SchedulerNews&& other157) noexcept {
-  ready = other157.ready;
-  configuration_version = other157.configuration_version;
-  head_bytes = other157.head_bytes;
-  body_bytes = other157.body_bytes;
-  head_timeout = other157.head_timeout;
-  idle_timeout = other157.idle_timeout;
-  keys_proven = other157.keys_proven;
-  scheduler = other157.scheduler;
-  busy = other157.busy;
-  draining = other157.draining;
-  last_resort = other157.last_resort;
-  cut_off = std::move(other157.cut_off);
-  __isset = other157.__isset;
+SchedulerNews& SchedulerNews::operator=(SchedulerNews&& other161) noexcept {
+  ready = other161.ready;
+  configuration_version = other161.configuration_version;
+  head_bytes = other161.head_bytes;
+  body_bytes = other161.body_bytes;
+  head_timeout = other161.head_timeout;
+  idle_timeout = other161.idle_timeout;
+  keys_proven = other161.keys_proven;
+  scheduler = other161.scheduler;
+  busy = other161.busy;
+  draining = other161.draining;
+  last_resort = other161.last_resort;
+  cut_off = std::move(other161.cut_off);
+  keeps_software = other161.keeps_software;
+  __isset = other161.__isset;
   return *this;
 }
 
@@ -3983,14 +4161,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->parts.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->parts.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
             {
-              xfer += iprot->readI64(this->parts[_i162]);
+              xfer += iprot->readI64(this->parts[_i166]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4003,14 +4181,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tokens.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->tokens.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _etype170;
+            xfer += iprot->readListBegin(_etype170, _size167);
+            this->tokens.resize(_size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
             {
-              xfer += iprot->readI64(this->tokens[_i167]);
+              xfer += iprot->readI64(this->tokens[_i171]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4051,10 +4229,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter168;
-    for (_iter168 = this->parts.begin(); _iter168 != this->parts.end(); ++_iter168)
+    std::vector<int64_t> ::const_iterator _iter172;
+    for (_iter172 = this->parts.begin(); _iter172 != this->parts.end(); ++_iter172)
     {
-      xfer += oprot->writeI64((*_iter168));
+      xfer += oprot->writeI64((*_iter172));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4063,10 +4241,10 @@
   xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tokens.size()));
-    std::vector<int64_t> ::const_iterator _iter169;
-    for (_iter169 = this->tokens.begin(); _iter169 != this->tokens.end(); ++_iter169)
+    std::vector<int64_t> ::const_iterator _iter173;
+    for (_iter173 = this->tokens.begin(); _iter173 != this->tokens.end(); ++_iter173)
     {
-      xfer += oprot->writeI64((*_iter169));
+      xfer += oprot->writeI64((*_iter173));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4087,38 +4265,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CacheUpdate::CacheUpdate(const CacheUpdate& other170) {
-  endpoint = other170.endpoint;
-  started = other170.started;
-  reset = other170.reset;
-  parts = other170.parts;
-  tokens = other170.tokens;
-  __isset = other170.__isset;
-}
-CacheUpdate::CacheUpdate(CacheUpdate&& other171) noexcept {
-  endpoint = std::move(other171.endpoint);
-  started = other171.started;
-  reset = other171.reset;
-  parts = std::move(other171.parts);
-  tokens = std::move(other171.tokens);
-  __isset = other171.__isset;
-}
-CacheUpdate& CacheUpdate::operator=(const CacheUpdate& other172) {
-  endpoint = other172.endpoint;
-  started = other172.started;
-  reset = other172.reset;
-  parts = other172.parts;
-  tokens = other172.tokens;
-  __isset = other172.__isset;
+CacheUpdate::CacheUpdate(const CacheUpdate& other174) {
+  endpoint = other174.endpoint;
+  started = other174.started;
+  reset = other174.reset;
+  parts = other174.parts;
+  tokens = other174.tokens;
+  __isset = other174.__isset;
+}
+CacheUpdate::CacheUpdate(CacheUpdate&& other175) noexcept {
+  endpoint = std::move(other175.endpoint);
+  started = other175.started;
+  reset = other175.reset;
+  parts = std::move(other175.parts);
+  tokens = std::move(other175.tokens);
+  __isset = other175.__isset;
+}
+CacheUpdate& CacheUpdate::operator=(const CacheUpdate& other176) {
+  endpoint = other176.endpoint;
+  started = other176.started;
+  reset = other176.reset;
+  parts = other176.parts;
+  tokens = other176.tokens;
+  __isset = other176.__isset;
   return *this;
 }
-CacheUpdate& CacheUpdate::operator=(CacheUpdate&& other173) noexcept {
-  endpoint = std::move(other173.endpoint);
-  started = other173.started;
-  reset = other173.reset;
-  parts = std::move(other173.parts);
-  tokens = std::move(other173.tokens);
-  __isset = other173.__isset;
+CacheUpdate& CacheUpdate::operator=(CacheUpdate&& other177) noexcept {
+  endpoint = std::move(other177.endpoint);
+  started = other177.started;
+  reset = other177.reset;
+  parts = std::move(other177.parts);
+  tokens = std::move(other177.tokens);
+  __isset = other177.__isset;
   return *this;
 }
 
@@ -4208,26 +4386,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceLoad::ServiceLoad(const ServiceLoad& other174) {
-  service_id = other174.service_id;
-  tokens_per_second = other174.tokens_per_second;
-  __isset = other174.__isset;
+ServiceLoad::ServiceLoad(const ServiceLoad& other178) {
+  service_id = other178.service_id;
+  tokens_per_second = other178.tokens_per_second;
+  __isset = other178.__isset;
 }
-ServiceLoad::ServiceLoad(ServiceLoad&& other175) noexcept {
-  service_id = std::move(other175.service_id);
-  tokens_per_second = other175.tokens_per_second;
-  __isset = other175.__isset;
+ServiceLoad::ServiceLoad(ServiceLoad&& other179) noexcept {
+  service_id = std::move(other179.service_id);
+  tokens_per_second = other179.tokens_per_second;
+  __isset = other179.__isset;
 }
-ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other176) {
-  service_id = other176.service_id;
-  tokens_per_second = other176.tokens_per_second;
-  __isset = other176.__isset;
+ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other180) {
+  service_id = other180.service_id;
+  tokens_per_second = other180.tokens_per_second;
+  __isset = other180.__isset;
   return *this;
 }
-ServiceLoad& ServiceLoad::operator=(ServiceLoad&& other177) noexcept {
-  service_id = std::move(other177.service_id);
-  tokens_per_second = other177.tokens_per_second;
-  __isset = other177.__isset;
+ServiceLoad& ServiceLoad::operator=(ServiceLoad&& other181) noexcept {
+  service_id = std::move(other181.service_id);
+  tokens_per_second = other181.tokens_per_second;
+  __isset = other181.__isset;
   return *this;
 }
 
@@ -4264,14 +4442,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->services.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->services.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->services[_i182].read(iprot);
+              xfer += this->services[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4300,10 +4478,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceLoad> ::const_iterator _iter183;
-    for (_iter183 = this->services.begin(); _iter183 != this->services.end(); ++_iter183)
+    std::vector<ServiceLoad> ::const_iterator _iter187;
+    for (_iter187 = this->services.begin(); _iter187 != this->services.end(); ++_iter187)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4320,22 +4498,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PrefillLoad::PrefillLoad(const PrefillLoad& other184) {
-  services = other184.services;
-  __isset = other184.__isset;
+PrefillLoad::PrefillLoad(const PrefillLoad& other188) {
+  services = other188.services;
+  __isset = other188.__isset;
 }
-PrefillLoad::PrefillLoad(PrefillLoad&& other185) noexcept {
-  services = std::move(other185.services);
-  __isset = other185.__isset;
+PrefillLoad::PrefillLoad(PrefillLoad&& other189) noexcept {
+  services = std::move(other189.services);
+  __isset = other189.__isset;
 }
-PrefillLoad& PrefillLoad::operator=(const PrefillLoad& other186) {
-  services = other186.services;
-  __isset = other186.__isset;
+PrefillLoad& PrefillLoad::operator=(const PrefillLoad& other190) {
+  services = other190.services;
+  __isset = other190.__isset;
   return *this;
 }
-PrefillLoad& PrefillLoad::operator=(PrefillLoad&& other187) noexcept {
-  services = std::move(other187.services);
-  __isset = other187.__isset;
+PrefillLoad& PrefillLoad::operator=(PrefillLoad&& other191) noexcept {
+  services = std::move(other191.services);
+  __isset = other191.__isset;
   return *this;
 }
 
@@ -4480,38 +4658,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenWant::TokenWant(const TokenWant& other188) {
-  number = other188.number;
-  account = other188.account;
-  tokens = other188.tokens;
-  priority = other188.priority;
-  pull = other188.pull;
-  __isset = other188.__isset;
+TokenWant::TokenWant(const TokenWant& other192) {
+  number = other192.number;
+  account = other192.account;
+  tokens = other192.tokens;
+  priority = other192.priority;
+  pull = other192.pull;
+  __isset = other192.__isset;
 }
-TokenWant::TokenWant(TokenWant&& other189) noexcept {
-  number = other189.number;
-  account = std::move(other189.account);
-  tokens = other189.tokens;
-  priority = other189.priority;
-  pull = other189.pull;
-  __isset = other189.__isset;
+TokenWant::TokenWant(TokenWant&& other193) noexcept {
+  number = other193.number;
+  account = std::move(other193.account);
+  tokens = other193.tokens;
+  priority = other193.priority;
+  pull = other193.pull;
+  __isset = other193.__isset;
 }
-TokenWant& TokenWant::operator=(const TokenWant& other190) {
-  number = other190.number;
-  account = other190.account;
-  tokens = other190.tokens;
-  priority = other190.priority;
-  pull = other190.pull;
-  __isset = other190.__isset;
+TokenWant& TokenWant::operator=(const TokenWant& other194) {
+  number = other194.number;
+  account = other194.account;
+  tokens = other194.tokens;
+  priority = other194.priority;
+  pull = other194.pull;
+  __isset = other194.__isset;
   return *this;
 }
-TokenWant& TokenWant::operator=(TokenWant&& other191) noexcept {
-  number = other191.number;
-  account = std::move(other191.account);
-  tokens = other191.tokens;
-  priority = other191.priority;
-  pull = other191.pull;
-  __isset = other191.__isset;
+TokenWant& TokenWant::operator=(TokenWant&& other195) noexcept {
+  number = other195.number;
+  account = std::move(other195.account);
+  tokens = other195.tokens;
+  priority = other195.priority;
+  pull = other195.pull;
+  __isset = other195.__isset;
   return *this;
 }
 
@@ -4637,34 +4815,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenGrant::TokenGrant(const TokenGrant& other192) {
-  number = other192.number;
-  account = other192.account;
-  tokens = other192.tokens;
-  retry_after = other192.retry_after;
-  __isset = other192.__isset;
-}
-TokenGrant::TokenGrant(TokenGrant&& other193) noexcept {
-  number = other193.number;
-  account = std::move(other193.account);
-  tokens = other193.tokens;
-  retry_after = other193.retry_after;
-  __isset = other193.__isset;
-}
-TokenGrant& TokenGrant::operator=(const TokenGrant& other194) {
-  number = other194.number;
-  account = other194.account;
-  tokens = other194.tokens;
-  retry_after = other194.retry_after;
-  __isset = other194.__isset;
+TokenGrant::TokenGrant(const TokenGrant& other196) {
+  number = other196.number;
+  account = other196.account;
+  tokens = other196.tokens;
+  retry_after = other196.retry_after;
+  __isset = other196.__isset;
+}
+TokenGrant::TokenGrant(TokenGrant&& other197) noexcept {
+  number = other197.number;
+  account = std::move(other197.account);
+  tokens = other197.tokens;
+  retry_after = other197.retry_after;
+  __isset = other197.__isset;
+}
+TokenGrant& TokenGrant::operator=(const TokenGrant& other198) {
+  number = other198.number;
+  account = other198.account;
+  tokens = other198.tokens;
+  retry_after = other198.retry_after;
+  __isset = other198.__isset;
   return *this;
 }
-TokenGrant& TokenGrant::operator=(TokenGrant&& other195) noexcept {
-  number = other195.number;
-  account = std::move(other195.account);
-  tokens = other195.tokens;
-  retry_after = other195.retry_after;
-  __isset = other195.__isset;
+TokenGrant& TokenGrant::operator=(TokenGrant&& other199) noexcept {
+  number = other199.number;
+  account = std::move(other199.account);
+  tokens = other199.tokens;
+  retry_after = other199.retry_after;
+  __isset = other199.__isset;
   return *this;
 }
 
@@ -4717,14 +4895,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wants.clear();
-            uint32_t _size196;
-            ::apache::thrift::protocol::TType _etype199;
-            xfer += iprot->readListBegin(_etype199, _size196);
-            this->wants.resize(_size196);
-            uint32_t _i200;
-            for (_i200 = 0; _i200 < _size196; ++_i200)
+            uint32_t _size200;
+            ::apache::thrift::protocol::TType _etype203;
+            xfer += iprot->readListBegin(_etype203, _size200);
+            this->wants.resize(_size200);
+            uint32_t _i204;
+            for (_i204 = 0; _i204 < _size200; ++_i204)
             {
-              xfer += this->wants[_i200].read(iprot);
+              xfer += this->wants[_i204].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4737,14 +4915,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size201;
-            ::apache::thrift::protocol::TType _etype204;
-            xfer += iprot->readListBegin(_etype204, _size201);
-            this->grants.resize(_size201);
-            uint32_t _i205;
-            for (_i205 = 0; _i205 < _size201; ++_i205)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->grants.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += this->grants[_i205].read(iprot);
+              xfer += this->grants[_i209].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4777,10 +4955,10 @@
   xfer += oprot->writeFieldBegin("wants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->wants.size()));
-    std::vector<TokenWant> ::const_iterator _iter206;
-    for (_iter206 = this->wants.begin(); _iter206 != this->wants.end(); ++_iter206)
+    std::vector<TokenWant> ::const_iterator _iter210;
+    for (_iter210 = this->wants.begin(); _iter210 != this->wants.end(); ++_iter210)
     {
-      xfer += (*_iter206).write(oprot);
+      xfer += (*_iter210).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4789,10 +4967,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<TokenGrant> ::const_iterator _iter207;
-    for (_iter207 = this->grants.begin(); _iter207 != this->grants.end(); ++_iter207)
+    std::vector<TokenGrant> ::const_iterator _iter211;
+    for (_iter211 = this->grants.begin(); _iter211 != this->grants.end(); ++_iter211)
     {
-      xfer += (*_iter207).write(oprot);
+      xfer += (*_iter211).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4811,30 +4989,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitTokens::LimitTokens(const LimitTokens& other208) {
-  revision = other208.revision;
-  wants = other208.wants;
-  grants = other208.grants;
-  __isset = other208.__isset;
+LimitTokens::LimitTokens(const LimitTokens& other212) {
+  revision = other212.revision;
+  wants = other212.wants;
+  grants = other212.grants;
+  __isset = other212.__isset;
 }
-LimitTokens::LimitTokens(LimitTokens&& other209) noexcept {
-  revision = other209.revision;
-  wants = std::move(other209.wants);
-  grants = std::move(other209.grants);
-  __isset = other209.__isset;
+LimitTokens::LimitTokens(LimitTokens&& other213) noexcept {
+  revision = other213.revision;
+  wants = std::move(other213.wants);
+  grants = std::move(other213.grants);
+  __isset = other213.__isset;
 }
-LimitTokens& LimitTokens::operator=(const LimitTokens& other210) {
-  revision = other210.revision;
-  wants = other210.wants;
-  grants = other210.grants;
-  __isset = other210.__isset;
+LimitTokens& LimitTokens::operator=(const LimitTokens& other214) {
+  revision = other214.revision;
+  wants = other214.wants;
+  grants = other214.grants;
+  __isset = other214.__isset;
   return *this;
 }
-LimitTokens& LimitTokens::operator=(LimitTokens&& other211) noexcept {
-  revision = other211.revision;
-  wants = std::move(other211.wants);
-  grants = std::move(other211.grants);
-  __isset = other211.__isset;
+LimitTokens& LimitTokens::operator=(LimitTokens&& other215) noexcept {
+  revision = other215.revision;
+  wants = std::move(other215.wants);
+  grants = std::move(other215.grants);
+  __isset = other215.__isset;
   return *this;
 }
 
@@ -4919,14 +5097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fingerprints.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->fingerprints.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->fingerprints.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += iprot->readI64(this->fingerprints[_i216]);
+              xfer += iprot->readI64(this->fingerprints[_i220]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4971,10 +5149,10 @@
   xfer += oprot->writeFieldBegin("fingerprints", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->fingerprints.size()));
-    std::vector<int64_t> ::const_iterator _iter217;
-    for (_iter217 = this->fingerprints.begin(); _iter217 != this->fingerprints.end(); ++_iter217)
+    std::vector<int64_t> ::const_iterator _iter221;
+    for (_iter221 = this->fingerprints.begin(); _iter221 != this->fingerprints.end(); ++_iter221)
     {
-      xfer += oprot->writeI64((*_iter217));
+      xfer += oprot->writeI64((*_iter221));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4995,38 +5173,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other218) {
-  endpoint = other218.endpoint;
-  started = other218.started;
-  zone = other218.zone;
-  age = other218.age;
-  fingerprints = other218.fingerprints;
-  __isset = other218.__isset;
-}
-CrashReport::CrashReport(CrashReport&& other219) noexcept {
-  endpoint = std::move(other219.endpoint);
-  started = other219.started;
-  zone = std::move(other219.zone);
-  age = other219.age;
-  fingerprints = std::move(other219.fingerprints);
-  __isset = other219.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other220) {
-  endpoint = other220.endpoint;
-  started = other220.started;
-  zone = other220.zone;
-  age = other220.age;
-  fingerprints = other220.fingerprints;
-  __isset = other220.__isset;
+CrashReport::CrashReport(const CrashReport& other222) {
+  endpoint = other222.endpoint;
+  started = other222.started;
+  zone = other222.zone;
+  age = other222.age;
+  fingerprints = other222.fingerprints;
+  __isset = other222.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other223) noexcept {
+  endpoint = std::move(other223.endpoint);
+  started = other223.started;
+  zone = std::move(other223.zone);
+  age = other223.age;
+  fingerprints = std::move(other223.fingerprints);
+  __isset = other223.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other224) {
+  endpoint = other224.endpoint;
+  started = other224.started;
+  zone = other224.zone;
+  age = other224.age;
+  fingerprints = other224.fingerprints;
+  __isset = other224.__isset;
   return *this;
 }
-CrashReport& CrashReport::operator=(CrashReport&& other221) noexcept {
-  endpoint = std::move(other221.endpoint);
-  started = other221.started;
-  zone = std::move(other221.zone);
-  age = other221.age;
-  fingerprints = std::move(other221.fingerprints);
-  __isset = other221.__isset;
+CrashReport& CrashReport::operator=(CrashReport&& other225) noexcept {
+  endpoint = std::move(other225.endpoint);
+  started = other225.started;
+  zone = std::move(other225.zone);
+  age = other225.age;
+  fingerprints = std::move(other225.fingerprints);
+  __isset = other225.__isset;
   return *this;
 }
 
@@ -5116,26 +5294,26 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerReport::AnswerReport(const AnswerReport& other222) noexcept {
-  fingerprint = other222.fingerprint;
-  age = other222.age;
-  __isset = other222.__isset;
+AnswerReport::AnswerReport(const AnswerReport& other226) noexcept {
+  fingerprint = other226.fingerprint;
+  age = other226.age;
+  __isset = other226.__isset;
 }
-AnswerReport::AnswerReport(AnswerReport&& other223) noexcept {
-  fingerprint = other223.fingerprint;
-  age = other223.age;
-  __isset = other223.__isset;
+AnswerReport::AnswerReport(AnswerReport&& other227) noexcept {
+  fingerprint = other227.fingerprint;
+  age = other227.age;
+  __isset = other227.__isset;
 }
-AnswerReport& AnswerReport::operator=(const AnswerReport& other224) noexcept {
-  fingerprint = other224.fingerprint;
-  age = other224.age;
-  __isset = other224.__isset;
+AnswerReport& AnswerReport::operator=(const AnswerReport& other228) noexcept {
+  fingerprint = other228.fingerprint;
+  age = other228.age;
+  __isset = other228.__isset;
   return *this;
 }
-AnswerReport& AnswerReport::operator=(AnswerReport&& other225) noexcept {
-  fingerprint = other225.fingerprint;
-  age = other225.age;
-  __isset = other225.__isset;
+AnswerReport& AnswerReport::operator=(AnswerReport&& other229) noexcept {
+  fingerprint = other229.fingerprint;
+  age = other229.age;
+  __isset = other229.__isset;
   return *this;
 }
 
@@ -5176,14 +5354,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size226;
-            ::apache::thrift::protocol::TType _etype229;
-            xfer += iprot->readListBegin(_etype229, _size226);
-            this->crashes.resize(_size226);
-            uint32_t _i230;
-            for (_i230 = 0; _i230 < _size226; ++_i230)
+            uint32_t _size230;
+            ::apache::thrift::protocol::TType _etype233;
+            xfer += iprot->readListBegin(_etype233, _size230);
+            this->crashes.resize(_size230);
+            uint32_t _i234;
+            for (_i234 = 0; _i234 < _size230; ++_i234)
             {
-              xfer += this->crashes[_i230].read(iprot);
+              xfer += this->crashes[_i234].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5196,14 +5374,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size231;
-            ::apache::thrift::protocol::TType _etype234;
-            xfer += iprot->readListBegin(_etype234, _size231);
-            this->answers.resize(_size231);
-            uint32_t _i235;
-            for (_i235 = 0; _i235 < _size231; ++_i235)
+            uint32_t _size235;
+            ::apache::thrift::protocol::TType _etype238;
+            xfer += iprot->readListBegin(_etype238, _size235);
+            this->answers.resize(_size235);
+            uint32_t _i239;
+            for (_i239 = 0; _i239 < _size235; ++_i239)
             {
-              xfer += this->answers[_i235].read(iprot);
+              xfer += this->answers[_i239].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5232,10 +5410,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter236;
-    for (_iter236 = this->crashes.begin(); _iter236 != this->crashes.end(); ++_iter236)
+    std::vector<CrashReport> ::const_iterator _iter240;
+    for (_iter240 = this->crashes.begin(); _iter240 != this->crashes.end(); ++_iter240)
     {
-      xfer += (*_iter236).write(oprot);
+      xfer += (*_iter240).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5244,10 +5422,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<AnswerReport> ::const_iterator _iter237;
-    for (_iter237 = this->answers.begin(); _iter237 != this->answers.end(); ++_iter237)
+    std::vector<AnswerReport> ::const_iterator _iter241;
+    for (_iter241 = this->answers.begin(); _iter241 != this->answers.end(); ++_iter241)
     {
-      xfer += (*_iter237).write(oprot);
+      xfer += (*_iter241).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5265,26 +5443,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectsUpdate::SuspectsUpdate(const SuspectsUpdate& other238) {
-  crashes = other238.crashes;
-  answers = other238.answers;
-  __isset = other238.__isset;
+SuspectsUpdate::SuspectsUpdate(const SuspectsUpdate& other242) {
+  crashes = other242.crashes;
+  answers = other242.answers;
+  __isset = other242.__isset;
 }
-SuspectsUpdate::SuspectsUpdate(SuspectsUpdate&& other239) noexcept {
-  crashes = std::move(other239.crashes);
-  answers = std::move(other239.answers);
-  __isset = other239.__isset;
+SuspectsUpdate::SuspectsUpdate(SuspectsUpdate&& other243) noexcept {
+  crashes = std::move(other243.crashes);
+  answers = std::move(other243.answers);
+  __isset = other243.__isset;
 }
-SuspectsUpdate& SuspectsUpdate::operator=(const SuspectsUpdate& other240) {
-  crashes = other240.crashes;
-  answers = other240.answers;
-  __isset = other240.__isset;
+SuspectsUpdate& SuspectsUpdate::operator=(const SuspectsUpdate& other244) {
+  crashes = other244.crashes;
+  answers = other244.answers;
+  __isset = other244.__isset;
   return *this;
 }
-SuspectsUpdate& SuspectsUpdate::operator=(SuspectsUpdate&& other241) noexcept {
-  crashes = std::move(other241.crashes);
-  answers = std::move(other241.answers);
-  __isset = other241.__isset;
+SuspectsUpdate& SuspectsUpdate::operator=(SuspectsUpdate&& other245) noexcept {
+  crashes = std::move(other245.crashes);
+  answers = std::move(other245.answers);
+  __isset = other245.__isset;
   return *this;
 }
 
@@ -5410,34 +5588,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RateReport::RateReport(const RateReport& other242) {
-  endpoint = other242.endpoint;
-  started = other242.started;
-  per_second = other242.per_second;
-  age = other242.age;
-  __isset = other242.__isset;
-}
-RateReport::RateReport(RateReport&& other243) noexcept {
-  endpoint = std::move(other243.endpoint);
-  started = other243.started;
-  per_second = other243.per_second;
-  age = other243.age;
-  __isset = other243.__isset;
-}
-RateReport& RateReport::operator=(const RateReport& other244) {
-  endpoint = other244.endpoint;
-  started = other244.started;
-  per_second = other244.per_second;
-  age = other244.age;
-  __isset = other244.__isset;
+RateReport::RateReport(const RateReport& other246) {
+  endpoint = other246.endpoint;
+  started = other246.started;
+  per_second = other246.per_second;
+  age = other246.age;
+  __isset = other246.__isset;
+}
+RateReport::RateReport(RateReport&& other247) noexcept {
+  endpoint = std::move(other247.endpoint);
+  started = other247.started;
+  per_second = other247.per_second;
+  age = other247.age;
+  __isset = other247.__isset;
+}
+RateReport& RateReport::operator=(const RateReport& other248) {
+  endpoint = other248.endpoint;
+  started = other248.started;
+  per_second = other248.per_second;
+  age = other248.age;
+  __isset = other248.__isset;
   return *this;
 }
-RateReport& RateReport::operator=(RateReport&& other245) noexcept {
-  endpoint = std::move(other245.endpoint);
-  started = other245.started;
-  per_second = other245.per_second;
-  age = other245.age;
-  __isset = other245.__isset;
+RateReport& RateReport::operator=(RateReport&& other249) noexcept {
+  endpoint = std::move(other249.endpoint);
+  started = other249.started;
+  per_second = other249.per_second;
+  age = other249.age;
+  __isset = other249.__isset;
   return *this;
 }
 
@@ -5474,14 +5652,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size246;
-            ::apache::thrift::protocol::TType _etype249;
-            xfer += iprot->readListBegin(_etype249, _size246);
-            this->rates.resize(_size246);
-            uint32_t _i250;
-            for (_i250 = 0; _i250 < _size246; ++_i250)
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->rates.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
             {
-              xfer += this->rates[_i250].read(iprot);
+              xfer += this->rates[_i254].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5510,10 +5688,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<RateReport> ::const_iterator _iter251;
-    for (_iter251 = this->rates.begin(); _iter251 != this->rates.end(); ++_iter251)
+    std::vector<RateReport> ::const_iterator _iter255;
+    for (_iter255 = this->rates.begin(); _iter255 != this->rates.end(); ++_iter255)
     {
-      xfer += (*_iter251).write(oprot);
+      xfer += (*_iter255).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5530,22 +5708,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointRates::EndpointRates(const EndpointRates& other252) {
-  rates = other252.rates;
-  __isset = other252.__isset;
+EndpointRates::EndpointRates(const EndpointRates& other256) {
+  rates = other256.rates;
+  __isset = other256.__isset;
 }
-EndpointRates::EndpointRates(EndpointRates&& other253) noexcept {
-  rates = std::move(other253.rates);
-  __isset = other253.__isset;
+EndpointRates::EndpointRates(EndpointRates&& other257) noexcept {
+  rates = std::move(other257.rates);
+  __isset = other257.__isset;
 }
-EndpointRates& EndpointRates::operator=(const EndpointRates& other254) {
-  rates = other254.rates;
-  __isset = other254.__isset;
+EndpointRates& EndpointRates::operator=(const EndpointRates& other258) {
+  rates = other258.rates;
+  __isset = other258.__isset;
   return *this;
 }
-EndpointRates& EndpointRates::operator=(EndpointRates&& other255) noexcept {
-  rates = std::move(other255.rates);
-  __isset = other255.__isset;
+EndpointRates& EndpointRates::operator=(EndpointRates&& other259) noexcept {
+  rates = std::move(other259.rates);
+  __isset = other259.__isset;
   return *this;
 }
 
@@ -5597,18 +5775,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other256) noexcept {
-  (void) other256;
+Heartbeat::Heartbeat(const Heartbeat& other260) noexcept {
+  (void) other260;
 }
-Heartbeat::Heartbeat(Heartbeat&& other257) noexcept {
-  (void) other257;
+Heartbeat::Heartbeat(Heartbeat&& other261) noexcept {
+  (void) other261;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other258) noexcept {
-  (void) other258;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other262) noexcept {
+  (void) other262;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other259) noexcept {
-  (void) other259;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other263) noexcept {
+  (void) other263;
   return *this;
 }
 
@@ -6044,98 +6222,98 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other260) {
-  heartbeat = other260.heartbeat;
-  digest = other260.digest;
-  buckets_request = other260.buckets_request;
-  buckets_reply = other260.buckets_reply;
-  usage_copy = other260.usage_copy;
-  released = other260.released;
-  endpoint_news = other260.endpoint_news;
-  freshness_question = other260.freshness_question;
-  freshness_answer = other260.freshness_answer;
-  engine_paces = other260.engine_paces;
-  forwarded_request = other260.forwarded_request;
-  forwarded_body = other260.forwarded_body;
-  forwarded_answer = other260.forwarded_answer;
-  forward_control = other260.forward_control;
-  scheduler_news = other260.scheduler_news;
-  cache_update = other260.cache_update;
-  prefill_load = other260.prefill_load;
-  limit_tokens = other260.limit_tokens;
-  suspects_update = other260.suspects_update;
-  endpoint_rates = other260.endpoint_rates;
-  __isset = other260.__isset;
-}
-Message::Message(Message&& other261) noexcept {
-  heartbeat = std::move(other261.heartbeat);
-  digest = std::move(other261.digest);
-  buckets_request = std::move(other261.buckets_request);
-  buckets_reply = std::move(other261.buckets_reply);
-  usage_copy = std::move(other261.usage_copy);
-  released = std::move(other261.released);
-  endpoint_news = std::move(other261.endpoint_news);
-  freshness_question = std::move(other261.freshness_question);
-  freshness_answer = std::move(other261.freshness_answer);
-  engine_paces = std::move(other261.engine_paces);
-  forwarded_request = std::move(other261.forwarded_request);
-  forwarded_body = std::move(other261.forwarded_body);
-  forwarded_answer = std::move(other261.forwarded_answer);
-  forward_control = std::move(other261.forward_control);
-  scheduler_news = std::move(other261.scheduler_news);
-  cache_update = std::move(other261.cache_update);
-  prefill_load = std::move(other261.prefill_load);
-  limit_tokens = std::move(other261.limit_tokens);
-  suspects_update = std::move(other261.suspects_update);
-  endpoint_rates = std::move(other261.endpoint_rates);
-  __isset = other261.__isset;
-}
-Message& Message::operator=(const Message& other262) {
-  heartbeat = other262.heartbeat;
-  digest = other262.digest;
-  buckets_request = other262.buckets_request;
-  buckets_reply = other262.buckets_reply;
-  usage_copy = other262.usage_copy;
-  released = other262.released;
-  endpoint_news = other262.endpoint_news;
-  freshness_question = other262.freshness_question;
-  freshness_answer = other262.freshness_answer;
-  engine_paces = other262.engine_paces;
-  forwarded_request = other262.forwarded_request;
-  forwarded_body = other262.forwarded_body;
-  forwarded_answer = other262.forwarded_answer;
-  forward_control = other262.forward_control;
-  scheduler_news = other262.scheduler_news;
-  cache_update = other262.cache_update;
-  prefill_load = other262.prefill_load;
-  limit_tokens = other262.limit_tokens;
-  suspects_update = other262.suspects_update;
-  endpoint_rates = other262.endpoint_rates;
-  __isset = other262.__isset;
+Message::Message(const Message& other264) {
+  heartbeat = other264.heartbeat;
+  digest = other264.digest;
+  buckets_request = other264.buckets_request;
+  buckets_reply = other264.buckets_reply;
+  usage_copy = other264.usage_copy;
+  released = other264.released;
+  endpoint_news = other264.endpoint_news;
+  freshness_question = other264.freshness_question;
+  freshness_answer = other264.freshness_answer;
+  engine_paces = other264.engine_paces;
+  forwarded_request = other264.forwarded_request;
+  forwarded_body = other264.forwarded_body;
+  forwarded_answer = other264.forwarded_answer;
+  forward_control = other264.forward_control;
+  scheduler_news = other264.scheduler_news;
+  cache_update = other264.cache_update;
+  prefill_load = other264.prefill_load;
+  limit_tokens = other264.limit_tokens;
+  suspects_update = other264.suspects_update;
+  endpoint_rates = other264.endpoint_rates;
+  __isset = other264.__isset;
+}
+Message::Message(Message&& other265) noexcept {
+  heartbeat = std::move(other265.heartbeat);
+  digest = std::move(other265.digest);
+  buckets_request = std::move(other265.buckets_request);
+  buckets_reply = std::move(other265.buckets_reply);
+  usage_copy = std::move(other265.usage_copy);
+  released = std::move(other265.released);
+  endpoint_news = std::move(other265.endpoint_news);
+  freshness_question = std::move(other265.freshness_question);
+  freshness_answer = std::move(other265.freshness_answer);
+  engine_paces = std::move(other265.engine_paces);
+  forwarded_request = std::move(other265.forwarded_request);
+  forwarded_body = std::move(other265.forwarded_body);
+  forwarded_answer = std::move(other265.forwarded_answer);
+  forward_control = std::move(other265.forward_control);
+  scheduler_news = std::move(other265.scheduler_news);
+  cache_update = std::move(other265.cache_update);
+  prefill_load = std::move(other265.prefill_load);
+  limit_tokens = std::move(other265.limit_tokens);
+  suspects_update = std::move(other265.suspects_update);
+  endpoint_rates = std::move(other265.endpoint_rates);
+  __isset = other265.__isset;
+}
+Message& Message::operator=(const Message& other266) {
+  heartbeat = other266.heartbeat;
+  digest = other266.digest;
+  buckets_request = other266.buckets_request;
+  buckets_reply = other266.buckets_reply;
+  usage_copy = other266.usage_copy;
+  released = other266.released;
+  endpoint_news = other266.endpoint_news;
+  freshness_question = other266.freshness_question;
+  freshness_answer = other266.freshness_answer;
+  engine_paces = other266.engine_paces;
+  forwarded_request = other266.forwarded_request;
+  forwarded_body = other266.forwarded_body;
+  forwarded_answer = other266.forwarded_answer;
+  forward_control = other266.forward_control;
+  scheduler_news = other266.scheduler_news;
+  cache_update = other266.cache_update;
+  prefill_load = other266.prefill_load;
+  limit_tokens = other266.limit_tokens;
+  suspects_update = other266.suspects_update;
+  endpoint_rates = other266.endpoint_rates;
+  __isset = other266.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other263) noexcept {
-  heartbeat = std::move(other263.heartbeat);
-  digest = std::move(other263.digest);
-  buckets_request = std::move(other263.buckets_request);
-  buckets_reply = std::move(other263.buckets_reply);
-  usage_copy = std::move(other263.usage_copy);
-  released = std::move(other263.released);
-  endpoint_news = std::move(other263.endpoint_news);
-  freshness_question = std::move(other263.freshness_question);
-  freshness_answer = std::move(other263.freshness_answer);
-  engine_paces = std::move(other263.engine_paces);
-  forwarded_request = std::move(other263.forwarded_request);
-  forwarded_body = std::move(other263.forwarded_body);
-  forwarded_answer = std::move(other263.forwarded_answer);
-  forward_control = std::move(other263.forward_control);
-  scheduler_news = std::move(other263.scheduler_news);
-  cache_update = std::move(other263.cache_update);
-  prefill_load = std::move(other263.prefill_load);
-  limit_tokens = std::move(other263.limit_tokens);
-  suspects_update = std::move(other263.suspects_update);
-  endpoint_rates = std::move(other263.endpoint_rates);
-  __isset = other263.__isset;
+Message& Message::operator=(Message&& other267) noexcept {
+  heartbeat = std::move(other267.heartbeat);
+  digest = std::move(other267.digest);
+  buckets_request = std::move(other267.buckets_request);
+  buckets_reply = std::move(other267.buckets_reply);
+  usage_copy = std::move(other267.usage_copy);
+  released = std::move(other267.released);
+  endpoint_news = std::move(other267.endpoint_news);
+  freshness_question = std::move(other267.freshness_question);
+  freshness_answer = std::move(other267.freshness_answer);
+  engine_paces = std::move(other267.engine_paces);
+  forwarded_request = std::move(other267.forwarded_request);
+  forwarded_body = std::move(other267.forwarded_body);
+  forwarded_answer = std::move(other267.forwarded_answer);
+  forward_control = std::move(other267.forward_control);
+  scheduler_news = std::move(other267.scheduler_news);
+  cache_update = std::move(other267.cache_update);
+  prefill_load = std::move(other267.prefill_load);
+  limit_tokens = std::move(other267.limit_tokens);
+  suspects_update = std::move(other267.suspects_update);
+  endpoint_rates = std::move(other267.endpoint_rates);
+  __isset = other267.__isset;
   return *this;
 }
 }} // namespace
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -57,6 +57,8 @@
 
 class Header;
 
+class StreamOrigin;
+
 class ForwardedRequest;
 
 class ForwardedBody;
@@ -1192,8 +1194,59 @@
 
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
+typedef struct _StreamOrigin__isset {
+  _StreamOrigin__isset() : service_id(false), software(false) {}
+  bool service_id :1;
+  bool software :1;
+} _StreamOrigin__isset;
+
+class StreamOrigin : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOrigin(const StreamOrigin&);
+  StreamOrigin(StreamOrigin&&) noexcept;
+  StreamOrigin& operator=(const StreamOrigin&);
+  StreamOrigin& operator=(StreamOrigin&&) noexcept;
+  StreamOrigin() noexcept
+               : service_id(),
+                 software() {
+  }
+
+  virtual ~StreamOrigin() noexcept;
+  std::string service_id;
+  std::string software;
+
+  _StreamOrigin__isset __isset;
+
+  void __set_service_id(const std::string& val);
+
+  void __set_software(const std::string& val);
+
+  bool operator == (const StreamOrigin & rhs) const
+  {
+    if (!(service_id == rhs.service_id))
+      return false;
+    if (!(software == rhs.software))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOrigin &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOrigin & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(StreamOrigin &a, StreamOrigin &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOrigin& obj);
+
 typedef struct _ForwardedRequest__isset {
-  _ForwardedRequest__isset() : number(false), method(false), target(false), headers(false), body(false), body_length(false), age(false), earlier_sends(false), resume_after(false), stream_begun(false), finish_within(false), resent(false), until_close(false) {}
+  _ForwardedRequest__isset() : number(false), method(false), target(false), headers(false), body(false), body_length(false), age(false), earlier_sends(false), resume_after(false), stream_begun(false), finish_within(false), resent(false), until_close(false), origin(false) {}
   bool number :1;
   bool method :1;
   bool target :1;
@@ -1207,6 +1260,7 @@
   bool finish_within :1;
   bool resent :1;
   bool until_close :1;
+  bool origin :1;
 } _ForwardedRequest__isset;
 
 class ForwardedRequest : public virtual ::apache::thrift::TBase {
@@ -1245,6 +1299,7 @@
   int64_t finish_within;
   bool resent;
   bool until_close;
+  StreamOrigin origin;
 
   _ForwardedRequest__isset __isset;
 
@@ -1274,6 +1329,8 @@
 
   void __set_until_close(const bool val);
 
+  void __set_origin(const StreamOrigin& val);
+
   bool operator == (const ForwardedRequest & rhs) const
   {
     if (!(number == rhs.number))
@@ -1314,6 +1371,10 @@
       return false;
     else if (__isset.until_close && !(until_close == rhs.until_close))
       return false;
+    if (__isset.origin != rhs.__isset.origin)
+      return false;
+    else if (__isset.origin && !(origin == rhs.origin))
+      return false;
     return true;
   }
   bool operator != (const ForwardedRequest &rhs) const {
@@ -1383,7 +1444,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardedBody& obj);
 
 typedef struct _ForwardedAnswer__isset {
-  _ForwardedAnswer__isset() : number(false), status(false), headers(false), length(false), bytes(false), ending(false), declined(false), until_close(false), unproven(false) {}
+  _ForwardedAnswer__isset() : number(false), status(false), headers(false), length(false), bytes(false), ending(false), declined(false), until_close(false), unproven(false), origin(false) {}
   bool number :1;
   bool status :1;
   bool headers :1;
@@ -1393,6 +1454,7 @@
   bool declined :1;
   bool until_close :1;
   bool unproven :1;
+  bool origin :1;
 } _ForwardedAnswer__isset;
 
 class ForwardedAnswer : public virtual ::apache::thrift::TBase {
@@ -1423,6 +1485,7 @@
   bool declined;
   bool until_close;
   bool unproven;
+  StreamOrigin origin;
 
   _ForwardedAnswer__isset __isset;
 
@@ -1444,6 +1507,8 @@
 
   void __set_unproven(const bool val);
 
+  void __set_origin(const StreamOrigin& val);
+
   bool operator == (const ForwardedAnswer & rhs) const
   {
     if (!(number == rhs.number))
@@ -1480,6 +1545,10 @@
       return false;
     else if (__isset.unproven && !(unproven == rhs.unproven))
       return false;
+    if (__isset.origin != rhs.__isset.origin)
+      return false;
+    else if (__isset.origin && !(origin == rhs.origin))
+      return false;
     return true;
   }
   bool operator != (const ForwardedAnswer &rhs) const {
@@ -1549,7 +1618,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardControl& obj);
 
 typedef struct _SchedulerNews__isset {
-  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false), busy(false), draining(false), last_resort(false), cut_off(false) {}
+  _SchedulerNews__isset() : ready(false), configuration_version(false), head_bytes(false), body_bytes(false), head_timeout(false), idle_timeout(false), keys_proven(false), scheduler(false), busy(false), draining(false), last_resort(false), cut_off(false), keeps_software(false) {}
   bool ready :1;
   bool configuration_version :1;
   bool head_bytes :1;
@@ -1562,6 +1631,7 @@
   bool draining :1;
   bool last_resort :1;
   bool cut_off :1;
+  bool keeps_software :1;
 } _SchedulerNews__isset;
 
 class SchedulerNews : public virtual ::apache::thrift::TBase {
@@ -1582,7 +1652,8 @@
                   scheduler(0),
                   busy(0),
                   draining(0),
-                  last_resort(0) {
+                  last_resort(0),
+                  keeps_software(0) {
   }
 
   virtual ~SchedulerNews() noexcept;
@@ -1598,6 +1669,7 @@
   bool draining;
   bool last_resort;
   std::vector<std::string>  cut_off;
+  bool keeps_software;
 
   _SchedulerNews__isset __isset;
 
@@ -1625,6 +1697,8 @@
 
   void __set_cut_off(const std::vector<std::string> & val);
 
+  void __set_keeps_software(const bool val);
+
   bool operator == (const SchedulerNews & rhs) const
   {
     if (!(ready == rhs.ready))
@@ -1657,6 +1731,10 @@
       return false;
     else if (__isset.cut_off && !(cut_off == rhs.cut_off))
       return false;
+    if (__isset.keeps_software != rhs.__isset.keeps_software)
+      return false;
+    else if (__isset.keeps_software && !(keeps_software == rhs.keeps_software))
+      return false;
     return true;
   }
   bool operator != (const SchedulerNews &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -33,6 +33,7 @@
 #include "decisions/engine_cache.h"
 #include "decisions/engine_pace.h"
 #include "decisions/fleet_endpoint.h"
+#include "decisions/stream_origin.h"
 #include "decisions/suspects.h"
 #include "http/http_types.h"
 #include "kernel/ids.h"
@@ -128,6 +129,9 @@
   std::optional<int64_t> resume_after;  // last event the caller received
   bool stream_begun = false;  // the response head was sent to the caller
   bool until_close = false;   // ForwardedHead::until_close of that head
+  // ForwardedHead::origin of that head, or of the caller's earlier attempt;
+  // nullopt: unknown, or no event was sent to the caller.
+  std::optional<StreamOrigin> origin;
   // Time until the sending process exits; nullopt: it isn't stopping.
   std::optional<Duration> finish_within;
   // Another scheduler got the request before, and may have counted it.
@@ -156,6 +160,8 @@
   std::optional<uint64_t> length;
   // The body has neither length nor chunks, and must be forwarded so.
   bool until_close = false;
+  // Of a stream; nullopt: no stream, or the sender doesn't know.
+  std::optional<StreamOrigin> origin;
 
   bool operator==(const ForwardedHead&) const = default;
 };
@@ -200,6 +206,8 @@
   bool last_resort = false;  // not ready, but accepts what no other host can
   // Services of which it reaches no endpoint.
   std::set<ServiceId> cut_off;
+  // It continues a stream only at the software version that began it.
+  bool keeps_software = false;
 
   auto operator<=>(const SchedulerStatus&) const = default;
 };
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -135,6 +135,13 @@
   2: string value
 }
 
+// The service and the software version of the endpoint that sent the first event
+// of a stream.
+struct StreamOrigin {
+  1: string service_id
+  2: string software
+}
+
 // A caller's request, forwarded to a scheduler. A long body follows in parts.
 struct ForwardedRequest {
   1: i64 number  // unique within the sending process
@@ -150,6 +157,7 @@
   11: optional i64 finish_within  // microseconds
   12: optional bool resent  // another scheduler may have counted it
   13: optional bool until_close  // of the head that the caller received
+  14: optional StreamOrigin origin  // of the stream that the caller received
 }
 
 struct ForwardedBody {
@@ -170,6 +178,7 @@
   // The end proves nothing. Sent with the `ending` of an aborted answer, which
   // hosts that don't know this field take it for.
   9: optional bool unproven
+  10: optional StreamOrigin origin  // sent with the head of a stream
 }
 
 struct ForwardControl {
@@ -190,6 +199,8 @@
   10: optional bool draining
   11: optional bool last_resort
   12: optional list<string> cut_off  // services of which it reaches no endpoint
+  // It continues a stream only at the software version that began it.
+  13: optional bool keeps_software
 }
 
 // Reports changes of an engine's prefix cache.
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -276,6 +276,22 @@
   return headers;
 }
 
+wire::StreamOrigin ToWire(const StreamOrigin& origin) {
+  wire::StreamOrigin out;
+  out.service_id = origin.service.Text();
+  out.software = origin.software.Text();
+  return out;
+}
+
+// A malformed origin counts as unknown.
+std::optional<StreamOrigin> ReadOrigin(const wire::StreamOrigin& in) {
+  if (!IsValidId(in.service_id) || !IsValidId(in.software)) {
+    return {};
+  }
+  return StreamOrigin{.service = ServiceId(in.service_id),
+                      .software = SoftwareVersion(in.software)};
+}
+
 ForwardedRequest ReadForwardedRequest(wire::ForwardedRequest& in) {
   return {.number = in.number,
           .method = std::move(in.method),
@@ -290,6 +306,7 @@
                               : std::nullopt,
           .stream_begun = in.stream_begun,
           .until_close = in.until_close,
+          .origin = in.__isset.origin ? ReadOrigin(in.origin) : std::nullopt,
           .finish_within = in.__isset.finish_within
                                ? std::optional(Duration(in.finish_within))
                                : std::nullopt,
@@ -308,12 +325,13 @@
                                             : static_cast<AnswerEnd>(in.ending),
                          .declined = in.declined};
   if (in.__isset.status) {
-    answer.head = {.status = in.status,
-                   .headers = ReadHeaders(in.headers),
-                   .length = in.__isset.length
-                                 ? std::optional<uint64_t>(in.length)
-                                 : std::nullopt,
-                   .until_close = in.until_close};
+    answer.head = {
+        .status = in.status,
+        .headers = ReadHeaders(in.headers),
+        .length = in.__isset.length ? std::optional<uint64_t>(in.length)
+                                    : std::nullopt,
+        .until_close = in.until_close,
+        .origin = in.__isset.origin ? ReadOrigin(in.origin) : std::nullopt};
   }
   return answer;
 }
@@ -566,6 +584,9 @@
     if (request.resent) {
       item.__set_resent(true);
     }
+    if (request.origin) {
+      item.__set_origin(ToWire(*request.origin));
+    }
     out.__set_forwarded_request(item);
   }
   void operator()(const ForwardedBody& body) {
@@ -586,6 +607,9 @@
       if (answer.head->until_close) {
         item.__set_until_close(true);
       }
+      if (answer.head->origin) {
+        item.__set_origin(ToWire(*answer.head->origin));
+      }
     }
     if (!answer.bytes.empty()) {
       item.__set_bytes(answer.bytes);
@@ -630,6 +654,9 @@
                              &ServiceId::Text);
       item.__set_cut_off(services);
     }
+    if (news.keeps_software) {
+      item.__set_keeps_software(true);
+    }
     out.__set_scheduler_news(item);
   }
   void operator()(const CacheUpdate& update) {
@@ -804,7 +831,8 @@
                         .idle_timeout = Duration(news.idle_timeout),
                         .draining = news.draining,
                         .last_resort = news.last_resort,
-                        .cut_off = std::move(cut_off)}));
+                        .cut_off = std::move(cut_off),
+                        .keeps_software = news.keeps_software}));
   }
   if (set.cache_update && IsValidId(in->cache_update.endpoint) &&
       in->cache_update.parts.size() == in->cache_update.tokens.size()) {
--- a/packages/relay/caller_exchange.h
+++ b/packages/relay/caller_exchange.h
@@ -21,6 +21,7 @@
 #include <string>
 #include <string_view>
 
+#include "decisions/stream_origin.h"
 #include "http/answer_end.h"
 #include "http/http1_parser.h"
 #include "kernel/error.h"
@@ -42,6 +43,8 @@
   std::optional<uint64_t> length;  // nullopt: chunked transfer encoding
   // Neither a length nor chunks: the body ends when the connection is closed.
   bool until_close = false;
+  // Of a stream; not sent to the caller.
+  std::optional<StreamOrigin> origin = {};
 };
 
 // Whether an answer with this status has a body.
--- a/packages/relay/forward_receiver.cc
+++ b/packages/relay/forward_receiver.cc
@@ -22,6 +22,14 @@
   return AnswerEnd::kBroken;
 }
 
+StreamProgress ProgressOf(const ForwardedRequest& request) {
+  if (request.origin) {
+    return StreamProgress::BegunAt(*request.origin);
+  }
+  return request.stream_begun ? StreamProgress::BegunAtUnknownOrigin()
+                              : StreamProgress();
+}
+
 }  // namespace
 
 // A request whose caller is connected to an ingress host.
@@ -46,7 +54,8 @@
     this->next.head = {.status = start.status,
                        .headers = start.headers,
                        .length = start.length,
-                       .until_close = start.until_close};
+                       .until_close = start.until_close,
+                       .origin = start.origin};
     this->missing = start.length;
   }
 
@@ -159,6 +168,7 @@
                            .resume_after = request.resume_after,
                            .stream_begun = request.stream_begun,
                            .until_close = request.until_close,
+                           .progress = ProgressOf(request),
                            .finish_within = request.finish_within,
                            .resent = request.resent});
 }
--- a/packages/relay/forward_receiver.h
+++ b/packages/relay/forward_receiver.h
@@ -29,6 +29,7 @@
   std::optional<int64_t> resume_after;  // last event that the caller received
   bool stream_begun = false;            // the answer's head has been sent
   bool until_close = false;             // AnswerStart::until_close of that head
+  StreamProgress progress;  // of the stream that the caller has received
   // Time until the ingress host's process ends, if it is shutting down.
   std::optional<Duration> finish_within;
   bool resent = false;  // another scheduler may have counted it
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -139,11 +139,17 @@
   std::erase_if(headers, [](const HttpHeader& header) {
     return g_ascii_strcasecmp(header.name.c_str(), "Content-Length") == 0;
   });
+  const bool streams = IsStream(this->route->kind);
+  if (streams && !this->progress.Begun()) {
+    this->progress = StreamProgress::BegunAt(this->attempt->endpoint.Origin());
+  }
   this->caller->Start(
       {.status = this->attempt->status,
        .headers = std::move(headers),
        .length = this->attempt->until_close ? std::nullopt : length,
-       .until_close = this->attempt->until_close});
+       .until_close = this->attempt->until_close,
+       .origin =
+           streams ? std::optional(this->progress.Origin()) : std::nullopt});
 }
 
 void RelayedRequest::OnEnd(HttpEnd end) {
@@ -314,7 +320,7 @@
     this->handle = read->handle;
     this->handle_address = ended.endpoint.address;
     this->handle_endpoint = ended.endpoint.run.id;
-    this->OnPromptHandle(*read, ended.endpoint.run.id);
+    this->OnPromptHandle(*read, ended.endpoint);
     return;
   }
   this->relay->Log(LogLevel::kInfo, this->request.id, "Prompt not read.",
@@ -340,9 +346,11 @@
 }
 
 void RelayedRequest::OnPromptHandle(const PromptHandle& read,
-                                    const EndpointId& reader) {
+                                    const FleetEndpoint& reader) {
+  RequestProfile profile = this->shape;
+  profile.progress = this->progress;
   const auto answers = this->relay->placement.PlaceAnswer(
-      this->relay->clock->Now(), this->shape, reader, this->tried);
+      this->relay->clock->Now(), profile, reader, this->tried);
   if (!answers) {
     this->ReleaseHandle();
     this->EndWithoutSending(ErrorKind::kNoEndpoint, "no endpoint",
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -48,6 +48,7 @@
 
 void RelayedRequest::Begin() {
   this->arrived = this->relay->clock->Now() - this->origin.age;
+  this->progress = this->origin.progress;
   this->caller->OnGone([this] { this->OnCallerDisconnected(); });
   if (const auto error = this->Admit()) {
     if (this->StreamBegun()) {
@@ -335,10 +336,16 @@
   if (this->EndIfCutOff()) {
     return;
   }
+  if (this->progress.OriginUnknown()) {
+    this->EndWithoutSending(ErrorKind::kNoEndpoint,
+                            "the stream's software version is unknown", {});
+    return;
+  }
   const Instant now = this->relay->clock->Now();
   RequestProfile left = this->shape;
   left.max_first_byte_wait = std::min(left.max_first_byte_wait, this->Left());
   left.in_progress = this->StreamBegun() || this->may_have_run;
+  left.progress = this->progress;
   const PlacementResult verdict =
       this->relay->placement.Place(now, left, this->tried);
   if (const auto* refused = std::get_if<PlacementRefusal>(&verdict)) {
@@ -396,6 +403,7 @@
                                .arrived = this->arrived,
                                .uncertain_runs = this->uncertain_runs,
                                .resume_after = this->cutter.LastId(),
+                               .progress = this->progress,
                                .counted = this->counted});
   if (taken) {
     this->relay->Log(
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -131,7 +131,7 @@
   void OnEnd(HttpEnd end);
   void OnPrefillEnd(HttpEnd end);
   void RecordOutcome(const Attempt& ended, bool good);
-  void OnPromptHandle(const PromptHandle& handle, const EndpointId& reader);
+  void OnPromptHandle(const PromptHandle& handle, const FleetEndpoint& reader);
   RunResult JudgeEnd(HttpEnd end, Completeness completeness);
   RunResult JudgeWhole(Completeness completeness);
   void PassOn(std::string_view bytes);
@@ -197,6 +197,7 @@
   std::shared_ptr<const std::string> body;
   std::unique_ptr<Attempt> attempt;
   std::set<EndpointId> tried;
+  StreamProgress progress;       // of the caller's stream
   int64_t runs_sent = 0;         // sends that may run the request
   int64_t arrivals = 0;          // `runs_sent` and failed prefill calls
   bool prompt_accepted = false;  // an engine may have accepted a prefill call
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -57,7 +57,7 @@
       log_limiter(kLogBurst, kLogInterval) {
   for (const std::string_view label :
        {kNoScheduler.label, kStopping.label, kNoAnswer.label,
-        kSchedulerLost.label, kBadRequestLabel}) {
+        kSchedulerLost.label, kOriginUnknown.label, kBadRequestLabel}) {
     this->metrics->Add("ingress_errors_total", 0,
                        {{"reason", std::string(label)}});
   }
@@ -90,7 +90,8 @@
                               .keys_proven = news.keys_proven,
                               .version = news.configuration_version,
                               .draining = news.draining,
-                              .cut_off = news.cut_off});
+                              .cut_off = news.cut_off,
+                              .keeps_software = news.keeps_software});
 }
 
 void RequestForwarder::OnRequest(const CallerExchangePtr& caller) {
@@ -121,6 +122,7 @@
   call->uncertain_runs = request.uncertain_runs;
   call->counted = request.counted;
   call->streams = caller->Started();
+  call->progress = request.progress;
   if (request.resume_after) {
     call->events.ResumeAfter(*request.resume_after);
   }
@@ -167,16 +169,24 @@
                                 });
 }
 
+// The next scheduler for a request. A begun stream goes only to schedulers that
+// keep its software version.
+std::optional<HostId> RequestForwarder::ChooseFor(const Call& call) const {
+  return this->choice.Choose(
+      call.tried,
+      {.service = call.service, .keeps_software = call.progress.Begun()});
+}
+
 // Sends a request to the next scheduler, or ends it if there is none.
 void RequestForwarder::Forward(const CallPtr& call) {
-  const auto to = call->MaySend()
-                      ? this->choice.Choose(call->tried, call->service)
-                      : std::nullopt;
+  const bool may_send = call->MaySend() && !call->progress.OriginUnknown();
+  const auto to = may_send ? this->ChooseFor(*call) : std::nullopt;
   if (!to) {
-    this->AnswerAndEnd(*call,
-                       call->UncertainSends() > 0 ? ErrorKind::kEndpointFailed
-                                                  : ErrorKind::kNoEndpoint,
-                       kNoScheduler);
+    this->AnswerAndEnd(
+        *call,
+        call->UncertainSends() > 0 ? ErrorKind::kEndpointFailed
+                                   : ErrorKind::kNoEndpoint,
+        call->progress.OriginUnknown() ? kOriginUnknown : kNoScheduler);
     return;
   }
   const int64_t number = ++this->last_number;
@@ -214,6 +224,8 @@
       .resume_after = call.events.LastId(),
       .stream_begun = call.caller->Started(),
       .until_close = call.caller->UntilClose(),
+      .origin = call.progress.Begun() ? std::optional(call.progress.Origin())
+                                      : std::nullopt,
       .finish_within =
           this->stop ? std::optional(this->stop->Remaining(this->clock->Now()))
                      : std::nullopt,
@@ -258,7 +270,7 @@
   ++call->declined;
   this->metrics->Add("forwards_declined_total", 1);
   this->LogCall(*call, "Declined by the scheduler.");
-  if (!call->MaySend() || !this->choice.Choose(call->tried, call->service)) {
+  if (!call->MaySend() || !this->ChooseFor(*call)) {
     return false;
   }
   this->calls.erase(number);
@@ -272,6 +284,10 @@
 void RequestForwarder::StartAnswer(Call& call, const ForwardedHead& head) {
   if (!call.caller->Started()) {
     call.streams = IsEventStream(head.headers);
+    if (call.streams && !call.progress.Begun()) {
+      call.progress = head.origin ? StreamProgress::BegunAt(*head.origin)
+                                  : StreamProgress::BegunAtUnknownOrigin();
+    }
     call.caller->Start({.status = head.status,
                         .headers = head.headers,
                         .length = head.length,
--- a/packages/relay/request_forwarder.h
+++ b/packages/relay/request_forwarder.h
@@ -35,7 +35,8 @@
   Instant arrived{};
   int64_t uncertain_runs = 0;           // runs whose outcome is unknown
   std::optional<int64_t> resume_after;  // last event that the caller received
-  bool counted = false;                 // for the retry budget of this host
+  StreamProgress progress;
+  bool counted = false;  // for the retry budget of this host
 };
 
 // Driven by the daemon: OnRequest for each caller's request, the other On...
@@ -91,7 +92,7 @@
   // Whether a scheduler is available that can serve requests; of a service.
   bool Ready() const { return this->choice.Ready(); }
   bool Reaches(const ServiceId& service) const {
-    return this->choice.Choose({}, service).has_value();
+    return this->choice.Choose({}, {.service = service}).has_value();
   }
 
  private:
@@ -106,6 +107,8 @@
   static constexpr Reason kNoAnswer{"no answer from the scheduler",
                                     "no_answer"};
   static constexpr Reason kSchedulerLost{"scheduler lost", "scheduler_lost"};
+  static constexpr Reason kOriginUnknown{
+      "the stream's software version is unknown", "origin_unknown"};
   static constexpr std::string_view kBadRequestLabel = "bad_request";
 
   // The most schedulers that may have run one request.
@@ -126,6 +129,7 @@
     int64_t declined = 0;      // of the sends; these did not run
     std::set<HostId> tried;
     EventCutter events;  // tracks the id of the last forwarded event
+    StreamProgress progress;
     bool streams = false;
     bool paused = false;
     std::unique_ptr<Timer> deadline;
@@ -143,6 +147,7 @@
 
   void Accept(const CallPtr& call, std::optional<Duration> timeout);
   void Forward(const CallPtr& call);
+  std::optional<HostId> ChooseFor(const Call& call) const;
   void ArmDeadline(const CallPtr& call);
   bool ForwardDeclined(int64_t number, const CallPtr& call);
   bool SendRequest(const Call& call, const HostId& to, int64_t number) const;
--- a/tests/endpoint_reach_test.cc
+++ b/tests/endpoint_reach_test.cc
@@ -430,7 +430,7 @@
     if (!host.links->CutOff()) {
       return host.links->Send(engine);
     }
-    const auto chosen = host.choice->Choose({}, kService);
+    const auto chosen = host.choice->Choose({}, {.service = kService});
     if (!chosen) {
       return false;
     }
@@ -496,7 +496,7 @@
   this->Cut(all, Links::kHang);
   this->ServedShare(all, kContact);
   for (const Host& host : this->hosts) {
-    CHECK(!host.choice->Choose({}, kService).has_value());
+    CHECK(!host.choice->Choose({}, {.service = kService}).has_value());
     CHECK(!host.choice->Ready());
   }
 }
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -105,6 +105,58 @@
   LONGS_EQUAL(3700, placed.new_tokens);
 }
 
+// Guards against copying KV caches between engines of different software
+// versions, which may lay them out differently.
+TEST(FleetPlacement, CopiesTheCacheOfItsOwnVersionOnly) {
+  std::vector<FleetEndpoint> engines;
+  for (const auto& [id, engine] : FourEngines()) {
+    engines.push_back(engine);
+    engines.back().software = SoftwareVersion(id.Text() == "r1" ? "v1" : "v2");
+  }
+  FleetPlacement placement = MakePlacement(Fleet(engines));
+  placement.OnCache(EndpointId("r1"), {.part = 7, .tokens = 13300});
+  placement.OnPeerWork(
+      HostId("peer"),
+      {{.endpoint = EndpointId("r1"), .prompt_tokens = 38000, .requests = 3}});
+  const PlacementTarget placed = PlacedAt(placement, LongPrompt(7, 8));
+  CHECK(!placed.copy_from);
+  LONGS_EQUAL(17000, placed.new_tokens);
+}
+
+// Guards against a begun stream that is placed at another version or service,
+// or anywhere if it isn't known where it began.
+TEST(FleetPlacement, PlacesABegunStreamAtItsOrigin) {
+  std::vector<FleetEndpoint> engines;
+  for (const char* software : {"v1", "v2", "v3"}) {
+    engines.push_back(Engine(software, EndpointRole::kMixed));
+    engines.back().software = SoftwareVersion(software);
+  }
+  const FleetPlacement placement = MakePlacement(Fleet(engines));
+  const auto place = [&placement](StreamProgress progress,
+                                  const std::set<EndpointId>& tried) {
+    RequestProfile shape = LongPrompt(1, 2);
+    shape.progress = std::move(progress);
+    return placement.Place(At(1), shape, tried);
+  };
+  const ServiceId& service = engines.front().service;
+  for (const char* software : {"v1", "v2", "v3"}) {
+    const StreamProgress begun = StreamProgress::BegunAt(
+        {.service = service, .software = SoftwareVersion(software)});
+    CHECK(std::get<PlacementTarget>(place(begun, {})).endpoint ==
+          EndpointId(software));
+    CHECK(std::holds_alternative<PlacementRefusal>(
+        place(begun, {EndpointId(software)})));
+  }
+  for (const StreamProgress& nowhere :
+       {StreamProgress::BegunAtUnknownOrigin(),
+        StreamProgress::BegunAt(
+            {.service = service, .software = SoftwareVersion("v4")}),
+        StreamProgress::BegunAt({.service = ServiceId("other"),
+                                 .software = SoftwareVersion("v1")})}) {
+    CHECK(std::holds_alternative<PlacementRefusal>(place(nowhere, {})));
+  }
+}
+
 // Guards against counting the cache entries of a failed prefill as present: the
 // retry would be sent to the same engine as if nothing were left to prefill,
 // and would wait for a whole prompt.
@@ -345,7 +397,8 @@
   });
   const RequestProfile shape = LongPrompt(1, 2);
   const auto answers = [&] {
-    return placement.PlaceAnswer(At(1), shape, EndpointId("r"), {});
+    return placement.PlaceAnswer(At(1), shape,
+                                 Engine("r", EndpointRole::kPrefill), {});
   };
   CHECK(answers() == connected);
   for (int i = 0; i < 32; ++i) {
@@ -363,7 +416,7 @@
                            Engine("g1", EndpointRole::kDecode, kHere),
                            Engine("g2", EndpointRole::kDecode, kThere)}));
   const RequestProfile shape = LongPrompt(1, 2);
-  const EndpointId reader("r1");
+  const FleetEndpoint reader = Engine("r1", EndpointRole::kPrefill, kThere);
   CHECK(placement.PlaceAnswer(At(1), shape, reader, {}) == EndpointId("g2"));
   for (int i = 0; i < 60; ++i) {
     placement.OnSent(At(1), EndpointId("g2"), shape,
