--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -135,6 +135,7 @@
   this->MakeDuties();
   this->MakeForwarding();
   this->MakeLimits();
+  this->MakeStreamTracker();
   this->MakePeers();
   this->relay->SetCallerHandler(
       [this](const CallerExchangePtr& caller) { this->OnCaller(caller); });
@@ -228,6 +229,34 @@
   this->relay->SetLimitGate(this->limits.get());
 }
 
+void RelayDaemon::MakeStreamTracker() {
+  this->streams = std::make_unique<StreamTracker>(
+      this->settings.host, this->settings.zone, *this->clock, this->metrics,
+      [this](const HostId& host, const PeerMessage& message) {
+        return this->peers->Send(host, message);
+      });
+  this->relay->SetStreamTracker(this->streams.get());
+  this->forwarder->SetStreamTracker(this->streams.get());
+}
+
+// Tells the tracker which schedulers keep records of streams. One that is
+// linked and keeps none is of an earlier release, which doesn't know the
+// messages.
+void RelayDaemon::UpdateStreamPeers() {
+  std::vector<StreamPeer> known;
+  for (const FleetHost& host : this->peers->Schedulers()) {
+    const auto status = this->scheduler_status.find(host.id);
+    const bool reported = status != this->scheduler_status.end();
+    if (!reported || status->second.keeps_software) {
+      known.push_back({.id = host.id,
+                       .zone = host.zone,
+                       .linked = reported,
+                       .draining = reported && status->second.draining});
+    }
+  }
+  this->streams->SetPeers(known);
+}
+
 void RelayDaemon::OnRole(FleetRole role) {
   LogInfo(
       kPart,
@@ -347,6 +376,8 @@
 void RelayDaemon::OnSchedulerNews(const HostId& from,
                                   const SchedulerStatus& news) {
   this->forwarder->OnSchedulerState(from, news);
+  this->scheduler_status[from] = news;
+  this->UpdateStreamPeers();
   if (this->IsScheduler()) {
     std::ranges::for_each(news.cut_off, [this](const ServiceId& service) {
       this->relay->SuspectReach(service);
@@ -408,6 +439,8 @@
   this->receiver->OnLost(host);
   this->unready_schedulers.erase(host);
   this->without_endpoints.erase(host);
+  this->scheduler_status.erase(host);
+  this->UpdateStreamPeers();
   if (this->IsScheduler() || this->stop) {
     this->peers->Send(host, this->CurrentStatus());
   }
@@ -434,6 +467,8 @@
   this->peer_loads.erase(host);
   this->unready_schedulers.erase(host);
   this->without_endpoints.erase(host);
+  this->scheduler_status.erase(host);
+  this->UpdateStreamPeers();
   this->forwarder->OnLost(host);
   this->receiver->OnLost(host);
   this->UpdateSubscribers();
@@ -558,6 +593,12 @@
     this->source->MarkLeaving(
         {.id = news->endpoint,
          .started = static_cast<int64_t>(news->incarnation)});
+  } else if (const auto* reports = std::get_if<StreamReports>(&message)) {
+    this->streams->OnMessage(from, *reports);
+  } else if (const auto* question = std::get_if<StreamQuestion>(&message)) {
+    this->streams->OnMessage(from, *question);
+  } else if (const auto* answer = std::get_if<StreamAnswer>(&message)) {
+    this->streams->OnMessage(from, *answer);
   } else if (const auto* pace = std::get_if<PaceMessage>(&message)) {
     this->relay->Placement().AdoptPace(pace->services);
     LogInfo(kPart, "Engine rates received from another host.",
@@ -620,6 +661,7 @@
           .on_schedulers =
               [this](const std::vector<FleetHost>& schedulers) {
                 this->forwarder->SetSchedulers(schedulers);
+                this->UpdateStreamPeers();
                 this->UpdateSubscribers();
                 this->UpdateSchedulers();
               },
@@ -699,6 +741,7 @@
     this->metrics.Set("configuration_proof_age_seconds", ToSeconds(*age));
   }
   this->limits->SetMetrics();
+  this->streams->SetMetrics();
   this->metrics.Set("retry_share", this->relay->RetryShare());
   this->metrics.Set("crashing_requests_blocked",
                     static_cast<double>(this->relay->BlockedRequests()));
@@ -756,6 +799,7 @@
   this->relay->StartDrain(*this->stop);
   this->forwarder->StartDrain(*this->stop);
   this->BroadcastStatus();
+  this->streams->StartDrain();
   this->peers->Leave();
   this->duties->Retire();
   this->drain_timer =
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -65,6 +65,8 @@
   void MakeDuties();
   void MakeForwarding();
   void MakeLimits();
+  void MakeStreamTracker();
+  void UpdateStreamPeers();
   void OnRole(FleetRole role);
   void OnCaller(const CallerExchangePtr& caller);
   void OnLinked(const HostId& host);
@@ -101,6 +103,7 @@
   std::unique_ptr<KeyValueStore> store;
   std::unique_ptr<PlatformDuties> platform_duties;
   std::unique_ptr<LimitGate> limits;
+  std::unique_ptr<StreamTracker> streams;
   std::unique_ptr<FleetRelay> relay;
   std::unique_ptr<FleetSource> source;
   std::unique_ptr<FleetPeers> peers;
@@ -113,9 +116,10 @@
   std::unique_ptr<ForwardReceiver> receiver;
   std::vector<FleetHost> subscribers;        // share the engines' cache events
   std::map<HostId, PrefillLoad> peer_loads;  // of the other schedulers
-  std::set<HostId> unready_schedulers;       // linked, but not ready
-  std::set<HostId> without_endpoints;        // linked, but reach none
-  SchedulerStatus sent_status;               // last state broadcast
+  std::map<HostId, SchedulerStatus> scheduler_status;  // of linked hosts
+  std::set<HostId> unready_schedulers;                 // linked, but not ready
+  std::set<HostId> without_endpoints;                  // linked, but reach none
+  SchedulerStatus sent_status;                         // last state broadcast
   std::unique_ptr<Timer> status_timer;
   Instant status_due{};
   double lag = 0;  // moving average of timer delay, seconds
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -278,10 +278,13 @@
       soonest = std::min(soonest.value_or(*wait), *wait);
     }
   }
-  return soonest ? PlacementRefusal{.reason = std::string(kOverStatedRates),
-                                    .retry_after = *soonest}
-                 : PlacementRefusal{.reason = "no endpoint",
-                                    .retry_after = this->options.min_ejection};
+  return soonest
+             ? PlacementRefusal{.reason = std::string(kOverStatedRates),
+                                .retry_after = *soonest}
+             : PlacementRefusal{.reason = shape.progress.Begun()
+                                              ? std::string(kNoEndpointOfOrigin)
+                                              : "no endpoint",
+                                .retry_after = this->options.min_ejection};
 }
 
 void FleetPlacement::OnPause(Instant now,
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -175,6 +175,10 @@
 inline constexpr std::string_view kOverStatedRates =
     "over the endpoints' stated rates";
 
+// Reason of a refusal because no endpoint takes a begun stream.
+inline constexpr std::string_view kNoEndpointOfOrigin =
+    "no endpoint of the stream's software version";
+
 using PlacementResult = std::variant<PlacementTarget, PlacementRefusal>;
 
 // Identifies a request at an endpoint; 0: none.
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -2859,6 +2859,11 @@
 __isset.origin = true;
 }
 
+void ForwardedRequest::__set_records_origin(const bool val) {
+  this->records_origin = val;
+__isset.records_origin = true;
+}
+
 uint32_t ForwardedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3004,6 +3009,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->records_origin);
+          this->__isset.records_origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3092,6 +3105,11 @@
     xfer += this->origin.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.records_origin) {
+    xfer += oprot->writeFieldBegin("records_origin", ::apache::thrift::protocol::T_BOOL, 15);
+    xfer += oprot->writeBool(this->records_origin);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3113,6 +3131,7 @@
   swap(a.resent, b.resent);
   swap(a.until_close, b.until_close);
   swap(a.origin, b.origin);
+  swap(a.records_origin, b.records_origin);
   swap(a.__isset, b.__isset);
 }
 
@@ -3131,6 +3150,7 @@
   resent = other130.resent;
   until_close = other130.until_close;
   origin = other130.origin;
+  records_origin = other130.records_origin;
   __isset = other130.__isset;
 }
 ForwardedRequest::ForwardedRequest(ForwardedRequest&& other131) noexcept {
@@ -3148,6 +3168,7 @@
   resent = other131.resent;
   until_close = other131.until_close;
   origin = std::move(other131.origin);
+  records_origin = other131.records_origin;
   __isset = other131.__isset;
 }
 ForwardedRequest& ForwardedRequest::operator=(const ForwardedRequest& other132) {
@@ -3165,6 +3186,7 @@
   resent = other132.resent;
   until_close = other132.until_close;
   origin = other132.origin;
+  records_origin = other132.records_origin;
   __isset = other132.__isset;
   return *this;
 }
@@ -3183,6 +3205,7 @@
   resent = other133.resent;
   until_close = other133.until_close;
   origin = std::move(other133.origin);
+  records_origin = other133.records_origin;
   __isset = other133.__isset;
   return *this;
 }
@@ -5727,6 +5750,543 @@
   return *this;
 }
 
+StreamGroup::~StreamGroup() noexcept {
+}
+
+
+void StreamGroup::__set_origin(const StreamOrigin& val) {
+  this->origin = val;
+__isset.origin = true;
+}
+
+void StreamGroup::__set_streams(const std::vector<int64_t> & val) {
+  this->streams = val;
+}
+
+void StreamGroup::__set_remaining(const std::vector<int64_t> & val) {
+  this->remaining = val;
+}
+
+uint32_t StreamGroup::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->origin.read(iprot);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->streams.clear();
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _etype263;
+            xfer += iprot->readListBegin(_etype263, _size260);
+            this->streams.resize(_size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
+            {
+              xfer += iprot->readI64(this->streams[_i264]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.streams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->remaining.clear();
+            uint32_t _size265;
+            ::apache::thrift::protocol::TType _etype268;
+            xfer += iprot->readListBegin(_etype268, _size265);
+            this->remaining.resize(_size265);
+            uint32_t _i269;
+            for (_i269 = 0; _i269 < _size265; ++_i269)
+            {
+              xfer += iprot->readI64(this->remaining[_i269]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.remaining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamGroup::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamGroup");
+
+  if (this->__isset.origin) {
+    xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->origin.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->streams.size()));
+    std::vector<int64_t> ::const_iterator _iter270;
+    for (_iter270 = this->streams.begin(); _iter270 != this->streams.end(); ++_iter270)
+    {
+      xfer += oprot->writeI64((*_iter270));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remaining", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->remaining.size()));
+    std::vector<int64_t> ::const_iterator _iter271;
+    for (_iter271 = this->remaining.begin(); _iter271 != this->remaining.end(); ++_iter271)
+    {
+      xfer += oprot->writeI64((*_iter271));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamGroup &a, StreamGroup &b) {
+  using ::std::swap;
+  swap(a.origin, b.origin);
+  swap(a.streams, b.streams);
+  swap(a.remaining, b.remaining);
+  swap(a.__isset, b.__isset);
+}
+
+StreamGroup::StreamGroup(const StreamGroup& other272) {
+  origin = other272.origin;
+  streams = other272.streams;
+  remaining = other272.remaining;
+  __isset = other272.__isset;
+}
+StreamGroup::StreamGroup(StreamGroup&& other273) noexcept {
+  origin = std::move(other273.origin);
+  streams = std::move(other273.streams);
+  remaining = std::move(other273.remaining);
+  __isset = other273.__isset;
+}
+StreamGroup& StreamGroup::operator=(const StreamGroup& other274) {
+  origin = other274.origin;
+  streams = other274.streams;
+  remaining = other274.remaining;
+  __isset = other274.__isset;
+  return *this;
+}
+StreamGroup& StreamGroup::operator=(StreamGroup&& other275) noexcept {
+  origin = std::move(other275.origin);
+  streams = std::move(other275.streams);
+  remaining = std::move(other275.remaining);
+  __isset = other275.__isset;
+  return *this;
+}
+
+StreamReports::~StreamReports() noexcept {
+}
+
+
+void StreamReports::__set_groups(const std::vector<StreamGroup> & val) {
+  this->groups = val;
+}
+
+uint32_t StreamReports::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->groups.clear();
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _etype279;
+            xfer += iprot->readListBegin(_etype279, _size276);
+            this->groups.resize(_size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
+            {
+              xfer += this->groups[_i280].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamReports::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamReports");
+
+  xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
+    std::vector<StreamGroup> ::const_iterator _iter281;
+    for (_iter281 = this->groups.begin(); _iter281 != this->groups.end(); ++_iter281)
+    {
+      xfer += (*_iter281).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamReports &a, StreamReports &b) {
+  using ::std::swap;
+  swap(a.groups, b.groups);
+  swap(a.__isset, b.__isset);
+}
+
+StreamReports::StreamReports(const StreamReports& other282) {
+  groups = other282.groups;
+  __isset = other282.__isset;
+}
+StreamReports::StreamReports(StreamReports&& other283) noexcept {
+  groups = std::move(other283.groups);
+  __isset = other283.__isset;
+}
+StreamReports& StreamReports::operator=(const StreamReports& other284) {
+  groups = other284.groups;
+  __isset = other284.__isset;
+  return *this;
+}
+StreamReports& StreamReports::operator=(StreamReports&& other285) noexcept {
+  groups = std::move(other285.groups);
+  __isset = other285.__isset;
+  return *this;
+}
+
+StreamQuestion::~StreamQuestion() noexcept {
+}
+
+
+void StreamQuestion::__set_streams(const std::vector<int64_t> & val) {
+  this->streams = val;
+}
+
+uint32_t StreamQuestion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->streams.clear();
+            uint32_t _size286;
+            ::apache::thrift::protocol::TType _etype289;
+            xfer += iprot->readListBegin(_etype289, _size286);
+            this->streams.resize(_size286);
+            uint32_t _i290;
+            for (_i290 = 0; _i290 < _size286; ++_i290)
+            {
+              xfer += iprot->readI64(this->streams[_i290]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.streams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamQuestion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamQuestion");
+
+  xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->streams.size()));
+    std::vector<int64_t> ::const_iterator _iter291;
+    for (_iter291 = this->streams.begin(); _iter291 != this->streams.end(); ++_iter291)
+    {
+      xfer += oprot->writeI64((*_iter291));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamQuestion &a, StreamQuestion &b) {
+  using ::std::swap;
+  swap(a.streams, b.streams);
+  swap(a.__isset, b.__isset);
+}
+
+StreamQuestion::StreamQuestion(const StreamQuestion& other292) {
+  streams = other292.streams;
+  __isset = other292.__isset;
+}
+StreamQuestion::StreamQuestion(StreamQuestion&& other293) noexcept {
+  streams = std::move(other293.streams);
+  __isset = other293.__isset;
+}
+StreamQuestion& StreamQuestion::operator=(const StreamQuestion& other294) {
+  streams = other294.streams;
+  __isset = other294.__isset;
+  return *this;
+}
+StreamQuestion& StreamQuestion::operator=(StreamQuestion&& other295) noexcept {
+  streams = std::move(other295.streams);
+  __isset = other295.__isset;
+  return *this;
+}
+
+StreamAnswer::~StreamAnswer() noexcept {
+}
+
+
+void StreamAnswer::__set_known(const std::vector<StreamGroup> & val) {
+  this->known = val;
+}
+
+void StreamAnswer::__set_unknown(const std::vector<int64_t> & val) {
+  this->unknown = val;
+}
+
+uint32_t StreamAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->known.clear();
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->known.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
+            {
+              xfer += this->known[_i300].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unknown.clear();
+            uint32_t _size301;
+            ::apache::thrift::protocol::TType _etype304;
+            xfer += iprot->readListBegin(_etype304, _size301);
+            this->unknown.resize(_size301);
+            uint32_t _i305;
+            for (_i305 = 0; _i305 < _size301; ++_i305)
+            {
+              xfer += iprot->readI64(this->unknown[_i305]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unknown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamAnswer");
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
+    std::vector<StreamGroup> ::const_iterator _iter306;
+    for (_iter306 = this->known.begin(); _iter306 != this->known.end(); ++_iter306)
+    {
+      xfer += (*_iter306).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unknown", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknown.size()));
+    std::vector<int64_t> ::const_iterator _iter307;
+    for (_iter307 = this->unknown.begin(); _iter307 != this->unknown.end(); ++_iter307)
+    {
+      xfer += oprot->writeI64((*_iter307));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamAnswer &a, StreamAnswer &b) {
+  using ::std::swap;
+  swap(a.known, b.known);
+  swap(a.unknown, b.unknown);
+  swap(a.__isset, b.__isset);
+}
+
+StreamAnswer::StreamAnswer(const StreamAnswer& other308) {
+  known = other308.known;
+  unknown = other308.unknown;
+  __isset = other308.__isset;
+}
+StreamAnswer::StreamAnswer(StreamAnswer&& other309) noexcept {
+  known = std::move(other309.known);
+  unknown = std::move(other309.unknown);
+  __isset = other309.__isset;
+}
+StreamAnswer& StreamAnswer::operator=(const StreamAnswer& other310) {
+  known = other310.known;
+  unknown = other310.unknown;
+  __isset = other310.__isset;
+  return *this;
+}
+StreamAnswer& StreamAnswer::operator=(StreamAnswer&& other311) noexcept {
+  known = std::move(other311.known);
+  unknown = std::move(other311.unknown);
+  __isset = other311.__isset;
+  return *this;
+}
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -5775,18 +6335,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other260) noexcept {
-  (void) other260;
+Heartbeat::Heartbeat(const Heartbeat& other312) noexcept {
+  (void) other312;
 }
-Heartbeat::Heartbeat(Heartbeat&& other261) noexcept {
-  (void) other261;
+Heartbeat::Heartbeat(Heartbeat&& other313) noexcept {
+  (void) other313;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other262) noexcept {
-  (void) other262;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other314) noexcept {
+  (void) other314;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other263) noexcept {
-  (void) other263;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other315) noexcept {
+  (void) other315;
   return *this;
 }
 
@@ -5894,6 +6454,21 @@
 __isset.endpoint_rates = true;
 }
 
+void Message::__set_stream_reports(const StreamReports& val) {
+  this->stream_reports = val;
+__isset.stream_reports = true;
+}
+
+void Message::__set_stream_question(const StreamQuestion& val) {
+  this->stream_question = val;
+__isset.stream_question = true;
+}
+
+void Message::__set_stream_answer(const StreamAnswer& val) {
+  this->stream_answer = val;
+__isset.stream_answer = true;
+}
+
 uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -6075,6 +6650,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->stream_reports.read(iprot);
+          this->__isset.stream_reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->stream_question.read(iprot);
+          this->__isset.stream_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->stream_answer.read(iprot);
+          this->__isset.stream_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6192,6 +6791,21 @@
     xfer += this->endpoint_rates.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.stream_reports) {
+    xfer += oprot->writeFieldBegin("stream_reports", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->stream_reports.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.stream_question) {
+    xfer += oprot->writeFieldBegin("stream_question", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->stream_question.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.stream_answer) {
+    xfer += oprot->writeFieldBegin("stream_answer", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->stream_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6219,101 +6833,116 @@
   swap(a.limit_tokens, b.limit_tokens);
   swap(a.suspects_update, b.suspects_update);
   swap(a.endpoint_rates, b.endpoint_rates);
+  swap(a.stream_reports, b.stream_reports);
+  swap(a.stream_question, b.stream_question);
+  swap(a.stream_answer, b.stream_answer);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other264) {
-  heartbeat = other264.heartbeat;
-  digest = other264.digest;
-  buckets_request = other264.buckets_request;
-  buckets_reply = other264.buckets_reply;
-  usage_copy = other264.usage_copy;
-  released = other264.released;
-  endpoint_news = other264.endpoint_news;
-  freshness_question = other264.freshness_question;
-  freshness_answer = other264.freshness_answer;
-  engine_paces = other264.engine_paces;
-  forwarded_request = other264.forwarded_request;
-  forwarded_body = other264.forwarded_body;
-  forwarded_answer = other264.forwarded_answer;
-  forward_control = other264.forward_control;
-  scheduler_news = other264.scheduler_news;
-  cache_update = other264.cache_update;
-  prefill_load = other264.prefill_load;
-  limit_tokens = other264.limit_tokens;
-  suspects_update = other264.suspects_update;
-  endpoint_rates = other264.endpoint_rates;
-  __isset = other264.__isset;
-}
-Message::Message(Message&& other265) noexcept {
-  heartbeat = std::move(other265.heartbeat);
-  digest = std::move(other265.digest);
-  buckets_request = std::move(other265.buckets_request);
-  buckets_reply = std::move(other265.buckets_reply);
-  usage_copy = std::move(other265.usage_copy);
-  released = std::move(other265.released);
-  endpoint_news = std::move(other265.endpoint_news);
-  freshness_question = std::move(other265.freshness_question);
-  freshness_answer = std::move(other265.freshness_answer);
-  engine_paces = std::move(other265.engine_paces);
-  forwarded_request = std::move(other265.forwarded_request);
-  forwarded_body = std::move(other265.forwarded_body);
-  forwarded_answer = std::move(other265.forwarded_answer);
-  forward_control = std::move(other265.forward_control);
-  scheduler_news = std::move(other265.scheduler_news);
-  cache_update = std::move(other265.cache_update);
-  prefill_load = std::move(other265.prefill_load);
-  limit_tokens = std::move(other265.limit_tokens);
-  suspects_update = std::move(other265.suspects_update);
-  endpoint_rates = std::move(other265.endpoint_rates);
-  __isset = other265.__isset;
-}
-Message& Message::operator=(const Message& other266) {
-  heartbeat = other266.heartbeat;
-  digest = other266.digest;
-  buckets_request = other266.buckets_request;
-  buckets_reply = other266.buckets_reply;
-  usage_copy = other266.usage_copy;
-  released = other266.released;
-  endpoint_news = other266.endpoint_news;
-  freshness_question = other266.freshness_question;
-  freshness_answer = other266.freshness_answer;
-  engine_paces = other266.engine_paces;
-  forwarded_request = other266.forwarded_request;
-  forwarded_body = other266.forwarded_body;
-  forwarded_answer = other266.forwarded_answer;
-  forward_control = other266.forward_control;
-  scheduler_news = other266.scheduler_news;
-  cache_update = other266.cache_update;
-  prefill_load = other266.prefill_load;
-  limit_tokens = other266.limit_tokens;
-  suspects_update = other266.suspects_update;
-  endpoint_rates = other266.endpoint_rates;
-  __isset = other266.__isset;
+Message::Message(const Message& other316) {
+  heartbeat = other316.heartbeat;
+  digest = other316.digest;
+  buckets_request = other316.buckets_request;
+  buckets_reply = other316.buckets_reply;
+  usage_copy = other316.usage_copy;
+  released = other316.released;
+  endpoint_news = other316.endpoint_news;
+  freshness_question = other316.freshness_question;
+  freshness_answer = other316.freshness_answer;
+  engine_paces = other316.engine_paces;
+  forwarded_request = other316.forwarded_request;
+  forwarded_body = other316.forwarded_body;
+  forwarded_answer = other316.forwarded_answer;
+  forward_control = other316.forward_control;
+  scheduler_news = other316.scheduler_news;
+  cache_update = other316.cache_update;
+  prefill_load = other316.prefill_load;
+  limit_tokens = other316.limit_tokens;
+  suspects_update = other316.suspects_update;
+  endpoint_rates = other316.endpoint_rates;
+  stream_reports = other316.stream_reports;
+  stream_question = other316.stream_question;
+  stream_answer = other316.stream_answer;
+  __isset = other316.__isset;
+}
+Message::Message(Message&& other317) noexcept {
+  heartbeat = std::move(other317.heartbeat);
+  digest = std::move(other317.digest);
+  buckets_request = std::move(other317.buckets_request);
+  buckets_reply = std::move(other317.buckets_reply);
+  usage_copy = std::move(other317.usage_copy);
+  released = std::move(other317.released);
+  endpoint_news = std::move(other317.endpoint_news);
+  freshness_question = std::move(other317.freshness_question);
+  freshness_answer = std::move(other317.freshness_answer);
+  engine_paces = std::move(other317.engine_paces);
+  forwarded_request = std::move(other317.forwarded_request);
+  forwarded_body = std::move(other317.forwarded_body);
+  forwarded_answer = std::move(other317.forwarded_answer);
+  forward_control = std::move(other317.forward_control);
+  scheduler_news = std::move(other317.scheduler_news);
+  cache_update = std::move(other317.cache_update);
+  prefill_load = std::move(other317.prefill_load);
+  limit_tokens = std::move(other317.limit_tokens);
+  suspects_update = std::move(other317.suspects_update);
+  endpoint_rates = std::move(other317.endpoint_rates);
+  stream_reports = std::move(other317.stream_reports);
+  stream_question = std::move(other317.stream_question);
+  stream_answer = std::move(other317.stream_answer);
+  __isset = other317.__isset;
+}
+Message& Message::operator=(const Message& other318) {
+  heartbeat = other318.heartbeat;
+  digest = other318.digest;
+  buckets_request = other318.buckets_request;
+  buckets_reply = other318.buckets_reply;
+  usage_copy = other318.usage_copy;
+  released = other318.released;
+  endpoint_news = other318.endpoint_news;
+  freshness_question = other318.freshness_question;
+  freshness_answer = other318.freshness_answer;
+  engine_paces = other318.engine_paces;
+  forwarded_request = other318.forwarded_request;
+  forwarded_body = other318.forwarded_body;
+  forwarded_answer = other318.forwarded_answer;
+  forward_control = other318.forward_control;
+  scheduler_news = other318.scheduler_news;
+  cache_update = other318.cache_update;
+  prefill_load = other318.prefill_load;
+  limit_tokens = other318.limit_tokens;
+  suspects_update = other318.suspects_update;
+  endpoint_rates = other318.endpoint_rates;
+  stream_reports = other318.stream_reports;
+  stream_question = other318.stream_question;
+  stream_answer = other318.stream_answer;
+  __isset = other318.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other267) noexcept {
-  heartbeat = std::move(other267.heartbeat);
-  digest = std::move(other267.digest);
-  buckets_request = std::move(other267.buckets_request);
-  buckets_reply = std::move(other267.buckets_reply);
-  usage_copy = std::move(other267.usage_copy);
-  released = std::move(other267.released);
-  endpoint_news = std::move(other267.endpoint_news);
-  freshness_question = std::move(other267.freshness_question);
-  freshness_answer = std::move(other267.freshness_answer);
-  engine_paces = std::move(other267.engine_paces);
-  forwarded_request = std::move(other267.forwarded_request);
-  forwarded_body = std::move(other267.forwarded_body);
-  forwarded_answer = std::move(other267.forwarded_answer);
-  forward_control = std::move(other267.forward_control);
-  scheduler_news = std::move(other267.scheduler_news);
-  cache_update = std::move(other267.cache_update);
-  prefill_load = std::move(other267.prefill_load);
-  limit_tokens = std::move(other267.limit_tokens);
-  suspects_update = std::move(other267.suspects_update);
-  endpoint_rates = std::move(other267.endpoint_rates);
-  __isset = other267.__isset;
+Message& Message::operator=(Message&& other319) noexcept {
+  heartbeat = std::move(other319.heartbeat);
+  digest = std::move(other319.digest);
+  buckets_request = std::move(other319.buckets_request);
+  buckets_reply = std::move(other319.buckets_reply);
+  usage_copy = std::move(other319.usage_copy);
+  released = std::move(other319.released);
+  endpoint_news = std::move(other319.endpoint_news);
+  freshness_question = std::move(other319.freshness_question);
+  freshness_answer = std::move(other319.freshness_answer);
+  engine_paces = std::move(other319.engine_paces);
+  forwarded_request = std::move(other319.forwarded_request);
+  forwarded_body = std::move(other319.forwarded_body);
+  forwarded_answer = std::move(other319.forwarded_answer);
+  forward_control = std::move(other319.forward_control);
+  scheduler_news = std::move(other319.scheduler_news);
+  cache_update = std::move(other319.cache_update);
+  prefill_load = std::move(other319.prefill_load);
+  limit_tokens = std::move(other319.limit_tokens);
+  suspects_update = std::move(other319.suspects_update);
+  endpoint_rates = std::move(other319.endpoint_rates);
+  stream_reports = std::move(other319.stream_reports);
+  stream_question = std::move(other319.stream_question);
+  stream_answer = std::move(other319.stream_answer);
+  __isset = other319.__isset;
   return *this;
 }
 }} // namespace
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -91,6 +91,14 @@
 
 class EndpointRates;
 
+class StreamGroup;
+
+class StreamReports;
+
+class StreamQuestion;
+
+class StreamAnswer;
+
 class Heartbeat;
 
 class Message;
@@ -1246,7 +1254,7 @@
 std::ostream& operator<<(std::ostream& out, const StreamOrigin& obj);
 
 typedef struct _ForwardedRequest__isset {
-  _ForwardedRequest__isset() : number(false), method(false), target(false), headers(false), body(false), body_length(false), age(false), earlier_sends(false), resume_after(false), stream_begun(false), finish_within(false), resent(false), until_close(false), origin(false) {}
+  _ForwardedRequest__isset() : number(false), method(false), target(false), headers(false), body(false), body_length(false), age(false), earlier_sends(false), resume_after(false), stream_begun(false), finish_within(false), resent(false), until_close(false), origin(false), records_origin(false) {}
   bool number :1;
   bool method :1;
   bool target :1;
@@ -1261,6 +1269,7 @@
   bool resent :1;
   bool until_close :1;
   bool origin :1;
+  bool records_origin :1;
 } _ForwardedRequest__isset;
 
 class ForwardedRequest : public virtual ::apache::thrift::TBase {
@@ -1282,7 +1291,8 @@
                      stream_begun(0),
                      finish_within(0),
                      resent(0),
-                     until_close(0) {
+                     until_close(0),
+                     records_origin(0) {
   }
 
   virtual ~ForwardedRequest() noexcept;
@@ -1300,6 +1310,7 @@
   bool resent;
   bool until_close;
   StreamOrigin origin;
+  bool records_origin;
 
   _ForwardedRequest__isset __isset;
 
@@ -1331,6 +1342,8 @@
 
   void __set_origin(const StreamOrigin& val);
 
+  void __set_records_origin(const bool val);
+
   bool operator == (const ForwardedRequest & rhs) const
   {
     if (!(number == rhs.number))
@@ -1375,6 +1388,10 @@
       return false;
     else if (__isset.origin && !(origin == rhs.origin))
       return false;
+    if (__isset.records_origin != rhs.__isset.records_origin)
+      return false;
+    else if (__isset.records_origin && !(records_origin == rhs.records_origin))
+      return false;
     return true;
   }
   bool operator != (const ForwardedRequest &rhs) const {
@@ -2396,6 +2413,198 @@
 
 std::ostream& operator<<(std::ostream& out, const EndpointRates& obj);
 
+typedef struct _StreamGroup__isset {
+  _StreamGroup__isset() : origin(false), streams(false), remaining(false) {}
+  bool origin :1;
+  bool streams :1;
+  bool remaining :1;
+} _StreamGroup__isset;
+
+class StreamGroup : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamGroup(const StreamGroup&);
+  StreamGroup(StreamGroup&&) noexcept;
+  StreamGroup& operator=(const StreamGroup&);
+  StreamGroup& operator=(StreamGroup&&) noexcept;
+  StreamGroup() noexcept {
+  }
+
+  virtual ~StreamGroup() noexcept;
+  StreamOrigin origin;
+  std::vector<int64_t>  streams;
+  std::vector<int64_t>  remaining;
+
+  _StreamGroup__isset __isset;
+
+  void __set_origin(const StreamOrigin& val);
+
+  void __set_streams(const std::vector<int64_t> & val);
+
+  void __set_remaining(const std::vector<int64_t> & val);
+
+  bool operator == (const StreamGroup & rhs) const
+  {
+    if (__isset.origin != rhs.__isset.origin)
+      return false;
+    else if (__isset.origin && !(origin == rhs.origin))
+      return false;
+    if (!(streams == rhs.streams))
+      return false;
+    if (!(remaining == rhs.remaining))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamGroup &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamGroup & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(StreamGroup &a, StreamGroup &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamGroup& obj);
+
+typedef struct _StreamReports__isset {
+  _StreamReports__isset() : groups(false) {}
+  bool groups :1;
+} _StreamReports__isset;
+
+class StreamReports : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamReports(const StreamReports&);
+  StreamReports(StreamReports&&) noexcept;
+  StreamReports& operator=(const StreamReports&);
+  StreamReports& operator=(StreamReports&&) noexcept;
+  StreamReports() noexcept {
+  }
+
+  virtual ~StreamReports() noexcept;
+  std::vector<StreamGroup>  groups;
+
+  _StreamReports__isset __isset;
+
+  void __set_groups(const std::vector<StreamGroup> & val);
+
+  bool operator == (const StreamReports & rhs) const
+  {
+    if (!(groups == rhs.groups))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamReports &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamReports & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(StreamReports &a, StreamReports &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamReports& obj);
+
+typedef struct _StreamQuestion__isset {
+  _StreamQuestion__isset() : streams(false) {}
+  bool streams :1;
+} _StreamQuestion__isset;
+
+class StreamQuestion : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamQuestion(const StreamQuestion&);
+  StreamQuestion(StreamQuestion&&) noexcept;
+  StreamQuestion& operator=(const StreamQuestion&);
+  StreamQuestion& operator=(StreamQuestion&&) noexcept;
+  StreamQuestion() noexcept {
+  }
+
+  virtual ~StreamQuestion() noexcept;
+  std::vector<int64_t>  streams;
+
+  _StreamQuestion__isset __isset;
+
+  void __set_streams(const std::vector<int64_t> & val);
+
+  bool operator == (const StreamQuestion & rhs) const
+  {
+    if (!(streams == rhs.streams))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamQuestion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamQuestion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(StreamQuestion &a, StreamQuestion &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamQuestion& obj);
+
+typedef struct _StreamAnswer__isset {
+  _StreamAnswer__isset() : known(false), unknown(false) {}
+  bool known :1;
+  bool unknown :1;
+} _StreamAnswer__isset;
+
+class StreamAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamAnswer(const StreamAnswer&);
+  StreamAnswer(StreamAnswer&&) noexcept;
+  StreamAnswer& operator=(const StreamAnswer&);
+  StreamAnswer& operator=(StreamAnswer&&) noexcept;
+  StreamAnswer() noexcept {
+  }
+
+  virtual ~StreamAnswer() noexcept;
+  std::vector<StreamGroup>  known;
+  std::vector<int64_t>  unknown;
+
+  _StreamAnswer__isset __isset;
+
+  void __set_known(const std::vector<StreamGroup> & val);
+
+  void __set_unknown(const std::vector<int64_t> & val);
+
+  bool operator == (const StreamAnswer & rhs) const
+  {
+    if (!(known == rhs.known))
+      return false;
+    if (!(unknown == rhs.unknown))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(StreamAnswer &a, StreamAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamAnswer& obj);
+
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
  public:
@@ -2429,7 +2638,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false), forwarded_request(false), forwarded_body(false), forwarded_answer(false), forward_control(false), scheduler_news(false), cache_update(false), prefill_load(false), limit_tokens(false), suspects_update(false), endpoint_rates(false) {}
+  _Message__isset() : heartbeat(false), digest(false), buckets_request(false), buckets_reply(false), usage_copy(false), released(false), endpoint_news(false), freshness_question(false), freshness_answer(false), engine_paces(false), forwarded_request(false), forwarded_body(false), forwarded_answer(false), forward_control(false), scheduler_news(false), cache_update(false), prefill_load(false), limit_tokens(false), suspects_update(false), endpoint_rates(false), stream_reports(false), stream_question(false), stream_answer(false) {}
   bool heartbeat :1;
   bool digest :1;
   bool buckets_request :1;
@@ -2450,6 +2659,9 @@
   bool limit_tokens :1;
   bool suspects_update :1;
   bool endpoint_rates :1;
+  bool stream_reports :1;
+  bool stream_question :1;
+  bool stream_answer :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -2483,6 +2695,9 @@
   LimitTokens limit_tokens;
   SuspectsUpdate suspects_update;
   EndpointRates endpoint_rates;
+  StreamReports stream_reports;
+  StreamQuestion stream_question;
+  StreamAnswer stream_answer;
 
   _Message__isset __isset;
 
@@ -2526,6 +2741,12 @@
 
   void __set_endpoint_rates(const EndpointRates& val);
 
+  void __set_stream_reports(const StreamReports& val);
+
+  void __set_stream_question(const StreamQuestion& val);
+
+  void __set_stream_answer(const StreamAnswer& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -2608,6 +2829,18 @@
       return false;
     else if (__isset.endpoint_rates && !(endpoint_rates == rhs.endpoint_rates))
       return false;
+    if (__isset.stream_reports != rhs.__isset.stream_reports)
+      return false;
+    else if (__isset.stream_reports && !(stream_reports == rhs.stream_reports))
+      return false;
+    if (__isset.stream_question != rhs.__isset.stream_question)
+      return false;
+    else if (__isset.stream_question && !(stream_question == rhs.stream_question))
+      return false;
+    if (__isset.stream_answer != rhs.__isset.stream_answer)
+      return false;
+    else if (__isset.stream_answer && !(stream_answer == rhs.stream_answer))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/packages/peers/message.h
+++ b/packages/peers/message.h
@@ -13,6 +13,8 @@
 //   LimitTokens                             client accounts' rate limits
 //   SuspectsUpdate (decisions/suspects.h)   crashes of endpoints
 //   EndpointRatesUpdate (decisions/endpoint_rates.h)   rates they state
+//   StreamReports, StreamQuestion, StreamAnswer
+//     (decisions/stream_directory.h)        where streams began
 //   PeerMessage                             any of these, or an EndpointStatus
 //
 //   links.Send(host, BucketsRequest{.above_revision = 7});
@@ -33,7 +35,7 @@
 #include "decisions/engine_cache.h"
 #include "decisions/engine_pace.h"
 #include "decisions/fleet_endpoint.h"
-#include "decisions/stream_origin.h"
+#include "decisions/stream_directory.h"
 #include "decisions/suspects.h"
 #include "http/http_types.h"
 #include "kernel/ids.h"
@@ -132,6 +134,8 @@
   // ForwardedHead::origin of that head, or of the caller's earlier attempt;
   // nullopt: unknown, or no event was sent to the caller.
   std::optional<StreamOrigin> origin;
+  // The sender records ForwardedHead::origin when it sends the head.
+  bool records_origin = false;
   // Time until the sending process exits; nullopt: it isn't stopping.
   std::optional<Duration> finish_within;
   // Another scheduler got the request before, and may have counted it.
@@ -256,6 +260,9 @@
                                  PrefillLoad,
                                  LimitTokens,
                                  SuspectsUpdate,
-                                 EndpointRatesUpdate>;
+                                 EndpointRatesUpdate,
+                                 StreamReports,
+                                 StreamQuestion,
+                                 StreamAnswer>;
 
 }  // namespace hickorystand
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -158,6 +158,8 @@
   12: optional bool resent  // another scheduler may have counted it
   13: optional bool until_close  // of the head that the caller received
   14: optional StreamOrigin origin  // of the stream that the caller received
+  // The sender records the origin of a stream that begins.
+  15: optional bool records_origin
 }
 
 struct ForwardedBody {
@@ -277,6 +279,28 @@
   1: list<RateReport> rates
 }
 
+// Streams of one origin.
+struct StreamGroup {
+  1: optional StreamOrigin origin  // absent: hosts reported different ones
+  2: list<i64> streams  // hashes of the first attempts' ids
+  3: list<i64> remaining  // microseconds until each caller has given up
+}
+
+// Where streams began, as the sender has recorded.
+struct StreamReports {
+  1: list<StreamGroup> groups
+}
+
+// Asks where streams began.
+struct StreamQuestion {
+  1: list<i64> streams
+}
+
+struct StreamAnswer {
+  1: list<StreamGroup> known
+  2: list<i64> unknown
+}
+
 struct Heartbeat {
 }
 
@@ -301,4 +325,7 @@
   18: LimitTokens limit_tokens
   19: SuspectsUpdate suspects_update
   20: EndpointRates endpoint_rates
+  21: StreamReports stream_reports
+  22: StreamQuestion stream_question
+  23: StreamAnswer stream_answer
 }
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -307,6 +307,7 @@
           .stream_begun = in.stream_begun,
           .until_close = in.until_close,
           .origin = in.__isset.origin ? ReadOrigin(in.origin) : std::nullopt,
+          .records_origin = in.records_origin,
           .finish_within = in.__isset.finish_within
                                ? std::optional(Duration(in.finish_within))
                                : std::nullopt,
@@ -488,6 +489,59 @@
   return update;
 }
 
+std::vector<int64_t> ToWire(const std::vector<StreamKey>& streams) {
+  std::vector<int64_t> out;
+  std::ranges::transform(
+      streams, std::back_inserter(out),
+      [](StreamKey stream) { return static_cast<int64_t>(stream); });
+  return out;
+}
+
+std::vector<StreamKey> ReadStreams(const std::vector<int64_t>& in) {
+  std::vector<StreamKey> streams;
+  std::ranges::transform(in, std::back_inserter(streams), [](int64_t stream) {
+    return static_cast<StreamKey>(stream);
+  });
+  return streams;
+}
+
+// Streams of one origin share a group, so that its names are sent once.
+std::vector<wire::StreamGroup> ToWire(
+    const std::vector<StreamReport>& reports) {
+  std::map<std::optional<StreamOrigin>, wire::StreamGroup> groups;
+  for (const StreamReport& report : reports) {
+    wire::StreamGroup& group = groups[report.origin];
+    if (report.origin) {
+      group.__set_origin(ToWire(*report.origin));
+    }
+    group.streams.push_back(static_cast<int64_t>(report.stream));
+    group.remaining.push_back(report.remaining.count());
+  }
+  std::vector<wire::StreamGroup> out;
+  std::ranges::transform(groups, std::back_inserter(out),
+                         [](auto& entry) { return std::move(entry.second); });
+  return out;
+}
+
+// A malformed origin counts as a contradictory one, so that nobody takes the
+// stream's origin from elsewhere.
+std::vector<StreamReport> ReadReports(
+    const std::vector<wire::StreamGroup>& in) {
+  std::vector<StreamReport> reports;
+  for (const wire::StreamGroup& group : in) {
+    const auto origin =
+        group.__isset.origin ? ReadOrigin(group.origin) : std::nullopt;
+    const size_t length =
+        std::min(group.streams.size(), group.remaining.size());
+    for (size_t i = 0; i < length; ++i) {
+      reports.push_back({.stream = static_cast<StreamKey>(group.streams[i]),
+                         .origin = origin,
+                         .remaining = Duration(group.remaining[i])});
+    }
+  }
+  return reports;
+}
+
 // Sets the field of the Thrift union that corresponds to a message.
 struct MessageWriter {
   wire::Message out;
@@ -587,6 +641,9 @@
     if (request.origin) {
       item.__set_origin(ToWire(*request.origin));
     }
+    if (request.records_origin) {
+      item.__set_records_origin(true);
+    }
     out.__set_forwarded_request(item);
   }
   void operator()(const ForwardedBody& body) {
@@ -679,6 +736,22 @@
   void operator()(const EndpointRatesUpdate& update) {
     out.__set_endpoint_rates(ToWire(update));
   }
+  void operator()(const StreamReports& reports) {
+    wire::StreamReports item;
+    item.groups = ToWire(reports.streams);
+    out.__set_stream_reports(item);
+  }
+  void operator()(const StreamQuestion& question) {
+    wire::StreamQuestion item;
+    item.streams = ToWire(question.streams);
+    out.__set_stream_question(item);
+  }
+  void operator()(const StreamAnswer& answer) {
+    wire::StreamAnswer item;
+    item.known = ToWire(answer.known);
+    item.unknown = ToWire(answer.unknown);
+    out.__set_stream_answer(item);
+  }
   void operator()(const PrefillLoad& load) {
     wire::PrefillLoad item;
     for (const auto& [service, rate] : load.tokens_per_second) {
@@ -850,6 +923,19 @@
   if (set.endpoint_rates) {
     return WireMessage(PeerMessage(ReadRates(in->endpoint_rates)));
   }
+  if (set.stream_reports) {
+    return WireMessage(PeerMessage(
+        StreamReports{.streams = ReadReports(in->stream_reports.groups)}));
+  }
+  if (set.stream_question) {
+    return WireMessage(PeerMessage(
+        StreamQuestion{.streams = ReadStreams(in->stream_question.streams)}));
+  }
+  if (set.stream_answer) {
+    return WireMessage(PeerMessage(
+        StreamAnswer{.known = ReadReports(in->stream_answer.known),
+                     .unknown = ReadStreams(in->stream_answer.unknown)}));
+  }
   if (set.heartbeat) {
     return WireMessage(PeerHeartbeat{});
   }
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -132,6 +132,9 @@
     return this->linked_schedulers.contains(host);
   }
 
+  // The schedulers that this host should be linked with.
+  const std::vector<FleetHost>& Schedulers() const { return this->schedulers; }
+
   // The other schedulers that are currently linked.
   std::vector<FleetHost> LinkedSchedulers() const;
 
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -96,6 +96,10 @@
   this->metrics->Add("crashing_requests_refused_total", 0);
   this->metrics->Add("endpoint_crashes_total", 0);
   this->metrics->Add("stated_rate_refusals_total", 0);
+  for (const char* outcome :
+       {"known", "unknown", "unavailable", "other_service"}) {
+    this->metrics->Add("stream_continuations_total", 0, {{"outcome", outcome}});
+  }
   this->cache_feed.SetRateHandler(
       [this](const RateAnswer& answer) { this->RecordRate(answer); });
   this->ObservePool();
@@ -192,6 +196,12 @@
   this->software = std::move(listed);
 }
 
+int64_t FleetRelay::ListedEndpoints(const StreamOrigin& origin) const {
+  return std::ranges::count_if(this->endpoints, [&origin](const auto& entry) {
+    return entry.second.Origin() == origin && !entry.second.leaving;
+  });
+}
+
 void FleetRelay::ObservePool() {
   using Report = std::function<void(Instant now, const EndpointId&)>;
   const auto report = [this](const SocketAddress& address, const Report& call) {
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -40,6 +40,7 @@
 #include "relay/forward_receiver.h"
 #include "relay/message_codec.h"
 #include "relay/request_forwarder.h"
+#include "relay/stream_tracker.h"
 
 namespace hickorystand {
 
@@ -118,6 +119,11 @@
   // The gate that enforces the limits of client accounts; null: no limits.
   void SetLimitGate(LimitGate* gate) { this->limit_gate = gate; }
 
+  // Finds where streams began that callers continue; null: none is continued.
+  void SetStreamTracker(StreamTracker* tracker) {
+    this->stream_tracker = tracker;
+  }
+
   // Size limits and timeouts for callers before the first configuration.
   void SetCallerLimits(const CallerLimits& limits) {
     this->server.SetLimits(limits);
@@ -244,6 +250,7 @@
   bool Refreshed() const;
 
   void ReportSoftware();
+  int64_t ListedEndpoints(const StreamOrigin& origin) const;
 
   // Passes this host's limits for each service to placement.
   void UpdateServiceParameters();
@@ -310,6 +317,7 @@
   CacheFeed cache_feed;
   FleetRetryBudget budget;
   LimitGate* limit_gate = nullptr;
+  StreamTracker* stream_tracker = nullptr;
   Suspects suspects;
   std::set<uint64_t> known_blocked;  // as last logged
   std::unique_ptr<Timer> suspects_timer;
--- a/packages/relay/forward_receiver.cc
+++ b/packages/relay/forward_receiver.cc
@@ -169,6 +169,7 @@
                            .stream_begun = request.stream_begun,
                            .until_close = request.until_close,
                            .progress = ProgressOf(request),
+                           .records_origin = request.records_origin,
                            .finish_within = request.finish_within,
                            .resent = request.resent});
 }
--- a/packages/relay/forward_receiver.h
+++ b/packages/relay/forward_receiver.h
@@ -30,6 +30,8 @@
   bool stream_begun = false;            // the answer's head has been sent
   bool until_close = false;             // AnswerStart::until_close of that head
   StreamProgress progress;  // of the stream that the caller has received
+  // The ingress host records where a stream begins.
+  bool records_origin = false;
   // Time until the ingress host's process ends, if it is shutting down.
   std::optional<Duration> finish_within;
   bool resent = false;  // another scheduler may have counted it
--- a/packages/relay/message_codec.h
+++ b/packages/relay/message_codec.h
@@ -49,6 +49,16 @@
   // The caller continues a stream: its attempt that brought the first event.
   std::optional<RequestId> first_attempt;
 
+  // Whether the caller has received events of the stream in an earlier attempt.
+  bool IsContinuation() const {
+    return this->resume_after || this->first_attempt;
+  }
+
+  // The attempt that brings, or brought, the first event of the stream.
+  const RequestId& FirstAttempt() const {
+    return this->first_attempt ? *this->first_attempt : this->id;
+  }
+
   auto operator<=>(const CallerRequest&) const = default;
 };
 
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -143,6 +143,9 @@
   if (streams && !this->progress.Begun()) {
     this->progress = StreamProgress::BegunAt(this->attempt->endpoint.Origin());
   }
+  if (streams) {
+    this->RecordOrigin();
+  }
   this->caller->Start(
       {.status = this->attempt->status,
        .headers = std::move(headers),
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -29,6 +29,13 @@
 // Retry-After while no host reaches an endpoint: probes go out this often.
 constexpr Duration kCutOffRetryAfter = std::chrono::milliseconds(600);
 
+// Retry-After while hosts that may know the origin of a stream aren't linked:
+// links are opened again within this time.
+constexpr Duration kUnlinkedRetryAfter = std::chrono::milliseconds(600);
+
+// How long callers wait that don't say it.
+constexpr Duration kDefaultCallerTimeout = std::chrono::seconds(30);
+
 uint64_t Hash(std::string_view text, uint64_t seed = 0) {
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
@@ -49,6 +56,7 @@
 void RelayedRequest::Begin() {
   this->arrived = this->relay->clock->Now() - this->origin.age;
   this->progress = this->origin.progress;
+  this->may_have_run = this->origin.earlier_sends > 0;
   this->caller->OnGone([this] { this->OnCallerDisconnected(); });
   if (const auto error = this->Admit()) {
     if (this->StreamBegun()) {
@@ -61,6 +69,126 @@
     return;
   }
   this->ArmDeadline();
+  if (this->progress.Begun()) {
+    this->OnOrigin({.progress = this->progress, .source = this->origin.host});
+  } else if (this->MayHaveBegun()) {
+    this->FindOrigin();
+  } else {
+    this->BeginPlacing();
+  }
+}
+
+// Whether events of the stream may have reached the caller, or may be recorded
+// as such: by the scheduler that was lost, if the ingress host records none.
+bool RelayedRequest::MayHaveBegun() const {
+  return IsStream(this->route->kind) &&
+         (this->request.IsContinuation() ||
+          (this->origin.earlier_sends > 0 && !this->origin.records_origin));
+}
+
+// Finds where the stream began that the caller continues.
+void RelayedRequest::FindOrigin() {
+  StreamTracker* tracker = this->relay->stream_tracker;
+  const bool nameless =
+      this->request.IsContinuation() && !this->request.first_attempt;
+  if (nameless || tracker == nullptr) {
+    this->OnOrigin({.progress = StreamProgress::BegunAtUnknownOrigin()});
+    return;
+  }
+  const auto found = tracker->Find(
+      this->request.FirstAttempt(),
+      [this, weak = this->weak_from_this()](const StreamDecision& decision) {
+        if (const auto keep = weak.lock(); keep && !this->over) {
+          this->OnOrigin(decision);
+        }
+      },
+      this->origin_lookup);
+  if (found) {
+    this->OnOrigin(*found);
+  }
+}
+
+void RelayedRequest::OnOrigin(const StreamDecision& decision) {
+  this->origin_lookup.reset();
+  this->progress = decision.progress;
+  if (this->progress.OriginUnknown()) {
+    if (this->request.IsContinuation() || this->StreamBegun()) {
+      this->RefuseUnknownOrigin(decision);
+    } else {
+      this->progress = {};
+      this->BeginPlacing();
+    }
+    return;
+  }
+  const StreamOrigin& began = this->progress.Origin();
+  this->relay->Log(LogLevel::kInfo, this->request.id, "Continues a stream.",
+                   {{"first_attempt", this->request.FirstAttempt().Text()},
+                    {"service", began.service.Text()},
+                    {"software", began.software.Text()},
+                    {"source", decision.source.Text()},
+                    {"wait_ms", MillisecondsText(decision.waited)}});
+  if (!this->MayContinueAt(began.service)) {
+    this->CountContinuation("other_service");
+    this->EndWithoutSending(ErrorKind::kNoEndpoint,
+                            "the route no longer leads to the stream's service",
+                            this->Left());
+    return;
+  }
+  this->CountContinuation("known");
+  this->SetService(began.service);
+  this->BeginPlacing();
+}
+
+// Whether the route leads to a service. A change of the configuration may have
+// taken it away since the stream began.
+bool RelayedRequest::MayContinueAt(const ServiceId& wanted) const {
+  const std::vector<RouteTarget>& targets = this->route->targets;
+  return std::ranges::any_of(targets, [&](const RouteTarget& target) {
+    return target.service == wanted &&
+           (target.weight > 0 || targets.size() == 1);
+  });
+}
+
+// Nothing was sent, so the caller may come back. It is worth while soon only if
+// a host that may know the origin couldn't be asked.
+void RelayedRequest::RefuseUnknownOrigin(const StreamDecision& decision) {
+  this->CountContinuation("unknown");
+  this->relay->Log(LogLevel::kWarning, this->request.id,
+                   "Refused: the stream's software version is unknown.",
+                   {{"first_attempt", this->request.FirstAttempt().Text()},
+                    {"asked", std::to_string(decision.asked)},
+                    {"silent", std::to_string(decision.silent)},
+                    {"contradicted_by", decision.source.Text()},
+                    {"wait_ms", MillisecondsText(decision.waited)}});
+  if (decision.silent > 0 && !this->origin.host.Empty()) {
+    this->caller->Decline();
+  }
+  this->EndWithoutSending(
+      ErrorKind::kNoEndpoint, "the stream's software version is unknown",
+      decision.silent > 0 ? kUnlinkedRetryAfter : this->Left());
+}
+
+void RelayedRequest::CountContinuation(std::string_view outcome) {
+  if (this->StreamBegun()) {
+    return;  // within one answer
+  }
+  this->relay->metrics->Add("stream_continuations_total", 1,
+                            {{"outcome", std::string(outcome)}});
+}
+
+// Records where the stream begins, before its first event is sent. An ingress
+// host of this release does so itself.
+void RelayedRequest::RecordOrigin() {
+  StreamTracker* tracker = this->relay->stream_tracker;
+  if (tracker != nullptr && !this->origin.records_origin) {
+    const Duration passed = this->relay->clock->Now() - this->arrived;
+    tracker->Record(
+        this->request.FirstAttempt(), this->progress.Origin(),
+        this->request.timeout.value_or(kDefaultCallerTimeout) - passed);
+  }
+}
+
+void RelayedRequest::BeginPlacing() {
   if (this->origin.earlier_sends > 0) {
     this->TakeOver();
     return;
@@ -81,7 +209,6 @@
 // Continues a request of a scheduler that was lost. The request may have run
 // there; whether its prompt was prefilled and which sends it used is unknown.
 void RelayedRequest::TakeOver() {
-  this->may_have_run = true;
   this->prompt_accepted = true;
   this->runs_sent = this->origin.earlier_sends;
   this->arrivals = this->origin.earlier_sends;
@@ -111,7 +238,7 @@
   if (this->route == nullptr) {
     return Error{ErrorKind::kNotFound, "no route", {}};
   }
-  this->service = PickService(*this->route, this->request.id);
+  this->service = PickService(*this->route, this->request.FirstAttempt());
   this->priority = this->route->priority;
   if (auto error = this->CheckKey()) {
     return error;
@@ -127,11 +254,7 @@
       std::min(this->request.timeout.value_or(this->route->timeout),
                this->route->timeout);
   this->deadline = this->arrived + timeout;
-  const auto found = this->configuration->services.find(this->service);
-  this->shape = {.service = this->service,
-                 .engine = found != this->configuration->services.end() &&
-                           found->second.engine.has_value(),
-                 .prompt_tokens = this->request.prompt_tokens,
+  this->shape = {.prompt_tokens = this->request.prompt_tokens,
                  .target = this->route->target_latency,
                  .max_first_byte_wait = timeout};
   if (IsStream(this->route->kind)) {
@@ -142,12 +265,21 @@
     this->shape.parts.push_back(
         {.part = PromptPartHash(part.id), .tokens = part.tokens});
   }
+  this->SetService(this->service);
   this->body = std::make_shared<const std::string>(message.body);
   this->fingerprint =
       Hash(message.body, Hash(message.head.target, Hash(account.Text())));
   return this->CheckStop();
 }
 
+void RelayedRequest::SetService(const ServiceId& to) {
+  const auto found = this->configuration->services.find(to);
+  this->service = to;
+  this->shape.service = to;
+  this->shape.engine = found != this->configuration->services.end() &&
+                       found->second.engine.has_value();
+}
+
 // Refuses a request that would be cut off by the end of this process or of the
 // one that has the caller's connection. A resumed stream was admitted before,
 // so it isn't refused.
@@ -332,6 +464,19 @@
                     {"retry_after_ms", MillisecondsText(refused.retry_after)}});
 }
 
+void RelayedRequest::LogNoEndpointOfOrigin() {
+  this->CountContinuation("unavailable");
+  const StreamOrigin& began = this->progress.Origin();
+  this->relay->Log(
+      LogLevel::kWarning, this->request.id,
+      "No endpoint of the stream's software version.",
+      {{"first_attempt", this->request.FirstAttempt().Text()},
+       {"service", began.service.Text()},
+       {"software", began.software.Text()},
+       {"listed", std::to_string(this->relay->ListedEndpoints(began))},
+       {"tried", std::to_string(this->tried.size())}});
+}
+
 void RelayedRequest::PlaceWithTokens() {
   if (this->EndIfCutOff()) {
     return;
@@ -344,7 +489,7 @@
   const Instant now = this->relay->clock->Now();
   RequestProfile left = this->shape;
   left.max_first_byte_wait = std::min(left.max_first_byte_wait, this->Left());
-  left.in_progress = this->StreamBegun() || this->may_have_run;
+  left.in_progress = this->progress.Begun() || this->may_have_run;
   left.progress = this->progress;
   const PlacementResult verdict =
       this->relay->placement.Place(now, left, this->tried);
@@ -352,6 +497,8 @@
     const bool not_run = !this->StreamBegun() && !this->may_have_run;
     if (refused->reason == kOverStatedRates) {
       this->LogOverRates(*refused);
+    } else if (refused->reason == kNoEndpointOfOrigin) {
+      this->LogNoEndpointOfOrigin();
     }
     this->EndWithoutSending(ErrorKind::kNoEndpoint, refused->reason,
                             not_run
@@ -939,6 +1086,7 @@
   }
   this->stall_timer.reset();
   this->deadline_timer.reset();
+  this->origin_lookup.reset();
   this->relay->requests.erase(keep);
 }
 
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -90,6 +90,15 @@
   enum class RunResult { kDone, kNotRun, kMayHaveRun };
 
   std::optional<Error> Admit();
+  void SetService(const ServiceId& to);
+  bool MayHaveBegun() const;
+  void FindOrigin();
+  void OnOrigin(const StreamDecision& decision);
+  void RefuseUnknownOrigin(const StreamDecision& decision);
+  void CountContinuation(std::string_view outcome);
+  void RecordOrigin();
+  bool MayContinueAt(const ServiceId& service) const;
+  void BeginPlacing();
   void TakeOver();
   std::optional<Error> CheckKey();
   std::optional<Error> CheckStop();
@@ -110,6 +119,7 @@
   void Place();
   void PlaceWithTokens();
   void LogOverRates(const PlacementRefusal& refused);
+  void LogNoEndpointOfOrigin();
   bool EndIfCutOff();
   bool HandOver();
   void SendAgain(std::string_view why);
@@ -197,7 +207,8 @@
   std::shared_ptr<const std::string> body;
   std::unique_ptr<Attempt> attempt;
   std::set<EndpointId> tried;
-  StreamProgress progress;       // of the caller's stream
+  StreamProgress progress;  // of the caller's stream
+  std::shared_ptr<StreamLookup> origin_lookup;
   int64_t runs_sent = 0;         // sends that may run the request
   int64_t arrivals = 0;          // `runs_sent` and failed prefill calls
   bool prompt_accepted = false;  // an engine may have accepted a prefill call
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -94,17 +94,30 @@
                               .keeps_software = news.keeps_software});
 }
 
-void RequestForwarder::OnRequest(const CallerExchangePtr& caller) {
+RequestForwarder::CallPtr RequestForwarder::MakeCall(
+    const CallerExchangePtr& caller,
+    const CallerRequest& request) const {
   const auto call = std::make_shared<Call>();
   call->caller = caller;
   call->arrived = this->clock->Now();
+  call->request = request.id;
+  call->first_attempt = request.FirstAttempt();
+  call->continuation = request.IsContinuation();
+  return call;
+}
+
+void RequestForwarder::OnRequest(const CallerExchangePtr& caller) {
   const auto read = this->codec->ReadRequest(caller->Message().head.headers);
+  const CallPtr call = this->MakeCall(caller, read.value_or(CallerRequest()));
   if (!read) {
     this->AnswerAndEnd(*call, read.error().kind,
                        {read.error().message, kBadRequestLabel});
     return;
   }
-  call->request = read->id;
+  if (call->continuation && this->stream_tracker != nullptr) {
+    call->progress = this->stream_tracker->FindRecord(call->first_attempt)
+                         .value_or(StreamProgress());
+  }
   this->Accept(call, read->timeout);
 }
 
@@ -114,9 +127,7 @@
   if (!read || !this->Reaches(request.service)) {
     return false;
   }
-  const auto call = std::make_shared<Call>();
-  call->caller = caller;
-  call->request = read->id;
+  const CallPtr call = this->MakeCall(caller, *read);
   call->arrived = request.arrived;
   call->service = request.service;
   call->uncertain_runs = request.uncertain_runs;
@@ -174,7 +185,8 @@
 std::optional<HostId> RequestForwarder::ChooseFor(const Call& call) const {
   return this->choice.Choose(
       call.tried,
-      {.service = call.service, .keeps_software = call.progress.Begun()});
+      {.service = call.service,
+       .keeps_software = call.continuation || call.progress.Begun()});
 }
 
 // Sends a request to the next scheduler, or ends it if there is none.
@@ -226,6 +238,7 @@
       .until_close = call.caller->UntilClose(),
       .origin = call.progress.Begun() ? std::optional(call.progress.Origin())
                                       : std::nullopt,
+      .records_origin = this->stream_tracker != nullptr,
       .finish_within =
           this->stop ? std::optional(this->stop->Remaining(this->clock->Now()))
                      : std::nullopt,
@@ -284,10 +297,7 @@
 void RequestForwarder::StartAnswer(Call& call, const ForwardedHead& head) {
   if (!call.caller->Started()) {
     call.streams = IsEventStream(head.headers);
-    if (call.streams && !call.progress.Begun()) {
-      call.progress = head.origin ? StreamProgress::BegunAt(*head.origin)
-                                  : StreamProgress::BegunAtUnknownOrigin();
-    }
+    this->RecordOrigin(call, head);
     call.caller->Start({.status = head.status,
                         .headers = head.headers,
                         .length = head.length,
@@ -297,6 +307,20 @@
   }
 }
 
+// The scheduler of an earlier release doesn't tell the origin.
+void RequestForwarder::RecordOrigin(Call& call, const ForwardedHead& head) {
+  if (head.origin) {
+    call.progress = StreamProgress::BegunAt(*head.origin);
+    if (this->stream_tracker != nullptr) {
+      this->stream_tracker->Record(
+          call.first_attempt, *head.origin,
+          call.no_answer_deadline - this->clock->Now());
+    }
+  } else if (call.streams) {
+    call.progress = StreamProgress::BegunAtUnknownOrigin();
+  }
+}
+
 void RequestForwarder::PassOn(int64_t number,
                               Call& call,
                               std::string_view bytes) {
--- a/packages/relay/request_forwarder.h
+++ b/packages/relay/request_forwarder.h
@@ -26,6 +26,7 @@
 #include "relay/caller_exchange.h"
 #include "relay/event_cutter.h"
 #include "relay/message_codec.h"
+#include "relay/stream_tracker.h"
 
 namespace hickorystand {
 
@@ -55,6 +56,11 @@
   RequestForwarder(const RequestForwarder&) = delete;
   RequestForwarder& operator=(const RequestForwarder&) = delete;
 
+  // Records where streams begin; null: nobody records it.
+  void SetStreamTracker(StreamTracker* tracker) {
+    this->stream_tracker = tracker;
+  }
+
   // Forwards a caller's request, or answers it with an error.
   void OnRequest(const CallerExchangePtr& caller);
 
@@ -117,6 +123,8 @@
   struct Call {
     CallerExchangePtr caller;
     RequestId request;
+    RequestId first_attempt;     // of the stream
+    bool continuation = false;   // the caller continues a stream
     ServiceId service;           // empty: unknown
     int64_t uncertain_runs = 0;  // on this host
     bool counted = false;        // by this host
@@ -145,6 +153,8 @@
   };
   using CallPtr = std::shared_ptr<Call>;
 
+  CallPtr MakeCall(const CallerExchangePtr& caller,
+                   const CallerRequest& request) const;
   void Accept(const CallPtr& call, std::optional<Duration> timeout);
   void Forward(const CallPtr& call);
   std::optional<HostId> ChooseFor(const Call& call) const;
@@ -152,6 +162,7 @@
   bool ForwardDeclined(int64_t number, const CallPtr& call);
   bool SendRequest(const Call& call, const HostId& to, int64_t number) const;
   void StartAnswer(Call& call, const ForwardedHead& head);
+  void RecordOrigin(Call& call, const ForwardedHead& head);
   void PassOn(int64_t number, Call& call, std::string_view bytes);
   void End(int64_t number);
   void Cancel(int64_t number);
@@ -166,6 +177,7 @@
   Metrics* metrics;
   SendTo send;
   SchedulerChoice choice;
+  StreamTracker* stream_tracker = nullptr;
   LogLimiter log_limiter;
   std::optional<StopSchedule> stop;
   int64_t last_number = 0;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -648,6 +648,7 @@
           .stream_begun = true,
           .until_close = true,
           .origin = StreamOrigin{ServiceId("s"), SoftwareVersion("v1")},
+          .records_origin = true,
           .finish_within = std::chrono::seconds(2),
           .resent = true}),
       PeerMessage(ForwardedBody{.number = 9, .bytes = "more"}),
@@ -702,6 +703,19 @@
                      .per_second = 7.5,
                      .age = std::chrono::milliseconds(40)},
                     {.endpoint = {.id = EndpointId("f"), .started = 6}}}}),
+      PeerMessage(StreamReports{
+          .streams = {{.stream = 0xfedcba9876543210,
+                       .origin = StreamOrigin{ServiceId("s"),
+                                              SoftwareVersion("v1.2")},
+                       .remaining = std::chrono::seconds(6)}}}),
+      PeerMessage(StreamQuestion{.streams = {0xfedcba9876543210, 2}}),
+      PeerMessage(StreamAnswer{
+          .known = {{.stream = 3, .remaining = std::chrono::seconds(1)},
+                    {.stream = 4,
+                     .origin = StreamOrigin{ServiceId("s"),
+                                            SoftwareVersion("v1")},
+                     .remaining = std::chrono::seconds(2)}},
+          .unknown = {0xfedcba9876543211}}),
       PeerMessage(LimitTokens{
           .revision = 68,
           .wants = {{.number = 3,
