Role plan: keep an engine that generates for each software version

Roles were planned for a service as a whole, so a version could be left with engines that only prefill. Such a version serves nothing, since prompts are handed over within a version, and its streams end. One of its engines now generates, and the last one that does isn't changed.

EachVersionHasAnEngineThatGenerates fails with the old plan.

--- a/packages/decisions/role_plan.cc
+++ b/packages/decisions/role_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <map>
 #include <utility>
 #include <vector>
@@ -51,6 +52,39 @@
   return std::ranges::min(costs).second;
 }
 
+// Engines of each software version that generate.
+using CountsByVersion = std::map<SoftwareVersion, int64_t>;
+
+// The prefill engines of versions of which none generates. Such a version can't
+// serve at all: prompts are handed over within a version.
+EngineIdsByZone EnginesOfIdleVersions(const FleetEndpoints& endpoints,
+                                      const EngineIdsByZone& prefill_engines,
+                                      const CountsByVersion& generating) {
+  EngineIdsByZone found;
+  for (const auto& [zone, ids] : prefill_engines) {
+    std::ranges::copy_if(
+        ids, std::back_inserter(found[zone]), [&](const EndpointId& id) {
+          return !generating.contains(endpoints.at(id).software);
+        });
+  }
+  std::erase_if(found, [](const auto& entry) { return entry.second.empty(); });
+  return found;
+}
+
+// The decode engines without the last one of each version.
+EngineIdsByZone WithoutLastOfVersion(const FleetEndpoints& endpoints,
+                                     EngineIdsByZone decode_engines,
+                                     const CountsByVersion& generating) {
+  for (auto& [zone, ids] : decode_engines) {
+    std::erase_if(ids, [&](const EndpointId& id) {
+      return generating.at(endpoints.at(id).software) == 1;
+    });
+  }
+  std::erase_if(decode_engines,
+                [](const auto& entry) { return entry.second.empty(); });
+  return decode_engines;
+}
+
 }  // namespace
 
 std::optional<RoleChange> PlanRole(const FleetEndpoints& endpoints,
@@ -59,6 +93,7 @@
                                    const RolePlanOptions& options) {
   EngineIdsByZone prefill_engines;
   EngineIdsByZone decode_engines;
+  CountsByVersion generating;
   std::map<ZoneId, int64_t> zones;
   int64_t slots = 0;
   for (const auto& [id, endpoint] : endpoints) {
@@ -72,11 +107,21 @@
                                    ? prefill_engines
                                    : decode_engines;
     of_role[endpoint.zone].push_back(id);
+    if (endpoint.role != EndpointRole::kPrefill) {
+      ++generating[endpoint.software];
+    }
   }
   const int64_t engines = CountAll(prefill_engines) + CountAll(decode_engines);
   if (engines < 2) {
     return {};
   }
+  if (const EngineIdsByZone idle =
+          EnginesOfIdleVersions(endpoints, prefill_engines, generating);
+      !idle.empty()) {
+    return RoleChange{
+        .endpoint = LowestCostEngine(endpoints, idle, load, false),
+        .role = EndpointRole::kDecode};
+  }
   const double slots_each =
       static_cast<double>(slots) / static_cast<double>(engines);
   const auto needed = static_cast<int64_t>(std::ceil(
@@ -87,9 +132,12 @@
       std::max({needed + options.spare_engines, share,
                 static_cast<int64_t>(zones.size()) + options.spare_engines}),
       1, std::max<int64_t>(engines / 2, 1));
-  if (CountAll(decode_engines) > wanted + options.surplus_tolerance) {
+  const EngineIdsByZone spare =
+      WithoutLastOfVersion(endpoints, decode_engines, generating);
+  if (CountAll(decode_engines) > wanted + options.surplus_tolerance &&
+      !spare.empty()) {
     return RoleChange{
-        .endpoint = LowestCostEngine(endpoints, decode_engines, load, true),
+        .endpoint = LowestCostEngine(endpoints, spare, load, true),
         .role = EndpointRole::kPrefill};
   }
   if (CountAll(decode_engines) >= wanted || prefill_engines.empty()) {
--- a/packages/decisions/role_plan.h
+++ b/packages/decisions/role_plan.h
@@ -5,6 +5,9 @@
 // where capacity allows, and only as many engines generate as the streams need.
 // An engine changes its role only after all its requests have ended, so the
 // engines with the fewest requests change.
+//
+// Each software version has an engine that generates: one that only prefills
+// could serve nothing, and its streams could not continue.
 
 #pragma once
 
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -657,6 +657,33 @@
   CHECK(change && change->role == EndpointRole::kDecode);
 }
 
+// Guards against a software version whose engines only prefill, so that it can
+// serve nothing and its streams can't continue.
+TEST(RolePlan, EachVersionHasAnEngineThatGenerates) {
+  FleetEndpoints fleet;
+  for (int i = 0; i < 12; ++i) {
+    FleetEndpoint engine =
+        Engine("e" + std::to_string(10 + i),
+               i < 6 ? EndpointRole::kPrefill : EndpointRole::kDecode);
+    engine.software = SoftwareVersion(i < 4 ? "v2" : "v1");
+    fleet[engine.run.id] = engine;
+  }
+  const auto change = PlanRole(fleet, kService, LoadOf(9));
+  CHECK(change && change->role == EndpointRole::kDecode);
+  CHECK(fleet.at(change->endpoint).software == SoftwareVersion("v2"));
+  int changes = 0;
+  while (const auto next = PlanRole(fleet, kService, LoadOf(0))) {
+    fleet.at(next->endpoint).role = next->role;
+    CHECK(++changes < 20);
+  }
+  std::map<SoftwareVersion, int> generating;
+  for (const auto& [id, engine] : fleet) {
+    generating[engine.software] += engine.role == EndpointRole::kDecode ? 1 : 0;
+  }
+  CHECK(generating[SoftwareVersion("v1")] > 0);
+  CHECK(generating[SoftwareVersion("v2")] > 0);
+}
+
 // Long streams run on all engines but one. An engine changes its role only when
 // all its streams have ended, and accepts no new ones until then, so the idle
 // engine must be the one that changes.
