Placement: a begun stream may use an ejected endpoint

An ejected endpoint is avoided for a second or more. If all endpoints of a stream's software version were ejected, the stream ended, although it can't go to another version. It may use one now if there is no other.

ABegunStreamMayUseAnEjectedEndpoint fails with that use switched off.

--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -60,6 +60,16 @@
                   shape.prompt_tokens);
 }
 
+// A begun stream can't go to an endpoint of another version instead.
+bool MayUseEjected(const RequestProfile& shape) {
+  return shape.progress.Begun() && !shape.accepts_ejected;
+}
+
+RequestProfile WithEjected(RequestProfile shape) {
+  shape.accepts_ejected = true;
+  return shape;
+}
+
 Duration TargetOf(const RequestProfile& shape) {
   return shape.target > Duration{} ? shape.target : kDefaultTargetLatency;
 }
@@ -243,7 +253,14 @@
 bool FleetPlacement::Usable(Instant now, const EndpointId& endpoint) const {
   const auto found = this->states.find(endpoint);
   return found != this->states.end() && !found->second.endpoint.leaving &&
-         now >= found->second.excluded_until;
+         !IsExcluded(now, found->second, {});
+}
+
+bool FleetPlacement::IsExcluded(Instant now,
+                                const State& state,
+                                const RequestProfile& shape) {
+  return now < state.wrong_role_until ||
+         (now < state.ejected_until && !shape.accepts_ejected);
 }
 
 bool FleetPlacement::MayRunAt(const StreamOrigin& origin,
@@ -265,7 +282,7 @@
   }
   return state.endpoint.service == shape.service && !state.endpoint.leaving &&
          this->MayRunAt(state.endpoint.Origin(), shape) &&
-         now >= state.excluded_until && !tried.contains(id) &&
+         !IsExcluded(now, state, shape) && !tried.contains(id) &&
          !this->IsUnavailable(id) && this->rates.MaySend(now, id);
 }
 
@@ -280,7 +297,7 @@
     const auto wait = this->rates.UntilAllowed(now, id);
     if (state.endpoint.service == shape.service && !state.endpoint.leaving &&
         this->MayRunAt(state.endpoint.Origin(), shape) &&
-        now >= state.excluded_until && !tried.contains(id) &&
+        !IsExcluded(now, state, shape) && !tried.contains(id) &&
         !this->rates.MaySend(now, id) && wait) {
       soonest = std::min(soonest.value_or(*wait), *wait);
     }
@@ -491,6 +508,9 @@
                                      : this->ScorePlainEndpoint(*state, shape));
     }
   }
+  if (weighed.empty() && MayUseEjected(shape)) {
+    return this->Place(now, WithEjected(shape), tried);
+  }
   if (weighed.empty()) {
     return this->RefuseWithoutEndpoint(now, shape, tried);
   }
@@ -570,6 +590,9 @@
       least = score;
     }
   }
+  if (!best && MayUseEjected(shape)) {
+    return this->PlaceAnswer(now, WithEjected(shape), prefill_endpoint, tried);
+  }
   return best;
 }
 
@@ -690,8 +713,7 @@
 void FleetPlacement::OnWrongRole(Instant now, const EndpointId& endpoint) {
   if (const auto found = this->states.find(endpoint);
       found != this->states.end()) {
-    found->second.excluded_until = std::max(
-        found->second.excluded_until, now + this->options.wrong_role_exclusion);
+    found->second.wrong_role_until = now + this->options.wrong_role_exclusion;
   }
 }
 
@@ -734,7 +756,7 @@
       state.ejection == Duration{}
           ? this->options.min_ejection
           : std::min(state.ejection * 2, this->options.max_ejection);
-  state.excluded_until = now + state.ejection;
+  state.ejected_until = now + state.ejection;
   // The next failure ejects the endpoint again: one request serves as the
   // probe.
   state.consecutive_failures = this->options.failures_to_eject - 1;
@@ -746,7 +768,7 @@
       state.failure_share = 0;
       state.consecutive_failures = 0;
       state.ejection = {};
-      state.excluded_until = {};
+      state.ejected_until = {};
     }
   }
 }
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -147,6 +147,8 @@
   bool in_progress = false;
   StreamProgress progress;     // which endpoints may run it
   bool begins_stream = false;  // its first event would begin a stream
+  // Ejected endpoints are better than none.
+  bool accepts_ejected = false;
 
   auto operator<=>(const RequestProfile&) const = default;
 };
@@ -335,7 +337,8 @@
     double failure_share = 0;
     int64_t consecutive_failures = 0;
     Duration ejection{};
-    Instant excluded_until{};
+    Instant ejected_until{};
+    Instant wrong_role_until{};
   };
   struct Work {
     EndpointId endpoint;
@@ -374,6 +377,9 @@
     bool is_prefill = false;
   };
 
+  static bool IsExcluded(Instant now,
+                         const State& state,
+                         const RequestProfile& shape);
   bool MayRunAt(const StreamOrigin& origin, const RequestProfile& shape) const;
   bool CanAccept(Instant now,
                  const State& state,
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -157,6 +157,28 @@
   }
 }
 
+// Guards against ending a stream because the only endpoints of its version are
+// ejected. Other requests still avoid these.
+TEST(FleetPlacement, ABegunStreamMayUseAnEjectedEndpoint) {
+  std::vector<FleetEndpoint> engines{Engine("old", EndpointRole::kMixed),
+                                     Engine("new", EndpointRole::kMixed)};
+  engines[0].software = SoftwareVersion("v1");
+  engines[1].software = SoftwareVersion("v2");
+  FleetPlacement placement = MakePlacement(Fleet(engines));
+  for (int i = 0; i < 3; ++i) {
+    placement.OnOutcome(At(1), EndpointId("old"), false);
+  }
+  RequestProfile shape = LongPrompt(1, 2);
+  CHECK(PlacedAt(placement, shape).endpoint == EndpointId("new"));
+  shape.progress = StreamProgress::BegunAt(engines[0].Origin());
+  CHECK(PlacedAt(placement, shape).endpoint == EndpointId("old"));
+  CHECK(placement.PlaceAnswer(At(1), shape, engines[0], {}) ==
+        EndpointId("old"));
+  placement.OnWrongRole(At(1), EndpointId("old"));
+  CHECK(std::holds_alternative<PlacementRefusal>(
+      placement.Place(At(1), shape, {})));
+}
+
 // Guards against counting the cache entries of a failed prefill as present: the
 // retry would be sent to the same engine as if nothing were left to prefill,
 // and would wait for a whole prompt.
