Peer links: skip messages that only a later release knows

A host that got a message of an unknown kind closed the link, with all requests forwarded over it. While two releases of the hosts run side by side, each new kind of message has to be kept from the earlier one; the next such message should not.

AMessageOfALaterReleaseIsSkipped fails with the old decoder.

--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -936,11 +936,13 @@
         StreamAnswer{.known = ReadReports(in->stream_answer.known),
                      .unknown = ReadStreams(in->stream_answer.unknown)}));
   }
-  if (set.heartbeat) {
+  // A message of a kind that only a later release knows says no more than that
+  // its sender is alive. Closing the link would lose the requests on it.
+  if (set.heartbeat || *in == wire::Message()) {
     return WireMessage(PeerHeartbeat{});
   }
   return Fail(ErrorKind::kBadRequest,
-              "message of an unknown kind or with a field out of range");
+              "message with a field out of range");
 }
 
 }  // namespace hickorystand
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -761,6 +761,16 @@
   CHECK(refused > kMutationsEach);
 }
 
+// Guards against links that break while hosts of two releases run: the earlier
+// one gets messages that it doesn't know.
+TEST(PeerFrames, AMessageOfALaterReleaseIsSkipped) {
+  // An empty struct in field 99 of the union.
+  const auto decoded =
+      DecodeMessage(std::string("\x0c\xc6\x01\x00\x00", 5));
+  CHECK(decoded.has_value());
+  CHECK(std::holds_alternative<PeerHeartbeat>(*decoded));
+}
+
 TEST(PeerFrames, AListThatClaimsToBeHugeIsRefused) {
   // A digest whose list of indexes announces 2^31-1 elements in seven bytes.
   const std::string bytes("\x2c\x8c\x29\xf5\xff\xff\xff\xff\x07\x00\x00\x00",
