Hand a stream over if its version isn't in an old endpoint list

A host that the store doesn't answer keeps the endpoint list that it has. A caller that came to it with a stream of a newer version was refused, although another host lists that version. The stream is handed over now if the list was requested more than 2.5 s ago and names no endpoint of its origin; a forwarded one is declined, so that the ingress host tries another scheduler. hickoryctl why tells these steps, and those of continued streams.

AHostWithAnOldListHandsTheStreamOver fails with that step left out.

--- a/packages/ctl/request_trace.cc
+++ b/packages/ctl/request_trace.cc
@@ -85,6 +85,32 @@
                  "endpoint of service {service}; {ms} ms after it arrived[; "
                  "runs here whose outcome is unknown: {uncertain_runs}]",
                  ""},
+    LineTemplate{kSchedulerPart, "Handed over: the endpoint list is old.",
+                 LineKind::kOther,
+                 "handed over to another scheduler, because the endpoint list "
+                 "of {host} is old and lacks the stream's software version; "
+                 "{ms} ms after it arrived",
+                 ""},
+    LineTemplate{kSchedulerPart, "Continues a stream.", LineKind::kOther,
+                 "continues a stream[ of attempt {first_attempt}], which began "
+                 "at software {software} of service {service}[, as {source} "
+                 "says][; found after {wait_ms} ms]",
+                 "at scheduler {host}"},
+    LineTemplate{
+        kSchedulerPart, "Refused: the stream's software version is unknown.",
+        LineKind::kOther,
+        "refused, because no host knows at which software version the stream[ "
+        "of attempt {first_attempt}] began; hosts asked: {asked}, without an "
+        "answer: {silent}[; hosts disagree, the last was {contradicted_by}][; "
+        "after {wait_ms} ms]",
+        ""},
+    LineTemplate{kSchedulerPart,
+                 "No endpoint of the stream's software version.",
+                 LineKind::kOther,
+                 "no endpoint of software {software} of service {service}, "
+                 "where the stream began, can continue it; listed: {listed}, "
+                 "tried: {tried}",
+                 ""},
     LineTemplate{kSchedulerPart, "Prompt not read.", LineKind::kOther,
                  "endpoint {endpoint} didn't read the prompt: {why} (status "
                  "{status}; 0 is none)",
--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -191,6 +191,10 @@
                 this->relay->SetEndpoints(listed);
                 this->versions->SetEndpoints(listed);
               },
+          .on_list_read =
+              [this](Instant asked_at) {
+                this->relay->ConfirmEndpoints(asked_at);
+              },
           .on_freshness_proof =
               [this](Instant at) { this->relay->ConfirmConfiguration(at); },
           .ask_peers =
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -69,6 +69,9 @@
   // An endpoint that was heard or connected within this time is not excluded
   // because it is silent.
   Duration tolerated_silence = std::chrono::milliseconds(1500);
+  // An endpoint list that was requested longer ago may lack versions that other
+  // hosts use. It is read every second.
+  Duration max_list_age = std::chrono::milliseconds(2500);
 };
 
 // Callbacks to the owner of a relay.
@@ -147,6 +150,11 @@
   // Replaces the list of endpoints.
   void SetEndpoints(const FleetEndpoints& endpoints);
 
+  // Records that the list was read by a call made at that time.
+  void ConfirmEndpoints(Instant asked_at) {
+    this->endpoints_asked_at = std::max(this->endpoints_asked_at, asked_at);
+  }
+
   // The cache events of engines that this host follows for all schedulers, and
   // those that other hosts report.
   CacheFeed& Caches() { return this->cache_feed; }
@@ -336,6 +344,7 @@
   LogLimiter log_limiter;
   FleetConfigurationPtr configuration;
   FleetEndpoints endpoints;
+  Instant endpoints_asked_at{};  // when the newest list was requested
   // Listed endpoints by software version, with 0 for versions that left.
   using SoftwareCounts = std::map<SoftwareVersion, int64_t>;
   std::map<ServiceId, SoftwareCounts> software;
--- a/packages/relay/fleet_source.cc
+++ b/packages/relay/fleet_source.cc
@@ -266,6 +266,7 @@
     }
   }
   this->PublishEndpoints(now);
+  this->handlers.on_list_read(asked);
 }
 
 // Whether the store didn't answer the other hosts either. If their proofs show
--- a/packages/relay/fleet_source.h
+++ b/packages/relay/fleet_source.h
@@ -53,6 +53,8 @@
 struct FleetSourceHandlers {
   std::function<void(FleetConfigurationPtr)> on_configuration;
   std::function<void(const FleetEndpoints&)> on_endpoints;
+  // The list passed to on_endpoints was read by a call made at that time.
+  std::function<void(Instant)> on_list_read = [](Instant) {};
   // The last configuration passed to on_configuration was still the newest at
   // that time.
   std::function<void(Instant)> on_freshness_proof;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -500,6 +500,24 @@
   return profile;
 }
 
+// A host whose endpoint list is old may not know the stream's version yet, but
+// another one may. Returns whether another host has the request now.
+bool RelayedRequest::PassOnIfListIsOld() {
+  const Duration age =
+      this->relay->clock->Now() - this->relay->endpoints_asked_at;
+  if (age <= this->relay->settings.max_list_age ||
+      this->relay->ListedEndpoints(this->progress.Origin()) > 0) {
+    return false;
+  }
+  if (this->origin.host.Empty()) {
+    return this->HandOver("Handed over: the endpoint list is old.");
+  }
+  if (this->uncertain_runs == 0) {
+    this->caller->Decline();
+  }
+  return false;
+}
+
 void RelayedRequest::LogNoEndpointOfOrigin() {
   this->CountContinuation("unavailable");
   const StreamOrigin& began = this->progress.Origin();
@@ -531,6 +549,9 @@
     if (refused->reason == kOverStatedRates) {
       this->LogOverRates(*refused);
     } else if (refused->reason == kNoEndpointOfOrigin) {
+      if (this->PassOnIfListIsOld()) {
+        return;
+      }
       this->LogNoEndpointOfOrigin();
     }
     this->EndWithoutSending(ErrorKind::kNoEndpoint, refused->reason,
@@ -555,7 +576,7 @@
     return false;
   }
   if (this->origin.host.Empty()) {
-    if (this->HandOver()) {
+    if (this->HandOver("Handed over: no endpoint can be reached.")) {
       return true;
     }
   } else if (this->uncertain_runs == 0) {
@@ -570,7 +591,7 @@
   return true;
 }
 
-bool RelayedRequest::HandOver() {
+bool RelayedRequest::HandOver(std::string_view reason) {
   const auto& hand_over = this->relay->hooks.hand_over;
   if (!hand_over || this->uncertain_runs >= this->route->max_attempts) {
     return false;
@@ -587,8 +608,7 @@
                                .counted = this->counted});
   if (taken) {
     this->relay->Log(
-        LogLevel::kInfo, this->request.id,
-        "Handed over: no endpoint can be reached.",
+        LogLevel::kInfo, this->request.id, reason,
         {{"service", this->service.Text()},
          {"uncertain_runs", std::to_string(this->uncertain_runs)},
          {"ms", MillisecondsText(this->relay->clock->Now() - this->arrived)}});
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -122,9 +122,10 @@
   void Place();
   void PlaceWithTokens();
   void LogOverRates(const PlacementRefusal& refused);
+  bool PassOnIfListIsOld();
   void LogNoEndpointOfOrigin();
   bool EndIfCutOff();
-  bool HandOver();
+  bool HandOver(std::string_view reason);
   void SendAgain(std::string_view why);
   bool MayRepeat() const;
   void RecordFailure(const Attempt& ended, HttpEnd end);
