Stand-alone hosts resume an answer at its software version only

A stand-alone host resumed a broken answer at any engine of the service. Engines may state the version of their software in their load report now; both dispatchers ask StreamProgress, as the relay does, where an answer may go on: at the version that sent its first token. An engine that has not reported yet, or has crashed since, is of no known version if others state one. Without an engine of the version the answer ends with broken_answer at once.

BrokenStreamIsResumedAtItsVersion and ResumesAStreamAtItsSoftwareVersion fail with the check switched off, in either dispatcher.

--- a/fakes/engine.cc
+++ b/fakes/engine.cc
@@ -214,6 +214,16 @@
   this->task.Call([&] { this->leaving = now_leaving; });
 }
 
+void FakeEngine::SetSoftware(const std::string& version) {
+  this->task.Call([&] { this->software = version; });
+}
+
+int64_t FakeEngine::LoadReports() {
+  int64_t reports = 0;
+  this->task.Call([&] { reports = this->load_sequence; });
+  return reports;
+}
+
 std::vector<RunRecord> FakeEngine::Runs() {
   std::vector<RunRecord> copy;
   this->task.Call([&] { copy = this->runs; });
@@ -501,6 +511,9 @@
   out.BeginObject();
   out.Member("incarnation", this->incarnation);
   out.Member("sequence", ++this->load_sequence);
+  if (!this->software.empty()) {
+    out.Member("software", this->software);
+  }
   out.Member("role", this->role).Member("leaving", this->leaving);
   out.Member("queued_prompt_tokens", this->batch.QueuedPromptTokens());
   out.Member("running", this->batch.Running());
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -84,6 +84,10 @@
   // Sets the fault of completions that start after this call.
   void SetFault(FaultInjection fault);
   void SetLeaving(bool leaving);
+  void SetSoftware(const std::string& version);  // as reported from now on
+
+  // How often it has reported its load.
+  int64_t LoadReports();
 
   // All completion requests received, oldest first. Cleared at 200,000 records.
   std::vector<RunRecord> Runs();
@@ -149,6 +153,7 @@
   std::vector<RunRecord> runs;
   FaultInjection fault;
   std::string role = "mixed";
+  std::string software;  // empty: not reported
   bool leaving = false;
   bool crashing = false;
   uint64_t incarnation = 1;
--- a/packages/decisions/hickorystand_dispatcher.cc
+++ b/packages/decisions/hickorystand_dispatcher.cc
@@ -185,7 +185,8 @@
           .ignore_room = this->MustStartNow(active),
           .least_work = active.least_work,
           .avoid = active.avoid,
-          .avoid_zones = active.avoid_zones};
+          .avoid_zones = active.avoid_zones,
+          .progress = active.progress};
 }
 
 bool HickorystandDispatcher::TryStart(Instant now,
@@ -231,12 +232,14 @@
   const bool suspect =
       this->suspects.IsSuspected(now, active.request.fingerprint);
   this->router.OnSent(route.endpoint, active.request, route, suspect);
-  this->attempts.emplace(id, Attempt{.request = active.request.id,
-                                     .endpoint = route.endpoint,
-                                     .route = route,
-                                     .sent = now,
-                                     .resume_from = active.delivered,
-                                     .suspect = suspect});
+  this->attempts.emplace(
+      id, Attempt{.request = active.request.id,
+                  .endpoint = route.endpoint,
+                  .route = route,
+                  .sent = now,
+                  .origin = this->router.OriginOf(route.endpoint),
+                  .resume_from = active.delivered,
+                  .suspect = suspect});
   active.state = State::kRunning;
   active.attempts.push_back(id);
   active.tries += 1;
@@ -301,6 +304,7 @@
   running.generated += generated_tokens;
   active.delivered =
       std::max(active.delivered, running.resume_from + running.generated);
+  NoteOrigin(active, running);
   DispatchList out;
   if (!running.first_token) {
     running.first_token = true;
@@ -313,6 +317,15 @@
   return out;
 }
 
+// Records where the answer began, once tokens of it were delivered.
+void HickorystandDispatcher::NoteOrigin(ActiveRequest& active,
+                                        const Attempt& attempt) {
+  if (active.delivered > 0 && !active.progress.Begun()) {
+    active.progress = attempt.origin ? StreamProgress::BegunAt(*attempt.origin)
+                                     : StreamProgress::BegunAtUnknownOrigin();
+  }
+}
+
 void HickorystandDispatcher::EndAttempt(Instant now,
                                         AttemptId attempt,
                                         AttemptOutcome outcome) {
@@ -396,6 +409,7 @@
   active.delivered =
       std::max(active.delivered, attempt.resume_from + result.generated_tokens);
   active.may_have_run = active.may_have_run || !SurelyNotRun(result.outcome);
+  NoteOrigin(active, attempt);
   this->EndAttempt(now, result.attempt, result.outcome);
   DispatchList out;
   switch (result.outcome) {
@@ -427,6 +441,13 @@
   return out;
 }
 
+// Whether an endpoint can continue the answer at the software version that
+// began it.
+bool HickorystandDispatcher::HasOriginOf(const ActiveRequest& active) const {
+  return !active.progress.OriginUnknown() &&
+         this->router.HasOrigin(active.progress.Origin());
+}
+
 void HickorystandDispatcher::HandleFailure(Instant now,
                                            ActiveRequest& active,
                                            const Attempt& attempt,
@@ -449,7 +470,7 @@
                         request_class != RequestClass::kBatch;
   const bool batch = request_class == RequestClass::kBatch;
   if (active.tries >= (batch ? kMaxBatchTries : kMaxTries) || too_late ||
-      (active.delivered > 0 && !resumable) ||
+      (active.delivered > 0 && !(resumable && this->HasOriginOf(active))) ||
       this->suspects.IsBlocked(now, active.request.fingerprint)) {
     this->RefuseAfterFailure(active, out);
     return;
--- a/packages/decisions/hickorystand_dispatcher.h
+++ b/packages/decisions/hickorystand_dispatcher.h
@@ -87,6 +87,7 @@
     std::vector<AttemptId> attempts;
     int64_t tries = 0;
     int64_t delivered = 0;      // generated tokens sent to the caller
+    StreamProgress progress;    // where the first of them came from
     bool started = false;       // admission has charged its cost
     double charged = 0;         // the cost that was charged
     bool may_have_run = false;  // some of it may have been sent
@@ -105,6 +106,7 @@
     EndpointId endpoint;
     Route route;
     Instant sent{};
+    std::optional<StreamOrigin> origin;  // nullopt: its version isn't known
     int64_t resume_from = 0;
     int64_t generated = 0;
     bool first_token = false;
@@ -143,6 +145,8 @@
                     ActiveRequest& active,
                     AttemptId keep,
                     DispatchList& out);
+  static void NoteOrigin(ActiveRequest& active, const Attempt& attempt);
+  bool HasOriginOf(const ActiveRequest& active) const;
   void EndAttempt(Instant now, AttemptId attempt, AttemptOutcome outcome);
   void RecordCrash(Instant now, Attempt& attempt);
   double UsedCost(const ActiveRequest& active) const;
--- a/packages/decisions/request.h
+++ b/packages/decisions/request.h
@@ -80,6 +80,7 @@
   EndpointId endpoint;
   uint64_t incarnation = 0;  // changes when the endpoint restarts
   int64_t sequence = 0;
+  SoftwareVersion software;  // empty: the endpoint states none
   EndpointRole role = EndpointRole::kMixed;
   bool leaving = false;
   int64_t queued_prompt_tokens = 0;
--- a/packages/decisions/round_robin_dispatcher.cc
+++ b/packages/decisions/round_robin_dispatcher.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "decisions/dispatcher.h"
+#include "decisions/stream_origin.h"
 #include "kernel/registry.h"
 
 namespace hickorystand {
@@ -81,11 +82,13 @@
     EndpointId endpoint;    // of kRunning
     int64_t tries = 0;
     int64_t delivered = 0;
+    StreamProgress progress;
     std::set<EndpointId> tried;
     bool may_have_run = false;
     bool caller_gone = false;
   };
 
+  StreamOrigin OriginOf(const EndpointId& endpoint) const;
   std::optional<EndpointId> Choose(const ActiveRequest& active);
   bool Usable(const ActiveRequest& active,
               const Endpoint& endpoint,
@@ -101,7 +104,8 @@
   std::map<RequestId, ActiveRequest> active_requests;
   std::map<AttemptId, RequestId> attempts;
   std::set<EndpointId> leaving;
-  std::map<ServiceId, EndpointId> last;  // chosen last
+  std::map<EndpointId, SoftwareVersion> software;  // as last reported
+  std::map<ServiceId, EndpointId> last;            // chosen last
   AttemptId next_attempt = 1;
   bool draining = false;
 };
@@ -162,6 +166,10 @@
                                               int64_t generated_tokens) {
   if (ActiveRequest* request = this->FindAttempt(attempt)) {
     request->delivered += generated_tokens;
+    if (request->delivered > 0 && !request->progress.Begun()) {
+      request->progress =
+          StreamProgress::BegunAt(this->OriginOf(request->endpoint));
+    }
   }
   return {};
 }
@@ -221,6 +229,7 @@
 }
 
 DispatchList RoundRobinDispatcher::OnLoad(Instant, const LoadReport& report) {
+  this->software[report.endpoint] = report.software;
   if (report.leaving) {
     this->leaving.insert(report.endpoint);
   } else {
@@ -290,6 +299,7 @@
                                   const Endpoint& endpoint,
                                   bool anywhere) const {
   return endpoint.service == active.request.service &&
+         active.progress.MayRunAt(this->OriginOf(endpoint.id)) &&
          (anywhere || endpoint.data_centre == this->options.data_centre) &&
          !this->leaving.contains(endpoint.id) &&
          !active.tried.contains(endpoint.id) &&
@@ -298,6 +308,14 @@
            active.request.request_class == RequestClass::kAtMostOnce);
 }
 
+// An endpoint that has not reported is of the empty version.
+StreamOrigin RoundRobinDispatcher::OriginOf(const EndpointId& endpoint) const {
+  const auto found = this->software.find(endpoint);
+  return {.service = this->configuration->endpoints.at(endpoint).service,
+          .software = found == this->software.end() ? SoftwareVersion()
+                                                    : found->second};
+}
+
 // The next endpoint in turn. Endpoints of other data centres are used only if
 // this one has none.
 std::optional<EndpointId> RoundRobinDispatcher::Choose(
--- a/packages/decisions/router.cc
+++ b/packages/decisions/router.cc
@@ -233,6 +233,9 @@
   if (view.Leaving() || (once && view.endpoint.cheap)) {
     return false;
   }
+  if (!this->MayContinueAt(view.endpoint.id, query.progress)) {
+    return false;
+  }
   // After an ejection an endpoint gets one request at a time, until it has
   // answered one.
   if (this->options.eject_outliers &&
@@ -248,6 +251,44 @@
   return this->HasRoom(view, request.request_class);
 }
 
+std::optional<StreamOrigin> Router::OriginOf(const EndpointId& endpoint) const {
+  const auto found = this->views.find(endpoint);
+  if (found == this->views.end()) {
+    return {};
+  }
+  const EndpointView& view = found->second;
+  const auto members = this->by_service.find(view.endpoint.service);
+  const bool versions_stated =
+      members != this->by_service.end() &&
+      std::ranges::any_of(members->second, [](const EndpointView* other) {
+        return !other->report.software.Empty();
+      });
+  // After a crash it may return as another version.
+  if ((!view.reported || view.down) && versions_stated) {
+    return {};
+  }
+  return StreamOrigin{.service = view.endpoint.service,
+                      .software = view.report.software};
+}
+
+bool Router::MayContinueAt(const EndpointId& endpoint,
+                           const StreamProgress& progress) const {
+  if (!progress.Begun()) {
+    return true;
+  }
+  const auto origin = this->OriginOf(endpoint);
+  return origin && progress.MayRunAt(*origin);
+}
+
+bool Router::HasOrigin(const StreamOrigin& origin) const {
+  const auto found = this->by_service.find(origin.service);
+  return found != this->by_service.end() &&
+         std::ranges::any_of(found->second, [&](const EndpointView* view) {
+           return !view->Leaving() &&
+                  this->OriginOf(view->endpoint.id) == origin;
+         });
+}
+
 bool Router::HasRoom(const EndpointView& view,
                      RequestClass request_class) const {
   const bool batch = request_class == RequestClass::kBatch;
@@ -378,7 +419,7 @@
   // never leave probation.
   const bool once = query.request->request_class == RequestClass::kAtMostOnce;
   const bool has_alternative =
-      this->HasAlternative(now, *query.request, query.avoid);
+      this->HasAlternative(now, *query.request, query.avoid, query.progress);
   std::erase_if(scored, [&](const ScoredEndpoint& one) {
     return has_alternative && query.avoid.contains(one.view->endpoint.id);
   });
@@ -426,14 +467,16 @@
 
 bool Router::HasAlternative(Instant now,
                             const Request& request,
-                            const std::set<EndpointId>& avoid) const {
+                            const std::set<EndpointId>& avoid,
+                            const StreamProgress& progress) const {
   const auto found = this->by_service.find(request.service);
   const bool once = request.request_class == RequestClass::kAtMostOnce;
   return found != this->by_service.end() &&
          std::ranges::any_of(found->second, [&](const EndpointView* view) {
            return !view->Leaving() && !view->Ejected(now) &&
                   !avoid.contains(view->endpoint.id) &&
-                  !(once && view->endpoint.cheap);
+                  !(once && view->endpoint.cheap) &&
+                  this->MayContinueAt(view->endpoint.id, progress);
          });
 }
 
--- a/packages/decisions/router.h
+++ b/packages/decisions/router.h
@@ -36,6 +36,7 @@
 #include "decisions/dispatcher.h"
 #include "decisions/prefix_cache.h"
 #include "decisions/request.h"
+#include "decisions/stream_origin.h"
 #include "kernel/time.h"
 
 namespace hickorystand {
@@ -79,6 +80,7 @@
   double least_work = 0;         // from LeastWork(); 0: don't check the fit
   std::set<EndpointId> avoid;    // earlier attempts failed there
   std::set<ZoneId> avoid_zones;  // avoided if there is a choice
+  StreamProgress progress;       // of the answer
 };
 
 // The chosen endpoint.
@@ -159,6 +161,13 @@
   // Whether any endpoint has room. A cheap check before Choose().
   bool HasRoomFor(Instant now, const ServiceId& service) const;
 
+  // The origin of answers that an endpoint begins, by its last report; nullopt
+  // if it is unknown. All endpoints that state no version have the same.
+  std::optional<StreamOrigin> OriginOf(const EndpointId& endpoint) const;
+
+  // Whether any endpoint that is not leaving can continue such answers.
+  bool HasOrigin(const StreamOrigin& origin) const;
+
   // Whether the service has any endpoint that is not leaving.
   bool HasEndpoint(const ServiceId& service) const;
 
@@ -166,7 +175,8 @@
   // has room. Leaving and ejected endpoints do not count.
   bool HasAlternative(Instant now,
                       const Request& request,
-                      const std::set<EndpointId>& avoid) const;
+                      const std::set<EndpointId>& avoid,
+                      const StreamProgress& progress = {}) const;
 
   // Least expected time to first token, full endpoints included. Empty if no
   // endpoint is available.
@@ -197,6 +207,8 @@
   void FillDigest(Digest& digest) const;
 
  private:
+  bool MayContinueAt(const EndpointId& endpoint,
+                     const StreamProgress& progress) const;
   struct ScoredEndpoint {
     const EndpointView* view;
     double seconds;  // to the first token
--- a/tests/gateway_bed.h
+++ b/tests/gateway_bed.h
@@ -127,7 +127,8 @@
   static constexpr const char* kKey = "sk-test-alpha-0123456789";
   static constexpr const char* kOtherKey = "sk-test-beta-0123456789";
 
-  explicit GatewayBed(GatewayOptions options = {}) {
+  // Endpoints are asked for their load only if `load_period` is set.
+  explicit GatewayBed(GatewayOptions options = {}, Duration load_period = {}) {
     static const bool kQuiet = [] {
       StartLog({.level = LogLevel::kError});
       return true;
@@ -142,7 +143,7 @@
         std::chrono::milliseconds(1500);
     options.driver.endpoints.http.timeouts.between_bytes =
         std::chrono::milliseconds(1500);
-    options.watcher = {.load_period = {}, .cache_period = {}};
+    options.watcher = {.load_period = load_period, .cache_period = {}};
     this->configuration.revision = 1;
     this->AddAccount("alpha", kKey);
     this->AddAccount("beta", kOtherKey);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -128,6 +128,35 @@
   LONGS_EQUAL(3, second.Runs().at(0).resume_from);
 }
 
+// Guards against an answer that goes on at another software version: at the
+// engine that resumes one while both have the same.
+TEST(Gateway, ResumesAStreamAtItsSoftwareVersion) {
+  FakeEngine first;
+  FakeEngine second;
+  GatewayBed bed({}, std::chrono::milliseconds(20));
+  bed.AddEngine("e1", first.Address());
+  bed.AddEngine("e2", second.Address());
+  const auto wait_for_reports = [&] {
+    for (FakeEngine* engine : {&first, &second}) {
+      const int64_t before = engine->LoadReports();
+      CHECK(Eventually([&] { return engine->LoadReports() > before + 2; }));
+    }
+  };
+  first.SetSoftware("v1");
+  second.SetSoftware("v1");
+  wait_for_reports();
+  first.SetFault({.kind = EngineFault::kTruncate, .after_tokens = 3});
+  CHECK(ReadStream(bed.caller.Send(bed.Chat("leaflet", true)).body).done);
+  LONGS_EQUAL(3, second.Runs().at(0).resume_from);
+  second.SetSoftware("v2");
+  wait_for_reports();
+  const StreamText stream =
+      ReadStream(bed.caller.Send(bed.Chat("form", true)).body);
+  STRCMP_EQUAL(GatewayBed::ChatText("form").c_str(), stream.text.c_str());
+  LONGS_EQUAL(1, second.Runs().size());
+  LONGS_EQUAL(6, first.Runs().back().resume_from);
+}
+
 // Guards against a truncated answer taken as whole: an engine closes its answer
 // in order, but early and without the end marker.
 TEST(Gateway, ResumesATruncatedStream) {
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -4,8 +4,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "kernel/registry.h"
 #include "policy_fixture.h"
@@ -163,6 +165,59 @@
   CHECK(out.front().endpoint != sent.front().endpoint);
 }
 
+// Where a request of three endpoints is sent first, and where it is resumed.
+std::pair<EndpointId, EndpointId> BeginAndResume(
+    const std::map<EndpointId, SoftwareVersion>& software) {
+  auto dispatcher =
+      MakeDispatcher(FleetBuilder().WithAccount("a").WithEndpoints(3).Build());
+  for (const auto& [endpoint, version] : software) {
+    LoadReport report = MakeReport(endpoint.Text(), 1, 2);
+    report.software = version;
+    dispatcher->OnLoad(At(0), report);
+  }
+  const DispatchList sent = dispatcher->OnArrival(At(1), MakeRequest("r"));
+  CHECK(Only(sent, DispatchKind::kSend));
+  dispatcher->OnProgress(At(2), sent.front().attempt, 40);
+  const DispatchList out = dispatcher->OnResult(
+      At(3), MakeResult(sent.front().attempt, Outcome::kBroken));
+  CHECK(Only(out, DispatchKind::kSend));
+  return {sent.front().endpoint, out.front().endpoint};
+}
+
+// Guards against an answer that goes on at another software version: without
+// versions, another endpoint is chosen.
+TEST(Policy, BrokenStreamIsResumedAtItsVersion) {
+  const SoftwareVersion first("v1");
+  const SoftwareVersion other("v2");
+  std::map<EndpointId, SoftwareVersion> software{{EndpointId("e1"), first},
+                                                 {EndpointId("e2"), first},
+                                                 {EndpointId("e3"), first}};
+  const auto [begun, resumed] = BeginAndResume(software);
+  CHECK(resumed != begun);
+  software[resumed] = other;
+  const auto [begun_again, resumed_again] = BeginAndResume(software);
+  CHECK(begun_again == begun);
+  CHECK(resumed_again != resumed && resumed_again != begun);
+}
+
+// Guards against an answer that waits, or goes on elsewhere, after the last
+// endpoint of its version has crashed or left.
+TEST(Policy, BrokenStreamEndsWithItsVersion) {
+  auto dispatcher =
+      MakeDispatcher(FleetBuilder().WithAccount("a").WithEndpoints(2).Build());
+  for (const char* endpoint : {"e1", "e2"}) {
+    LoadReport report = MakeReport(endpoint, 1, 2);
+    report.software = SoftwareVersion(endpoint);
+    dispatcher->OnLoad(At(0), report);
+  }
+  const DispatchList sent = dispatcher->OnArrival(At(1), MakeRequest("r"));
+  dispatcher->OnProgress(At(2), sent.front().attempt, 40);
+  const DispatchList out = dispatcher->OnResult(
+      At(3), MakeResult(sent.front().attempt, Outcome::kCrashed));
+  CHECK(Only(out, DispatchKind::kRefuse));
+  CHECK(ErrorKind::kBrokenAnswer == out.front().error->kind);
+}
+
 // One request crashes every engine that runs it, and its caller keeps retrying.
 // Without a limit it takes down the whole fleet. It may crash at most two
 // engines, and the requests that ran beside it must still be answered.
