--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -941,8 +941,7 @@
   if (set.heartbeat || *in == wire::Message()) {
     return WireMessage(PeerHeartbeat{});
   }
-  return Fail(ErrorKind::kBadRequest,
-              "message with a field out of range");
+  return Fail(ErrorKind::kBadRequest, "message with a field out of range");
 }
 
 }  // namespace hickorystand
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -765,8 +765,7 @@
 // one gets messages that it doesn't know.
 TEST(PeerFrames, AMessageOfALaterReleaseIsSkipped) {
   // An empty struct in field 99 of the union.
-  const auto decoded =
-      DecodeMessage(std::string("\x0c\xc6\x01\x00\x00", 5));
+  const auto decoded = DecodeMessage(std::string("\x0c\xc6\x01\x00\x00", 5));
   CHECK(decoded.has_value());
   CHECK(std::holds_alternative<PeerHeartbeat>(*decoded));
 }
