--- a/packages/relay/stream_tracker.h
+++ b/packages/relay/stream_tracker.h
@@ -3,8 +3,10 @@
 // StreamDirectory (decisions/stream_directory.h) over the links between hosts.
 //
 //   StreamTracker tracker(self, zone, clock, metrics, send);
-//   tracker.Record(first_attempt, origin, remaining);  // before the first
-//   event if (const auto found = tracker.Find(lookup, on_decision)) { ... }
+//   tracker.Record(first_attempt, origin, remaining);  // at the first event
+//   if (const auto found = tracker.Find(first_attempt, on_decision, lookup)) {
+//     ...
+//   }
 //
 // Index
 //   StreamLookup    a wait for a decision
