EndpointReach: forget a service that is no longer listed

The process ended with an exception when all endpoints of a service left the list while connections to them seemed cut off: the change of state counted failed connects of endpoints that were already removed. Found when relay_test's ChargesEachRepeatedPrefill unlisted endpoints that had just reset connections. The service's endpoints are cleared first.

AServiceThatIsNoLongerListedIsForgotten ended with std::out_of_range before.

--- a/packages/decisions/endpoint_reach.cc
+++ b/packages/decisions/endpoint_reach.cc
@@ -34,8 +34,9 @@
     }
     members[endpoint.service].insert(id);
   }
-  for (const auto& [id, service] : this->services) {
+  for (auto& [id, service] : this->services) {
     if (!members.contains(id) && service.state != ReachState::kReachable) {
+      service.endpoints.clear();
       this->Change(now, id, ReachState::kReachable, "no endpoint is listed");
     }
   }
--- a/tests/endpoint_reach_test.cc
+++ b/tests/endpoint_reach_test.cc
@@ -331,6 +331,20 @@
   CHECK(!host.CutOff());
 }
 
+// Guards against the loss of the process when the endpoints of a service that
+// seems cut off leave the list.
+TEST(EndpointReach, AServiceThatIsNoLongerListedIsForgotten) {
+  EndpointReach reach({}, 1);
+  const Instant now(seconds(10));
+  reach.SetEndpoints(now, Listed(3));
+  for (const auto& [id, endpoint] : Listed(3)) {
+    reach.OnLost(now, id);
+  }
+  CHECK(reach.State(kService) == ReachState::kSuspected);
+  reach.SetEndpoints(now, {});
+  CHECK(reach.State(kService) == ReachState::kReachable);
+}
+
 // Guards against a service that is left cut off unnoticed because it has little
 // traffic.
 TEST(EndpointReach, ACutOfOneServiceIsTriedAtTheOthers) {
