A begun stream goes only to a process that has stated its run

An endpoint's process states when it started in an answer to a call of its own, and its entry in the list has the same number. RunEvidence now counts a connection as one to the listed run only if it carried that answer, or was opened while such a connection was open; lists and times prove nothing any more. Before a stream begins at an endpoint without such a connection, the host asks first, which leaves the connection for the stream. A continuation is sent only on an idle connection whose process is known; another one is opened and asked otherwise, for 450 ms at most. An endpoint that doesn't answer isn't used for the continuation. So a doubted endpoint is used again after one round trip, where it took until the next list.

--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -278,8 +278,9 @@
       !this->beginnable->contains(origin)) {
     return false;
   }
-  return shape.accepts_doubted ? endpoint.role != EndpointRole::kPrefill
-                               : !this->sure_run || this->sure_run(endpoint);
+  return shape.accepts_doubted
+             ? endpoint.role != EndpointRole::kPrefill
+             : !this->run_in_doubt || !this->run_in_doubt(endpoint);
 }
 
 bool FleetPlacement::CanAccept(Instant now,
@@ -523,7 +524,8 @@
   if (weighed.empty() && MayUseEjected(shape)) {
     return this->Place(now, WithEjected(shape), tried);
   }
-  if (weighed.empty() && shape.begins_stream && !shape.accepts_doubted) {
+  const bool stream = shape.begins_stream || shape.progress.Begun();
+  if (weighed.empty() && stream && !shape.accepts_doubted) {
     RequestProfile doubted = shape;
     doubted.accepts_doubted = true;
     return this->Place(now, doubted, tried);
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -225,10 +225,10 @@
     this->connected = std::move(connected);
   }
 
-  // Sets the function that returns whether an endpoint is the listed run, and
-  // so has the listed software version. Without it every endpoint is.
-  void SetSureRun(std::function<bool(const FleetEndpoint&)> sure_run) {
-    this->sure_run = std::move(sure_run);
+  // Sets the function that returns whether an endpoint may be another run than
+  // the listed one, and so have another software version. Without it none is.
+  void SetInDoubt(std::function<bool(const FleetEndpoint&)> is_in_doubt) {
+    this->run_in_doubt = std::move(is_in_doubt);
   }
 
   // Replaces a service's parameters.
@@ -440,7 +440,7 @@
   EndpointRates rates;
   std::optional<std::set<StreamOrigin>> beginnable;
   std::function<bool(const FleetEndpoint&)> connected;
-  std::function<bool(const FleetEndpoint&)> sure_run;
+  std::function<bool(const FleetEndpoint&)> run_in_doubt;
   std::map<EndpointId, State> states;
   std::map<WorkId, Work> works;
   std::map<HostId, std::vector<EndpointOutstanding>> peers;
--- a/packages/decisions/run_evidence.cc
+++ b/packages/decisions/run_evidence.cc
@@ -4,16 +4,19 @@
 
 namespace hickorystand {
 
-bool RunEvidence::Address::Known() const {
-  return std::ranges::any_of(
-      this->connections, [](const auto& entry) { return entry.second.known; });
+// All open connections to an address lead to the same process.
+std::optional<int64_t> RunEvidence::Address::Started() const {
+  const auto stated = std::ranges::find_if(
+      this->connections,
+      [](const auto& entry) { return entry.second.has_value(); });
+  return stated == this->connections.end() ? std::nullopt : stated->second;
 }
 
-void RunEvidence::OnOpened(Instant now,
-                           const SocketAddress& address,
+void RunEvidence::OnOpened(const SocketAddress& address,
                            ConnectionId connection) {
   Address& at = this->addresses[address];
-  at.connections[connection] = {.opened_at = now, .known = at.Known()};
+  const std::optional<int64_t> started = at.Started();
+  at.connections[connection] = started;
 }
 
 void RunEvidence::OnClosed(const SocketAddress& address,
@@ -40,7 +43,20 @@
 
 void RunEvidence::Doubt(const SocketAddress& address) {
   Address& at = this->addresses.at(address);
-  at.doubted = at.doubted || !at.Known();
+  at.doubted = at.doubted || !at.Sure();
+}
+
+void RunEvidence::OnStated(const SocketAddress& address,
+                           ConnectionId connection,
+                           int64_t started) {
+  const auto found = this->addresses.find(address);
+  if (found == this->addresses.end() ||
+      !found->second.connections.contains(connection)) {
+    return;
+  }
+  Address& at = found->second;
+  at.connections[connection] = started;
+  at.doubted = at.listed && !at.Sure();
 }
 
 void RunEvidence::OnListed(Instant asked_at, const FleetEndpoints& endpoints) {
@@ -50,39 +66,52 @@
   }
   for (const auto& [id, endpoint] : endpoints) {
     Address& at = this->addresses[endpoint.address];
-    const bool same_run = at.run == endpoint.run;
     const bool same_id = at.run.id.Empty() || at.run.id == endpoint.run.id;
     at.listed = true;
     at.run = endpoint.run;
-    for (auto& [number, connection] : at.connections) {
-      connection.known =
-          (connection.known && same_run) ||
-          connection.opened_at + this->options.registration_delay <= asked_at;
-    }
-    at.doubted = at.doubted && same_id && !at.Known();
+    at.doubted = at.doubted && same_id && !at.Sure();
   }
   std::erase_if(this->addresses, [](const auto& entry) {
     return !entry.second.listed && entry.second.connections.empty();
   });
 }
 
-bool RunEvidence::IsSure(Instant now, const SocketAddress& address) const {
+bool RunEvidence::IsSure(const SocketAddress& address,
+                         ConnectionId connection,
+                         const EndpointRun& run) const {
+  const auto found = this->addresses.find(address);
+  if (found == this->addresses.end()) {
+    return false;
+  }
+  const auto known = found->second.connections.find(connection);
+  return known != found->second.connections.end() &&
+         known->second == run.started;
+}
+
+bool RunEvidence::IsSure(const SocketAddress& address,
+                         const EndpointRun& run) const {
+  const auto found = this->addresses.find(address);
+  return found != this->addresses.end() &&
+         found->second.Started() == run.started;
+}
+
+bool RunEvidence::InDoubt(Instant now, const SocketAddress& address) const {
   const auto found = this->addresses.find(address);
-  if (found != this->addresses.end() && found->second.Known()) {
-    return true;
+  if (found != this->addresses.end() && found->second.Sure()) {
+    return false;
   }
   const bool doubted = found != this->addresses.end() && found->second.doubted;
-  return !doubted && now - this->listed_at <= this->options.max_list_age;
+  return doubted || now - this->listed_at > this->options.max_list_age;
 }
 
-std::vector<SocketAddress> RunEvidence::Unconnected() const {
-  std::vector<SocketAddress> unconnected;
+std::vector<SocketAddress> RunEvidence::Doubted() const {
+  std::vector<SocketAddress> found;
   for (const auto& [address, at] : this->addresses) {
-    if (at.listed && at.doubted && at.connections.empty()) {
-      unconnected.push_back(address);
+    if (at.listed && at.doubted) {
+      found.push_back(address);
     }
   }
-  return unconnected;
+  return found;
 }
 
 }  // namespace hickorystand
--- a/packages/decisions/run_evidence.h
+++ b/packages/decisions/run_evidence.h
@@ -1,28 +1,32 @@
-// RunEvidence: whether the process at an endpoint's address is still the run
-// that the endpoint list names.
+// RunEvidence: whether the process at an endpoint's address is the run that the
+// endpoint list names.
 //
 // An endpoint that restarts may keep its id and its address, and have another
 // software version. It accepts connections before this host reads its new entry
 // in the list: within about a second, or much later while the store is away. A
 // call names the id only, so the restarted process would take it.
 //
-// A connection leads to one process for as long as it is open. Its process is
-// known if the list was requested later than `registration_delay` after the
-// connection was opened, since a restarted process would be in the list by
-// then; or if another such connection was open at the time. While there is one,
-// the listed run is sure. Without one it is in doubt if the other side has
-// closed or refused a connection since, or if the list is old. An endpoint with
-// another id at the same address starts without doubt, since calls name the id.
+// A connection leads to one process for as long as it is open. A process states
+// when it started, in its answer to a call that this host sends when it needs
+// to know. The connection that carried the answer surely leads to the listed
+// run if the list names the same start, and so do connections that are opened
+// while it is open.
 //
-// Two cases are not seen. A process that ends while this host has no connection
-// to it, and returns, is trusted until the list is old. A connection whose
-// other side has lost power counts as open until that is noticed.
+// Without such a connection the run is not sure, and it is in doubt if the
+// other side has closed or refused a connection since, or if the list is old.
+// An endpoint with another id at the same address starts without doubt, since
+// calls name the id.
+//
+// One case is not seen: a connection whose other side has lost power counts as
+// open until that is noticed, so a connection that is opened meanwhile counts
+// as one to the same process.
 //
 //   RunEvidence evidence;
-//   evidence.OnOpened(now, address, connection);
+//   evidence.OnOpened(address, connection);
+//   evidence.OnStated(address, connection, started);
 //   evidence.OnClosed(address, connection, by_peer);
 //   evidence.OnListed(asked_at, endpoints);
-//   if (evidence.IsSure(now, address)) { ... }
+//   if (evidence.IsSure(address, connection, endpoint.run)) { ... }
 //
 // Index
 //   ConnectionId         identifies a connection
@@ -33,6 +37,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "decisions/fleet_endpoint.h"
@@ -45,8 +50,6 @@
 using ConnectionId = uint64_t;
 
 struct RunEvidenceOptions {
-  // A process is in the list this long after it accepts connections.
-  Duration registration_delay = std::chrono::milliseconds(500);
   // An older list may name runs that have ended.
   Duration max_list_age = std::chrono::milliseconds(2500);
 
@@ -61,36 +64,44 @@
 
   // A connection was opened, or closed by either side, or a connect was
   // refused.
-  void OnOpened(Instant now,
-                const SocketAddress& address,
-                ConnectionId connection);
+  void OnOpened(const SocketAddress& address, ConnectionId connection);
   void OnClosed(const SocketAddress& address,
                 ConnectionId connection,
                 bool by_peer);
   void OnRefused(const SocketAddress& address);
 
+  // The process to which a connection leads has stated when it started.
+  void OnStated(const SocketAddress& address,
+                ConnectionId connection,
+                int64_t started);
+
   // A list of endpoints that was requested at that time.
   void OnListed(Instant asked_at, const FleetEndpoints& endpoints);
 
-  // Whether the process at an address is the listed run.
-  bool IsSure(Instant now, const SocketAddress& address) const;
+  // Whether a connection, or any open one, leads to this run.
+  bool IsSure(const SocketAddress& address,
+              ConnectionId connection,
+              const EndpointRun& run) const;
+  bool IsSure(const SocketAddress& address, const EndpointRun& run) const;
 
-  // Listed addresses in doubt to which no connection is open. One that is
-  // opened now removes the doubt with a later list.
-  std::vector<SocketAddress> Unconnected() const;
+  // Whether there are signs that the process at an address may not be the
+  // listed run.
+  bool InDoubt(Instant now, const SocketAddress& address) const;
+
+  // Listed addresses at which a process has ended, or seems to have ended. A
+  // statement of the listed run removes the doubt.
+  std::vector<SocketAddress> Doubted() const;
 
  private:
-  struct Connection {
-    Instant opened_at{};
-    bool known = false;  // its process is the listed run
-  };
   struct Address {
-    std::map<ConnectionId, Connection> connections;
+    // When the process of each open connection started, as stated.
+    std::map<ConnectionId, std::optional<int64_t>> connections;
     EndpointRun run;
     bool listed = false;
     bool doubted = false;  // the other side ended or refused a connection
 
-    bool Known() const;
+    std::optional<int64_t> Started() const;
+    bool Sure() const { return this->Started() == this->run.started; }
   };
 
   void Doubt(const SocketAddress& address);
--- a/packages/relay/endpoint_pool.cc
+++ b/packages/relay/endpoint_pool.cc
@@ -284,6 +284,11 @@
   return !open || open->sent_before || open->socket->AnySent();
 }
 
+std::optional<ConnectionId> EndpointExchange::Connection() const {
+  const auto open = this->connection.lock();
+  return open ? std::optional(open->id) : std::nullopt;
+}
+
 EndpointPool::EndpointPool(const Clock& clock, EndpointPoolOptions options)
     : clock(&clock), options(options) {}
 
@@ -320,26 +325,43 @@
   connection->Open();
 }
 
-std::shared_ptr<EndpointConnection> EndpointPool::TakeIdle(
-    EndpointConnections& lane,
-    bool once) {
+std::shared_ptr<EndpointConnection> EndpointPool::FindIdle(
+    const EndpointConnections& lane,
+    bool once) const {
   // The endpoint is least likely to be closing the most recently used one.
   if (lane.idle.empty()) {
     return {};
   }
-  auto connection = lane.idle.back();
+  const auto& connection = lane.idle.back();
   const Duration rested = this->clock->Now() - connection->idle_since;
   const Duration allowed = once
                                ? FromSeconds(ToSeconds(connection->idle_limit) *
                                              this->options.once_idle_share)
                                : connection->idle_limit;
-  if (rested >= allowed || !connection->socket->Open()) {
-    return {};
+  const bool usable = rested < allowed && connection->socket->Open();
+  return usable ? connection : nullptr;
+}
+
+std::shared_ptr<EndpointConnection> EndpointPool::TakeIdle(
+    EndpointConnections& lane,
+    bool once) {
+  auto connection = this->FindIdle(lane, once);
+  if (connection) {
+    lane.idle.pop_back();
   }
-  lane.idle.pop_back();
   return connection;
 }
 
+std::optional<ConnectionId> EndpointPool::NextIdle(
+    const SocketAddress& address) const {
+  const auto found = this->connections_by_address.find(address);
+  if (found == this->connections_by_address.end()) {
+    return {};
+  }
+  const auto connection = this->FindIdle(found->second, false);
+  return connection ? std::optional(connection->id) : std::nullopt;
+}
+
 bool EndpointPool::HasIdle(const SocketAddress& address) const {
   const auto found = this->connections_by_address.find(address);
   return found != this->connections_by_address.end() &&
--- a/packages/relay/endpoint_pool.h
+++ b/packages/relay/endpoint_pool.h
@@ -22,6 +22,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -72,6 +73,9 @@
   // Whether bytes of the request may have left this process.
   bool MayHaveSent() const;
 
+  // The connection that carries it; nullopt if that is closed.
+  std::optional<ConnectionId> Connection() const;
+
  private:
   friend class EndpointConnection;
   friend class EndpointPool;
@@ -137,6 +141,10 @@
   // Whether an idle connection to the address is open.
   bool HasIdle(const SocketAddress& address) const;
 
+  // The open connection on which a request that may run twice would be sent;
+  // nullopt if a new one would be opened.
+  std::optional<ConnectionId> NextIdle(const SocketAddress& address) const;
+
   // Closes the idle connections to an address whose process has ended.
   void CloseIdle(const SocketAddress& address);
 
@@ -151,6 +159,9 @@
     std::list<std::shared_ptr<EndpointConnection>> busy;
   };
 
+  // The idle connection for a request; null if a new one has to be opened.
+  std::shared_ptr<EndpointConnection> FindIdle(const EndpointConnections& lane,
+                                               bool once) const;
   std::shared_ptr<EndpointConnection> TakeIdle(EndpointConnections& lane,
                                                bool once);
   void OnIdle(const std::shared_ptr<EndpointConnection>& connection);
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -38,8 +38,10 @@
 // Interval at which silence is noticed and probes are sent.
 constexpr Duration kReachPeriod = std::chrono::milliseconds(100);
 
-// Interval of connects to an endpoint whose run is in doubt.
-constexpr Duration kDoubtProbePeriod = std::chrono::seconds(1);
+// Timeout of a call that asks an endpoint which run it is, and the interval to
+// the next one if there was no answer.
+constexpr Duration kRunCheckPeriod = std::chrono::milliseconds(500);
+constexpr Duration kRunCheckTimeout = std::chrono::milliseconds(400);
 
 // A lost connection counts as a crash after this time if it is still unknown
 // whether other endpoints are reached.
@@ -110,8 +112,8 @@
   this->placement.SetConnected([this](const FleetEndpoint& endpoint) {
     return this->pool.HasIdle(endpoint.address);
   });
-  this->placement.SetSureRun([this](const FleetEndpoint& endpoint) {
-    return this->IsSureRun(endpoint);
+  this->placement.SetInDoubt([this](const FleetEndpoint& endpoint) {
+    return this->runs.InDoubt(this->clock->Now(), endpoint.address);
   });
 }
 
@@ -157,16 +159,88 @@
 void FleetRelay::ConfirmEndpoints(Instant asked_at) {
   this->endpoints_asked_at = std::max(this->endpoints_asked_at, asked_at);
   this->runs.OnListed(asked_at, this->endpoints);
-  std::erase_if(this->next_doubt_probe, [this](const auto& entry) {
+  std::erase_if(this->next_run_check, [this](const auto& entry) {
     return !this->endpoints_by_address.contains(entry.first);
   });
 }
 
 bool FleetRelay::IsSureRun(const FleetEndpoint& endpoint) const {
-  const auto listed = this->endpoints.find(endpoint.run.id);
-  return listed != this->endpoints.end() &&
-         listed->second.run == endpoint.run &&
-         this->runs.IsSure(this->clock->Now(), endpoint.address);
+  return this->runs.IsSure(endpoint.address, endpoint.run);
+}
+
+bool FleetRelay::HasSureConnection(const FleetEndpoint& endpoint) const {
+  const auto connection = this->pool.NextIdle(endpoint.address);
+  return connection &&
+         this->runs.IsSure(endpoint.address, *connection, endpoint.run);
+}
+
+bool FleetRelay::IsChecked(const SocketAddress& address) const {
+  return std::ranges::any_of(this->run_checks, [&](const auto& entry) {
+    return entry.second.address == address;
+  });
+}
+
+bool FleetRelay::CheckRun(const FleetEndpoint& endpoint) {
+  const SocketAddress& address = endpoint.address;
+  const Instant now = this->clock->Now();
+  const auto next = this->next_run_check.find(address);
+  EndpointRates& rates = this->placement.Rates();
+  if ((next != this->next_run_check.end() && now < next->second) ||
+      !rates.MaySend(now, endpoint.run.id)) {
+    return false;
+  }
+  rates.OnSent(now, endpoint.run.id);
+  const int64_t number = ++this->last_run_check;
+  RunCheck& check = this->run_checks[number];
+  check.address = address;
+  check.timer = Timer::After(kRunCheckTimeout, [this, number] {
+    this->run_checks.at(number).call->Cancel();
+    this->OnRunChecked(number, HttpEnd::kTimedOut);
+  });
+  check.call = this->pool.Send(
+      {.address = address, .head = this->codec->RunCall(address)},
+      {.on_head =
+           [&check](const Http1Head& head) {
+             check.status = head.status;
+             return true;
+           },
+       .on_bytes = [&check](std::string_view bytes) { check.body += bytes; },
+       .on_end = [this,
+                  number](HttpEnd end) { this->OnRunChecked(number, end); }});
+  return true;
+}
+
+// Streams avoid an endpoint whose run is in doubt, so no request would find out
+// whether it is the listed one.
+void FleetRelay::CheckDoubtedRuns() {
+  for (const SocketAddress& address : this->runs.Doubted()) {
+    const auto id = this->endpoints_by_address.find(address);
+    if (id != this->endpoints_by_address.end() && !this->IsChecked(address)) {
+      this->CheckRun(this->endpoints.at(id->second));
+    }
+  }
+}
+
+void FleetRelay::OnRunChecked(int64_t number, HttpEnd end) {
+  const RunCheck check = std::move(this->run_checks.at(number));
+  this->run_checks.erase(number);
+  const bool answered =
+      ClassifyAnswer({.end = end}) != Completeness::kTruncated &&
+      check.status == 200;
+  const auto started = answered ? this->codec->ReadRunStart(check.body)
+                                : Fail(ErrorKind::kEndpointFailed, "no answer");
+  const auto connection = check.call->Connection();
+  if (started && connection) {
+    this->runs.OnStated(check.address, *connection, *started);
+  }
+  const Instant now = this->clock->Now();
+  if (!started || this->runs.InDoubt(now, check.address)) {
+    this->next_run_check[check.address] = now + kRunCheckPeriod;
+  }
+  const auto waiting = this->requests;
+  for (const auto& request : waiting) {
+    request->OnRunChecked(check.address);
+  }
 }
 
 void FleetRelay::SetEndpoints(const FleetEndpoints& listed,
@@ -272,7 +346,7 @@
            },
        .on_opened =
            [this](const SocketAddress& address, ConnectionId connection) {
-             this->runs.OnOpened(this->clock->Now(), address, connection);
+             this->runs.OnOpened(address, connection);
            },
        .on_closed =
            [this](const SocketAddress& address, ConnectionId connection,
@@ -288,7 +362,7 @@
   for (const EndpointId& id : this->reach.TakeProbes(this->clock->Now())) {
     this->pool.Probe(this->endpoints.at(id).address);
   }
-  this->ConnectToDoubted();
+  this->CheckDoubtedRuns();
   const std::vector<ReachChange> changes = this->reach.TakeChanges();
   for (const ReachChange& change : changes) {
     this->OnReachChange(change);
@@ -308,19 +382,6 @@
   }
 }
 
-// Streams avoid an endpoint whose run is in doubt, so nothing else would
-// connect to it.
-void FleetRelay::ConnectToDoubted() {
-  const Instant now = this->clock->Now();
-  for (const SocketAddress& address : this->runs.Unconnected()) {
-    Instant& next = this->next_doubt_probe[address];
-    if (now >= next) {
-      next = now + kDoubtProbePeriod;
-      this->pool.Probe(address);
-    }
-  }
-}
-
 void FleetRelay::OnReachChange(const ReachChange& change) {
   const LogLevel level =
       change.to == ReachState::kCutOff ? LogLevel::kWarning : LogLevel::kInfo;
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -291,11 +291,30 @@
   // or cut off.
   void ObservePool();
   void UpdateReach();
-  void ConnectToDoubted();
 
-  // Whether the process at an endpoint's address is the listed run, and so has
-  // the listed software version.
+  // A call that asks an endpoint's process which run it is.
+  struct RunCheck {
+    SocketAddress address;
+    EndpointExchangePtr call;
+    std::unique_ptr<Timer> timer;
+    int status = 0;
+    std::string body;
+  };
+
+  // Whether the process at an endpoint's address is surely the listed run, and
+  // so has the listed software version.
   bool IsSureRun(const FleetEndpoint& endpoint) const;
+
+  // The same of the open connection that the next request would use.
+  bool HasSureConnection(const FleetEndpoint& endpoint) const;
+
+  // Asks the process, unless it gave no useful answer just now. The requests
+  // that wait are told of the answer. The connection is then kept as an idle
+  // one. Returns whether an answer is awaited.
+  bool CheckRun(const FleetEndpoint& endpoint);
+  bool IsChecked(const SocketAddress& address) const;
+  void CheckDoubtedRuns();
+  void OnRunChecked(int64_t check, HttpEnd end);
   void OnReachChange(const ReachChange& change);
   bool IsCommonLoss(const PendingCrash& crash) const;
   void WithdrawCrashes(const ServiceId& service);
@@ -339,7 +358,9 @@
   CallerServer server;
   CallerHandler forward;
   RunEvidence runs;  // outlives the connections of the pool
-  std::map<SocketAddress, Instant> next_doubt_probe;
+  std::map<SocketAddress, Instant> next_run_check;
+  std::map<int64_t, RunCheck> run_checks;  // by number
+  int64_t last_run_check = 0;
   EndpointPool pool;
   FleetPlacement placement;
   CacheFeed cache_feed;
--- a/packages/relay/message_codec.h
+++ b/packages/relay/message_codec.h
@@ -154,6 +154,11 @@
   virtual Result<CacheChanges> ReadCacheChanges(
       std::string_view body) const = 0;
 
+  // Head of a request that asks an endpoint's process when it started, as its
+  // entry in the list says, and the reader of its answer.
+  virtual std::string RunCall(const SocketAddress& endpoint) const = 0;
+  virtual Result<int64_t> ReadRunStart(std::string_view body) const = 0;
+
   // Head of a request for an engine's whole cache, up to the empty line, and
   // the reader of its answer.
   virtual std::string CacheListCall(const SocketAddress& engine) const = 0;
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -156,8 +156,10 @@
 void RelayedRequest::BeginStream() {
   const Attempt& current = *this->attempt;
   if (!this->progress.Begun()) {
-    const bool sure =
-        current.sure_run || this->relay->IsSureRun(current.endpoint);
+    const auto connection = current.exchange->Connection();
+    const bool sure = connection && this->relay->runs.IsSure(
+                                        current.endpoint.address, *connection,
+                                        current.endpoint.run);
     this->progress = sure ? StreamProgress::BegunAt(current.endpoint.Origin())
                           : StreamProgress::BegunAtUnknownOrigin();
   }
@@ -376,6 +378,11 @@
     this->Place();
     return;
   }
+  if (this->AwaitRunCheck(*answers, [this, read, reader] {
+        this->OnPromptHandle(read, reader);
+      })) {
+    return;
+  }
   this->SendRun({.endpoint = *answers},
                 this->handle_address.host + ":" +
                     std::to_string(this->handle_address.port) + "/" +
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -33,6 +33,9 @@
 // links are opened again within this time.
 constexpr Duration kUnlinkedRetryAfter = std::chrono::milliseconds(600);
 
+// Longest wait until endpoints of a stream's version have stated their runs.
+constexpr Duration kMaxRunCheckWait = std::chrono::milliseconds(450);
+
 // How long callers wait that don't say it.
 constexpr Duration kDefaultCallerTimeout = std::chrono::seconds(30);
 
@@ -525,6 +528,47 @@
   return false;
 }
 
+// Waits if the endpoint isn't surely the listed run. A begun stream goes only
+// on an open connection to that run: a new one could lead to the next process.
+// Calls `again` after the wait, or if the endpoint is out of the question.
+// Returns false if the request can be sent.
+bool RelayedRequest::AwaitRunCheck(const EndpointId& id,
+                                   const std::function<void()>& again) {
+  if (!IsStream(this->route->kind)) {
+    return false;
+  }
+  const FleetEndpoint& endpoint = this->relay->endpoints.at(id);
+  const bool begun = this->progress.Begun();
+  if (begun ? this->relay->HasSureConnection(endpoint)
+            : this->relay->IsSureRun(endpoint)) {
+    return false;
+  }
+  const Instant now = this->relay->clock->Now();
+  if (!this->run_check_end) {
+    this->run_check_end = now + kMaxRunCheckWait;
+  }
+  if (now < *this->run_check_end &&
+      ((!begun && this->relay->IsChecked(endpoint.address)) ||
+       this->relay->CheckRun(endpoint))) {
+    this->awaits_run_check = RunCheckWait{endpoint.address, again};
+    return true;
+  }
+  if (begun) {
+    this->tried.insert(id);
+    again();
+  }
+  return begun;
+}
+
+void RelayedRequest::OnRunChecked(const SocketAddress& address) {
+  if (this->awaits_run_check && this->awaits_run_check->address == address &&
+      !this->over) {
+    const auto keep = this->shared_from_this();
+    const auto wait = std::exchange(this->awaits_run_check, {});
+    wait->again();
+  }
+}
+
 void RelayedRequest::LogNoEndpointOfOrigin() {
   this->CountContinuation("unavailable");
   const StreamOrigin& began = this->progress.Origin();
@@ -571,7 +615,8 @@
   const PlacementTarget& placed = std::get<PlacementTarget>(verdict);
   if (placed.prefill_endpoint && this->MayPrefillSeparately()) {
     this->SendPrefill(*placed.prefill_endpoint, placed);
-  } else {
+  } else if (!this->AwaitRunCheck(placed.endpoint,
+                                  [this] { this->PlaceWithTokens(); })) {
     this->SendRun(placed, "");
   }
 }
@@ -800,7 +845,7 @@
   this->unsent_retry.reset();
   this->relay->reach.OnSent(now, next.endpoint.run.id);
   next.sent = now;
-  next.sure_run = this->relay->IsSureRun(next.endpoint);
+  this->run_check_end.reset();
   next.work = this->relay->placement.OnSent(now, next.endpoint.run.id,
                                             this->shape, work);
   this->relay->RecordPrefill(this->service, work.new_tokens);
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -57,6 +57,9 @@
   // cut off.
   void OnReachChanged();
 
+  // The process at an address has stated which run it is, or hasn't in time.
+  void OnRunChecked(const SocketAddress& address);
+
   // Logs a request that is unfinished at the end of the process.
   void LogUnfinished() const;
 
@@ -67,9 +70,8 @@
     EndpointExchangePtr exchange;
     WorkId work = 0;
     Instant sent{};
-    Duration expected{};    // to the first byte
-    bool reading = false;   // prefill call; another endpoint generates
-    bool sure_run = false;  // the endpoint was the listed run when it was sent
+    Duration expected{};   // to the first byte
+    bool reading = false;  // prefill call; another endpoint generates
     int status = 0;
     EndpointAnswer answer;
     HttpHeaders headers;
@@ -125,6 +127,7 @@
   void Place();
   void PlaceWithTokens();
   void LogOverRates(const PlacementRefusal& refused);
+  bool AwaitRunCheck(const EndpointId& id, const std::function<void()>& again);
   bool PassOnIfListIsOld();
   void LogNoEndpointOfOrigin();
   bool EndIfCutOff();
@@ -227,6 +230,14 @@
   // Set while the next send waits until it is known whether the service's
   // endpoints can be reached: why the last one failed.
   std::optional<std::string> awaits_reach;
+  // The next send waits until the process at an address states which run it is.
+  // All such waits before a send end at the same time.
+  struct RunCheckWait {
+    SocketAddress address;
+    std::function<void()> again;
+  };
+  std::optional<RunCheckWait> awaits_run_check;
+  std::optional<Instant> run_check_end;
   bool retry_charged = false;  // the next send is charged to the retry budget
   // When the last retry was taken from the budget, unless it was sent.
   std::optional<Instant> unsent_retry;
--- a/tests/run_evidence_test.cc
+++ b/tests/run_evidence_test.cc
@@ -22,83 +22,99 @@
   return Instant(FromSeconds(time));
 }
 
-FleetEndpoints Listed(int64_t started) {
-  const EndpointId id("e");
-  return {{id, {.run = {.id = id, .started = started}, .address = kAddress}}};
+EndpointRun Run(int64_t started) {
+  return {.id = EndpointId("e"), .started = started};
+}
+
+FleetEndpoints Listed(const EndpointRun& run) {
+  return {{run.id, {.run = run, .address = kAddress}}};
 }
 
 }  // namespace
 
 TEST_GROUP(RunEvidence){};
 
-TEST(RunEvidence, AFreshListIsTrustedWithoutAConnection) {
+// Guards against trusting a list that may name a run that has ended.
+TEST(RunEvidence, AFreshListAloneMakesNoRunSure) {
+  RunEvidence evidence;
+  CHECK(evidence.InDoubt(At(10), kAddress));
+  evidence.OnListed(At(10), Listed(Run(1)));
+  CHECK(!evidence.IsSure(kAddress, Run(1)));
+  CHECK(!evidence.InDoubt(At(12.5), kAddress));
+  CHECK(evidence.InDoubt(At(12.6), kAddress));
+}
+
+TEST(RunEvidence, AStatementMakesTheListedRunSure) {
   RunEvidence evidence;
-  CHECK(!evidence.IsSure(At(10), kAddress));
-  evidence.OnListed(At(10), Listed(1));
-  CHECK(evidence.IsSure(At(12.5), kAddress));
-  CHECK(!evidence.IsSure(At(12.6), kAddress));
+  evidence.OnListed(At(10), Listed(Run(1)));
+  evidence.OnOpened(kAddress, 1);
+  CHECK(!evidence.IsSure(kAddress, Run(1)));
+  evidence.OnStated(kAddress, 1, 1);
+  CHECK(evidence.IsSure(kAddress, Run(1)));
+  CHECK(!evidence.InDoubt(At(60), kAddress));
 }
 
 // Guards against an endpoint that ended and returned as another version before
 // this host reads its new entry.
 TEST(RunEvidence, AClosedConnectionPutsTheRunInDoubt) {
   RunEvidence evidence;
-  evidence.OnListed(At(10), Listed(1));
-  evidence.OnOpened(At(10.1), kAddress, 1);
+  evidence.OnListed(At(10), Listed(Run(1)));
+  evidence.OnOpened(kAddress, 1);
+  evidence.OnStated(kAddress, 1, 1);
   evidence.OnClosed(kAddress, 1, true);
-  CHECK(!evidence.IsSure(At(10.2), kAddress));
-  LONGS_EQUAL(1, evidence.Unconnected().size());
-  evidence.OnListed(At(11), Listed(1));
-  CHECK(!evidence.IsSure(At(11), kAddress));
-  evidence.OnOpened(At(11.1), kAddress, 2);
-  CHECK(evidence.Unconnected().empty());
-  evidence.OnListed(At(11.5), Listed(1));
-  CHECK(!evidence.IsSure(At(11.5), kAddress));
-  evidence.OnListed(At(11.6), Listed(1));
-  CHECK(evidence.IsSure(At(11.6), kAddress));
+  CHECK(!evidence.IsSure(kAddress, Run(1)));
+  CHECK(evidence.InDoubt(At(10.2), kAddress));
+  LONGS_EQUAL(1, evidence.Doubted().size());
+  evidence.OnOpened(kAddress, 2);
+  evidence.OnListed(At(11), Listed(Run(1)));
+  CHECK(evidence.InDoubt(At(11), kAddress));
+  evidence.OnStated(kAddress, 2, 2);
+  CHECK(evidence.InDoubt(At(11), kAddress));
+  CHECK(!evidence.IsSure(kAddress, Run(1)));
+  evidence.OnListed(At(12), Listed(Run(2)));
+  CHECK(evidence.IsSure(kAddress, Run(2)));
+  CHECK(!evidence.InDoubt(At(12), kAddress));
+  CHECK(evidence.Doubted().empty());
 }
 
 TEST(RunEvidence, ARefusedConnectPutsTheIdInDoubt) {
   RunEvidence evidence;
-  evidence.OnListed(At(10), Listed(1));
+  evidence.OnListed(At(10), Listed(Run(1)));
   evidence.OnRefused(kAddress);
-  CHECK(!evidence.IsSure(At(10.1), kAddress));
-  evidence.OnListed(At(11), Listed(2));
-  CHECK(!evidence.IsSure(At(11), kAddress));
-  const EndpointId other("other");
-  evidence.OnListed(
-      At(12),
-      {{other, {.run = {.id = other, .started = 3}, .address = kAddress}}});
-  CHECK(evidence.IsSure(At(12), kAddress));
+  CHECK(evidence.InDoubt(At(10.1), kAddress));
+  evidence.OnListed(At(11), Listed(Run(2)));
+  CHECK(evidence.InDoubt(At(11), kAddress));
+  evidence.OnListed(At(12), Listed({.id = EndpointId("other"), .started = 3}));
+  CHECK(!evidence.InDoubt(At(12), kAddress));
 }
 
 // Guards against doubt because this host closed a connection itself, or because
 // one of several connections was reset.
-TEST(RunEvidence, OtherClosesLeaveTheRunSure) {
+TEST(RunEvidence, OtherClosesLeaveNoDoubt) {
   RunEvidence evidence;
-  evidence.OnListed(At(10), Listed(1));
-  evidence.OnOpened(At(10.1), kAddress, 1);
+  evidence.OnListed(At(10), Listed(Run(1)));
+  evidence.OnOpened(kAddress, 1);
   evidence.OnClosed(kAddress, 1, false);
-  CHECK(evidence.IsSure(At(10.2), kAddress));
-  evidence.OnOpened(At(10.2), kAddress, 2);
-  evidence.OnOpened(At(10.3), kAddress, 3);
-  evidence.OnListed(At(11), Listed(1));
+  CHECK(!evidence.InDoubt(At(10.2), kAddress));
+  evidence.OnOpened(kAddress, 2);
+  evidence.OnOpened(kAddress, 3);
+  evidence.OnStated(kAddress, 3, 1);
   evidence.OnClosed(kAddress, 2, true);
-  CHECK(evidence.IsSure(At(11), kAddress));
+  CHECK(evidence.IsSure(kAddress, Run(1)));
 }
 
 // Guards against doubting all endpoints while the store is away: connections
 // that were opened beside a known one lead to the same process.
 TEST(RunEvidence, KnowledgePassesToOverlappingConnections) {
   RunEvidence evidence;
-  evidence.OnListed(At(10), Listed(1));
-  evidence.OnOpened(At(10.1), kAddress, 1);
-  evidence.OnListed(At(11), Listed(1));
-  evidence.OnOpened(At(20), kAddress, 2);
+  evidence.OnListed(At(10), Listed(Run(1)));
+  evidence.OnOpened(kAddress, 1);
+  evidence.OnStated(kAddress, 1, 1);
+  evidence.OnOpened(kAddress, 2);
   evidence.OnClosed(kAddress, 1, false);
-  CHECK(evidence.IsSure(At(60), kAddress));
+  CHECK(evidence.IsSure(kAddress, Run(1)));
   evidence.OnClosed(kAddress, 2, false);
-  CHECK(!evidence.IsSure(At(60), kAddress));
+  CHECK(!evidence.IsSure(kAddress, Run(1)));
 }
 
 // -- Simulated endpoints ------------------------------------------------------
@@ -107,18 +123,18 @@
 
 constexpr int kSteps = 400;
 constexpr uint32_t kRunsPerSeed = 20;
-constexpr double kRegistrationDelay = 0.5;
+constexpr double kRegistrationDelay = 3;
 
 // One address whose process ends and returns, with the same id, and a host that
-// connects to it and reads the list, which may be away. The host has a
-// connection to each process that ends.
+// connects to it, asks it, and reads the list, which may be away and name a run
+// long after its end.
 class RestartingEndpoint {
  public:
   explicit RestartingEndpoint(uint32_t seed) : random(seed) {
-    this->evidence.OnListed(At(this->now), Listed(this->listed));
+    this->evidence.OnListed(At(this->now), Listed(Run(this->listed)));
   }
 
-  void Run() {
+  void Play() {
     for (int step = 0; step < kSteps; ++step) {
       this->now += 0.001 * static_cast<double>(this->random() % 300);
       this->Register();
@@ -140,7 +156,7 @@
   }
 
   void End() {
-    if (this->open.empty() || !std::exchange(this->up, false)) {
+    if (!std::exchange(this->up, false)) {
       return;
     }
     for (const ConnectionId connection :
@@ -171,11 +187,15 @@
         this->Return();
         break;
       case 2:
+        if (!this->open.empty()) {
+          const size_t asked = this->random() % this->open.size();
+          this->evidence.OnStated(kAddress, this->open[asked], this->run);
+        }
+        break;
       case 3:
         if (this->up) {
           this->open.push_back(++this->last_connection);
-          this->evidence.OnOpened(At(this->now), kAddress,
-                                  this->last_connection);
+          this->evidence.OnOpened(kAddress, this->last_connection);
         } else {
           this->evidence.OnRefused(kAddress);
         }
@@ -193,7 +213,7 @@
       default:
         if (this->store_up) {
           this->listed = this->registered;
-          this->evidence.OnListed(At(this->now), Listed(this->listed));
+          this->evidence.OnListed(At(this->now), Listed(Run(this->listed)));
         }
     }
   }
@@ -202,7 +222,7 @@
     if (!this->up) {
       return;
     }
-    const bool is_sure = this->evidence.IsSure(At(this->now), kAddress);
+    const bool is_sure = this->evidence.IsSure(kAddress, Run(this->listed));
     (is_sure ? this->sure : this->unsure) += 1;
     this->wrong += is_sure && this->listed != this->run ? 1 : 0;
   }
@@ -231,7 +251,7 @@
   CHECK(rc::check("sure runs are the listed ones", [&](uint32_t seed) {
     for (uint32_t i = 0; i < kRunsPerSeed; ++i) {
       RestartingEndpoint endpoint(seed + i);
-      endpoint.Run();
+      endpoint.Play();
       sure += endpoint.sure;
       unsure += endpoint.unsure;
       RC_ASSERT(endpoint.wrong == 0);
