EndpointReach: a leaving endpoint that sends isn't silent

Callers' streams were broken off, or handed over and lost, at an endpoint that was draining in order and sent their events, when the other endpoints of its service refused connections: the host found the service cut off, and took back the streams of every endpoint that it didn't know to have been heard lately. Leaving endpoints were unknown to it.

Leaving endpoints stay known until they are unlisted. They count for no state of their service, as before. ALeavingEndpointThatIsHeardIsNotSilent failed before.

--- a/packages/decisions/endpoint_reach.cc
+++ b/packages/decisions/endpoint_reach.cc
@@ -18,18 +18,22 @@
 
 void EndpointReach::SetEndpoints(Instant now, const FleetEndpoints& listed) {
   std::erase_if(this->endpoints, [&listed](const auto& entry) {
-    const auto found = listed.find(entry.first);
-    return found == listed.end() || found->second.leaving;
+    return !listed.contains(entry.first);
   });
   std::map<ServiceId, std::set<EndpointId>> members;
   std::set<ServiceId> renewed;
   for (const auto& [id, endpoint] : listed) {
+    Endpoint& known = this->endpoints[id];
+    const bool renews =
+        known.run != endpoint.run || known.service != endpoint.service;
+    if (renews) {
+      known = {.service = endpoint.service, .run = endpoint.run};
+    }
+    known.leaving = endpoint.leaving;
     if (endpoint.leaving) {
       continue;
     }
-    Endpoint& known = this->endpoints[id];
-    if (known.run != endpoint.run || known.service != endpoint.service) {
-      known = {.service = endpoint.service, .run = endpoint.run};
+    if (renews) {
       renewed.insert(endpoint.service);
     }
     members[endpoint.service].insert(id);
@@ -60,13 +64,18 @@
   }
 }
 
-EndpointReach::Service* EndpointReach::ServiceOf(const EndpointId& endpoint) {
+const EndpointReach::Service* EndpointReach::ServiceOf(
+    const EndpointId& endpoint) const {
   const auto found = this->endpoints.find(endpoint);
-  return found == this->endpoints.end()
+  return found == this->endpoints.end() || found->second.leaving
              ? nullptr
              : &this->services.at(found->second.service);
 }
 
+EndpointReach::Service* EndpointReach::ServiceOf(const EndpointId& endpoint) {
+  return const_cast<Service*>(std::as_const(*this).ServiceOf(endpoint));
+}
+
 void EndpointReach::OnSent(Instant now, const EndpointId& endpoint) {
   const auto found = this->endpoints.find(endpoint);
   if (found != this->endpoints.end() && !found->second.owes_since) {
@@ -74,10 +83,15 @@
   }
 }
 
+// A leaving endpoint may still answer the requests that it has, which no state
+// of its service may end.
 void EndpointReach::OnHeard(Instant now, const EndpointId& endpoint) {
+  if (const auto leaving = this->endpoints.find(endpoint);
+      leaving != this->endpoints.end()) {
+    leaving->second.reached = now;
+  }
   if (Service* service = this->ServiceOf(endpoint)) {
     Endpoint& heard = this->endpoints.at(endpoint);
-    heard.reached = now;
     heard.owes_since.reset();
     service->heard = now;
     if (service->state == ReachState::kSuspected && service->silent) {
@@ -362,15 +376,12 @@
     const EndpointId& endpoint,
     Instant time,
     std::optional<Instant> Endpoint::* event) const {
-  const auto found = this->endpoints.find(endpoint);
-  if (found == this->endpoints.end()) {
-    return false;
-  }
-  const Service& service = this->services.at(found->second.service);
-  return std::ranges::any_of(service.endpoints, [&](const EndpointId& each) {
-    const auto& at = this->endpoints.at(each).*event;
-    return each != endpoint && at && *at > time;
-  });
+  const Service* service = this->ServiceOf(endpoint);
+  return service != nullptr &&
+         std::ranges::any_of(service->endpoints, [&](const EndpointId& each) {
+           const auto& at = this->endpoints.at(each).*event;
+           return each != endpoint && at && *at > time;
+         });
 }
 
 std::optional<Duration> EndpointReach::SilentFor(
@@ -395,10 +406,8 @@
 }
 
 size_t EndpointReach::Siblings(const EndpointId& endpoint) const {
-  const auto found = this->endpoints.find(endpoint);
-  return found == this->endpoints.end()
-             ? 0
-             : this->services.at(found->second.service).endpoints.size();
+  const Service* service = this->ServiceOf(endpoint);
+  return service == nullptr ? 0 : service->endpoints.size();
 }
 
 }  // namespace hickorystand
--- a/packages/decisions/endpoint_reach.h
+++ b/packages/decisions/endpoint_reach.h
@@ -182,6 +182,7 @@
   struct Endpoint {
     ServiceId service;
     EndpointRun run;
+    bool leaving = false;               // doesn't count for its service
     std::optional<Instant> owes_since;  // the oldest call without a byte
     std::optional<Instant> reached;     // last heard or connected
     std::optional<Instant> lost;        // last loss of a connection
@@ -208,6 +209,7 @@
     size_t next_in_order = 0;
   };
 
+  const Service* ServiceOf(const EndpointId& endpoint) const;
   Service* ServiceOf(const EndpointId& endpoint);
   void ClearEvidence(Instant now, Service& service);
   bool AnyOtherSince(const EndpointId& endpoint,
--- a/tests/endpoint_reach_test.cc
+++ b/tests/endpoint_reach_test.cc
@@ -331,6 +331,23 @@
   CHECK(!host.CutOff());
 }
 
+// Guards against taking streams back from a leaving endpoint that still sends
+// them, because the other endpoints of its service are down.
+TEST(EndpointReach, ALeavingEndpointThatIsHeardIsNotSilent) {
+  EndpointReach reach({}, 1);
+  const EndpointId leaving("e0");
+  reach.SetEndpoints(Instant(seconds(10)), Listed(3));
+  reach.OnConnected(Instant(seconds(10)), leaving);
+  FleetEndpoints listed = Listed(3);
+  listed.at(leaving).leaving = true;
+  reach.SetEndpoints(Instant(seconds(12)), listed);
+  reach.OnHeard(Instant(seconds(13)), leaving);
+  CHECK(reach.SilentFor(Instant(seconds(14)), leaving) == seconds(1));
+  listed.clear();
+  reach.SetEndpoints(Instant(seconds(15)), listed);
+  CHECK(!reach.SilentFor(Instant(seconds(16)), leaving));
+}
+
 // Guards against the loss of the process when the endpoints of a service that
 // seems cut off leave the list.
 TEST(EndpointReach, AServiceThatIsNoLongerListedIsForgotten) {
