Served versions: a removed version may return before all hosts read the record

After an hour without a listing, a version was removed from the record of served versions, and the record counted as complete at once. Schedulers that had read it before, up to 30 minutes ago, still begin streams at that version if it returns, so a caller's stream that no host remembered could go on at the other version.

ARemovedVersionIsPossibleUntilAllHosts- HaveReadTheRecord fails without it.

--- a/packages/decisions/served_versions.cc
+++ b/packages/decisions/served_versions.cc
@@ -148,7 +148,7 @@
   ServedVersions wanted = this->record.value_or(ServedVersions());
   this->AddListed(wanted, unix_ms);
   if (cleans_up) {
-    this->RemoveUnlisted(now, wanted);
+    this->RemoveUnlisted(now, unix_ms, wanted);
   }
   if (cleans_up || !this->record) {
     this->SetRoutesOf(wanted, unix_ms);
@@ -166,18 +166,25 @@
   }
 }
 
-void VersionLedger::RemoveUnlisted(Instant now, ServedVersions& wanted) const {
+// Until they read the record again, other hosts may begin streams at a removed
+// version that returns.
+void VersionLedger::RemoveUnlisted(Instant now,
+                                   int64_t unix_ms,
+                                   ServedVersions& wanted) const {
   if (now - this->observed_since < this->options.retention) {
     return;
   }
   for (auto& [id, service] : wanted.services) {
-    std::erase_if(service.versions, [&](const SoftwareVersion& software) {
+    const auto is_unlisted = [&](const SoftwareVersion& software) {
       const StreamOrigin origin{.service = id, .software = software};
       const auto last = this->last_listed.find(origin);
       return !this->listed.contains(origin) &&
              (last == this->last_listed.end() ||
               now - last->second >= this->options.retention);
-    });
+    };
+    if (std::erase_if(service.versions, is_unlisted) > 0) {
+      service.complete_since = unix_ms + Milliseconds(this->options.max_age);
+    }
   }
 }
 
@@ -203,7 +210,8 @@
 
 std::set<StreamOrigin> VersionLedger::Beginnable(Instant now) const {
   std::set<StreamOrigin> origins;
-  if (!this->record || now - *this->read_at >= this->options.max_age) {
+  if (!this->record || !this->read_at ||
+      now - *this->read_at >= this->options.max_age) {
     return origins;
   }
   for (const auto& [id, service] : this->record->services) {
--- a/packages/decisions/served_versions.h
+++ b/packages/decisions/served_versions.h
@@ -6,9 +6,10 @@
 // Schedulers keep two rules. A stream begins only at a version that this host
 // has read in the record; whoever sees another one in the endpoint list adds it
 // first. And a version is removed only after none of its endpoints was listed
-// for `retention`; by then a host that has not read the record for `max_age`
-// begins no streams. So the record names every version at which a stream that
-// is still wanted may have begun, whichever hosts were killed or cut off.
+// for `retention`. It may return, and hosts that read the record before begin
+// streams there for `max_age`, so the record counts as complete only after
+// that. It then names every version at which a stream that is still wanted may
+// have begun, whichever hosts were killed or cut off.
 //
 // The record says for each service since when that holds, and for each route of
 // streams to which services it has led, since when. A host whose configuration
@@ -128,7 +129,9 @@
 
  private:
   void AddListed(ServedVersions& record, int64_t unix_ms) const;
-  void RemoveUnlisted(Instant now, ServedVersions& record) const;
+  void RemoveUnlisted(Instant now,
+                      int64_t unix_ms,
+                      ServedVersions& record) const;
   void SetRoutesOf(ServedVersions& record, int64_t unix_ms) const;
 
   VersionLedgerOptions options;
--- a/tests/served_versions_test.cc
+++ b/tests/served_versions_test.cc
@@ -143,9 +143,14 @@
   VersionLedger ledger = Ledger(Record({"v1", "v2", "v3"}), {"v1", "v2"});
   ledger.SetEndpoints(At(3000), Endpoints({"v1"}));
   CHECK(!ledger.Wanted(At(3500), kMinute, true));
-  CHECK(ledger.Wanted(At(3602), kMinute, true) == Record({"v1", "v2"}));
+  const auto left = [](const std::set<std::string>& versions) {
+    ServedVersions record = Record(versions);
+    record.services[kService].complete_since = 31 * kMinute;
+    return record;
+  };
+  CHECK(ledger.Wanted(At(3602), kMinute, true) == left({"v1", "v2"}));
   CHECK(!ledger.Wanted(At(3602), kMinute, false));
-  CHECK(ledger.Wanted(At(6601), kMinute, true) == Record({"v1"}));
+  CHECK(ledger.Wanted(At(6601), kMinute, true) == left({"v1"}));
   ledger.StartObserving(At(6601));
   ledger.SetEndpoints(At(6601), Endpoints({"v1"}));
   CHECK(!ledger.Wanted(At(6602), kMinute, true));
@@ -171,8 +176,21 @@
   ledger.SetRoutes(5, Routes({ServiceId("t")}));
   CHECK(!ledger.Wanted(At(1), 5 * kMinute, false));
   const auto wanted = ledger.Wanted(At(1), 5 * kMinute, true);
-  CHECK(wanted && wanted->configuration == 5);
-  CHECK(wanted->routes.at(kRoute).since == 5 * kMinute);
+  CHECK(wanted && wanted->configuration == 5 &&
+        wanted->routes.at(kRoute).since == 5 * kMinute);
+}
+
+// Guards against a removed version that returns: schedulers that read the
+// record before begin streams there.
+TEST(ServedVersions, ARemovedVersionIsPossibleUntilAllHostsHaveReadTheRecord) {
+  VersionLedger ledger = Ledger(Record({"v1", "v2"}), {"v2"});
+  constexpr int64_t kRemoved = 100 * kMinute;
+  const auto wanted = ledger.Wanted(At(3601), kRemoved, true);
+  CHECK(wanted && *wanted != Record({"v1", "v2"}));
+  if (wanted) {
+    CHECK(!Only(*wanted, kRemoved + 30 * kMinute));
+    CHECK(Only(*wanted, kRemoved + 31 * kMinute) == Origin("v2"));
+  }
 }
 
 // -- Simulated schedulers -----------------------------------------------------
