--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -561,12 +561,14 @@
 }
 
 void RelayedRequest::OnRunChecked(const SocketAddress& address) {
-  if (this->awaits_run_check && this->awaits_run_check->address == address &&
-      !this->over) {
-    const auto keep = this->shared_from_this();
-    const auto wait = std::exchange(this->awaits_run_check, {});
-    wait->again();
+  if (!this->awaits_run_check || this->awaits_run_check->address != address ||
+      this->over) {
+    return;
   }
+  const auto keep = this->shared_from_this();
+  const RunCheckWait wait = std::move(*this->awaits_run_check);
+  this->awaits_run_check.reset();
+  wait.again();
 }
 
 void RelayedRequest::LogNoEndpointOfOrigin() {
--- a/packages/relay/served_versions_store.cc
+++ b/packages/relay/served_versions_store.cc
@@ -84,7 +84,6 @@
   const auto read = std::make_shared<PendingRead>();
   read->lookups = std::exchange(this->lookups, {});
   read->timeout = Timer::After(kLookupTimeout, [this, read] {
-    const auto keep = read;
     std::ranges::move(std::exchange(this->lookups, {}),
                       std::back_inserter(read->lookups));
     this->Finish(*read, {});
@@ -121,7 +120,8 @@
 
 void ServedVersionsStore::Finish(PendingRead& read,
                                  const std::optional<ServedVersions>& found) {
-  read.timeout.reset();
+  // It may have called this, and keeps `read` alive.
+  const std::unique_ptr<Timer> timeout = std::move(read.timeout);
   const int64_t now = this->handlers.unix_ms();
   for (const Lookup& lookup : std::exchange(read.lookups, {})) {
     lookup.on_found(found
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -691,8 +691,8 @@
     fleet[engine.run.id] = engine;
   }
   const auto change = PlanRole(fleet, kService, LoadOf(9));
-  CHECK(change && change->role == EndpointRole::kDecode);
-  CHECK(fleet.at(change->endpoint).software == SoftwareVersion("v2"));
+  CHECK(change && change->role == EndpointRole::kDecode &&
+        fleet.at(change->endpoint).software == SoftwareVersion("v2"));
   int changes = 0;
   while (const auto next = PlanRole(fleet, kService, LoadOf(0))) {
     fleet.at(next->endpoint).role = next->role;
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -215,7 +215,8 @@
   const DispatchList out = dispatcher->OnResult(
       At(3), MakeResult(sent.front().attempt, Outcome::kCrashed));
   CHECK(Only(out, DispatchKind::kRefuse));
-  CHECK(ErrorKind::kBrokenAnswer == out.front().error->kind);
+  const auto& error = out.front().error;
+  CHECK(error && error->kind == ErrorKind::kBrokenAnswer);
 }
 
 // One request crashes every engine that runs it, and its caller keeps retrying.
--- a/tests/stream_directory_test.cc
+++ b/tests/stream_directory_test.cc
@@ -257,8 +257,8 @@
 
  private:
   struct Host {
-    std::optional<StreamDirectory> directory;  // nullopt: not running
-    std::optional<FleetPlacement> placement;
+    std::unique_ptr<StreamDirectory> directory;  // null: not running
+    std::unique_ptr<FleetPlacement> placement;
     bool frozen = false;
     bool draining = false;
   };
@@ -273,7 +273,7 @@
   }
 
   bool Running(size_t host) const {
-    return this->hosts[host].directory.has_value();
+    return this->hosts[host].directory != nullptr;
   }
   bool LinkedWith(size_t one, size_t other) const {
     return one != other && this->Running(one) && this->Running(other) &&
@@ -297,8 +297,9 @@
   void Start(size_t host) {
     Host& started = this->hosts[host];
     started = {};
-    started.directory.emplace(NameOf(host), ZoneOf(host));
-    started.placement.emplace(PlacementOptions{});
+    started.directory =
+        std::make_unique<StreamDirectory>(NameOf(host), ZoneOf(host));
+    started.placement = std::make_unique<FleetPlacement>(PlacementOptions{});
     started.placement->SetEndpoints(this->Endpoints());
   }
 
