Calls that ask an endpoint for its run keep to its stated rate

Every host asked a doubted endpoint twice a second, and didn't read the rate that its answer states.

The answers' rates are recorded, and an endpoint in doubt is asked every 2 s unless a request needs it.

--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -43,6 +43,9 @@
 constexpr Duration kRunCheckPeriod = std::chrono::milliseconds(500);
 constexpr Duration kRunCheckTimeout = std::chrono::milliseconds(400);
 
+// Interval of such calls to an endpoint that is in doubt, without a request.
+constexpr Duration kDoubtCheckPeriod = std::chrono::seconds(2);
+
 // A lost connection counts as a crash after this time if it is still unknown
 // whether other endpoints are reached.
 constexpr Duration kCrashDecisionTime = std::chrono::seconds(2);
@@ -159,9 +162,11 @@
 void FleetRelay::ConfirmEndpoints(Instant asked_at) {
   this->endpoints_asked_at = std::max(this->endpoints_asked_at, asked_at);
   this->runs.OnListed(asked_at, this->endpoints);
-  std::erase_if(this->next_run_check, [this](const auto& entry) {
-    return !this->endpoints_by_address.contains(entry.first);
-  });
+  for (auto* next : {&this->next_run_check, &this->next_doubt_check}) {
+    std::erase_if(*next, [this](const auto& entry) {
+      return !this->endpoints_by_address.contains(entry.first);
+    });
+  }
 }
 
 bool FleetRelay::IsSureRun(const FleetEndpoint& endpoint) const {
@@ -200,8 +205,13 @@
   check.call = this->pool.Send(
       {.address = address, .head = this->codec->RunCall(address)},
       {.on_head =
-           [&check](const Http1Head& head) {
+           [this, &check, run = endpoint.run](const Http1Head& head) {
              check.status = head.status;
+             const auto rate =
+                 this->codec->ReadAnswer(head.status, head.headers).stated_rate;
+             if (rate) {
+               this->RecordRate({.endpoint = run, .per_second = rate});
+             }
              return true;
            },
        .on_bytes = [&check](std::string_view bytes) { check.body += bytes; },
@@ -213,9 +223,12 @@
 // Streams avoid an endpoint whose run is in doubt, so no request would find out
 // whether it is the listed one.
 void FleetRelay::CheckDoubtedRuns() {
+  const Instant now = this->clock->Now();
   for (const SocketAddress& address : this->runs.Doubted()) {
     const auto id = this->endpoints_by_address.find(address);
-    if (id != this->endpoints_by_address.end() && !this->IsChecked(address)) {
+    Instant& next = this->next_doubt_check[address];
+    if (id != this->endpoints_by_address.end() && now >= next) {
+      next = now + kDoubtCheckPeriod;
       this->CheckRun(this->endpoints.at(id->second));
     }
   }
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -359,6 +359,7 @@
   CallerHandler forward;
   RunEvidence runs;  // outlives the connections of the pool
   std::map<SocketAddress, Instant> next_run_check;
+  std::map<SocketAddress, Instant> next_doubt_check;
   std::map<int64_t, RunCheck> run_checks;  // by number
   int64_t last_run_check = 0;
   EndpointPool pool;
