--- a/packages/decisions/served_versions.cc
+++ b/packages/decisions/served_versions.cc
@@ -8,12 +8,8 @@
 namespace hickorystand {
 namespace {
 
-int64_t Milliseconds(Duration length) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-}
-
 bool IsLongAgo(int64_t since, int64_t unix_ms) {
-  return since == 0 || unix_ms - since >= Milliseconds(kLongestPatience);
+  return since == 0 || unix_ms - since >= ToMilliseconds(kLongestPatience);
 }
 
 template <typename Ids>
@@ -183,7 +179,7 @@
               now - last->second >= this->options.retention);
     };
     if (std::erase_if(service.versions, is_unlisted) > 0) {
-      service.complete_since = unix_ms + Milliseconds(this->options.max_age);
+      service.complete_since = unix_ms + ToMilliseconds(this->options.max_age);
     }
   }
 }
