Attempt failed: log the prompt's shared parts and whether the run had sent events

The record of BUDGET can't tell which part of their prompts requests share that crash endpoints, nor which of the runs lost in a crash had begun to answer. No change of behaviour.

--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -196,6 +196,15 @@
   return this->request.first_attempt ? this->request.first_attempt->Text() : "";
 }
 
+// The ids of the prompt's shared parts, for logs.
+std::string RelayedRequest::SharedPartsText() const {
+  std::string text;
+  for (const PromptPart& part : this->SharedParts()) {
+    text += (text.empty() ? "" : " ") + part.id;
+  }
+  return text;
+}
+
 void RelayedRequest::CountContinuation(std::string_view outcome) {
   if (this->StreamBegun()) {
     return;  // within one answer
@@ -895,6 +904,8 @@
          {"why", std::string(why)},
          {"framing", std::string(this->last_end.framing)},
          {"end", this->EndText()},
+         {"sent_events", this->attempt->first_byte_at ? "true" : "false"},
+         {"parts", this->SharedPartsText()},
          {"fingerprint", FingerprintText(this->fingerprint)},
          {"crashes", std::to_string(this->relay->suspects.Crashes(
                          this->relay->clock->Now(), this->fingerprint))}});
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 #include "relay/event_cutter.h"
@@ -103,6 +104,7 @@
   void RefuseUnknownOrigin(const StreamDecision& decision);
   void CountContinuation(std::string_view outcome);
   std::string FirstAttemptText() const;
+  std::string SharedPartsText() const;
   void BeginStream();
   void RecordOrigin();
   std::optional<StreamOrigin> KnownOrigin() const;
@@ -190,6 +192,13 @@
                                    : this->origin.until_close;
   }
 
+  // The prompt's parts without the last one, which belongs to this request or
+  // to its session.
+  std::span<const PromptPart> SharedParts() const {
+    const std::span all(this->request.parts);
+    return all.first(all.empty() ? 0 : all.size() - 1);
+  }
+
   // Whether the time left suffices for another send.
   bool HasTimeToSend() const;
   bool StreamBegun() const {
