--- a/packages/decisions/hickorystand_dispatcher.cc
+++ b/packages/decisions/hickorystand_dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <functional>
 #include <ranges>
 
 #include "kernel/registry.h"
@@ -25,6 +26,23 @@
          outcome == AttemptOutcome::kRefused;
 }
 
+// The prefixes of a prompt whose lengths are powers of two, in blocks, stand
+// for the parts that it shares with others. The whole prompt is its own.
+std::vector<uint64_t> PartsOf(const Request& request) {
+  std::vector<uint64_t> parts;
+  for (size_t length = 1; length < request.prefix_hashes.size(); length *= 2) {
+    parts.push_back(request.prefix_hashes[length - 1]);
+  }
+  return parts;
+}
+
+RequestTraits TraitsOf(const Request& request) {
+  const uint64_t account = std::hash<std::string>()(request.account.Text());
+  return {.fingerprint = request.fingerprint,
+          .account = account,
+          .parts = LimitParts(PartsOf(request), account)};
+}
+
 PolicyOptions WithIdentity(PolicyOptions policy,
                            const DispatcherOptions& options) {
   policy.router.data_centre = options.data_centre;
@@ -76,7 +94,7 @@
   // A repeated non-idempotent request is refused by its claim instead: this
   // error states that the request has not run, which would be wrong.
   if (request.request_class != RequestClass::kAtMostOnce &&
-      this->suspects.IsBlocked(now, request.fingerprint)) {
+      this->suspects.IsBlocked(now, TraitsOf(request))) {
     return Error{ErrorKind::kSuspectRequest,
                  "this request crashed the endpoints that ran it",
                  {}};
@@ -362,12 +380,14 @@
   if (attempt.crash_counted) {
     return;
   }
-  std::vector<uint64_t> fingerprints;
+  std::vector<LostRun> runs;
   for (auto& [id, other] : this->attempts) {
     if (other.endpoint == attempt.endpoint && !other.crash_counted) {
       other.crash_counted = true;
-      fingerprints.push_back(
-          this->active_requests.at(other.request).request.fingerprint);
+      runs.push_back(
+          {.request = TraitsOf(this->active_requests.at(other.request).request),
+           .sent = other.sent,
+           .answering = other.first_token});
     }
   }
   const EndpointView* view = this->router.Find(attempt.endpoint);
@@ -375,7 +395,7 @@
       now,
       {.endpoint = {.id = attempt.endpoint, .started = ++this->crashes},
        .zone = view->endpoint.zone},
-      fingerprints);
+      runs);
 }
 
 double HickorystandDispatcher::UsedCost(const ActiveRequest& active) const {
@@ -415,7 +435,7 @@
   switch (result.outcome) {
     case AttemptOutcome::kComplete:
       this->retries.OnSuccess();
-      this->suspects.OnAnswered(now, active.request.fingerprint);
+      this->suspects.OnAnswered(now, TraitsOf(active.request), attempt.sent);
       if (active.request.request_class == RequestClass::kLookup) {
         this->lookup_seconds += kLookupGain * (ToSeconds(now - attempt.sent) -
                                                this->lookup_seconds);
@@ -471,7 +491,7 @@
   const bool batch = request_class == RequestClass::kBatch;
   if (active.tries >= (batch ? kMaxBatchTries : kMaxTries) || too_late ||
       (active.delivered > 0 && !(resumable && this->HasOriginOf(active))) ||
-      this->suspects.IsBlocked(now, active.request.fingerprint)) {
+      this->suspects.IsBlocked(now, TraitsOf(active.request))) {
     this->RefuseAfterFailure(active, out);
     return;
   }
--- a/packages/decisions/suspects.cc
+++ b/packages/decisions/suspects.cc
@@ -3,32 +3,80 @@
 #include <algorithm>
 #include <array>
 #include <cinttypes>
+#include <cmath>
 #include <cstdio>
 #include <iterator>
+#include <limits>
 #include <ranges>
+#include <tuple>
 #include <utility>
 
 namespace hickorystand {
 namespace {
 
 constexpr size_t kPeers = 1024;
+constexpr size_t kMaxParts = 32;
 
-// A crash counts for two half crashes, or for one if it can be part of the loss
-// of a zone.
+// A crash counts for two half crashes, or for one if the cause is less likely
+// to have caused it.
 constexpr int64_t kWholeCrash = 2;
 constexpr int64_t kHalfCrash = 1;
 
-bool Disjoint(const std::set<uint64_t>& a, const std::set<uint64_t>& b) {
-  return std::ranges::none_of(
-      a, [&b](uint64_t fingerprint) { return b.contains(fingerprint); });
+// With fewer runs than this, the share of lost runs is unknown.
+constexpr int64_t kMinCompared = 5;
+
+// Crashes needed for a part while that share is unknown, as a multiple.
+constexpr int64_t kUnknownShareFactor = 4;
+
+// A repeated request is a likelier cause than a part that many requests share.
+constexpr double kRequestChanceFactor = 10;
+
+// Requests with a part that must have been lost before the part is blocked.
+constexpr size_t kMinRequestsOfPart = 2;
+constexpr size_t kMinAccountsOfPart = 2;
+
+// The finalizer of SplitMix64.
+uint64_t Mix(uint64_t value) {
+  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+  return value ^ (value >> 31U);
+}
+
+CrashCause Request(uint64_t fingerprint) {
+  return {.kind = CauseKind::kRequest, .hash = fingerprint};
+}
+
+CrashCause Part(uint64_t hash) {
+  return {.kind = CauseKind::kPart, .hash = hash};
+}
+
+// The part in the prompts of any account.
+CrashCause WithoutAccount(const CrashCause& cause) {
+  return cause.kind == CauseKind::kRequest ? cause : Part(cause.hash);
+}
+
+bool IsPart(const CrashCause& cause) {
+  return cause.kind != CauseKind::kRequest;
+}
+
+// The causes for which a request may be refused.
+std::vector<CrashCause> CausesOf(const RequestTraits& request) {
+  std::vector<CrashCause> all{Request(request.fingerprint)};
+  for (const uint64_t part : request.parts) {
+    all.push_back(Part(part));
+    all.push_back({.kind = CauseKind::kAccountPart,
+                   .hash = part,
+                   .account = request.account});
+  }
+  return all;
 }
 
 Duration Between(Instant a, Instant b) {
   return std::max(a, b) - std::min(a, b);
 }
 
-template <typename EvidenceList>
-int64_t SumOf(EvidenceList&& counted) {
+template <typename List>
+int64_t SumOf(const List& counted) {
   int64_t sum = 0;
   for (const auto& one : counted) {
     sum += one.half_crashes;
@@ -36,14 +84,6 @@
   return sum;
 }
 
-// Removes the entries with the oldest times until at most `most` are left.
-template <typename Entries, typename TimeOf>
-void RemoveOldest(Entries& entries, size_t most, TimeOf time_of) {
-  while (entries.size() > most) {
-    entries.erase(std::ranges::min_element(entries, {}, time_of));
-  }
-}
-
 }  // namespace
 
 std::string FingerprintText(uint64_t fingerprint) {
@@ -52,127 +92,383 @@
   return text.data();
 }
 
-Suspects::Suspects(const SuspectsOptions& options) : options(options) {}
+std::vector<uint64_t> LimitParts(std::vector<uint64_t> parts,
+                                 uint64_t account) {
+  if (parts.size() > kMaxParts) {
+    parts.resize(kMaxParts - 1);
+    parts.push_back(Mix(account + kMaxParts));
+  }
+  return parts;
+}
+
+Suspects::Suspects(const SuspectsOptions& options)
+    : options(options), answers(options.comparison_window) {}
+
+// --- Crashes ----------------------------------------------------------------
 
 void Suspects::OnCrash(Instant now,
                        const CrashedEndpoint& crash,
-                       const std::vector<uint64_t>& fingerprints) {
+                       const std::vector<LostRun>& runs) {
   this->Expire(now);
-  if (!this->Merge(crash, now, fingerprints)) {
+  if (!this->Merge(crash, now, runs, true)) {
     return;
   }
-  auto news = std::ranges::find(this->new_crashes, crash, &Crash::crashed);
+  auto news = std::ranges::find(this->new_crashes, crash, &NewCrash::crashed);
   if (news == this->new_crashes.end()) {
     news = this->new_crashes.insert(news, {.crashed = crash, .time = now});
   }
-  news->fingerprints.insert(fingerprints.begin(), fingerprints.end());
+  std::ranges::copy(runs, std::back_inserter(news->runs));
   this->Evaluate();
 }
 
 void Suspects::Withdraw(Instant now, const std::vector<CrashedEndpoint>& lost) {
   this->Expire(now);
-  const auto is_lost = [&lost](const Crash& crash) {
+  const auto is_lost = [&lost](const auto& crash) {
     return std::ranges::find(lost, crash.crashed) != lost.end();
   };
-  std::erase_if(this->crashes, is_lost);
+  this->RemoveCrashesIf(is_lost);
   std::erase_if(this->new_crashes, is_lost);
   this->Evaluate();
 }
 
-bool Suspects::OnAnswered(Instant now, uint64_t fingerprint) {
-  if (!this->evidence.contains(fingerprint)) {
-    return false;
-  }
-  this->Expire(now);
-  if (this->MergeAnswer(fingerprint, now)) {
-    this->new_answers.insert(fingerprint);
+Suspects::Crash& Suspects::FindOrAdd(const CrashedEndpoint& crash,
+                                     Instant time) {
+  auto found = std::ranges::find_if(this->crashes, [&](const Crash& known) {
+    return known.crashed == crash &&
+           Between(known.time, time) <= this->options.crash_window;
+  });
+  if (found == this->crashes.end()) {
+    this->LimitCrashes();
+    this->crashes.push_back({.crashed = crash, .time = time});
+    found = std::prev(this->crashes.end());
   }
-  this->Evaluate();
-  return true;
-}
-
-void Suspects::OnUpdate(Instant now, const SuspectsUpdate& update) {
-  this->Expire(now);
-  const auto fresh = [this](const auto& report) {
-    return report.age >= Duration{} && report.age < this->options.retention;
+  found->time = std::min(found->time, time);
+  const auto order = [](const Crash& one) {
+    return std::tie(one.time, one.crashed);
   };
-  for (const CrashReport& one : update.crashes | std::views::filter(fresh)) {
-    this->Merge(one.crash, now - one.age, one.fingerprints);
-  }
-  for (const AnswerReport& one : update.answers | std::views::filter(fresh)) {
-    this->MergeAnswer(one.fingerprint, now - one.age);
-  }
-  this->Evaluate();
+  const auto place = std::ranges::upper_bound(this->crashes.begin(), found,
+                                              order(*found), {}, order);
+  std::rotate(place, found, std::next(found));
+  return *place;
 }
 
-Suspects::Crash& Suspects::FindOrAdd(const CrashedEndpoint& crash,
-                                     Instant time) {
-  const auto found =
-      std::ranges::find_if(this->crashes, [&](const Crash& known) {
-        return known.crashed == crash &&
-               Between(known.time, time) <= this->options.crash_window;
-      });
-  if (found != this->crashes.end()) {
-    found->time = std::min(found->time, time);
-    return *found;
+// Makes room for another crash. Crashes of blocked causes are kept longer.
+void Suspects::LimitCrashes() {
+  while (this->crashes.size() >= this->options.max_crashes) {
+    const auto unblocked =
+        std::ranges::find_if(this->crashes, [this](const Crash& crash) {
+          return std::ranges::none_of(this->blocks, [&](const auto& block) {
+            return Find(crash, block.first) != nullptr;
+          });
+        });
+    this->RemoveCrash(unblocked == this->crashes.end()
+                          ? 0
+                          : static_cast<size_t>(std::distance(
+                                this->crashes.begin(), unblocked)));
   }
-  RemoveOldest(this->crashes, this->options.max_crashes - 1, &Crash::time);
-  return this->crashes.emplace_back(Crash{.crashed = crash, .time = time});
 }
 
-// Returns whether any of the requests is new to the crash. A request counts
-// once for each endpoint run, however often connections to it break.
+// Returns whether any of the runs is new to the crash. A request counts once
+// for each endpoint run, however often connections to it break.
 bool Suspects::Merge(const CrashedEndpoint& crash,
                      Instant time,
-                     const std::vector<uint64_t>& fingerprints) {
-  std::vector<uint64_t> added;
+                     const std::vector<LostRun>& runs,
+                     bool own) {
+  std::vector<LostRun> added;
   std::ranges::copy_if(
-      fingerprints, std::back_inserter(added), [&](uint64_t fingerprint) {
+      runs, std::back_inserter(added), [&](const LostRun& run) {
         return std::ranges::none_of(this->crashes, [&](const Crash& known) {
           return known.crashed == crash &&
-                 known.fingerprints.contains(fingerprint);
+                 known.runs.contains(run.request.fingerprint) &&
+                 run.request.fingerprint != 0;
         });
       });
   if (added.empty()) {
     return false;
   }
   Crash& record = this->FindOrAdd(crash, time);
-  added.resize(std::min(added.size(), this->options.max_requests_per_crash -
-                                          record.fingerprints.size()));
-  record.fingerprints.insert(added.begin(), added.end());
-  return !added.empty();
+  bool any = false;
+  for (const LostRun& run : added) {
+    any = this->AddRun(record, run) || any;
+    if (own && !run.answering) {
+      record.own.insert(run.request.fingerprint);
+    }
+  }
+  return any;
+}
+
+// Whether another crash has the request or one of its parts, too.
+bool Suspects::Recurs(const LostRun& run) const {
+  const auto recurs = [this](const CrashCause& cause) {
+    const auto found = this->mentions.find(cause);
+    return found != this->mentions.end() && found->second > 1;
+  };
+  return recurs(Request(run.request.fingerprint)) ||
+         (!run.answering &&
+          std::ranges::any_of(run.request.parts, [&](uint64_t part) {
+            return recurs(Part(part));
+          }));
+}
+
+// Drops another run of a full record, or returns false if this one is to be
+// dropped. Which of many runs are kept doesn't depend on their order, so that
+// no caller can push out others by being first.
+bool Suspects::MakeRoom(Crash& record, const LostRun& run) {
+  const auto parts = [](const Crash& crash) {
+    size_t sum = 0;
+    for (const auto& [fingerprint, one] : crash.runs) {
+      sum += one.answering ? 0 : one.request.parts.size();
+    }
+    return sum;
+  };
+  const size_t more = run.answering ? 0 : run.request.parts.size();
+  const auto rank = [this, &record](const LostRun& one) {
+    return std::tuple(
+        this->Recurs(one), !one.answering,
+        Mix(one.request.fingerprint ^
+            static_cast<uint64_t>(record.crashed.endpoint.started)));
+  };
+  while (record.runs.size() >= this->options.max_requests_per_crash ||
+         parts(record) + more > this->options.max_parts_per_crash) {
+    if (record.runs.empty()) {
+      return false;
+    }
+    const auto least = std::ranges::min_element(
+        record.runs, {}, [&](const auto& entry) { return rank(entry.second); });
+    if (rank(run) < rank(least->second)) {
+      return false;
+    }
+    record.runs.erase(least);
+    this->Reindex(record);
+  }
+  return true;
+}
+
+bool Suspects::AddRun(Crash& record, const LostRun& run) {
+  if (!this->MakeRoom(record, run)) {
+    return false;
+  }
+  // Runs of unknown requests are told apart by the part.
+  const uint64_t key = run.request.fingerprint != 0 || run.request.parts.empty()
+                           ? run.request.fingerprint
+                           : run.request.parts.front() ^ run.request.account;
+  record.runs.insert_or_assign(key, run);
+  this->Index(record, run);
+  return true;
+}
+
+void Suspects::Index(Crash& record, const LostRun& run) {
+  const auto involve = [&](const CrashCause& cause) -> Involvement& {
+    const auto [at, added] = record.causes.try_emplace(cause);
+    if (added) {
+      this->Mention(cause, 1);
+    }
+    at->second.sent = std::max(at->second.sent, run.sent);
+    at->second.answering = at->second.answering && run.answering;
+    return at->second;
+  };
+  if (run.request.fingerprint != 0) {
+    involve(Request(run.request.fingerprint));
+  }
+  if (run.answering) {
+    return;
+  }
+  for (const uint64_t part : run.request.parts) {
+    Involvement& involved = involve(Part(part));
+    involved.accounts.insert(run.request.account);
+    if (run.request.fingerprint != 0) {
+      involved.requests.insert(run.request.fingerprint);
+    }
+  }
 }
 
-bool Suspects::MergeAnswer(uint64_t fingerprint, Instant time) {
-  Instant& last = this->answered[fingerprint];
-  const bool later = time > last;
-  last = std::max(last, time);
-  RemoveOldest(this->answered, this->options.max_answered,
-               [](const auto& entry) { return entry.second; });
-  return later;
+void Suspects::Reindex(Crash& record) {
+  for (const auto& [cause, involved] : std::exchange(record.causes, {})) {
+    this->Mention(cause, -1);
+  }
+  for (const auto& [fingerprint, run] : record.runs) {
+    this->Index(record, run);
+  }
+}
+
+void Suspects::Mention(const CrashCause& cause, int64_t change) {
+  const auto at = this->mentions.try_emplace(cause).first;
+  at->second += change;
+  if (at->second >= this->options.block_after_crashes) {
+    this->frequent.insert(cause);
+  } else {
+    this->frequent.erase(cause);
+  }
+  if (at->second <= 0) {
+    this->mentions.erase(at);
+  }
+}
+
+void Suspects::RemoveCrash(size_t index) {
+  Crash& crash = this->crashes[index];
+  crash.runs.clear();
+  this->Reindex(crash);
+  this->crashes.erase(this->crashes.begin() +
+                      static_cast<std::ptrdiff_t>(index));
+}
+
+template <typename Condition>
+void Suspects::RemoveCrashesIf(Condition condition) {
+  for (size_t i = this->crashes.size(); i > 0; --i) {
+    if (condition(this->crashes[i - 1])) {
+      this->RemoveCrash(i - 1);
+    }
+  }
 }
 
 void Suspects::Expire(Instant now) {
+  this->now = std::max(this->now, now);
   const Instant oldest = now - this->options.retention;
-  std::erase_if(this->crashes,
-                [oldest](const Crash& crash) { return crash.time < oldest; });
-  std::erase_if(this->answered,
-                [oldest](const auto& entry) { return entry.second < oldest; });
+  this->RemoveCrashesIf(
+      [oldest](const Crash& crash) { return crash.time < oldest; });
+  std::erase_if(this->answered, [oldest](const auto& entry) {
+    return entry.second.sent < oldest;
+  });
+}
+
+// --- Answers ----------------------------------------------------------------
+
+bool Suspects::OnAnswered(Instant now,
+                          const RequestTraits& request,
+                          Instant sent) {
+  this->answers.Add(now, 1);
+  bool suspected = false;
+  bool clears = false;
+  const auto record = [&](const CrashCause& cause) {
+    const bool mentioned = this->IsMentioned(cause);
+    suspected = suspected || mentioned;
+    if (!mentioned && !IsPart(cause)) {
+      return;
+    }
+    if (this->MergeAnswer(cause, sent)) {
+      clears = true;
+      this->new_answers.insert(cause);
+    }
+    ++this->answered[cause].count;
+  };
+  record(Request(request.fingerprint));
+  for (const uint64_t part : request.parts) {
+    record(Part(part));
+  }
+  this->LimitAnswers();
+  if (clears) {
+    this->Expire(now);
+    this->Evaluate();
+  }
+  return suspected;
+}
+
+// Returns whether the answer clears the cause of a crash.
+bool Suspects::MergeAnswer(const CrashCause& cause, Instant sent) {
+  const bool clears =
+      this->IsMentioned(cause) &&
+      std::ranges::any_of(this->crashes, [&](const Crash& crash) {
+        return crash.time <= sent && Find(crash, cause) != nullptr &&
+               !this->IsCleared(cause, crash.time);
+      });
+  Answers& known = this->answered[cause];
+  known.sent = std::max(known.sent, sent);
+  return clears;
+}
+
+// Drops the oldest answers beyond the maximum, first those that say nothing of
+// a crash.
+void Suspects::LimitAnswers() {
+  if (this->answered.size() <= this->options.max_answered) {
+    return;
+  }
+  std::vector<std::tuple<bool, Instant, CrashCause>> all;
+  std::ranges::transform(this->answered, std::back_inserter(all),
+                         [this](const auto& entry) {
+                           return std::tuple(this->IsMentioned(entry.first),
+                                             entry.second.sent, entry.first);
+                         });
+  const size_t dropped = all.size() - this->options.max_answered * 3 / 4;
+  std::ranges::nth_element(all,
+                           all.begin() + static_cast<std::ptrdiff_t>(dropped));
+  for (const auto& [mentioned, sent, cause] : all | std::views::take(dropped)) {
+    this->answered.erase(cause);
+  }
+}
+
+bool Suspects::IsCleared(const CrashCause& cause, Instant crash) const {
+  const auto found = this->answered.find(WithoutAccount(cause));
+  return found != this->answered.end() && found->second.sent >= crash;
+}
+
+int64_t Suspects::AnswersOf(const CrashCause& cause) const {
+  const auto found = this->answered.find(WithoutAccount(cause));
+  return found == this->answered.end() ? 0 : found->second.count;
+}
+
+// --- Messages ---------------------------------------------------------------
+
+void Suspects::OnUpdate(Instant now, const SuspectsUpdate& update) {
+  this->Expire(now);
+  const auto fresh = [this](const auto& report) {
+    return report.age >= Duration{} && report.age < this->options.retention;
+  };
+  for (const CrashReport& one : update.crashes | std::views::filter(fresh)) {
+    const Instant time = now - one.age;
+    std::vector<LostRun> runs;
+    std::ranges::transform(one.runs, std::back_inserter(runs),
+                           [time](const CrashReport::Run& run) {
+                             return LostRun{.request = run.request,
+                                            .sent = time - run.before,
+                                            .answering = run.answering};
+                           });
+    this->Merge(one.crash, time, runs, false);
+  }
+  for (const AnswerReport& one : update.answers | std::views::filter(fresh)) {
+    this->MergeAnswer(one.cause, now - one.age);
+  }
+  this->LimitAnswers();
+  for (const BlockReport& one : update.blocks) {
+    if (!this->blocks.contains(one.cause)) {
+      this->AddBlock(one.cause, {one.parts.begin(), one.parts.end()});
+    }
+  }
+  this->Evaluate();
+}
+
+CrashReport Suspects::ReportOf(const CrashedEndpoint& crashed,
+                               Instant time,
+                               const std::vector<LostRun>& runs) const {
+  CrashReport report{.crash = crashed, .age = this->now - time};
+  std::ranges::transform(runs, std::back_inserter(report.runs),
+                         [time](const LostRun& run) {
+                           return CrashReport::Run{.request = run.request,
+                                                   .before = time - run.sent,
+                                                   .answering = run.answering};
+                         });
+  return report;
 }
 
 SuspectsUpdate Suspects::TakeUpdate(Instant now) {
+  this->now = std::max(this->now, now);
   SuspectsUpdate update;
-  for (const Crash& crash : std::exchange(this->new_crashes, {})) {
-    update.crashes.push_back({.crash = crash.crashed,
-                              .age = now - crash.time,
-                              .fingerprints = {crash.fingerprints.begin(),
-                                               crash.fingerprints.end()}});
-  }
-  for (const uint64_t fingerprint : std::exchange(this->new_answers, {})) {
-    if (const auto found = this->answered.find(fingerprint);
+  for (const NewCrash& crash : std::exchange(this->new_crashes, {})) {
+    update.crashes.push_back(
+        this->ReportOf(crash.crashed, crash.time, crash.runs));
+  }
+  for (const CrashCause& cause : std::exchange(this->new_answers, {})) {
+    if (const auto found = this->answered.find(cause);
         found != this->answered.end()) {
       update.answers.push_back(
-          {.fingerprint = fingerprint, .age = now - found->second});
+          {.cause = cause, .age = now - found->second.sent});
+    }
+  }
+  for (const CrashCause& cause : std::exchange(this->new_blocks, {})) {
+    if (const auto found = this->blocks.find(cause);
+        found != this->blocks.end()) {
+      update.blocks.push_back(
+          {.cause = cause,
+           .parts = {found->second.parts.begin(), found->second.parts.end()}});
     }
   }
   return update;
@@ -181,13 +477,53 @@
 SuspectsUpdate Suspects::Snapshot(Instant now) const {
   SuspectsUpdate update;
   for (const Crash& crash : this->crashes) {
-    update.crashes.push_back({.crash = crash.crashed,
-                              .age = now - crash.time,
-                              .fingerprints = {crash.fingerprints.begin(),
-                                               crash.fingerprints.end()}});
+    std::vector<LostRun> runs;
+    std::ranges::copy(crash.runs | std::views::values,
+                      std::back_inserter(runs));
+    update.crashes.push_back(this->ReportOf(crash.crashed, crash.time, runs));
+    update.crashes.back().age = now - crash.time;
+  }
+  for (const auto& [cause, answer] : this->answered) {
+    if (this->IsMentioned(cause)) {
+      update.answers.push_back({.cause = cause, .age = now - answer.sent});
+    }
+  }
+  for (const auto& [cause, block] : this->blocks) {
+    update.blocks.push_back(
+        {.cause = cause, .parts = {block.parts.begin(), block.parts.end()}});
+  }
+  return update;
+}
+
+SuspectsUpdate Suspects::BlocksOnly(Instant now) const {
+  SuspectsUpdate update;
+  for (const Crash& crash : this->crashes) {
+    CrashReport report{.crash = crash.crashed, .age = now - crash.time};
+    for (const auto& [cause, block] : this->blocks) {
+      const Involvement* involved = Find(crash, cause);
+      if (involved == nullptr || this->IsCleared(cause, crash.time)) {
+        continue;
+      }
+      CrashReport::Run run{.before = crash.time - involved->sent,
+                           .answering = involved->answering};
+      if (!IsPart(cause)) {
+        run.request.fingerprint = cause.hash;
+        report.runs.push_back(run);
+        continue;
+      }
+      run.request.parts = {cause.hash};
+      for (const uint64_t account : involved->accounts) {
+        run.request.account = account;
+        report.runs.push_back(run);
+      }
+    }
+    if (!report.runs.empty()) {
+      update.crashes.push_back(std::move(report));
+    }
   }
-  for (const auto& [fingerprint, time] : this->answered) {
-    update.answers.push_back({.fingerprint = fingerprint, .age = now - time});
+  for (const auto& [cause, block] : this->blocks) {
+    update.blocks.push_back(
+        {.cause = cause, .parts = {block.parts.begin(), block.parts.end()}});
   }
   return update;
 }
@@ -206,19 +542,43 @@
   }
 }
 
-int64_t Suspects::HalfCrashes(Instant now, uint64_t fingerprint) const {
-  const auto found = this->evidence.find(fingerprint);
-  if (found == this->evidence.end()) {
-    return 0;
+std::vector<Suspicion> Suspects::Own() const {
+  std::vector<Suspicion> all;
+  for (const auto& [cause, count] : this->mentions) {
+    const int64_t halves = this->CountOf(cause).unexplained;
+    const bool told = !IsPart(cause) || this->blocks.contains(cause);
+    if (told && halves >= kWholeCrash) {
+      all.push_back({cause.hash, halves / kWholeCrash});
+    }
   }
+  std::ranges::sort(all, [](const Suspicion& a, const Suspicion& b) {
+    return std::pair(b.crashes, a.fingerprint) <
+           std::pair(a.crashes, b.fingerprint);
+  });
+  all.resize(std::min(all.size(), this->options.max_in_digest));
+  return all;
+}
+
+// --- Queries ----------------------------------------------------------------
+
+int64_t Suspects::CrashesOf(Instant now, const CrashCause& cause) const {
   const Instant oldest = now - this->options.retention;
-  return SumOf(found->second | std::views::filter([oldest](const auto& one) {
-                 return one.time >= oldest;
-               }));
+  EvidenceList counted = this->EvidenceOf(cause);
+  const bool blocked = this->blocks.contains(cause);
+  std::erase_if(counted, [&](const Evidence& one) {
+    return one.crash->time < oldest ||
+           (!blocked && std::ranges::any_of(
+                            this->blocks,
+                            [&](const auto& entry) {
+                              return Explains(entry.first, entry.second,
+                                              *one.crash, cause);
+                            }));
+  });
+  return SumOf(counted) / kWholeCrash;
 }
 
 int64_t Suspects::Crashes(Instant now, uint64_t fingerprint) const {
-  int64_t sum = this->HalfCrashes(now, fingerprint) / kWholeCrash;
+  int64_t sum = this->CrashesOf(now, Request(fingerprint));
   for (const auto& [host, entries] : this->peers) {
     const auto found = entries.find(fingerprint);
     const bool fresh = found != entries.end() &&
@@ -232,118 +592,311 @@
   return this->Crashes(now, fingerprint) > 0;
 }
 
-bool Suspects::IsBlocked(Instant now, uint64_t fingerprint) const {
-  return this->Crashes(now, fingerprint) >= this->options.block_after_crashes;
+bool Suspects::IsBlocked(Instant now, const RequestTraits& request) const {
+  const int64_t limit = this->options.block_after_crashes;
+  const auto told = [&](uint64_t hash) {
+    return !this->peers.empty() && this->Crashes(now, hash) >= limit;
+  };
+  return this->FindBlock(now, request).has_value() ||
+         told(request.fingerprint) || std::ranges::any_of(request.parts, told);
 }
 
-std::optional<RequestBlock> Suspects::FindBlock(Instant now,
-                                                uint64_t fingerprint) const {
-  const int64_t limit = this->options.block_after_crashes * kWholeCrash;
-  int64_t left = this->HalfCrashes(now, fingerprint);
-  if (left < limit) {
+std::optional<RequestBlock> Suspects::FindBlock(
+    Instant now,
+    const RequestTraits& request) const {
+  if (this->blocks.empty()) {
     return {};
   }
-  RequestBlock block;
-  Instant end{};
-  for (const Evidence& one : this->evidence.at(fingerprint)) {
-    if (one.time < now - this->options.retention) {
+  const Instant oldest = now - this->options.retention;
+  const int64_t limit = this->options.block_after_crashes * kWholeCrash;
+  for (const CrashCause& cause : CausesOf(request)) {
+    if (!this->blocks.contains(cause)) {
       continue;
     }
-    block.crashed.push_back(one.endpoint);
-    block.newest_age = now - one.time;
-    left -= one.half_crashes;
-    // The oldest crash whose expiry leaves too few ends the block.
-    if (left < limit && end == Instant{}) {
-      end = one.time + this->options.retention;
+    int64_t left = 0;
+    std::vector<std::pair<const Crash*, int64_t>> counted;
+    for (const Crash& crash : this->crashes) {
+      const Involvement* involved = Find(crash, cause);
+      if (involved != nullptr && crash.time >= oldest &&
+          !this->IsCleared(cause, crash.time)) {
+        counted.emplace_back(&crash,
+                             involved->answering ? kHalfCrash : kWholeCrash);
+        left += counted.back().second;
+      }
+    }
+    if (left < limit) {
+      continue;
     }
+    RequestBlock block{.cause = cause};
+    Instant end{};
+    for (const auto& [crash, half_crashes] : counted) {
+      block.crashed.push_back(crash->crashed.endpoint);
+      block.newest_age = now - crash->time;
+      left -= half_crashes;
+      // The oldest crash whose expiry leaves too few ends the block.
+      if (left < limit && end == Instant{}) {
+        end = crash->time + this->options.retention;
+      }
+    }
+    block.remaining = end - now;
+    return block;
   }
-  block.remaining = end - now;
-  return block;
+  return {};
 }
 
-std::vector<Suspicion> Suspects::Own() const {
-  std::vector<Suspicion> all;
-  for (const auto& [fingerprint, counted] : this->evidence) {
-    const int64_t halves = SumOf(counted);
-    if (halves >= kWholeCrash) {
-      all.push_back({fingerprint, halves / kWholeCrash});
-    }
-  }
-  std::ranges::sort(all, [](const Suspicion& a, const Suspicion& b) {
-    return std::pair(b.crashes, a.fingerprint) <
-           std::pair(a.crashes, b.fingerprint);
-  });
-  all.resize(std::min(all.size(), this->options.max_in_digest));
+std::set<CrashCause> Suspects::Blocked() const {
+  std::set<CrashCause> all;
+  std::ranges::transform(this->blocks, std::inserter(all, all.end()),
+                         [](const auto& entry) { return entry.first; });
   return all;
 }
 
-// Whether another endpoint of the zone crashed at the same time with no request
-// in common: no single request can have caused both crashes.
-bool Suspects::IsSimultaneous(
-    const Crash& crash,
-    const std::vector<const Crash*>& unexplained) const {
+// --- Causes -----------------------------------------------------------------
+
+const Suspects::Involvement* Suspects::Find(const Crash& crash,
+                                            const CrashCause& cause) {
+  const auto found = crash.causes.find(WithoutAccount(cause));
+  const bool involved = found != crash.causes.end() &&
+                        (cause.kind != CauseKind::kAccountPart ||
+                         found->second.accounts.contains(cause.account));
+  return involved ? &found->second : nullptr;
+}
+
+// Whether another endpoint of the zone crashed at the same time without the
+// cause, which then can't have caused both crashes.
+bool Suspects::IsSimultaneous(const Crash& crash,
+                              const CrashCause& cause) const {
   return !crash.crashed.zone.Empty() &&
-         std::ranges::any_of(unexplained, [&](const Crash* other) {
-           return other->crashed.zone == crash.crashed.zone &&
-                  other->crashed.endpoint != crash.crashed.endpoint &&
-                  Between(other->time, crash.time) <=
+         std::ranges::any_of(this->crashes, [&](const Crash& other) {
+           return other.crashed.zone == crash.crashed.zone &&
+                  other.crashed.endpoint != crash.crashed.endpoint &&
+                  Between(other.time, crash.time) <=
                       this->options.zone_loss_window &&
-                  Disjoint(crash.fingerprints, other->fingerprints);
+                  Find(other, cause) == nullptr;
          });
 }
 
-// The crashes that count against each request, oldest first.
-Suspects::EvidenceMap Suspects::CollectEvidence(
-    const std::vector<const Crash*>& unexplained) const {
-  EvidenceMap collected;
-  for (const Crash* crash : unexplained) {
-    const int64_t half_crashes =
-        this->IsSimultaneous(*crash, unexplained) ? kHalfCrash : kWholeCrash;
-    for (const uint64_t fingerprint : crash->fingerprints) {
-      const auto answer = this->answered.find(fingerprint);
-      if (answer == this->answered.end() || answer->second < crash->time) {
-        collected[fingerprint].push_back({.endpoint = crash->crashed.endpoint,
-                                          .time = crash->time,
-                                          .half_crashes = half_crashes});
+// The crashes that count against a cause, oldest first.
+Suspects::EvidenceList Suspects::EvidenceOf(const CrashCause& cause) const {
+  EvidenceList counted;
+  for (const Crash& crash : this->crashes) {
+    const Involvement* involved = Find(crash, cause);
+    if (involved == nullptr || this->IsCleared(cause, crash.time)) {
+      continue;
+    }
+    if (!counted.empty()) {
+      const Instant last = counted.back().crash->time;
+      if (crash.time - last <= this->options.event_window &&
+          involved->sent < last) {
+        continue;
+      }
+    }
+    const bool half = involved->answering || this->IsSimultaneous(crash, cause);
+    counted.push_back(
+        {.crash = &crash, .half_crashes = half ? kHalfCrash : kWholeCrash});
+  }
+  return counted;
+}
+
+// Whether a blocked cause accounts for a crash, so that it doesn't count
+// against another one. A blocked request says nothing about the parts of its
+// prompt, and a part that is blocked for an account nothing about the part
+// itself.
+bool Suspects::Explains(const CrashCause& blocked,
+                        const Block& block,
+                        const Crash& crash,
+                        const CrashCause& cause) {
+  const bool same =
+      blocked == cause ||
+      (blocked.kind == CauseKind::kAccountPart &&
+       cause.kind == CauseKind::kPart && blocked.hash == cause.hash) ||
+      (blocked.kind == CauseKind::kRequest && IsPart(cause) &&
+       block.parts.contains(cause.hash));
+  return !same && Find(crash, blocked) != nullptr;
+}
+
+Suspects::Count Suspects::CountOf(const CrashCause& cause) const {
+  Count count;
+  std::set<CrashCause> explaining;
+  for (const Evidence& one : this->EvidenceOf(cause)) {
+    const size_t before = explaining.size();
+    bool explained = false;
+    for (const auto& [blocked, block] : this->blocks) {
+      if (Explains(blocked, block, *one.crash, cause)) {
+        explained = true;
+        explaining.insert(blocked);
       }
     }
+    count.all += one.half_crashes;
+    count.unexplained += explained ? 0 : one.half_crashes;
+    const Involvement* involved = Find(*one.crash, cause);
+    count.accounts.insert(involved->accounts.begin(), involved->accounts.end());
+    count.requests.insert(involved->requests.begin(), involved->requests.end());
+    (void)before;
+  }
+  count.exceeds_blocks =
+      std::ranges::all_of(explaining, [&](const CrashCause& blocked) {
+        return SumOf(this->EvidenceOf(blocked)) < count.all;
+      });
+  return count;
+}
+
+// The crashes that have the cause, however likely it is to have caused them.
+int64_t Suspects::RawHalfCrashes(const CrashCause& cause) const {
+  int64_t sum = 0;
+  for (const Crash& crash : this->crashes) {
+    const Involvement* involved = Find(crash, cause);
+    if (involved != nullptr && !this->IsCleared(cause, crash.time)) {
+      sum += involved->answering ? kHalfCrash : kWholeCrash;
+    }
+  }
+  return sum;
+}
+
+// So many crashes that lost runs without the cause, as in a wave of crashes
+// that no request causes, hardly ever come one after the other by chance.
+int64_t Suspects::HalfCrashesNeeded(const CrashCause& cause) const {
+  const int64_t least = this->options.block_after_crashes * kWholeCrash;
+  const EvidenceList counted = this->EvidenceOf(cause);
+  if (counted.empty()) {
+    return least;
+  }
+  const Instant from =
+      counted.back().crash->time - this->options.comparison_window;
+  int64_t others = 0;
+  int64_t lost = 0;
+  std::set<uint64_t> seen;
+  for (const Crash& crash : this->crashes) {
+    const bool explained = std::ranges::any_of(
+        this->blocks,
+        [&](const auto& entry) { return Find(crash, entry.first) != nullptr; });
+    if (crash.time < from || explained || Find(crash, cause) != nullptr) {
+      continue;
+    }
+    ++others;
+    const size_t before = seen.size();
+    seen.insert(crash.own.begin(), crash.own.end());
+    lost += seen.size() > before ? 1 : 0;
+  }
+  if (others == 0) {
+    return least;
+  }
+  const int64_t compared = lost + this->answers.Sum(this->now);
+  if (compared < kMinCompared) {
+    return IsPart(cause) ? least * kUnknownShareFactor : least;
+  }
+  const double share =
+      static_cast<double>(lost + 1) / static_cast<double>(compared + 2);
+  const double chance =
+      this->options.chance * (IsPart(cause) ? 1 : kRequestChanceFactor);
+  const double needed = std::ceil(std::log(chance) / std::log(share));
+  return std::max(least, static_cast<int64_t>(needed) * kWholeCrash);
+}
+
+// What is to be blocked for a frequent request or part, if anything.
+std::optional<CrashCause> Suspects::AsCandidate(const CrashCause& cause,
+                                                const Count& count) const {
+  CrashCause candidate = cause;
+  if (IsPart(cause)) {
+    if (count.requests.size() < kMinRequestsOfPart) {
+      return {};
+    }
+    if (count.accounts.size() < kMinAccountsOfPart) {
+      candidate = {.kind = CauseKind::kAccountPart,
+                   .hash = cause.hash,
+                   .account = *count.accounts.begin()};
+    }
+  }
+  if (this->blocks.contains(candidate)) {
+    return {};
   }
-  for (auto& [fingerprint, counted] : collected) {
-    std::ranges::sort(counted, {}, &Evidence::time);
+  const int64_t needed = this->HalfCrashesNeeded(cause);
+  const bool enough =
+      count.unexplained >= needed ||
+      (count.all >= needed && count.unexplained >= kWholeCrash &&
+       count.exceeds_blocks);
+  return enough ? std::optional(candidate) : std::nullopt;
+}
+
+// The candidate with the most crashes, and of these the one that fewest runs
+// have had.
+std::optional<CrashCause> Suspects::NextCause() const {
+  std::optional<CrashCause> best;
+  std::pair<int64_t, int64_t> best_rank;
+  for (const CrashCause& cause : this->frequent) {
+    if (this->blocks.contains(cause)) {
+      continue;
+    }
+    const Count count = this->CountOf(cause);
+    const auto candidate = this->AsCandidate(cause, count);
+    const std::pair rank(count.unexplained, -this->AnswersOf(cause));
+    if (candidate && (!best || rank > best_rank)) {
+      best = candidate;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+// The parts of a request's prompt.
+std::set<uint64_t> Suspects::PartsOf(const CrashCause& request) const {
+  std::set<uint64_t> parts;
+  for (const Crash& crash : this->crashes) {
+    if (const auto run = crash.runs.find(request.hash);
+        run != crash.runs.end()) {
+      parts.insert(run->second.request.parts.begin(),
+                   run->second.request.parts.end());
+    }
+  }
+  return parts;
+}
+
+void Suspects::AddBlock(const CrashCause& cause,
+                        const std::set<uint64_t>& parts) {
+  if (this->blocks.size() < this->options.max_blocks) {
+    this->blocks.emplace(cause, Block{.parts = parts});
+  }
+}
+
+// The block that ends next: one without enough crashes, or the one with the
+// fewest crashes of those whose crashes other blocks explain.
+std::optional<CrashCause> Suspects::NextRelease() const {
+  const int64_t least = this->options.block_after_crashes * kWholeCrash;
+  std::optional<CrashCause> weakest;
+  std::pair<int64_t, int64_t> weakest_rank;
+  for (const auto& [cause, block] : this->blocks) {
+    if (this->RawHalfCrashes(cause) < least) {
+      return cause;
+    }
+    const Count count = this->CountOf(cause);
+    const std::pair rank(count.all, -this->AnswersOf(cause));
+    if (count.all > count.unexplained && count.unexplained < kWholeCrash &&
+        (!weakest || rank < weakest_rank)) {
+      weakest = cause;
+      weakest_rank = rank;
+    }
+  }
+  return weakest;
+}
+
+void Suspects::ReleaseBlocks() {
+  while (const auto released = this->NextRelease()) {
+    this->blocks.erase(*released);
   }
-  return collected;
 }
 
-// Blocks the request with the most crashes and takes these crashes off all
-// other requests, until no other request has enough. A request that was blocked
-// by chance is released by this as soon as the actual cause has one crash more.
 void Suspects::Evaluate() {
-  const int64_t limit = this->options.block_after_crashes * kWholeCrash;
-  const auto halves = [](const EvidenceMap::value_type& entry) {
-    return SumOf(entry.second);
-  };
-  std::vector<const Crash*> unexplained;
-  std::ranges::transform(this->crashes, std::back_inserter(unexplained),
-                         [](const Crash& crash) { return &crash; });
-  EvidenceMap causes;
-  EvidenceMap open = this->CollectEvidence(unexplained);
-  while (!open.empty()) {
-    const auto most = std::ranges::max_element(open, {}, halves);
-    if (halves(*most) < limit) {
-      break;
-    }
-    std::erase_if(unexplained, [most](const Crash* crash) {
-      return crash->fingerprints.contains(most->first);
-    });
-    causes.insert(*most);
-    open = this->CollectEvidence(unexplained);
-  }
-  this->blocked.clear();
-  std::ranges::transform(causes,
-                         std::inserter(this->blocked, this->blocked.end()),
-                         [](const auto& entry) { return entry.first; });
-  this->evidence = std::move(open);
-  this->evidence.insert(causes.begin(), causes.end());
+  this->ReleaseBlocks();
+  for (size_t i = 0; i < this->options.max_blocks; ++i) {
+    const auto next = this->NextCause();
+    if (!next) {
+      return;
+    }
+    this->AddBlock(*next,
+                   IsPart(*next) ? std::set<uint64_t>() : this->PartsOf(*next));
+    this->new_blocks.insert(*next);
+    this->ReleaseBlocks();
+  }
 }
 
 }  // namespace hickorystand
--- a/packages/decisions/suspects.h
+++ b/packages/decisions/suspects.h
@@ -1,35 +1,51 @@
-// Identifies requests that crash endpoints.
+// Finds what crashes endpoints: a request, or a part of the prompts of several
+// requests.
 //
-// A request is identified by its fingerprint, which its repeats share. Each
-// crash of an endpoint is recorded once, with all requests that were in
-// progress there at any host. A request that was in progress at
-// `block_after_crashes` crashes is refused until enough of them are older than
-// `retention`.
+// Each crash of an endpoint is recorded once, with the runs that it ended at
+// any host. A cause that was there at `block_after_crashes` crashes is refused
+// until enough of them are older than `retention`. More crashes are needed
+// while runs without it are lost, too.
 //
-// Three kinds of crashes don't count against a request: crashes that a blocked
-// request accounts for, so that requests that ran beside it are served; crashes
-// before the request was answered in full; and, in part, simultaneous crashes
-// of endpoints of one zone with no request in common, as in the loss of a zone
-// or a rack.
+// What counts against a cause:
+// - The crash of an endpoint that had such a run, unless a run that was sent
+//   later has been answered in full since. A run that was sent before the crash
+//   proves nothing: a part may turn bad.
+// - A run that had sent events counts half against its request, and not against
+//   the parts of its prompt.
+// - A crash counts half if another endpoint of the zone crashed at the same
+//   time without the cause, as in the loss of a zone. Crashes within
+//   `event_window` are one event, apart from runs that were sent in between.
+// - A crash that a blocked cause explains doesn't count, so that requests that
+//   ran beside it are served.
 //
-// Every result is derived from the recorded crashes. Records from other hosts
-// are merged by endpoint run, so it doesn't matter in which order, how often or
-// over which host they arrive.
+// A part is blocked for all accounts only if runs of two accounts were lost
+// with it; until then it is blocked for the one account. A request that is
+// repeated is blocked itself, not the parts of its prompt.
+//
+// A block ends with an answer, with the age of its crashes, or if another block
+// explains all of them. It outlasts the evidence of other requests: two causes
+// that crash endpoints together don't release each other.
+//
+// Reports of other hosts are merged by endpoint run, so it doesn't matter in
+// which order, how often or over which host they arrive.
 //
 //   Suspects suspects(options);
-//   suspects.OnCrash(now, {.endpoint = run, .zone = zone}, {fingerprint});
+//   suspects.OnCrash(now, {.endpoint = run, .zone = zone}, {lost_run});
 //   Send(suspects.TakeUpdate(now));     // to the other hosts, if not empty
 //   suspects.OnUpdate(now, received);   // from another host
-//   if (const auto block = suspects.FindBlock(now, fingerprint)) { ... }
+//   if (const auto block = suspects.FindBlock(now, request)) { ... }
 //
 // Index
 //   SuspectsOptions              thresholds and sizes
 //   FingerprintText              a fingerprint as text
+//   RequestTraits                what is known of a request
+//   CauseKind, CrashCause        what crashes endpoints
+//   LostRun                      a run that a crash ended
 //   CrashedEndpoint              identifies a crash
-//   CrashReport, AnswerReport    what hosts tell each other
+//   CrashReport, AnswerReport, BlockReport   what hosts tell each other
 //   SuspectsUpdate               a message of such reports
 //   RequestBlock                 why and how long a request is refused
-//   Suspects                     the crashes and the requests in them
+//   Suspects                     the crashes and their causes
 
 #pragma once
 
@@ -42,6 +58,7 @@
 
 #include "decisions/digest.h"
 #include "decisions/fleet_endpoint.h"
+#include "decisions/window_sum.h"
 #include "kernel/ids.h"
 #include "kernel/time.h"
 
@@ -52,21 +69,64 @@
 
 // Thresholds and sizes.
 struct SuspectsOptions {
-  int64_t block_after_crashes = 2;  // crashes until a request is refused
+  int64_t block_after_crashes = 2;  // crashes until a cause is refused
   Duration retention = std::chrono::minutes(10);
   // Crashes in one zone within this time can be a single event.
   Duration zone_loss_window = std::chrono::seconds(3);
+  // Crashes anywhere within this time count as one event.
+  Duration event_window = std::chrono::milliseconds(200);
   // Connections to one endpoint run that break within this time broke in the
   // same crash.
   Duration crash_window = std::chrono::seconds(1);
+  // Runs of this time show how often runs without the cause are lost.
+  Duration comparison_window = std::chrono::seconds(10);
+  // Greatest probability that this many runs in succession are lost by chance.
+  double chance = 0.001;
   size_t max_crashes = 128;             // records kept, the newest
   size_t max_requests_per_crash = 128;  // fingerprints kept for each of them
-  size_t max_answered = 4096;           // answers kept, the newest
-  size_t max_in_digest = 64;            // fingerprints in Own()
+  size_t max_parts_per_crash = 256;
+  size_t max_answered = 4096;  // answers kept
+  size_t max_blocks = 256;
+  size_t max_in_digest = 64;  // fingerprints in Own()
 
   auto operator<=>(const SuspectsOptions&) const = default;
 };
 
+// What is known of a request. Values are hashes.
+struct RequestTraits {
+  uint64_t fingerprint = 0;  // the same for all repeats; 0: unknown
+  uint64_t account = 0;
+  std::vector<uint64_t> parts;  // of its prompt that other requests may share
+
+  auto operator<=>(const RequestTraits&) const = default;
+};
+
+// The parts of a prompt as RequestTraits hold them, at most 32. Those of a
+// longer prompt beyond the first 31 are represented by one value of the
+// account.
+std::vector<uint64_t> LimitParts(std::vector<uint64_t> parts, uint64_t account);
+
+// What crashes endpoints: a request, a part of prompts, or a part in the
+// prompts of one account.
+enum class CauseKind { kRequest, kPart, kAccountPart };
+
+struct CrashCause {
+  CauseKind kind = CauseKind::kRequest;
+  uint64_t hash = 0;     // fingerprint of the request, or the part
+  uint64_t account = 0;  // kAccountPart
+
+  auto operator<=>(const CrashCause&) const = default;
+};
+
+// A run that ended in the crash of its endpoint.
+struct LostRun {
+  RequestTraits request;
+  Instant sent{};          // to the endpoint
+  bool answering = false;  // it had sent events
+
+  auto operator<=>(const LostRun&) const = default;
+};
+
 // A run of an endpoint that ended in a crash.
 struct CrashedEndpoint {
   EndpointRun endpoint;
@@ -75,34 +135,56 @@
   auto operator<=>(const CrashedEndpoint&) const = default;
 };
 
-// Requests that were in progress when an endpoint crashed.
+// Runs that were in progress when an endpoint crashed.
 struct CrashReport {
+  // `before` is the time from the send to the crash.
+  struct Run {
+    RequestTraits request;
+    Duration before{};
+    bool answering = false;
+
+    auto operator<=>(const Run&) const = default;
+  };
+
   CrashedEndpoint crash;
   Duration age{};  // since the crash
-  std::vector<uint64_t> fingerprints;
+  std::vector<Run> runs;
 
   auto operator<=>(const CrashReport&) const = default;
 };
 
-// A suspected request was answered in full.
+// A run of a suspected cause was answered in full.
 struct AnswerReport {
-  uint64_t fingerprint = 0;
-  Duration age{};  // since the answer
+  CrashCause cause;  // kRequest or kPart
+  Duration age{};    // since the run was sent
 
   auto operator<=>(const AnswerReport&) const = default;
 };
 
+// A cause was blocked. The crashes are reported beside it.
+struct BlockReport {
+  CrashCause cause;
+  std::vector<uint64_t> parts;  // of a request
+
+  auto operator<=>(const BlockReport&) const = default;
+};
+
 // Reports from one host to another.
 struct SuspectsUpdate {
   std::vector<CrashReport> crashes;
   std::vector<AnswerReport> answers;
+  std::vector<BlockReport> blocks;
 
-  bool Empty() const { return this->crashes.empty() && this->answers.empty(); }
+  bool Empty() const {
+    return this->crashes.empty() && this->answers.empty() &&
+           this->blocks.empty();
+  }
   bool operator==(const SuspectsUpdate&) const = default;
 };
 
 // Why a request is refused, and for how long.
 struct RequestBlock {
+  CrashCause cause;
   std::vector<EndpointRun> crashed;  // endpoints that ran it, oldest first
   Duration newest_age{};             // since the last of these crashes
   Duration remaining{};              // until it would be accepted again
@@ -110,24 +192,24 @@
   auto operator<=>(const RequestBlock&) const = default;
 };
 
-// Records crashes and finds the requests that cause them. All calls take the
-// current time.
+// Records crashes and finds their causes. All calls take the current time.
 class Suspects {
  public:
   explicit Suspects(const SuspectsOptions& options = {});
 
-  // Records that an endpoint crashed while it had these requests of this host.
+  // Records that an endpoint crashed while it had these runs of this host.
   // Calls for the same endpoint run add to one record.
   void OnCrash(Instant now,
                const CrashedEndpoint& crash,
-               const std::vector<uint64_t>& fingerprints);
+               const std::vector<LostRun>& runs);
 
   // Forgets crashes that were losses of this host's own links.
   void Withdraw(Instant now, const std::vector<CrashedEndpoint>& lost);
 
-  // Records that a request was answered in full: it is not the cause of the
-  // crashes so far. Returns whether it was suspected of any.
-  bool OnAnswered(Instant now, uint64_t fingerprint);
+  // Records that a run was answered in full: neither the request nor the parts
+  // of its prompt are the cause of crashes before it was sent. Returns whether
+  // any of them was suspected.
+  bool OnAnswered(Instant now, const RequestTraits& request, Instant sent);
 
   // Merges the reports of another host.
   void OnUpdate(Instant now, const SuspectsUpdate& update);
@@ -138,72 +220,153 @@
   // All that is recorded here, for a host that has just been linked.
   SuspectsUpdate Snapshot(Instant now) const;
 
+  // The blocked causes and their crashes, without what else is known of these.
+  SuspectsUpdate BlocksOnly(Instant now) const;
+
   // Replaces the list that a peer reported in its digest.
   void OnPeer(Instant now,
               const HostId& host,
               const std::vector<Suspicion>& suspicions);
 
-  // Crashes that count against the request, on this host and in the digests of
+  // Crashes that count against a request, on this host and in the digests of
   // its peers.
   int64_t Crashes(Instant now, uint64_t fingerprint) const;
 
+  // The same for any cause, on this host.
+  int64_t CrashesOf(Instant now, const CrashCause& cause) const;
+
   bool IsSuspected(Instant now, uint64_t fingerprint) const;
-  bool IsBlocked(Instant now, uint64_t fingerprint) const;
 
-  // The recorded crashes for which a request is refused; nullopt if it isn't.
+  // Whether the request, or a part of its prompt, is refused.
+  bool IsBlocked(Instant now, const RequestTraits& request) const;
+  bool IsBlocked(Instant now, uint64_t fingerprint) const {
+    return this->IsBlocked(now, RequestTraits{.fingerprint = fingerprint});
+  }
+
+  // Why a request is refused by the crashes recorded here; nullopt if it isn't.
   std::optional<RequestBlock> FindBlock(Instant now,
-                                        uint64_t fingerprint) const;
+                                        const RequestTraits& request) const;
+  std::optional<RequestBlock> FindBlock(Instant now,
+                                        uint64_t fingerprint) const {
+    return this->FindBlock(now, RequestTraits{.fingerprint = fingerprint});
+  }
 
-  // Crashes recorded here, by request, most crashes first.
+  // Requests with crashes recorded here and blocked parts, most crashes first.
   std::vector<Suspicion> Own() const;
 
-  // The requests that are refused, as of the last change.
-  const std::set<uint64_t>& Blocked() const { return this->blocked; }
+  // What is refused, as of the last change.
+  std::set<CrashCause> Blocked() const;
 
   // Crashes on record.
   size_t RecordedCrashes() const { return this->crashes.size(); }
 
  private:
+  // A cause in a crash.
+  struct Involvement {
+    Instant sent{};               // the last of its runs
+    bool answering = true;        // all of its runs had sent events
+    std::set<uint64_t> accounts;  // of the runs with a part
+    std::set<uint64_t> requests;  // with a part
+  };
   struct Crash {
     CrashedEndpoint crashed;
     Instant time{};
-    std::set<uint64_t> fingerprints;
+    std::map<uint64_t, LostRun> runs;          // by fingerprint
+    std::map<CrashCause, Involvement> causes;  // requests and parts
+    std::set<uint64_t> own;  // requests of this host that had sent no event
+  };
+  // Runs of this host that the others aren't told of yet.
+  struct NewCrash {
+    CrashedEndpoint crashed;
+    Instant time{};
+    std::vector<LostRun> runs;
   };
   struct PeerEntry {
     int64_t crashes = 0;
     Instant seen{};
   };
-  // A crash that counts against a request, in half crashes.
+  // Runs with a cause that were answered in full.
+  struct Answers {
+    Instant sent{};     // the last of them
+    int64_t count = 0;  // at this host
+  };
+  struct Block {
+    std::set<uint64_t> parts;  // of a blocked request
+  };
+  // A crash that counts against a cause, in half crashes.
   struct Evidence {
-    EndpointRun endpoint;
-    Instant time{};
+    const Crash* crash = nullptr;
     int64_t half_crashes = 0;
   };
-  using EvidenceMap = std::map<uint64_t, std::vector<Evidence>>;
+  using EvidenceList = std::vector<Evidence>;
+  // The evidence against a cause.
+  struct Count {
+    int64_t all = 0;  // half crashes
+    int64_t unexplained = 0;
+    std::set<uint64_t> accounts;  // of the runs with a part
+    std::set<uint64_t> requests;  // with a part
+    bool exceeds_blocks = true;   // more crashes than each explaining block
+  };
+  using Blocks = std::map<CrashCause, Block>;
 
   bool Merge(const CrashedEndpoint& crash,
              Instant time,
-             const std::vector<uint64_t>& fingerprints);
+             const std::vector<LostRun>& runs,
+             bool own);
   Crash& FindOrAdd(const CrashedEndpoint& crash, Instant time);
-  bool MergeAnswer(uint64_t fingerprint, Instant time);
+  bool AddRun(Crash& record, const LostRun& run);
+  bool MakeRoom(Crash& record, const LostRun& run);
+  bool Recurs(const LostRun& run) const;
+  void Index(Crash& record, const LostRun& run);
+  void Reindex(Crash& record);
+  void Mention(const CrashCause& cause, int64_t change);
+  void RemoveCrash(size_t index);
+  template <typename Condition>
+  void RemoveCrashesIf(Condition condition);
+  void LimitCrashes();
+  bool MergeAnswer(const CrashCause& cause, Instant sent);
+  void LimitAnswers();
   void Expire(Instant now);
-  int64_t HalfCrashes(Instant now, uint64_t fingerprint) const;
-  bool IsSimultaneous(const Crash& crash,
-                      const std::vector<const Crash*>& unexplained) const;
-  EvidenceMap CollectEvidence(
-      const std::vector<const Crash*>& unexplained) const;
+  bool IsMentioned(const CrashCause& cause) const {
+    return this->mentions.contains(cause);
+  }
+  bool IsCleared(const CrashCause& cause, Instant crash) const;
+  int64_t AnswersOf(const CrashCause& cause) const;
+  static const Involvement* Find(const Crash& crash, const CrashCause& cause);
+  bool IsSimultaneous(const Crash& crash, const CrashCause& cause) const;
+  EvidenceList EvidenceOf(const CrashCause& cause) const;
+  static bool Explains(const CrashCause& blocked,
+                       const Block& block,
+                       const Crash& crash,
+                       const CrashCause& cause);
+  Count CountOf(const CrashCause& cause) const;
+  int64_t RawHalfCrashes(const CrashCause& cause) const;
+  int64_t HalfCrashesNeeded(const CrashCause& cause) const;
+  std::optional<CrashCause> AsCandidate(const CrashCause& cause,
+                                        const Count& count) const;
+  std::optional<CrashCause> NextCause() const;
+  void AddBlock(const CrashCause& cause, const std::set<uint64_t>& parts);
+  std::set<uint64_t> PartsOf(const CrashCause& request) const;
+  std::optional<CrashCause> NextRelease() const;
+  void ReleaseBlocks();
   void Evaluate();
+  CrashReport ReportOf(const CrashedEndpoint& crashed,
+                       Instant time,
+                       const std::vector<LostRun>& runs) const;
 
   SuspectsOptions options;
-  std::vector<Crash> crashes;
-  std::map<uint64_t, Instant> answered;
+  std::vector<Crash> crashes;              // oldest first
+  std::map<CrashCause, int64_t> mentions;  // crashes with a cause
+  std::set<CrashCause> frequent;           // with enough crashes to be blocked
+  std::map<CrashCause, Answers> answered;
+  WindowSum answers;  // of this host
   std::map<HostId, std::map<uint64_t, PeerEntry>> peers;
+  Blocks blocks;
   // Not yet returned by TakeUpdate().
-  std::vector<Crash> new_crashes;
-  std::set<uint64_t> new_answers;
-  // Derived from `crashes` and `answered`.
-  EvidenceMap evidence;
-  std::set<uint64_t> blocked;
+  std::vector<NewCrash> new_crashes;
+  std::set<CrashCause> new_answers;
+  std::set<CrashCause> new_blocks;
+  Instant now{};  // of the last change
 };
 
 }  // namespace hickorystand
--- a/packages/peers/gen-cpp/peers_types.cpp
+++ b/packages/peers/gen-cpp/peers_types.cpp
@@ -5039,6 +5039,177 @@
   return *this;
 }
 
+LostRun::~LostRun() noexcept {
+}
+
+
+void LostRun::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void LostRun::__set_account(const int64_t val) {
+  this->account = val;
+}
+
+void LostRun::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+
+void LostRun::__set_before(const int64_t val) {
+  this->before = val;
+}
+
+uint32_t LostRun::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->parts.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
+            {
+              xfer += iprot->readI64(this->parts[_i220]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->before);
+          this->__isset.before = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LostRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LostRun");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter221;
+    for (_iter221 = this->parts.begin(); _iter221 != this->parts.end(); ++_iter221)
+    {
+      xfer += oprot->writeI64((*_iter221));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("before", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->before);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LostRun &a, LostRun &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.account, b.account);
+  swap(a.parts, b.parts);
+  swap(a.before, b.before);
+  swap(a.__isset, b.__isset);
+}
+
+LostRun::LostRun(const LostRun& other222) {
+  fingerprint = other222.fingerprint;
+  account = other222.account;
+  parts = other222.parts;
+  before = other222.before;
+  __isset = other222.__isset;
+}
+LostRun::LostRun(LostRun&& other223) noexcept {
+  fingerprint = other223.fingerprint;
+  account = other223.account;
+  parts = std::move(other223.parts);
+  before = other223.before;
+  __isset = other223.__isset;
+}
+LostRun& LostRun::operator=(const LostRun& other224) {
+  fingerprint = other224.fingerprint;
+  account = other224.account;
+  parts = other224.parts;
+  before = other224.before;
+  __isset = other224.__isset;
+  return *this;
+}
+LostRun& LostRun::operator=(LostRun&& other225) noexcept {
+  fingerprint = other225.fingerprint;
+  account = other225.account;
+  parts = std::move(other225.parts);
+  before = other225.before;
+  __isset = other225.__isset;
+  return *this;
+}
+
 CrashReport::~CrashReport() noexcept {
 }
 
@@ -5063,6 +5234,11 @@
   this->fingerprints = val;
 }
 
+void CrashReport::__set_waiting(const std::vector<LostRun> & val) {
+  this->waiting = val;
+__isset.waiting = true;
+}
+
 uint32_t CrashReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -5120,14 +5296,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fingerprints.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->fingerprints.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->fingerprints.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
             {
-              xfer += iprot->readI64(this->fingerprints[_i220]);
+              xfer += iprot->readI64(this->fingerprints[_i230]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5136,6 +5312,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waiting.clear();
+            uint32_t _size231;
+            ::apache::thrift::protocol::TType _etype234;
+            xfer += iprot->readListBegin(_etype234, _size231);
+            this->waiting.resize(_size231);
+            uint32_t _i235;
+            for (_i235 = 0; _i235 < _size231; ++_i235)
+            {
+              xfer += this->waiting[_i235].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5172,15 +5368,28 @@
   xfer += oprot->writeFieldBegin("fingerprints", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->fingerprints.size()));
-    std::vector<int64_t> ::const_iterator _iter221;
-    for (_iter221 = this->fingerprints.begin(); _iter221 != this->fingerprints.end(); ++_iter221)
+    std::vector<int64_t> ::const_iterator _iter236;
+    for (_iter236 = this->fingerprints.begin(); _iter236 != this->fingerprints.end(); ++_iter236)
     {
-      xfer += oprot->writeI64((*_iter221));
+      xfer += oprot->writeI64((*_iter236));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.waiting) {
+    xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
+      std::vector<LostRun> ::const_iterator _iter237;
+      for (_iter237 = this->waiting.begin(); _iter237 != this->waiting.end(); ++_iter237)
+      {
+        xfer += (*_iter237).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5193,41 +5402,46 @@
   swap(a.zone, b.zone);
   swap(a.age, b.age);
   swap(a.fingerprints, b.fingerprints);
+  swap(a.waiting, b.waiting);
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other222) {
-  endpoint = other222.endpoint;
-  started = other222.started;
-  zone = other222.zone;
-  age = other222.age;
-  fingerprints = other222.fingerprints;
-  __isset = other222.__isset;
-}
-CrashReport::CrashReport(CrashReport&& other223) noexcept {
-  endpoint = std::move(other223.endpoint);
-  started = other223.started;
-  zone = std::move(other223.zone);
-  age = other223.age;
-  fingerprints = std::move(other223.fingerprints);
-  __isset = other223.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other224) {
-  endpoint = other224.endpoint;
-  started = other224.started;
-  zone = other224.zone;
-  age = other224.age;
-  fingerprints = other224.fingerprints;
-  __isset = other224.__isset;
+CrashReport::CrashReport(const CrashReport& other238) {
+  endpoint = other238.endpoint;
+  started = other238.started;
+  zone = other238.zone;
+  age = other238.age;
+  fingerprints = other238.fingerprints;
+  waiting = other238.waiting;
+  __isset = other238.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other239) noexcept {
+  endpoint = std::move(other239.endpoint);
+  started = other239.started;
+  zone = std::move(other239.zone);
+  age = other239.age;
+  fingerprints = std::move(other239.fingerprints);
+  waiting = std::move(other239.waiting);
+  __isset = other239.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other240) {
+  endpoint = other240.endpoint;
+  started = other240.started;
+  zone = other240.zone;
+  age = other240.age;
+  fingerprints = other240.fingerprints;
+  waiting = other240.waiting;
+  __isset = other240.__isset;
   return *this;
 }
-CrashReport& CrashReport::operator=(CrashReport&& other225) noexcept {
-  endpoint = std::move(other225.endpoint);
-  started = other225.started;
-  zone = std::move(other225.zone);
-  age = other225.age;
-  fingerprints = std::move(other225.fingerprints);
-  __isset = other225.__isset;
+CrashReport& CrashReport::operator=(CrashReport&& other241) noexcept {
+  endpoint = std::move(other241.endpoint);
+  started = other241.started;
+  zone = std::move(other241.zone);
+  age = other241.age;
+  fingerprints = std::move(other241.fingerprints);
+  waiting = std::move(other241.waiting);
+  __isset = other241.__isset;
   return *this;
 }
 
@@ -5243,6 +5457,11 @@
   this->age = val;
 }
 
+void AnswerReport::__set_part(const bool val) {
+  this->part = val;
+__isset.part = true;
+}
+
 uint32_t AnswerReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -5280,6 +5499,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5305,6 +5532,11 @@
   xfer += oprot->writeI64(this->age);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.part) {
+    xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->part);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5314,29 +5546,205 @@
   using ::std::swap;
   swap(a.fingerprint, b.fingerprint);
   swap(a.age, b.age);
+  swap(a.part, b.part);
   swap(a.__isset, b.__isset);
 }
 
-AnswerReport::AnswerReport(const AnswerReport& other226) noexcept {
-  fingerprint = other226.fingerprint;
-  age = other226.age;
-  __isset = other226.__isset;
+AnswerReport::AnswerReport(const AnswerReport& other242) noexcept {
+  fingerprint = other242.fingerprint;
+  age = other242.age;
+  part = other242.part;
+  __isset = other242.__isset;
+}
+AnswerReport::AnswerReport(AnswerReport&& other243) noexcept {
+  fingerprint = other243.fingerprint;
+  age = other243.age;
+  part = other243.part;
+  __isset = other243.__isset;
+}
+AnswerReport& AnswerReport::operator=(const AnswerReport& other244) noexcept {
+  fingerprint = other244.fingerprint;
+  age = other244.age;
+  part = other244.part;
+  __isset = other244.__isset;
+  return *this;
+}
+AnswerReport& AnswerReport::operator=(AnswerReport&& other245) noexcept {
+  fingerprint = other245.fingerprint;
+  age = other245.age;
+  part = other245.part;
+  __isset = other245.__isset;
+  return *this;
+}
+
+CrashBlock::~CrashBlock() noexcept {
+}
+
+
+void CrashBlock::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void CrashBlock::__set_hash(const int64_t val) {
+  this->hash = val;
+}
+
+void CrashBlock::__set_account(const int64_t val) {
+  this->account = val;
+}
+
+void CrashBlock::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+
+uint32_t CrashBlock::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->parts.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
+            {
+              xfer += iprot->readI64(this->parts[_i250]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashBlock::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashBlock");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter251;
+    for (_iter251 = this->parts.begin(); _iter251 != this->parts.end(); ++_iter251)
+    {
+      xfer += oprot->writeI64((*_iter251));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
-AnswerReport::AnswerReport(AnswerReport&& other227) noexcept {
-  fingerprint = other227.fingerprint;
-  age = other227.age;
-  __isset = other227.__isset;
+
+void swap(CrashBlock &a, CrashBlock &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.hash, b.hash);
+  swap(a.account, b.account);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
 }
-AnswerReport& AnswerReport::operator=(const AnswerReport& other228) noexcept {
-  fingerprint = other228.fingerprint;
-  age = other228.age;
-  __isset = other228.__isset;
+
+CrashBlock::CrashBlock(const CrashBlock& other252) {
+  kind = other252.kind;
+  hash = other252.hash;
+  account = other252.account;
+  parts = other252.parts;
+  __isset = other252.__isset;
+}
+CrashBlock::CrashBlock(CrashBlock&& other253) noexcept {
+  kind = other253.kind;
+  hash = other253.hash;
+  account = other253.account;
+  parts = std::move(other253.parts);
+  __isset = other253.__isset;
+}
+CrashBlock& CrashBlock::operator=(const CrashBlock& other254) {
+  kind = other254.kind;
+  hash = other254.hash;
+  account = other254.account;
+  parts = other254.parts;
+  __isset = other254.__isset;
   return *this;
 }
-AnswerReport& AnswerReport::operator=(AnswerReport&& other229) noexcept {
-  fingerprint = other229.fingerprint;
-  age = other229.age;
-  __isset = other229.__isset;
+CrashBlock& CrashBlock::operator=(CrashBlock&& other255) noexcept {
+  kind = other255.kind;
+  hash = other255.hash;
+  account = other255.account;
+  parts = std::move(other255.parts);
+  __isset = other255.__isset;
   return *this;
 }
 
@@ -5352,6 +5760,11 @@
   this->answers = val;
 }
 
+void SuspectsUpdate::__set_blocks(const std::vector<CrashBlock> & val) {
+  this->blocks = val;
+__isset.blocks = true;
+}
+
 uint32_t SuspectsUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -5377,14 +5790,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size230;
-            ::apache::thrift::protocol::TType _etype233;
-            xfer += iprot->readListBegin(_etype233, _size230);
-            this->crashes.resize(_size230);
-            uint32_t _i234;
-            for (_i234 = 0; _i234 < _size230; ++_i234)
+            uint32_t _size256;
+            ::apache::thrift::protocol::TType _etype259;
+            xfer += iprot->readListBegin(_etype259, _size256);
+            this->crashes.resize(_size256);
+            uint32_t _i260;
+            for (_i260 = 0; _i260 < _size256; ++_i260)
             {
-              xfer += this->crashes[_i234].read(iprot);
+              xfer += this->crashes[_i260].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5397,14 +5810,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size235;
-            ::apache::thrift::protocol::TType _etype238;
-            xfer += iprot->readListBegin(_etype238, _size235);
-            this->answers.resize(_size235);
-            uint32_t _i239;
-            for (_i239 = 0; _i239 < _size235; ++_i239)
+            uint32_t _size261;
+            ::apache::thrift::protocol::TType _etype264;
+            xfer += iprot->readListBegin(_etype264, _size261);
+            this->answers.resize(_size261);
+            uint32_t _i265;
+            for (_i265 = 0; _i265 < _size261; ++_i265)
             {
-              xfer += this->answers[_i239].read(iprot);
+              xfer += this->answers[_i265].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5413,6 +5826,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->blocks.clear();
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->blocks.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
+            {
+              xfer += this->blocks[_i270].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.blocks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5433,10 +5866,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter240;
-    for (_iter240 = this->crashes.begin(); _iter240 != this->crashes.end(); ++_iter240)
+    std::vector<CrashReport> ::const_iterator _iter271;
+    for (_iter271 = this->crashes.begin(); _iter271 != this->crashes.end(); ++_iter271)
     {
-      xfer += (*_iter240).write(oprot);
+      xfer += (*_iter271).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5445,15 +5878,28 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<AnswerReport> ::const_iterator _iter241;
-    for (_iter241 = this->answers.begin(); _iter241 != this->answers.end(); ++_iter241)
+    std::vector<AnswerReport> ::const_iterator _iter272;
+    for (_iter272 = this->answers.begin(); _iter272 != this->answers.end(); ++_iter272)
     {
-      xfer += (*_iter241).write(oprot);
+      xfer += (*_iter272).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.blocks) {
+    xfer += oprot->writeFieldBegin("blocks", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->blocks.size()));
+      std::vector<CrashBlock> ::const_iterator _iter273;
+      for (_iter273 = this->blocks.begin(); _iter273 != this->blocks.end(); ++_iter273)
+      {
+        xfer += (*_iter273).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5463,29 +5909,34 @@
   using ::std::swap;
   swap(a.crashes, b.crashes);
   swap(a.answers, b.answers);
+  swap(a.blocks, b.blocks);
   swap(a.__isset, b.__isset);
 }
 
-SuspectsUpdate::SuspectsUpdate(const SuspectsUpdate& other242) {
-  crashes = other242.crashes;
-  answers = other242.answers;
-  __isset = other242.__isset;
+SuspectsUpdate::SuspectsUpdate(const SuspectsUpdate& other274) {
+  crashes = other274.crashes;
+  answers = other274.answers;
+  blocks = other274.blocks;
+  __isset = other274.__isset;
 }
-SuspectsUpdate::SuspectsUpdate(SuspectsUpdate&& other243) noexcept {
-  crashes = std::move(other243.crashes);
-  answers = std::move(other243.answers);
-  __isset = other243.__isset;
+SuspectsUpdate::SuspectsUpdate(SuspectsUpdate&& other275) noexcept {
+  crashes = std::move(other275.crashes);
+  answers = std::move(other275.answers);
+  blocks = std::move(other275.blocks);
+  __isset = other275.__isset;
 }
-SuspectsUpdate& SuspectsUpdate::operator=(const SuspectsUpdate& other244) {
-  crashes = other244.crashes;
-  answers = other244.answers;
-  __isset = other244.__isset;
+SuspectsUpdate& SuspectsUpdate::operator=(const SuspectsUpdate& other276) {
+  crashes = other276.crashes;
+  answers = other276.answers;
+  blocks = other276.blocks;
+  __isset = other276.__isset;
   return *this;
 }
-SuspectsUpdate& SuspectsUpdate::operator=(SuspectsUpdate&& other245) noexcept {
-  crashes = std::move(other245.crashes);
-  answers = std::move(other245.answers);
-  __isset = other245.__isset;
+SuspectsUpdate& SuspectsUpdate::operator=(SuspectsUpdate&& other277) noexcept {
+  crashes = std::move(other277.crashes);
+  answers = std::move(other277.answers);
+  blocks = std::move(other277.blocks);
+  __isset = other277.__isset;
   return *this;
 }
 
@@ -5611,34 +6062,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RateReport::RateReport(const RateReport& other246) {
-  endpoint = other246.endpoint;
-  started = other246.started;
-  per_second = other246.per_second;
-  age = other246.age;
-  __isset = other246.__isset;
-}
-RateReport::RateReport(RateReport&& other247) noexcept {
-  endpoint = std::move(other247.endpoint);
-  started = other247.started;
-  per_second = other247.per_second;
-  age = other247.age;
-  __isset = other247.__isset;
-}
-RateReport& RateReport::operator=(const RateReport& other248) {
-  endpoint = other248.endpoint;
-  started = other248.started;
-  per_second = other248.per_second;
-  age = other248.age;
-  __isset = other248.__isset;
+RateReport::RateReport(const RateReport& other278) {
+  endpoint = other278.endpoint;
+  started = other278.started;
+  per_second = other278.per_second;
+  age = other278.age;
+  __isset = other278.__isset;
+}
+RateReport::RateReport(RateReport&& other279) noexcept {
+  endpoint = std::move(other279.endpoint);
+  started = other279.started;
+  per_second = other279.per_second;
+  age = other279.age;
+  __isset = other279.__isset;
+}
+RateReport& RateReport::operator=(const RateReport& other280) {
+  endpoint = other280.endpoint;
+  started = other280.started;
+  per_second = other280.per_second;
+  age = other280.age;
+  __isset = other280.__isset;
   return *this;
 }
-RateReport& RateReport::operator=(RateReport&& other249) noexcept {
-  endpoint = std::move(other249.endpoint);
-  started = other249.started;
-  per_second = other249.per_second;
-  age = other249.age;
-  __isset = other249.__isset;
+RateReport& RateReport::operator=(RateReport&& other281) noexcept {
+  endpoint = std::move(other281.endpoint);
+  started = other281.started;
+  per_second = other281.per_second;
+  age = other281.age;
+  __isset = other281.__isset;
   return *this;
 }
 
@@ -5675,14 +6126,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size250;
-            ::apache::thrift::protocol::TType _etype253;
-            xfer += iprot->readListBegin(_etype253, _size250);
-            this->rates.resize(_size250);
-            uint32_t _i254;
-            for (_i254 = 0; _i254 < _size250; ++_i254)
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->rates.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
             {
-              xfer += this->rates[_i254].read(iprot);
+              xfer += this->rates[_i286].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5711,10 +6162,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<RateReport> ::const_iterator _iter255;
-    for (_iter255 = this->rates.begin(); _iter255 != this->rates.end(); ++_iter255)
+    std::vector<RateReport> ::const_iterator _iter287;
+    for (_iter287 = this->rates.begin(); _iter287 != this->rates.end(); ++_iter287)
     {
-      xfer += (*_iter255).write(oprot);
+      xfer += (*_iter287).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5731,22 +6182,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointRates::EndpointRates(const EndpointRates& other256) {
-  rates = other256.rates;
-  __isset = other256.__isset;
+EndpointRates::EndpointRates(const EndpointRates& other288) {
+  rates = other288.rates;
+  __isset = other288.__isset;
 }
-EndpointRates::EndpointRates(EndpointRates&& other257) noexcept {
-  rates = std::move(other257.rates);
-  __isset = other257.__isset;
+EndpointRates::EndpointRates(EndpointRates&& other289) noexcept {
+  rates = std::move(other289.rates);
+  __isset = other289.__isset;
 }
-EndpointRates& EndpointRates::operator=(const EndpointRates& other258) {
-  rates = other258.rates;
-  __isset = other258.__isset;
+EndpointRates& EndpointRates::operator=(const EndpointRates& other290) {
+  rates = other290.rates;
+  __isset = other290.__isset;
   return *this;
 }
-EndpointRates& EndpointRates::operator=(EndpointRates&& other259) noexcept {
-  rates = std::move(other259.rates);
-  __isset = other259.__isset;
+EndpointRates& EndpointRates::operator=(EndpointRates&& other291) noexcept {
+  rates = std::move(other291.rates);
+  __isset = other291.__isset;
   return *this;
 }
 
@@ -5800,14 +6251,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->streams.clear();
-            uint32_t _size260;
-            ::apache::thrift::protocol::TType _etype263;
-            xfer += iprot->readListBegin(_etype263, _size260);
-            this->streams.resize(_size260);
-            uint32_t _i264;
-            for (_i264 = 0; _i264 < _size260; ++_i264)
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            this->streams.resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
             {
-              xfer += iprot->readI64(this->streams[_i264]);
+              xfer += iprot->readI64(this->streams[_i296]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5820,14 +6271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->remaining.clear();
-            uint32_t _size265;
-            ::apache::thrift::protocol::TType _etype268;
-            xfer += iprot->readListBegin(_etype268, _size265);
-            this->remaining.resize(_size265);
-            uint32_t _i269;
-            for (_i269 = 0; _i269 < _size265; ++_i269)
+            uint32_t _size297;
+            ::apache::thrift::protocol::TType _etype300;
+            xfer += iprot->readListBegin(_etype300, _size297);
+            this->remaining.resize(_size297);
+            uint32_t _i301;
+            for (_i301 = 0; _i301 < _size297; ++_i301)
             {
-              xfer += iprot->readI64(this->remaining[_i269]);
+              xfer += iprot->readI64(this->remaining[_i301]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5861,10 +6312,10 @@
   xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->streams.size()));
-    std::vector<int64_t> ::const_iterator _iter270;
-    for (_iter270 = this->streams.begin(); _iter270 != this->streams.end(); ++_iter270)
+    std::vector<int64_t> ::const_iterator _iter302;
+    for (_iter302 = this->streams.begin(); _iter302 != this->streams.end(); ++_iter302)
     {
-      xfer += oprot->writeI64((*_iter270));
+      xfer += oprot->writeI64((*_iter302));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5873,10 +6324,10 @@
   xfer += oprot->writeFieldBegin("remaining", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->remaining.size()));
-    std::vector<int64_t> ::const_iterator _iter271;
-    for (_iter271 = this->remaining.begin(); _iter271 != this->remaining.end(); ++_iter271)
+    std::vector<int64_t> ::const_iterator _iter303;
+    for (_iter303 = this->remaining.begin(); _iter303 != this->remaining.end(); ++_iter303)
     {
-      xfer += oprot->writeI64((*_iter271));
+      xfer += oprot->writeI64((*_iter303));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5895,30 +6346,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamGroup::StreamGroup(const StreamGroup& other272) {
-  origin = other272.origin;
-  streams = other272.streams;
-  remaining = other272.remaining;
-  __isset = other272.__isset;
+StreamGroup::StreamGroup(const StreamGroup& other304) {
+  origin = other304.origin;
+  streams = other304.streams;
+  remaining = other304.remaining;
+  __isset = other304.__isset;
 }
-StreamGroup::StreamGroup(StreamGroup&& other273) noexcept {
-  origin = std::move(other273.origin);
-  streams = std::move(other273.streams);
-  remaining = std::move(other273.remaining);
-  __isset = other273.__isset;
+StreamGroup::StreamGroup(StreamGroup&& other305) noexcept {
+  origin = std::move(other305.origin);
+  streams = std::move(other305.streams);
+  remaining = std::move(other305.remaining);
+  __isset = other305.__isset;
 }
-StreamGroup& StreamGroup::operator=(const StreamGroup& other274) {
-  origin = other274.origin;
-  streams = other274.streams;
-  remaining = other274.remaining;
-  __isset = other274.__isset;
+StreamGroup& StreamGroup::operator=(const StreamGroup& other306) {
+  origin = other306.origin;
+  streams = other306.streams;
+  remaining = other306.remaining;
+  __isset = other306.__isset;
   return *this;
 }
-StreamGroup& StreamGroup::operator=(StreamGroup&& other275) noexcept {
-  origin = std::move(other275.origin);
-  streams = std::move(other275.streams);
-  remaining = std::move(other275.remaining);
-  __isset = other275.__isset;
+StreamGroup& StreamGroup::operator=(StreamGroup&& other307) noexcept {
+  origin = std::move(other307.origin);
+  streams = std::move(other307.streams);
+  remaining = std::move(other307.remaining);
+  __isset = other307.__isset;
   return *this;
 }
 
@@ -5955,14 +6406,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            this->groups.resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size308;
+            ::apache::thrift::protocol::TType _etype311;
+            xfer += iprot->readListBegin(_etype311, _size308);
+            this->groups.resize(_size308);
+            uint32_t _i312;
+            for (_i312 = 0; _i312 < _size308; ++_i312)
             {
-              xfer += this->groups[_i280].read(iprot);
+              xfer += this->groups[_i312].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5991,10 +6442,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<StreamGroup> ::const_iterator _iter281;
-    for (_iter281 = this->groups.begin(); _iter281 != this->groups.end(); ++_iter281)
+    std::vector<StreamGroup> ::const_iterator _iter313;
+    for (_iter313 = this->groups.begin(); _iter313 != this->groups.end(); ++_iter313)
     {
-      xfer += (*_iter281).write(oprot);
+      xfer += (*_iter313).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6011,22 +6462,22 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamReports::StreamReports(const StreamReports& other282) {
-  groups = other282.groups;
-  __isset = other282.__isset;
+StreamReports::StreamReports(const StreamReports& other314) {
+  groups = other314.groups;
+  __isset = other314.__isset;
 }
-StreamReports::StreamReports(StreamReports&& other283) noexcept {
-  groups = std::move(other283.groups);
-  __isset = other283.__isset;
+StreamReports::StreamReports(StreamReports&& other315) noexcept {
+  groups = std::move(other315.groups);
+  __isset = other315.__isset;
 }
-StreamReports& StreamReports::operator=(const StreamReports& other284) {
-  groups = other284.groups;
-  __isset = other284.__isset;
+StreamReports& StreamReports::operator=(const StreamReports& other316) {
+  groups = other316.groups;
+  __isset = other316.__isset;
   return *this;
 }
-StreamReports& StreamReports::operator=(StreamReports&& other285) noexcept {
-  groups = std::move(other285.groups);
-  __isset = other285.__isset;
+StreamReports& StreamReports::operator=(StreamReports&& other317) noexcept {
+  groups = std::move(other317.groups);
+  __isset = other317.__isset;
   return *this;
 }
 
@@ -6063,14 +6514,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->streams.clear();
-            uint32_t _size286;
-            ::apache::thrift::protocol::TType _etype289;
-            xfer += iprot->readListBegin(_etype289, _size286);
-            this->streams.resize(_size286);
-            uint32_t _i290;
-            for (_i290 = 0; _i290 < _size286; ++_i290)
+            uint32_t _size318;
+            ::apache::thrift::protocol::TType _etype321;
+            xfer += iprot->readListBegin(_etype321, _size318);
+            this->streams.resize(_size318);
+            uint32_t _i322;
+            for (_i322 = 0; _i322 < _size318; ++_i322)
             {
-              xfer += iprot->readI64(this->streams[_i290]);
+              xfer += iprot->readI64(this->streams[_i322]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6099,10 +6550,10 @@
   xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->streams.size()));
-    std::vector<int64_t> ::const_iterator _iter291;
-    for (_iter291 = this->streams.begin(); _iter291 != this->streams.end(); ++_iter291)
+    std::vector<int64_t> ::const_iterator _iter323;
+    for (_iter323 = this->streams.begin(); _iter323 != this->streams.end(); ++_iter323)
     {
-      xfer += oprot->writeI64((*_iter291));
+      xfer += oprot->writeI64((*_iter323));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6119,22 +6570,22 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamQuestion::StreamQuestion(const StreamQuestion& other292) {
-  streams = other292.streams;
-  __isset = other292.__isset;
+StreamQuestion::StreamQuestion(const StreamQuestion& other324) {
+  streams = other324.streams;
+  __isset = other324.__isset;
 }
-StreamQuestion::StreamQuestion(StreamQuestion&& other293) noexcept {
-  streams = std::move(other293.streams);
-  __isset = other293.__isset;
+StreamQuestion::StreamQuestion(StreamQuestion&& other325) noexcept {
+  streams = std::move(other325.streams);
+  __isset = other325.__isset;
 }
-StreamQuestion& StreamQuestion::operator=(const StreamQuestion& other294) {
-  streams = other294.streams;
-  __isset = other294.__isset;
+StreamQuestion& StreamQuestion::operator=(const StreamQuestion& other326) {
+  streams = other326.streams;
+  __isset = other326.__isset;
   return *this;
 }
-StreamQuestion& StreamQuestion::operator=(StreamQuestion&& other295) noexcept {
-  streams = std::move(other295.streams);
-  __isset = other295.__isset;
+StreamQuestion& StreamQuestion::operator=(StreamQuestion&& other327) noexcept {
+  streams = std::move(other327.streams);
+  __isset = other327.__isset;
   return *this;
 }
 
@@ -6175,14 +6626,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size296;
-            ::apache::thrift::protocol::TType _etype299;
-            xfer += iprot->readListBegin(_etype299, _size296);
-            this->known.resize(_size296);
-            uint32_t _i300;
-            for (_i300 = 0; _i300 < _size296; ++_i300)
+            uint32_t _size328;
+            ::apache::thrift::protocol::TType _etype331;
+            xfer += iprot->readListBegin(_etype331, _size328);
+            this->known.resize(_size328);
+            uint32_t _i332;
+            for (_i332 = 0; _i332 < _size328; ++_i332)
             {
-              xfer += this->known[_i300].read(iprot);
+              xfer += this->known[_i332].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6195,14 +6646,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknown.clear();
-            uint32_t _size301;
-            ::apache::thrift::protocol::TType _etype304;
-            xfer += iprot->readListBegin(_etype304, _size301);
-            this->unknown.resize(_size301);
-            uint32_t _i305;
-            for (_i305 = 0; _i305 < _size301; ++_i305)
+            uint32_t _size333;
+            ::apache::thrift::protocol::TType _etype336;
+            xfer += iprot->readListBegin(_etype336, _size333);
+            this->unknown.resize(_size333);
+            uint32_t _i337;
+            for (_i337 = 0; _i337 < _size333; ++_i337)
             {
-              xfer += iprot->readI64(this->unknown[_i305]);
+              xfer += iprot->readI64(this->unknown[_i337]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6231,10 +6682,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<StreamGroup> ::const_iterator _iter306;
-    for (_iter306 = this->known.begin(); _iter306 != this->known.end(); ++_iter306)
+    std::vector<StreamGroup> ::const_iterator _iter338;
+    for (_iter338 = this->known.begin(); _iter338 != this->known.end(); ++_iter338)
     {
-      xfer += (*_iter306).write(oprot);
+      xfer += (*_iter338).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6243,10 +6694,10 @@
   xfer += oprot->writeFieldBegin("unknown", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknown.size()));
-    std::vector<int64_t> ::const_iterator _iter307;
-    for (_iter307 = this->unknown.begin(); _iter307 != this->unknown.end(); ++_iter307)
+    std::vector<int64_t> ::const_iterator _iter339;
+    for (_iter339 = this->unknown.begin(); _iter339 != this->unknown.end(); ++_iter339)
     {
-      xfer += oprot->writeI64((*_iter307));
+      xfer += oprot->writeI64((*_iter339));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6264,26 +6715,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamAnswer::StreamAnswer(const StreamAnswer& other308) {
-  known = other308.known;
-  unknown = other308.unknown;
-  __isset = other308.__isset;
+StreamAnswer::StreamAnswer(const StreamAnswer& other340) {
+  known = other340.known;
+  unknown = other340.unknown;
+  __isset = other340.__isset;
 }
-StreamAnswer::StreamAnswer(StreamAnswer&& other309) noexcept {
-  known = std::move(other309.known);
-  unknown = std::move(other309.unknown);
-  __isset = other309.__isset;
+StreamAnswer::StreamAnswer(StreamAnswer&& other341) noexcept {
+  known = std::move(other341.known);
+  unknown = std::move(other341.unknown);
+  __isset = other341.__isset;
 }
-StreamAnswer& StreamAnswer::operator=(const StreamAnswer& other310) {
-  known = other310.known;
-  unknown = other310.unknown;
-  __isset = other310.__isset;
+StreamAnswer& StreamAnswer::operator=(const StreamAnswer& other342) {
+  known = other342.known;
+  unknown = other342.unknown;
+  __isset = other342.__isset;
   return *this;
 }
-StreamAnswer& StreamAnswer::operator=(StreamAnswer&& other311) noexcept {
-  known = std::move(other311.known);
-  unknown = std::move(other311.unknown);
-  __isset = other311.__isset;
+StreamAnswer& StreamAnswer::operator=(StreamAnswer&& other343) noexcept {
+  known = std::move(other343.known);
+  unknown = std::move(other343.unknown);
+  __isset = other343.__isset;
   return *this;
 }
 
@@ -6335,18 +6786,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other312) noexcept {
-  (void) other312;
+Heartbeat::Heartbeat(const Heartbeat& other344) noexcept {
+  (void) other344;
 }
-Heartbeat::Heartbeat(Heartbeat&& other313) noexcept {
-  (void) other313;
+Heartbeat::Heartbeat(Heartbeat&& other345) noexcept {
+  (void) other345;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other314) noexcept {
-  (void) other314;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other346) noexcept {
+  (void) other346;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other315) noexcept {
-  (void) other315;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other347) noexcept {
+  (void) other347;
   return *this;
 }
 
@@ -6839,110 +7290,110 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other316) {
-  heartbeat = other316.heartbeat;
-  digest = other316.digest;
-  buckets_request = other316.buckets_request;
-  buckets_reply = other316.buckets_reply;
-  usage_copy = other316.usage_copy;
-  released = other316.released;
-  endpoint_news = other316.endpoint_news;
-  freshness_question = other316.freshness_question;
-  freshness_answer = other316.freshness_answer;
-  engine_paces = other316.engine_paces;
-  forwarded_request = other316.forwarded_request;
-  forwarded_body = other316.forwarded_body;
-  forwarded_answer = other316.forwarded_answer;
-  forward_control = other316.forward_control;
-  scheduler_news = other316.scheduler_news;
-  cache_update = other316.cache_update;
-  prefill_load = other316.prefill_load;
-  limit_tokens = other316.limit_tokens;
-  suspects_update = other316.suspects_update;
-  endpoint_rates = other316.endpoint_rates;
-  stream_reports = other316.stream_reports;
-  stream_question = other316.stream_question;
-  stream_answer = other316.stream_answer;
-  __isset = other316.__isset;
-}
-Message::Message(Message&& other317) noexcept {
-  heartbeat = std::move(other317.heartbeat);
-  digest = std::move(other317.digest);
-  buckets_request = std::move(other317.buckets_request);
-  buckets_reply = std::move(other317.buckets_reply);
-  usage_copy = std::move(other317.usage_copy);
-  released = std::move(other317.released);
-  endpoint_news = std::move(other317.endpoint_news);
-  freshness_question = std::move(other317.freshness_question);
-  freshness_answer = std::move(other317.freshness_answer);
-  engine_paces = std::move(other317.engine_paces);
-  forwarded_request = std::move(other317.forwarded_request);
-  forwarded_body = std::move(other317.forwarded_body);
-  forwarded_answer = std::move(other317.forwarded_answer);
-  forward_control = std::move(other317.forward_control);
-  scheduler_news = std::move(other317.scheduler_news);
-  cache_update = std::move(other317.cache_update);
-  prefill_load = std::move(other317.prefill_load);
-  limit_tokens = std::move(other317.limit_tokens);
-  suspects_update = std::move(other317.suspects_update);
-  endpoint_rates = std::move(other317.endpoint_rates);
-  stream_reports = std::move(other317.stream_reports);
-  stream_question = std::move(other317.stream_question);
-  stream_answer = std::move(other317.stream_answer);
-  __isset = other317.__isset;
-}
-Message& Message::operator=(const Message& other318) {
-  heartbeat = other318.heartbeat;
-  digest = other318.digest;
-  buckets_request = other318.buckets_request;
-  buckets_reply = other318.buckets_reply;
-  usage_copy = other318.usage_copy;
-  released = other318.released;
-  endpoint_news = other318.endpoint_news;
-  freshness_question = other318.freshness_question;
-  freshness_answer = other318.freshness_answer;
-  engine_paces = other318.engine_paces;
-  forwarded_request = other318.forwarded_request;
-  forwarded_body = other318.forwarded_body;
-  forwarded_answer = other318.forwarded_answer;
-  forward_control = other318.forward_control;
-  scheduler_news = other318.scheduler_news;
-  cache_update = other318.cache_update;
-  prefill_load = other318.prefill_load;
-  limit_tokens = other318.limit_tokens;
-  suspects_update = other318.suspects_update;
-  endpoint_rates = other318.endpoint_rates;
-  stream_reports = other318.stream_reports;
-  stream_question = other318.stream_question;
-  stream_answer = other318.stream_answer;
-  __isset = other318.__isset;
+Message::Message(const Message& other348) {
+  heartbeat = other348.heartbeat;
+  digest = other348.digest;
+  buckets_request = other348.buckets_request;
+  buckets_reply = other348.buckets_reply;
+  usage_copy = other348.usage_copy;
+  released = other348.released;
+  endpoint_news = other348.endpoint_news;
+  freshness_question = other348.freshness_question;
+  freshness_answer = other348.freshness_answer;
+  engine_paces = other348.engine_paces;
+  forwarded_request = other348.forwarded_request;
+  forwarded_body = other348.forwarded_body;
+  forwarded_answer = other348.forwarded_answer;
+  forward_control = other348.forward_control;
+  scheduler_news = other348.scheduler_news;
+  cache_update = other348.cache_update;
+  prefill_load = other348.prefill_load;
+  limit_tokens = other348.limit_tokens;
+  suspects_update = other348.suspects_update;
+  endpoint_rates = other348.endpoint_rates;
+  stream_reports = other348.stream_reports;
+  stream_question = other348.stream_question;
+  stream_answer = other348.stream_answer;
+  __isset = other348.__isset;
+}
+Message::Message(Message&& other349) noexcept {
+  heartbeat = std::move(other349.heartbeat);
+  digest = std::move(other349.digest);
+  buckets_request = std::move(other349.buckets_request);
+  buckets_reply = std::move(other349.buckets_reply);
+  usage_copy = std::move(other349.usage_copy);
+  released = std::move(other349.released);
+  endpoint_news = std::move(other349.endpoint_news);
+  freshness_question = std::move(other349.freshness_question);
+  freshness_answer = std::move(other349.freshness_answer);
+  engine_paces = std::move(other349.engine_paces);
+  forwarded_request = std::move(other349.forwarded_request);
+  forwarded_body = std::move(other349.forwarded_body);
+  forwarded_answer = std::move(other349.forwarded_answer);
+  forward_control = std::move(other349.forward_control);
+  scheduler_news = std::move(other349.scheduler_news);
+  cache_update = std::move(other349.cache_update);
+  prefill_load = std::move(other349.prefill_load);
+  limit_tokens = std::move(other349.limit_tokens);
+  suspects_update = std::move(other349.suspects_update);
+  endpoint_rates = std::move(other349.endpoint_rates);
+  stream_reports = std::move(other349.stream_reports);
+  stream_question = std::move(other349.stream_question);
+  stream_answer = std::move(other349.stream_answer);
+  __isset = other349.__isset;
+}
+Message& Message::operator=(const Message& other350) {
+  heartbeat = other350.heartbeat;
+  digest = other350.digest;
+  buckets_request = other350.buckets_request;
+  buckets_reply = other350.buckets_reply;
+  usage_copy = other350.usage_copy;
+  released = other350.released;
+  endpoint_news = other350.endpoint_news;
+  freshness_question = other350.freshness_question;
+  freshness_answer = other350.freshness_answer;
+  engine_paces = other350.engine_paces;
+  forwarded_request = other350.forwarded_request;
+  forwarded_body = other350.forwarded_body;
+  forwarded_answer = other350.forwarded_answer;
+  forward_control = other350.forward_control;
+  scheduler_news = other350.scheduler_news;
+  cache_update = other350.cache_update;
+  prefill_load = other350.prefill_load;
+  limit_tokens = other350.limit_tokens;
+  suspects_update = other350.suspects_update;
+  endpoint_rates = other350.endpoint_rates;
+  stream_reports = other350.stream_reports;
+  stream_question = other350.stream_question;
+  stream_answer = other350.stream_answer;
+  __isset = other350.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other319) noexcept {
-  heartbeat = std::move(other319.heartbeat);
-  digest = std::move(other319.digest);
-  buckets_request = std::move(other319.buckets_request);
-  buckets_reply = std::move(other319.buckets_reply);
-  usage_copy = std::move(other319.usage_copy);
-  released = std::move(other319.released);
-  endpoint_news = std::move(other319.endpoint_news);
-  freshness_question = std::move(other319.freshness_question);
-  freshness_answer = std::move(other319.freshness_answer);
-  engine_paces = std::move(other319.engine_paces);
-  forwarded_request = std::move(other319.forwarded_request);
-  forwarded_body = std::move(other319.forwarded_body);
-  forwarded_answer = std::move(other319.forwarded_answer);
-  forward_control = std::move(other319.forward_control);
-  scheduler_news = std::move(other319.scheduler_news);
-  cache_update = std::move(other319.cache_update);
-  prefill_load = std::move(other319.prefill_load);
-  limit_tokens = std::move(other319.limit_tokens);
-  suspects_update = std::move(other319.suspects_update);
-  endpoint_rates = std::move(other319.endpoint_rates);
-  stream_reports = std::move(other319.stream_reports);
-  stream_question = std::move(other319.stream_question);
-  stream_answer = std::move(other319.stream_answer);
-  __isset = other319.__isset;
+Message& Message::operator=(Message&& other351) noexcept {
+  heartbeat = std::move(other351.heartbeat);
+  digest = std::move(other351.digest);
+  buckets_request = std::move(other351.buckets_request);
+  buckets_reply = std::move(other351.buckets_reply);
+  usage_copy = std::move(other351.usage_copy);
+  released = std::move(other351.released);
+  endpoint_news = std::move(other351.endpoint_news);
+  freshness_question = std::move(other351.freshness_question);
+  freshness_answer = std::move(other351.freshness_answer);
+  engine_paces = std::move(other351.engine_paces);
+  forwarded_request = std::move(other351.forwarded_request);
+  forwarded_body = std::move(other351.forwarded_body);
+  forwarded_answer = std::move(other351.forwarded_answer);
+  forward_control = std::move(other351.forward_control);
+  scheduler_news = std::move(other351.scheduler_news);
+  cache_update = std::move(other351.cache_update);
+  prefill_load = std::move(other351.prefill_load);
+  limit_tokens = std::move(other351.limit_tokens);
+  suspects_update = std::move(other351.suspects_update);
+  endpoint_rates = std::move(other351.endpoint_rates);
+  stream_reports = std::move(other351.stream_reports);
+  stream_question = std::move(other351.stream_question);
+  stream_answer = std::move(other351.stream_answer);
+  __isset = other351.__isset;
   return *this;
 }
 }} // namespace
--- a/packages/peers/gen-cpp/peers_types.h
+++ b/packages/peers/gen-cpp/peers_types.h
@@ -81,10 +81,14 @@
 
 class LimitTokens;
 
+class LostRun;
+
 class CrashReport;
 
 class AnswerReport;
 
+class CrashBlock;
+
 class SuspectsUpdate;
 
 class RateReport;
@@ -2132,13 +2136,78 @@
 
 std::ostream& operator<<(std::ostream& out, const LimitTokens& obj);
 
+typedef struct _LostRun__isset {
+  _LostRun__isset() : fingerprint(false), account(false), parts(false), before(false) {}
+  bool fingerprint :1;
+  bool account :1;
+  bool parts :1;
+  bool before :1;
+} _LostRun__isset;
+
+class LostRun : public virtual ::apache::thrift::TBase {
+ public:
+
+  LostRun(const LostRun&);
+  LostRun(LostRun&&) noexcept;
+  LostRun& operator=(const LostRun&);
+  LostRun& operator=(LostRun&&) noexcept;
+  LostRun() noexcept
+          : fingerprint(0),
+            account(0),
+            before(0) {
+  }
+
+  virtual ~LostRun() noexcept;
+  int64_t fingerprint;
+  int64_t account;
+  std::vector<int64_t>  parts;
+  int64_t before;
+
+  _LostRun__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_account(const int64_t val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  void __set_before(const int64_t val);
+
+  bool operator == (const LostRun & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(before == rhs.before))
+      return false;
+    return true;
+  }
+  bool operator != (const LostRun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LostRun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(LostRun &a, LostRun &b);
+
+std::ostream& operator<<(std::ostream& out, const LostRun& obj);
+
 typedef struct _CrashReport__isset {
-  _CrashReport__isset() : endpoint(false), started(false), zone(false), age(false), fingerprints(false) {}
+  _CrashReport__isset() : endpoint(false), started(false), zone(false), age(false), fingerprints(false), waiting(false) {}
   bool endpoint :1;
   bool started :1;
   bool zone :1;
   bool age :1;
   bool fingerprints :1;
+  bool waiting :1;
 } _CrashReport__isset;
 
 class CrashReport : public virtual ::apache::thrift::TBase {
@@ -2161,6 +2230,7 @@
   std::string zone;
   int64_t age;
   std::vector<int64_t>  fingerprints;
+  std::vector<LostRun>  waiting;
 
   _CrashReport__isset __isset;
 
@@ -2174,6 +2244,8 @@
 
   void __set_fingerprints(const std::vector<int64_t> & val);
 
+  void __set_waiting(const std::vector<LostRun> & val);
+
   bool operator == (const CrashReport & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -2186,6 +2258,10 @@
       return false;
     if (!(fingerprints == rhs.fingerprints))
       return false;
+    if (__isset.waiting != rhs.__isset.waiting)
+      return false;
+    else if (__isset.waiting && !(waiting == rhs.waiting))
+      return false;
     return true;
   }
   bool operator != (const CrashReport &rhs) const {
@@ -2204,9 +2280,10 @@
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
 typedef struct _AnswerReport__isset {
-  _AnswerReport__isset() : fingerprint(false), age(false) {}
+  _AnswerReport__isset() : fingerprint(false), age(false), part(false) {}
   bool fingerprint :1;
   bool age :1;
+  bool part :1;
 } _AnswerReport__isset;
 
 class AnswerReport : public virtual ::apache::thrift::TBase {
@@ -2218,12 +2295,14 @@
   AnswerReport& operator=(AnswerReport&&) noexcept;
   AnswerReport() noexcept
                : fingerprint(0),
-                 age(0) {
+                 age(0),
+                 part(0) {
   }
 
   virtual ~AnswerReport() noexcept;
   int64_t fingerprint;
   int64_t age;
+  bool part;
 
   _AnswerReport__isset __isset;
 
@@ -2231,12 +2310,18 @@
 
   void __set_age(const int64_t val);
 
+  void __set_part(const bool val);
+
   bool operator == (const AnswerReport & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
       return false;
     if (!(age == rhs.age))
       return false;
+    if (__isset.part != rhs.__isset.part)
+      return false;
+    else if (__isset.part && !(part == rhs.part))
+      return false;
     return true;
   }
   bool operator != (const AnswerReport &rhs) const {
@@ -2254,10 +2339,75 @@
 
 std::ostream& operator<<(std::ostream& out, const AnswerReport& obj);
 
+typedef struct _CrashBlock__isset {
+  _CrashBlock__isset() : kind(false), hash(false), account(false), parts(false) {}
+  bool kind :1;
+  bool hash :1;
+  bool account :1;
+  bool parts :1;
+} _CrashBlock__isset;
+
+class CrashBlock : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashBlock(const CrashBlock&);
+  CrashBlock(CrashBlock&&) noexcept;
+  CrashBlock& operator=(const CrashBlock&);
+  CrashBlock& operator=(CrashBlock&&) noexcept;
+  CrashBlock() noexcept
+             : kind(0),
+               hash(0),
+               account(0) {
+  }
+
+  virtual ~CrashBlock() noexcept;
+  int32_t kind;
+  int64_t hash;
+  int64_t account;
+  std::vector<int64_t>  parts;
+
+  _CrashBlock__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_hash(const int64_t val);
+
+  void __set_account(const int64_t val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  bool operator == (const CrashBlock & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(hash == rhs.hash))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashBlock &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashBlock & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(CrashBlock &a, CrashBlock &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashBlock& obj);
+
 typedef struct _SuspectsUpdate__isset {
-  _SuspectsUpdate__isset() : crashes(false), answers(false) {}
+  _SuspectsUpdate__isset() : crashes(false), answers(false), blocks(false) {}
   bool crashes :1;
   bool answers :1;
+  bool blocks :1;
 } _SuspectsUpdate__isset;
 
 class SuspectsUpdate : public virtual ::apache::thrift::TBase {
@@ -2273,6 +2423,7 @@
   virtual ~SuspectsUpdate() noexcept;
   std::vector<CrashReport>  crashes;
   std::vector<AnswerReport>  answers;
+  std::vector<CrashBlock>  blocks;
 
   _SuspectsUpdate__isset __isset;
 
@@ -2280,12 +2431,18 @@
 
   void __set_answers(const std::vector<AnswerReport> & val);
 
+  void __set_blocks(const std::vector<CrashBlock> & val);
+
   bool operator == (const SuspectsUpdate & rhs) const
   {
     if (!(crashes == rhs.crashes))
       return false;
     if (!(answers == rhs.answers))
       return false;
+    if (__isset.blocks != rhs.__isset.blocks)
+      return false;
+    else if (__isset.blocks && !(blocks == rhs.blocks))
+      return false;
     return true;
   }
   bool operator != (const SuspectsUpdate &rhs) const {
--- a/packages/peers/peers.thrift
+++ b/packages/peers/peers.thrift
@@ -247,6 +247,14 @@
   3: list<TokenGrant> grants
 }
 
+// A run that a crash ended before its first event.
+struct LostRun {
+  1: i64 fingerprint  // of the request; 0: unknown
+  2: i64 account  // a hash, like the parts
+  3: list<i64> parts  // of the prompt, that other requests may share
+  4: i64 before  // microseconds from the send to the crash
+}
+
 // Requests that were in progress when an endpoint crashed.
 struct CrashReport {
   1: string endpoint
@@ -254,17 +262,30 @@
   3: string zone
   4: i64 age  // microseconds
   5: list<i64> fingerprints
+  // Those of the runs that had sent no event; the others had. Absent: not told,
+  // by an earlier release.
+  6: optional list<LostRun> waiting
 }
 
 // A suspected request was answered in full.
 struct AnswerReport {
-  1: i64 fingerprint
-  2: i64 age  // microseconds
+  1: i64 fingerprint  // or the hash of a part of its prompt
+  2: i64 age  // microseconds since it was sent
+  3: optional bool part
+}
+
+// A request or a part of prompts was blocked because endpoints crash.
+struct CrashBlock {
+  1: i32 kind  // 0: request, 1: part, 2: part of an account's prompts
+  2: i64 hash
+  3: i64 account
+  4: list<i64> parts  // of the request
 }
 
 struct SuspectsUpdate {
   1: list<CrashReport> crashes
   2: list<AnswerReport> answers
+  3: optional list<CrashBlock> blocks
 }
 
 // A rate that an endpoint stated in an answer.
--- a/packages/peers/wire.cc
+++ b/packages/peers/wire.cc
@@ -412,50 +412,139 @@
   return load;
 }
 
+// A run that had sent events was sent long before the crash.
+constexpr Duration kAnsweringBefore = std::chrono::minutes(1);
+
+std::vector<int64_t> ToWire(const std::vector<uint64_t>& hashes) {
+  std::vector<int64_t> out;
+  std::ranges::transform(hashes, std::back_inserter(out), [](uint64_t hash) {
+    return static_cast<int64_t>(hash);
+  });
+  return out;
+}
+
+std::vector<uint64_t> ReadHashes(const std::vector<int64_t>& in) {
+  std::vector<uint64_t> hashes;
+  std::ranges::transform(in, std::back_inserter(hashes), [](int64_t hash) {
+    return static_cast<uint64_t>(hash);
+  });
+  return hashes;
+}
+
+wire::CrashReport ToWire(const CrashReport& report) {
+  wire::CrashReport out;
+  out.endpoint = report.crash.endpoint.id.Text();
+  out.started = report.crash.endpoint.started;
+  out.zone = report.crash.zone.Text();
+  out.age = report.age.count();
+  out.__isset.waiting = true;
+  for (const CrashReport::Run& run : report.runs) {
+    const auto fingerprint = static_cast<int64_t>(run.request.fingerprint);
+    if (fingerprint != 0) {
+      out.fingerprints.push_back(fingerprint);
+    }
+    if (!run.answering) {
+      wire::LostRun item;
+      item.fingerprint = fingerprint;
+      item.account = static_cast<int64_t>(run.request.account);
+      item.parts = ToWire(run.request.parts);
+      item.before = run.before.count();
+      out.waiting.push_back(std::move(item));
+    }
+  }
+  return out;
+}
+
+CrashReport ReadCrash(const wire::CrashReport& in) {
+  CrashReport report{.crash = {.endpoint = {.id = EndpointId(in.endpoint),
+                                            .started = in.started},
+                               .zone = ZoneId(in.zone)},
+                     .age = Duration(in.age)};
+  std::set<int64_t> waiting;
+  for (const wire::LostRun& item : in.waiting) {
+    waiting.insert(item.fingerprint);
+    report.runs.push_back(
+        {.request = {.fingerprint = static_cast<uint64_t>(item.fingerprint),
+                     .account = static_cast<uint64_t>(item.account),
+                     .parts = ReadHashes(item.parts)},
+         .before = Duration(std::max<int64_t>(item.before, 0))});
+  }
+  const bool told = in.__isset.waiting;
+  for (const int64_t fingerprint : in.fingerprints) {
+    if (!waiting.contains(fingerprint)) {
+      report.runs.push_back(
+          {.request = {.fingerprint = static_cast<uint64_t>(fingerprint)},
+           .before = told ? kAnsweringBefore : Duration{},
+           .answering = told});
+    }
+  }
+  return report;
+}
+
+struct CauseNumber {
+  CauseKind kind;
+  int32_t number;
+};
+
+constexpr std::array kCauseNumbers = {CauseNumber{CauseKind::kRequest, 0},
+                                      CauseNumber{CauseKind::kPart, 1},
+                                      CauseNumber{CauseKind::kAccountPart, 2}};
+
 wire::SuspectsUpdate ToWire(const SuspectsUpdate& update) {
   wire::SuspectsUpdate out;
-  for (const CrashReport& report : update.crashes) {
-    wire::CrashReport item;
-    item.endpoint = report.crash.endpoint.id.Text();
-    item.started = report.crash.endpoint.started;
-    item.zone = report.crash.zone.Text();
-    item.age = report.age.count();
-    std::ranges::transform(
-        report.fingerprints, std::back_inserter(item.fingerprints),
-        [](uint64_t fingerprint) { return static_cast<int64_t>(fingerprint); });
-    out.crashes.push_back(std::move(item));
-  }
+  std::ranges::transform(
+      update.crashes, std::back_inserter(out.crashes),
+      [](const CrashReport& report) { return ToWire(report); });
   for (const AnswerReport& report : update.answers) {
     wire::AnswerReport item;
-    item.fingerprint = static_cast<int64_t>(report.fingerprint);
+    item.fingerprint = static_cast<int64_t>(report.cause.hash);
     item.age = report.age.count();
+    if (report.cause.kind != CauseKind::kRequest) {
+      item.__set_part(true);
+    }
     out.answers.push_back(item);
   }
+  for (const BlockReport& report : update.blocks) {
+    wire::CrashBlock item;
+    item.kind =
+        std::ranges::find(kCauseNumbers, report.cause.kind, &CauseNumber::kind)
+            ->number;
+    item.hash = static_cast<int64_t>(report.cause.hash);
+    item.account = static_cast<int64_t>(report.cause.account);
+    item.parts = ToWire(report.parts);
+    out.blocks.push_back(std::move(item));
+  }
+  out.__isset.blocks = !out.blocks.empty();
   return out;
 }
 
 SuspectsUpdate ReadSuspects(const wire::SuspectsUpdate& in) {
   SuspectsUpdate update;
   for (const wire::CrashReport& item : in.crashes) {
-    if (!IsValidId(item.endpoint) || !IsValidId(item.zone)) {
-      continue;
+    if (IsValidId(item.endpoint) && IsValidId(item.zone)) {
+      update.crashes.push_back(ReadCrash(item));
     }
-    CrashReport& report = update.crashes.emplace_back(
-        CrashReport{.crash = {.endpoint = {.id = EndpointId(item.endpoint),
-                                           .started = item.started},
-                              .zone = ZoneId(item.zone)},
-                    .age = Duration(item.age)});
-    std::ranges::transform(
-        item.fingerprints, std::back_inserter(report.fingerprints),
-        [](int64_t fingerprint) { return static_cast<uint64_t>(fingerprint); });
   }
   std::ranges::transform(
       in.answers, std::back_inserter(update.answers),
       [](const wire::AnswerReport& item) {
         return AnswerReport{
-            .fingerprint = static_cast<uint64_t>(item.fingerprint),
+            .cause = {.kind =
+                          item.part ? CauseKind::kPart : CauseKind::kRequest,
+                      .hash = static_cast<uint64_t>(item.fingerprint)},
             .age = Duration(item.age)};
       });
+  for (const wire::CrashBlock& item : in.blocks) {
+    const auto* known =
+        std::ranges::find(kCauseNumbers, item.kind, &CauseNumber::number);
+    if (known != kCauseNumbers.end()) {
+      update.blocks.push_back(
+          {.cause = {.kind = known->kind,
+                     .hash = static_cast<uint64_t>(item.hash),
+                     .account = static_cast<uint64_t>(item.account)},
+           .parts = ReadHashes(item.parts)});
+    }
+  }
   return update;
 }
 
@@ -489,22 +578,6 @@
   return update;
 }
 
-std::vector<int64_t> ToWire(const std::vector<StreamKey>& streams) {
-  std::vector<int64_t> out;
-  std::ranges::transform(
-      streams, std::back_inserter(out),
-      [](StreamKey stream) { return static_cast<int64_t>(stream); });
-  return out;
-}
-
-std::vector<StreamKey> ReadStreams(const std::vector<int64_t>& in) {
-  std::vector<StreamKey> streams;
-  std::ranges::transform(in, std::back_inserter(streams), [](int64_t stream) {
-    return static_cast<StreamKey>(stream);
-  });
-  return streams;
-}
-
 // Streams of one origin share a group, so that its names are sent once.
 std::vector<wire::StreamGroup> ToWire(
     const std::vector<StreamReport>& reports) {
@@ -929,12 +1002,12 @@
   }
   if (set.stream_question) {
     return WireMessage(PeerMessage(
-        StreamQuestion{.streams = ReadStreams(in->stream_question.streams)}));
+        StreamQuestion{.streams = ReadHashes(in->stream_question.streams)}));
   }
   if (set.stream_answer) {
     return WireMessage(PeerMessage(
         StreamAnswer{.known = ReadReports(in->stream_answer.known),
-                     .unknown = ReadStreams(in->stream_answer.unknown)}));
+                     .unknown = ReadHashes(in->stream_answer.unknown)}));
   }
   // A message of a kind that only a later release knows says no more than that
   // its sender is alive. Closing the link would lose the requests on it.
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -575,7 +575,7 @@
 }
 
 void FleetRelay::RecordCrash(const FleetEndpoint& endpoint,
-                             uint64_t fingerprint) {
+                             const LostRun& run) {
   const Instant now = this->clock->Now();
   const EndpointId& id = endpoint.run.id;
   const auto silent = this->reach.SilentFor(now, id);
@@ -590,12 +590,12 @@
                                      [this] { this->DecidePendingCrashes(); });
   }
   this->suspects.OnCrash(now, {.endpoint = endpoint.run, .zone = endpoint.zone},
-                         {fingerprint});
+                         {run});
   this->OnSuspectsChanged();
 }
 
-void FleetRelay::RecordAnswer(uint64_t fingerprint) {
-  if (this->suspects.OnAnswered(this->clock->Now(), fingerprint)) {
+void FleetRelay::RecordAnswer(const RequestTraits& request, Instant sent) {
+  if (this->suspects.OnAnswered(this->clock->Now(), request, sent)) {
     this->OnSuspectsChanged();
   }
 }
@@ -606,10 +606,13 @@
 }
 
 int64_t FleetRelay::BlockedRequests() const {
-  return std::ranges::count_if(
-      this->suspects.Blocked(), [this](uint64_t fingerprint) {
-        return this->suspects.IsBlocked(this->clock->Now(), fingerprint);
-      });
+  return std::ranges::count(this->suspects.Blocked(), CauseKind::kRequest,
+                            &CrashCause::kind);
+}
+
+int64_t FleetRelay::BlockedParts() const {
+  return static_cast<int64_t>(this->suspects.Blocked().size()) -
+         this->BlockedRequests();
 }
 
 void FleetRelay::RecordRate(const RateAnswer& answer) {
@@ -652,25 +655,42 @@
            {"source", std::string(source)}});
 }
 
+void FleetRelay::LogCause(std::string_view sentence,
+                          const CrashCause& cause) const {
+  const bool request = cause.kind == CauseKind::kRequest;
+  LogWarning(
+      kPart, sentence,
+      {{request ? "fingerprint" : "part_hash", FingerprintText(cause.hash)},
+       {"account_hash",
+        cause.account == 0 ? "" : FingerprintText(cause.account)},
+       {"crashes",
+        std::to_string(this->suspects.CrashesOf(this->clock->Now(), cause))}});
+}
+
 void FleetRelay::OnSuspectsChanged() {
-  const std::set<uint64_t>& blocked = this->suspects.Blocked();
-  const auto log = [this](std::string_view sentence, uint64_t fingerprint) {
-    LogWarning(kPart, sentence,
-               {{"fingerprint", FingerprintText(fingerprint)},
-                {"crashes", std::to_string(this->suspects.Crashes(
-                                this->clock->Now(), fingerprint))}});
-  };
-  for (const uint64_t fingerprint : blocked) {
-    if (!this->known_blocked.contains(fingerprint)) {
-      log("Request blocked: endpoints crash.", fingerprint);
+  const std::set<CrashCause> blocked = this->suspects.Blocked();
+  for (const CrashCause& cause : blocked) {
+    if (!this->known_blocked.contains(cause)) {
+      this->LogCause(cause.kind == CauseKind::kRequest
+                         ? "Request blocked: endpoints crash."
+                         : "Prompt part blocked: endpoints crash.",
+                     cause);
+    }
+  }
+  for (const CrashCause& cause : this->known_blocked) {
+    if (!blocked.contains(cause)) {
+      this->LogCause(cause.kind == CauseKind::kRequest
+                         ? "Request no longer blocked."
+                         : "Prompt part no longer blocked.",
+                     cause);
     }
   }
-  for (const uint64_t fingerprint : this->known_blocked) {
-    if (!blocked.contains(fingerprint)) {
-      log("Request no longer blocked.", fingerprint);
+  if (this->known_blocked != blocked) {
+    this->known_blocked = blocked;
+    if (this->hooks.on_blocked) {
+      this->hooks.on_blocked();
     }
   }
-  this->known_blocked = blocked;
   if (!this->suspects_timer) {
     this->suspects_timer =
         Timer::After(Duration{}, [this] { this->EndBlockedRequests(); });
@@ -690,10 +710,13 @@
   this->metrics->Add("endpoint_crashes_total",
                      static_cast<double>(news.crashes.size()));
   for (const CrashReport& report : news.crashes) {
-    LogWarning(kPart, "Endpoint crashed.",
-               {{"endpoint", report.crash.endpoint.id.Text()},
-                {"zone", report.crash.zone.Text()},
-                {"requests", std::to_string(report.fingerprints.size())}});
+    LogWarning(
+        kPart, "Endpoint crashed.",
+        {{"endpoint", report.crash.endpoint.id.Text()},
+         {"zone", report.crash.zone.Text()},
+         {"requests", std::to_string(report.runs.size())},
+         {"waiting", std::to_string(std::ranges::count(
+                         report.runs, false, &CrashReport::Run::answering))}});
   }
   if (!news.Empty() && this->hooks.on_suspects) {
     this->hooks.on_suspects(news);
@@ -702,18 +725,22 @@
 
 void FleetRelay::LogBlocked(const RequestId& request,
                             uint64_t fingerprint,
+                            const std::string& part,
                             const RequestBlock& block) {
   std::string endpoints;
   for (const EndpointRun& run : block.crashed) {
     endpoints += (endpoints.empty() ? "" : " ") + run.id.Text();
   }
   this->metrics->Add("crashing_requests_refused_total", 1);
-  this->Log(LogLevel::kWarning, request, "Refused: endpoints crash.",
-            {{"fingerprint", FingerprintText(fingerprint)},
-             {"crashes", std::to_string(block.crashed.size())},
-             {"endpoints", endpoints},
-             {"newest_ms", MillisecondsText(block.newest_age)},
-             {"retry_after_ms", MillisecondsText(block.remaining)}});
+  this->Log(
+      LogLevel::kWarning, request, "Refused: endpoints crash.",
+      {{"fingerprint", FingerprintText(fingerprint)},
+       {"part", part},
+       {"part_hash", part.empty() ? "" : FingerprintText(block.cause.hash)},
+       {"crashes", std::to_string(block.crashed.size())},
+       {"endpoints", endpoints},
+       {"newest_ms", MillisecondsText(block.newest_age)},
+       {"retry_after_ms", MillisecondsText(block.remaining)}});
 }
 
 std::string FleetRelay::SinceStopText() const {
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -78,9 +78,10 @@
 struct RelayHooks {
   // A request of an account has begun to run at an endpoint.
   std::function<void(const AccountId&)> on_begun;
-  // This host has news for the other schedulers about requests that crash
-  // endpoints.
+  // This host has news for the other schedulers about what crashes endpoints.
   std::function<void(const SuspectsUpdate&)> on_suspects = {};
+  // What is refused because endpoints crash has changed.
+  std::function<void()> on_blocked = {};
   // This host has news for the other schedulers about rates that endpoints
   // state.
   std::function<void(const EndpointRatesUpdate&)> on_rates = {};
@@ -253,8 +254,15 @@
     return this->suspects.Snapshot(this->clock->Now());
   }
   void MergeSuspects(const SuspectsUpdate& update);
-  // Different requests that are refused now.
+  // The requests and parts of prompts that are refused now, with the crashes
+  // that count against them, for the record in the store.
+  SuspectsUpdate BlockedCauses() const {
+    return this->suspects.BlocksOnly(this->clock->Now());
+  }
+
+  // How many requests, or parts of prompts, are refused now.
   int64_t BlockedRequests() const;
+  int64_t BlockedParts() const;
 
   // The rates that endpoints state, as known here, for another scheduler; and
   // those that another scheduler knows.
@@ -320,14 +328,14 @@
   void WithdrawCrashes(const ServiceId& service);
   void DecidePendingCrashes();
 
-  // Records that an endpoint crashed while it had a request, and that a request
-  // was answered in full.
-  void RecordCrash(const FleetEndpoint& endpoint, uint64_t fingerprint);
-  void RecordAnswer(uint64_t fingerprint);
+  // Records that an endpoint crashed while it had a run, and that a run was
+  // answered in full.
+  void RecordCrash(const FleetEndpoint& endpoint, const LostRun& run);
+  void RecordAnswer(const RequestTraits& request, Instant sent);
 
-  // Logs which requests became blocked or were released. In the next turn of
-  // the main loop, ends those that wait to be run and sends the news of this
-  // turn to the other schedulers.
+  // Logs which requests and parts became blocked or were released. In the next
+  // turn of the main loop, ends those that wait to be run and sends the news of
+  // this turn to the other schedulers.
   void OnSuspectsChanged();
   void EndBlockedRequests();
 
@@ -339,7 +347,9 @@
   // Logs and counts the refusal of a request that crashes endpoints.
   void LogBlocked(const RequestId& request,
                   uint64_t fingerprint,
+                  const std::string& part,
                   const RequestBlock& block);
+  void LogCause(std::string_view sentence, const CrashCause& cause) const;
 
   // Milliseconds since the stop signal, for logs; empty before it.
   std::string SinceStopText() const;
@@ -369,7 +379,7 @@
   LimitGate* limit_gate = nullptr;
   StreamTracker* stream_tracker = nullptr;
   Suspects suspects;
-  std::set<uint64_t> known_blocked;  // as last logged
+  std::set<CrashCause> known_blocked;  // as last logged
   std::unique_ptr<Timer> suspects_timer;
   LogLimiter log_limiter;
   FleetConfigurationPtr configuration;
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -202,7 +202,7 @@
   this->handle.clear();
   if (fate == RunResult::kDone) {
     if (current.status / 100 == 2 && !unproven) {
-      this->relay->RecordAnswer(this->fingerprint);
+      this->relay->RecordAnswer(this->traits, current.sent);
       const AnswerKind kind = this->Kind();
       this->relay->answer_times.Add(now, kind, now - this->arrived);
       this->relay->run_times.Add(now, kind, now - current.sent);
@@ -218,7 +218,10 @@
       end == HttpEnd::kReset || (end == HttpEnd::kNoEndMarker &&
                                  completeness == Completeness::kTruncated);
   if (fate == RunResult::kMayHaveRun && lost) {
-    this->relay->RecordCrash(current.endpoint, this->fingerprint);
+    this->relay->RecordCrash(current.endpoint,
+                             {.request = this->traits,
+                              .sent = current.sent,
+                              .answering = current.first_byte_at.has_value()});
   }
   this->AfterFailure(fate, fate == RunResult::kNotRun
                                ? "not run at the endpoint"
@@ -336,7 +339,8 @@
     this->RecordFailure(ended, end);
   }
   if (end == HttpEnd::kReset) {
-    this->relay->RecordCrash(ended.endpoint, this->fingerprint);
+    this->relay->RecordCrash(ended.endpoint,
+                             {.request = this->traits, .sent = ended.sent});
   }
   if (read) {
     this->handle = read->handle;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -310,8 +311,14 @@
   }
   this->SetService(this->service);
   this->body = std::make_shared<const std::string>(message.body);
-  this->fingerprint =
-      Hash(message.body, Hash(message.head.target, Hash(account.Text())));
+  const uint64_t account_hash = Hash(account.Text());
+  this->traits = {.fingerprint = Hash(message.body,
+                                      Hash(message.head.target, account_hash)),
+                  .account = account_hash};
+  std::ranges::transform(
+      this->SharedParts(), std::back_inserter(this->traits.parts),
+      [](const PromptPart& part) { return PromptPartHash(part.id); });
+  this->traits.parts = LimitParts(std::move(this->traits.parts), account_hash);
   return this->CheckStop();
 }
 
@@ -685,12 +692,13 @@
 // end of the block, even if that is later than the caller waits: the request is
 // refused until then.
 bool RelayedRequest::EndIfBlocked() {
-  const auto block = this->relay->suspects.FindBlock(this->relay->clock->Now(),
-                                                     this->fingerprint);
+  const auto block =
+      this->relay->suspects.FindBlock(this->relay->clock->Now(), this->traits);
   if (!block) {
     return false;
   }
-  this->relay->LogBlocked(this->request.id, this->fingerprint, *block);
+  this->relay->LogBlocked(this->request.id, this->traits.fingerprint,
+                          this->PartOf(*block), *block);
   if (this->attempt && !this->attempt->reading) {
     this->may_have_run = true;
   }
@@ -704,6 +712,18 @@
   return true;
 }
 
+// The id of the prompt's part for which the request is refused; empty if the
+// request itself is.
+std::string RelayedRequest::PartOf(const RequestBlock& block) const {
+  if (block.cause.kind == CauseKind::kRequest) {
+    return "";
+  }
+  const auto found = std::ranges::find(
+      this->SharedParts(), block.cause.hash,
+      [](const PromptPart& part) { return PromptPartHash(part.id); });
+  return found == this->SharedParts().end() ? "others" : found->id;
+}
+
 // Ends the request if it is blocked and waits to be run, here or at an
 // endpoint. One that an endpoint has begun to answer is left to end by itself.
 void RelayedRequest::OnSuspectsChanged() {
@@ -906,9 +926,10 @@
          {"end", this->EndText()},
          {"sent_events", this->attempt->first_byte_at ? "true" : "false"},
          {"parts", this->SharedPartsText()},
-         {"fingerprint", FingerprintText(this->fingerprint)},
-         {"crashes", std::to_string(this->relay->suspects.Crashes(
-                         this->relay->clock->Now(), this->fingerprint))}});
+         {"fingerprint", FingerprintText(this->traits.fingerprint)},
+         {"crashes",
+          std::to_string(this->relay->suspects.Crashes(
+              this->relay->clock->Now(), this->traits.fingerprint))}});
     this->attempt.reset();
     this->uncertain_runs += fate == RunResult::kMayHaveRun ? 1 : 0;
     // The tokens of a run that did not happen serve the next send, or are
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -122,6 +122,7 @@
   bool CanStillFinish(Step step) const;
   bool KeyStillValid() const;
   bool EndIfBlocked();
+  std::string PartOf(const RequestBlock& block) const;
   bool TakeTokens();
   void OnTokens(const LimitVerdict& verdict);
   void RefuseOverLimit(const LimitVerdict& verdict);
@@ -218,7 +219,7 @@
   bool tokens_held = false;     // granted for the next run, not yet sent
   bool tokens_pending = false;  // the limit gate has not decided yet
   RequestProfile shape;
-  uint64_t fingerprint = 0;
+  RequestTraits traits;  // by which crashes of endpoints are put down to it
   Instant arrived{};
   Instant deadline{};
   // End of the process that has the caller's connection, if it shuts down.
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -581,20 +581,30 @@
   Suspects suspects(options);
   std::mt19937_64 random(1);
   for (size_t i = 0; i < options.max_crashes; ++i) {
-    std::vector<uint64_t> fingerprints(options.max_requests_per_crash);
-    std::ranges::generate(fingerprints, std::ref(random));
+    std::vector<LostRun> runs(options.max_requests_per_crash);
+    for (LostRun& run : runs) {
+      run.request = {.fingerprint = random(),
+                     .account = random(),
+                     .parts = {random(), random()}};
+    }
     suspects.OnCrash(
         Instant(std::chrono::hours(1)),
         {.endpoint = {.id = EndpointId("i-" + std::string(30, 'x') +
                                        std::to_string(i)),
                       .started = 1787030001985},
          .zone = ZoneId(std::string(30, 'z'))},
-        fingerprints);
+        runs);
   }
   SuspectsUpdate snapshot = suspects.Snapshot(Instant(std::chrono::hours(1)));
   LONGS_EQUAL(options.max_crashes, snapshot.crashes.size());
-  snapshot.answers.resize(options.max_answered,
-                          {.fingerprint = UINT64_MAX / 3, .age = Duration(1)});
+  snapshot.answers.resize(
+      options.max_answered,
+      {.cause = {.kind = CauseKind::kPart, .hash = UINT64_MAX / 3},
+       .age = Duration(1)});
+  snapshot.blocks.resize(options.max_blocks,
+                         {.cause = {.kind = CauseKind::kAccountPart,
+                                    .hash = UINT64_MAX / 3,
+                                    .account = UINT64_MAX / 3}});
   CHECK(EncodeMessage(PeerMessage(snapshot)).size() < kMaxFrameBytes);
 }
 
@@ -691,13 +701,24 @@
       PeerMessage(
           PrefillLoad{.tokens_per_second = {{ServiceId("s"), 37900.5}}}),
       PeerMessage(SuspectsUpdate{
-          .crashes = {{.crash = {.endpoint = {.id = EndpointId("e"),
-                                              .started = 5},
+          .crashes = {{.crash = {.endpoint = {EndpointId("e"), 5},
                                  .zone = ZoneId("z")},
                        .age = std::chrono::milliseconds(40),
-                       .fingerprints = {0xfedcba9876543210, 2}}},
-          .answers = {{.fingerprint = 0xfedcba9876543211,
-                       .age = std::chrono::seconds(3)}}}),
+                       .runs = {{.request = {.fingerprint = 0xfedcba9876543210,
+                                             .account = 7,
+                                             .parts = {0xfedcba9876543211, 3}},
+                                 .before = std::chrono::milliseconds(90)},
+                                {.request = {.fingerprint = 2},
+                                 .before = std::chrono::minutes(1),
+                                 .answering = true}}}},
+          .answers = {{.cause = {.hash = 2}, .age = std::chrono::seconds(3)},
+                      {.cause = {.kind = CauseKind::kPart, .hash = 3},
+                       .age = std::chrono::seconds(4)}},
+          .blocks = {{.cause = {.kind = CauseKind::kRequest, .hash = 2},
+                      .parts = {5, 6}},
+                     {.cause = {.kind = CauseKind::kAccountPart,
+                                .hash = 0xfedcba9876543211,
+                                .account = 7}}}}),
       PeerMessage(EndpointRatesUpdate{
           .rates = {{.endpoint = {.id = EndpointId("e"), .started = 5},
                      .per_second = 7.5,
--- a/tests/policy_parts_test.cc
+++ b/tests/policy_parts_test.cc
@@ -378,6 +378,25 @@
           .zone = ZoneId(zone)};
 }
 
+// Runs of these requests, which had sent no event.
+std::vector<LostRun> Runs(const std::vector<uint64_t>& fingerprints) {
+  std::vector<LostRun> runs;
+  for (const uint64_t fingerprint : fingerprints) {
+    runs.push_back({.request = {.fingerprint = fingerprint}});
+  }
+  return runs;
+}
+
+// The same, as another host reports them.
+std::vector<CrashReport::Run> Reported(
+    const std::vector<uint64_t>& fingerprints) {
+  std::vector<CrashReport::Run> runs;
+  for (const uint64_t fingerprint : fingerprints) {
+    runs.push_back({.request = {.fingerprint = fingerprint}});
+  }
+  return runs;
+}
+
 // The options of relay hosts.
 SuspectsOptions BlocksAfterThree() {
   return {.block_after_crashes = 3,
@@ -391,9 +410,9 @@
 // them are not the cause and must not be refused after the next crash.
 TEST(Suspects, LostZoneRaisesNoSuspicion) {
   Suspects suspects;
-  suspects.OnCrash(At(0), Crashed(1, "z"), {1, 2, 3});
+  suspects.OnCrash(At(0), Crashed(1, "z"), Runs({1, 2, 3}));
   CHECK(suspects.IsSuspected(At(0), 1));
-  suspects.OnCrash(At(1), Crashed(2, "z"), {4, 5});
+  suspects.OnCrash(At(1), Crashed(2, "z"), Runs({4, 5}));
   for (uint64_t fingerprint = 1; fingerprint <= 5; ++fingerprint) {
     CHECK(!suspects.IsSuspected(At(1), fingerprint));
   }
@@ -403,11 +422,11 @@
 // time. Each host has seen one crash only; the shared counts identify it.
 TEST(Suspects, CrashesAddUpOverHosts) {
   Suspects suspects;
-  suspects.OnCrash(At(0), Crashed(1, "z1"), {1, 2});
+  suspects.OnCrash(At(0), Crashed(1, "z1"), Runs({1, 2}));
   suspects.OnPeer(At(0), HostId("h2"), {{1, 1}});
   CHECK(suspects.IsBlocked(At(0), 1));
   CHECK(!suspects.IsBlocked(At(0), 2));
-  suspects.OnAnswered(At(0), 2);
+  suspects.OnAnswered(At(0), {.fingerprint = 2}, At(0));
   CHECK(!suspects.IsSuspected(At(0), 2));
 }
 
@@ -419,10 +438,10 @@
     const double now = static_cast<double>(crash) * 0.4;
     for (const uint64_t other : {10, 20, 30}) {
       suspects.OnCrash(At(now), Crashed(crash, "z"),
-                       {other + static_cast<uint64_t>(crash)});
+                       Runs({other + static_cast<uint64_t>(crash)}));
     }
     CHECK(!suspects.IsBlocked(At(now), 1));
-    suspects.OnCrash(At(now + 0.002), Crashed(crash, "z"), {1});
+    suspects.OnCrash(At(now + 0.002), Crashed(crash, "z"), Runs({1}));
   }
   CHECK(suspects.IsBlocked(At(1), 1));
   CHECK(!suspects.IsSuspected(At(1), 10));
@@ -435,7 +454,7 @@
   for (int host = 0; host < 4; ++host) {
     suspects.OnUpdate(At(1), {.crashes = {{.crash = Crashed(1, "z"),
                                            .age = std::chrono::seconds(1),
-                                           .fingerprints = {1, 2}}}});
+                                           .runs = Reported({1, 2})}}});
     suspects.OnUpdate(At(1), suspects.Snapshot(At(1)));
   }
   LONGS_EQUAL(1, suspects.Crashes(At(1), 1));
@@ -448,9 +467,9 @@
   Suspects suspects(BlocksAfterThree());
   for (int64_t crash = 0; crash < 3; ++crash) {
     suspects.OnCrash(At(static_cast<double>(crash)), Crashed(crash, "z"),
-                     {1, 2});
+                     Runs({1, 2}));
   }
-  suspects.OnCrash(At(3), Crashed(3, "z"), {2});
+  suspects.OnCrash(At(3), Crashed(3, "z"), Runs({2}));
   CHECK(suspects.IsBlocked(At(3), 2));
   CHECK(!suspects.IsSuspected(At(3), 1));
 }
@@ -465,7 +484,7 @@
       const auto first = static_cast<uint64_t>(endpoint * 10);
       suspects.OnCrash(At(now + static_cast<double>(endpoint) * 0.01),
                        Crashed(zone * 5 + endpoint, "z" + std::to_string(zone)),
-                       {first, first + 1, first + 2});
+                       Runs({first, first + 1, first + 2}));
     }
   }
   CHECK(suspects.Blocked().empty());
@@ -477,8 +496,8 @@
   Suspects suspects(BlocksAfterThree());
   for (int64_t crash = 0; crash < 6; ++crash) {
     const double now = static_cast<double>(crash);
-    suspects.OnCrash(At(now), Crashed(crash, "z"), {1});
-    suspects.OnCrash(At(now + 0.1), Crashed(100 + crash, "z"), {2});
+    suspects.OnCrash(At(now), Crashed(crash, "z"), Runs({1}));
+    suspects.OnCrash(At(now + 0.1), Crashed(100 + crash, "z"), Runs({2}));
   }
   CHECK(suspects.IsBlocked(At(6), 1));
   CHECK(suspects.IsBlocked(At(6), 2));
@@ -489,7 +508,8 @@
 TEST(Suspects, SnapshotsKeepTheEndOfABlock) {
   Suspects first(BlocksAfterThree());
   for (int64_t crash = 0; crash < 3; ++crash) {
-    first.OnCrash(At(static_cast<double>(crash)), Crashed(crash, "z"), {1});
+    first.OnCrash(At(static_cast<double>(crash)), Crashed(crash, "z"),
+                  Runs({1}));
   }
   Suspects second(BlocksAfterThree());
   second.OnUpdate(At(100), first.Snapshot(At(100)));
@@ -508,13 +528,13 @@
 TEST(Suspects, AnAnswerClearsEarlierCrashesEverywhere) {
   Suspects here(BlocksAfterThree());
   Suspects there(BlocksAfterThree());
-  here.OnCrash(At(0), Crashed(1, "z"), {1});
+  here.OnCrash(At(0), Crashed(1, "z"), Runs({1}));
   there.OnUpdate(At(0), here.TakeUpdate(At(0)));
   CHECK(there.IsSuspected(At(0), 1));
-  here.OnAnswered(At(1), 1);
+  here.OnAnswered(At(1), {.fingerprint = 1}, At(1));
   there.OnUpdate(At(1), here.TakeUpdate(At(1)));
   CHECK(!there.IsSuspected(At(1), 1));
-  there.OnCrash(At(2), Crashed(2, "z"), {1});
+  there.OnCrash(At(2), Crashed(2, "z"), Runs({1}));
   LONGS_EQUAL(1, there.Crashes(At(2), 1));
   CHECK(here.TakeUpdate(At(2)).Empty());
 }
@@ -529,11 +549,11 @@
               static_cast<uint64_t>(crash) * 1000);
     suspects.OnCrash(At(static_cast<double>(crash) * 0.3),
                      Crashed(crash, "z" + std::to_string(crash % 50)),
-                     fingerprints);
+                     Runs(fingerprints));
   }
   LONGS_EQUAL(options.max_crashes, suspects.RecordedCrashes());
   for (const CrashReport& report : suspects.Snapshot(At(90)).crashes) {
-    LONGS_EQUAL(options.max_requests_per_crash, report.fingerprints.size());
+    LONGS_EQUAL(options.max_requests_per_crash, report.runs.size());
   }
 }
 
