--- a/packages/decisions/hickorystand_dispatcher.cc
+++ b/packages/decisions/hickorystand_dispatcher.cc
@@ -435,6 +435,7 @@
   switch (result.outcome) {
     case AttemptOutcome::kComplete:
       this->retries.OnSuccess();
+      this->suspects.OnBegun(now, TraitsOf(active.request), attempt.sent);
       this->suspects.OnAnswered(now, TraitsOf(active.request), attempt.sent);
       if (active.request.request_class == RequestClass::kLookup) {
         this->lookup_seconds += kLookupGain * (ToSeconds(now - attempt.sent) -
--- a/packages/decisions/suspects.cc
+++ b/packages/decisions/suspects.cc
@@ -28,8 +28,18 @@
 // Crashes needed for a part while that share is unknown, as a multiple.
 constexpr int64_t kUnknownShareFactor = 4;
 
+// More crashes than are ever kept: nothing is blocked.
+constexpr int64_t kNever = std::numeric_limits<int32_t>::max();
+
+// Crashes beyond those of a block that make a cause strong: its crashes don't
+// show how often runs without a cause are lost.
+constexpr int64_t kStrongCrashes = 2;
+
+// That holds while at least so many runs go well for each that is lost.
+constexpr int64_t kMinAnswersPerLoss = 2;
+
 // A repeated request is a likelier cause than a part that many requests share.
-constexpr double kRequestChanceFactor = 10;
+constexpr double kRequestChanceFactor = 1000;
 
 // Requests with a part that must have been lost before the part is blocked.
 constexpr size_t kMinRequestsOfPart = 2;
@@ -101,8 +111,7 @@
   return parts;
 }
 
-Suspects::Suspects(const SuspectsOptions& options)
-    : options(options), answers(options.comparison_window) {}
+Suspects::Suspects(const SuspectsOptions& options) : options(options) {}
 
 // --- Crashes ----------------------------------------------------------------
 
@@ -133,32 +142,31 @@
 
 Suspects::Crash& Suspects::FindOrAdd(const CrashedEndpoint& crash,
                                      Instant time) {
-  auto found = std::ranges::find_if(this->crashes, [&](const Crash& known) {
-    return known.crashed == crash &&
-           Between(known.time, time) <= this->options.crash_window;
+  auto found = std::ranges::find_if(this->crashes, [&](const auto& known) {
+    return known->crashed == crash &&
+           Between(known->time, time) <= this->options.crash_window;
   });
   if (found == this->crashes.end()) {
     this->LimitCrashes();
-    this->crashes.push_back({.crashed = crash, .time = time});
+    this->crashes.push_back(
+        std::make_unique<Crash>(Crash{.crashed = crash, .time = time}));
     found = std::prev(this->crashes.end());
   }
-  found->time = std::min(found->time, time);
-  const auto order = [](const Crash& one) {
-    return std::tie(one.time, one.crashed);
-  };
-  const auto place = std::ranges::upper_bound(this->crashes.begin(), found,
-                                              order(*found), {}, order);
-  std::rotate(place, found, std::next(found));
-  return *place;
+  Crash& record = **found;
+  record.time = std::min(record.time, time);
+  std::ranges::sort(this->crashes, {}, [](const auto& one) {
+    return std::tie(one->time, one->crashed);
+  });
+  return record;
 }
 
 // Makes room for another crash. Crashes of blocked causes are kept longer.
 void Suspects::LimitCrashes() {
   while (this->crashes.size() >= this->options.max_crashes) {
     const auto unblocked =
-        std::ranges::find_if(this->crashes, [this](const Crash& crash) {
+        std::ranges::find_if(this->crashes, [this](const auto& crash) {
           return std::ranges::none_of(this->blocks, [&](const auto& block) {
-            return Find(crash, block.first) != nullptr;
+            return Find(*crash, block.first) != nullptr;
           });
         });
     this->RemoveCrash(unblocked == this->crashes.end()
@@ -177,11 +185,11 @@
   std::vector<LostRun> added;
   std::ranges::copy_if(
       runs, std::back_inserter(added), [&](const LostRun& run) {
-        return std::ranges::none_of(this->crashes, [&](const Crash& known) {
-          return known.crashed == crash &&
-                 known.runs.contains(run.request.fingerprint) &&
-                 run.request.fingerprint != 0;
-        });
+        return run.request.fingerprint == 0 ||
+               std::ranges::none_of(this->crashes, [&](const auto& known) {
+                 return known->crashed == crash &&
+                        known->runs.contains(run.request.fingerprint);
+               });
       });
   if (added.empty()) {
     return false;
@@ -201,7 +209,7 @@
 bool Suspects::Recurs(const LostRun& run) const {
   const auto recurs = [this](const CrashCause& cause) {
     const auto found = this->mentions.find(cause);
-    return found != this->mentions.end() && found->second > 1;
+    return found != this->mentions.end() && found->second.size() > 1;
   };
   return recurs(Request(run.request.fingerprint)) ||
          (!run.answering &&
@@ -261,7 +269,7 @@
   const auto involve = [&](const CrashCause& cause) -> Involvement& {
     const auto [at, added] = record.causes.try_emplace(cause);
     if (added) {
-      this->Mention(cause, 1);
+      this->Mention(cause, record);
     }
     at->second.sent = std::max(at->second.sent, run.sent);
     at->second.answering = at->second.answering && run.answering;
@@ -284,28 +292,35 @@
 
 void Suspects::Reindex(Crash& record) {
   for (const auto& [cause, involved] : std::exchange(record.causes, {})) {
-    this->Mention(cause, -1);
+    this->Unmention(cause, record);
   }
   for (const auto& [fingerprint, run] : record.runs) {
     this->Index(record, run);
   }
 }
 
-void Suspects::Mention(const CrashCause& cause, int64_t change) {
-  const auto at = this->mentions.try_emplace(cause).first;
-  at->second += change;
-  if (at->second >= this->options.block_after_crashes) {
+void Suspects::Mention(const CrashCause& cause, Crash& record) {
+  std::vector<Crash*>& list = this->mentions[cause];
+  list.push_back(&record);
+  if (static_cast<int64_t>(list.size()) >= this->options.block_after_crashes) {
     this->frequent.insert(cause);
-  } else {
+  }
+}
+
+void Suspects::Unmention(const CrashCause& cause, const Crash& record) {
+  const auto at = this->mentions.find(cause);
+  std::erase(at->second, &record);
+  if (static_cast<int64_t>(at->second.size()) <
+      this->options.block_after_crashes) {
     this->frequent.erase(cause);
   }
-  if (at->second <= 0) {
+  if (at->second.empty()) {
     this->mentions.erase(at);
   }
 }
 
 void Suspects::RemoveCrash(size_t index) {
-  Crash& crash = this->crashes[index];
+  Crash& crash = *this->crashes[index];
   crash.runs.clear();
   this->Reindex(crash);
   this->crashes.erase(this->crashes.begin() +
@@ -315,7 +330,7 @@
 template <typename Condition>
 void Suspects::RemoveCrashesIf(Condition condition) {
   for (size_t i = this->crashes.size(); i > 0; --i) {
-    if (condition(this->crashes[i - 1])) {
+    if (condition(*this->crashes[i - 1])) {
       this->RemoveCrash(i - 1);
     }
   }
@@ -333,43 +348,57 @@
 
 // --- Answers ----------------------------------------------------------------
 
-bool Suspects::OnAnswered(Instant now,
-                          const RequestTraits& request,
-                          Instant sent) {
-  this->answers.Add(now, 1);
+bool Suspects::OnBegun(Instant now,
+                       const RequestTraits& request,
+                       Instant sent) {
+  this->Expire(now);
+  this->went_well.push_back(sent);
+  if (this->went_well.size() > this->options.max_compared) {
+    this->went_well.pop_front();
+  }
   bool suspected = false;
-  bool clears = false;
-  const auto record = [&](const CrashCause& cause) {
-    const bool mentioned = this->IsMentioned(cause);
-    suspected = suspected || mentioned;
-    if (!mentioned && !IsPart(cause)) {
-      return;
-    }
-    if (this->MergeAnswer(cause, sent)) {
-      clears = true;
-      this->new_answers.insert(cause);
-    }
-    ++this->answered[cause].count;
-  };
-  record(Request(request.fingerprint));
   for (const uint64_t part : request.parts) {
-    record(Part(part));
+    suspected = this->RecordAnswer(Part(part), sent) || suspected;
+    ++this->answered[Part(part)].count;
   }
   this->LimitAnswers();
-  if (clears) {
-    this->Expire(now);
+  if (suspected) {
     this->Evaluate();
   }
   return suspected;
 }
 
+bool Suspects::OnAnswered(Instant now,
+                          const RequestTraits& request,
+                          Instant sent) {
+  const CrashCause cause = Request(request.fingerprint);
+  if (!this->IsMentioned(cause)) {
+    return false;
+  }
+  this->Expire(now);
+  this->RecordAnswer(cause, sent);
+  this->LimitAnswers();
+  this->Evaluate();
+  return true;
+}
+
+// Records a run of this host that went well. Returns whether it clears the
+// cause of a crash.
+bool Suspects::RecordAnswer(const CrashCause& cause, Instant sent) {
+  const bool clears = this->MergeAnswer(cause, sent);
+  if (clears) {
+    this->new_answers.insert(cause);
+  }
+  return clears;
+}
+
 // Returns whether the answer clears the cause of a crash.
 bool Suspects::MergeAnswer(const CrashCause& cause, Instant sent) {
+  const auto mentioned = this->mentions.find(cause);
   const bool clears =
-      this->IsMentioned(cause) &&
-      std::ranges::any_of(this->crashes, [&](const Crash& crash) {
-        return crash.time <= sent && Find(crash, cause) != nullptr &&
-               !this->IsCleared(cause, crash.time);
+      mentioned != this->mentions.end() &&
+      std::ranges::any_of(mentioned->second, [&](const Crash* crash) {
+        return crash->time <= sent && !this->IsCleared(cause, crash->time);
       });
   Answers& known = this->answered[cause];
   known.sent = std::max(known.sent, sent);
@@ -396,6 +425,29 @@
   }
 }
 
+bool Suspects::IsMentioned(const CrashCause& cause) const {
+  return this->mentions.contains(WithoutAccount(cause));
+}
+
+// The crashes that count against a cause unless another one explains them,
+// oldest first.
+std::vector<const Suspects::Crash*> Suspects::CrashesWith(
+    const CrashCause& cause) const {
+  std::vector<const Crash*> found;
+  const auto at = this->mentions.find(WithoutAccount(cause));
+  if (at != this->mentions.end()) {
+    std::ranges::copy_if(at->second, std::back_inserter(found),
+                         [&](const Crash* crash) {
+                           return Find(*crash, cause) != nullptr &&
+                                  !this->IsCleared(cause, crash->time);
+                         });
+  }
+  std::ranges::sort(found, {}, [](const Crash* crash) {
+    return std::tie(crash->time, crash->crashed);
+  });
+  return found;
+}
+
 bool Suspects::IsCleared(const CrashCause& cause, Instant crash) const {
   const auto found = this->answered.find(WithoutAccount(cause));
   return found != this->answered.end() && found->second.sent >= crash;
@@ -476,12 +528,12 @@
 
 SuspectsUpdate Suspects::Snapshot(Instant now) const {
   SuspectsUpdate update;
-  for (const Crash& crash : this->crashes) {
+  for (const auto& crash : this->crashes) {
     std::vector<LostRun> runs;
-    std::ranges::copy(crash.runs | std::views::values,
+    std::ranges::copy(crash->runs | std::views::values,
                       std::back_inserter(runs));
-    update.crashes.push_back(this->ReportOf(crash.crashed, crash.time, runs));
-    update.crashes.back().age = now - crash.time;
+    update.crashes.push_back(this->ReportOf(crash->crashed, crash->time, runs));
+    update.crashes.back().age = now - crash->time;
   }
   for (const auto& [cause, answer] : this->answered) {
     if (this->IsMentioned(cause)) {
@@ -497,14 +549,14 @@
 
 SuspectsUpdate Suspects::BlocksOnly(Instant now) const {
   SuspectsUpdate update;
-  for (const Crash& crash : this->crashes) {
-    CrashReport report{.crash = crash.crashed, .age = now - crash.time};
+  for (const auto& crash : this->crashes) {
+    CrashReport report{.crash = crash->crashed, .age = now - crash->time};
     for (const auto& [cause, block] : this->blocks) {
-      const Involvement* involved = Find(crash, cause);
-      if (involved == nullptr || this->IsCleared(cause, crash.time)) {
+      const Involvement* involved = Find(*crash, cause);
+      if (involved == nullptr || this->IsCleared(cause, crash->time)) {
         continue;
       }
-      CrashReport::Run run{.before = crash.time - involved->sent,
+      CrashReport::Run run{.before = crash->time - involved->sent,
                            .answering = involved->answering};
       if (!IsPart(cause)) {
         run.request.fingerprint = cause.hash;
@@ -544,7 +596,7 @@
 
 std::vector<Suspicion> Suspects::Own() const {
   std::vector<Suspicion> all;
-  for (const auto& [cause, count] : this->mentions) {
+  for (const auto& [cause, list] : this->mentions) {
     const int64_t halves = this->CountOf(cause).unexplained;
     const bool told = !IsPart(cause) || this->blocks.contains(cause);
     if (told && halves >= kWholeCrash) {
@@ -613,17 +665,16 @@
     if (!this->blocks.contains(cause)) {
       continue;
     }
-    int64_t left = 0;
-    std::vector<std::pair<const Crash*, int64_t>> counted;
-    for (const Crash& crash : this->crashes) {
-      const Involvement* involved = Find(crash, cause);
-      if (involved != nullptr && crash.time >= oldest &&
-          !this->IsCleared(cause, crash.time)) {
-        counted.emplace_back(&crash,
-                             involved->answering ? kHalfCrash : kWholeCrash);
-        left += counted.back().second;
+    std::vector<Evidence> counted;
+    for (const Crash* crash : this->CrashesWith(cause)) {
+      if (crash->time >= oldest) {
+        counted.push_back({.crash = crash,
+                           .half_crashes = Find(*crash, cause)->answering
+                                               ? kHalfCrash
+                                               : kWholeCrash});
       }
     }
+    int64_t left = SumOf(counted);
     if (left < limit) {
       continue;
     }
@@ -666,38 +717,47 @@
 // cause, which then can't have caused both crashes.
 bool Suspects::IsSimultaneous(const Crash& crash,
                               const CrashCause& cause) const {
+  const auto time_of = [](const auto& one) { return one->time; };
+  const auto first = std::ranges::lower_bound(
+      this->crashes, crash.time - this->options.zone_loss_window, {}, time_of);
+  const auto last = std::ranges::upper_bound(
+      this->crashes, crash.time + this->options.zone_loss_window, {}, time_of);
   return !crash.crashed.zone.Empty() &&
-         std::ranges::any_of(this->crashes, [&](const Crash& other) {
-           return other.crashed.zone == crash.crashed.zone &&
-                  other.crashed.endpoint != crash.crashed.endpoint &&
-                  Between(other.time, crash.time) <=
-                      this->options.zone_loss_window &&
-                  Find(other, cause) == nullptr;
+         std::any_of(first, last, [&](const auto& other) {
+           return other->crashed.zone == crash.crashed.zone &&
+                  other->crashed.endpoint != crash.crashed.endpoint &&
+                  Find(*other, cause) == nullptr;
          });
 }
 
 // The crashes that count against a cause, oldest first.
 Suspects::EvidenceList Suspects::EvidenceOf(const CrashCause& cause) const {
   EvidenceList counted;
-  for (const Crash& crash : this->crashes) {
-    const Involvement* involved = Find(crash, cause);
-    if (involved == nullptr || this->IsCleared(cause, crash.time)) {
-      continue;
-    }
+  for (const Crash* crash : this->CrashesWith(cause)) {
+    const Involvement* involved = Find(*crash, cause);
     if (!counted.empty()) {
       const Instant last = counted.back().crash->time;
-      if (crash.time - last <= this->options.event_window &&
+      if (crash->time - last <= this->options.event_window &&
           involved->sent < last) {
         continue;
       }
     }
-    const bool half = involved->answering || this->IsSimultaneous(crash, cause);
+    const bool half =
+        involved->answering || this->IsSimultaneous(*crash, cause);
     counted.push_back(
-        {.crash = &crash, .half_crashes = half ? kHalfCrash : kWholeCrash});
+        {.crash = crash, .half_crashes = half ? kHalfCrash : kWholeCrash});
   }
   return counted;
 }
 
+// Whether one part is the likelier cause of crashes that have both: it has more
+// crashes, or of two with equally many it is the rarer one.
+bool Suspects::IsLikelier(const CrashCause& part,
+                          const CrashCause& other) const {
+  return std::tuple(this->RawHalfCrashes(other), this->AnswersOf(part), part) <
+         std::tuple(this->RawHalfCrashes(part), this->AnswersOf(other), other);
+}
+
 // Whether a blocked cause accounts for a crash, so that it doesn't count
 // against another one. A blocked request says nothing about the parts of its
 // prompt, and a part that is blocked for an account nothing about the part
@@ -705,26 +765,29 @@
 bool Suspects::Explains(const CrashCause& blocked,
                         const Block& block,
                         const Crash& crash,
-                        const CrashCause& cause) {
-  const bool same =
-      blocked == cause ||
-      (blocked.kind == CauseKind::kAccountPart &&
-       cause.kind == CauseKind::kPart && blocked.hash == cause.hash) ||
-      (blocked.kind == CauseKind::kRequest && IsPart(cause) &&
-       block.parts.contains(cause.hash));
-  return !same && Find(crash, blocked) != nullptr;
+                        const CrashCause& cause) const {
+  if (blocked == cause || Find(crash, blocked) == nullptr) {
+    return false;
+  }
+  if (!IsPart(cause)) {
+    return true;
+  }
+  if (!IsPart(blocked)) {
+    return !block.parts.contains(cause.hash);
+  }
+  return blocked.hash == cause.hash ? blocked.kind == CauseKind::kPart
+                                    : this->IsLikelier(blocked, cause);
 }
 
 Suspects::Count Suspects::CountOf(const CrashCause& cause) const {
   Count count;
-  std::set<CrashCause> explaining;
+  std::map<CrashCause, int64_t> explaining;
   for (const Evidence& one : this->EvidenceOf(cause)) {
-    const size_t before = explaining.size();
     bool explained = false;
     for (const auto& [blocked, block] : this->blocks) {
       if (Explains(blocked, block, *one.crash, cause)) {
         explained = true;
-        explaining.insert(blocked);
+        explaining[blocked] += one.half_crashes;
       }
     }
     count.all += one.half_crashes;
@@ -732,70 +795,123 @@
     const Involvement* involved = Find(*one.crash, cause);
     count.accounts.insert(involved->accounts.begin(), involved->accounts.end());
     count.requests.insert(involved->requests.begin(), involved->requests.end());
-    (void)before;
   }
   count.exceeds_blocks =
-      std::ranges::all_of(explaining, [&](const CrashCause& blocked) {
-        return SumOf(this->EvidenceOf(blocked)) < count.all;
+      std::ranges::all_of(explaining, [&](const auto& entry) {
+        return SumOf(this->EvidenceOf(entry.first)) < count.all;
       });
+  count.has_explanation = std::ranges::any_of(
+      explaining, [&](const auto& entry) { return entry.second == count.all; });
   return count;
 }
 
 // The crashes that have the cause, however likely it is to have caused them.
 int64_t Suspects::RawHalfCrashes(const CrashCause& cause) const {
   int64_t sum = 0;
-  for (const Crash& crash : this->crashes) {
-    const Involvement* involved = Find(crash, cause);
-    if (involved != nullptr && !this->IsCleared(cause, crash.time)) {
-      sum += involved->answering ? kHalfCrash : kWholeCrash;
-    }
+  for (const Crash* crash : this->CrashesWith(cause)) {
+    sum += Find(*crash, cause)->answering ? kHalfCrash : kWholeCrash;
   }
   return sum;
 }
 
+int64_t Suspects::WentWellSince(Instant from) const {
+  return std::ranges::count_if(this->went_well,
+                               [from](Instant sent) { return sent >= from; });
+}
+
+// Causes with so many crashes that they hardly come together by chance.
+std::set<CrashCause> Suspects::StrongCauses() const {
+  const int64_t least =
+      (this->options.block_after_crashes + kStrongCrashes) * kWholeCrash;
+  std::set<CrashCause> strong;
+  std::ranges::copy_if(this->frequent, std::inserter(strong, strong.end()),
+                       [&](const CrashCause& cause) {
+                         return this->RawHalfCrashes(cause) >= least &&
+                                SumOf(this->EvidenceOf(cause)) >= least;
+                       });
+  return strong;
+}
+
+Suspects::Comparison Suspects::Compare(
+    const CrashCause& cause,
+    Instant from,
+    const std::set<CrashCause>& left_out) const {
+  const auto has = [](const Crash& crash, const CrashCause& one) {
+    return Find(crash, one) != nullptr;
+  };
+  Comparison found;
+  std::set<uint64_t> seen;
+  for (const auto& crash : this->crashes) {
+    const auto in_crash = [&](const CrashCause& one) {
+      return has(*crash, one);
+    };
+    if (crash->time < from || in_crash(cause)) {
+      continue;
+    }
+    ++found.crashes;
+    if (std::ranges::any_of(this->blocks | std::views::keys, in_crash) ||
+        std::ranges::any_of(left_out, in_crash)) {
+      continue;
+    }
+    const size_t before = seen.size();
+    seen.insert(crash->own.begin(), crash->own.end());
+    found.lost += seen.size() > before ? 1 : 0;
+  }
+  return found;
+}
+
 // So many crashes that lost runs without the cause, as in a wave of crashes
 // that no request causes, hardly ever come one after the other by chance.
-int64_t Suspects::HalfCrashesNeeded(const CrashCause& cause) const {
+int64_t Suspects::HalfCrashesNeeded(const CrashCause& cause,
+                                    const std::set<CrashCause>& strong) const {
   const int64_t least = this->options.block_after_crashes * kWholeCrash;
-  const EvidenceList counted = this->EvidenceOf(cause);
+  const std::vector<const Crash*> counted = this->CrashesWith(cause);
   if (counted.empty()) {
     return least;
   }
   const Instant from =
-      counted.back().crash->time - this->options.comparison_window;
-  int64_t others = 0;
-  int64_t lost = 0;
-  std::set<uint64_t> seen;
-  for (const Crash& crash : this->crashes) {
-    const bool explained = std::ranges::any_of(
-        this->blocks,
-        [&](const auto& entry) { return Find(crash, entry.first) != nullptr; });
-    if (crash.time < from || explained || Find(crash, cause) != nullptr) {
-      continue;
-    }
-    ++others;
-    const size_t before = seen.size();
-    seen.insert(crash.own.begin(), crash.own.end());
-    lost += seen.size() > before ? 1 : 0;
+      std::max(counted.front()->time,
+               counted.back()->time - this->options.comparison_window);
+  const Duration before = this->options.settle_time;
+  const int64_t well = this->WentWellSince(from);
+  Comparison others = this->Compare(cause, from - before, {});
+  if (well >= std::max(others.lost * kMinAnswersPerLoss, kMinCompared) &&
+      !strong.empty()) {
+    others = this->Compare(cause, from - before, strong);
   }
-  if (others == 0) {
+  if (others.crashes == 0) {
     return least;
   }
-  const int64_t compared = lost + this->answers.Sum(this->now);
+  const int64_t compared = others.lost + well;
   if (compared < kMinCompared) {
-    return IsPart(cause) ? least * kUnknownShareFactor : least;
+    const bool nothing_works =
+        well == 0 && others.crashes >= this->options.block_after_crashes;
+    return !IsPart(cause)  ? least
+           : nothing_works ? kNever
+                           : least * kUnknownShareFactor;
   }
   const double share =
-      static_cast<double>(lost + 1) / static_cast<double>(compared + 2);
+      static_cast<double>(others.lost + 1) / static_cast<double>(compared + 2);
   const double chance =
       this->options.chance * (IsPart(cause) ? 1 : kRequestChanceFactor);
   const double needed = std::ceil(std::log(chance) / std::log(share));
   return std::max(least, static_cast<int64_t>(needed) * kWholeCrash);
 }
 
+// Whether all crashes since a part's first one have it, or sound runs with it
+// have had the time to show that it is not the cause.
+bool Suspects::IsSettled(const CrashCause& part) const {
+  const Instant first = this->CrashesWith(part).front()->time;
+  return this->now - first >= this->options.settle_time ||
+         this->Compare(part, first - this->options.settle_time, {}).crashes ==
+             0;
+}
+
 // What is to be blocked for a frequent request or part, if anything.
-std::optional<CrashCause> Suspects::AsCandidate(const CrashCause& cause,
-                                                const Count& count) const {
+std::optional<CrashCause> Suspects::AsCandidate(
+    const CrashCause& cause,
+    const Count& count,
+    const std::set<CrashCause>& strong) const {
   CrashCause candidate = cause;
   if (IsPart(cause)) {
     if (count.requests.size() < kMinRequestsOfPart) {
@@ -810,7 +926,10 @@
   if (this->blocks.contains(candidate)) {
     return {};
   }
-  const int64_t needed = this->HalfCrashesNeeded(cause);
+  if (IsPart(cause) && !this->IsSettled(cause)) {
+    return {};
+  }
+  const int64_t needed = this->HalfCrashesNeeded(cause, strong);
   const bool enough =
       count.unexplained >= needed ||
       (count.all >= needed && count.unexplained >= kWholeCrash &&
@@ -821,14 +940,22 @@
 // The candidate with the most crashes, and of these the one that fewest runs
 // have had.
 std::optional<CrashCause> Suspects::NextCause() const {
+  const int64_t least = this->options.block_after_crashes * kWholeCrash;
+  std::optional<std::set<CrashCause>> strong;
   std::optional<CrashCause> best;
   std::pair<int64_t, int64_t> best_rank;
   for (const CrashCause& cause : this->frequent) {
-    if (this->blocks.contains(cause)) {
+    if (this->blocks.contains(cause) || this->RawHalfCrashes(cause) < least) {
       continue;
     }
     const Count count = this->CountOf(cause);
-    const auto candidate = this->AsCandidate(cause, count);
+    if (count.all < least || count.unexplained < kWholeCrash) {
+      continue;
+    }
+    if (!strong) {
+      strong = this->StrongCauses();
+    }
+    const auto candidate = this->AsCandidate(cause, count, *strong);
     const std::pair rank(count.unexplained, -this->AnswersOf(cause));
     if (candidate && (!best || rank > best_rank)) {
       best = candidate;
@@ -841,9 +968,9 @@
 // The parts of a request's prompt.
 std::set<uint64_t> Suspects::PartsOf(const CrashCause& request) const {
   std::set<uint64_t> parts;
-  for (const Crash& crash : this->crashes) {
-    if (const auto run = crash.runs.find(request.hash);
-        run != crash.runs.end()) {
+  for (const Crash* crash : this->CrashesWith(request)) {
+    if (const auto run = crash->runs.find(request.hash);
+        run != crash->runs.end()) {
       parts.insert(run->second.request.parts.begin(),
                    run->second.request.parts.end());
     }
@@ -859,21 +986,19 @@
 }
 
 // The block that ends next: one without enough crashes, or the one with the
-// fewest crashes of those whose crashes other blocks explain.
+// fewest crashes of those that other blocks explain.
 std::optional<CrashCause> Suspects::NextRelease() const {
   const int64_t least = this->options.block_after_crashes * kWholeCrash;
   std::optional<CrashCause> weakest;
-  std::pair<int64_t, int64_t> weakest_rank;
+  int64_t weakest_crashes = 0;
   for (const auto& [cause, block] : this->blocks) {
     if (this->RawHalfCrashes(cause) < least) {
       return cause;
     }
     const Count count = this->CountOf(cause);
-    const std::pair rank(count.all, -this->AnswersOf(cause));
-    if (count.all > count.unexplained && count.unexplained < kWholeCrash &&
-        (!weakest || rank < weakest_rank)) {
+    if (count.has_explanation && (!weakest || count.all < weakest_crashes)) {
       weakest = cause;
-      weakest_rank = rank;
+      weakest_crashes = count.all;
     }
   }
   return weakest;
--- a/packages/decisions/suspects.h
+++ b/packages/decisions/suspects.h
@@ -8,8 +8,9 @@
 //
 // What counts against a cause:
 // - The crash of an endpoint that had such a run, unless a run that was sent
-//   later has been answered in full since. A run that was sent before the crash
-//   proves nothing: a part may turn bad.
+//   later went well: for a part, its answer has begun and gone on for some
+//   time, for a request, it has been answered in full. A run that was sent
+//   before the crash proves nothing, since a part may turn bad.
 // - A run that had sent events counts half against its request, and not against
 //   the parts of its prompt.
 // - A crash counts half if another endpoint of the zone crashed at the same
@@ -23,8 +24,8 @@
 // repeated is blocked itself, not the parts of its prompt.
 //
 // A block ends with an answer, with the age of its crashes, or if another block
-// explains all of them. It outlasts the evidence of other requests: two causes
-// that crash endpoints together don't release each other.
+// explains all of them; a part is explained only by one with more crashes. So
+// two causes that crash endpoints together don't release each other.
 //
 // Reports of other hosts are merged by endpoint run, so it doesn't matter in
 // which order, how often or over which host they arrive.
@@ -50,7 +51,9 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -58,7 +61,6 @@
 
 #include "decisions/digest.h"
 #include "decisions/fleet_endpoint.h"
-#include "decisions/window_sum.h"
 #include "kernel/ids.h"
 #include "kernel/time.h"
 
@@ -78,14 +80,19 @@
   // Connections to one endpoint run that break within this time broke in the
   // same crash.
   Duration crash_window = std::chrono::seconds(1);
-  // Runs of this time show how often runs without the cause are lost.
+  // Runs since the first crash of a cause, but not longer ago than this, show
+  // how often runs without it are lost.
   Duration comparison_window = std::chrono::seconds(10);
+  // A part isn't blocked sooner after its first crash if there were crashes
+  // without it.
+  Duration settle_time = std::chrono::seconds(1);
   // Greatest probability that this many runs in succession are lost by chance.
-  double chance = 0.001;
+  double chance = 1e-5;
   size_t max_crashes = 128;             // records kept, the newest
   size_t max_requests_per_crash = 128;  // fingerprints kept for each of them
   size_t max_parts_per_crash = 256;
   size_t max_answered = 4096;  // answers kept
+  size_t max_compared = 1024;  // runs of this host
   size_t max_blocks = 256;
   size_t max_in_digest = 64;  // fingerprints in Own()
 
@@ -153,7 +160,7 @@
   auto operator<=>(const CrashReport&) const = default;
 };
 
-// A run of a suspected cause was answered in full.
+// A run of a suspected cause went well.
 struct AnswerReport {
   CrashCause cause;  // kRequest or kPart
   Duration age{};    // since the run was sent
@@ -206,9 +213,14 @@
   // Forgets crashes that were losses of this host's own links.
   void Withdraw(Instant now, const std::vector<CrashedEndpoint>& lost);
 
-  // Records that a run was answered in full: neither the request nor the parts
-  // of its prompt are the cause of crashes before it was sent. Returns whether
-  // any of them was suspected.
+  // Records that the answer of a run has begun and gone on for some time: the
+  // parts of its prompt are not the cause of crashes before it was sent. Call
+  // once for each run, also if it is answered at once. Returns whether a part
+  // was suspected.
+  bool OnBegun(Instant now, const RequestTraits& request, Instant sent);
+
+  // Records that a run was answered in full: the request is not the cause of
+  // crashes before it was sent. Returns whether it was suspected.
   bool OnAnswered(Instant now, const RequestTraits& request, Instant sent);
 
   // Merges the reports of another host.
@@ -285,11 +297,17 @@
     int64_t crashes = 0;
     Instant seen{};
   };
-  // Runs with a cause that were answered in full.
+  // Runs with a cause that went well.
   struct Answers {
     Instant sent{};     // the last of them
     int64_t count = 0;  // at this host
   };
+  // Crashes without a cause, in the comparison window.
+  struct Comparison {
+    int64_t crashes = 0;
+    // Those that ended runs of this host and have no other likely cause.
+    int64_t lost = 0;
+  };
   struct Block {
     std::set<uint64_t> parts;  // of a blocked request
   };
@@ -303,9 +321,10 @@
   struct Count {
     int64_t all = 0;  // half crashes
     int64_t unexplained = 0;
-    std::set<uint64_t> accounts;  // of the runs with a part
-    std::set<uint64_t> requests;  // with a part
-    bool exceeds_blocks = true;   // more crashes than each explaining block
+    bool has_explanation = false;  // one block explains all of them
+    std::set<uint64_t> accounts;   // of the runs with a part
+    std::set<uint64_t> requests;   // with a part
+    bool exceeds_blocks = true;    // more crashes than each explaining block
   };
   using Blocks = std::map<CrashCause, Block>;
 
@@ -319,7 +338,8 @@
   bool Recurs(const LostRun& run) const;
   void Index(Crash& record, const LostRun& run);
   void Reindex(Crash& record);
-  void Mention(const CrashCause& cause, int64_t change);
+  void Mention(const CrashCause& cause, Crash& record);
+  void Unmention(const CrashCause& cause, const Crash& record);
   void RemoveCrash(size_t index);
   template <typename Condition>
   void RemoveCrashesIf(Condition condition);
@@ -327,23 +347,33 @@
   bool MergeAnswer(const CrashCause& cause, Instant sent);
   void LimitAnswers();
   void Expire(Instant now);
-  bool IsMentioned(const CrashCause& cause) const {
-    return this->mentions.contains(cause);
-  }
+  bool IsMentioned(const CrashCause& cause) const;
+  bool RecordAnswer(const CrashCause& cause, Instant sent);
   bool IsCleared(const CrashCause& cause, Instant crash) const;
+  std::vector<const Crash*> CrashesWith(const CrashCause& cause) const;
   int64_t AnswersOf(const CrashCause& cause) const;
   static const Involvement* Find(const Crash& crash, const CrashCause& cause);
   bool IsSimultaneous(const Crash& crash, const CrashCause& cause) const;
   EvidenceList EvidenceOf(const CrashCause& cause) const;
-  static bool Explains(const CrashCause& blocked,
-                       const Block& block,
-                       const Crash& crash,
-                       const CrashCause& cause);
+  bool Explains(const CrashCause& blocked,
+                const Block& block,
+                const Crash& crash,
+                const CrashCause& cause) const;
+  bool IsLikelier(const CrashCause& part, const CrashCause& other) const;
+  bool IsSettled(const CrashCause& part) const;
   Count CountOf(const CrashCause& cause) const;
+  int64_t WentWellSince(Instant from) const;
   int64_t RawHalfCrashes(const CrashCause& cause) const;
-  int64_t HalfCrashesNeeded(const CrashCause& cause) const;
-  std::optional<CrashCause> AsCandidate(const CrashCause& cause,
-                                        const Count& count) const;
+  std::set<CrashCause> StrongCauses() const;
+  Comparison Compare(const CrashCause& cause,
+                     Instant from,
+                     const std::set<CrashCause>& left_out) const;
+  int64_t HalfCrashesNeeded(const CrashCause& cause,
+                            const std::set<CrashCause>& strong) const;
+  std::optional<CrashCause> AsCandidate(
+      const CrashCause& cause,
+      const Count& count,
+      const std::set<CrashCause>& strong) const;
   std::optional<CrashCause> NextCause() const;
   void AddBlock(const CrashCause& cause, const std::set<uint64_t>& parts);
   std::set<uint64_t> PartsOf(const CrashCause& request) const;
@@ -355,11 +385,11 @@
                        const std::vector<LostRun>& runs) const;
 
   SuspectsOptions options;
-  std::vector<Crash> crashes;              // oldest first
-  std::map<CrashCause, int64_t> mentions;  // crashes with a cause
-  std::set<CrashCause> frequent;           // with enough crashes to be blocked
+  std::vector<std::unique_ptr<Crash>> crashes;         // oldest first
+  std::map<CrashCause, std::vector<Crash*>> mentions;  // requests and parts
+  std::set<CrashCause> frequent;  // with enough crashes to be blocked
   std::map<CrashCause, Answers> answered;
-  WindowSum answers;  // of this host
+  std::deque<Instant> went_well;  // when runs of this host were sent
   std::map<HostId, std::map<uint64_t, PeerEntry>> peers;
   Blocks blocks;
   // Not yet returned by TakeUpdate().
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -594,6 +594,12 @@
   this->OnSuspectsChanged();
 }
 
+void FleetRelay::RecordBegun(const RequestTraits& request, Instant sent) {
+  if (this->suspects.OnBegun(this->clock->Now(), request, sent)) {
+    this->OnSuspectsChanged();
+  }
+}
+
 void FleetRelay::RecordAnswer(const RequestTraits& request, Instant sent) {
   if (this->suspects.OnAnswered(this->clock->Now(), request, sent)) {
     this->OnSuspectsChanged();
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -328,9 +328,10 @@
   void WithdrawCrashes(const ServiceId& service);
   void DecidePendingCrashes();
 
-  // Records that an endpoint crashed while it had a run, and that a run was
-  // answered in full.
+  // Records that an endpoint crashed while it had a run, that the answer of a
+  // run went on after it had begun, and that a run was answered in full.
   void RecordCrash(const FleetEndpoint& endpoint, const LostRun& run);
+  void RecordBegun(const RequestTraits& request, Instant sent);
   void RecordAnswer(const RequestTraits& request, Instant sent);
 
   // Logs which requests and parts became blocked or were released. In the next
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -20,6 +20,10 @@
 // A connect that failed after at least this time was not refused.
 constexpr Duration kMinConnectTimeout = std::chrono::milliseconds(500);
 
+// An endpoint that goes on for this long after a run's first event hasn't been
+// crashed by it.
+constexpr Duration kBegunProof = std::chrono::milliseconds(150);
+
 // Status of an endpoint that was called as another process or in another role.
 constexpr int kWrongProcessOrRole = 421;
 
@@ -85,6 +89,9 @@
   }
   this->RecordFirstByte();
   this->RecordEvent();
+  if (this->last_event - *this->attempt->first_byte_at >= kBegunProof) {
+    this->RecordBegun();
+  }
   this->MarkBegun();
   if (!this->caller->Started()) {
     this->StartAnswer({});
@@ -128,6 +135,13 @@
   this->last_event = now;
 }
 
+// The run didn't crash its endpoint when its answer began.
+void RelayedRequest::RecordBegun() {
+  if (!std::exchange(this->attempt->begun_recorded, true)) {
+    this->relay->RecordBegun(this->traits, this->attempt->sent);
+  }
+}
+
 void RelayedRequest::MarkBegun() {
   if (!std::exchange(this->begun, true) && !this->account.Empty()) {
     this->relay->hooks.on_begun(this->account);
@@ -202,6 +216,7 @@
   this->handle.clear();
   if (fate == RunResult::kDone) {
     if (current.status / 100 == 2 && !unproven) {
+      this->RecordBegun();
       this->relay->RecordAnswer(this->traits, current.sent);
       const AnswerKind kind = this->Kind();
       this->relay->answer_times.Add(now, kind, now - this->arrived);
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -82,6 +82,7 @@
     bool forwarding_body = false;  // the body is forwarded as it arrives
     bool until_close = false;      // the body has neither length nor chunks
     std::optional<Instant> first_byte_at;
+    bool begun_recorded = false;  // by RecordBegun()
   };
 
   // How the last answer of an endpoint ended, for the log.
@@ -161,6 +162,7 @@
   void StartAnswer(std::optional<uint64_t> length);
   void AfterFailure(RunResult fate, std::string_view why);
   void MarkBegun();
+  void RecordBegun();
   void RecordFirstByte();
   void RecordEvent();
 
