--- a/packages/ctl/request_trace.cc
+++ b/packages/ctl/request_trace.cc
@@ -143,8 +143,8 @@
     LineTemplate{kSchedulerPart, "Refused: endpoints crash.", LineKind::kOther,
                  "refused, because endpoints crash when they run it: {crashes} "
                  "crashes ({endpoints}), the last {newest_ms} ms before; "
-                 "fingerprint {fingerprint}; refused for {retry_after_ms} ms "
-                 "more",
+                 "fingerprint {fingerprint}; prompt part (none: the request "
+                 "itself) {prompt_part}; refused for {retry_after_ms} ms more",
                  ""},
     LineTemplate{
         kSchedulerPart, "Over the endpoints' stated rates.", LineKind::kOther,
--- a/packages/decisions/suspects.cc
+++ b/packages/decisions/suspects.cc
@@ -28,6 +28,10 @@
 // Crashes needed for a part while that share is unknown, as a multiple.
 constexpr int64_t kUnknownShareFactor = 4;
 
+// Greatest probability that crashes have a part by chance, since many runs do,
+// at which it stands out.
+constexpr double kCommonPart = 0.2;
+
 // More crashes than are ever kept: nothing is blocked.
 constexpr int64_t kNever = std::numeric_limits<int32_t>::max();
 
@@ -354,6 +358,7 @@
                        const RequestTraits& request,
                        Instant sent) {
   this->Expire(now);
+  ++this->begun;
   this->went_well.push_back(sent);
   if (this->went_well.size() > this->options.max_compared) {
     this->went_well.pop_front();
@@ -900,12 +905,18 @@
   return std::max(least, static_cast<int64_t>(needed) * kWholeCrash);
 }
 
-// Whether all crashes since a part's first one have it, or sound runs with it
-// have had the time to show that it is not the cause.
+// Whether a part stands out: all crashes since its first one have it, though
+// not nearly all runs do. Otherwise sound runs with it need the time to show
+// that it is not the cause.
 bool Suspects::IsSettled(const CrashCause& part) const {
-  const Instant first = this->CrashesWith(part).front()->time;
+  const std::vector<const Crash*> found = this->CrashesWith(part);
+  const Instant first = found.front()->time;
+  const double share = static_cast<double>(this->AnswersOf(part)) /
+                       static_cast<double>(std::max<int64_t>(this->begun, 1));
+  const bool stands_out =
+      std::pow(share, static_cast<double>(found.size())) < kCommonPart;
   return this->now - first >= this->options.settle_time ||
-         this->Compare(part, first, {}).crashes == 0;
+         (stands_out && this->Compare(part, first, {}).crashes == 0);
 }
 
 // What is to be blocked for a frequent request or part, if anything.
--- a/packages/decisions/suspects.h
+++ b/packages/decisions/suspects.h
@@ -395,6 +395,7 @@
   std::map<CrashCause, Answers> answered;
   std::deque<Instant> went_well;  // when runs of this host were sent
   std::map<HostId, std::map<uint64_t, PeerEntry>> peers;
+  int64_t begun = 0;  // runs of this host that went well, ever
   Blocks blocks;
   // Not yet returned by TakeUpdate().
   std::vector<NewCrash> new_crashes;
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -741,7 +741,7 @@
   this->Log(
       LogLevel::kWarning, request, "Refused: endpoints crash.",
       {{"fingerprint", FingerprintText(fingerprint)},
-       {"part", part},
+       {"prompt_part", part},
        {"part_hash", part.empty() ? "" : FingerprintText(block.cause.hash)},
        {"crashes", std::to_string(block.crashed.size())},
        {"endpoints", endpoints},
