--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -89,7 +89,9 @@
   }
   this->RecordFirstByte();
   this->RecordEvent();
-  if (this->last_event - *this->attempt->first_byte_at >= kBegunProof) {
+  if (this->last_event -
+          this->attempt->first_byte_at.value_or(this->last_event) >=
+      kBegunProof) {
     this->RecordBegun();
   }
   this->MarkBegun();
--- a/tests/crash_fleet_model.h
+++ b/tests/crash_fleet_model.h
@@ -177,13 +177,14 @@
         .parts = {FirstPart(second % kFirstParts), SecondPart(second)}};
     const double kind = this->Fraction();
     if (kind < this->options.bad_share) {
-      run->bad = this->Below(this->options.bad_parts);
+      const size_t bad = this->Below(this->options.bad_parts);
+      run->bad = bad;
       run->request.account =
           this->options.one_account ? 1 : 1 + this->Below(kAccounts);
       if (this->options.bad_first) {
-        run->request.parts[0] = FirstPart(*run->bad);
+        run->request.parts[0] = FirstPart(bad);
       } else {
-        run->request.parts[1] = SecondPart(*run->bad);
+        run->request.parts[1] = SecondPart(bad);
       }
       if (this->options.victim_part) {
         run->request.parts.push_back(kVictimPart);
@@ -250,7 +251,7 @@
     run->answering = false;
     run->ended = false;
     if (run->bad) {
-      const auto fifth = this->fifth_crashes.find(*run->bad);
+      const auto fifth = this->fifth_crashes.find(run->bad.value_or(0));
       if (fifth != this->fifth_crashes.end() &&
           this->now > fifth->second + kBound) {
         ++this->result.late_sends;
@@ -278,15 +279,15 @@
                         this->now >= this->options.broken_from &&
                         this->now < this->options.broken_until;
     if (bad || broken || this->Fraction() < this->options.random_crash) {
-      if (bad && ++this->part_crashes[*run->bad] == 5) {
-        this->fifth_crashes[*run->bad] = this->now;
+      if (bad && ++this->part_crashes[run->bad.value_or(0)] == 5) {
+        this->fifth_crashes[run->bad.value_or(0)] = this->now;
         this->fifth_crash = this->fifth_crash.value_or(this->now);
       }
       this->Crash(index);
       return;
     }
     run->answering = true;
-    this->At(this->now + kBegunDelay, [this, run, index, attempt] {
+    this->At(this->now + kBegunDelay, [this, run, attempt] {
       if (!run->ended && run->attempts == attempt) {
         this->hosts[run->host]->OnBegun(this->Time(), run->request,
                                         Instant(FromSeconds(100 + run->sent)));
