Suspects: find the explaining blocks once for each cause; postmortem and capacity

Evaluating a cause compared its likelihood with each block for each of its crashes. With many blocks that grew with crashes times blocks; no figure was measured. Nothing is added beyond the greatest number of blocks.

--- a/packages/decisions/suspects.cc
+++ b/packages/decisions/suspects.cc
@@ -623,15 +623,16 @@
 int64_t Suspects::CrashesOf(Instant now, const CrashCause& cause) const {
   const Instant oldest = now - this->options.retention;
   EvidenceList counted = this->EvidenceOf(cause);
-  const bool blocked = this->blocks.contains(cause);
+  const std::vector<CrashCause> explanations =
+      this->blocks.contains(cause) ? std::vector<CrashCause>()
+                                   : this->ExplanationsOf(cause);
   std::erase_if(counted, [&](const Evidence& one) {
     return one.crash->time < oldest ||
-           (!blocked && std::ranges::any_of(
-                            this->blocks,
-                            [&](const auto& entry) {
-                              return Explains(entry.first, entry.second,
-                                              *one.crash, cause);
-                            }));
+           std::ranges::any_of(
+               explanations,
+               [&](const CrashCause& blocked) {
+                 return Find(*one.crash, blocked) != nullptr;
+               });
   });
   return SumOf(counted) / kWholeCrash;
 }
@@ -766,19 +767,15 @@
           found.empty() ? 0 : Find(*found.back(), part)->position, part};
 }
 
-// Whether a blocked cause accounts for a crash, so that it doesn't count
-// against another one. A blocked request says nothing about the parts of its
-// prompt, and a part that is blocked for an account nothing about the part
-// itself.
+// Whether a blocked cause accounts for crashes that it has in common with
+// another one, so that they don't count against that. A blocked request says
+// nothing about the parts of its prompt, and a part that is blocked for an
+// account nothing about the part itself.
 bool Suspects::Explains(const CrashCause& blocked,
                         const Block& block,
-                        const Crash& crash,
                         const CrashCause& cause) const {
-  if (blocked == cause || Find(crash, blocked) == nullptr) {
-    return false;
-  }
-  if (!IsPart(cause)) {
-    return true;
+  if (blocked == cause || !IsPart(cause)) {
+    return blocked != cause;
   }
   if (!IsPart(blocked)) {
     return !block.parts.contains(cause.hash);
@@ -788,13 +785,25 @@
              : this->LikelihoodOf(blocked) > this->LikelihoodOf(cause);
 }
 
+std::vector<CrashCause> Suspects::ExplanationsOf(
+    const CrashCause& cause) const {
+  std::vector<CrashCause> all;
+  for (const auto& [blocked, block] : this->blocks) {
+    if (this->Explains(blocked, block, cause)) {
+      all.push_back(blocked);
+    }
+  }
+  return all;
+}
+
 Suspects::Count Suspects::CountOf(const CrashCause& cause) const {
   Count count;
+  const std::vector<CrashCause> explanations = this->ExplanationsOf(cause);
   std::map<CrashCause, int64_t> explaining;
   for (const Evidence& one : this->EvidenceOf(cause)) {
     bool explained = false;
-    for (const auto& [blocked, block] : this->blocks) {
-      if (Explains(blocked, block, *one.crash, cause)) {
+    for (const CrashCause& blocked : explanations) {
+      if (Find(*one.crash, blocked) != nullptr) {
         explained = true;
         explaining[blocked] += one.half_crashes;
       }
@@ -1025,7 +1034,7 @@
   this->ReleaseBlocks();
   for (size_t i = 0; i < this->options.max_blocks; ++i) {
     const auto next = this->NextCause();
-    if (!next) {
+    if (!next || this->blocks.size() >= this->options.max_blocks) {
       return;
     }
     this->AddBlock(*next,
--- a/packages/decisions/suspects.h
+++ b/packages/decisions/suspects.h
@@ -360,8 +360,8 @@
   EvidenceList EvidenceOf(const CrashCause& cause) const;
   bool Explains(const CrashCause& blocked,
                 const Block& block,
-                const Crash& crash,
                 const CrashCause& cause) const;
+  std::vector<CrashCause> ExplanationsOf(const CrashCause& cause) const;
   using Likelihood = std::tuple<int64_t, int64_t, size_t, CrashCause>;
   Likelihood LikelihoodOf(const CrashCause& part) const;
   bool IsSettled(const CrashCause& part) const;
