Suspects: a part that nearly all requests have needs runs without it to be blocked

Trace: endpoints die by themselves, every stream has the part a1, so all crashes have it, and a second later it was blocked. Runs of services whose requests have no parts counted as runs without it.

--- a/packages/decisions/suspects.cc
+++ b/packages/decisions/suspects.cc
@@ -358,6 +358,9 @@
                        const RequestTraits& request,
                        Instant sent) {
   this->Expire(now);
+  if (request.parts.empty()) {
+    return false;  // of another service, mostly: no comparison
+  }
   ++this->begun;
   this->went_well.push_back(sent);
   if (this->went_well.size() > this->options.max_compared) {
@@ -896,7 +899,7 @@
       !strong.empty()) {
     others = this->Compare(cause, from, strong);
   }
-  if (others.crashes == 0) {
+  if (others.crashes == 0 && (!IsPart(cause) || this->StandsOut(cause))) {
     return least;
   }
   const int64_t compared = others.lost + well;
@@ -914,19 +917,23 @@
   return std::max(least, static_cast<int64_t>(needed) * kWholeCrash);
 }
 
-// Whether a part stands out: all crashes since its first one have it, though
-// not nearly all runs do. Otherwise sound runs with it need the time to show
-// that it is not the cause.
-bool Suspects::IsSettled(const CrashCause& part) const {
+// Whether all crashes since a part's first one have it, though not nearly all
+// runs do.
+bool Suspects::StandsOut(const CrashCause& part) const {
   const std::vector<const Crash*> found = this->CrashesWith(part);
-  const Instant first = found.front()->time;
   // Of a host that has just started, all runs may have the part.
   const double share = static_cast<double>(this->AnswersOf(part) + 1) /
                        static_cast<double>(this->begun + 1);
-  const bool stands_out =
-      std::pow(share, static_cast<double>(found.size())) < kCommonPart;
+  return std::pow(share, static_cast<double>(found.size())) < kCommonPart &&
+         this->Compare(part, found.front()->time, {}).crashes == 0;
+}
+
+// Whether a part stands out, or sound runs with it have had the time to show
+// that it is not the cause.
+bool Suspects::IsSettled(const CrashCause& part) const {
+  const Instant first = this->CrashesWith(part).front()->time;
   return this->now - first >= this->options.settle_time ||
-         (stands_out && this->Compare(part, first, {}).crashes == 0);
+         this->StandsOut(part);
 }
 
 // What is to be blocked for a frequent request or part, if anything.
--- a/packages/decisions/suspects.h
+++ b/packages/decisions/suspects.h
@@ -364,6 +364,7 @@
   std::vector<CrashCause> ExplanationsOf(const CrashCause& cause) const;
   using Likelihood = std::tuple<int64_t, int64_t, size_t, CrashCause>;
   Likelihood LikelihoodOf(const CrashCause& part) const;
+  bool StandsOut(const CrashCause& part) const;
   bool IsSettled(const CrashCause& part) const;
   Count CountOf(const CrashCause& cause) const;
   int64_t WentWell(Instant from, Instant until) const;
