Count only blocks that haven't expired

crashing_requests_blocked and crashing_parts_blocked counted blocks until the next report of a crash, so the alert on a blocked part stayed on after the block had ended. Found by reading the change. Suspects answers for one cause whether it is refused now; policy_test checks the end of a block by it.

--- a/packages/decisions/suspects.cc
+++ b/packages/decisions/suspects.cc
@@ -670,40 +670,47 @@
   if (this->blocks.empty()) {
     return {};
   }
-  const Instant oldest = now - this->options.retention;
-  const int64_t limit = this->options.block_after_crashes * kWholeCrash;
   for (const CrashCause& cause : CausesOf(request)) {
-    if (!this->blocks.contains(cause)) {
-      continue;
-    }
-    std::vector<Evidence> counted;
-    for (const Crash* crash : this->CrashesWith(cause)) {
-      if (crash->time >= oldest) {
-        counted.push_back({.crash = crash,
-                           .half_crashes = Find(*crash, cause)->answering
-                                               ? kHalfCrash
-                                               : kWholeCrash});
-      }
+    if (const auto block = this->FindBlock(now, cause)) {
+      return block;
     }
-    int64_t left = SumOf(counted);
-    if (left < limit) {
-      continue;
+  }
+  return {};
+}
+
+std::optional<RequestBlock> Suspects::FindBlock(Instant now,
+                                                const CrashCause& cause) const {
+  if (!this->blocks.contains(cause)) {
+    return {};
+  }
+  const Instant oldest = now - this->options.retention;
+  const int64_t limit = this->options.block_after_crashes * kWholeCrash;
+  std::vector<Evidence> counted;
+  for (const Crash* crash : this->CrashesWith(cause)) {
+    if (crash->time >= oldest) {
+      counted.push_back({.crash = crash,
+                         .half_crashes = Find(*crash, cause)->answering
+                                             ? kHalfCrash
+                                             : kWholeCrash});
     }
-    RequestBlock block{.cause = cause};
-    Instant end{};
-    for (const auto& [crash, half_crashes] : counted) {
-      block.crashed.push_back(crash->crashed.endpoint);
-      block.newest_age = now - crash->time;
-      left -= half_crashes;
-      // The oldest crash whose expiry leaves too few ends the block.
-      if (left < limit && end == Instant{}) {
-        end = crash->time + this->options.retention;
-      }
+  }
+  int64_t left = SumOf(counted);
+  if (left < limit) {
+    return {};
+  }
+  RequestBlock block{.cause = cause};
+  Instant end{};
+  for (const auto& [crash, half_crashes] : counted) {
+    block.crashed.push_back(crash->crashed.endpoint);
+    block.newest_age = now - crash->time;
+    left -= half_crashes;
+    // The oldest crash whose expiry leaves too few ends the block.
+    if (left < limit && end == Instant{}) {
+      end = crash->time + this->options.retention;
     }
-    block.remaining = end - now;
-    return block;
   }
-  return {};
+  block.remaining = end - now;
+  return block;
 }
 
 std::set<CrashCause> Suspects::Blocked() const {
--- a/packages/decisions/suspects.h
+++ b/packages/decisions/suspects.h
@@ -264,6 +264,10 @@
     return this->FindBlock(now, RequestTraits{.fingerprint = fingerprint});
   }
 
+  // The same for one cause.
+  std::optional<RequestBlock> FindBlock(Instant now,
+                                        const CrashCause& cause) const;
+
   // Requests with crashes recorded here and blocked parts, most crashes first.
   std::vector<Suspicion> Own() const;
 
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -611,14 +611,12 @@
   this->OnSuspectsChanged();
 }
 
-int64_t FleetRelay::BlockedRequests() const {
-  return std::ranges::count(this->suspects.Blocked(), CauseKind::kRequest,
-                            &CrashCause::kind);
-}
-
-int64_t FleetRelay::BlockedParts() const {
-  return static_cast<int64_t>(this->suspects.Blocked().size()) -
-         this->BlockedRequests();
+int64_t FleetRelay::CountBlocked(bool requests) const {
+  return std::ranges::count_if(
+      this->suspects.Blocked(), [&](const CrashCause& cause) {
+        return (cause.kind == CauseKind::kRequest) == requests &&
+               this->suspects.FindBlock(this->clock->Now(), cause);
+      });
 }
 
 void FleetRelay::RecordRate(const RateAnswer& answer) {
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -261,8 +261,8 @@
   }
 
   // How many requests, or parts of prompts, are refused now.
-  int64_t BlockedRequests() const;
-  int64_t BlockedParts() const;
+  int64_t BlockedRequests() const { return this->CountBlocked(true); }
+  int64_t BlockedParts() const { return this->CountBlocked(false); }
 
   // The rates that endpoints state, as known here, for another scheduler; and
   // those that another scheduler knows.
@@ -350,6 +350,7 @@
                   uint64_t fingerprint,
                   const std::string& part,
                   const RequestBlock& block);
+  int64_t CountBlocked(bool requests) const;
   void LogCause(std::string_view sentence, const CrashCause& cause) const;
 
   // Milliseconds since the stop signal, for logs; empty before it.
--- a/tests/policy_parts_test.cc
+++ b/tests/policy_parts_test.cc
@@ -520,6 +520,8 @@
     LONGS_EQUAL(3, block.crashed.size());
     CHECK(block.remaining == std::chrono::seconds(10));
     CHECK(!one->FindBlock(At(120.5), 1));
+    CHECK(one->FindBlock(At(119.5), CrashCause{.hash = 1}).has_value());
+    CHECK(!one->FindBlock(At(120.5), CrashCause{.hash = 1}));
     CHECK(!one->IsBlocked(At(120.5), 1));
   }
 }
