--- a/packages/relay/block_record_store.cc
+++ b/packages/relay/block_record_store.cc
@@ -59,10 +59,6 @@
   return causes;
 }
 
-int64_t Milliseconds(Duration length) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-}
-
 }  // namespace
 
 std::string EncodeBlocks(const SuspectsUpdate& blocks, int64_t unix_ms) {
@@ -73,7 +69,7 @@
         .Member("endpoint", crash.crash.endpoint.id.Text())
         .Member("started", crash.crash.endpoint.started)
         .Member("zone", crash.crash.zone.Text())
-        .Member("time", unix_ms - Milliseconds(crash.age))
+        .Member("time", unix_ms - ToMilliseconds(crash.age))
         .Name("runs")
         .BeginArray();
     for (const CrashReport::Run& run : crash.runs) {
