--- a/tests/crash_two_parts_test.cc
+++ b/tests/crash_two_parts_test.cc
@@ -9,7 +9,7 @@
 
 // Guards against two bad parts that shield each other.
 TEST(CrashTwoParts, FindsTwoBadPartsAtOnce) {
-  CheckContained({.report_delay = 0.3, .bad_share = 0.06, .bad_parts = 2});
+  CheckContained({.report_delay = 0.3, .bad_share = 0.08, .bad_parts = 2});
 }
 
 }  // namespace hickorystand
