Review case: a filing that has run is answered 503

Cause: an answer without an id is taken for the answer to a request that has one. A late extra copy of the 400 that plain runners give to a call without an id carries Not-Executed, so the filing that follows on the channel counts as not run, and its client files again.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -101,20 +101,22 @@
     return await reader.readexactly(int(values.get("content-length", "0")))
 
 
-async def serve_http(port, answer):
+async def serve_http(port, answer, idle=None):
     """Serves `answer(request, writer)`, which writes the whole answer, or
-    returns False to close the channel."""
+    returns False to close the channel. Closes channels that are idle for `idle`
+    seconds."""
 
     async def on_channel(reader, writer):
         try:
             while True:
-                line, headers = await read_head(reader)
+                line, headers = await asyncio.wait_for(read_head(reader), idle)
                 body = await read_body(reader, headers)
                 method, target, _ = line.split(" ", 2)
                 if await answer(Request(method, target, headers, body), writer) is False:
                     break
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+        except (asyncio.IncompleteReadError, asyncio.TimeoutError, ConnectionError,
+                asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -307,6 +309,8 @@
 class Runner:
     """A sound plain runner. Work takes `work` seconds."""
 
+    idle = None
+
     def __init__(self, record, store, name, service="desk", zone="z-a", work=0.03):
         self.record, self.store, self.name = record, store, name
         self.service, self.zone, self.work = service, zone, work
@@ -319,7 +323,7 @@
         self.runs = []  # (time, Attempt-Id, tenant, method, target, body)
 
     async def start(self):
-        self.server = await serve_http(self.port, self.answer)
+        self.server = await serve_http(self.port, self.answer, self.idle)
         self.publish()
         self.beats = asyncio.create_task(self.beat())
 
@@ -344,6 +348,8 @@
         attempt = request.header("Attempt-Id")
         echo = [("Attempt-Id", attempt or ""), ("Keep-Alive", "timeout=5"), load]
         if attempt is None:
+            self.record.add(f"{self.name} answers 400 to {request.method} {request.target}, "
+                            "which has no id")
             writer.write(http_answer(400, b"", [("Not-Executed", "1"), load]))
             return True
         if request.header("Expect-Instance", self.name) != self.name:
@@ -400,6 +406,49 @@
     return re.sub(r"\{\{([^}]*)\}\}", lambda match: shown(value_of(match.group(1))), text)
 
 
+class GarblingRunner(Runner):
+    """A plain runner that closes channels which are idle for `idle` seconds. That
+    is under a whole second, so its answers state no timeout. While `garbles` is
+    set, it repeats a share of its answers on their channel, late: before the
+    answer to the next request there (PROTOCOL.md: "An extra response may arrive
+    late, at the point where the next response is expected")."""
+
+    idle = 0.9
+
+    def __init__(self, record, store, name, seed, share, **more):
+        super().__init__(record, store, name, **more)
+        self.random, self.share, self.garbles = random.Random(seed), share, False
+        self.answers = self.extras = 0
+
+    async def answer(self, request, writer):
+        held = HeldAnswer()
+        kept = await super().answer(request, held)
+        text = held.text.replace(b"Keep-Alive: timeout=5\r\n", b"")
+        extra = getattr(writer, "late_extra", None)
+        if extra is not None:
+            writer.late_extra = None
+            self.extras += 1
+            self.record.add(f"{self.name} sends an extra answer before that to "
+                            f"{request.header('Attempt-Id', request.target)}: "
+                            f"{extra.partition(b' X')[0].decode()}")
+            writer.write(extra)
+        writer.write(text)
+        self.answers += 1
+        if self.garbles and self.random.random() < self.share:
+            writer.late_extra = text
+        return kept
+
+
+class HeldAnswer:
+    """Collects what an answer writes."""
+
+    def __init__(self):
+        self.text = b""
+
+    def write(self, text):
+        self.text += text
+
+
 class Host:
     """One process of the project, with the settings of the deploy file."""
 
