Read JSON with one strict parser that doesn't recurse

Cause: two grammars read one text. Json::Depth counted brackets by strict JSON, json-glib took comments and single-quoted strings too and recursed once for each bracket. What the first took for the inside of a string was nesting to the second.

Change: Json is read by nlohmann/json, whose parser keeps its own stack; nesting, values and bytes are counted while it reads. Json::Depth and the gateway's CheckJsonShape, the second scan of this kind, are gone, and so is json-glib. Boost.JSON was weighed: it needs Boost 1.81, whose packages replace the 1.74 that operators have. JsonWriter writes text directly.

Behaviour: members are listed in alphabetical order; an integer beyond 64 bits with sign is a number, no longer cut; text keeps U+0000, which the gateway still refuses; bytes that aren't UTF-8 are replaced when written.

--- a/packages/gateway/completion_body.cc
+++ b/packages/gateway/completion_body.cc
@@ -1,14 +1,10 @@
 #include "gateway/completion_body.h"
 
-#include <glib.h>
-
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <string>
 
 #include "endpoints/prompt.h"
-#include "kernel/json.h"
 
 namespace hickorystand {
 namespace {
@@ -17,17 +13,6 @@
 constexpr int64_t kDefaultOutputTokens = 256;
 constexpr int64_t kMaxOutputTokens = int64_t{1} << 20;
 
-constexpr std::string_view kZeroEscape = "\\u0000";
-// The bytes allowed outside of strings: white space, punctuation, numbers, and
-// the letters of true, false and null.
-constexpr std::string_view kJsonBytes = " \t\r\n{}[]:,+-.0123456789eEtrufalsn";
-
-// Limits on the length and value of a number. Beyond them the parser may read
-// infinity, which can't be written back as JSON.
-constexpr std::string_view kNumberBytes = "0123456789.eE+-";
-constexpr size_t kMaxNumberBytes = 40;
-constexpr double kMaxNumber = 1e300;
-
 // Request members whose answers consist of more than one text that grows, so
 // that they can't be assembled from a stream.
 constexpr std::array<std::string_view, 6> kUnstreamableMembers = {
@@ -37,41 +22,6 @@
   return Fail(ErrorKind::kBadRequest, std::move(message));
 }
 
-bool IsUtf8(std::string_view text) {
-  return g_utf8_validate(text.data(), static_cast<gssize>(text.size()),
-                         nullptr) != FALSE;
-}
-
-// Advances `at` from the opening to the closing quote of a string. Fails if the
-// string is unterminated or contains "\u0000".
-Result<void> SkipString(std::string_view text, size_t& at) {
-  for (++at; at < text.size() && text[at] != '"'; ++at) {
-    if (text[at] != '\\') {
-      continue;
-    }
-    if (text.substr(at).starts_with(kZeroEscape)) {
-      return BadBody("The body contains the character \\u0000.");
-    }
-    ++at;
-  }
-  return at < text.size() ? Result<void>()
-                          : BadBody("The body ends within a string.");
-}
-
-// Advances `at` from the first to the last byte of a number. Fails if the
-// number is out of range.
-Result<void> SkipNumber(std::string_view text, size_t& at) {
-  const size_t end =
-      std::min(text.find_first_not_of(kNumberBytes, at), text.size());
-  const std::string number(text.substr(at, end - at));
-  if (number.size() > kMaxNumberBytes ||
-      std::abs(g_ascii_strtod(number.c_str(), nullptr)) > kMaxNumber) {
-    return BadBody("The body contains a number out of range.");
-  }
-  at = end - 1;
-  return {};
-}
-
 bool NeedsWholeAnswer(const Json& json) {
   if (json.At("n").Integer(1) != 1) {
     return true;
@@ -135,48 +85,10 @@
 
 }  // namespace
 
-Result<void> CheckJsonShape(std::string_view text, const JsonLimits& limits) {
-  if (!IsUtf8(text)) {
-    return BadBody("The body is not valid UTF-8.");
-  }
-  int depth = 0;
-  int64_t values = 0;
-  for (size_t at = 0; at < text.size(); ++at) {
-    const char c = text[at];
-    if (c == '"') {
-      const Result<void> skipped = SkipString(text, at);
-      if (!skipped) {
-        return skipped;
-      }
-    } else if (c == '-' || g_ascii_isdigit(c)) {
-      const Result<void> skipped = SkipNumber(text, at);
-      if (!skipped) {
-        return skipped;
-      }
-    } else if (c == '{' || c == '[') {
-      ++values;
-      if (++depth > limits.max_depth) {
-        return BadBody("The body nests too deep.");
-      }
-    } else if (c == '}' || c == ']') {
-      --depth;
-    } else if (c == ',') {
-      ++values;
-    } else if (kJsonBytes.find(c) == std::string_view::npos) {
-      return BadBody("The body is not JSON.");
-    }
-    if (values > limits.max_values) {
-      return BadBody("The body has too many values.");
-    }
-  }
-  return {};
-}
-
 Result<CompletionBody> ParseCompletionBody(std::string_view text,
                                            CompletionKind kind,
                                            const JsonLimits& limits) {
-  const Result<Json> json =
-      CheckJsonShape(text, limits).and_then([&] { return Json::Parse(text); });
+  const Result<Json> json = Json::Parse(text, limits);
   if (!json) {
     return tl::unexpected(json.error());
   }
@@ -197,11 +109,6 @@
   body.use_engine_stream = body.stream || !NeedsWholeAnswer(*json);
   body.engine_body =
       body.use_engine_stream ? StreamingBody(*json) : std::string(text);
-  // The parser converts an unpaired surrogate into bytes that are not UTF-8.
-  if (!IsUtf8(body.engine_body) || !IsUtf8(prompt)) {
-    return Fail(ErrorKind::kBadRequest,
-                "The body contains half a surrogate pair.");
-  }
   return body;
 }
 
--- a/packages/gateway/completion_body.h
+++ b/packages/gateway/completion_body.h
@@ -2,8 +2,7 @@
 // needs, and rewrites it for the engine.
 //
 // Index
-//   JsonLimits            limits on the JSON of a caller
-//   CheckJsonShape        validation before the JSON is parsed
+//   kBodyLimits           limits on the JSON of a caller
 //   CompletionBody        the parsed body
 //   ParseCompletionBody   validates, parses and rewrites a body
 
@@ -15,24 +14,15 @@
 #include <vector>
 
 #include "kernel/error.h"
+#include "kernel/json.h"
 
 namespace hickorystand {
 
-// Limits on the memory and stack that parsing a caller's JSON may take.
-struct JsonLimits {
-  int max_depth = 32;
-  int64_t max_values = 100'000;  // a parsed value takes a few hundred bytes
-
-  auto operator<=>(const JsonLimits&) const = default;
-};
-
-// Validates a text before it is parsed: it must be UTF-8, contain only JSON
-// characters outside of strings, and stay within the limits on nesting depth
-// and number of values. Depth is limited because the parser recurses. Comments
-// are rejected because the parser skips them, which would make the depth
-// counted here wrong. "\u0000" is rejected because the parser ends a string
-// there, and the engine would receive less than the caller sent.
-Result<void> CheckJsonShape(std::string_view text, const JsonLimits& limits);
+// Limits on a caller's body. U+0000 is refused because an endpoint may end a
+// string there and would get less than the caller sent.
+inline constexpr JsonLimits kBodyLimits = {.max_depth = 32,
+                                           .max_values = 100'000,
+                                           .allow_nul = false};
 
 // The two completion calls: /v1/chat/completions and /v1/completions.
 enum class CompletionKind { kChat, kText };
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -44,7 +44,7 @@
   uint64_t seed = 1;
   int64_t max_queued = 4096;
   RequestDriverOptions driver;  // `driver.host` is overwritten by `host`
-  JsonLimits json;
+  JsonLimits json = kBodyLimits;
   Duration tick = std::chrono::milliseconds(10);
   // Deadline of batch requests, from their arrival.
   Duration batch_deadline = std::chrono::hours(24);
--- a/packages/http/glib_ptr.h
+++ b/packages/http/glib_ptr.h
@@ -1,4 +1,4 @@
-// Owning smart pointers for the objects of GLib, libsoup and json-glib.
+// Owning smart pointers for the objects of GLib and libsoup.
 
 #pragma once
 
--- a/packages/kernel/json.cc
+++ b/packages/kernel/json.cc
@@ -1,47 +1,21 @@
 #include "kernel/json.h"
 
-#include <algorithm>
 #include <cassert>
 #include <charconv>
+#include <nlohmann/json.hpp>
 #include <optional>
-#include <utility>
+#include <string>
 
 namespace hickorystand {
 namespace {
 
-// The nesting depth of a document, computed without recursion.
-int Depth(std::string_view text) {
-  int depth = 0;
-  int deepest = 0;
-  bool quoted = false;
-  for (size_t i = 0; i < text.size(); ++i) {
-    const char c = text[i];
-    if (quoted) {
-      i += c == '\\' ? 1 : 0;
-      quoted = c != '"';
-    } else if (c == '"') {
-      quoted = true;
-    } else if (c == '{' || c == '[') {
-      deepest = std::max(deepest, ++depth);
-    } else if (c == '}' || c == ']') {
-      --depth;
-    }
-  }
-  return deepest;
-}
-
-std::string Generate(JsonNode* node, bool indented) {
-  g_autoptr(JsonGenerator) generator = json_generator_new();
-  json_generator_set_root(generator, node);
-  json_generator_set_pretty(generator, indented);
-  gsize length = 0;
-  g_autofree char* text = json_generator_to_data(generator, &length);
-  return {text, length};
-}
+constexpr auto kReplaceInvalidUtf8 = nlohmann::json::error_handler_t::replace;
+constexpr int kIndentedWidth = 2;
 
-bool HoldsType(const std::shared_ptr<JsonNode>& node, GType type) {
-  return node && JSON_NODE_HOLDS_VALUE(node.get()) &&
-         json_node_get_value_type(node.get()) == type;
+// The serializer recurses; a document nests at most as deep as its parser
+// allowed.
+std::string Serialize(const nlohmann::json& value) {
+  return value.dump(-1, ' ', false, kReplaceInvalidUtf8);
 }
 
 std::optional<int64_t> ParseInteger(std::string_view text) {
@@ -53,31 +27,118 @@
   return parsed ? std::optional(value) : std::nullopt;
 }
 
-}  // namespace
+// Builds a document from the events of the parser, and ends the parse at the
+// first value beyond a limit. The method names are those of nlohmann::json_sax.
+// NOLINTBEGIN(readability-identifier-naming)
+class DocumentBuilder {
+ public:
+  explicit DocumentBuilder(const JsonLimits& limits) : limits(limits) {}
+
+  bool null() { return this->Add(nullptr); }
+  bool boolean(bool value) { return this->Add(value); }
+  bool number_integer(int64_t value) { return this->Add(value); }
+  bool number_unsigned(uint64_t value) {
+    return std::in_range<int64_t>(value)
+               ? this->Add(static_cast<int64_t>(value))
+               : this->Add(value);
+  }
+  bool number_float(double value, const std::string&) {
+    return this->Add(value);
+  }
+  bool string(std::string& value) {
+    return this->CheckText(value) && this->Add(std::move(value));
+  }
+  bool binary(nlohmann::json::binary_t&) { return false; }
+
+  bool start_object(size_t) { return this->Open(nlohmann::json::object()); }
+  bool start_array(size_t) { return this->Open(nlohmann::json::array()); }
+  bool end_object() { return this->Close(); }
+  bool end_array() { return this->Close(); }
+  bool key(std::string& name) {
+    this->name = std::move(name);
+    return this->CheckText(this->name);
+  }
 
-Json::Json(JsonNode* node) : node(node, &json_node_unref) {}
+  bool parse_error(size_t,
+                   const std::string&,
+                   const nlohmann::json::exception& error) {
+    this->problem = error.what();
+    return false;
+  }
+
+  const std::string& Problem() const { return this->problem; }
+  nlohmann::json Take() { return std::move(this->document); }
 
-Result<Json> Json::Parse(std::string_view text) {
-  if (Depth(text) > kMaxJsonDepth) {
-    return Fail(ErrorKind::kBadRequest, "the JSON nests too deep");
+ private:
+  bool Refuse(std::string_view why) {
+    this->problem = why;
+    return false;
   }
-  // json-glib would accept strings that are not valid UTF-8 and return them.
-  if (!g_utf8_validate(text.data(), static_cast<gssize>(text.size()),
-                       nullptr)) {
-    return Fail(ErrorKind::kBadRequest, "the JSON is not valid UTF-8");
+
+  bool CheckText(const std::string& text) {
+    return this->limits.allow_nul || text.find('\0') == std::string::npos ||
+           this->Refuse("it contains the character U+0000");
   }
-  g_autoptr(JsonParser) parser = json_parser_new_immutable();
-  g_autoptr(GError) error = nullptr;
-  if (!json_parser_load_from_data(parser, text.data(),
-                                  static_cast<gssize>(text.size()), &error)) {
-    return Fail(ErrorKind::kBadRequest,
-                std::string("the JSON can't be read: ") + error->message);
+
+  bool Add(nlohmann::json value) { return this->Place(std::move(value)); }
+
+  // Returns where the value was placed; nullptr beyond the limit.
+  nlohmann::json* Place(nlohmann::json value) {
+    if (++this->values > this->limits.max_values) {
+      this->Refuse("it has too many values");
+      return nullptr;
+    }
+    if (this->open.empty()) {
+      this->document = std::move(value);
+      return &this->document;
+    }
+    nlohmann::json& parent = *this->open.back();
+    if (parent.is_array()) {
+      return &parent.emplace_back(std::move(value));
+    }
+    nlohmann::json& member = parent[this->name];
+    member = std::move(value);
+    return &member;
   }
-  JsonNode* root = json_parser_get_root(parser);
-  if (root == nullptr) {
-    return Fail(ErrorKind::kBadRequest, "the JSON is empty");
+
+  bool Open(nlohmann::json empty) {
+    if (std::ssize(this->open) >= this->limits.max_depth) {
+      return this->Refuse("it nests too deep");
+    }
+    nlohmann::json* placed = this->Place(std::move(empty));
+    if (placed == nullptr) {
+      return false;
+    }
+    this->open.push_back(placed);
+    return true;
+  }
+
+  bool Close() {
+    this->open.pop_back();
+    return true;
+  }
+
+  const JsonLimits limits;
+  nlohmann::json document;
+  std::vector<nlohmann::json*> open;  // arrays and objects, innermost last
+  std::string name;                   // of the next member
+  int64_t values = 0;
+  std::string problem;
+};
+// NOLINTEND(readability-identifier-naming)
+
+}  // namespace
+
+Result<Json> Json::Parse(std::string_view text, const JsonLimits& limits) {
+  if (std::ssize(text) > limits.max_bytes) {
+    return Fail(ErrorKind::kBadRequest, "the JSON is too long");
   }
-  return Json(json_node_ref(root));
+  DocumentBuilder builder(limits);
+  if (!nlohmann::json::sax_parse(text.begin(), text.end(), &builder)) {
+    return Fail(ErrorKind::kBadRequest,
+                "the JSON can't be read: " + builder.Problem());
+  }
+  return Json(std::make_shared<const nlohmann::json>(builder.Take()));
 }
 
 Result<Json> Json::ParseObject(std::string_view text) {
@@ -88,47 +149,49 @@
   return json;
 }
 
+Json Json::Part(const nlohmann::json& part) const {
+  return Json(Node(this->node, &part));
+}
+
 bool Json::IsObject() const {
-  return this->node && JSON_NODE_HOLDS_OBJECT(this->node.get());
+  return this->node && this->node->is_object();
 }
 
 bool Json::IsArray() const {
-  return this->node && JSON_NODE_HOLDS_ARRAY(this->node.get());
+  return this->node && this->node->is_array();
 }
 
 bool Json::IsText() const {
-  return HoldsType(this->node, G_TYPE_STRING);
+  return this->node && this->node->is_string();
 }
 
 bool Json::IsInteger() const {
-  return HoldsType(this->node, G_TYPE_INT64);
+  return this->node && this->node->is_number_integer() &&
+         !this->node->is_number_unsigned();
 }
 
 bool Json::IsNumber() const {
-  return this->IsInteger() || HoldsType(this->node, G_TYPE_DOUBLE);
+  return this->node && this->node->is_number();
 }
 
 bool Json::IsFlag() const {
-  return HoldsType(this->node, G_TYPE_BOOLEAN);
+  return this->node && this->node->is_boolean();
 }
 
 Json Json::At(std::string_view name) const {
   if (!this->IsObject()) {
     return {};
   }
-  JsonNode* member = json_object_get_member(
-      json_node_get_object(this->node.get()), std::string(name).c_str());
-  return member == nullptr ? Json() : Json(json_node_ref(member));
+  const auto member = this->node->find(name);
+  return member == this->node->end() ? Json() : this->Part(*member);
 }
 
 std::vector<Json> Json::Items() const {
   std::vector<Json> items;
   if (this->IsArray()) {
-    JsonArray* array = json_node_get_array(this->node.get());
-    const guint length = json_array_get_length(array);
-    items.reserve(length);
-    for (guint i = 0; i < length; ++i) {
-      items.push_back(Json(json_node_ref(json_array_get_element(array, i))));
+    items.reserve(this->node->size());
+    for (const nlohmann::json& item : *this->node) {
+      items.push_back(this->Part(item));
     }
   }
   return items;
@@ -145,99 +208,121 @@
 std::vector<std::string> Json::Names() const {
   std::vector<std::string> names;
   if (this->IsObject()) {
-    g_autoptr(GList) members =
-        json_object_get_members(json_node_get_object(this->node.get()));
-    for (const GList* at = members; at != nullptr; at = at->next) {
-      names.emplace_back(static_cast<const char*>(at->data));
+    for (const auto& member : this->node->items()) {
+      names.push_back(member.key());
     }
   }
   return names;
 }
 
 std::string Json::Text(std::string fallback) const {
-  return this->IsText() ? json_node_get_string(this->node.get())
+  return this->IsText() ? this->node->get_ref<const std::string&>()
                         : std::move(fallback);
 }
 
 double Json::Number(double fallback) const {
-  return this->IsNumber() ? json_node_get_double(this->node.get()) : fallback;
+  return this->IsNumber() ? this->node->get<double>() : fallback;
 }
 
 bool Json::Flag(bool fallback) const {
-  return this->IsFlag() ? json_node_get_boolean(this->node.get()) != FALSE
-                        : fallback;
+  return this->IsFlag() ? this->node->get<bool>() : fallback;
 }
 
 int64_t Json::Integer(int64_t fallback) const {
   if (this->IsText()) {
-    return ParseInteger(this->Text()).value_or(fallback);
+    return ParseInteger(this->node->get_ref<const std::string&>())
+        .value_or(fallback);
   }
-  return this->IsInteger() ? json_node_get_int(this->node.get()) : fallback;
+  return this->IsInteger() ? this->node->get<int64_t>() : fallback;
 }
 
 std::string Json::Write() const {
   assert(this->node && "an absent value can't be written");
-  return Generate(this->node.get(), false);
+  return Serialize(*this->node);
 }
 
-JsonWriter::JsonWriter() : builder(json_builder_new()) {}
+void JsonWriter::Separate() {
+  if (!std::exchange(this->first, false)) {
+    this->text += ',';
+  }
+}
+
+void JsonWriter::Begin(char bracket) {
+  this->Separate();
+  this->text += bracket;
+  this->first = true;
+  ++this->depth;
+}
+
+void JsonWriter::End(char bracket) {
+  this->text += bracket;
+  this->first = false;
+  --this->depth;
+}
 
 JsonWriter& JsonWriter::BeginObject() {
-  json_builder_begin_object(this->builder.get());
+  this->Begin('{');
   return *this;
 }
 
 JsonWriter& JsonWriter::EndObject() {
-  json_builder_end_object(this->builder.get());
+  this->End('}');
   return *this;
 }
 
 JsonWriter& JsonWriter::BeginArray() {
-  json_builder_begin_array(this->builder.get());
+  this->Begin('[');
   return *this;
 }
 
 JsonWriter& JsonWriter::EndArray() {
-  json_builder_end_array(this->builder.get());
+  this->End(']');
   return *this;
 }
 
 JsonWriter& JsonWriter::Name(std::string_view name) {
-  json_builder_set_member_name(this->builder.get(), std::string(name).c_str());
+  this->Value(name);
+  this->text += ':';
+  this->first = true;
   return *this;
 }
 
 JsonWriter& JsonWriter::Value(std::string_view value) {
-  json_builder_add_string_value(this->builder.get(),
-                                std::string(value).c_str());
+  this->Separate();
+  this->text += Serialize(value);
   return *this;
 }
 
 JsonWriter& JsonWriter::Value(double value) {
-  json_builder_add_double_value(this->builder.get(), value);
+  this->Separate();
+  this->text += Serialize(value);
   return *this;
 }
 
 JsonWriter& JsonWriter::Value(const Json& value) {
-  assert(value.node && "an absent value can't be written");
-  json_builder_add_value(this->builder.get(), json_node_copy(value.node.get()));
+  this->Separate();
+  this->text += value.Write();
   return *this;
 }
 
 JsonWriter& JsonWriter::Bool(bool value) {
-  json_builder_add_boolean_value(this->builder.get(), value);
+  this->Separate();
+  this->text += value ? "true" : "false";
   return *this;
 }
 
 JsonWriter& JsonWriter::Integer(int64_t value) {
-  json_builder_add_int_value(this->builder.get(), value);
+  this->Separate();
+  this->text += std::to_string(value);
   return *this;
 }
 
 std::string JsonWriter::Text(bool indented) const {
-  g_autoptr(JsonNode) root = json_builder_get_root(this->builder.get());
-  assert(root != nullptr && "the document was begun but not ended");
-  return Generate(root, indented);
+  assert(this->depth == 0 && !this->text.empty() &&
+         "the document was begun but not ended");
+  return indented
+             ? nlohmann::ordered_json::parse(this->text).dump(kIndentedWidth)
+             : this->text;
 }
 
 }  // namespace hickorystand
--- a/packages/kernel/json.h
+++ b/packages/kernel/json.h
@@ -1,4 +1,6 @@
-// JSON parsing with type-checked access, and JSON output, on json-glib.
+// Strict JSON (RFC 8259) with type-checked access, and JSON output. The parser
+// keeps its own stack, and its limits hold while it reads, so no document
+// decides how deep the call stack grows or how much memory is held.
 //
 //   const auto value = Json::Parse(body);
 //   if (value && value->At("model").IsText()) { ... }
@@ -8,28 +10,34 @@
 //   Send(out.Text());
 //
 // Index
+//   JsonLimits   limits on a document
 //   Json         a parsed value; an absent member is an empty value
 //   JsonWriter   builds one document
 
 #pragma once
 
-#include <json-glib/json-glib.h>
-
 #include <concepts>
 #include <cstdint>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "kernel/error.h"
 
 namespace hickorystand {
 
-// Limit on the nesting of arrays and objects in parsed documents. The parser is
-// recursive, so a malicious document of nested brackets would overflow the
-// stack.
-inline constexpr int kMaxJsonDepth = 64;
+// Limits on a document. Reading ends at the first value beyond them.
+struct JsonLimits {
+  int64_t max_depth = 64;                 // nested arrays and objects
+  int64_t max_values = 4'000'000;         // arrays and objects included
+  int64_t max_bytes = int64_t{64} << 20;  // of the text
+  bool allow_nul = true;                  // the character U+0000 in strings
+
+  auto operator<=>(const JsonLimits&) const = default;
+};
 
 // One value of a parsed document. It shares ownership of the document.
 class Json {
@@ -37,8 +45,10 @@
   // An absent value.
   Json() = default;
 
-  // Parses a document; kBadRequest if it is invalid or nested too deeply.
-  static Result<Json> Parse(std::string_view text);
+  // Parses a document; kBadRequest if it is invalid or beyond a limit. The last
+  // member of a name counts.
+  static Result<Json> Parse(std::string_view text,
+                            const JsonLimits& limits = {});
 
   // Like Parse(), and also kBadRequest if the document is not an object.
   static Result<Json> ParseObject(std::string_view text);
@@ -48,15 +58,15 @@
   bool IsObject() const;
   bool IsArray() const;
   bool IsText() const;
-  bool IsInteger() const;
-  bool IsNumber() const;  // integers included
+  bool IsInteger() const;  // of 64 bits with sign
+  bool IsNumber() const;   // integers included
   bool IsFlag() const;
 
   // The member of an object; absent if there is none or this is not an object.
   Json At(std::string_view name) const;
 
-  // The elements of an array, and the member names of an object in document
-  // order; empty for values of other types.
+  // The elements of an array, and the sorted member names of an object; empty
+  // for values of other types.
   std::vector<Json> Items() const;
   std::vector<std::string> Names() const;
 
@@ -78,16 +88,19 @@
  private:
   friend class JsonWriter;
 
-  explicit Json(JsonNode* node);
+  using Node = std::shared_ptr<const nlohmann::json>;
+
+  explicit Json(Node node) : node(std::move(node)) {}
 
-  std::shared_ptr<JsonNode> node;
+  // A value within the document that this one shares.
+  Json Part(const nlohmann::json& part) const;
+
+  Node node;
 };
 
-// Builds one JSON document.
+// Builds one JSON document. Bytes that are not UTF-8 are replaced.
 class JsonWriter {
  public:
-  JsonWriter();
-
   JsonWriter& BeginObject();
   JsonWriter& EndObject();
   JsonWriter& BeginArray();
@@ -123,14 +136,17 @@
   std::string Text(bool indented = false) const;
 
  private:
-  struct Unref {
-    void operator()(gpointer object) const { g_object_unref(object); }
-  };
-
   JsonWriter& Bool(bool value);
   JsonWriter& Integer(int64_t value);
 
-  std::unique_ptr<JsonBuilder, Unref> builder;
+  // Writes a comma if a value stands before this place.
+  void Separate();
+  void Begin(char bracket);
+  void End(char bracket);
+
+  std::string text;
+  int depth = 0;
+  bool first = true;  // nothing stands before this place in its array or object
 };
 
 }  // namespace hickorystand
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -1019,8 +1019,7 @@
       head + R"("a"}],"seed":1e999})",
       head + R"("a"}],"seed":)" + std::string(500, '9') + "}",
       std::string(1'000'000, '['),
-      // The parser skips comments; a quote in one must not hide the nesting
-      // depth.
+      // A quote in a comment must not hide the nesting depth.
       "/* \" */" + std::string(1'000'000, '['),
       "'\"'" + std::string(1'000'000, '['),
       "{\"model\":\"m\",\"x\":[" + std::string(500'000, ',') + "]}",
@@ -1064,7 +1063,8 @@
     for (uint64_t hits = random() % 3; hits > 0 && !text.empty(); --hits) {
       text[random() % text.size()] = static_cast<char>(random() % 128);
     }
-    const auto body = ParseCompletionBody(text, CompletionKind::kChat, {});
+    const auto body =
+        ParseCompletionBody(text, CompletionKind::kChat, kBodyLimits);
     read += body ? 1 : 0;
     const bool writable = !body || Json::Parse(body->engine_body).has_value();
     if (!writable) {
