Write no body behind the head of an answer to HEAD

Cause: whether an answer has a body was decided by its status alone, not by the request's method too.

Evidence: caller_connection_test on the code before: both OwnAnswersToHeadHaveNoBody and ForwardedAnswersToHeadHaveNoBody found {"error":... behind the head.

Change: HasBody takes the method, and ConnectedExchange, the one place that writes answers to callers, writes neither body nor chunks where there is none.

--- a/packages/relay/caller_exchange.cc
+++ b/packages/relay/caller_exchange.cc
@@ -21,7 +21,7 @@
 
 void CallerExchange::Answer(const AnswerStart& start, std::string_view body) {
   AnswerStart whole = start;
-  if (HasBody(start.status)) {
+  if (HasBody(this->message.head.method, start.status)) {
     whole.length = body.size();
   }
   this->Start(whole);
--- a/packages/relay/caller_exchange.h
+++ b/packages/relay/caller_exchange.h
@@ -4,7 +4,7 @@
 // Index
 //   CallerMessage    a complete request
 //   AnswerStart      the head of an answer, and how its body is delimited
-//   HasBody          whether an answer of a status has a body
+//   HasBody          whether an answer has a body
 //   CallerExchange   a request that waits for its answer
 //   AnswerOwnError   answers with an error that this host generates
 //
@@ -47,9 +47,11 @@
   std::optional<StreamOrigin> origin = {};
 };
 
-// Whether an answer with this status has a body.
-constexpr bool HasBody(int status) {
-  return status != 204 && status != 304 && status / 100 != 1;
+// Whether the answer to a request of this method has a body, which it has after
+// the head, whatever the head says of its length.
+constexpr bool HasBody(std::string_view method, int status) {
+  return method != "HEAD" && status != 204 && status != 304 &&
+         status / 100 != 1;
 }
 
 // The handler that gets the exchange keeps the pointer until the answer is
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -85,6 +85,7 @@
 
  private:
   std::weak_ptr<CallerConnection> connection;
+  bool has_body = true;
   bool chunked = false;
   uint64_t missing = 0;  // bytes of the declared length still to be sent
 };
@@ -254,16 +255,18 @@
   }
   assert(!this->started && "an answer has one head");
   this->started = true;
-  this->until_close = start.until_close && HasBody(start.status);
-  this->chunked = !start.length && !this->until_close && HasBody(start.status);
-  this->missing = this->until_close ? 0 : start.length.value_or(0);
+  this->has_body = HasBody(this->Message().head.method, start.status);
+  this->until_close = start.until_close && this->has_body;
+  this->chunked = !start.length && !this->until_close && this->has_body;
+  this->missing =
+      this->has_body && !this->until_close ? start.length.value_or(0) : 0;
   to->last = to->IsLast() || this->until_close;
   to->socket->Write(HeadText(start, this->chunked, to->last));
 }
 
 void ConnectedExchange::Send(std::string_view bytes) {
   const auto to = this->connection.lock();
-  if (this->over || !to || bytes.empty()) {
+  if (this->over || !to || bytes.empty() || !this->has_body) {
     return;
   }
   if (this->chunked) {
