Read pipelined requests in a loop

What callers saw: one running request and 5,000 requests of 18 bytes behind it in one piece ended the host. One caller with one key ends any host with 90 KB, again and again.

Cause: CallerConnection::OnAnswered and ReadOn called each other once for each answer that is made at once, so a caller decided how deep the stack grew.

Change: ReadOn is a loop; an answer made within it begins its next turn. How long one turn takes stays bounded by the bytes that are read ahead.

--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -197,7 +197,21 @@
     this->ReadOn();
   }
 
+  // Reads requests until one waits for its answer or isn't complete. An answer
+  // that the handler makes at once begins the next turn of the loop.
   void ReadOn() {
+    if (std::exchange(this->reading, true)) {
+      return;
+    }
+    bool read = true;
+    while (read && !this->over && !this->exchange) {
+      read = this->ReadRequest();
+    }
+    this->reading = false;
+  }
+
+  // Returns whether a request was complete and has been passed to the handler.
+  bool ReadRequest() {
     this->parser.Read();
     if (this->parser.Failure() != Http1Failure::kNone) {
       this->Refuse(StatusOf(this->parser.Failure()));
@@ -206,11 +220,13 @@
       this->exchange = std::make_shared<ConnectedExchange>(
           this->weak_from_this(), std::move(this->message));
       this->server->handler(this->exchange);
+      return true;
     } else if (this->parser.HeadRead()) {
       // Each pause within the body may be as long as the idle timeout.
       this->SetTimer(this->server->limits.idle_timeout,
                      &CallerConnection::RefuseTimedOut);
     }
+    return false;
   }
 
   // Called after the last byte of an answer was written.
@@ -228,6 +244,7 @@
 
   void OnEnd() {
     const auto keep = this->shared_from_this();
+    this->over = true;
     this->timer.reset();
     if (const auto open = std::exchange(this->exchange, nullptr)) {
       open->OnConnectionEnd();
@@ -246,6 +263,8 @@
   std::shared_ptr<ConnectedExchange> exchange;
   std::unique_ptr<Timer> timer;
   bool last = false;
+  bool reading = false;  // ReadOn runs
+  bool over = false;
 };
 
 void ConnectedExchange::Start(const AnswerStart& start) {
