Match answers to requests by the id that they echo

Cause: an answer without an id was taken for the request's, by its place on the connection; a mark ("foreign") left each later decision to look at it, and JudgeWhole looked at "not run" first. Such an answer is the extra copy of an answer to a call without an id, such as GET /report.

Ruled out: another order in JudgeWhole. It would end the false promise, but the filing's own answer would be lost, and an extra copy of a prefill's answer would still be taken for another request's handle.

Evidence: relay_test on the code before: AnAnswerWithoutAnIdIsNotTheRequests and AnAnswerWithoutAnIdPromisesNothing got 503, AHandleWithoutAnIdIsNotTheRequests another request's handle.

Change: an answer that doesn't echo the request's id is dropped, and reading goes on; the mark is gone. Run checks and cache polls drop answers that have an id.

--- a/packages/relay/cache_feed.cc
+++ b/packages/relay/cache_feed.cc
@@ -75,15 +75,21 @@
        .on_end = [this, engine](HttpEnd end) { this->OnEnd(engine, end); }});
 }
 
-// Returns how many bytes the answer may have. An answer to a poll may lack the
-// rate, so it doesn't show the rate's end.
-uint64_t CacheFeed::OnHead(const EndpointId& engine, const Http1Head& head) {
+// Returns how many bytes the answer may have; nullopt if it is one to a request
+// that the connection carried before. An answer to a poll may lack the rate, so
+// it doesn't show the rate's end.
+std::optional<uint64_t> CacheFeed::OnHead(const EndpointId& engine,
+                                          const Http1Head& head) {
   Subscription& subscription = this->subscriptions.at(engine);
+  const EndpointAnswer answer =
+      this->codec->ReadAnswer(head.status, head.headers);
+  if (answer.id) {
+    return {};
+  }
   subscription.status = head.status;
-  const auto rate =
-      this->codec->ReadAnswer(head.status, head.headers).stated_rate;
-  if (rate && this->on_rate) {
-    this->on_rate({.endpoint = subscription.run, .per_second = rate});
+  if (answer.stated_rate && this->on_rate) {
+    this->on_rate(
+        {.endpoint = subscription.run, .per_second = answer.stated_rate});
   }
   return subscription.list_requested ? kMaxShortAnswerBytes
                                      : kMaxCacheListBytes;
--- a/packages/relay/cache_feed.h
+++ b/packages/relay/cache_feed.h
@@ -94,7 +94,8 @@
 
   bool Subscribes(const FleetEndpoint& endpoint) const;
   void Poll(const EndpointId& engine);
-  uint64_t OnHead(const EndpointId& engine, const Http1Head& head);
+  std::optional<uint64_t> OnHead(const EndpointId& engine,
+                                 const Http1Head& head);
   void PollAfter(const EndpointId& engine, Duration delay);
   void OnEnd(const EndpointId& engine, HttpEnd end);
   void ApplyEvents(const EndpointId& engine, const CacheChanges& events);
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -218,16 +218,20 @@
   });
   check.call = this->pool.Send(
       {.address = address, .head = this->codec->RunCall(address)},
-      {.on_head =
-           [this, &check, run = endpoint.run](const Http1Head& head) {
-             check.status = head.status;
-             const auto rate =
-                 this->codec->ReadAnswer(head.status, head.headers).stated_rate;
-             if (rate) {
-               this->RecordRate({.endpoint = run, .per_second = rate});
-             }
-             return kMaxShortAnswerBytes;
-           },
+      {.on_head = [this, &check, run = endpoint.run](
+                      const Http1Head& head) -> std::optional<uint64_t> {
+         const EndpointAnswer answer =
+             this->codec->ReadAnswer(head.status, head.headers);
+         if (answer.id) {
+           return {};  // to a request that the connection carried before
+         }
+         check.status = head.status;
+         if (answer.stated_rate) {
+           this->RecordRate(
+               {.endpoint = run, .per_second = answer.stated_rate});
+         }
+         return kMaxShortAnswerBytes;
+       },
        .on_bytes = [&check](std::string_view bytes) { check.body += bytes; },
        .on_end = [this,
                   number](HttpEnd end) { this->OnRunChecked(number, end); }});
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -34,10 +34,15 @@
 std::optional<uint64_t> RelayedRequest::OnHead(const Http1Head& head) {
   Attempt& current = *this->attempt;
   current.answer = this->relay->codec->ReadAnswer(head.status, head.headers);
-  if (current.answer.id && *current.answer.id != this->request.id) {
-    this->relay->Log(LogLevel::kWarning, this->request.id,
-                     "Dropped an answer to another request.",
-                     {{"endpoint", current.endpoint.run.id.Text()}});
+  // An endpoint echoes the id of the request that it answers. An answer without
+  // one is a late copy of the answer to a call without one.
+  if (current.answer.id != this->request.id) {
+    this->relay->Log(
+        LogLevel::kWarning, this->request.id,
+        "Dropped an answer to another request.",
+        {{"endpoint", current.endpoint.run.id.Text()},
+         {"answers", current.answer.id ? current.answer.id->Text() : ""},
+         {"status", std::to_string(head.status)}});
     return {};
   }
   // A refused call may lack the statement, so only a success shows its end.
@@ -47,7 +52,6 @@
                              .per_second = current.answer.stated_rate});
   }
   this->relay->RecordLoad(current.endpoint, current.answer);
-  current.foreign = !current.answer.id;
   current.status = head.status;
   current.headers = head.headers;
   current.framing = FramingOf(head);
@@ -60,7 +64,7 @@
 bool RelayedRequest::MayForward() const {
   const Attempt& current = *this->attempt;
   return current.status / 100 == 2 && current.answer.sealed &&
-         !current.answer.encoded && !current.foreign && !current.reading;
+         !current.answer.encoded && !current.reading;
 }
 
 void RelayedRequest::OnBytes(std::string_view bytes) {
@@ -279,14 +283,13 @@
   if (current.answer.not_run) {
     return RunResult::kNotRun;
   }
-  const bool ours =
-      current.answer.sealed && !current.answer.encoded && !current.foreign;
+  const bool valid = current.answer.sealed && !current.answer.encoded;
   const bool promise = current.status == 429 || current.status == 503 ||
                        current.status == 408 || current.status == 421;
   // Without the seal the answer may be from something other than the endpoint.
   // A status that promises "not run" may be forwarded only if the endpoint
   // states that nothing ran.
-  if (!ours || promise) {
+  if (!valid || promise) {
     return RunResult::kMayHaveRun;
   }
   if (this->StreamBegun()) {
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -79,7 +79,6 @@
     HttpHeaders headers;
     std::string body;  // buffered until complete
     std::string_view framing;
-    bool foreign = false;          // the answer has no request id
     bool forwarding_body = false;  // the body is forwarded as it arrives
     bool until_close = false;      // the body has neither length nor chunks
     std::optional<Instant> first_byte_at;
