Record in the store where streams began, while a service has several versions

Cause: the origins of streams were in hosts' memory only; the store names the versions of a service, which decides only while there is one.

Change: schedulers write what the directory of streams records, in batches under leases, while the record of versions names several; a stream that no host knows is looked up there. Reads shared by waiters are now one class, used by both stores.

With one version nothing is written or read.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -120,37 +120,40 @@
       std::hash<std::string>()(this->settings.host.Text());
   this->relay = std::make_unique<FleetRelay>(
       this->settings.relay, *this->clock, *this->codec, this->metrics,
-      RelayHooks{
-          .on_begun =
-              [this](const AccountId& account) {
-                this->duties->Usage().OnRequestStarted(
-                    this->duties->UnixMilliseconds(), account);
-              },
-          .on_suspects =
-              [this](const SuspectsUpdate& news) {
-                this->peers->BroadcastToSchedulers(news);
-              },
-          .on_blocked = [this] { this->blocks->OnBlocked(); },
-          .on_rates =
-              [this](const EndpointRatesUpdate& news) {
-                this->peers->BroadcastToSchedulers(news);
-              },
-          .on_reach = [this] { this->OnReach(); },
-          .hand_over =
-              [this](const CallerExchangePtr& caller,
-                     const HandedOver& request) {
-                return this->forwarder->TakeOver(caller, request);
-              },
-          .find_only_origin =
-              [this](const Route& route, ServedVersionsStore::OnOrigin found) {
-                this->FindOnlyOrigin(route, std::move(found));
-              }});
+      RelayHooks{.on_begun =
+                     [this](const AccountId& account) {
+                       this->duties->Usage().OnRequestStarted(
+                           this->duties->UnixMilliseconds(), account);
+                     },
+                 .on_suspects =
+                     [this](const SuspectsUpdate& news) {
+                       this->peers->BroadcastToSchedulers(news);
+                     },
+                 .on_blocked = [this] { this->blocks->OnBlocked(); },
+                 .on_rates =
+                     [this](const EndpointRatesUpdate& news) {
+                       this->peers->BroadcastToSchedulers(news);
+                     },
+                 .on_reach = [this] { this->OnReach(); },
+                 .hand_over =
+                     [this](const CallerExchangePtr& caller,
+                            const HandedOver& request) {
+                       return this->forwarder->TakeOver(caller, request);
+                     },
+                 .find_stored_origin =
+                     [this](const Route& route,
+                            const std::optional<RequestId>& first_attempt,
+                            OnStoredOrigin found) {
+                       this->FindStoredOrigin(route, first_attempt,
+                                              std::move(found));
+                     }});
   this->MakeSource();
   this->MakeDuties();
   this->MakeForwarding();
   this->MakeLimits();
   this->MakeStreamTracker();
   this->MakeServedVersions();
+  this->MakeStreamRecords();
   this->MakeBlockRecord();
   this->MakePeers();
   this->relay->SetCallerHandler(
@@ -280,6 +283,19 @@
               }});
 }
 
+void RelayDaemon::MakeStreamRecords() {
+  this->stream_records = std::make_unique<StreamRecordStore>(
+      *this->clock, *this->store, this->metrics,
+      StreamRecordHandlers{
+          .services =
+              [this] { return this->versions->ServicesOfSeveralVersions(); },
+          .take =
+              [this](const std::set<ServiceId>& services) {
+                return this->streams->TakeUnstored(services);
+              },
+          .writers = [this] { return this->peers->Schedulers().size(); }});
+}
+
 void RelayDaemon::MakeBlockRecord() {
   this->blocks = std::make_unique<BlockRecordStore>(
       *this->clock, *this->store,
@@ -321,6 +337,35 @@
                                  std::move(found));
 }
 
+// Finds the origin of a stream that no host knows: the only one that streams of
+// the route have, or the one in the stream's record.
+void RelayDaemon::FindStoredOrigin(
+    const Route& route,
+    const std::optional<RequestId>& first_attempt,
+    OnStoredOrigin found) {
+  const auto on_only = [this, first_attempt, found = std::move(found)](
+                           const std::optional<StreamOrigin>& only) {
+    if (only) {
+      found(StoredOrigin{.progress = StreamProgress::BegunAt(*only),
+                         .source = "only version"});
+      return;
+    }
+    if (!first_attempt) {
+      found({});
+      return;
+    }
+    this->stream_records->Find(
+        StreamKeyOf(*first_attempt),
+        [found](const std::optional<StreamProgress>& recorded) {
+          found(recorded ? std::optional(
+                               StoredOrigin{.progress = *recorded,
+                                            .source = "the store's record"})
+                         : std::nullopt);
+        });
+  };
+  this->FindOnlyOrigin(route, on_only);
+}
+
 // Tells the tracker which schedulers keep records of streams. One that is
 // linked and keeps none is of an earlier release, which doesn't know the
 // messages.
@@ -357,6 +402,7 @@
     this->UpdateSubscribers();
     this->relay->RequireRefresh();
     this->versions->Start();
+    this->stream_records->Start();
     this->blocks->Start();
     this->source->Start();
     this->limits->Start();
@@ -373,6 +419,7 @@
   this->BroadcastStatus();
   this->source->Stop();
   this->versions->Stop();
+  this->stream_records->Stop();
   this->blocks->Stop();
   this->limits->Stop();
   this->duties->Retire();
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -26,6 +26,7 @@
 #include "relay/platform_duties.h"
 #include "relay/request_forwarder.h"
 #include "relay/served_versions_store.h"
+#include "relay/stream_record_store.h"
 
 namespace hickorystand {
 
@@ -74,9 +75,13 @@
   void MakeLimits();
   void MakeStreamTracker();
   void MakeServedVersions();
+  void MakeStreamRecords();
   void MakeBlockRecord();
   bool MissesLinks() const;
   void FindOnlyOrigin(const Route& route, ServedVersionsStore::OnOrigin found);
+  void FindStoredOrigin(const Route& route,
+                        const std::optional<RequestId>& first_attempt,
+                        OnStoredOrigin found);
   void UpdateStreamPeers();
   void OnRole(FleetRole role);
   void OnCaller(const CallerExchangePtr& caller);
@@ -118,6 +123,7 @@
   std::unique_ptr<LimitGate> limits;
   std::unique_ptr<StreamTracker> streams;
   std::unique_ptr<ServedVersionsStore> versions;
+  std::unique_ptr<StreamRecordStore> stream_records;
   std::unique_ptr<BlockRecordStore> blocks;
   std::unique_ptr<FleetRelay> relay;
   std::unique_ptr<FleetSource> source;
--- a/packages/decisions/served_versions.cc
+++ b/packages/decisions/served_versions.cc
@@ -77,6 +77,17 @@
   return record;
 }
 
+std::optional<SoftwareVersion> OnlyVersion(const ServedVersions& record,
+                                           const ServiceId& service,
+                                           int64_t unix_ms) {
+  const auto served = record.services.find(service);
+  if (served == record.services.end() || served->second.versions.size() != 1 ||
+      !IsLongAgo(served->second.complete_since, unix_ms)) {
+    return {};
+  }
+  return *served->second.versions.begin();
+}
+
 std::optional<StreamOrigin> OnlyOrigin(const ServedVersions& record,
                                        const std::string& route,
                                        const std::set<ServiceId>& services,
@@ -87,13 +98,10 @@
     return {};
   }
   const ServiceId& service = *services.begin();
-  const auto served = record.services.find(service);
-  if (served == record.services.end() || served->second.versions.size() != 1 ||
-      !IsLongAgo(served->second.complete_since, unix_ms)) {
-    return {};
-  }
-  return StreamOrigin{.service = service,
-                      .software = *served->second.versions.begin()};
+  const auto only = OnlyVersion(record, service, unix_ms);
+  return only ? std::optional(
+                    StreamOrigin{.service = service, .software = *only})
+              : std::nullopt;
 }
 
 void VersionLedger::StartObserving(Instant now) {
--- a/packages/decisions/served_versions.h
+++ b/packages/decisions/served_versions.h
@@ -20,12 +20,13 @@
 //   ledger.OnRecord(asked_at, revision, record);
 //   if (const auto wanted = ledger.Wanted(now, unix_ms, true)) { /* write it */
 //   } relay.SetBeginnable(ledger.Beginnable(now));
-//   ... OnlyVersion(record, route, unix_ms) ...
+//   ... OnlyOrigin(record, route, services, unix_ms) ...
 //
 // Index
 //   ServedService, StreamRoute, ServedVersions   the record
 //   EncodeServedVersions, DecodeServedVersions   its text
-//   OnlyVersion           the version at which a route's streams began
+//   OnlyVersion           the version at which a service's streams began
+//   OnlyOrigin            the origin of a route's streams
 //   VersionLedgerOptions  times
 //   VersionLedger         what a scheduler knows, and wants to be written
 
@@ -76,6 +77,12 @@
 // How long callers wait at most; no caller continues an older stream.
 inline constexpr Duration kLongestPatience = std::chrono::seconds(60);
 
+// The version at which all streams of a service began that callers may continue
+// at this time, if there is only one.
+std::optional<SoftwareVersion> OnlyVersion(const ServedVersions& record,
+                                           const ServiceId& service,
+                                           int64_t unix_ms);
+
 // The origin of all streams of a route that callers may continue at this time,
 // if there is only one. `services` are those the route leads to now.
 std::optional<StreamOrigin> OnlyOrigin(const ServedVersions& record,
--- a/packages/decisions/stream_directory.cc
+++ b/packages/decisions/stream_directory.cc
@@ -123,11 +123,18 @@
   while (!this->expiries.empty() &&
          (this->expiries.begin()->first <= now ||
           this->records.size() > this->options.max_records)) {
-    this->records.erase(this->expiries.begin()->second);
+    this->Erase(this->expiries.begin()->second);
     this->expiries.erase(this->expiries.begin());
   }
 }
 
+void StreamDirectory::Erase(StreamKey stream) {
+  this->records.erase(stream);
+  for (auto& [service, streams] : this->unstored) {
+    streams.erase(stream);
+  }
+}
+
 // Adds a report to the records, and returns whether it was news. Different
 // origins of one stream contradict each other for good.
 bool StreamDirectory::Merge(Instant now,
@@ -144,6 +151,10 @@
     this->expiries.erase({entry.expires, report.stream});
     entry.expires = std::max(entry.expires, expires);
   }
+  const bool writes = own || !this->peers.contains(from);
+  if (writes && entry.origin && (added || contradicts)) {
+    this->unstored[entry.origin->service].insert(report.stream);
+  }
   if (contradicts) {
     entry.origin.reset();
   }
@@ -319,6 +330,19 @@
   }
 }
 
+std::vector<StreamReport> StreamDirectory::TakeUnstored(
+    Instant now,
+    const std::set<ServiceId>& services) {
+  this->Expire(now);
+  std::vector<StreamReport> reports;
+  for (const ServiceId& service : services) {
+    for (const StreamKey stream : std::exchange(this->unstored[service], {})) {
+      reports.push_back(this->ReportOf(now, stream, this->records.at(stream)));
+    }
+  }
+  return reports;
+}
+
 StreamMails StreamDirectory::StartDrain(Instant now) {
   this->Expire(now);
   this->draining = true;
--- a/packages/decisions/stream_directory.h
+++ b/packages/decisions/stream_directory.h
@@ -11,6 +11,9 @@
 //     be reached within `answer_timeout`;
 //   - it began at a host of an earlier release, or at one without links.
 //
+// The loss of all hosts is survived by records in the key-value service, for
+// which TakeUnstored() returns each stream once (decisions/stream_records.h).
+//
 // Only the host with the caller's connection records an origin, once per
 // stream: a scheduler may send a first event that never reaches the caller. If
 // hosts still report different origins, the stream's origin is unknown. It is
@@ -181,6 +184,12 @@
   // This host drains: passes its records on.
   StreamMails StartDrain(Instant now);
 
+  // Returns the origins that this host has to write to the key-value service,
+  // each once: of its own streams at these services, and of those that a host
+  // told which keeps no records of others.
+  std::vector<StreamReport> TakeUnstored(Instant now,
+                                         const std::set<ServiceId>& services);
+
   // The hosts that are told this host's records.
   const std::set<HostId>& Copies() const { return this->copies; }
   size_t Records() const { return this->records.size(); }
@@ -203,6 +212,7 @@
              const StreamReport& report,
              bool own);
   void Expire(Instant now);
+  void Erase(StreamKey stream);
   StreamReport ReportOf(Instant now,
                         StreamKey stream,
                         const Entry& entry) const;
@@ -228,6 +238,7 @@
   std::set<HostId> copies;
   std::map<StreamKey, Entry> records;
   std::set<std::pair<Instant, StreamKey>> expiries;
+  std::map<ServiceId, std::set<StreamKey>> unstored;
   std::map<StreamKey, Question> questions;
   bool draining = false;
 };
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -114,6 +114,9 @@
     this->metrics->Add("endpoint_answers_cut_off_total", 0,
                        {{"reason", std::string(NameOf(excess))}});
   }
+  for (const char* source : {"host", "only version", "the store's record"}) {
+    this->metrics->Add("stream_origins_found_total", 0, {{"source", source}});
+  }
   for (const char* outcome :
        {"known", "unknown", "unavailable", "other_service"}) {
     this->metrics->Add("stream_continuations_total", 0, {{"outcome", outcome}});
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -10,6 +10,7 @@
 //
 // Index
 //   RelaySettings   limits, timeouts and options of placement and retries
+//   StoredOrigin    a stream's origin, by the key-value service
 //   RelayHooks      callbacks to the owner
 //   FleetRelay      the relay
 
@@ -75,6 +76,17 @@
   Duration max_list_age = std::chrono::milliseconds(2500);
 };
 
+// The origin of a stream as found in the key-value service, and what says so.
+struct StoredOrigin {
+  StreamProgress progress;
+  std::string source;
+
+  auto operator<=>(const StoredOrigin&) const = default;
+};
+
+// Receives the origin; nullopt if the service doesn't say it.
+using OnStoredOrigin = std::function<void(const std::optional<StoredOrigin>&)>;
+
 // Callbacks to the owner of a relay.
 struct RelayHooks {
   // A request of an account has begun to run at an endpoint.
@@ -92,11 +104,12 @@
   // service. Returns false if there is none.
   std::function<bool(const CallerExchangePtr&, const HandedOver&)> hand_over =
       {};
-  // Finds the origin of all streams of a route that callers may continue, and
-  // calls back; nullopt if there isn't only one, or it isn't known.
+  // Finds the origin of a stream that no host knows, and calls back. The first
+  // attempt is null if the caller doesn't name it.
   std::function<void(const Route&,
-                     std::function<void(const std::optional<StreamOrigin>&)>)>
-      find_only_origin = {};
+                     const std::optional<RequestId>& first_attempt,
+                     OnStoredOrigin)>
+      find_stored_origin = {};
 };
 
 class RelayedRequest;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -118,34 +118,37 @@
   this->origin_lookup.reset();
   if (!decision.progress.OriginUnknown()) {
     this->progress = decision.progress;
+    this->CountOrigin("host");
     this->ContinueStream(decision.source.Text(), decision.waited);
   } else if (!this->request.IsContinuation() && !this->StreamBegun()) {
     this->BeginPlacing();
-  } else if (!this->FindOnlyOrigin(decision)) {
+  } else if (!this->FindStoredOrigin(decision)) {
     this->RefuseUnknownOrigin(decision);
   }
 }
 
-// Without a record of the stream, its origin is known if all streams of the
-// route have the same.
-bool RelayedRequest::FindOnlyOrigin(const StreamDecision& decision) {
-  const auto& find = this->relay->hooks.find_only_origin;
+// Without a host that has a record of the stream, the key-value service may
+// tell its origin.
+bool RelayedRequest::FindStoredOrigin(const StreamDecision& decision) {
+  const auto& find = this->relay->hooks.find_stored_origin;
   if (!find || decision.recorded) {
     return false;
   }
-  find(*this->route, [this, decision, weak = this->weak_from_this()](
-                         const std::optional<StreamOrigin>& only) {
-    const auto keep = weak.lock();
-    if (!keep || this->over) {
-      return;
-    }
-    if (only) {
-      this->progress = StreamProgress::BegunAt(*only);
-      this->ContinueStream("only version", decision.waited);
-    } else {
-      this->RefuseUnknownOrigin(decision);
-    }
-  });
+  find(*this->route, this->request.first_attempt,
+       [this, decision, weak = this->weak_from_this()](
+           const std::optional<StoredOrigin>& found) {
+         const auto keep = weak.lock();
+         if (!keep || this->over) {
+           return;
+         }
+         if (found && !found->progress.OriginUnknown()) {
+           this->progress = found->progress;
+           this->CountOrigin(found->source);
+           this->ContinueStream(found->source, decision.waited);
+         } else {
+           this->RefuseUnknownOrigin(decision);
+         }
+       });
   return true;
 }
 
@@ -206,6 +209,13 @@
   return text;
 }
 
+void RelayedRequest::CountOrigin(std::string_view source) {
+  if (!this->StreamBegun()) {
+    this->relay->metrics->Add("stream_origins_found_total", 1,
+                              {{"source", std::string(source)}});
+  }
+}
+
 void RelayedRequest::CountContinuation(std::string_view outcome) {
   if (this->StreamBegun()) {
     return;  // within one answer
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -100,9 +100,10 @@
   void FindOrigin();
   void OnOrigin(const StreamDecision& decision);
   void ContinueStream(const std::string& source, Duration waited);
-  bool FindOnlyOrigin(const StreamDecision& decision);
+  bool FindStoredOrigin(const StreamDecision& decision);
   RequestProfile Profile() const;
   void RefuseUnknownOrigin(const StreamDecision& decision);
+  void CountOrigin(std::string_view source);
   void CountContinuation(std::string_view outcome);
   std::string FirstAttemptText() const;
   std::string SharedPartsText() const;
--- a/packages/relay/served_versions_store.cc
+++ b/packages/relay/served_versions_store.cc
@@ -1,7 +1,5 @@
 #include "relay/served_versions_store.h"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "kernel/log.h"
@@ -27,7 +25,15 @@
     : clock(&clock),
       store(&store),
       handlers(std::move(handlers)),
-      ledger(options) {}
+      ledger(options),
+      read(clock,
+           store,
+           {StoreGet(std::string(kKey))},
+           kLookupTimeout,
+           [this](Instant asked_at, const StoreReply& reply) {
+             this->Apply(asked_at, reply);
+             this->Write();
+           }) {}
 
 ServedVersionsStore::~ServedVersionsStore() {
   *this->alive = false;
@@ -37,12 +43,12 @@
   this->ledger.StartObserving(this->clock->Now());
   this->timer = Timer::Every(kTick, [this] {
     if (this->ledger.NeedsRead(this->clock->Now())) {
-      this->Read();
+      this->read.Read();
     }
     this->Write();
     this->Publish();
   });
-  this->Read();
+  this->read.Read();
 }
 
 void ServedVersionsStore::SetEndpoints(const FleetEndpoints& endpoints) {
@@ -65,69 +71,26 @@
 void ServedVersionsStore::FindOnlyOrigin(const std::string& route,
                                          const std::set<ServiceId>& services,
                                          OnOrigin on_found) {
-  const bool silent = this->reading && !this->reading->timeout;
-  if (silent) {
-    on_found({});
-    return;
-  }
-  this->lookups.push_back(
-      {.route = route, .services = services, .on_found = std::move(on_found)});
-  this->Read();
-}
-
-// A lookup is answered by a read that was sent after it, since a version may
-// have been added meanwhile.
-void ServedVersionsStore::Read() {
-  if (this->reading) {
-    return;
-  }
-  const auto read = std::make_shared<PendingRead>();
-  read->lookups = std::exchange(this->lookups, {});
-  read->timeout = Timer::After(kLookupTimeout, [this, read] {
-    std::ranges::move(std::exchange(this->lookups, {}),
-                      std::back_inserter(read->lookups));
-    this->Finish(*read, {});
-  });
-  this->reading = read;
-  this->store->Transact(
-      {.then = {StoreGet(std::string(kKey))}},
-      [this, alive = this->alive, read,
-       asked_at = this->clock->Now()](const StoreReply& reply) {
-        if (*alive) {
-          this->OnRead(read, asked_at, reply);
-        }
+  this->read.Await(
+      [this, route, services, on_found = std::move(on_found)](bool answered) {
+        on_found(answered && this->record
+                     ? OnlyOrigin(*this->record, route, services,
+                                  this->handlers.unix_ms())
+                     : std::nullopt);
       });
 }
 
-void ServedVersionsStore::OnRead(const std::shared_ptr<PendingRead>& read,
-                                 Instant asked_at,
-                                 const StoreReply& reply) {
-  if (this->reading == read) {
-    this->reading.reset();
-  }
-  const bool answered = reply.outcome == StoreOutcome::kThen;
-  if (answered) {
-    this->Apply(asked_at, reply);
-  }
-  this->Finish(*read, answered ? this->record : std::nullopt);
-  if (answered) {
-    this->Write();
-  }
-  if (!this->lookups.empty()) {
-    this->Read();
-  }
-}
-
-void ServedVersionsStore::Finish(PendingRead& read,
-                                 const std::optional<ServedVersions>& found) {
-  // It may have called this, and keeps `read` alive.
-  const std::unique_ptr<Timer> timeout = std::move(read.timeout);
-  const int64_t now = this->handlers.unix_ms();
-  for (const Lookup& lookup : std::exchange(read.lookups, {})) {
-    lookup.on_found(found
-                        ? OnlyOrigin(*found, lookup.route, lookup.services, now)
-                        : std::nullopt);
+std::set<ServiceId> ServedVersionsStore::ServicesOfSeveralVersions() const {
+  std::set<ServiceId> several;
+  if (this->record) {
+    const int64_t now = this->handlers.unix_ms();
+    for (const auto& [id, service] : this->record->services) {
+      if (!OnlyVersion(*this->record, id, now)) {
+        several.insert(id);
+      }
+    }
   }
+  return several;
 }
 
 void ServedVersionsStore::Apply(Instant asked_at, const StoreReply& reply) {
@@ -188,7 +151,7 @@
     this->Apply(asked_at, reply);
     this->Write();
   } else {
-    this->Read();
+    this->read.Read();
   }
 }
 
--- a/packages/relay/served_versions_store.h
+++ b/packages/relay/served_versions_store.h
@@ -27,6 +27,7 @@
 #include "kernel/task.h"
 #include "platform/key_value_store.h"
 #include "relay/fleet_configuration.h"
+#include "relay/shared_store_read.h"
 
 namespace hickorystand {
 
@@ -66,23 +67,11 @@
                       const std::set<ServiceId>& services,
                       OnOrigin on_found);
 
- private:
-  struct Lookup {
-    std::string route;
-    std::set<ServiceId> services;
-    OnOrigin on_found;
-  };
-  // A read, and the lookups that were there before it was sent.
-  struct PendingRead {
-    std::vector<Lookup> lookups;
-    std::unique_ptr<Timer> timeout;
-  };
+  // The services at several versions of which streams may have begun, by the
+  // record as last read.
+  std::set<ServiceId> ServicesOfSeveralVersions() const;
 
-  void Read();
-  void OnRead(const std::shared_ptr<PendingRead>& read,
-              Instant asked_at,
-              const StoreReply& reply);
-  void Finish(PendingRead& read, const std::optional<ServedVersions>& record);
+ private:
   void Write();
   void OnWritten(const ServedVersions& written,
                  Instant asked_at,
@@ -94,9 +83,8 @@
   KeyValueStore* store;
   ServedVersionsHandlers handlers;
   VersionLedger ledger;
+  SharedStoreRead read;
   std::optional<ServedVersions> record;  // as last read or written
-  std::vector<Lookup> lookups;           // for the next read
-  std::shared_ptr<PendingRead> reading;
   bool writing = false;
   std::optional<std::set<StreamOrigin>> published;
   std::unique_ptr<Timer> timer;
--- a/packages/relay/stream_tracker.cc
+++ b/packages/relay/stream_tracker.cc
@@ -55,6 +55,11 @@
   return {};
 }
 
+std::vector<StreamReport> StreamTracker::TakeUnstored(
+    const std::set<ServiceId>& services) {
+  return this->directory.TakeUnstored(this->clock->Now(), services);
+}
+
 void StreamTracker::OnMessage(const HostId& from,
                               const StreamMessage& message) {
   this->Send(this->directory.OnMessage(this->clock->Now(), from, message));
--- a/packages/relay/stream_tracker.h
+++ b/packages/relay/stream_tracker.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "decisions/stream_directory.h"
@@ -73,6 +74,10 @@
                                      StreamLookup::Callback on_decision,
                                      std::shared_ptr<StreamLookup>& lookup);
 
+  // The origins that this host has to write to the key-value service, each
+  // once.
+  std::vector<StreamReport> TakeUnstored(const std::set<ServiceId>& services);
+
   // A message of another host.
   void OnMessage(const HostId& from, const StreamMessage& message);
 
