Probe ejected endpoints each second while a service has no others

Cause: an endpoint that keeps failing is ejected for up to 8 s; when all endpoints of a service are, a host sends nothing to any of them and can't see that they have recovered.

Change: without another endpoint, a request may go to one that was ejected at least the shortest ejection ago; if such a probe succeeds, the ejection ends. A service with a sound endpoint is placed as before, and an endpoint in doubt still goes before an ejected one.

--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -61,13 +61,28 @@
                   shape.prompt_tokens);
 }
 
+// The same request, accepting ejected endpoints; nullopt if it does so already.
 // A begun stream can't go to an endpoint of another version instead.
-bool MayUseEjected(const RequestProfile& shape) {
-  return shape.progress.Begun() && !shape.accepts_ejected;
+std::optional<RequestProfile> AcceptEjected(RequestProfile shape) {
+  if (shape.ejected != EjectedUse::kNone) {
+    return {};
+  }
+  shape.ejected =
+      shape.progress.Begun() ? EjectedUse::kAny : EjectedUse::kProbe;
+  return shape;
 }
 
-RequestProfile WithEjected(RequestProfile shape) {
-  shape.accepts_ejected = true;
+// The same request, accepting more endpoints, in the order of preference;
+// nullopt if there are no more.
+std::optional<RequestProfile> AcceptMore(RequestProfile shape) {
+  const bool begun = shape.progress.Begun();
+  const bool stream = shape.begins_stream || begun;
+  const bool doubted_next = stream && !shape.accepts_doubted &&
+                            (!begun || shape.ejected != EjectedUse::kNone);
+  if (!doubted_next) {
+    return AcceptEjected(std::move(shape));
+  }
+  shape.accepts_doubted = true;
   return shape;
 }
 
@@ -312,9 +327,21 @@
 
 bool FleetPlacement::IsExcluded(Instant now,
                                 const State& state,
-                                const RequestProfile& shape) {
-  return now < state.wrong_role_until ||
-         (now < state.ejected_until && !shape.accepts_ejected);
+                                const RequestProfile& shape) const {
+  if (now < state.wrong_role_until) {
+    return true;
+  }
+  const Instant probe_at =
+      state.ejected_until - state.ejection + this->options.min_ejection;
+  switch (shape.ejected) {
+    case EjectedUse::kNone:
+      return now < state.ejected_until;
+    case EjectedUse::kProbe:
+      return now < std::min(probe_at, state.ejected_until);
+    case EjectedUse::kAny:
+      break;
+  }
+  return false;
 }
 
 // A stream that begins at an endpoint in doubt has no known origin. Its prompt
@@ -626,17 +653,10 @@
               : this->ScorePlainEndpoint(now, *state, shape));
     }
   }
-  if (weighed.empty() && MayUseEjected(shape)) {
-    return this->Place(now, WithEjected(shape), tried);
-  }
-  const bool stream = shape.begins_stream || shape.progress.Begun();
-  if (weighed.empty() && stream && !shape.accepts_doubted) {
-    RequestProfile doubted = shape;
-    doubted.accepts_doubted = true;
-    return this->Place(now, doubted, tried);
-  }
   if (weighed.empty()) {
-    return this->RefuseWithoutEndpoint(now, shape, tried);
+    const auto more = AcceptMore(shape);
+    return more ? this->Place(now, *more, tried)
+                : this->RefuseWithoutEndpoint(now, shape, tried);
   }
   if (shape.engine) {
     this->AddRendezvousPenalty(now, shape, weighed);
@@ -721,8 +741,10 @@
       least = score;
     }
   }
-  if (!best && MayUseEjected(shape)) {
-    return this->PlaceAnswer(now, WithEjected(shape), prefill_endpoint, tried);
+  if (!best) {
+    if (const auto more = AcceptEjected(shape)) {
+      return this->PlaceAnswer(now, *more, prefill_endpoint, tried);
+    }
   }
   return best;
 }
@@ -737,6 +759,7 @@
   }
   this->rates.OnSent(now, endpoint);
   State& state = found->second;
+  state.probed = state.probed || now < state.ejected_until;
   this->works[++this->last_work] = {
       .endpoint = endpoint,
       .started = state.endpoint.run.started,
@@ -880,9 +903,11 @@
   State& state = found->second;
   state.failure_share +=
       kOutcomeWeight * ((good ? 0.0 : 1.0) - state.failure_share);
+  const bool probed = std::exchange(state.probed, false);
   if (good) {
     state.consecutive_failures = 0;
     state.ejection = {};
+    state.ejected_until = probed ? Instant{} : state.ejected_until;
     return;
   }
   if (++state.consecutive_failures < this->options.failures_to_eject) {
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -145,6 +145,13 @@
   auto operator<=>(const ServiceParameters&) const = default;
 };
 
+// Which ejected endpoints a request accepts, if there are no others.
+enum class EjectedUse {
+  kNone,
+  kProbe,  // those that were ejected at least `min_ejection` ago
+  kAny,
+};
+
 // The properties of a request that placement uses.
 struct RequestProfile {
   ServiceId service;
@@ -163,8 +170,7 @@
   bool begins_stream = false;  // its first event would begin a stream
   // Longest queue that it may join at an endpoint; nullopt: by its target.
   std::optional<Duration> max_queue_wait;
-  // Ejected endpoints are better than none.
-  bool accepts_ejected = false;
+  EjectedUse ejected = EjectedUse::kNone;
   // An endpoint whose software version is in doubt is better than none.
   bool accepts_doubted = false;
   // Differs between requests; the two endpoints to compare are drawn by it.
@@ -387,6 +393,7 @@
     int64_t consecutive_failures = 0;
     Duration ejection{};
     Instant ejected_until{};
+    bool probed = false;  // a request was sent while it was ejected
     Instant wrong_role_until{};
   };
   struct Work {
@@ -428,9 +435,9 @@
     bool is_prefill = false;
   };
 
-  static bool IsExcluded(Instant now,
-                         const State& state,
-                         const RequestProfile& shape);
+  bool IsExcluded(Instant now,
+                  const State& state,
+                  const RequestProfile& shape) const;
   bool MayRunAt(const FleetEndpoint& endpoint,
                 const RequestProfile& shape) const;
   bool CanAccept(Instant now,
--- a/tests/fleet_decisions_test.cc
+++ b/tests/fleet_decisions_test.cc
@@ -253,6 +253,38 @@
   CHECK(placement.Usable(At(4.5), bad));
 }
 
+// Guards against refusing all requests for up to the longest ejection after all
+// endpoints of a service have recovered at once. While one of them is sound,
+// the others stay ejected.
+TEST(FleetPlacement, ProbesEachSecondWhileAllEndpointsAreEjected) {
+  std::vector<FleetEndpoint> plain{Engine("a", EndpointRole::kPlain),
+                                   Engine("b", EndpointRole::kPlain)};
+  FleetPlacement placement = MakePlacement(Fleet(plain));
+  const RequestProfile shape{.service = kService};
+  const auto is_placed = [&](double time) {
+    return std::holds_alternative<PlacementTarget>(
+        placement.Place(At(time), shape, {}));
+  };
+  for (int failure = 0; failure < 6; ++failure) {
+    placement.OnOutcome(At(10), EndpointId("a"), false);
+    placement.OnOutcome(At(10), EndpointId("b"), false);
+  }
+  CHECK(!placement.Usable(At(17.9), EndpointId("a")));
+  CHECK(!is_placed(10.9));
+  CHECK(is_placed(11.1));
+  placement.OnOutcome(At(11.2), EndpointId("a"), false);
+  placement.OnOutcome(At(11.2), EndpointId("b"), false);
+  CHECK(!is_placed(12.1));
+  CHECK(is_placed(12.3));
+  placement.OnSent(At(12.25), EndpointId("b"), shape, {});
+  placement.OnOutcome(At(12.3), EndpointId("b"), true);
+  placement.OnOutcome(At(12.3), EndpointId("a"), false);
+  for (double time = 13.4; time < 20; time += 0.5) {
+    const PlacementResult verdict = placement.Place(At(time), shape, {});
+    CHECK(std::get<PlacementTarget>(verdict).endpoint == EndpointId("b"));
+  }
+}
+
 // An endpoint that is leaving, one that a peer reports as unavailable and one
 // with an unknown role receive no requests.
 TEST(FleetPlacement, SkipsUnavailableEndpoints) {
