--- a/packages/decisions/stream_records.cc
+++ b/packages/decisions/stream_records.cc
@@ -60,8 +60,9 @@
   if (found == this->origins.end()) {
     return {};
   }
-  return found->second ? StreamProgress::BegunAt(*found->second)
-                       : StreamProgress::BegunAtUnknownOrigin();
+  const std::optional<StreamOrigin>& origin = found->second;
+  return origin ? StreamProgress::BegunAt(*origin)
+                : StreamProgress::BegunAtUnknownOrigin();
 }
 
 std::string EncodeStreamRecord(const StreamRecord& record) {
--- a/packages/kernel/json.cc
+++ b/packages/kernel/json.cc
@@ -216,8 +216,10 @@
 }
 
 std::string Json::Text(std::string fallback) const {
-  return this->IsText() ? this->node->get_ref<const std::string&>()
-                        : std::move(fallback);
+  if (!this->IsText()) {
+    return fallback;
+  }
+  return this->node->get_ref<const std::string&>();
 }
 
 double Json::Number(double fallback) const {
--- a/tests/json_test.cc
+++ b/tests/json_test.cc
@@ -12,6 +12,8 @@
 namespace hickorystand {
 namespace {
 
+using std::string_literals::operator""s;
+
 constexpr int kManyBrackets = 900'000;
 
 std::string Repeat(const std::string& part, int times) {
@@ -26,6 +28,8 @@
   return Json::Parse(text, limits).has_value();
 }
 
+}  // namespace
+
 TEST_GROUP(Json){};
 
 // Guards against a stack overflow: what a lenient reader skips must not hide
@@ -132,10 +136,10 @@
       R"("g":true,"h":"\ud83d\ude00","i":12345678901234567890})";
   const bool survived = rc::check([&] {
     std::string text = whole;
-    const auto hits = *rc::gen::container<std::vector<std::pair<size_t, char>>>(
-        rc::gen::pair(rc::gen::inRange<size_t>(0, whole.size()),
-                      rc::gen::elementOf(std::string(
-                          "{}[]\",:'/*#\\\0\n 019-+.eEtnfu\x7f\xff", 31))));
+    const auto hits =
+        *rc::gen::container<std::vector<std::pair<size_t, char>>>(rc::gen::pair(
+            rc::gen::inRange<size_t>(0, whole.size()),
+            rc::gen::elementOf("{}[]\",:'/*#\\\0\n 019-+.eEtnfu\x7f\xff"s)));
     for (const auto& [at, byte] : hits) {
       text[at] = byte;
     }
@@ -148,5 +152,4 @@
   CHECK(survived);
 }
 
-}  // namespace
 }  // namespace hickorystand
--- a/tests/stream_records_test.cc
+++ b/tests/stream_records_test.cc
@@ -34,6 +34,8 @@
   return *record;
 }
 
+}  // namespace
+
 TEST_GROUP(StreamRecords){};
 
 TEST(StreamRecords, ReadWhatWasWritten) {
@@ -149,5 +151,4 @@
   }));
 }
 
-}  // namespace
 }  // namespace hickorystand
