--- a/tests/stream_records_test.cc
+++ b/tests/stream_records_test.cc
@@ -27,11 +27,19 @@
   return {.stream = stream, .origin = Origin(software), .remaining = remaining};
 }
 
-StreamRecord Decoded(const std::optional<StreamRecordWrite>& write) {
-  CHECK(write.has_value());
-  const auto record = DecodeStreamRecord(write->text);
+// A write, decoded.
+struct Written {
+  int64_t number = 0;
+  StreamRecord record;
+};
+
+Written NextOf(StreamRecordWriter& writer, Instant now) {
+  const StreamRecordWrite write =
+      writer.Next(now).value_or(StreamRecordWrite());
+  CHECK(write.number > 0);
+  const auto record = DecodeStreamRecord(write.text);
   CHECK(record.has_value());
-  return *record;
+  return {.number = write.number, .record = *record};
 }
 
 }  // namespace
@@ -56,23 +64,23 @@
   StreamRecord record;
   record.Add(1, Origin("v1"));
   record.Add(1, Origin("v1"));
-  CHECK(!record.Find(1)->OriginUnknown());
+  CHECK(record.Find(1) == StreamProgress::BegunAt(Origin("v1")));
   record.Add(1, Origin("v2"));
-  CHECK(record.Find(1)->OriginUnknown());
+  CHECK(record.Find(1) == StreamProgress::BegunAtUnknownOrigin());
   record.Add(1, Origin("v1"));
-  CHECK(record.Find(1)->OriginUnknown());
+  CHECK(record.Find(1) == StreamProgress::BegunAtUnknownOrigin());
 }
 
 TEST(StreamRecords, MalformedTextIsRefused) {
-  for (const char* text :
-       {"", "[]", "{}", R"({"origins":[]})", R"({"unknown":""})",
-        R"({"origins":[],"unknown":"0"})",
-        R"({"origins":[],"unknown":"000000000000000g"})",
-        R"({"origins":[],"unknown":"-000000000000001"})",
-        R"({"origins":[{"service":"s","streams":""}],"unknown":""})",
-        R"({"origins":[{"service":"","software":"v","streams":""}],)"
-        R"("unknown":""})",
-        R"({"origins":[7],"unknown":""})"}) {
+  for (
+      const char* text :
+      {"", "[]", "{}", R"({"origins":[]})", R"({"unknown":""})",
+       R"({"origins":[],"unknown":"0"})",
+       R"({"origins":[],"unknown":"000000000000000g"})",
+       R"({"origins":[],"unknown":"-000000000000001"})",
+       R"({"origins":[{"service":"s","streams":""}],"unknown":""})",
+       R"({"origins":[{"service":"","software":"v","streams":""}],"unknown":""})",
+       R"({"origins":[7],"unknown":""})"}) {
     CHECK_TEXT(!DecodeStreamRecord(text).has_value(), text);
   }
   CHECK(
@@ -83,19 +91,19 @@
   StreamRecordWriter writer({.max_open = seconds(2), .close_at = 10});
   CHECK(!writer.Next(kStart));
   writer.Add(kStart, {Report(1, "v1")});
-  const auto first = writer.Next(kStart);
-  LONGS_EQUAL(1, Decoded(first).Size());
+  const Written first = NextOf(writer, kStart);
+  LONGS_EQUAL(1, first.record.Size());
   writer.Add(kStart, {Report(2, "v1")});
   writer.OnWritten(kStart, true);
-  const auto second = writer.Next(kStart + seconds(1));
-  LONGS_EQUAL(first->number, second->number);
-  LONGS_EQUAL(2, Decoded(second).Size());
+  const Written second = NextOf(writer, kStart + seconds(1));
+  LONGS_EQUAL(first.number, second.number);
+  LONGS_EQUAL(2, second.record.Size());
   writer.OnWritten(kStart + seconds(1), true);
   CHECK(!writer.Next(kStart + seconds(1)));
   writer.Add(kStart + seconds(3), {Report(3, "v1")});
-  const auto third = writer.Next(kStart + seconds(3));
-  CHECK(third->number != first->number);
-  LONGS_EQUAL(1, Decoded(third).Size());
+  const Written third = NextOf(writer, kStart + seconds(3));
+  CHECK(third.number != first.number);
+  LONGS_EQUAL(1, third.record.Size());
 }
 
 // Guards against a late call without an answer that takes streams out of a
@@ -103,12 +111,12 @@
 TEST(StreamRecords, WriterNeverChangesARecordAfterAFailedWrite) {
   StreamRecordWriter writer;
   writer.Add(kStart, {Report(1, "v1")});
-  const auto first = writer.Next(kStart);
+  const Written first = NextOf(writer, kStart);
   writer.OnWritten(kStart, false);
   writer.Add(kStart, {Report(2, "v2")});
-  const auto again = writer.Next(kStart);
-  CHECK(again->number != first->number);
-  LONGS_EQUAL(2, Decoded(again).Size());
+  const Written again = NextOf(writer, kStart);
+  CHECK(again.number != first.number);
+  LONGS_EQUAL(2, again.record.Size());
 }
 
 // Guards against a record that grows without bound, and against streams that
@@ -118,14 +126,14 @@
       {.close_at = 2, .max_streams = 2, .max_waiting = 3});
   writer.Add(kStart, {Report(1, "v1", milliseconds(500)), Report(2, "v1"),
                       Report(3, "v1"), Report(4, "v1"), Report(5, "v1")});
-  const auto first = writer.Next(kStart + seconds(1));
+  const Written first = NextOf(writer, kStart + seconds(1));
   LONGS_EQUAL(2, writer.TakeLost());
   LONGS_EQUAL(0, writer.TakeLost());
-  LONGS_EQUAL(2, Decoded(first).Size());
+  LONGS_EQUAL(2, first.record.Size());
   writer.OnWritten(kStart + seconds(1), true);
-  const auto second = writer.Next(kStart + seconds(1));
-  CHECK(second->number != first->number);
-  CHECK(Decoded(second).Find(5).has_value());
+  const Written second = NextOf(writer, kStart + seconds(1));
+  CHECK(second.number != first.number);
+  CHECK(second.record.Find(5).has_value());
 }
 
 // Damaged records are read or refused.
