--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -20,6 +20,7 @@
 #include "kernel/task.h"
 #include "kernel/time.h"
 #include "peers/peer_links.h"
+#include "peers/wire.h"
 
 namespace hickorystand {
 namespace {
@@ -471,6 +472,19 @@
   CHECK(DigestPasses(a, b, 5));
 }
 
+// Guards against a stack overflow: a member that this release doesn't know is
+// skipped by a function that recurses for each list within a list.
+TEST(PeerLinks, RefusesUnknownMembersThatNestDeeply) {
+  constexpr char kUnknownList = '\xf9';  // member 15, a list, of compact Thrift
+  constexpr char kListOfOneList = '\x19';
+  for (const size_t depth : {70, 100'000}) {
+    const std::string payload =
+        kUnknownList + std::string(depth, kListOfOneList) + '\0';
+    CHECK(!DecodeMessage(payload).has_value());
+    CHECK(!DecodeHello(payload).has_value());
+  }
+}
+
 // A firewall between two hosts drops the state of their connection: there is no
 // error, nothing passes, and new connections would work. Missing heartbeats
 // must reveal this and the connection must be replaced; otherwise each host
