--- a/packages/relay/caller_exchange.h
+++ b/packages/relay/caller_exchange.h
@@ -47,8 +47,8 @@
   std::optional<StreamOrigin> origin = {};
 };
 
-// Whether the answer to a request of this method has a body, which it has after
-// the head, whatever the head says of its length.
+// Whether the answer to a request of this method has a body. The answer to HEAD
+// ends with its head, whatever length that states.
 constexpr bool HasBody(std::string_view method, int status) {
   return method != "HEAD" && status != 204 && status != 304 &&
          status / 100 != 1;
