--- a/tests/fleet_decisions.cmake
+++ b/tests/fleet_decisions.cmake
@@ -1,4 +1,5 @@
 add_unit_test(fleet_decisions_test SOURCES tests/fleet_decisions_test.cc LIBRARIES hs_decisions)
+add_unit_test(refusal_end_test SOURCES tests/refusal_end_test.cc LIBRARIES hs_decisions)
 add_unit_test(crash_causes_test SOURCES tests/crash_causes_test.cc LIBRARIES hs_decisions)
 add_unit_test(crash_two_parts_test SOURCES tests/crash_two_parts_test.cc LIBRARIES hs_decisions)
 set_tests_properties(crash_causes_test PROPERTIES TIMEOUT 300)
