Log what a refusal as overloaded is based on

Answered. said only "503 overloaded": neither the expected time nor the requests in progress, so an estimate that refuses by itself looked like full endpoints or like another host's wrong report.

--- a/packages/ctl/request_trace.cc
+++ b/packages/ctl/request_trace.cc
@@ -167,6 +167,15 @@
         "now; endpoints that state a rate: {limited_endpoints}; may come back "
         "after {retry_after_ms} ms",
         ""},
+    LineTemplate{
+        kSchedulerPart, "No endpoint is expected to answer in time.",
+        LineKind::kOther,
+        "none of {endpoints} endpoints of service {service} is expected to "
+        "answer in the {left_ms} ms left: the soonest takes {soonest_ms} ms, "
+        "the best has a queue of {queue_ms} ms; in progress there: {requests} "
+        "requests of this host, {peer_requests} of others; may come back after "
+        "{retry_after_ms} ms",
+        ""},
     LineTemplate{
         kSchedulerPart, "Answered.", LineKind::kAnswered,
         "ended with \"{outcome}\" after {ms} ms[; route {route}][; account "
--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -943,6 +943,11 @@
     return;
   }
   for (const auto& [id, service] : configuration->services) {
+    if (!service.engine) {
+      this->metrics.Set("plain_call_seconds",
+                        this->relay->Placement().PlainSeconds(id),
+                        {{"service", id.Text()}});
+    }
     const bool contended = this->relay->Placement().IsContended(id);
     this->metrics.Set("service_contended", contended ? 1 : 0,
                       {{"service", id.Text()}});
--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -625,7 +625,23 @@
   }
   return PlacementRefusal{
       .reason = std::string(kOverloaded),
-      .retry_after = FromSeconds(std::max(excess_latency, excess_queueing))};
+      .retry_after = FromSeconds(std::max(excess_latency, excess_queueing)),
+      .overload = this->EvidenceOf(weighed, best)};
+}
+
+OverloadEvidence FleetPlacement::EvidenceOf(
+    const std::vector<ScoredEndpoint>& weighed,
+    const ScoredEndpoint& best) const {
+  OverloadEvidence evidence{
+      .endpoints = static_cast<int64_t>(weighed.size()),
+      .soonest = FromSeconds(
+          std::ranges::min(weighed, {}, &ScoredEndpoint::seconds).seconds),
+      .queue = FromSeconds(best.queue_seconds)};
+  for (const ScoredEndpoint& one : weighed) {
+    evidence.requests += this->states.at(one.endpoint).running;
+    evidence.peer_requests += this->PeerWork(one.endpoint).requests;
+  }
+  return evidence;
 }
 
 PlacementResult FleetPlacement::Place(Instant now,
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -20,6 +20,7 @@
 //   RequestProfile                    request properties used for placement
 //   PlacementTarget, PlacementRefusal, PlacementResult
 //                                     the endpoint, or the reason for refusal
+//   OverloadEvidence                  what a refusal for overload is based on
 //   FleetPlacement                    the placement state of one host
 
 #pragma once
@@ -192,10 +193,22 @@
   auto operator<=>(const PlacementTarget&) const = default;
 };
 
+// What a refusal for overload was decided by.
+struct OverloadEvidence {
+  int64_t endpoints = 0;      // that may run the request
+  Duration soonest{};         // until the first byte, at the soonest of them
+  Duration queue{};           // of that, in the queue of the best one
+  int64_t requests = 0;       // of this host, in progress at them
+  int64_t peer_requests = 0;  // of other hosts, by their last reports
+
+  auto operator<=>(const OverloadEvidence&) const = default;
+};
+
 // Why a request is refused, and after how long the caller may retry.
 struct PlacementRefusal {
   std::string reason;
   Duration retry_after{};
+  std::optional<OverloadEvidence> overload;
 
   auto operator<=>(const PlacementRefusal&) const = default;
 };
@@ -377,6 +390,9 @@
   // Rate estimates of a service's engines.
   const EnginePace& Pace(const ServiceId& service) const;
 
+  // Estimated duration of a plain service's call, in seconds.
+  double PlainSeconds(const ServiceId& service) const;
+
   // Rate estimates measured on this host, for hosts that have just started, and
   // adoption of those that another host measured.
   PaceByService OwnPace() const;
@@ -492,7 +508,8 @@
   bool IsUnavailable(const EndpointId& endpoint) const;
   void UpdatePace(Instant now, const Work& work, State& state);
   void UpdateSlowness(Instant now, const Work& work, State& state);
-  double PlainSeconds(const ServiceId& service) const;
+  OverloadEvidence EvidenceOf(const std::vector<ScoredEndpoint>& weighed,
+                              const ScoredEndpoint& best) const;
 
   PlacementOptions options;
   EndpointRates rates;
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -162,7 +162,7 @@
   for (const auto& [id, service] : this->configuration->services) {
     for (const std::string_view name :
          {"retries_granted_total", "retries_refused_total",
-          "retries_returned_total"}) {
+          "retries_returned_total", "overload_refusals_total"}) {
       this->metrics->Add(name, 0, {{"service", id.Text()}});
     }
     this->metrics->Add("service_cut_offs_total", 0, {{"service", id.Text()}});
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -527,6 +527,25 @@
                     {"retry_after_ms", MillisecondsText(refused.retry_after)}});
 }
 
+void RelayedRequest::LogOverloaded(const PlacementRefusal& refused) {
+  this->relay->metrics->Add("overload_refusals_total", 1,
+                            {{"service", this->service.Text()}});
+  if (!refused.overload) {
+    return;
+  }
+  const OverloadEvidence& found = *refused.overload;
+  this->relay->Log(LogLevel::kInfo, this->request.id,
+                   "No endpoint is expected to answer in time.",
+                   {{"service", this->service.Text()},
+                    {"endpoints", std::to_string(found.endpoints)},
+                    {"soonest_ms", MillisecondsText(found.soonest)},
+                    {"queue_ms", MillisecondsText(found.queue)},
+                    {"left_ms", MillisecondsText(this->Left())},
+                    {"requests", std::to_string(found.requests)},
+                    {"peer_requests", std::to_string(found.peer_requests)},
+                    {"retry_after_ms", MillisecondsText(refused.retry_after)}});
+}
+
 // The properties of the request as it is now.
 RequestProfile RelayedRequest::Profile() const {
   RequestProfile profile = this->shape;
@@ -646,9 +665,12 @@
       return;
     }
     this->LogNoEndpointOfOrigin();
-  } else if (refused.reason == kOverloaded && this->MayQueue()) {
-    this->WaitForRoom(refused.retry_after);
-    return;
+  } else if (refused.reason == kOverloaded) {
+    if (this->MayQueue()) {
+      this->WaitForRoom(refused.retry_after);
+      return;
+    }
+    this->LogOverloaded(refused);
   }
   this->RefusePlacement(refused.reason, refused.retry_after);
 }
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -147,6 +147,7 @@
   void EndWait();
   std::string WaitedText() const;
   void LogOverRates(const PlacementRefusal& refused);
+  void LogOverloaded(const PlacementRefusal& refused);
   bool AwaitRunCheck(const EndpointId& id, const std::function<void()>& again);
   bool PassOnIfListIsOld();
   void LogNoEndpointOfOrigin();
