Refuse by an estimate only where a request would wait

Cause: FleetPlacement refuses a request that has less time left than the estimated time of an answer. Only answers to requests that are sent move the estimates, so an estimate above what callers allow stays for good. Stalls, calls of a slower route or the standing still of the host itself put it there; by then no request is needed to keep it.

Change: a request is refused as too late only if it would wait behind others at every endpoint. An endpoint with a free slot, or an engine with no prompt in its queue, takes it, and its answer corrects the estimate. The limits on queues stay.

--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -483,10 +483,9 @@
   const double missed_tokens =
       static_cast<double>(std::max<int64_t>(new_tokens - own, 0));
   const bool is_prefill = state.endpoint.role == EndpointRole::kPrefill;
-  const double queue_seconds =
-      static_cast<double>(state.queued_tokens +
-                          this->PeerWork(id).prompt_tokens) /
-      rate;
+  const int64_t queued_tokens =
+      state.queued_tokens + this->PeerWork(id).prompt_tokens;
+  const double queue_seconds = static_cast<double>(queued_tokens) / rate;
   const double prefill_seconds =
       queue_seconds + static_cast<double>(new_tokens) / rate;
   const double seconds =
@@ -510,7 +509,8 @@
           .queue_seconds = queue_seconds,
           .new_tokens = new_tokens,
           .copied_tokens = copied,
-          .is_prefill = is_prefill};
+          .is_prefill = is_prefill,
+          .waits = queued_tokens > 0};
 }
 
 // Adds a penalty for each engine's rank in the weighted rendezvous order of the
@@ -584,6 +584,7 @@
                                  ? this->loads.Requests(now, id, counted)
                                  : counted;
   const double seconds = call_seconds * (1 + std::floor(outstanding / slots));
+  const bool is_full = outstanding / slots > this->options.plain_queue_per_slot;
   // On a contended service the endpoints' call times differ, and the queue may
   // not exceed what the request's class may cause.
   const bool contended = this->IsContended(shape.service);
@@ -593,10 +594,10 @@
   return {.endpoint = id,
           .score = own_seconds + call_seconds * outstanding / slots +
                    this->Penalty(state, shape),
-          .seconds = outstanding / slots > this->options.plain_queue_per_slot
-                         ? ToSeconds(shape.max_first_byte_wait) + seconds
-                         : seconds,
-          .queue_seconds = queue_seconds};
+          .seconds = is_full ? ToSeconds(shape.max_first_byte_wait) + seconds
+                             : seconds,
+          .queue_seconds = queue_seconds,
+          .waits = is_full || outstanding >= slots};
 }
 
 const FleetPlacement::ScoredEndpoint& FleetPlacement::BestOf(
@@ -604,15 +605,19 @@
   return *std::ranges::min_element(weighed, {}, &ScoredEndpoint::score);
 }
 
-// Refuses a request that no endpoint can answer in time, or whose queueing time
-// would make every queued request late.
+// Refuses a request that would be answered too late behind others at every
+// endpoint, or whose queueing time would make every queued request late. Where
+// it needn't wait it isn't refused: only the answers to requests that are sent
+// correct the estimate.
 std::optional<PlacementRefusal> FleetPlacement::RefuseIfTooLate(
     const RequestProfile& shape,
     const std::vector<ScoredEndpoint>& weighed,
     const ScoredEndpoint& best) const {
+  const bool waits = std::ranges::all_of(weighed, &ScoredEndpoint::waits);
   const double soonest =
       std::ranges::min(weighed, {}, &ScoredEndpoint::seconds).seconds;
-  const double excess_latency = soonest - ToSeconds(shape.max_first_byte_wait);
+  const double excess_latency =
+      waits ? soonest - ToSeconds(shape.max_first_byte_wait) : 0;
   const double excess_queueing =
       shape.in_progress
           ? 0
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -449,6 +449,7 @@
     int64_t new_tokens = 0;
     int64_t copied_tokens = 0;
     bool is_prefill = false;
+    bool waits = false;  // the request would wait for others there
   };
 
   bool IsExcluded(Instant now,
