Count requests in progress at an endpoint that is listed again

An endpoint missing in one list (its record had lapsed) came back with no requests; those still in progress then ended below zero, so the endpoint looked emptier than idle for as long as it lived and drew the requests of its service. Its requests are counted anew from those in progress when it is listed.

--- a/packages/decisions/fleet_placement.cc
+++ b/packages/decisions/fleet_placement.cc
@@ -133,6 +133,7 @@
     State& state = this->states[id];
     if (state.endpoint.run != endpoint.run) {
       state = State{};
+      this->CountWork(endpoint.run, state);
     }
     state.endpoint = endpoint;
   }
@@ -140,6 +141,17 @@
   this->loads.SetEndpoints(endpoints);
 }
 
+// Requests go on while their endpoint is missing in a list, and end after it is
+// listed again.
+void FleetPlacement::CountWork(const EndpointRun& run, State& state) const {
+  for (const auto& [id, work] : this->works) {
+    if (work.endpoint == run.id && work.started == run.started) {
+      ++state.running;
+      state.queued_tokens += work.prefilled ? 0 : work.sent_work.new_tokens;
+    }
+  }
+}
+
 void FleetPlacement::SetServiceParameters(const ServiceId& service,
                                           const ServiceParameters& share) {
   this->service_parameters[service] = share;
--- a/packages/decisions/fleet_placement.h
+++ b/packages/decisions/fleet_placement.h
@@ -452,6 +452,7 @@
     bool waits = false;  // the request would wait for others there
   };
 
+  void CountWork(const EndpointRun& run, State& state) const;
   bool IsExcluded(Instant now,
                   const State& state,
                   const RequestProfile& shape) const;
--- a/tests/refusal_end_test.cc
+++ b/tests/refusal_end_test.cc
@@ -143,6 +143,22 @@
   CHECK(IsPlaced(placement, 1, Prompt(1, 30000, 500)));
 }
 
+// Guards against counts of requests that stay wrong after an endpoint was
+// missing in one list: those in progress end after it is listed again.
+TEST(RefusalEnd, AnEndpointListedAgainKeepsTheCountOfItsRequests) {
+  FleetPlacement placement = MakePlacement(Three(EndpointRole::kDecode, 32));
+  const RequestProfile prompt = Prompt(1, 80, 140);
+  const WorkId work =
+      placement.OnSent(At(1), Numbered(0), prompt, {.new_tokens = 140});
+  FleetEndpoints without = Three(EndpointRole::kDecode, 32);
+  without.erase(Numbered(0));
+  placement.SetEndpoints(without);
+  placement.SetEndpoints(Three(EndpointRole::kDecode, 32));
+  LONGS_EQUAL(1, placement.Running(Numbered(0)));
+  placement.OnEnded(At(2), work);
+  LONGS_EQUAL(0, placement.Running(Numbered(0)));
+}
+
 // Guards against a lost scheduler whose last report keeps endpoints full.
 TEST(RefusalEnd, ALostHostsRequestsNoLongerFillEndpoints) {
   FleetPlacement placement = MakePlacement(Three(EndpointRole::kPlain, 6));
