A head that ends early is no answer of the stand-alone gateway

Relay hosts don't: Http1Parser::Finish fails within a head (answer_end_test, kClosedInHead). The stand-alone gateway did: libsoup takes a head that the close cut behind a line for a whole one without a length.

The head of an answer without a length is reported with its first byte of body, and without a body the exchange ends as reset.

Tests that failed before: http_test AHeadThatEndsEarlyIsNoAnswer (all prefixes of two answers), gateway_test AnswersNoSuccessForAHeadThatEndsEarly (200, now 502).

--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -283,7 +283,7 @@
     return;
   }
   this->RecordProgress(this->timeouts.between_bytes);
-  HttpResponseHead head;
+  HttpResponseHead& head = this->head;
   head.status = static_cast<int>(soup_message_get_status(this->message.get()));
   head.headers =
       CopyHeaders(soup_message_get_response_headers(this->message.get()));
@@ -294,12 +294,20 @@
                          ? this->outgoing.answer_limits.stated
                          : this->outgoing.answer_limits.other;
   const auto self = this->shared_from_this();
-  if (this->events.on_head) {
-    this->events.on_head(head);
+  // libsoup takes a head that the peer's close cut behind a line for a whole
+  // one. Without a length, only a body shows that the head was whole.
+  if (!head.until_close) {
+    this->ReportHead();
   }
   this->ReadMore();
 }
 
+void HttpExchange::ReportHead() {
+  if (!std::exchange(this->head_reported, true) && this->events.on_head) {
+    this->events.on_head(this->head);
+  }
+}
+
 void HttpExchange::ReadMore() {
   if (this->over || this->paused || this->reading) {
     return;
@@ -337,6 +345,8 @@
               end == HttpEnd::kComplete ? "" : "the end marker is missing");
     return;
   }
+  const auto self = this->shared_from_this();
+  this->ReportHead();
   this->RecordProgress(this->timeouts.between_bytes);
   this->body_bytes += size;
   if (this->body_bytes > this->body_limit) {
@@ -359,7 +369,7 @@
   switch (soup_message_headers_get_encoding(
       soup_message_get_response_headers(this->message.get()))) {
     case SOUP_ENCODING_EOF:
-      return HttpEnd::kNoEndMarker;
+      return this->head_reported ? HttpEnd::kNoEndMarker : HttpEnd::kReset;
     case SOUP_ENCODING_CHUNKED:
       return this->pool->connections.ClosedByPeer(
                  soup_message_get_connection_id(this->message.get()))
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -79,7 +79,7 @@
 // How an exchange ended.
 enum class HttpEnd {
   kComplete,     // complete: declared length reached, or last chunk received
-  kNoEndMarker,  // closed in order; the body may be truncated
+  kNoEndMarker,  // closed in order behind a body, which may be truncated
   kNotSent,      // no byte was sent
   kReset,        // the connection was lost after bytes were sent
   kTimedOut,     // timed out without progress after bytes were sent
@@ -169,6 +169,7 @@
   void TakeHead(GAsyncResult* result);
   void TakeBytes(GAsyncResult* result);
   void ReadMore();
+  void ReportHead();
   void End(HttpEnd end, const std::string& detail);
   void EndByError(const GError& error);
   void RecordProgress(Duration limit);
@@ -192,6 +193,8 @@
   uint64_t informational_bytes = 0;  // of 1xx heads
   uint64_t body_limit = 0;
   uint64_t body_bytes = 0;
+  HttpResponseHead head;
+  bool head_reported = false;  // to the owner
   bool sending = false;
   bool own_connection = false;  // not a reused connection
   bool has_retried = false;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -433,6 +433,22 @@
   STRCMP_EQUAL("", answer.Header("Content-Length").c_str());
 }
 
+// Guards against a 200 without a body for an answer whose head was cut.
+TEST(Gateway, AnswersNoSuccessForAHeadThatEndsEarly) {
+  RawServer service([](RawSocket& socket, int) {
+    const std::string request = socket.ReadUntil("\r\n\r\n");
+    const std::string name = "X-Request-Id: ";
+    const size_t from = request.find(name);
+    socket.Write("HTTP/1.1 200 OK\r\n" +
+                 request.substr(from, request.find("\r\n", from) + 2 - from));
+  });
+  GatewayBed bed;
+  bed.AddPlain("p1", service.Address());
+  const CallerAnswer answer =
+      bed.caller.Send(bed.Outgoing("GET", "/services/filing/petitions/1"));
+  LONGS_EQUAL(502, answer.status);
+}
+
 // Guards against an orderly close after such an answer was truncated.
 TEST(Gateway, ResetsACallerWhoseAnswerWithoutLengthIsTruncated) {
   FakePlainService service;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
 #include <future>
 #include <string>
 
@@ -20,6 +21,40 @@
   std::string body;
 };
 
+// Heads of answers that end with their connections.
+const std::array<std::string, 2> kAnswersWithoutLength = {
+    "HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Type: text/plain\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\nX-A: 1\r\n\r\nHTTP/1.1 200 OK\r\nX-B: "
+    "1\r\n\r\n"};
+
+// Sends a request to a server with a client of its own.
+Outcome SendTo(const SocketAddress& address, HttpClientRequest outgoing) {
+  Task task("client");
+  std::unique_ptr<HttpClient> client;
+  task.Call([&] { client = std::make_unique<HttpClient>(); });
+  outgoing.address = address;
+  Outcome outcome;
+  std::promise<void> done;
+  task.Post([&] {
+    client->Send(
+        std::move(outgoing),
+        {.on_head =
+             [&](const HttpResponseHead& head) {
+               outcome.status = head.status;
+               outcome.headers = head.headers;
+             },
+         .on_bytes = [&](std::string_view bytes) { outcome.body += bytes; },
+         .on_end =
+             [&](HttpEnd end, const std::string&) {
+               outcome.end = end;
+               done.set_value();
+             }});
+  });
+  done.get_future().wait();
+  task.Call([&] { client.reset(); });
+  return outcome;
+}
+
 // A server and a client, each on its own task.
 struct Pair {
   explicit Pair(HttpServer::Handler handler, HttpServerOptions options = {}) {
@@ -114,6 +149,31 @@
   CHECK(pair.Send({}).end == HttpEnd::kReset);
 }
 
+// Guards against a head that ends early with its connection and passes for a
+// whole answer without a body.
+TEST(Http, AHeadThatEndsEarlyIsNoAnswer) {
+  for (const std::string& answer : kAnswersWithoutLength) {
+    for (size_t size = 0; size < answer.size(); ++size) {
+      RawServer server([&](RawSocket& socket, int) {
+        socket.ReadUntil("\r\n\r\n");
+        socket.Write(answer.substr(0, size));
+      });
+      const Outcome outcome = SendTo(server.Address(), {});
+      CHECK(outcome.end != HttpEnd::kComplete);
+      CHECK(outcome.end != HttpEnd::kNoEndMarker);
+      LONGS_EQUAL(0, outcome.status);
+    }
+    RawServer server([&](RawSocket& socket, int) {
+      socket.ReadUntil("\r\n\r\n");
+      socket.Write(answer + "body");
+    });
+    const Outcome whole = SendTo(server.Address(), {});
+    CHECK(whole.end == HttpEnd::kNoEndMarker);
+    LONGS_EQUAL(200, whole.status);
+    STRCMP_EQUAL("body", whole.body.c_str());
+  }
+}
+
 // -- Limits ------------------------------------------------------------------
 
 namespace {
