Forget crashes of endpoints whose processes go on

Cause: connections that break count as the crash of their endpoint. When a zone was cut off by resets, all lost runs shared one common part, and hosts blocked it. A block ends with an answer or with its age; while all hosts refuse, there is no answer, and restarted hosts read the block from the store.

Class: a refusal that only a passing request can end.

Change: while something is blocked, hosts ask the endpoints that the block names, if the list still has them as the same run, when their process started. One that states the same start 2 s or more after a crash has not crashed; the crash and later reports of it don't count.

crash_relay_test UnblocksARequestWhoseEndpointsHaveNotCrashed failed before (503 after 5 s); KeepsARequestBlockedWhoseEndpointsCrashed guards the other side.

--- a/packages/decisions/suspects.cc
+++ b/packages/decisions/suspects.cc
@@ -144,6 +144,35 @@
   this->Evaluate();
 }
 
+bool Suspects::OnAlive(Instant now, const EndpointRun& run, Instant at) {
+  this->Expire(now);
+  Instant& until = this->alive_until[run];
+  until = std::max(until, at - this->options.survival_time);
+  const size_t before = this->crashes.size();
+  const auto survived = [&](const auto& crash) {
+    return crash.crashed.endpoint == run && crash.time <= until;
+  };
+  this->RemoveCrashesIf(survived);
+  std::erase_if(this->new_crashes, survived);
+  if (this->crashes.size() == before) {
+    return false;
+  }
+  this->Evaluate();
+  return true;
+}
+
+std::set<EndpointRun> Suspects::BlockingCrashes(Instant now) const {
+  std::set<EndpointRun> found;
+  for (const auto& [cause, block] : this->blocks) {
+    for (const Crash* crash : this->CrashesWith(cause)) {
+      if (crash->time + this->options.survival_time <= now) {
+        found.insert(crash->crashed.endpoint);
+      }
+    }
+  }
+  return found;
+}
+
 Suspects::Crash& Suspects::FindOrAdd(const CrashedEndpoint& crash,
                                      Instant time) {
   auto found = std::ranges::find_if(this->crashes, [&](const auto& known) {
@@ -186,6 +215,10 @@
                      Instant time,
                      const std::vector<LostRun>& runs,
                      bool own) {
+  if (const auto known = this->alive_until.find(crash.endpoint);
+      known != this->alive_until.end() && time <= known->second) {
+    return false;
+  }
   std::vector<LostRun> added;
   std::ranges::copy_if(
       runs, std::back_inserter(added), [&](const LostRun& run) {
@@ -350,6 +383,8 @@
   std::erase_if(this->answered, [oldest](const auto& entry) {
     return entry.second.sent < oldest;
   });
+  std::erase_if(this->alive_until,
+                [oldest](const auto& entry) { return entry.second < oldest; });
 }
 
 // --- Answers ----------------------------------------------------------------
--- a/packages/decisions/suspects.h
+++ b/packages/decisions/suspects.h
@@ -25,7 +25,9 @@
 //
 // A block ends with an answer, with the age of its crashes, or if another block
 // explains all of them; a part is explained only by one with more crashes. So
-// two causes that crash endpoints together don't release each other.
+// two causes that crash endpoints together don't release each other. It also
+// ends if the endpoints turn out not to have crashed: while all hosts refuse
+// what is blocked, no answer could show that it is sound.
 //
 // Reports of other hosts are merged by endpoint run, so it doesn't matter in
 // which order, how often or over which host they arrive.
@@ -87,6 +89,9 @@
   // A part isn't blocked sooner after its first crash if there were crashes
   // without it.
   Duration settle_time = std::chrono::seconds(1);
+  // An endpoint run that is alive this long after a crash has not crashed. A
+  // process that replaces it is in the endpoint list by then.
+  Duration survival_time = std::chrono::seconds(2);
   // Greatest probability that this many runs in succession are lost by chance.
   double chance = 1e-5;
   size_t max_crashes = 128;             // records kept, the newest
@@ -214,6 +219,15 @@
   // Forgets crashes that were losses of this host's own links.
   void Withdraw(Instant now, const std::vector<CrashedEndpoint>& lost);
 
+  // Records that an endpoint run was alive at a time: it had not crashed
+  // `survival_time` before, though connections to it broke. Returns whether a
+  // crash is forgotten. Later reports of such crashes are ignored.
+  bool OnAlive(Instant now, const EndpointRun& run, Instant at);
+
+  // The endpoint runs whose crashes block causes, and that may turn out to be
+  // alive.
+  std::set<EndpointRun> BlockingCrashes(Instant now) const;
+
   // Records that the answer of a run has begun and gone on for some time: the
   // parts of its prompt are not the cause of crashes before it was sent. Call
   // once for each run, also if it is answered at once. Returns whether a part
@@ -399,6 +413,8 @@
   std::set<CrashCause> frequent;  // with enough crashes to be blocked
   std::map<CrashCause, Answers> answered;
   std::deque<Instant> went_well;  // when runs of this host were sent
+  // Until when connections that broke are known not to be crashes.
+  std::map<EndpointRun, Instant> alive_until;
   std::map<HostId, std::map<uint64_t, PeerEntry>> peers;
   int64_t begun = 0;  // runs of this host that went well, ever
   Blocks blocks;
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -215,6 +215,7 @@
   const int64_t number = ++this->last_run_check;
   RunCheck& check = this->run_checks[number];
   check.address = address;
+  check.began = now;
   check.timer = Timer::After(kRunCheckTimeout, [this, number] {
     this->run_checks.at(number).call->Cancel();
     this->OnRunChecked(number, HttpEnd::kTimedOut);
@@ -244,13 +245,31 @@
 // Streams avoid an endpoint whose run is in doubt, so no request would find out
 // whether it is the listed one.
 void FleetRelay::CheckDoubtedRuns() {
-  const Instant now = this->clock->Now();
   for (const SocketAddress& address : this->runs.Doubted()) {
     const auto id = this->endpoints_by_address.find(address);
-    Instant& next = this->next_doubt_check[address];
-    if (id != this->endpoints_by_address.end() && now >= next) {
-      next = now + kDoubtCheckPeriod;
-      this->CheckRun(this->endpoints.at(id->second));
+    if (id != this->endpoints_by_address.end()) {
+      this->CheckRunIfDue(this->endpoints.at(id->second));
+    }
+  }
+}
+
+void FleetRelay::CheckRunIfDue(const FleetEndpoint& endpoint) {
+  const Instant now = this->clock->Now();
+  Instant& next = this->next_doubt_check[endpoint.address];
+  if (now >= next) {
+    next = now + kDoubtCheckPeriod;
+    this->CheckRun(endpoint);
+  }
+}
+
+// Finds out whether the endpoints that requests are refused for have crashed,
+// or only their connections broke. No request would find out.
+void FleetRelay::CheckBlockingCrashes() {
+  for (const EndpointRun& run :
+       this->suspects.BlockingCrashes(this->clock->Now())) {
+    const auto found = this->endpoints.find(run.id);
+    if (found != this->endpoints.end() && found->second.run == run) {
+      this->CheckRunIfDue(found->second);
     }
   }
 }
@@ -268,6 +287,14 @@
     this->runs.OnStated(check.address, *connection, *started);
   }
   const Instant now = this->clock->Now();
+  const auto id = this->endpoints_by_address.find(check.address);
+  if (started && id != this->endpoints_by_address.end() &&
+      this->suspects.OnAlive(now, {.id = id->second, .started = *started},
+                             check.began)) {
+    LogInfo(kPart, "Endpoint has not crashed: its process goes on.",
+            {{"endpoint", id->second.Text()}});
+    this->OnSuspectsChanged();
+  }
   if (!started || this->runs.InDoubt(now, check.address)) {
     this->next_run_check[check.address] = now + kRunCheckPeriod;
   }
@@ -413,6 +440,7 @@
     this->pool.Probe(this->endpoints.at(id).address);
   }
   this->CheckDoubtedRuns();
+  this->CheckBlockingCrashes();
   const std::vector<ReachChange> changes = this->reach.TakeChanges();
   for (const ReachChange& change : changes) {
     this->OnReachChange(change);
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -325,6 +325,7 @@
   // A call that asks an endpoint's process which run it is.
   struct RunCheck {
     SocketAddress address;
+    Instant began{};
     EndpointExchangePtr call;
     std::unique_ptr<Timer> timer;
     int status = 0;
@@ -344,6 +345,8 @@
   bool CheckRun(const FleetEndpoint& endpoint);
   bool IsChecked(const SocketAddress& address) const;
   void CheckDoubtedRuns();
+  void CheckBlockingCrashes();
+  void CheckRunIfDue(const FleetEndpoint& endpoint);
   void OnRunChecked(int64_t check, HttpEnd end);
   void OnReachChange(const ReachChange& change);
   bool IsCommonLoss(const PendingCrash& crash) const;
