Count what a relay host holds for others against one budget

What callers saw: a crowd of clients ended a host, which ran out of memory.

Cause: each body, answer and connection had a bound of its own, and nothing bounded their sum. A whole body stood in memory three times: as the caller's message, as the relay's copy and as unsent bytes of the endpoint's socket. Each caller's socket could hold 32 MiB of an answer, and sockets that close after the last byte were counted by nobody. A failed accept was repeated at once.

Change: ResourceBudget counts bytes and descriptors of all holdings, with limits from the machine (settings [machine], which the template fills in, or the operating system). When it is exceeded, the holding with the most byte-seconds whose length of stay is the other side's yields: an incomplete request gets 503 with Retry-After, a reader that doesn't keep up is disconnected, a silent or idle connection is closed. Requests in work never yield, and leave a quarter of the budget to small ones. So a newcomer, which has no age, finds room while others hold much for long. A body is held once and shared. Sockets write from blocks, so sending a long answer to a slow reader moves no bytes. After 32 pipelined requests other connections get their turn; a caller that reads none of its answers is not read from. A listener pauses after a failed accept.

--- a/packages/daemon/program/main.cc
+++ b/packages/daemon/program/main.cc
@@ -2,6 +2,7 @@
 
 #include <glib-unix.h>
 #include <glib.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -43,6 +44,16 @@
   return options;
 }
 
+// Allocations from this size on are returned to the kernel when they are freed.
+// By default that size grows with what was freed, and the heap keeps bodies.
+constexpr int kMappedAllocationBytes = 128 << 10;
+
+void ReturnFreedMemory() {
+#ifdef __GLIBC__
+  mallopt(M_MMAP_THRESHOLD, kMappedAllocationBytes);
+#endif
+}
+
 template <typename Interface>
 void PrintPlugins() {
   std::cout << Interface::kPluginKind << ':';
@@ -222,6 +233,7 @@
 }  // namespace hickorystand
 
 int main(int argc, char** argv) {
+  hickorystand::ReturnFreedMemory();
   auto options = hickorystand::CommandLine();
   try {
     const auto arguments = options.parse(argc, argv);
--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -84,12 +84,17 @@
     : settings(std::move(settings)),
       clock(&clock),
       stopped(std::move(stopped)),
-      ready_server([this](const CallerExchangePtr& exchange) {
-        this->AnswerReady(exchange);
-      }),
-      metrics_server([this](const CallerExchangePtr& exchange) {
-        this->AnswerMetrics(exchange);
-      }) {}
+      resources(this->settings.held, clock, this->metrics),
+      ready_server(
+          [this](const CallerExchangePtr& exchange) {
+            this->AnswerReady(exchange);
+          },
+          &this->resources),
+      metrics_server(
+          [this](const CallerExchangePtr& exchange) {
+            this->AnswerMetrics(exchange);
+          },
+          &this->resources) {}
 
 RelayDaemon::~RelayDaemon() = default;
 
@@ -146,7 +151,8 @@
                             OnStoredOrigin found) {
                        this->FindStoredOrigin(route, first_attempt,
                                               std::move(found));
-                     }});
+                     }},
+      &this->resources);
   this->MakeSource();
   this->MakeDuties();
   this->MakeForwarding();
@@ -230,7 +236,8 @@
       send,
       [this](const CallerExchangePtr& caller, const RequestOrigin& origin) {
         this->relay->Serve(caller, origin);
-      });
+      },
+      &this->resources);
 }
 
 void RelayDaemon::MakeLimits() {
@@ -807,7 +814,8 @@
                    .zone = this->settings.zone,
                    .capacity = this->settings.capacity},
           .seed = static_cast<uint64_t>(this->clock->WallMilliseconds()),
-          .first_start = this->settings.first_start},
+          .first_start = this->settings.first_start,
+          .budget = &this->resources},
       *this->clock, *this->store,
       FleetPeersHandlers{
           .make_digest = [this] { return this->MakeDigest(); },
@@ -897,6 +905,7 @@
   if (const auto age = this->relay->ProofAge()) {
     this->metrics.Set("configuration_proof_age_seconds", ToSeconds(*age));
   }
+  this->resources.Report();
   this->limits->SetMetrics();
   this->streams->SetMetrics();
   this->metrics.Set("retry_share", this->relay->RetryShare());
--- a/packages/daemon/relay_daemon.h
+++ b/packages/daemon/relay_daemon.h
@@ -116,6 +116,7 @@
   const Clock* clock;
   std::function<void()> stopped;
   Metrics metrics;
+  ResourceBudget resources;
   std::unique_ptr<MessageCodec> codec;
   std::unique_ptr<FleetRecords> records;
   std::unique_ptr<KeyValueStore> store;
--- a/packages/daemon/relay_settings.cc
+++ b/packages/daemon/relay_settings.cc
@@ -4,8 +4,11 @@
 #include <array>
 #include <cmath>
 #include <fstream>
+#include <iterator>
 #include <utility>
 
+#include "daemon/machine_settings.h"
+
 namespace hickorystand {
 namespace {
 
@@ -226,6 +229,8 @@
 constexpr std::array kFixedSettings = {
     FixedSetting{"relay.id", &Differs<&RelayHostSettings::host>},
     FixedSetting{"relay.zone", &Differs<&RelayHostSettings::zone>},
+    FixedSetting{"machine", &Differs<&RelayHostSettings::machine>},
+    FixedSetting{"budget", &Differs<&RelayHostSettings::held>},
     FixedSetting{"relay.processor_share",
                  &Differs<&RelayHostSettings::capacity>},
     FixedSetting{"relay.adapter", &Differs<&RelayHostSettings::adapter>},
@@ -250,7 +255,9 @@
 }  // namespace
 
 Result<RelayHostSettings> LoadRelaySettings(const std::string& path) {
-  const auto from = Settings::Load(path, Rules());
+  std::vector<SettingRule> rules = Rules();
+  std::ranges::move(MachineSettingRules(), std::back_inserter(rules));
+  const auto from = Settings::Load(path, rules);
   if (!from) {
     return tl::unexpected(from.error());
   }
@@ -264,6 +271,8 @@
       .ready = address("listen", "ready"),
       .metrics = address("listen", "metrics"),
       .peers = address("listen", "peers"),
+      .machine = ReadMachine(*from),
+      .held = ReadHeldLimits(*from),
       .capacity =
           std::llround(from->Share("relay", "processor_share") * kThousandths),
       .first_start = from->Flag("relay", "first_start"),
--- a/packages/daemon/relay_settings.h
+++ b/packages/daemon/relay_settings.h
@@ -26,6 +26,8 @@
   SocketAddress ready;
   SocketAddress metrics;
   SocketAddress peers;
+  MachineLimits machine;     // as stated by the platform
+  ResourceLimits held;       // what the host may hold for others
   int64_t capacity = 0;      // processor, thousandths of a core
   bool first_start = false;  // of the whole fleet: no earlier duty holder
   std::string adapter;       // name of the plug-ins for this platform
--- a/packages/http/stream_socket.cc
+++ b/packages/http/stream_socket.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -17,6 +18,16 @@
 // which the client resends only after a second.
 constexpr int kBacklog = 512;
 
+// Bytes of a connection's own objects.
+constexpr size_t kConnectionBytes = size_t{4} << 10;
+
+// Written bytes are copied into blocks of this size, so that sent ones are
+// freed and none is moved.
+constexpr size_t kOutputBlock = size_t{256} << 10;
+
+// How long accepting pauses after it has failed.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+
 // How long to wait for the peer to close its side once all bytes are sent.
 constexpr Duration kCloseLimit = std::chrono::seconds(1);
 
@@ -55,8 +66,56 @@
   g_source_unref(source);
 }
 
-StreamSocket::StreamSocket(ObjectPtr<GSocket> socket, StreamEvents events)
-    : socket(std::move(socket)), events(std::move(events)) {}
+void OutputQueue::Append(std::string_view bytes) {
+  this->size += bytes.size();
+  this->own_bytes += bytes.size();
+  while (!bytes.empty()) {
+    if (this->blocks.empty() || this->blocks.back().shared ||
+        this->blocks.back().copy.size() >= kOutputBlock) {
+      this->blocks.emplace_back();
+    }
+    std::string& last = this->blocks.back().copy;
+    const size_t fits = std::min(bytes.size(), kOutputBlock - last.size());
+    last += bytes.substr(0, fits);
+    bytes.remove_prefix(fits);
+  }
+}
+
+void OutputQueue::Append(SharedBytes bytes) {
+  if (bytes && !bytes->empty()) {
+    this->size += bytes->size();
+    this->blocks.push_back({.shared = std::move(bytes)});
+  }
+}
+
+std::string_view OutputQueue::Front() const {
+  return this->blocks.empty()
+             ? std::string_view()
+             : this->blocks.front().Bytes().substr(this->consumed);
+}
+
+void OutputQueue::Consume(size_t bytes) {
+  const Block& first = this->blocks.front();
+  this->size -= bytes;
+  this->own_bytes -= first.shared ? 0 : bytes;
+  this->consumed += bytes;
+  if (this->consumed == first.Bytes().size()) {
+    this->blocks.pop_front();
+    this->consumed = 0;
+  }
+}
+
+StreamSocket::StreamSocket(ObjectPtr<GSocket> socket,
+                           StreamEvents events,
+                           ResourceBudget* budget,
+                           HoldingState state)
+    : socket(std::move(socket)),
+      events(std::move(events)),
+      held_state(state),
+      holding(budget, state, [this] { this->Yield(); }) {
+  this->holding.SetDescriptors(1);
+  this->Count();
+}
 
 StreamSocket::~StreamSocket() {
   this->Close();
@@ -64,8 +123,10 @@
 
 StreamSocketPtr StreamSocket::Connect(const SocketAddress& address,
                                       Duration ack_timeout,
-                                      StreamEvents events) {
-  StreamSocketPtr made(new StreamSocket(MakeSocket(), std::move(events)));
+                                      StreamEvents events,
+                                      ResourceBudget* budget) {
+  StreamSocketPtr made(new StreamSocket(MakeSocket(), std::move(events), budget,
+                                        HoldingState::kInWork));
   made->state = State::kConnecting;
   const auto to = MakeAddress(address);
   GError* raw = nullptr;
@@ -90,10 +151,12 @@
 
 StreamSocketPtr StreamSocket::Adopt(ObjectPtr<GSocket> socket,
                                     Duration ack_timeout,
-                                    StreamEvents events) {
+                                    StreamEvents events,
+                                    ResourceBudget* budget) {
   g_socket_set_blocking(socket.get(), FALSE);
   SetTcpOptions(socket.get(), ack_timeout);
-  StreamSocketPtr made(new StreamSocket(std::move(socket), std::move(events)));
+  StreamSocketPtr made(new StreamSocket(std::move(socket), std::move(events),
+                                        budget, HoldingState::kSilent));
   made->WatchInput();
   return made;
 }
@@ -158,6 +221,9 @@
 }
 
 void StreamSocket::ReadSome() {
+  if (this->holding.RoomPending()) {
+    return;
+  }
   std::array<char, kReadBlock> block;
   GError* raw = nullptr;
   const gssize got = g_socket_receive(this->socket.get(), block.data(),
@@ -181,25 +247,67 @@
   if (this->state == State::kDisconnected || this->state == State::kClosing) {
     return;
   }
-  this->unsent += bytes;
+  this->unsent.Append(bytes);
+  this->SendQueued();
+}
+
+void StreamSocket::Write(SharedBytes bytes) {
+  if (this->state == State::kDisconnected || this->state == State::kClosing) {
+    return;
+  }
+  this->unsent.Append(std::move(bytes));
+  this->SendQueued();
+}
+
+void StreamSocket::SendQueued() {
   if (this->state == State::kOpen && !this->output) {
     this->Flush();
+  } else {
+    this->Count();
   }
 }
 
+void StreamSocket::SetHeld(HoldingState to, size_t bytes) {
+  this->held_state = to;
+  this->held_bytes = bytes;
+  this->Count();
+}
+
+void StreamSocket::Count() {
+  this->holding.SetState(this->unsent.OwnBytes() > 0 ? HoldingState::kSending
+                                                     : this->held_state);
+  this->holding.SetBytes(static_cast<int64_t>(
+      kConnectionBytes + this->held_bytes + this->unsent.OwnBytes()));
+}
+
+void StreamSocket::Yield() {
+  const auto keep = this->shared_from_this();
+  const HoldingState yielding = this->holding.State();
+  const auto call = this->events.on_yield;
+  if (call && yielding != HoldingState::kSending) {
+    call(yielding);
+    return;
+  }
+  this->Reset();
+  this->End(StreamEnd::kReset);
+}
+
 void StreamSocket::Flush() {
-  while (!this->unsent.empty()) {
+  while (this->unsent.Size() > 0) {
     GError* raw = nullptr;
-    const gssize sent = g_socket_send(this->socket.get(), this->unsent.data(),
-                                      this->unsent.size(), nullptr, &raw);
+    const std::string_view next = this->unsent.Front();
+    const gssize sent = g_socket_send(this->socket.get(), next.data(),
+                                      next.size(), nullptr, &raw);
     const ErrorPtr error(raw);
     if (sent < 0) {
       if (IsError(error, G_IO_ERROR_WOULD_BLOCK)) {
         this->WatchOutput();
+        this->Count();
       } else {
         // Data that the peer sent before the reset may still be readable; the
         // input source reports the end of the connection after it.
-        this->unsent.clear();
+        this->unsent.Clear();
+        this->Count();
         this->output.reset();
         this->WatchInput();
         this->StartCloseTimer();
@@ -207,8 +315,9 @@
       return;
     }
     this->any_sent = true;
-    this->unsent.erase(0, static_cast<size_t>(sent));
+    this->unsent.Consume(static_cast<size_t>(sent));
   }
+  this->Count();
   this->output.reset();
   if (this->state == State::kClosing) {
     g_socket_shutdown(this->socket.get(), FALSE, TRUE, nullptr);
@@ -235,6 +344,7 @@
   }
   this->state = State::kClosing;
   this->events = {};
+  this->SetHeld(HoldingState::kSending, 0);
   this->self = this->shared_from_this();
   this->Resume();
   if (!this->output) {
@@ -257,6 +367,9 @@
   if (this->socket) {
     g_socket_close(this->socket.get(), nullptr);
   }
+  this->unsent.Clear();
+  this->holding.SetDescriptors(0);
+  this->holding.SetBytes(0);
 }
 
 void StreamSocket::Reset() {
@@ -278,10 +391,12 @@
 
 Result<std::unique_ptr<Listener>> Listener::Open(
     const SocketAddress& address,
-    std::function<void(ObjectPtr<GSocket>)> on_accept) {
+    std::function<void(ObjectPtr<GSocket>)> on_accept,
+    ResourceBudget* budget) {
   std::unique_ptr<Listener> made(new Listener());
   made->socket = MakeSocket();
   made->on_accept = std::move(on_accept);
+  made->budget = budget;
   const auto at = MakeAddress(address);
   GError* raw = nullptr;
   if (made->socket) {
@@ -296,35 +411,58 @@
                     std::to_string(address.port) +
                     (error ? std::string(": ") + error->message : ""));
   }
-  made->source = g_socket_create_source(made->socket.get(), G_IO_IN, nullptr);
-  g_source_set_callback(
-      made->source,
-      reinterpret_cast<GSourceFunc>(  // NOLINT: how GLib types callbacks
-          reinterpret_cast<void (*)()>(&Listener::OnReady)),
-      made.get(), nullptr);
-  g_source_attach(made->source, g_main_context_get_thread_default());
+  made->Watch();
   return made;
 }
 
 Listener::~Listener() {
-  if (this->source != nullptr) {
-    g_source_destroy(this->source);
-    g_source_unref(this->source);
-  }
+  this->StopWatching();
   if (this->socket) {
     g_socket_close(this->socket.get(), nullptr);
   }
 }
 
-gboolean Listener::OnReady(GSocket* socket,
+void Listener::Watch() {
+  this->source = g_socket_create_source(this->socket.get(), G_IO_IN, nullptr);
+  g_source_set_callback(
+      this->source,
+      reinterpret_cast<GSourceFunc>(  // NOLINT: how GLib types callbacks
+          reinterpret_cast<void (*)()>(&Listener::OnReady)),
+      this, nullptr);
+  g_source_attach(this->source, g_main_context_get_thread_default());
+}
+
+void Listener::StopWatching() {
+  if (GSource* const watched = std::exchange(this->source, nullptr)) {
+    g_source_destroy(watched);
+    g_source_unref(watched);
+  }
+}
+
+gboolean Listener::OnReady(GSocket* /*socket*/,
                            GIOCondition /*condition*/,
                            gpointer data) {
-  auto* self = static_cast<Listener*>(data);
-  ObjectPtr<GSocket> accepted(g_socket_accept(socket, nullptr, nullptr));
+  static_cast<Listener*>(data)->Accept();
+  return G_SOURCE_CONTINUE;
+}
+
+void Listener::Accept() {
+  GError* raw = nullptr;
+  ObjectPtr<GSocket> accepted(
+      g_socket_accept(this->socket.get(), nullptr, &raw));
+  const ErrorPtr error(raw);
   if (accepted) {
-    self->on_accept(std::move(accepted));
+    this->on_accept(std::move(accepted));
+    return;
   }
-  return G_SOURCE_CONTINUE;
+  if (IsError(error, G_IO_ERROR_WOULD_BLOCK)) {
+    return;
+  }
+  if (this->budget != nullptr) {
+    this->budget->CountFailedAccept(error->message);
+  }
+  this->StopWatching();
+  this->pause = Timer::After(kAcceptPause, [this] { this->Watch(); });
 }
 
 }  // namespace hickorystand
--- a/packages/http/stream_socket.h
+++ b/packages/http/stream_socket.h
@@ -8,6 +8,7 @@
 // Index
 //   StreamEnd      how a connection ended
 //   StreamEvents   callbacks
+//   OutputQueue    written bytes that the kernel hasn't accepted
 //   StreamSocket   one connection
 //   Listener       accepts connections on an address
 
@@ -15,6 +16,7 @@
 
 #include <gio/gio.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,6 +24,7 @@
 
 #include "http/glib_ptr.h"
 #include "kernel/error.h"
+#include "kernel/resource_budget.h"
 #include "kernel/settings.h"
 #include "kernel/task.h"
 #include "kernel/time.h"
@@ -42,6 +45,45 @@
   std::function<void(std::string_view)> on_bytes;
   std::function<void()> on_drained;       // all written bytes were sent
   std::function<void(StreamEnd)> on_end;  // last, once
+  // Must free what the connection holds in this state. Without it, and while
+  // bytes are unsent, the connection is reset instead.
+  std::function<void(HoldingState)> on_yield = {};
+};
+
+// Written bytes, in the order of sending.
+class OutputQueue {
+ public:
+  // Appends a copy of the bytes, or the bytes themselves.
+  void Append(std::string_view bytes);
+  void Append(SharedBytes bytes);
+
+  // The bytes to send next; empty if there are none.
+  std::string_view Front() const;
+
+  // Removes the first bytes of Front().
+  void Consume(size_t bytes);
+  void Clear() { *this = {}; }
+
+  size_t Size() const { return this->size; }
+
+  // Bytes of copies, which nobody else counts.
+  size_t OwnBytes() const { return this->own_bytes; }
+
+ private:
+  // Either a copy or shared bytes.
+  struct Block {
+    std::string copy;
+    SharedBytes shared;
+
+    std::string_view Bytes() const {
+      return this->shared ? *this->shared : this->copy;
+    }
+  };
+
+  std::deque<Block> blocks;
+  size_t consumed = 0;  // of the first block
+  size_t size = 0;
+  size_t own_bytes = 0;
 };
 
 // One TCP connection. Destroying it closes it. Used only on the task on which
@@ -50,15 +92,19 @@
  public:
   // Starts to connect. `ack_timeout` limits how long sent bytes may stay
   // unacknowledged (TCP_USER_TIMEOUT); without it, a peer that disappears
-  // without a reset is not detected.
-  static std::shared_ptr<StreamSocket> Connect(const SocketAddress& address,
-                                               Duration ack_timeout,
-                                               StreamEvents events);
+  // without a reset is not detected. What the connection holds counts in
+  // `budget`, which may be null.
+  static std::shared_ptr<StreamSocket> Connect(
+      const SocketAddress& address,
+      Duration ack_timeout,
+      StreamEvents events,
+      ResourceBudget* budget = nullptr);
 
-  // Takes over an accepted connection.
+  // Takes over an accepted connection, from which nothing has arrived yet.
   static std::shared_ptr<StreamSocket> Adopt(ObjectPtr<GSocket> socket,
                                              Duration ack_timeout,
-                                             StreamEvents events);
+                                             StreamEvents events,
+                                             ResourceBudget* budget = nullptr);
 
   ~StreamSocket();
   StreamSocket(const StreamSocket&) = delete;
@@ -69,6 +115,11 @@
 
   // Queues bytes behind those written before, and sends what the kernel takes.
   void Write(std::string_view bytes);
+  void Write(SharedBytes bytes);
+
+  // What the owner holds for the connection besides unsent bytes, and who
+  // decides for how long. Unsent bytes make any state kSending.
+  void SetHeld(HoldingState state, size_t bytes);
 
   // Pause() stops reading, so that TCP flow control blocks the peer. Resume()
   // continues.
@@ -87,7 +138,7 @@
   void Reset();
 
   // Bytes written that the kernel has not accepted yet.
-  size_t Unsent() const { return this->unsent.size(); }
+  size_t Unsent() const { return this->unsent.Size(); }
 
   // Whether the kernel has accepted any byte.
   bool AnySent() const { return this->any_sent; }
@@ -101,7 +152,10 @@
   };
   using SourcePtr = std::unique_ptr<GSource, SourceDeleter>;
 
-  StreamSocket(ObjectPtr<GSocket> socket, StreamEvents events);
+  StreamSocket(ObjectPtr<GSocket> socket,
+               StreamEvents events,
+               ResourceBudget* budget,
+               HoldingState state);
   static gboolean OnReady(GSocket* socket,
                           GIOCondition condition,
                           gpointer self);
@@ -112,16 +166,22 @@
   void FinishConnect();
   void ReadSome();
   void Flush();
+  void SendQueued();
   void StartCloseTimer();
+  void Count();
+  void Yield();
   void End(StreamEnd end);
 
   ObjectPtr<GSocket> socket;
   StreamEvents events;
+  HoldingState held_state;
+  size_t held_bytes = 0;
+  Holding holding;
   State state = State::kOpen;
   SourcePtr input;
   SourcePtr output;
   SourcePtr failure;
-  std::string unsent;
+  OutputQueue unsent;
   bool any_sent = false;
   bool paused = false;
   std::shared_ptr<StreamSocket> self;  // set during CloseAfterWrite()
@@ -131,12 +191,14 @@
 using StreamSocketPtr = std::shared_ptr<StreamSocket>;
 
 // Listens on an address and passes each accepted connection to `on_accept`.
-// Destroying it stops listening.
+// Pauses after a failure, which is counted in `budget`: without descriptors the
+// next attempt fails too. Destroying it stops listening.
 class Listener {
  public:
   static Result<std::unique_ptr<Listener>> Open(
       const SocketAddress& address,
-      std::function<void(ObjectPtr<GSocket>)> on_accept);
+      std::function<void(ObjectPtr<GSocket>)> on_accept,
+      ResourceBudget* budget = nullptr);
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
@@ -147,9 +209,15 @@
                           GIOCondition condition,
                           gpointer self);
 
+  void Watch();
+  void StopWatching();
+  void Accept();
+
   ObjectPtr<GSocket> socket;
   GSource* source = nullptr;
   std::function<void(ObjectPtr<GSocket>)> on_accept;
+  ResourceBudget* budget = nullptr;
+  std::unique_ptr<Timer> pause;
 };
 
 }  // namespace hickorystand
--- a/packages/kernel/package.cmake
+++ b/packages/kernel/package.cmake
@@ -1,5 +1,6 @@
 add_package(kernel PkgConfig::GLIB nlohmann_json::nlohmann_json PkgConfig::XXHASH Boost::log Threads::Threads)
 add_unit_test(kernel_test SOURCES tests/kernel_test.cc LIBRARIES hs_kernel)
+add_unit_test(resource_budget_test SOURCES tests/resource_budget_test.cc LIBRARIES hs_kernel)
 add_unit_test(json_test SOURCES tests/json_test.cc LIBRARIES hs_kernel rapidcheck)
 if(NOT HICKORYSTAND_PROGRAMS_ONLY)
   set_tests_properties(json_test PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204")
--- a/packages/peers/session.cc
+++ b/packages/peers/session.cc
@@ -330,6 +330,10 @@
   if (this->Closed() || this->queued_bytes + payload.size() > kMaxQueuedBytes) {
     return false;
   }
+  if (this->options.budget != nullptr &&
+      !this->options.budget->MayTakeIntoWork(std::ssize(payload))) {
+    return false;
+  }
   ++this->traffic.frames_sent;
   this->last_sent = this->now;
   this->Queue(SealFrame(this->key,
@@ -370,6 +374,7 @@
       this->written = 0;
     }
   }
+  this->held.SetBytes(static_cast<int64_t>(this->queued_bytes));
   this->WatchWritable(!this->queue.empty());
 }
 
@@ -408,6 +413,7 @@
   }
   this->queue.clear();
   this->queued_bytes = 0;
+  this->held.SetBytes(0);
   if (this->handlers.on_closed) {
     this->handlers.on_closed(*this, reason);
   }
--- a/packages/peers/session.h
+++ b/packages/peers/session.h
@@ -32,6 +32,7 @@
 #include <vector>
 
 #include "kernel/error.h"
+#include "kernel/resource_budget.h"
 #include "kernel/settings.h"
 #include "kernel/time.h"
 #include "peers/frame.h"
@@ -39,7 +40,8 @@
 
 namespace hickorystand {
 
-// Limit on the bytes queued for one peer.
+// Limit on the bytes queued for one peer. Large messages are refused before
+// that if too much is in work (SessionOptions::budget).
 inline constexpr size_t kMaxQueuedBytes = 8UL * 1024 * 1024;
 
 // Configuration shared by all sessions of a host.
@@ -57,6 +59,8 @@
   // A heartbeat is sent when nothing else was for this long. It is longer than
   // the period of digests, which therefore serve as heartbeats.
   Duration heartbeat_period = std::chrono::milliseconds(2500);
+  // Counts what is queued; may be null.
+  ResourceBudget* budget = nullptr;
   // For tests: if false, the silence timeout is not applied.
   bool close_silent = true;
 };
@@ -163,6 +167,8 @@
   FrameReader reader{kMaxHelloFrameBytes};
   std::deque<std::string> queue;  // frames; the first may be partly written
   size_t queued_bytes = 0;
+  // What is queued.
+  Holding held{this->options.budget, HoldingState::kInWork};
   size_t written = 0;  // bytes of the first frame already written
   std::string own_hello;
   std::string key;  // session key; within OnHello() first the fleet secret
--- a/packages/relay/admission_gate.h
+++ b/packages/relay/admission_gate.h
@@ -47,7 +47,7 @@
   AdmissionOptions admission = {.idle_credit_tokens = 200,  // milliseconds
                                 .by_class = true,
                                 .max_entries = 512,
-                                .max_bytes = int64_t{7} << 20};
+                                .max_bytes = int64_t{7} << 19};
   UrgentReserveOptions reserve;
   // Longest wait, as a share of the request's target.
   double max_wait_share = 0.125;
--- a/packages/relay/caller_exchange.cc
+++ b/packages/relay/caller_exchange.cc
@@ -3,22 +3,30 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <numeric>
 #include <utility>
 
 #include "kernel/json.h"
 
 namespace hickorystand {
-namespace {
 
-std::string SecondsText(Duration length) {
+int64_t HeadBytes(const Http1Head& head) {
+  return std::accumulate(head.headers.begin(), head.headers.end(),
+                         std::ssize(head.method) + std::ssize(head.target),
+                         [](int64_t sum, const HttpHeader& header) {
+                           return sum + std::ssize(header.name) +
+                                  std::ssize(header.value) +
+                                  static_cast<int64_t>(sizeof header);
+                         });
+}
+
+std::string RetryAfterText(Duration length) {
   std::array<char, 32> text;
   const int size = std::snprintf(text.data(), text.size(), "%.3f",
                                  std::max(ToSeconds(length), 0.0));
   return {text.data(), static_cast<size_t>(size)};
 }
 
-}  // namespace
-
 void CallerExchange::Answer(const AnswerStart& start, std::string_view body) {
   AnswerStart whole = start;
   if (HasBody(this->message.head.method, start.status)) {
@@ -51,7 +59,7 @@
       .headers = {{.name = "Content-Type", .value = "application/json"}}};
   if (retry_after) {
     start.headers.push_back(
-        {.name = "Retry-After", .value = SecondsText(*retry_after)});
+        {.name = "Retry-After", .value = RetryAfterText(*retry_after)});
   }
   metrics.Add("own_answers_total", 1,
               {{"code", std::string(AnswerFor(kind).code)}});
--- a/packages/relay/caller_exchange.h
+++ b/packages/relay/caller_exchange.h
@@ -3,9 +3,11 @@
 //
 // Index
 //   CallerMessage    a complete request
+//   HeadBytes        the bytes that a head takes
 //   AnswerStart      the head of an answer, and how its body is delimited
 //   HasBody          whether an answer has a body
 //   CallerExchange   a request that waits for its answer
+//   RetryAfterText   the value of a Retry-After header
 //   AnswerOwnError   answers with an error that this host generates
 //
 // Example
@@ -26,6 +28,7 @@
 #include "http/http1_parser.h"
 #include "kernel/error.h"
 #include "kernel/metrics.h"
+#include "kernel/resource_budget.h"
 #include "kernel/time.h"
 
 namespace hickorystand {
@@ -33,9 +36,12 @@
 // A complete request.
 struct CallerMessage {
   Http1Head head;
-  std::string body;
+  SharedBytes body = std::make_shared<const std::string>();
 };
 
+// The bytes that a head takes.
+int64_t HeadBytes(const Http1Head& head);
+
 // The head of an answer.
 struct AnswerStart {
   int status = 200;
@@ -122,6 +128,9 @@
 using CallerExchangePtr = std::shared_ptr<CallerExchange>;
 using CallerHandler = std::function<void(CallerExchangePtr)>;
 
+// The value of a Retry-After header.
+std::string RetryAfterText(Duration length);
+
 // Answers with an error that this host generates, and counts it; returns the
 // HTTP status.
 int AnswerOwnError(CallerExchange& exchange,
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -16,6 +16,13 @@
 // Bytes of pipelined requests that are buffered before reading pauses.
 constexpr size_t kMaxReadAhead = size_t{64} << 10;
 
+// Answers that a caller hasn't read, beyond which no further request of it is
+// read.
+constexpr size_t kMaxUnreadAnswers = size_t{256} << 10;
+
+// Pipelined requests that are answered before other connections get a turn.
+constexpr int kRequestsPerTurn = 32;
+
 std::string HeadText(const AnswerStart& start, bool chunked, bool last) {
   std::string text = "HTTP/1.1 " + std::to_string(start.status) + " " +
                      std::string(ReasonPhrase(start.status)) + "\r\n";
@@ -99,10 +106,7 @@
         parser(
             Http1Side::kRequests,
             {.on_head = [this](const Http1Head& head) { this->OnHead(head); },
-             .on_body =
-                 [this](std::string_view bytes) {
-                   this->message.body += bytes;
-                 },
+             .on_body = [this](std::string_view bytes) { this->body += bytes; },
              .on_end = [] {}}) {}
 
   void Begin(ObjectPtr<GSocket> accepted) {
@@ -113,9 +117,13 @@
              [this] {
                if (this->exchange) {
                  this->exchange->OnConnectionDrained();
+               } else {
+                 this->ContinueReading();
                }
              },
-         .on_end = [this](StreamEnd) { this->OnEnd(); }});
+         .on_end = [this](StreamEnd) { this->OnEnd(); },
+         .on_yield = [this](HoldingState state) { this->Yield(state); }},
+        this->server->budget);
     this->AwaitRequest();
   }
 
@@ -132,6 +140,8 @@
   void AwaitRequest() {
     this->exchange.reset();
     this->message = {};
+    this->body = {};
+    this->head_bytes = 0;
     this->parser.Begin(
         {.head = static_cast<uint32_t>(this->server->limits.head_bytes),
          .body = static_cast<uint64_t>(this->server->limits.body_bytes)});
@@ -166,13 +176,44 @@
   // Without a timeout an incomplete request would hold memory for ever.
   void RefuseTimedOut() { this->Refuse(408); }
 
-  void Refuse(int status) {
-    this->socket->Write(HeadText({.status = status, .length = 0}, false, true));
+  void Refuse(int status, HttpHeaders headers = {}) {
+    this->socket->Write(
+        HeadText({.status = status, .headers = std::move(headers), .length = 0},
+                 false, true));
     this->Leave();
   }
 
+  // Refuses a request that has not been passed to the handler.
+  void RefuseForLackOfRoom() {
+    const Duration wait =
+        this->server->budget->RetryAfter(this->MessageBytes());
+    this->Refuse(503, {{.name = "Retry-After", .value = RetryAfterText(wait)}});
+  }
+
+  void Yield(HoldingState state) {
+    const auto keep = this->shared_from_this();
+    if (state == HoldingState::kReceiving) {
+      this->RefuseForLackOfRoom();
+    } else {
+      this->CloseUnread();
+    }
+  }
+
+  int64_t MessageBytes() const {
+    return std::ssize(this->body) + this->head_bytes;
+  }
+
+  // Counts what this connection holds. A request in work counts by itself.
+  void Count(HoldingState state) {
+    this->socket->SetHeld(
+        state,
+        this->parser.Unread() +
+            static_cast<size_t>(this->exchange ? 0 : this->MessageBytes()));
+  }
+
   void OnHead(const Http1Head& head) {
     this->message.head = head;
+    this->head_bytes = HeadBytes(head);
     const auto expectation = FindHeader(head.headers, "Expect");
     if (expectation &&
         g_ascii_strcasecmp(expectation->c_str(), "100-continue") == 0) {
@@ -184,10 +225,12 @@
     const auto keep = this->shared_from_this();
     const bool fresh = !this->exchange && !this->parser.Started();
     this->parser.Feed(bytes);
-    if (this->exchange) {
+    if (this->exchange || this->MustWait()) {
       if (this->parser.Unread() > kMaxReadAhead) {
         this->socket->Pause();
       }
+      this->Count(this->exchange ? HoldingState::kInWork
+                                 : HoldingState::kReceiving);
       return;
     }
     if (fresh) {
@@ -197,6 +240,11 @@
     this->ReadOn();
   }
 
+  // Whether the next request isn't read yet, though none waits for its answer.
+  bool MustWait() const {
+    return this->next_turn || this->socket->Unsent() > kMaxUnreadAnswers;
+  }
+
   // Reads requests until one waits for its answer or isn't complete. An answer
   // that the handler makes at once begins the next turn of the loop.
   void ReadOn() {
@@ -204,10 +252,37 @@
       return;
     }
     bool read = true;
-    while (read && !this->over && !this->exchange) {
+    for (int turn = 0; read && !this->over && !this->exchange; ++turn) {
+      if (turn == kRequestsPerTurn) {
+        this->next_turn = Timer::After(Duration{}, [this] {
+          const auto keep = this->shared_from_this();
+          this->next_turn.reset();
+          this->ContinueReading();
+        });
+      }
+      if (this->MustWait()) {
+        break;
+      }
       read = this->ReadRequest();
     }
     this->reading = false;
+    if (!this->over) {
+      this->Count(this->exchange           ? HoldingState::kInWork
+                  : this->parser.Started() ? HoldingState::kReceiving
+                                           : HoldingState::kIdle);
+    }
+  }
+
+  // Goes on after a wait.
+  void ContinueReading() {
+    const auto keep = this->shared_from_this();
+    if (this->over || this->exchange || this->MustWait()) {
+      return;
+    }
+    this->socket->Resume();
+    if (this->parser.Unread() > 0) {
+      this->ReadOn();
+    }
   }
 
   // Returns whether a request was complete and has been passed to the handler.
@@ -216,11 +291,7 @@
     if (this->parser.Failure() != Http1Failure::kNone) {
       this->Refuse(StatusOf(this->parser.Failure()));
     } else if (this->parser.Done()) {
-      this->timer.reset();
-      this->exchange = std::make_shared<ConnectedExchange>(
-          this->weak_from_this(), std::move(this->message));
-      this->server->handler(this->exchange);
-      return true;
+      return this->TakeIntoWork();
     } else if (this->parser.HeadRead()) {
       // Each pause within the body may be as long as the idle timeout.
       this->SetTimer(this->server->limits.idle_timeout,
@@ -229,6 +300,25 @@
     return false;
   }
 
+  // Passes the complete request to the handler, if there is room for it.
+  bool TakeIntoWork() {
+    ResourceBudget* const budget = this->server->budget;
+    const int64_t bytes = this->MessageBytes();
+    if (budget != nullptr && !budget->MayTakeIntoWork(bytes)) {
+      budget->CountRefusal(bytes);
+      this->RefuseForLackOfRoom();
+      return false;
+    }
+    this->timer.reset();
+    this->message.body =
+        HoldInWork(budget, std::exchange(this->body, {}), this->head_bytes);
+    this->exchange = std::make_shared<ConnectedExchange>(
+        this->weak_from_this(), std::move(this->message));
+    this->Count(HoldingState::kInWork);
+    this->server->handler(this->exchange);
+    return true;
+  }
+
   // Called after the last byte of an answer was written.
   void OnAnswered(bool last) {
     if (last) {
@@ -236,9 +326,9 @@
       return;
     }
     this->AwaitRequest();
-    this->socket->Resume();
-    if (this->parser.Unread() > 0) {
-      this->ReadOn();
+    this->Count(HoldingState::kIdle);
+    if (!this->reading) {
+      this->ContinueReading();
     }
   }
 
@@ -246,6 +336,7 @@
     const auto keep = this->shared_from_this();
     this->over = true;
     this->timer.reset();
+    this->next_turn.reset();
     if (const auto open = std::exchange(this->exchange, nullptr)) {
       open->OnConnectionEnd();
     }
@@ -259,9 +350,12 @@
   CallerServer* server;
   StreamSocketPtr socket;
   Http1Parser parser;
-  CallerMessage message;
+  CallerMessage message;  // without its body
+  std::string body;
+  int64_t head_bytes = 0;
   std::shared_ptr<ConnectedExchange> exchange;
   std::unique_ptr<Timer> timer;
+  std::unique_ptr<Timer> next_turn;  // set while other connections have theirs
   bool last = false;
   bool reading = false;  // ReadOn runs
   bool over = false;
@@ -326,22 +420,26 @@
   return to ? to->socket->Unsent() : 0;
 }
 
-CallerServer::CallerServer(CallerHandler handler)
-    : handler(std::move(handler)) {}
+CallerServer::CallerServer(CallerHandler handler, ResourceBudget* budget)
+    : handler(std::move(handler)), budget(budget) {}
 
 CallerServer::~CallerServer() {
   for (const auto& connection : this->connections) {
     connection->timer.reset();
+    connection->next_turn.reset();
     connection->socket->Close();
   }
 }
 
 Result<int> CallerServer::Listen(const SocketAddress& address) {
-  auto opened = Listener::Open(address, [this](ObjectPtr<GSocket> accepted) {
-    const auto connection = std::make_shared<CallerConnection>(this);
-    this->connections.insert(connection);
-    connection->Begin(std::move(accepted));
-  });
+  auto opened = Listener::Open(
+      address,
+      [this](ObjectPtr<GSocket> accepted) {
+        const auto connection = std::make_shared<CallerConnection>(this);
+        this->connections.insert(connection);
+        connection->Begin(std::move(accepted));
+      },
+      this->budget);
   if (!opened) {
     return tl::unexpected(opened.error());
   }
--- a/packages/relay/caller_server.h
+++ b/packages/relay/caller_server.h
@@ -25,11 +25,13 @@
 class CallerConnection;
 
 // Accepts callers at one address, and calls the handler with each complete
-// request. Requests that are malformed, too large or too slow are answered
-// here.
+// request. Requests that are malformed, too large or too slow, or for which
+// there is no room, are answered here.
 class CallerServer {
  public:
-  explicit CallerServer(CallerHandler handler);
+  // What callers make the process hold counts in `budget`, which may be null.
+  explicit CallerServer(CallerHandler handler,
+                        ResourceBudget* budget = nullptr);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
@@ -60,6 +62,7 @@
   friend class CallerConnection;
 
   CallerHandler handler;
+  ResourceBudget* budget;
   CallerLimits limits;
   bool draining = false;
   std::unique_ptr<Listener> listener;
--- a/packages/relay/endpoint_pool.cc
+++ b/packages/relay/endpoint_pool.cc
@@ -76,7 +76,8 @@
         this->address, options.ack_timeout,
         {.on_open = [this] { this->OnOpen(); },
          .on_bytes = [this](std::string_view bytes) { this->OnBytes(bytes); },
-         .on_end = [this](StreamEnd end) { this->OnEnd(end); }});
+         .on_end = [this](StreamEnd end) { this->OnEnd(end); }},
+        this->pool->budget);
   }
 
   void Carry(const EndpointSend& send, EndpointExchangePtr next) {
@@ -89,9 +90,7 @@
     this->StopIdleTimer();
     this->BeginAnswer();
     this->socket->Write(send.head);
-    if (send.body) {
-      this->socket->Write(*send.body);
-    }
+    this->socket->Write(send.body);
   }
 
   // Ends the exchange because its answer exceeds a bound.
@@ -388,8 +387,10 @@
   return open ? std::optional(open->id) : std::nullopt;
 }
 
-EndpointPool::EndpointPool(const Clock& clock, EndpointPoolOptions options)
-    : clock(&clock), options(options) {}
+EndpointPool::EndpointPool(const Clock& clock,
+                           EndpointPoolOptions options,
+                           ResourceBudget* budget)
+    : clock(&clock), options(options), budget(budget) {}
 
 EndpointPool::~EndpointPool() {
   for (auto& [address, lane] : this->connections_by_address) {
--- a/packages/relay/endpoint_pool.h
+++ b/packages/relay/endpoint_pool.h
@@ -88,8 +88,8 @@
 // One request to an endpoint.
 struct EndpointSend {
   SocketAddress address;
-  std::string head;  // start line and headers, up to the empty line
-  std::shared_ptr<const std::string> body;  // may be null
+  std::string head;             // start line and headers, up to the empty line
+  SharedBytes body;             // may be null
   RequestId request = {};       // for logs; empty for a call of this host's own
   bool no_answer_body = false;  // the method is HEAD
   // The request must not run twice. An idle connection may have been closed by
@@ -180,7 +180,10 @@
 // exchange.
 class EndpointPool {
  public:
-  explicit EndpointPool(const Clock& clock, EndpointPoolOptions options = {});
+  // What endpoints make the process hold counts in `budget`, which may be null.
+  explicit EndpointPool(const Clock& clock,
+                        EndpointPoolOptions options = {},
+                        ResourceBudget* budget = nullptr);
   ~EndpointPool();
   EndpointPool(const EndpointPool&) = delete;
   EndpointPool& operator=(const EndpointPool&) = delete;
@@ -227,6 +230,7 @@
 
   const Clock* clock;
   EndpointPoolOptions options;
+  ResourceBudget* budget;
   EndpointPoolObserver observer;
   std::map<SocketAddress, EndpointConnections> connections_by_address;
   int64_t opened = 0;
--- a/packages/relay/fleet_peers.h
+++ b/packages/relay/fleet_peers.h
@@ -41,6 +41,7 @@
   uint64_t seed = 1;  // of the jitter of retries and reads
   // The whole fleet starts for the first time: its records appear one by one.
   bool first_start = false;
+  ResourceBudget* budget = nullptr;  // counts what links hold; may be null
   FleetTopologyOptions topology;
   Duration lease = std::chrono::seconds(10);  // of the host's record
   Duration renew = std::chrono::seconds(3);
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -75,20 +75,24 @@
                        const Clock& clock,
                        const MessageCodec& codec,
                        Metrics& metrics,
-                       RelayHooks hooks)
+                       RelayHooks hooks,
+                       ResourceBudget* resources)
     : settings(std::move(settings)),
       clock(&clock),
       codec(&codec),
       metrics(&metrics),
       hooks(std::move(hooks)),
-      server([this](const CallerExchangePtr& exchange) {
-        if (this->forward) {
-          this->forward(exchange);
-        } else {
-          this->Serve(exchange, {});
-        }
-      }),
-      pool(clock),
+      resources(resources),
+      server(
+          [this](const CallerExchangePtr& exchange) {
+            if (this->forward) {
+              this->forward(exchange);
+            } else {
+              this->Serve(exchange, {});
+            }
+          },
+          resources),
+      pool(clock, {}, resources),
       placement(this->settings.placement),
       admission(clock, metrics),
       cache_feed({}, this->pool, codec, this->placement),
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -122,7 +122,8 @@
              const Clock& clock,
              const MessageCodec& codec,
              Metrics& metrics,
-             RelayHooks hooks);
+             RelayHooks hooks,
+             ResourceBudget* resources = nullptr);
   ~FleetRelay();
   FleetRelay(const FleetRelay&) = delete;
   FleetRelay& operator=(const FleetRelay&) = delete;
@@ -395,6 +396,7 @@
   const MessageCodec* codec;
   Metrics* metrics;
   RelayHooks hooks;
+  ResourceBudget* resources;  // may be null
   CallerServer server;
   CallerHandler forward;
   RunEvidence runs;  // outlives the connections of the pool
--- a/packages/relay/forward_receiver.cc
+++ b/packages/relay/forward_receiver.cc
@@ -132,7 +132,16 @@
 
 void ForwardReceiver::OnRequest(const HostId& from, ForwardedRequest request) {
   if (request.body.size() < request.body_length) {
-    this->partial[{from, request.number}] = std::move(request);
+    const Key key{from, request.number};
+    Partial& kept = this->partial[key];
+    kept.request = std::move(request);
+    kept.held = std::make_unique<Holding>(
+        this->budget, HoldingState::kReceiving, [this, key] {
+          ForwardedRequest refused =
+              std::move(this->partial.extract(key).mapped().request);
+          this->Refuse(key, std::move(refused));
+        });
+    kept.held->SetBytes(std::ssize(kept.request.body));
     return;
   }
   this->Begin(from, std::move(request));
@@ -143,25 +152,55 @@
   if (found == this->partial.end()) {
     return;
   }
-  found->second.body += body.bytes;
-  if (found->second.body.size() >= found->second.body_length) {
-    ForwardedRequest whole = std::move(found->second);
+  ForwardedRequest& request = found->second.request;
+  request.body += body.bytes;
+  found->second.held->SetBytes(std::ssize(request.body));
+  if (request.body.size() >= request.body_length) {
+    ForwardedRequest whole = std::move(request);
     this->partial.erase(found);
     this->Begin(from, std::move(whole));
   }
 }
 
-void ForwardReceiver::Begin(const HostId& from, ForwardedRequest request) {
-  const Key key{from, request.number};
+// Moves the head and the body out of the request.
+std::shared_ptr<ForwardedExchange> ForwardReceiver::MakeExchange(
+    const Key& key,
+    ForwardedRequest& request) {
   CallerMessage message{.head = {.method = std::move(request.method),
                                  .target = std::move(request.target),
                                  .headers = std::move(request.headers),
                                  .keep_alive = true,
-                                 .body_length = request.body_length},
-                        .body = std::move(request.body)};
-  const auto exchange =
+                                 .body_length = request.body_length}};
+  message.body = HoldInWork(this->budget, std::move(request.body),
+                            HeadBytes(message.head));
+  auto exchange =
       std::make_shared<ForwardedExchange>(this, key, std::move(message));
   this->exchanges[key] = exchange;
+  return exchange;
+}
+
+// Answers a request for which there is no room. Another scheduler may have
+// some.
+void ForwardReceiver::Refuse(const Key& key, ForwardedRequest request) {
+  const Duration wait = this->budget->RetryAfter(std::ssize(request.body));
+  request.body = {};
+  const auto exchange = this->MakeExchange(key, request);
+  exchange->Decline();
+  exchange->Answer(
+      {.status = 503,
+       .headers = {{.name = "Retry-After", .value = RetryAfterText(wait)}}},
+      "");
+}
+
+void ForwardReceiver::Begin(const HostId& from, ForwardedRequest request) {
+  const Key key{from, request.number};
+  const int64_t bytes = std::ssize(request.body);
+  if (this->budget != nullptr && !this->budget->MayTakeIntoWork(bytes)) {
+    this->budget->CountRefusal(bytes);
+    this->Refuse(key, std::move(request));
+    return;
+  }
+  const auto exchange = this->MakeExchange(key, request);
   this->handler(exchange, {.host = from,
                            .age = request.age,
                            .earlier_sends = request.earlier_sends,
--- a/packages/relay/forward_receiver.h
+++ b/packages/relay/forward_receiver.h
@@ -47,8 +47,12 @@
   using Handler =
       std::function<void(const CallerExchangePtr&, const RequestOrigin&)>;
 
-  ForwardReceiver(SendTo send, Handler handler)
-      : send(std::move(send)), handler(std::move(handler)) {}
+  // What ingress hosts make this host hold counts in `budget`, which may be
+  // null.
+  ForwardReceiver(SendTo send,
+                  Handler handler,
+                  ResourceBudget* budget = nullptr)
+      : send(std::move(send)), handler(std::move(handler)), budget(budget) {}
   ~ForwardReceiver();
   ForwardReceiver(const ForwardReceiver&) = delete;
   ForwardReceiver& operator=(const ForwardReceiver&) = delete;
@@ -73,12 +77,22 @@
   using Key = std::pair<HostId, int64_t>;
   using Exchanges = std::map<Key, std::shared_ptr<ForwardedExchange>>;
 
+  // A request whose body isn't complete.
+  struct Partial {
+    ForwardedRequest request;
+    std::unique_ptr<Holding> held;
+  };
+
+  std::shared_ptr<ForwardedExchange> MakeExchange(const Key& key,
+                                                  ForwardedRequest& request);
   void Begin(const HostId& from, ForwardedRequest request);
+  void Refuse(const Key& key, ForwardedRequest request);
 
   SendTo send;
   Handler handler;
   Exchanges exchanges;
-  std::map<Key, ForwardedRequest> partial;  // with incomplete bodies
+  ResourceBudget* budget;
+  std::map<Key, Partial> partial;
 };
 
 }  // namespace hickorystand
--- a/packages/relay/relayed_answer.cc
+++ b/packages/relay/relayed_answer.cc
@@ -73,6 +73,7 @@
   const bool forward = this->MayForward();
   if (forward && IsStream(this->route->kind)) {
     this->PassOn(this->cutter.Feed(bytes));
+    this->CountBuffered();
     if (this->cutter.PartialEventBytes() > kMaxShortAnswerBytes) {
       current.exchange->CutOff(AnswerExcess::kEvent);
     }
@@ -83,15 +84,45 @@
     return;
   }
   current.body += bytes;
-  if (!forward || current.body.size() <= kMaxBufferedAnswerBytes) {
-    return;
+  if (forward && current.body.size() > kMaxBufferedAnswerBytes) {
+    this->ForwardBody();
+  } else {
+    this->CountBuffered();
+  }
+}
+
+void RelayedRequest::CountBuffered() {
+  Attempt& current = *this->attempt;
+  if (!current.held) {
+    current.held = std::make_unique<Holding>(this->relay->resources,
+                                             HoldingState::kReceiving,
+                                             [this] { this->YieldBuffered(); });
+  }
+  current.held->SetBytes(static_cast<int64_t>(
+      current.body.size() + this->cutter.PartialEventBytes()));
+}
+
+// Forwards a buffered answer before it is complete, if that is possible.
+void RelayedRequest::YieldBuffered() {
+  const auto keep = this->shared_from_this();
+  if (!this->MayForward()) {
+    this->attempt->exchange->CutOff(AnswerExcess::kAnswer);
+  } else if (IsStream(this->route->kind)) {
+    this->attempt->exchange->CutOff(AnswerExcess::kEvent);
+  } else {
+    this->ForwardBody();
   }
+}
+
+// From now on the answer's body is forwarded as it arrives.
+void RelayedRequest::ForwardBody() {
+  Attempt& current = *this->attempt;
   current.forwarding_body = true;
   this->stall_timer.reset();
   this->MarkBegun();
   this->StartAnswer({});
-  this->SendOn(current.body);
-  current.body.clear();
+  this->SendOn(std::exchange(current.body, {}));
+  this->CountBuffered();
 }
 
 void RelayedRequest::PassOn(std::string_view events) {
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -323,9 +323,9 @@
         {.part = PromptPartHash(part.id), .tokens = part.tokens});
   }
   this->SetService(this->service);
-  this->body = std::make_shared<const std::string>(message.body);
+  this->body = message.body;
   const uint64_t account_hash = Hash(account.Text());
-  this->traits = {.fingerprint = Hash(message.body,
+  this->traits = {.fingerprint = Hash(*message.body,
                                       Hash(message.head.target, account_hash)),
                   .account = account_hash};
   std::ranges::transform(
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -77,7 +77,8 @@
     int status = 0;
     EndpointAnswer answer;
     HttpHeaders headers;
-    std::string body;  // buffered until complete
+    std::string body;               // buffered until complete
+    std::unique_ptr<Holding> held;  // of what is buffered
     std::string_view framing;
     bool forwarding_body = false;  // the body is forwarded as it arrives
     bool until_close = false;      // the body has neither length nor chunks
@@ -175,6 +176,9 @@
   void OnPromptHandle(const PromptHandle& handle, const FleetEndpoint& reader);
   RunResult JudgeEnd(HttpEnd end, Completeness completeness);
   RunResult JudgeWhole(Completeness completeness);
+  void CountBuffered();
+  void YieldBuffered();
+  void ForwardBody();
   void PassOn(std::string_view bytes);
   void SendOn(std::string_view bytes);
   bool MayForward() const;
@@ -255,7 +259,7 @@
   Instant deadline{};
   // End of the process that has the caller's connection, if it shuts down.
   std::optional<Instant> finish_by;
-  std::shared_ptr<const std::string> body;
+  SharedBytes body;
   std::unique_ptr<Attempt> attempt;
   std::set<EndpointId> tried;
   StreamProgress progress;  // of the caller's stream
--- a/packages/relay/relayed_request_waiting.cc
+++ b/packages/relay/relayed_request_waiting.cc
@@ -10,9 +10,7 @@
 namespace hickorystand {
 namespace {
 
-// A waiting request holds its body twice, as the caller's message and as what
-// is sent, besides its own state.
-constexpr int64_t kBodyCopies = 2;
+// What a waiting request holds besides its body.
 constexpr int64_t kStateBytes = 4096;
 
 }  // namespace
@@ -35,8 +33,7 @@
        .arrived = this->arrived,
        .time_left = this->request.timeout,
        .cost = this->relay->placement.WorkMilliseconds(this->shape),
-       .bytes = kBodyCopies * static_cast<int64_t>(this->body->size()) +
-                kStateBytes});
+       .bytes = std::ssize(*this->body) + kStateBytes});
 }
 
 bool RelayedRequest::MayQueue() const {
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -223,7 +223,7 @@
                                    const HostId& to,
                                    int64_t number) const {
   const CallerMessage& message = call.caller->Message();
-  const std::string_view body = message.body;
+  const std::string_view body = *message.body;
   const ForwardedRequest first{
       .number = number,
       .method = message.head.method,
