Count what the stand-alone gateway holds against the machine's budget

Cause: max_total_body_bytes was 256 MiB whatever the machine has, and counted one of the four copies of a body; answers that wait for their end or for their reader and connections had no sum at all.

Change: HttpServer counts each call in a ResourceBudget. The gateway and the operators' server belong to two tasks and divide what the process may hold, 15 to 1. The test of bodies in memory uses the budget in place of the option, with the same proportions: one body in work, a second of nine tenths refused, a third of four tenths served.

Read, not run: a crowd against a stand-alone process.

--- a/packages/daemon/admin_server.cc
+++ b/packages/daemon/admin_server.cc
@@ -36,11 +36,16 @@
 
 }  // namespace
 
-AdminServer::AdminServer(const AdminSettings& settings, AdminHandlers handlers)
+AdminServer::AdminServer(const AdminSettings& settings,
+                         AdminHandlers handlers,
+                         ResourceBudget* budget)
     : token(settings.token),
       handlers(std::move(handlers)),
-      server(ServerOptions(settings),
-             [this](const HttpCallPtr& call) { this->Handle(call); }) {}
+      server(
+          ServerOptions(settings),
+          [this](const HttpCallPtr& call) { this->Handle(call); },
+          {},
+          budget) {}
 
 bool AdminServer::Authorised(const HttpRequest& request) const {
   const auto header = FindHeader(request.headers, "Authorization");
--- a/packages/daemon/admin_server.h
+++ b/packages/daemon/admin_server.h
@@ -37,7 +37,9 @@
 // Serves the admin interface.
 class AdminServer {
  public:
-  AdminServer(const AdminSettings& settings, AdminHandlers handlers);
+  AdminServer(const AdminSettings& settings,
+              AdminHandlers handlers,
+              ResourceBudget* budget);
 
   // Starts to listen. Returns the address with the actual port.
   Result<SocketAddress> Start() { return this->server.Start(); }
--- a/packages/daemon/host_daemon.cc
+++ b/packages/daemon/host_daemon.cc
@@ -14,12 +14,19 @@
 // How long to wait for callers to read the errors of ended requests.
 constexpr Duration kFinalResponsesTimeout = std::chrono::seconds(1);
 
+// Parts of what the process may hold: the operators' server gets one of them,
+// the gateway all others.
+constexpr int64_t kBudgetParts = 16;
+
 GatewayOptions MakeGatewayOptions(const HostSettings& settings, uint64_t seed) {
   GatewayOptions options;
   options.http.listen = settings.gateway.listen;
   options.http.tls_certificate = settings.gateway.certificate_file;
   options.http.tls_key = settings.gateway.key_file;
   options.http.max_body_bytes = settings.gateway.max_body_bytes;
+  const ResourceLimits part = settings.held.DividedBy(kBudgetParts);
+  options.held = {.bytes = settings.held.bytes - part.bytes,
+                  .descriptors = settings.held.descriptors - part.descriptors};
   options.host = settings.host;
   options.data_centre = settings.data_centre;
   options.dispatcher = settings.gateway.dispatcher;
@@ -87,8 +94,12 @@
     this->control =
         std::make_unique<Control>(this->settings, incarnation, this->clock,
                                   this->metrics, this->MakeControlEvents());
+    this->admin_resources = std::make_unique<ResourceBudget>(
+        this->settings.held.DividedBy(kBudgetParts), this->clock, this->metrics,
+        MetricLabels{{"server", "admin"}});
     this->admin = std::make_unique<AdminServer>(this->settings.admin,
-                                                this->MakeAdminHandlers());
+                                                this->MakeAdminHandlers(),
+                                                this->admin_resources.get());
     const auto for_admin = this->admin->Start();
     const auto for_peers = this->control->Start();
     if (!for_admin || !for_peers) {
@@ -329,6 +340,7 @@
     this->answer_timer.reset();
     this->admin.reset();
     this->control.reset();
+    this->admin_resources.reset();
   });
   this->control_task.Stop();
 }
--- a/packages/daemon/host_daemon.h
+++ b/packages/daemon/host_daemon.h
@@ -89,6 +89,7 @@
   // is created, used and destroyed on its task.
   std::unique_ptr<Gateway> gateway;
   std::unique_ptr<Control> control;
+  std::unique_ptr<ResourceBudget> admin_resources;
   std::unique_ptr<AdminServer> admin;
   std::unique_ptr<Timer> notice_timer;
   std::unique_ptr<Timer> limit_timer;
--- a/packages/daemon/host_settings.cc
+++ b/packages/daemon/host_settings.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <utility>
 
+#include "daemon/machine_settings.h"
 #include "decisions/dispatcher.h"
 #include "kernel/registry.h"
 #include "platform/key_value_store.h"
@@ -264,7 +265,7 @@
 std::vector<SettingRule> HostSettingRules() {
   std::vector<SettingRule> rules;
   for (auto part : {HostRules(), GatewayRules(), AdminAndPeerRules(),
-                    PlatformRules(), LogRules()}) {
+                    PlatformRules(), LogRules(), MachineSettingRules()}) {
     std::ranges::move(part, std::back_inserter(rules));
   }
   return rules;
@@ -288,6 +289,7 @@
       .data_centre = DataCentreId(settings->Text("host", "data_centre")),
       .drain_notice = settings->Length("host", "drain_notice"),
       .drain_limit = settings->Length("host", "drain_limit"),
+      .held = ReadHeldLimits(*settings),
       .gateway = MakeGatewaySettings(*settings),
       .admin = {AddressIn(settings->Text("admin", "listen")),
                 *std::move(token)},
--- a/packages/daemon/host_settings.h
+++ b/packages/daemon/host_settings.h
@@ -17,6 +17,7 @@
 #include "kernel/error.h"
 #include "kernel/ids.h"
 #include "kernel/log.h"
+#include "kernel/resource_budget.h"
 #include "kernel/settings.h"
 #include "kernel/time.h"
 
@@ -72,6 +73,7 @@
   DataCentreId data_centre;
   Duration drain_notice{};  // from a failing /readyz until callers are refused
   Duration drain_limit{};   // then, the longest wait for running requests
+  ResourceLimits held;      // what the host may hold for others
   GatewaySettings gateway;
   AdminSettings admin;
   PeerSettings peers;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -100,6 +100,7 @@
 
 Gateway::Gateway(GatewayOptions options, const Clock& clock, Metrics& metrics)
     : options(std::move(options)),
+      resources(this->options.held, clock, metrics),
       clock(clock),
       metrics(metrics),
       random(std::random_device{}()),
@@ -119,7 +120,8 @@
       [this](const HttpCallPtr& call) { this->Handle(call); },
       [this](const HttpCallPtr& call, const Error& error) {
         this->Refuse(call, this->MakeRequestId(), error);
-      });
+      },
+      &this->resources);
 }
 
 Gateway::~Gateway() {
@@ -305,6 +307,7 @@
                     static_cast<double>(this->driver->Queued()));
   this->metrics.Set("hickorystand_running",
                     static_cast<double>(this->driver->Running()));
+  this->resources.Report();
   call->Answer(kStatusOk,
                {{"Content-Type", "text/plain; version=0.0.4"},
                 {"X-Request-Id", id.Text()}},
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -38,6 +38,7 @@
 
 struct GatewayOptions {
   HttpServerOptions http;
+  ResourceLimits held;  // what the host may hold for others
   HostId host;
   DataCentreId data_centre;
   std::string dispatcher = "round-robin";  // name of the plug-in
@@ -151,6 +152,7 @@
   HttpTimeouts TimeoutsFor(const Service& service) const;
 
   GatewayOptions options;
+  ResourceBudget resources;
   const Clock& clock;
   Metrics& metrics;
   std::unique_ptr<RequestDriver> driver;
--- a/packages/gateway/relay.cc
+++ b/packages/gateway/relay.cc
@@ -1,6 +1,7 @@
 #include "gateway/relay.h"
 
 #include <map>
+#include <numeric>
 #include <string>
 #include <utility>
 
@@ -194,9 +195,13 @@
       this->bound = attempt;
       this->StartStream(part);
     }
+    this->CountHeld();
   }
 
-  void Drop(AttemptId attempt) override { this->held.erase(attempt); }
+  void Drop(AttemptId attempt) override {
+    this->held.erase(attempt);
+    this->CountHeld();
+  }
 
   void Finish(const AttemptEnd& end) override {
     const auto found = this->held.find(end.result.attempt);
@@ -229,6 +234,14 @@
     std::string body;
   };
 
+  void CountHeld() const {
+    this->call->SetBuffered(
+        std::accumulate(this->held.begin(), this->held.end(), size_t{0},
+                        [](size_t sum, const auto& entry) {
+                          return sum + entry.second.body.size();
+                        }));
+  }
+
   void StartStream(Held& part) {
     this->call->StartStream(part.head.status, this->HeadersOf(part.head),
                             part.head.until_close);
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -15,6 +15,13 @@
 // and reads the error response.
 constexpr int64_t kDiscardFactor = 4;
 
+// What a connection takes besides its buffers, with libsoup's own objects.
+constexpr int64_t kCallBytes = int64_t{16} << 10;
+
+// A request in work has its body, its parsed form, the body for the endpoint
+// and what is sent of it.
+constexpr int64_t kCopiesInWork = 4;
+
 std::string OrEmpty(const char* text) {
   return text == nullptr ? "" : text;
 }
@@ -47,7 +54,12 @@
                    std::shared_ptr<HttpServerState> server)
     : options(options),
       message(ShareObject(message)),
-      server(std::move(server)) {
+      server(std::move(server)),
+      holding(this->server->budget, HoldingState::kSilent, [this] {
+        this->Yield();
+      }) {
+  this->holding.SetDescriptors(1);
+  this->Count();
   if (GSocket* raw = soup_server_message_get_socket(message)) {
     this->socket = ShareObject(raw);
   }
@@ -55,7 +67,6 @@
 
 HttpCall::~HttpCall() {
   this->StopWatching();
-  this->server->held_body_bytes -= std::ssize(this->request.body);
 }
 
 void HttpCall::ReadHead() {
@@ -107,24 +118,65 @@
   }
   if (this->received > this->options.max_body_bytes) {
     this->RefuseBody(ErrorKind::kTooLarge, "The body is too long.");
-  } else if (this->server->held_body_bytes + static_cast<int64_t>(size) >
-             this->options.max_total_body_bytes) {
-    this->RefuseBody(ErrorKind::kOverloaded, "Too many bodies are held.");
   }
   if (!this->refusal) {
     this->request.body.append(data, size);
-    this->server->held_body_bytes += static_cast<int64_t>(size);
   }
+  this->Count();
 }
 
 void HttpCall::RefuseBody(ErrorKind kind, std::string message) {
-  this->server->held_body_bytes -= std::ssize(this->request.body);
   this->request.body = {};
   if (!this->refusal) {
     this->refusal = Error{kind, std::move(message), std::chrono::seconds(1)};
   }
 }
 
+void HttpCall::RefuseForLackOfRoom() {
+  const Duration wait = this->server->budget->RetryAfter(
+      std::ssize(this->request.body) * kCopiesInWork);
+  this->RefuseBody(ErrorKind::kOverloaded, "Too much is held.");
+  this->refusal->retry_after = wait;
+}
+
+HoldingState HttpCall::HeldState() const {
+  if (this->unsent > 0 || this->buffered > 0) {
+    return HoldingState::kSending;
+  }
+  if (this->handled) {
+    return HoldingState::kInWork;
+  }
+  return this->head_read ? HoldingState::kReceiving : HoldingState::kSilent;
+}
+
+void HttpCall::Count() {
+  const int64_t body = std::ssize(this->request.body);
+  this->holding.SetState(this->HeldState());
+  this->holding.SetBytes(kCallBytes +
+                         (this->handled ? body * kCopiesInWork : body) +
+                         this->unsent + this->buffered);
+}
+
+// A body that is refused while it arrives is discarded up to its end, so that
+// an ordinary client reads the refusal.
+void HttpCall::Yield() {
+  const auto keep = this->shared_from_this();
+  const HoldingState state = this->HeldState();
+  if (state == HoldingState::kSending) {
+    this->Abort();
+  } else if (state == HoldingState::kReceiving && !this->refusal) {
+    this->RefuseForLackOfRoom();
+    this->Count();
+  } else {
+    this->CloseSocket();
+  }
+}
+
+void HttpCall::SetBuffered(size_t bytes) {
+  this->buffered = static_cast<int64_t>(bytes);
+  this->Count();
+}
+
 // Pauses the message, so that libsoup sends nothing before the handler answers.
 void HttpCall::PauseMessage() {
   if (this->ended || this->started) {
@@ -194,6 +246,8 @@
   soup_message_body_append(soup_server_message_get_response_body(raw),
                            SOUP_MEMORY_COPY, body.data(), body.size());
   this->unsent += std::ssize(body);
+  this->buffered = 0;
+  this->Count();
   this->ArmWriteTimer();
   soup_server_message_unpause(raw);
 }
@@ -246,6 +300,7 @@
     this->ArmWriteTimer();
   }
   this->unsent += std::ssize(bytes);
+  this->Count();
   soup_server_message_unpause(this->message.get());
 }
 
@@ -317,6 +372,7 @@
 void HttpCall::Wrote(int64_t bytes) {
   const bool congested = this->Congested();
   this->unsent = std::max<int64_t>(0, this->unsent - bytes);
+  this->Count();
   if (this->unsent > 0) {
     this->ArmWriteTimer();
   } else {
@@ -339,11 +395,13 @@
 
 HttpServer::HttpServer(HttpServerOptions options,
                        Handler handler,
-                       RefusalHandler refusal_handler)
+                       RefusalHandler refusal_handler,
+                       ResourceBudget* budget)
     : options(std::move(options)),
       handler(std::move(handler)),
       refusal_handler(std::move(refusal_handler)),
       server(soup_server_new(nullptr, nullptr)) {
+  this->state->budget = budget;
   SoupServer* raw = this->server.get();
   g_signal_connect(raw, "request-started", G_CALLBACK(&HttpServer::OnStarted),
                    this);
@@ -489,6 +547,7 @@
   soup_message_body_set_accumulate(
       soup_server_message_get_request_body(message), FALSE);
   call->ReadHead();
+  call->Count();
   HttpCall* raw = call.get();
   raw->timer =
       Timer::After(self->options.body_timeout, [raw] { raw->CloseSocket(); });
@@ -508,7 +567,14 @@
     return;
   }
   call->timer.reset();
+  const ResourceBudget* const budget = self->state->budget;
+  if (!call->refusal && budget != nullptr &&
+      !budget->MayTakeIntoWork(std::ssize(call->request.body) *
+                               kCopiesInWork)) {
+    call->RefuseForLackOfRoom();
+  }
   call->handled = true;
+  call->Count();
   if (call->refusal) {
     if (!call->started) {
       self->Refuse(call);
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -29,6 +29,7 @@
 #include "http/glib_ptr.h"
 #include "http/http_types.h"
 #include "kernel/error.h"
+#include "kernel/resource_budget.h"
 #include "kernel/settings.h"
 #include "kernel/task.h"
 
@@ -40,9 +41,6 @@
   std::string tls_certificate;           // PEM file; empty: no TLS
   std::string tls_key;                   // PEM file
   int64_t max_body_bytes = int64_t{8} << 20;
-  // Total of all request bodies in memory; beyond it requests are refused with
-  // ErrorKind::kOverloaded.
-  int64_t max_total_body_bytes = int64_t{256} << 20;
   int64_t max_header_bytes = int64_t{32} << 10;
   int64_t max_headers = 100;
   // The longest time for receiving a complete request head; also the idle
@@ -57,8 +55,8 @@
 
 // State shared by a server and all its calls.
 struct HttpServerState {
-  int64_t held_body_bytes = 0;  // bytes of request bodies in memory
-  bool closing = false;         // each response closes its connection
+  ResourceBudget* budget = nullptr;  // may be null
+  bool closing = false;              // each response closes its connection
 };
 
 // A complete request.
@@ -108,6 +106,9 @@
   // Whether more than HttpServerOptions::high_water_bytes are unsent.
   bool Congested() const;
 
+  // Counts what the handler buffers of the response.
+  void SetBuffered(size_t bytes);
+
   // Called once when the caller disconnects before its response is complete.
   void OnGone(std::function<void()> call) { this->on_gone = std::move(call); }
 
@@ -123,6 +124,10 @@
   std::optional<Error> CheckHeadLimits() const;
   void TakeChunk(GBytes* chunk);
   void RefuseBody(ErrorKind kind, std::string message);
+  void RefuseForLackOfRoom();
+  HoldingState HeldState() const;
+  void Count();
+  void Yield();
   void PauseMessage();
   void WatchCaller();
   void StopWatching();
@@ -149,6 +154,8 @@
   int64_t received = 0;
   std::shared_ptr<HttpServerState> server;
   int64_t unsent = 0;
+  int64_t buffered = 0;  // by the handler
+  Holding holding;
   std::unique_ptr<Timer> timer;  // timeout of the current phase
   GSource* watch = nullptr;
   std::function<void()> on_gone;
@@ -158,7 +165,9 @@
 using HttpCallPtr = std::shared_ptr<HttpCall>;
 
 // Listens, reads requests and passes each to a handler. Must be created,
-// started and destroyed on the same task.
+// started and destroyed on the same task. What callers make the process hold
+// counts in `budget`, which may be null and outlives all calls; a request for
+// which there is no room is refused with ErrorKind::kOverloaded.
 class HttpServer {
  public:
   using Handler = std::function<void(const HttpCallPtr&)>;
@@ -167,7 +176,8 @@
 
   HttpServer(HttpServerOptions options,
              Handler handler,
-             RefusalHandler refusal_handler = {});
+             RefusalHandler refusal_handler = {},
+             ResourceBudget* budget = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -57,9 +57,15 @@
 
 // A server and a client, each on its own task.
 struct Pair {
-  explicit Pair(HttpServer::Handler handler, HttpServerOptions options = {}) {
+  explicit Pair(HttpServer::Handler handler,
+                HttpServerOptions options = {},
+                const ResourceLimits& limits = {}) {
     this->server_task.Call([&] {
-      this->server = std::make_unique<HttpServer>(options, std::move(handler));
+      this->budget =
+          std::make_unique<ResourceBudget>(limits, this->clock, this->metrics);
+      this->server = std::make_unique<HttpServer>(options, std::move(handler),
+                                                  HttpServer::RefusalHandler(),
+                                                  this->budget.get());
       this->address = this->server->Start().value();
     });
     this->client_task.Call(
@@ -67,7 +73,10 @@
   }
   ~Pair() {
     this->client_task.Call([&] { this->client.reset(); });
-    this->server_task.Call([&] { this->server.reset(); });
+    this->server_task.Call([&] {
+      this->server.reset();
+      this->budget.reset();
+    });
   }
 
   Outcome Send(HttpClientRequest outgoing) {
@@ -95,6 +104,9 @@
 
   Task server_task{"server"};
   Task client_task{"client"};
+  BootClock clock;
+  Metrics metrics;
+  std::unique_ptr<ResourceBudget> budget;
   std::unique_ptr<HttpServer> server;
   std::unique_ptr<HttpClient> client;
   SocketAddress address;
@@ -181,7 +193,6 @@
 HttpServerOptions SmallLimits() {
   HttpServerOptions options;
   options.max_body_bytes = 1000;
-  options.max_total_body_bytes = 1500;
   options.max_headers = 20;
   options.max_header_bytes = 2000;
   options.head_timeout = std::chrono::milliseconds(200);
@@ -296,6 +307,9 @@
 // Guards against memory exhausted by many concurrent bodies, each of them
 // within its own limit.
 TEST(Http, RefusesMoreBodiesThanItMayHold) {
+  HttpServerOptions options = SmallLimits();
+  options.max_body_bytes = 100'000;
+  const ResourceLimits limits{.bytes = 800'000};  // 600,000 in work
   std::promise<void> arrived;
   HttpCallPtr held;
   bool any = false;
@@ -308,21 +322,24 @@
           AnswerLength(call);
         }
       },
-      SmallLimits());
+      options, limits);
+  const auto status = [&pair](size_t bytes) {
+    return pair.Send({.method = "POST", .body = std::string(bytes, 'y')})
+        .status;
+  };
+  // A body in work counts four times.
   RawSocket first(pair.address);
-  first.Write(kPost + "Content-Length: 1000\r\n\r\n" + std::string(1000, 'x'));
+  first.Write(kPost + "Content-Length: 100000\r\n\r\n" +
+              std::string(100'000, 'x'));
   arrived.get_future().wait();
-  LONGS_EQUAL(
-      429, pair.Send({.method = "POST", .body = std::string(900, 'y')}).status);
-  LONGS_EQUAL(
-      200, pair.Send({.method = "POST", .body = std::string(400, 'y')}).status);
+  LONGS_EQUAL(429, status(90'000));
+  LONGS_EQUAL(200, status(40'000));
   pair.server_task.Call([&] {
     AnswerLength(held);
     held.reset();
   });
   CHECK(Begins(first.ReadAll(), "HTTP/1.1 200"));
-  LONGS_EQUAL(
-      200, pair.Send({.method = "POST", .body = std::string(900, 'y')}).status);
+  LONGS_EQUAL(200, status(90'000));
 }
 
 // Guards against a buffer held without end for a caller that opens a stream and
