--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -150,6 +150,9 @@
 }
 
 void HttpCall::Count() {
+  if (this->closed) {
+    return;
+  }
   const int64_t body = std::ssize(this->request.body);
   this->holding.SetState(this->HeldState());
   this->holding.SetBytes(kCallBytes +
@@ -161,15 +164,20 @@
 // an ordinary client reads the refusal.
 void HttpCall::Yield() {
   const auto keep = this->shared_from_this();
-  const HoldingState state = this->HeldState();
-  if (state == HoldingState::kSending) {
-    this->Abort();
-  } else if (state == HoldingState::kReceiving && !this->refusal) {
+  if (this->HeldState() == HoldingState::kReceiving && !this->refusal) {
     this->RefuseForLackOfRoom();
     this->Count();
+    return;
+  }
+  if (this->HeldState() == HoldingState::kSending) {
+    this->Abort();
   } else {
     this->CloseSocket();
   }
+  // libsoup frees the rest in the next turn.
+  this->closed = true;
+  this->holding.SetDescriptors(0);
+  this->holding.SetBytes(0);
 }
 
 void HttpCall::SetBuffered(size_t bytes) {
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -155,6 +155,7 @@
   std::shared_ptr<HttpServerState> server;
   int64_t unsent = 0;
   int64_t buffered = 0;  // by the handler
+  bool closed = false;   // to make room for others
   Holding holding;
   std::unique_ptr<Timer> timer;  // timeout of the current phase
   GSource* watch = nullptr;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -342,6 +342,83 @@
   LONGS_EQUAL(200, status(90'000));
 }
 
+// Guards against callers that stall just short of the end of their bodies and
+// keep all others out.
+TEST(Http, BodiesThatStallMakeRoomForOthers) {
+  HttpServerOptions options = SmallLimits();
+  options.max_body_bytes = 100'000;
+  options.body_timeout = std::chrono::seconds(60);
+  const ResourceLimits limits{.bytes = 800'000};
+  Pair pair(&AnswerLength, options, limits);
+  std::vector<std::unique_ptr<RawSocket>> crowd;
+  for (int i = 0; i < 20; ++i) {
+    crowd.push_back(std::make_unique<RawSocket>(pair.address));
+    crowd.back()->Write(kPost + "Content-Length: 100000\r\n\r\n" +
+                        std::string(99'999, 'x'));
+  }
+  const Outcome outcome =
+      pair.Send({.method = "POST", .body = std::string(90'000, 'y')});
+  LONGS_EQUAL(200, outcome.status);
+  pair.server_task.Call([&] {
+    CHECK(pair.budget->Bytes() <= limits.bytes);
+    CHECK(pair.metrics.Value(
+              "budget_yields_total",
+              {{"resource", "memory"}, {"state", "receiving"}}) >= 10);
+  });
+}
+
+// Guards against callers that read none of their answers and take all memory.
+TEST(Http, AnswersThatNobodyReadsMakeRoomForOthers) {
+  HttpServerOptions options = SmallLimits();
+  options.write_timeout = std::chrono::seconds(60);
+  const ResourceLimits limits{.bytes = 40'000'000};
+  Pair pair(
+      [](const HttpCallPtr& call) {
+        call->Answer(
+            200, {},
+            std::string(call->Request().path == "/big" ? 8'000'000 : 5, 'a'));
+      },
+      options, limits);
+  std::vector<std::unique_ptr<RawSocket>> crowd;
+  for (int i = 0; i < 20; ++i) {
+    crowd.push_back(std::make_unique<RawSocket>(pair.address));
+    crowd.back()->Write("GET /big HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  // What one turn of the main loop adds may exceed the limit until the next.
+  const auto made_room = [&pair, &limits] {
+    bool made = false;
+    pair.server_task.Call([&] {
+      made = pair.metrics.Value(
+                 "budget_yields_total",
+                 {{"resource", "memory"}, {"state", "sending"}}) >= 5 &&
+             pair.budget->Bytes() <= limits.bytes;
+    });
+    return made;
+  };
+  int waits = 0;
+  while (!made_room() && ++waits < 5000) {
+    g_usleep(1000);
+  }
+  CHECK(made_room());
+  STRCMP_EQUAL("aaaaa", pair.Send({.target = "/small"}).body.c_str());
+}
+
+// Guards against silent connections that keep all others out.
+TEST(Http, SilentConnectionsMakeRoomForOthers) {
+  HttpServerOptions options = SmallLimits();
+  options.head_timeout = std::chrono::seconds(60);
+  const ResourceLimits limits{.descriptors = 40};
+  Pair pair(&AnswerLength, options, limits);
+  std::vector<std::unique_ptr<RawSocket>> crowd;
+  for (int i = 0; i < 60; ++i) {
+    crowd.push_back(std::make_unique<RawSocket>(pair.address));
+  }
+  STRCMP_EQUAL("5",
+               pair.Send({.method = "POST", .body = "hello"}).body.c_str());
+  pair.server_task.Call(
+      [&] { CHECK(pair.budget->Descriptors() <= limits.ForClients()); });
+}
+
 // Guards against a buffer held without end for a caller that opens a stream and
 // never reads it.
 TEST(Http, CutsOffACallerThatDoesNotRead) {
