Pause accepting links while there are no descriptors

What an operator would see: a host without descriptors spends most of a core on accepting links of other hosts in vain, as it did with callers.

Links now wait for the next tick. AcceptingPausesWithoutDescriptors shows the pause for Listener: at most 5 attempts in 450 ms. The one of PeerLinks was read, not run.

--- a/packages/peers/peer_links.cc
+++ b/packages/peers/peer_links.cc
@@ -64,10 +64,7 @@
 
 PeerLinks::~PeerLinks() {
   this->handlers = {};
-  if (this->acceptable != nullptr) {
-    g_source_destroy(this->acceptable);
-    g_source_unref(this->acceptable);
-  }
+  this->StopWatching();
   g_clear_object(&this->listener);
 }
 
@@ -93,10 +90,7 @@
     g_clear_error(&error);
     return Fail(ErrorKind::kBadSetting, "can't listen for peers: " + message);
   }
-  this->acceptable = g_socket_create_source(this->listener, G_IO_IN, nullptr);
-  g_source_set_callback(this->acceptable,
-                        G_SOURCE_FUNC(&PeerLinks::OnAcceptable), this, nullptr);
-  g_source_attach(this->acceptable, g_main_context_get_thread_default());
+  this->Watch();
   GSocketAddress* bound = g_socket_get_local_address(this->listener, nullptr);
   SocketAddress result = this->options.listen;
   result.port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
@@ -104,6 +98,20 @@
   return result;
 }
 
+void PeerLinks::Watch() {
+  this->acceptable = g_socket_create_source(this->listener, G_IO_IN, nullptr);
+  g_source_set_callback(this->acceptable,
+                        G_SOURCE_FUNC(&PeerLinks::OnAcceptable), this, nullptr);
+  g_source_attach(this->acceptable, g_main_context_get_thread_default());
+}
+
+void PeerLinks::StopWatching() {
+  if (GSource* const watched = std::exchange(this->acceptable, nullptr)) {
+    g_source_destroy(watched);
+    g_source_unref(watched);
+  }
+}
+
 gboolean PeerLinks::OnAcceptable(GSocket* /*socket*/,
                                  GIOCondition /*on*/,
                                  gpointer self) {
@@ -112,8 +120,16 @@
 }
 
 void PeerLinks::Accept() {
-  GSocket* socket = g_socket_accept(this->listener, nullptr, nullptr);
+  GError* error = nullptr;
+  GSocket* socket = g_socket_accept(this->listener, nullptr, &error);
   if (socket == nullptr) {
+    // Without descriptors the next attempt fails too, until Tick() watches
+    // again.
+    if (this->options.session.budget != nullptr) {
+      this->options.session.budget->CountFailedAccept(error->message);
+    }
+    g_clear_error(&error);
+    this->StopWatching();
     return;
   }
   if (this->pending.size() >= kMaxPendingSessions) {
@@ -193,6 +209,9 @@
 void PeerLinks::Tick() {
   this->closed.clear();
   const Instant now = this->Now();
+  if (this->listener != nullptr && this->acceptable == nullptr) {
+    this->Watch();
+  }
   std::vector<PeerSession*> sessions;
   for (auto& [id, link] : this->links) {
     if (link.session != nullptr) {
--- a/packages/peers/peer_links.h
+++ b/packages/peers/peer_links.h
@@ -166,6 +166,8 @@
 
   Instant Now() const { return this->options.clock->Now(); }
   PeerSession::Handlers SessionHandlers();
+  void Watch();
+  void StopWatching();
   void Accept();
   void Tick();
   void Dial(Link& link);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,6 +1,8 @@
 // Tests of the HTTP client and server on real loopback sockets.
 
 #include <CppUTest/TestHarness.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <array>
 #include <future>
@@ -8,6 +10,7 @@
 
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "http/stream_socket.h"
 #include "raw_socket.h"
 
 namespace hickorystand {
@@ -419,6 +422,45 @@
       [&] { CHECK(pair.budget->Descriptors() <= limits.ForClients()); });
 }
 
+// Guards against a loop that only accepts, in vain, while the process has no
+// descriptors.
+TEST(Http, AcceptingPausesWithoutDescriptors) {
+  const BootClock clock;
+  Metrics metrics;
+  ResourceBudget budget({}, clock, metrics);
+  std::vector<ObjectPtr<GSocket>> accepted;
+  const SocketAddress address{.host = "127.0.0.1", .port = 20460};
+  const auto listener = Listener::Open(
+      address,
+      [&accepted](ObjectPtr<GSocket> socket) {
+        accepted.push_back(std::move(socket));
+      },
+      &budget);
+  CHECK(listener.has_value());
+  const RawSocket caller(address);
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int lowest_free = dup(STDERR_FILENO);
+  close(lowest_free);
+  rlimit none = before;
+  none.rlim_cur = static_cast<rlim_t>(lowest_free);
+  setrlimit(RLIMIT_NOFILE, &none);
+  const auto run_until = [](const std::function<bool()>& holds) {
+    while (!holds()) {
+      g_main_context_iteration(nullptr, TRUE);
+    }
+  };
+  bool over = false;
+  const auto end =
+      Timer::After(std::chrono::milliseconds(450), [&over] { over = true; });
+  run_until([&over] { return over; });
+  setrlimit(RLIMIT_NOFILE, &before);
+  const double failures = metrics.Value("accept_failures_total");
+  CHECK(failures >= 1);
+  CHECK(failures <= 5);
+  run_until([&accepted] { return !accepted.empty(); });
+}
+
 // Guards against a buffer held without end for a caller that opens a stream and
 // never reads it.
 TEST(Http, CutsOffACallerThatDoesNotRead) {
