What a client sends behind a request in work yields too

What would be seen: 64 KiB and a read behind each waiting request were counted as in work, which never yields; on as many connections as the descriptors allow that is more than the machine has.

Change: such bytes count as receiving, and yielding resets the connection.

--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -192,7 +192,9 @@
 
   void Yield(HoldingState state) {
     const auto keep = this->shared_from_this();
-    if (state == HoldingState::kReceiving) {
+    if (this->exchange) {
+      this->Drop();  // the request in work has an outcome that nobody knows
+    } else if (state == HoldingState::kReceiving) {
       this->RefuseForLackOfRoom();
     } else {
       this->CloseUnread();
@@ -204,9 +206,13 @@
   }
 
   // Counts what this connection holds. A request in work counts by itself.
-  void Count(HoldingState state) {
+  void Count() {
+    const bool receiving = this->parser.Unread() > 0 ||
+                           (!this->exchange && this->parser.Started());
     this->socket->SetHeld(
-        state,
+        receiving        ? HoldingState::kReceiving
+        : this->exchange ? HoldingState::kInWork
+                         : HoldingState::kIdle,
         this->parser.Unread() +
             static_cast<size_t>(this->exchange ? 0 : this->MessageBytes()));
   }
@@ -229,8 +235,7 @@
       if (this->parser.Unread() > kMaxReadAhead) {
         this->socket->Pause();
       }
-      this->Count(this->exchange ? HoldingState::kInWork
-                                 : HoldingState::kReceiving);
+      this->Count();
       return;
     }
     if (fresh) {
@@ -267,9 +272,7 @@
     }
     this->reading = false;
     if (!this->over) {
-      this->Count(this->exchange           ? HoldingState::kInWork
-                  : this->parser.Started() ? HoldingState::kReceiving
-                                           : HoldingState::kIdle);
+      this->Count();
     }
   }
 
@@ -314,7 +317,7 @@
         HoldInWork(budget, std::exchange(this->body, {}), this->head_bytes);
     this->exchange = std::make_shared<ConnectedExchange>(
         this->weak_from_this(), std::move(this->message));
-    this->Count(HoldingState::kInWork);
+    this->Count();
     this->server->handler(this->exchange);
     return true;
   }
@@ -326,7 +329,7 @@
       return;
     }
     this->AwaitRequest();
-    this->Count(HoldingState::kIdle);
+    this->Count();
     if (!this->reading) {
       this->ContinueReading();
     }
--- a/packages/relay/endpoint_pool.cc
+++ b/packages/relay/endpoint_pool.cc
@@ -207,6 +207,9 @@
     }
     this->parser.Feed(bytes);
     this->ReadOn();
+    if (this->socket->Open()) {
+      this->socket->SetHeld(HoldingState::kInWork, this->parser.Unread());
+    }
   }
 
   void ReadOn() {
