Connections of the process's own never yield; reading goes on only after a wait

Found by reading the change: an outgoing connection with unsent bytes counted as sending, so that it could have been reset, which passes for a crash of its endpoint. The on_drained callback of a host that has stopped reading could have resumed it.

--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -125,18 +125,19 @@
   this->Count();
 }
 
-void HttpCall::RefuseBody(ErrorKind kind, std::string message) {
+void HttpCall::RefuseBody(ErrorKind kind,
+                          std::string message,
+                          Duration retry_after) {
   this->request.body = {};
   if (!this->refusal) {
-    this->refusal = Error{kind, std::move(message), std::chrono::seconds(1)};
+    this->refusal = Error{kind, std::move(message), retry_after};
   }
 }
 
 void HttpCall::RefuseForLackOfRoom() {
   const Duration wait = this->server->budget->RetryAfter(
       std::ssize(this->request.body) * kCopiesInWork);
-  this->RefuseBody(ErrorKind::kOverloaded, "Too much is held.");
-  this->refusal->retry_after = wait;
+  this->RefuseBody(ErrorKind::kOverloaded, "Too much is held.", wait);
 }
 
 HoldingState HttpCall::HeldState() const {
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -123,7 +123,9 @@
   void ReadHead();
   std::optional<Error> CheckHeadLimits() const;
   void TakeChunk(GBytes* chunk);
-  void RefuseBody(ErrorKind kind, std::string message);
+  void RefuseBody(ErrorKind kind,
+                  std::string message,
+                  Duration retry_after = std::chrono::seconds(1));
   void RefuseForLackOfRoom();
   HoldingState HeldState() const;
   void Count();
--- a/packages/http/stream_socket.cc
+++ b/packages/http/stream_socket.cc
@@ -112,7 +112,11 @@
     : socket(std::move(socket)),
       events(std::move(events)),
       held_state(state),
-      holding(budget, state, [this] { this->Yield(); }) {
+      holding(
+          budget,
+          state,
+          state == HoldingState::kInWork ? std::function<void()>()
+                                         : [this] { this->Yield(); }) {
   this->holding.SetDescriptors(1);
   this->Count();
 }
--- a/packages/http/stream_socket.h
+++ b/packages/http/stream_socket.h
@@ -118,7 +118,8 @@
   void Write(SharedBytes bytes);
 
   // What the owner holds for the connection besides unsent bytes, and who
-  // decides for how long. Unsent bytes make any state kSending.
+  // decides for how long. Unsent bytes make any state kSending. A connection
+  // that this process has opened never yields.
   void SetHeld(HoldingState state, size_t bytes);
 
   // Pause() stops reading, so that TCP flow control blocks the peer. Resume()
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -117,7 +117,7 @@
              [this] {
                if (this->exchange) {
                  this->exchange->OnConnectionDrained();
-               } else {
+               } else if (std::exchange(this->answers_unread, false)) {
                  this->ContinueReading();
                }
              },
@@ -246,9 +246,7 @@
   }
 
   // Whether the next request isn't read yet, though none waits for its answer.
-  bool MustWait() const {
-    return this->next_turn || this->socket->Unsent() > kMaxUnreadAnswers;
-  }
+  bool MustWait() const { return this->next_turn || this->answers_unread; }
 
   // Reads requests until one waits for its answer or isn't complete. An answer
   // that the handler makes at once begins the next turn of the loop.
@@ -258,6 +256,7 @@
     }
     bool read = true;
     for (int turn = 0; read && !this->over && !this->exchange; ++turn) {
+      this->answers_unread = this->socket->Unsent() > kMaxUnreadAnswers;
       if (turn == kRequestsPerTurn) {
         this->next_turn = Timer::After(Duration{}, [this] {
           const auto keep = this->shared_from_this();
@@ -279,7 +278,8 @@
   // Goes on after a wait.
   void ContinueReading() {
     const auto keep = this->shared_from_this();
-    if (this->over || this->exchange || this->MustWait()) {
+    // StopReading() has set `last`.
+    if (this->over || this->last || this->exchange || this->MustWait()) {
       return;
     }
     this->socket->Resume();
@@ -360,7 +360,8 @@
   std::unique_ptr<Timer> timer;
   std::unique_ptr<Timer> next_turn;  // set while other connections have theirs
   bool last = false;
-  bool reading = false;  // ReadOn runs
+  bool reading = false;         // ReadOn runs
+  bool answers_unread = false;  // more than kMaxUnreadAnswers
   bool over = false;
 };
 
