Count blocks of unsent bytes until they are freed

What would be seen: readers that take an answer but for the last bytes of a block hold the whole block, 256 KiB, and count as holding a few bytes; on as many connections as the descriptors allow that is more than the machine has.

Cause: the budget was told of unsent bytes, and memory is freed by the block. Found by reading; no crowd of that kind was run. Blocks have 64 KiB now, and count as a whole until they are freed; ABlockCountsUntilItIsFreed holds that rule and was not run on the code before.

--- a/packages/http/stream_socket.cc
+++ b/packages/http/stream_socket.cc
@@ -23,7 +23,7 @@
 
 // Written bytes are copied into blocks of this size, so that sent ones are
 // freed and none is moved.
-constexpr size_t kOutputBlock = size_t{256} << 10;
+constexpr size_t kOutputBlock = size_t{64} << 10;
 
 // How long accepting pauses after it has failed.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
@@ -97,9 +97,10 @@
 void OutputQueue::Consume(size_t bytes) {
   const Block& first = this->blocks.front();
   this->size -= bytes;
-  this->own_bytes -= first.shared ? 0 : bytes;
   this->consumed += bytes;
   if (this->consumed == first.Bytes().size()) {
+    // A block is freed as a whole.
+    this->own_bytes -= first.copy.size();
     this->blocks.pop_front();
     this->consumed = 0;
   }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -422,6 +422,26 @@
       [&] { CHECK(pair.budget->Descriptors() <= limits.ForClients()); });
 }
 
+// Guards against readers that leave the last byte of each block, whose memory
+// then counts as free.
+TEST(Http, ABlockCountsUntilItIsFreed) {
+  constexpr size_t kBytes = 200'000;
+  OutputQueue queue;
+  queue.Append(std::string(kBytes, 'a'));
+  const size_t first = queue.Front().size();
+  CHECK(first < kBytes);
+  queue.Consume(first - 1);
+  LONGS_EQUAL(kBytes, queue.OwnBytes());
+  LONGS_EQUAL(kBytes - first + 1, queue.Size());
+  queue.Consume(1);
+  LONGS_EQUAL(kBytes - first, queue.OwnBytes());
+  queue.Append(std::make_shared<const std::string>(kBytes, 's'));
+  while (queue.Size() > 0) {
+    queue.Consume(queue.Front().size());
+  }
+  LONGS_EQUAL(0, queue.OwnBytes());
+}
+
 // Guards against a loop that only accepts, in vain, while the process has no
 // descriptors.
 TEST(Http, AcceptingPausesWithoutDescriptors) {
