Idle connections keep no read buffer

What callers saw: nothing yet; on a machine of 64 MB and 1,000 descriptors, 650 clients that had each sent 64 KiB and were idle left too little for the bodies of 24 others: 66,152 KiB at the peak, 62,500 allowed.

Cause: the parser's buffer kept the capacity of the largest read, 32 KiB or more a connection, though the budget counts what is unread.

Change: the parser frees its buffer once everything is parsed.

--- a/packages/http/http1_parser.cc
+++ b/packages/http/http1_parser.cc
@@ -149,6 +149,13 @@
 }
 
 void Http1Parser::Read() {
+  this->Parse();
+  if (this->unread.empty()) {
+    this->unread.shrink_to_fit();  // an idle connection keeps no buffer
+  }
+}
+
+void Http1Parser::Parse() {
   while (!this->done && this->failure == Http1Failure::kNone &&
          !this->unread.empty()) {
     this->started = true;
--- a/packages/http/http1_parser.h
+++ b/packages/http/http1_parser.h
@@ -107,6 +107,8 @@
   template <bool kRequest>
   class BeastMessageParser;
 
+  void Parse();
+
   Http1Side side;
   Http1Events events;
   std::unique_ptr<MessageParser> engine;
