Connections with more work than one piece wait for their turns

Cause: each connection answered up to 32 requests, or parsed up to 32 KiB in chunks of a byte, in each iteration of the loop, so that the length of an iteration grew with the crowd; and one connection was accepted an iteration, whoever waits behind 500 others.

Change: TurnQueue. The limit of 32 requests is gone. Up to 16 connections are accepted an iteration.

--- a/packages/http/stream_socket.cc
+++ b/packages/http/stream_socket.cc
@@ -25,6 +25,9 @@
 // freed and none is moved.
 constexpr size_t kOutputBlock = size_t{64} << 10;
 
+// Connections that are accepted before other sources of the loop are served.
+constexpr int kAcceptsPerTurn = 16;
+
 // How long accepting pauses after it has failed.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 
@@ -447,27 +450,31 @@
 gboolean Listener::OnReady(GSocket* /*socket*/,
                            GIOCondition /*condition*/,
                            gpointer data) {
-  static_cast<Listener*>(data)->Accept();
+  const auto self = static_cast<Listener*>(data);
+  for (int i = 0; i < kAcceptsPerTurn && self->Accept(); ++i) {
+  }
   return G_SOURCE_CONTINUE;
 }
 
-void Listener::Accept() {
+// Returns whether there may be another connection to accept.
+bool Listener::Accept() {
   GError* raw = nullptr;
   ObjectPtr<GSocket> accepted(
       g_socket_accept(this->socket.get(), nullptr, &raw));
   const ErrorPtr error(raw);
   if (accepted) {
     this->on_accept(std::move(accepted));
-    return;
+    return true;
   }
   if (IsError(error, G_IO_ERROR_WOULD_BLOCK)) {
-    return;
+    return false;
   }
   if (this->budget != nullptr) {
     this->budget->CountFailedAccept(error->message);
   }
   this->StopWatching();
   this->pause = Timer::After(kAcceptPause, [this] { this->Watch(); });
+  return false;
 }
 
 }  // namespace hickorystand
--- a/packages/http/stream_socket.h
+++ b/packages/http/stream_socket.h
@@ -212,7 +212,7 @@
 
   void Watch();
   void StopWatching();
-  void Accept();
+  bool Accept();
 
   ObjectPtr<GSocket> socket;
   GSource* source = nullptr;
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -20,9 +20,6 @@
 // read.
 constexpr size_t kMaxUnreadAnswers = size_t{256} << 10;
 
-// Pipelined requests that are answered before other connections get a turn.
-constexpr int kRequestsPerTurn = 32;
-
 std::string HeadText(const AnswerStart& start, bool chunked, bool last) {
   std::string text = "HTTP/1.1 " + std::to_string(start.status) + " " +
                      std::string(ReasonPhrase(start.status)) + "\r\n";
@@ -241,33 +238,41 @@
     if (fresh) {
       this->SetTimer(this->server->limits.head_timeout,
                      &CallerConnection::RefuseTimedOut);
+    } else if (!this->server->turns.MayGoOn()) {
+      this->WaitForTurn();
+      return;
     }
     this->ReadOn();
   }
 
+  // Lets other connections read first.
+  void WaitForTurn() {
+    this->socket->Pause();
+    this->next_turn = this->server->turns.Wait([this] {
+      const auto keep = this->shared_from_this();
+      this->next_turn.reset();
+      this->ContinueReading();
+    });
+    this->Count();
+  }
+
   // Whether the next request isn't read yet, though none waits for its answer.
   bool MustWait() const { return this->next_turn || this->answers_unread; }
 
-  // Reads requests until one waits for its answer or isn't complete. An answer
-  // that the handler makes at once begins the next turn of the loop.
+  // Reads requests until one waits for its answer or isn't complete, or other
+  // connections have their turns.
   void ReadOn() {
     if (std::exchange(this->reading, true)) {
       return;
     }
     bool read = true;
-    for (int turn = 0; read && !this->over && !this->exchange; ++turn) {
+    while (read && !this->over && !this->exchange && !this->MustWait()) {
       this->answers_unread = this->socket->Unsent() > kMaxUnreadAnswers;
-      if (turn == kRequestsPerTurn) {
-        this->next_turn = Timer::After(Duration{}, [this] {
-          const auto keep = this->shared_from_this();
-          this->next_turn.reset();
-          this->ContinueReading();
-        });
-      }
-      if (this->MustWait()) {
-        break;
+      read = !this->answers_unread && this->ReadRequest();
+      if (read && !this->over && !this->exchange && this->parser.Unread() > 0 &&
+          !this->server->turns.MayGoOn()) {
+        this->WaitForTurn();
       }
-      read = this->ReadRequest();
     }
     this->reading = false;
     if (!this->over) {
@@ -358,7 +363,7 @@
   int64_t head_bytes = 0;
   std::shared_ptr<ConnectedExchange> exchange;
   std::unique_ptr<Timer> timer;
-  std::unique_ptr<Timer> next_turn;  // set while other connections have theirs
+  std::unique_ptr<Turn> next_turn;  // set while other connections have theirs
   bool last = false;
   bool reading = false;         // ReadOn runs
   bool answers_unread = false;  // more than kMaxUnreadAnswers
--- a/packages/relay/caller_server.h
+++ b/packages/relay/caller_server.h
@@ -17,6 +17,7 @@
 
 #include "http/stream_socket.h"
 #include "kernel/task.h"
+#include "kernel/turn_queue.h"
 #include "relay/caller_exchange.h"
 #include "relay/fleet_configuration.h"
 
@@ -66,6 +67,7 @@
   CallerLimits limits;
   bool draining = false;
   std::unique_ptr<Listener> listener;
+  TurnQueue turns;  // of connections that have more to be parsed
   std::set<std::shared_ptr<CallerConnection>> connections;
   std::vector<std::weak_ptr<StreamSocket>> closing;  // with unsent bytes
 };
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -7,6 +7,8 @@
 #include <array>
 #include <atomic>
 #include <csignal>
+#include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,7 @@
 #include "kernel/settings.h"
 #include "kernel/stop_signal.h"
 #include "kernel/task.h"
+#include "kernel/turn_queue.h"
 
 namespace hickorystand {
 namespace {
@@ -160,6 +163,37 @@
   LONGS_EQUAL(0, fired);
 }
 
+TEST_GROUP(TurnQueue){};
+
+TEST(TurnQueue, GivesTurnsInOrderOfArrival) {
+  TurnQueue queue;
+  std::string given;
+  const auto first = queue.Wait([&given] { given += "1"; });
+  auto left = queue.Wait([&given] { given += "2"; });
+  const auto third = queue.Wait([&given] { given += "3"; });
+  left.reset();
+  while (given.size() < 2) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  STRCMP_EQUAL("13", given.c_str());
+}
+
+// Guards against one connection's work that keeps the loop from all others.
+TEST(TurnQueue, OthersAreServedBesideEndlessWork) {
+  constexpr int kMostIterations = 3;
+  TurnQueue queue;
+  std::unique_ptr<Turn> turn;
+  const std::function<void()> work = [&] { turn = queue.Wait(work); };
+  work();
+  CHECK_FALSE(queue.MayGoOn());
+  bool served = false;
+  const auto other = Timer::After(Duration{}, [&served] { served = true; });
+  for (int i = 0; i < kMostIterations && !served; ++i) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  CHECK_TRUE(served);
+}
+
 TEST_GROUP(LogLimiter){};
 
 TEST(LogLimiter, AllowsABurstAndThenOneEachInterval) {
