Keep one copy of a request's head

What callers would see: heads of many fields take twice what the budget counts.

Cause: the parser kept its own copy of the head until the next request.

Change: the parser passes the head on.

--- a/packages/http/http1_parser.cc
+++ b/packages/http/http1_parser.cc
@@ -99,7 +99,7 @@
       this->head.body_length = *length;
     }
     this->owner->head_read = true;
-    this->owner->events.on_head(this->head);
+    this->owner->events.on_head(std::move(this->head));
   }
   void on_body_init_impl(const boost::optional<uint64_t>& /*length*/,
                          error_code& error) override {
--- a/packages/http/http1_parser.h
+++ b/packages/http/http1_parser.h
@@ -51,7 +51,7 @@
 // Callbacks of a parser, called in this order for each message. on_body is
 // called once for each piece of the body.
 struct Http1Events {
-  std::function<void(const Http1Head&)> on_head;
+  std::function<void(Http1Head)> on_head;
   std::function<void(std::string_view)> on_body;
   std::function<void()> on_end;
 };
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -102,7 +102,8 @@
       : server(server),
         parser(
             Http1Side::kRequests,
-            {.on_head = [this](const Http1Head& head) { this->OnHead(head); },
+            {.on_head =
+                 [this](Http1Head head) { this->OnHead(std::move(head)); },
              .on_body = [this](std::string_view bytes) { this->body += bytes; },
              .on_end = [] {}}) {}
 
@@ -214,10 +215,10 @@
             static_cast<size_t>(this->exchange ? 0 : this->MessageBytes()));
   }
 
-  void OnHead(const Http1Head& head) {
-    this->message.head = head;
-    this->head_bytes = HeadBytes(head);
-    const auto expectation = FindHeader(head.headers, "Expect");
+  void OnHead(Http1Head head) {
+    this->message.head = std::move(head);
+    this->head_bytes = HeadBytes(this->message.head);
+    const auto expectation = FindHeader(this->message.head.headers, "Expect");
     if (expectation &&
         g_ascii_strcasecmp(expectation->c_str(), "100-continue") == 0) {
       this->socket->Write("HTTP/1.1 100 Continue\r\n\r\n");
