A connection that is about to read makes room itself

What callers saw: beside 3,400 clients with heads of 4,000 fields, which stop short of their end, an ordinary request wasn't answered within 60 s.

Cause: while holdings were about to yield, no connection read, and they yield in the next iteration of the loop. So with a full budget one connection read in two iterations, the oldest first, and each iteration visited all that were ready: 18 reads a second, and the newcomer's last.

Change: reading makes room first, so all that are ready read in an iteration.

--- a/packages/http/stream_socket.cc
+++ b/packages/http/stream_socket.cc
@@ -229,7 +229,8 @@
 }
 
 void StreamSocket::ReadSome() {
-  if (this->holding.RoomPending()) {
+  this->holding.MakeRoom();
+  if (this->state != State::kOpen && this->state != State::kClosing) {
     return;
   }
   std::array<char, kReadBlock> block;
--- a/packages/kernel/resource_budget.cc
+++ b/packages/kernel/resource_budget.cc
@@ -178,6 +178,12 @@
   return this->budget != nullptr && this->budget->RoomPending();
 }
 
+void Holding::MakeRoom() const {
+  if (this->budget != nullptr) {
+    this->budget->MakeRoom();
+  }
+}
+
 double Holding::ByteSeconds(Instant now) const {
   return static_cast<double>(this->bytes) * ToSeconds(now - this->arrived);
 }
@@ -332,9 +338,13 @@
 }
 
 void ResourceBudget::MakeRoom() {
+  if (this->room_source == nullptr) {
+    return;
+  }
   std::ranges::for_each(kResources, [this](const Resource& resource) {
     this->MakeRoom(resource);
   });
+  g_source_destroy(this->room_source);
   g_source_unref(std::exchange(this->room_source, nullptr));
 }
 
--- a/packages/kernel/resource_budget.h
+++ b/packages/kernel/resource_budget.h
@@ -12,9 +12,9 @@
 //                   [this] { this->Refuse(503); });
 //   request.SetBytes(received);
 //
-// Yielding is asynchronous: a holding yields from the main loop, never from
-// within a call of Holding. Until then StreamSocket reads nothing
-// (RoomPending).
+// Yielding is asynchronous: a holding yields from the main loop, or when
+// whoever is about to read calls MakeRoom(), never from within a change of a
+// holding.
 //
 // A budget belongs to one task. Tasks that serve divide what the process may
 // hold. Index
@@ -127,6 +127,9 @@
   // ResourceBudget::RoomPending().
   bool RoomPending() const;
 
+  // ResourceBudget::MakeRoom().
+  void MakeRoom() const;
+
  private:
   friend class ResourceBudget;
 
@@ -160,9 +163,13 @@
   // requests may use what large ones must leave free.
   bool MayTakeIntoWork(int64_t bytes) const;
 
-  // Whether holdings are about to yield. Until they have, nothing is read.
+  // Whether holdings are about to yield.
   bool RoomPending() const { return this->room_source != nullptr; }
 
+  // Lets holdings yield now if they are about to, the caller's own included.
+  // Not to be called while a holding yields.
+  void MakeRoom();
+
   // Estimate of the time until `bytes` are free, from the rate at which bytes
   // were freed lately.
   Duration RetryAfter(int64_t bytes) const;
@@ -201,7 +208,6 @@
   void Change(const Holding& holding, int64_t bytes, int64_t descriptors);
   void Freed(int64_t bytes);
   static gboolean OnMakeRoom(gpointer self);
-  void MakeRoom();
   void MakeRoom(const Resource& resource);
   Holding* Costliest(const Resource& resource, Instant now) const;
   bool MayLog();
--- a/tests/resource_budget_test.cc
+++ b/tests/resource_budget_test.cc
@@ -155,6 +155,19 @@
   CHECK(bed.yielded == Names{"silent0"});
 }
 
+// Guards against readers that wait for each other's room, a turn of the loop
+// for each.
+TEST(ResourceBudget, AReaderMakesRoomItself) {
+  BudgetBed bed({.bytes = kLimit});
+  bed.Add("old", HoldingState::kReceiving, kLimit);
+  bed.clock.Advance(seconds(1));
+  bed.Add("newcomer", HoldingState::kReceiving, 1);
+  CHECK(bed.budget.RoomPending());
+  bed.budget.MakeRoom();
+  CHECK(!bed.budget.RoomPending());
+  CHECK(bed.yielded == Names{"old"});
+}
+
 // Guards against limits that a request within the platform's limits meets in
 // calm, and against a budget that takes all of a machine.
 TEST(ResourceBudget, DefaultsFollowTheMachine) {
