--- a/packages/kernel/resource_budget.h
+++ b/packages/kernel/resource_budget.h
@@ -16,8 +16,8 @@
 // whoever is about to read calls MakeRoom(), never from within a change of a
 // holding.
 //
-// A budget belongs to one task. Tasks that serve divide what the process may
-// hold. Index
+// A budget belongs to one task; several tasks divide what the process may hold.
+// Index
 //   MachineLimits    memory and descriptors of a machine
 //   ResourceLimits   what may be held
 //   HoldingState     who decides how long it is held
