A reset that a write notices first is no orderly close

Callers saw: an endpoint answered a long upload at once with a 200 without length, sent a part of its body and reset the connection while the upload was being written; the part reached the caller as a whole answer, with an orderly close.

Cause: the kernel reports a reset once. StreamSocket::Flush took the error and dropped it, and the next read, behind the bytes that had arrived, returned 0. The socket told its owner kClosed, and the parser proved an end until close by it. Whether the write or the read came first was a race. The same news reached everything that asks StreamEnd: EndpointPool's on_lost, and the reuse of a connection whose write had failed (its queue was emptied, so it looked sent).

Change: the socket remembers that a write failed. The end behind it is kReset, and the connection isn't Open() any more, so it carries no further request. No reader needs a check of its own.

An orderly close that is read while a request isn't all sent still ends an answer without length: a server may well answer 413, close its side and go on reading. A close that is only found out by a failed write proves nothing, also behind such an answer; RFC 9112, 9.6 asks servers to avoid it.

--- a/packages/http/stream_socket.cc
+++ b/packages/http/stream_socket.cc
@@ -246,7 +246,7 @@
     const auto call = this->events.on_bytes;
     call({block.data(), static_cast<size_t>(got)});
   } else if (got == 0) {
-    this->End(StreamEnd::kClosed);
+    this->End(this->write_failed ? StreamEnd::kReset : StreamEnd::kClosed);
   } else if (!IsError(error, G_IO_ERROR_WOULD_BLOCK)) {
     this->End(StreamEnd::kReset);
   }
@@ -314,7 +314,9 @@
         this->Count();
       } else {
         // Data that the peer sent before the reset may still be readable; the
-        // input source reports the end of the connection after it.
+        // input source reports the end of the connection after it. The kernel
+        // reports an error once, so reading then ends like an orderly close.
+        this->write_failed = true;
         this->unsent.Clear();
         this->Count();
         this->output.reset();
--- a/packages/http/stream_socket.h
+++ b/packages/http/stream_socket.h
@@ -35,7 +35,7 @@
 enum class StreamEnd {
   kRefused,  // could not be established
   kClosed,   // closed in order by the peer
-  kReset,    // reset, or timed out by the kernel
+  kReset,    // reset, timed out by the kernel, or closed while bytes were sent
 };
 
 // Callbacks of a connection, called on its task. The owner may destroy the
@@ -144,7 +144,10 @@
   // Whether the kernel has accepted any byte.
   bool AnySent() const { return this->any_sent; }
 
-  bool Open() const { return this->state == State::kOpen; }
+  // Whether the connection is established and takes bytes to write.
+  bool Open() const {
+    return this->state == State::kOpen && !this->write_failed;
+  }
 
  private:
   enum class State { kConnecting, kOpen, kClosing, kDisconnected };
@@ -184,6 +187,7 @@
   SourcePtr failure;
   OutputQueue unsent;
   bool any_sent = false;
+  bool write_failed = false;
   bool paused = false;
   std::shared_ptr<StreamSocket> self;  // set during CloseAfterWrite()
   std::unique_ptr<Timer> closing;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -5,7 +5,9 @@
 #include <unistd.h>
 
 #include <array>
+#include <functional>
 #include <future>
+#include <optional>
 #include <string>
 
 #include "http/http_client.h"
@@ -189,6 +191,39 @@
   }
 }
 
+// Guards against a reset that a write notices first, and that reading then
+// reports as an orderly close.
+TEST(Http, AResetThatAWriteNoticesIsNoClose) {
+  std::promise<void> blocked;
+  RawServer server([&blocked](RawSocket& socket, int) {
+    blocked.get_future().wait();
+    socket.Write("part");
+    socket.Reset();
+  });
+  std::string got;
+  std::optional<StreamEnd> end;
+  const auto socket = StreamSocket::Connect(
+      server.Address(), std::chrono::seconds(5),
+      {.on_bytes = [&got](std::string_view bytes) { got += bytes; },
+       .on_end = [&end](StreamEnd seen) { end = seen; }});
+  const auto run_until = [](const std::function<bool()>& holds) {
+    while (!holds()) {
+      g_main_context_iteration(nullptr, TRUE);
+    }
+  };
+  run_until([&socket] { return socket->Open(); });
+  socket->Pause();
+  socket->Write(std::string(size_t{32} << 20, 'u'));
+  CHECK(socket->Unsent() > 0);
+  blocked.set_value();
+  run_until([&socket] { return socket->Unsent() == 0; });
+  CHECK(!socket->Open());
+  socket->Resume();
+  run_until([&end] { return end.has_value(); });
+  STRCMP_EQUAL("part", got.c_str());
+  CHECK(end == StreamEnd::kReset);
+}
+
 // -- Limits ------------------------------------------------------------------
 
 namespace {
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <gio/gio.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -73,6 +74,15 @@
 
   void Close() { g_io_stream_close(this->Stream(), nullptr, nullptr); }
 
+  // Closes the connection with a reset.
+  void Reset() {
+    const linger reset_on_close{.l_onoff = 1, .l_linger = 0};
+    setsockopt(
+        g_socket_get_fd(g_socket_connection_get_socket(this->connection.get())),
+        SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof reset_on_close);
+    this->Close();
+  }
+
  private:
   static constexpr guint kTimeoutSeconds = 20;
 
