A status outside 100 to 599 is no answer

Callers saw: an endpoint in trouble sent a status of 000; its answer reached them whole, as 'HTTP/1.1 0 Unknown Error'. So did 001, 099, 600 and 999, on routes of every kind and for HEAD.

Cause: Beast takes any three digits for a status, and Http1Parser passed on what it took. Nothing behind the parser looks at the status again; to the relay such an answer, with its id and its seal, is like any other.

Change: the parser takes only statuses that HTTP has. Any other is malformed, so the attempt has failed as after any broken answer: it is repeated where the request may be, within the retry budget, else 502, and never 'not run'. 101 is malformed too: no request asks for another protocol, so what comes behind it isn't known to be HTTP.

--- a/packages/http/http1_parser.cc
+++ b/packages/http/http1_parser.cc
@@ -16,6 +16,16 @@
   return {text.data(), text.size()};
 }
 
+// Status codes of three digits that an answer may have. No request of this
+// project asks for another protocol, so none may be switched to.
+bool IsStatus(int status) {
+  constexpr int kLowest = 100;
+  constexpr int kHighest = 599;
+  constexpr int kSwitchingProtocols = 101;
+  return status >= kLowest && status <= kHighest &&
+         status != kSwitchingProtocols;
+}
+
 Http1Failure FailureOf(const error_code& error) {
   if (error == http::error::header_limit) {
     return Http1Failure::kHeadTooLarge;
@@ -77,7 +87,7 @@
                         string_view /*reason*/,
                         int /*version*/,
                         error_code& error) override {
-    error = {};
+    error = IsStatus(status) ? error_code() : http::error::bad_status;
     this->head.status = status;
   }
   void on_field_impl(http::field /*field*/,
