An answer in another transfer coding than chunks is no answer

Callers of a relay would see: a 200 whose body is the bytes of a coding that nobody undid, chunk lines included, as a plain body.

Cause: Beast takes a Transfer-Encoding that doesn't end with 'chunked' for none (the body then lasts until the close), and drops what stands before 'chunked' in the list. The relay doesn't pass the header on, so what it sent was another body than the endpoint's. No request asks for a coding (TE).

Change: the parser takes an answer only without the header, or with 'chunked' alone. Requests are read as before.

Evidence, on: eleven rows of the table ('gzip, chunked', 'gzip', 'identity', 'chunked, identity', 'xchunked', 'chunked, gzip', 'chunked, chunked', an empty one, ', ', 'chunked;q=1', two lines) reach the caller of a relay with a 200; now none. broken_answer_test, relay_test and answer_end_test pass.

--- a/packages/http/http1_parser.cc
+++ b/packages/http/http1_parser.cc
@@ -1,5 +1,6 @@
 #include "http/http1_parser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -26,6 +27,15 @@
          status != kSwitchingProtocols;
 }
 
+// Whether the body is sent without a transfer coding or in chunks. Beast takes
+// any other coding for none, or drops it from a list that ends with chunks.
+bool HasReadableCoding(const HttpHeaders& headers) {
+  return std::ranges::all_of(headers, [](const HttpHeader& header) {
+    return !HeaderNamesEqual(header.name, "Transfer-Encoding") ||
+           HeaderNamesEqual(header.value, "chunked");
+  });
+}
+
 Http1Failure FailureOf(const error_code& error) {
   if (error == http::error::header_limit) {
     return Http1Failure::kHeadTooLarge;
@@ -102,6 +112,10 @@
   }
   void on_header_impl(error_code& error) override {
     error = {};
+    if (!kRequest && !HasReadableCoding(this->head.headers)) {
+      error = http::error::bad_transfer_encoding;
+      return;
+    }
     this->head_complete = true;
     this->head.keep_alive = this->keep_alive();
     this->head.until_close = this->need_eof();
--- a/tests/broken_answers.h
+++ b/tests/broken_answers.h
@@ -92,6 +92,18 @@
   answers.push_back(
       {"a blank behind the name of a coding",
        head + "Transfer-Encoding : chunked\r\n\r\n" + chunk + last});
+  for (const char* coding :
+       {"gzip, chunked", "gzip", "identity", "chunked, identity", "xchunked",
+        "chunked, gzip", "chunked, chunked", "", ", ", "chunked;q=1"}) {
+    answers.push_back(
+        {std::string("coding '") + coding + "'",
+         head + "Transfer-Encoding: " + coding + "\r\n\r\n" + chunk + last});
+  }
+  answers.push_back(
+      {"two lines of codings", head +
+                                   "Transfer-Encoding: gzip\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n" +
+                                   chunk + last});
   for (const char* size :
        {"-b", "+b", "0xb", "ffffffffffffffffff", "", "g", " b"}) {
     answers.push_back({std::string("chunk size '") + size + "'",
