Move the pool of connections to packages/http

Names and places only: EndpointPool is ConnectionPool, its requests and exchanges are Pooled..., HttpEnd stands with the other plain types of HTTP, ConnectionId with the other ids. HttpClient can then use the pool too.

relay_test, answer_end_test, endless_answer_test and http_test pass.

--- a/packages/decisions/run_evidence.h
+++ b/packages/decisions/run_evidence.h
@@ -29,7 +29,6 @@
 //   if (evidence.IsSure(address, connection, endpoint.run)) { ... }
 //
 // Index
-//   ConnectionId         identifies a connection
 //   RunEvidenceOptions   times
 //   RunEvidence          the connections of this host
 
@@ -46,9 +45,6 @@
 
 namespace hickorystand {
 
-// Identifies a connection of this host.
-using ConnectionId = uint64_t;
-
 struct RunEvidenceOptions {
   // An older list may name runs that have ended.
   Duration max_list_age = std::chrono::milliseconds(2500);
--- a/packages/http/answer_end.h
+++ b/packages/http/answer_end.h
@@ -23,7 +23,7 @@
 
 #include <string_view>
 
-#include "http/http_client.h"
+#include "http/http_types.h"
 
 namespace hickorystand {
 
--- a/packages/relay/endpoint_pool.cc
+++ b/packages/http/connection_pool.cc
@@ -1,4 +1,4 @@
-#include "relay/endpoint_pool.h"
+#include "http/connection_pool.h"
 
 #include <algorithm>
 #include <charconv>
@@ -54,10 +54,9 @@
 }
 
 // One connection, which is connecting, carries an exchange, or is idle.
-class EndpointConnection
-    : public std::enable_shared_from_this<EndpointConnection> {
+class PooledConnection : public std::enable_shared_from_this<PooledConnection> {
  public:
-  EndpointConnection(EndpointPool* pool, SocketAddress address)
+  PooledConnection(ConnectionPool* pool, SocketAddress address)
       : pool(pool),
         id(++pool->opened),
         address(std::move(address)),
@@ -68,7 +67,7 @@
              .on_end = [] {}}) {}
 
   void Open() {
-    const EndpointPoolOptions& options = this->pool->options;
+    const ConnectionPoolOptions& options = this->pool->options;
     this->started = this->pool->clock->Now();
     this->timer = Timer::After(options.connect_timeout,
                                [this] { this->Fail(HttpEnd::kNotSent); });
@@ -80,7 +79,7 @@
         this->pool->budget);
   }
 
-  void Carry(const EndpointSend& send, EndpointExchangePtr next) {
+  void Carry(const PooledRequest& send, PooledExchangePtr next) {
     this->exchange = std::move(next);
     this->exchange->connection = this->weak_from_this();
     this->request = send.request;
@@ -120,8 +119,8 @@
   }
 
  private:
-  friend class EndpointExchange;
-  friend class EndpointPool;
+  friend class PooledExchange;
+  friend class ConnectionPool;
 
   void Notify(const std::function<void(const SocketAddress&)>& call) const {
     if (call) {
@@ -191,7 +190,7 @@
 
   void OnBody(std::string_view bytes) {
     // The callback may end the exchange.
-    const EndpointExchangePtr keep = this->exchange;
+    const PooledExchangePtr keep = this->exchange;
     if (this->kind == MessageKind::kAwaited && keep) {
       keep->events.on_bytes(bytes);
     }
@@ -269,7 +268,7 @@
     const bool reuse = this->reusable && this->head.keep_alive &&
                        this->parser.Unread() == 0 &&
                        this->socket->Unsent() == 0 && this->socket->Open();
-    const EndpointExchangePtr ended = std::exchange(this->exchange, nullptr);
+    const PooledExchangePtr ended = std::exchange(this->exchange, nullptr);
     ended->over = true;
     if (reuse) {
       this->StayIdle();
@@ -280,7 +279,7 @@
   }
 
   void StayIdle() {
-    const EndpointPoolOptions& options = this->pool->options;
+    const ConnectionPoolOptions& options = this->pool->options;
     this->idle_limit =
         IdleTimeout(this->head.headers).value_or(options.default_idle_timeout) -
         options.idle_margin;
@@ -321,7 +320,7 @@
   }
 
   void Tell(HttpEnd end) {
-    const EndpointExchangePtr ended = std::exchange(this->exchange, nullptr);
+    const PooledExchangePtr ended = std::exchange(this->exchange, nullptr);
     if (ended && !ended->over) {
       ended->over = true;
       ended->events.on_end(end);
@@ -333,14 +332,14 @@
   static constexpr Allowances kAllowances = {kMaxHeadBytes,
                                              kMaxShortAnswerBytes, 0};
 
-  EndpointPool* pool;
+  ConnectionPool* pool;
   ConnectionId id;
   SocketAddress address;
   RequestId request;  // for logs
   StreamSocketPtr socket;
   Http1Parser parser;
   Http1Head head;
-  EndpointExchangePtr exchange;
+  PooledExchangePtr exchange;
   std::unique_ptr<Timer> timer;
   Instant idle_since{};
   Duration idle_limit{};
@@ -354,7 +353,7 @@
   bool reusable = true;
 };
 
-void EndpointExchange::Cancel() {
+void PooledExchange::Cancel() {
   const auto open = this->connection.lock();
   if (std::exchange(this->over, true) || !open) {
     return;
@@ -362,42 +361,42 @@
   open->Drop();
 }
 
-void EndpointExchange::CutOff(AnswerExcess excess) {
+void PooledExchange::CutOff(AnswerExcess excess) {
   if (const auto open = this->connection.lock(); open && !this->over) {
     open->CutOff(excess);
   }
 }
 
-void EndpointExchange::Pause() {
+void PooledExchange::Pause() {
   if (const auto open = this->connection.lock(); open && !this->over) {
     open->socket->Pause();
   }
 }
 
-void EndpointExchange::Resume() {
+void PooledExchange::Resume() {
   if (const auto open = this->connection.lock(); open && !this->over) {
     open->socket->Resume();
   }
 }
 
-bool EndpointExchange::MayHaveSent() const {
+bool PooledExchange::MayHaveSent() const {
   const auto open = this->connection.lock();
   return !open || open->sent_before || open->socket->AnySent();
 }
 
-std::optional<ConnectionId> EndpointExchange::Connection() const {
+std::optional<ConnectionId> PooledExchange::Connection() const {
   const auto open = this->connection.lock();
   return open ? std::optional(open->id) : std::nullopt;
 }
 
-EndpointPool::EndpointPool(const Clock& clock,
-                           EndpointPoolOptions options,
-                           ResourceBudget* budget)
+ConnectionPool::ConnectionPool(const Clock& clock,
+                               ConnectionPoolOptions options,
+                               ResourceBudget* budget)
     : clock(&clock), options(options), budget(budget) {}
 
-EndpointPool::~EndpointPool() {
+ConnectionPool::~ConnectionPool() {
   for (auto& [address, lane] : this->connections_by_address) {
-    const EndpointConnections open = std::exchange(lane, {});
+    const PooledConnections open = std::exchange(lane, {});
     for (const auto& connection : open.busy) {
       connection->Drop();
     }
@@ -407,14 +406,14 @@
   }
 }
 
-EndpointExchangePtr EndpointPool::Send(const EndpointSend& send,
-                                       EndpointEvents events) {
-  auto exchange = std::make_shared<EndpointExchange>();
+PooledExchangePtr ConnectionPool::Send(const PooledRequest& send,
+                                       PooledEvents events) {
+  auto exchange = std::make_shared<PooledExchange>();
   exchange->events = std::move(events);
-  EndpointConnections& lane = this->connections_by_address[send.address];
+  PooledConnections& lane = this->connections_by_address[send.address];
   auto connection = this->TakeIdle(lane, send.at_most_once);
   if (!connection) {
-    connection = std::make_shared<EndpointConnection>(this, send.address);
+    connection = std::make_shared<PooledConnection>(this, send.address);
     connection->Open();
   }
   lane.busy.push_back(connection);
@@ -422,14 +421,14 @@
   return exchange;
 }
 
-void EndpointPool::Probe(const SocketAddress& address) {
-  const auto connection = std::make_shared<EndpointConnection>(this, address);
+void ConnectionPool::Probe(const SocketAddress& address) {
+  const auto connection = std::make_shared<PooledConnection>(this, address);
   this->connections_by_address[address].busy.push_back(connection);
   connection->Open();
 }
 
-std::shared_ptr<EndpointConnection> EndpointPool::FindIdle(
-    const EndpointConnections& lane,
+std::shared_ptr<PooledConnection> ConnectionPool::FindIdle(
+    const PooledConnections& lane,
     bool once) const {
   // The endpoint is least likely to be closing the most recently used one.
   if (lane.idle.empty()) {
@@ -445,8 +444,8 @@
   return usable ? connection : nullptr;
 }
 
-std::shared_ptr<EndpointConnection> EndpointPool::TakeIdle(
-    EndpointConnections& lane,
+std::shared_ptr<PooledConnection> ConnectionPool::TakeIdle(
+    PooledConnections& lane,
     bool once) {
   auto connection = this->FindIdle(lane, once);
   if (connection) {
@@ -455,7 +454,7 @@
   return connection;
 }
 
-std::optional<ConnectionId> EndpointPool::NextIdle(
+std::optional<ConnectionId> ConnectionPool::NextIdle(
     const SocketAddress& address) const {
   const auto found = this->connections_by_address.find(address);
   if (found == this->connections_by_address.end()) {
@@ -465,13 +464,13 @@
   return connection ? std::optional(connection->id) : std::nullopt;
 }
 
-bool EndpointPool::HasIdle(const SocketAddress& address) const {
+bool ConnectionPool::HasIdle(const SocketAddress& address) const {
   const auto found = this->connections_by_address.find(address);
   return found != this->connections_by_address.end() &&
          !found->second.idle.empty();
 }
 
-void EndpointPool::CloseIdle(const SocketAddress& address) {
+void ConnectionPool::CloseIdle(const SocketAddress& address) {
   const auto found = this->connections_by_address.find(address);
   if (found == this->connections_by_address.end()) {
     return;
@@ -481,7 +480,7 @@
   }
 }
 
-size_t EndpointPool::Connections() const {
+size_t ConnectionPool::Connections() const {
   size_t count = 0;
   for (const auto& [address, lane] : this->connections_by_address) {
     count += lane.idle.size() + lane.busy.size();
@@ -489,16 +488,16 @@
   return count;
 }
 
-void EndpointPool::OnIdle(
-    const std::shared_ptr<EndpointConnection>& connection) {
-  EndpointConnections& lane = this->connections_by_address[connection->address];
+void ConnectionPool::OnIdle(
+    const std::shared_ptr<PooledConnection>& connection) {
+  PooledConnections& lane = this->connections_by_address[connection->address];
   lane.busy.remove(connection);
   lane.idle.push_back(connection);
 }
 
-void EndpointPool::OnClosed(
-    const std::shared_ptr<EndpointConnection>& connection) {
-  EndpointConnections& lane = this->connections_by_address[connection->address];
+void ConnectionPool::OnClosed(
+    const std::shared_ptr<PooledConnection>& connection) {
+  PooledConnections& lane = this->connections_by_address[connection->address];
   lane.busy.remove(connection);
   lane.idle.remove(connection);
   if (this->observer.on_closed && connection->opened) {
--- a/packages/relay/endpoint_pool.h
+++ b/packages/http/connection_pool.h
@@ -1,22 +1,22 @@
-// Pool of HTTP/1.1 keep-alive connections to endpoints. Each connection carries
-// one exchange at a time. The end of an exchange states whether the request
-// can have reached the endpoint.
+// Pool of HTTP/1.1 keep-alive connections. Each connection carries one exchange
+// at a time. The end of an exchange states whether the request can have reached
+// the other side.
 //
-//   EndpointExchangePtr exchange = pool.Send({.address = address,
-//                                             .head = head},
-//                                            {.on_head = ...,
-//                                             .on_bytes = ...,
-//                                             .on_end = ...});
+//   PooledExchangePtr exchange = pool.Send({.address = address,
+//                                           .head = head},
+//                                          {.on_head = ...,
+//                                           .on_bytes = ...,
+//                                           .on_end = ...});
 //
 // Index
-//   AnswerExcess          which part of an answer exceeded its bound
-//   AnswerCutOff          an answer that was cut off at a bound
-//   EndpointSend          a request
-//   EndpointEvents        callbacks of an exchange
-//   EndpointExchange      a request and its answer
-//   EndpointPoolOptions   timeouts and reuse of connections
-//   EndpointPoolObserver  what connections show of their endpoints
-//   EndpointPool          the connections
+//   AnswerExcess            which part of an answer exceeded its bound
+//   AnswerCutOff            an answer that was cut off at a bound
+//   PooledRequest           a request
+//   PooledEvents            callbacks of an exchange
+//   PooledExchange          a request and its answer
+//   ConnectionPoolOptions   timeouts and reuse of connections
+//   ConnectionPoolObserver  what connections show of their other sides
+//   ConnectionPool          the connections
 
 #pragma once
 
@@ -31,11 +31,11 @@
 #include <string>
 #include <string_view>
 
-#include "decisions/run_evidence.h"
 #include "http/http1_parser.h"
-#include "http/http_client.h"
+#include "http/http_types.h"
 #include "http/stream_socket.h"
 #include "kernel/ids.h"
+#include "kernel/time.h"
 
 namespace hickorystand {
 
@@ -79,14 +79,14 @@
 // An answer that was cut off at a bound.
 struct AnswerCutOff {
   SocketAddress address;
-  RequestId request;  // of EndpointSend
+  RequestId request;  // of PooledRequest
   AnswerExcess excess = AnswerExcess::kAnswer;
   uint64_t parsed_bytes = 0;    // of the message that was being read
   uint64_t unparsed_bytes = 0;  // buffered behind them
 };
 
 // One request to an endpoint.
-struct EndpointSend {
+struct PooledRequest {
   SocketAddress address;
   std::string head;             // start line and headers, up to the empty line
   SharedBytes body;             // may be null
@@ -95,13 +95,13 @@
   // The request must not run twice. An idle connection may have been closed by
   // the endpoint just now; whether a request sent on it has run is then
   // unknown. Such a request therefore goes only on connections that were used
-  // recently (EndpointPoolOptions::once_idle_share), and otherwise on a new
+  // recently (ConnectionPoolOptions::once_idle_share), and otherwise on a new
   // one.
   bool at_most_once = false;
 };
 
 // Callbacks of one exchange.
-struct EndpointEvents {
+struct PooledEvents {
   // Returns how many bytes the answer may have, including its head. A faulty
   // endpoint may send a late second answer to the previous request: return
   // nullopt to drop it and to read the next one.
@@ -110,11 +110,11 @@
   std::function<void(HttpEnd)> on_end;  // last, once
 };
 
-class EndpointConnection;
+class PooledConnection;
 
 // One exchange in progress. It continues when the last pointer to it is
 // dropped; only Cancel ends it.
-class EndpointExchange {
+class PooledExchange {
  public:
   // Ends the exchange and closes its connection, without a call of `on_end`.
   void Cancel();
@@ -134,18 +134,18 @@
   std::optional<ConnectionId> Connection() const;
 
  private:
-  friend class EndpointConnection;
-  friend class EndpointPool;
+  friend class PooledConnection;
+  friend class ConnectionPool;
 
-  std::weak_ptr<EndpointConnection> connection;
-  EndpointEvents events;
+  std::weak_ptr<PooledConnection> connection;
+  PooledEvents events;
   bool over = false;
 };
 
-using EndpointExchangePtr = std::shared_ptr<EndpointExchange>;
+using PooledExchangePtr = std::shared_ptr<PooledExchange>;
 
 // Timeouts of connections, and their reuse.
-struct EndpointPoolOptions {
+struct ConnectionPoolOptions {
   // Shorter than TCP's first retransmission, which comes after a second: a
   // connect takes one round trip unless a packet is lost.
   Duration connect_timeout = std::chrono::milliseconds(600);
@@ -164,7 +164,7 @@
 
 // What connections show of their endpoints. The callbacks must not use the
 // pool.
-struct EndpointPoolObserver {
+struct ConnectionPoolObserver {
   std::function<void(const SocketAddress&)> on_connected;
   std::function<void(const SocketAddress&, Instant started)> on_connect_failed;
   std::function<void(const SocketAddress&)> on_heard;  // bytes arrived
@@ -178,20 +178,20 @@
 
 // All connections to endpoints. Failures are reported as the HttpEnd of an
 // exchange.
-class EndpointPool {
+class ConnectionPool {
  public:
   // What endpoints make the process hold counts in `budget`, which may be null.
-  explicit EndpointPool(const Clock& clock,
-                        EndpointPoolOptions options = {},
-                        ResourceBudget* budget = nullptr);
-  ~EndpointPool();
-  EndpointPool(const EndpointPool&) = delete;
-  EndpointPool& operator=(const EndpointPool&) = delete;
+  explicit ConnectionPool(const Clock& clock,
+                          ConnectionPoolOptions options = {},
+                          ResourceBudget* budget = nullptr);
+  ~ConnectionPool();
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
 
   // Sends a request. `events` are called later, never during this call.
-  EndpointExchangePtr Send(const EndpointSend& send, EndpointEvents events);
+  PooledExchangePtr Send(const PooledRequest& send, PooledEvents events);
 
-  void SetObserver(EndpointPoolObserver observer) {
+  void SetObserver(ConnectionPoolObserver observer) {
     this->observer = std::move(observer);
   }
 
@@ -213,26 +213,26 @@
   int64_t Opened() const { return this->opened; }
 
  private:
-  friend class EndpointConnection;
+  friend class PooledConnection;
 
-  struct EndpointConnections {
-    std::list<std::shared_ptr<EndpointConnection>> idle;
-    std::list<std::shared_ptr<EndpointConnection>> busy;
+  struct PooledConnections {
+    std::list<std::shared_ptr<PooledConnection>> idle;
+    std::list<std::shared_ptr<PooledConnection>> busy;
   };
 
   // The idle connection for a request; null if a new one has to be opened.
-  std::shared_ptr<EndpointConnection> FindIdle(const EndpointConnections& lane,
-                                               bool once) const;
-  std::shared_ptr<EndpointConnection> TakeIdle(EndpointConnections& lane,
-                                               bool once);
-  void OnIdle(const std::shared_ptr<EndpointConnection>& connection);
-  void OnClosed(const std::shared_ptr<EndpointConnection>& connection);
+  std::shared_ptr<PooledConnection> FindIdle(const PooledConnections& lane,
+                                             bool once) const;
+  std::shared_ptr<PooledConnection> TakeIdle(PooledConnections& lane,
+                                             bool once);
+  void OnIdle(const std::shared_ptr<PooledConnection>& connection);
+  void OnClosed(const std::shared_ptr<PooledConnection>& connection);
 
   const Clock* clock;
-  EndpointPoolOptions options;
+  ConnectionPoolOptions options;
   ResourceBudget* budget;
-  EndpointPoolObserver observer;
-  std::map<SocketAddress, EndpointConnections> connections_by_address;
+  ConnectionPoolObserver observer;
+  std::map<SocketAddress, PooledConnections> connections_by_address;
   int64_t opened = 0;
 };
 
--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -44,26 +44,6 @@
 
 }  // namespace
 
-std::string_view NameOf(HttpEnd end) {
-  switch (end) {
-    case HttpEnd::kComplete:
-      return "complete";
-    case HttpEnd::kNoEndMarker:
-      return "no_end_marker";
-    case HttpEnd::kNotSent:
-      return "not_sent";
-    case HttpEnd::kReset:
-      return "reset";
-    case HttpEnd::kTimedOut:
-      return "timed_out";
-    case HttpEnd::kProtocol:
-      return "protocol";
-    case HttpEnd::kCancelled:
-      break;
-  }
-  return "cancelled";
-}
-
 // -- HttpConnections ---------------------------------------------------------
 
 void HttpConnections::WeakFree::operator()(GWeakRef* weak) const {
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -5,7 +5,6 @@
 //   HttpTimeouts         progress timeout of each phase
 //   HttpAnswerLimits     the longest body of an answer
 //   HttpClientRequest    a request to send
-//   HttpEnd              how an exchange ended
 //   HttpResponseHead     status and headers of a response
 //   HttpEvents           callbacks of an exchange
 //   HttpExchange         one request and its response
@@ -76,20 +75,6 @@
   std::function<bool()> may_send;
 };
 
-// How an exchange ended.
-enum class HttpEnd {
-  kComplete,     // complete: declared length reached, or last chunk received
-  kNoEndMarker,  // closed in order behind a body, which may be truncated
-  kNotSent,      // no byte was sent
-  kReset,        // the connection was lost after bytes were sent
-  kTimedOut,     // timed out without progress after bytes were sent
-  kProtocol,     // the response is not valid HTTP, or exceeds a limit
-  kCancelled,    // by this process, after bytes were sent
-};
-
-// The name of an end, as used in logs.
-std::string_view NameOf(HttpEnd end);
-
 // The status and headers of a response.
 struct HttpResponseHead {
   int status = 0;
--- a/packages/http/http_types.cc
+++ b/packages/http/http_types.cc
@@ -43,6 +43,26 @@
 
 }  // namespace
 
+std::string_view NameOf(HttpEnd end) {
+  switch (end) {
+    case HttpEnd::kComplete:
+      return "complete";
+    case HttpEnd::kNoEndMarker:
+      return "no_end_marker";
+    case HttpEnd::kNotSent:
+      return "not_sent";
+    case HttpEnd::kReset:
+      return "reset";
+    case HttpEnd::kTimedOut:
+      return "timed_out";
+    case HttpEnd::kProtocol:
+      return "protocol";
+    case HttpEnd::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
 bool HeaderNamesEqual(std::string_view left, std::string_view right) {
   return std::ranges::equal(left, right, {}, &g_ascii_tolower,
                             &g_ascii_tolower);
--- a/packages/http/http_types.h
+++ b/packages/http/http_types.h
@@ -1,4 +1,5 @@
-// HTTP headers as plain values, independent of libsoup's types.
+// HTTP headers and the ends of exchanges as plain values, independent of
+// libsoup's types.
 
 #pragma once
 
@@ -21,6 +22,20 @@
 
 using HttpHeaders = std::vector<HttpHeader>;
 
+// How an exchange ended.
+enum class HttpEnd {
+  kComplete,     // complete: declared length reached, or last chunk received
+  kNoEndMarker,  // closed in order behind a body, which may be truncated
+  kNotSent,      // no byte was sent
+  kReset,        // the connection was lost after bytes were sent
+  kTimedOut,     // timed out without progress after bytes were sent
+  kProtocol,     // the response is not valid HTTP, or exceeds a limit
+  kCancelled,    // by this process, after bytes were sent
+};
+
+// The name of an end, as used in logs.
+std::string_view NameOf(HttpEnd end);
+
 // Compares two header names, ignoring case.
 bool HeaderNamesEqual(std::string_view left, std::string_view right);
 
--- a/packages/kernel/ids.h
+++ b/packages/kernel/ids.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <functional>
 #include <ostream>
 #include <string>
@@ -43,6 +44,9 @@
 // The version of an endpoint's software, not of the model's weights.
 using SoftwareVersion = Id<struct SoftwareVersionTag>;
 
+// Identifies a connection that this process has opened.
+using ConnectionId = uint64_t;
+
 }  // namespace hickorystand
 
 template <typename Tag>
--- a/packages/relay/cache_feed.cc
+++ b/packages/relay/cache_feed.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 CacheFeed::CacheFeed(CacheFeedOptions options,
-                     EndpointPool& pool,
+                     ConnectionPool& pool,
                      const MessageCodec& codec,
                      FleetPlacement& placement)
     : options(options), pool(&pool), codec(&codec), placement(&placement) {}
--- a/packages/relay/cache_feed.h
+++ b/packages/relay/cache_feed.h
@@ -16,8 +16,8 @@
 #include <string>
 
 #include "decisions/fleet_placement.h"
+#include "http/connection_pool.h"
 #include "peers/message.h"
-#include "relay/endpoint_pool.h"
 #include "relay/message_codec.h"
 
 namespace hickorystand {
@@ -49,7 +49,7 @@
 class CacheFeed {
  public:
   CacheFeed(CacheFeedOptions options,
-            EndpointPool& pool,
+            ConnectionPool& pool,
             const MessageCodec& codec,
             FleetPlacement& placement);
   ~CacheFeed();
@@ -83,7 +83,7 @@
   struct Subscription {
     EndpointRun run;
     SocketAddress address;
-    EndpointExchangePtr call;
+    PooledExchangePtr call;
     std::unique_ptr<Timer> timer;
     std::string body;
     int status = 0;
@@ -101,7 +101,7 @@
   void ApplyEvents(const EndpointId& engine, const CacheChanges& events);
 
   CacheFeedOptions options;
-  EndpointPool* pool;
+  ConnectionPool* pool;
   const MessageCodec* codec;
   FleetPlacement* placement;
   CacheFeedHandlers handlers;
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -29,15 +29,16 @@
 #include "decisions/endpoint_reach.h"
 #include "decisions/fleet_placement.h"
 #include "decisions/fleet_retry_budget.h"
+#include "decisions/run_evidence.h"
 #include "decisions/stop_schedule.h"
 #include "decisions/suspects.h"
+#include "http/connection_pool.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "limits/limit_gate.h"
 #include "relay/admission_gate.h"
 #include "relay/cache_feed.h"
 #include "relay/caller_server.h"
-#include "relay/endpoint_pool.h"
 #include "relay/fleet_configuration.h"
 #include "relay/forward_receiver.h"
 #include "relay/message_codec.h"
@@ -327,7 +328,7 @@
   struct RunCheck {
     SocketAddress address;
     Instant began{};
-    EndpointExchangePtr call;
+    PooledExchangePtr call;
     std::unique_ptr<Timer> timer;
     int status = 0;
     std::string body;
@@ -404,7 +405,7 @@
   std::map<SocketAddress, Instant> next_doubt_check;
   std::map<int64_t, RunCheck> run_checks;  // by number
   int64_t last_run_check = 0;
-  EndpointPool pool;
+  ConnectionPool pool;
   FleetPlacement placement;
   AdmissionGate admission;
   CacheFeed cache_feed;
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -69,7 +69,7 @@
   // The send in progress; there is at most one.
   struct Attempt {
     FleetEndpoint endpoint;
-    EndpointExchangePtr exchange;
+    PooledExchangePtr exchange;
     WorkId work = 0;
     Instant sent{};
     Duration expected{};   // to the first byte
