One grammar reads all answers: HttpClient uses the pool of connections

Callers of a stand-alone host saw: an endpoint in trouble sent a head in which the name of a field held a blank or a control byte; they got an answer without that line, with it, or with a body that wasn't the endpoint's (behind 'Transfer-Encoding : chunked' the chunk lines, behind 'Content-Length : 11' whatever followed). The store's, the platform's, the engines' control calls and the operators' tool read answers in the same way.

Cause: two readers with two grammars. The relay reads with Http1Parser, everything else read with libsoup, which is lenient: it drops lines that it doesn't understand before anybody can see them, so a check behind it can't help.

Change: HttpClient sends over ConnectionPool, which the relay uses, and so reads with Http1Parser. libsoup's sessions are gone, and with them what worked around them: the guess at a missing last chunk from the state of the socket, the head that was held until a body showed that it was whole, bodies that a resend lost, the count of 1xx heads. libsoup is left as a server. The pool learns what the client needs: a connect timeout for each request, the check right before bytes are written, IPv6, and it tells why an answer is broken. A resend on a new connection now needs that no byte of an answer came, so an answer that is broken is never asked for again below the retry budget.

--- a/packages/http/connection_pool.cc
+++ b/packages/http/connection_pool.cc
@@ -66,13 +66,12 @@
              .on_body = [this](std::string_view bytes) { this->OnBody(bytes); },
              .on_end = [] {}}) {}
 
-  void Open() {
-    const ConnectionPoolOptions& options = this->pool->options;
+  void Open(Duration connect_timeout) {
     this->started = this->pool->clock->Now();
-    this->timer = Timer::After(options.connect_timeout,
+    this->timer = Timer::After(connect_timeout,
                                [this] { this->Fail(HttpEnd::kNotSent); });
     this->socket = StreamSocket::Connect(
-        this->address, options.ack_timeout,
+        this->address, this->pool->options.ack_timeout,
         {.on_open = [this] { this->OnOpen(); },
          .on_bytes = [this](std::string_view bytes) { this->OnBytes(bytes); },
          .on_end = [this](StreamEnd end) { this->OnEnd(end); }},
@@ -82,22 +81,37 @@
   void Carry(const PooledRequest& send, PooledExchangePtr next) {
     this->exchange = std::move(next);
     this->exchange->connection = this->weak_from_this();
-    this->request = send.request;
-    this->no_answer_body = send.no_answer_body;
+    this->exchange->reused = this->socket->AnySent();
+    this->to_send = send;
     this->allowances = kAllowances;
-    this->sent_before = this->socket->AnySent();
     this->StopIdleTimer();
     this->BeginAnswer();
-    this->socket->Write(send.head);
-    this->socket->Write(send.body);
+    if (this->socket->Open()) {
+      this->SendRequest();
+    }
   }
 
   // Ends the exchange because its answer exceeds a bound.
   void CutOff(AnswerExcess excess) {
     this->NotifyCutOff(excess);
+    this->exchange->fault = NameOf(excess);
     this->Fail(HttpEnd::kProtocol);
   }
 
+  // Ends the exchange because its answer is not valid or has no end.
+  void FailBroken(HttpEnd end, std::string_view reason) {
+    if (const auto& call = this->pool->observer.on_broken;
+        call && this->exchange->heard) {
+      call({.address = this->address,
+            .request = this->to_send.request,
+            .reason = reason,
+            .parsed_bytes = this->parser.Parsed(),
+            .unparsed_bytes = this->parser.Unread()});
+    }
+    this->exchange->fault = reason;
+    this->Fail(end);
+  }
+
   // Resets the connection and ends its exchange with `end`.
   void Fail(HttpEnd end) {
     const auto keep = this->shared_from_this();
@@ -137,7 +151,7 @@
   void NotifyCutOff(AnswerExcess excess) const {
     if (const auto& call = this->pool->observer.on_cut_off) {
       call({.address = this->address,
-            .request = this->request,
+            .request = this->to_send.request,
             .excess = excess,
             .parsed_bytes = this->parser.Parsed(),
             .unparsed_bytes = this->parser.Unread()});
@@ -151,11 +165,31 @@
     if (const auto& call = this->pool->observer.on_opened) {
       call(this->address, this->id);
     }
-    if (!this->exchange) {
+    if (this->exchange) {
+      this->SendRequest();
+    } else {
       this->StayIdle();
     }
   }
 
+  void SendRequest() {
+    const PooledRequest send = std::exchange(
+        this->to_send, {.request = this->to_send.request,
+                        .no_answer_body = this->to_send.no_answer_body});
+    const auto may_send = [&send] { return !send.may_send || send.may_send(); };
+    bool allowed = may_send();
+    if (allowed) {
+      this->socket->Write(send.head);
+      allowed = may_send();
+    }
+    if (allowed) {
+      this->socket->Write(send.body);
+    } else {
+      this->timer =
+          Timer::After(Duration{}, [this] { this->Fail(HttpEnd::kNotSent); });
+    }
+  }
+
   void StopIdleTimer() {
     if (this->socket->Open()) {
       this->timer.reset();
@@ -165,7 +199,7 @@
   void BeginAnswer() {
     this->kind = MessageKind::kInformational;
     this->parser.Begin({.head = kMaxHeadBytes, .body = kUnlimitedAnswer},
-                       this->no_answer_body);
+                       this->to_send.no_answer_body);
   }
 
   // How many bytes the messages of the current kind may still have.
@@ -178,7 +212,9 @@
     if (head.status / 100 == 1) {
       return;
     }
-    const auto limit = this->exchange->events.on_head(head);
+    // The callback may end the exchange.
+    const PooledExchangePtr keep = this->exchange;
+    const auto limit = keep->events.on_head(head);
     this->kind = limit ? MessageKind::kAwaited : MessageKind::kOtherRequest;
     if (limit) {
       this->Allowance() = *limit;
@@ -204,6 +240,7 @@
       this->Drop();
       return;
     }
+    this->exchange->heard = true;
     this->parser.Feed(bytes);
     this->ReadOn();
     if (this->socket->Open()) {
@@ -221,8 +258,9 @@
         this->CutOff(*excess);
         return;
       }
-      if (this->parser.Failure() != Http1Failure::kNone) {
-        this->Fail(HttpEnd::kProtocol);
+      if (const Http1Failure failure = this->parser.Failure();
+          failure != Http1Failure::kNone) {
+        this->FailBroken(HttpEnd::kProtocol, NameOf(failure));
         return;
       }
       if (!this->parser.Done()) {
@@ -316,7 +354,8 @@
       return;
     }
     this->ended_by_peer = true;
-    this->Fail(HttpEnd::kReset);
+    this->FailBroken(HttpEnd::kReset,
+                     end == StreamEnd::kClosed ? "closed_early" : "reset");
   }
 
   void Tell(HttpEnd end) {
@@ -335,7 +374,7 @@
   ConnectionPool* pool;
   ConnectionId id;
   SocketAddress address;
-  RequestId request;  // for logs
+  PooledRequest to_send;  // without its bytes once they are sent
   StreamSocketPtr socket;
   Http1Parser parser;
   Http1Head head;
@@ -346,8 +385,6 @@
   Instant started{};  // of the connect
   bool ended_by_peer = false;
   bool opened = false;
-  bool sent_before = false;
-  bool no_answer_body = false;
   MessageKind kind = MessageKind::kInformational;
   Allowances allowances = kAllowances;
   bool reusable = true;
@@ -381,7 +418,7 @@
 
 bool PooledExchange::MayHaveSent() const {
   const auto open = this->connection.lock();
-  return !open || open->sent_before || open->socket->AnySent();
+  return !open || this->reused || open->socket->AnySent();
 }
 
 std::optional<ConnectionId> PooledExchange::Connection() const {
@@ -414,7 +451,8 @@
   auto connection = this->TakeIdle(lane, send.at_most_once);
   if (!connection) {
     connection = std::make_shared<PooledConnection>(this, send.address);
-    connection->Open();
+    connection->Open(
+        send.connect_timeout.value_or(this->options.connect_timeout));
   }
   lane.busy.push_back(connection);
   connection->Carry(send, exchange);
@@ -424,7 +462,7 @@
 void ConnectionPool::Probe(const SocketAddress& address) {
   const auto connection = std::make_shared<PooledConnection>(this, address);
   this->connections_by_address[address].busy.push_back(connection);
-  connection->Open();
+  connection->Open(this->options.connect_timeout);
 }
 
 std::shared_ptr<PooledConnection> ConnectionPool::FindIdle(
--- a/packages/http/connection_pool.h
+++ b/packages/http/connection_pool.h
@@ -11,6 +11,7 @@
 // Index
 //   AnswerExcess            which part of an answer exceeded its bound
 //   AnswerCutOff            an answer that was cut off at a bound
+//   AnswerFault             why an answer is broken
 //   PooledRequest           a request
 //   PooledEvents            callbacks of an exchange
 //   PooledExchange          a request and its answer
@@ -85,7 +86,16 @@
   uint64_t unparsed_bytes = 0;  // buffered behind them
 };
 
-// One request to an endpoint.
+// An answer that is not valid HTTP, or whose connection ended before it.
+struct AnswerFault {
+  SocketAddress address;
+  RequestId request;            // of PooledRequest
+  std::string_view reason;      // as used in logs and metrics
+  uint64_t parsed_bytes = 0;    // of the message that was being read
+  uint64_t unparsed_bytes = 0;  // buffered behind them
+};
+
+// One request.
 struct PooledRequest {
   SocketAddress address;
   std::string head;             // start line and headers, up to the empty line
@@ -98,6 +108,10 @@
   // recently (ConnectionPoolOptions::once_idle_share), and otherwise on a new
   // one.
   bool at_most_once = false;
+  std::optional<Duration> connect_timeout = {};  // instead of the pool's
+  // Called in the same step that passes bytes to the socket, before the head
+  // and before the body. False ends the exchange as not sent.
+  std::function<bool()> may_send = {};
 };
 
 // Callbacks of one exchange.
@@ -133,12 +147,23 @@
   // The connection that carries it; nullopt if that is closed.
   std::optional<ConnectionId> Connection() const;
 
+  // Whether the connection has carried another request before, and whether
+  // bytes have arrived since this one was sent.
+  bool Reused() const { return this->reused; }
+  bool Heard() const { return this->heard; }
+
+  // Why the answer is broken, as used in logs; empty if it isn't.
+  std::string_view Fault() const { return this->fault; }
+
  private:
   friend class PooledConnection;
   friend class ConnectionPool;
 
   std::weak_ptr<PooledConnection> connection;
   PooledEvents events;
+  std::string_view fault;
+  bool reused = false;
+  bool heard = false;
   bool over = false;
 };
 
@@ -174,6 +199,7 @@
   std::function<void(const SocketAddress&, ConnectionId, bool by_peer)>
       on_closed = {};
   std::function<void(const AnswerCutOff&)> on_cut_off = {};
+  std::function<void(const AnswerFault&)> on_broken = {};
 };
 
 // All connections to endpoints. Failures are reported as the HttpEnd of an
--- a/packages/http/http1_parser.cc
+++ b/packages/http/http1_parser.cc
@@ -1,6 +1,7 @@
 #include "http/http1_parser.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -36,16 +37,64 @@
   });
 }
 
+// Which failure an error of Beast is.
+struct FailureRow {
+  http::error error;
+  Http1Failure failure;
+};
+
+constexpr std::array kFailures = {
+    FailureRow{http::error::bad_method, Http1Failure::kStartLine},
+    FailureRow{http::error::bad_target, Http1Failure::kStartLine},
+    FailureRow{http::error::bad_version, Http1Failure::kStartLine},
+    FailureRow{http::error::bad_reason, Http1Failure::kStartLine},
+    FailureRow{http::error::bad_status, Http1Failure::kStatus},
+    FailureRow{http::error::bad_field, Http1Failure::kHeader},
+    FailureRow{http::error::bad_value, Http1Failure::kHeader},
+    FailureRow{http::error::bad_obs_fold, Http1Failure::kHeader},
+    FailureRow{http::error::bad_content_length, Http1Failure::kLength},
+    FailureRow{http::error::bad_transfer_encoding,
+               Http1Failure::kTransferCoding},
+    FailureRow{http::error::bad_chunk, Http1Failure::kChunk},
+    FailureRow{http::error::bad_chunk_extension, Http1Failure::kChunk},
+    FailureRow{http::error::header_limit, Http1Failure::kHeadTooLarge},
+    FailureRow{http::error::body_limit, Http1Failure::kBodyTooLarge},
+};
+
 Http1Failure FailureOf(const error_code& error) {
-  if (error == http::error::header_limit) {
-    return Http1Failure::kHeadTooLarge;
-  }
-  return error == http::error::body_limit ? Http1Failure::kBodyTooLarge
-                                          : Http1Failure::kMalformed;
+  const auto* row = std::ranges::find_if(
+      kFailures, [&](const FailureRow& each) { return error == each.error; });
+  return row == kFailures.end() ? Http1Failure::kMalformed : row->failure;
 }
 
 }  // namespace
 
+std::string_view NameOf(Http1Failure failure) {
+  switch (failure) {
+    case Http1Failure::kNone:
+      return "none";
+    case Http1Failure::kStartLine:
+      return "start_line";
+    case Http1Failure::kStatus:
+      return "status";
+    case Http1Failure::kHeader:
+      return "header";
+    case Http1Failure::kLength:
+      return "length";
+    case Http1Failure::kTransferCoding:
+      return "transfer_coding";
+    case Http1Failure::kChunk:
+      return "chunk";
+    case Http1Failure::kHeadTooLarge:
+      return "head_too_large";
+    case Http1Failure::kBodyTooLarge:
+      return "body_too_large";
+    case Http1Failure::kMalformed:
+      break;
+  }
+  return "malformed";
+}
+
 std::string_view FramingOf(const Http1Head& head) {
   if (head.until_close) {
     return "close";
--- a/packages/http/http1_parser.h
+++ b/packages/http/http1_parser.h
@@ -40,11 +40,20 @@
 // Why parsing failed.
 enum class Http1Failure {
   kNone,
-  kMalformed,
+  kStartLine,
+  kStatus,
+  kHeader,
+  kLength,
+  kTransferCoding,
+  kChunk,
+  kMalformed,  // in another way
   kHeadTooLarge,
   kBodyTooLarge,
 };
 
+// The name of a failure, as used in logs and metrics.
+std::string_view NameOf(Http1Failure failure);
+
 // Which direction of a connection a parser reads.
 enum class Http1Side { kRequests, kResponses };
 
--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -1,83 +1,72 @@
 #include "http/http_client.h"
 
-#include <sys/socket.h>
-
-#include <cassert>
-#include <cerrno>
+#include <algorithm>
+#include <array>
 #include <utility>
 
-#include "kernel/log.h"
+#include "http/connection_pool.h"
 
 namespace hickorystand {
 namespace {
 
-constexpr gsize kReadBytes = gsize{16} << 10;
-
-// The longest sum of all 1xx heads of an exchange. libsoup bounds only the
-// length of each head.
-constexpr uint64_t kMaxInformationalBytes = uint64_t{64} << 10;
-
-// Bytes of a head besides the names and values of its headers: of the start
-// line with the empty line, and of each header's separators.
-constexpr uint64_t kStartLineBytes = 16;
-constexpr uint64_t kSeparatorBytes = 4;
-
-std::string UriOf(const HttpClientRequest& outgoing) {
-  const bool v6 = outgoing.address.host.find(':') != std::string::npos;
-  const std::string host =
-      v6 ? "[" + outgoing.address.host + "]" : outgoing.address.host;
-  return "http://" + host + ":" + std::to_string(outgoing.address.port) +
-         outgoing.target;
-}
+// Methods whose requests have a body, so that a length of 0 has to be stated.
+constexpr std::array<std::string_view, 3> kMethodsWithBody = {"POST", "PUT",
+                                                              "PATCH"};
 
-// Makes the user data of a libsoup callback. It keeps the exchange alive until
-// Release() is called in the callback.
-HttpExchangePtr* Hold(HttpExchange* exchange) {
-  return new HttpExchangePtr(exchange->shared_from_this());
+std::string TextOf(const SocketAddress& address) {
+  const bool v6 = address.host.find(':') != std::string::npos;
+  const std::string host = v6 ? "[" + address.host + "]" : address.host;
+  return host + ":" + std::to_string(address.port);
 }
 
-HttpExchangePtr Release(gpointer data) {
-  const std::unique_ptr<HttpExchangePtr> held(
-      static_cast<HttpExchangePtr*>(data));
-  return *held;
+bool IsPrintable(std::string_view text) {
+  return std::ranges::all_of(
+      text, [](char byte) { return g_ascii_isgraph(byte) != FALSE; });
 }
 
-}  // namespace
-
-// -- HttpConnections ---------------------------------------------------------
-
-void HttpConnections::WeakFree::operator()(GWeakRef* weak) const {
-  g_weak_ref_clear(weak);
-  g_free(weak);
+// A header whose value has a line end would add lines to the head.
+bool IsOneLine(const HttpHeader& header) {
+  constexpr std::string_view kLineEnds("\r\n\0", 3);
+  return !header.name.empty() && IsPrintable(header.name) &&
+         header.name.find(':') == std::string::npos &&
+         header.value.find_first_of(kLineEnds) == std::string::npos;
 }
 
-void HttpConnections::Add(guint64 id, GSocket* socket) {
-  std::erase_if(this->sockets, [](const auto& each) {
-    const ObjectPtr<GSocket> alive(
-        static_cast<GSocket*>(g_weak_ref_get(each.second.get())));
-    return alive == nullptr;
-  });
-  GWeakRef* weak = g_new0(GWeakRef, 1);
-  g_weak_ref_init(weak, socket);
-  this->sockets[id].reset(weak);
+bool IsValid(const HttpClientRequest& outgoing) {
+  return !outgoing.method.empty() && IsPrintable(outgoing.method) &&
+         outgoing.target.starts_with('/') && IsPrintable(outgoing.target) &&
+         std::ranges::all_of(outgoing.headers, IsOneLine);
 }
 
-bool HttpConnections::ClosedByPeer(guint64 id) const {
-  const auto found = this->sockets.find(id);
-  if (found == this->sockets.end()) {
-    return true;
+// The start line and headers, up to the empty line.
+std::string HeadOf(const HttpClientRequest& outgoing) {
+  std::string head = outgoing.method + " " + outgoing.target +
+                     " HTTP/1.1\r\nHost: " + TextOf(outgoing.address) + "\r\n";
+  for (const HttpHeader& header : outgoing.headers) {
+    head += header.name + ": " + header.value + "\r\n";
   }
-  const ObjectPtr<GSocket> socket(
-      static_cast<GSocket*>(g_weak_ref_get(found->second.get())));
-  if (!socket || g_socket_is_closed(socket.get())) {
-    return true;
+  const size_t length = outgoing.body.size();
+  if (length > 0 && !outgoing.content_type.empty()) {
+    head += "Content-Type: " + outgoing.content_type + "\r\n";
   }
-  char byte = 0;
-  const ssize_t got =
-      recv(g_socket_get_fd(socket.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+  if (length > 0 || std::ranges::find(kMethodsWithBody, outgoing.method) !=
+                        kMethodsWithBody.end()) {
+    head += "Content-Length: " + std::to_string(length) + "\r\n";
+  }
+  return head + "\r\n";
 }
 
+// Connections carry requests that may run once only right after they were
+// opened, and have no limit but the exchange's own.
+ConnectionPoolOptions PoolOptions(const HttpClientOptions& options) {
+  return {.connect_timeout = options.timeouts.connect,
+          .ack_timeout = Duration{},
+          .default_idle_timeout = options.idle_timeout,
+          .once_idle_share = 0};
+}
+
+}  // namespace
+
 // -- HttpExchange ------------------------------------------------------------
 
 HttpExchange::HttpExchange(HttpPoolPtr pool,
@@ -87,289 +76,105 @@
     : pool(std::move(pool)),
       outgoing(std::move(outgoing)),
       events(std::move(events)),
-      timeouts(timeouts),
-      message(soup_message_new(this->outgoing.method.c_str(),
-                               UriOf(this->outgoing).c_str())),
-      cancellable(g_cancellable_new()) {}
-
-HttpExchange::~HttpExchange() {
-  if (this->message) {
-    g_signal_handlers_disconnect_by_data(this->message.get(), this);
-  }
-}
+      timeouts(timeouts) {}
+
+HttpExchange::~HttpExchange() = default;
 
-// A non-idempotent request must not be sent twice. libsoup resends a request
-// when a reused connection turns out to be closed, although the peer may have
-// read it already. Such a request is therefore sent on a new connection, on
-// which libsoup never resends.
 void HttpExchange::Start(std::function<void()> on_stalled) {
   this->on_stalled = std::move(on_stalled);
-  if (!this->message) {
+  if (!IsValid(this->outgoing)) {
     const auto self = this->shared_from_this();
     this->timer = Timer::After(Duration::zero(), [self] {
-      self->End(HttpEnd::kNotSent, "the target is not a valid path");
+      self->End(HttpEnd::kNotSent, "the request is not valid HTTP");
     });
     return;
   }
-  this->body.reset(
-      g_bytes_new(this->outgoing.body.data(), this->outgoing.body.size()));
-  this->outgoing.body.clear();
-  this->outgoing.body.shrink_to_fit();
-  this->RecordProgress(this->timeouts.connect);
-  this->ArmTimer(this->timeouts.connect);
-  this->SubmitMessage();
+  this->head = HeadOf(this->outgoing);
+  this->body = std::make_shared<const std::string>(
+      std::exchange(this->outgoing.body, {}));
+  this->Submit(this->outgoing.once);
 }
 
-void HttpExchange::SubmitMessage() {
-  SoupMessage* raw = this->message.get();
-  // For methods that libsoup resends by itself, it repeats the Content-Length
-  // but not the body, and the peer waits for a body that never arrives.
-  const bool resend_loses_body =
-      g_bytes_get_size(this->body.get()) > 0 && this->outgoing.method != "POST";
-  const bool new_connection_cost_share =
-      this->outgoing.once || this->has_retried || resend_loses_body;
-  soup_message_add_flags(
-      raw, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT |
-                                         (new_connection_cost_share
-                                              ? SOUP_MESSAGE_NEW_CONNECTION
-                                              : SOUP_MESSAGE_IDEMPOTENT)));
-  AppendHeaders(soup_message_get_request_headers(raw), this->outgoing.headers);
-  if (g_bytes_get_size(this->body.get()) > 0) {
-    const std::string& type = this->outgoing.content_type;
-    soup_message_set_request_body_from_bytes(
-        raw, type.empty() ? nullptr : type.c_str(), this->body.get());
-  }
-  g_signal_connect(
-      raw, "network-event",
-      G_CALLBACK(+[](SoupMessage*, GSocketClientEvent event,
-                     GIOStream* connection, gpointer self) {
-        if (event == G_SOCKET_CLIENT_CONNECTED) {
-          static_cast<HttpExchange*>(self)->RecordConnection(connection);
-        }
-      }),
-      this);
-  const auto check = G_CALLBACK(+[](SoupMessage*, gpointer self) {
-    static_cast<HttpExchange*>(self)->CheckPermission();
-  });
-  g_signal_connect(raw, "starting", check, this);
-  g_signal_connect(raw, "wrote-headers", check, this);
-  g_signal_connect(raw, "got-informational",
-                   G_CALLBACK(+[](SoupMessage*, gpointer self) {
-                     static_cast<HttpExchange*>(self)->CountInformational();
-                   }),
-                   this);
-  soup_session_send_async(
-      this->pool->session.get(), raw, G_PRIORITY_DEFAULT,
-      this->cancellable.get(),
-      [](GObject*, GAsyncResult* result, gpointer data) {
-        Release(data)->TakeHead(result);
-      },
-      Hold(this));
-}
-
-// Resends an idempotent request once on a new connection. A reused connection
-// that the peer closed while it was idle fails at its next use; without the
-// retry, an endpoint that was only restarted would look as if this request had
-// crashed it. libsoup retries only methods that HTTP defines as idempotent,
-// which excludes POST.
-bool HttpExchange::RetryOnNewConnection() {
-  if (this->outgoing.once || this->has_retried || this->own_connection ||
-      this->send_denied || !this->sending) {
-    return false;
-  }
-  this->has_retried = true;
-  g_signal_handlers_disconnect_by_data(this->message.get(), this);
-  this->message.reset(soup_message_new(this->outgoing.method.c_str(),
-                                       UriOf(this->outgoing).c_str()));
-  this->RecordProgress(this->timeouts.first_byte);
-  this->SubmitMessage();
-  return true;
-}
-
-void HttpExchange::RecordConnection(GIOStream* connection) {
-  if (G_IS_SOCKET_CONNECTION(connection)) {
-    this->own_connection = true;
-    this->new_socket = ShareObject(
-        g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection)));
-    if (this->outgoing.once) {
-      this->once_socket = ShareObject(this->new_socket.get());
-    }
-  }
-}
-
-// Makes the close send a reset, which discards bytes in the kernel's send
-// buffer. After an orderly close the kernel would still deliver them, possibly
-// seconds later when a network partition heals, and an order could arrive after
-// its sender's lease has passed to another host.
-void HttpExchange::ResetOnClose() {
-  if (!this->once_socket || g_socket_is_closed(this->once_socket.get())) {
-    return;
-  }
-  const linger reset_on_close{.l_onoff = 1, .l_linger = 0};
-  if (setsockopt(g_socket_get_fd(this->once_socket.get()), SOL_SOCKET,
-                 SO_LINGER, &reset_on_close, sizeof reset_on_close) != 0) {
-    LogWarning("http", "Cannot set SO_LINGER; connection is not reset.");
-  }
+void HttpExchange::Submit(bool new_connection) {
+  const auto self = this->shared_from_this();
+  this->call = this->pool->Send(
+      {.address = this->outgoing.address,
+       .head = this->head,
+       .body = this->body,
+       .no_answer_body = this->outgoing.method == "HEAD",
+       .at_most_once = new_connection,
+       .connect_timeout = this->timeouts.connect,
+       .may_send = [self] { return self->MaySend(); }},
+      {.on_head = [self](const Http1Head& head) -> std::optional<uint64_t> {
+         self->TakeHead(head);
+         return kUnlimitedAnswer;
+       },
+       .on_bytes = [self](std::string_view bytes) { self->TakeBytes(bytes); },
+       .on_end = [self](HttpEnd end) { self->OnCallEnd(end); }});
 }
 
 // Called right before the head and right before the body are written to the
 // socket. A process that was suspended past the end of its lease must not send
 // its order on resuming; an earlier check could be followed by the suspension.
-void HttpExchange::CheckPermission() {
-  if (this->over) {
-    return;
-  }
+bool HttpExchange::MaySend() {
   if (this->outgoing.may_send && !this->outgoing.may_send()) {
     this->send_denied = true;
-    g_cancellable_cancel(this->cancellable.get());
-    return;
+    return false;
   }
   this->sending = true;
-  if (this->new_socket) {
-    this->pool->connections.Add(
-        soup_message_get_connection_id(this->message.get()),
-        this->new_socket.get());
-    this->new_socket.reset();
-  }
   this->RecordProgress(this->timeouts.first_byte);
   this->ArmTimer(this->timeouts.first_byte);
+  return true;
 }
 
-void HttpExchange::CountInformational() {
-  const auto self = this->shared_from_this();
-  this->informational_bytes += kStartLineBytes;
-  for (const HttpHeader& header :
-       CopyHeaders(soup_message_get_response_headers(this->message.get()))) {
-    this->informational_bytes +=
-        header.name.size() + header.value.size() + kSeparatorBytes;
-  }
-  if (this->informational_bytes > kMaxInformationalBytes) {
-    this->End(HttpEnd::kProtocol, "the 1xx heads are too long");
-  }
-}
-
-void HttpExchange::TakeHead(GAsyncResult* result) {
-  GError* error = nullptr;
-  this->stream.reset(
-      soup_session_send_finish(this->pool->session.get(), result, &error));
-  const ErrorPtr owned(error);
-  if (this->over) {
-    this->stream.reset();
-    return;
-  }
-  if (error != nullptr) {
-    if (!this->RetryOnNewConnection()) {
-      this->EndByError(*error);
-    }
-    return;
-  }
+void HttpExchange::TakeHead(const Http1Head& head) {
   this->RecordProgress(this->timeouts.between_bytes);
-  HttpResponseHead& head = this->head;
-  head.status = static_cast<int>(soup_message_get_status(this->message.get()));
-  head.headers =
-      CopyHeaders(soup_message_get_response_headers(this->message.get()));
-  const SoupEncoding encoding = soup_message_headers_get_encoding(
-      soup_message_get_response_headers(this->message.get()));
-  head.until_close = encoding == SOUP_ENCODING_EOF;
-  this->body_limit = encoding == SOUP_ENCODING_CONTENT_LENGTH
-                         ? this->outgoing.answer_limits.stated
-                         : this->outgoing.answer_limits.other;
-  const auto self = this->shared_from_this();
-  // libsoup takes a head that the peer's close cut behind a line for a whole
-  // one. Without a length, only a body shows that the head was whole.
-  if (!head.until_close) {
-    this->ReportHead();
-  }
-  this->ReadMore();
-}
-
-void HttpExchange::ReportHead() {
-  if (!std::exchange(this->head_reported, true) && this->events.on_head) {
-    this->events.on_head(this->head);
-  }
-}
-
-void HttpExchange::ReadMore() {
-  if (this->over || this->paused || this->reading) {
-    return;
+  this->body_limit = head.body_length ? this->outgoing.answer_limits.stated
+                                      : this->outgoing.answer_limits.other;
+  // Copied because the owner may cancel the exchange from within the callback.
+  if (const auto call = this->events.on_head) {
+    call({.status = head.status,
+          .headers = head.headers,
+          .until_close = head.until_close});
   }
-  this->reading = true;
-  g_input_stream_read_bytes_async(
-      this->stream.get(), kReadBytes, G_PRIORITY_DEFAULT,
-      this->cancellable.get(),
-      [](GObject*, GAsyncResult* result, gpointer data) {
-        Release(data)->TakeBytes(result);
-      },
-      Hold(this));
 }
 
-void HttpExchange::TakeBytes(GAsyncResult* result) {
-  this->reading = false;
-  GError* error = nullptr;
-  const BytesPtr bytes(
-      g_input_stream_read_bytes_finish(this->stream.get(), result, &error));
-  const ErrorPtr owned(error);
-  if (this->over) {
-    this->stream.reset();
-    return;
-  }
-  if (error != nullptr) {
-    this->EndByError(*error);
-    return;
-  }
-  gsize size = 0;
-  const auto* data =
-      static_cast<const char*>(g_bytes_get_data(bytes.get(), &size));
-  if (size == 0) {
-    const HttpEnd end = this->ClassifyEnd();
-    this->End(end,
-              end == HttpEnd::kComplete ? "" : "the end marker is missing");
-    return;
-  }
-  const auto self = this->shared_from_this();
-  this->ReportHead();
+void HttpExchange::TakeBytes(std::string_view bytes) {
   this->RecordProgress(this->timeouts.between_bytes);
-  this->body_bytes += size;
+  this->body_bytes += bytes.size();
   if (this->body_bytes > this->body_limit) {
-    this->End(HttpEnd::kProtocol, "the answer is too long");
+    this->call->CutOff(AnswerExcess::kAnswer);
     return;
   }
-  if (this->events.on_bytes) {
-    this->events.on_bytes({data, size});
+  if (const auto call = this->events.on_bytes) {
+    call(bytes);
   }
-  this->ReadMore();
 }
 
-// Returns how a body that ended without an error was delimited. libsoup
-// accepts a close between two chunks as the end of a chunked body. After
-// the real last chunk the connection stays open, so a closed connection means a
-// truncated body. An endpoint that closes the connection after each chunked
-// response can't be distinguished from one that crashed; docs/ENDPOINTS.md
-// forbids it.
-HttpEnd HttpExchange::ClassifyEnd() const {
-  switch (soup_message_headers_get_encoding(
-      soup_message_get_response_headers(this->message.get()))) {
-    case SOUP_ENCODING_EOF:
-      return this->head_reported ? HttpEnd::kNoEndMarker : HttpEnd::kReset;
-    case SOUP_ENCODING_CHUNKED:
-      return this->pool->connections.ClosedByPeer(
-                 soup_message_get_connection_id(this->message.get()))
-                 ? HttpEnd::kReset
-                 : HttpEnd::kComplete;
-    default:
-      return HttpEnd::kComplete;
+// Sends an idempotent request once more, on a new connection, if a reused one
+// has carried no byte of an answer. The peer may have closed it while it was
+// idle; without this, an endpoint that was only restarted would look as if the
+// request had crashed it.
+bool HttpExchange::ResendOnNewConnection(HttpEnd end) {
+  if (end != HttpEnd::kReset || this->outgoing.once || this->has_resent ||
+      !this->call->Reused() || this->call->Heard()) {
+    return false;
   }
+  this->has_resent = true;
+  this->Submit(true);
+  return true;
 }
 
-void HttpExchange::EndByError(const GError& error) {
+void HttpExchange::OnCallEnd(HttpEnd end) {
+  if (this->ResendOnNewConnection(end)) {
+    return;
+  }
   if (this->send_denied) {
     this->End(HttpEnd::kNotSent, "not permitted when it was to be sent");
   } else if (!this->sending) {
-    this->End(HttpEnd::kNotSent, error.message);
-  } else if (error.domain == SOUP_SESSION_ERROR) {
-    this->End(HttpEnd::kProtocol, error.message);
+    this->End(HttpEnd::kNotSent, "can't connect");
   } else {
-    this->End(HttpEnd::kReset, error.message);
+    this->End(end, std::string(this->call->Fault()));
   }
 }
 
@@ -377,13 +182,10 @@
   if (std::exchange(this->over, true)) {
     return;
   }
+  const auto self = this->shared_from_this();
   this->timer.reset();
-  if (end != HttpEnd::kComplete) {
-    g_cancellable_cancel(this->cancellable.get());
-    // Without a read in progress, cancelling does not close the connection.
-    if (!this->reading) {
-      this->stream.reset();
-    }
+  if (const PooledExchangePtr ended = std::exchange(this->call, nullptr)) {
+    ended->Cancel();
   }
   const auto call = std::exchange(this->events, {}).on_end;
   if (call) {
@@ -393,20 +195,22 @@
 
 void HttpExchange::Cancel() {
   this->events = {};
-  this->ResetOnClose();
   this->End(HttpEnd::kCancelled, "");
 }
 
 void HttpExchange::Pause() {
   this->paused = true;
+  if (this->call) {
+    this->call->Pause();
+  }
 }
 
 void HttpExchange::Resume() {
-  if (!std::exchange(this->paused, false) || !this->stream) {
+  if (!std::exchange(this->paused, false) || !this->call) {
     return;
   }
   this->RecordProgress(this->timeouts.between_bytes);
-  this->ReadMore();
+  this->call->Resume();
 }
 
 void HttpExchange::RecordProgress(Duration limit) {
@@ -432,11 +236,8 @@
     this->ArmTimer(this->limit - idle);
     return;
   }
-  if (this->sending) {
-    this->on_stalled();
-  }
-  this->End(this->sending ? HttpEnd::kTimedOut : HttpEnd::kNotSent,
-            "no progress in time");
+  this->on_stalled();
+  this->End(HttpEnd::kTimedOut, "no progress in time");
 }
 
 // -- HttpClient --------------------------------------------------------------
@@ -449,7 +250,7 @@
   const HttpTimeouts timeouts =
       outgoing.timeouts.value_or(this->options.timeouts);
   HttpPoolPtr pool = this->PoolFor(address);
-  const HttpPool* used_pool = pool.get();
+  const ConnectionPool* used_pool = pool.get();
   const auto exchange = std::make_shared<HttpExchange>(
       std::move(pool), std::move(outgoing), std::move(events), timeouts);
   // Whatever stalled one connection is likely to have stalled the idle ones to
@@ -471,27 +272,12 @@
 }
 
 HttpPoolPtr HttpClient::PoolFor(const SocketAddress& address) {
+  static const BootClock clock;
   HttpPoolPtr& pool = (*this->pools)[address];
   if (!pool) {
-    pool = std::make_shared<HttpPool>();
-    pool->session = this->MakeSession();
+    pool = std::make_shared<ConnectionPool>(clock, PoolOptions(this->options));
   }
   return pool;
 }
 
-// The session uses no cookies, no credentials, no proxy from the environment
-// and no content decoding, so that bodies pass unchanged.
-ObjectPtr<SoupSession> HttpClient::MakeSession() const {
-  const auto idle =
-      std::chrono::ceil<std::chrono::seconds>(this->options.idle_timeout);
-  ObjectPtr<SoupSession> session(soup_session_new_with_options(
-      "max-conns", this->options.max_connections, "max-conns-per-host",
-      this->options.max_connections, "timeout", 0, "idle-timeout",
-      static_cast<guint>(idle.count()), nullptr));
-  soup_session_set_proxy_resolver(session.get(), nullptr);
-  soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
-  soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_AUTH_MANAGER);
-  return session;
-}
-
 }  // namespace hickorystand
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -20,8 +20,6 @@
 
 #pragma once
 
-#include <libsoup/soup.h>
-
 #include <cstdint>
 #include <functional>
 #include <limits>
@@ -31,8 +29,9 @@
 #include <string>
 #include <string_view>
 
-#include "http/glib_ptr.h"
+#include "http/http1_parser.h"
 #include "http/http_types.h"
+#include "kernel/resource_budget.h"
 #include "kernel/settings.h"
 #include "kernel/task.h"
 
@@ -91,30 +90,11 @@
 
 class HttpClient;
 
-// The open connections of one session, by libsoup's connection id. libsoup does
-// not expose their sockets, which are needed to detect a close by the peer.
-class HttpConnections {
- public:
-  void Add(guint64 id, GSocket* socket);
-
-  // Whether the peer has closed a connection; true for an unknown id.
-  bool ClosedByPeer(guint64 id) const;
-
- private:
-  struct WeakFree {
-    void operator()(GWeakRef* weak) const;
-  };
-
-  std::map<guint64, std::unique_ptr<GWeakRef, WeakFree>> sockets;
-};
-
-// A pool of connections to one address.
-struct HttpPool {
-  ObjectPtr<SoupSession> session;
-  HttpConnections connections;
-};
+class ConnectionPool;
+class PooledExchange;
 
-using HttpPoolPtr = std::shared_ptr<HttpPool>;
+// The connections to one address.
+using HttpPoolPtr = std::shared_ptr<ConnectionPool>;
 
 // One request and its response. It stays alive until it has ended, even if the
 // caller drops its pointer; Cancel() ends it early.
@@ -144,19 +124,13 @@
   friend class HttpClient;
 
   void Start(std::function<void()> on_stalled);
-  void SubmitMessage();
-  bool RetryOnNewConnection();
-  void CheckPermission();
-  void RecordConnection(GIOStream* connection);
-  void ResetOnClose();
-  HttpEnd ClassifyEnd() const;
-  void CountInformational();
-  void TakeHead(GAsyncResult* result);
-  void TakeBytes(GAsyncResult* result);
-  void ReadMore();
-  void ReportHead();
+  void Submit(bool new_connection);
+  bool MaySend();
+  void TakeHead(const Http1Head& head);
+  void TakeBytes(std::string_view bytes);
+  bool ResendOnNewConnection(HttpEnd end);
+  void OnCallEnd(HttpEnd end);
   void End(HttpEnd end, const std::string& detail);
-  void EndByError(const GError& error);
   void RecordProgress(Duration limit);
   void ArmTimer(Duration delay);
   void CheckProgress();
@@ -165,27 +139,19 @@
   HttpClientRequest outgoing;
   HttpEvents events;
   HttpTimeouts timeouts;
-  BytesPtr body;
-  ObjectPtr<SoupMessage> message;
-  ObjectPtr<GCancellable> cancellable;
-  ObjectPtr<GInputStream> stream;
-  ObjectPtr<GSocket> new_socket;   // of a connection opened for this exchange
-  ObjectPtr<GSocket> once_socket;  // the same, for a non-idempotent request
+  std::string head;
+  SharedBytes body;
+  std::shared_ptr<PooledExchange> call;
   std::function<void()> on_stalled;
   std::unique_ptr<Timer> timer;
   gint64 last_progress = 0;  // g_get_monotonic_time()
   Duration limit{};
-  uint64_t informational_bytes = 0;  // of 1xx heads
   uint64_t body_limit = 0;
   uint64_t body_bytes = 0;
-  HttpResponseHead head;
-  bool head_reported = false;  // to the owner
   bool sending = false;
-  bool own_connection = false;  // not a reused connection
-  bool has_retried = false;
+  bool has_resent = false;
   bool send_denied = false;
   bool paused = false;
-  bool reading = false;
   bool over = false;
 };
 
@@ -194,7 +160,6 @@
 // Options of a client.
 struct HttpClientOptions {
   HttpTimeouts timeouts;
-  int max_connections = 8192;                        // per address
   Duration idle_timeout = std::chrono::seconds(30);  // of a pooled connection
 };
 
@@ -221,7 +186,6 @@
   using Pools = std::map<SocketAddress, HttpPoolPtr>;
 
   HttpPoolPtr PoolFor(const SocketAddress& address);
-  ObjectPtr<SoupSession> MakeSession() const;
 
   HttpClientOptions options;
   std::shared_ptr<Pools> pools = std::make_shared<Pools>();
--- a/packages/http/stream_socket.cc
+++ b/packages/http/stream_socket.cc
@@ -39,10 +39,13 @@
       address.host.c_str(), address.port));
 }
 
-ObjectPtr<GSocket> MakeSocket() {
-  ObjectPtr<GSocket> socket(g_socket_new(G_SOCKET_FAMILY_IPV4,
-                                         G_SOCKET_TYPE_STREAM,
-                                         G_SOCKET_PROTOCOL_TCP, nullptr));
+// Null if there is no address.
+ObjectPtr<GSocket> MakeSocket(GSocketAddress* address) {
+  ObjectPtr<GSocket> socket(
+      address == nullptr
+          ? nullptr
+          : g_socket_new(g_socket_address_get_family(address),
+                         G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr));
   if (socket) {
     g_socket_set_blocking(socket.get(), FALSE);
   }
@@ -133,12 +136,12 @@
                                       Duration ack_timeout,
                                       StreamEvents events,
                                       ResourceBudget* budget) {
-  StreamSocketPtr made(new StreamSocket(MakeSocket(), std::move(events), budget,
-                                        HoldingState::kInWork));
-  made->state = State::kConnecting;
   const auto to = MakeAddress(address);
+  StreamSocketPtr made(new StreamSocket(MakeSocket(to.get()), std::move(events),
+                                        budget, HoldingState::kInWork));
+  made->state = State::kConnecting;
   GError* raw = nullptr;
-  if (made->socket && to) {
+  if (made->socket) {
     SetTcpOptions(made->socket.get(), ack_timeout);
     if (g_socket_connect(made->socket.get(), to.get(), nullptr, &raw) ||
         g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_PENDING)) {
@@ -405,15 +408,15 @@
     std::function<void(ObjectPtr<GSocket>)> on_accept,
     ResourceBudget* budget) {
   std::unique_ptr<Listener> made(new Listener());
-  made->socket = MakeSocket();
+  const auto at = MakeAddress(address);
+  made->socket = MakeSocket(at.get());
   made->on_accept = std::move(on_accept);
   made->budget = budget;
-  const auto at = MakeAddress(address);
   GError* raw = nullptr;
   if (made->socket) {
     g_socket_set_listen_backlog(made->socket.get(), kBacklog);
   }
-  if (!made->socket || !at ||
+  if (!made->socket ||
       !g_socket_bind(made->socket.get(), at.get(), TRUE, &raw) ||
       !g_socket_listen(made->socket.get(), &raw)) {
     const ErrorPtr error(raw);
--- a/packages/http/stream_socket.h
+++ b/packages/http/stream_socket.h
@@ -1,9 +1,9 @@
 // Non-blocking TCP connections on a task's GLib main context.
 //
-// A relay has to know exactly when bytes of a request were sent and which
-// response belongs to which request, because both decide whether the request
-// may have run. libsoup exposes neither, so the relay uses these sockets
-// directly together with Http1Parser.
+// A sender of requests has to know exactly when bytes of a request were sent and
+// which response belongs to which request, because both decide whether the
+// request may have run. libsoup exposes neither, so ConnectionPool uses these
+// sockets directly together with Http1Parser.
 //
 // Index
 //   StreamEnd      how a connection ended
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -57,11 +57,9 @@
       return 431;
     case Http1Failure::kBodyTooLarge:
       return 413;
-    case Http1Failure::kNone:
-    case Http1Failure::kMalformed:
-      break;
+    default:
+      return 400;
   }
-  return 400;
 }
 
 }  // namespace
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -7,6 +7,7 @@
 #include <random>
 #include <string>
 
+#include "broken_answers.h"
 #include "gateway_bed.h"
 #include "kernel/json.h"
 #include "raw_socket.h"
@@ -74,6 +75,9 @@
          "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
 }
 
+// Stands in a broken answer where the request's id is added.
+constexpr const char* kFirstField = "X-A: 1\r\n";
+
 }  // namespace
 
 // Run with every dispatcher.
@@ -449,6 +453,35 @@
   LONGS_EQUAL(502, answer.status);
 }
 
+// Guards against a broken answer that reaches its caller as a whole one, with
+// the line that breaks it or with a body that is not the endpoint's.
+TEST(Gateway, PassesNoBrokenAnswerOn) {
+  BrokenAnswer broken;
+  RawServer service([&broken](RawSocket& socket, int) {
+    const std::string request = socket.ReadUntil("\r\n\r\n");
+    const std::string name = "X-Request-Id: ";
+    const size_t from = request.find(name);
+    std::string answer = broken.bytes;
+    answer.insert(answer.find(kFirstField),
+                  request.substr(from, request.find("\r\n", from) + 2 - from));
+    socket.Write(answer);
+  });
+  const auto get = [&](const BrokenAnswer& answer) {
+    broken = answer;
+    GatewayBed bed;
+    bed.AddPlain("p1", service.Address());
+    return bed.caller.Send(bed.Outgoing("GET", "/services/filing/petitions/1"));
+  };
+  for (const BrokenAnswer& answer : BrokenHeads(kFirstField)) {
+    LONGS_EQUAL_TEXT(502, get(answer).status, answer.name.c_str());
+  }
+  for (const BrokenAnswer& answer : BrokenBodies(kFirstField)) {
+    const CallerAnswer got = get(answer);
+    CHECK_TEXT(got.status == 502 || got.end == HttpEnd::kReset,
+               answer.name.c_str());
+  }
+}
+
 // Guards against an orderly close after such an answer was truncated.
 TEST(Gateway, ResetsACallerWhoseAnswerWithoutLengthIsTruncated) {
   FakePlainService service;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "broken_answers.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "http/stream_socket.h"
@@ -191,6 +192,53 @@
   }
 }
 
+// Guards against an answer that is not valid HTTP, or whose end is missing, and
+// that is reported as a whole one.
+TEST(Http, ABrokenAnswerIsNoAnswer) {
+  for (const BrokenAnswer& answer : BrokenAnswers("X-A: 1\r\n")) {
+    RawServer server([&](RawSocket& socket, int) {
+      socket.ReadUntil("\r\n\r\n");
+      socket.Write(answer.bytes);
+    });
+    const Outcome outcome = SendTo(server.Address(), {});
+    CHECK_TEXT(
+        outcome.end == HttpEnd::kProtocol || outcome.end == HttpEnd::kReset,
+        answer.name.c_str());
+    LONGS_EQUAL_TEXT(1, server.Connections(), answer.name.c_str());
+  }
+}
+
+// Guards against reporting the head of such an answer, which may be passed on
+// before the answer's end is known.
+TEST(Http, ABrokenHeadIsNotReported) {
+  for (const BrokenAnswer& answer : BrokenHeads("X-A: 1\r\n")) {
+    RawServer server([&](RawSocket& socket, int) {
+      socket.ReadUntil("\r\n\r\n");
+      socket.Write(answer.bytes);
+    });
+    const Outcome outcome = SendTo(server.Address(), {});
+    CHECK_TEXT(outcome.end == HttpEnd::kProtocol, answer.name.c_str());
+    LONGS_EQUAL_TEXT(0, outcome.status, answer.name.c_str());
+    STRCMP_EQUAL_TEXT("", outcome.body.c_str(), answer.name.c_str());
+  }
+}
+
+// Guards against the same for an answer without length whose connection is
+// reset while the request's body is written.
+TEST(Http, AnAnswerThatIsResetDuringTheUploadIsNoAnswer) {
+  for (int i = 0; i < 20; ++i) {
+    RawServer server([](RawSocket& socket, int) {
+      socket.ReadUntil("\r\n\r\n");
+      socket.Write("HTTP/1.1 200 OK\r\n\r\npart");
+      socket.Reset();
+    });
+    const Outcome outcome =
+        SendTo(server.Address(),
+               {.method = "POST", .body = std::string(size_t{8} << 20, 'u')});
+    CHECK(outcome.end == HttpEnd::kReset);
+  }
+}
+
 // Guards against a reset that a write notices first, and that reading then
 // reports as an orderly close.
 TEST(Http, AResetThatAWriteNoticesIsNoClose) {
