Log and count broken answers with their reasons

An operator saw that an attempt failed ('protocol: truncated'), not why, and nothing at all for an answer of the store or the platform.

Relay hosts log 'Endpoint's answer is broken.' and count endpoint_answers_broken_total{reason}; every HttpClient logs 'An answer is broken.' (limited) and counts http_answers_broken_total{reason}. Answers cut off at a bound use the same record of a fault.

--- a/packages/daemon/control.cc
+++ b/packages/daemon/control.cc
@@ -90,8 +90,9 @@
   this->store = MakeStore(settings, incarnation, metrics);
   this->platform = std::make_unique<PlatformClient>(
       PlatformClientOptions{.address = settings.platform.address,
-                            .timeout = settings.platform.timeout});
-  this->orders = std::make_unique<OrderClient>();
+                            .timeout = settings.platform.timeout,
+                            .metrics = &metrics});
+  this->orders = std::make_unique<OrderClient>(&metrics);
   this->peers = std::make_unique<PeerGroup>(
       MakePeerOptions(settings, incarnation, clock),
       PeerGroupHandlers{
--- a/packages/endpoints/endpoint_client.cc
+++ b/packages/endpoints/endpoint_client.cc
@@ -78,7 +78,11 @@
 }  // namespace
 
 EndpointClient::EndpointClient(EndpointClientOptions options, Metrics& metrics)
-    : options(options), metrics(metrics), http(options.http) {}
+    : options(options),
+      metrics(metrics),
+      http({.timeouts = options.http.timeouts,
+            .idle_timeout = options.http.idle_timeout,
+            .metrics = &metrics}) {}
 
 AttemptPtr EndpointClient::Start(AttemptCall call, AttemptEvents events) {
   const auto attempt = std::make_shared<Attempt>(
--- a/packages/endpoints/order_client.cc
+++ b/packages/endpoints/order_client.cc
@@ -70,8 +70,8 @@
   bool Whole() const { return this->end == HttpEnd::kComplete; }
 };
 
-OrderClient::OrderClient(HttpTimeouts timeouts)
-    : timeouts(timeouts), http({.timeouts = timeouts}) {}
+OrderClient::OrderClient(Metrics* metrics, HttpTimeouts timeouts)
+    : timeouts(timeouts), http({.timeouts = timeouts, .metrics = metrics}) {}
 
 // If the answer is neither a success nor a refusal, the endpoint may have
 // accepted the order. Its state is then kUnknown, and the coordinator lists the
--- a/packages/endpoints/order_client.h
+++ b/packages/endpoints/order_client.h
@@ -78,7 +78,9 @@
 // task. Send() never retries; the caller lists the orders to resolve kUnknown.
 class OrderClient {
  public:
-  explicit OrderClient(HttpTimeouts timeouts = {
+  // Broken answers are counted in `metrics`, which may be null.
+  explicit OrderClient(Metrics* metrics = nullptr,
+                       HttpTimeouts timeouts = {
                            .connect = std::chrono::seconds(1),
                            .first_byte = std::chrono::seconds(3),
                            .between_bytes = std::chrono::seconds(3)});
--- a/packages/http/connection_pool.cc
+++ b/packages/http/connection_pool.cc
@@ -100,13 +100,8 @@
 
   // Ends the exchange because its answer is not valid or has no end.
   void FailBroken(HttpEnd end, std::string_view reason) {
-    if (const auto& call = this->pool->observer.on_broken;
-        call && this->exchange->heard) {
-      call({.address = this->address,
-            .request = this->to_send.request,
-            .reason = reason,
-            .parsed_bytes = this->parser.Parsed(),
-            .unparsed_bytes = this->parser.Unread()});
+    if (this->exchange->heard) {
+      this->NotifyFault(this->pool->observer.on_broken, reason);
     }
     this->exchange->fault = reason;
     this->Fail(end);
@@ -149,10 +144,15 @@
   }
 
   void NotifyCutOff(AnswerExcess excess) const {
-    if (const auto& call = this->pool->observer.on_cut_off) {
+    this->NotifyFault(this->pool->observer.on_cut_off, NameOf(excess));
+  }
+
+  void NotifyFault(const std::function<void(const AnswerFault&)>& call,
+                   std::string_view reason) const {
+    if (call) {
       call({.address = this->address,
             .request = this->to_send.request,
-            .excess = excess,
+            .reason = reason,
             .parsed_bytes = this->parser.Parsed(),
             .unparsed_bytes = this->parser.Unread()});
     }
--- a/packages/http/connection_pool.h
+++ b/packages/http/connection_pool.h
@@ -10,8 +10,7 @@
 //
 // Index
 //   AnswerExcess            which part of an answer exceeded its bound
-//   AnswerCutOff            an answer that was cut off at a bound
-//   AnswerFault             why an answer is broken
+//   AnswerFault             why an answer is broken, or was cut off
 //   PooledRequest           a request
 //   PooledEvents            callbacks of an exchange
 //   PooledExchange          a request and its answer
@@ -77,16 +76,8 @@
 // The name of an excess, as used in logs and metrics.
 std::string_view NameOf(AnswerExcess excess);
 
-// An answer that was cut off at a bound.
-struct AnswerCutOff {
-  SocketAddress address;
-  RequestId request;  // of PooledRequest
-  AnswerExcess excess = AnswerExcess::kAnswer;
-  uint64_t parsed_bytes = 0;    // of the message that was being read
-  uint64_t unparsed_bytes = 0;  // buffered behind them
-};
-
-// An answer that is not valid HTTP, or whose connection ended before it.
+// An answer that exceeded a bound, that is not valid HTTP, or whose connection
+// ended before it.
 struct AnswerFault {
   SocketAddress address;
   RequestId request;            // of PooledRequest
@@ -198,7 +189,7 @@
   std::function<void(const SocketAddress&, ConnectionId)> on_opened = {};
   std::function<void(const SocketAddress&, ConnectionId, bool by_peer)>
       on_closed = {};
-  std::function<void(const AnswerCutOff&)> on_cut_off = {};
+  std::function<void(const AnswerFault&)> on_cut_off = {};  // at a bound
   std::function<void(const AnswerFault&)> on_broken = {};
 };
 
--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "http/connection_pool.h"
+#include "kernel/log.h"
 
 namespace hickorystand {
 namespace {
@@ -242,7 +243,29 @@
 
 // -- HttpClient --------------------------------------------------------------
 
-HttpClient::HttpClient(HttpClientOptions options) : options(options) {}
+// Logs and counts broken answers.
+struct HttpClient::FaultLog {
+  void Record(const AnswerFault& fault) {
+    if (this->metrics != nullptr) {
+      this->metrics->Add("http_answers_broken_total", 1,
+                         {{"reason", std::string(fault.reason)}});
+    }
+    if (this->limiter.Allow(this->clock.Now())) {
+      LogWarning("http", "An answer is broken.",
+                 {{"address", TextOf(fault.address)},
+                  {"reason", std::string(fault.reason)},
+                  {"suppressed", std::to_string(this->limiter.Suppressed())}});
+    }
+  }
+
+  Metrics* metrics;
+  BootClock clock;
+  LogLimiter limiter{3, std::chrono::seconds(10)};
+};
+
+HttpClient::HttpClient(HttpClientOptions options)
+    : options(options),
+      fault_log(std::make_shared<FaultLog>(options.metrics)) {}
 
 HttpExchangePtr HttpClient::Send(HttpClientRequest outgoing,
                                  HttpEvents events) {
@@ -276,6 +299,10 @@
   HttpPoolPtr& pool = (*this->pools)[address];
   if (!pool) {
     pool = std::make_shared<ConnectionPool>(clock, PoolOptions(this->options));
+    const auto record = [log = this->fault_log](const AnswerFault& fault) {
+      log->Record(fault);
+    };
+    pool->SetObserver({.on_cut_off = record, .on_broken = record});
   }
   return pool;
 }
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -8,7 +8,7 @@
 //   HttpResponseHead     status and headers of a response
 //   HttpEvents           callbacks of an exchange
 //   HttpExchange         one request and its response
-//   HttpClientOptions    timeouts and pool sizes
+//   HttpClientOptions    timeouts and metrics
 //   HttpClient           sends requests over connections pooled by address
 //
 //   HttpClient client;
@@ -31,6 +31,7 @@
 
 #include "http/http1_parser.h"
 #include "http/http_types.h"
+#include "kernel/metrics.h"
 #include "kernel/resource_budget.h"
 #include "kernel/settings.h"
 #include "kernel/task.h"
@@ -161,6 +162,7 @@
 struct HttpClientOptions {
   HttpTimeouts timeouts;
   Duration idle_timeout = std::chrono::seconds(30);  // of a pooled connection
+  Metrics* metrics = nullptr;  // if set, broken answers are counted there
 };
 
 // Sends requests over connections that are pooled by address. Must be used on a
@@ -184,10 +186,12 @@
 
  private:
   using Pools = std::map<SocketAddress, HttpPoolPtr>;
+  struct FaultLog;
 
   HttpPoolPtr PoolFor(const SocketAddress& address);
 
   HttpClientOptions options;
+  std::shared_ptr<FaultLog> fault_log;
   std::shared_ptr<Pools> pools = std::make_shared<Pools>();
   std::shared_ptr<int64_t> renewals = std::make_shared<int64_t>(0);
 };
--- a/packages/platform/etcd_store.cc
+++ b/packages/platform/etcd_store.cc
@@ -65,6 +65,7 @@
  public:
   explicit EtcdCalls(const KeyValueStoreOptions& options)
       : options(options),
+        client(options.metrics),
         backoff(kInitialRetryDelay, kMaxRetryDelay, options.seed) {
     assert(!options.addresses.empty() && "the store has no address");
   }
@@ -102,6 +103,7 @@
     }
   }
   Duration Timeout() const { return this->options.timeout; }
+  Metrics* Counters() const { return this->options.metrics; }
 
  private:
   // Sends to one address. On failure, tries the next one if nothing was sent or
@@ -187,7 +189,8 @@
         seen(after_revision),
         on_change(std::move(on_change)),
         on_lost(std::move(on_lost)),
-        alive(std::make_shared<bool>(true)) {
+        alive(std::make_shared<bool>(true)),
+        client({.metrics = this->calls->Counters()}) {
     this->calls->CountWatch(1);
     this->stream = this->client.Send(
         {.address = this->calls->Preferred(),
--- a/packages/platform/json_client.cc
+++ b/packages/platform/json_client.cc
@@ -29,7 +29,7 @@
   std::unique_ptr<Timer> overall_deadline;  // not extended by progress
 };
 
-JsonClient::JsonClient() = default;
+JsonClient::JsonClient(Metrics* metrics) : client({.metrics = metrics}) {}
 
 JsonClient::~JsonClient() {
   for (const auto& [id, call] : this->pending) {
--- a/packages/platform/json_client.h
+++ b/packages/platform/json_client.h
@@ -68,7 +68,8 @@
 // the client cancels the calls in progress without calling their callbacks.
 class JsonClient {
  public:
-  JsonClient();
+  // Broken answers are counted in `metrics`, which may be null.
+  explicit JsonClient(Metrics* metrics = nullptr);
   ~JsonClient();
   JsonClient(const JsonClient&) = delete;
   JsonClient& operator=(const JsonClient&) = delete;
--- a/packages/platform/platform_client.h
+++ b/packages/platform/platform_client.h
@@ -23,6 +23,7 @@
 struct PlatformClientOptions {
   SocketAddress address;
   Duration timeout = std::chrono::seconds(2);
+  Metrics* metrics = nullptr;
 };
 
 // An entry of the platform's host list, which may be out of date.
@@ -50,7 +51,7 @@
   using Done = std::function<void(PlatformOutcome)>;
 
   explicit PlatformClient(const PlatformClientOptions& options)
-      : options(options) {}
+      : options(options), client(options.metrics) {}
 
   // Orders endpoints. The order's id is the token that makes repeating the
   // order idempotent. `may_send` is called immediately before bytes are written
--- a/packages/relay/fleet_relay.cc
+++ b/packages/relay/fleet_relay.cc
@@ -365,18 +365,28 @@
   });
 }
 
-void FleetRelay::OnAnswerCutOff(const AnswerCutOff& cut) {
+void FleetRelay::OnAnswerCutOff(const AnswerFault& fault) {
   this->metrics->Add("endpoint_answers_cut_off_total", 1,
-                     {{"reason", std::string(NameOf(cut.excess))}});
-  const auto id = this->endpoints_by_address.find(cut.address);
-  this->Log(
-      LogLevel::kWarning, cut.request, "Endpoint's answer cut off.",
-      {{"endpoint",
-        id == this->endpoints_by_address.end() ? "" : id->second.Text()},
-       {"address", cut.address.host + ":" + std::to_string(cut.address.port)},
-       {"reason", std::string(NameOf(cut.excess))},
-       {"parsed_bytes", std::to_string(cut.parsed_bytes)},
-       {"unparsed_bytes", std::to_string(cut.unparsed_bytes)}});
+                     {{"reason", std::string(fault.reason)}});
+  this->LogFault("Endpoint's answer cut off.", fault);
+}
+
+void FleetRelay::OnAnswerBroken(const AnswerFault& fault) {
+  this->metrics->Add("endpoint_answers_broken_total", 1,
+                     {{"reason", std::string(fault.reason)}});
+  this->LogFault("Endpoint's answer is broken.", fault);
+}
+
+void FleetRelay::LogFault(std::string_view sentence, const AnswerFault& fault) {
+  const auto id = this->endpoints_by_address.find(fault.address);
+  this->Log(LogLevel::kWarning, fault.request, sentence,
+            {{"endpoint",
+              id == this->endpoints_by_address.end() ? "" : id->second.Text()},
+             {"address",
+              fault.address.host + ":" + std::to_string(fault.address.port)},
+             {"reason", std::string(fault.reason)},
+             {"parsed_bytes", std::to_string(fault.parsed_bytes)},
+             {"unparsed_bytes", std::to_string(fault.unparsed_bytes)}});
 }
 
 void FleetRelay::ObservePool() {
@@ -433,7 +443,9 @@
              this->runs.OnClosed(address, connection, by_peer);
            },
        .on_cut_off =
-           [this](const AnswerCutOff& cut) { this->OnAnswerCutOff(cut); }});
+           [this](const AnswerFault& fault) { this->OnAnswerCutOff(fault); },
+       .on_broken =
+           [this](const AnswerFault& fault) { this->OnAnswerBroken(fault); }});
   this->reach_timer =
       Timer::Every(kReachPeriod, [this] { this->UpdateReach(); });
 }
--- a/packages/relay/fleet_relay.h
+++ b/packages/relay/fleet_relay.h
@@ -320,7 +320,9 @@
 
   // Observes connections, and probes endpoints while their service is suspected
   // or cut off.
-  void OnAnswerCutOff(const AnswerCutOff& cut);
+  void OnAnswerCutOff(const AnswerFault& fault);
+  void OnAnswerBroken(const AnswerFault& fault);
+  void LogFault(std::string_view sentence, const AnswerFault& fault);
   void ObservePool();
   void UpdateReach();
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -34,10 +34,15 @@
     "1\r\n\r\n"};
 
 // Sends a request to a server with a client of its own.
-Outcome SendTo(const SocketAddress& address, HttpClientRequest outgoing) {
+Outcome SendTo(const SocketAddress& address,
+               HttpClientRequest outgoing,
+               Metrics* metrics = nullptr) {
   Task task("client");
   std::unique_ptr<HttpClient> client;
-  task.Call([&] { client = std::make_unique<HttpClient>(); });
+  task.Call([&] {
+    client =
+        std::make_unique<HttpClient>(HttpClientOptions{.metrics = metrics});
+  });
   outgoing.address = address;
   Outcome outcome;
   std::promise<void> done;
@@ -223,8 +228,20 @@
   }
 }
 
-// Guards against the same for an answer without length whose connection is
-// reset while the request's body is written.
+// Guards against a broken answer that operators can't see.
+TEST(Http, ABrokenAnswerIsCounted) {
+  RawServer server([](RawSocket& socket, int) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n");
+  });
+  Metrics metrics;
+  SendTo(server.Address(), {}, &metrics);
+  DOUBLES_EQUAL(
+      1, metrics.Value("http_answers_broken_total", {{"reason", "header"}}), 0);
+}
+
+// Guards against a part of an answer without length that passes for a whole one,
+// because its connection is reset while the request's body is written.
 TEST(Http, AnAnswerThatIsResetDuringTheUploadIsNoAnswer) {
   for (int i = 0; i < 20; ++i) {
     RawServer server([](RawSocket& socket, int) {
