--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -240,8 +240,8 @@
       1, metrics.Value("http_answers_broken_total", {{"reason", "header"}}), 0);
 }
 
-// Guards against a part of an answer without length that passes for a whole one,
-// because its connection is reset while the request's body is written.
+// Guards against a part of an answer without length that passes for a whole
+// one, because its connection is reset while the request's body is written.
 TEST(Http, AnAnswerThatIsResetDuringTheUploadIsNoAnswer) {
   for (int i = 0; i < 20; ++i) {
     RawServer server([](RawSocket& socket, int) {
