--- a/packages/http/stream_socket.h
+++ b/packages/http/stream_socket.h
@@ -1,7 +1,7 @@
 // Non-blocking TCP connections on a task's GLib main context.
 //
-// A sender of requests has to know exactly when bytes of a request were sent and
-// which response belongs to which request, because both decide whether the
+// A sender of requests has to know exactly when bytes of a request were sent
+// and which response belongs to which request, because both decide whether the
 // request may have run. libsoup exposes neither, so ConnectionPool uses these
 // sockets directly together with Http1Parser.
 //
