--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -295,10 +295,10 @@
 }
 
 HttpPoolPtr HttpClient::PoolFor(const SocketAddress& address) {
-  static const BootClock clock;
+  static const BootClock kClock;
   HttpPoolPtr& pool = (*this->pools)[address];
   if (!pool) {
-    pool = std::make_shared<ConnectionPool>(clock, PoolOptions(this->options));
+    pool = std::make_shared<ConnectionPool>(kClock, PoolOptions(this->options));
     const auto record = [log = this->fault_log](const AnswerFault& fault) {
       log->Record(fault);
     };
