--- a/packages/http/http1_parser.cc
+++ b/packages/http/http1_parser.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <utility>
@@ -33,7 +34,7 @@
 bool HasReadableCoding(const HttpHeaders& headers) {
   return std::ranges::all_of(headers, [](const HttpHeader& header) {
     return !HeaderNamesEqual(header.name, "Transfer-Encoding") ||
-           HeaderNamesEqual(header.value, "chunked");
+           boost::beast::iequals(header.value, "chunked");
   });
 }
 
--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -57,8 +57,8 @@
   return head + "\r\n";
 }
 
-// Connections carry requests that may run once only right after they were
-// opened, and have no limit but the exchange's own.
+// Requests that may run only once always go on new connections. Timeouts behind
+// the connect are the exchange's.
 ConnectionPoolOptions PoolOptions(const HttpClientOptions& options) {
   return {.connect_timeout = options.timeouts.connect,
           .ack_timeout = Duration{},
--- a/packages/http/http_client.h
+++ b/packages/http/http_client.h
@@ -89,9 +89,8 @@
   std::function<void(HttpEnd, const std::string& detail)> on_end;  // last, once
 };
 
-class HttpClient;
-
 class ConnectionPool;
+class HttpClient;
 class PooledExchange;
 
 // The connections to one address.
