--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -367,8 +367,9 @@
   """One process of the system, with the settings of the deploy file's
   template."""
 
-  def __init__(self, deployment, name, zone="z1"):
+  def __init__(self, deployment, name, zone="z1", store=None):
     self.deployment = deployment
+    self.store = store or deployment.store.port
     self.name = name
     self.zone = zone
     self.front, self.ready, self.metrics, self.peers = free_ports(4)
@@ -380,7 +381,7 @@
     path.write_text(SETTINGS.format(
         name=self.name, zone=self.zone, first=str(first).lower(),
         front=self.front, ready=self.ready, metrics=self.metrics,
-        peers=self.peers, store=self.deployment.store.port,
+        peers=self.peers, store=self.store,
         cloud=self.deployment.cloud.port))
     environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG")
                    if key in os.environ}
