--- a/review/4/case.py
+++ b/review/4/case.py
@@ -31,29 +31,38 @@
   return f"{name}-first", status
 
 
+def runs_of(deployment, name):
+  return [attempt for runner in deployment.runners
+          for attempt, *_ in runner.runs if attempt.startswith(name)]
+
+
 async def case(deployment, trouble):
+  documents_end = asyncio.Event()
   for _ in range(3):
     deployment.add_runner(
         service="archive", slots=64,
-        work=lambda headers, body: 4.5 if len(body) == len(DOCUMENT) else 1.5)
+        work=lambda headers, body: documents_end if len(body) == len(DOCUMENT)
+        else 1.5)
   deployment.configure(
-      1, [rig.route("save", "/save/", "archive", timeout_ms=8000)],
+      1, [rig.route("save", "/save/", "archive", timeout_ms=20000)],
       connections=370)
   schedulers, forwarding = await rig.start_zone(deployment)
   uploads = await rig.upload(deployment, schedulers[1:], 22, 0.15,
                              path="/save/document", body=DOCUMENT,
-                             deadline_ms=8000)
+                             deadline_ms=20000, limit=21)
   filings = [asyncio.create_task(
       file_document(deployment, forwarding[0], f"filing-{number}"))
              for number in range(2)]
-  await asyncio.sleep(0.5)
+  await rig.until(lambda: len(runs_of(deployment, "filing")) == 2, 5)
+  await asyncio.sleep(0.2)
   if trouble:
     schedulers[0].send(signal.SIGKILL)
+  await asyncio.sleep(1)
+  documents_end.set()
   answers = await asyncio.gather(*filings)
   await asyncio.gather(*uploads)
-  ran = [attempt for runner in deployment.runners for attempt, *_ in runner.runs]
-  deployment.record.note("runs of filings: " + " ".join(
-      attempt for attempt in ran if attempt.startswith("filing")))
+  ran = runs_of(deployment, "filing")
+  deployment.record.note("runs of filings: " + " ".join(ran))
   return [f"REFUSED: {attempt} was answered {status} and has run"
           for attempt, status in answers
           if status in PROMISES and attempt in ran]
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -260,8 +260,8 @@
 class Runner(Server):
   """A runner of a plain service.
 
-  `work(headers, body)` returns how long a request runs. Each run is noted with
-  its Attempt-Id, and ended when its channel closes.
+  `work(headers, body)` returns for how many seconds a request runs, or an event
+  that ends it. Each run is noted with its Attempt-Id.
   """
 
   def __init__(self, record, port, service, slots=6, zone="z1", name=None,
@@ -308,7 +308,9 @@
                      f"{len(body)} bytes, deadline "
                      f"{headers.get('request-deadline')}")
     try:
-      await asyncio.sleep(self.work(headers, body))
+      work = self.work(headers, body)
+      await (work.wait() if isinstance(work, asyncio.Event) else
+             asyncio.sleep(work))
     finally:
       self.running -= 1
     self.record.note(f"runner {self.id} has run {attempt}")
@@ -540,6 +542,15 @@
   return status
 
 
+async def until(condition, limit):
+  """Waits for `limit` seconds at most until the condition holds."""
+  end = time.monotonic() + limit
+  while not condition():
+    if time.monotonic() > end:
+      raise RuntimeError("the case didn't get as far as it needs")
+    await asyncio.sleep(0.02)
+
+
 async def metric(host, name):
   """One of a host's own metrics, to find out which role it has."""
   _, _, body = await exchange(host.metrics,
