Refuse requests with a transfer coding other than chunks

Cause: Boost.Beast takes a list of codings that doesn't end with `chunked` for none, and drops what stands before a last `chunked`. HasReadableCoding() refuses such a head, but was asked for answers alone.

Ruled out: loss between hosts (a host that forwards nothing shows it too) and a second request on the endpoint's connection (the log has one `Sent.` for each of the two ids).

Change: the condition that exempted requests is gone. A transfer coding in HTTP/1.0, which RFC 9112 (6.1) calls faulty framing, is refused with it. Such a request is answered 400 and its connection closes.

Test: request_framing_test, 37 framings, each with a hidden request as it is and in a chunk.

--- a/packages/http/http1_parser.cc
+++ b/packages/http/http1_parser.cc
@@ -29,12 +29,16 @@
          status != kSwitchingProtocols;
 }
 
+// Versions as Beast counts them. Only from 1.1 on there are transfer codings.
+constexpr int kHttp11 = 11;
+
 // Whether the body is sent without a transfer coding or in chunks. Beast takes
 // any other coding for none, or drops it from a list that ends with chunks.
-bool HasReadableCoding(const HttpHeaders& headers) {
-  return std::ranges::all_of(headers, [](const HttpHeader& header) {
+bool HasReadableCoding(const HttpHeaders& headers, int version) {
+  return std::ranges::all_of(headers, [version](const HttpHeader& header) {
     return !HeaderNamesEqual(header.name, "Transfer-Encoding") ||
-           boost::beast::iequals(header.value, "chunked");
+           (version >= kHttp11 &&
+            boost::beast::iequals(header.value, "chunked"));
   });
 }
 
@@ -137,9 +141,10 @@
   void on_request_impl(http::verb /*verb*/,
                        string_view method,
                        string_view target,
-                       int /*version*/,
+                       int version,
                        error_code& error) override {
     error = {};
+    this->version = version;
     this->head.method = View(method);
     this->head.target = View(target);
   }
@@ -162,7 +167,7 @@
   }
   void on_header_impl(error_code& error) override {
     error = {};
-    if (!kRequest && !HasReadableCoding(this->head.headers)) {
+    if (!HasReadableCoding(this->head.headers, this->version)) {
       error = http::error::bad_transfer_encoding;
       return;
     }
@@ -198,6 +203,7 @@
 
   Http1Parser* owner;
   Http1Head head;
+  int version = kHttp11;  // of a request
   bool head_complete = false;
 };
 
