Never say "not run" of a forwarded request for lack of room if it may have run

Cause: what may be said of a request that was sent before was decided at some ten places, each for itself, and ForwardReceiver::Refuse() didn't ask: a scheduler without room answered 503 and declined whatever the request's earlier sends were. It also refuses a body that yields while it arrives.

Ruled out by the logs of the case: a miscount at the forwarding host (the request carries one earlier send) and a 503 of an endpoint (the schedulers log "too much is in work" and no `Sent.`).

Change: the exchange knows whether the request may have run, and AnswerOwnError(), through which every error of a host goes, replaces an error that says "not run" of it. Refuse() answers through it (and is counted like other errors). The choices between two kinds in RequestForwarder and RelayedRequest are gone.

Tests: forward_test LackOfRoomDoesNotImplyThatEarlierSendsDidNotRun and ABodyThatYieldsDoesNotImplyThatEarlierSendsDidNotRun: 503 before, 502 now. LackOfRoomEverywhereIsRefusedAsNotRun passes before and after: what nobody ran is still refused with a Retry-After.

--- a/packages/daemon/relay_daemon.cc
+++ b/packages/daemon/relay_daemon.cc
@@ -237,7 +237,7 @@
       [this](const CallerExchangePtr& caller, const RequestOrigin& origin) {
         this->relay->Serve(caller, origin);
       },
-      &this->resources);
+      this->metrics, &this->resources);
 }
 
 void RelayDaemon::MakeLimits() {
--- a/packages/relay/caller_exchange.cc
+++ b/packages/relay/caller_exchange.cc
@@ -54,6 +54,10 @@
                    ErrorKind kind,
                    std::string_view why,
                    std::optional<Duration> retry_after) {
+  if (exchange.MayHaveRun() && AnswerFor(kind).not_run) {
+    return AnswerOwnError(exchange, metrics, ErrorKind::kEndpointFailed, why,
+                          {});
+  }
   AnswerStart start{
       .status = AnswerFor(kind).status,
       .headers = {{.name = "Content-Type", .value = "application/json"}}};
--- a/packages/relay/caller_exchange.h
+++ b/packages/relay/caller_exchange.h
@@ -107,6 +107,11 @@
 
   bool Started() const { return this->started; }
 
+  // Whether an endpoint may have run the request, here or for a scheduler that
+  // was lost. From then on AnswerOwnError never says "not run".
+  void SetMayHaveRun() { this->may_have_run = true; }
+  bool MayHaveRun() const { return this->may_have_run; }
+
   // Whether the started answer has neither length nor chunks.
   bool UntilClose() const { return this->until_close; }
 
@@ -121,6 +126,7 @@
   bool over = false;
 
  private:
+  bool may_have_run = false;
   std::function<void()> gone;
   std::function<void()> drained;
 };
@@ -132,7 +138,8 @@
 std::string RetryAfterText(Duration length);
 
 // Answers with an error that this host generates, and counts it; returns the
-// HTTP status.
+// HTTP status. An error that says "not run" is replaced by one that doesn't if
+// the request may have run.
 int AnswerOwnError(CallerExchange& exchange,
                    Metrics& metrics,
                    ErrorKind kind,
--- a/packages/relay/forward_receiver.cc
+++ b/packages/relay/forward_receiver.cc
@@ -175,6 +175,9 @@
                             HeadBytes(message.head));
   auto exchange =
       std::make_shared<ForwardedExchange>(this, key, std::move(message));
+  if (request.earlier_sends > 0) {
+    exchange->SetMayHaveRun();
+  }
   this->exchanges[key] = exchange;
   return exchange;
 }
@@ -187,10 +190,8 @@
   request.body.shrink_to_fit();
   const auto exchange = this->MakeExchange(key, request);
   exchange->Decline();
-  exchange->Answer(
-      {.status = 503,
-       .headers = {{.name = "Retry-After", .value = RetryAfterText(wait)}}},
-      "");
+  AnswerOwnError(*exchange, *this->metrics, ErrorKind::kNoEndpoint,
+                 "no room for the request", wait);
 }
 
 void ForwardReceiver::Begin(const HostId& from, ForwardedRequest request) {
--- a/packages/relay/forward_receiver.h
+++ b/packages/relay/forward_receiver.h
@@ -51,8 +51,12 @@
   // null.
   ForwardReceiver(SendTo send,
                   Handler handler,
+                  Metrics& metrics,
                   ResourceBudget* budget = nullptr)
-      : send(std::move(send)), handler(std::move(handler)), budget(budget) {}
+      : send(std::move(send)),
+        handler(std::move(handler)),
+        metrics(&metrics),
+        budget(budget) {}
   ~ForwardReceiver();
   ForwardReceiver(const ForwardReceiver&) = delete;
   ForwardReceiver& operator=(const ForwardReceiver&) = delete;
@@ -90,6 +94,7 @@
 
   SendTo send;
   Handler handler;
+  Metrics* metrics;
   Exchanges exchanges;
   ResourceBudget* budget;
   std::map<Key, Partial> partial;
--- a/packages/relay/relayed_request.cc
+++ b/packages/relay/relayed_request.cc
@@ -60,13 +60,10 @@
 void RelayedRequest::Begin() {
   this->arrived = this->relay->clock->Now() - this->origin.age;
   this->progress = this->origin.progress;
-  this->may_have_run = this->origin.earlier_sends > 0;
   this->caller->OnGone([this] { this->OnCallerDisconnected(); });
   if (const auto error = this->Admit()) {
     if (this->StreamBegun()) {
       this->BreakOff(error->message);
-    } else if (this->origin.earlier_sends > 0) {
-      this->AnswerError(ErrorKind::kEndpointFailed, error->message);
     } else {
       this->AnswerError(error->kind, error->message, error->retry_after);
     }
@@ -551,7 +548,7 @@
   RequestProfile profile = this->shape;
   profile.max_first_byte_wait =
       std::min(profile.max_first_byte_wait, this->Left());
-  profile.in_progress = this->progress.Begun() || this->may_have_run;
+  profile.in_progress = this->progress.Begun() || this->caller->MayHaveRun();
   profile.progress = this->progress;
   profile.begins_stream =
       IsStream(this->route->kind) && !this->progress.Begun();
@@ -678,7 +675,7 @@
 void RelayedRequest::RefusePlacement(std::string_view why,
                                      Duration until_room) {
   Duration retry_after{};
-  if (!this->StreamBegun() && !this->may_have_run) {
+  if (!this->StreamBegun() && !this->caller->MayHaveRun()) {
     retry_after = this->relay->placement.OnRefused(this->relay->clock->Now(),
                                                    this->service, until_room);
     if (this->ordered && why == kOverloaded) {
@@ -714,7 +711,7 @@
   } else if (this->uncertain_runs == 0) {
     this->caller->Decline();
   }
-  const bool not_run = !this->StreamBegun() && !this->may_have_run;
+  const bool not_run = !this->StreamBegun() && !this->caller->MayHaveRun();
   const Instant now = this->relay->clock->Now();
   this->EndWithoutSending(ErrorKind::kNoEndpoint, "no endpoint can be reached",
                           not_run ? this->relay->placement.OnRefused(
@@ -762,12 +759,12 @@
   this->relay->LogBlocked(this->request.id, this->traits.fingerprint,
                           this->PartOf(*block), *block);
   if (this->attempt && !this->attempt->reading) {
-    this->may_have_run = true;
+    this->caller->SetMayHaveRun();
   }
   this->EndAttempt();
   constexpr std::string_view kWhy = "endpoints crash when they run it";
-  if (this->StreamBegun() || this->may_have_run) {
-    this->EndWithoutSending(ErrorKind::kNoEndpoint, kWhy, {});
+  if (this->StreamBegun()) {
+    this->BreakOff(kWhy);
   } else {
     this->AnswerError(ErrorKind::kNoEndpoint, kWhy, block->remaining);
   }
@@ -909,7 +906,7 @@
     return;
   }
   const std::optional<StopSchedule>& stop = this->relay->stop;
-  if (stop && !this->StreamBegun() && !this->may_have_run &&
+  if (stop && !this->StreamBegun() && !this->caller->MayHaveRun() &&
       !CanFinish(stop->Remaining(now), this->Need(step))) {
     this->caller->Decline();
     this->ReleaseHandle();
@@ -1008,7 +1005,7 @@
   }
   this->cutter.DropPartialEvent();
   if (fate == RunResult::kMayHaveRun) {
-    this->may_have_run = true;
+    this->caller->SetMayHaveRun();
   }
   const ReachState reach = this->relay->reach.State(this->service);
   if (reach == ReachState::kSuspected && this->MayRepeat() &&
@@ -1021,7 +1018,7 @@
 }
 
 bool RelayedRequest::MayRepeat() const {
-  return !this->may_have_run || IsRepeatable(this->route->kind);
+  return !this->caller->MayHaveRun() || IsRepeatable(this->route->kind);
 }
 
 // Places the request again after a failure, or ends it.
@@ -1132,7 +1129,7 @@
   this->EndAttempt();
   if (this->StreamBegun()) {
     this->BreakOff(why);
-  } else if (sent || this->may_have_run) {
+  } else if (sent || this->caller->MayHaveRun()) {
     this->AnswerError(ErrorKind::kTimeout, why);
   } else {
     this->RefuseNotRun(why, kMinRetryAfter);
@@ -1225,15 +1222,11 @@
       std::clamp(retry_after, Duration{}, std::max(most, Duration{})));
 }
 
-// Answers "not run" only if no endpoint can have run the request, since the
-// caller may then safely repeat it.
 void RelayedRequest::EndWithoutSending(ErrorKind kind,
                                        std::string_view why,
                                        Duration retry_after) {
   if (this->StreamBegun()) {
     this->BreakOff(why);
-  } else if (this->may_have_run) {
-    this->AnswerError(ErrorKind::kEndpointFailed, why);
   } else if (kind == ErrorKind::kNoEndpoint) {
     this->RefuseNotRun(why, retry_after);
   } else if (kind == ErrorKind::kRateLimited ||
--- a/packages/relay/relayed_request.h
+++ b/packages/relay/relayed_request.h
@@ -267,7 +267,6 @@
   int64_t runs_sent = 0;         // sends that may run the request
   int64_t arrivals = 0;          // `runs_sent` and failed prefill calls
   bool prompt_accepted = false;  // an engine may have accepted a prefill call
-  bool may_have_run = false;
   bool begun = false;
   bool over = false;
   bool counted = false;        // for the retry budget
--- a/packages/relay/relayed_request_waiting.cc
+++ b/packages/relay/relayed_request_waiting.cc
@@ -38,7 +38,8 @@
 
 bool RelayedRequest::MayQueue() const {
   return this->ordered && !this->queued && !this->admission_counted &&
-         this->arrivals == 0 && !this->may_have_run && !this->StreamBegun();
+         this->arrivals == 0 && !this->caller->MayHaveRun() &&
+         !this->StreamBegun();
 }
 
 // Whether requests that wait go before this one.
--- a/packages/relay/request_forwarder.cc
+++ b/packages/relay/request_forwarder.cc
@@ -149,11 +149,7 @@
   // are accepted.
   if (this->stop && call->arrived >= this->stop->accept_until &&
       !this->stop->MayAccept(call->arrived, {.limit = timeout})) {
-    // "Not run" must hold for a request that was handed over as well.
-    this->AnswerAndEnd(*call,
-                       call->UncertainSends() > 0 ? ErrorKind::kEndpointFailed
-                                                  : ErrorKind::kShuttingDown,
-                       kStopping);
+    this->AnswerAndEnd(*call, ErrorKind::kShuttingDown, kStopping);
     return;
   }
   call->no_answer_deadline = call->arrived + timeout + kDeadlineMargin;
@@ -195,9 +191,7 @@
   const auto to = may_send ? this->ChooseFor(*call) : std::nullopt;
   if (!to) {
     this->AnswerAndEnd(
-        *call,
-        call->UncertainSends() > 0 ? ErrorKind::kEndpointFailed
-                                   : ErrorKind::kNoEndpoint,
+        *call, ErrorKind::kNoEndpoint,
         call->progress.OriginUnknown() ? kOriginUnknown : kNoScheduler);
     return;
   }
@@ -421,11 +415,14 @@
   if (call.caller->Started()) {
     call.caller->Break();
   } else {
-    const bool not_run = AnswerFor(kind).not_run && call.UncertainSends() == 0;
+    if (call.UncertainSends() > 0) {
+      call.caller->SetMayHaveRun();
+    }
     const Duration retry_after =
         kind == ErrorKind::kShuttingDown ? Duration{} : kNoSchedulerRetryAfter;
-    AnswerOwnError(*call.caller, *this->metrics, kind, why.text,
-                   not_run ? std::optional(retry_after) : std::nullopt);
+    AnswerOwnError(
+        *call.caller, *this->metrics, kind, why.text,
+        AnswerFor(kind).not_run ? std::optional(retry_after) : std::nullopt);
   }
   this->LogCall(call, why.text);
 }
