Reset an answer without length when its host's process ends before it does

Cause: such an answer ends by an orderly close, and the operating system closes the connections of a process that dies in order. A broken answer was reset only by a process that lived to do it.

Ruled out: that the host ends these answers itself (no `Answered.` in its log), and the loss of a scheduler (none looks complete then).

Change: the socket is set to reset from before the head of such an answer, and set back right before its end is sent, when the kernel has all bytes. So an orderly close is always a host's decision. Stand-alone hosts do the same. The other way, to send such an answer in chunks, would state an end that the endpoint hasn't proven.

Tests: killed_process_test kills servers in processes of their own. DoesNotEndAnAnswerWithoutLength and DoesNotEndAnAnswerWithUnsentBytes failed before, for relay hosts, and after their repair for stand-alone ones.

--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -7,6 +7,8 @@
 #include <numeric>
 #include <utility>
 
+#include "http/stream_socket.h"
+
 namespace hickorystand {
 namespace {
 
@@ -290,6 +292,9 @@
       out, until_close ? SOUP_ENCODING_EOF : SOUP_ENCODING_CHUNKED);
   if (until_close) {
     soup_message_headers_replace(out, "Connection", "close");
+    if (this->socket) {
+      SetResetOnClose(this->socket.get(), true);
+    }
   }
   soup_message_body_set_accumulate(soup_server_message_get_response_body(raw),
                                    FALSE);
@@ -351,10 +356,7 @@
 void HttpCall::CloseSocket() {
   this->StopWatching();
   if (this->socket && this->until_close) {
-    // An orderly close would look like the end of the body.
-    const linger reset_on_close{.l_onoff = 1, .l_linger = 0};
-    setsockopt(g_socket_get_fd(this->socket.get()), SOL_SOCKET, SO_LINGER,
-               &reset_on_close, sizeof reset_on_close);
+    // A shutdown would look like the end of the body.
     g_socket_close(this->socket.get(), nullptr);
   } else if (this->socket) {
     g_socket_shutdown(this->socket.get(), TRUE, TRUE, nullptr);
@@ -373,6 +375,13 @@
   soup_server_message_unpause(raw);
 }
 
+// From now on an orderly close ends the body, if a close does.
+void HttpCall::OnBodyWritten() {
+  if (this->socket && this->until_close) {
+    SetResetOnClose(this->socket.get(), false);
+  }
+}
+
 void HttpCall::MarkGone() {
   if (std::exchange(this->gone, true)) {
     return;
@@ -539,6 +548,11 @@
         static_cast<HttpCall*>(call)->Wrote(bytes);
       }),
       raw);
+  g_signal_connect(message, "wrote-body",
+                   G_CALLBACK(+[](SoupServerMessage*, gpointer call) {
+                     static_cast<HttpCall*>(call)->OnBodyWritten();
+                   }),
+                   raw);
 }
 
 void HttpServer::OnEnded(SoupServer*,
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -137,6 +137,7 @@
   bool CallerClosed() const;
   void WriteHead(int status, const HttpHeaders& headers);
   void Wrote(int64_t bytes);
+  void OnBodyWritten();
   void ArmWriteTimer();
   void CloseSocket();
   void MarkGone();
--- a/packages/http/stream_socket.cc
+++ b/packages/http/stream_socket.cc
@@ -67,6 +67,12 @@
 
 }  // namespace
 
+void SetResetOnClose(GSocket* socket, bool reset) {
+  const linger option{.l_onoff = reset ? 1 : 0, .l_linger = 0};
+  setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &option,
+             sizeof option);
+}
+
 void StreamSocket::SourceDeleter::operator()(GSource* source) const {
   g_source_destroy(source);
   g_source_unref(source);
@@ -334,6 +340,9 @@
   this->Count();
   this->output.reset();
   if (this->state == State::kClosing) {
+    if (this->close_ends_body) {
+      SetResetOnClose(this->socket.get(), false);
+    }
     g_socket_shutdown(this->socket.get(), FALSE, TRUE, nullptr);
     this->StartCloseTimer();
   } else if (const auto call = this->events.on_drained) {
@@ -351,6 +360,13 @@
   this->WatchInput();
 }
 
+void StreamSocket::SetCloseEndsBody() {
+  if (this->state == State::kOpen) {
+    this->close_ends_body = true;
+    SetResetOnClose(this->socket.get(), true);
+  }
+}
+
 void StreamSocket::CloseAfterWrite() {
   if (this->state != State::kOpen) {
     this->Close();
@@ -388,9 +404,7 @@
 
 void StreamSocket::Reset() {
   if (this->socket && this->state != State::kDisconnected) {
-    const linger reset_on_close{.l_onoff = 1, .l_linger = 0};
-    setsockopt(g_socket_get_fd(this->socket.get()), SOL_SOCKET, SO_LINGER,
-               &reset_on_close, sizeof reset_on_close);
+    SetResetOnClose(this->socket.get(), true);
   }
   this->Close();
 }
--- a/packages/http/stream_socket.h
+++ b/packages/http/stream_socket.h
@@ -6,11 +6,12 @@
 // sockets directly together with Http1Parser.
 //
 // Index
-//   StreamEnd      how a connection ended
-//   StreamEvents   callbacks
-//   OutputQueue    written bytes that the kernel hasn't accepted
-//   StreamSocket   one connection
-//   Listener       accepts connections on an address
+//   StreamEnd         how a connection ended
+//   StreamEvents      callbacks
+//   OutputQueue       written bytes that the kernel hasn't accepted
+//   SetResetOnClose   how the kernel closes a socket
+//   StreamSocket      one connection
+//   Listener          accepts connections on an address
 
 #pragma once
 
@@ -86,6 +87,10 @@
   size_t own_bytes = 0;
 };
 
+// Sets whether the kernel resets the connection when the socket is closed, by
+// the end of the process too, or ends it in order.
+void SetResetOnClose(GSocket* socket, bool reset);
+
 // One TCP connection. Destroying it closes it. Used only on the task on which
 // it was created.
 class StreamSocket : public std::enable_shared_from_this<StreamSocket> {
@@ -127,6 +132,11 @@
   void Pause();
   void Resume();
 
+  // The close of the connection ends the body that is being written. From now
+  // on CloseAfterWrite() alone ends the connection in order; anything else, the
+  // end of the process too, resets it.
+  void SetCloseEndsBody();
+
   // Closes the connection in order once all bytes are sent. Until then the
   // object keeps itself alive and discards input, because a close with unread
   // input sends a reset, which can destroy data that the peer has not read yet.
@@ -188,6 +198,7 @@
   OutputQueue unsent;
   bool any_sent = false;
   bool write_failed = false;
+  bool close_ends_body = false;
   bool paused = false;
   std::shared_ptr<StreamSocket> self;  // set during CloseAfterWrite()
   std::unique_ptr<Timer> closing;
--- a/packages/relay/caller_server.cc
+++ b/packages/relay/caller_server.cc
@@ -382,6 +382,9 @@
   this->missing =
       this->has_body && !this->until_close ? start.length.value_or(0) : 0;
   to->last = to->IsLast() || this->until_close;
+  if (this->until_close) {
+    to->socket->SetCloseEndsBody();
+  }
   to->socket->Write(HeadText(start, this->chunked, to->last));
 }
 
