--- a/packages/http/http1_parser.cc
+++ b/packages/http/http1_parser.cc
@@ -29,7 +29,7 @@
          status != kSwitchingProtocols;
 }
 
-// Versions as Beast counts them. Only from 1.1 on there are transfer codings.
+// HTTP/1.1, the first version with transfer codings, as Beast numbers them.
 constexpr int kHttp11 = 11;
 
 // Whether the body is sent without a transfer coding or in chunks. Beast takes
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -375,7 +375,8 @@
   soup_server_message_unpause(raw);
 }
 
-// From now on an orderly close ends the body, if a close does.
+// The kernel has the whole body now. If the close of the connection is its end,
+// that may be orderly.
 void HttpCall::OnBodyWritten() {
   if (this->socket && this->until_close) {
     SetResetOnClose(this->socket.get(), false);
